--- /dev/null
+++ b/base/address.c
@@ -0,0 +1,53 @@
+#include "base/address.h"
+
+#include <arpa/inet.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define TEXT_BUFFERS 5
+
+bool
+Address_Parse(const char *text, Address *address)
+{
+    char host[ADDRESS_TEXT_SIZE];
+    const char *colon = strchr(text, ':');
+    struct in_addr ip;
+    char *end;
+    long port;
+
+    if (colon == NULL || (size_t)(colon - text) >= sizeof(host)) {
+        return false;
+    }
+    memcpy(host, text, (size_t)(colon - text));
+    host[colon - text] = '\0';
+    port = strtol(colon + 1, &end, 10);
+    if (*end != '\0' || end == colon + 1 || port < 1 || port > 65535) {
+        return false;
+    }
+    if (inet_pton(AF_INET, host, &ip) != 1) {
+        return false;
+    }
+    *address = (Address)ntohl(ip.s_addr) << 16 | (Address)port;
+    return true;
+}
+
+void
+Address_Format(Address address, char text[ADDRESS_TEXT_SIZE])
+{
+    snprintf(text, ADDRESS_TEXT_SIZE, "%u.%u.%u.%u:%u",
+             (unsigned)(address >> 40 & 255), (unsigned)(address >> 32 & 255),
+             (unsigned)(address >> 24 & 255), (unsigned)(address >> 16 & 255),
+             (unsigned)(address & 65535));
+}
+
+const char *
+Address_Text(Address address)
+{
+    static char buffers[TEXT_BUFFERS][ADDRESS_TEXT_SIZE];
+    static int next;
+
+    next = (next + 1) % TEXT_BUFFERS;
+    Address_Format(address, buffers[next]);
+    return buffers[next];
+}
--- /dev/null
+++ b/base/event.h
@@ -0,0 +1,69 @@
+/**
+ * @file event.h
+ * @brief Numbered log events, written through GLib's structured logging.
+ *
+ * The catalogue for operators is docs/EVENTS.md; a test compares both.
+ */
+#ifndef LC_BASE_EVENT_H
+#define LC_BASE_EVENT_H
+
+#include <glib.h>
+
+/** X(NAME, number, GLib level, text of the catalogue) */
+#define EVENT_LIST(X)                                                         \
+    X(STARTED, 100, G_LOG_LEVEL_MESSAGE, "process started")                   \
+    X(STOPPING, 101, G_LOG_LEVEL_MESSAGE, "planned stop begun")               \
+    X(STOPPED, 102, G_LOG_LEVEL_MESSAGE, "process stopped")                   \
+    X(STOP_FORCED, 103, G_LOG_LEVEL_WARNING, "second stop request: exit now") \
+    X(BAD_SETTINGS, 104, G_LOG_LEVEL_CRITICAL, "settings refused")            \
+    X(LISTEN_FAILED, 105, G_LOG_LEVEL_CRITICAL, "cannot listen")              \
+    X(LOG_DOWN, 200, G_LOG_LEVEL_WARNING, "log service unavailable")          \
+    X(LOG_UP, 201, G_LOG_LEVEL_MESSAGE, "log service available again")        \
+    X(HOSTS_DOWN, 202, G_LOG_LEVEL_WARNING, "host list unavailable")          \
+    X(HOSTS_UP, 203, G_LOG_LEVEL_MESSAGE, "host list available again")        \
+    X(RECORD_SKIPPED, 204, G_LOG_LEVEL_WARNING, "log record skipped")         \
+    X(SNAPSHOT, 205, G_LOG_LEVEL_INFO, "snapshot appended")                   \
+    X(LOG_GAP, 206, G_LOG_LEVEL_WARNING, "log records expired unread")        \
+    X(VIEW, 300, G_LOG_LEVEL_MESSAGE, "view applied")                         \
+    X(VIEW_PROPOSED, 301, G_LOG_LEVEL_INFO, "view change appended")           \
+    X(SETTLED, 302, G_LOG_LEVEL_MESSAGE, "ranges of this view are known")     \
+    X(SUSPECT, 303, G_LOG_LEVEL_WARNING, "peer suspected")                    \
+    X(DEPOSED, 304, G_LOG_LEVEL_WARNING, "this process left the view")        \
+    X(COMPANION_LOST, 305, G_LOG_LEVEL_WARNING, "companion lost")             \
+    X(INVENTORY, 306, G_LOG_LEVEL_MESSAGE, "inventory taken")                 \
+    X(EDIT, 400, G_LOG_LEVEL_MESSAGE, "table edit applied")                   \
+    X(EDIT_REFUSED, 401, G_LOG_LEVEL_MESSAGE, "table edit refused")           \
+    X(JOB_FAILED, 500, G_LOG_LEVEL_INFO, "job failed")                        \
+    X(FENCED, 501, G_LOG_LEVEL_WARNING, "start refused: owner not in view")   \
+    X(UPSTREAM_DOWN, 502, G_LOG_LEVEL_WARNING,                                \
+      "upstream refuses connections")                                         \
+    X(UPSTREAM_UP, 503, G_LOG_LEVEL_MESSAGE, "upstream accepts again")        \
+    X(RPC_BAD, 600, G_LOG_LEVEL_WARNING, "RPC record refused")                \
+    X(HTTP_BAD, 601, G_LOG_LEVEL_INFO, "HTTP request refused")
+
+/** Event identifiers, in the order of EVENT_LIST. */
+typedef enum {
+#define X(name, number, level, text) EVENT_##name,
+    EVENT_LIST(X)
+#undef X
+        EVENT_COUNT
+} Event_Id;
+
+/** Number of an event, as shown in the catalogue. */
+int
+Event_Number(Event_Id id);
+
+/** Catalogue text of an event. */
+const char *
+Event_Text(Event_Id id);
+
+/** Writes one event with a detail text through GLib. */
+void
+Event_Log(Event_Id id, const char *format, ...)
+    __attribute__((format(printf, 2, 3)));
+
+/** Sends all GLib log records to stderr, one line each. */
+void
+Event_UseStderr(void);
+
+#endif
--- /dev/null
+++ b/base/key.h
@@ -0,0 +1,44 @@
+/**
+ * @file key.h
+ * @brief Idempotency keys: UUID version 7 (RFC 9562), which carry the time
+ * of their minting in milliseconds of the Unix epoch.
+ */
+#ifndef LC_BASE_KEY_H
+#define LC_BASE_KEY_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/** Length of a key in text form without the final NUL. */
+#define KEY_TEXT_LENGTH 36
+
+/** A key as its 16 bytes. */
+typedef struct {
+    uint8_t bytes[16];
+} Key;
+
+/** Parses the text form; false unless it is a version 7 UUID. */
+bool
+Key_Parse(const char *text, Key *key);
+
+/** Writes the text form into @p text. */
+void
+Key_Format(const Key *key, char text[KEY_TEXT_LENGTH + 1]);
+
+/** Makes a key from a wall clock in ms and 80 random bits. */
+Key
+Key_Mint(int64_t wall_ms, uint64_t random_high, uint64_t random_low);
+
+/** Minting time in ms of the Unix epoch. */
+int64_t
+Key_Time(const Key *key);
+
+/** Hash for GLib tables. */
+unsigned int
+Key_Hash(const void *key);
+
+/** Equality for GLib tables. */
+int
+Key_Equal(const void *a, const void *b);
+
+#endif
--- /dev/null
+++ b/cli/exchange.c
@@ -0,0 +1,93 @@
+#include "cli/exchange.h"
+
+#include <glib.h>
+#include <jansson.h>
+#include <string.h>
+
+#include "platform/http_client.h"
+
+#define TIMEOUT_MS 600000
+#define FIRST_ERROR_STATUS 400
+
+typedef struct {
+    Exchange_Answer *answer;
+    Http_ClientEnd end;
+} waiting;
+
+static void
+on_done(void *context, const Http_ClientAnswer *answer)
+{
+    waiting *wait = context;
+
+    wait->end = answer->end;
+    wait->answer->status = answer->status;
+    wait->answer->body = g_strndup(answer->body, answer->length);
+    wait->answer->length = answer->length;
+    g_strlcpy(wait->answer->etag, answer->etag, sizeof(wait->answer->etag));
+}
+
+Err_Kind
+Exchange_Do(const Exchange_Request *request, Exchange_Answer *answer,
+            Status *status)
+{
+    static const char *const end_texts[] = {
+        [HTTP_CLIENT_ANSWERED] = "",
+        [HTTP_CLIENT_UNREACHED] = "connection refused",
+        [HTTP_CLIENT_BROKEN] = "the connection broke",
+        [HTTP_CLIENT_TIMEOUT] = "no answer in time",
+    };
+    uv_loop_t *loop = uv_default_loop();
+    Http_Client *client = Http_NewClient(loop);
+    Http_ClientRequest sent = {.to = request->to,
+                               .method = request->method,
+                               .path = request->path,
+                               .headers = request->headers,
+                               .body = request->body,
+                               .length = request->length,
+                               .timeout_ms = TIMEOUT_MS};
+    waiting wait = {answer, HTTP_CLIENT_BROKEN};
+
+    memset(answer, 0, sizeof(*answer));
+    Http_Send(client, &sent, on_done, &wait);
+    while (Http_Pending(client) > 0) {
+        uv_run(loop, UV_RUN_ONCE);
+    }
+    uv_run(loop, UV_RUN_NOWAIT);
+    Http_FreeClient(client);
+    if (wait.end != HTTP_CLIENT_ANSWERED) {
+        return Err_Set(status, ERR_IO, "%s: %s", Address_Text(request->to),
+                       end_texts[wait.end]);
+    }
+    return ERR_OK;
+}
+
+Err_Kind
+Exchange_Check(const Exchange_Answer *answer, Status *status)
+{
+    json_t *body;
+    const char *error;
+    const char *message;
+    Err_Kind kind;
+
+    if (answer->status < FIRST_ERROR_STATUS) {
+        return ERR_OK;
+    }
+    body = json_loadb(answer->body, answer->length, 0, NULL);
+    error = json_string_value(json_object_get(body, "error"));
+    message = json_string_value(json_object_get(body, "message"));
+    kind = error == NULL ? ERR_COUNT : Err_FromText(error);
+    if (kind == ERR_COUNT) {
+        kind = ERR_IO;
+    }
+    Err_Set(status, kind, "%s: %s", error == NULL ? "error" : error,
+            message == NULL ? "" : message);
+    json_decref(body);
+    return kind;
+}
+
+void
+Exchange_Clear(Exchange_Answer *answer)
+{
+    g_free(answer->body);
+    answer->body = NULL;
+}
--- /dev/null
+++ b/cli/main.c
@@ -0,0 +1,135 @@
+/* levercove: the operators' command line. */
+
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "base/err.h"
+#include "base/version.h"
+#include "cli/commands.h"
+
+static gboolean show_version;
+static char *entry_text;
+static char *key_text;
+
+static const GOptionEntry entries[] = {
+    {"version", 'V', 0, G_OPTION_ARG_NONE, &show_version,
+     "Print the version and exit", NULL},
+    {"entry", 'e', 0, G_OPTION_ARG_STRING, &entry_text,
+     "Callers' address of an entry (default: $LEVERCOVE_ENTRY)", "IP:PORT"},
+    {"key", 'k', 0, G_OPTION_ARG_STRING, &key_text,
+     "Idempotency key for submit, a UUID of version 7", "UUID"},
+    {NULL, 0, 0, 0, NULL, NULL, NULL},
+};
+
+static char *
+describe_commands(void)
+{
+    GString *text = g_string_new("Commands:\n");
+    const Command *command;
+
+    for (command = command_table; command->name != NULL; command++) {
+        g_string_append_printf(text, "  %s %s\n      %s\n", command->name,
+                               command->arguments, command->help);
+    }
+    return g_string_free(text, FALSE);
+}
+
+static int
+parse_arguments(int *argc, char ***argv)
+{
+    GOptionContext *context = g_option_context_new(
+        "COMMAND - operate levercove");
+    char *commands = describe_commands();
+    GError *error = NULL;
+    int code = 0;
+
+    g_option_context_add_main_entries(context, entries, NULL);
+    g_option_context_set_description(context, commands);
+    if (!g_option_context_parse(context, argc, argv, &error)) {
+        fprintf(stderr, "levercove: %s\n", error->message);
+        g_error_free(error);
+        code = Err_Exit(ERR_BAD_REQUEST);
+    }
+    g_option_context_free(context);
+    g_free(commands);
+    return code;
+}
+
+/* Command of the first one or two words; @p words: how many it takes. */
+static const Command *
+find_command(int argc, char **argv, int *words)
+{
+    const Command *command;
+
+    for (command = command_table; command->name != NULL; command++) {
+        char *both = argc > 2 ? g_strconcat(argv[1], " ", argv[2], NULL)
+                              : g_strdup("");
+        *words = strchr(command->name, ' ') == NULL ? 1 : 2;
+        if ((*words == 1 && argc > 1 && strcmp(argv[1], command->name) == 0) ||
+            strcmp(both, command->name) == 0) {
+            g_free(both);
+            return command;
+        }
+        g_free(both);
+    }
+    return NULL;
+}
+
+static int
+parse_entry(Command_Options *options)
+{
+    const char *text = entry_text == NULL ? g_getenv("LEVERCOVE_ENTRY")
+                                          : entry_text;
+
+    options->key = key_text;
+    if (text != NULL && !Address_Parse(text, &options->entry)) {
+        fprintf(stderr, "levercove: entry %s: expected IP:port\n", text);
+        return Err_Exit(ERR_BAD_REQUEST);
+    }
+    return 0;
+}
+
+static int
+run(int argc, char **argv)
+{
+    Command_Options options = {0, NULL};
+    int words;
+    const Command *command = find_command(argc, argv, &words);
+    int count = argc - 1 - (command == NULL ? 0 : words);
+    int code = parse_entry(&options);
+
+    if (code != 0) {
+        return code;
+    }
+    if (command == NULL) {
+        fprintf(stderr, "levercove: no such command, see --help\n");
+        return Err_Exit(ERR_BAD_REQUEST);
+    }
+    if (count < command->least || count > command->most) {
+        fprintf(stderr, "levercove: usage: levercove %s %s\n", command->name,
+                command->arguments);
+        return Err_Exit(ERR_BAD_REQUEST);
+    }
+    if (options.entry == 0 &&
+        (words == 2 || strcmp(command->name, "submit") == 0)) {
+        fprintf(stderr, "levercove: give --entry or LEVERCOVE_ENTRY\n");
+        return Err_Exit(ERR_BAD_REQUEST);
+    }
+    return command->run(&options, count, argv + 1 + words);
+}
+
+int
+main(int argc, char **argv)
+{
+    int code = parse_arguments(&argc, &argv);
+
+    if (code != 0) {
+        return code;
+    }
+    if (show_version) {
+        printf("levercove %s\n", LC_VERSION_TEXT);
+        return 0;
+    }
+    return run(argc, argv);
+}
--- /dev/null
+++ b/core/arbiter.c
@@ -0,0 +1,346 @@
+#include "core/arbiter.h"
+
+#include <string.h>
+
+#include "core/vtime.h"
+
+/* Tasks of one group that wait at one entry. */
+typedef struct {
+    lc_node entry;
+    char group[NODE_MAX_GROUP + 1];
+    uint32_t waiting;
+} demand_row;
+
+typedef struct {
+    char name[NODE_MAX_GROUP + 1];
+    Vtime vtime;
+    uint32_t busy;
+} group_row;
+
+struct Arbiter {
+    uint32_t slots;
+    uint32_t busy;
+    int64_t grant_ms;
+    uint64_t random;
+    uint64_t last_grant;
+    double vtime_ms; /* of the group served last */
+    GArray *grants;  /* Arbiter_Grant */
+    GArray *demand;  /* demand_row */
+    GHashTable *groups;
+};
+
+Arbiter *
+Arbiter_New(uint32_t slots, int64_t grant_ms, uint64_t seed)
+{
+    Arbiter *arbiter = g_new0(Arbiter, 1);
+
+    arbiter->slots = slots;
+    arbiter->grant_ms = grant_ms;
+    arbiter->random = seed | 1;
+    arbiter->grants = g_array_new(FALSE, FALSE, sizeof(Arbiter_Grant));
+    arbiter->demand = g_array_new(FALSE, FALSE, sizeof(demand_row));
+    arbiter->groups = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+                                            g_free);
+    return arbiter;
+}
+
+void
+Arbiter_Free(Arbiter *arbiter)
+{
+    if (arbiter == NULL) {
+        return;
+    }
+    g_array_unref(arbiter->grants);
+    g_array_unref(arbiter->demand);
+    g_hash_table_unref(arbiter->groups);
+    g_free(arbiter);
+}
+
+uint32_t
+Arbiter_FreeSlots(const Arbiter *arbiter)
+{
+    uint32_t taken = arbiter->busy + arbiter->grants->len;
+
+    return taken >= arbiter->slots ? 0 : arbiter->slots - taken;
+}
+
+uint32_t
+Arbiter_Slots(const Arbiter *arbiter)
+{
+    return arbiter->slots;
+}
+
+static uint64_t
+next_random(Arbiter *arbiter)
+{
+    arbiter->random ^= arbiter->random >> 12;
+    arbiter->random ^= arbiter->random << 25;
+    arbiter->random ^= arbiter->random >> 27;
+    return arbiter->random * 0x2545F4914F6CDD1DULL;
+}
+
+static group_row *
+get_group(Arbiter *arbiter, const char *name)
+{
+    group_row *group = g_hash_table_lookup(arbiter->groups, name);
+
+    if (group == NULL) {
+        group = g_new0(group_row, 1);
+        g_strlcpy(group->name, name, sizeof(group->name));
+        Vtime_Init(&group->vtime, arbiter->vtime_ms);
+        g_hash_table_insert(arbiter->groups, group->name, group);
+    }
+    return group;
+}
+
+static uint32_t
+weight_of(const Table *table, const char *group)
+{
+    const Table_Row *row = Table_Find(table, group);
+
+    return row == NULL ? 1 : (uint32_t)row->weight;
+}
+
+static demand_row *
+demand_at(const Arbiter *arbiter, guint place)
+{
+    return &g_array_index(arbiter->demand, demand_row, place);
+}
+
+static void
+drop_demand(Arbiter *arbiter, const lc_node *entry)
+{
+    guint i;
+
+    for (i = arbiter->demand->len; i-- > 0;) {
+        if (Node_Same(&demand_at(arbiter, i)->entry, entry)) {
+            g_array_remove_index_fast(arbiter->demand, i);
+        }
+    }
+}
+
+static bool
+has_demand(const Arbiter *arbiter, const char *group)
+{
+    guint i;
+
+    for (i = 0; i < arbiter->demand->len; i++) {
+        if (strcmp(demand_at(arbiter, i)->group, group) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+void
+Arbiter_SetDemand(Arbiter *arbiter, const lc_node *entry,
+                  const lc_demand *rows, uint32_t count)
+{
+    uint32_t i;
+
+    if (count == 0) {
+        return;
+    }
+    drop_demand(arbiter, entry);
+    for (i = 0; i < count; i++) {
+        demand_row row;
+        group_row *group;
+        if (rows[i].waiting == 0) {
+            continue;
+        }
+        group = get_group(arbiter, rows[i].group);
+        if (group->busy == 0 && !has_demand(arbiter, rows[i].group)) {
+            Vtime_Resume(&group->vtime, arbiter->vtime_ms);
+        }
+        row.entry = *entry;
+        row.waiting = rows[i].waiting;
+        g_strlcpy(row.group, rows[i].group, sizeof(row.group));
+        g_array_append_val(arbiter->demand, row);
+    }
+}
+
+void
+Arbiter_OnView(Arbiter *arbiter, const View *view)
+{
+    guint i;
+
+    for (i = arbiter->demand->len; i-- > 0;) {
+        if (View_Find(view, &demand_at(arbiter, i)->entry) == NULL) {
+            g_array_remove_index_fast(arbiter->demand, i);
+        }
+    }
+    for (i = arbiter->grants->len; i-- > 0;) {
+        if (View_Find(view, &g_array_index(arbiter->grants, Arbiter_Grant, i)
+                                 .entry) == NULL) {
+            g_array_remove_index_fast(arbiter->grants, i);
+        }
+    }
+}
+
+/* Removes a grant; false if it has lapsed. */
+static bool
+spend_grant(Arbiter *arbiter, const lc_node *entry, uint64_t id)
+{
+    guint i;
+
+    for (i = 0; i < arbiter->grants->len; i++) {
+        const Arbiter_Grant *grant = &g_array_index(arbiter->grants,
+                                                    Arbiter_Grant, i);
+        if (grant->id == id && Node_Same(&grant->entry, entry)) {
+            g_array_remove_index_fast(arbiter->grants, i);
+            return true;
+        }
+    }
+    return false;
+}
+
+bool
+Arbiter_Take(Arbiter *arbiter, const lc_node *entry, uint64_t grant,
+             const char *group, const Table *table)
+{
+    group_row *row;
+
+    if ((grant == 0 || !spend_grant(arbiter, entry, grant)) &&
+        Arbiter_FreeSlots(arbiter) == 0) {
+        return false;
+    }
+    row = get_group(arbiter, group);
+    if (row->busy == 0 && !has_demand(arbiter, group)) {
+        Vtime_Resume(&row->vtime, arbiter->vtime_ms);
+    }
+    arbiter->vtime_ms = row->vtime.value_ms;
+    Vtime_Start(&row->vtime, weight_of(table, group));
+    row->busy++;
+    arbiter->busy++;
+    return true;
+}
+
+void
+Arbiter_Release(Arbiter *arbiter, const char *group, int64_t slot_ms,
+                const Table *table)
+{
+    group_row *row = get_group(arbiter, group);
+
+    Vtime_End(&row->vtime, weight_of(table, group), slot_ms);
+    row->busy--;
+    arbiter->busy--;
+}
+
+void
+Arbiter_Return(Arbiter *arbiter, const char *group, const Table *table)
+{
+    group_row *row = get_group(arbiter, group);
+
+    Vtime_Cancel(&row->vtime, weight_of(table, group));
+    row->busy--;
+    arbiter->busy--;
+}
+
+static group_row *
+choose_group(Arbiter *arbiter)
+{
+    group_row *best = NULL;
+    guint i;
+
+    for (i = 0; i < arbiter->demand->len; i++) {
+        group_row *group = get_group(arbiter, demand_at(arbiter, i)->group);
+        if (best == NULL || group->vtime.value_ms < best->vtime.value_ms) {
+            best = group;
+        }
+    }
+    return best;
+}
+
+/* Place of the demand that a lot over its waiting tasks falls on. */
+static guint
+draw_demand(Arbiter *arbiter, const char *group)
+{
+    uint64_t total = 0;
+    uint64_t lot;
+    guint chosen = 0;
+    guint i;
+
+    for (i = 0; i < arbiter->demand->len; i++) {
+        if (strcmp(demand_at(arbiter, i)->group, group) == 0) {
+            total += demand_at(arbiter, i)->waiting;
+        }
+    }
+    lot = next_random(arbiter) % total;
+    for (i = 0; i < arbiter->demand->len; i++) {
+        const demand_row *row = demand_at(arbiter, i);
+        if (strcmp(row->group, group) != 0) {
+            continue;
+        }
+        chosen = i;
+        if (lot < row->waiting) {
+            break;
+        }
+        lot -= row->waiting;
+    }
+    return chosen;
+}
+
+bool
+Arbiter_Offer(Arbiter *arbiter, int64_t mono_ms, Arbiter_Grant *grant)
+{
+    const group_row *group;
+    demand_row *row;
+    guint place;
+
+    if (arbiter->demand->len == 0 || Arbiter_FreeSlots(arbiter) == 0) {
+        return false;
+    }
+    group = choose_group(arbiter);
+    place = draw_demand(arbiter, group->name);
+    row = demand_at(arbiter, place);
+    memset(grant, 0, sizeof(*grant));
+    grant->id = ++arbiter->last_grant;
+    grant->entry = row->entry;
+    grant->lapses_ms = mono_ms + arbiter->grant_ms;
+    g_strlcpy(grant->group, row->group, sizeof(grant->group));
+    g_array_append_val(arbiter->grants, *grant);
+    row->waiting--;
+    if (row->waiting == 0) {
+        g_array_remove_index_fast(arbiter->demand, place);
+    }
+    return true;
+}
+
+/* The grant at a place was of no use: its entry waits for nothing here. */
+static void
+drop_grant(Arbiter *arbiter, guint place)
+{
+    lc_node entry = g_array_index(arbiter->grants, Arbiter_Grant, place).entry;
+
+    g_array_remove_index_fast(arbiter->grants, place);
+    drop_demand(arbiter, &entry);
+}
+
+void
+Arbiter_Decline(Arbiter *arbiter, uint64_t id)
+{
+    guint i;
+
+    for (i = 0; i < arbiter->grants->len; i++) {
+        if (g_array_index(arbiter->grants, Arbiter_Grant, i).id == id) {
+            drop_grant(arbiter, i);
+            return;
+        }
+    }
+}
+
+uint32_t
+Arbiter_Lapse(Arbiter *arbiter, int64_t mono_ms)
+{
+    uint32_t lapsed = 0;
+    guint i;
+
+    for (i = arbiter->grants->len; i-- > 0;) {
+        if (g_array_index(arbiter->grants, Arbiter_Grant, i).lapses_ms <=
+            mono_ms) {
+            drop_grant(arbiter, i);
+            lapsed++;
+        }
+    }
+    return lapsed;
+}
--- /dev/null
+++ b/core/board.c
@@ -0,0 +1,223 @@
+#include "core/board.h"
+
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+Board_Config
+Board_Defaults(lc_node self, int64_t wall_ms)
+{
+    Board_Config config = {
+        .self = self,
+        .started_wall_ms = wall_ms,
+        .seed = self.incarnation ^ self.address,
+        .evidence_ms = 3000,
+        .skew_ms = 2000,
+        .window_ms = 600000,
+        .ping_entry_ms = 500,
+        .ping_companion_ms = 5000,
+        .suspect_ms = 3000,
+        .patience_ms = 10000,
+        .inventory_ms = 2000,
+        .hosts_lag_ms = 60000,
+        .snapshot_ms = 600000,
+        .snapshot_records = 500,
+        .task_timeout_ms = 30000,
+        .max_jobs = 200000,
+        .max_answer_bytes = 24U * 1024 * 1024,
+        .order = GROUP_ORDER_RATIO,
+    };
+
+    return config;
+}
+
+static void
+free_edit(gpointer item)
+{
+    Edit *edit = item;
+
+    free(edit->record);
+    g_free(edit);
+}
+
+Board *
+Board_New(const Board_Config *config, const Node_Ports *ports, void *context)
+{
+    Board *board = g_new0(Board, 1);
+
+    board->config = *config;
+    board->ports = *ports;
+    board->context = context;
+    board->random = config->seed | 1;
+    board->fold = Fold_New(config->window_ms + config->skew_ms);
+    board->peers = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+                                         g_free);
+    board->usable = g_ptr_array_new();
+    board->usable_dirty = true;
+    board->calls = Handle_NewTable();
+    board->ledger = Ledger_New(config->max_jobs, config->max_answer_bytes);
+    board->active = g_hash_table_new(NULL, NULL);
+    board->groups = Groups_New(config->order);
+    board->silent = g_queue_new();
+    board->settle.entries = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+                                                  NULL, g_free);
+    board->settle.companions = g_hash_table_new_full(
+        g_int64_hash, g_int64_equal, NULL, g_free);
+    board->settles = g_array_new(FALSE, FALSE, sizeof(Settled));
+    board->discharged = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+                                              g_free, NULL);
+    board->edits = g_ptr_array_new_with_free_func(free_edit);
+    return board;
+}
+
+static void
+free_calls(Board *board)
+{
+    uint32_t i;
+
+    for (i = 0; i < Handle_Size(board->calls); i++) {
+        g_free(Handle_At(board->calls, i));
+    }
+    Handle_FreeTable(board->calls);
+}
+
+void
+Board_Free(Board *board)
+{
+    if (board == NULL) {
+        return;
+    }
+    free_calls(board);
+    Fold_Free(board->fold);
+    g_hash_table_unref(board->peers);
+    g_ptr_array_unref(board->usable);
+    g_hash_table_unref(board->active);
+    Groups_Free(board->groups);
+    Ledger_Free(board->ledger);
+    g_queue_free_full(board->silent, g_free);
+    g_hash_table_unref(board->settle.entries);
+    g_hash_table_unref(board->settle.companions);
+    if (board->settle.found != NULL) {
+        g_ptr_array_unref(board->settle.found);
+    }
+    g_array_unref(board->settles);
+    g_hash_table_unref(board->discharged);
+    g_ptr_array_unref(board->edits);
+    g_free(board);
+}
+
+const View *
+Board_View(const Board *board)
+{
+    return Fold_View(board->fold);
+}
+
+const Table *
+Board_Table(const Board *board)
+{
+    return Fold_Table(board->fold);
+}
+
+Peer *
+Board_FindPeer(const Board *board, Address address)
+{
+    return g_hash_table_lookup(board->peers, &address);
+}
+
+Peer *
+Board_Peer(Board *board, Address address)
+{
+    Peer *peer = Board_FindPeer(board, address);
+
+    if (peer == NULL) {
+        peer = g_new0(Peer, 1);
+        peer->address = address;
+        g_hash_table_insert(board->peers, &peer->address, peer);
+    }
+    return peer;
+}
+
+uint64_t
+Board_Call(Board *board, const Msg_Call *call, const Call *info)
+{
+    Call *kept = g_new(Call, 1);
+    uint64_t call_id;
+
+    *kept = *info;
+    kept->kind = call->kind;
+    kept->sent_ms = board->now.mono_ms;
+    call_id = Handle_Add(board->calls, kept);
+    board->ports.call(board->context, kept->to, call_id, call);
+    return call_id;
+}
+
+uint64_t
+Board_Random(Board *board)
+{
+    /* xorshift64*: seeded, so that a node's choices can be repeated. */
+    board->random ^= board->random >> 12;
+    board->random ^= board->random << 25;
+    board->random ^= board->random >> 27;
+    return board->random * 0x2545F4914F6CDD1DULL;
+}
+
+void
+Board_Event(Board *board, Event_Id id, const char *format, ...)
+{
+    char detail[320];
+    va_list args;
+
+    va_start(args, format);
+    vsnprintf(detail, sizeof(detail), format, args);
+    va_end(args);
+    board->ports.event(board->context, id, detail);
+}
+
+bool
+Board_IsMember(const Board *board)
+{
+    return View_Find(Board_View(board), &board->config.self) != NULL;
+}
+
+bool
+Board_IsOwner(const Board *board)
+{
+    const View_Member *member = View_Find(Board_View(board),
+                                          &board->config.self);
+
+    return member != NULL && !member->leaving;
+}
+
+bool
+Board_IsGone(const Board *board, const lc_node *node, int64_t added_wall_ms)
+{
+    const View_Removed *removed = View_FindRemoved(Board_View(board), node);
+    const Peer *peer = Board_FindPeer(board, node->address);
+
+    if (removed != NULL && removed->gone) {
+        return true;
+    }
+    if (peer == NULL) {
+        return false;
+    }
+    /* Incarnations rise with time; only a later one proves anything. */
+    if (peer->node.incarnation > node->incarnation) {
+        return true;
+    }
+    return peer->host == HOST_GONE &&
+           board->now.wall_ms - added_wall_ms > board->config.hosts_lag_ms;
+}
+
+uint32_t
+Board_RetryMs(Board *board, int64_t base_ms)
+{
+    return (uint32_t)(base_ms +
+                      (int64_t)(Board_Random(board) % (uint64_t)base_ms) / 2);
+}
+
+void
+Board_Overflow(Board *board)
+{
+    board->overflow_before_ms = board->now.wall_ms + board->config.skew_ms;
+}
--- /dev/null
+++ b/core/board.h
@@ -0,0 +1,231 @@
+/**
+ * @file board.h
+ * @brief The blackboard of one entry: everything its controllers read and
+ * write. Controllers (members, ownership, admission, dispatch, limits,
+ * edits, drain) share no state but this.
+ *
+ * Ownership: the board owns all tables in it. Peers live as long as the
+ * board; jobs as long as the ledger keeps them.
+ */
+#ifndef LC_CORE_BOARD_H
+#define LC_CORE_BOARD_H
+
+#include "base/handle.h"
+#include "core/fold.h"
+#include "core/group.h"
+#include "core/job.h"
+#include "core/node.h"
+
+/** Settings of one entry; all times in ms. */
+typedef struct {
+    lc_node self;
+    int64_t started_wall_ms;
+    uint64_t seed;
+    int64_t evidence_ms; /**< L: how long evidence of membership holds */
+    int64_t skew_ms;     /**< bound on differences of wall clocks */
+    int64_t window_ms;   /**< dedupe window */
+    int64_t ping_entry_ms;
+    int64_t ping_companion_ms;
+    int64_t suspect_ms;   /**< silence after which a peer is suspected */
+    int64_t patience_ms;  /**< silence after which a started task is lost */
+    int64_t inventory_ms; /**< wait for a companion's inventory */
+    int64_t hosts_lag_ms; /**< bound on the lag of the host list */
+    int64_t snapshot_ms;
+    uint32_t snapshot_records;
+    uint32_t task_timeout_ms;
+    uint32_t max_jobs;
+    size_t max_answer_bytes;
+    Group_Order order;
+} Board_Config;
+
+/** Fills a configuration with defaults for @p self. */
+Board_Config
+Board_Defaults(lc_node self, int64_t wall_ms);
+
+/** What the host list says of an address. */
+typedef enum { HOST_UNLISTED, HOST_LIVE, HOST_LEAVING, HOST_GONE } Host_State;
+
+/** A process known by its address. */
+typedef struct {
+    Address address;
+    lc_node node; /**< last incarnation that answered; 0 if none */
+    lc_role role;
+    Host_State host;
+    bool draining;
+    lc_position position;
+    uint64_t complied;
+    int64_t started_wall_ms;
+    uint32_t slots;
+    uint64_t ping_call; /**< pending ping, or 0 */
+    int64_t next_ping_ms;
+    int64_t contact_ms;      /**< last answer of any kind */
+    int64_t silent_since_ms; /**< first ping unanswered since, or 0 */
+    bool relaying;
+    bool wants_relay;
+    int64_t behind_since_ms; /**< since when it lacks records, or 0 */
+    /* Companions only. */
+    uint32_t running;      /**< starts of ours in flight */
+    uint32_t others;       /**< slots busy for others, as last heard */
+    int64_t heard_ms;      /**< when `others` was heard */
+    bool registered;       /**< it knows of our demand */
+    int64_t not_before_ms; /**< no starts before */
+    uint64_t sequence;     /**< of the last start sent */
+    uint64_t demand_sent;  /**< signature of the demand last sent */
+} Peer;
+
+/** A call in flight. */
+typedef struct {
+    Msg_Kind kind;
+    Address to;
+    uint64_t incarnation; /**< of the callee, where it was known */
+    int64_t sent_ms;
+    Handle job;
+    uint32_t index;
+    uint64_t epoch;
+    Key key;
+    Job_Waiter waiter; /**< for SUBMIT */
+} Call;
+
+/** A settle this entry completed. */
+typedef struct {
+    uint64_t epoch;
+    int64_t unsure_before_ms; /**< keys minted before may have run unseen */
+} Settled;
+
+/** Progress towards knowing the ranges of the current epoch. */
+typedef struct {
+    uint64_t epoch;
+    bool active;
+    int64_t started_ms;
+    int64_t applied_ms;     /**< when all members had applied it, or 0 */
+    GHashTable *entries;    /**< Address -> Settle_Peer */
+    GHashTable *companions; /**< Address -> Settle_Peer */
+    GPtrArray *found;       /**< lc_started copies out of inventories */
+} Settle;
+
+/** Progress of one peer in a settle. */
+typedef struct {
+    Address address;
+    uint64_t call; /**< pending call, or 0 */
+    int64_t retry_ms;
+    uint32_t cursor;
+    bool done;
+} Settle_Peer;
+
+/** An edit of the table that waits for its record to be read back. */
+typedef struct {
+    uint64_t request;
+    char id[40];
+    char *record;
+    uint64_t append;   /**< append in flight or last ended */
+    int64_t sent_ms;   /**< when it was first sent */
+    int64_t failed_ms; /**< when its append ended unconfirmed, or 0 */
+} Edit;
+
+/** Blackboard of one entry. */
+typedef struct {
+    Board_Config config;
+    Node_Ports ports;
+    void *context;
+    Node_Time now;
+    uint64_t random;
+    Counters counters;
+    Fold *fold;
+    GHashTable *peers; /**< Address -> Peer */
+    GPtrArray *usable; /**< Peer: companions that may be sent work */
+    bool usable_dirty;
+    uint32_t companions; /**< companions in the view */
+    Handle_Table *calls;
+    Ledger *ledger;
+    GHashTable *active; /**< set of Job that are JOB_ACTIVE */
+    Groups *groups;
+    GQueue *silent; /**< Silent_Task: started, call lost, to ask again */
+    Settle settle;
+    GArray *settles;        /**< Settled, oldest first */
+    GHashTable *discharged; /**< incarnations that admit nothing any more */
+    int64_t overflow_before_ms; /**< wall; what was minted before may be
+                                     missing from the full ledger */
+    int64_t evidence_until_ms;
+    bool log_up;
+    int64_t log_tail_ms;     /**< last time the log's tail was reached */
+    uint64_t append_pending; /**< view or snapshot append in flight */
+    int64_t append_ms;       /**< when it was sent */
+    int64_t append_end_ms;   /**< when the last one ended */
+    int64_t proposal_ms;     /**< since when a view change is wanted, or 0 */
+    int64_t snapshot_ms;     /**< when the last snapshot was applied */
+    GPtrArray *edits;        /**< Edit */
+    uint64_t next_append;
+    uint64_t complied; /**< epoch to whose shares this entry keeps */
+    bool joined;       /**< was a member of the view once */
+    bool deposed;      /**< removed from the view while running */
+    bool draining;
+    int64_t drain_ms;       /**< since when */
+    int64_t drain_retry_ms; /**< when to append the next step */
+    double done_rate;       /**< tasks ended per second, moving mean */
+    uint32_t done_recent;
+    int64_t done_ms;
+} Board;
+
+/** A started task whose call was lost. */
+typedef struct {
+    Handle job;
+    uint32_t index;
+} Silent_Task;
+
+Board *
+Board_New(const Board_Config *config, const Node_Ports *ports, void *context);
+void
+Board_Free(Board *board);
+
+/** Folded view and table. */
+const View *
+Board_View(const Board *board);
+const Table *
+Board_Table(const Board *board);
+
+/** Peer at an address, made if needed. */
+Peer *
+Board_Peer(Board *board, Address address);
+
+/** Peer at an address, or NULL. */
+Peer *
+Board_FindPeer(const Board *board, Address address);
+
+/** Sends a call and registers it; @p info is copied. Returns its id. */
+uint64_t
+Board_Call(Board *board, const Msg_Call *call, const Call *info);
+
+/** Next pseudo-random number of this node. */
+uint64_t
+Board_Random(Board *board);
+
+/** Reports an event with a formatted detail. */
+void
+Board_Event(Board *board, Event_Id id, const char *format, ...)
+    __attribute__((format(printf, 3, 4)));
+
+/** Whether this entry is a member of the view, leaving or not. */
+bool
+Board_IsMember(const Board *board);
+
+/** Whether this entry owns keys in the view. */
+bool
+Board_IsOwner(const Board *board);
+
+/**
+ * Whether a process certainly no longer runs: by the log, because a later
+ * incarnation answers at its address, or because the host list lacks it and
+ * it was added longer ago than that list may lag.
+ */
+bool
+Board_IsGone(const Board *board, const lc_node *node, int64_t added_wall_ms);
+
+/** What came from a peer found no place: keys minted by now are unsure. */
+void
+Board_Overflow(Board *board);
+
+/** A time to come back around @p base_ms, spread by half of it. */
+uint32_t
+Board_RetryMs(Board *board, int64_t base_ms);
+
+#endif
--- /dev/null
+++ b/core/companion.c
@@ -0,0 +1,725 @@
+#include "core/companion.h"
+
+#include <string.h>
+
+#include "core/arbiter.h"
+#include "core/fold.h"
+#include "core/records.h"
+
+#define PAGE_BYTES (1024U * 1024)
+
+/* Highest sequence number seen of an entry: older calls are refused. */
+typedef struct {
+    lc_node entry;
+    uint64_t sequence;
+    int64_t seen_ms;
+} sequence_row;
+
+/* A GRANT call in flight. */
+typedef struct {
+    uint64_t grant;
+} grant_call;
+
+struct Companion {
+    Companion_Config config;
+    Node_Ports ports;
+    void *context;
+    Node_Time now;
+    Counters counters;
+    Fold *fold;
+    Records *records;
+    Arbiter *arbiter;
+    GHashTable *sequences; /* incarnation -> sequence_row */
+    Handle_Table *calls;   /* grant_call */
+    int64_t down_until_ms;
+    uint32_t running;
+    bool draining;
+};
+
+Companion_Config
+Companion_Defaults(lc_node self, int64_t wall_ms)
+{
+    Companion_Config config = {
+        .self = self,
+        .started_wall_ms = wall_ms,
+        .seed = self.incarnation ^ self.address,
+        .slots = 8,
+        .grant_ms = 250,
+        .down_ms = 500,
+        .window_ms = 600000,
+        .skew_ms = 2000,
+        .max_records = 100000,
+        .max_result_bytes = 16U * 1024 * 1024,
+    };
+
+    return config;
+}
+
+Companion *
+Companion_New(const Companion_Config *config, const Node_Ports *ports,
+              void *context, Node_Time now)
+{
+    Companion *companion = g_new0(Companion, 1);
+
+    companion->config = *config;
+    companion->ports = *ports;
+    companion->context = context;
+    companion->now = now;
+    companion->fold = Fold_New(config->window_ms + config->skew_ms);
+    companion->records = Records_New(config->max_records,
+                                     config->max_result_bytes);
+    companion->arbiter = Arbiter_New(config->slots, config->grant_ms,
+                                     config->seed);
+    companion->sequences = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+                                                 NULL, g_free);
+    companion->calls = Handle_NewTable();
+    return companion;
+}
+
+void
+Companion_Free(Companion *companion)
+{
+    uint32_t i;
+
+    if (companion == NULL) {
+        return;
+    }
+    for (i = 0; i < Handle_Size(companion->calls); i++) {
+        g_free(Handle_At(companion->calls, i));
+    }
+    Handle_FreeTable(companion->calls);
+    g_hash_table_unref(companion->sequences);
+    Arbiter_Free(companion->arbiter);
+    Records_Free(companion->records);
+    Fold_Free(companion->fold);
+    g_free(companion);
+}
+
+static const View *
+get_view(const Companion *companion)
+{
+    return Fold_View(companion->fold);
+}
+
+static bool
+is_down(const Companion *companion)
+{
+    return companion->now.mono_ms < companion->down_until_ms;
+}
+
+static uint32_t
+open_slots(const Companion *companion)
+{
+    if (companion->draining || is_down(companion)) {
+        return 0;
+    }
+    return Arbiter_FreeSlots(companion->arbiter);
+}
+
+static Msg_Reply
+start_reply(const Companion *companion, lc_start_status status)
+{
+    Msg_Reply reply = {.kind = MSG_START};
+
+    reply.u.start.status = status;
+    reply.u.start.free = open_slots(companion);
+    reply.u.start.grant_group = (char *)(uintptr_t) "";
+    reply.u.start.position = Fold_Position(companion->fold);
+    return reply;
+}
+
+static void
+answer_start(Companion *companion, uint64_t reply_id, lc_start_status status)
+{
+    Msg_Reply reply = start_reply(companion, status);
+
+    companion->ports.reply(companion->context, reply_id, &reply);
+}
+
+static void
+send_grant(Companion *companion, const Arbiter_Grant *grant)
+{
+    Msg_Call call = {.kind = MSG_GRANT};
+    grant_call *info = g_new0(grant_call, 1);
+
+    info->grant = grant->id;
+    call.u.grant.from = companion->config.self;
+    call.u.grant.grant = grant->id;
+    call.u.grant.group = (char *)(uintptr_t)grant->group;
+    companion->ports.call(companion->context, grant->entry.address,
+                          Handle_Add(companion->calls, info), &call);
+}
+
+static void
+offer_slots(Companion *companion)
+{
+    Arbiter_Grant grant;
+
+    if (companion->draining || is_down(companion)) {
+        return;
+    }
+    while (Arbiter_Offer(companion->arbiter, companion->now.mono_ms, &grant)) {
+        send_grant(companion, &grant);
+    }
+}
+
+static lc_start_status
+ended_status(const Record *record)
+{
+    switch (record->state) {
+    case LC_TASK_DONE:
+        return LC_START_DONE;
+    case LC_TASK_EVICTED:
+        return LC_START_EVICTED;
+    default:
+        return record->timed_out ? LC_START_TIMEOUT : LC_START_FAILED;
+    }
+}
+
+static void
+fill_result(Msg_Reply *reply, const Record *record)
+{
+    reply->u.start.code = record->code;
+    reply->u.start.result.result_len = record->length;
+    reply->u.start.result.result_val = (char *)record->result;
+}
+
+/* A task that was started before: answer from its record. */
+static void
+attach(Companion *companion, Record *record, uint64_t reply_id)
+{
+    Msg_Reply reply;
+
+    Counter_Add(&companion->counters, COUNTER_WASTED_DUPLICATE, 1);
+    if (record->state == LC_TASK_RUNNING) {
+        g_array_append_val(record->waiters, reply_id);
+        return;
+    }
+    reply = start_reply(companion, ended_status(record));
+    fill_result(&reply, record);
+    companion->ports.reply(companion->context, reply_id, &reply);
+}
+
+/* Whether a call is newer than all before it of the same entry. */
+static bool
+note_sequence(Companion *companion, const lc_start_args *args)
+{
+    uint64_t incarnation = args->owner.incarnation;
+    sequence_row *row = g_hash_table_lookup(companion->sequences,
+                                            &incarnation);
+
+    if (row == NULL) {
+        row = g_new0(sequence_row, 1);
+        row->entry = args->owner;
+        g_hash_table_insert(companion->sequences, &row->entry.incarnation,
+                            row);
+    }
+    row->seen_ms = companion->now.mono_ms;
+    if (args->sequence <= row->sequence) {
+        return false;
+    }
+    row->sequence = args->sequence;
+    return true;
+}
+
+static lc_start_status
+refuse_entry(Companion *companion, const lc_start_args *args)
+{
+    char text[ADDRESS_TEXT_SIZE];
+
+    Counter_Add(&companion->counters, COUNTER_WASTED_FENCED, 1);
+    Address_Format(args->owner.address, text);
+    companion->ports.event(companion->context, EVENT_FENCED, text);
+    return LC_START_FENCED;
+}
+
+/* LC_START_DONE stands for "nothing speaks against it". */
+static lc_start_status
+judge_start(Companion *companion, const lc_start_args *args)
+{
+    const View *view = get_view(companion);
+    bool newer = note_sequence(companion, args);
+
+    if (!newer) {
+        return LC_START_STALE;
+    }
+    if (args->epoch > view->epoch) {
+        return LC_START_BEHIND;
+    }
+    if (View_Find(view, &args->owner) == NULL) {
+        return refuse_entry(companion, args);
+    }
+    Arbiter_SetDemand(companion->arbiter, &args->owner,
+                      args->demand.demand_val, args->demand.demand_len);
+    if (companion->draining) {
+        return LC_START_DRAINING;
+    }
+    if (is_down(companion)) {
+        return LC_START_DOWN;
+    }
+    return LC_START_DONE;
+}
+
+static void
+run_record(Companion *companion, const Record *record,
+           const lc_start_args *args)
+{
+    Node_Task task = {.key = record->key,
+                      .index = record->index,
+                      .timeout_ms = args->timeout_ms,
+                      .group = record->group,
+                      .payload = (const uint8_t *)args->payload.payload_val,
+                      .length = args->payload.payload_len};
+
+    companion->running++;
+    Counter_Add(&companion->counters, COUNTER_TASKS_STARTED, 1);
+    companion->ports.run(companion->context, record->handle, &task);
+}
+
+static lc_start_status
+start_task(Companion *companion, uint64_t reply_id, const Key *key,
+           const lc_start_args *args)
+{
+    Record *record;
+
+    if (!Arbiter_Take(companion->arbiter, &args->owner, args->grant,
+                      args->group, Fold_Table(companion->fold))) {
+        Counter_Add(&companion->counters, COUNTER_WASTED_BUSY, 1);
+        return LC_START_BUSY;
+    }
+    record = Records_Add(companion->records, key, args->index);
+    if (record == NULL) {
+        Arbiter_Return(companion->arbiter, args->group,
+                       Fold_Table(companion->fold));
+        return LC_START_DOWN;
+    }
+    record->total = args->total;
+    record->starter = args->owner;
+    record->group = g_intern_string(args->group);
+    record->started_ms = companion->now.mono_ms;
+    g_array_append_val(record->waiters, reply_id);
+    run_record(companion, record, args);
+    return LC_START_DONE;
+}
+
+static void
+on_start(Companion *companion, uint64_t reply_id, const lc_start_args *args)
+{
+    Key key = Node_KeyOf(&args->key);
+    lc_start_status status;
+    Record *record;
+
+    if (args->target != companion->config.self.incarnation) {
+        answer_start(companion, reply_id, LC_START_GONE);
+        return;
+    }
+    /* A record comes first: "refused" would say that it did not start. */
+    record = Records_Find(companion->records, &key, args->index);
+    if (record != NULL) {
+        note_sequence(companion, args);
+        attach(companion, record, reply_id);
+        return;
+    }
+    status = judge_start(companion, args);
+    if (status == LC_START_DONE) {
+        status = start_task(companion, reply_id, &key, args);
+    }
+    if (status != LC_START_DONE) {
+        answer_start(companion, reply_id, status);
+    }
+    offer_slots(companion);
+}
+
+static void
+on_ping(Companion *companion, uint64_t reply_id, const lc_ping_args *args)
+{
+    Msg_Reply reply = {.kind = MSG_PING};
+
+    reply.u.ping.node = companion->config.self;
+    reply.u.ping.role = LC_ROLE_COMPANION;
+    reply.u.ping.position = Fold_Position(companion->fold);
+    reply.u.ping.knows_caller = View_Find(get_view(companion), &args->from) !=
+                                NULL;
+    reply.u.ping.draining = companion->draining;
+    reply.u.ping.started_ms = companion->config.started_wall_ms;
+    reply.u.ping.slots = Arbiter_Slots(companion->arbiter);
+    reply.u.ping.free = open_slots(companion);
+    companion->ports.reply(companion->context, reply_id, &reply);
+}
+
+static void
+apply_record(Companion *companion, const lc_record *record)
+{
+    Status status = {ERR_OK, ""};
+
+    switch (
+        Fold_Apply(companion->fold, record->offset, record->data, &status)) {
+    case FOLD_OLD:
+    case FOLD_GAP:
+        return;
+    case FOLD_SKIPPED:
+        Counter_Add(&companion->counters, COUNTER_RECORDS_SKIPPED, 1);
+        companion->ports.event(companion->context, EVENT_RECORD_SKIPPED,
+                               status.message);
+        return;
+    case FOLD_VIEW:
+    case FOLD_SNAPSHOT:
+        Counter_Add(&companion->counters, COUNTER_VIEWS_APPLIED, 1);
+        Arbiter_OnView(companion->arbiter, get_view(companion));
+        break;
+    default:
+        break;
+    }
+    Counter_Add(&companion->counters, COUNTER_RECORDS_APPLIED, 1);
+}
+
+static void
+on_relay(Companion *companion, uint64_t reply_id, const lc_relay_args *args)
+{
+    Msg_Reply reply = {.kind = MSG_RELAY};
+    u_int i;
+
+    for (i = 0; i < args->records.records_len; i++) {
+        apply_record(companion, &args->records.records_val[i]);
+    }
+    reply.u.relay.position = Fold_Position(companion->fold);
+    companion->ports.reply(companion->context, reply_id, &reply);
+}
+
+static void
+on_decline(Companion *companion, uint64_t reply_id,
+           const lc_decline_args *args)
+{
+    Msg_Reply reply = {.kind = MSG_DECLINE};
+
+    Counter_Add(&companion->counters, COUNTER_WASTED_GRANT, 1);
+    Arbiter_Decline(companion->arbiter, args->grant);
+    if (View_Find(get_view(companion), &args->from) != NULL) {
+        Arbiter_SetDemand(companion->arbiter, &args->from,
+                          args->demand.demand_val, args->demand.demand_len);
+    }
+    offer_slots(companion);
+    reply.u.decline.free = open_slots(companion);
+    companion->ports.reply(companion->context, reply_id, &reply);
+}
+
+/* Collects what an entry inherits. */
+typedef struct {
+    const Companion *companion;
+    const lc_inventory_args *args;
+    const View_Epoch *settled; /* epoch the caller settled last, or NULL */
+    GArray *tasks;             /* lc_started, borrowing from records */
+    size_t bytes;
+    uint64_t last;
+    bool more;
+} inventory_search;
+
+static const View_Epoch *
+find_epoch(const View *view, uint64_t offset)
+{
+    guint i;
+
+    for (i = 0; i < view->epochs->len; i++) {
+        const View_Epoch *epoch = &g_array_index(view->epochs, View_Epoch, i);
+        if (epoch->offset == offset) {
+            return epoch;
+        }
+    }
+    return NULL;
+}
+
+/* Whether the caller learned of this start when it settled before. */
+static bool
+is_known_to_caller(const inventory_search *search, const Record *record)
+{
+    const View *view = get_view(search->companion);
+    const View_Removed *removed = View_FindRemoved(view, &record->starter);
+    lc_node owner;
+
+    if (search->settled == NULL || removed == NULL ||
+        removed->offset > search->args->settled) {
+        return false;
+    }
+    owner = View_EpochOwner(search->settled, &record->key);
+    return Node_Same(&owner, &search->args->from);
+}
+
+static bool
+is_inherited(const inventory_search *search, const Record *record)
+{
+    const View *view = get_view(search->companion);
+    lc_node owner = View_Owner(view, &record->key);
+
+    return Node_Same(&owner, &search->args->from) &&
+           View_Find(view, &record->starter) == NULL &&
+           !is_known_to_caller(search, record);
+}
+
+static bool
+collect_record(const Record *record, void *context)
+{
+    inventory_search *search = context;
+    lc_started started;
+
+    if (search->bytes >= PAGE_BYTES || search->tasks->len >= LC_MAX_PAGE) {
+        search->more = true;
+        return false;
+    }
+    search->last = record->number;
+    if (!is_inherited(search, record)) {
+        return true;
+    }
+    memset(&started, 0, sizeof(started));
+    started.key = Node_WireKey(&record->key);
+    started.index = record->index;
+    started.total = record->total;
+    started.state = record->state;
+    started.code = record->code;
+    started.group = (char *)(uintptr_t)record->group;
+    started.result.result_len = record->length;
+    started.result.result_val = (char *)record->result;
+    search->bytes += sizeof(started) + record->length;
+    g_array_append_val(search->tasks, started);
+    return true;
+}
+
+static void
+on_inventory(Companion *companion, uint64_t reply_id,
+             const lc_inventory_args *args)
+{
+    Msg_Reply reply = {.kind = MSG_INVENTORY};
+    inventory_search search = {
+        .companion = companion,
+        .args = args,
+        .settled = find_epoch(get_view(companion), args->settled),
+        .tasks = g_array_new(FALSE, FALSE, sizeof(lc_started)),
+    };
+
+    reply.u.inventory.node = companion->config.self;
+    reply.u.inventory.position = Fold_Position(companion->fold);
+    reply.u.inventory.started_ms = companion->config.started_wall_ms;
+    if (reply.u.inventory.position.epoch == args->epoch) {
+        Records_Each(companion->records, args->cursor, collect_record,
+                     &search);
+    }
+    reply.u.inventory.next = search.more ? (u_int)search.last : 0;
+    reply.u.inventory.tasks.tasks_len = search.tasks->len;
+    reply.u.inventory.tasks.tasks_val =
+        (lc_started *)(void *)search.tasks->data;
+    companion->ports.reply(companion->context, reply_id, &reply);
+    g_array_unref(search.tasks);
+}
+
+bool
+Companion_OnCall(Companion *companion, Node_Time now, uint64_t reply_id,
+                 const Msg_Call *call)
+{
+    companion->now = now;
+    switch (call->kind) {
+    case MSG_PING:
+        on_ping(companion, reply_id, &call->u.ping);
+        break;
+    case MSG_RELAY:
+        on_relay(companion, reply_id, &call->u.relay);
+        break;
+    case MSG_START:
+        on_start(companion, reply_id, &call->u.start);
+        break;
+    case MSG_INVENTORY:
+        on_inventory(companion, reply_id, &call->u.inventory);
+        break;
+    case MSG_DECLINE:
+        on_decline(companion, reply_id, &call->u.decline);
+        break;
+    default:
+        Counter_Add(&companion->counters, COUNTER_RPC_BAD, 1);
+        companion->ports.event(companion->context, EVENT_RPC_BAD,
+                               "a call for entries sent to a companion");
+        return false;
+    }
+    return true;
+}
+
+void
+Companion_OnReply(Companion *companion, Node_Time now, uint64_t call_id,
+                  const Msg_Reply *reply)
+{
+    grant_call *call = Handle_Remove(companion->calls, call_id);
+
+    companion->now = now;
+    if (call == NULL) {
+        return;
+    }
+    if (reply == NULL || !reply->u.grant.used) {
+        Arbiter_Decline(companion->arbiter, call->grant);
+        offer_slots(companion);
+    }
+    g_free(call);
+}
+
+/* Puts a grant into the reply where it goes to the same entry. */
+static void
+reply_to_waiters(Companion *companion, const Record *record,
+                 const Arbiter_Grant *grant)
+{
+    Msg_Reply reply = start_reply(companion, ended_status(record));
+    guint i;
+
+    fill_result(&reply, record);
+    if (grant != NULL) {
+        reply.u.start.grant = grant->id;
+        reply.u.start.grant_group = (char *)(uintptr_t)grant->group;
+    }
+    for (i = 0; i < record->waiters->len; i++) {
+        companion->ports.reply(companion->context,
+                               g_array_index(record->waiters, uint64_t, i),
+                               &reply);
+        reply.u.start.grant = 0;
+    }
+}
+
+static void
+end_record(Companion *companion, Record *record)
+{
+    Arbiter_Grant grant;
+    bool granted = !companion->draining && !is_down(companion) &&
+                   Arbiter_Offer(companion->arbiter, companion->now.mono_ms,
+                                 &grant);
+    bool same = granted && record->waiters->len > 0 &&
+                Node_Same(&grant.entry, &record->starter);
+
+    reply_to_waiters(companion, record, same ? &grant : NULL);
+    g_array_set_size(record->waiters, 0);
+    if (granted && !same) {
+        send_grant(companion, &grant);
+    }
+    offer_slots(companion);
+}
+
+/* The upstream refuses connections: nothing of the task has run. */
+static void
+unstart_record(Companion *companion, Record *record)
+{
+    GArray *waiters = g_array_ref(record->waiters);
+    guint i;
+
+    if (!is_down(companion)) {
+        companion->ports.event(companion->context, EVENT_UPSTREAM_DOWN, "");
+    }
+    companion->down_until_ms = companion->now.mono_ms +
+                               companion->config.down_ms;
+    Arbiter_Return(companion->arbiter, record->group,
+                   Fold_Table(companion->fold));
+    Records_Remove(companion->records, record);
+    for (i = 0; i < waiters->len; i++) {
+        answer_start(companion, g_array_index(waiters, uint64_t, i),
+                     LC_START_DOWN);
+    }
+    g_array_unref(waiters);
+}
+
+void
+Companion_OnRun(Companion *companion, Node_Time now, uint64_t run_id,
+                Companion_Run result, uint32_t code, const void *data,
+                uint32_t length)
+{
+    Record *record = Records_Get(companion->records, run_id);
+
+    companion->now = now;
+    if (record == NULL) {
+        return;
+    }
+    companion->running--;
+    if (result == COMPANION_RUN_UNREACHED) {
+        unstart_record(companion, record);
+        return;
+    }
+    record->timed_out = result == COMPANION_RUN_TIMEOUT;
+    Counter_Add(&companion->counters,
+                result == COMPANION_RUN_DONE ? COUNTER_TASKS_DONE
+                                             : COUNTER_TASKS_FAILED,
+                1);
+    Arbiter_Release(companion->arbiter, record->group,
+                    now.mono_ms - record->started_ms,
+                    Fold_Table(companion->fold));
+    Records_End(companion->records, record,
+                result == COMPANION_RUN_DONE ? LC_TASK_DONE : LC_TASK_FAILED,
+                code, data, length, now.mono_ms);
+    end_record(companion, record);
+}
+
+/* Entries that are long gone can send nothing that is still under way. */
+static void
+expire_sequences(Companion *companion)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, companion->sequences);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const sequence_row *row = value;
+        if (companion->now.mono_ms - row->seen_ms >
+                companion->config.window_ms &&
+            View_Find(get_view(companion), &row->entry) == NULL) {
+            g_hash_table_iter_remove(&iter);
+        }
+    }
+}
+
+void
+Companion_Tick(Companion *companion, Node_Time now)
+{
+    uint32_t lapsed;
+
+    companion->now = now;
+    lapsed = Arbiter_Lapse(companion->arbiter, now.mono_ms);
+    Counter_Add(&companion->counters, COUNTER_WASTED_GRANT, lapsed);
+    Records_Expire(companion->records, now.mono_ms -
+                                           companion->config.window_ms -
+                                           2 * companion->config.skew_ms);
+    expire_sequences(companion);
+    offer_slots(companion);
+}
+
+void
+Companion_Drain(Companion *companion, Node_Time now)
+{
+    companion->now = now;
+    companion->draining = true;
+    companion->ports.event(companion->context, EVENT_STOPPING, "companion");
+}
+
+bool
+Companion_IsDrained(const Companion *companion)
+{
+    return companion->draining && companion->running == 0;
+}
+
+Counters *
+Companion_Counters(Companion *companion)
+{
+    return &companion->counters;
+}
+
+json_t *
+Companion_Dump(const Companion *companion)
+{
+    char number[20];
+
+    g_snprintf(number, sizeof(number), "%llx",
+               (unsigned long long)companion->config.self.incarnation);
+    return json_pack(
+        "{s:s, s:{s:s, s:s}, s:i, s:i, s:i, s:b, s:b, s:I, s:I, s:I, s:o, "
+        "s:o}",
+        "role", "companion", "self", "address",
+        Address_Text(companion->config.self.address), "incarnation", number,
+        "slots", (int)Arbiter_Slots(companion->arbiter), "free",
+        (int)open_slots(companion), "running", (int)companion->running,
+        "draining", (int)companion->draining, "upstream_down",
+        (int)is_down(companion), "records",
+        (json_int_t)Records_Count(companion->records), "result_bytes",
+        (json_int_t)Records_Bytes(companion->records), "next_offset",
+        (json_int_t)Fold_Next(companion->fold), "view",
+        View_ToJson(get_view(companion)), "table",
+        Table_ToJson(Fold_Table(companion->fold)));
+}
--- /dev/null
+++ b/core/dispatch.c
@@ -0,0 +1,655 @@
+#include "core/dispatch.h"
+
+#include <string.h>
+
+#include "core/limits.h"
+#include "core/members.h"
+#include "core/outcome.h"
+
+#define RESEND_MS 200
+#define REFUSED_MS 100
+#define HINT_MS 100
+#define PROBES 2
+#define MAX_PROBES 8
+#define RATE_MS 500
+#define RATE_SHARE 0.3
+
+/* Stands for an empty demand; no rows at all mean no change. */
+#define NO_DEMAND ""
+
+static uint32_t
+believed_free(const Board *board, const Peer *peer)
+{
+    uint32_t busy = peer->running;
+
+    /* What others held is old news, unless the companion will call us. */
+    if (peer->registered || board->now.mono_ms - peer->heard_ms < HINT_MS) {
+        busy += peer->others;
+    }
+    return busy >= peer->slots ? 0 : peer->slots - busy;
+}
+
+static bool
+is_open(const Board *board, const Peer *peer)
+{
+    return board->now.mono_ms >= peer->not_before_ms &&
+           believed_free(board, peer) > 0 && Members_Usable(board, peer);
+}
+
+static Peer *
+freer(const Board *board, Peer *a, Peer *b)
+{
+    if (a == NULL || believed_free(board, b) > believed_free(board, a)) {
+        return b;
+    }
+    return a;
+}
+
+/*
+ * The freer of two random open companions, so that entries do not all choose
+ * alike; where random probes find none, the first open one in turn.
+ */
+static Peer *
+choose_companion(Board *board)
+{
+    const GPtrArray *usable = Members_AllUsable(board);
+    Peer *best = NULL;
+    guint start;
+    guint i;
+    int found = 0;
+
+    if (usable->len == 0) {
+        return NULL;
+    }
+    for (i = 0; i < MAX_PROBES && found < PROBES; i++) {
+        Peer *peer = g_ptr_array_index(usable,
+                                       Board_Random(board) % usable->len);
+        if (is_open(board, peer)) {
+            best = freer(board, best, peer);
+            found++;
+        }
+    }
+    start = (guint)(Board_Random(board) % usable->len);
+    for (i = 0; best == NULL && i < usable->len; i++) {
+        Peer *peer = g_ptr_array_index(usable, (start + i) % usable->len);
+        if (is_open(board, peer)) {
+            best = peer;
+        }
+    }
+    return best;
+}
+
+typedef struct {
+    Board *board;
+    lc_demand *demand;
+    uint32_t count;
+    uint64_t signature;
+    uint32_t companions;
+} demand_search;
+
+static void
+add_demand(Group *group, void *context)
+{
+    demand_search *search = context;
+    uint32_t share;
+    lc_demand *row;
+
+    if (group->waiting == 0 || search->count >= LC_MAX_DEMAND ||
+        !Limits_MayStart(search->board, group)) {
+        return;
+    }
+    /* Each companion hears of its part, so that not all serve the last. */
+    share = (group->waiting + search->companions - 1) / search->companions;
+    row = &search->demand[search->count++];
+    row->group = group->name;
+    row->waiting = share;
+    search->signature += (Key_Hash(group->name) | 1ULL) *
+                         (64 - (uint64_t)__builtin_clz(share));
+}
+
+/*
+ * Fills the demand to tell a companion, unless it was told the same before.
+ * The signature changes when a group's need appears, ends or doubles.
+ */
+static void
+fill_demand(Board *board, Peer *peer, lc_demand *demand, u_int *count)
+{
+    demand_search search = {board, demand, 0, 1,
+                            Members_AllUsable(board)->len + 1};
+
+    Groups_Each(board->groups, add_demand, &search);
+    peer->registered = search.count > 0;
+    if (search.signature == peer->demand_sent) {
+        *count = 0;
+        return;
+    }
+    peer->demand_sent = search.signature;
+    if (search.count == 0) {
+        demand[0].group = (char *)(uintptr_t)NO_DEMAND;
+        demand[0].waiting = 0;
+        search.count = 1;
+    }
+    *count = search.count;
+}
+
+static void
+call_start(Board *board, Job *job, uint32_t index, Peer *peer, uint64_t grant)
+{
+    lc_demand demand[LC_MAX_DEMAND];
+    Task *task = &job->tasks[index];
+    Msg_Call call = {.kind = MSG_START};
+    lc_start_args *args = &call.u.start;
+    Call info = {.to = peer->address,
+                 .incarnation = peer->node.incarnation,
+                 .job = job->handle,
+                 .index = index};
+
+    args->owner = board->config.self;
+    args->epoch = Board_View(board)->epoch;
+    args->sequence = ++peer->sequence;
+    args->target = peer->node.incarnation;
+    args->key = Node_WireKey(&job->key);
+    args->index = index;
+    args->total = job->total;
+    args->timeout_ms = board->config.task_timeout_ms;
+    args->grant = grant;
+    args->group = job->group;
+    args->payload.payload_len = task->length;
+    args->payload.payload_val = (char *)task->payload;
+    args->demand.demand_val = demand;
+    fill_demand(board, peer, demand, &args->demand.demand_len);
+    peer->running++;
+    task->companion = peer->node;
+    Board_Call(board, &call, &info);
+}
+
+static void
+send_task(Board *board, Group *group, Job *job, uint32_t index, Peer *peer,
+          uint64_t grant)
+{
+    Task *task = &job->tasks[index];
+
+    task->state = TASK_SENT;
+    task->sent_ms = board->now.mono_ms;
+    task->silent_ms = 0;
+    Groups_TaskSent(board->groups, job);
+    Limits_Started(board, group);
+    Counter_Add(&board->counters, COUNTER_TASKS_STARTED, 1);
+    call_start(board, job, index, peer, grant);
+}
+
+static bool
+may_start(Group *group, void *context)
+{
+    return Limits_MayStart(context, group);
+}
+
+/* Sends one task of @p group to @p peer; false if none waits. */
+static bool
+send_next(Board *board, Group *group, Peer *peer, uint64_t grant)
+{
+    Job *job = Groups_ChooseJob(board->groups, group, board->now.mono_ms);
+    int64_t index;
+
+    if (job == NULL) {
+        return false;
+    }
+    index = Job_NextWaiting(job);
+    if (index < 0) {
+        return false;
+    }
+    send_task(board, group, job, (uint32_t)index, peer, grant);
+    return true;
+}
+
+void
+Dispatch_Run(Board *board)
+{
+    if (Groups_Waiting(board->groups) == 0 || board->deposed) {
+        return;
+    }
+    while (Groups_Waiting(board->groups) > 0) {
+        Peer *peer = choose_companion(board);
+        Group *group;
+        if (peer == NULL) {
+            break;
+        }
+        group = Groups_Choose(board->groups, may_start, board);
+        if (group == NULL || !send_next(board, group, peer, 0)) {
+            break;
+        }
+    }
+}
+
+static void
+decline(Board *board, Peer *peer, uint64_t grant)
+{
+    lc_demand demand[LC_MAX_DEMAND];
+    Msg_Call call = {.kind = MSG_DECLINE};
+    Call info = {.to = peer->address, .incarnation = peer->node.incarnation};
+
+    Counter_Add(&board->counters, COUNTER_WASTED_GRANT, 1);
+    call.u.decline.from = board->config.self;
+    call.u.decline.grant = grant;
+    call.u.decline.demand.demand_val = demand;
+    fill_demand(board, peer, demand, &call.u.decline.demand.demand_len);
+    Board_Call(board, &call, &info);
+}
+
+/* Uses a grant for its group, else for whichever group's turn it is. */
+static bool
+use_grant(Board *board, Peer *peer, uint64_t grant, const char *name)
+{
+    Group *group = Groups_Find(board->groups, name);
+
+    if (!Members_Usable(board, peer) || board->deposed) {
+        return false;
+    }
+    if (group == NULL || group->waiting == 0 ||
+        !Limits_MayStart(board, group)) {
+        group = Groups_Choose(board->groups, may_start, board);
+    }
+    return group != NULL && send_next(board, group, peer, grant);
+}
+
+void
+Dispatch_AnswerGrant(Board *board, uint64_t reply_id,
+                     const lc_grant_args *args)
+{
+    Msg_Reply reply = {.kind = MSG_GRANT};
+    Peer *peer = Board_FindPeer(board, args->from.address);
+
+    if (peer != NULL && Node_Same(&peer->node, &args->from)) {
+        reply.u.grant.used = use_grant(board, peer, args->grant, args->group);
+    }
+    if (!reply.u.grant.used) {
+        Counter_Add(&board->counters, COUNTER_WASTED_GRANT, 1);
+        if (peer != NULL) {
+            peer->registered = false;
+            peer->demand_sent = 0;
+        }
+    }
+    board->ports.reply(board->context, reply_id, &reply);
+}
+
+void
+Dispatch_HeardFree(Board *board, Peer *peer, uint32_t free)
+{
+    uint32_t busy = peer->slots > free ? peer->slots - free : 0;
+
+    peer->others = busy > peer->running ? busy - peer->running : 0;
+    peer->heard_ms = board->now.mono_ms;
+    if (free > 0) {
+        peer->registered = false;
+    }
+}
+
+static void
+task_done(Board *board, Job *job, uint32_t index, const lc_start_res *reply)
+{
+    Job_SetResult(job, index, reply->code, reply->result.result_val,
+                  reply->result.result_len);
+    job->done++;
+    Counter_Add(&board->counters, COUNTER_TASKS_DONE, 1);
+    if (job->done == job->total) {
+        Outcome_Done(board, job);
+    }
+}
+
+static const struct {
+    Err_Kind kind;
+    const char *message;
+} start_failures[] = {
+    [LC_START_FAILED] = {ERR_UPSTREAM_FAILED, "the upstream failed a task"},
+    [LC_START_TIMEOUT] = {ERR_TASK_TIMEOUT, "a task exceeded its time"},
+    [LC_START_EVICTED] = {ERR_ANSWER_EVICTED,
+                          "a task's result is no longer kept"},
+};
+
+static void
+end_task(Board *board, Job *job, uint32_t index, const lc_start_res *reply)
+{
+    Task *task = &job->tasks[index];
+
+    Groups_TaskEnded(board->groups, job, board->now.mono_ms - task->sent_ms);
+    board->done_recent++;
+    if (reply->status == LC_START_DONE) {
+        task_done(board, job, index, reply);
+        return;
+    }
+    task->state = TASK_FAILED;
+    Counter_Add(&board->counters, COUNTER_TASKS_FAILED, 1);
+    Outcome_Fail(board, job, start_failures[reply->status].kind,
+                 start_failures[reply->status].message);
+}
+
+static const Counter_Id refusal_counters[] = {
+    [LC_START_BUSY] = COUNTER_WASTED_BUSY,
+    [LC_START_STALE] = COUNTER_WASTED_STALE,
+    [LC_START_FENCED] = COUNTER_WASTED_FENCED,
+    [LC_START_BEHIND] = COUNTER_WASTED_BEHIND,
+    [LC_START_DRAINING] = COUNTER_WASTED_DRAINING,
+    [LC_START_DOWN] = COUNTER_WASTED_DOWN,
+};
+
+static void
+note_refusal(Board *board, Peer *peer, const lc_start_res *reply)
+{
+    Counter_Add(&board->counters, refusal_counters[reply->status], 1);
+    switch (reply->status) {
+    case LC_START_BEHIND:
+        peer->position = reply->position;
+        peer->wants_relay = true;
+        peer->not_before_ms = board->now.mono_ms + REFUSED_MS;
+        break;
+    case LC_START_DRAINING:
+        peer->draining = true;
+        board->usable_dirty = true;
+        break;
+    case LC_START_FENCED:
+    case LC_START_DOWN:
+        peer->not_before_ms = board->now.mono_ms + REFUSED_MS;
+        break;
+    default:
+        break;
+    }
+}
+
+/* The companion refused: the task was not started and may go elsewhere. */
+static void
+return_task(Board *board, Job *job, uint32_t index)
+{
+    Task *task = &job->tasks[index];
+
+    task->state = TASK_WAITING;
+    task->companion.address = 0;
+    task->silent_ms = 0;
+    if (index < job->first_waiting) {
+        job->first_waiting = index;
+    }
+    Groups_TaskReturned(board->groups, job);
+}
+
+static void
+add_silent(Board *board, Job *job, uint32_t index)
+{
+    Silent_Task *silent = g_new(Silent_Task, 1);
+
+    silent->job = job->handle;
+    silent->index = index;
+    g_queue_push_tail(board->silent, silent);
+}
+
+void
+Dispatch_Follow(Board *board, Job *job, uint32_t index)
+{
+    Task *task = &job->tasks[index];
+
+    Groups_TaskFollowed(board->groups, job);
+    task->sent_ms = board->now.mono_ms;
+    task->silent_ms = board->now.mono_ms;
+    task->retry_ms = board->now.mono_ms;
+    add_silent(board, job, index);
+}
+
+static void
+lose_call(Board *board, Job *job, uint32_t index)
+{
+    Task *task = &job->tasks[index];
+
+    if (task->silent_ms == 0) {
+        task->silent_ms = board->now.mono_ms;
+    }
+    task->retry_ms = board->now.mono_ms + RESEND_MS;
+    add_silent(board, job, index);
+}
+
+/* Job and task that a call still speaks for, or NULL. */
+static Job *
+job_of_call(Board *board, const Call *call)
+{
+    Job *job = Ledger_Get(board->ledger, call->job);
+
+    if (job == NULL || job->state != JOB_ACTIVE || call->index >= job->total ||
+        job->tasks[call->index].state != TASK_SENT ||
+        job->tasks[call->index].companion.incarnation != call->incarnation) {
+        return NULL;
+    }
+    return job;
+}
+
+/* A reply for a job that is over: only the group's books change. */
+static void
+close_books(Board *board, const Call *call, const lc_start_res *reply)
+{
+    Job *job = Ledger_Get(board->ledger, call->job);
+
+    if (job == NULL || job->sent == 0) {
+        return;
+    }
+    if (reply != NULL && reply->status <= LC_START_EVICTED) {
+        Groups_TaskEnded(board->groups, job,
+                         board->now.mono_ms - call->sent_ms);
+    }
+    else {
+        Groups_TaskReturned(board->groups, job);
+    }
+}
+
+static void
+hear_companion(Board *board, Peer *peer, const lc_start_res *reply)
+{
+    peer->contact_ms = board->now.mono_ms;
+    Members_Heard(board, peer, &reply->position);
+    Dispatch_HeardFree(board, peer, reply->free);
+    if (reply->status == LC_START_BUSY) {
+        peer->others = peer->slots;
+        peer->registered = true;
+    }
+    if (reply->grant != 0 &&
+        !use_grant(board, peer, reply->grant, reply->grant_group)) {
+        decline(board, peer, reply->grant);
+    }
+}
+
+static void
+lose_task(Board *board, Job *job)
+{
+    Outcome_Fail(board, job, ERR_LOST,
+                 "a companion was lost with a started task");
+}
+
+void
+Dispatch_OnStart(Board *board, const Call *call, const lc_start_res *reply)
+{
+    Peer *peer = Board_Peer(board, call->to);
+    bool same = peer->node.incarnation == call->incarnation;
+    Job *job = job_of_call(board, call);
+
+    if (same && peer->running > 0) {
+        peer->running--;
+    }
+    if (job == NULL) {
+        close_books(board, call, reply);
+    }
+    else if (reply == NULL) {
+        lose_call(board, job, call->index);
+    }
+    else if (reply->status == LC_START_GONE) {
+        lose_task(board, job);
+    }
+    else if (reply->status <= LC_START_EVICTED) {
+        end_task(board, job, call->index, reply);
+    }
+    else {
+        return_task(board, job, call->index);
+    }
+    if (reply != NULL && same) {
+        if (reply->status > LC_START_GONE) {
+            note_refusal(board, peer, reply);
+        }
+        hear_companion(board, peer, reply);
+    }
+    Dispatch_Run(board);
+}
+
+static bool
+was_sent_to(const Job *job, const lc_node *node)
+{
+    uint32_t i;
+
+    for (i = 0; i < job->total; i++) {
+        if (job->tasks[i].state == TASK_SENT &&
+            Node_Same(&job->tasks[i].companion, node)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+void
+Dispatch_CompanionLost(Board *board, const lc_node *node)
+{
+    GPtrArray *lost = g_ptr_array_new();
+    Peer *peer = Board_Peer(board, node->address);
+    GHashTableIter iter;
+    gpointer key;
+    guint i;
+
+    g_hash_table_iter_init(&iter, board->active);
+    while (g_hash_table_iter_next(&iter, &key, NULL)) {
+        if (was_sent_to(key, node)) {
+            g_ptr_array_add(lost, key);
+        }
+    }
+    if (lost->len > 0 || peer->running > 0) {
+        Board_Event(board, EVENT_COMPANION_LOST, "%s, %u jobs",
+                    Address_Text(node->address), lost->len);
+    }
+    for (i = 0; i < lost->len; i++) {
+        lose_task(board, g_ptr_array_index(lost, i));
+    }
+    peer->running = 0;
+    g_ptr_array_unref(lost);
+}
+
+/* Asks again for a started task; false while it is not yet due. */
+static bool
+ask_again(Board *board, const Silent_Task *silent)
+{
+    Job *job = Ledger_Get(board->ledger, silent->job);
+    Task *task;
+    Peer *peer;
+
+    if (job == NULL || job->state != JOB_ACTIVE ||
+        silent->index >= job->total ||
+        job->tasks[silent->index].state != TASK_SENT) {
+        return true;
+    }
+    task = &job->tasks[silent->index];
+    if (board->now.mono_ms < task->retry_ms) {
+        return false;
+    }
+    peer = Board_Peer(board, task->companion.address);
+    if (peer->node.incarnation > task->companion.incarnation ||
+        Board_IsGone(board, &task->companion, 0) ||
+        board->now.mono_ms - task->silent_ms > board->config.patience_ms) {
+        lose_task(board, job);
+        return true;
+    }
+    if (!Node_Same(&peer->node, &task->companion)) {
+        task->retry_ms = board->now.mono_ms + RESEND_MS;
+        return false;
+    }
+    call_start(board, job, silent->index, peer, 0);
+    return true;
+}
+
+static void
+ask_all_again(Board *board)
+{
+    guint left = g_queue_get_length(board->silent);
+
+    while (left-- > 0) {
+        Silent_Task *silent = g_queue_pop_head(board->silent);
+        if (ask_again(board, silent)) {
+            g_free(silent);
+        }
+        else {
+            g_queue_push_tail(board->silent, silent);
+        }
+    }
+}
+
+static int64_t
+max_wait_ms(const Board *board, const Job *job)
+{
+    const Table_Row *row = Table_Find(Board_Table(board), job->group);
+
+    return row == NULL ? 0 : row->max_wait_ms;
+}
+
+static void
+end_overdue(Board *board, Job *job)
+{
+    int64_t limit_ms = max_wait_ms(board, job);
+
+    if (job->deadline_ms != 0 && board->now.mono_ms >= job->deadline_ms) {
+        if (Job_Begun(job)) {
+            Outcome_Fail(board, job, ERR_DEADLINE, "the deadline has passed");
+        }
+        else {
+            Outcome_NotRun(board, job, ERR_WAIT_TOO_LONG,
+                           "the deadline passed before the first start",
+                           REFUSED_MS);
+        }
+        return;
+    }
+    if (limit_ms > 0 && !Job_Begun(job) &&
+        board->now.mono_ms - job->arrived_ms > limit_ms) {
+        Outcome_NotRun(board, job, ERR_WAIT_TOO_LONG,
+                       "waited longer than the group's max_wait_ms", limit_ms);
+    }
+}
+
+static void
+end_all_overdue(Board *board)
+{
+    GPtrArray *jobs = g_ptr_array_new();
+    GHashTableIter iter;
+    gpointer key;
+    guint i;
+
+    g_hash_table_iter_init(&iter, board->active);
+    while (g_hash_table_iter_next(&iter, &key, NULL)) {
+        g_ptr_array_add(jobs, key);
+    }
+    for (i = 0; i < jobs->len; i++) {
+        end_overdue(board, g_ptr_array_index(jobs, i));
+    }
+    g_ptr_array_unref(jobs);
+}
+
+static void
+measure_rate(Board *board)
+{
+    int64_t passed_ms = board->now.mono_ms - board->done_ms;
+    double rate;
+
+    if (passed_ms < RATE_MS) {
+        return;
+    }
+    rate = board->done_recent * 1000.0 / (double)passed_ms;
+    board->done_rate += RATE_SHARE * (rate - board->done_rate);
+    board->done_recent = 0;
+    board->done_ms = board->now.mono_ms;
+}
+
+void
+Dispatch_Tick(Board *board)
+{
+    ask_all_again(board);
+    end_all_overdue(board);
+    measure_rate(board);
+    Dispatch_Run(board);
+}
--- /dev/null
+++ b/core/drain.c
@@ -0,0 +1,67 @@
+#include "core/drain.h"
+
+#include "core/members.h"
+
+/* How long a stop waits for a log that is down, once its jobs are over. */
+#define LOG_PATIENCE_MS 5000
+#define RETRY_MS 500
+
+void
+Drain_Start(Board *board)
+{
+    if (board->draining) {
+        return;
+    }
+    board->draining = true;
+    board->drain_ms = board->now.mono_ms;
+    Board_Event(board, EVENT_STOPPING, "%u jobs active",
+                g_hash_table_size(board->active));
+}
+
+/* Whether a caller or a peer still waits for an answer through us. */
+static bool
+is_awaited(const Board *board)
+{
+    uint32_t i;
+
+    if (g_hash_table_size(board->active) > 0 || board->edits->len > 0) {
+        return true;
+    }
+    for (i = 0; i < Handle_Size(board->calls); i++) {
+        const Call *call = Handle_At(board->calls, i);
+        if (call != NULL && call->kind == MSG_SUBMIT) {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool
+Drain_IsDone(const Board *board)
+{
+    if (!board->draining || is_awaited(board)) {
+        return false;
+    }
+    if (!Board_IsMember(board)) {
+        return true;
+    }
+    /* Others learn from the host list, and companions tell what ran. */
+    return !board->log_up &&
+           board->now.mono_ms - board->drain_ms > LOG_PATIENCE_MS;
+}
+
+void
+Drain_Tick(Board *board)
+{
+    if (!board->draining || !Board_IsMember(board) ||
+        board->now.mono_ms < board->drain_retry_ms) {
+        return;
+    }
+    board->drain_retry_ms = board->now.mono_ms + RETRY_MS;
+    if (Board_IsOwner(board)) {
+        Members_ProposeSelf(board, "leave");
+    }
+    else if (!is_awaited(board)) {
+        Members_ProposeSelf(board, "remove");
+    }
+}
--- /dev/null
+++ b/core/drain.h
@@ -0,0 +1,22 @@
+/**
+ * @file drain.h
+ * @brief Controller of the planned stop of an entry: it stops owning keys,
+ * ends the jobs it has, and leaves the view when nothing waits on it.
+ */
+#ifndef LC_CORE_DRAIN_H
+#define LC_CORE_DRAIN_H
+
+#include "core/board.h"
+
+/** Begins the planned stop. */
+void
+Drain_Start(Board *board);
+
+/** Whether nothing is left to wait for. */
+bool
+Drain_IsDone(const Board *board);
+
+void
+Drain_Tick(Board *board);
+
+#endif
--- /dev/null
+++ b/core/edits.c
@@ -0,0 +1,125 @@
+#include "core/edits.h"
+
+#define PATIENCE_MS 5000
+
+static void
+end_edit(Board *board, guint place, const Status *status, uint64_t version)
+{
+    Edit *edit = g_ptr_array_index(board->edits, place);
+    uint64_t request = edit->request;
+
+    g_ptr_array_remove_index(board->edits, place);
+    board->ports.edited(board->context, request, status, version);
+}
+
+static void
+send_edit(Board *board, Edit *edit)
+{
+    edit->append = ++board->next_append;
+    edit->failed_ms = 0;
+    Counter_Add(&board->counters, COUNTER_APPENDS, 1);
+    board->ports.append(board->context, edit->append, edit->record);
+}
+
+void
+Edits_Submit(Board *board, uint64_t request, const char *group, uint64_t base,
+             const Table_Row *row)
+{
+    Status status = {ERR_OK, ""};
+    uint64_t version = Table_Version(Board_Table(board), group);
+    Edit *edit;
+
+    if (base < version) {
+        Err_Set(&status, ERR_STALE_ROW,
+                "the row is at version %llu, the edit is based on %llu",
+                (unsigned long long)version, (unsigned long long)base);
+    }
+    else if (!board->log_up) {
+        Err_Set(&status, ERR_LOG_DOWN,
+                "the log service is unavailable; "
+                "nothing was changed");
+    }
+    if (status.kind != ERR_OK) {
+        board->ports.edited(board->context, request, &status, version);
+        return;
+    }
+    edit = g_new0(Edit, 1);
+    edit->request = request;
+    edit->sent_ms = board->now.mono_ms;
+    g_snprintf(edit->id, sizeof(edit->id), "%016llx%016llx",
+               (unsigned long long)Board_Random(board),
+               (unsigned long long)Board_Random(board));
+    edit->record = Fold_EditRecord(edit->id, group, base, row);
+    g_ptr_array_add(board->edits, edit);
+    send_edit(board, edit);
+}
+
+void
+Edits_OnRecord(Board *board)
+{
+    guint i;
+
+    for (i = board->edits->len; i-- > 0;) {
+        const Edit *edit = g_ptr_array_index(board->edits, i);
+        const Fold_Edit *seen = Fold_FindEdit(board->fold, edit->id);
+        Status status = {ERR_OK, ""};
+        if (seen == NULL) {
+            continue;
+        }
+        if (!seen->accepted) {
+            Err_Set(&status, ERR_STALE_ROW,
+                    "another edit of the row came first");
+        }
+        end_edit(board, i, &status, seen->offset);
+    }
+}
+
+bool
+Edits_OnAppend(Board *board, uint64_t append_id, bool confirmed)
+{
+    guint i;
+
+    for (i = 0; i < board->edits->len; i++) {
+        Edit *edit = g_ptr_array_index(board->edits, i);
+        if (edit->append == append_id) {
+            edit->failed_ms = confirmed ? 0 : board->now.mono_ms;
+            return true;
+        }
+    }
+    return false;
+}
+
+void
+Edits_Abandon(Board *board)
+{
+    Status status = {ERR_OK, ""};
+
+    Err_Set(&status, ERR_LOG_DOWN,
+            "not confirmed by the log; it may still take effect: read the "
+            "row before trying again");
+    while (board->edits->len > 0) {
+        end_edit(board, board->edits->len - 1, &status, 0);
+    }
+}
+
+void
+Edits_Tick(Board *board)
+{
+    Status status = {ERR_OK, ""};
+    guint i;
+
+    Err_Set(&status, ERR_LOG_DOWN,
+            "not confirmed by the log in time; it may still take effect: "
+            "read the row before trying again");
+    for (i = board->edits->len; i-- > 0;) {
+        Edit *edit = g_ptr_array_index(board->edits, i);
+        if (board->now.mono_ms - edit->sent_ms > PATIENCE_MS) {
+            end_edit(board, i, &status, 0);
+        }
+        else if (edit->failed_ms != 0 &&
+                 board->log_tail_ms > edit->failed_ms) {
+            /* The whole log was read since and does not hold it. */
+            send_edit(board, edit);
+        }
+    }
+}
--- /dev/null
+++ b/core/entry.c
@@ -0,0 +1,363 @@
+#include "core/entry.h"
+
+#include "core/apply.h"
+#include "core/dispatch.h"
+#include "core/drain.h"
+#include "core/edits.h"
+#include "core/limits.h"
+#include "core/outcome.h"
+#include "core/ownership.h"
+
+struct Entry {
+    Board *board;
+};
+
+/* Controllers in the order in which they run each tick. */
+static void (*const controllers[])(Board *board) = {
+    Members_Tick, Ownership_Tick, Limits_Tick,
+    Edits_Tick,   Drain_Tick,     Dispatch_Tick,
+};
+
+Entry *
+Entry_New(const Board_Config *config, const Node_Ports *ports, void *context,
+          Node_Time now)
+{
+    Entry *entry = g_new0(Entry, 1);
+
+    entry->board = Board_New(config, ports, context);
+    entry->board->now = now;
+    entry->board->done_ms = now.mono_ms;
+    entry->board->snapshot_ms = now.mono_ms;
+    return entry;
+}
+
+void
+Entry_Free(Entry *entry)
+{
+    if (entry == NULL) {
+        return;
+    }
+    Board_Free(entry->board);
+    g_free(entry);
+}
+
+void
+Entry_Submit(Entry *entry, Node_Time now, uint64_t request,
+             const Admission_Spec *spec)
+{
+    entry->board->now = now;
+    Admission_Submit(entry->board, request, spec);
+}
+
+Key
+Entry_MintKey(Entry *entry, Node_Time now)
+{
+    entry->board->now = now;
+    return Admission_MintKey(entry->board);
+}
+
+void
+Entry_Edit(Entry *entry, Node_Time now, uint64_t request, const char *group,
+           uint64_t base, const Table_Row *row)
+{
+    entry->board->now = now;
+    Edits_Submit(entry->board, request, group, base, row);
+}
+
+bool
+Entry_OnCall(Entry *entry, Node_Time now, uint64_t reply_id,
+             const Msg_Call *call)
+{
+    Board *board = entry->board;
+
+    board->now = now;
+    switch (call->kind) {
+    case MSG_PING:
+        Members_AnswerPing(board, reply_id, &call->u.ping);
+        break;
+    case MSG_RELAY:
+        Members_AnswerRelay(board, reply_id, &call->u.relay);
+        break;
+    case MSG_GRANT:
+        Dispatch_AnswerGrant(board, reply_id, &call->u.grant);
+        break;
+    case MSG_SETTLE:
+        Ownership_AnswerSettle(board, reply_id, &call->u.settle);
+        break;
+    case MSG_SUBMIT:
+        Admission_AnswerSubmit(board, reply_id, &call->u.submit);
+        break;
+    default:
+        /* A call for companions: its sender takes us for another process. */
+        Counter_Add(&board->counters, COUNTER_RPC_BAD, 1);
+        Board_Event(board, EVENT_RPC_BAD, "%s sent to an entry",
+                    Msg_Name(call->kind));
+        return false;
+    }
+    return true;
+}
+
+static void
+end_call(Board *board, const Call *call, const Msg_Reply *reply)
+{
+    switch (call->kind) {
+    case MSG_PING:
+        Members_OnPing(board, call, reply == NULL ? NULL : &reply->u.ping);
+        break;
+    case MSG_RELAY:
+        Members_OnRelay(board, call, reply == NULL ? NULL : &reply->u.relay);
+        break;
+    case MSG_START:
+        Dispatch_OnStart(board, call, reply == NULL ? NULL : &reply->u.start);
+        break;
+    case MSG_INVENTORY:
+        Ownership_OnInventory(board, call,
+                              reply == NULL ? NULL : &reply->u.inventory);
+        break;
+    case MSG_SETTLE:
+        Ownership_OnSettle(board, call,
+                           reply == NULL ? NULL : &reply->u.settle);
+        break;
+    case MSG_SUBMIT:
+        Admission_OnSubmit(board, call,
+                           reply == NULL ? NULL : &reply->u.submit);
+        break;
+    case MSG_GRANT:
+    case MSG_DECLINE:
+    case MSG_COUNT:
+        break;
+    }
+}
+
+void
+Entry_OnReply(Entry *entry, Node_Time now, uint64_t call_id,
+              const Msg_Reply *reply)
+{
+    Board *board = entry->board;
+    Call *call = Handle_Remove(board->calls, call_id);
+
+    board->now = now;
+    if (call == NULL) {
+        Counter_Add(&board->counters, COUNTER_WASTED_LATE, 1);
+        return;
+    }
+    end_call(board, call, reply);
+    g_free(call);
+}
+
+static void
+set_log_up(Board *board, bool up)
+{
+    if (board->log_up == up) {
+        return;
+    }
+    board->log_up = up;
+    Board_Event(board, up ? EVENT_LOG_UP : EVENT_LOG_DOWN, "next offset %llu",
+                (unsigned long long)Fold_Next(board->fold));
+}
+
+void
+Entry_OnLog(Entry *entry, Node_Time now, const Entry_LogRead *read)
+{
+    Board *board = entry->board;
+    uint32_t i;
+
+    board->now = now;
+    set_log_up(board, read != NULL);
+    if (read == NULL) {
+        return;
+    }
+    if (read->first > Fold_Next(board->fold)) {
+        Board_Event(board, EVENT_LOG_GAP, "from %llu to %llu",
+                    (unsigned long long)Fold_Next(board->fold),
+                    (unsigned long long)read->first);
+        Fold_Expired(board->fold, read->first);
+    }
+    for (i = 0; i < read->count; i++) {
+        Apply_Record(board, read->records[i].offset, read->records[i].data);
+    }
+    if (Fold_Next(board->fold) < read->next) {
+        return;
+    }
+    board->log_tail_ms = read->asked_ms;
+    if (Fold_Synced(board->fold) && Board_IsMember(board) &&
+        read->asked_ms + board->config.evidence_ms >
+            board->evidence_until_ms) {
+        board->evidence_until_ms = read->asked_ms + board->config.evidence_ms;
+    }
+}
+
+void
+Entry_OnAppend(Entry *entry, Node_Time now, uint64_t append_id, bool confirmed)
+{
+    entry->board->now = now;
+    if (!Edits_OnAppend(entry->board, append_id, confirmed)) {
+        Members_OnAppend(entry->board, append_id, confirmed);
+    }
+}
+
+void
+Entry_OnHosts(Entry *entry, Node_Time now, const Members_Host *hosts,
+              uint32_t count)
+{
+    entry->board->now = now;
+    Members_OnHosts(entry->board, hosts, count);
+}
+
+void
+Entry_Tick(Entry *entry, Node_Time now)
+{
+    Board *board = entry->board;
+    size_t i;
+
+    board->now = now;
+    if (board->deposed) {
+        return;
+    }
+    for (i = 0; i < G_N_ELEMENTS(controllers); i++) {
+        controllers[i](board);
+    }
+    Ledger_Expire(board->ledger, now.mono_ms - board->config.window_ms -
+                                     2 * board->config.skew_ms);
+}
+
+void
+Entry_Drain(Entry *entry, Node_Time now)
+{
+    entry->board->now = now;
+    Drain_Start(entry->board);
+}
+
+bool
+Entry_IsDrained(const Entry *entry)
+{
+    return Drain_IsDone(entry->board);
+}
+
+bool
+Entry_IsDeposed(const Entry *entry)
+{
+    return entry->board->deposed;
+}
+
+void
+Entry_Abandon(Entry *entry, Node_Time now)
+{
+    entry->board->now = now;
+    Outcome_AbandonAll(entry->board);
+    Edits_Abandon(entry->board);
+}
+
+uint64_t
+Entry_LogNext(const Entry *entry)
+{
+    return Fold_Next(entry->board->fold);
+}
+
+bool
+Entry_IsSettled(const Entry *entry)
+{
+    const Board *board = entry->board;
+
+    return Board_IsOwner(board) && !board->settle.active &&
+           board->settle.epoch == Board_View(board)->epoch;
+}
+
+const Table *
+Entry_Table(const Entry *entry)
+{
+    return Board_Table(entry->board);
+}
+
+const View *
+Entry_View(const Entry *entry)
+{
+    return Board_View(entry->board);
+}
+
+Counters *
+Entry_Counters(Entry *entry)
+{
+    return &entry->board->counters;
+}
+
+static json_t *
+peer_to_json(const Board *board, const Peer *peer)
+{
+    static const char *const host_texts[] = {"unlisted", "live", "leaving",
+                                             "gone"};
+    char number[20];
+
+    g_snprintf(number, sizeof(number), "%llx",
+               (unsigned long long)peer->node.incarnation);
+    return json_pack(
+        "{s:s, s:s, s:s, s:s, s:b, s:b, s:I, s:i, s:i, s:i}", "address",
+        Address_Text(peer->address), "role",
+        peer->role == LC_ROLE_ENTRY ? "entry" : "companion", "incarnation",
+        number, "host", host_texts[peer->host], "usable",
+        (int)Members_Usable(board, peer), "silent", peer->silent_since_ms != 0,
+        "offset", (json_int_t)peer->position.offset, "slots", (int)peer->slots,
+        "running", (int)peer->running, "others", (int)peer->others);
+}
+
+static void
+dump_group(Group *group, void *context)
+{
+    json_array_append_new(
+        context,
+        json_pack("{s:s, s:i, s:i, s:i, s:f, s:f}", "group", group->name,
+                  "jobs_queued", (int)group->queue->len, "tasks_waiting",
+                  (int)group->waiting, "tasks_running", (int)group->running,
+                  "virtual_time_ms", group->vtime.value_ms, "mean_task_ms",
+                  group->vtime.mean_ms));
+}
+
+static json_t *
+dump_peers(const Board *board)
+{
+    json_t *list = json_array();
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, board->peers);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        json_array_append_new(list, peer_to_json(board, value));
+    }
+    return list;
+}
+
+static json_t *
+dump_self(const Board *board)
+{
+    char number[20];
+
+    g_snprintf(number, sizeof(number), "%llx",
+               (unsigned long long)board->config.self.incarnation);
+    return json_pack("{s:s, s:s}", "address",
+                     Address_Text(board->config.self.address), "incarnation",
+                     number);
+}
+
+json_t *
+Entry_Dump(const Entry *entry)
+{
+    const Board *board = entry->board;
+    json_t *groups = json_array();
+
+    Groups_Each(board->groups, dump_group, groups);
+    return json_pack(
+        "{s:s, s:o, s:o, s:o, s:o, s:o, s:b, s:b, s:b, s:b, s:b, s:I, s:I, "
+        "s:I, s:I, s:I}",
+        "role", "entry", "self", dump_self(board), "view",
+        View_ToJson(Board_View(board)), "table",
+        Table_ToJson(Board_Table(board)), "groups", groups, "peers",
+        dump_peers(board), "log_up", (int)board->log_up, "settled",
+        (int)Entry_IsSettled(entry), "evidence",
+        (int)Ownership_HasEvidence(board), "draining", (int)board->draining,
+        "deposed", (int)board->deposed, "next_offset",
+        (json_int_t)Fold_Next(board->fold), "jobs_active",
+        (json_int_t)g_hash_table_size(board->active), "jobs_known",
+        (json_int_t)Ledger_Count(board->ledger), "answer_bytes",
+        (json_int_t)Ledger_Bytes(board->ledger), "calls_pending",
+        (json_int_t)Handle_Count(board->calls));
+}
--- /dev/null
+++ b/core/job.c
@@ -0,0 +1,264 @@
+#include "core/job.h"
+
+#include <string.h>
+
+struct Ledger {
+    uint32_t max_jobs;
+    size_t max_bytes;
+    size_t bytes;
+    GHashTable *by_key;
+    Handle_Table *handles;
+    GQueue ended;        /* jobs, oldest end first */
+    GQueue with_answers; /* ended jobs whose results are kept */
+};
+
+static const char *const job_state_texts[] = {
+#define X(name, text) text,
+    JOB_STATE_LIST(X)
+#undef X
+};
+
+const char *
+Job_StateText(Job_State state)
+{
+    return job_state_texts[state];
+}
+
+bool
+Job_Begun(const Job *job)
+{
+    return job->waiting < job->total;
+}
+
+int64_t
+Job_NextWaiting(Job *job)
+{
+    while (job->first_waiting < job->total &&
+           job->tasks[job->first_waiting].state != TASK_WAITING) {
+        job->first_waiting++;
+    }
+    return job->first_waiting < job->total ? (int64_t)job->first_waiting : -1;
+}
+
+void
+Job_SetTotal(Job *job, uint32_t total)
+{
+    job->total = total;
+    job->waiting = total;
+    job->tasks = g_new0(Task, total);
+}
+
+void
+Job_SetPayload(Job *job, uint32_t index, const void *data, uint32_t length)
+{
+    Task *task = &job->tasks[index];
+
+    g_free(task->payload);
+    task->payload = length == 0 ? NULL : g_memdup2(data, length);
+    task->length = length;
+}
+
+void
+Job_SetResult(Job *job, uint32_t index, uint32_t code, const void *data,
+              uint32_t length)
+{
+    Task *task = &job->tasks[index];
+
+    g_free(task->result);
+    task->result = length == 0 ? NULL : g_memdup2(data, length);
+    task->result_length = length;
+    task->code = code;
+    task->state = TASK_DONE;
+    job->kept_bytes += length;
+}
+
+void
+Job_DropPayloads(Job *job)
+{
+    uint32_t i;
+
+    for (i = 0; i < job->total; i++) {
+        g_free(job->tasks[i].payload);
+        job->tasks[i].payload = NULL;
+        job->tasks[i].length = 0;
+    }
+}
+
+static void
+drop_tasks(Job *job)
+{
+    uint32_t i;
+
+    for (i = 0; i < job->total; i++) {
+        g_free(job->tasks[i].payload);
+        g_free(job->tasks[i].result);
+    }
+    g_free(job->tasks);
+    job->tasks = NULL;
+    job->total = 0;
+    job->kept_bytes = 0;
+}
+
+static void
+free_job(gpointer item)
+{
+    Job *job = item;
+
+    drop_tasks(job);
+    g_array_unref(job->waiters);
+    g_free(job);
+}
+
+Ledger *
+Ledger_New(uint32_t max_jobs, size_t max_bytes)
+{
+    Ledger *ledger = g_new0(Ledger, 1);
+
+    ledger->max_jobs = max_jobs;
+    ledger->max_bytes = max_bytes;
+    ledger->by_key = g_hash_table_new_full(Key_Hash, Key_Equal, NULL,
+                                           free_job);
+    ledger->handles = Handle_NewTable();
+    g_queue_init(&ledger->ended);
+    g_queue_init(&ledger->with_answers);
+    return ledger;
+}
+
+void
+Ledger_Free(Ledger *ledger)
+{
+    if (ledger == NULL) {
+        return;
+    }
+    g_queue_clear(&ledger->ended);
+    g_queue_clear(&ledger->with_answers);
+    g_hash_table_unref(ledger->by_key);
+    Handle_FreeTable(ledger->handles);
+    g_free(ledger);
+}
+
+Job *
+Ledger_Find(const Ledger *ledger, const Key *key)
+{
+    return g_hash_table_lookup(ledger->by_key, key);
+}
+
+Job *
+Ledger_Get(const Ledger *ledger, Handle handle)
+{
+    return Handle_Get(ledger->handles, handle);
+}
+
+Job *
+Ledger_Add(Ledger *ledger, const Key *key)
+{
+    Job *job;
+
+    if (g_hash_table_size(ledger->by_key) >= ledger->max_jobs) {
+        return NULL;
+    }
+    job = g_new0(Job, 1);
+    job->key = *key;
+    job->waiters = g_array_new(FALSE, FALSE, sizeof(Job_Waiter));
+    job->handle = Handle_Add(ledger->handles, job);
+    g_hash_table_insert(ledger->by_key, &job->key, job);
+    return job;
+}
+
+static void
+unlink_ended(Ledger *ledger, Job *job)
+{
+    if (job->place == NULL) {
+        return;
+    }
+    g_queue_delete_link(&ledger->ended, job->place);
+    job->place = NULL;
+    if (job->kept_bytes > 0) {
+        ledger->bytes -= job->kept_bytes;
+        g_queue_remove(&ledger->with_answers, job);
+    }
+}
+
+void
+Ledger_Remove(Ledger *ledger, Job *job)
+{
+    unlink_ended(ledger, job);
+    Handle_Remove(ledger->handles, job->handle);
+    g_hash_table_remove(ledger->by_key, &job->key);
+}
+
+static void
+evict_oldest_answer(Ledger *ledger)
+{
+    Job *job = g_queue_pop_head(&ledger->with_answers);
+
+    ledger->bytes -= job->kept_bytes;
+    drop_tasks(job);
+    job->state = JOB_FAILED;
+    job->kind = ERR_ANSWER_EVICTED;
+    g_strlcpy(job->message, "the job is done, its answer no longer kept",
+              sizeof(job->message));
+}
+
+void
+Ledger_End(Ledger *ledger, Job *job, int64_t mono_ms)
+{
+    job->ended_ms = mono_ms;
+    g_queue_push_tail(&ledger->ended, job);
+    job->place = ledger->ended.tail;
+    if (job->state == JOB_FAILED) {
+        drop_tasks(job);
+    }
+    else {
+        Job_DropPayloads(job);
+    }
+    if (job->kept_bytes > 0) {
+        ledger->bytes += job->kept_bytes;
+        g_queue_push_tail(&ledger->with_answers, job);
+    }
+    while (ledger->bytes > ledger->max_bytes) {
+        evict_oldest_answer(ledger);
+    }
+}
+
+void
+Ledger_Reopen(Ledger *ledger, Job *job)
+{
+    unlink_ended(ledger, job);
+}
+
+void
+Ledger_Expire(Ledger *ledger, int64_t mono_ms)
+{
+    Job *job = g_queue_peek_head(&ledger->ended);
+
+    while (job != NULL && job->ended_ms < mono_ms) {
+        Ledger_Remove(ledger, job);
+        job = g_queue_peek_head(&ledger->ended);
+    }
+}
+
+uint32_t
+Ledger_Count(const Ledger *ledger)
+{
+    return g_hash_table_size(ledger->by_key);
+}
+
+size_t
+Ledger_Bytes(const Ledger *ledger)
+{
+    return ledger->bytes;
+}
+
+void
+Ledger_Each(const Ledger *ledger, void (*visit)(Job *job, void *context),
+            void *context)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, ledger->by_key);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        visit(value, context);
+    }
+}
--- /dev/null
+++ b/core/members.c
@@ -0,0 +1,546 @@
+#include "core/members.h"
+
+#include <string.h>
+
+#include "core/apply.h"
+#include "core/dispatch.h"
+#include "core/limits.h"
+
+#define RELAY_RECORDS 256
+#define RELAY_LATE_MS 2000
+#define APPEND_PATIENCE_MS 2000
+#define RANK_DELAY_MS 1000
+
+static bool
+is_entry(const Peer *peer)
+{
+    return peer->role == LC_ROLE_ENTRY;
+}
+
+static bool
+is_suspect(const Board *board, const Peer *peer)
+{
+    return peer->silent_since_ms != 0 &&
+           board->now.mono_ms - peer->silent_since_ms >=
+               board->config.suspect_ms;
+}
+
+bool
+Members_Usable(const Board *board, const Peer *peer)
+{
+    return peer->role == LC_ROLE_COMPANION && !peer->draining &&
+           peer->host != HOST_LEAVING && peer->host != HOST_GONE &&
+           peer->silent_since_ms == 0 &&
+           View_Find(Board_View(board), &peer->node) != NULL;
+}
+
+const GPtrArray *
+Members_AllUsable(Board *board)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    if (!board->usable_dirty) {
+        return board->usable;
+    }
+    board->usable_dirty = false;
+    board->companions = 0;
+    g_ptr_array_set_size(board->usable, 0);
+    g_hash_table_iter_init(&iter, board->peers);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        if (Members_Usable(board, value)) {
+            g_ptr_array_add(board->usable, value);
+        }
+    }
+    board->companions = board->usable->len;
+    return board->usable;
+}
+
+void
+Members_OnHosts(Board *board, const Members_Host *hosts, uint32_t count)
+{
+    GHashTableIter iter;
+    gpointer value;
+    uint32_t i;
+
+    g_hash_table_iter_init(&iter, board->peers);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        ((Peer *)value)->host = HOST_GONE;
+    }
+    for (i = 0; i < count; i++) {
+        Peer *peer;
+        if (hosts[i].address == board->config.self.address) {
+            continue;
+        }
+        peer = Board_Peer(board, hosts[i].address);
+        if (peer->node.incarnation == 0) {
+            peer->role = hosts[i].role;
+        }
+        peer->host = hosts[i].leaving ? HOST_LEAVING : HOST_LIVE;
+    }
+    board->usable_dirty = true;
+}
+
+static void
+ping(Board *board, Peer *peer)
+{
+    Msg_Call call = {.kind = MSG_PING};
+    Call info = {.to = peer->address};
+
+    call.u.ping.from = board->config.self;
+    call.u.ping.position = Fold_Position(board->fold);
+    peer->ping_call = Board_Call(board, &call, &info);
+}
+
+static int64_t
+ping_interval(const Board *board, const Peer *peer)
+{
+    bool known = peer->node.incarnation != 0 &&
+                 View_Find(Board_View(board), &peer->node) != NULL;
+
+    if (is_entry(peer) || !known || peer->silent_since_ms != 0) {
+        return board->config.ping_entry_ms;
+    }
+    return board->config.ping_companion_ms;
+}
+
+static bool
+is_wanted(const Board *board, const Peer *peer)
+{
+    return peer->host == HOST_LIVE || peer->host == HOST_LEAVING ||
+           View_FindAddress(Board_View(board), peer->address) != NULL;
+}
+
+static void
+ping_if_due(Board *board, Peer *peer)
+{
+    const Call *pending = Handle_Get(board->calls, peer->ping_call);
+
+    if (pending != NULL) {
+        if (board->now.mono_ms - pending->sent_ms >=
+            board->config.suspect_ms) {
+            /* A silent cut: nothing else would end the calls to it. */
+            board->ports.reset(board->context, peer->address);
+        }
+        return;
+    }
+    if (board->now.mono_ms < peer->next_ping_ms || !is_wanted(board, peer)) {
+        return;
+    }
+    peer->next_ping_ms = board->now.mono_ms + ping_interval(board, peer);
+    ping(board, peer);
+}
+
+void
+Members_Heard(Board *board, Peer *peer, const lc_position *position)
+{
+    if (position->offset > peer->position.offset || position->offset == 0) {
+        peer->position = *position;
+    }
+    if (peer->position.offset >= Fold_Next(board->fold)) {
+        peer->behind_since_ms = 0;
+        peer->wants_relay = false;
+    }
+}
+
+/* The host list's or the view's word on its role may be older than it. */
+static void
+take_identity(Board *board, Peer *peer, const lc_ping_res *reply)
+{
+    lc_node before = peer->node;
+
+    peer->role = reply->role;
+    if (Node_Same(&before, &reply->node)) {
+        return;
+    }
+    peer->node = reply->node;
+    peer->position.offset = 0;
+    peer->sequence = 0;
+    peer->others = 0;
+    peer->registered = false;
+    peer->demand_sent = 0;
+    peer->not_before_ms = 0;
+    if (before.incarnation != 0) {
+        Dispatch_CompanionLost(board, &before);
+    }
+}
+
+static void
+take_evidence(Board *board, const Call *call, const Peer *peer,
+              const lc_ping_res *reply)
+{
+    int64_t until = call->sent_ms + board->config.evidence_ms;
+
+    if (!is_entry(peer) || !reply->knows_caller ||
+        View_Find(Board_View(board), &reply->node) == NULL) {
+        return;
+    }
+    if (until > board->evidence_until_ms) {
+        board->evidence_until_ms = until;
+    }
+}
+
+void
+Members_OnPing(Board *board, const Call *call, const lc_ping_res *reply)
+{
+    Peer *peer = Board_Peer(board, call->to);
+
+    peer->ping_call = 0;
+    if (reply == NULL) {
+        if (peer->silent_since_ms == 0) {
+            peer->silent_since_ms = call->sent_ms;
+            board->usable_dirty = true;
+        }
+        return;
+    }
+    board->usable_dirty = board->usable_dirty || peer->silent_since_ms != 0 ||
+                          peer->draining != reply->draining ||
+                          !Node_Same(&peer->node, &reply->node);
+    peer->silent_since_ms = 0;
+    peer->contact_ms = board->now.mono_ms;
+    take_identity(board, peer, reply);
+    peer->draining = reply->draining;
+    peer->complied = reply->complied;
+    peer->started_wall_ms = reply->started_ms;
+    peer->slots = reply->slots;
+    Members_Heard(board, peer, &reply->position);
+    if (is_entry(peer)) {
+        take_evidence(board, call, peer, reply);
+    }
+    else {
+        Dispatch_HeardFree(board, peer, reply->free);
+    }
+}
+
+void
+Members_AnswerPing(Board *board, uint64_t reply_id, const lc_ping_args *args)
+{
+    Msg_Reply reply = {.kind = MSG_PING};
+    Peer *peer = Board_Peer(board, args->from.address);
+
+    peer->role = LC_ROLE_ENTRY;
+    if (Node_Same(&peer->node, &args->from)) {
+        Members_Heard(board, peer, &args->position);
+    }
+    reply.u.ping.node = board->config.self;
+    reply.u.ping.role = LC_ROLE_ENTRY;
+    reply.u.ping.position = Fold_Position(board->fold);
+    reply.u.ping.knows_caller = !board->deposed && Board_IsMember(board) &&
+                                View_Find(Board_View(board), &args->from) !=
+                                    NULL;
+    reply.u.ping.draining = board->draining;
+    reply.u.ping.complied = Limits_Complied(board);
+    reply.u.ping.started_ms = board->config.started_wall_ms;
+    board->ports.reply(board->context, reply_id, &reply);
+}
+
+static void
+relay(Board *board, Peer *peer)
+{
+    lc_record records[RELAY_RECORDS];
+    Msg_Call call = {.kind = MSG_RELAY};
+    Call info = {.to = peer->address, .incarnation = peer->node.incarnation};
+    char *state;
+
+    call.u.relay.from = board->config.self;
+    call.u.relay.records.records_val = records;
+    call.u.relay.records.records_len = Fold_Collect(
+        board->fold, peer->position.offset, records, RELAY_RECORDS, &state);
+    if (call.u.relay.records.records_len > 0) {
+        peer->relaying = true;
+        Board_Call(board, &call, &info);
+    }
+    free(state);
+}
+
+static void
+relay_if_due(Board *board, Peer *peer)
+{
+    lc_node feeder;
+    bool late;
+
+    if (peer->node.incarnation == 0 || peer->relaying ||
+        peer->silent_since_ms != 0 ||
+        peer->position.offset >= Fold_Next(board->fold)) {
+        return;
+    }
+    if (peer->behind_since_ms == 0) {
+        peer->behind_since_ms = board->now.mono_ms;
+    }
+    late = board->now.mono_ms - peer->behind_since_ms >= RELAY_LATE_MS;
+    feeder = View_Feeder(Board_View(board), peer->address);
+    if (peer->wants_relay || late ||
+        (!is_entry(peer) && Node_Same(&feeder, &board->config.self))) {
+        relay(board, peer);
+    }
+}
+
+void
+Members_OnRelay(Board *board, const Call *call, const lc_relay_res *reply)
+{
+    Peer *peer = Board_Peer(board, call->to);
+
+    peer->relaying = false;
+    if (reply == NULL || peer->node.incarnation != call->incarnation) {
+        return;
+    }
+    Members_Heard(board, peer, &reply->position);
+}
+
+void
+Members_AnswerRelay(Board *board, uint64_t reply_id, const lc_relay_args *args)
+{
+    Msg_Reply reply = {.kind = MSG_RELAY};
+    u_int i;
+
+    for (i = 0; i < args->records.records_len; i++) {
+        const lc_record *record = &args->records.records_val[i];
+        Apply_Record(board, record->offset, record->data);
+    }
+    reply.u.relay.position = Fold_Position(board->fold);
+    board->ports.reply(board->context, reply_id, &reply);
+}
+
+/* Wanted changes of the view. */
+
+static void
+want(GArray *changes, const char *op, const lc_node *node, bool entry,
+     bool gone)
+{
+    View_Change change = {op, *node, entry, gone};
+
+    g_array_append_val(changes, change);
+}
+
+static void
+want_companion(Board *board, const Peer *peer, GArray *changes)
+{
+    bool fresh = peer->silent_since_ms == 0 && !peer->draining &&
+                 peer->host == HOST_LIVE;
+
+    if (fresh && peer->node.incarnation != 0 &&
+        View_Find(Board_View(board), &peer->node) == NULL &&
+        View_FindRemoved(Board_View(board), &peer->node) == NULL) {
+        want(changes, "add", &peer->node, false, false);
+    }
+}
+
+static uint32_t
+reachable_entries(const Board *board, uint32_t *total, Address *lowest)
+{
+    const View *view = Board_View(board);
+    uint32_t reachable = 0;
+    guint i;
+
+    *total = 0;
+    *lowest = 0;
+    for (i = 0; i < view->members->len; i++) {
+        const View_Member *member = &g_array_index(view->members, View_Member,
+                                                   i);
+        const Peer *peer = Board_FindPeer(board, member->node.address);
+        if (!member->is_entry) {
+            continue;
+        }
+        (*total)++;
+        if (*lowest == 0 || member->node.address < *lowest) {
+            *lowest = member->node.address;
+        }
+        if (Node_Same(&member->node, &board->config.self) ||
+            (peer != NULL && Node_Same(&peer->node, &member->node) &&
+             peer->silent_since_ms == 0)) {
+            reachable++;
+        }
+    }
+    return reachable;
+}
+
+/* More than half; of two halves the one with the lowest address. */
+static bool
+has_majority(const Board *board)
+{
+    uint32_t total;
+    Address lowest;
+    uint32_t reachable = reachable_entries(board, &total, &lowest);
+    const Peer *first = Board_FindPeer(board, lowest);
+
+    if (reachable * 2 != total) {
+        return reachable * 2 > total;
+    }
+    return lowest == board->config.self.address ||
+           (first != NULL && first->silent_since_ms == 0);
+}
+
+static void
+want_removals(Board *board, GArray *changes)
+{
+    const View *view = Board_View(board);
+    bool majority = has_majority(board);
+    guint i;
+
+    for (i = 0; i < view->members->len; i++) {
+        const View_Member *member = &g_array_index(view->members, View_Member,
+                                                   i);
+        const Peer *peer = Board_FindPeer(board, member->node.address);
+        if (Node_Same(&member->node, &board->config.self) || peer == NULL) {
+            continue;
+        }
+        if (Board_IsGone(board, &member->node, member->added_ms)) {
+            want(changes, "remove", &member->node, member->is_entry, true);
+        }
+        else if (member->is_entry && majority && is_suspect(board, peer)) {
+            Board_Event(board, EVENT_SUSPECT, "%s",
+                        Address_Text(peer->address));
+            want(changes, "remove", &member->node, true, false);
+        }
+    }
+}
+
+/* How many entries of the view come before this one and seem to work. */
+static uint32_t
+own_rank(const Board *board)
+{
+    const View *view = Board_View(board);
+    uint32_t rank = 0;
+    guint i;
+
+    for (i = 0; i < view->members->len; i++) {
+        const View_Member *member = &g_array_index(view->members, View_Member,
+                                                   i);
+        const Peer *peer = Board_FindPeer(board, member->node.address);
+        if (member->is_entry && !member->leaving && peer != NULL &&
+            peer->silent_since_ms == 0 &&
+            member->node.address < board->config.self.address) {
+            rank++;
+        }
+    }
+    return rank;
+}
+
+static bool
+may_append(const Board *board)
+{
+    /* What our last append came to must have been read first. */
+    return board->log_up && board->append_pending == 0 &&
+           board->log_tail_ms > board->append_end_ms &&
+           Fold_Synced(board->fold);
+}
+
+static void
+append(Board *board, const char *record)
+{
+    board->append_pending = ++board->next_append;
+    board->append_ms = board->now.mono_ms;
+    Counter_Add(&board->counters, COUNTER_APPENDS, 1);
+    board->ports.append(board->context, board->append_pending, record);
+}
+
+static void
+append_changes(Board *board, const GArray *changes)
+{
+    char *record = View_Record(Board_View(board), board->now.wall_ms, changes);
+
+    Board_Event(board, EVENT_VIEW_PROPOSED, "%u changes after %llu",
+                changes->len, (unsigned long long)Board_View(board)->seq);
+    append(board, record);
+    free(record);
+}
+
+void
+Members_OnAppend(Board *board, uint64_t append_id, bool confirmed)
+{
+    (void)confirmed;
+    if (append_id == board->append_pending) {
+        /* Whether it took effect is read from the log, not from here. */
+        board->append_pending = 0;
+        board->append_end_ms = board->now.mono_ms;
+        board->proposal_ms = 0;
+    }
+}
+
+void
+Members_ProposeSelf(Board *board, const char *op)
+{
+    GArray *changes = g_array_new(FALSE, FALSE, sizeof(View_Change));
+
+    if (may_append(board)) {
+        want(changes, op, &board->config.self, true,
+             strcmp(op, "remove") == 0);
+        append_changes(board, changes);
+    }
+    g_array_unref(changes);
+}
+
+static void
+propose(Board *board)
+{
+    GArray *changes;
+    GHashTableIter iter;
+    gpointer value;
+
+    if (!may_append(board) || board->deposed || board->draining) {
+        return;
+    }
+    if (!Board_IsMember(board)) {
+        Members_ProposeSelf(board, "add");
+        return;
+    }
+    changes = g_array_new(FALSE, FALSE, sizeof(View_Change));
+    g_hash_table_iter_init(&iter, board->peers);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const Peer *peer = value;
+        if (!is_entry(peer)) {
+            want_companion(board, peer, changes);
+        }
+    }
+    want_removals(board, changes);
+    if (changes->len == 0) {
+        board->proposal_ms = 0;
+    }
+    else if (board->proposal_ms == 0) {
+        board->proposal_ms = board->now.mono_ms;
+    }
+    if (changes->len > 0 && board->now.mono_ms - board->proposal_ms >=
+                                (int64_t)own_rank(board) * RANK_DELAY_MS) {
+        append_changes(board, changes);
+    }
+    g_array_unref(changes);
+}
+
+static void
+snapshot_if_due(Board *board)
+{
+    bool many = Fold_SinceSnapshot(board->fold) >=
+                board->config.snapshot_records;
+    bool old = board->now.mono_ms - board->snapshot_ms >=
+               board->config.snapshot_ms +
+                   (int64_t)own_rank(board) * RANK_DELAY_MS * 2;
+    char *record;
+
+    if (!may_append(board) || !Board_IsOwner(board) || !(many || old) ||
+        (many && !old && own_rank(board) > 0)) {
+        return;
+    }
+    record = Fold_SnapshotRecord(board->fold);
+    append(board, record);
+    free(record);
+}
+
+void
+Members_Tick(Board *board)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    if (board->append_pending != 0 &&
+        board->now.mono_ms - board->append_ms > APPEND_PATIENCE_MS) {
+        board->append_pending = 0;
+        board->append_end_ms = board->now.mono_ms;
+    }
+    g_hash_table_iter_init(&iter, board->peers);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        ping_if_due(board, value);
+        relay_if_due(board, value);
+    }
+    propose(board);
+    snapshot_if_due(board);
+}
--- /dev/null
+++ b/core/outcome.c
@@ -0,0 +1,236 @@
+#include "core/outcome.h"
+
+#include <string.h>
+
+#define RUNNING_RETRY_MS 500
+
+static void
+count_answer(Board *board, Err_Kind kind)
+{
+    static const Counter_Id by_outcome[] = {
+        [OUTCOME_DONE] = COUNTER_JOBS_DONE,
+        [OUTCOME_FAILED] = COUNTER_JOBS_FAILED,
+        [OUTCOME_NOT_RUN] = COUNTER_JOBS_NOT_RUN,
+        [OUTCOME_UNKNOWN] = COUNTER_JOBS_UNKNOWN,
+        [OUTCOME_REFUSED] = COUNTER_JOBS_NOT_RUN,
+    };
+
+    Counter_Add(&board->counters, by_outcome[Err_Outcome(kind)], 1);
+}
+
+static void
+send_to_caller(Board *board, uint64_t request, const Key *key,
+               const lc_answer *answer)
+{
+    Node_Answer out;
+
+    memset(&out, 0, sizeof(out));
+    out.key = *key;
+    out.kind = Err_FromText(answer->kind);
+    if (out.kind == ERR_COUNT) {
+        out.kind = ERR_IO;
+    }
+    out.message = answer->message;
+    out.running = answer->running;
+    out.retry_ms = answer->retry_ms;
+    out.results = answer->results.results_val;
+    out.count = answer->results.results_len;
+    count_answer(board, out.kind);
+    board->ports.answer(board->context, request, &out);
+}
+
+static void
+send_to_peer(Board *board, uint64_t reply_id, const lc_answer *answer)
+{
+    Msg_Reply reply = {.kind = MSG_SUBMIT};
+
+    reply.u.submit.accepted = TRUE;
+    reply.u.submit.position = Fold_Position(board->fold);
+    reply.u.submit.answer = *answer;
+    board->ports.reply(board->context, reply_id, &reply);
+}
+
+static void
+send_answer(Board *board, const Job_Waiter *waiter, const Key *key,
+            const lc_answer *answer)
+{
+    if (waiter->is_peer) {
+        send_to_peer(board, waiter->id, answer);
+    }
+    else {
+        send_to_caller(board, waiter->id, key, answer);
+    }
+}
+
+static lc_answer
+plain_answer(Err_Kind kind, const char *message, uint32_t retry_ms)
+{
+    lc_answer answer;
+
+    memset(&answer, 0, sizeof(answer));
+    /* The codec takes no const, but only reads while it encodes. */
+    answer.kind = (char *)(uintptr_t)Err_Text(kind);
+    answer.message = (char *)(uintptr_t)message;
+    answer.retry_ms = retry_ms;
+    return answer;
+}
+
+/* Answer of an ended job; `results` is the caller's to free. */
+static lc_answer
+job_answer(const Job *job, lc_result **results)
+{
+    lc_answer answer;
+    uint32_t i;
+
+    *results = NULL;
+    if (job->state == JOB_FAILED) {
+        return plain_answer(job->kind, job->message, 0);
+    }
+    answer = plain_answer(ERR_OK, "", 0);
+    *results = g_new0(lc_result, job->total);
+    for (i = 0; i < job->total; i++) {
+        (*results)[i].code = job->tasks[i].code;
+        (*results)[i].data.data_len = job->tasks[i].result_length;
+        (*results)[i].data.data_val = (char *)job->tasks[i].result;
+    }
+    answer.results.results_len = job->total;
+    answer.results.results_val = *results;
+    return answer;
+}
+
+static void
+answer_waiters(Board *board, Job *job, const lc_answer *answer)
+{
+    guint i;
+
+    for (i = 0; i < job->waiters->len; i++) {
+        send_answer(board, &g_array_index(job->waiters, Job_Waiter, i),
+                    &job->key, answer);
+    }
+    g_array_set_size(job->waiters, 0);
+}
+
+static void
+end_job(Board *board, Job *job)
+{
+    lc_result *results;
+    lc_answer answer = job_answer(job, &results);
+
+    answer_waiters(board, job, &answer);
+    g_free(results);
+    g_hash_table_remove(board->active, job);
+    Ledger_End(board->ledger, job, board->now.mono_ms);
+}
+
+void
+Outcome_Done(Board *board, Job *job)
+{
+    job->state = JOB_DONE;
+    end_job(board, job);
+}
+
+void
+Outcome_Fail(Board *board, Job *job, Err_Kind kind, const char *message)
+{
+    char text[KEY_TEXT_LENGTH + 1];
+
+    if (job->state == JOB_ACTIVE) {
+        Groups_Dequeue(board->groups, job);
+    }
+    job->waiting = 0;
+    job->state = JOB_FAILED;
+    job->kind = kind;
+    g_strlcpy(job->message, message, sizeof(job->message));
+    Key_Format(&job->key, text);
+    Board_Event(board, EVENT_JOB_FAILED, "%s: %s: %s", text, Err_Text(kind),
+                message);
+    end_job(board, job);
+}
+
+void
+Outcome_NotRun(Board *board, Job *job, Err_Kind kind, const char *message,
+               int64_t retry_ms)
+{
+    lc_answer answer = plain_answer(kind, message,
+                                    Board_RetryMs(board, retry_ms));
+
+    Groups_Dequeue(board->groups, job);
+    answer_waiters(board, job, &answer);
+    g_hash_table_remove(board->active, job);
+    Ledger_Remove(board->ledger, job);
+}
+
+void
+Outcome_Attach(Board *board, Job *job, const Job_Waiter *waiter)
+{
+    lc_result *results;
+    lc_answer answer;
+
+    if (job->state == JOB_ACTIVE) {
+        g_array_append_val(job->waiters, *waiter);
+        return;
+    }
+    answer = job_answer(job, &results);
+    send_answer(board, waiter, &job->key, &answer);
+    g_free(results);
+}
+
+void
+Outcome_Refuse(Board *board, const Job_Waiter *waiter, const Key *key,
+               Err_Kind kind, const char *message, int64_t retry_ms)
+{
+    lc_answer answer = plain_answer(
+        kind, message, retry_ms > 0 ? Board_RetryMs(board, retry_ms) : 0);
+
+    send_answer(board, waiter, key, &answer);
+}
+
+void
+Outcome_Forward(Board *board, const Job_Waiter *waiter, const Key *key,
+                const lc_answer *answer)
+{
+    send_answer(board, waiter, key, answer);
+}
+
+void
+Outcome_Running(Board *board, const Job_Waiter *waiter, const Key *key)
+{
+    lc_answer answer = plain_answer(ERR_OK, "",
+                                    Board_RetryMs(board, RUNNING_RETRY_MS));
+
+    answer.running = TRUE;
+    send_answer(board, waiter, key, &answer);
+}
+
+void
+Outcome_NotOwner(Board *board, uint64_t reply_id)
+{
+    Msg_Reply reply = {.kind = MSG_SUBMIT};
+
+    reply.u.submit.accepted = FALSE;
+    reply.u.submit.position = Fold_Position(board->fold);
+    reply.u.submit.answer = plain_answer(ERR_UNSETTLED, "not the owner", 0);
+    board->ports.reply(board->context, reply_id, &reply);
+}
+
+void
+Outcome_AbandonAll(Board *board)
+{
+    lc_answer answer = plain_answer(
+        ERR_OWNER_LOST, "this entry left the view; ask again",
+        Board_RetryMs(board, board->config.evidence_ms));
+    GHashTableIter iter;
+    gpointer key;
+    uint32_t i;
+
+    g_hash_table_iter_init(&iter, board->active);
+    while (g_hash_table_iter_next(&iter, &key, NULL)) {
+        answer_waiters(board, key, &answer);
+    }
+    for (i = 0; i < Handle_Size(board->calls); i++) {
+        const Call *call = Handle_At(board->calls, i);
+        if (call != NULL && call->kind == MSG_SUBMIT) {
+            send_answer(board, &call->waiter, &call->key, &answer);
+        }
+    }
+}
--- /dev/null
+++ b/core/recovery.c
@@ -0,0 +1,180 @@
+#include "core/recovery.h"
+
+#include <string.h>
+
+#include "core/outcome.h"
+
+Recovery_Started *
+Recovery_CopyStarted(const lc_started *started, const lc_node *companion)
+{
+    Recovery_Started *copy = g_new0(Recovery_Started, 1);
+
+    copy->key = Node_KeyOf(&started->key);
+    copy->index = started->index;
+    copy->total = started->total;
+    copy->state = started->state;
+    copy->code = started->code;
+    copy->companion = *companion;
+    copy->group = g_strdup(started->group);
+    copy->length = started->result.result_len;
+    copy->result = g_memdup2(started->result.result_val, copy->length);
+    return copy;
+}
+
+void
+Recovery_FreeStarted(gpointer item)
+{
+    Recovery_Started *started = item;
+
+    g_free(started->group);
+    g_free(started->result);
+    g_free(started);
+}
+
+static bool
+is_live_holder(const Board *board, const Job *job)
+{
+    return job->state == JOB_HELD &&
+           View_Find(Board_View(board), &job->holder) != NULL;
+}
+
+/* The job that a start belongs to, or NULL where it is known better. */
+static Job *
+recovered_job(Board *board, const Recovery_Started *started)
+{
+    Job *job = Ledger_Find(board->ledger, &started->key);
+
+    if (job == NULL) {
+        job = Ledger_Add(board->ledger, &started->key);
+        if (job == NULL) {
+            Board_Overflow(board);
+            return NULL;
+        }
+    }
+    else if (job->state == JOB_RECOVERED) {
+        Ledger_Reopen(board->ledger, job);
+        return job;
+    }
+    else if (job->state != JOB_HELD || is_live_holder(board, job)) {
+        return NULL;
+    }
+    else {
+        Ledger_Reopen(board->ledger, job);
+    }
+    job->state = JOB_RECOVERED;
+    g_strlcpy(job->group, started->group, sizeof(job->group));
+    job->arrived_ms = board->now.mono_ms;
+    Job_SetTotal(job, started->total);
+    Counter_Add(&board->counters, COUNTER_JOBS_RECOVERED, 1);
+    return job;
+}
+
+static void
+put_started(Job *job, const Recovery_Started *started)
+{
+    Task *task;
+
+    if (started->index >= job->total ||
+        job->tasks[started->index].state == TASK_DONE) {
+        return;
+    }
+    task = &job->tasks[started->index];
+    if (task->state == TASK_WAITING) {
+        job->waiting--;
+    }
+    task->companion = started->companion;
+    switch (started->state) {
+    case LC_TASK_RUNNING:
+        task->state = TASK_SENT;
+        break;
+    case LC_TASK_DONE:
+        Job_SetResult(job, started->index, started->code, started->result,
+                      started->length);
+        job->done++;
+        break;
+    case LC_TASK_FAILED:
+    case LC_TASK_EVICTED:
+        task->state = TASK_FAILED;
+        task->code = started->code;
+        break;
+    }
+}
+
+typedef struct {
+    Board *board;
+    int64_t unsure_before_ms;
+    GPtrArray *jobs;
+} merge_search;
+
+static void
+collect_undecided(Job *job, void *context)
+{
+    merge_search *search = context;
+
+    if (job->state == JOB_RECOVERED ||
+        (job->state == JOB_HELD && !is_live_holder(search->board, job))) {
+        g_ptr_array_add(search->jobs, job);
+    }
+}
+
+static bool
+has_failed_task(const Job *job)
+{
+    uint32_t i;
+
+    for (i = 0; i < job->total; i++) {
+        if (job->tasks[i].state == TASK_FAILED) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+decide(merge_search *search, Job *job)
+{
+    bool unsure = Key_Time(&job->key) < search->unsure_before_ms;
+
+    Ledger_Reopen(search->board->ledger, job);
+    if (job->state == JOB_HELD && !unsure) {
+        Ledger_Remove(search->board->ledger, job);
+    }
+    else if (job->state == JOB_HELD) {
+        Outcome_Fail(search->board, job, ERR_LOST,
+                     "its entry and a companion were lost");
+    }
+    else if (has_failed_task(job)) {
+        Outcome_Fail(search->board, job, ERR_UPSTREAM_FAILED,
+                     "a task failed before its entry was lost");
+    }
+    else if (job->done == job->total) {
+        Outcome_Done(search->board, job);
+    }
+    else if (unsure && job->waiting > 0) {
+        Outcome_Fail(search->board, job, ERR_LOST,
+                     "its entry and a companion were lost");
+    }
+    else {
+        Ledger_End(search->board->ledger, job, search->board->now.mono_ms);
+    }
+}
+
+void
+Recovery_Merge(Board *board, const GPtrArray *found, int64_t unsure_before_ms)
+{
+    merge_search search = {board, unsure_before_ms, g_ptr_array_new()};
+    guint i;
+
+    for (i = 0; i < found->len; i++) {
+        const Recovery_Started *started = g_ptr_array_index(found, i);
+        Job *job = recovered_job(board, started);
+        if (job != NULL) {
+            put_started(job, started);
+        }
+    }
+    Ledger_Each(board->ledger, collect_undecided, &search);
+    for (i = 0; i < search.jobs->len; i++) {
+        decide(&search, g_ptr_array_index(search.jobs, i));
+    }
+    g_ptr_array_unref(search.jobs);
+}
--- /dev/null
+++ b/daemon/companion_process.c
@@ -0,0 +1,177 @@
+#include "daemon/companion_process.h"
+
+#include <glib.h>
+#include <string.h>
+
+#include "core/companion.h"
+#include "daemon/process.h"
+#include "platform/http_client.h"
+
+#define FIRST_ERROR_STATUS 500
+
+typedef struct {
+    Process process; /* first, see Process */
+    Companion *companion;
+    Http_Client *http;
+} companion_process;
+
+/* A task at the upstream. */
+typedef struct {
+    companion_process *self;
+    uint64_t run_id;
+} pending_run;
+
+static Companion_Run
+run_result(const Http_ClientAnswer *answer)
+{
+    switch (answer->end) {
+    case HTTP_CLIENT_UNREACHED:
+        return COMPANION_RUN_UNREACHED;
+    case HTTP_CLIENT_TIMEOUT:
+        return COMPANION_RUN_TIMEOUT;
+    case HTTP_CLIENT_ANSWERED:
+        if (answer->status < FIRST_ERROR_STATUS &&
+            answer->length <= LC_MAX_PAYLOAD) {
+            return COMPANION_RUN_DONE;
+        }
+        return COMPANION_RUN_FAILED;
+    default:
+        return COMPANION_RUN_FAILED;
+    }
+}
+
+static void
+on_run(void *context, const Http_ClientAnswer *answer)
+{
+    pending_run *run = context;
+    Companion_Run result = run_result(answer);
+    bool done = result == COMPANION_RUN_DONE;
+
+    Companion_OnRun(run->self->companion, Process_Now(), run->run_id, result,
+                    (uint32_t)answer->status, done ? answer->body : NULL,
+                    done ? (uint32_t)answer->length : 0);
+    g_free(run);
+}
+
+static void
+port_run(void *context, uint64_t run_id, const Node_Task *task)
+{
+    companion_process *self = context;
+    pending_run *run = g_new(pending_run, 1);
+    Http_ClientRequest request = {.to = self->process.options->upstream,
+                                  .method = "POST",
+                                  .path = "/run",
+                                  .body = task->payload,
+                                  .length = task->length,
+                                  .timeout_ms = task->timeout_ms};
+    char key[KEY_TEXT_LENGTH + 1];
+    char headers[256];
+
+    Key_Format(&task->key, key);
+    g_snprintf(headers, sizeof(headers),
+               "Levercove-Key: %s\r\nLevercove-Index: %u\r\n"
+               "Levercove-Group: %s\r\n",
+               key, task->index, task->group);
+    request.headers = headers;
+    run->self = self;
+    run->run_id = run_id;
+    Http_Send(self->http, &request, on_run, run);
+}
+
+static const Node_Ports companion_ports = {
+    .call = Process_PortCall,
+    .reply = Process_PortReply,
+    .reset = Process_PortReset,
+    .run = port_run,
+    .event = Process_PortEvent,
+};
+
+static void
+role_tick(Process *process)
+{
+    Companion_Tick(((companion_process *)process)->companion, Process_Now());
+}
+
+static void
+role_drain(Process *process)
+{
+    Companion_Drain(((companion_process *)process)->companion, Process_Now());
+}
+
+static bool
+role_is_drained(const Process *process)
+{
+    return Companion_IsDrained(
+        ((const companion_process *)process)->companion);
+}
+
+static json_t *
+role_dump(const Process *process)
+{
+    return Companion_Dump(((const companion_process *)process)->companion);
+}
+
+static Counters *
+role_counters(Process *process)
+{
+    return Companion_Counters(((companion_process *)process)->companion);
+}
+
+static bool
+role_call(Process *process, uint64_t reply_id, const Msg_Call *call)
+{
+    companion_process *self = (companion_process *)process;
+
+    return Companion_OnCall(self->companion, Process_Now(), reply_id, call);
+}
+
+static void
+role_reply(Process *process, uint64_t call_id, const Msg_Reply *reply)
+{
+    companion_process *self = (companion_process *)process;
+
+    Companion_OnReply(self->companion, Process_Now(), call_id, reply);
+}
+
+static const Process_Role companion_role = {
+    role_tick,     role_drain, role_is_drained, role_dump,
+    role_counters, role_call,  role_reply,
+};
+
+static Companion *
+new_companion(companion_process *self, const Options *options)
+{
+    Node_Time now = Process_Now();
+    Companion_Config config = Companion_Defaults(Process_NewNode(options),
+                                                 now.wall_ms);
+
+    config.slots = (uint32_t)options->slots;
+    config.grant_ms = options->grant_ms;
+    config.window_ms = options->window_ms;
+    config.skew_ms = options->skew_ms;
+    config.max_records = (uint32_t)options->max_records;
+    config.max_result_bytes = (size_t)options->max_result_bytes;
+    return Companion_New(&config, &companion_ports, self, now);
+}
+
+int
+CompanionProcess_Run(const Options *options)
+{
+    companion_process *self = g_new0(companion_process, 1);
+    uv_loop_t *loop = uv_default_loop();
+    Status status = {ERR_OK, ""};
+    int code = Err_Exit(ERR_IO);
+
+    self->http = Http_NewClient(loop);
+    self->companion = new_companion(self, options);
+    if (Process_Open(&self->process, loop, options, &companion_role,
+                     &status) != ERR_OK) {
+        Event_Log(EVENT_LISTEN_FAILED, "%s", status.message);
+        goto done;
+    }
+    code = Process_Run(&self->process);
+done:
+    Companion_Free(self->companion);
+    /* The loop's handles live in `self`; the process ends here. */
+    return code;
+}
--- /dev/null
+++ b/daemon/entry_process.c
@@ -0,0 +1,342 @@
+#include "daemon/entry_process.h"
+
+#include <glib.h>
+#include <string.h>
+
+#include "core/entry.h"
+#include "daemon/jobs_api.h"
+#include "daemon/process.h"
+#include "daemon/table_api.h"
+#include "platform/hosts_client.h"
+#include "platform/log_client.h"
+
+#define PLATFORM_TIMEOUT_MS 2000
+
+typedef struct {
+    Process process; /* first, see Process */
+    Entry *entry;
+    Http_Client *http;
+    Http_Server *callers;
+    Log_Client log;
+    Hosts_Client hosts;
+    uv_timer_t log_timer;
+    uv_timer_t hosts_timer;
+    int64_t read_asked_ms;
+    bool reading;
+    bool hosts_up;
+} entry_process;
+
+static void
+port_answer(void *context, uint64_t request, const Node_Answer *answer)
+{
+    entry_process *self = context;
+
+    JobsApi_Answer(self->callers, request, answer);
+}
+
+static void
+port_edited(void *context, uint64_t request, const Status *status,
+            uint64_t version)
+{
+    entry_process *self = context;
+
+    TableApi_Edited(self->callers, request, status, version);
+}
+
+static void
+read_log(entry_process *self);
+
+static void
+on_log_timer(uv_timer_t *timer)
+{
+    read_log(timer->data);
+}
+
+static void
+on_append(void *context, uint64_t append_id, bool confirmed)
+{
+    entry_process *self = context;
+
+    Entry_OnAppend(self->entry, Process_Now(), append_id, confirmed);
+    if (!self->reading) {
+        /* What was appended takes effect when it is read back. */
+        uv_timer_start(&self->log_timer, on_log_timer, 1, 0);
+    }
+}
+
+static void
+port_append(void *context, uint64_t append_id, const char *record)
+{
+    entry_process *self = context;
+
+    self->log.functions->append(self->log.self, append_id, record, on_append,
+                                self);
+}
+
+static const Node_Ports entry_ports = {
+    .call = Process_PortCall,
+    .reply = Process_PortReply,
+    .reset = Process_PortReset,
+    .answer = port_answer,
+    .append = port_append,
+    .edited = port_edited,
+    .event = Process_PortEvent,
+};
+
+static void
+new_entry(entry_process *self, const Options *options)
+{
+    Node_Time now = Process_Now();
+    Board_Config config = Board_Defaults(Process_NewNode(options),
+                                         now.wall_ms);
+
+    config.evidence_ms = options->evidence_ms;
+    config.skew_ms = options->skew_ms;
+    config.window_ms = options->window_ms;
+    config.ping_entry_ms = options->ping_entry_ms;
+    config.ping_companion_ms = options->ping_companion_ms;
+    config.suspect_ms = options->suspect_ms;
+    config.patience_ms = options->patience_ms;
+    config.inventory_ms = options->inventory_ms;
+    config.hosts_lag_ms = options->hosts_lag_ms;
+    config.snapshot_ms = options->snapshot_ms;
+    config.snapshot_records = (uint32_t)options->snapshot_records;
+    config.task_timeout_ms = (uint32_t)options->task_timeout_ms;
+    config.max_jobs = (uint32_t)options->max_jobs;
+    config.max_answer_bytes = (size_t)options->max_answer_bytes;
+    config.order = Group_OrderFromText(options->order);
+    self->entry = Entry_New(&config, &entry_ports, self, now);
+}
+
+static void
+on_log(void *context, const Log_Read *read)
+{
+    entry_process *self = context;
+    const Options *options = self->process.options;
+    Entry_LogRead in;
+    uint64_t pause_ms = (uint64_t)options->log_poll_ms;
+
+    self->reading = false;
+    if (read == NULL) {
+        Entry_OnLog(self->entry, Process_Now(), NULL);
+    }
+    else {
+        in.asked_ms = self->read_asked_ms;
+        in.first = read->first;
+        in.next = read->next;
+        in.records = read->records;
+        in.count = read->count;
+        Entry_OnLog(self->entry, Process_Now(), &in);
+        if (read->count > 0 && Entry_LogNext(self->entry) < read->next) {
+            pause_ms = 0;
+        }
+    }
+    uv_timer_start(&self->log_timer, on_log_timer, pause_ms, 0);
+}
+
+static void
+read_log(entry_process *self)
+{
+    self->reading = true;
+    self->read_asked_ms = Process_Now().mono_ms;
+    self->log.functions->read(self->log.self, Entry_LogNext(self->entry),
+                              on_log, self);
+}
+
+static void
+note_hosts(entry_process *self, bool up)
+{
+    if (self->hosts_up != up) {
+        self->hosts_up = up;
+        Event_Log(up ? EVENT_HOSTS_UP : EVENT_HOSTS_DOWN, "%s",
+                  Address_Text(self->process.options->hosts));
+    }
+}
+
+static void
+on_hosts(void *context, const Hosts_Row *rows, uint32_t count)
+{
+    entry_process *self = context;
+    GArray *hosts = g_array_new(TRUE, FALSE, sizeof(Members_Host));
+    uint32_t i;
+
+    note_hosts(self, rows != NULL);
+    for (i = 0; i < count; i++) {
+        Members_Host host = {rows[i].address, rows[i].role, rows[i].leaving};
+        g_array_append_val(hosts, host);
+    }
+    if (rows != NULL) {
+        Entry_OnHosts(self->entry, Process_Now(),
+                      (const Members_Host *)(const void *)hosts->data, count);
+    }
+    g_array_unref(hosts);
+}
+
+static void
+on_hosts_timer(uv_timer_t *timer)
+{
+    entry_process *self = timer->data;
+
+    self->hosts.functions->read(self->hosts.self, on_hosts, self);
+}
+
+/* Out of the view: a new incarnation begins with empty memory. */
+static void
+renew(entry_process *self)
+{
+    Status status = {ERR_OK, ""};
+
+    Entry_Abandon(self->entry, Process_Now());
+    Entry_Free(self->entry);
+    new_entry(self, self->process.options);
+    if (Process_ReopenRpc(&self->process, &status) != ERR_OK) {
+        Event_Log(EVENT_LISTEN_FAILED, "%s", status.message);
+        self->process.exit_code = Err_Exit(ERR_IO);
+        uv_stop(self->process.loop);
+    }
+}
+
+static void
+role_tick(Process *process)
+{
+    entry_process *self = (entry_process *)process;
+
+    Entry_Tick(self->entry, Process_Now());
+    if (Entry_IsDeposed(self->entry)) {
+        renew(self);
+    }
+}
+
+static void
+role_drain(Process *process)
+{
+    Entry_Drain(((entry_process *)process)->entry, Process_Now());
+}
+
+static bool
+role_is_drained(const Process *process)
+{
+    const entry_process *self = (const entry_process *)process;
+
+    return Entry_IsDrained(self->entry) && Http_Unanswered(self->callers) == 0;
+}
+
+static json_t *
+role_dump(const Process *process)
+{
+    return Entry_Dump(((const entry_process *)process)->entry);
+}
+
+static Counters *
+role_counters(Process *process)
+{
+    return Entry_Counters(((entry_process *)process)->entry);
+}
+
+static bool
+role_call(Process *process, uint64_t reply_id, const Msg_Call *call)
+{
+    entry_process *self = (entry_process *)process;
+
+    return Entry_OnCall(self->entry, Process_Now(), reply_id, call);
+}
+
+static void
+role_reply(Process *process, uint64_t call_id, const Msg_Reply *reply)
+{
+    entry_process *self = (entry_process *)process;
+
+    Entry_OnReply(self->entry, Process_Now(), call_id, reply);
+}
+
+static const Process_Role entry_role = {
+    role_tick,     role_drain, role_is_drained, role_dump,
+    role_counters, role_call,  role_reply,
+};
+
+static void
+serve_post(void *context, const Http_Request *request)
+{
+    entry_process *self = context;
+
+    JobsApi_Post(self->callers, self->entry, Process_Now(), request);
+}
+
+static void
+serve_look(void *context, const Http_Request *request)
+{
+    entry_process *self = context;
+
+    JobsApi_Get(self->callers, self->entry, Process_Now(), request);
+}
+
+static void
+serve_table(void *context, const Http_Request *request)
+{
+    entry_process *self = context;
+
+    TableApi_ServeAll(self->callers, self->entry, request);
+}
+
+static void
+serve_row(void *context, const Http_Request *request)
+{
+    entry_process *self = context;
+
+    TableApi_ServeRow(self->callers, self->entry, Process_Now(), request);
+}
+
+static const Http_Route caller_routes[] = {
+    {"/v1/jobs", serve_post},
+    {"/v1/jobs/", serve_look},
+    {"/v1/table", serve_table},
+    {"/v1/table/groups/", serve_row},
+    {NULL, NULL},
+};
+
+static void
+start_timers(entry_process *self, uv_loop_t *loop, const Options *options)
+{
+    uv_timer_init(loop, &self->log_timer);
+    self->log_timer.data = self;
+    uv_timer_start(&self->log_timer, on_log_timer, 0, 0);
+    uv_timer_init(loop, &self->hosts_timer);
+    self->hosts_timer.data = self;
+    uv_timer_start(&self->hosts_timer, on_hosts_timer, 0,
+                   (uint64_t)options->hosts_poll_ms);
+}
+
+int
+EntryProcess_Run(const Options *options)
+{
+    entry_process *self = g_new0(entry_process, 1);
+    uv_loop_t *loop = uv_default_loop();
+    Status status = {ERR_OK, ""};
+    int code = Err_Exit(ERR_IO);
+
+    self->http = Http_NewClient(loop);
+    self->log = Log_OverHttp(self->http, options->log, PLATFORM_TIMEOUT_MS);
+    self->hosts = Hosts_OverHttp(self->http, options->hosts,
+                                 PLATFORM_TIMEOUT_MS);
+    new_entry(self, options);
+    if (Process_Open(&self->process, loop, options, &entry_role, &status) !=
+        ERR_OK) {
+        goto done;
+    }
+    self->callers = Http_NewServer(loop, options->callers, caller_routes, self,
+                                   &status);
+    if (self->callers == NULL) {
+        goto done;
+    }
+    start_timers(self, loop, options);
+    code = Process_Run(&self->process);
+done:
+    if (status.kind != ERR_OK) {
+        Event_Log(EVENT_LISTEN_FAILED, "%s", status.message);
+    }
+    self->hosts.functions->free(self->hosts.self);
+    self->log.functions->free(self->log.self);
+    Entry_Free(self->entry);
+    /* The loop's handles live in `self`; the process ends here. */
+    return code;
+}
--- /dev/null
+++ b/daemon/http_server.c
@@ -0,0 +1,318 @@
+#include "daemon/http_server.h"
+
+#include <glib.h>
+#include <jansson.h>
+#include <string.h>
+
+/* h2o reads this before its own headers. */
+#define H2O_USE_LIBUV 1
+#include <h2o.h>
+
+#include "base/handle.h"
+
+#define LISTEN_BACKLOG 1024
+#define MS_PER_S 1000
+
+typedef struct {
+    h2o_handler_t super;
+    Http_Server *server;
+} route_handler;
+
+/* A request that has not been answered; lives in the request's pool. */
+typedef struct {
+    Http_Server *server;
+    h2o_req_t *request;
+    Handle id;
+} open_request;
+
+struct Http_Server {
+    uv_loop_t *loop;
+    uv_tcp_t listener;
+    bool listening;
+    h2o_globalconf_t config;
+    h2o_context_t context;
+    h2o_accept_ctx_t accept;
+    const Http_Route *routes;
+    void *handler_context;
+    Handle_Table *open;
+    uint64_t bad;
+};
+
+/* h2o calls this when the request ends, answered or not. */
+static void
+on_request_gone(void *item)
+{
+    open_request *open = item;
+
+    Handle_Remove(open->server->open, open->id);
+}
+
+static char *
+pool_text(h2o_req_t *request, const char *base, size_t length)
+{
+    return h2o_strdup(&request->pool, base, length).base;
+}
+
+static const char *
+header_text(h2o_req_t *request, const char *name)
+{
+    ssize_t place = h2o_find_header_by_str(&request->headers, name,
+                                           strlen(name), -1);
+    const h2o_header_t *header;
+
+    if (place < 0) {
+        return NULL;
+    }
+    header = &request->headers.entries[place];
+    return pool_text(request, header->value.base, header->value.len);
+}
+
+static const Http_Route *
+find_route(const Http_Server *server, const char *path, const char **rest)
+{
+    const Http_Route *route;
+
+    for (route = server->routes; route->path != NULL; route++) {
+        size_t length = strlen(route->path);
+        bool below = route->path[length - 1] == '/';
+        if (below ? strncmp(path, route->path, length) == 0
+                  : strcmp(path, route->path) == 0) {
+            *rest = path + length;
+            return route;
+        }
+    }
+    return NULL;
+}
+
+static void
+fill_request(h2o_req_t *request, Http_Request *out)
+{
+    size_t path_length = request->query_at == SIZE_MAX ? request->path.len
+                                                       : request->query_at;
+
+    out->method = pool_text(request, request->method.base,
+                            request->method.len);
+    out->path = pool_text(request, request->path.base, path_length);
+    out->query = "";
+    if (path_length < request->path.len) {
+        out->query = pool_text(request, request->path.base + path_length + 1,
+                               request->path.len - path_length - 1);
+    }
+    out->body = request->entity.base == NULL ? "" : request->entity.base;
+    out->length = request->entity.len;
+    out->idempotency_key = header_text(request, "idempotency-key");
+    out->if_match = header_text(request, "if-match");
+    out->levercove_key = header_text(request, "levercove-key");
+    out->levercove_index = header_text(request, "levercove-index");
+}
+
+static int
+on_request(h2o_handler_t *self, h2o_req_t *request)
+{
+    Http_Server *server = ((route_handler *)self)->server;
+    open_request *open = h2o_mem_alloc_shared(&request->pool, sizeof(*open),
+                                              on_request_gone);
+    const Http_Route *route;
+    Http_Request in;
+
+    memset(&in, 0, sizeof(in));
+    open->server = server;
+    open->request = request;
+    open->id = Handle_Add(server->open, open);
+    in.id = open->id;
+    fill_request(request, &in);
+    route = find_route(server, in.path, &in.rest);
+    if (route == NULL) {
+        server->bad++;
+        Http_RespondError(server, in.id, ERR_NOT_FOUND, "no such path", 0);
+    }
+    else if (in.length > HTTP_MAX_BODY) {
+        server->bad++;
+        Http_RespondError(server, in.id, ERR_TOO_LARGE,
+                          "the body is longer than 8 MiB", 0);
+    }
+    else {
+        route->handler(server->handler_context, &in);
+    }
+    return 0;
+}
+
+static void
+on_socket_closed(uv_handle_t *handle)
+{
+    g_free(handle);
+}
+
+static void
+on_incoming(uv_stream_t *listener, int result)
+{
+    Http_Server *server = listener->data;
+    uv_tcp_t *tcp;
+
+    if (result != 0) {
+        return;
+    }
+    tcp = g_new0(uv_tcp_t, 1);
+    uv_tcp_init(server->loop, tcp);
+    if (uv_accept(listener, (uv_stream_t *)tcp) != 0) {
+        uv_close((uv_handle_t *)tcp, on_socket_closed);
+        return;
+    }
+    uv_tcp_nodelay(tcp, 1);
+    h2o_accept(&server->accept,
+               h2o_uv_socket_create((uv_stream_t *)tcp, on_socket_closed));
+}
+
+static int
+listen_on(Http_Server *server, Address address)
+{
+    struct sockaddr_in local;
+    int result;
+
+    memset(&local, 0, sizeof(local));
+    local.sin_family = AF_INET;
+    local.sin_addr.s_addr = htonl((uint32_t)(address >> 16));
+    local.sin_port = htons((uint16_t)address);
+    uv_tcp_init(server->loop, &server->listener);
+    server->listener.data = server;
+    server->listening = true;
+    result = uv_tcp_bind(&server->listener, (const struct sockaddr *)&local,
+                         0);
+    if (result != 0) {
+        return result;
+    }
+    return uv_listen((uv_stream_t *)&server->listener, LISTEN_BACKLOG,
+                     on_incoming);
+}
+
+Http_Server *
+Http_NewServer(uv_loop_t *loop, Address address, const Http_Route *routes,
+               void *context, Status *status)
+{
+    Http_Server *server = g_new0(Http_Server, 1);
+    h2o_hostconf_t *host;
+    h2o_pathconf_t *path;
+    route_handler *handler;
+    int result;
+
+    server->loop = loop;
+    server->routes = routes;
+    server->handler_context = context;
+    server->open = Handle_NewTable();
+    h2o_config_init(&server->config);
+    server->config.server_name = h2o_iovec_init(H2O_STRLIT("levercove"));
+    /* Twice our own limit, so that our own error answers most. */
+    server->config.max_request_entity_size = 2 * (size_t)HTTP_MAX_BODY;
+    host = h2o_config_register_host(
+        &server->config, h2o_iovec_init(H2O_STRLIT("default")), 65535);
+    path = h2o_config_register_path(host, "/", 0);
+    handler = (route_handler *)h2o_create_handler(path, sizeof(route_handler));
+    handler->super.on_req = on_request;
+    handler->server = server;
+    h2o_context_init(&server->context, loop, &server->config);
+    server->accept.ctx = &server->context;
+    server->accept.hosts = server->config.hosts;
+    result = listen_on(server, address);
+    if (result != 0) {
+        Err_Set(status, ERR_IO, "cannot listen on %s: %s",
+                Address_Text(address), uv_strerror(result));
+        Http_FreeServer(server);
+        return NULL;
+    }
+    return server;
+}
+
+static void
+add_header(h2o_req_t *request, const char *name, const char *value)
+{
+    char *copy = pool_text(request, value, strlen(value));
+
+    h2o_add_header_by_str(&request->pool, &request->res.headers, name,
+                          strlen(name), 1, NULL, copy, strlen(copy));
+}
+
+void
+Http_Respond(Http_Server *server, uint64_t id, const Http_Response *response)
+{
+    open_request *open = Handle_Remove(server->open, id);
+    h2o_req_t *request;
+    char seconds[16];
+
+    if (open == NULL) {
+        return;
+    }
+    request = open->request;
+    request->res.status = response->status;
+    request->res.reason = response->status < 400 ? "OK" : "Error";
+    add_header(request, "content-type",
+               response->type == NULL ? "application/json" : response->type);
+    if (response->etag != NULL) {
+        add_header(request, "etag", response->etag);
+    }
+    if (response->retry_ms > 0) {
+        g_snprintf(seconds, sizeof(seconds), "%u",
+                   (response->retry_ms + MS_PER_S - 1) / MS_PER_S);
+        add_header(request, "retry-after", seconds);
+    }
+    request->res.content_length = response->length;
+    h2o_send_inline(request, response->body, response->length);
+}
+
+void
+Http_RespondError(Http_Server *server, uint64_t id, Err_Kind kind,
+                  const char *message, uint32_t retry_ms)
+{
+    json_t *body = json_pack("{s:s, s:s, s:s}", "outcome",
+                             Err_OutcomeText(Err_Outcome(kind)), "error",
+                             Err_Text(kind), "message", message);
+    Http_Response response = {.status = Err_Http(kind), .retry_ms = retry_ms};
+    char *text;
+
+    if (retry_ms > 0) {
+        json_object_set_new(body, "retry_after_ms", json_integer(retry_ms));
+    }
+    text = json_dumps(body, JSON_COMPACT);
+    response.body = text;
+    response.length = strlen(text);
+    Http_Respond(server, id, &response);
+    free(text);
+    json_decref(body);
+}
+
+uint32_t
+Http_Unanswered(const Http_Server *server)
+{
+    return Handle_Count(server->open);
+}
+
+uint64_t
+Http_BadRequests(const Http_Server *server)
+{
+    return server->bad;
+}
+
+static void
+on_listener_closed(uv_handle_t *handle)
+{
+    (void)handle;
+}
+
+void
+Http_StopListening(Http_Server *server)
+{
+    if (server->listening) {
+        server->listening = false;
+        uv_close((uv_handle_t *)&server->listener, on_listener_closed);
+    }
+}
+
+/*
+ * h2o keeps timers on the loop until the process ends, so the server's
+ * memory stays too; it is called once, right before the process exits.
+ */
+void
+Http_FreeServer(Http_Server *server)
+{
+    Http_StopListening(server);
+    h2o_context_request_shutdown(&server->context);
+}
--- /dev/null
+++ b/daemon/main.c
@@ -0,0 +1,88 @@
+/* levercoved: one process of the system, in the role its settings give. */
+
+#include <glib.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "base/event.h"
+#include "base/version.h"
+#include "daemon/companion_process.h"
+#include "daemon/entry_process.h"
+#include "daemon/options.h"
+
+static gboolean show_version;
+static gboolean check_only;
+
+static const GOptionEntry entries[] = {
+    {"version", 'V', 0, G_OPTION_ARG_NONE, &show_version,
+     "Print the version and exit", NULL},
+    {"check", 'c', 0, G_OPTION_ARG_NONE, &check_only,
+     "Check the settings and exit", NULL},
+    {NULL, 0, 0, 0, NULL, NULL, NULL},
+};
+
+static int
+parse_arguments(int *argc, char ***argv)
+{
+    GOptionContext *context = g_option_context_new(
+        "SETTINGS - run one levercove process");
+    GError *error = NULL;
+    int code = 0;
+
+    g_option_context_add_main_entries(context, entries, NULL);
+    if (!g_option_context_parse(context, argc, argv, &error)) {
+        fprintf(stderr, "levercoved: %s\n", error->message);
+        g_error_free(error);
+        code = Err_Exit(ERR_BAD_REQUEST);
+    }
+    g_option_context_free(context);
+    return code;
+}
+
+static int
+run(const char *file)
+{
+    Options options;
+    char *errors = NULL;
+    int code = 0;
+
+    if (Options_Load(file, &options, &errors) != ERR_OK) {
+        fputs(errors, stderr);
+        Event_Log(EVENT_BAD_SETTINGS, "%s", file);
+        code = Err_Exit(ERR_BAD_SETTINGS);
+    }
+    else if (check_only) {
+        printf("%s: settings are well formed\n", file);
+    }
+    else if (strcmp(options.role, "entry") == 0) {
+        code = EntryProcess_Run(&options);
+    }
+    else {
+        code = CompanionProcess_Run(&options);
+    }
+    g_free(errors);
+    return code;
+}
+
+int
+main(int argc, char **argv)
+{
+    int code;
+
+    signal(SIGPIPE, SIG_IGN);
+    Event_UseStderr();
+    code = parse_arguments(&argc, &argv);
+    if (code != 0) {
+        return code;
+    }
+    if (show_version) {
+        printf("levercoved %s\n", LC_VERSION_TEXT);
+        return 0;
+    }
+    if (argc != 2) {
+        fprintf(stderr, "levercoved: expected one settings file\n");
+        return Err_Exit(ERR_BAD_REQUEST);
+    }
+    return run(argv[1]);
+}
--- /dev/null
+++ b/daemon/options.c
@@ -0,0 +1,131 @@
+#include "daemon/options.h"
+
+#include <glib.h>
+#include <string.h>
+
+#define DAY_MS 86400000
+#define MOST_BYTES (4LL * 1024 * 1024 * 1024)
+
+#define ADDRESS(name, required)                                               \
+    {                                                                         \
+#name, SETTING_ADDRESS, offsetof(Options, name), required, 0, 0, NULL \
+    }
+#define TEXT(name, required, choices)                                         \
+    {                                                                         \
+#name, SETTING_TEXT, offsetof(Options, name), required, 0, 0, choices \
+    }
+#define GROUP(name)                                                           \
+    {                                                                         \
+        name, SETTING_GROUP, 0, 0, 0, 0, NULL                                 \
+    }
+#define INTEGER(group, name, least, most)                                     \
+    {                                                                         \
+        group #name, SETTING_INTEGER, offsetof(Options, name), 0, least,      \
+            most, NULL                                                        \
+    }
+
+static const Setting option_table[] = {
+    TEXT(role, 1, "entry|companion"),
+    TEXT(hall, 1, NULL),
+    ADDRESS(rpc, 1),
+    ADDRESS(admin, 1),
+    ADDRESS(callers, 0),
+    ADDRESS(log, 0),
+    ADDRESS(hosts, 0),
+    ADDRESS(upstream, 0),
+    INTEGER("", slots, 1, 4096),
+    TEXT(order, 0, "fifo|fewest_remaining|response_ratio"),
+    GROUP("times"),
+    INTEGER("times.", log_poll_ms, 10, 5000),
+    INTEGER("times.", hosts_poll_ms, 10, 60000),
+    INTEGER("times.", evidence_ms, 100, 60000),
+    INTEGER("times.", skew_ms, 0, 60000),
+    INTEGER("times.", window_ms, 1000, DAY_MS),
+    INTEGER("times.", ping_entry_ms, 10, 10000),
+    INTEGER("times.", ping_companion_ms, 10, 60000),
+    INTEGER("times.", suspect_ms, 100, 60000),
+    INTEGER("times.", patience_ms, 100, 600000),
+    INTEGER("times.", inventory_ms, 100, 60000),
+    INTEGER("times.", hosts_lag_ms, 0, 3600000),
+    INTEGER("times.", snapshot_ms, 1000, DAY_MS),
+    INTEGER("times.", task_timeout_ms, 100, 3600000),
+    INTEGER("times.", grant_ms, 10, 10000),
+    GROUP("limits"),
+    INTEGER("limits.", snapshot_records, 1, 1000000),
+    INTEGER("limits.", max_jobs, 1, 100000000),
+    INTEGER("limits.", max_answer_bytes, 0, MOST_BYTES),
+    INTEGER("limits.", max_records, 1, 100000000),
+    INTEGER("limits.", max_result_bytes, 0, MOST_BYTES),
+    {NULL, SETTING_GROUP, 0, 0, 0, 0, NULL},
+};
+
+static void
+set_defaults(Options *options)
+{
+    memset(options, 0, sizeof(*options));
+    g_strlcpy(options->order, "response_ratio", sizeof(options->order));
+    options->slots = 8;
+    options->log_poll_ms = 250;
+    options->hosts_poll_ms = 1000;
+    options->evidence_ms = 3000;
+    options->skew_ms = 2000;
+    options->window_ms = 600000;
+    options->ping_entry_ms = 500;
+    options->ping_companion_ms = 5000;
+    options->suspect_ms = 3000;
+    options->patience_ms = 10000;
+    options->inventory_ms = 2000;
+    options->hosts_lag_ms = 60000;
+    options->snapshot_ms = 600000;
+    options->snapshot_records = 500;
+    options->task_timeout_ms = 30000;
+    options->grant_ms = 250;
+    options->max_jobs = 200000;
+    options->max_answer_bytes = 24LL * 1024 * 1024;
+    options->max_records = 100000;
+    options->max_result_bytes = 16LL * 1024 * 1024;
+}
+
+static void
+require(GString *errors, const char *file, const char *role, const char *name,
+        Address address)
+{
+    if (address == 0) {
+        g_string_append_printf(errors, "%s: %s: missing, role %s needs it\n",
+                               file, name, role);
+    }
+}
+
+static void
+check_role(const Options *options, const char *file, GString *errors)
+{
+    if (strcmp(options->role, "entry") == 0) {
+        require(errors, file, "entry", "callers", options->callers);
+        require(errors, file, "entry", "log", options->log);
+        require(errors, file, "entry", "hosts", options->hosts);
+    }
+    else if (strcmp(options->role, "companion") == 0) {
+        require(errors, file, "companion", "upstream", options->upstream);
+    }
+    if (options->suspect_ms < 2 * options->ping_entry_ms) {
+        g_string_append_printf(errors,
+                               "%s: times.suspect_ms: expected at least twice "
+                               "times.ping_entry_ms (%lld)\n",
+                               file, (long long)options->ping_entry_ms);
+    }
+}
+
+Err_Kind
+Options_Load(const char *file, Options *options, char **errors)
+{
+    GString *all;
+    char *form;
+
+    set_defaults(options);
+    Settings_Load(file, option_table, options, &form);
+    all = g_string_new(form);
+    g_free(form);
+    check_role(options, file, all);
+    *errors = g_string_free(all, FALSE);
+    return (*errors)[0] == '\0' ? ERR_OK : ERR_BAD_SETTINGS;
+}
--- /dev/null
+++ b/daemon/options.h
@@ -0,0 +1,50 @@
+/**
+ * @file options.h
+ * @brief Settings of `levercoved`, read from a JSON file and checked whole.
+ */
+#ifndef LC_DAEMON_OPTIONS_H
+#define LC_DAEMON_OPTIONS_H
+
+#include "base/settings.h"
+
+/** All settings, for both roles; times in ms. */
+typedef struct {
+    char role[SETTING_TEXT_SIZE];
+    char hall[SETTING_TEXT_SIZE];
+    char order[SETTING_TEXT_SIZE];
+    Address rpc;      /**< where peers call */
+    Address admin;    /**< where operators read state and metrics */
+    Address callers;  /**< where callers send jobs; entry only */
+    Address log;      /**< the log service; entry only */
+    Address hosts;    /**< the host list; entry only */
+    Address upstream; /**< the upstream; companion only */
+    int64_t slots;
+    int64_t log_poll_ms;
+    int64_t hosts_poll_ms;
+    int64_t evidence_ms;
+    int64_t skew_ms;
+    int64_t window_ms;
+    int64_t ping_entry_ms;
+    int64_t ping_companion_ms;
+    int64_t suspect_ms;
+    int64_t patience_ms;
+    int64_t inventory_ms;
+    int64_t hosts_lag_ms;
+    int64_t snapshot_ms;
+    int64_t snapshot_records;
+    int64_t task_timeout_ms;
+    int64_t grant_ms;
+    int64_t max_jobs;
+    int64_t max_answer_bytes;
+    int64_t max_records;
+    int64_t max_result_bytes;
+} Options;
+
+/**
+ * Reads and checks a file. Returns ERR_OK, or ERR_BAD_SETTINGS with one line
+ * per error in @p errors (free with g_free).
+ */
+Err_Kind
+Options_Load(const char *file, Options *options, char **errors);
+
+#endif
--- /dev/null
+++ b/daemon/process.c
@@ -0,0 +1,228 @@
+#include "daemon/process.h"
+
+#include <glib.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#define TICK_MS 50
+/* A drained process stays this long for answers on their way out. */
+#define LINGER_MS 300
+#define NS_PER_MS 1000000
+#define US_PER_S 1000000
+#define NS_PER_US 1000
+
+Node_Time
+Process_Now(void)
+{
+    struct timespec wall;
+    Node_Time now;
+
+    clock_gettime(CLOCK_REALTIME, &wall);
+    now.mono_ms = (int64_t)(uv_hrtime() / NS_PER_MS);
+    now.wall_ms = (int64_t)wall.tv_sec * 1000 + wall.tv_nsec / NS_PER_MS;
+    return now;
+}
+
+lc_node
+Process_NewNode(const Options *options)
+{
+    struct timespec wall;
+    lc_node node;
+
+    clock_gettime(CLOCK_REALTIME, &wall);
+    node.address = options->rpc;
+    node.incarnation = (uint64_t)wall.tv_sec * US_PER_S +
+                       (uint64_t)wall.tv_nsec / NS_PER_US;
+    return node;
+}
+
+void
+Process_PortCall(void *process, Address to, uint64_t call_id,
+                 const Msg_Call *call)
+{
+    Rpc_Call(((Process *)process)->rpc, to, call_id, call);
+}
+
+void
+Process_PortReply(void *process, uint64_t reply_id, const Msg_Reply *reply)
+{
+    Rpc_Reply(((Process *)process)->rpc, reply_id, reply);
+}
+
+void
+Process_PortReset(void *process, Address to)
+{
+    Rpc_Reset(((Process *)process)->rpc, to);
+}
+
+void
+Process_PortEvent(void *process, Event_Id id, const char *detail)
+{
+    (void)process;
+    Event_Log(id, "%s", detail);
+}
+
+static void
+on_call(void *context, uint64_t reply_id, const Msg_Call *call)
+{
+    Process *process = context;
+
+    if (!process->role->call(process, reply_id, call)) {
+        Rpc_Refuse(process->rpc, reply_id);
+    }
+}
+
+static void
+on_reply(void *context, uint64_t call_id, const Msg_Reply *reply)
+{
+    Process *process = context;
+
+    process->role->reply(process, call_id, reply);
+}
+
+static void
+serve_state(void *context, const Http_Request *request)
+{
+    Process *process = context;
+    json_t *state = process->role->dump(process);
+    char *text;
+    Http_Response response = {.status = 200};
+
+    json_object_set_new(state, "hall", json_string(process->options->hall));
+    text = json_dumps(state, JSON_INDENT(2));
+    response.body = text;
+    response.length = strlen(text);
+    Http_Respond(process->admin, request->id, &response);
+    free(text);
+    json_decref(state);
+}
+
+static void
+print_traffic(GString *out, const char *name, const uint64_t *counts)
+{
+    int i;
+
+    for (i = 0; i < MSG_COUNT; i++) {
+        g_string_append_printf(
+            out, "levercove_%s{kind=\"%s\"} %" G_GUINT64_FORMAT "\n", name,
+            Msg_Name((Msg_Kind)i), counts[i]);
+    }
+}
+
+static void
+serve_metrics(void *context, const Http_Request *request)
+{
+    Process *process = context;
+    const Rpc_Traffic *traffic = Rpc_GetTraffic(process->rpc);
+    GString *out = g_string_new(NULL);
+    Http_Response response = {.status = 200, .type = "text/plain"};
+
+    Counter_Print(process->role->counters(process), out);
+    print_traffic(out, "calls_sent", traffic->calls_out);
+    print_traffic(out, "calls_received", traffic->calls_in);
+    print_traffic(out, "replies_sent", traffic->replies_out);
+    print_traffic(out, "replies_received", traffic->replies_in);
+    response.body = out->str;
+    response.length = out->len;
+    Http_Respond(process->admin, request->id, &response);
+    g_string_free(out, TRUE);
+}
+
+static const Http_Route admin_routes[] = {
+    {"/state", serve_state},
+    {"/metrics", serve_metrics},
+    {NULL, NULL},
+};
+
+static void
+stop_if_drained(Process *process)
+{
+    int64_t now_ms = Process_Now().mono_ms;
+
+    if (!process->role->is_drained(process) || Rpc_Writing(process->rpc)) {
+        process->drained_ms = 0;
+        return;
+    }
+    if (process->drained_ms == 0) {
+        process->drained_ms = now_ms;
+    }
+    if (now_ms - process->drained_ms >= LINGER_MS) {
+        Event_Log(EVENT_STOPPED, "%s", Address_Text(process->options->rpc));
+        uv_stop(process->loop);
+    }
+}
+
+static void
+on_tick(uv_timer_t *timer)
+{
+    Process *process = timer->data;
+
+    process->role->tick(process);
+    stop_if_drained(process);
+}
+
+static void
+on_signal(uv_signal_t *handle, int number)
+{
+    Process *process = handle->data;
+
+    if (process->stopping) {
+        Event_Log(EVENT_STOP_FORCED, "signal %d", number);
+        process->exit_code = PROCESS_FORCED;
+        uv_stop(process->loop);
+        return;
+    }
+    process->stopping = true;
+    process->role->drain(process);
+}
+
+Err_Kind
+Process_ReopenRpc(Process *process, Status *status)
+{
+    static const Rpc_Handlers handlers = {on_call, on_reply};
+
+    if (process->rpc != NULL) {
+        Rpc_Close(process->rpc);
+    }
+    process->rpc = Rpc_New(process->loop, process->role->counters(process),
+                           &handlers, process);
+    return Rpc_Listen(process->rpc, process->options->rpc, status);
+}
+
+Err_Kind
+Process_Open(Process *process, uv_loop_t *loop, const Options *options,
+             const Process_Role *role, Status *status)
+{
+    process->loop = loop;
+    process->options = options;
+    process->role = role;
+    if (Process_ReopenRpc(process, status) != ERR_OK) {
+        return ERR_IO;
+    }
+    process->admin = Http_NewServer(loop, options->admin, admin_routes,
+                                    process, status);
+    if (process->admin == NULL) {
+        return ERR_IO;
+    }
+    uv_timer_init(loop, &process->tick);
+    process->tick.data = process;
+    uv_timer_start(&process->tick, on_tick, TICK_MS, TICK_MS);
+    uv_signal_init(loop, &process->terminate);
+    process->terminate.data = process;
+    uv_signal_start(&process->terminate, on_signal, SIGTERM);
+    uv_signal_init(loop, &process->interrupt);
+    process->interrupt.data = process;
+    uv_signal_start(&process->interrupt, on_signal, SIGINT);
+    Event_Log(EVENT_STARTED, "%s %s in hall %s", options->role,
+              Address_Text(options->rpc), options->hall);
+    return ERR_OK;
+}
+
+int
+Process_Run(Process *process)
+{
+    uv_run(process->loop, UV_RUN_DEFAULT);
+    return process->exit_code;
+}
--- /dev/null
+++ b/wire/msg.c
@@ -0,0 +1,238 @@
+#include "wire/msg.h"
+
+#include <string.h>
+
+typedef struct {
+    const char *name;
+    xdrproc_t args;
+    xdrproc_t results;
+} msg_row;
+
+static const msg_row msg_rows[MSG_COUNT] = {
+#define X(name, lower)                                                        \
+    {#lower, (xdrproc_t)xdr_lc_##lower##_args,                                \
+     (xdrproc_t)xdr_lc_##lower##_res},
+    MSG_LIST(X)
+#undef X
+};
+
+#define RPC_VERSION 2
+#define LAST_FRAGMENT 0x80000000U
+
+const char *
+Msg_Name(Msg_Kind kind)
+{
+    return msg_rows[kind].name;
+}
+
+/* Grows `out` by mark and `size` bytes and opens a stream over the latter. */
+static void
+open_record(GByteArray *out, size_t size, XDR *xdr)
+{
+    guint start = out->len;
+    uint32_t mark = htonl(LAST_FRAGMENT | (uint32_t)size);
+
+    g_byte_array_set_size(out, start + MSG_MARK_SIZE + (guint)size);
+    memcpy(out->data + start, &mark, MSG_MARK_SIZE);
+    xdrmem_create(xdr, (char *)out->data + start + MSG_MARK_SIZE, (u_int)size,
+                  XDR_ENCODE);
+}
+
+static void
+write_record(GByteArray *out, xdrproc_t head_proc, struct rpc_msg *head,
+             xdrproc_t body_proc, const void *body)
+{
+    XDR xdr;
+    /* The codec takes no const, but only reads while it encodes. */
+    void *mutable_body = (void *)(uintptr_t)body;
+    size_t size = xdr_sizeof(head_proc, head);
+
+    if (body_proc != NULL) {
+        size += xdr_sizeof(body_proc, mutable_body);
+    }
+    open_record(out, size, &xdr);
+    head_proc(&xdr, head);
+    if (body_proc != NULL) {
+        body_proc(&xdr, mutable_body);
+    }
+    xdr_destroy(&xdr);
+}
+
+static bool_t
+xdr_nothing(XDR *xdr, void *unused)
+{
+    (void)xdr;
+    (void)unused;
+    return TRUE;
+}
+
+void
+Msg_EncodeCall(const Msg_Call *call, uint32_t xid, GByteArray *out)
+{
+    struct rpc_msg head;
+
+    memset(&head, 0, sizeof(head));
+    head.rm_xid = xid;
+    head.rm_direction = CALL;
+    head.rm_call.cb_rpcvers = RPC_VERSION;
+    head.rm_call.cb_prog = LC_PROGRAM;
+    head.rm_call.cb_vers = LC_VERSION;
+    head.rm_call.cb_proc = (rpcproc_t)call->kind + 1;
+    write_record(out, (xdrproc_t)xdr_callmsg, &head, msg_rows[call->kind].args,
+                 &call->u);
+}
+
+static void
+write_reply(uint32_t xid, enum accept_stat stat, xdrproc_t proc,
+            const void *body, GByteArray *out)
+{
+    struct rpc_msg head;
+
+    memset(&head, 0, sizeof(head));
+    head.rm_xid = xid;
+    head.rm_direction = REPLY;
+    head.rm_reply.rp_stat = MSG_ACCEPTED;
+    head.acpted_rply.ar_stat = stat;
+    head.acpted_rply.ar_vers.low = LC_VERSION;
+    head.acpted_rply.ar_vers.high = LC_VERSION;
+    if (stat == SUCCESS) {
+        head.acpted_rply.ar_results.where = NULL;
+        head.acpted_rply.ar_results.proc = (xdrproc_t)xdr_nothing;
+    }
+    write_record(out, (xdrproc_t)xdr_replymsg, &head, proc, body);
+}
+
+void
+Msg_EncodeReply(const Msg_Reply *reply, uint32_t xid, GByteArray *out)
+{
+    write_reply(xid, SUCCESS, msg_rows[reply->kind].results, &reply->u, out);
+}
+
+void
+Msg_EncodeNull(uint32_t xid, GByteArray *out)
+{
+    write_reply(xid, SUCCESS, NULL, NULL, out);
+}
+
+void
+Msg_EncodeRefusal(uint32_t xid, enum accept_stat reason, GByteArray *out)
+{
+    write_reply(xid, reason, NULL, NULL, out);
+}
+
+static void
+refuse(Msg_Record *record, enum accept_stat reason)
+{
+    record->type = MSG_IS_BAD;
+    record->refusal = reason;
+}
+
+static void
+decode_call(XDR *xdr, const struct call_body *head, Msg_Record *record)
+{
+    record->type = MSG_IS_CALL;
+    if (head->cb_prog != LC_PROGRAM) {
+        refuse(record, PROG_UNAVAIL);
+        return;
+    }
+    if (head->cb_vers != LC_VERSION) {
+        refuse(record, PROG_MISMATCH);
+        return;
+    }
+    if (head->cb_proc == 0) {
+        record->type = MSG_IS_NULL;
+        return;
+    }
+    if (head->cb_proc > MSG_COUNT) {
+        refuse(record, PROC_UNAVAIL);
+        return;
+    }
+    record->call.kind = (Msg_Kind)(head->cb_proc - 1);
+    if (!msg_rows[record->call.kind].args(xdr, &record->call.u)) {
+        Msg_FreeCall(&record->call);
+        refuse(record, GARBAGE_ARGS);
+    }
+}
+
+static void
+decode_reply(XDR *xdr, const struct rpc_msg *head, Msg_Record *record)
+{
+    if (head->rm_reply.rp_stat != MSG_ACCEPTED ||
+        head->acpted_rply.ar_stat != SUCCESS) {
+        record->type = MSG_IS_DENIED;
+        return;
+    }
+    record->type = MSG_IS_REPLY;
+    record->body = xdr_getpos(xdr);
+}
+
+void
+Msg_Decode(const uint8_t *data, size_t length, Msg_Record *record)
+{
+    struct rpc_msg head;
+    uint32_t direction = 0;
+    char credentials[MAX_AUTH_BYTES];
+    char verifier[MAX_AUTH_BYTES];
+    bool_t parsed;
+    XDR xdr;
+
+    memset(record, 0, sizeof(*record));
+    record->type = MSG_IS_JUNK;
+    if (length < 8) {
+        return;
+    }
+    memset(&head, 0, sizeof(head));
+    memcpy(&direction, data + 4, sizeof(direction));
+    direction = ntohl(direction);
+    xdrmem_create(&xdr, (char *)(uintptr_t)data, (u_int)length, XDR_DECODE);
+    if (direction == CALL) {
+        head.rm_call.cb_cred.oa_base = credentials;
+        head.rm_call.cb_verf.oa_base = verifier;
+        parsed = xdr_callmsg(&xdr, &head);
+    }
+    else {
+        head.acpted_rply.ar_verf.oa_base = verifier;
+        head.acpted_rply.ar_results.proc = (xdrproc_t)xdr_nothing;
+        parsed = xdr_replymsg(&xdr, &head);
+    }
+    record->xid = head.rm_xid;
+    if (parsed && direction == CALL) {
+        decode_call(&xdr, &head.rm_call, record);
+    }
+    else if (parsed) {
+        decode_reply(&xdr, &head, record);
+    }
+    xdr_destroy(&xdr);
+}
+
+bool
+Msg_DecodeReply(Msg_Kind kind, const uint8_t *data, size_t length,
+                Msg_Reply *reply)
+{
+    XDR xdr;
+    bool_t parsed;
+
+    memset(reply, 0, sizeof(*reply));
+    reply->kind = kind;
+    xdrmem_create(&xdr, (char *)(uintptr_t)data, (u_int)length, XDR_DECODE);
+    parsed = msg_rows[kind].results(&xdr, &reply->u);
+    xdr_destroy(&xdr);
+    if (!parsed) {
+        Msg_FreeReply(reply);
+    }
+    return parsed;
+}
+
+void
+Msg_FreeCall(Msg_Call *call)
+{
+    xdr_free(msg_rows[call->kind].args, &call->u);
+    memset(&call->u, 0, sizeof(call->u));
+}
+
+void
+Msg_FreeReply(Msg_Reply *reply)
+{
+    xdr_free(msg_rows[reply->kind].results, &reply->u);
+    memset(&reply->u, 0, sizeof(reply->u));
+}
--- /dev/null
+++ b/wire/msg.h
@@ -0,0 +1,117 @@
+/**
+ * @file msg.h
+ * @brief The typed messages between processes and their form on the wire:
+ * ONC RPC (RFC 5531) calls and replies with record marking.
+ *
+ * Ownership: a decoded message owns its memory and is freed with
+ * Msg_FreeCall or Msg_FreeReply. Whoever is handed a `const` message borrows
+ * it and copies what it keeps.
+ */
+#ifndef LC_WIRE_MSG_H
+#define LC_WIRE_MSG_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "wire/levercove.h"
+
+/** X(NAME, lower-case name): every procedure but NULL, by its number. */
+#define MSG_LIST(X)                                                           \
+    X(PING, ping)                                                             \
+    X(RELAY, relay)                                                           \
+    X(START, start)                                                           \
+    X(GRANT, grant)                                                           \
+    X(INVENTORY, inventory)                                                   \
+    X(SETTLE, settle)                                                         \
+    X(SUBMIT, submit)                                                         \
+    X(DECLINE, decline)
+
+/** Kinds of message, each equal to its procedure number less one. */
+typedef enum {
+#define X(name, lower) MSG_##name,
+    MSG_LIST(X)
+#undef X
+        MSG_COUNT
+} Msg_Kind;
+
+/** Arguments of one call. */
+typedef struct {
+    Msg_Kind kind;
+    union {
+#define X(name, lower) lc_##lower##_args lower;
+        MSG_LIST(X)
+#undef X
+    } u;
+} Msg_Call;
+
+/** Results of one call. */
+typedef struct {
+    Msg_Kind kind;
+    union {
+#define X(name, lower) lc_##lower##_res lower;
+        MSG_LIST(X)
+#undef X
+    } u;
+} Msg_Reply;
+
+/** Longest record that is read, in bytes. */
+#define MSG_MAX_RECORD (16U * 1024 * 1024)
+
+/** Length of the record mark in bytes. */
+#define MSG_MARK_SIZE 4
+
+/** What a record turned out to be. */
+typedef enum {
+    MSG_IS_CALL,   /**< a call to answer */
+    MSG_IS_NULL,   /**< the NULL procedure: answer with Msg_EncodeNull */
+    MSG_IS_REPLY,  /**< results of the call with this xid */
+    MSG_IS_DENIED, /**< the callee refused the call with this xid */
+    MSG_IS_BAD,    /**< a call to refuse with Msg_EncodeRefusal */
+    MSG_IS_JUNK    /**< no RPC message: close the connection */
+} Msg_Type;
+
+/** A record taken apart. */
+typedef struct {
+    Msg_Type type;
+    uint32_t xid;
+    enum accept_stat refusal; /**< for MSG_IS_BAD */
+    size_t body;              /**< for MSG_IS_REPLY: where results start */
+    Msg_Call call;            /**< for MSG_IS_CALL; free with Msg_FreeCall */
+} Msg_Record;
+
+/** Lower-case name of a kind. */
+const char *
+Msg_Name(Msg_Kind kind);
+
+/** Appends a whole record, mark included, for a call. */
+void
+Msg_EncodeCall(const Msg_Call *call, uint32_t xid, GByteArray *out);
+
+/** Appends a whole record for a reply. */
+void
+Msg_EncodeReply(const Msg_Reply *reply, uint32_t xid, GByteArray *out);
+
+/** Appends the empty reply of the NULL procedure. */
+void
+Msg_EncodeNull(uint32_t xid, GByteArray *out);
+
+/** Appends a reply that refuses a call for @p reason. */
+void
+Msg_EncodeRefusal(uint32_t xid, enum accept_stat reason, GByteArray *out);
+
+/** Takes a record (without its mark) apart. */
+void
+Msg_Decode(const uint8_t *data, size_t length, Msg_Record *record);
+
+/** Decodes the results of a reply; false if they are malformed. */
+bool
+Msg_DecodeReply(Msg_Kind kind, const uint8_t *data, size_t length,
+                Msg_Reply *reply);
+
+void
+Msg_FreeCall(Msg_Call *call);
+void
+Msg_FreeReply(Msg_Reply *reply);
+
+#endif
--- /dev/null
+++ b/wire/rpc.c
@@ -0,0 +1,569 @@
+#include "wire/rpc.h"
+
+#include <string.h>
+
+#include "base/event.h"
+#include "base/handle.h"
+
+#define LISTEN_BACKLOG 512
+#define READ_CHUNK 65536
+#define LAST_FRAGMENT 0x80000000U
+
+/* One TCP connection, opened by us (`peer` set) or by a peer. */
+typedef struct {
+    Rpc *rpc;
+    uv_tcp_t tcp;
+    uv_connect_t connect;
+    Handle handle;
+    Address peer;
+    bool connected;
+    bool closing;
+    GByteArray *in;
+    GByteArray *out;     /* held back until connected */
+    GHashTable *pending; /* xid -> pending_call */
+    uint32_t next_xid;
+    uint32_t writes;
+} connection;
+
+typedef struct {
+    uint64_t call_id;
+    Msg_Kind kind;
+} pending_call;
+
+/* A call of a peer that waits for its answer. */
+typedef struct {
+    Handle connection;
+    uint32_t xid;
+    Msg_Kind kind;
+} owed_reply;
+
+typedef struct {
+    uv_write_t request;
+    connection *conn;
+    GByteArray *bytes;
+} pending_write;
+
+struct Rpc {
+    uv_loop_t *loop;
+    uv_tcp_t listener;
+    uv_timer_t lost_timer;
+    bool listening;
+    bool closing;
+    int handles;
+    uint32_t writes;
+    Counters *counters;
+    Rpc_Handlers handlers;
+    void *context;
+    Handle_Table *connections;
+    Handle_Table *owed;
+    GHashTable *by_peer;
+    GArray *lost;
+    Rpc_Traffic traffic;
+    char chunk[READ_CHUNK];
+};
+
+static void
+release_rpc(Rpc *rpc)
+{
+    uint32_t i;
+
+    if (!rpc->closing || rpc->handles > 0) {
+        return;
+    }
+    for (i = 0; i < Handle_Size(rpc->owed); i++) {
+        g_free(Handle_At(rpc->owed, i));
+    }
+    Handle_FreeTable(rpc->owed);
+    Handle_FreeTable(rpc->connections);
+    g_hash_table_unref(rpc->by_peer);
+    g_array_unref(rpc->lost);
+    g_free(rpc);
+}
+
+static void
+on_handle_closed(uv_handle_t *handle)
+{
+    Rpc *rpc = handle->data;
+
+    rpc->handles--;
+    release_rpc(rpc);
+}
+
+static void
+deliver_lost(uv_timer_t *timer)
+{
+    Rpc *rpc = timer->data;
+    GArray *lost = rpc->lost;
+    guint i;
+
+    rpc->lost = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    for (i = 0; i < lost->len; i++) {
+        rpc->handlers.reply(rpc->context, g_array_index(lost, uint64_t, i),
+                            NULL);
+    }
+    g_array_unref(lost);
+}
+
+static void
+add_lost(Rpc *rpc, uint64_t call_id)
+{
+    if (rpc->closing) {
+        return;
+    }
+    g_array_append_val(rpc->lost, call_id);
+    Counter_Add(rpc->counters, COUNTER_CALLS_LOST, 1);
+    uv_timer_start(&rpc->lost_timer, deliver_lost, 0, 0);
+}
+
+static void
+on_connection_closed(uv_handle_t *handle)
+{
+    connection *conn = handle->data;
+    Rpc *rpc = conn->rpc;
+
+    g_byte_array_unref(conn->in);
+    g_byte_array_unref(conn->out);
+    g_hash_table_unref(conn->pending);
+    g_free(conn);
+    rpc->handles--;
+    release_rpc(rpc);
+}
+
+static void
+close_connection(connection *conn)
+{
+    Rpc *rpc = conn->rpc;
+    GHashTableIter iter;
+    gpointer value;
+
+    if (conn->closing) {
+        return;
+    }
+    conn->closing = true;
+    Handle_Remove(rpc->connections, conn->handle);
+    if (conn->peer != 0) {
+        g_hash_table_remove(rpc->by_peer, &conn->peer);
+    }
+    g_hash_table_iter_init(&iter, conn->pending);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        add_lost(rpc, ((pending_call *)value)->call_id);
+    }
+    g_hash_table_remove_all(conn->pending);
+    uv_close((uv_handle_t *)&conn->tcp, on_connection_closed);
+}
+
+static connection *
+new_connection(Rpc *rpc, Address peer)
+{
+    connection *conn = g_new0(connection, 1);
+
+    conn->rpc = rpc;
+    conn->peer = peer;
+    conn->in = g_byte_array_new();
+    conn->out = g_byte_array_new();
+    conn->pending = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+    conn->handle = Handle_Add(rpc->connections, conn);
+    uv_tcp_init(rpc->loop, &conn->tcp);
+    conn->tcp.data = conn;
+    rpc->handles++;
+    return conn;
+}
+
+static void
+on_written(uv_write_t *request, int result)
+{
+    pending_write *write = (pending_write *)request;
+    connection *conn = write->conn;
+
+    conn->writes--;
+    conn->rpc->writes--;
+    g_byte_array_unref(write->bytes);
+    g_free(write);
+    if (result < 0) {
+        close_connection(conn);
+    }
+}
+
+/* Consumes `bytes`. */
+static void
+write_bytes(connection *conn, GByteArray *bytes)
+{
+    pending_write *write;
+    uv_buf_t buffer;
+
+    if (!conn->connected) {
+        g_byte_array_append(conn->out, bytes->data, bytes->len);
+        g_byte_array_unref(bytes);
+        return;
+    }
+    Counter_Add(conn->rpc->counters, COUNTER_RPC_BYTES_OUT, bytes->len);
+    write = g_new0(pending_write, 1);
+    write->conn = conn;
+    write->bytes = bytes;
+    buffer = uv_buf_init((char *)bytes->data, bytes->len);
+    conn->writes++;
+    conn->rpc->writes++;
+    if (uv_write(&write->request, (uv_stream_t *)&conn->tcp, &buffer, 1,
+                 on_written) != 0) {
+        on_written(&write->request, UV_EPIPE);
+    }
+}
+
+static void
+take_call(connection *conn, Msg_Record *record)
+{
+    Rpc *rpc = conn->rpc;
+    owed_reply *owed = g_new0(owed_reply, 1);
+    Handle reply_id;
+
+    owed->connection = conn->handle;
+    owed->xid = record->xid;
+    owed->kind = record->call.kind;
+    reply_id = Handle_Add(rpc->owed, owed);
+    rpc->traffic.calls_in[owed->kind]++;
+    rpc->handlers.call(rpc->context, reply_id, &record->call);
+    Msg_FreeCall(&record->call);
+}
+
+static void
+take_reply(connection *conn, const Msg_Record *record, const uint8_t *data,
+           size_t length)
+{
+    Rpc *rpc = conn->rpc;
+    gpointer xid = GUINT_TO_POINTER(record->xid);
+    pending_call *pending = g_hash_table_lookup(conn->pending, xid);
+    pending_call ended;
+    Msg_Reply reply;
+
+    if (pending == NULL) {
+        Counter_Add(rpc->counters, COUNTER_WASTED_LATE, 1);
+        return;
+    }
+    ended = *pending;
+    g_hash_table_remove(conn->pending, xid);
+    if (record->type == MSG_IS_DENIED ||
+        !Msg_DecodeReply(ended.kind, data + record->body,
+                         length - record->body, &reply)) {
+        Counter_Add(rpc->counters, COUNTER_RPC_BAD, 1);
+        Event_Log(EVENT_RPC_BAD, "reply to %s from %s", Msg_Name(ended.kind),
+                  Address_Text(conn->peer));
+        add_lost(rpc, ended.call_id);
+        return;
+    }
+    rpc->traffic.replies_in[ended.kind]++;
+    rpc->handlers.reply(rpc->context, ended.call_id, &reply);
+    Msg_FreeReply(&reply);
+}
+
+static void
+take_record(connection *conn, const uint8_t *data, size_t length)
+{
+    Rpc *rpc = conn->rpc;
+    GByteArray *out;
+    Msg_Record record;
+
+    Msg_Decode(data, length, &record);
+    switch (record.type) {
+    case MSG_IS_CALL:
+        take_call(conn, &record);
+        break;
+    case MSG_IS_NULL:
+        out = g_byte_array_new();
+        Msg_EncodeNull(record.xid, out);
+        write_bytes(conn, out);
+        break;
+    case MSG_IS_BAD:
+        Counter_Add(rpc->counters, COUNTER_RPC_BAD, 1);
+        Event_Log(EVENT_RPC_BAD, "call refused with accept status %d",
+                  (int)record.refusal);
+        out = g_byte_array_new();
+        Msg_EncodeRefusal(record.xid, record.refusal, out);
+        write_bytes(conn, out);
+        break;
+    case MSG_IS_REPLY:
+    case MSG_IS_DENIED:
+        take_reply(conn, &record, data, length);
+        break;
+    case MSG_IS_JUNK:
+        Counter_Add(rpc->counters, COUNTER_RPC_BAD, 1);
+        Event_Log(EVENT_RPC_BAD, "no RPC message, connection closed");
+        close_connection(conn);
+        break;
+    }
+}
+
+/* Takes every whole record out of the input. */
+static void
+take_input(connection *conn)
+{
+    size_t used = 0;
+
+    while (!conn->closing && conn->in->len - used >= MSG_MARK_SIZE) {
+        uint32_t mark;
+        uint32_t length;
+        memcpy(&mark, conn->in->data + used, MSG_MARK_SIZE);
+        mark = ntohl(mark);
+        length = mark & ~LAST_FRAGMENT;
+        if (length > MSG_MAX_RECORD || (mark & LAST_FRAGMENT) == 0) {
+            Counter_Add(conn->rpc->counters, COUNTER_RPC_BAD, 1);
+            Event_Log(EVENT_RPC_BAD, "record mark %08x, connection closed",
+                      mark);
+            close_connection(conn);
+            return;
+        }
+        if (conn->in->len - used - MSG_MARK_SIZE < length) {
+            break;
+        }
+        used += MSG_MARK_SIZE;
+        take_record(conn, conn->in->data + used, length);
+        used += length;
+    }
+    if (used > 0) {
+        g_byte_array_remove_range(conn->in, 0, (guint)used);
+    }
+}
+
+static void
+on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer)
+{
+    connection *conn = handle->data;
+
+    (void)suggested;
+    *buffer = uv_buf_init(conn->rpc->chunk, READ_CHUNK);
+}
+
+static void
+on_read(uv_stream_t *stream, ssize_t count, const uv_buf_t *buffer)
+{
+    connection *conn = stream->data;
+
+    if (count < 0) {
+        close_connection(conn);
+        return;
+    }
+    if (count == 0) {
+        return;
+    }
+    Counter_Add(conn->rpc->counters, COUNTER_RPC_BYTES_IN, (uint64_t)count);
+    g_byte_array_append(conn->in, (const guint8 *)buffer->base, (guint)count);
+    take_input(conn);
+}
+
+static void
+start_reading(connection *conn)
+{
+    conn->connected = true;
+    uv_tcp_nodelay(&conn->tcp, 1);
+    uv_read_start((uv_stream_t *)&conn->tcp, on_alloc, on_read);
+}
+
+static void
+on_connected(uv_connect_t *request, int result)
+{
+    connection *conn = request->data;
+    GByteArray *held;
+
+    if (conn->closing) {
+        return;
+    }
+    if (result < 0) {
+        close_connection(conn);
+        return;
+    }
+    start_reading(conn);
+    held = conn->out;
+    conn->out = g_byte_array_new();
+    write_bytes(conn, held);
+}
+
+static void
+on_incoming(uv_stream_t *listener, int result)
+{
+    Rpc *rpc = listener->data;
+    connection *conn;
+
+    if (result < 0) {
+        return;
+    }
+    conn = new_connection(rpc, 0);
+    if (uv_accept(listener, (uv_stream_t *)&conn->tcp) != 0) {
+        close_connection(conn);
+        return;
+    }
+    start_reading(conn);
+}
+
+static void
+address_to_sockaddr(Address address, struct sockaddr_in *out)
+{
+    memset(out, 0, sizeof(*out));
+    out->sin_family = AF_INET;
+    out->sin_addr.s_addr = htonl((uint32_t)(address >> 16));
+    out->sin_port = htons((uint16_t)address);
+}
+
+static connection *
+connect_to(Rpc *rpc, Address to)
+{
+    connection *conn = g_hash_table_lookup(rpc->by_peer, &to);
+    struct sockaddr_in target;
+
+    if (conn != NULL) {
+        return conn;
+    }
+    conn = new_connection(rpc, to);
+    conn->connect.data = conn;
+    g_hash_table_insert(rpc->by_peer, &conn->peer, conn);
+    address_to_sockaddr(to, &target);
+    if (uv_tcp_connect(&conn->connect, &conn->tcp,
+                       (const struct sockaddr *)&target, on_connected) != 0) {
+        close_connection(conn);
+        return NULL;
+    }
+    return conn;
+}
+
+Rpc *
+Rpc_New(uv_loop_t *loop, Counters *counters, const Rpc_Handlers *handlers,
+        void *context)
+{
+    Rpc *rpc = g_new0(Rpc, 1);
+
+    rpc->loop = loop;
+    rpc->counters = counters;
+    rpc->handlers = *handlers;
+    rpc->context = context;
+    rpc->connections = Handle_NewTable();
+    rpc->owed = Handle_NewTable();
+    rpc->by_peer = g_hash_table_new(g_int64_hash, g_int64_equal);
+    rpc->lost = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    uv_timer_init(loop, &rpc->lost_timer);
+    rpc->lost_timer.data = rpc;
+    rpc->handles = 1;
+    return rpc;
+}
+
+Err_Kind
+Rpc_Listen(Rpc *rpc, Address address, Status *status)
+{
+    struct sockaddr_in local;
+    int result;
+
+    address_to_sockaddr(address, &local);
+    uv_tcp_init(rpc->loop, &rpc->listener);
+    rpc->listener.data = rpc;
+    rpc->listening = true;
+    rpc->handles++;
+    result = uv_tcp_bind(&rpc->listener, (const struct sockaddr *)&local, 0);
+    if (result == 0) {
+        result = uv_listen((uv_stream_t *)&rpc->listener, LISTEN_BACKLOG,
+                           on_incoming);
+    }
+    if (result != 0) {
+        return Err_Set(status, ERR_IO, "cannot listen on %s: %s",
+                       Address_Text(address), uv_strerror(result));
+    }
+    return ERR_OK;
+}
+
+void
+Rpc_Call(Rpc *rpc, Address to, uint64_t call_id, const Msg_Call *call)
+{
+    connection *conn = connect_to(rpc, to);
+    GByteArray *bytes;
+    pending_call *pending;
+    uint32_t xid;
+
+    if (conn == NULL) {
+        add_lost(rpc, call_id);
+        return;
+    }
+    xid = ++conn->next_xid;
+    pending = g_new0(pending_call, 1);
+    pending->call_id = call_id;
+    pending->kind = call->kind;
+    g_hash_table_insert(conn->pending, GUINT_TO_POINTER(xid), pending);
+    rpc->traffic.calls_out[call->kind]++;
+    bytes = g_byte_array_new();
+    Msg_EncodeCall(call, xid, bytes);
+    write_bytes(conn, bytes);
+}
+
+void
+Rpc_Reply(Rpc *rpc, uint64_t reply_id, const Msg_Reply *reply)
+{
+    owed_reply *owed = Handle_Remove(rpc->owed, reply_id);
+    connection *conn;
+    GByteArray *bytes;
+
+    if (owed == NULL) {
+        return;
+    }
+    conn = Handle_Get(rpc->connections, owed->connection);
+    if (conn != NULL) {
+        rpc->traffic.replies_out[reply->kind]++;
+        bytes = g_byte_array_new();
+        Msg_EncodeReply(reply, owed->xid, bytes);
+        write_bytes(conn, bytes);
+    }
+    g_free(owed);
+}
+
+void
+Rpc_Refuse(Rpc *rpc, uint64_t reply_id)
+{
+    owed_reply *owed = Handle_Remove(rpc->owed, reply_id);
+    connection *conn;
+    GByteArray *bytes;
+
+    if (owed == NULL) {
+        return;
+    }
+    conn = Handle_Get(rpc->connections, owed->connection);
+    if (conn != NULL) {
+        bytes = g_byte_array_new();
+        Msg_EncodeRefusal(owed->xid, PROC_UNAVAIL, bytes);
+        write_bytes(conn, bytes);
+    }
+    g_free(owed);
+}
+
+void
+Rpc_Reset(Rpc *rpc, Address to)
+{
+    connection *conn = g_hash_table_lookup(rpc->by_peer, &to);
+
+    if (conn != NULL) {
+        close_connection(conn);
+    }
+}
+
+int
+Rpc_Writing(const Rpc *rpc)
+{
+    return rpc->writes > 0;
+}
+
+const Rpc_Traffic *
+Rpc_GetTraffic(const Rpc *rpc)
+{
+    return &rpc->traffic;
+}
+
+void
+Rpc_Close(Rpc *rpc)
+{
+    uint32_t i;
+
+    rpc->closing = true;
+    for (i = 0; i < Handle_Size(rpc->connections); i++) {
+        connection *conn = Handle_At(rpc->connections, i);
+        if (conn != NULL) {
+            close_connection(conn);
+        }
+    }
+    if (rpc->listening) {
+        uv_close((uv_handle_t *)&rpc->listener, on_handle_closed);
+    }
+    uv_close((uv_handle_t *)&rpc->lost_timer, on_handle_closed);
+}
