--- a/base/address.h
+++ b/base/address.h
@@ -15,15 +15,12 @@
 typedef uint64_t Address;
 
 /** Parses "IP:port"; false if either is malformed or the port is 0. */
-bool
-Address_Parse(const char *text, Address *address);
+bool Address_Parse(const char *text, Address *address);
 
 /** Writes the text form. */
-void
-Address_Format(Address address, char text[ADDRESS_TEXT_SIZE]);
+void Address_Format(Address address, char text[ADDRESS_TEXT_SIZE]);
 
 /** Text form in a buffer that the next four calls leave intact. */
-const char *
-Address_Text(Address address);
+const char *Address_Text(Address address);
 
 #endif
--- a/base/counter.h
+++ b/base/counter.h
@@ -54,15 +54,12 @@
 } Counters;
 
 /** Adds @p amount to one counter. */
-void
-Counter_Add(Counters *counters, Counter_Id id, uint64_t amount);
+void Counter_Add(Counters *counters, Counter_Id id, uint64_t amount);
 
 /** Metric name of a counter. */
-const char *
-Counter_Name(Counter_Id id);
+const char *Counter_Name(Counter_Id id);
 
 /** Appends all counters to @p out, one `levercove_name value` line each. */
-void
-Counter_Print(const Counters *counters, GString *out);
+void Counter_Print(const Counters *counters, GString *out);
 
 #endif
--- a/base/err.h
+++ b/base/err.h
@@ -69,36 +69,28 @@
 } Status;
 
 /** Sets @p status (may be NULL) and returns @p kind. */
-Err_Kind
-Err_Set(Status *status, Err_Kind kind, const char *format, ...)
+Err_Kind Err_Set(Status *status, Err_Kind kind, const char *format, ...)
     __attribute__((format(printf, 3, 4)));
 
 /** Stable text of a kind, as shown to callers. */
-const char *
-Err_Text(Err_Kind kind);
+const char *Err_Text(Err_Kind kind);
 
 /** Kind with the given text, or ERR_COUNT. */
-Err_Kind
-Err_FromText(const char *text);
+Err_Kind Err_FromText(const char *text);
 
 /** HTTP status code that answers a kind. */
-int
-Err_Http(Err_Kind kind);
+int Err_Http(Err_Kind kind);
 
 /** Exit code of the command line for a kind. */
-int
-Err_Exit(Err_Kind kind);
+int Err_Exit(Err_Kind kind);
 
 /** What a caller may conclude from a kind. */
-Outcome
-Err_Outcome(Err_Kind kind);
+Outcome Err_Outcome(Err_Kind kind);
 
 /** Whether an answer of this kind says when to come back. */
-int
-Err_Retry(Err_Kind kind);
+int Err_Retry(Err_Kind kind);
 
 /** Stable text of an outcome. */
-const char *
-Err_OutcomeText(Outcome outcome);
+const char *Err_OutcomeText(Outcome outcome);
 
 #endif
--- a/base/event.h
+++ b/base/event.h
@@ -50,20 +50,16 @@
 } Event_Id;
 
 /** Number of an event, as shown in the catalogue. */
-int
-Event_Number(Event_Id id);
+int Event_Number(Event_Id id);
 
 /** Catalogue text of an event. */
-const char *
-Event_Text(Event_Id id);
+const char *Event_Text(Event_Id id);
 
 /** Writes one event with a detail text through GLib. */
-void
-Event_Log(Event_Id id, const char *format, ...)
+void Event_Log(Event_Id id, const char *format, ...)
     __attribute__((format(printf, 2, 3)));
 
 /** Sends all GLib log records to stderr, one line each. */
-void
-Event_UseStderr(void);
+void Event_UseStderr(void);
 
 #endif
--- a/base/key.h
+++ b/base/key.h
@@ -18,27 +18,21 @@
 } Key;
 
 /** Parses the text form; false unless it is a version 7 UUID. */
-bool
-Key_Parse(const char *text, Key *key);
+bool Key_Parse(const char *text, Key *key);
 
 /** Writes the text form into @p text. */
-void
-Key_Format(const Key *key, char text[KEY_TEXT_LENGTH + 1]);
+void Key_Format(const Key *key, char text[KEY_TEXT_LENGTH + 1]);
 
 /** Makes a key from a wall clock in ms and 80 random bits. */
-Key
-Key_Mint(int64_t wall_ms, uint64_t random_high, uint64_t random_low);
+Key Key_Mint(int64_t wall_ms, uint64_t random_high, uint64_t random_low);
 
 /** Minting time in ms of the Unix epoch. */
-int64_t
-Key_Time(const Key *key);
+int64_t Key_Time(const Key *key);
 
 /** Hash for GLib tables. */
-unsigned int
-Key_Hash(const void *key);
+unsigned int Key_Hash(const void *key);
 
 /** Equality for GLib tables. */
-int
-Key_Equal(const void *a, const void *b);
+int Key_Equal(const void *a, const void *b);
 
 #endif
--- a/base/settings.c
+++ b/base/settings.c
@@ -11,8 +11,7 @@
     GString *errors;
 } reader;
 
-static void
-complain(reader *in, const char *path, const char *format, ...)
+static void complain(reader *in, const char *path, const char *format, ...)
     __attribute__((format(printf, 3, 4)));
 
 static void
--- a/base/settings.h
+++ b/base/settings.h
@@ -38,8 +38,7 @@
  * Reads a file into @p out, which holds the defaults. Returns ERR_OK, or
  * ERR_BAD_SETTINGS with one line per error in @p errors (free with g_free).
  */
-Err_Kind
-Settings_Load(const char *file, const Setting *table, void *out,
-              char **errors);
+Err_Kind Settings_Load(const char *file, const Setting *table, void *out,
+                       char **errors);
 
 #endif
--- a/cli/csv.h
+++ b/cli/csv.h
@@ -11,15 +11,13 @@
 #include "core/table.h"
 
 /** Rows as CSV with a header line; free with g_free. */
-char *
-Csv_Write(const json_t *groups);
+char *Csv_Write(const json_t *groups);
 
 /**
  * Reads rows; each becomes a Table_Row in the result (free with
  * g_array_unref). Errors: BAD_REQUEST, naming every wrong line at once; the
  * lines are in @p errors (free with g_free) and the result is NULL.
  */
-GArray *
-Csv_Read(const char *text, char **errors);
+GArray *Csv_Read(const char *text, char **errors);
 
 #endif
--- a/cli/exchange.h
+++ b/cli/exchange.h
@@ -32,15 +32,12 @@
  * Sends a request and waits for its end. Errors: IO (no whole answer).
  * An answer of any status is ERR_OK here.
  */
-Err_Kind
-Exchange_Do(const Exchange_Request *request, Exchange_Answer *answer,
-            Status *status);
+Err_Kind Exchange_Do(const Exchange_Request *request, Exchange_Answer *answer,
+                     Status *status);
 
 /** Kind of error that an answer tells of, with its message; or ERR_OK. */
-Err_Kind
-Exchange_Check(const Exchange_Answer *answer, Status *status);
+Err_Kind Exchange_Check(const Exchange_Answer *answer, Status *status);
 
-void
-Exchange_Clear(Exchange_Answer *answer);
+void Exchange_Clear(Exchange_Answer *answer);
 
 #endif
--- a/core/admission.h
+++ b/core/admission.h
@@ -20,20 +20,18 @@
 } Admission_Spec;
 
 /** Takes a job of a caller. */
-void
-Admission_Submit(Board *board, uint64_t request, const Admission_Spec *spec);
+void Admission_Submit(Board *board, uint64_t request,
+                      const Admission_Spec *spec);
 
 /** Takes a job that another entry passes on. */
-void
-Admission_AnswerSubmit(Board *board, uint64_t reply_id,
-                       const lc_submit_args *args);
+void Admission_AnswerSubmit(Board *board, uint64_t reply_id,
+                            const lc_submit_args *args);
 
 /** A job passed to another entry was answered, or lost (NULL). */
-void
-Admission_OnSubmit(Board *board, const Call *call, const lc_submit_res *reply);
+void Admission_OnSubmit(Board *board, const Call *call,
+                        const lc_submit_res *reply);
 
 /** A fresh key that this entry owns, if it owns any. */
-Key
-Admission_MintKey(Board *board);
+Key Admission_MintKey(Board *board);
 
 #endif
--- a/core/apply.h
+++ b/core/apply.h
@@ -9,7 +9,6 @@
 #include "core/board.h"
 
 /** Applies one record, read from the log or relayed by a peer. */
-void
-Apply_Record(Board *board, uint64_t offset, const char *record);
+void Apply_Record(Board *board, uint64_t offset, const char *record);
 
 #endif
--- a/core/board.h
+++ b/core/board.h
@@ -39,8 +39,7 @@
 } Board_Config;
 
 /** Fills a configuration with defaults for @p self. */
-Board_Config
-Board_Defaults(lc_node self, int64_t wall_ms);
+Board_Config Board_Defaults(lc_node self, int64_t wall_ms);
 
 /** What the host list says of an address. */
 typedef enum { HOST_UNLISTED, HOST_LIVE, HOST_LEAVING, HOST_GONE } Host_State;
@@ -172,60 +171,48 @@
     uint32_t index;
 } Silent_Task;
 
-Board *
-Board_New(const Board_Config *config, const Node_Ports *ports, void *context);
-void
-Board_Free(Board *board);
+Board *Board_New(const Board_Config *config, const Node_Ports *ports,
+                 void *context);
+void Board_Free(Board *board);
 
 /** Folded view and table. */
-const View *
-Board_View(const Board *board);
-const Table *
-Board_Table(const Board *board);
+const View *Board_View(const Board *board);
+const Table *Board_Table(const Board *board);
 
 /** Peer at an address, made if needed. */
-Peer *
-Board_Peer(Board *board, Address address);
+Peer *Board_Peer(Board *board, Address address);
 
 /** Peer at an address, or NULL. */
-Peer *
-Board_FindPeer(const Board *board, Address address);
+Peer *Board_FindPeer(const Board *board, Address address);
 
 /** Sends a call and registers it; @p info is copied. Returns its id. */
-uint64_t
-Board_Call(Board *board, const Msg_Call *call, const Call *info);
+uint64_t Board_Call(Board *board, const Msg_Call *call, const Call *info);
 
 /** Next pseudo-random number of this node. */
-uint64_t
-Board_Random(Board *board);
+uint64_t Board_Random(Board *board);
 
 /** Reports an event with a formatted detail. */
-void
-Board_Event(Board *board, Event_Id id, const char *format, ...)
+void Board_Event(Board *board, Event_Id id, const char *format, ...)
     __attribute__((format(printf, 3, 4)));
 
 /** Whether this entry is a member of the view, leaving or not. */
-bool
-Board_IsMember(const Board *board);
+bool Board_IsMember(const Board *board);
 
 /** Whether this entry owns keys in the view. */
-bool
-Board_IsOwner(const Board *board);
+bool Board_IsOwner(const Board *board);
 
 /**
  * Whether a process certainly no longer runs: by the log, because a later
  * incarnation answers at its address, or because the host list lacks it and
  * it was added longer ago than that list may lag.
  */
-bool
-Board_IsGone(const Board *board, const lc_node *node, int64_t added_wall_ms);
+bool Board_IsGone(const Board *board, const lc_node *node,
+                  int64_t added_wall_ms);
 
 /** What came from a peer found no place: keys minted by now are unsure. */
-void
-Board_Overflow(Board *board);
+void Board_Overflow(Board *board);
 
 /** A time to come back around @p base_ms, spread by half of it. */
-uint32_t
-Board_RetryMs(Board *board, int64_t base_ms);
+uint32_t Board_RetryMs(Board *board, int64_t base_ms);
 
 #endif
--- a/core/companion.c
+++ b/core/companion.c
@@ -695,6 +695,18 @@
     return companion->draining && companion->running == 0;
 }
 
+const Table *
+Companion_Table(const Companion *companion)
+{
+    return Fold_Table(companion->fold);
+}
+
+const View *
+Companion_View(const Companion *companion)
+{
+    return get_view(companion);
+}
+
 Counters *
 Companion_Counters(Companion *companion)
 {
--- a/core/companion.h
+++ b/core/companion.h
@@ -11,6 +11,7 @@
 #define LC_CORE_COMPANION_H
 
 #include "core/node.h"
+#include "core/table.h"
 #include "core/view.h"
 
 /** Settings of one companion; all times in ms. */
@@ -39,48 +40,40 @@
 typedef struct Companion Companion;
 
 /** Fills a configuration with defaults for @p self. */
-Companion_Config
-Companion_Defaults(lc_node self, int64_t wall_ms);
+Companion_Config Companion_Defaults(lc_node self, int64_t wall_ms);
 
-Companion *
-Companion_New(const Companion_Config *config, const Node_Ports *ports,
-              void *context, Node_Time now);
-void
-Companion_Free(Companion *companion);
+Companion *Companion_New(const Companion_Config *config,
+                         const Node_Ports *ports, void *context,
+                         Node_Time now);
+void Companion_Free(Companion *companion);
 
 /** A peer calls; false if companions do not answer such calls. */
-bool
-Companion_OnCall(Companion *companion, Node_Time now, uint64_t reply_id,
-                 const Msg_Call *call);
+bool Companion_OnCall(Companion *companion, Node_Time now, uint64_t reply_id,
+                      const Msg_Call *call);
 
 /** A call ended; @p reply is NULL when the connection broke. */
-void
-Companion_OnReply(Companion *companion, Node_Time now, uint64_t call_id,
-                  const Msg_Reply *reply);
+void Companion_OnReply(Companion *companion, Node_Time now, uint64_t call_id,
+                       const Msg_Reply *reply);
 
 /** A task that was run through the port has ended. */
-void
-Companion_OnRun(Companion *companion, Node_Time now, uint64_t run_id,
-                Companion_Run result, uint32_t code, const void *data,
-                uint32_t length);
+void Companion_OnRun(Companion *companion, Node_Time now, uint64_t run_id,
+                     Companion_Run result, uint32_t code, const void *data,
+                     uint32_t length);
 
 /** Time passes; call at least every 100 ms. */
-void
-Companion_Tick(Companion *companion, Node_Time now);
+void Companion_Tick(Companion *companion, Node_Time now);
 
 /** Begins the planned stop: no new starts. */
-void
-Companion_Drain(Companion *companion, Node_Time now);
+void Companion_Drain(Companion *companion, Node_Time now);
 
 /** Whether nothing runs any more after Companion_Drain. */
-bool
-Companion_IsDrained(const Companion *companion);
+bool Companion_IsDrained(const Companion *companion);
 
-Counters *
-Companion_Counters(Companion *companion);
+const Table *Companion_Table(const Companion *companion);
+const View *Companion_View(const Companion *companion);
+Counters *Companion_Counters(Companion *companion);
 
 /** State for operators. Caller owns the result. */
-json_t *
-Companion_Dump(const Companion *companion);
+json_t *Companion_Dump(const Companion *companion);
 
 #endif
--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -172,6 +172,7 @@
     task->state = TASK_SENT;
     task->sent_ms = board->now.mono_ms;
     task->silent_ms = 0;
+    job->progress_ms = board->now.mono_ms;
     Groups_TaskSent(board->groups, job);
     Limits_Started(board, group);
     Counter_Add(&board->counters, COUNTER_TASKS_STARTED, 1);
@@ -386,6 +387,7 @@
     Task *task = &job->tasks[index];
 
     Groups_TaskFollowed(board->groups, job);
+    job->progress_ms = board->now.mono_ms;
     task->sent_ms = board->now.mono_ms;
     task->silent_ms = board->now.mono_ms;
     task->retry_ms = board->now.mono_ms;
@@ -593,6 +595,8 @@
 end_overdue(Board *board, Job *job)
 {
     int64_t limit_ms = max_wait_ms(board, job);
+    int64_t hung_ms = board->config.task_timeout_ms +
+                      board->config.patience_ms;
 
     if (job->deadline_ms != 0 && board->now.mono_ms >= job->deadline_ms) {
         if (Job_Begun(job)) {
@@ -605,6 +609,11 @@
         }
         return;
     }
+    if (job->sent > 0 && board->now.mono_ms - job->progress_ms > hung_ms) {
+        /* Companions end every task in time: this one never answers. */
+        lose_task(board, job);
+        return;
+    }
     if (limit_ms > 0 && !Job_Begun(job) &&
         board->now.mono_ms - job->arrived_ms > limit_ms) {
         Outcome_NotRun(board, job, ERR_WAIT_TOO_LONG,
--- a/core/dispatch.h
+++ b/core/dispatch.h
@@ -13,31 +13,25 @@
 #include "core/board.h"
 
 /** Sends what may be sent. */
-void
-Dispatch_Run(Board *board);
+void Dispatch_Run(Board *board);
 
 /** A START call ended; @p reply is NULL when it was lost. */
-void
-Dispatch_OnStart(Board *board, const Call *call, const lc_start_res *reply);
+void Dispatch_OnStart(Board *board, const Call *call,
+                      const lc_start_res *reply);
 
 /** A companion reserved a slot for this entry. */
-void
-Dispatch_AnswerGrant(Board *board, uint64_t reply_id,
-                     const lc_grant_args *args);
+void Dispatch_AnswerGrant(Board *board, uint64_t reply_id,
+                          const lc_grant_args *args);
 
 /** A companion told how many of its slots are free. */
-void
-Dispatch_HeardFree(Board *board, Peer *peer, uint32_t free);
+void Dispatch_HeardFree(Board *board, Peer *peer, uint32_t free);
 
 /** A companion's incarnation is gone: what was started there is lost. */
-void
-Dispatch_CompanionLost(Board *board, const lc_node *node);
+void Dispatch_CompanionLost(Board *board, const lc_node *node);
 
 /** A task that another entry started: learn its end from its companion. */
-void
-Dispatch_Follow(Board *board, Job *job, uint32_t index);
+void Dispatch_Follow(Board *board, Job *job, uint32_t index);
 
-void
-Dispatch_Tick(Board *board);
+void Dispatch_Tick(Board *board);
 
 #endif
--- a/core/drain.h
+++ b/core/drain.h
@@ -9,14 +9,11 @@
 #include "core/board.h"
 
 /** Begins the planned stop. */
-void
-Drain_Start(Board *board);
+void Drain_Start(Board *board);
 
 /** Whether nothing is left to wait for. */
-bool
-Drain_IsDone(const Board *board);
+bool Drain_IsDone(const Board *board);
 
-void
-Drain_Tick(Board *board);
+void Drain_Tick(Board *board);
 
 #endif
--- a/core/entry.h
+++ b/core/entry.h
@@ -15,37 +15,30 @@
 /** Opaque entry. */
 typedef struct Entry Entry;
 
-Entry *
-Entry_New(const Board_Config *config, const Node_Ports *ports, void *context,
-          Node_Time now);
+Entry *Entry_New(const Board_Config *config, const Node_Ports *ports,
+                 void *context, Node_Time now);
 
 /** Frees the entry. Callers that still wait must have been abandoned. */
-void
-Entry_Free(Entry *entry);
+void Entry_Free(Entry *entry);
 
 /** A caller hands in a job or looks for one; answered once by the port. */
-void
-Entry_Submit(Entry *entry, Node_Time now, uint64_t request,
-             const Admission_Spec *spec);
+void Entry_Submit(Entry *entry, Node_Time now, uint64_t request,
+                  const Admission_Spec *spec);
 
 /** A fresh key for a caller that sent none. */
-Key
-Entry_MintKey(Entry *entry, Node_Time now);
+Key Entry_MintKey(Entry *entry, Node_Time now);
 
 /** An operator edits the table; ended once by the port `edited`. */
-void
-Entry_Edit(Entry *entry, Node_Time now, uint64_t request, const char *group,
-           uint64_t base, const Table_Row *row);
+void Entry_Edit(Entry *entry, Node_Time now, uint64_t request,
+                const char *group, uint64_t base, const Table_Row *row);
 
 /** A peer calls; false if entries do not answer such calls. */
-bool
-Entry_OnCall(Entry *entry, Node_Time now, uint64_t reply_id,
-             const Msg_Call *call);
+bool Entry_OnCall(Entry *entry, Node_Time now, uint64_t reply_id,
+                  const Msg_Call *call);
 
 /** A call ended; @p reply is NULL when the connection broke. */
-void
-Entry_OnReply(Entry *entry, Node_Time now, uint64_t call_id,
-              const Msg_Reply *reply);
+void Entry_OnReply(Entry *entry, Node_Time now, uint64_t call_id,
+                   const Msg_Reply *reply);
 
 /** What a read of the log gave. */
 typedef struct {
@@ -57,59 +50,45 @@
 } Entry_LogRead;
 
 /** The log was read, or could not be (@p read NULL). */
-void
-Entry_OnLog(Entry *entry, Node_Time now, const Entry_LogRead *read);
+void Entry_OnLog(Entry *entry, Node_Time now, const Entry_LogRead *read);
 
 /** An append ended; unconfirmed, it may yet have taken effect. */
-void
-Entry_OnAppend(Entry *entry, Node_Time now, uint64_t append_id,
-               bool confirmed);
+void Entry_OnAppend(Entry *entry, Node_Time now, uint64_t append_id,
+                    bool confirmed);
 
 /** The host list was read. */
-void
-Entry_OnHosts(Entry *entry, Node_Time now, const Members_Host *hosts,
-              uint32_t count);
+void Entry_OnHosts(Entry *entry, Node_Time now, const Members_Host *hosts,
+                   uint32_t count);
 
 /** Time passes; call at least every 100 ms. */
-void
-Entry_Tick(Entry *entry, Node_Time now);
+void Entry_Tick(Entry *entry, Node_Time now);
 
 /** Begins the planned stop. */
-void
-Entry_Drain(Entry *entry, Node_Time now);
+void Entry_Drain(Entry *entry, Node_Time now);
 
 /** Whether the planned stop is complete. */
-bool
-Entry_IsDrained(const Entry *entry);
+bool Entry_IsDrained(const Entry *entry);
 
 /**
  * Whether the view no longer has this incarnation. It does nothing more;
  * abandon its callers, free it and start a new incarnation.
  */
-bool
-Entry_IsDeposed(const Entry *entry);
+bool Entry_IsDeposed(const Entry *entry);
 
 /** Answers everyone who waits that the outcome is not known here. */
-void
-Entry_Abandon(Entry *entry, Node_Time now);
+void Entry_Abandon(Entry *entry, Node_Time now);
 
 /** Next log offset to read from. */
-uint64_t
-Entry_LogNext(const Entry *entry);
+uint64_t Entry_LogNext(const Entry *entry);
 
 /** Whether this entry settled the current epoch. */
-bool
-Entry_IsSettled(const Entry *entry);
+bool Entry_IsSettled(const Entry *entry);
 
-const Table *
-Entry_Table(const Entry *entry);
-const View *
-Entry_View(const Entry *entry);
-Counters *
-Entry_Counters(Entry *entry);
+const Table *Entry_Table(const Entry *entry);
+const View *Entry_View(const Entry *entry);
+Counters *Entry_Counters(Entry *entry);
 
 /** State for operators. Caller owns the result. */
-json_t *
-Entry_Dump(const Entry *entry);
+json_t *Entry_Dump(const Entry *entry);
 
 #endif
--- a/core/fold.h
+++ b/core/fold.h
@@ -39,55 +39,43 @@
 typedef struct Fold Fold;
 
 /** @p window_ms: how long the view keeps its history. */
-Fold *
-Fold_New(int64_t window_ms);
-void
-Fold_Free(Fold *fold);
+Fold *Fold_New(int64_t window_ms);
+void Fold_Free(Fold *fold);
 
 /** Next offset that is missing here; 1 at the start. */
-uint64_t
-Fold_Next(const Fold *fold);
+uint64_t Fold_Next(const Fold *fold);
 
 /** False while records expired unread and no snapshot was found yet. */
-bool
-Fold_Synced(const Fold *fold);
+bool Fold_Synced(const Fold *fold);
 
-const View *
-Fold_View(const Fold *fold);
-const Table *
-Fold_Table(const Fold *fold);
+const View *Fold_View(const Fold *fold);
+const Table *Fold_Table(const Fold *fold);
 
 /** Next offset (0 while out of step) and epoch, as told to peers. */
-lc_position
-Fold_Position(const Fold *fold);
+lc_position Fold_Position(const Fold *fold);
 
 /** Applies a record; on refusals @p status holds the reason. */
-Fold_Result
-Fold_Apply(Fold *fold, uint64_t offset, const char *record, Status *status);
+Fold_Result Fold_Apply(Fold *fold, uint64_t offset, const char *record,
+                       Status *status);
 
 /**
  * Tells that the log keeps nothing before @p first: if that is beyond
  * Fold_Next, the fold is out of step until a snapshot arrives.
  */
-void
-Fold_Expired(Fold *fold, uint64_t first);
+void Fold_Expired(Fold *fold, uint64_t first);
 
 /** What became of an edit, or NULL if its record was not seen. */
-const Fold_Edit *
-Fold_FindEdit(const Fold *fold, const char *id);
+const Fold_Edit *Fold_FindEdit(const Fold *fold, const char *id);
 
 /** Records since the last snapshot. */
-uint64_t
-Fold_SinceSnapshot(const Fold *fold);
+uint64_t Fold_SinceSnapshot(const Fold *fold);
 
 /** Text of an edit record; @p row NULL deletes. Free with free(). */
-char *
-Fold_EditRecord(const char *id, const char *group, uint64_t base,
-                const Table_Row *row);
+char *Fold_EditRecord(const char *id, const char *group, uint64_t base,
+                      const Table_Row *row);
 
 /** Text of a snapshot record of this state. Free with free(). */
-char *
-Fold_SnapshotRecord(const Fold *fold);
+char *Fold_SnapshotRecord(const Fold *fold);
 
 /**
  * Collects records from @p next on, for a peer that lacks them: those
@@ -95,8 +83,7 @@
  * @p limit; the texts are borrowed until the next applied record, except the
  * state record's, which @p state receives for the caller to free().
  */
-uint32_t
-Fold_Collect(const Fold *fold, uint64_t next, lc_record *out, uint32_t limit,
-             char **state);
+uint32_t Fold_Collect(const Fold *fold, uint64_t next, lc_record *out,
+                      uint32_t limit, char **state);
 
 #endif
--- a/core/group.h
+++ b/core/group.h
@@ -51,66 +51,52 @@
 /** All groups of an entry. */
 typedef struct Groups Groups;
 
-Groups *
-Groups_New(Group_Order order);
-void
-Groups_Free(Groups *groups);
+Groups *Groups_New(Group_Order order);
+void Groups_Free(Groups *groups);
 
 /** Group of that name, made if needed. */
-Group *
-Groups_Get(Groups *groups, const char *name);
+Group *Groups_Get(Groups *groups, const char *name);
 
 /** Group of that name or NULL. */
-Group *
-Groups_Find(const Groups *groups, const char *name);
+Group *Groups_Find(const Groups *groups, const char *name);
 
 /** Queues a job; call once, before its first task waits here. */
-void
-Groups_Enqueue(Groups *groups, Job *job);
+void Groups_Enqueue(Groups *groups, Job *job);
 
 /** Takes a job out of its queue with all its waiting tasks. */
-void
-Groups_Dequeue(Groups *groups, Job *job);
+void Groups_Dequeue(Groups *groups, Job *job);
 
 /** A waiting task of @p job was sent. */
-void
-Groups_TaskSent(Groups *groups, Job *job);
+void Groups_TaskSent(Groups *groups, Job *job);
 
 /** A task that another entry had sent is followed by this one. */
-void
-Groups_TaskFollowed(Groups *groups, Job *job);
+void Groups_TaskFollowed(Groups *groups, Job *job);
 
 /** A sent task came back unstarted and waits again. */
-void
-Groups_TaskReturned(Groups *groups, Job *job);
+void Groups_TaskReturned(Groups *groups, Job *job);
 
 /** A sent task ended after @p slot_ms. */
-void
-Groups_TaskEnded(Groups *groups, Job *job, int64_t slot_ms);
+void Groups_TaskEnded(Groups *groups, Job *job, int64_t slot_ms);
 
 /**
  * Group whose turn it is among those with waiting tasks that @p may_start
  * lets through; NULL if there is none.
  */
-Group *
-Groups_Choose(Groups *groups, bool (*may_start)(Group *group, void *context),
-              void *context);
+Group *Groups_Choose(Groups *groups,
+                     bool (*may_start)(Group *group, void *context),
+                     void *context);
 
 /** Job of a group that goes first; NULL if none waits. */
-Job *
-Groups_ChooseJob(Groups *groups, Group *group, int64_t mono_ms);
+Job *Groups_ChooseJob(Groups *groups, Group *group, int64_t mono_ms);
 
 /** Tasks waiting in all groups. */
-uint32_t
-Groups_Waiting(const Groups *groups);
+uint32_t Groups_Waiting(const Groups *groups);
 
 /** Visits each group. */
-void
-Groups_Each(const Groups *groups, void (*visit)(Group *group, void *context),
-            void *context);
+void Groups_Each(const Groups *groups,
+                 void (*visit)(Group *group, void *context), void *context);
 
 /** Order of that name, or GROUP_ORDER_COUNT. */
-Group_Order
-Group_OrderFromText(const char *text);
+Group_Order Group_OrderFromText(const char *text);
 
 #endif
--- a/core/job.h
+++ b/core/job.h
@@ -82,6 +82,7 @@
     uint32_t done;
     lc_node holder;      /**< for JOB_HELD */
     int64_t arrived_ms;  /**< monotonic */
+    int64_t progress_ms; /**< monotonic; last task sent or ended */
     int64_t deadline_ms; /**< monotonic; 0 for none */
     int64_t ended_ms;    /**< monotonic */
     size_t kept_bytes;   /**< of results kept for the answer */
@@ -90,75 +91,57 @@
 } Job;
 
 /** Text of a job's state. */
-const char *
-Job_StateText(Job_State state);
+const char *Job_StateText(Job_State state);
 
 /** Whether the job has begun: any task sent or ended. */
-bool
-Job_Begun(const Job *job);
+bool Job_Begun(const Job *job);
 
 /** Next waiting task's index, or -1. */
-int64_t
-Job_NextWaiting(Job *job);
+int64_t Job_NextWaiting(Job *job);
 
 /** Gives a job @p total empty tasks. */
-void
-Job_SetTotal(Job *job, uint32_t total);
+void Job_SetTotal(Job *job, uint32_t total);
 
 /** Copies a payload into a task. */
-void
-Job_SetPayload(Job *job, uint32_t index, const void *data, uint32_t length);
+void Job_SetPayload(Job *job, uint32_t index, const void *data,
+                    uint32_t length);
 
 /** Copies a result into a task and marks it done. */
-void
-Job_SetResult(Job *job, uint32_t index, uint32_t code, const void *data,
-              uint32_t length);
+void Job_SetResult(Job *job, uint32_t index, uint32_t code, const void *data,
+                   uint32_t length);
 
 /** Frees the payloads, which an ended job needs no more. */
-void
-Job_DropPayloads(Job *job);
+void Job_DropPayloads(Job *job);
 
 /** Opaque ledger. */
 typedef struct Ledger Ledger;
 
 /** @p max_jobs: keys kept at most; @p max_bytes: of answers kept. */
-Ledger *
-Ledger_New(uint32_t max_jobs, size_t max_bytes);
-void
-Ledger_Free(Ledger *ledger);
+Ledger *Ledger_New(uint32_t max_jobs, size_t max_bytes);
+void Ledger_Free(Ledger *ledger);
 
-Job *
-Ledger_Find(const Ledger *ledger, const Key *key);
-Job *
-Ledger_Get(const Ledger *ledger, Handle handle);
+Job *Ledger_Find(const Ledger *ledger, const Key *key);
+Job *Ledger_Get(const Ledger *ledger, Handle handle);
 
 /** New job in state JOB_ACTIVE, or NULL when the ledger is full. */
-Job *
-Ledger_Add(Ledger *ledger, const Key *key);
+Job *Ledger_Add(Ledger *ledger, const Key *key);
 
-void
-Ledger_Remove(Ledger *ledger, Job *job);
+void Ledger_Remove(Ledger *ledger, Job *job);
 
 /** Marks the job ended now and evicts answers beyond the budget. */
-void
-Ledger_End(Ledger *ledger, Job *job, int64_t mono_ms);
+void Ledger_End(Ledger *ledger, Job *job, int64_t mono_ms);
 
 /** Takes an ended job back to work, out of the list of ended ones. */
-void
-Ledger_Reopen(Ledger *ledger, Job *job);
+void Ledger_Reopen(Ledger *ledger, Job *job);
 
 /** Removes jobs that ended before @p mono_ms. */
-void
-Ledger_Expire(Ledger *ledger, int64_t mono_ms);
+void Ledger_Expire(Ledger *ledger, int64_t mono_ms);
 
-uint32_t
-Ledger_Count(const Ledger *ledger);
-size_t
-Ledger_Bytes(const Ledger *ledger);
+uint32_t Ledger_Count(const Ledger *ledger);
+size_t Ledger_Bytes(const Ledger *ledger);
 
 /** Iterates over all jobs; the visitor must not remove any. */
-void
-Ledger_Each(const Ledger *ledger, void (*visit)(Job *job, void *context),
-            void *context);
+void Ledger_Each(const Ledger *ledger, void (*visit)(Job *job, void *context),
+                 void *context);
 
 #endif
--- a/core/limits.h
+++ b/core/limits.h
@@ -13,22 +13,17 @@
 #include "core/board.h"
 
 /** Whether one more task of the group may start now. */
-bool
-Limits_MayStart(Board *board, Group *group);
+bool Limits_MayStart(Board *board, Group *group);
 
 /** A task of the group was started. */
-void
-Limits_Started(Board *board, Group *group);
+void Limits_Started(Board *board, Group *group);
 
 /** Jobs this entry may have queued for the group; UINT32_MAX: any. */
-uint32_t
-Limits_MaxQueued(const Board *board, const char *group);
+uint32_t Limits_MaxQueued(const Board *board, const char *group);
 
 /** Epoch up to which this entry keeps to its shares, told to peers. */
-uint64_t
-Limits_Complied(const Board *board);
+uint64_t Limits_Complied(const Board *board);
 
-void
-Limits_Tick(Board *board);
+void Limits_Tick(Board *board);
 
 #endif
--- a/core/ownership.h
+++ b/core/ownership.h
@@ -23,32 +23,27 @@
 } Own_Verdict;
 
 /** Judges a key; on OWN_OTHER @p owner is set. */
-Own_Verdict
-Ownership_Judge(const Board *board, const Key *key, lc_node *owner);
+Own_Verdict Ownership_Judge(const Board *board, const Key *key,
+                            lc_node *owner);
 
 /** Whether there is fresh evidence that this entry is still in the view. */
-bool
-Ownership_HasEvidence(const Board *board);
+bool Ownership_HasEvidence(const Board *board);
 
 /** The view changed. */
-void
-Ownership_OnView(Board *board);
+void Ownership_OnView(Board *board);
 
 /** Tells the caller which of its keys this entry holds. */
-void
-Ownership_AnswerSettle(Board *board, uint64_t reply_id,
-                       const lc_settle_args *args);
+void Ownership_AnswerSettle(Board *board, uint64_t reply_id,
+                            const lc_settle_args *args);
 
 /** A SETTLE call ended; @p reply is NULL when it was lost. */
-void
-Ownership_OnSettle(Board *board, const Call *call, const lc_settle_res *reply);
+void Ownership_OnSettle(Board *board, const Call *call,
+                        const lc_settle_res *reply);
 
 /** An INVENTORY call ended; @p reply is NULL when it was lost. */
-void
-Ownership_OnInventory(Board *board, const Call *call,
-                      const lc_inventory_res *reply);
+void Ownership_OnInventory(Board *board, const Call *call,
+                           const lc_inventory_res *reply);
 
-void
-Ownership_Tick(Board *board);
+void Ownership_Tick(Board *board);
 
 #endif
--- a/core/records.h
+++ b/core/records.h
@@ -40,43 +40,32 @@
 /** Opaque table. */
 typedef struct Records Records;
 
-Records *
-Records_New(uint32_t max_records, size_t max_bytes);
-void
-Records_Free(Records *records);
+Records *Records_New(uint32_t max_records, size_t max_bytes);
+void Records_Free(Records *records);
 
-Record *
-Records_Find(const Records *records, const Key *key, uint32_t index);
-Record *
-Records_Get(const Records *records, Handle handle);
+Record *Records_Find(const Records *records, const Key *key, uint32_t index);
+Record *Records_Get(const Records *records, Handle handle);
 
 /** New record in state running, or NULL when the table is full. */
-Record *
-Records_Add(Records *records, const Key *key, uint32_t index);
+Record *Records_Add(Records *records, const Key *key, uint32_t index);
 
 /** Forgets a task that did not start after all. */
-void
-Records_Remove(Records *records, Record *record);
+void Records_Remove(Records *records, Record *record);
 
 /** Marks the task ended and keeps a copy of its result. */
-void
-Records_End(Records *records, Record *record, lc_task_state state,
-            uint32_t code, const void *result, uint32_t length,
-            int64_t mono_ms);
+void Records_End(Records *records, Record *record, lc_task_state state,
+                 uint32_t code, const void *result, uint32_t length,
+                 int64_t mono_ms);
 
 /** Removes records that ended before @p mono_ms. */
-void
-Records_Expire(Records *records, int64_t mono_ms);
+void Records_Expire(Records *records, int64_t mono_ms);
 
-uint32_t
-Records_Count(const Records *records);
-size_t
-Records_Bytes(const Records *records);
+uint32_t Records_Count(const Records *records);
+size_t Records_Bytes(const Records *records);
 
 /** Visits records numbered above @p after until @p visit says false. */
-void
-Records_Each(const Records *records, uint64_t after,
-             bool (*visit)(const Record *record, void *context),
-             void *context);
+void Records_Each(const Records *records, uint64_t after,
+                  bool (*visit)(const Record *record, void *context),
+                  void *context);
 
 #endif
--- a/core/recovery.h
+++ b/core/recovery.h
@@ -22,17 +22,16 @@
 } Recovery_Started;
 
 /** Copies a start out of a message; free with Recovery_FreeStarted. */
-Recovery_Started *
-Recovery_CopyStarted(const lc_started *started, const lc_node *companion);
-void
-Recovery_FreeStarted(gpointer started);
+Recovery_Started *Recovery_CopyStarted(const lc_started *started,
+                                       const lc_node *companion);
+void Recovery_FreeStarted(gpointer started);
 
 /**
  * Puts the starts of @p found (Recovery_Started) into the ledger and decides
  * on jobs whose holder has left the view: known from companions, never
  * started, or lost when minted before @p unsure_before_ms.
  */
-void
-Recovery_Merge(Board *board, const GPtrArray *found, int64_t unsure_before_ms);
+void Recovery_Merge(Board *board, const GPtrArray *found,
+                    int64_t unsure_before_ms);
 
 #endif
--- a/core/table.h
+++ b/core/table.h
@@ -42,49 +42,38 @@
 /** Opaque table. */
 typedef struct Table Table;
 
-Table *
-Table_New(void);
-void
-Table_Free(Table *table);
+Table *Table_New(void);
+void Table_Free(Table *table);
 
 /** Row of a group that is present, or NULL. Borrowed. */
-const Table_Row *
-Table_Find(const Table *table, const char *group);
+const Table_Row *Table_Find(const Table *table, const char *group);
 
 /** Version of a group's row or tombstone; 0 if there never was one. */
-uint64_t
-Table_Version(const Table *table, const char *group);
+uint64_t Table_Version(const Table *table, const char *group);
 
 /** Whether a name may be a group's: 1 to 64 of [A-Za-z0-9._-]. */
-bool
-Table_ValidName(const char *group);
+bool Table_ValidName(const char *group);
 
 /**
  * Reads a row from JSON, with defaults for absent columns. Errors:
  * BAD_REQUEST, naming every wrong column at once.
  */
-Err_Kind
-Table_RowFromJson(const char *group, const json_t *value, Table_Row *row,
-                  Status *status);
+Err_Kind Table_RowFromJson(const char *group, const json_t *value,
+                           Table_Row *row, Status *status);
 
 /** Values of a row without its version. Caller owns the result. */
-json_t *
-Table_RowToJson(const Table_Row *row);
+json_t *Table_RowToJson(const Table_Row *row);
 
 /** Replaces a group's row. */
-void
-Table_Put(Table *table, const Table_Row *row);
+void Table_Put(Table *table, const Table_Row *row);
 
 /** Rows ordered by name, tombstones included on request; free the array. */
-GPtrArray *
-Table_Sorted(const Table *table, bool tombstones);
+GPtrArray *Table_Sorted(const Table *table, bool tombstones);
 
 /** Whole table, tombstones included. Caller owns the result. */
-json_t *
-Table_ToJson(const Table *table);
+json_t *Table_ToJson(const Table *table);
 
 /** Table out of a snapshot, or NULL if it is malformed. */
-Table *
-Table_FromJson(const json_t *value);
+Table *Table_FromJson(const json_t *value);
 
 #endif
--- a/core/view.h
+++ b/core/view.h
@@ -56,41 +56,33 @@
 } View;
 
 /** Makes an empty view that keeps history for @p window_ms. */
-View *
-View_New(int64_t window_ms);
-void
-View_Free(View *view);
+View *View_New(int64_t window_ms);
+void View_Free(View *view);
 
 /** Member of this incarnation, or NULL. */
-const View_Member *
-View_Find(const View *view, const lc_node *node);
+const View_Member *View_Find(const View *view, const lc_node *node);
 
 /** Member at this address, or NULL. */
-const View_Member *
-View_FindAddress(const View *view, Address address);
+const View_Member *View_FindAddress(const View *view, Address address);
 
 /** Removed process of this incarnation, or NULL. */
-const View_Removed *
-View_FindRemoved(const View *view, const lc_node *node);
+const View_Removed *View_FindRemoved(const View *view, const lc_node *node);
 
 /** Owner of a key in the current epoch; address 0 if there is none. */
-lc_node
-View_Owner(const View *view, const Key *key);
+lc_node View_Owner(const View *view, const Key *key);
 
 /** Owner of a key in a past epoch; address 0 if there was none. */
-lc_node
-View_EpochOwner(const View_Epoch *epoch, const Key *key);
+lc_node View_EpochOwner(const View_Epoch *epoch, const Key *key);
 
 /** Owner of any address among the current owners: who feeds a companion. */
-lc_node
-View_Feeder(const View *view, Address address);
+lc_node View_Feeder(const View *view, Address address);
 
 /**
  * Applies a view record. Errors: BAD_RECORD (malformed or not a successor;
  * the view is unchanged).
  */
-Err_Kind
-View_Apply(View *view, uint64_t offset, const json_t *record, Status *status);
+Err_Kind View_Apply(View *view, uint64_t offset, const json_t *record,
+                    Status *status);
 
 /** Text of a record that makes one change; free with g_free. */
 typedef struct {
@@ -101,15 +93,12 @@
 } View_Change;
 
 /** Encodes a view record that follows @p view; free with g_free. */
-char *
-View_Record(const View *view, int64_t wall_ms, const GArray *changes);
+char *View_Record(const View *view, int64_t wall_ms, const GArray *changes);
 
 /** Whole view for a snapshot or a state dump. Caller owns the result. */
-json_t *
-View_ToJson(const View *view);
+json_t *View_ToJson(const View *view);
 
 /** View out of a snapshot, or NULL if it is malformed. */
-View *
-View_FromJson(const json_t *value, int64_t window_ms);
+View *View_FromJson(const json_t *value, int64_t window_ms);
 
 #endif
--- a/core/vtime.h
+++ b/core/vtime.h
@@ -15,23 +15,18 @@
 } Vtime;
 
 /** Begins at @p floor_ms, the virtual time of the group served last. */
-void
-Vtime_Init(Vtime *vtime, double floor_ms);
+void Vtime_Init(Vtime *vtime, double floor_ms);
 
 /** A group that was idle earns no credit for it. */
-void
-Vtime_Resume(Vtime *vtime, double floor_ms);
+void Vtime_Resume(Vtime *vtime, double floor_ms);
 
 /** Charges the start of a task. */
-void
-Vtime_Start(Vtime *vtime, uint32_t weight);
+void Vtime_Start(Vtime *vtime, uint32_t weight);
 
 /** Takes back the charge of a task that did not start. */
-void
-Vtime_Cancel(Vtime *vtime, uint32_t weight);
+void Vtime_Cancel(Vtime *vtime, uint32_t weight);
 
 /** Corrects the charge of a task that took @p slot_ms. */
-void
-Vtime_End(Vtime *vtime, uint32_t weight, int64_t slot_ms);
+void Vtime_End(Vtime *vtime, uint32_t weight, int64_t slot_ms);
 
 #endif
--- a/daemon/companion_process.h
+++ b/daemon/companion_process.h
@@ -8,7 +8,6 @@
 #include "daemon/options.h"
 
 /** Runs a companion until it is stopped; returns the exit code. */
-int
-CompanionProcess_Run(const Options *options);
+int CompanionProcess_Run(const Options *options);
 
 #endif
--- a/daemon/entry_process.c
+++ b/daemon/entry_process.c
@@ -43,8 +43,7 @@
     TableApi_Edited(self->callers, request, status, version);
 }
 
-static void
-read_log(entry_process *self);
+static void read_log(entry_process *self);
 
 static void
 on_log_timer(uv_timer_t *timer)
--- a/daemon/entry_process.h
+++ b/daemon/entry_process.h
@@ -8,7 +8,6 @@
 #include "daemon/options.h"
 
 /** Runs an entry until it is stopped; returns the exit code. */
-int
-EntryProcess_Run(const Options *options);
+int EntryProcess_Run(const Options *options);
 
 #endif
--- a/daemon/http_server.h
+++ b/daemon/http_server.h
@@ -55,33 +55,28 @@
 typedef struct Http_Server Http_Server;
 
 /** Serves @p routes (up to an entry without a path). Errors: IO. */
-Http_Server *
-Http_NewServer(uv_loop_t *loop, Address address, const Http_Route *routes,
-               void *context, Status *status);
+Http_Server *Http_NewServer(uv_loop_t *loop, Address address,
+                            const Http_Route *routes, void *context,
+                            Status *status);
 
 /** Answers a request; ignored when its caller has gone. */
-void
-Http_Respond(Http_Server *server, uint64_t id, const Http_Response *response);
+void Http_Respond(Http_Server *server, uint64_t id,
+                  const Http_Response *response);
 
 /** Answers with an error of the closed list as JSON. */
-void
-Http_RespondError(Http_Server *server, uint64_t id, Err_Kind kind,
-                  const char *message, uint32_t retry_ms);
+void Http_RespondError(Http_Server *server, uint64_t id, Err_Kind kind,
+                       const char *message, uint32_t retry_ms);
 
 /** Requests that have not been answered. */
-uint32_t
-Http_Unanswered(const Http_Server *server);
+uint32_t Http_Unanswered(const Http_Server *server);
 
 /** Requests of this process that were refused for their form. */
-uint64_t
-Http_BadRequests(const Http_Server *server);
+uint64_t Http_BadRequests(const Http_Server *server);
 
 /** Takes no more connections; those open go on. */
-void
-Http_StopListening(Http_Server *server);
+void Http_StopListening(Http_Server *server);
 
 /** Closes the listener and frees the server once the loop has run. */
-void
-Http_FreeServer(Http_Server *server);
+void Http_FreeServer(Http_Server *server);
 
 #endif
--- a/daemon/options.h
+++ b/daemon/options.h
@@ -44,7 +44,6 @@
  * Reads and checks a file. Returns ERR_OK, or ERR_BAD_SETTINGS with one line
  * per error in @p errors (free with g_free).
  */
-Err_Kind
-Options_Load(const char *file, Options *options, char **errors);
+Err_Kind Options_Load(const char *file, Options *options, char **errors);
 
 #endif
--- a/daemon/process.h
+++ b/daemon/process.h
@@ -50,35 +50,28 @@
 #define PROCESS_FORCED 3
 
 /** Time now. */
-Node_Time
-Process_Now(void);
+Node_Time Process_Now(void);
 
 /** A new incarnation: the wall clock in microseconds. */
-lc_node
-Process_NewNode(const Options *options);
+lc_node Process_NewNode(const Options *options);
 
 /** Opens RPC and administration, starts signals and tick. Errors: IO. */
-Err_Kind
-Process_Open(Process *process, uv_loop_t *loop, const Options *options,
-             const Process_Role *role, Status *status);
+Err_Kind Process_Open(Process *process, uv_loop_t *loop,
+                      const Options *options, const Process_Role *role,
+                      Status *status);
 
 /** Breaks all connections to peers and listens again. Errors: IO. */
-Err_Kind
-Process_ReopenRpc(Process *process, Status *status);
+Err_Kind Process_ReopenRpc(Process *process, Status *status);
 
 /** Runs until the process is told to stop; returns its exit code. */
-int
-Process_Run(Process *process);
+int Process_Run(Process *process);
 
 /** Node ports that any role passes on to its RPC and its log. */
-void
-Process_PortCall(void *process, Address to, uint64_t call_id,
-                 const Msg_Call *call);
-void
-Process_PortReply(void *process, uint64_t reply_id, const Msg_Reply *reply);
-void
-Process_PortReset(void *process, Address to);
-void
-Process_PortEvent(void *process, Event_Id id, const char *detail);
+void Process_PortCall(void *process, Address to, uint64_t call_id,
+                      const Msg_Call *call);
+void Process_PortReply(void *process, uint64_t reply_id,
+                       const Msg_Reply *reply);
+void Process_PortReset(void *process, Address to);
+void Process_PortEvent(void *process, Event_Id id, const char *detail);
 
 #endif
--- a/daemon/table_api.h
+++ b/daemon/table_api.h
@@ -10,18 +10,15 @@
 #include "daemon/http_server.h"
 
 /** Whole table as JSON. */
-void
-TableApi_ServeAll(Http_Server *server, Entry *entry,
-                  const Http_Request *request);
+void TableApi_ServeAll(Http_Server *server, Entry *entry,
+                       const Http_Request *request);
 
 /** One row. Edits are answered later, through TableApi_Edited. */
-void
-TableApi_ServeRow(Http_Server *server, Entry *entry, Node_Time now,
-                  const Http_Request *request);
+void TableApi_ServeRow(Http_Server *server, Entry *entry, Node_Time now,
+                       const Http_Request *request);
 
 /** Ends an edit. */
-void
-TableApi_Edited(Http_Server *server, uint64_t request, const Status *status,
-                uint64_t version);
+void TableApi_Edited(Http_Server *server, uint64_t request,
+                     const Status *status, uint64_t version);
 
 #endif
--- /dev/null
+++ b/tests/prop_cluster.cc
@@ -0,0 +1,121 @@
+/*
+ * Properties of many nodes together, over random schedules of faults. The
+ * seed is fixed (see tests/CMakeLists.txt); RC_PARAMS gives another, or more
+ * schedules.
+ */
+
+#include <rapidcheck.h>
+
+#include "tests/pump.h"
+
+namespace {
+
+uint64_t requests;
+uint64_t schedules;
+std::map<std::string, uint64_t> kinds;
+
+rc::Gen<pump::Action>
+gen_action(std::vector<pump::Fault> faults, int64_t length_ms)
+{
+    return rc::gen::build<pump::Action>(
+        rc::gen::set(&pump::Action::fault, rc::gen::elementOf(faults)),
+        rc::gen::set(&pump::Action::at_ms,
+                     rc::gen::inRange<int64_t>(0, length_ms)),
+        rc::gen::set(&pump::Action::length_ms,
+                     rc::gen::inRange<int64_t>(50, 2500)),
+        rc::gen::set(&pump::Action::target, rc::gen::inRange<uint32_t>(0, 64)),
+        rc::gen::set(&pump::Action::other, rc::gen::inRange<uint32_t>(0, 64)));
+}
+
+std::vector<pump::Fault>
+all_faults()
+{
+    std::vector<pump::Fault> all;
+
+    for (int i = 0; i < (int)pump::Fault::Count; i++) {
+        all.push_back((pump::Fault)i);
+    }
+    return all;
+}
+
+std::string
+describe(const pump::Plan &plan)
+{
+    std::string text = "seed " + std::to_string(plan.seed);
+
+    for (const pump::Action &action : plan.actions) {
+        text += "\n  fault " + std::to_string((int)action.fault) + " at " +
+                std::to_string(action.at_ms) + " for " +
+                std::to_string(action.length_ms) + " target " +
+                std::to_string(action.target) + " other " +
+                std::to_string(action.other);
+    }
+    return text;
+}
+
+void
+check_plan(pump::Plan plan, std::vector<pump::Fault> faults, int most)
+{
+    plan.seed = *rc::gen::inRange<uint64_t>(1, 1ULL << 40);
+    plan.actions = *rc::gen::resize(
+        most, rc::gen::container<std::vector<pump::Action>>(
+                  gen_action(faults, plan.length_ms)));
+    pump::Report report = pump::run(plan);
+    schedules++;
+    requests += report.requests;
+    for (auto &pair : report.kinds) {
+        kinds[pair.first] += pair.second;
+    }
+    std::string violations = report.violations();
+    if (!violations.empty()) {
+        RC_FAIL(violations + describe(plan));
+    }
+}
+
+} // namespace
+
+int
+main()
+{
+    bool passed = true;
+    auto property = [&](const char *name, std::function<void()> body) {
+        passed = rc::check(name, body) && passed;
+    };
+
+    property("all faults together",
+             [] { check_plan(pump::Plan(), all_faults(), 8); });
+    property("entries killed, cut and frozen", [] {
+        check_plan(pump::Plan(),
+                   {pump::Fault::KillEntry, pump::Fault::KillEntryHost,
+                    pump::Fault::Freeze, pump::Fault::CutAll,
+                    pump::Fault::CutNode, pump::Fault::LogOutage},
+                   6);
+    });
+    property("a full ledger and full record tables", [] {
+        pump::Plan plan;
+        plan.max_jobs = 12;
+        plan.max_records = 20;
+        plan.max_bytes = 400;
+        plan.window_ms = 2500;
+        check_plan(plan, all_faults(), 6);
+    });
+    property("a short dedupe window", [] {
+        pump::Plan plan;
+        plan.window_ms = 900;
+        check_plan(plan, all_faults(), 6);
+    });
+    property("planned replacement of every process", [] {
+        check_plan(pump::Plan(),
+                   {pump::Fault::DrainEntry, pump::Fault::DrainCompanion,
+                    pump::Fault::LeaveCompanion, pump::Fault::LogOutage},
+                   10);
+    });
+    printf("%llu schedules, %llu requests; answers:",
+           (unsigned long long)schedules, (unsigned long long)requests);
+    for (auto &pair : kinds) {
+        printf(" %s %llu", pair.first.c_str(),
+               (unsigned long long)pair.second);
+    }
+    printf("\n");
+    return passed ? 0 : 1;
+}
--- a/wire/msg.h
+++ b/wire/msg.h
@@ -81,37 +81,28 @@
 } Msg_Record;
 
 /** Lower-case name of a kind. */
-const char *
-Msg_Name(Msg_Kind kind);
+const char *Msg_Name(Msg_Kind kind);
 
 /** Appends a whole record, mark included, for a call. */
-void
-Msg_EncodeCall(const Msg_Call *call, uint32_t xid, GByteArray *out);
+void Msg_EncodeCall(const Msg_Call *call, uint32_t xid, GByteArray *out);
 
 /** Appends a whole record for a reply. */
-void
-Msg_EncodeReply(const Msg_Reply *reply, uint32_t xid, GByteArray *out);
+void Msg_EncodeReply(const Msg_Reply *reply, uint32_t xid, GByteArray *out);
 
 /** Appends the empty reply of the NULL procedure. */
-void
-Msg_EncodeNull(uint32_t xid, GByteArray *out);
+void Msg_EncodeNull(uint32_t xid, GByteArray *out);
 
 /** Appends a reply that refuses a call for @p reason. */
-void
-Msg_EncodeRefusal(uint32_t xid, enum accept_stat reason, GByteArray *out);
+void Msg_EncodeRefusal(uint32_t xid, enum accept_stat reason, GByteArray *out);
 
 /** Takes a record (without its mark) apart. */
-void
-Msg_Decode(const uint8_t *data, size_t length, Msg_Record *record);
+void Msg_Decode(const uint8_t *data, size_t length, Msg_Record *record);
 
 /** Decodes the results of a reply; false if they are malformed. */
-bool
-Msg_DecodeReply(Msg_Kind kind, const uint8_t *data, size_t length,
-                Msg_Reply *reply);
-
-void
-Msg_FreeCall(Msg_Call *call);
-void
-Msg_FreeReply(Msg_Reply *reply);
+bool Msg_DecodeReply(Msg_Kind kind, const uint8_t *data, size_t length,
+                     Msg_Reply *reply);
+
+void Msg_FreeCall(Msg_Call *call);
+void Msg_FreeReply(Msg_Reply *reply);
 
 #endif
--- a/wire/rpc.h
+++ b/wire/rpc.h
@@ -36,39 +36,30 @@
     uint64_t replies_in[MSG_COUNT];
 } Rpc_Traffic;
 
-Rpc *
-Rpc_New(uv_loop_t *loop, Counters *counters, const Rpc_Handlers *handlers,
-        void *context);
+Rpc *Rpc_New(uv_loop_t *loop, Counters *counters, const Rpc_Handlers *handlers,
+             void *context);
 
 /** Listens for peers; errors: IO. */
-Err_Kind
-Rpc_Listen(Rpc *rpc, Address address, Status *status);
+Err_Kind Rpc_Listen(Rpc *rpc, Address address, Status *status);
 
 /** Sends a call; its end is delivered with @p call_id. */
-void
-Rpc_Call(Rpc *rpc, Address to, uint64_t call_id, const Msg_Call *call);
+void Rpc_Call(Rpc *rpc, Address to, uint64_t call_id, const Msg_Call *call);
 
 /** Answers a call; ignored when its connection has gone. */
-void
-Rpc_Reply(Rpc *rpc, uint64_t reply_id, const Msg_Reply *reply);
+void Rpc_Reply(Rpc *rpc, uint64_t reply_id, const Msg_Reply *reply);
 
 /** Refuses a call whose procedure this process does not serve. */
-void
-Rpc_Refuse(Rpc *rpc, uint64_t reply_id);
+void Rpc_Refuse(Rpc *rpc, uint64_t reply_id);
 
 /** Breaks the connection to a peer; its pending calls are lost. */
-void
-Rpc_Reset(Rpc *rpc, Address to);
+void Rpc_Reset(Rpc *rpc, Address to);
 
 /** Whether replies still wait to be written. */
-int
-Rpc_Writing(const Rpc *rpc);
+int Rpc_Writing(const Rpc *rpc);
 
-const Rpc_Traffic *
-Rpc_GetTraffic(const Rpc *rpc);
+const Rpc_Traffic *Rpc_GetTraffic(const Rpc *rpc);
 
 /** Closes everything and frees @p rpc once the loop has run. */
-void
-Rpc_Close(Rpc *rpc);
+void Rpc_Close(Rpc *rpc);
 
 #endif
