Removed while draining, lost holders, and one hung connection

An entry that its peers removed while it was draining went on as a member, fenced by every companion, and its last job was never answered. Double start: a job known here only from its holder (JOB_HELD); the holder left too; the inventory left out what this entry had been told at an earlier settle, though it had not kept it. An entry with such jobs now asks companions for all starts. One late ping was enough to be suspected, since the connection was reset and the peer suspected at the same time. The reset comes at half of it.

--- a/core/apply.c
+++ b/core/apply.c
@@ -1,6 +1,7 @@
 #include "core/apply.h"
 
 #include "core/dispatch.h"
+#include "core/drain.h"
 #include "core/edits.h"
 #include "core/ownership.h"
 
@@ -17,7 +18,8 @@
     if (Board_IsMember(board)) {
         board->joined = true;
     }
-    else if (board->joined && !board->draining && !board->deposed) {
+    else if (board->joined && !board->deposed &&
+             (!board->draining || Drain_IsAwaited(board))) {
         board->deposed = true;
         Board_Event(board, EVENT_DEPOSED, "epoch %llu",
                     (unsigned long long)view->epoch);
@@ -60,7 +62,11 @@
         board->snapshot_ms = board->now.mono_ms;
         Board_Event(board, EVENT_SNAPSHOT, "offset %llu",
                     (unsigned long long)offset);
+        break;
+    case FOLD_LOADED:
+        board->snapshot_ms = board->now.mono_ms;
         on_view(board);
+        Edits_OnRecord(board);
         break;
     }
     Counter_Add(&board->counters, COUNTER_RECORDS_APPLIED, 1);
--- a/core/arbiter.c
+++ b/core/arbiter.c
@@ -265,7 +265,7 @@
             total += demand_at(arbiter, i)->waiting;
         }
     }
-    lot = next_random(arbiter) % total;
+    lot = total == 0 ? 0 : next_random(arbiter) % total;
     for (i = 0; i < arbiter->demand->len; i++) {
         const demand_row *row = demand_at(arbiter, i);
         if (strcmp(row->group, group) != 0) {
--- a/core/arbiter.h
+++ b/core/arbiter.h
@@ -58,7 +58,7 @@
 bool Arbiter_Offer(Arbiter *arbiter, int64_t mono_ms, Arbiter_Grant *grant);
 
 /** A grant came back unused: its entry has nothing waiting for it. */
-void Arbiter_Decline(Arbiter *arbiter, uint64_t grant);
+void Arbiter_Decline(Arbiter *arbiter, uint64_t id);
 
 /** Drops grants that were not used in time; returns how many. */
 uint32_t Arbiter_Lapse(Arbiter *arbiter, int64_t mono_ms);
--- a/core/board.c
+++ b/core/board.c
@@ -25,7 +25,7 @@
         .snapshot_records = 500,
         .task_timeout_ms = 30000,
         .max_jobs = 200000,
-        .max_answer_bytes = 24U * 1024 * 1024,
+        .max_answer_bytes = (size_t)24 * 1024 * 1024,
         .order = GROUP_ORDER_RATIO,
     };
 
@@ -148,6 +148,7 @@
     kept->kind = call->kind;
     kept->sent_ms = board->now.mono_ms;
     call_id = Handle_Add(board->calls, kept);
+    kept->id = call_id;
     board->ports.call(board->context, kept->to, call_id, call);
     return call_id;
 }
--- a/core/board.h
+++ b/core/board.h
@@ -75,6 +75,7 @@
 /** A call in flight. */
 typedef struct {
     Msg_Kind kind;
+    uint64_t id;
     Address to;
     uint64_t incarnation; /**< of the callee, where it was known */
     int64_t sent_ms;
@@ -95,6 +96,7 @@
 typedef struct {
     uint64_t epoch;
     bool active;
+    bool full; /**< ask for all starts, not only new ones */
     int64_t started_ms;
     int64_t applied_ms;     /**< when all members had applied it, or 0 */
     GHashTable *entries;    /**< Address -> Settle_Peer */
--- a/core/companion.c
+++ b/core/companion.c
@@ -1,12 +1,14 @@
 #include "core/companion.h"
 
+#include <stdlib.h>
 #include <string.h>
 
 #include "core/arbiter.h"
 #include "core/fold.h"
 #include "core/records.h"
 
-#define PAGE_BYTES (1024U * 1024)
+#define PAGE_BYTES ((size_t)1024 * 1024)
+#define RELAY_RECORDS 256
 
 /* Highest sequence number seen of an entry: older calls are refused. */
 typedef struct {
@@ -15,10 +17,10 @@
     int64_t seen_ms;
 } sequence_row;
 
-/* A GRANT call in flight. */
+/* A call in flight; a RELAY has no grant. */
 typedef struct {
     uint64_t grant;
-} grant_call;
+} pending_call;
 
 struct Companion {
     Companion_Config config;
@@ -30,7 +32,7 @@
     Records *records;
     Arbiter *arbiter;
     GHashTable *sequences; /* incarnation -> sequence_row */
-    Handle_Table *calls;   /* grant_call */
+    Handle_Table *calls;   /* pending_call */
     int64_t down_until_ms;
     uint32_t running;
     bool draining;
@@ -49,7 +51,7 @@
         .window_ms = 600000,
         .skew_ms = 2000,
         .max_records = 100000,
-        .max_result_bytes = 16U * 1024 * 1024,
+        .max_result_bytes = (size_t)16 * 1024 * 1024,
     };
 
     return config;
@@ -140,7 +142,7 @@
 send_grant(Companion *companion, const Arbiter_Grant *grant)
 {
     Msg_Call call = {.kind = MSG_GRANT};
-    grant_call *info = g_new0(grant_call, 1);
+    pending_call *info = g_new0(pending_call, 1);
 
     info->grant = grant->id;
     call.u.grant.from = companion->config.self;
@@ -330,6 +332,33 @@
     offer_slots(companion);
 }
 
+/*
+ * An entry that has nothing yet, or missed what the log no longer keeps,
+ * gets the state from here: companions outlive a replacement of all entries.
+ */
+static void
+relay_to(Companion *companion, const lc_ping_args *args)
+{
+    lc_record records[RELAY_RECORDS];
+    Msg_Call call = {.kind = MSG_RELAY};
+    char *state;
+
+    if (args->position.offset > 1) {
+        return;
+    }
+    call.u.relay.from = companion->config.self;
+    call.u.relay.records.records_val = records;
+    call.u.relay.records.records_len = Fold_Collect(
+        companion->fold, args->position.offset, records, RELAY_RECORDS,
+        &state);
+    if (call.u.relay.records.records_len > 0) {
+        companion->ports.call(
+            companion->context, args->from.address,
+            Handle_Add(companion->calls, g_new0(pending_call, 1)), &call);
+    }
+    free(state);
+}
+
 static void
 on_ping(Companion *companion, uint64_t reply_id, const lc_ping_args *args)
 {
@@ -345,6 +374,7 @@
     reply.u.ping.slots = Arbiter_Slots(companion->arbiter);
     reply.u.ping.free = open_slots(companion);
     companion->ports.reply(companion->context, reply_id, &reply);
+    relay_to(companion, args);
 }
 
 static void
@@ -363,7 +393,7 @@
                                status.message);
         return;
     case FOLD_VIEW:
-    case FOLD_SNAPSHOT:
+    case FOLD_LOADED:
         Counter_Add(&companion->counters, COUNTER_VIEWS_APPLIED, 1);
         Arbiter_OnView(companion->arbiter, get_view(companion));
         break;
@@ -544,13 +574,13 @@
 Companion_OnReply(Companion *companion, Node_Time now, uint64_t call_id,
                   const Msg_Reply *reply)
 {
-    grant_call *call = Handle_Remove(companion->calls, call_id);
+    pending_call *call = Handle_Remove(companion->calls, call_id);
 
     companion->now = now;
     if (call == NULL) {
         return;
     }
-    if (reply == NULL || !reply->u.grant.used) {
+    if (call->grant != 0 && (reply == NULL || !reply->u.grant.used)) {
         Arbiter_Decline(companion->arbiter, call->grant);
         offer_slots(companion);
     }
--- a/core/drain.c
+++ b/core/drain.c
@@ -18,9 +18,8 @@
                 g_hash_table_size(board->active));
 }
 
-/* Whether a caller or a peer still waits for an answer through us. */
-static bool
-is_awaited(const Board *board)
+bool
+Drain_IsAwaited(const Board *board)
 {
     uint32_t i;
 
@@ -39,7 +38,10 @@
 bool
 Drain_IsDone(const Board *board)
 {
-    if (!board->draining || is_awaited(board)) {
+    if (board->draining && board->deposed) {
+        return true;
+    }
+    if (!board->draining || Drain_IsAwaited(board)) {
         return false;
     }
     if (!Board_IsMember(board)) {
@@ -61,7 +63,7 @@
     if (Board_IsOwner(board)) {
         Members_ProposeSelf(board, "leave");
     }
-    else if (!is_awaited(board)) {
+    else if (!Drain_IsAwaited(board)) {
         Members_ProposeSelf(board, "remove");
     }
 }
--- a/core/drain.h
+++ b/core/drain.h
@@ -11,6 +11,9 @@
 /** Begins the planned stop. */
 void Drain_Start(Board *board);
 
+/** Whether a caller or a peer still waits for an answer through us. */
+bool Drain_IsAwaited(const Board *board);
+
 /** Whether nothing is left to wait for. */
 bool Drain_IsDone(const Board *board);
 
--- a/core/fold.c
+++ b/core/fold.c
@@ -243,7 +243,7 @@
         return FOLD_SKIPPED;
     }
     fold->since_snapshot = 0;
-    return FOLD_SNAPSHOT;
+    return FOLD_LOADED;
 }
 
 /* Whole state of a peer, for a reader whose missing records are gone. */
@@ -259,7 +259,7 @@
         return FOLD_SKIPPED;
     }
     fold->next = offset + 1;
-    return FOLD_SNAPSHOT;
+    return FOLD_LOADED;
 }
 
 static Fold_Result
@@ -281,24 +281,26 @@
     if (strcmp(kind, "edit") == 0) {
         return apply_edit(fold, offset, record, status);
     }
-    Err_Set(status, ERR_BAD_RECORD, "unknown kind");
+    if (kind[0] != '\0') {
+        Err_Set(status, ERR_BAD_RECORD, "unknown kind");
+    }
     return FOLD_SKIPPED;
 }
 
 Fold_Result
-Fold_Apply(Fold *fold, uint64_t offset, const char *text, Status *status)
+Fold_Apply(Fold *fold, uint64_t offset, const char *record, Status *status)
 {
-    json_t *record;
+    json_t *value;
     const char *kind;
     Fold_Result result;
 
     if (offset < fold->next) {
         return FOLD_OLD;
     }
-    record = json_loads(text, 0, NULL);
-    kind = json_string_value(json_object_get(record, "kind"));
+    value = json_loads(record, 0, NULL);
+    kind = json_string_value(json_object_get(value, "kind"));
     if (kind != NULL && strcmp(kind, "state") == 0) {
-        result = apply_relayed_state(fold, offset, record, status);
+        result = apply_relayed_state(fold, offset, value, status);
     }
     else if (offset > fold->next) {
         Err_Set(status, ERR_BAD_RECORD, "record %llu before %llu",
@@ -308,10 +310,10 @@
     else {
         fold->next = offset + 1;
         Err_Set(status, ERR_BAD_RECORD, "no JSON object with a kind");
-        result = dispatch_record(fold, offset, text, record,
+        result = dispatch_record(fold, offset, record, value,
                                  kind == NULL ? "" : kind, status);
     }
-    json_decref(record);
+    json_decref(value);
     return result;
 }
 
--- a/core/fold.h
+++ b/core/fold.h
@@ -26,7 +26,8 @@
     FOLD_VIEW_REFUSED, /**< not a successor of the view */
     FOLD_EDIT,         /**< the table changed */
     FOLD_EDIT_REFUSED, /**< based on an older version of its row */
-    FOLD_SNAPSHOT      /**< a snapshot; loaded only if one was needed */
+    FOLD_SNAPSHOT,     /**< a snapshot that only confirms what is known */
+    FOLD_LOADED        /**< a snapshot or a peer's state replaced all */
 } Fold_Result;
 
 /** What became of an edit, by its id. */
--- a/core/group.c
+++ b/core/group.c
@@ -210,6 +210,16 @@
     Vtime_End(&group->vtime, group->weight, slot_ms);
 }
 
+/* Equal times go by name, so that a run can be repeated. */
+static bool
+is_before(const Group *a, const Group *b)
+{
+    if (a->vtime.value_ms != b->vtime.value_ms) {
+        return a->vtime.value_ms < b->vtime.value_ms;
+    }
+    return strcmp(a->name, b->name) < 0;
+}
+
 Group *
 Groups_Choose(Groups *groups, bool (*may_start)(Group *group, void *context),
               void *context)
@@ -224,7 +234,7 @@
         if (group->waiting == 0 || !may_start(group, context)) {
             continue;
         }
-        if (best == NULL || group->vtime.value_ms < best->vtime.value_ms) {
+        if (best == NULL || is_before(group, best)) {
             best = group;
         }
     }
--- a/core/members.c
+++ b/core/members.c
@@ -118,8 +118,8 @@
 
     if (pending != NULL) {
         if (board->now.mono_ms - pending->sent_ms >=
-            board->config.suspect_ms) {
-            /* A silent cut: nothing else would end the calls to it. */
+            board->config.suspect_ms / 2) {
+            /* A silent cut would end no call; a second try comes in time. */
             board->ports.reset(board->context, peer->address);
         }
         return;
--- a/core/outcome.c
+++ b/core/outcome.c
@@ -231,6 +231,7 @@
         const Call *call = Handle_At(board->calls, i);
         if (call != NULL && call->kind == MSG_SUBMIT) {
             send_answer(board, &call->waiter, &call->key, &answer);
+            g_free(Handle_Remove(board->calls, call->id));
         }
     }
 }
--- a/core/ownership.c
+++ b/core/ownership.c
@@ -126,6 +126,35 @@
     return false;
 }
 
+typedef struct {
+    const Board *board;
+    bool found;
+} lost_search;
+
+static void
+find_lost_holder(Job *job, void *context)
+{
+    lost_search *search = context;
+
+    if (job->state == JOB_HELD &&
+        View_Find(Board_View(search->board), &job->holder) == NULL) {
+        search->found = true;
+    }
+}
+
+/*
+ * Whether a job's holder has left: what companions told of it before was not
+ * kept, because the holder knew better, and must be asked for again.
+ */
+static bool
+has_lost_holder(const Board *board)
+{
+    lost_search search = {board, false};
+
+    Ledger_Each(board->ledger, find_lost_holder, &search);
+    return search.found;
+}
+
 void
 Ownership_OnView(Board *board)
 {
@@ -137,6 +166,7 @@
     }
     settle->epoch = view->epoch;
     settle->active = Board_IsOwner(board);
+    settle->full = settle->active && has_lost_holder(board);
     settle->started_ms = board->now.mono_ms;
     settle->applied_ms = 0;
     g_hash_table_remove_all(settle->entries);
@@ -351,7 +381,7 @@
 
     call.u.inventory.from = board->config.self;
     call.u.inventory.epoch = board->settle.epoch;
-    call.u.inventory.settled = last_settled(board);
+    call.u.inventory.settled = board->settle.full ? 0 : last_settled(board);
     call.u.inventory.cursor = peer->cursor;
     peer->call = Board_Call(board, &call, &info);
 }
@@ -461,6 +491,8 @@
                        unsure_before(board, silent_companions)};
 
     board->settle.active = false;
+    Board_Event(board, EVENT_INVENTORY, "%u starts inherited",
+                board->settle.found->len);
     Recovery_Merge(board, board->settle.found, settled.unsure_before_ms);
     g_ptr_array_set_size(board->settle.found, 0);
     g_array_append_val(board->settles, settled);
--- a/core/recovery.c
+++ b/core/recovery.c
@@ -134,12 +134,14 @@
 decide(merge_search *search, Job *job)
 {
     bool unsure = Key_Time(&job->key) < search->unsure_before_ms;
+    /* Tasks nobody tells of may have run where nobody can tell any more. */
+    bool open = job->state == JOB_HELD || job->waiting > 0;
 
     Ledger_Reopen(search->board->ledger, job);
     if (job->state == JOB_HELD && !unsure) {
         Ledger_Remove(search->board->ledger, job);
     }
-    else if (job->state == JOB_HELD) {
+    else if (unsure && open && !has_failed_task(job)) {
         Outcome_Fail(search->board, job, ERR_LOST,
                      "its entry and a companion were lost");
     }
@@ -150,10 +152,6 @@
     else if (job->done == job->total) {
         Outcome_Done(search->board, job);
     }
-    else if (unsure && job->waiting > 0) {
-        Outcome_Fail(search->board, job, ERR_LOST,
-                     "its entry and a companion were lost");
-    }
     else {
         Ledger_End(search->board->ledger, job, search->board->now.mono_ms);
     }
--- a/core/recovery.h
+++ b/core/recovery.h
@@ -24,7 +24,7 @@
 /** Copies a start out of a message; free with Recovery_FreeStarted. */
 Recovery_Started *Recovery_CopyStarted(const lc_started *started,
                                        const lc_node *companion);
-void Recovery_FreeStarted(gpointer started);
+void Recovery_FreeStarted(gpointer item);
 
 /**
  * Puts the starts of @p found (Recovery_Started) into the ledger and decides
--- a/daemon/entry_process.c
+++ b/daemon/entry_process.c
@@ -160,7 +160,7 @@
     uint32_t i;
 
     note_hosts(self, rows != NULL);
-    for (i = 0; i < count; i++) {
+    for (i = 0; rows != NULL && i < count; i++) {
         Members_Host host = {rows[i].address, rows[i].role, rows[i].leaving};
         g_array_append_val(hosts, host);
     }
@@ -179,13 +179,19 @@
     self->hosts.functions->read(self->hosts.self, on_hosts, self);
 }
 
-/* Out of the view: a new incarnation begins with empty memory. */
+/*
+ * Out of the view: a new incarnation begins with empty memory, unless the
+ * process is stopping anyway.
+ */
 static void
 renew(entry_process *self)
 {
     Status status = {ERR_OK, ""};
 
     Entry_Abandon(self->entry, Process_Now());
+    if (self->process.stopping) {
+        return;
+    }
     Entry_Free(self->entry);
     new_entry(self, self->process.options);
     if (Process_ReopenRpc(&self->process, &status) != ERR_OK) {
--- a/daemon/http_server.c
+++ b/daemon/http_server.c
@@ -202,7 +202,7 @@
     h2o_config_init(&server->config);
     server->config.server_name = h2o_iovec_init(H2O_STRLIT("levercove"));
     /* Twice our own limit, so that our own error answers most. */
-    server->config.max_request_entity_size = 2 * (size_t)HTTP_MAX_BODY;
+    server->config.max_request_entity_size = 2 * HTTP_MAX_BODY;
     host = h2o_config_register_host(
         &server->config, h2o_iovec_init(H2O_STRLIT("default")), 65535);
     path = h2o_config_register_path(host, "/", 0);
--- a/daemon/http_server.h
+++ b/daemon/http_server.h
@@ -15,7 +15,7 @@
 #include "base/err.h"
 
 /** Longest request body, in bytes. */
-#define HTTP_MAX_BODY (8U * 1024 * 1024)
+#define HTTP_MAX_BODY ((size_t)8 * 1024 * 1024)
 
 /** A request. Borrowed by the handler. */
 typedef struct {
--- a/daemon/options.c
+++ b/daemon/options.c
@@ -8,20 +8,22 @@
 
 #define ADDRESS(name, required)                                               \
     {                                                                         \
-#name, SETTING_ADDRESS, offsetof(Options, name), required, 0, 0, NULL \
+#name, SETTING_ADDRESS, offsetof(Options, name), (required), 0, 0,    \
+            NULL                                                              \
     }
 #define TEXT(name, required, choices)                                         \
     {                                                                         \
-#name, SETTING_TEXT, offsetof(Options, name), required, 0, 0, choices \
+#name, SETTING_TEXT, offsetof(Options, name), (required), 0, 0,       \
+            (choices)                                                         \
     }
 #define GROUP(name)                                                           \
     {                                                                         \
-        name, SETTING_GROUP, 0, 0, 0, 0, NULL                                 \
+        (name), SETTING_GROUP, 0, 0, 0, 0, NULL                               \
     }
 #define INTEGER(group, name, least, most)                                     \
     {                                                                         \
-        group #name, SETTING_INTEGER, offsetof(Options, name), 0, least,      \
-            most, NULL                                                        \
+        group #name, SETTING_INTEGER, offsetof(Options, name), 0, (least),    \
+            (most), NULL                                                      \
     }
 
 static const Setting option_table[] = {
--- /dev/null
+++ b/tests/cases.c
@@ -0,0 +1,474 @@
+/*
+ * Case tables: each file under tests/cases holds cases of one kind, as
+ *
+ *     == name
+ *     input lines
+ *     --
+ *     expected output lines
+ *
+ * The kind is the file's name; its function turns input into output, which
+ * must equal the expected one. Lines that begin with "# " are remarks.
+ */
+
+#include <glib.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "base/key.h"
+#include "cli/csv.h"
+#include "core/arbiter.h"
+#include "core/fold.h"
+#include "core/group.h"
+#include "daemon/options.h"
+#include "wire/msg.h"
+
+typedef void (*case_function)(const char *input, GString *output);
+
+typedef struct {
+    char *name;
+    case_function run;
+    GString *input;
+    GString *expected;
+} test_case;
+
+/* One line at a time; the caller frees the array. */
+static char **
+lines_of(const char *input)
+{
+    char **lines = g_strsplit(input, "\n", 0);
+    guint count = g_strv_length(lines);
+
+    if (count > 0 && lines[count - 1][0] == '\0') {
+        g_free(lines[count - 1]);
+        lines[count - 1] = NULL;
+    }
+    return lines;
+}
+
+static void
+run_key(const char *input, GString *output)
+{
+    char **lines = lines_of(input);
+    char text[KEY_TEXT_LENGTH + 1];
+    Key key;
+    guint i;
+
+    for (i = 0; lines[i] != NULL; i++) {
+        if (!Key_Parse(lines[i], &key)) {
+            g_string_append(output, "refused\n");
+            continue;
+        }
+        Key_Format(&key, text);
+        g_string_append_printf(output, "%s minted at %lld\n", text,
+                               (long long)Key_Time(&key));
+    }
+    g_strfreev(lines);
+}
+
+static char *
+write_temporary(const char *text)
+{
+    char *name = NULL;
+    int fd = g_file_open_tmp("levercove-XXXXXX", &name, NULL);
+
+    g_assert_cmpint(fd, >=, 0);
+    g_assert_cmpint(write(fd, text, strlen(text)), ==, (ssize_t)strlen(text));
+    close(fd);
+    return name;
+}
+
+static void
+run_settings(const char *input, GString *output)
+{
+    char *file = write_temporary(input);
+    char *errors;
+    Options options;
+
+    if (Options_Load(file, &options, &errors) == ERR_OK) {
+        g_string_append_printf(output, "accepted: %s in %s\n", options.role,
+                               options.hall);
+    }
+    else {
+        g_string_append(output, errors);
+        g_string_replace(output, file, "FILE", 0);
+    }
+    unlink(file);
+    g_free(errors);
+    g_free(file);
+}
+
+static const char *const fold_texts[] = {
+    [FOLD_OLD] = "old",
+    [FOLD_GAP] = "gap",
+    [FOLD_SKIPPED] = "skipped",
+    [FOLD_VIEW] = "view",
+    [FOLD_VIEW_REFUSED] = "view refused",
+    [FOLD_EDIT] = "edit",
+    [FOLD_EDIT_REFUSED] = "edit refused",
+    [FOLD_SNAPSHOT] = "snapshot",
+    [FOLD_LOADED] = "loaded",
+};
+
+static void
+describe_fold(const Fold *fold, GString *output)
+{
+    const View *view = Fold_View(fold);
+    GPtrArray *rows = Table_Sorted(Fold_Table(fold), true);
+    guint i;
+
+    g_string_append_printf(output, "next %llu%s",
+                           (unsigned long long)Fold_Next(fold),
+                           Fold_Synced(fold) ? "" : ", out of step");
+    for (i = 0; i < view->members->len; i++) {
+        const View_Member *member = &g_array_index(view->members, View_Member,
+                                                   i);
+        g_string_append_printf(output, ", %s%s",
+                               Address_Text(member->node.address),
+                               member->leaving ? " leaving" : "");
+    }
+    for (i = 0; i < rows->len; i++) {
+        const Table_Row *row = g_ptr_array_index(rows, i);
+        g_string_append_printf(output, ", %s", row->group);
+        if (row->present) {
+            g_string_append_printf(output, " weight %lld",
+                                   (long long)row->weight);
+        }
+        else {
+            g_string_append(output, " deleted");
+        }
+    }
+    g_string_append_c(output, '\n');
+    g_ptr_array_unref(rows);
+}
+
+/* Lines: "OFFSET RECORD", "expired FIRST" or "snapshot OFFSET". */
+static void
+run_fold(const char *input, GString *output)
+{
+    Fold *fold = Fold_New(600000);
+    char **lines = lines_of(input);
+    guint i;
+
+    for (i = 0; lines[i] != NULL; i++) {
+        Status status = {ERR_OK, ""};
+        char *space = strchr(lines[i], ' ');
+        uint64_t offset = strtoull(lines[i], NULL, 10);
+        char *own = NULL;
+        const char *text = space + 1;
+        Fold_Result result;
+        if (g_str_has_prefix(lines[i], "expired ")) {
+            Fold_Expired(fold, strtoull(text, NULL, 10));
+            continue;
+        }
+        if (g_str_has_prefix(lines[i], "snapshot ")) {
+            offset = strtoull(text, NULL, 10);
+            own = Fold_SnapshotRecord(fold);
+            text = own;
+        }
+        result = Fold_Apply(fold, offset, text, &status);
+        g_string_append(output, fold_texts[result]);
+        if (status.message[0] != '\0' && result != FOLD_EDIT &&
+            result != FOLD_VIEW && result != FOLD_SNAPSHOT &&
+            result != FOLD_LOADED) {
+            g_string_append_printf(output, ": %s", status.message);
+        }
+        g_string_append_c(output, '\n');
+        free(own);
+    }
+    describe_fold(fold, output);
+    g_strfreev(lines);
+    Fold_Free(fold);
+}
+
+static void
+run_csv(const char *input, GString *output)
+{
+    char *errors;
+    GArray *rows = Csv_Read(input, &errors);
+    guint i;
+
+    g_string_append(output, errors);
+    for (i = 0; rows != NULL && i < rows->len; i++) {
+        json_t *value = Table_RowToJson(&g_array_index(rows, Table_Row, i));
+        char *text = json_dumps(value, JSON_COMPACT);
+        g_string_append_printf(output, "%s\n", text);
+        free(text);
+        json_decref(value);
+    }
+    if (rows != NULL) {
+        g_array_unref(rows);
+    }
+    g_free(errors);
+}
+
+static GByteArray *
+parse_hex(const char *text)
+{
+    GByteArray *bytes = g_byte_array_new();
+
+    for (; *text != '\0'; text++) {
+        if (g_ascii_isxdigit(text[0]) && g_ascii_isxdigit(text[1])) {
+            guint8 byte = (guint8)(g_ascii_xdigit_value(text[0]) << 4 |
+                                   g_ascii_xdigit_value(text[1]));
+            g_byte_array_append(bytes, &byte, 1);
+            text++;
+        }
+    }
+    return bytes;
+}
+
+/* Each line is one record in hex, without its mark. */
+static void
+run_rpc(const char *input, GString *output)
+{
+    static const char *const texts[] = {
+        [MSG_IS_CALL] = "call",   [MSG_IS_NULL] = "null",
+        [MSG_IS_REPLY] = "reply", [MSG_IS_DENIED] = "denied",
+        [MSG_IS_BAD] = "refuse",  [MSG_IS_JUNK] = "junk",
+    };
+    char **lines = lines_of(input);
+    guint i;
+
+    for (i = 0; lines[i] != NULL; i++) {
+        GByteArray *bytes = parse_hex(lines[i]);
+        Msg_Record record;
+        Msg_Decode(bytes->data, bytes->len, &record);
+        g_string_append(output, texts[record.type]);
+        if (record.type == MSG_IS_CALL) {
+            g_string_append_printf(output, " %s", Msg_Name(record.call.kind));
+            Msg_FreeCall(&record.call);
+        }
+        else if (record.type == MSG_IS_BAD) {
+            g_string_append_printf(output, " with %d", (int)record.refusal);
+        }
+        g_string_append_c(output, '\n');
+        g_byte_array_unref(bytes);
+    }
+    g_strfreev(lines);
+}
+
+static lc_node
+numbered_node(const char *number)
+{
+    lc_node node = {strtoull(number, NULL, 10), 1};
+
+    return node;
+}
+
+/*
+ * Lines: "demand ENTRY GROUP N", "take ENTRY GROUP [GRANT]", "release GROUP
+ * MS", "offer", "decline GRANT", "lapse MS", "free".
+ */
+static void
+arbiter_line(Arbiter *arbiter, const Table *table, char **words,
+             GString *output)
+{
+    lc_demand demand;
+    Arbiter_Grant grant;
+    lc_node entry;
+
+    if (strcmp(words[0], "demand") == 0) {
+        entry = numbered_node(words[1]);
+        demand.group = words[2];
+        demand.waiting = (u_int)atoi(words[3]);
+        Arbiter_SetDemand(arbiter, &entry, &demand, 1);
+    }
+    else if (strcmp(words[0], "take") == 0) {
+        entry = numbered_node(words[1]);
+        g_string_append(
+            output,
+            Arbiter_Take(arbiter, &entry,
+                         words[3] == NULL ? 0 : strtoull(words[3], NULL, 10),
+                         words[2], table)
+                ? "taken\n"
+                : "refused\n");
+    }
+    else if (strcmp(words[0], "release") == 0) {
+        Arbiter_Release(arbiter, words[1], atoi(words[2]), table);
+    }
+    else if (strcmp(words[0], "offer") == 0) {
+        if (Arbiter_Offer(arbiter, 0, &grant)) {
+            g_string_append_printf(output, "grant %llu to %llu for %s\n",
+                                   (unsigned long long)grant.id,
+                                   (unsigned long long)grant.entry.address,
+                                   grant.group);
+        }
+        else {
+            g_string_append(output, "nothing\n");
+        }
+    }
+    else if (strcmp(words[0], "decline") == 0) {
+        Arbiter_Decline(arbiter, strtoull(words[1], NULL, 10));
+    }
+    else if (strcmp(words[0], "lapse") == 0) {
+        g_string_append_printf(output, "%u lapsed\n",
+                               Arbiter_Lapse(arbiter, atoi(words[1])));
+    }
+    else {
+        g_string_append_printf(output, "%u free\n",
+                               Arbiter_FreeSlots(arbiter));
+    }
+}
+
+static void
+run_arbiter(const char *input, GString *output)
+{
+    Arbiter *arbiter = Arbiter_New(2, 100, 1);
+    Table *table = Table_New();
+    char **lines = lines_of(input);
+    Table_Row row;
+    guint i;
+
+    memset(&row, 0, sizeof(row));
+    row.present = true;
+    row.weight = 3;
+    g_strlcpy(row.group, "heavy", sizeof(row.group));
+    Table_Put(table, &row);
+    for (i = 0; lines[i] != NULL; i++) {
+        char **words = g_strsplit(lines[i], " ", 0);
+        arbiter_line(arbiter, table, words, output);
+        g_strfreev(words);
+    }
+    g_strfreev(lines);
+    Table_Free(table);
+    Arbiter_Free(arbiter);
+}
+
+static bool
+allow_group(Group *group, void *context)
+{
+    (void)group;
+    (void)context;
+    return true;
+}
+
+static void
+queue_job(Groups *groups, Ledger *ledger, char **words, uint8_t number)
+{
+    Key key = Key_Mint(1, 0, number);
+    Job *job = Ledger_Add(ledger, &key);
+
+    g_strlcpy(job->group, words[1], sizeof(job->group));
+    Job_SetTotal(job, (uint32_t)atoi(words[2]));
+    job->arrived_ms = atoi(words[3]);
+    g_snprintf(job->message, sizeof(job->message), "%s", words[4]);
+    Groups_Enqueue(groups, job);
+}
+
+/*
+ * Lines: "order NAME" first, "weight GROUP N", "job GROUP TASKS ARRIVED
+ * NAME", "send MS" (one task), "end JOB'S-GROUP MS" (the one sent last).
+ */
+static void
+run_group(const char *input, GString *output)
+{
+    Ledger *ledger = Ledger_New(100, 1000);
+    Groups *groups = NULL;
+    char **lines = lines_of(input);
+    Job *last = NULL;
+    guint i;
+
+    for (i = 0; lines[i] != NULL; i++) {
+        char **words = g_strsplit(lines[i], " ", 0);
+        if (strcmp(words[0], "order") == 0) {
+            groups = Groups_New(Group_OrderFromText(words[1]));
+        }
+        else if (strcmp(words[0], "weight") == 0) {
+            Groups_Get(groups, words[1])->weight = (uint32_t)atoi(words[2]);
+        }
+        else if (strcmp(words[0], "job") == 0) {
+            queue_job(groups, ledger, words, (uint8_t)(i + 1));
+        }
+        else if (strcmp(words[0], "send") == 0) {
+            Group *group = Groups_Choose(groups, allow_group, NULL);
+            if (group == NULL) {
+                g_string_append(output, "nothing\n");
+            }
+            else {
+                last = Groups_ChooseJob(groups, group, atoi(words[1]));
+                last->tasks[Job_NextWaiting(last)].state = TASK_SENT;
+                Groups_TaskSent(groups, last);
+                g_string_append_printf(output, "%s %s\n", group->name,
+                                       last->message);
+            }
+        }
+        else {
+            Groups_TaskEnded(groups, last, atoi(words[1]));
+        }
+        g_strfreev(words);
+    }
+    g_strfreev(lines);
+    Groups_Free(groups);
+    Ledger_Free(ledger);
+}
+
+static const struct {
+    const char *kind;
+    case_function run;
+} kinds[] = {
+    {"key", run_key},     {"settings", run_settings}, {"fold", run_fold},
+    {"csv", run_csv},     {"rpc", run_rpc},           {"arbiter", run_arbiter},
+    {"group", run_group},
+};
+
+static void
+run_case(gconstpointer data)
+{
+    const test_case *one = data;
+    GString *output = g_string_new(NULL);
+
+    one->run(one->input->str, output);
+    g_assert_cmpstr(output->str, ==, one->expected->str);
+    g_string_free(output, TRUE);
+}
+
+static void
+load_cases(const char *folder, const char *kind, case_function run)
+{
+    char *file = g_strconcat(folder, "/", kind, ".txt", NULL);
+    char *text = NULL;
+    char **lines;
+    test_case *one = NULL;
+    GString *part = NULL;
+    guint i;
+
+    g_assert_true(g_file_get_contents(file, &text, NULL, NULL));
+    lines = lines_of(text);
+    for (i = 0; lines[i] != NULL; i++) {
+        if (g_str_has_prefix(lines[i], "== ")) {
+            one = g_new0(test_case, 1);
+            one->name = g_strconcat("/", kind, "/", lines[i] + 3, NULL);
+            one->run = run;
+            one->input = g_string_new(NULL);
+            one->expected = g_string_new(NULL);
+            part = one->input;
+            g_test_add_data_func(one->name, one, run_case);
+        }
+        else if (one != NULL && strcmp(lines[i], "--") == 0) {
+            part = one->expected;
+        }
+        else if (part != NULL && !g_str_has_prefix(lines[i], "# ")) {
+            g_string_append_printf(part, "%s\n", lines[i]);
+        }
+    }
+    g_strfreev(lines);
+    g_free(text);
+    g_free(file);
+}
+
+int
+main(int argc, char **argv)
+{
+    const char *folder = g_getenv("LEVERCOVE_CASES");
+    size_t i;
+
+    g_test_init(&argc, &argv, NULL);
+    g_test_set_nonfatal_assertions();
+    for (i = 0; i < G_N_ELEMENTS(kinds); i++) {
+        load_cases(folder == NULL ? "tests/cases" : folder, kinds[i].kind,
+                   kinds[i].run);
+    }
+    return g_test_run();
+}
--- a/tests/prop_cluster.cc
+++ b/tests/prop_cluster.cc
@@ -1,11 +1,15 @@
 /*
  * Properties of many nodes together, over random schedules of faults. The
- * seed is fixed (see tests/CMakeLists.txt); RC_PARAMS gives another, or more
- * schedules.
+ * seed comes from RC_PARAMS (scripts/test.sh fixes it). PUMP_SCHEDULES names a
+ * file of schedules that failed once; PUMP_PLAN replays one, and PUMP_TRACE
+ * prints the nodes' events.
  */
 
 #include <rapidcheck.h>
 
+#include <fstream>
+#include <sstream>
+
 #include "tests/pump.h"
 
 namespace {
@@ -72,12 +76,61 @@
     }
 }
 
+/* Replays a plan "SEED FAULT,AT,LENGTH,TARGET,OTHER ...". */
+bool
+replay(const std::string &text)
+{
+    pump::Plan plan;
+    std::istringstream in(text);
+    pump::Action action;
+    int fault;
+    char comma;
+
+    in >> plan.seed;
+    while (in >> fault >> comma >> action.at_ms >> comma >> action.length_ms >>
+           comma >> action.target >> comma >> action.other) {
+        action.fault = (pump::Fault)fault;
+        plan.actions.push_back(action);
+    }
+    std::string violations = pump::run(plan).violations();
+    printf("%s", violations.c_str());
+    return violations.empty();
+}
+
+/* Schedules that failed once, each line "cause: plan". */
+bool
+replay_all(const char *file)
+{
+    std::ifstream in(file);
+    std::string line;
+    bool passed = true;
+
+    while (std::getline(in, line)) {
+        size_t colon = line.find(": ");
+        if (line.empty() || line[0] == '#' || colon == std::string::npos) {
+            continue;
+        }
+        if (!replay(line.substr(colon + 2))) {
+            printf("schedule failed: %s\n", line.c_str());
+            passed = false;
+        }
+    }
+    return passed;
+}
+
 } // namespace
 
 int
 main()
 {
-    bool passed = true;
+    const char *replayed = getenv("PUMP_PLAN");
+    const char *known = getenv("PUMP_SCHEDULES");
+
+    if (replayed != nullptr) {
+        return replay(replayed) ? 0 : 1;
+    }
+    bool passed = known == nullptr || replay_all(known);
+
     auto property = [&](const char *name, std::function<void()> body) {
         passed = rc::check(name, body) && passed;
     };
