--- a/base/counter.h
+++ b/base/counter.h
@@ -38,8 +38,7 @@
     X(APPENDS, "log_appends")                                                 \
     X(RPC_BYTES_IN, "rpc_bytes_in")                                           \
     X(RPC_BYTES_OUT, "rpc_bytes_out")                                         \
-    X(RPC_BAD, "rpc_bad_records")                                             \
-    X(HTTP_BAD, "http_bad_requests")
+    X(RPC_BAD, "rpc_bad_records")
 
 /** Counter identifiers, in the order of COUNTER_LIST. */
 typedef enum {
--- a/base/err.h
+++ b/base/err.h
@@ -39,7 +39,6 @@
     X(NEED_MATCH, "if_match_required", 428, 2, OUTCOME_REFUSED, 0)            \
     X(QUEUE_FULL, "queue_full", 429, 6, OUTCOME_NOT_RUN, 1)                   \
     X(WAIT_TOO_LONG, "wait_too_long", 503, 6, OUTCOME_NOT_RUN, 1)             \
-    X(DRAINING, "draining", 503, 6, OUTCOME_UNKNOWN, 1)                       \
     X(NO_EVIDENCE, "no_evidence", 503, 6, OUTCOME_UNKNOWN, 1)                 \
     X(UNSETTLED, "unsettled", 503, 6, OUTCOME_UNKNOWN, 1)                     \
     X(OWNER_LOST, "owner_lost", 504, 7, OUTCOME_UNKNOWN, 1)                   \
--- a/core/apply.c
+++ b/core/apply.c
@@ -3,6 +3,7 @@
 #include "core/dispatch.h"
 #include "core/drain.h"
 #include "core/edits.h"
+#include "core/limits.h"
 #include "core/ownership.h"
 
 static void
@@ -25,6 +26,7 @@
                     (unsigned long long)view->epoch);
     }
     Ownership_OnView(board);
+    Limits_OnView(board);
     Dispatch_Run(board);
 }
 
--- a/core/board.h
+++ b/core/board.h
@@ -156,6 +156,9 @@
     int64_t snapshot_ms;     /**< when the last snapshot was applied */
     GPtrArray *edits;        /**< Edit */
     uint64_t next_append;
+    uint64_t shares_epoch; /**< epoch whose shares are in use, see limits.h */
+    int64_t all_complied_ms; /**< since when nobody exceeds the new shares */
+    uint64_t last_borrow;
     uint64_t complied; /**< epoch to whose shares this entry keeps */
     bool joined;       /**< was a member of the view once */
     bool deposed;      /**< removed from the view while running */
--- a/core/companion.c
+++ b/core/companion.c
@@ -34,6 +34,7 @@
     GHashTable *sequences; /* incarnation -> sequence_row */
     Handle_Table *calls;   /* pending_call */
     int64_t down_until_ms;
+    bool was_down; /* the last connection to the upstream was refused */
     uint32_t running;
     bool draining;
 };
@@ -626,6 +627,16 @@
     offer_slots(companion);
 }
 
+/* The upstream took a connection. */
+static void
+note_up(Companion *companion)
+{
+    if (companion->was_down) {
+        companion->was_down = false;
+        companion->ports.event(companion->context, EVENT_UPSTREAM_UP, "");
+    }
+}
+
 /* The upstream refuses connections: nothing of the task has run. */
 static void
 unstart_record(Companion *companion, Record *record)
@@ -633,7 +644,8 @@
     GArray *waiters = g_array_ref(record->waiters);
     guint i;
 
-    if (!is_down(companion)) {
+    if (!companion->was_down) {
+        companion->was_down = true;
         companion->ports.event(companion->context, EVENT_UPSTREAM_DOWN, "");
     }
     companion->down_until_ms = companion->now.mono_ms +
@@ -664,6 +676,7 @@
         unstart_record(companion, record);
         return;
     }
+    note_up(companion);
     record->timed_out = result == COMPANION_RUN_TIMEOUT;
     Counter_Add(&companion->counters,
                 result == COMPANION_RUN_DONE ? COUNTER_TASKS_DONE
--- a/core/entry.c
+++ b/core/entry.c
@@ -90,6 +90,9 @@
     case MSG_SUBMIT:
         Admission_AnswerSubmit(board, reply_id, &call->u.submit);
         break;
+    case MSG_BORROW:
+        Limits_AnswerBorrow(board, reply_id, &call->u.borrow);
+        break;
     default:
         /* A call for companions: its sender takes us for another process. */
         Counter_Add(&board->counters, COUNTER_RPC_BAD, 1);
@@ -125,6 +128,9 @@
         Admission_OnSubmit(board, call,
                            reply == NULL ? NULL : &reply->u.submit);
         break;
+    case MSG_BORROW:
+        Limits_OnBorrow(board, call, reply == NULL ? NULL : &reply->u.borrow);
+        break;
     case MSG_GRANT:
     case MSG_DECLINE:
     case MSG_COUNT:
--- a/core/group.c
+++ b/core/group.c
@@ -66,6 +66,9 @@
     Group *group = item;
 
     g_ptr_array_unref(group->queue);
+    if (group->lent != NULL) {
+        g_hash_table_unref(group->lent);
+    }
     g_free(group);
 }
 
--- a/core/group.h
+++ b/core/group.h
@@ -42,9 +42,16 @@
     GPtrArray *queue; /**< Job with waiting tasks, in order of arrival */
     Job *current;     /**< job chosen last, kept for a short while */
     int64_t current_until_ms;
-    uint32_t units;       /**< tasks of a capped group that may run here */
-    uint64_t units_epoch; /**< epoch whose share `units` is */
-    double tokens;        /**< starts allowed by the rate */
+    int64_t units;        /**< tasks of a capped group that may run here */
+    int64_t units_share;  /**< share of the cap that `units` came from */
+    uint64_t units_epoch; /**< epoch of that share */
+    uint64_t borrow_id;   /**< request for a unit that is open, or 0 */
+    uint64_t borrow_call; /**< its call, or 0 */
+    lc_node lender;       /**< whom it was sent to */
+    int64_t borrow_ms;    /**< when to ask, or ask again */
+    int64_t reserved_until_ms; /**< a unit is kept for an older waiter */
+    GHashTable *lent;          /**< incarnation -> last id granted, or NULL */
+    double tokens;             /**< starts allowed by the rate */
     int64_t tokens_ms;
 } Group;
 
--- a/core/limits.c
+++ b/core/limits.c
@@ -3,8 +3,14 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "core/dispatch.h"
+#include "core/ownership.h"
+
 #define MS_PER_S 1000.0
 #define BURST_S 0.1
+#define BORROW_MS 50
+#define BORROW_AGAIN_MS 200
+#define RESERVE_MS 300
 
 /* Number of entries in the view and this entry's place among them. */
 static uint32_t
@@ -44,9 +50,9 @@
            ((turn + rank) % count < (uint64_t)cap % count ? 1 : 0);
 }
 
-/* Whether no one uses more than its share of the current epoch any more. */
+/* Whether every other member keeps to its share of this epoch. */
 static bool
-all_complied(const Board *board)
+members_complied(const Board *board)
 {
     const View *view = Board_View(board);
     guint i;
@@ -64,30 +70,87 @@
             return false;
         }
     }
+    return true;
+}
+
+static bool
+removed_since(const Board *board, uint64_t epoch)
+{
+    const View *view = Board_View(board);
+    guint i;
+
     for (i = 0; i < view->removed->len; i++) {
         const View_Removed *removed = &g_array_index(view->removed,
                                                      View_Removed, i);
-        if (removed->is_entry &&
-            board->now.wall_ms - removed->at_ms <
-                board->config.task_timeout_ms + board->config.skew_ms) {
-            return false;
+        if (removed->is_entry && removed->offset > epoch) {
+            return true;
         }
     }
-    return true;
+    return false;
+}
+
+void
+Limits_OnView(Board *board)
+{
+    if (board->shares_epoch != Board_View(board)->epoch) {
+        board->all_complied_ms = 0;
+    }
+}
+
+/* Goes over to the shares of the epoch once nobody can exceed them. */
+static void
+update_epoch(Board *board)
+{
+    uint64_t epoch = Board_View(board)->epoch;
+    int64_t wait_ms = 0;
+
+    if (board->shares_epoch == epoch || !Board_IsMember(board)) {
+        return;
+    }
+    if (board->complied < epoch || !members_complied(board)) {
+        board->all_complied_ms = 0;
+        return;
+    }
+    if (board->all_complied_ms == 0) {
+        board->all_complied_ms = board->now.mono_ms;
+    }
+    if (removed_since(board, board->shares_epoch)) {
+        /* It may start tasks while its evidence lasts, and they may run. */
+        wait_ms = board->config.evidence_ms * 11 / 10 +
+                  board->config.task_timeout_ms;
+    }
+    if (board->now.mono_ms - board->all_complied_ms >= wait_ms) {
+        board->shares_epoch = epoch;
+    }
 }
 
+/*
+ * Units follow the share by its difference, which leaves alone what was
+ * borrowed and lent; a new epoch starts from its share.
+ */
 static void
 update_units(Board *board, Group *group, int64_t cap)
 {
     uint64_t epoch = Board_View(board)->epoch;
-    uint32_t share = share_of(board, group->name, cap);
+    int64_t share = share_of(board, group->name, cap);
 
-    if (group->units_epoch != epoch && all_complied(board)) {
-        group->units_epoch = epoch;
+    if (board->shares_epoch != epoch) {
+        group->units = MIN(group->units, share);
+        group->units_share = MIN(group->units_share, share);
+        return;
     }
-    if (group->units_epoch == epoch || share < group->units) {
+    if (group->units_epoch != epoch) {
+        group->units_epoch = epoch;
         group->units = share;
+        group->borrow_id = 0;
+        if (group->lent != NULL) {
+            g_hash_table_remove_all(group->lent);
+        }
+    }
+    else {
+        group->units += share - group->units_share;
     }
+    group->units_share = share;
 }
 
 static void
@@ -106,6 +169,14 @@
     }
 }
 
+/* Units that may be used now: one may be kept for an older waiter. */
+static int64_t
+usable_units(const Board *board, const Group *group)
+{
+    return group->units -
+           (board->now.mono_ms < group->reserved_until_ms ? 1 : 0);
+}
+
 bool
 Limits_MayStart(Board *board, Group *group)
 {
@@ -118,7 +189,8 @@
     group->weight = (uint32_t)row->weight;
     if (row->max_running > 0) {
         update_units(board, group, row->max_running);
-        if (group->running >= group->units) {
+        if (group->running >= usable_units(board, group) ||
+            !Ownership_HasEvidence(board)) {
             return false;
         }
     }
@@ -150,6 +222,217 @@
     return share_of(board, group, row->max_queued);
 }
 
+uint64_t
+Limits_Complied(const Board *board)
+{
+    return board->complied;
+}
+
+/* How long the group's oldest queued job has waited; -1 if none waits. */
+static int64_t
+oldest_wait_ms(const Board *board, const Group *group)
+{
+    int64_t oldest_ms = -1;
+    guint i;
+
+    for (i = 0; i < group->queue->len; i++) {
+        const Job *job = g_ptr_array_index(group->queue, i);
+        oldest_ms = MAX(oldest_ms, board->now.mono_ms - job->arrived_ms);
+    }
+    return oldest_ms;
+}
+
+/* Whether this very request was granted before. */
+static bool
+was_granted(const Group *group, const lc_borrow_args *args)
+{
+    const uint64_t *id = group->lent == NULL
+                             ? NULL
+                             : g_hash_table_lookup(group->lent,
+                                                   &args->from.incarnation);
+
+    return id != NULL && *id == args->id;
+}
+
+static void
+note_granted(Group *group, const lc_borrow_args *args)
+{
+    uint64_t *key = g_new(uint64_t, 1);
+    uint64_t *id = g_new(uint64_t, 1);
+
+    if (group->lent == NULL) {
+        group->lent = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+                                            g_free, g_free);
+    }
+    *key = args->from.incarnation;
+    *id = args->id;
+    g_hash_table_replace(group->lent, key, id);
+}
+
+static bool
+lend(Board *board, Group *group, const lc_borrow_args *args)
+{
+    const Table_Row *row = Table_Find(Board_Table(board), group->name);
+    bool older = args->waiting_ms > oldest_wait_ms(board, group);
+
+    if (row == NULL || row->max_running == 0 ||
+        args->epoch != board->shares_epoch ||
+        args->epoch != Board_View(board)->epoch) {
+        return false;
+    }
+    if (was_granted(group, args)) {
+        return true;
+    }
+    update_units(board, group, row->max_running);
+    if (group->running < group->units && older) {
+        group->units--;
+        group->reserved_until_ms = 0;
+        note_granted(group, args);
+        return true;
+    }
+    if (older && group->units > 0) {
+        group->reserved_until_ms = board->now.mono_ms + RESERVE_MS;
+    }
+    return false;
+}
+
+void
+Limits_AnswerBorrow(Board *board, uint64_t reply_id,
+                    const lc_borrow_args *args)
+{
+    Msg_Reply reply = {.kind = MSG_BORROW};
+    Group *group = Groups_Get(board->groups, args->group);
+
+    reply.u.borrow.granted = lend(board, group, args);
+    reply.u.borrow.epoch = Board_View(board)->epoch;
+    board->ports.reply(board->context, reply_id, &reply);
+}
+
+/* The next entry after the one asked last, in order of address. */
+static const View_Member *
+next_lender(const Board *board, Address after)
+{
+    const View *view = Board_View(board);
+    const View_Member *next = NULL;
+    const View_Member *first = NULL;
+    guint i;
+
+    for (i = 0; i < view->members->len; i++) {
+        const View_Member *member = &g_array_index(view->members, View_Member,
+                                                   i);
+        if (!member->is_entry ||
+            Node_Same(&member->node, &board->config.self)) {
+            continue;
+        }
+        if (first == NULL || member->node.address < first->node.address) {
+            first = member;
+        }
+        if (member->node.address > after &&
+            (next == NULL || member->node.address < next->node.address)) {
+            next = member;
+        }
+    }
+    return next == NULL ? first : next;
+}
+
+static void
+send_borrow(Board *board, Group *group)
+{
+    Msg_Call call = {.kind = MSG_BORROW};
+    Call info = {.to = group->lender.address,
+                 .incarnation = group->lender.incarnation,
+                 .epoch = Board_View(board)->epoch,
+                 .index = 0};
+
+    call.u.borrow.from = board->config.self;
+    call.u.borrow.epoch = info.epoch;
+    call.u.borrow.id = group->borrow_id;
+    call.u.borrow.waiting_ms = oldest_wait_ms(board, group);
+    call.u.borrow.group = group->name;
+    group->borrow_call = Board_Call(board, &call, &info);
+}
+
+static void
+ask_lender(Board *board, Group *group)
+{
+    const View_Member *lender;
+
+    if (group->borrow_id == 0) {
+        lender = next_lender(board, group->lender.address);
+        if (lender == NULL) {
+            return;
+        }
+        group->lender = lender->node;
+        group->borrow_id = ++board->last_borrow;
+    }
+    send_borrow(board, group);
+}
+
+static void
+borrow_if_due(Group *group, void *context)
+{
+    Board *board = context;
+    const Table_Row *row = Table_Find(Board_Table(board), group->name);
+
+    if (group->borrow_id != 0 &&
+        View_Find(Board_View(board), &group->lender) == NULL) {
+        group->borrow_id = 0;
+    }
+    if (row == NULL || row->max_running == 0 ||
+        Handle_Get(board->calls, group->borrow_call) != NULL ||
+        board->now.mono_ms < group->borrow_ms ||
+        board->shares_epoch != Board_View(board)->epoch) {
+        return;
+    }
+    update_units(board, group, row->max_running);
+    if (group->borrow_id != 0 ||
+        (group->waiting > 0 && group->running >= group->units)) {
+        ask_lender(board, group);
+    }
+}
+
+typedef struct {
+    const Call *call;
+    Group *group;
+} borrow_search;
+
+static void
+find_borrower(Group *group, void *context)
+{
+    borrow_search *search = context;
+
+    if (group->borrow_call == search->call->id) {
+        search->group = group;
+    }
+}
+
+void
+Limits_OnBorrow(Board *board, const Call *call, const lc_borrow_res *reply)
+{
+    borrow_search search = {call, NULL};
+    Group *group;
+
+    Groups_Each(board->groups, find_borrower, &search);
+    group = search.group;
+    if (group == NULL) {
+        return;
+    }
+    group->borrow_call = 0;
+    group->borrow_ms = board->now.mono_ms + BORROW_MS;
+    if (reply == NULL) {
+        /* It may have been granted: the same request is sent again. */
+        group->borrow_ms = board->now.mono_ms + BORROW_AGAIN_MS;
+        return;
+    }
+    group->borrow_id = 0;
+    if (reply->granted && call->epoch == board->shares_epoch &&
+        call->epoch == Board_View(board)->epoch) {
+        group->units++;
+        group->borrow_ms = board->now.mono_ms;
+        Dispatch_Run(board);
+    }
+}
+
 typedef struct {
     Board *board;
     bool kept;
@@ -168,8 +451,9 @@
     }
 }
 
-void
-Limits_Tick(Board *board)
+/* Tells peers, by the next ping, once nothing here exceeds its share. */
+static void
+update_complied(Board *board)
 {
     comply_search search = {board, true};
 
@@ -182,8 +466,10 @@
     }
 }
 
-uint64_t
-Limits_Complied(const Board *board)
+void
+Limits_Tick(Board *board)
 {
-    return board->complied;
+    update_complied(board);
+    update_epoch(board);
+    Groups_Each(board->groups, borrow_if_due, board);
 }
--- a/core/limits.h
+++ b/core/limits.h
@@ -1,11 +1,13 @@
 /**
  * @file limits.h
- * @brief Controller of the groups' limits: shares of a group's caps and
- * rates that this entry may use on its own.
+ * @brief Controller of the groups' limits: which part of a group's caps and
+ * rates this entry may use on its own.
  *
- * A cap is split over the entries of the epoch by their order. A share that
- * grew with a new epoch is used only when every other member reports that it
- * keeps to its new share, and tasks of a removed entry have had time to end.
+ * A cap is split into units over the entries of the epoch. An entry that has
+ * none left borrows from the others, one unit at a time; a unit moves and is
+ * never copied, so that all together never exceed the cap. Units that a new
+ * epoch adds to a share are used only when every member keeps to its new
+ * share and the tasks of removed entries have had time to end.
  */
 #ifndef LC_CORE_LIMITS_H
 #define LC_CORE_LIMITS_H
@@ -24,6 +26,17 @@
 /** Epoch up to which this entry keeps to its shares, told to peers. */
 uint64_t Limits_Complied(const Board *board);
 
+/** The view changed. */
+void Limits_OnView(Board *board);
+
+/** Another entry asks for a unit. */
+void Limits_AnswerBorrow(Board *board, uint64_t reply_id,
+                         const lc_borrow_args *args);
+
+/** A request for a unit ended; @p reply is NULL when it was lost. */
+void Limits_OnBorrow(Board *board, const Call *call,
+                     const lc_borrow_res *reply);
+
 void Limits_Tick(Board *board);
 
 #endif
--- a/daemon/http_server.c
+++ b/daemon/http_server.c
@@ -8,6 +8,7 @@
 #define H2O_USE_LIBUV 1
 #include <h2o.h>
 
+#include "base/event.h"
 #include "base/handle.h"
 
 #define LISTEN_BACKLOG 1024
@@ -35,7 +36,6 @@
     const Http_Route *routes;
     void *handler_context;
     Handle_Table *open;
-    uint64_t bad;
 };
 
 /* h2o calls this when the request ends, answered or not. */
@@ -123,11 +123,9 @@
     fill_request(request, &in);
     route = find_route(server, in.path, &in.rest);
     if (route == NULL) {
-        server->bad++;
         Http_RespondError(server, in.id, ERR_NOT_FOUND, "no such path", 0);
     }
     else if (in.length > HTTP_MAX_BODY) {
-        server->bad++;
         Http_RespondError(server, in.id, ERR_TOO_LARGE,
                           "the body is longer than 8 MiB", 0);
     }
@@ -268,6 +266,9 @@
     Http_Response response = {.status = Err_Http(kind), .retry_ms = retry_ms};
     char *text;
 
+    if (Err_Outcome(kind) == OUTCOME_REFUSED) {
+        Event_Log(EVENT_HTTP_BAD, "%s: %s", Err_Text(kind), message);
+    }
     if (retry_ms > 0) {
         json_object_set_new(body, "retry_after_ms", json_integer(retry_ms));
     }
@@ -285,12 +286,6 @@
     return Handle_Count(server->open);
 }
 
-uint64_t
-Http_BadRequests(const Http_Server *server)
-{
-    return server->bad;
-}
-
 static void
 on_listener_closed(uv_handle_t *handle)
 {
--- a/daemon/http_server.h
+++ b/daemon/http_server.h
@@ -70,9 +70,6 @@
 /** Requests that have not been answered. */
 uint32_t Http_Unanswered(const Http_Server *server);
 
-/** Requests of this process that were refused for their form. */
-uint64_t Http_BadRequests(const Http_Server *server);
-
 /** Takes no more connections; those open go on. */
 void Http_StopListening(Http_Server *server);
 
--- a/tests/prop_cluster.cc
+++ b/tests/prop_cluster.cc
@@ -97,6 +97,16 @@
     return plan;
 }
 
+pump::Plan
+capped_plan()
+{
+    pump::Plan plan;
+
+    plan.cap = 2;
+    plan.max_wait_ms = 700;
+    return plan;
+}
+
 /* Replays a plan "KIND SEED FAULT,AT,LENGTH,TARGET,OTHER ...". */
 bool
 replay(const std::string &text)
@@ -108,9 +118,10 @@
     char comma;
 
     in >> kind;
-    pump::Plan plan = kind == "full"    ? full_plan()
-                      : kind == "short" ? short_plan()
-                                        : pump::Plan();
+    pump::Plan plan = kind == "full"     ? full_plan()
+                      : kind == "short"  ? short_plan()
+                      : kind == "capped" ? capped_plan()
+                                         : pump::Plan();
     in >> plan.seed;
     while (in >> fault >> comma >> action.at_ms >> comma >> action.length_ms >>
            comma >> action.target >> comma >> action.other) {
@@ -173,6 +184,16 @@
              [] { check_plan(full_plan(), all_faults(), 6); });
     property("a short dedupe window",
              [] { check_plan(short_plan(), all_faults(), 6); });
+    property("caps and waits while entries come and go", [] {
+        check_plan(capped_plan(),
+                   {pump::Fault::KillEntry, pump::Fault::KillEntryHost,
+                    pump::Fault::Freeze, pump::Fault::CutAll,
+                    pump::Fault::CutPair, pump::Fault::DrainEntry,
+                    pump::Fault::LogOutage, pump::Fault::Burst},
+                   6);
+    });
+    property("no faults but late and lost messages",
+             [] { check_plan(capped_plan(), {pump::Fault::Burst}, 0); });
     property("planned replacement of every process", [] {
         check_plan(pump::Plan(),
                    {pump::Fault::DrainEntry, pump::Fault::DrainCompanion,
--- a/tests/pump.cc
+++ b/tests/pump.cc
@@ -90,6 +90,7 @@
     Entry *entry = nullptr;
     Companion *companion = nullptr;
     std::map<std::string, uint64_t> versions;
+    int64_t running = 0;
     /* Calls sent and not ended: id -> callee. */
     std::map<uint64_t, Address> calls;
 };
@@ -164,6 +165,7 @@
     std::map<uint64_t, OwedReply> owed_;
     uint64_t next_owed_ = 0;
     std::map<Address, int64_t> leaving_since_;
+    std::map<std::string, int64_t> running_;
     uint64_t incarnations_ = 0;
     bool faults_on_ = true;
 
@@ -201,6 +203,8 @@
     void inject(const Action &action);
     void heal();
     void watch_table(Node *node);
+    void check_stop(const Node *node);
+    void check_in_force(const AcceptedEdit &edit);
     void check_end();
     void check_starts();
     void check_jobs();
@@ -387,6 +391,7 @@
     node->life++;
     node->frozen_until_ms = 0;
     node->versions.clear();
+    node->running = 0;
     node->calls.clear();
     node->self = {node->address,
                   (uint64_t)now.wall_ms * 1000 + ++incarnations_};
@@ -478,6 +483,7 @@
         }
     }
     if (node->drained_ms > 3 * TICK_MS) {
+        check_stop(node);
         kill(node);
         publish_hosts(address, true, false, HOST_LAG_MS);
         at(now_ms_ + 50, [this, address] {
@@ -767,8 +773,19 @@
             "%s started work %lld ms after it was leaving",
             Address_Text(address), (long long)(now_ms_ - leaving->second)));
     }
+    /* The upstream goes on whatever becomes of its companion. */
+    std::string group = task->group;
+    int64_t running = ++running_[group];
+    if (group == "large" && plan_.cap > 0 && running > plan_.cap) {
+        report_.limit.push_back(format("%lld tasks run, the cap is %lld",
+                                       (long long)running,
+                                       (long long)plan_.cap));
+    }
+    node->running++;
+    at(now_ms_ + length_ms, [this, group] { running_[group]--; });
     to_node(address, life, now_ms_ + length_ms,
             [this, run_id, key, index](Node *alive) {
+                alive->running--;
                 std::string result = result_text(key, index);
                 Companion_OnRun(alive->companion, time_of(alive), run_id,
                                 COMPANION_RUN_DONE, 200, result.data(),
@@ -903,7 +920,11 @@
     if (!node->alive || now_ms_ < node->frozen_until_ms) {
         return;
     }
-    json_t *value = json_pack("{s:I}", "weight", (json_int_t)weight);
+    bool large = strcmp(group, "large") == 0;
+    json_t *value = json_pack(
+        "{s:I, s:I, s:I}", "weight", (json_int_t)weight, "max_running",
+        (json_int_t)(large ? plan_.cap : 0), "max_wait_ms",
+        (json_int_t)(large ? 0 : plan_.max_wait_ms));
     Table_RowFromJson(group, value, &row, &status);
     json_decref(value);
     edit_requests_.push_back({group, weight});
@@ -918,6 +939,10 @@
 
     if (status->kind == ERR_OK) {
         accepted_.push_back({asked.first, asked.second, version, now_ms_});
+        if (plan_.actions.empty()) {
+            AcceptedEdit edit = accepted_.back();
+            at(now_ms_ + IN_FORCE_MS, [this, edit] { check_in_force(edit); });
+        }
     }
 }
 
@@ -1055,6 +1080,41 @@
     }
 }
 
+/* A planned stop must leave nobody waiting. */
+void
+World::check_stop(const Node *node)
+{
+    if (node->running > 0) {
+        report_.cut_off.push_back(format("%s stopped with %lld tasks running",
+                                         Address_Text(node->address),
+                                         (long long)node->running));
+    }
+    for (const Attempt &attempt : attempts_) {
+        if (attempt.entry == node->address && attempt.life == node->life &&
+            !attempt.answered) {
+            report_.cut_off.push_back(key_text(jobs_[attempt.job].key) +
+                                      " was cut off by a planned stop");
+        }
+    }
+}
+
+/* Without faults an accepted edit is in force everywhere by now. */
+void
+World::check_in_force(const AcceptedEdit &edit)
+{
+    for (auto &pair : nodes_) {
+        const Node *node = pair.second.get();
+        const Table *table = node->is_entry ? Entry_Table(node->entry)
+                                            : Companion_Table(node->companion);
+        if (Table_Version(table, edit.group.c_str()) < edit.version) {
+            report_.table.push_back(
+                format("%s has not applied %s at version %llu",
+                       Address_Text(node->address), edit.group.c_str(),
+                       (unsigned long long)edit.version));
+        }
+    }
+}
+
 /* Ends all faults; every host comes back. */
 void
 World::heal()
@@ -1220,6 +1280,7 @@
     add("work to a leaving upstream", leaving);
     add("cut off", cut_off);
     add("table", table);
+    add("limit", limit);
     return all;
 }
 
--- a/tests/pump.h
+++ b/tests/pump.h
@@ -75,6 +75,8 @@
     uint32_t max_jobs = 1000;
     uint32_t max_records = 1000;
     size_t max_bytes = 1 << 20;
+    int64_t cap = 0;         /**< max_running of the group "large" */
+    int64_t max_wait_ms = 0; /**< of the group "small" */
     int64_t window_ms = 20000;
     std::vector<Action> actions;
 };
@@ -89,6 +91,7 @@
     std::vector<std::string> leaving;
     std::vector<std::string> cut_off;
     std::vector<std::string> table;
+    std::vector<std::string> limit;
     uint64_t requests = 0;
     uint64_t done = 0;
     uint64_t failed = 0;
--- a/wire/levercove.h
+++ b/wire/levercove.h
@@ -286,6 +286,21 @@
 };
 typedef struct lc_decline_res lc_decline_res;
 
+struct lc_borrow_args {
+	lc_node from;
+	u_quad_t epoch;
+	u_quad_t id;
+	quad_t waiting_ms;
+	char *group;
+};
+typedef struct lc_borrow_args lc_borrow_args;
+
+struct lc_borrow_res {
+	u_quad_t epoch;
+	bool_t granted;
+};
+typedef struct lc_borrow_res lc_borrow_res;
+
 #define LC_PROGRAM 0x20004c43
 #define LC_VERSION 1
 
@@ -317,6 +332,9 @@
 #define LC_DECLINE 8
 extern  lc_decline_res * lc_decline_1(lc_decline_args *, CLIENT *);
 extern  lc_decline_res * lc_decline_1_svc(lc_decline_args *, struct svc_req *);
+#define LC_BORROW 9
+extern  lc_borrow_res * lc_borrow_1(lc_borrow_args *, CLIENT *);
+extern  lc_borrow_res * lc_borrow_1_svc(lc_borrow_args *, struct svc_req *);
 extern int lc_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -347,6 +365,9 @@
 #define LC_DECLINE 8
 extern  lc_decline_res * lc_decline_1();
 extern  lc_decline_res * lc_decline_1_svc();
+#define LC_BORROW 9
+extern  lc_borrow_res * lc_borrow_1();
+extern  lc_borrow_res * lc_borrow_1_svc();
 extern int lc_program_1_freeresult ();
 #endif /* K&R C */
 
@@ -382,6 +403,8 @@
 extern  bool_t xdr_lc_submit_res (XDR *, lc_submit_res*);
 extern  bool_t xdr_lc_decline_args (XDR *, lc_decline_args*);
 extern  bool_t xdr_lc_decline_res (XDR *, lc_decline_res*);
+extern  bool_t xdr_lc_borrow_args (XDR *, lc_borrow_args*);
+extern  bool_t xdr_lc_borrow_res (XDR *, lc_borrow_res*);
 
 #else /* K&R C */
 extern bool_t xdr_lc_key ();
@@ -413,6 +436,8 @@
 extern bool_t xdr_lc_submit_res ();
 extern bool_t xdr_lc_decline_args ();
 extern bool_t xdr_lc_decline_res ();
+extern bool_t xdr_lc_borrow_args ();
+extern bool_t xdr_lc_borrow_res ();
 
 #endif /* K&R C */
 
--- a/wire/levercove.x
+++ b/wire/levercove.x
@@ -217,6 +217,23 @@
     unsigned int free;
 };
 
+/*
+ * Asks for one unit of a group's cap. The same id is the same request: its
+ * answer is repeated, so that a lost reply loses no unit.
+ */
+struct lc_borrow_args {
+    lc_node from;
+    unsigned hyper epoch;
+    unsigned hyper id;
+    hyper waiting_ms;
+    string group<LC_MAX_GROUP>;
+};
+
+struct lc_borrow_res {
+    unsigned hyper epoch;
+    bool granted;
+};
+
 program LC_PROGRAM {
     version LC_VERSION {
         void LC_NULL(void) = 0;
@@ -228,5 +245,6 @@
         lc_settle_res LC_SETTLE(lc_settle_args) = 6;
         lc_submit_res LC_SUBMIT(lc_submit_args) = 7;
         lc_decline_res LC_DECLINE(lc_decline_args) = 8;
+        lc_borrow_res LC_BORROW(lc_borrow_args) = 9;
     } = 1;
 } = 0x20004c43;
--- a/wire/levercove_xdr.c
+++ b/wire/levercove_xdr.c
@@ -506,3 +506,33 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_lc_borrow_args (XDR *xdrs, lc_borrow_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_lc_node (xdrs, &objp->from))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->epoch))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->id))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->waiting_ms))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->group, LC_MAX_GROUP))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_lc_borrow_res (XDR *xdrs, lc_borrow_res *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->epoch))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->granted))
+		 return FALSE;
+	return TRUE;
+}
--- a/wire/msg.h
+++ b/wire/msg.h
@@ -25,7 +25,8 @@
     X(INVENTORY, inventory)                                                   \
     X(SETTLE, settle)                                                         \
     X(SUBMIT, submit)                                                         \
-    X(DECLINE, decline)
+    X(DECLINE, decline)                                                       \
+    X(BORROW, borrow)
 
 /** Kinds of message, each equal to its procedure number less one. */
 typedef enum {
