A leaving entry is no member but finishes what it forwards; placement table

Cause (pump, planned stops without lost messages): an entry that had left the view counted as deposed when a request it had forwarded was still open, and answered it owner_lost. Only jobs of its own count now; it stops listening for callers once it is out.

libuv aborted the command line when a second request followed the first in one process: h2o's timer was freed while it closed. The client now lives as long as the process. Dispatch is split: placement (a table of policies, with the baselines), demand, overdue. New faults: a split of all nodes, tasks that end far too late.

--- a/cli/exchange.c
+++ b/cli/exchange.c
@@ -36,8 +36,8 @@
         [HTTP_CLIENT_BROKEN] = "the connection broke",
         [HTTP_CLIENT_TIMEOUT] = "no answer in time",
     };
+    static Http_Client *client;
     uv_loop_t *loop = uv_default_loop();
-    Http_Client *client = Http_NewClient(loop);
     Http_ClientRequest sent = {.to = request->to,
                                .method = request->method,
                                .path = request->path,
@@ -47,13 +47,14 @@
                                .timeout_ms = TIMEOUT_MS};
     waiting wait = {answer, HTTP_CLIENT_BROKEN};
 
+    if (client == NULL) {
+        client = Http_NewClient(loop);
+    }
     memset(answer, 0, sizeof(*answer));
     Http_Send(client, &sent, on_done, &wait);
     while (Http_Pending(client) > 0) {
         uv_run(loop, UV_RUN_ONCE);
     }
-    uv_run(loop, UV_RUN_NOWAIT);
-    Http_FreeClient(client);
     if (wait.end != HTTP_CLIENT_ANSWERED) {
         return Err_Set(status, ERR_IO, "%s: %s", Address_Text(request->to),
                        end_texts[wait.end]);
--- a/core/apply.c
+++ b/core/apply.c
@@ -1,7 +1,6 @@
 #include "core/apply.h"
 
 #include "core/dispatch.h"
-#include "core/drain.h"
 #include "core/edits.h"
 #include "core/limits.h"
 #include "core/ownership.h"
@@ -20,7 +19,7 @@
         board->joined = true;
     }
     else if (board->joined && !board->deposed &&
-             (!board->draining || Drain_IsAwaited(board))) {
+             (!board->draining || g_hash_table_size(board->active) > 0)) {
         board->deposed = true;
         Board_Event(board, EVENT_DEPOSED, "epoch %llu",
                     (unsigned long long)view->epoch);
--- a/core/board.c
+++ b/core/board.c
@@ -27,6 +27,7 @@
         .max_jobs = 200000,
         .max_answer_bytes = (size_t)24 * 1024 * 1024,
         .order = GROUP_ORDER_RATIO,
+        .placement = PLACEMENT_GRANTS,
     };
 
     return config;
--- a/core/board.h
+++ b/core/board.h
@@ -16,6 +16,19 @@
 #include "core/job.h"
 #include "core/node.h"
 
+/** Placement policies; X(NAME, text, choose function, tells demand) */
+#define PLACEMENT_LIST(X)                                                     \
+    X(RANDOM, "random", choose_random, false)                                 \
+    X(TWO, "two_choices", choose_of_two, false)                               \
+    X(GRANTS, "grants", choose_granted, true)
+
+typedef enum {
+#define X(name, text, choose, tells_demand) PLACEMENT_##name,
+    PLACEMENT_LIST(X)
+#undef X
+        PLACEMENT_COUNT
+} Placement_Policy;
+
 /** Settings of one entry; all times in ms. */
 typedef struct {
     lc_node self;
@@ -36,6 +49,7 @@
     uint32_t max_jobs;
     size_t max_answer_bytes;
     Group_Order order;
+    Placement_Policy placement;
 } Board_Config;
 
 /** Fills a configuration with defaults for @p self. */
--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -2,135 +2,14 @@
 
 #include <string.h>
 
+#include "core/demand.h"
 #include "core/limits.h"
 #include "core/members.h"
 #include "core/outcome.h"
+#include "core/placement.h"
 
 #define RESEND_MS 200
 #define REFUSED_MS 100
-#define HINT_MS 100
-#define PROBES 2
-#define MAX_PROBES 8
-#define RATE_MS 500
-#define RATE_SHARE 0.3
-
-/* Stands for an empty demand; no rows at all mean no change. */
-#define NO_DEMAND ""
-
-static uint32_t
-believed_free(const Board *board, const Peer *peer)
-{
-    uint32_t busy = peer->running;
-
-    /* What others held is old news, unless the companion will call us. */
-    if (peer->registered || board->now.mono_ms - peer->heard_ms < HINT_MS) {
-        busy += peer->others;
-    }
-    return busy >= peer->slots ? 0 : peer->slots - busy;
-}
-
-static bool
-is_open(const Board *board, const Peer *peer)
-{
-    return board->now.mono_ms >= peer->not_before_ms &&
-           believed_free(board, peer) > 0 && Members_Usable(board, peer);
-}
-
-static Peer *
-freer(const Board *board, Peer *a, Peer *b)
-{
-    if (a == NULL || believed_free(board, b) > believed_free(board, a)) {
-        return b;
-    }
-    return a;
-}
-
-/*
- * The freer of two random open companions, so that entries do not all choose
- * alike; where random probes find none, the first open one in turn.
- */
-static Peer *
-choose_companion(Board *board)
-{
-    const GPtrArray *usable = Members_AllUsable(board);
-    Peer *best = NULL;
-    guint start;
-    guint i;
-    int found = 0;
-
-    if (usable->len == 0) {
-        return NULL;
-    }
-    for (i = 0; i < MAX_PROBES && found < PROBES; i++) {
-        Peer *peer = g_ptr_array_index(usable,
-                                       Board_Random(board) % usable->len);
-        if (is_open(board, peer)) {
-            best = freer(board, best, peer);
-            found++;
-        }
-    }
-    start = (guint)(Board_Random(board) % usable->len);
-    for (i = 0; best == NULL && i < usable->len; i++) {
-        Peer *peer = g_ptr_array_index(usable, (start + i) % usable->len);
-        if (is_open(board, peer)) {
-            best = peer;
-        }
-    }
-    return best;
-}
-
-typedef struct {
-    Board *board;
-    lc_demand *demand;
-    uint32_t count;
-    uint64_t signature;
-    uint32_t companions;
-} demand_search;
-
-static void
-add_demand(Group *group, void *context)
-{
-    demand_search *search = context;
-    uint32_t share;
-    lc_demand *row;
-
-    if (group->waiting == 0 || search->count >= LC_MAX_DEMAND ||
-        !Limits_MayStart(search->board, group)) {
-        return;
-    }
-    /* Each companion hears of its part, so that not all serve the last. */
-    share = (group->waiting + search->companions - 1) / search->companions;
-    row = &search->demand[search->count++];
-    row->group = group->name;
-    row->waiting = share;
-    search->signature += (Key_Hash(group->name) | 1ULL) *
-                         (64 - (uint64_t)__builtin_clz(share));
-}
-
-/*
- * Fills the demand to tell a companion, unless it was told the same before.
- * The signature changes when a group's need appears, ends or doubles.
- */
-static void
-fill_demand(Board *board, Peer *peer, lc_demand *demand, u_int *count)
-{
-    demand_search search = {board, demand, 0, 1,
-                            Members_AllUsable(board)->len + 1};
-
-    Groups_Each(board->groups, add_demand, &search);
-    peer->registered = search.count > 0;
-    if (search.signature == peer->demand_sent) {
-        *count = 0;
-        return;
-    }
-    peer->demand_sent = search.signature;
-    if (search.count == 0) {
-        demand[0].group = (char *)(uintptr_t)NO_DEMAND;
-        demand[0].waiting = 0;
-        search.count = 1;
-    }
-    *count = search.count;
-}
 
 static void
 call_start(Board *board, Job *job, uint32_t index, Peer *peer, uint64_t grant)
@@ -157,7 +36,7 @@
     args->payload.payload_len = task->length;
     args->payload.payload_val = (char *)task->payload;
     args->demand.demand_val = demand;
-    fill_demand(board, peer, demand, &args->demand.demand_len);
+    Demand_Fill(board, peer, demand, &args->demand.demand_len);
     peer->running++;
     task->companion = peer->node;
     Board_Call(board, &call, &info);
@@ -210,7 +89,7 @@
         return;
     }
     while (Groups_Waiting(board->groups) > 0) {
-        Peer *peer = choose_companion(board);
+        Peer *peer = Placement_Choose(board);
         Group *group;
         if (peer == NULL) {
             break;
@@ -233,7 +112,7 @@
     call.u.decline.from = board->config.self;
     call.u.decline.grant = grant;
     call.u.decline.demand.demand_val = demand;
-    fill_demand(board, peer, demand, &call.u.decline.demand.demand_len);
+    Demand_Fill(board, peer, demand, &call.u.decline.demand.demand_len);
     Board_Call(board, &call, &info);
 }
 
@@ -273,18 +152,6 @@
     board->ports.reply(board->context, reply_id, &reply);
 }
 
-void
-Dispatch_HeardFree(Board *board, Peer *peer, uint32_t free)
-{
-    uint32_t busy = peer->slots > free ? peer->slots - free : 0;
-
-    peer->others = busy > peer->running ? busy - peer->running : 0;
-    peer->heard_ms = board->now.mono_ms;
-    if (free > 0) {
-        peer->registered = false;
-    }
-}
-
 static void
 task_done(Board *board, Job *job, uint32_t index, const lc_start_res *reply)
 {
@@ -448,7 +315,7 @@
 {
     peer->contact_ms = board->now.mono_ms;
     Members_Heard(board, peer, &reply->position);
-    Dispatch_HeardFree(board, peer, reply->free);
+    Placement_HeardFree(board, peer, reply->free);
     if (reply->status == LC_START_BUSY) {
         peer->others = peer->slots;
         peer->registered = true;
@@ -459,13 +326,6 @@
     }
 }
 
-static void
-lose_task(Board *board, Job *job)
-{
-    Outcome_Fail(board, job, ERR_LOST,
-                 "a companion was lost with a started task");
-}
-
 void
 Dispatch_OnStart(Board *board, const Call *call, const lc_start_res *reply)
 {
@@ -481,10 +341,11 @@
         close_books(board, call, reply);
     }
     else if (reply == NULL) {
+        peer->demand_sent = 0;
         lose_call(board, job, call->index);
     }
     else if (reply->status == LC_START_GONE && was_silent) {
-        lose_task(board, job);
+        Outcome_Lost(board, job);
     }
     else if (reply->status == LC_START_GONE) {
         /* Its only call came to the successor: it did not start. */
@@ -539,7 +400,7 @@
                     Address_Text(node->address), lost->len);
     }
     for (i = 0; i < lost->len; i++) {
-        lose_task(board, g_ptr_array_index(lost, i));
+        Outcome_Lost(board, g_ptr_array_index(lost, i));
     }
     peer->running = 0;
     g_ptr_array_unref(lost);
@@ -566,7 +427,7 @@
     if (peer->node.incarnation > task->companion.incarnation ||
         Board_IsGone(board, &task->companion, 0) ||
         board->now.mono_ms - task->silent_ms > board->config.patience_ms) {
-        lose_task(board, job);
+        Outcome_Lost(board, job);
         return true;
     }
     if (!Node_Same(&peer->node, &task->companion)) {
@@ -593,82 +454,9 @@
     }
 }
 
-static int64_t
-max_wait_ms(const Board *board, const Job *job)
-{
-    const Table_Row *row = Table_Find(Board_Table(board), job->group);
-
-    return row == NULL ? 0 : row->max_wait_ms;
-}
-
-static void
-end_overdue(Board *board, Job *job)
-{
-    int64_t limit_ms = max_wait_ms(board, job);
-    int64_t hung_ms = board->config.task_timeout_ms +
-                      board->config.patience_ms;
-
-    if (job->deadline_ms != 0 && board->now.mono_ms >= job->deadline_ms) {
-        if (Job_Begun(job)) {
-            Outcome_Fail(board, job, ERR_DEADLINE, "the deadline has passed");
-        }
-        else {
-            Outcome_NotRun(board, job, ERR_WAIT_TOO_LONG,
-                           "the deadline passed before the first start",
-                           REFUSED_MS);
-        }
-        return;
-    }
-    if (job->sent > 0 && board->now.mono_ms - job->progress_ms > hung_ms) {
-        /* Companions end every task in time: this one never answers. */
-        lose_task(board, job);
-        return;
-    }
-    if (limit_ms > 0 && !Job_Begun(job) &&
-        board->now.mono_ms - job->arrived_ms > limit_ms) {
-        Outcome_NotRun(board, job, ERR_WAIT_TOO_LONG,
-                       "waited longer than the group's max_wait_ms", limit_ms);
-    }
-}
-
-static void
-end_all_overdue(Board *board)
-{
-    GPtrArray *jobs = g_ptr_array_new();
-    GHashTableIter iter;
-    gpointer key;
-    guint i;
-
-    g_hash_table_iter_init(&iter, board->active);
-    while (g_hash_table_iter_next(&iter, &key, NULL)) {
-        g_ptr_array_add(jobs, key);
-    }
-    for (i = 0; i < jobs->len; i++) {
-        end_overdue(board, g_ptr_array_index(jobs, i));
-    }
-    g_ptr_array_unref(jobs);
-}
-
-static void
-measure_rate(Board *board)
-{
-    int64_t passed_ms = board->now.mono_ms - board->done_ms;
-    double rate;
-
-    if (passed_ms < RATE_MS) {
-        return;
-    }
-    rate = board->done_recent * 1000.0 / (double)passed_ms;
-    board->done_rate += RATE_SHARE * (rate - board->done_rate);
-    board->done_recent = 0;
-    board->done_ms = board->now.mono_ms;
-}
-
 void
 Dispatch_Tick(Board *board)
 {
     ask_all_again(board);
-    end_all_overdue(board);
-    measure_rate(board);
     Dispatch_Run(board);
 }
--- a/core/dispatch.h
+++ b/core/dispatch.h
@@ -23,9 +23,6 @@
 void Dispatch_AnswerGrant(Board *board, uint64_t reply_id,
                           const lc_grant_args *args);
 
-/** A companion told how many of its slots are free. */
-void Dispatch_HeardFree(Board *board, Peer *peer, uint32_t free);
-
 /** A companion's incarnation is gone: what was started there is lost. */
 void Dispatch_CompanionLost(Board *board, const lc_node *node);
 
--- a/core/drain.c
+++ b/core/drain.c
@@ -18,8 +18,9 @@
                 g_hash_table_size(board->active));
 }
 
-bool
-Drain_IsAwaited(const Board *board)
+/* Whether a caller or a peer still waits for an answer through us. */
+static bool
+is_awaited(const Board *board)
 {
     uint32_t i;
 
@@ -35,13 +36,19 @@
     return false;
 }
 
+bool
+Drain_IsClosed(const Board *board)
+{
+    return board->draining && !Board_IsMember(board);
+}
+
 bool
 Drain_IsDone(const Board *board)
 {
     if (board->draining && board->deposed) {
         return true;
     }
-    if (!board->draining || Drain_IsAwaited(board)) {
+    if (!board->draining || is_awaited(board)) {
         return false;
     }
     if (!Board_IsMember(board)) {
@@ -63,7 +70,7 @@
     if (Board_IsOwner(board)) {
         Members_ProposeSelf(board, "leave");
     }
-    else if (!Drain_IsAwaited(board)) {
+    else if (!is_awaited(board)) {
         Members_ProposeSelf(board, "remove");
     }
 }
--- a/core/drain.h
+++ b/core/drain.h
@@ -11,8 +11,8 @@
 /** Begins the planned stop. */
 void Drain_Start(Board *board);
 
-/** Whether a caller or a peer still waits for an answer through us. */
-bool Drain_IsAwaited(const Board *board);
+/** Whether the stop has come so far that no new requests should come. */
+bool Drain_IsClosed(const Board *board);
 
 /** Whether nothing is left to wait for. */
 bool Drain_IsDone(const Board *board);
--- a/core/entry.c
+++ b/core/entry.c
@@ -6,6 +6,7 @@
 #include "core/edits.h"
 #include "core/limits.h"
 #include "core/outcome.h"
+#include "core/overdue.h"
 #include "core/ownership.h"
 
 /* Keys of active jobs that a dump names. */
@@ -17,8 +18,8 @@
 
 /* Controllers in the order in which they run each tick. */
 static void (*const controllers[])(Board *board) = {
-    Members_Tick, Ownership_Tick, Limits_Tick,
-    Edits_Tick,   Drain_Tick,     Dispatch_Tick,
+    Members_Tick, Ownership_Tick, Limits_Tick,   Edits_Tick,
+    Drain_Tick,   Overdue_Tick,   Dispatch_Tick,
 };
 
 Entry *
@@ -237,6 +238,12 @@
     Drain_Start(entry->board);
 }
 
+bool
+Entry_IsClosed(const Entry *entry)
+{
+    return Drain_IsClosed(entry->board);
+}
+
 bool
 Entry_IsDrained(const Entry *entry)
 {
--- a/core/entry.h
+++ b/core/entry.h
@@ -66,6 +66,9 @@
 /** Begins the planned stop. */
 void Entry_Drain(Entry *entry, Node_Time now);
 
+/** Whether the planned stop has come so far that callers must go elsewhere. */
+bool Entry_IsClosed(const Entry *entry);
+
 /** Whether the planned stop is complete. */
 bool Entry_IsDrained(const Entry *entry);
 
--- a/core/members.c
+++ b/core/members.c
@@ -5,6 +5,7 @@
 #include "core/apply.h"
 #include "core/dispatch.h"
 #include "core/limits.h"
+#include "core/placement.h"
 
 #define RELAY_RECORDS 256
 #define RELAY_LATE_MS 2000
@@ -208,7 +209,7 @@
         take_evidence(board, call, peer, reply);
     }
     else {
-        Dispatch_HeardFree(board, peer, reply->free);
+        Placement_HeardFree(board, peer, reply->free);
     }
 }
 
--- a/core/outcome.c
+++ b/core/outcome.c
@@ -147,6 +147,13 @@
     end_job(board, job);
 }
 
+void
+Outcome_Lost(Board *board, Job *job)
+{
+    Outcome_Fail(board, job, ERR_LOST,
+                 "a companion was lost with a started task");
+}
+
 void
 Outcome_NotRun(Board *board, Job *job, Err_Kind kind, const char *message,
                int64_t retry_ms)
--- a/core/outcome.h
+++ b/core/outcome.h
@@ -13,6 +13,9 @@
 /** The job is over without an answer: tells all waiters at once. */
 void Outcome_Fail(Board *board, Job *job, Err_Kind kind, const char *message);
 
+/** A companion was lost with a started task of the job. */
+void Outcome_Lost(Board *board, Job *job);
+
 /** No task of the job was started: tells all waiters and forgets the job. */
 void Outcome_NotRun(Board *board, Job *job, Err_Kind kind, const char *message,
                     int64_t retry_ms);
--- /dev/null
+++ b/core/overdue.c
@@ -0,0 +1,85 @@
+#include "core/overdue.h"
+
+#include "core/outcome.h"
+
+#define SOON_MS 500
+#define RATE_MS 500
+#define RATE_SHARE 0.3
+
+static int64_t
+max_wait_ms(const Board *board, const Job *job)
+{
+    const Table_Row *row = Table_Find(Board_Table(board), job->group);
+
+    return row == NULL ? 0 : row->max_wait_ms;
+}
+
+static void
+end_overdue(Board *board, Job *job)
+{
+    int64_t limit_ms = max_wait_ms(board, job);
+    int64_t hung_ms = board->config.task_timeout_ms +
+                      board->config.patience_ms;
+
+    if (job->deadline_ms != 0 && board->now.mono_ms >= job->deadline_ms) {
+        if (Job_Begun(job)) {
+            Outcome_Fail(board, job, ERR_DEADLINE, "the deadline has passed");
+        }
+        else {
+            Outcome_NotRun(board, job, ERR_WAIT_TOO_LONG,
+                           "the deadline passed before the first start",
+                           SOON_MS);
+        }
+        return;
+    }
+    if (job->sent > 0 && board->now.mono_ms - job->progress_ms > hung_ms) {
+        /* Companions end every task in time: this one never answers. */
+        Outcome_Lost(board, job);
+        return;
+    }
+    if (limit_ms > 0 && !Job_Begun(job) &&
+        board->now.mono_ms - job->arrived_ms > limit_ms) {
+        Outcome_NotRun(board, job, ERR_WAIT_TOO_LONG,
+                       "waited longer than the group's max_wait_ms", limit_ms);
+    }
+}
+
+static void
+end_all_overdue(Board *board)
+{
+    GPtrArray *jobs = g_ptr_array_new();
+    GHashTableIter iter;
+    gpointer key;
+    guint i;
+
+    g_hash_table_iter_init(&iter, board->active);
+    while (g_hash_table_iter_next(&iter, &key, NULL)) {
+        g_ptr_array_add(jobs, key);
+    }
+    for (i = 0; i < jobs->len; i++) {
+        end_overdue(board, g_ptr_array_index(jobs, i));
+    }
+    g_ptr_array_unref(jobs);
+}
+
+static void
+measure_rate(Board *board)
+{
+    int64_t passed_ms = board->now.mono_ms - board->done_ms;
+    double rate;
+
+    if (passed_ms < RATE_MS) {
+        return;
+    }
+    rate = board->done_recent * 1000.0 / (double)passed_ms;
+    board->done_rate += RATE_SHARE * (rate - board->done_rate);
+    board->done_recent = 0;
+    board->done_ms = board->now.mono_ms;
+}
+
+void
+Overdue_Tick(Board *board)
+{
+    end_all_overdue(board);
+    measure_rate(board);
+}
--- a/daemon/entry_process.c
+++ b/daemon/entry_process.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "core/entry.h"
+#include "core/placement.h"
 #include "daemon/jobs_api.h"
 #include "daemon/process.h"
 #include "daemon/table_api.h"
@@ -104,6 +105,7 @@
     config.max_jobs = (uint32_t)options->max_jobs;
     config.max_answer_bytes = (size_t)options->max_answer_bytes;
     config.order = Group_OrderFromText(options->order);
+    config.placement = Placement_FromText(options->placement);
     self->entry = Entry_New(&config, &entry_ports, self, now);
 }
 
@@ -207,6 +209,9 @@
     entry_process *self = (entry_process *)process;
 
     Entry_Tick(self->entry, Process_Now());
+    if (Entry_IsClosed(self->entry)) {
+        Http_StopListening(self->callers);
+    }
     if (Entry_IsDeposed(self->entry)) {
         renew(self);
     }
--- a/daemon/options.c
+++ b/daemon/options.c
@@ -37,6 +37,7 @@
     ADDRESS(upstream, 0),
     INTEGER("", slots, 1, 4096),
     TEXT(order, 0, "fifo|fewest_remaining|response_ratio"),
+    TEXT(placement, 0, "random|two_choices|grants"),
     GROUP("times"),
     INTEGER("times.", log_poll_ms, 10, 5000),
     INTEGER("times.", hosts_poll_ms, 10, 60000),
@@ -66,6 +67,7 @@
 {
     memset(options, 0, sizeof(*options));
     g_strlcpy(options->order, "response_ratio", sizeof(options->order));
+    g_strlcpy(options->placement, "grants", sizeof(options->placement));
     options->slots = 8;
     options->log_poll_ms = 250;
     options->hosts_poll_ms = 1000;
--- a/daemon/options.h
+++ b/daemon/options.h
@@ -12,6 +12,7 @@
     char role[SETTING_TEXT_SIZE];
     char hall[SETTING_TEXT_SIZE];
     char order[SETTING_TEXT_SIZE];
+    char placement[SETTING_TEXT_SIZE];
     Address rpc;      /**< where peers call */
     Address admin;    /**< where operators read state and metrics */
     Address callers;  /**< where callers send jobs; entry only */
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -63,12 +63,14 @@
 }
 
 write_entry() {
-    local i=$1
+    local i=$1 policy=""
+    [ -z "${ORDER:-}" ] || policy+=", \"order\": \"$ORDER\""
+    [ -z "${PLACEMENT:-}" ] || policy+=", \"placement\": \"$PLACEMENT\""
     cat >"$DIR/e$i.json" <<EOF
 {"role": "entry", "hall": "${HALLS[$((i % 3))]}",
  "rpc": "127.0.0.1:${ENTRY_RPC[$i]}", "admin": "127.0.0.1:${ENTRY_ADMIN[$i]}",
  "callers": "127.0.0.1:${ENTRY_HTTP[$i]}", "log": "127.0.0.1:$PLATFORM",
- "hosts": "127.0.0.1:$PLATFORM"${ORDER:+, "order": "$ORDER"}, "times": {${TIMES}}}
+ "hosts": "127.0.0.1:$PLATFORM"$policy, "times": {${TIMES}}}
 EOF
 }
 
--- /dev/null
+++ b/scripts/measure.sh
@@ -0,0 +1,49 @@
+# Measures one cluster under load; sourced by the benchmarks.
+
+# counters NAME...: sum of each counter over all processes, "name value"
+counters() {
+    local port
+    for port in "${ENTRY_ADMIN[@]}" "${COMPANION_ADMIN[@]}"; do
+        http GET "$port" /metrics
+    done | awk '{gsub("levercove_", "", $1); sum[$1] += $2}
+        END {for (name in sum) print name, sum[name]}' | sort
+}
+
+# delta BEFORE AFTER: difference of two outputs of counters
+delta() {
+    join "$1" "$2" | awk '{print $1, $3 - $2}'
+}
+
+# value FILE NAME
+value() { awk -v name="$2" '$1 == name {print $2}' "$1"; }
+
+# waste FILE TASKS: messages per task, wasted ones by reason
+waste() {
+    awk -v tasks="$2" '
+        /^calls_sent/ || /^replies_sent/ {messages += $2}
+        /kind="start"/ && /_sent/ {starts += $2}
+        /kind="ping"/ && /_sent/ {pings += $2}
+        $1 == "rpc_bytes_out" {bytes = $2}
+        $1 ~ /^wasted_/ && $2 > 0 {
+            reasons = reasons " " $1 "=" $2; wasted += $2}
+        END {
+            printf "messages/task %.3f (pings %.3f) bytes/task %.0f wasted/task %.4f%s\n",
+                messages / tasks, pings / tasks, bytes / tasks, wasted / tasks, reasons}' "$1"
+}
+
+entries_http() {
+    local port
+    for port in "${ENTRY_HTTP[@]}"; do
+        echo "127.0.0.1:$port"
+    done
+}
+
+# cpu_seconds NAME: user and system time of a process so far
+cpu_seconds() {
+    awk -v hz="$(getconf CLK_TCK)" '{print ($14 + $15) / hz}' "/proc/${PIDS[$1]}/stat"
+}
+
+# resident_kb NAME
+resident_kb() {
+    awk '/^VmRSS/ {print $2}' "/proc/${PIDS[$1]}/status"
+}
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -2,38 +2,52 @@
 # Breaks each mechanism in a scratch copy and checks that its proof fails.
 # tests/mutations/NAME.patch removes the mechanism; its first lines tell it.
 # Usage: scripts/mutations.sh [NAME...]
+# SCHEDULES: of each property (400); WORKERS: scratch copies side by side (4)
 set -u
 cd "$(dirname "$0")/.."
 ROOT=$PWD
 SCHEDULES=${SCHEDULES:-400}
+WORKERS=${WORKERS:-4}
 SCRATCH=$(mktemp -d)
 trap 'rm -rf "$SCRATCH"' EXIT
 [ $# -gt 0 ] || set -- $(basename -s .patch tests/mutations/*.patch)
-caught=0
-missed=0
 
-cp -r base core wire platform daemon cli tests CMakeLists.txt "$SCRATCH"
-cmake -S "$SCRATCH" -B "$SCRATCH/build" >/dev/null || exit 1
-for name; do
-    patch=$ROOT/tests/mutations/$name.patch
-    if ! patch -s -p1 -d "$SCRATCH" <"$patch"; then
-        echo "stale patch $name"
-        missed=$((missed + 1))
-        continue
+# try_one FOLDER NAME: prints one line
+try_one() {
+    local folder=$1 name=$2 patch=$ROOT/tests/mutations/$2.patch
+    if ! patch -s -p1 -d "$folder" <"$patch" >/dev/null; then
+        echo "MISSED $name: the patch does not apply"
+        return
     fi
-    if ! cmake --build "$SCRATCH/build" --target prop_cluster -j "$(nproc)" >"$SCRATCH/log" 2>&1; then
-        echo "$name does not build:"
-        tail -n 5 "$SCRATCH/log"
-        missed=$((missed + 1))
-    elif PUMP_SCHEDULES=$ROOT/tests/schedules.txt RC_PARAMS="seed=20261202 max_success=$SCHEDULES noshrink=1" \
-        "$SCRATCH/build/tests/prop_cluster" >"$SCRATCH/log" 2>&1; then
-        echo "MISSED $name"
-        missed=$((missed + 1))
+    if ! cmake --build "$folder/build" --target prop_cluster -j 2 >"$folder/log" 2>&1; then
+        echo "MISSED $name: does not build: $(grep -m 1 error: "$folder/log")"
+    elif PUMP_SCHEDULES=$ROOT/tests/schedules.txt \
+        RC_PARAMS="seed=20261202 max_success=$SCHEDULES noshrink=1" \
+        "$folder/build/tests/prop_cluster" >"$folder/log" 2>&1; then
+        echo "MISSED $name: no property failed"
     else
-        echo "caught $name: $(grep -m 1 -E '^(double start|partial|wrong|false not_run|unanswered|work to a leaving|cut off|table|limit)' "$SCRATCH/log")"
-        caught=$((caught + 1))
+        echo "caught $name: $(grep -m 1 -E '^(double start|partial|wrong|false not_run|unanswered|work to a leaving|cut off|table|limit)' "$folder/log")"
     fi
-    patch -s -R -p1 -d "$SCRATCH" <"$patch"
-done
+    patch -s -R -p1 -d "$folder" <"$patch"
+}
+
+# work NUMBER NAME...: every WORKERS-th name
+work() {
+    local folder=$SCRATCH/$1 at=0 name
+    mkdir "$folder"
+    cp -r base core wire platform daemon cli tests CMakeLists.txt "$folder"
+    cmake -S "$folder" -B "$folder/build" >/dev/null
+    for name in "${@:2}"; do
+        [ $((at % WORKERS)) = "$1" ] && try_one "$folder" "$name"
+        at=$((at + 1))
+    done
+}
+
+for ((worker = 0; worker < WORKERS; worker++)); do
+    work "$worker" "$@" 2>/dev/null &
+done | tee "$SCRATCH/result"
+wait
+caught=$(grep -c '^caught' "$SCRATCH/result")
+missed=$(grep -c '^MISSED' "$SCRATCH/result")
 echo "$caught caught, $missed missed"
 [ "$missed" = 0 ]
--- a/tests/prop_cluster.cc
+++ b/tests/prop_cluster.cc
@@ -107,6 +107,42 @@
     return plan;
 }
 
+/* Callers come all the time, on both sides. */
+pump::Plan
+split_plan()
+{
+    pump::Plan plan;
+
+    plan.entries = 4;
+    plan.jobs = 120;
+    plan.most_tasks = 2;
+    return plan;
+}
+
+/* More work than slots, so that jobs wait half begun. */
+pump::Plan
+loaded_plan()
+{
+    pump::Plan plan;
+
+    plan.companions = 2;
+    plan.slots = 1;
+    plan.jobs = 30;
+    plan.hang_permille = 4;
+    return plan;
+}
+
+pump::Plan
+planned_plan()
+{
+    pump::Plan plan;
+
+    plan.planned = true;
+    plan.late_permille = 0;
+    plan.drop_permille = 0;
+    return plan;
+}
+
 /* Replays a plan "KIND SEED FAULT,AT,LENGTH,TARGET,OTHER ...". */
 bool
 replay(const std::string &text)
@@ -118,10 +154,13 @@
     char comma;
 
     in >> kind;
-    pump::Plan plan = kind == "full"     ? full_plan()
-                      : kind == "short"  ? short_plan()
-                      : kind == "capped" ? capped_plan()
-                                         : pump::Plan();
+    pump::Plan plan = kind == "full"      ? full_plan()
+                      : kind == "short"   ? short_plan()
+                      : kind == "capped"  ? capped_plan()
+                      : kind == "split"   ? split_plan()
+                      : kind == "loaded"  ? loaded_plan()
+                      : kind == "planned" ? planned_plan()
+                                          : pump::Plan();
     in >> plan.seed;
     while (in >> fault >> comma >> action.at_ms >> comma >> action.length_ms >>
            comma >> action.target >> comma >> action.other) {
@@ -194,8 +233,18 @@
     });
     property("no faults but late and lost messages",
              [] { check_plan(capped_plan(), {pump::Fault::Burst}, 0); });
+    property("entries frozen with work queued, tasks that hang", [] {
+        check_plan(loaded_plan(), {pump::Fault::Freeze, pump::Fault::Burst},
+                   6);
+    });
+    property("two sides that lose each other", [] {
+        check_plan(split_plan(),
+                   {pump::Fault::Split, pump::Fault::Split,
+                    pump::Fault::KillEntry, pump::Fault::Freeze},
+                   4);
+    });
     property("planned replacement of every process", [] {
-        check_plan(pump::Plan(),
+        check_plan(planned_plan(),
                    {pump::Fault::DrainEntry, pump::Fault::DrainCompanion,
                     pump::Fault::LeaveCompanion, pump::Fault::LogOutage},
                    10);
--- a/tests/pump.cc
+++ b/tests/pump.cc
@@ -19,6 +19,7 @@
 constexpr int64_t HEALED_MS = 9000;
 constexpr int64_t RESUBMIT_MS = 700;
 constexpr int64_t RETRANSMIT_MS = 40;
+constexpr int64_t HANG_MS = 3000;
 constexpr int64_t RETENTION_MS = 1500;
 constexpr int64_t LEAVING_GRACE_MS = 600;
 constexpr int64_t IN_FORCE_MS = 1500;
@@ -66,6 +67,12 @@
     bool to_draining = false;
 };
 
+struct EditRequest {
+    std::string group;
+    int64_t weight;
+    uint64_t base;
+};
+
 struct AcceptedEdit {
     std::string group;
     int64_t weight;
@@ -160,7 +167,8 @@
     std::vector<Start> starts_;
     std::vector<Job> jobs_;
     std::vector<Attempt> attempts_;
-    std::vector<std::pair<std::string, int64_t>> edit_requests_;
+    std::vector<EditRequest> edit_requests_;
+    std::set<std::pair<std::string, uint64_t>> bases_;
     std::vector<AcceptedEdit> accepted_;
     std::map<uint64_t, OwedReply> owed_;
     uint64_t next_owed_ = 0;
@@ -201,6 +209,7 @@
     void new_job();
     void edit(const char *group);
     void inject(const Action &action);
+    void split(uint32_t sides, int64_t end_ms);
     void heal();
     void watch_table(Node *node);
     void check_stop(const Node *node);
@@ -406,7 +415,7 @@
         config.ping_companion_ms = 150;
         config.suspect_ms = 250;
         config.patience_ms = 1200;
-        config.inventory_ms = 300;
+        config.inventory_ms = 100;
         config.hosts_lag_ms = 2 * HOST_LAG_MS;
         config.snapshot_ms = 600;
         config.snapshot_records = 10;
@@ -764,6 +773,9 @@
     if (chance(20)) {
         length_ms += (int64_t)below(500); /* a straggler */
     }
+    if (chance(plan_.hang_permille)) {
+        length_ms = HANG_MS;
+    }
     starts_.push_back({key, index, now_ms_, address});
     trace(node, "start " + result_text(key, index));
     auto leaving = leaving_since_.find(address);
@@ -817,7 +829,8 @@
         return;
     }
     job.attempts++;
-    if (!node->alive || now_ms_ < node->frozen_until_ms) {
+    if (!node->alive || now_ms_ < node->frozen_until_ms ||
+        Entry_IsClosed(node->entry)) {
         /* The balancer finds nobody there; the client tries again. */
         at(now_ms_ + RESUBMIT_MS / 2, [this, number] { submit(number); });
         return;
@@ -874,6 +887,10 @@
     if (!Key_Equal(&answer->key, &job.key)) {
         report_.wrong.push_back("an answer for another key");
     }
+    if (plan_.planned && node->draining && answer->kind == ERR_OWNER_LOST) {
+        report_.cut_off.push_back(key_text(job.key) +
+                                  " was cut off by a planned stop");
+    }
     if (outcome != OUTCOME_NOT_RUN) {
         job.all_not_run = false;
     }
@@ -902,7 +919,6 @@
         return;
     }
     (outcome == OUTCOME_NOT_RUN ? report_.not_run : report_.unknown)++;
-    (void)node;
     if (chance(800)) {
         at(now_ms_ + answer->retry_ms + (int64_t)below(RESUBMIT_MS),
            [this, number] { submit(number); });
@@ -927,18 +943,24 @@
         (json_int_t)(large ? 0 : plan_.max_wait_ms));
     Table_RowFromJson(group, value, &row, &status);
     json_decref(value);
-    edit_requests_.push_back({group, weight});
+    uint64_t base = Table_Version(Entry_Table(node->entry), group);
+    edit_requests_.push_back({group, weight, base});
     Entry_Edit(node->entry, time_of(node), edit_requests_.size() - 1, group,
-               Table_Version(Entry_Table(node->entry), group), &row);
+               base, &row);
 }
 
 void
 World::on_edited(uint64_t request, const Status *status, uint64_t version)
 {
-    auto &asked = edit_requests_[request];
+    const EditRequest &asked = edit_requests_[request];
 
     if (status->kind == ERR_OK) {
-        accepted_.push_back({asked.first, asked.second, version, now_ms_});
+        accepted_.push_back({asked.group, asked.weight, version, now_ms_});
+        if (!bases_.insert({asked.group, asked.base}).second) {
+            report_.table.push_back(
+                format("two edits of %s based on %llu were accepted",
+                       asked.group.c_str(), (unsigned long long)asked.base));
+        }
         if (plan_.actions.empty()) {
             AcceptedEdit edit = accepted_.back();
             at(now_ms_ + IN_FORCE_MS, [this, edit] { check_in_force(edit); });
@@ -966,6 +988,37 @@
     }
 }
 
+/* Bit i of `sides` tells the side of node i; the log is on side 0. */
+void
+World::split(uint32_t sides, int64_t end_ms)
+{
+    std::vector<Address> all(entries_);
+    std::vector<std::pair<Address, Address>> cut;
+
+    all.insert(all.end(), companions_.begin(), companions_.end());
+    for (size_t i = 0; i < all.size(); i++) {
+        if ((sides >> i & 1) == 0) {
+            continue;
+        }
+        log_cuts_.insert(all[i]);
+        for (size_t j = 0; j < all.size(); j++) {
+            if ((sides >> j & 1) == 0) {
+                cut.push_back({all[i], all[j]});
+                cut.push_back({all[j], all[i]});
+            }
+        }
+    }
+    cuts_.insert(cut.begin(), cut.end());
+    at(end_ms, [this, all, cut] {
+        for (auto &pair : cut) {
+            cuts_.erase(pair);
+        }
+        for (Address address : all) {
+            log_cuts_.erase(address);
+        }
+    });
+}
+
 void
 World::inject(const Action &action)
 {
@@ -1075,6 +1128,9 @@
             new_job();
         }
         break;
+    case Fault::Split:
+        split(action.target | action.other << 6, end_ms);
+        break;
     case Fault::Count:
         break;
     }
--- a/tests/pump.h
+++ b/tests/pump.h
@@ -45,6 +45,7 @@
     LeaveCompanion, /**< the host list alone says it is leaving */
     ExpireLog,      /**< the log forgets all but the last records */
     Burst,          /**< many jobs at once */
+    Split,          /**< two sides lose each other; the log is on one */
     Count
 };
 
@@ -75,8 +76,10 @@
     uint32_t max_jobs = 1000;
     uint32_t max_records = 1000;
     size_t max_bytes = 1 << 20;
-    int64_t cap = 0;         /**< max_running of the group "large" */
-    int64_t max_wait_ms = 0; /**< of the group "small" */
+    uint32_t hang_permille = 0; /**< tasks that end far too late */
+    bool planned = false;       /**< planned stops only: nothing may be cut */
+    int64_t cap = 0;            /**< max_running of the group "large" */
+    int64_t max_wait_ms = 0;    /**< of the group "small" */
     int64_t window_ms = 20000;
     std::vector<Action> actions;
 };
