Demand is told only beyond the slots believed free; a full companion is not asked again

Cause (counters by kind, one job of 400 tasks, then the mixed load): a companion that learned of demand granted its free slots at once and then refused the STARTs already on their way (0.57 refusals per task, one entry alone); every START of a burst left demand behind that the same burst met; an entry asked a full companion again before it called.

Ruled out: stale beliefs of others' slots (a moving mean changed nothing), probing.

Refusals are now counted once, where they are received.

--- a/core/board.h
+++ b/core/board.h
@@ -77,13 +77,13 @@
     bool wants_relay;
     int64_t behind_since_ms; /**< since when it lacks records, or 0 */
     /* Companions only. */
-    uint32_t running;      /**< starts of ours in flight */
-    uint32_t others;       /**< slots busy for others, as last heard */
-    int64_t heard_ms;      /**< when `others` was heard */
-    bool registered;       /**< it knows of our demand */
-    int64_t not_before_ms; /**< no starts before */
-    uint64_t sequence;     /**< of the last start sent */
-    uint64_t demand_sent;  /**< signature of the demand last sent */
+    uint32_t running;        /**< starts of ours in flight */
+    double others;           /**< slots busy for others, a moving mean */
+    int64_t probe_ms;        /**< when to risk a start on a full one again */
+    int64_t queued_until_ms; /**< it was full, knows our demand and calls */
+    int64_t not_before_ms;   /**< no starts before */
+    uint64_t sequence;       /**< of the last start sent */
+    uint64_t demand_sent;    /**< signature of the demand last sent */
 } Peer;
 
 /** A call in flight. */
@@ -149,7 +149,7 @@
     GHashTable *peers; /**< Address -> Peer */
     GPtrArray *usable; /**< Peer: companions that may be sent work */
     bool usable_dirty;
-    uint32_t companions; /**< companions in the view */
+    uint32_t open_slots; /**< believed free, less what was sent since */
     Handle_Table *calls;
     Ledger *ledger;
     GHashTable *active; /**< set of Job that are JOB_ACTIVE */
--- a/core/companion.c
+++ b/core/companion.c
@@ -230,7 +230,6 @@
 {
     char text[ADDRESS_TEXT_SIZE];
 
-    Counter_Add(&companion->counters, COUNTER_WASTED_FENCED, 1);
     Address_Format(args->owner.address, text);
     companion->ports.event(companion->context, EVENT_FENCED, text);
     return LC_START_FENCED;
@@ -287,7 +286,6 @@
 
     if (!Arbiter_Take(companion->arbiter, &args->owner, args->grant,
                       args->group, Fold_Table(companion->fold))) {
-        Counter_Add(&companion->counters, COUNTER_WASTED_BUSY, 1);
         return LC_START_BUSY;
     }
     record = Records_Add(companion->records, key, args->index);
@@ -330,7 +328,7 @@
     if (status != LC_START_DONE) {
         answer_start(companion, reply_id, status);
     }
-    offer_slots(companion);
+    /* Slots still free are not offered: the entry is sending already. */
 }
 
 /*
@@ -423,7 +421,6 @@
 {
     Msg_Reply reply = {.kind = MSG_DECLINE};
 
-    Counter_Add(&companion->counters, COUNTER_WASTED_GRANT, 1);
     Arbiter_Decline(companion->arbiter, args->grant);
     if (View_Find(get_view(companion), &args->from) != NULL) {
         Arbiter_SetDemand(companion->arbiter, &args->from,
--- a/core/demand.c
+++ b/core/demand.c
@@ -13,6 +13,7 @@
     uint32_t count;
     uint64_t signature; /* changes when a group's need appears, ends or
                            doubles */
+    uint32_t unmet;     /* tasks waiting beyond the slots believed free */
     uint32_t companions;
 } demand_search;
 
@@ -28,7 +29,8 @@
         return;
     }
     /* Each companion hears of its part, so that not all serve the last. */
-    share = (group->waiting + search->companions - 1) / search->companions;
+    share = MIN(group->waiting, search->unmet);
+    share = (share + search->companions - 1) / search->companions;
     row = &search->rows[search->count++];
     row->group = group->name;
     row->waiting = share;
@@ -39,15 +41,19 @@
 void
 Demand_Fill(Board *board, Peer *peer, lc_demand *rows, u_int *count)
 {
-    demand_search search = {board, rows, 0, 1,
-                            Members_AllUsable(board)->len + 1};
+    uint32_t waiting = Groups_Waiting(board->groups);
+    uint32_t unmet = waiting > board->open_slots ? waiting - board->open_slots
+                                                 : 0;
+    demand_search search = {board, rows,  0,
+                            1,     unmet, Members_AllUsable(board)->len + 1};
 
     *count = 0;
     if (!Placement_TellsDemand(board)) {
         return;
     }
-    Groups_Each(board->groups, add_group, &search);
-    peer->registered = search.count > 0;
+    if (unmet > 0) {
+        Groups_Each(board->groups, add_group, &search);
+    }
     if (search.signature == peer->demand_sent) {
         return;
     }
--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -48,6 +48,9 @@
 {
     Task *task = &job->tasks[index];
 
+    if (board->open_slots > 0 && grant == 0) {
+        board->open_slots--;
+    }
     task->state = TASK_SENT;
     task->sent_ms = board->now.mono_ms;
     task->silent_ms = 0;
@@ -88,6 +91,7 @@
     if (Groups_Waiting(board->groups) == 0 || board->deposed) {
         return;
     }
+    board->open_slots = Placement_OpenSlots(board);
     while (Groups_Waiting(board->groups) > 0) {
         Peer *peer = Placement_Choose(board);
         Group *group;
@@ -109,6 +113,8 @@
     Call info = {.to = peer->address, .incarnation = peer->node.incarnation};
 
     Counter_Add(&board->counters, COUNTER_WASTED_GRANT, 1);
+    peer->queued_until_ms = 0;
+    peer->demand_sent = 0;
     call.u.decline.from = board->config.self;
     call.u.decline.grant = grant;
     call.u.decline.demand.demand_val = demand;
@@ -142,10 +148,13 @@
     if (peer != NULL && Node_Same(&peer->node, &args->from)) {
         reply.u.grant.used = use_grant(board, peer, args->grant, args->group);
     }
-    if (!reply.u.grant.used) {
+    if (reply.u.grant.used) {
+        Placement_Queued(board, peer);
+    }
+    else {
         Counter_Add(&board->counters, COUNTER_WASTED_GRANT, 1);
         if (peer != NULL) {
-            peer->registered = false;
+            peer->queued_until_ms = 0;
             peer->demand_sent = 0;
         }
     }
@@ -315,10 +324,9 @@
 {
     peer->contact_ms = board->now.mono_ms;
     Members_Heard(board, peer, &reply->position);
-    Placement_HeardFree(board, peer, reply->free);
+    Placement_HeardFree(peer, reply->free);
     if (reply->status == LC_START_BUSY) {
-        peer->others = peer->slots;
-        peer->registered = true;
+        Placement_Queued(board, peer);
     }
     if (reply->grant != 0 &&
         !use_grant(board, peer, reply->grant, reply->grant_group)) {
--- a/core/members.c
+++ b/core/members.c
@@ -45,7 +45,6 @@
         return board->usable;
     }
     board->usable_dirty = false;
-    board->companions = 0;
     g_ptr_array_set_size(board->usable, 0);
     g_hash_table_iter_init(&iter, board->peers);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
@@ -53,7 +52,6 @@
             g_ptr_array_add(board->usable, value);
         }
     }
-    board->companions = board->usable->len;
     return board->usable;
 }
 
@@ -157,8 +155,8 @@
     peer->node = reply->node;
     peer->position.offset = 0;
     peer->sequence = 0;
-    peer->others = 0;
-    peer->registered = false;
+    peer->others = 0.0;
+    peer->queued_until_ms = 0;
     peer->demand_sent = 0;
     peer->not_before_ms = 0;
     if (before.incarnation != 0) {
@@ -209,7 +207,7 @@
         take_evidence(board, call, peer, reply);
     }
     else {
-        Placement_HeardFree(board, peer, reply->free);
+        Placement_HeardFree(peer, reply->free);
     }
 }
 
--- a/core/placement.c
+++ b/core/placement.c
@@ -4,21 +4,19 @@
 
 #include "core/members.h"
 
-#define HINT_MS 100
+#define OTHERS_SHARE 0.5
+#define PROBE_MS 50
+#define QUEUED_MS 2000
 #define PROBES 2
 #define MAX_PROBES 8
 
 typedef Peer *(*choose_function)(Board *board, const GPtrArray *usable);
 
 static uint32_t
-believed_free(const Board *board, const Peer *peer)
+believed_free(const Peer *peer)
 {
-    uint32_t busy = peer->running;
+    uint32_t busy = peer->running + (uint32_t)(peer->others + 0.5);
 
-    /* What others held is old news, unless the companion will call us. */
-    if (peer->registered || board->now.mono_ms - peer->heard_ms < HINT_MS) {
-        busy += peer->others;
-    }
     return busy >= peer->slots ? 0 : peer->slots - busy;
 }
 
@@ -26,7 +24,8 @@
 is_open(const Board *board, const Peer *peer)
 {
     return board->now.mono_ms >= peer->not_before_ms &&
-           believed_free(board, peer) > 0 && Members_Usable(board, peer);
+           board->now.mono_ms >= peer->queued_until_ms &&
+           believed_free(peer) > 0 && Members_Usable(board, peer);
 }
 
 static Peer *
@@ -64,15 +63,28 @@
             continue;
         }
         found++;
-        if (best == NULL ||
-            believed_free(board, peer) > believed_free(board, best)) {
+        if (best == NULL || believed_free(peer) > believed_free(best)) {
             best = peer;
         }
     }
     return best;
 }
 
-/* As before; where probes find none, the first open one in turn. */
+/*
+ * What is believed of others may be old: one start is risked on a companion
+ * that seems full and does not know that work waits here. It either runs, or
+ * its refusal leaves our demand there.
+ */
+static bool
+is_worth_a_probe(const Board *board, const Peer *peer)
+{
+    return peer->running < peer->slots &&
+           board->now.mono_ms >= peer->queued_until_ms &&
+           board->now.mono_ms >= peer->probe_ms &&
+           board->now.mono_ms >= peer->not_before_ms;
+}
+
+/* As before; where random tries find none, the first open one in turn. */
 static Peer *
 choose_granted(Board *board, const GPtrArray *usable)
 {
@@ -86,6 +98,14 @@
             best = peer;
         }
     }
+    for (i = 0; best == NULL && i < usable->len; i++) {
+        Peer *peer = g_ptr_array_index(usable, (start + i) % usable->len);
+        if (is_worth_a_probe(board, peer)) {
+            peer->probe_ms = board->now.mono_ms + PROBE_MS;
+            peer->demand_sent = 0;
+            best = peer;
+        }
+    }
     return best;
 }
 
@@ -123,6 +143,22 @@
     return policies[board->config.placement].choose(board, usable);
 }
 
+uint32_t
+Placement_OpenSlots(Board *board)
+{
+    const GPtrArray *usable = Members_AllUsable(board);
+    uint32_t open = 0;
+    guint i;
+
+    for (i = 0; i < usable->len; i++) {
+        const Peer *peer = g_ptr_array_index(usable, i);
+        if (is_open(board, peer)) {
+            open += believed_free(peer);
+        }
+    }
+    return open;
+}
+
 bool
 Placement_TellsDemand(const Board *board)
 {
@@ -130,13 +166,19 @@
 }
 
 void
-Placement_HeardFree(Board *board, Peer *peer, uint32_t free)
+Placement_HeardFree(Peer *peer, uint32_t free)
 {
     uint32_t busy = peer->slots > free ? peer->slots - free : 0;
+    double others = busy > peer->running ? busy - peer->running : 0;
 
-    peer->others = busy > peer->running ? busy - peer->running : 0;
-    peer->heard_ms = board->now.mono_ms;
+    peer->others += OTHERS_SHARE * (others - peer->others);
     if (free > 0) {
-        peer->registered = false;
+        peer->queued_until_ms = 0;
     }
 }
+
+void
+Placement_Queued(const Board *board, Peer *peer)
+{
+    peer->queued_until_ms = board->now.mono_ms + QUEUED_MS;
+}
--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -21,14 +21,16 @@
 waste() {
     awk -v tasks="$2" '
         /^calls_sent/ || /^replies_sent/ {messages += $2}
-        /kind="start"/ && /_sent/ {starts += $2}
-        /kind="ping"/ && /_sent/ {pings += $2}
+        /_sent/ {split($1, part, "\""); kinds[part[2]] += $2}
         $1 == "rpc_bytes_out" {bytes = $2}
         $1 ~ /^wasted_/ && $2 > 0 {
             reasons = reasons " " $1 "=" $2; wasted += $2}
         END {
-            printf "messages/task %.3f (pings %.3f) bytes/task %.0f wasted/task %.4f%s\n",
-                messages / tasks, pings / tasks, bytes / tasks, wasted / tasks, reasons}' "$1"
+            printf "messages/task %.3f bytes/task %.0f wasted/task %.4f%s; by kind:",
+                messages / tasks, bytes / tasks, wasted / tasks, reasons
+            for (kind in kinds)
+                if (kinds[kind] > 0) printf " %s %.3f", kind, kinds[kind] / tasks
+            printf "\n"}' "$1"
 }
 
 entries_http() {
