--- a/core/members.c
+++ b/core/members.c
@@ -476,11 +476,13 @@
     GHashTableIter iter;
     gpointer value;
 
-    if (!may_append(board) || board->deposed || board->draining) {
+    if (!may_append(board) || board->deposed) {
         return;
     }
     if (!Board_IsMember(board)) {
-        Members_ProposeSelf(board, "add");
+        if (!board->draining) {
+            Members_ProposeSelf(board, "add");
+        }
         return;
     }
     changes = g_array_new(FALSE, FALSE, sizeof(View_Change));
--- a/tests/pump.h
+++ b/tests/pump.h
@@ -33,6 +33,7 @@
     KillEntryHost, /**< dies; the host list drops it, nobody returns */
     KillCompanion, /**< dies; a new incarnation after `length_ms` */
     KillCompanionHost,
+    FreezeEntry,    /**< an entry, long enough to be removed */
     Freeze,         /**< no input for `length_ms`, then all of it */
     CutPair,        /**< nothing passes from one node to another */
     CutNode,        /**< a node is cut from all nodes, not from the log */
@@ -77,6 +78,8 @@
     uint32_t max_records = 1000;
     size_t max_bytes = 1 << 20;
     uint32_t hang_permille = 0; /**< tasks that end far too late */
+    uint32_t twin_permille = 0; /**< jobs sent through two entries at once */
+    int64_t evidence_ms = 300;  /**< how long evidence holds */
     bool planned = false;       /**< planned stops only: nothing may be cut */
     int64_t cap = 0;            /**< max_running of the group "large" */
     int64_t max_wait_ms = 0;    /**< of the group "small" */
