--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -38,6 +38,7 @@
 process_test() { check "process/$1" env BUILD="$SANITIZED" "tests/process/$1.sh"; }
 
 check cases "$SANITIZED/tests/cases"
+check rules "$SANITIZED/tests/rules"
 check events scripts/check_events.sh "$BUILD"
 check schedules env PUMP_SCHEDULES=tests/schedules.txt RC_PARAMS="seed=1 max_success=1" \
     "$SANITIZED/tests/prop_cluster"
