Ended jobs are packed; followed tasks attach only; slopes

The budget for answers counts all of it.

A task that another entry started is asked for with 'attach only': should its record have expired, the companion no longer takes the call for a new start.

--- a/core/admission.c
+++ b/core/admission.c
@@ -115,7 +115,7 @@
     job->deadline_ms = spec->deadline_ms > 0
                            ? board->now.mono_ms + spec->deadline_ms
                            : 0;
-    g_array_append_val(job->waiters, *waiter);
+    Job_AddWaiter(job, waiter);
     g_hash_table_add(board->active, job);
     Groups_Enqueue(board->groups, job);
 }
@@ -141,7 +141,7 @@
                        board->config.window_ms / 10);
         return;
     }
-    g_strlcpy(job->group, spec->group, sizeof(job->group));
+    job->group = g_intern_string(spec->group);
     Job_SetTotal(job, spec->count);
     set_payloads(job, spec);
     activate(board, job, spec, waiter);
@@ -237,7 +237,7 @@
                        "it may have run where nobody can tell", 0);
         return;
     }
-    g_array_append_val(job->waiters, *waiter);
+    Job_AddWaiter(job, waiter);
     Outcome_Fail(board, job, ERR_LOST,
                  "it may have run where nobody can tell");
 }
--- a/core/companion.c
+++ b/core/companion.c
@@ -321,6 +321,10 @@
         attach(companion, record, reply_id);
         return;
     }
+    if (args->attach) {
+        answer_start(companion, reply_id, LC_START_GONE);
+        return;
+    }
     status = judge_start(companion, args);
     if (status == LC_START_DONE) {
         status = start_task(companion, reply_id, &key, args);
--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -27,12 +27,13 @@
     args->epoch = Board_View(board)->epoch;
     args->sequence = ++peer->sequence;
     args->target = peer->node.incarnation;
+    args->attach = task->followed;
     args->key = Node_WireKey(&job->key);
     args->index = index;
     args->total = job->total;
     args->timeout_ms = board->config.task_timeout_ms;
     args->grant = grant;
-    args->group = job->group;
+    args->group = (char *)(uintptr_t)job->group;
     args->payload.payload_len = task->length;
     args->payload.payload_val = (char *)task->payload;
     args->demand.demand_val = demand;
@@ -269,6 +270,7 @@
 
     Groups_TaskFollowed(board->groups, job);
     job->progress_ms = board->now.mono_ms;
+    task->followed = true;
     task->sent_ms = board->now.mono_ms;
     task->silent_ms = board->now.mono_ms;
     task->retry_ms = board->now.mono_ms;
--- a/core/job.c
+++ b/core/job.c
@@ -72,29 +72,19 @@
     job->kept_bytes += length;
 }
 
-void
-Job_DropPayloads(Job *job)
-{
-    uint32_t i;
-
-    for (i = 0; i < job->total; i++) {
-        g_free(job->tasks[i].payload);
-        job->tasks[i].payload = NULL;
-        job->tasks[i].length = 0;
-    }
-}
-
 void
 Job_DropTasks(Job *job)
 {
     uint32_t i;
 
-    for (i = 0; i < job->total; i++) {
+    for (i = 0; job->tasks != NULL && i < job->total; i++) {
         g_free(job->tasks[i].payload);
         g_free(job->tasks[i].result);
     }
     g_free(job->tasks);
+    g_free(job->packed);
     job->tasks = NULL;
+    job->packed = NULL;
     job->total = 0;
     job->waiting = 0;
     job->done = 0;
@@ -102,13 +92,71 @@
     job->kept_bytes = 0;
 }
 
+void
+Job_AddWaiter(Job *job, const Job_Waiter *waiter)
+{
+    if (job->waiters == NULL) {
+        job->waiters = g_array_new(FALSE, FALSE, sizeof(Job_Waiter));
+    }
+    g_array_append_val(job->waiters, *waiter);
+}
+
+/* One result in a packed job; the bytes of all follow the last of them. */
+typedef struct {
+    uint32_t code;
+    uint32_t length;
+} packed_result;
+
+/* Puts all results into one piece: 8 bytes a task beside the results. */
+static void
+pack(Job *job)
+{
+    uint32_t total = job->total;
+    size_t size = total * sizeof(packed_result) + job->kept_bytes;
+    packed_result *head = g_malloc(size);
+    uint8_t *bytes = (uint8_t *)(head + total);
+    uint32_t i;
+
+    for (i = 0; i < total; i++) {
+        const Task *task = &job->tasks[i];
+        head[i].code = task->code;
+        head[i].length = task->result_length;
+        if (task->result_length > 0) {
+            memcpy(bytes, task->result, task->result_length);
+        }
+        bytes += task->result_length;
+    }
+    Job_DropTasks(job);
+    job->total = total;
+    job->done = total;
+    job->packed = head;
+    job->kept_bytes = size;
+}
+
+void
+Job_Results(const Job *job, lc_result *results)
+{
+    const packed_result *head = job->packed;
+    char *bytes = (char *)(uintptr_t)(head + job->total);
+    uint32_t i;
+
+    for (i = 0; i < job->total; i++) {
+        results[i].code = head[i].code;
+        results[i].data.data_len = head[i].length;
+        results[i].data.data_val = bytes;
+        bytes += head[i].length;
+    }
+}
+
 static void
 free_job(gpointer item)
 {
     Job *job = item;
 
     Job_DropTasks(job);
-    g_array_unref(job->waiters);
+    if (job->waiters != NULL) {
+        g_array_unref(job->waiters);
+    }
     g_free(job);
 }
 
@@ -162,7 +210,8 @@
     }
     job = g_new0(Job, 1);
     job->key = *key;
-    job->waiters = g_array_new(FALSE, FALSE, sizeof(Job_Waiter));
+    job->message = "";
+    job->group = "";
     job->handle = Handle_Add(ledger->handles, job);
     g_hash_table_insert(ledger->by_key, &job->key, job);
     return job;
@@ -199,8 +248,7 @@
     Job_DropTasks(job);
     job->state = JOB_FAILED;
     job->kind = ERR_ANSWER_EVICTED;
-    g_strlcpy(job->message, "the job is done, its answer no longer kept",
-              sizeof(job->message));
+    job->message = "the job is done, its answer no longer kept";
 }
 
 void
@@ -212,8 +260,8 @@
     if (job->state == JOB_FAILED) {
         Job_DropTasks(job);
     }
-    else {
-        Job_DropPayloads(job);
+    else if (job->state == JOB_DONE) {
+        pack(job);
     }
     if (job->kept_bytes > 0) {
         ledger->bytes += job->kept_bytes;
--- a/core/job.h
+++ b/core/job.h
@@ -34,6 +34,7 @@
 /** One task of a job. */
 typedef struct {
     Task_State state;
+    bool followed; /**< started by another entry: never start it here */
     uint8_t *payload;
     uint32_t length;
     uint8_t *result;
@@ -70,12 +71,13 @@
     Key key;
     Handle handle;
     Job_State state;
-    Err_Kind kind; /**< for JOB_FAILED */
-    char message[96];
-    char group[NODE_MAX_GROUP + 1];
+    Err_Kind kind;       /**< for JOB_FAILED */
+    const char *message; /**< for JOB_FAILED; a literal */
+    const char *group;   /**< interned */
     bool repeatable;
     uint32_t total;
-    Task *tasks;
+    Task *tasks;            /**< NULL once the job ended */
+    void *packed;           /**< for JOB_DONE: all results in one piece */
     uint32_t first_waiting; /**< no task before it is waiting */
     uint32_t waiting;
     uint32_t sent;
@@ -86,7 +88,7 @@
     int64_t deadline_ms; /**< monotonic; 0 for none */
     int64_t ended_ms;    /**< monotonic */
     size_t kept_bytes;   /**< of results kept for the answer */
-    GArray *waiters;     /**< Job_Waiter */
+    GArray *waiters;     /**< Job_Waiter, or NULL if nobody waits */
     GList *place;        /**< in the ledger's list of ended jobs */
 } Job;
 
@@ -110,12 +112,15 @@
 void Job_SetResult(Job *job, uint32_t index, uint32_t code, const void *data,
                    uint32_t length);
 
+/** Adds one who waits. */
+void Job_AddWaiter(Job *job, const Job_Waiter *waiter);
+
+/** Fills @p results, one for each task of a JOB_DONE. Borrowed. */
+void Job_Results(const Job *job, lc_result *results);
+
 /** Frees all tasks. */
 void Job_DropTasks(Job *job);
 
-/** Frees the payloads, which an ended job needs no more. */
-void Job_DropPayloads(Job *job);
-
 /** Opaque ledger. */
 typedef struct Ledger Ledger;
 
--- a/core/outcome.c
+++ b/core/outcome.c
@@ -80,7 +80,6 @@
 job_answer(const Job *job, lc_result **results)
 {
     lc_answer answer;
-    uint32_t i;
 
     *results = NULL;
     if (job->state == JOB_FAILED) {
@@ -88,11 +87,7 @@
     }
     answer = plain_answer(ERR_OK, "", 0);
     *results = g_new0(lc_result, job->total);
-    for (i = 0; i < job->total; i++) {
-        (*results)[i].code = job->tasks[i].code;
-        (*results)[i].data.data_len = job->tasks[i].result_length;
-        (*results)[i].data.data_val = (char *)job->tasks[i].result;
-    }
+    Job_Results(job, *results);
     answer.results.results_len = job->total;
     answer.results.results_val = *results;
     return answer;
@@ -101,25 +96,31 @@
 static void
 answer_waiters(Board *board, Job *job, const lc_answer *answer)
 {
+    GArray *waiters = job->waiters;
     guint i;
 
-    for (i = 0; i < job->waiters->len; i++) {
-        send_answer(board, &g_array_index(job->waiters, Job_Waiter, i),
-                    &job->key, answer);
+    if (waiters == NULL) {
+        return;
     }
-    g_array_set_size(job->waiters, 0);
+    job->waiters = NULL;
+    for (i = 0; i < waiters->len; i++) {
+        send_answer(board, &g_array_index(waiters, Job_Waiter, i), &job->key,
+                    answer);
+    }
+    g_array_unref(waiters);
 }
 
 static void
 end_job(Board *board, Job *job)
 {
     lc_result *results;
-    lc_answer answer = job_answer(job, &results);
+    lc_answer answer;
 
-    answer_waiters(board, job, &answer);
-    g_free(results);
     g_hash_table_remove(board->active, job);
     Ledger_End(board->ledger, job, board->now.mono_ms);
+    answer = job_answer(job, &results);
+    answer_waiters(board, job, &answer);
+    g_free(results);
 }
 
 void
@@ -140,7 +141,7 @@
     job->waiting = 0;
     job->state = JOB_FAILED;
     job->kind = kind;
-    g_strlcpy(job->message, message, sizeof(job->message));
+    job->message = message;
     Key_Format(&job->key, text);
     Board_Event(board, EVENT_JOB_FAILED, "%s: %s: %s", text, Err_Text(kind),
                 message);
@@ -174,7 +175,7 @@
     lc_answer answer;
 
     if (job->state == JOB_ACTIVE) {
-        g_array_append_val(job->waiters, *waiter);
+        Job_AddWaiter(job, waiter);
         return;
     }
     answer = job_answer(job, &results);
--- a/core/recovery.c
+++ b/core/recovery.c
@@ -62,7 +62,7 @@
         Ledger_Reopen(board->ledger, job);
     }
     job->state = JOB_RECOVERED;
-    g_strlcpy(job->group, started->group, sizeof(job->group));
+    job->group = g_intern_string(started->group);
     job->arrived_ms = board->now.mono_ms;
     Job_SetTotal(job, started->total);
     Counter_Add(&board->counters, COUNTER_JOBS_RECOVERED, 1);
--- a/tests/cases.c
+++ b/tests/cases.c
@@ -350,10 +350,10 @@
     Key key = Key_Mint(1, 0, number);
     Job *job = Ledger_Add(ledger, &key);
 
-    g_strlcpy(job->group, words[1], sizeof(job->group));
+    job->group = g_intern_string(words[1]);
     Job_SetTotal(job, (uint32_t)atoi(words[2]));
     job->arrived_ms = atoi(words[3]);
-    g_snprintf(job->message, sizeof(job->message), "%s", words[4]);
+    job->message = g_intern_string(words[4]);
     Groups_Enqueue(groups, job);
 }
 
--- a/tests/rules.c
+++ b/tests/rules.c
@@ -543,6 +543,7 @@
     start(&fix, &other_node, 1, 1, 1); /* not in the view */
     g_assert_cmpint(fix.status, ==, LC_START_FENCED);
     start(&fix, &self_node, 1, 7, 0); /* the record: no second run */
+    g_assert_cmpint(fix.replies, ==, 0);
     g_assert_cmpuint(fix.run_id, ==, 0);
     Companion_Drain(fix.companion, fix.now);
     start(&fix, &self_node, 1, 8, 1);
--- /dev/null
+++ b/tests/slopes.c
@@ -0,0 +1,696 @@
+/*
+ * Slopes for docs/CAPACITY.md: what one more job, task, companion, member,
+ * group or inherited start costs a node, by least squares over four sizes.
+ * One node of core/ with fake peers that answer at once; every message is
+ * encoded, so that bytes and the codec's time count.
+ *
+ * usage: slopes [NAME...]
+ */
+
+#include <glib.h>
+#include <malloc.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include "core/companion.h"
+#include "core/entry.h"
+#include "core/fold.h"
+#include "core/records.h"
+
+#define SIZES 4
+#define WALL_MS 1700000000000LL
+#define TICK_MS 50
+#define US_PER_S 1e6
+
+/* A call that the fake peers have not answered. */
+typedef struct {
+    uint64_t id;
+    Address to;
+    Msg_Kind kind;
+    Key key;
+} waiting_call;
+
+typedef struct {
+    Entry *entry;
+    Node_Time now;
+    uint64_t records;
+    GArray *calls; /* waiting_call */
+    uint64_t bytes;
+    uint64_t messages;
+    GByteArray *scratch;
+    uint32_t slots;
+    uint32_t inherited; /* starts told by each inventory */
+    uint64_t answers;
+} world;
+
+static double
+cpu_us(void)
+{
+    struct timespec used;
+
+    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &used);
+    return (double)used.tv_sec * US_PER_S + (double)used.tv_nsec / 1e3;
+}
+
+static double
+heap_bytes(void)
+{
+    return (double)mallinfo2().uordblks;
+}
+
+static void
+port_call(void *context, Address to, uint64_t call_id, const Msg_Call *call)
+{
+    world *all = context;
+    waiting_call waiting = {call_id, to, call->kind, {{0}}};
+
+    g_byte_array_set_size(all->scratch, 0);
+    Msg_EncodeCall(call, 1, all->scratch);
+    all->bytes += all->scratch->len;
+    all->messages++;
+    g_array_append_val(all->calls, waiting);
+}
+
+static void
+port_reply(void *context, uint64_t reply_id, const Msg_Reply *reply)
+{
+    world *all = context;
+
+    (void)reply_id;
+    g_byte_array_set_size(all->scratch, 0);
+    Msg_EncodeReply(reply, 1, all->scratch);
+    all->bytes += all->scratch->len;
+    all->messages++;
+}
+
+static void
+port_reset(void *context, Address to)
+{
+    (void)context;
+    (void)to;
+}
+
+static void
+port_answer(void *context, uint64_t request, const Node_Answer *answer)
+{
+    (void)request;
+    (void)answer;
+    ((world *)context)->answers++;
+}
+
+static void
+port_append(void *context, uint64_t append_id, const char *record)
+{
+    (void)context;
+    (void)append_id;
+    (void)record;
+}
+
+static void
+port_event(void *context, Event_Id id, const char *detail)
+{
+    (void)context;
+    (void)id;
+    (void)detail;
+}
+
+static const Node_Ports ports = {
+    .call = port_call,
+    .reply = port_reply,
+    .reset = port_reset,
+    .answer = port_answer,
+    .append = port_append,
+    .event = port_event,
+};
+
+static lc_node
+peer_node(uint32_t number)
+{
+    lc_node node = {0x7f0000010000ULL + 2000 + number, 500 + number};
+
+    return node;
+}
+
+/* Takes a reply's bytes into account and gives it to the entry. */
+static void
+give(world *all, uint64_t call_id, const Msg_Reply *reply)
+{
+    Msg_Record record;
+    Msg_Reply decoded;
+
+    g_byte_array_set_size(all->scratch, 0);
+    Msg_EncodeReply(reply, 1, all->scratch);
+    all->bytes += all->scratch->len;
+    all->messages++;
+    Msg_Decode(all->scratch->data + MSG_MARK_SIZE,
+               all->scratch->len - MSG_MARK_SIZE, &record);
+    if (Msg_DecodeReply(
+            reply->kind, all->scratch->data + MSG_MARK_SIZE + record.body,
+            all->scratch->len - MSG_MARK_SIZE - record.body, &decoded)) {
+        Entry_OnReply(all->entry, all->now, call_id, &decoded);
+        Msg_FreeReply(&decoded);
+    }
+}
+
+static void
+fill_inventory(world *all, const lc_node *node, Msg_Reply *reply,
+               GArray *tasks)
+{
+    static char group[] = "group";
+    static char result[100];
+    uint32_t i;
+
+    for (i = 0; i < all->inherited; i++) {
+        Key key = Key_Mint(all->now.wall_ms, node->incarnation, i * 7919);
+        lc_started started;
+        memset(&started, 0, sizeof(started));
+        started.key = Node_WireKey(&key);
+        started.total = 2;
+        started.state = LC_TASK_DONE;
+        started.group = group;
+        started.result.result_len = sizeof(result);
+        started.result.result_val = result;
+        g_array_append_val(tasks, started);
+    }
+    reply->u.inventory.node = *node;
+    reply->u.inventory.tasks.tasks_len = tasks->len;
+    reply->u.inventory.tasks.tasks_val = (lc_started *)(void *)tasks->data;
+}
+
+static void
+answer_one(world *all, const waiting_call *call)
+{
+    static char result[100];
+    static char nothing[] = "";
+    lc_node node = peer_node((uint32_t)(call->to - peer_node(0).address));
+    lc_position position = {all->records + 1, Entry_View(all->entry)->epoch};
+    GArray *tasks = g_array_new(FALSE, FALSE, sizeof(lc_started));
+    Msg_Reply reply = {.kind = call->kind};
+
+    switch (call->kind) {
+    case MSG_PING:
+        reply.u.ping.node = node;
+        reply.u.ping.role = LC_ROLE_COMPANION;
+        reply.u.ping.slots = all->slots;
+        reply.u.ping.free = all->slots;
+        reply.u.ping.position = position;
+        break;
+    case MSG_RELAY:
+        reply.u.relay.position = position;
+        break;
+    case MSG_START:
+        reply.u.start.code = 200;
+        reply.u.start.free = all->slots;
+        reply.u.start.grant_group = nothing;
+        reply.u.start.position = position;
+        reply.u.start.result.result_len = sizeof(result);
+        reply.u.start.result.result_val = result;
+        break;
+    case MSG_INVENTORY:
+        fill_inventory(all, &node, &reply, tasks);
+        reply.u.inventory.position = position;
+        break;
+    case MSG_SETTLE:
+        reply.u.settle.node = node;
+        reply.u.settle.position = position;
+        break;
+    default:
+        g_array_unref(tasks);
+        return;
+    }
+    give(all, call->id, &reply);
+    g_array_unref(tasks);
+}
+
+static void
+answer_all(world *all)
+{
+    while (all->calls->len > 0) {
+        GArray *calls = all->calls;
+        guint i;
+        all->calls = g_array_new(FALSE, FALSE, sizeof(waiting_call));
+        for (i = 0; i < calls->len; i++) {
+            answer_one(all, &g_array_index(calls, waiting_call, i));
+        }
+        g_array_unref(calls);
+    }
+}
+
+static void
+read_record(world *all, const char *text)
+{
+    lc_record record = {++all->records, (char *)(uintptr_t)text};
+    Entry_LogRead read = {all->now.mono_ms, 1, all->records + 1, &record, 1};
+
+    Entry_OnLog(all->entry, all->now, &read);
+}
+
+static void
+add_member(GArray *changes, const char *op, const lc_node *node, bool is_entry)
+{
+    View_Change change = {op, *node, is_entry, true};
+
+    g_array_append_val(changes, change);
+}
+
+static void
+change_view(world *all, GArray *changes)
+{
+    char *text = View_Record(Entry_View(all->entry), all->now.wall_ms,
+                             changes);
+
+    read_record(all, text);
+    free(text);
+    g_array_set_size(changes, 0);
+}
+
+static void
+pass(world *all, int64_t ms)
+{
+    int64_t passed;
+
+    for (passed = 0; passed < ms; passed += TICK_MS) {
+        Entry_LogRead read = {all->now.mono_ms, 1, all->records + 1, NULL, 0};
+        all->now.mono_ms += TICK_MS;
+        all->now.wall_ms += TICK_MS;
+        if (passed % 250 == 0) {
+            read.asked_ms = all->now.mono_ms;
+            Entry_OnLog(all->entry, all->now, &read);
+        }
+        Entry_Tick(all->entry, all->now);
+        answer_all(all);
+    }
+}
+
+/* An entry in a view with so many companions and groups. */
+static world *
+new_world(uint32_t companions, uint32_t groups)
+{
+    world *all = g_new0(world, 1);
+    lc_node self = {0x7f0000010001ULL, 100};
+    Board_Config config = Board_Defaults(self, WALL_MS);
+    GArray *changes = g_array_new(FALSE, FALSE, sizeof(View_Change));
+    Members_Host *hosts = g_new0(Members_Host, companions + 1);
+    uint32_t i;
+
+    all->now.mono_ms = 1000000;
+    all->now.wall_ms = WALL_MS;
+    all->slots = 8;
+    all->calls = g_array_new(FALSE, FALSE, sizeof(waiting_call));
+    all->scratch = g_byte_array_new();
+    config.max_jobs = 10000000;
+    config.max_answer_bytes = (size_t)1 << 33;
+    all->entry = Entry_New(&config, &ports, all, all->now);
+    add_member(changes, "add", &self, true);
+    change_view(all, changes);
+    for (i = 0; i < groups; i++) {
+        char *text = g_strdup_printf("{\"kind\":\"edit\",\"id\":\"%u\","
+                                     "\"group\":\"group%u\",\"base\":0,"
+                                     "\"row\":{}}",
+                                     i, i);
+        read_record(all, text);
+        g_free(text);
+    }
+    for (i = 0; i < companions; i++) {
+        lc_node node = peer_node(i);
+        add_member(changes, "add", &node, false);
+        hosts[i].address = node.address;
+        hosts[i].role = LC_ROLE_COMPANION;
+    }
+    if (companions > 0) {
+        change_view(all, changes);
+        Entry_OnHosts(all->entry, all->now, hosts, companions);
+    }
+    g_array_unref(changes);
+    g_free(hosts);
+    pass(all, 2000);
+    return all;
+}
+
+static void
+free_world(world *all)
+{
+    Entry_Free(all->entry);
+    g_array_unref(all->calls);
+    g_byte_array_unref(all->scratch);
+    g_free(all);
+}
+
+static void
+run_job(world *all, uint32_t tasks)
+{
+    static lc_payload payloads[LC_MAX_TASKS];
+    Admission_Spec spec = {.group = "group0",
+                           .repeatable = true,
+                           .tasks = payloads,
+                           .count = tasks};
+
+    spec.key = Entry_MintKey(all->entry, all->now);
+    Entry_Submit(all->entry, all->now, 1, &spec);
+    answer_all(all);
+}
+
+typedef struct {
+    const char *name;
+    const char *unit; /* of the figure, for each one more of `of` */
+    const char *of;
+    double sizes[SIZES];
+    double (*measure)(double size);
+} slope;
+
+static double
+job_bytes(double size)
+{
+    world *all = new_world(16, 1);
+    double before = heap_bytes();
+    double used;
+    uint32_t i;
+
+    for (i = 0; i < (uint32_t)size; i++) {
+        run_job(all, 1);
+    }
+    used = heap_bytes() - before;
+    free_world(all);
+    return used;
+}
+
+/* Of jobs with so many tasks each, per job. */
+static double
+task_bytes(double size)
+{
+    world *all = new_world(16, 1);
+    double before = heap_bytes();
+    double used;
+    uint32_t i;
+
+    for (i = 0; i < 200; i++) {
+        run_job(all, (uint32_t)size);
+    }
+    used = heap_bytes() - before;
+    free_world(all);
+    return used / 200.0;
+}
+
+static double
+job_time(double size)
+{
+    world *all = new_world(630, 70);
+    double before = cpu_us();
+    double used;
+    uint32_t i;
+
+    for (i = 0; i < (uint32_t)size; i++) {
+        run_job(all, 1);
+    }
+    used = cpu_us() - before;
+    free_world(all);
+    return used;
+}
+
+static double
+task_time(double size)
+{
+    world *all = new_world(630, 70);
+    double before = cpu_us();
+    double used;
+    uint32_t i;
+
+    for (i = 0; i < 100; i++) {
+        run_job(all, (uint32_t)size);
+    }
+    used = cpu_us() - before;
+    free_world(all);
+    return used / 100.0;
+}
+
+/* Time of 1,000 jobs of one task among so many companions. */
+static double
+task_time_by_companions(double size)
+{
+    world *all = new_world((uint32_t)size, 70);
+    double before = cpu_us();
+    double used;
+    uint32_t i;
+
+    for (i = 0; i < 1000; i++) {
+        run_job(all, 1);
+    }
+    used = (cpu_us() - before) / 1000.0;
+    free_world(all);
+    return used;
+}
+
+static double
+idle_time(double size)
+{
+    world *all = new_world((uint32_t)size, 70);
+    double before;
+    double used;
+
+    pass(all, 10000);
+    before = cpu_us();
+    pass(all, 30000);
+    used = (cpu_us() - before) / 30.0;
+    free_world(all);
+    return used;
+}
+
+static double
+idle_bytes(double size)
+{
+    world *all = new_world((uint32_t)size, 70);
+    uint64_t before;
+    double used;
+
+    pass(all, 10000);
+    before = all->bytes;
+    pass(all, 30000);
+    used = (double)(all->bytes - before) / 30.0;
+    free_world(all);
+    return used;
+}
+
+static double
+companion_heap(double size)
+{
+    double before = heap_bytes();
+    world *all = new_world((uint32_t)size, 70);
+    double used = heap_bytes() - before;
+
+    free_world(all);
+    return used;
+}
+
+/* A companion is replaced, among so many: time to apply and relay. */
+static double
+view_change_time(double size)
+{
+    world *all = new_world((uint32_t)size, 70);
+    GArray *changes = g_array_new(FALSE, FALSE, sizeof(View_Change));
+    double before = cpu_us();
+    double used;
+    uint32_t i;
+
+    for (i = 0; i < 20; i++) {
+        lc_node node = peer_node(i);
+        node.incarnation += 1000;
+        add_member(changes, "add", &node, false);
+        change_view(all, changes);
+    }
+    used = (cpu_us() - before) / 20.0;
+    g_array_unref(changes);
+    free_world(all);
+    return used;
+}
+
+static double
+snapshot_bytes_by_members(double size)
+{
+    world *all = new_world((uint32_t)size, 70);
+    Fold *fold = Fold_New(600000);
+    json_t *view = View_ToJson(Entry_View(all->entry));
+    char *text = json_dumps(view, JSON_COMPACT);
+    double length = (double)strlen(text);
+
+    free(text);
+    json_decref(view);
+    Fold_Free(fold);
+    free_world(all);
+    return length;
+}
+
+static double
+snapshot_bytes_by_groups(double size)
+{
+    world *all = new_world(1, (uint32_t)size);
+    json_t *table = Table_ToJson(Entry_Table(all->entry));
+    char *text = json_dumps(table, JSON_COMPACT);
+    double length = (double)strlen(text);
+
+    free(text);
+    json_decref(table);
+    free_world(all);
+    return length;
+}
+
+/* Another entry is lost: time to take over so many starts of its. */
+static double
+takeover_time(double size)
+{
+    world *all = new_world(100, 1);
+    GArray *changes = g_array_new(FALSE, FALSE, sizeof(View_Change));
+    lc_node other = {0x7f0000010002ULL, 200};
+    double before;
+    double used;
+
+    add_member(changes, "add", &other, true);
+    change_view(all, changes);
+    pass(all, 1000);
+    all->inherited = (uint32_t)size / 100;
+    before = cpu_us();
+    add_member(changes, "remove", &other, true);
+    change_view(all, changes);
+    pass(all, 1000);
+    used = cpu_us() - before;
+    g_array_unref(changes);
+    free_world(all);
+    return used;
+}
+
+static double
+record_bytes(double size)
+{
+    Records *records = Records_New(10000000, (size_t)1 << 33);
+    char result[100];
+    double before = heap_bytes();
+    double used;
+    uint32_t i;
+
+    memset(result, 'x', sizeof(result));
+    for (i = 0; i < (uint32_t)size; i++) {
+        Key key = Key_Mint(WALL_MS, i, i);
+        Record *record = Records_Add(records, &key, 0);
+        Records_End(records, record, LC_TASK_DONE, 200, result, sizeof(result),
+                    0);
+    }
+    used = heap_bytes() - before;
+    Records_Free(records);
+    return used;
+}
+
+static const slope slopes[] = {
+    {"entry-job-memory",
+     "bytes",
+     "ended job of one task",
+     {10000, 20000, 40000, 80000},
+     job_bytes},
+    {"entry-task-memory",
+     "bytes",
+     "task of an ended job",
+     {10, 100, 500, 1500},
+     task_bytes},
+    {"entry-job-time",
+     "us",
+     "job of one task (630 companions)",
+     {2000, 4000, 8000, 16000},
+     job_time},
+    {"entry-task-time",
+     "us",
+     "task of a job (630 companions)",
+     {10, 100, 500, 1500},
+     task_time},
+    {"entry-start-time",
+     "us per job",
+     "companion",
+     {80, 160, 320, 640},
+     task_time_by_companions},
+    {"entry-idle-time", "us/s", "companion", {80, 160, 320, 640}, idle_time},
+    {"entry-idle-bytes",
+     "bytes/s",
+     "companion",
+     {80, 160, 320, 640},
+     idle_bytes},
+    {"entry-peer-memory",
+     "bytes",
+     "companion",
+     {80, 160, 320, 640},
+     companion_heap},
+    {"view-change-time",
+     "us",
+     "member",
+     {80, 160, 320, 640},
+     view_change_time},
+    {"snapshot-members",
+     "bytes",
+     "member",
+     {80, 160, 320, 640},
+     snapshot_bytes_by_members},
+    {"snapshot-groups",
+     "bytes",
+     "group",
+     {10, 20, 40, 80},
+     snapshot_bytes_by_groups},
+    {"takeover-time",
+     "us",
+     "inherited start",
+     {5000, 10000, 20000, 40000},
+     takeover_time},
+    {"companion-record-memory",
+     "bytes",
+     "record with a result of 100 bytes",
+     {10000, 20000, 40000, 80000},
+     record_bytes},
+};
+
+static void
+fit(const slope *row)
+{
+    double values[SIZES];
+    double mean_x = 0.0;
+    double mean_y = 0.0;
+    double xx = 0.0;
+    double xy = 0.0;
+    double yy = 0.0;
+    int i;
+
+    for (i = 0; i < SIZES; i++) {
+        values[i] = row->measure(row->sizes[i]);
+        mean_x += row->sizes[i] / SIZES;
+        mean_y += values[i] / SIZES;
+    }
+    for (i = 0; i < SIZES; i++) {
+        double x = row->sizes[i] - mean_x;
+        double y = values[i] - mean_y;
+        xx += x * x;
+        xy += x * y;
+        yy += y * y;
+    }
+    printf("%-24s %10.3f %s per %s; at 0: %.0f; fit r2 %.3f; measured",
+           row->name, xy / xx, row->unit, row->of, mean_y - xy / xx * mean_x,
+           yy > 0.0 ? xy * xy / (xx * yy) : 1.0);
+    for (i = 0; i < SIZES; i++) {
+        printf(" %.0f:%.0f", row->sizes[i], values[i]);
+    }
+    printf("\n");
+    fflush(stdout);
+}
+
+int
+main(int argc, char **argv)
+{
+    size_t i;
+    int j;
+
+    for (i = 0; i < G_N_ELEMENTS(slopes); i++) {
+        bool wanted = argc == 1;
+        for (j = 1; j < argc; j++) {
+            wanted = wanted || strcmp(argv[j], slopes[i].name) == 0;
+        }
+        if (wanted) {
+            fit(&slopes[i]);
+        }
+    }
+    return 0;
+}
--- a/wire/levercove.h
+++ b/wire/levercove.h
@@ -110,6 +110,7 @@
 	u_quad_t epoch;
 	u_quad_t sequence;
 	u_quad_t target;
+	bool_t attach;
 	lc_key key;
 	u_int index;
 	u_int total;
--- a/wire/levercove.x
+++ b/wire/levercove.x
@@ -90,6 +90,7 @@
     unsigned hyper epoch;
     unsigned hyper sequence;
     unsigned hyper target;
+    bool attach; /* only if it was started before */
     lc_key key;
     unsigned int index;
     unsigned int total;
--- a/wire/levercove_xdr.c
+++ b/wire/levercove_xdr.c
@@ -160,6 +160,8 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->target))
 			 return FALSE;
+		 if (!xdr_bool (xdrs, &objp->attach))
+			 return FALSE;
 		 if (!xdr_lc_key (xdrs, &objp->key))
 			 return FALSE;
 		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
@@ -195,6 +197,8 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->target))
 			 return FALSE;
+		 if (!xdr_bool (xdrs, &objp->attach))
+			 return FALSE;
 		 if (!xdr_lc_key (xdrs, &objp->key))
 			 return FALSE;
 		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
@@ -231,6 +235,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->target))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->attach))
+		 return FALSE;
 	 if (!xdr_lc_key (xdrs, &objp->key))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->index))
