--- a/core/board.c
+++ b/core/board.c
@@ -16,7 +16,7 @@
         .skew_ms = 2000,
         .window_ms = 600000,
         .ping_entry_ms = 500,
-        .ping_companion_ms = 5000,
+        .ping_companion_ms = 8000,
         .suspect_ms = 3000,
         .patience_ms = 10000,
         .inventory_ms = 2000,
--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -136,6 +136,8 @@
         !Limits_MayStart(board, group)) {
         group = Groups_Choose(board->groups, may_start, board);
     }
+    /* Each grant used up a part of the demand there: tell it anew. */
+    peer->demand_sent = 0;
     return group != NULL && send_next(board, group, peer, grant);
 }
 
--- a/daemon/http_server.c
+++ b/daemon/http_server.c
@@ -104,6 +104,7 @@
     out->if_match = header_text(request, "if-match");
     out->levercove_key = header_text(request, "levercove-key");
     out->levercove_index = header_text(request, "levercove-index");
+    out->levercove_group = header_text(request, "levercove-group");
 }
 
 static int
--- a/daemon/http_server.h
+++ b/daemon/http_server.h
@@ -30,6 +30,7 @@
     const char *if_match;
     const char *levercove_key; /**< set by companions */
     const char *levercove_index;
+    const char *levercove_group;
 } Http_Request;
 
 /** An answer. Borrowed by Http_Respond. */
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Both measures of the brief, for baselines and the chosen policy in one run.
 # 3 entries, 10 companions with 8 slots each. Figures are ratios.
-# SECONDS_EACH (20), UTILISATION ("50 90 130"), SEED (1), ONLY (a policy)
+# SECONDS_EACH (20), UTILISATION ("50 90 130"), SEED (1), ONLY (policies)
 set -u
 cd "$(dirname "$0")/.."
 BUILD=${BUILD:-build}
@@ -36,11 +36,12 @@
 
 for percent in $UTILISATION; do
     while read -r name placement order; do
-        [ -z "${ONLY:-}" ] || [ "$ONLY" = "$name" ] || continue
+        [ -z "${ONLY:-}" ] || [[ " $ONLY " = *" $name "* ]] || continue
         run "$name" "$placement" "$order" "$percent"
     done <<EOF
 baseline random fifo
 two-choices two_choices fifo
+two-choices-ratio two_choices response_ratio
 grants-fifo grants fifo
 grants-shortest grants fewest_remaining
 chosen grants response_ratio
--- a/tests/load.c
+++ b/tests/load.c
@@ -329,7 +329,7 @@
         load_group *group = &self->groups[i];
         g_array_append_vals(all, group->ratios->data, group->ratios->len);
         printf("group %s jobs %" G_GUINT64_FORMAT
-               " done %ufailed %" G_GUINT64_FORMAT
+               " done %u failed %" G_GUINT64_FORMAT
                " refused %" G_GUINT64_FORMAT
                " share %.3f ratio_mean %.3f p50 %.3f p99 %.3f\n",
                group->name, group->sent, group->ratios->len, group->failed,
--- a/tests/standin_upstream.c
+++ b/tests/standin_upstream.c
@@ -2,7 +2,8 @@
  * Stand-in for an upstream: POST /run takes a payload {"ms": N, "status":
  * N, "echo": "..."}, waits that long and answers; GET /starts tells every
  * start it has seen, as lines "KEY INDEX". It refuses more than its slots
- * at once with status 599 and counts that at GET /excess.
+ * at once with status 599 and counts that at GET /excess; GET /usage tells the
+ * slot time of ended tasks by group.
  */
 
 #include <glib.h>
@@ -20,6 +21,7 @@
     uint32_t slots;
     uint32_t running;
     uint32_t excess;
+    GHashTable *usage; /* group -> ms of ended tasks */
 } upstream;
 
 typedef struct {
@@ -28,6 +30,8 @@
     uint64_t id;
     int status;
     char *echo;
+    const char *group; /* interned */
+    uint64_t length_ms;
 } running_task;
 
 static void
@@ -49,6 +53,10 @@
                               .length = strlen(task->echo)};
 
     task->self->running--;
+    g_hash_table_insert(task->self->usage, (gpointer)task->group,
+                        GSIZE_TO_POINTER(GPOINTER_TO_SIZE(g_hash_table_lookup(
+                                             task->self->usage, task->group)) +
+                                         task->length_ms));
     Http_Respond(task->self->server, task->id, &response);
     uv_close((uv_handle_t *)timer, free_task);
 }
@@ -79,9 +87,10 @@
     self->running++;
     uv_timer_init(uv_default_loop(), &task->timer);
     task->timer.data = task;
-    uv_timer_start(
-        &task->timer, on_task_end,
-        (uint64_t)json_integer_value(json_object_get(payload, "ms")), 0);
+    task->group = g_intern_string(request->levercove_group);
+    task->length_ms = (uint64_t)json_integer_value(
+        json_object_get(payload, "ms"));
+    uv_timer_start(&task->timer, on_task_end, task->length_ms, 0);
 }
 
 static void
@@ -120,10 +129,29 @@
     respond_text(self, request, 200, text);
 }
 
+static void
+serve_usage(void *context, const Http_Request *request)
+{
+    upstream *self = context;
+    GString *text = g_string_new(NULL);
+    GHashTableIter iter;
+    gpointer group;
+    gpointer used_ms;
+
+    g_hash_table_iter_init(&iter, self->usage);
+    while (g_hash_table_iter_next(&iter, &group, &used_ms)) {
+        g_string_append_printf(text, "%s %zu\n", (const char *)group,
+                               GPOINTER_TO_SIZE(used_ms));
+    }
+    respond_text(self, request, 200, text->str);
+    g_string_free(text, TRUE);
+}
+
 static const Http_Route routes[] = {
     {"/run", serve_run},
     {"/starts", serve_starts},
     {"/excess", serve_excess},
+    {"/usage", serve_usage},
     {NULL, NULL},
 };
 
@@ -141,6 +169,7 @@
     signal(SIGPIPE, SIG_IGN);
     self.slots = (uint32_t)strtoul(argv[2], NULL, 10);
     self.starts = g_string_new(NULL);
+    self.usage = g_hash_table_new(g_str_hash, g_str_equal);
     self.server = Http_NewServer(uv_default_loop(), address, routes, &self,
                                  &status);
     if (self.server == NULL) {
