Control bytes fit; unchanged host lists answer 304; less that stands twice

One random number generator and one socket address where two stood; fields that nothing read are gone, also from the protocol.

--- a/base/address.c
+++ b/base/address.c
@@ -51,3 +51,15 @@
     Address_Format(address, buffers[next]);
     return buffers[next];
 }
+
+struct sockaddr_in
+Address_ToSocket(Address address)
+{
+    struct sockaddr_in out;
+
+    memset(&out, 0, sizeof(out));
+    out.sin_family = AF_INET;
+    out.sin_addr.s_addr = htonl((uint32_t)(address >> 16));
+    out.sin_port = htons((uint16_t)address);
+    return out;
+}
--- a/base/address.h
+++ b/base/address.h
@@ -5,6 +5,7 @@
 #ifndef LC_BASE_ADDRESS_H
 #define LC_BASE_ADDRESS_H
 
+#include <netinet/in.h>
 #include <stdbool.h>
 #include <stdint.h>
 
@@ -20,6 +21,9 @@
 /** Writes the text form. */
 void Address_Format(Address address, char text[ADDRESS_TEXT_SIZE]);
 
+/** Socket address for the system's calls. */
+struct sockaddr_in Address_ToSocket(Address address);
+
 /** Text form in a buffer that the next four calls leave intact. */
 const char *Address_Text(Address address);
 
--- a/core/arbiter.c
+++ b/core/arbiter.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "base/random.h"
 #include "core/vtime.h"
 
 /* Tasks of one group that wait at one entry. */
@@ -36,7 +37,7 @@
 
     arbiter->slots = slots;
     arbiter->grant_ms = grant_ms;
-    arbiter->random = seed | 1;
+    arbiter->random = Random_Seed(seed);
     arbiter->grants = g_array_new(FALSE, FALSE, sizeof(Arbiter_Grant));
     arbiter->demand = g_array_new(FALSE, FALSE, sizeof(demand_row));
     arbiter->groups = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
@@ -70,15 +71,6 @@
     return arbiter->slots;
 }
 
-static uint64_t
-next_random(Arbiter *arbiter)
-{
-    arbiter->random ^= arbiter->random >> 12;
-    arbiter->random ^= arbiter->random << 25;
-    arbiter->random ^= arbiter->random >> 27;
-    return arbiter->random * 0x2545F4914F6CDD1DULL;
-}
-
 static group_row *
 get_group(Arbiter *arbiter, const char *name)
 {
@@ -265,7 +257,7 @@
             total += demand_at(arbiter, i)->waiting;
         }
     }
-    lot = total == 0 ? 0 : next_random(arbiter) % total;
+    lot = total == 0 ? 0 : Random_Next(&arbiter->random) % total;
     for (i = 0; i < arbiter->demand->len; i++) {
         const demand_row *row = demand_at(arbiter, i);
         if (strcmp(row->group, group) != 0) {
--- a/core/board.c
+++ b/core/board.c
@@ -5,18 +5,19 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/random.h"
+
 Board_Config
-Board_Defaults(lc_node self, int64_t wall_ms)
+Board_Defaults(lc_node self)
 {
     Board_Config config = {
         .self = self,
-        .started_wall_ms = wall_ms,
         .seed = self.incarnation ^ self.address,
         .evidence_ms = 3000,
         .skew_ms = 2000,
         .window_ms = 600000,
-        .ping_entry_ms = 500,
-        .ping_companion_ms = 8000,
+        .ping_entry_ms = 1000,
+        .ping_companion_ms = 10000,
         .suspect_ms = 3000,
         .patience_ms = 10000,
         .inventory_ms = 2000,
@@ -50,7 +51,7 @@
     board->config = *config;
     board->ports = *ports;
     board->context = context;
-    board->random = config->seed | 1;
+    board->random = Random_Seed(config->seed);
     board->fold = Fold_New(config->window_ms + config->skew_ms);
     board->peers = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
                                          g_free);
@@ -157,11 +158,7 @@
 uint64_t
 Board_Random(Board *board)
 {
-    /* xorshift64*: seeded, so that a node's choices can be repeated. */
-    board->random ^= board->random >> 12;
-    board->random ^= board->random << 25;
-    board->random ^= board->random >> 27;
-    return board->random * 0x2545F4914F6CDD1DULL;
+    return Random_Next(&board->random);
 }
 
 void
--- a/core/board.h
+++ b/core/board.h
@@ -32,7 +32,6 @@
 /** Settings of one entry; all times in ms. */
 typedef struct {
     lc_node self;
-    int64_t started_wall_ms;
     uint64_t seed;
     int64_t evidence_ms; /**< L: how long evidence of membership holds */
     int64_t skew_ms;     /**< bound on differences of wall clocks */
@@ -53,7 +52,7 @@
 } Board_Config;
 
 /** Fills a configuration with defaults for @p self. */
-Board_Config Board_Defaults(lc_node self, int64_t wall_ms);
+Board_Config Board_Defaults(lc_node self);
 
 /** What the host list says of an address. */
 typedef enum { HOST_UNLISTED, HOST_LIVE, HOST_LEAVING, HOST_GONE } Host_State;
@@ -67,11 +66,9 @@
     bool draining;
     lc_position position;
     uint64_t complied;
-    int64_t started_wall_ms;
     uint32_t slots;
     uint64_t ping_call; /**< pending ping, or 0 */
     int64_t next_ping_ms;
-    int64_t contact_ms;      /**< last answer of any kind */
     int64_t silent_since_ms; /**< first ping unanswered since, or 0 */
     bool relaying;
     bool wants_relay;
--- a/core/companion.c
+++ b/core/companion.c
@@ -40,11 +40,10 @@
 };
 
 Companion_Config
-Companion_Defaults(lc_node self, int64_t wall_ms)
+Companion_Defaults(lc_node self)
 {
     Companion_Config config = {
         .self = self,
-        .started_wall_ms = wall_ms,
         .seed = self.incarnation ^ self.address,
         .slots = 8,
         .grant_ms = 250,
@@ -373,7 +372,6 @@
     reply.u.ping.knows_caller = View_Find(get_view(companion), &args->from) !=
                                 NULL;
     reply.u.ping.draining = companion->draining;
-    reply.u.ping.started_ms = companion->config.started_wall_ms;
     reply.u.ping.slots = Arbiter_Slots(companion->arbiter);
     reply.u.ping.free = open_slots(companion);
     companion->ports.reply(companion->context, reply_id, &reply);
@@ -529,7 +527,6 @@
 
     reply.u.inventory.node = companion->config.self;
     reply.u.inventory.position = Fold_Position(companion->fold);
-    reply.u.inventory.started_ms = companion->config.started_wall_ms;
     if (reply.u.inventory.position.epoch == args->epoch) {
         Records_Each(companion->records, args->cursor, collect_record,
                      &search);
--- a/core/companion.h
+++ b/core/companion.h
@@ -17,7 +17,6 @@
 /** Settings of one companion; all times in ms. */
 typedef struct {
     lc_node self;
-    int64_t started_wall_ms;
     uint64_t seed;
     uint32_t slots;
     int64_t grant_ms;  /**< how long a granted slot may stay unused */
@@ -40,7 +39,7 @@
 typedef struct Companion Companion;
 
 /** Fills a configuration with defaults for @p self. */
-Companion_Config Companion_Defaults(lc_node self, int64_t wall_ms);
+Companion_Config Companion_Defaults(lc_node self);
 
 Companion *Companion_New(const Companion_Config *config,
                          const Node_Ports *ports, void *context,
--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -326,7 +326,6 @@
 static void
 hear_companion(Board *board, Peer *peer, const lc_start_res *reply)
 {
-    peer->contact_ms = board->now.mono_ms;
     Members_Heard(board, peer, &reply->position);
     Placement_HeardFree(peer, reply->free);
     if (reply->status == LC_START_BUSY) {
--- a/core/members.c
+++ b/core/members.c
@@ -97,10 +97,11 @@
     bool known = peer->node.incarnation != 0 &&
                  View_Find(Board_View(board), &peer->node) != NULL;
 
-    if (is_entry(peer) || !known || peer->silent_since_ms != 0) {
-        return board->config.ping_entry_ms;
+    if (!known || peer->silent_since_ms != 0) {
+        return board->config.ping_entry_ms / 2;
     }
-    return board->config.ping_companion_ms;
+    return is_entry(peer) ? board->config.ping_entry_ms
+                          : board->config.ping_companion_ms;
 }
 
 static bool
@@ -196,11 +197,9 @@
                           peer->draining != reply->draining ||
                           !Node_Same(&peer->node, &reply->node);
     peer->silent_since_ms = 0;
-    peer->contact_ms = board->now.mono_ms;
     take_identity(board, peer, reply);
     peer->draining = reply->draining;
     peer->complied = reply->complied;
-    peer->started_wall_ms = reply->started_ms;
     peer->slots = reply->slots;
     Members_Heard(board, peer, &reply->position);
     if (is_entry(peer)) {
@@ -229,7 +228,6 @@
                                     NULL;
     reply.u.ping.draining = board->draining;
     reply.u.ping.complied = Limits_Complied(board);
-    reply.u.ping.started_ms = board->config.started_wall_ms;
     board->ports.reply(board->context, reply_id, &reply);
 }
 
--- a/daemon/companion_process.c
+++ b/daemon/companion_process.c
@@ -142,8 +142,7 @@
 new_companion(companion_process *self, const Options *options)
 {
     Node_Time now = Process_Now();
-    Companion_Config config = Companion_Defaults(Process_NewNode(options),
-                                                 now.wall_ms);
+    Companion_Config config = Companion_Defaults(Process_NewNode(options));
 
     config.slots = (uint32_t)options->slots;
     config.grant_ms = options->grant_ms;
--- a/daemon/entry_process.c
+++ b/daemon/entry_process.c
@@ -87,8 +87,7 @@
 new_entry(entry_process *self, const Options *options)
 {
     Node_Time now = Process_Now();
-    Board_Config config = Board_Defaults(Process_NewNode(options),
-                                         now.wall_ms);
+    Board_Config config = Board_Defaults(Process_NewNode(options));
 
     config.evidence_ms = options->evidence_ms;
     config.skew_ms = options->skew_ms;
--- a/daemon/http_server.c
+++ b/daemon/http_server.c
@@ -102,6 +102,7 @@
     out->length = request->entity.len;
     out->idempotency_key = header_text(request, "idempotency-key");
     out->if_match = header_text(request, "if-match");
+    out->if_none_match = header_text(request, "if-none-match");
     out->levercove_key = header_text(request, "levercove-key");
     out->levercove_index = header_text(request, "levercove-index");
     out->levercove_group = header_text(request, "levercove-group");
@@ -165,13 +166,9 @@
 static int
 listen_on(Http_Server *server, Address address)
 {
-    struct sockaddr_in local;
+    struct sockaddr_in local = Address_ToSocket(address);
     int result;
 
-    memset(&local, 0, sizeof(local));
-    local.sin_family = AF_INET;
-    local.sin_addr.s_addr = htonl((uint32_t)(address >> 16));
-    local.sin_port = htons((uint16_t)address);
     uv_tcp_init(server->loop, &server->listener);
     server->listener.data = server;
     server->listening = true;
--- a/daemon/http_server.h
+++ b/daemon/http_server.h
@@ -28,6 +28,7 @@
     size_t length;
     const char *idempotency_key; /**< header values, or NULL */
     const char *if_match;
+    const char *if_none_match;
     const char *levercove_key; /**< set by companions */
     const char *levercove_index;
     const char *levercove_group;
--- a/daemon/options.c
+++ b/daemon/options.c
@@ -74,8 +74,8 @@
     options->evidence_ms = 3000;
     options->skew_ms = 2000;
     options->window_ms = 600000;
-    options->ping_entry_ms = 500;
-    options->ping_companion_ms = 8000;
+    options->ping_entry_ms = 1000;
+    options->ping_companion_ms = 10000;
     options->suspect_ms = 3000;
     options->patience_ms = 10000;
     options->inventory_ms = 2000;
--- a/tests/pump.cc
+++ b/tests/pump.cc
@@ -295,7 +295,8 @@
     return key_text(key) + "/" + std::to_string(index);
 }
 
-World::World(const Plan &plan) : plan_(plan), random_(plan.seed * 2 + 1)
+World::World(const Plan &plan)
+    : plan_(plan), random_(Random_Seed(plan.seed * 2))
 {
     for (uint32_t i = 0; i < plan.entries + plan.companions; i++) {
         auto node = std::make_unique<Node>();
@@ -320,10 +321,7 @@
 uint64_t
 World::random()
 {
-    random_ ^= random_ >> 12;
-    random_ ^= random_ << 25;
-    random_ ^= random_ >> 27;
-    return random_ * 0x2545F4914F6CDD1DULL;
+    return Random_Next(&random_);
 }
 
 uint64_t
@@ -406,7 +404,7 @@
                   (uint64_t)now.wall_ms * 1000 + ++incarnations_};
     leaving_since_.erase(node->address);
     if (node->is_entry) {
-        Board_Config config = Board_Defaults(node->self, now.wall_ms);
+        Board_Config config = Board_Defaults(node->self);
         config.seed = random();
         config.evidence_ms = plan_.evidence_ms;
         config.skew_ms = SKEW_MS;
@@ -425,7 +423,7 @@
         node->entry = Entry_New(&config, &ports, node, now);
     }
     else {
-        Companion_Config config = Companion_Defaults(node->self, now.wall_ms);
+        Companion_Config config = Companion_Defaults(node->self);
         config.seed = random();
         config.slots = plan_.slots;
         config.grant_ms = 60;
--- a/tests/pump.h
+++ b/tests/pump.h
@@ -21,6 +21,7 @@
 #include <vector>
 
 extern "C" {
+#include "base/random.h"
 #include "core/companion.h"
 #include "core/entry.h"
 }
--- a/tests/rules.c
+++ b/tests/rules.c
@@ -127,7 +127,7 @@
 static void
 set_up_entry(fixture *fix)
 {
-    Board_Config config = Board_Defaults(self_node, WALL_MS);
+    Board_Config config = Board_Defaults(self_node);
 
     memset(fix, 0, sizeof(*fix));
     fix->now.mono_ms = 1000000;
@@ -510,7 +510,7 @@
 static void
 test_hung_task(void)
 {
-    Board_Config config = Board_Defaults(self_node, WALL_MS);
+    Board_Config config = Board_Defaults(self_node);
     int64_t limit_ms = config.task_timeout_ms + config.patience_ms;
     int64_t passed_ms;
     fixture fix;
@@ -567,7 +567,7 @@
 static void
 set_up_companion(fixture *fix)
 {
-    Companion_Config config = Companion_Defaults(worker_node, WALL_MS);
+    Companion_Config config = Companion_Defaults(worker_node);
     Msg_Call call = {.kind = MSG_RELAY};
     lc_record record;
     char text[256];
--- a/tests/slopes.c
+++ b/tests/slopes.c
@@ -290,7 +290,7 @@
 {
     world *all = g_new0(world, 1);
     lc_node self = {0x7f0000010001ULL, 100};
-    Board_Config config = Board_Defaults(self, WALL_MS);
+    Board_Config config = Board_Defaults(self);
     GArray *changes = g_array_new(FALSE, FALSE, sizeof(View_Change));
     Members_Host *hosts = g_new0(Members_Host, companions + 1);
     uint32_t i;
--- a/tests/standin_platform.c
+++ b/tests/standin_platform.c
@@ -22,6 +22,7 @@
     bool down;
     json_int_t lose_confirmations;
     json_t *hosts;
+    uint64_t hosts_version;
 } platform;
 
 static void
@@ -85,6 +86,25 @@
     }
 }
 
+static void
+answer_hosts(platform *self, const Http_Request *request)
+{
+    char *text = json_dumps(self->hosts, JSON_COMPACT);
+    char etag[32];
+    Http_Response response = {
+        .status = 200, .etag = etag, .body = text, .length = strlen(text)};
+
+    g_snprintf(etag, sizeof(etag), "\"%" G_GUINT64_FORMAT "\"",
+               self->hosts_version);
+    if (request->if_none_match != NULL &&
+        strcmp(request->if_none_match, etag) == 0) {
+        response.status = 304;
+        response.length = 0;
+    }
+    Http_Respond(self->server, request->id, &response);
+    free(text);
+}
+
 static void
 serve_hosts(void *context, const Http_Request *request)
 {
@@ -96,9 +116,10 @@
         if (body != NULL) {
             json_decref(self->hosts);
             self->hosts = body;
+            self->hosts_version++;
         }
     }
-    respond(self, request, 200, json_incref(self->hosts));
+    answer_hosts(self, request);
 }
 
 static void
--- a/wire/levercove.h
+++ b/wire/levercove.h
@@ -64,7 +64,6 @@
 	bool_t knows_caller;
 	bool_t draining;
 	u_quad_t complied;
-	quad_t started_ms;
 	u_int slots;
 	u_int free;
 };
@@ -187,7 +186,6 @@
 struct lc_inventory_res {
 	lc_node node;
 	lc_position position;
-	quad_t started_ms;
 	u_int next;
 	struct {
 		u_int tasks_len;
--- a/wire/levercove.x
+++ b/wire/levercove.x
@@ -48,7 +48,6 @@
     bool knows_caller;
     bool draining;
     unsigned hyper complied;
-    hyper started_ms;
     unsigned int slots;
     unsigned int free;
 };
@@ -150,7 +149,6 @@
 struct lc_inventory_res {
     lc_node node;
     lc_position position;
-    hyper started_ms;
     unsigned int next;
     lc_started tasks<LC_MAX_PAGE>;
 };
--- a/wire/levercove_xdr.c
+++ b/wire/levercove_xdr.c
@@ -91,8 +91,6 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->complied))
 		 return FALSE;
-	 if (!xdr_quad_t (xdrs, &objp->started_ms))
-		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->slots))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->free))
@@ -360,8 +358,6 @@
 		 return FALSE;
 	 if (!xdr_lc_position (xdrs, &objp->position))
 		 return FALSE;
-	 if (!xdr_quad_t (xdrs, &objp->started_ms))
-		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->next))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->tasks.tasks_val, (u_int *) &objp->tasks.tasks_len, LC_MAX_PAGE,
--- a/wire/rpc.c
+++ b/wire/rpc.c
@@ -393,20 +393,11 @@
     start_reading(conn);
 }
 
-static void
-address_to_sockaddr(Address address, struct sockaddr_in *out)
-{
-    memset(out, 0, sizeof(*out));
-    out->sin_family = AF_INET;
-    out->sin_addr.s_addr = htonl((uint32_t)(address >> 16));
-    out->sin_port = htons((uint16_t)address);
-}
-
 static connection *
 connect_to(Rpc *rpc, Address to)
 {
     connection *conn = g_hash_table_lookup(rpc->by_peer, &to);
-    struct sockaddr_in target;
+    struct sockaddr_in target = Address_ToSocket(to);
 
     if (conn != NULL) {
         return conn;
@@ -414,7 +405,6 @@
     conn = new_connection(rpc, to);
     conn->connect.data = conn;
     g_hash_table_insert(rpc->by_peer, &conn->peer, conn);
-    address_to_sockaddr(to, &target);
     if (uv_tcp_connect(&conn->connect, &conn->tcp,
                        (const struct sockaddr *)&target, on_connected) != 0) {
         close_connection(conn);
@@ -446,10 +436,9 @@
 Err_Kind
 Rpc_Listen(Rpc *rpc, Address address, Status *status)
 {
-    struct sockaddr_in local;
+    struct sockaddr_in local = Address_ToSocket(address);
     int result;
 
-    address_to_sockaddr(address, &local);
     uv_tcp_init(rpc->loop, &rpc->listener);
     rpc->listener.data = rpc;
     rpc->listening = true;
