--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,10 @@
 	BUILD=$(BUILD) scripts/test_long.sh
 
 bench: all
+	BUILD=$(BUILD) scripts/bench_quiet.sh
 	BUILD=$(BUILD) scripts/bench.sh
+	BUILD=$(BUILD) scripts/bench_fairness.sh
+	BUILD=$(BUILD) scripts/bench_burst.sh
 
 capacity: all
 	BUILD=$(BUILD) scripts/capacity.sh
--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -358,14 +358,11 @@
     else if (reply->status == LC_START_GONE && was_silent) {
         Outcome_Lost(board, job);
     }
-    else if (reply->status == LC_START_GONE) {
-        /* Its only call came to the successor: it did not start. */
-        return_task(board, job, call->index);
-    }
     else if (reply->status <= LC_START_EVICTED) {
         end_task(board, job, call->index, reply);
     }
     else {
+        /* Refused, or its only call came to the companion's successor. */
         return_task(board, job, call->index);
     }
     if (reply != NULL && same) {
--- a/daemon/options.c
+++ b/daemon/options.c
@@ -22,11 +22,13 @@
     {                                                                         \
         (name), SETTING_GROUP, 0, 0, 0, 0, NULL                               \
     }
+/* NOLINTBEGIN(bugprone-macro-parentheses): the literals are joined. */
 #define INTEGER(group, name, least, most)                                     \
     {                                                                         \
         group #name, SETTING_INTEGER, offsetof(Options, name), 0, (least),    \
             (most), NULL                                                      \
     }
+/* NOLINTEND(bugprone-macro-parentheses) */
 
 static const Setting option_table[] = {
     TEXT(role, 1, "entry|companion"),
--- a/tests/load.c
+++ b/tests/load.c
@@ -24,7 +24,7 @@
 #define MAX_GROUPS 8
 #define MAX_ENTRIES 64
 #define ANSWER_MS 120000
-#define FIRST_RETRIES 200
+#define MOST_TRIES 200
 
 typedef struct {
     char name[65];
@@ -167,7 +167,7 @@
     if (has_outcome(answer, "done")) {
         end_job(job, true);
     }
-    else if (has_outcome(answer, "failed")) {
+    else if (has_outcome(answer, "failed") || ++job->tries > MOST_TRIES) {
         job->group->failed++;
         end_job(job, false);
     }
@@ -175,10 +175,6 @@
         job->group->refused++;
         end_job(job, false);
     }
-    else if (++job->tries > FIRST_RETRIES) {
-        job->group->failed++;
-        end_job(job, false);
-    }
     else if (job->open == 0) {
         uv_timer_start(&job->timer, on_resend,
                        MAX(answer->retry_after_s, 1) * 1000, 0);
@@ -376,7 +372,7 @@
     }
     signal(SIGPIPE, SIG_IGN);
     self.rand = g_rand_new_with_seed((guint32)atoi(argv[1]));
-    self.end_ms = now_ms() + atoi(argv[2]) * 1000;
+    self.end_ms = now_ms() + (int64_t)atoi(argv[2]) * 1000;
     self.slots = atof(argv[3]);
     self.work_per_ms = self.slots * atof(argv[4]) / 100.0;
     self.resend_ms = resend == NULL ? 0 : atoi(resend);
--- a/tests/rules.c
+++ b/tests/rules.c
@@ -11,7 +11,7 @@
 #include "core/entry.h"
 
 #define WALL_MS 1700000000000LL
-#define EVIDENCE_MS 3000
+#define EVIDENCE_MS ((int64_t)3000)
 
 /* What a node did since the last look. */
 typedef struct {
@@ -629,6 +629,17 @@
     g_assert_cmpint(fix.status, ==, LC_START_BEHIND);
     start(&fix, &other_node, 1, 1, 1); /* not in the view */
     g_assert_cmpint(fix.status, ==, LC_START_FENCED);
+    tear_down(&fix);
+}
+
+static void
+test_companion_record(void)
+{
+    fixture fix;
+
+    set_up_companion(&fix);
+    start(&fix, &self_node, 1, 5, 0);
+    g_assert_cmpuint(fix.run_id, !=, 0);
     start(&fix, &self_node, 1, 7, 0); /* the record: no second run */
     g_assert_cmpint(fix.replies, ==, 0);
     g_assert_cmpuint(fix.run_id, ==, 0);
@@ -671,6 +682,7 @@
     g_test_add_func("/entry/hung task", test_hung_task);
     g_test_add_func("/entry/cap waits", test_cap_waits);
     g_test_add_func("/companion/refusals", test_companion_refusals);
+    g_test_add_func("/companion/record", test_companion_record);
     g_test_add_func("/companion/same incarnation", test_same_incarnation);
     return g_test_run();
 }
--- a/tests/slopes.c
+++ b/tests/slopes.c
@@ -163,7 +163,8 @@
     uint32_t i;
 
     for (i = 0; i < all->inherited; i++) {
-        Key key = Key_Mint(all->now.wall_ms, node->incarnation, i * 7919);
+        Key key = Key_Mint(all->now.wall_ms, node->incarnation,
+                           (uint64_t)i * 7919);
         lc_started started;
         memset(&started, 0, sizeof(started));
         started.key = Node_WireKey(&key);
