--- /dev/null
+++ b/tests/pump_checks.cc
@@ -0,0 +1,146 @@
+#include "tests/pump_world.h"
+
+namespace pump {
+
+/* No row may ever go back to an older version in the life of a node. */
+void
+World::watch_table(Node *node)
+{
+    const Table *table = node->is_entry ? Entry_Table(node->entry)
+                                        : Companion_Table(node->companion);
+
+    for (const char *group : {"small", "large"}) {
+        uint64_t version = Table_Version(table, group);
+        uint64_t &seen = node->versions[group];
+        if (version < seen) {
+            report_.table.push_back(format("%s: %s reverted from %llu to %llu",
+                                           Address_Text(node->address), group,
+                                           (unsigned long long)seen,
+                                           (unsigned long long)version));
+        }
+        seen = version;
+    }
+}
+
+/* A planned stop must leave nobody waiting. */
+void
+World::check_stop(const Node *node)
+{
+    if (node->running > 0) {
+        report_.cut_off.push_back(format("%s stopped with %lld tasks running",
+                                         Address_Text(node->address),
+                                         (long long)node->running));
+    }
+    for (const Attempt &attempt : attempts_) {
+        if (attempt.entry == node->address && attempt.life == node->life &&
+            !attempt.answered) {
+            report_.cut_off.push_back(key_text(jobs_[attempt.job].key) +
+                                      " was cut off by a planned stop");
+        }
+    }
+}
+
+/* Without faults an accepted edit is in force everywhere by now. */
+void
+World::check_in_force(const AcceptedEdit &edit)
+{
+    for (auto &pair : nodes_) {
+        const Node *node = pair.second.get();
+        const Table *table = node->is_entry ? Entry_Table(node->entry)
+                                            : Companion_Table(node->companion);
+        if (Table_Version(table, edit.group.c_str()) < edit.version) {
+            report_.table.push_back(
+                format("%s has not applied %s at version %llu",
+                       Address_Text(node->address), edit.group.c_str(),
+                       (unsigned long long)edit.version));
+        }
+    }
+}
+
+void
+World::check_starts()
+{
+    std::map<std::string, const Start *> seen;
+
+    report_.starts = starts_.size();
+    for (const Start &start : starts_) {
+        std::string task = result_text(start.key, start.index);
+        auto found = seen.find(task);
+        if (found != seen.end()) {
+            report_.double_starts.push_back(
+                format("%s at %s %lld ms and at %s %lld ms", task.c_str(),
+                       Address_Text(found->second->companion),
+                       (long long)found->second->at_ms,
+                       Address_Text(start.companion), (long long)start.at_ms));
+        }
+        seen[task] = &start;
+    }
+}
+
+void
+World::check_jobs()
+{
+    std::set<std::string> started;
+
+    for (const Start &start : starts_) {
+        started.insert(key_text(start.key));
+    }
+    for (const Job &job : jobs_) {
+        if (job.attempts > 0 && job.open == 0 && job.all_not_run &&
+            started.count(key_text(job.key)) > 0) {
+            report_.false_not_run.push_back(key_text(job.key) +
+                                            " was said not to have run");
+        }
+    }
+    for (const Attempt &attempt : attempts_) {
+        const Node *node = find(attempt.entry);
+        if (!attempt.answered && node->alive && node->life == attempt.life) {
+            report_.unanswered.push_back(key_text(jobs_[attempt.job].key) +
+                                         " at " + Address_Text(attempt.entry));
+        }
+    }
+}
+
+void
+World::check_table()
+{
+    std::map<std::string, const AcceptedEdit *> last;
+
+    for (const AcceptedEdit &edit : accepted_) {
+        const AcceptedEdit *&place = last[edit.group];
+        if (place == nullptr || place->version < edit.version) {
+            place = &edit;
+        }
+    }
+    for (auto &pair : nodes_) {
+        const Node *node = pair.second.get();
+        if (!node->alive) {
+            continue;
+        }
+        const Table *table = node->is_entry ? Entry_Table(node->entry)
+                                            : Companion_Table(node->companion);
+        for (auto &item : last) {
+            uint64_t version = Table_Version(table, item.first.c_str());
+            const Table_Row *row = Table_Find(table, item.first.c_str());
+            if (version < item.second->version ||
+                (version == item.second->version &&
+                 (row == nullptr || row->weight != item.second->weight))) {
+                report_.table.push_back(
+                    format("%s: %s at version %llu, accepted was %llu",
+                           Address_Text(node->address), item.first.c_str(),
+                           (unsigned long long)version,
+                           (unsigned long long)item.second->version));
+            }
+        }
+    }
+}
+
+void
+World::check_end()
+{
+    check_starts();
+    check_jobs();
+    check_table();
+}
+
+} // namespace pump
