--- a/scripts/install.sh
+++ b/scripts/install.sh
@@ -3,7 +3,7 @@
 set -eu
 PACKAGES="build-essential cmake pkg-config libuv1-dev libh2o-dev libtirpc-dev
 libglib2.0-dev libjansson-dev libxxhash-dev libssl-dev librapidcheck-dev
-curl jq clang-format clang-tidy cppcheck"
+curl jq patch clang-format clang-tidy cppcheck"
 missing=""
 for package in $PACKAGES; do
     dpkg-query -W -f='${Status}' "$package" 2>/dev/null |
