--- a/core/companion.c
+++ b/core/companion.c
@@ -34,6 +34,7 @@
     GHashTable *sequences; /* lc_node -> sequence_row */
     Handle_Table *calls;   /* pending_call */
     int64_t down_until_ms;
+    bool hangs;    /* its last task timed out: one task at a time */
     bool was_down; /* the last connection to the upstream was refused */
     uint32_t running;
     bool draining;
@@ -109,12 +110,22 @@
     return companion->now.mono_ms < companion->down_until_ms;
 }
 
+/* An upstream whose last task timed out gets one task to show it works. */
+static bool
+is_on_trial(const Companion *companion)
+{
+    return companion->hangs && companion->running > 0;
+}
+
 static uint32_t
 open_slots(const Companion *companion)
 {
-    if (companion->draining || is_down(companion)) {
+    if (companion->draining || is_down(companion) || is_on_trial(companion)) {
         return 0;
     }
+    if (companion->hangs) {
+        return 1;
+    }
     return Arbiter_FreeSlots(companion->arbiter);
 }
 
@@ -157,7 +168,7 @@
 {
     Arbiter_Grant grant;
 
-    if (companion->draining || is_down(companion)) {
+    if (companion->draining || is_down(companion) || companion->hangs) {
         return;
     }
     while (Arbiter_Offer(companion->arbiter, companion->now.mono_ms, &grant)) {
@@ -253,7 +264,7 @@
     if (companion->draining) {
         return LC_START_DRAINING;
     }
-    if (is_down(companion)) {
+    if (is_down(companion) || is_on_trial(companion)) {
         return LC_START_DOWN;
     }
     return LC_START_DONE;
@@ -610,6 +621,7 @@
 {
     Arbiter_Grant grant;
     bool granted = !companion->draining && !is_down(companion) &&
+                   !companion->hangs &&
                    Arbiter_Offer(companion->arbiter, companion->now.mono_ms,
                                  &grant);
     bool same = granted && record->waiters->len > 0 &&
@@ -674,6 +686,7 @@
     }
     note_up(companion);
     record->timed_out = result == COMPANION_RUN_TIMEOUT;
+    companion->hangs = record->timed_out;
     Counter_Add(&companion->counters,
                 result == COMPANION_RUN_DONE ? COUNTER_TASKS_DONE
                                              : COUNTER_TASKS_FAILED,
--- a/tests/process/lib.sh
+++ b/tests/process/lib.sh
@@ -82,9 +82,12 @@
         ([.results[].text] == [range($n) | "r\(.)"])' <<<"$1" >/dev/null
 }
 
-# no_double_starts: by the upstreams' own lists
+# no_double_starts: by the upstreams' own lists; nor more at once than slots
 no_double_starts() {
-    local doubles
+    local doubles i
+    for ((i = 0; i < COMPANIONS; i++)); do
+        [ "$(http GET "${UPSTREAM[$i]}" /excess)" = 0 ] || fail "upstream $i got more than its slots"
+    done
     doubles=$(all_starts | sort | uniq -d)
     [ -z "$doubles" ] || fail "started twice: $doubles"
 }
--- a/tests/rules.c
+++ b/tests/rules.c
@@ -651,6 +651,33 @@
     tear_down(&fix);
 }
 
+/* After a task that timed out one task at a time, until one ends well. */
+static void
+test_hanging_upstream(void)
+{
+    fixture fix;
+    uint64_t hung;
+
+    set_up_companion(&fix);
+    start(&fix, &self_node, 1, 1, 0);
+    hung = fix.run_id;
+    Companion_OnRun(fix.companion, fix.now, hung, COMPANION_RUN_TIMEOUT, 0,
+                    NULL, 0);
+    start(&fix, &self_node, 1, 2, 1);
+    hung = fix.run_id;
+    g_assert_cmpuint(hung, !=, 0);
+    start(&fix, &self_node, 1, 3, 2);
+    g_assert_cmpuint(fix.run_id, ==, 0);
+    g_assert_cmpint(fix.status, ==, LC_START_DOWN);
+    Companion_OnRun(fix.companion, fix.now, hung, COMPANION_RUN_DONE, 200,
+                    NULL, 0);
+    start(&fix, &self_node, 1, 4, 2);
+    g_assert_cmpuint(fix.run_id, !=, 0);
+    start(&fix, &self_node, 1, 5, 3);
+    g_assert_cmpuint(fix.run_id, !=, 0);
+    tear_down(&fix);
+}
+
 /* Numbers rise for each entry by itself, whatever its incarnation. */
 static void
 test_same_incarnation(void)
@@ -683,6 +710,7 @@
     g_test_add_func("/entry/cap waits", test_cap_waits);
     g_test_add_func("/companion/refusals", test_companion_refusals);
     g_test_add_func("/companion/record", test_companion_record);
+    g_test_add_func("/companion/hanging upstream", test_hanging_upstream);
     g_test_add_func("/companion/same incarnation", test_same_incarnation);
     return g_test_run();
 }
