--- a/core/companion.c
+++ b/core/companion.c
@@ -5,9 +5,9 @@
 
 #include "core/arbiter.h"
 #include "core/fold.h"
+#include "core/inventory.h"
 #include "core/records.h"
 
-#define PAGE_BYTES ((size_t)1024 * 1024)
 #define RELAY_RECORDS 256
 
 /* Highest sequence number seen of an entry: older calls are refused. */
@@ -442,110 +442,26 @@
     companion->ports.reply(companion->context, reply_id, &reply);
 }
 
-/* Collects what an entry inherits. */
-typedef struct {
-    const Companion *companion;
-    const lc_inventory_args *args;
-    const View_Epoch *settled; /* epoch the caller settled last, or NULL */
-    GArray *tasks;             /* lc_started, borrowing from records */
-    size_t bytes;
-    uint64_t last;
-    bool more;
-} inventory_search;
-
-static const View_Epoch *
-find_epoch(const View *view, uint64_t offset)
-{
-    guint i;
-
-    for (i = 0; i < view->epochs->len; i++) {
-        const View_Epoch *epoch = &g_array_index(view->epochs, View_Epoch, i);
-        if (epoch->offset == offset) {
-            return epoch;
-        }
-    }
-    return NULL;
-}
-
-/* Whether the caller learned of this start when it settled before. */
-static bool
-is_known_to_caller(const inventory_search *search, const Record *record)
-{
-    const View *view = get_view(search->companion);
-    const View_Removed *removed = View_FindRemoved(view, &record->starter);
-    lc_node owner;
-
-    if (search->settled == NULL || removed == NULL ||
-        removed->offset > search->args->settled) {
-        return false;
-    }
-    owner = View_EpochOwner(search->settled, &record->key);
-    return Node_Same(&owner, &search->args->from);
-}
-
-static bool
-is_inherited(const inventory_search *search, const Record *record)
-{
-    const View *view = get_view(search->companion);
-    lc_node owner = View_Owner(view, &record->key);
-
-    return Node_Same(&owner, &search->args->from) &&
-           View_Find(view, &record->starter) == NULL &&
-           !is_known_to_caller(search, record);
-}
-
-static bool
-collect_record(const Record *record, void *context)
-{
-    inventory_search *search = context;
-    lc_started started;
-
-    if (search->bytes >= PAGE_BYTES || search->tasks->len >= LC_MAX_PAGE) {
-        search->more = true;
-        return false;
-    }
-    search->last = record->number;
-    if (!is_inherited(search, record)) {
-        return true;
-    }
-    memset(&started, 0, sizeof(started));
-    started.key = Node_WireKey(&record->key);
-    started.index = record->index;
-    started.total = record->total;
-    started.state = record->state;
-    started.code = record->code;
-    started.group = (char *)(uintptr_t)record->group;
-    started.result.result_len = record->length;
-    started.result.result_val = (char *)record->result;
-    search->bytes += sizeof(started) + record->length;
-    g_array_append_val(search->tasks, started);
-    return true;
-}
-
 static void
 on_inventory(Companion *companion, uint64_t reply_id,
              const lc_inventory_args *args)
 {
     Msg_Reply reply = {.kind = MSG_INVENTORY};
-    inventory_search search = {
-        .companion = companion,
-        .args = args,
-        .settled = find_epoch(get_view(companion), args->settled),
-        .tasks = g_array_new(FALSE, FALSE, sizeof(lc_started)),
-    };
+    lc_inventory_res *out = &reply.u.inventory;
+    Inventory_Page page;
 
-    reply.u.inventory.node = companion->config.self;
-    reply.u.inventory.position = Fold_Position(companion->fold);
-    if (reply.u.inventory.position.epoch == args->epoch) {
-        Records_Each(companion->records, args->cursor, collect_record,
-                     &search);
+    out->node = companion->config.self;
+    out->position = Fold_Position(companion->fold);
+    if (out->position.epoch != args->epoch) {
+        companion->ports.reply(companion->context, reply_id, &reply);
+        return;
     }
-    reply.u.inventory.next = search.more ? (u_int)search.last : 0;
-    reply.u.inventory.tasks.tasks_len = search.tasks->len;
-    reply.u.inventory.tasks.tasks_val =
-        (lc_started *)(void *)search.tasks->data;
+    page = Inventory_Collect(companion->records, get_view(companion), args);
+    out->next = page.next;
+    out->tasks.tasks_len = page.tasks->len;
+    out->tasks.tasks_val = (lc_started *)(void *)page.tasks->data;
     companion->ports.reply(companion->context, reply_id, &reply);
-    g_array_unref(search.tasks);
+    Inventory_Clear(&page);
 }
 
 bool
