An answer larger than the budget reaches its caller; evicted jobs are not decided again

Since ended jobs are packed before their callers are answered, an answer that alone exceeded max_answer_bytes was evicted first, and its caller got answer_evicted for a job that was done. A recovered job whose results were evicted while others of the same merge were decided would have been decided again, as done with no results. It is left failed. Found by reading; no run has shown it. Also: a task list was searched twice for the same answer, and two accessors were never called.

--- a/base/counter.c
+++ b/base/counter.c
@@ -12,12 +12,6 @@
     counters->value[id] += amount;
 }
 
-const char *
-Counter_Name(Counter_Id id)
-{
-    return counter_names[id];
-}
-
 void
 Counter_Print(const Counters *counters, GString *out)
 {
--- a/base/counter.h
+++ b/base/counter.h
@@ -56,9 +56,6 @@
 /** Adds @p amount to one counter. */
 void Counter_Add(Counters *counters, Counter_Id id, uint64_t amount);
 
-/** Metric name of a counter. */
-const char *Counter_Name(Counter_Id id);
-
 /** Appends all counters to @p out, one `levercove_name value` line each. */
 void Counter_Print(const Counters *counters, GString *out);
 
--- a/core/companion.c
+++ b/core/companion.c
@@ -669,12 +669,6 @@
     return Fold_Table(companion->fold);
 }
 
-const View *
-Companion_View(const Companion *companion)
-{
-    return get_view(companion);
-}
-
 Counters *
 Companion_Counters(Companion *companion)
 {
--- a/core/companion.h
+++ b/core/companion.h
@@ -69,7 +69,6 @@
 bool Companion_IsDrained(const Companion *companion);
 
 const Table *Companion_Table(const Companion *companion);
-const View *Companion_View(const Companion *companion);
 Counters *Companion_Counters(Companion *companion);
 
 /** State for operators. Caller owns the result. */
--- a/core/job.c
+++ b/core/job.c
@@ -267,7 +267,9 @@
         ledger->bytes += job->kept_bytes;
         g_queue_push_tail(&ledger->with_answers, job);
     }
-    while (ledger->bytes > ledger->max_bytes) {
+    /* The last answer stays for those who wait for it just now. */
+    while (ledger->bytes > ledger->max_bytes &&
+           g_queue_peek_head(&ledger->with_answers) != job) {
         evict_oldest_answer(ledger);
     }
 }
--- a/core/recovery.c
+++ b/core/recovery.c
@@ -136,16 +136,21 @@
     bool unsure = Key_Time(&job->key) < search->unsure_before_ms;
     /* Tasks nobody tells of may have run where nobody can tell any more. */
     bool open = job->state == JOB_HELD || job->waiting > 0;
+    bool failed = has_failed_task(job);
 
+    if (job->state == JOB_FAILED) {
+        /* Its results were evicted while others were decided. */
+        return;
+    }
     Ledger_Reopen(search->board->ledger, job);
     if (job->state == JOB_HELD && !unsure) {
         Ledger_Remove(search->board->ledger, job);
     }
-    else if (unsure && open && !has_failed_task(job)) {
+    else if (unsure && open && !failed) {
         Outcome_Fail(search->board, job, ERR_LOST,
                      "its entry and a companion were lost");
     }
-    else if (has_failed_task(job)) {
+    else if (failed) {
         Outcome_Fail(search->board, job, ERR_UPSTREAM_FAILED,
                      "a task failed before its entry was lost");
     }
--- a/tests/rules.c
+++ b/tests/rules.c
@@ -11,6 +11,7 @@
 #include "core/entry.h"
 
 #define WALL_MS 1700000000000LL
+#define SMALL_ANSWERS 64
 #define EVIDENCE_MS ((int64_t)3000)
 
 /* What a node did since the last look. */
@@ -136,6 +137,7 @@
     fix->now.wall_ms = WALL_MS;
     config.evidence_ms = EVIDENCE_MS;
     config.inventory_ms = 500;
+    config.max_answer_bytes = SMALL_ANSWERS;
     fix->entry = Entry_New(&config, &ports, fix, fix->now);
 }
 
@@ -508,6 +510,28 @@
     tear_down(&fix);
 }
 
+/* An answer beyond what is kept still reaches the caller who waits. */
+static void
+test_large_answer(void)
+{
+    static char result[2 * SMALL_ANSWERS];
+    static char nothing[] = "";
+    Msg_Reply reply = {.kind = MSG_START};
+    fixture fix;
+    Key key;
+
+    set_up_worker(&fix);
+    key = key_owned_by(&fix, &self_node);
+    submit(&fix, &key, 1);
+    reply.u.start.grant_group = nothing;
+    reply.u.start.result.result_len = sizeof(result);
+    reply.u.start.result.result_val = result;
+    Entry_OnReply(fix.entry, fix.now, fix.call_id[MSG_START], &reply);
+    g_assert_cmpint(fix.answers, ==, 1);
+    g_assert_cmpstr(Err_Text(fix.answer), ==, "ok");
+    tear_down(&fix);
+}
+
 /* A companion that answers pings but never a START. */
 static void
 test_hung_task(void)
@@ -706,6 +730,7 @@
     g_test_add_func("/entry/former owner", test_former_owner);
     g_test_add_func("/entry/resume", test_resume);
     g_test_add_func("/entry/full inventory", test_full_inventory);
+    g_test_add_func("/entry/large answer", test_large_answer);
     g_test_add_func("/entry/hung task", test_hung_task);
     g_test_add_func("/entry/cap waits", test_cap_waits);
     g_test_add_func("/companion/refusals", test_companion_refusals);
