--- a/base/err.h
+++ b/base/err.h
@@ -37,6 +37,10 @@
     X(UNKNOWN_GROUP, "unknown_group", 404, 3, OUTCOME_NOT_RUN, 0)             \
     X(STALE_ROW, "stale_row", 412, 5, OUTCOME_REFUSED, 0)                     \
     X(NEED_MATCH, "if_match_required", 428, 2, OUTCOME_REFUSED, 0)            \
+    X(UNKNOWN_QUEUE, "unknown_queue", 404, 3, OUTCOME_NOT_RUN, 0)             \
+    X(UNSUPPORTED, "unsupported", 503, 3, OUTCOME_NOT_RUN, 1)                 \
+    X(NO_ROUTES, "no_routes", 503, 6, OUTCOME_NOT_RUN, 1)                     \
+    X(CANCELLED, "cancelled", 409, 3, OUTCOME_FAILED, 0)                      \
     X(QUEUE_FULL, "queue_full", 429, 6, OUTCOME_NOT_RUN, 1)                   \
     X(WAIT_TOO_LONG, "wait_too_long", 503, 6, OUTCOME_NOT_RUN, 1)             \
     X(NO_EVIDENCE, "no_evidence", 503, 6, OUTCOME_UNKNOWN, 1)                 \
--- a/base/event.h
+++ b/base/event.h
@@ -17,6 +17,7 @@
     X(STOP_FORCED, 103, G_LOG_LEVEL_WARNING, "second stop request: exit now") \
     X(BAD_SETTINGS, 104, G_LOG_LEVEL_CRITICAL, "settings refused")            \
     X(LISTEN_FAILED, 105, G_LOG_LEVEL_CRITICAL, "cannot listen")              \
+    X(RELOAD, 106, G_LOG_LEVEL_MESSAGE, "told to read settings again")        \
     X(LOG_DOWN, 200, G_LOG_LEVEL_WARNING, "log service unavailable")          \
     X(LOG_UP, 201, G_LOG_LEVEL_MESSAGE, "log service available again")        \
     X(HOSTS_DOWN, 202, G_LOG_LEVEL_WARNING, "host list unavailable")          \
@@ -38,6 +39,24 @@
     X(UPSTREAM_DOWN, 502, G_LOG_LEVEL_WARNING,                                \
       "upstream refuses connections")                                         \
     X(UPSTREAM_UP, 503, G_LOG_LEVEL_MESSAGE, "upstream accepts again")        \
+    X(COMPANION_FOUND, 307, G_LOG_LEVEL_MESSAGE, "companion found")           \
+    X(PEER_FOUND, 308, G_LOG_LEVEL_MESSAGE, "entry found")                    \
+    X(STOOD_STILL, 309, G_LOG_LEVEL_WARNING, "process stood still")           \
+    X(READY, 310, G_LOG_LEVEL_MESSAGE, "readiness changed")                   \
+    X(ROUTES, 402, G_LOG_LEVEL_MESSAGE, "routes in force")                    \
+    X(ROUTES_BAD, 403, G_LOG_LEVEL_WARNING, "routes skipped")                 \
+    X(JOB_REFUSED, 510, G_LOG_LEVEL_INFO, "leased job refused")               \
+    X(CALLER_GONE, 511, G_LOG_LEVEL_INFO, "caller gone, job stopped")         \
+    X(RUN_ENDED, 512, G_LOG_LEVEL_INFO, "run ended without a result")         \
+    X(RUN_STALLED, 513, G_LOG_LEVEL_INFO, "run makes no progress")            \
+    X(LEASE_LAPSED, 514, G_LOG_LEVEL_WARNING, "lease lapsed, run stopped")    \
+    X(ORDER_UNANSWERED, 515, G_LOG_LEVEL_WARNING, "order without an answer")  \
+    X(ORDER_REFUSED, 516, G_LOG_LEVEL_INFO, "order refused by the upstream")  \
+    X(UPSTREAM_KNOWN, 520, G_LOG_LEVEL_MESSAGE, "upstream known")             \
+    X(UPSTREAM_LOST, 521, G_LOG_LEVEL_WARNING, "upstream lost")               \
+    X(UPSTREAM_DRAINING, 522, G_LOG_LEVEL_MESSAGE, "upstream drain changed")  \
+    X(UPSTREAM_TRIAL, 523, G_LOG_LEVEL_WARNING, "upstream on trial")          \
+    X(UPSTREAM_TRUSTED, 524, G_LOG_LEVEL_MESSAGE, "upstream trusted again")   \
     X(RPC_BAD, 600, G_LOG_LEVEL_WARNING, "RPC record refused")                \
     X(HTTP_BAD, 601, G_LOG_LEVEL_INFO, "HTTP request refused")
 
--- a/base/settings.c
+++ b/base/settings.c
@@ -52,6 +52,33 @@
     }
 }
 
+static void
+read_addresses(reader *in, const Setting *setting, const json_t *value)
+{
+    Setting_Addresses *place = (Setting_Addresses *)(void *)(in->out +
+                                                             setting->place);
+    const json_t *item;
+    size_t i;
+
+    place->count = 0;
+    if (!json_is_array(value) ||
+        json_array_size(value) > SETTING_MAX_ADDRESSES) {
+        complain(in, setting->path,
+                 "expected a list of at most %d \"IP:port\"",
+                 SETTING_MAX_ADDRESSES);
+        return;
+    }
+    json_array_foreach(value, i, item)
+    {
+        const char *text = json_string_value(item);
+        if (text == NULL || !Address_Parse(text, &place->list[place->count])) {
+            complain(in, setting->path, "entry %zu: expected \"IP:port\"", i);
+            return;
+        }
+        place->count++;
+    }
+}
+
 static void
 read_integer(reader *in, const Setting *setting, const json_t *value)
 {
@@ -109,6 +136,9 @@
     case SETTING_ADDRESS:
         read_address(in, setting, value);
         break;
+    case SETTING_ADDRESSES:
+        read_addresses(in, setting, value);
+        break;
     case SETTING_INTEGER:
         read_integer(in, setting, value);
         break;
--- a/base/settings.h
+++ b/base/settings.h
@@ -14,10 +14,11 @@
 
 /** Kinds of setting. */
 typedef enum {
-    SETTING_ADDRESS, /**< "IP:port" into an Address */
-    SETTING_INTEGER, /**< least to most, into an int64_t */
-    SETTING_TEXT,    /**< one of `choices`, or any, into a char[64] */
-    SETTING_GROUP    /**< an object whose members follow, "name." each */
+    SETTING_ADDRESS,   /**< "IP:port" into an Address */
+    SETTING_INTEGER,   /**< least to most, into an int64_t */
+    SETTING_ADDRESSES, /**< list of "IP:port" into a Setting_Addresses */
+    SETTING_TEXT,      /**< one of `choices`, or any, into a char[64] */
+    SETTING_GROUP      /**< an object whose members follow, "name." each */
 } Setting_Kind;
 
 /** One setting; a table of them ends with a NULL path. */
@@ -34,6 +35,15 @@
 /** Size of the text of a SETTING_TEXT. */
 #define SETTING_TEXT_SIZE 64
 
+/** Most entries of a SETTING_ADDRESSES. */
+#define SETTING_MAX_ADDRESSES 64
+
+/** Value of a SETTING_ADDRESSES. */
+typedef struct {
+    uint32_t count;
+    Address list[SETTING_MAX_ADDRESSES];
+} Setting_Addresses;
+
 /**
  * Reads a file into @p out, which holds the defaults. Returns ERR_OK, or
  * ERR_BAD_SETTINGS with one line per error in @p errors (free with g_free).
--- a/core/entry.c
+++ b/core/entry.c
@@ -134,7 +134,7 @@
         break;
     case MSG_GRANT:
     case MSG_DECLINE:
-    case MSG_COUNT:
+    default: /* of leased jobs, which are not served here */
         break;
     }
 }
--- a/daemon/http_server.c
+++ b/daemon/http_server.c
@@ -13,6 +13,8 @@
 
 #define LISTEN_BACKLOG 1024
 #define MS_PER_S 1000
+/* Never seen: its caller has hung up. */
+#define CALLER_GONE_STATUS 499
 
 typedef struct {
     h2o_handler_t super;
@@ -24,6 +26,7 @@
     Http_Server *server;
     h2o_req_t *request;
     Handle id;
+    h2o_socket_t *watched; /* for a hang-up, or NULL */
 } open_request;
 
 struct Http_Server {
@@ -36,6 +39,8 @@
     const Http_Route *routes;
     void *handler_context;
     Handle_Table *open;
+    void (*gone)(void *context, uint64_t id);
+    GHashTable *watched; /* h2o_socket_t -> open_request */
 };
 
 /* h2o calls this when the request ends, answered or not. */
@@ -45,6 +50,66 @@
     open_request *open = item;
 
     Handle_Remove(open->server->open, open->id);
+    if (open->watched != NULL) {
+        g_hash_table_remove(open->server->watched, open->watched);
+    }
+}
+
+static void
+stop_watching(open_request *open)
+{
+    if (open->watched != NULL) {
+        g_hash_table_remove(open->server->watched, open->watched);
+        h2o_socket_read_stop(open->watched);
+        open->watched = NULL;
+    }
+}
+
+static Http_Server *
+server_of(h2o_socket_t *socket)
+{
+    const h2o_conn_t *conn = socket->data; /* as HTTP/1 connections set it */
+
+    return (Http_Server *)(void *)((char *)conn->ctx -
+                                   offsetof(Http_Server, context));
+}
+
+/*
+ * Something came on the connection of a request that is being served: its
+ * end, or the next request, which h2o finds in its buffer later.
+ */
+static void
+on_watched(h2o_socket_t *socket, const char *error)
+{
+    Http_Server *server = server_of(socket);
+    open_request *open = g_hash_table_lookup(server->watched, socket);
+    Http_Response nothing = {.status = CALLER_GONE_STATUS, .body = ""};
+    uint64_t id;
+
+    if (open == NULL) {
+        return;
+    }
+    id = open->id;
+    stop_watching(open);
+    if (error != NULL) {
+        server->gone(server->handler_context, id);
+        Http_Respond(server, id, &nothing);
+    }
+}
+
+static void
+watch(Http_Server *server, uint64_t id)
+{
+    open_request *open = Handle_Get(server->open, id);
+    h2o_conn_t *conn;
+
+    if (server->gone == NULL || open == NULL) {
+        return;
+    }
+    conn = open->request->conn;
+    open->watched = conn->callbacks->get_socket(conn);
+    g_hash_table_insert(server->watched, open->watched, open);
+    h2o_socket_read_start(open->watched, on_watched);
 }
 
 static char *
@@ -100,6 +165,8 @@
     }
     out->body = request->entity.base == NULL ? "" : request->entity.base;
     out->length = request->entity.len;
+    out->authority = pool_text(request, request->authority.base,
+                               request->authority.len);
     out->idempotency_key = header_text(request, "idempotency-key");
     out->if_match = header_text(request, "if-match");
     out->if_none_match = header_text(request, "if-none-match");
@@ -120,6 +187,7 @@
     memset(&in, 0, sizeof(in));
     open->server = server;
     open->request = request;
+    open->watched = NULL;
     open->id = Handle_Add(server->open, open);
     in.id = open->id;
     fill_request(request, &in);
@@ -133,6 +201,7 @@
     }
     else {
         route->handler(server->handler_context, &in);
+        watch(server, in.id);
     }
     return 0;
 }
@@ -195,6 +264,7 @@
     server->routes = routes;
     server->handler_context = context;
     server->open = Handle_NewTable();
+    server->watched = g_hash_table_new(NULL, NULL);
     h2o_config_init(&server->config);
     server->config.server_name = h2o_iovec_init(H2O_STRLIT("levercove"));
     /* Twice our own limit, so that our own error answers most. */
@@ -237,6 +307,7 @@
     if (open == NULL) {
         return;
     }
+    stop_watching(open);
     request = open->request;
     request->res.status = response->status;
     request->res.reason = response->status < 400 ? "OK" : "Error";
@@ -278,6 +349,27 @@
     json_decref(body);
 }
 
+const char *
+Http_Header(const Http_Server *server, uint64_t id, const char *name)
+{
+    const open_request *open = Handle_Get(server->open, id);
+
+    return open == NULL ? NULL : header_text(open->request, name);
+}
+
+void
+Http_WatchCallers(Http_Server *server,
+                  void (*gone)(void *context, uint64_t id))
+{
+    server->gone = gone;
+}
+
+void
+Http_CloseAfterAnswers(Http_Server *server)
+{
+    h2o_context_request_shutdown(&server->context);
+}
+
 uint32_t
 Http_Unanswered(const Http_Server *server)
 {
--- a/daemon/http_server.h
+++ b/daemon/http_server.h
@@ -26,6 +26,7 @@
     const char *rest;  /**< of the path, behind the route's prefix */
     const char *body;
     size_t length;
+    const char *authority;       /**< of the Host header, or "" */
     const char *idempotency_key; /**< header values, or NULL */
     const char *if_match;
     const char *if_none_match;
@@ -61,6 +62,19 @@
                             const Http_Route *routes, void *context,
                             Status *status);
 
+/** Value of a header (lower-case name) of a request that has not been
+ * answered, or NULL. Borrowed until the answer. */
+const char *Http_Header(const Http_Server *server, uint64_t id,
+                        const char *name);
+
+/** Calls @p gone for each request whose caller hangs up before its answer;
+ * such a request needs no answer. */
+void Http_WatchCallers(Http_Server *server,
+                       void (*gone)(void *context, uint64_t id));
+
+/** Lets each connection end with its next answer; still takes new ones. */
+void Http_CloseAfterAnswers(Http_Server *server);
+
 /** Answers a request; ignored when its caller has gone. */
 void Http_Respond(Http_Server *server, uint64_t id,
                   const Http_Response *response);
--- /dev/null
+++ b/daemon/leased_companion.c
@@ -0,0 +1,435 @@
+#include "daemon/leased_companion.h"
+
+#include <glib.h>
+#include <string.h>
+
+#include "daemon/process.h"
+#include "daemon/seeds.h"
+#include "lease/peers.h"
+#include "lease/runner.h"
+#include "platform/upstreams.h"
+
+/* Orders are answered in well under a ms; one lost is stopped soon. */
+#define ORDER_TIMEOUT_MS 150
+#define LOOK_SLACK_MS 120
+/* Connections kept open to the upstream. */
+#define MOST_CONNECTIONS 16
+/* Entries are told of changes at most so often each, times their number. */
+#define REPORT_GAP_MS 7
+#define REPORT_IDLE_MS 500
+#define REPORT_TIMEOUT_MS 1000
+/* A planned stop ends so long before the kill. */
+#define STOP_MARGIN_MS 700
+#define OK_STATUS 200
+
+typedef struct {
+    Process process; /* first, see Process */
+    Runner *runner;
+    Http_Client *http;
+    Http_Server *beats;
+    Peers peers;
+    Seeds seeds;
+    uv_timer_t report_timer;
+    uint64_t next_call;
+    int64_t stop_ms; /* when the planned stop was asked for */
+} leased_companion;
+
+/* An order on its way to the upstream. */
+typedef struct {
+    leased_companion *owner;
+    uint64_t id;
+} order_context;
+
+static int64_t
+now_ms(void)
+{
+    return Process_Now().mono_ms;
+}
+
+static void tell_peers(leased_companion *self);
+
+/* ---- orders ---- */
+
+static void
+send_order(leased_companion *self, uint64_t id, Upstreams_Order *order,
+           uint32_t timeout_ms, Http_ClientDone done)
+{
+    order_context *context = g_new0(order_context, 1);
+    Http_ClientRequest request = {.to = self->process.options->upstream,
+                                  .method = "POST",
+                                  .path = order->path,
+                                  .headers = order->headers,
+                                  .body = order->body,
+                                  .length = order->length,
+                                  .timeout_ms = timeout_ms};
+
+    context->owner = self;
+    context->id = id;
+    Http_Send(self->http, &request, done, context);
+    Upstreams_ClearOrder(order);
+}
+
+static void
+on_start_answer(void *item, const Http_ClientAnswer *answer)
+{
+    order_context *context = item;
+    leased_companion *self = context->owner;
+    int64_t clock_ms;
+    Runner_OrderEnd end = Upstreams_OrderEnd(answer, &clock_ms);
+
+    Runner_OnStarted(self->runner, now_ms(), context->id, end, clock_ms);
+    g_free(context);
+    tell_peers(self);
+}
+
+static void
+on_stop_answer(void *item, const Http_ClientAnswer *answer)
+{
+    order_context *context = item;
+    leased_companion *self = context->owner;
+    int64_t clock_ms;
+    Runner_OrderEnd end = Upstreams_OrderEnd(answer, &clock_ms);
+
+    Runner_OnStopped(self->runner, now_ms(), context->id, end, clock_ms);
+    g_free(context);
+}
+
+static void
+on_look_answer(void *item, const Http_ClientAnswer *answer)
+{
+    order_context *context = item;
+    leased_companion *self = context->owner;
+    Upstreams_Listing listing;
+
+    Upstreams_ReadListing(answer, &listing);
+    Runner_OnLook(self->runner, now_ms(), context->id, &listing.listing);
+    Upstreams_FreeListing(&listing);
+    g_free(context);
+    tell_peers(self);
+}
+
+static void
+port_start(void *context, uint64_t id, const Runner_Start *start)
+{
+    Upstreams_Order order;
+
+    Upstreams_StartOrder(start, &order);
+    send_order(context, id, &order, ORDER_TIMEOUT_MS, on_start_answer);
+}
+
+static void
+port_stop(void *context, uint64_t id, const lc_run_id *run,
+          const char *instance, int64_t token)
+{
+    Upstreams_Order order;
+
+    Upstreams_StopOrder(run, instance, token, &order);
+    send_order(context, id, &order, ORDER_TIMEOUT_MS, on_stop_answer);
+}
+
+static void
+port_look(void *context, uint64_t id, const Runner_Look *look)
+{
+    Upstreams_Order order;
+
+    Upstreams_LookOrder(look, &order);
+    send_order(context, id, &order, look->wait_ms + LOOK_SLACK_MS,
+               on_look_answer);
+}
+
+static const Runner_Ports runner_ports = {
+    .start = port_start,
+    .stop = port_stop,
+    .look = port_look,
+    .reply = Process_PortReply,
+    .event = Process_PortEvent,
+};
+
+/* ---- entries ---- */
+
+static void
+send_report(leased_companion *self, int64_t now, Peers_Row *peer)
+{
+    Msg_Call call = {.kind = MSG_REPORT};
+
+    if (!Runner_Report(self->runner, now, &call.u.report)) {
+        return;
+    }
+    call.u.report.hall = (char *)(uintptr_t)self->process.options->hall;
+    peer->call_id = ++self->next_call;
+    peer->asked_ms = now;
+    peer->telling = Runner_Version(self->runner);
+    Rpc_Call(self->process.rpc, peer->address, peer->call_id, &call);
+}
+
+static void
+on_report_timer(uv_timer_t *timer)
+{
+    tell_peers(timer->data);
+}
+
+/* Time until a peer should be told, 0 for now, -1 for not by itself. */
+static int64_t
+report_due(const leased_companion *self, int64_t now, const Peers_Row *peer)
+{
+    int64_t gap = (int64_t)REPORT_GAP_MS * self->peers.rows->len;
+    int64_t since = now - peer->asked_ms;
+
+    if (peer->call_id != 0) {
+        return -1;
+    }
+    if (peer->told == Runner_Version(self->runner) ||
+        !Peers_IsLive(peer, now)) {
+        return since >= REPORT_IDLE_MS ? 0 : -1;
+    }
+    return since >= gap ? 0 : gap - since;
+}
+
+static void
+tell_peers(leased_companion *self)
+{
+    int64_t now = now_ms();
+    int64_t next = -1;
+    guint i;
+
+    for (i = 0; i < self->peers.rows->len; i++) {
+        Peers_Row *peer = g_ptr_array_index(self->peers.rows, i);
+        int64_t due = report_due(self, now, peer);
+        if (due == 0) {
+            send_report(self, now, peer);
+        }
+        else if (due > 0 && (next < 0 || due < next)) {
+            next = due;
+        }
+    }
+    if (next > 0 && !uv_is_active((uv_handle_t *)&self->report_timer)) {
+        uv_timer_start(&self->report_timer, on_report_timer, (uint64_t)next,
+                       0);
+    }
+}
+
+static void
+reset_silent(leased_companion *self, int64_t now)
+{
+    guint i;
+
+    for (i = 0; i < self->peers.rows->len; i++) {
+        const Peers_Row *peer = g_ptr_array_index(self->peers.rows, i);
+        if (peer->call_id != 0 && now - peer->asked_ms > REPORT_TIMEOUT_MS) {
+            Rpc_Reset(self->process.rpc, peer->address);
+        }
+    }
+}
+
+static void
+take_report_reply(leased_companion *self, Peers_Row *peer,
+                  const lc_report_res *result)
+{
+    int64_t now = now_ms();
+    u_int i;
+
+    peer->told = peer->telling;
+    if (Peers_Hear(&self->peers, peer->address, now)) {
+        Event_Log(EVENT_PEER_FOUND, "%s", Address_Text(peer->address));
+    }
+    for (i = 0; i < result->entries.entries_len; i++) {
+        Peers_Name(&self->peers, result->entries.entries_val[i], now);
+    }
+}
+
+/* ---- the upstream's calls ---- */
+
+static void
+respond(Http_Server *server, uint64_t id, int status, const char *body)
+{
+    Http_Response response = {
+        .status = status, .body = body, .length = strlen(body)};
+
+    Http_Respond(server, id, &response);
+}
+
+static void
+take_beat(leased_companion *self, const Http_Request *request,
+          const char *instance)
+{
+    Upstreams_Beat beat;
+    Status status = {ERR_OK, ""};
+
+    if (Upstreams_ReadBeat(instance, request->body, request->length, &beat,
+                           &status) != ERR_OK) {
+        Http_RespondError(self->beats, request->id, status.kind,
+                          status.message, 0);
+    }
+    else {
+        Runner_OnUpstream(self->runner, now_ms(), &beat.upstream);
+        respond(self->beats, request->id, OK_STATUS, "{}");
+    }
+    Upstreams_FreeBeat(&beat);
+    tell_peers(self);
+}
+
+static void
+serve_beats(void *context, const Http_Request *request)
+{
+    leased_companion *self = context;
+    char *instance;
+
+    switch (Upstreams_ParseCall(request->method, request->path, &instance)) {
+    case UPSTREAMS_BEAT:
+        take_beat(self, request, instance);
+        break;
+    case UPSTREAMS_LEAVES:
+        Runner_OnUpstreamGone(self->runner, now_ms(), instance);
+        respond(self->beats, request->id, OK_STATUS, "{}");
+        tell_peers(self);
+        break;
+    default:
+        Http_RespondError(self->beats, request->id, ERR_NOT_FOUND,
+                          "no such path", 0);
+        break;
+    }
+    g_free(instance);
+}
+
+static const Http_Route beat_routes[] = {
+    {"/", serve_beats},
+    {NULL, NULL},
+};
+
+/* ---- the role ---- */
+
+static void
+role_tick(Process *process)
+{
+    leased_companion *self = (leased_companion *)process;
+    int64_t now = now_ms();
+
+    Seeds_Refresh(&self->seeds, &self->peers, now);
+    Runner_Tick(self->runner, now);
+    Peers_Forget(&self->peers, now);
+    reset_silent(self, now);
+    tell_peers(self);
+}
+
+static void
+role_drain(Process *process)
+{
+    leased_companion *self = (leased_companion *)process;
+
+    Event_Log(EVENT_STOPPING, "companion of leased jobs");
+    self->stop_ms = now_ms();
+    Runner_Drain(self->runner);
+    tell_peers(self);
+}
+
+static bool
+role_is_drained(const Process *process)
+{
+    const leased_companion *self = (const leased_companion *)process;
+    int64_t most = process->options->grace_ms - STOP_MARGIN_MS;
+
+    if (self->stop_ms == 0) {
+        return false;
+    }
+    return Runner_IsIdle(self->runner) || now_ms() - self->stop_ms > most;
+}
+
+static json_t *
+role_dump(const Process *process)
+{
+    const leased_companion *self = (const leased_companion *)process;
+
+    return Runner_Dump(self->runner, now_ms());
+}
+
+static Counters *
+role_counters(Process *process)
+{
+    return Runner_Counters(((leased_companion *)process)->runner);
+}
+
+static bool
+role_call(Process *process, uint64_t reply_id, const Msg_Call *call)
+{
+    leased_companion *self = (leased_companion *)process;
+    bool served = Runner_OnCall(self->runner, now_ms(), reply_id, call);
+
+    tell_peers(self);
+    return served;
+}
+
+static void
+role_reply(Process *process, uint64_t call_id, const Msg_Reply *reply)
+{
+    leased_companion *self = (leased_companion *)process;
+    Peers_Row *peer = Peers_OfCall(&self->peers, call_id);
+
+    if (peer == NULL) {
+        return;
+    }
+    peer->call_id = 0;
+    if (reply != NULL && reply->kind == MSG_REPORT) {
+        take_report_reply(self, peer, &reply->u.report);
+    }
+    tell_peers(self);
+}
+
+static const Process_Role leased_companion_role = {
+    role_tick,     role_drain, role_is_drained, role_dump,
+    role_counters, role_call,  role_reply,
+};
+
+static Runner *
+new_runner(leased_companion *self, const Options *options)
+{
+    Node_Time now = Process_Now();
+    Term_Bounds bounds = {options->resubmit_ms, options->hold_max_ms,
+                          options->stop_ms, PROCESS_TICK_MS};
+    Runner_Config config = {.node = Process_NewNode(options),
+                            .first_token = now.wall_ms,
+                            .beat_ms = options->beat_ms};
+
+    if (!Term_Plan(&bounds, &config.term)) {
+        return NULL;
+    }
+    return Runner_New(&config, &runner_ports, self, now.mono_ms);
+}
+
+int
+LeasedCompanion_Run(const Options *options)
+{
+    leased_companion *self = g_new0(leased_companion, 1);
+    uv_loop_t *loop = uv_default_loop();
+    Status status = {ERR_OK, ""};
+    int code = Err_Exit(ERR_IO);
+
+    self->http = Http_NewClient(loop);
+    Http_KeepAlive(self->http, options->upstream, MOST_CONNECTIONS);
+    Peers_Init(&self->peers, options->rpc);
+    self->runner = new_runner(self, options);
+    if (self->runner == NULL) {
+        Event_Log(EVENT_BAD_SETTINGS, "times.resubmit_ms leaves no time for "
+                                      "leases");
+        code = Err_Exit(ERR_BAD_SETTINGS);
+        goto done;
+    }
+    Seeds_Init(&self->seeds, options);
+    uv_timer_init(loop, &self->report_timer);
+    self->report_timer.data = self;
+    self->beats = Http_NewServer(loop, options->beats, beat_routes, self,
+                                 &status);
+    if (self->beats == NULL ||
+        Process_Open(&self->process, loop, options, &leased_companion_role,
+                     &status) != ERR_OK) {
+        Event_Log(EVENT_LISTEN_FAILED, "%s", status.message);
+        goto done;
+    }
+    code = Process_Run(&self->process);
+done:
+    if (self->runner != NULL) {
+        Runner_Free(self->runner);
+    }
+    Peers_Clear(&self->peers);
+    /* The loop's handles live in `self`; the process ends here. */
+    return code;
+}
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -9,6 +9,8 @@
 #include "base/version.h"
 #include "daemon/companion_process.h"
 #include "daemon/entry_process.h"
+#include "daemon/leased_companion.h"
+#include "daemon/leased_entry.h"
 #include "daemon/options.h"
 
 static gboolean show_version;
@@ -40,6 +42,30 @@
     return code;
 }
 
+static int
+run_role(const Options *options)
+{
+    static const struct {
+        const char *role;
+        bool leased;
+        int (*run)(const Options *options);
+    } roles[] = {
+        {"entry", false, EntryProcess_Run},
+        {"entry", true, LeasedEntry_Run},
+        {"companion", false, CompanionProcess_Run},
+        {"companion", true, LeasedCompanion_Run},
+    };
+    size_t i;
+
+    for (i = 0; i < G_N_ELEMENTS(roles); i++) {
+        if (strcmp(options->role, roles[i].role) == 0 &&
+            Options_IsLeased(options) == roles[i].leased) {
+            return roles[i].run(options);
+        }
+    }
+    return Err_Exit(ERR_BAD_SETTINGS);
+}
+
 static int
 run(const char *file)
 {
@@ -55,11 +81,8 @@
     else if (check_only) {
         printf("%s: settings are well formed\n", file);
     }
-    else if (strcmp(options.role, "entry") == 0) {
-        code = EntryProcess_Run(&options);
-    }
     else {
-        code = CompanionProcess_Run(&options);
+        code = run_role(&options);
     }
     g_free(errors);
     return code;
--- a/daemon/options.c
+++ b/daemon/options.c
@@ -39,6 +39,11 @@
     ADDRESS(log, 0),
     ADDRESS(hosts, 0),
     ADDRESS(upstream, 0),
+    ADDRESS(ready, 0),
+    ADDRESS(beats, 0),
+    ADDRESS(store, 0),
+    {"seeds", SETTING_ADDRESSES, offsetof(Options, seeds), 0, 0, 0, NULL},
+    TEXT(jobs, 0, "owned|leased"),
     INTEGER("", slots, 1, 4096),
     TEXT(order, 0, "fifo|fewest_remaining|response_ratio"),
     TEXT(placement, 0, "random|two_choices|grants"),
@@ -57,6 +62,11 @@
     INTEGER("times.", snapshot_ms, 1000, DAY_MS),
     INTEGER("times.", task_timeout_ms, 100, 3600000),
     INTEGER("times.", grant_ms, 10, 10000),
+    INTEGER("times.", resubmit_ms, 500, 600000),
+    INTEGER("times.", hold_max_ms, 100, 60000),
+    INTEGER("times.", stop_ms, 0, 10000),
+    INTEGER("times.", beat_ms, 10, 60000),
+    INTEGER("times.", grace_ms, 500, 600000),
     GROUP("limits"),
     INTEGER("limits.", snapshot_records, 1, 1000000),
     /* A SETTLE names all keys an entry holds in one message. */
@@ -73,6 +83,12 @@
     memset(options, 0, sizeof(*options));
     g_strlcpy(options->order, "response_ratio", sizeof(options->order));
     g_strlcpy(options->placement, "grants", sizeof(options->placement));
+    g_strlcpy(options->jobs, "owned", sizeof(options->jobs));
+    options->resubmit_ms = 1300;
+    options->hold_max_ms = 1000;
+    options->stop_ms = 50;
+    options->beat_ms = 1500;
+    options->grace_ms = 6000;
     options->slots = 8;
     options->log_poll_ms = 250;
     options->hosts_poll_ms = 1000;
@@ -105,9 +121,27 @@
     }
 }
 
+static void
+check_leased(const Options *options, const char *file, GString *errors)
+{
+    if (strcmp(options->role, "entry") == 0) {
+        require(errors, file, "entry", "callers", options->callers);
+        require(errors, file, "entry", "ready", options->ready);
+        require(errors, file, "entry", "store", options->store);
+    }
+    else if (strcmp(options->role, "companion") == 0) {
+        require(errors, file, "companion", "upstream", options->upstream);
+        require(errors, file, "companion", "beats", options->beats);
+    }
+}
+
 static void
 check_role(const Options *options, const char *file, GString *errors)
 {
+    if (Options_IsLeased(options)) {
+        check_leased(options, file, errors);
+        return;
+    }
     if (strcmp(options->role, "entry") == 0) {
         require(errors, file, "entry", "callers", options->callers);
         require(errors, file, "entry", "log", options->log);
@@ -124,6 +158,12 @@
     }
 }
 
+bool
+Options_IsLeased(const Options *options)
+{
+    return strcmp(options->jobs, "leased") == 0;
+}
+
 Err_Kind
 Options_Load(const char *file, Options *options, char **errors)
 {
@@ -131,6 +171,7 @@
     char *form;
 
     set_defaults(options);
+    options->file = file;
     Settings_Load(file, option_table, options, &form);
     all = g_string_new(form);
     g_free(form);
--- a/daemon/options.h
+++ b/daemon/options.h
@@ -5,20 +5,29 @@
 #ifndef LC_DAEMON_OPTIONS_H
 #define LC_DAEMON_OPTIONS_H
 
+#include <stdbool.h>
+
 #include "base/settings.h"
 
 /** All settings, for both roles; times in ms. */
 typedef struct {
+    const char *file; /**< the settings file */
     char role[SETTING_TEXT_SIZE];
     char hall[SETTING_TEXT_SIZE];
     char order[SETTING_TEXT_SIZE];
     char placement[SETTING_TEXT_SIZE];
-    Address rpc;      /**< where peers call */
+    char jobs[SETTING_TEXT_SIZE]; /**< "owned" by key, or "leased" */
+    Address rpc;                  /**< where peers call */
     Address admin;    /**< where operators read state and metrics */
     Address callers;  /**< where callers send jobs; entry only */
     Address log;      /**< the log service; entry only */
     Address hosts;    /**< the host list; entry only */
     Address upstream; /**< the upstream; companion only */
+    Address ready;    /**< where the balancer asks; leased, entry only */
+    Address beats;    /**< where the upstream beats; leased, companion only */
+    Address store;    /**< holds the routes; leased, entry only */
+    Setting_Addresses seeds; /**< hosts of entries; their ports are passed
+                                  over. Leased only */
     int64_t slots;
     int64_t log_poll_ms;
     int64_t hosts_poll_ms;
@@ -35,6 +44,11 @@
     int64_t snapshot_records;
     int64_t task_timeout_ms;
     int64_t grant_ms;
+    int64_t resubmit_ms; /**< least time before a caller sends again */
+    int64_t hold_max_ms;
+    int64_t stop_ms;
+    int64_t beat_ms;
+    int64_t grace_ms; /**< from the planned stop to the kill */
     int64_t max_jobs;
     int64_t max_answer_bytes;
     int64_t max_records;
@@ -47,4 +61,7 @@
  */
 Err_Kind Options_Load(const char *file, Options *options, char **errors);
 
+/** Whether jobs are leased: run by the entry that received them, not kept. */
+bool Options_IsLeased(const Options *options);
+
 #endif
--- a/daemon/process.c
+++ b/daemon/process.c
@@ -6,7 +6,6 @@
 #include <string.h>
 #include <time.h>
 
-#define TICK_MS 50
 /* A drained process stays this long for answers on their way out. */
 #define LINGER_MS 300
 #define NS_PER_MS 1000000
@@ -178,6 +177,16 @@
     process->role->drain(process);
 }
 
+/* Settings that may change are read again by themselves. */
+static void
+on_hangup(uv_signal_t *handle, int number)
+{
+    const Process *process = handle->data;
+
+    (void)number;
+    Event_Log(EVENT_RELOAD, "%s", process->options->file);
+}
+
 Err_Kind
 Process_ReopenRpc(Process *process, Status *status)
 {
@@ -208,13 +217,16 @@
     }
     uv_timer_init(loop, &process->tick);
     process->tick.data = process;
-    uv_timer_start(&process->tick, on_tick, TICK_MS, TICK_MS);
+    uv_timer_start(&process->tick, on_tick, PROCESS_TICK_MS, PROCESS_TICK_MS);
     uv_signal_init(loop, &process->terminate);
     process->terminate.data = process;
     uv_signal_start(&process->terminate, on_signal, SIGTERM);
     uv_signal_init(loop, &process->interrupt);
     process->interrupt.data = process;
     uv_signal_start(&process->interrupt, on_signal, SIGINT);
+    uv_signal_init(loop, &process->hangup);
+    process->hangup.data = process;
+    uv_signal_start(&process->hangup, on_hangup, SIGHUP);
     Event_Log(EVENT_STARTED, "%s %s in hall %s", options->role,
               Address_Text(options->rpc), options->hall);
     return ERR_OK;
--- a/daemon/process.h
+++ b/daemon/process.h
@@ -11,6 +11,9 @@
 #include "daemon/options.h"
 #include "wire/rpc.h"
 
+/** Time between ticks of a role. */
+#define PROCESS_TICK_MS 50
+
 /** A running role; the first member of its own structure. */
 typedef struct Process Process;
 
@@ -41,6 +44,7 @@
     uv_timer_t tick;
     uv_signal_t terminate;
     uv_signal_t interrupt;
+    uv_signal_t hangup;
     bool stopping;      /**< the planned stop was asked for */
     int64_t drained_ms; /**< monotonic; since when it is drained, or 0 */
     int exit_code;
--- /dev/null
+++ b/lease/active.c
@@ -0,0 +1,162 @@
+#include "lease/active.h"
+
+#include <string.h>
+
+#define PERCENT 100
+
+static void
+fill_tasks(Active_Job *job)
+{
+    Active_Task *task = job->tasks;
+    uint32_t step;
+    uint32_t index;
+
+    for (step = 0; step < job->spec.step_count; step++) {
+        for (index = 0; index < job->spec.steps[step].count; index++) {
+            task->id.job = job->spec.id;
+            task->id.step = step;
+            task->id.index = index;
+            task->state = ACTIVE_BLOCKED;
+            task++;
+        }
+    }
+}
+
+Active_Job *
+Active_New(LeasedJob *spec, const Route *route, int64_t now_ms,
+           int64_t deadline_ms)
+{
+    Active_Job *job = g_new0(Active_Job, 1);
+    uint32_t chain_ms = LeasedJob_ChainMs(spec);
+
+    job->spec = *spec;
+    memset(spec, 0, sizeof(*spec));
+    job->queue = g_strdup(route->name);
+    job->service = g_strdup(route->service);
+    job->priority = route->priority;
+    job->max_attempts = MAX(route->max_attempts, 1);
+    job->requests = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    job->arrived_ms = now_ms;
+    job->objective_ms = now_ms + route->target_ms +
+                        (int64_t)chain_ms * route->stretch_percent / PERCENT;
+    job->deadline_ms = deadline_ms;
+    job->task_count = LeasedJob_Tasks(&job->spec);
+    job->tasks = g_new0(Active_Task, job->task_count);
+    job->open = job->task_count;
+    fill_tasks(job);
+    Active_Unblock(job);
+    return job;
+}
+
+void
+Active_Free(Active_Job *job)
+{
+    LeasedJob_Clear(&job->spec);
+    g_free(job->queue);
+    g_free(job->service);
+    g_array_unref(job->requests);
+    g_free(job->tasks);
+    g_free(job);
+}
+
+const LeasedJob_Step *
+Active_Step(const Active_Job *job, const Active_Task *task)
+{
+    return &job->spec.steps[task->id.step];
+}
+
+void
+Active_Move(Active_Job *job, Active_Task *task, Active_State state)
+{
+    if (task->state == state) {
+        return;
+    }
+    if (task->state == ACTIVE_WAITING) {
+        job->waiting--;
+    }
+    if (state == ACTIVE_WAITING) {
+        job->waiting++;
+    }
+    if (state == ACTIVE_OVER) {
+        job->open--;
+    }
+    task->state = state;
+}
+
+static uint64_t
+ended_steps(const Active_Job *job)
+{
+    uint64_t ended = 0;
+    uint32_t i;
+
+    for (i = 0; i < job->spec.step_count; i++) {
+        ended |= (uint64_t)1 << i;
+    }
+    for (i = 0; i < job->task_count; i++) {
+        if (!job->tasks[i].done) {
+            ended &= ~((uint64_t)1 << job->tasks[i].id.step);
+        }
+    }
+    return ended;
+}
+
+void
+Active_Unblock(Active_Job *job)
+{
+    uint64_t ended = ended_steps(job);
+    uint32_t i;
+
+    for (i = 0; i < job->task_count; i++) {
+        Active_Task *task = &job->tasks[i];
+        uint64_t needed = Active_Step(job, task)->depends_on;
+        if (task->state == ACTIVE_BLOCKED && (needed & ~ended) == 0) {
+            Active_Move(job, task, ACTIVE_WAITING);
+        }
+    }
+}
+
+bool
+Active_IsDone(const Active_Job *job)
+{
+    uint32_t i;
+
+    for (i = 0; i < job->task_count; i++) {
+        if (!job->tasks[i].done) {
+            return false;
+        }
+    }
+    return true;
+}
+
+uint32_t
+Active_RemainingMs(const Active_Job *job)
+{
+    uint32_t longest[LEASED_JOB_MAX_STEPS] = {0};
+    uint32_t most = 0;
+    uint32_t i;
+    uint32_t j;
+
+    for (i = 0; i < job->task_count; i++) {
+        const Active_Task *task = &job->tasks[i];
+        if (!task->done) {
+            longest[task->id.step] = Active_Step(job, task)->estimate_ms;
+        }
+    }
+    for (i = 0; i < job->spec.step_count; i++) {
+        uint32_t before = 0;
+        for (j = 0; j < i; j++) {
+            if ((job->spec.steps[i].depends_on >> j & 1) != 0) {
+                before = MAX(before, longest[j]);
+            }
+        }
+        longest[i] += before;
+        most = MAX(most, longest[i]);
+    }
+    return most;
+}
+
+int64_t
+Active_SlackMs(const Active_Job *job, int64_t now_ms)
+{
+    return job->objective_ms - now_ms - Active_RemainingMs(job);
+}
--- /dev/null
+++ b/lease/active.h
@@ -0,0 +1,92 @@
+/**
+ * @file active.h
+ * @brief A job that an entry runs, and where each of its tasks stands.
+ *
+ * Owned by the dispatcher. Times are monotonic, in ms.
+ */
+#ifndef LC_LEASE_ACTIVE_H
+#define LC_LEASE_ACTIVE_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/address.h"
+#include "base/handle.h"
+#include "lease/job.h"
+#include "lease/route.h"
+
+/** X(NAME, text): where a task stands. */
+#define ACTIVE_STATE_LIST(X)                                                  \
+    X(BLOCKED, "blocked") /* steps before it have not ended */                \
+    X(WAITING, "waiting") /* may be sent */                                   \
+    X(SENT, "sent")       /* a companion has it, or will refuse it */         \
+    X(ADRIFT, "adrift")   /* the connection broke: it may run */              \
+    X(HALTING, "halting") /* it is being stopped */                           \
+    X(OVER, "over")       /* done, or not to be run any more */
+
+/** States of tasks, in the order of ACTIVE_STATE_LIST. */
+typedef enum {
+#define X(name, text) ACTIVE_##name,
+    ACTIVE_STATE_LIST(X)
+#undef X
+        ACTIVE_STATE_COUNT
+} Active_State;
+
+/** One task. */
+typedef struct {
+    lc_run_id id; /**< with the number of its last run */
+    Active_State state;
+    bool done;
+    uint32_t failures; /**< ends that count as attempts */
+    lc_node host;      /**< of the last run */
+    Address avoid;     /**< where it went wrong last */
+    int64_t again_ms;  /**< nothing is sent for it before */
+    int64_t sent_ms;
+} Active_Task;
+
+/** One job. */
+typedef struct {
+    Handle handle;
+    LeasedJob spec;
+    char *queue;
+    char *service;
+    int32_t priority;
+    uint32_t max_attempts;
+    GArray *requests; /**< uint64_t, callers that wait */
+    int64_t arrived_ms;
+    int64_t objective_ms; /**< answered by then it earns its whole worth */
+    int64_t deadline_ms;
+    uint32_t task_count;
+    Active_Task *tasks;
+    uint32_t waiting; /**< tasks in state WAITING */
+    uint32_t open;    /**< tasks not OVER */
+    bool begun;       /**< a task was sent and not refused */
+    bool closing;     /**< answered; only stops are waited for */
+} Active_Job;
+
+/** Makes a job of @p spec, whose memory it takes. */
+Active_Job *Active_New(LeasedJob *spec, const Route *route, int64_t now_ms,
+                       int64_t deadline_ms);
+void Active_Free(Active_Job *job);
+
+/** Step of a task. */
+const LeasedJob_Step *Active_Step(const Active_Job *job,
+                                  const Active_Task *task);
+
+/** Moves a task to another state; keeps the counts. */
+void Active_Move(Active_Job *job, Active_Task *task, Active_State state);
+
+/** Unblocks the tasks whose steps may start now. */
+void Active_Unblock(Active_Job *job);
+
+/** Whether all tasks are done. */
+bool Active_IsDone(const Active_Job *job);
+
+/** Estimate of the longest chain that has not ended, in ms. */
+uint32_t Active_RemainingMs(const Active_Job *job);
+
+/** Time to spare before the objective cannot be met, if all went at once. */
+int64_t Active_SlackMs(const Active_Job *job, int64_t now_ms);
+
+#endif
--- /dev/null
+++ b/lease/choice.c
@@ -0,0 +1,110 @@
+#include "lease/choice.h"
+
+#include <string.h>
+
+#include "base/random.h"
+#include "lease/resources.h"
+
+#define PERCENT 100
+/* Costs in ms. */
+#define OTHER_HALL_MS 1
+#define SPREAD_MS 4
+/* A host on trial is the last resort, but for one task in so many. */
+#define TRIAL_MS 400
+#define TRIAL_ONE_IN 16
+/* Where a task went wrong it goes again only if nothing else is free. */
+#define AVOID_MS 100
+/* Time that reading data from elsewhere adds, in percent. */
+#define FAR_PERCENT 50
+
+bool
+Choice_IsOpen(const Fleet_Host *host, int64_t now_ms)
+{
+    return (host->state == LC_UPSTREAM_READY ||
+            host->state == LC_UPSTREAM_TRIAL) &&
+           !host->suspect && now_ms >= host->avoid_until_ms;
+}
+
+/* Tasks of the step that run at an address. */
+static uint32_t
+count_together(const Active_Job *job, const Active_Task *task, Address address)
+{
+    uint32_t count = 0;
+    uint32_t i;
+
+    for (i = 0; i < job->task_count; i++) {
+        const Active_Task *other = &job->tasks[i];
+        if (other != task && other->id.step == task->id.step &&
+            (other->done || (other->state != ACTIVE_WAITING &&
+                             other->state != ACTIVE_BLOCKED)) &&
+            other->host.address == address) {
+            count++;
+        }
+    }
+    return count;
+}
+
+static bool
+may_run(const Choice *choice, const Active_Job *job, const Active_Task *task,
+        const Fleet_Host *host)
+{
+    const LeasedJob_Step *step = Active_Step(job, task);
+
+    if (!Choice_IsOpen(host, choice->now_ms) ||
+        !Resources_Fit(&step->need, &host->room) ||
+        g_strcmp0(host->service, job->service) != 0 ||
+        !Fleet_HasLabel(host, step->requirement)) {
+        return false;
+    }
+    return step->most_together == 0 ||
+           count_together(job, task, host->node.address) < step->most_together;
+}
+
+static int64_t
+cost_at(const Choice *choice, const Active_Job *job, const Active_Task *task,
+        const Fleet_Host *host)
+{
+    const LeasedJob_Step *step = Active_Step(job, task);
+    int64_t work_ms = (int64_t)step->estimate_ms * host->pace_percent /
+                      PERCENT;
+    int64_t cost = work_ms +
+                   (int64_t)(Random_Next(choice->random) % SPREAD_MS);
+
+    if (!Fleet_HasLabel(host, step->affinity)) {
+        cost += work_ms * FAR_PERCENT / PERCENT;
+    }
+    if (g_strcmp0(host->hall, choice->hall) != 0) {
+        cost += OTHER_HALL_MS;
+    }
+    if (task->avoid == host->node.address) {
+        cost += AVOID_MS + step->estimate_ms;
+    }
+    if (host->state == LC_UPSTREAM_TRIAL &&
+        Random_Next(choice->random) % TRIAL_ONE_IN != 0) {
+        cost += TRIAL_MS;
+    }
+    return cost;
+}
+
+Fleet_Host *
+Choice_Host(const Choice *choice, const Active_Job *job,
+            const Active_Task *task)
+{
+    Fleet_Host *best = NULL;
+    int64_t least = INT64_MAX;
+    guint i;
+
+    for (i = 0; i < choice->fleet->hosts->len; i++) {
+        Fleet_Host *host = g_ptr_array_index(choice->fleet->hosts, i);
+        int64_t cost;
+        if (!may_run(choice, job, task, host)) {
+            continue;
+        }
+        cost = cost_at(choice, job, task, host);
+        if (cost < least) {
+            least = cost;
+            best = host;
+        }
+    }
+    return best;
+}
--- /dev/null
+++ b/lease/choice.h
@@ -0,0 +1,26 @@
+/**
+ * @file choice.h
+ * @brief The choice of a companion for one task.
+ */
+#ifndef LC_LEASE_CHOICE_H
+#define LC_LEASE_CHOICE_H
+
+#include "lease/active.h"
+#include "lease/fleet.h"
+
+/** Inputs of a choice. */
+typedef struct {
+    const Fleet *fleet;
+    const char *hall; /**< of the entry */
+    int64_t now_ms;
+    uint64_t *random;
+} Choice;
+
+/** Companion that may run @p task now and should, or NULL. */
+Fleet_Host *Choice_Host(const Choice *choice, const Active_Job *job,
+                        const Active_Task *task);
+
+/** Whether a companion takes tasks of @p service at all. */
+bool Choice_IsOpen(const Fleet_Host *host, int64_t now_ms);
+
+#endif
--- /dev/null
+++ b/lease/dispatcher.h
@@ -0,0 +1,125 @@
+/**
+ * @file dispatcher.h
+ * @brief An entry's decisions on leased jobs: which task runs next, at which
+ * companion, when it is tried elsewhere, and when its caller gets an answer.
+ *
+ * The entry that received a job runs it; nothing is kept. What keeps two runs
+ * of a task apart is time alone, see term.h. No I/O and no clock; ports never
+ * call back. Arguments are borrowed unless said otherwise.
+ */
+#ifndef LC_LEASE_DISPATCHER_H
+#define LC_LEASE_DISPATCHER_H
+
+#include <jansson.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/counter.h"
+#include "base/err.h"
+#include "base/event.h"
+#include "lease/fleet.h"
+#include "lease/job.h"
+#include "lease/route.h"
+#include "lease/term.h"
+
+/** How a job is over for its caller. */
+typedef enum {
+    DISPATCHER_SUCCEEDED,
+    DISPATCHER_FAILED,   /**< a task failed too often */
+    DISPATCHER_NOT_RUN,  /**< no task was started and none will be */
+    DISPATCHER_GIVEN_UP, /**< tasks were started; the job has no result */
+    DISPATCHER_CANCELLED
+} Dispatcher_Outcome;
+
+/** Answer to a caller. */
+typedef struct {
+    Dispatcher_Outcome outcome;
+    Err_Kind kind;
+    const char *message;
+    uint32_t retry_ms; /**< when to come back; 0 for never */
+} Dispatcher_Answer;
+
+/** Functions through which a dispatcher acts; none may call it back. */
+typedef struct {
+    void (*call)(void *context, Address to, uint64_t call_id,
+                 const Msg_Call *call);
+    void (*reset)(void *context, Address to);
+    void (*answer)(void *context, uint64_t request_id,
+                   const Dispatcher_Answer *answer);
+    void (*event)(void *context, Event_Id id, const char *detail);
+} Dispatcher_Ports;
+
+/** Settings. */
+typedef struct {
+    lc_node node;
+    Term term;
+    char hall[LC_MAX_NAME];
+    uint32_t max_jobs; /**< at once */
+} Dispatcher_Config;
+
+/** A job handed in. */
+typedef struct {
+    uint64_t request_id;
+    const Route *route;
+    int64_t deadline_ms; /**< from now; after it the caller does not wait */
+    LeasedJob job;       /**< the dispatcher takes what it owns */
+} Dispatcher_Submit;
+
+/** Opaque dispatcher. */
+typedef struct Dispatcher Dispatcher;
+
+Dispatcher *Dispatcher_New(const Dispatcher_Config *config,
+                           const Dispatcher_Ports *ports, void *context,
+                           int64_t now_ms);
+void Dispatcher_Free(Dispatcher *dispatcher);
+
+/** Identity of this entry. */
+lc_node Dispatcher_Node(const Dispatcher *dispatcher);
+
+/** Takes a job; it is answered in the end, at once if it is refused. */
+void Dispatcher_OnSubmit(Dispatcher *dispatcher, int64_t now_ms,
+                         Dispatcher_Submit *submit);
+
+/** A caller has gone: its job is stopped and not answered. */
+void Dispatcher_OnCallerGone(Dispatcher *dispatcher, int64_t now_ms,
+                             uint64_t request_id);
+
+/** A job is cancelled; false if it is not known here. */
+bool Dispatcher_OnCancel(Dispatcher *dispatcher, int64_t now_ms, uint64_t job,
+                         const char *queue);
+
+/** Whether a job is known here and not over; @p begun tells if a task is. */
+bool Dispatcher_Look(const Dispatcher *dispatcher, uint64_t job,
+                     const char *queue, bool *begun);
+
+/** Jobs of a queue of which no task was started. */
+uint32_t Dispatcher_Waiting(const Dispatcher *dispatcher, const char *queue);
+
+/** A companion reports. */
+void Dispatcher_OnReport(Dispatcher *dispatcher, int64_t now_ms,
+                         const lc_report_args *report);
+
+/** A call ended; @p reply is NULL when its connection broke. */
+void Dispatcher_OnReply(Dispatcher *dispatcher, int64_t now_ms,
+                        uint64_t call_id, const Msg_Reply *reply);
+
+/** Starts nothing until Dispatcher_Resume: input that waited while the process
+ * stood still must be read first. */
+void Dispatcher_Pause(Dispatcher *dispatcher);
+void Dispatcher_Resume(Dispatcher *dispatcher, int64_t now_ms);
+
+/** Time has passed; to be called every `term.tick_ms` or more often. */
+void Dispatcher_Tick(Dispatcher *dispatcher, int64_t now_ms);
+
+/** Whether no job is unanswered and no run is unaccounted for. */
+bool Dispatcher_IsIdle(const Dispatcher *dispatcher);
+
+/** Companions that take tasks now. */
+uint32_t Dispatcher_ReadyHosts(const Dispatcher *dispatcher);
+
+Counters *Dispatcher_Counters(Dispatcher *dispatcher);
+
+/** State for operators; the caller owns the result. */
+json_t *Dispatcher_Dump(const Dispatcher *dispatcher, int64_t now_ms);
+
+#endif
--- /dev/null
+++ b/lease/fleet.c
@@ -0,0 +1,167 @@
+#include "lease/fleet.h"
+
+#include <string.h>
+
+static void
+free_host(gpointer item)
+{
+    Fleet_Host *host = item;
+
+    g_free(host->hall);
+    g_free(host->service);
+    g_free(host->instance);
+    g_strfreev(host->labels);
+    g_free(host);
+}
+
+void
+Fleet_Init(Fleet *fleet)
+{
+    fleet->hosts = g_ptr_array_new_with_free_func(free_host);
+    fleet->by_address = g_hash_table_new(g_int64_hash, g_int64_equal);
+}
+
+void
+Fleet_Clear(Fleet *fleet)
+{
+    g_hash_table_unref(fleet->by_address);
+    g_ptr_array_unref(fleet->hosts);
+}
+
+Fleet_Host *
+Fleet_Find(const Fleet *fleet, Address address)
+{
+    return g_hash_table_lookup(fleet->by_address, &address);
+}
+
+static Fleet_Host *
+add_host(Fleet *fleet, const lc_node *node)
+{
+    Fleet_Host *host = g_new0(Fleet_Host, 1);
+
+    host->node = *node;
+    host->pace_percent = 100;
+    g_ptr_array_add(fleet->hosts, host);
+    g_hash_table_insert(fleet->by_address, &host->node.address, host);
+    return host;
+}
+
+static void
+replace_text(char **place, const char *text)
+{
+    if (g_strcmp0(*place, text) != 0) {
+        g_free(*place);
+        *place = g_strdup(text);
+    }
+}
+
+static void
+take_labels(Fleet_Host *host, const lc_report_args *report)
+{
+    u_int count = report->labels.labels_len;
+    u_int i;
+
+    g_strfreev(host->labels);
+    host->labels = g_new0(char *, count + 1);
+    for (i = 0; i < count; i++) {
+        host->labels[i] = g_strdup(report->labels.labels_val[i]);
+    }
+}
+
+static void
+begin_incarnation(Fleet_Host *host, const lc_node *node)
+{
+    host->node = *node;
+    host->stamp_ms = 0;
+    host->valid_until_ms = 0;
+    host->held_ms = 0;
+    host->renewing = 0;
+    host->renew_ms = 0;
+    host->suspect = false;
+    host->avoid_until_ms = 0;
+}
+
+static Fleet_Change
+compare_incarnation(const Fleet_Host *host, const lc_report_args *report)
+{
+    if (host->node.incarnation == report->host.node.incarnation) {
+        return FLEET_KNOWN;
+    }
+    if (report->host.node.incarnation < host->node.incarnation ||
+        report->host.state == LC_UPSTREAM_ABSENT) {
+        return FLEET_STALE;
+    }
+    return FLEET_REBORN;
+}
+
+Fleet_Change
+Fleet_TakeReport(Fleet *fleet, int64_t now_ms, const lc_report_args *report,
+                 Fleet_Host **out)
+{
+    Fleet_Host *host = Fleet_Find(fleet, report->host.node.address);
+    Fleet_Change change = FLEET_NEW;
+
+    if (host == NULL) {
+        host = add_host(fleet, &report->host.node);
+    }
+    else {
+        change = compare_incarnation(host, report);
+    }
+    *out = host;
+    if (change == FLEET_STALE) {
+        return change;
+    }
+    if (change == FLEET_REBORN) {
+        begin_incarnation(host, &report->host.node);
+    }
+    replace_text(&host->hall, report->hall);
+    replace_text(&host->service, report->service);
+    replace_text(&host->instance, report->instance);
+    take_labels(host, report);
+    host->capacity = report->capacity;
+    Fleet_TakeState(host, now_ms, &report->host);
+    return change;
+}
+
+bool
+Fleet_TakeState(Fleet_Host *host, int64_t now_ms, const lc_host_state *state)
+{
+    if (state->node.incarnation != host->node.incarnation) {
+        return false;
+    }
+    if (state->stamp_ms < host->stamp_ms) {
+        return true; /* overtaken on the way */
+    }
+    host->stamp_ms = state->stamp_ms;
+    host->received_ms = now_ms;
+    host->state = state->state;
+    host->room = state->room;
+    host->pace_percent = state->pace_percent;
+    host->suspect = false;
+    return true;
+}
+
+int64_t
+Fleet_Hold(Fleet_Host *host, const Term *term, int64_t now_ms)
+{
+    int64_t until = Term_ValidUntil(term, host->stamp_ms, host->received_ms,
+                                    now_ms);
+
+    host->valid_until_ms = MAX(host->valid_until_ms, until);
+    host->held_ms = now_ms;
+    return host->valid_until_ms;
+}
+
+int64_t
+Fleet_CertainEnd(const Fleet_Host *host, const Term *term)
+{
+    return host->held_ms == 0 ? 0 : Term_CertainEnd(term, host->held_ms);
+}
+
+bool
+Fleet_HasLabel(const Fleet_Host *host, const char *label)
+{
+    return label[0] == '\0' ||
+           (host->labels != NULL &&
+            g_strv_contains((const char *const *)host->labels, label));
+}
--- /dev/null
+++ b/lease/job.c
@@ -0,0 +1,76 @@
+#include "lease/job.h"
+
+#include <string.h>
+
+void
+LeasedJob_Clear(LeasedJob *job)
+{
+    g_free(job->spec);
+    g_free(job->steps);
+    memset(job, 0, sizeof(*job));
+}
+
+uint32_t
+LeasedJob_Tasks(const LeasedJob *job)
+{
+    uint32_t count = 0;
+    uint32_t i;
+
+    for (i = 0; i < job->step_count; i++) {
+        count += job->steps[i].count;
+    }
+    return count;
+}
+
+uint32_t
+LeasedJob_ChainMs(const LeasedJob *job)
+{
+    uint32_t chain[LEASED_JOB_MAX_STEPS] = {0};
+    uint32_t longest = 0;
+    uint32_t i;
+    uint32_t j;
+
+    for (i = 0; i < job->step_count; i++) {
+        for (j = 0; j < i; j++) {
+            if ((job->steps[i].depends_on >> j & 1) != 0) {
+                chain[i] = MAX(chain[i], chain[j]);
+            }
+        }
+        chain[i] += job->steps[i].estimate_ms;
+        longest = MAX(longest, chain[i]);
+    }
+    return longest;
+}
+
+static const char *
+unsupported_part(const LeasedJob *job)
+{
+    uint32_t i;
+
+    if (job->needs_keeping) {
+        return "jobs that must be kept";
+    }
+    if (job->repeated) {
+        return "jobs that run at set times";
+    }
+    for (i = 0; i < job->step_count; i++) {
+        if (job->steps[i].gang) {
+            return "tasks that only work together";
+        }
+        if (job->steps[i].long_running) {
+            return "tasks that last";
+        }
+    }
+    return NULL;
+}
+
+Err_Kind
+LeasedJob_Check(const LeasedJob *job, Status *status)
+{
+    const char *part = unsupported_part(job);
+
+    if (part != NULL) {
+        return Err_Set(status, ERR_UNSUPPORTED, "not served yet: %s", part);
+    }
+    return ERR_OK;
+}
--- /dev/null
+++ b/lease/job.h
@@ -0,0 +1,57 @@
+/**
+ * @file job.h
+ * @brief A job as its caller describes it: steps of tasks with the
+ * resources they need. Parsed by the caller's interface, then never changed.
+ */
+#ifndef LC_LEASE_JOB_H
+#define LC_LEASE_JOB_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/err.h"
+#include "wire/msg.h"
+
+/** Most tasks of one job, as in the developers' sizes. */
+#define LEASED_JOB_MAX_TASKS 1500
+/** Most steps of one job. */
+#define LEASED_JOB_MAX_STEPS 64
+
+/** Tasks that are alike. */
+typedef struct {
+    uint32_t count;
+    lc_resources need;
+    uint32_t estimate_ms;
+    uint64_t depends_on;    /**< bit i: step i ends before this one starts */
+    uint32_t most_together; /**< on one upstream; 0 for any number */
+    char requirement[LC_MAX_NAME]; /**< label of its upstream, or "" */
+    char affinity[LC_MAX_NAME];    /**< label where its data lies, or "" */
+    bool gang;
+    bool long_running;
+} LeasedJob_Step;
+
+/** A job. Owned by whoever parsed it until a dispatcher takes it. */
+typedef struct {
+    uint64_t id;
+    char *spec;         /**< handed to the upstream as it is */
+    bool needs_keeping; /**< the caller expects it to survive all processes */
+    bool repeated;      /**< it runs at times of its own */
+    uint32_t step_count;
+    LeasedJob_Step *steps;
+} LeasedJob;
+
+/** Frees what @p job owns. */
+void LeasedJob_Clear(LeasedJob *job);
+
+/** Tasks of all steps. */
+uint32_t LeasedJob_Tasks(const LeasedJob *job);
+
+/** Longest chain of estimates in ms. */
+uint32_t LeasedJob_ChainMs(const LeasedJob *job);
+
+/** Whether this kind of job is served. Errors: UNSUPPORTED with the part
+ * that is not. */
+Err_Kind LeasedJob_Check(const LeasedJob *job, Status *status);
+
+#endif
--- /dev/null
+++ b/lease/peers.c
@@ -0,0 +1,148 @@
+#include "lease/peers.h"
+
+/* Who has not spoken for so long is not told of to others. */
+#define LIVE_MS 3000
+/* Who is no seed and was neither heard nor named for so long is dropped. */
+#define FORGET_MS 20000
+
+static void
+free_row(gpointer item)
+{
+    Peers_Row *row = item;
+
+    g_array_unref(row->waiting);
+    g_free(row);
+}
+
+void
+Peers_Init(Peers *peers, Address self)
+{
+    peers->self = self;
+    peers->rows = g_ptr_array_new_with_free_func(free_row);
+}
+
+void
+Peers_Clear(Peers *peers)
+{
+    g_ptr_array_unref(peers->rows);
+}
+
+Peers_Row *
+Peers_Find(const Peers *peers, Address address)
+{
+    guint i;
+
+    for (i = 0; i < peers->rows->len; i++) {
+        Peers_Row *row = g_ptr_array_index(peers->rows, i);
+        if (row->address == address) {
+            return row;
+        }
+    }
+    return NULL;
+}
+
+bool
+Peers_Name(Peers *peers, Address address, int64_t now_ms)
+{
+    Peers_Row *row = Peers_Find(peers, address);
+    bool is_new = row == NULL;
+
+    if (address == peers->self) {
+        return false;
+    }
+    if (is_new) {
+        row = g_new0(Peers_Row, 1);
+        row->address = address;
+        row->waiting = g_array_new(FALSE, TRUE, sizeof(Peers_Count));
+        g_ptr_array_add(peers->rows, row);
+    }
+    row->known_ms = now_ms;
+    return is_new;
+}
+
+bool
+Peers_Hear(Peers *peers, Address address, int64_t now_ms)
+{
+    Peers_Row *row;
+    bool was_live;
+
+    Peers_Name(peers, address, now_ms);
+    row = Peers_Find(peers, address);
+    if (row == NULL) {
+        return false;
+    }
+    was_live = Peers_IsLive(row, now_ms);
+    row->heard_ms = now_ms;
+    return !was_live;
+}
+
+void
+Peers_SetSeeds(Peers *peers, const Address *seeds, uint32_t count,
+               int64_t now_ms)
+{
+    guint i;
+
+    for (i = 0; i < peers->rows->len; i++) {
+        ((Peers_Row *)g_ptr_array_index(peers->rows, i))->seed = false;
+    }
+    for (i = 0; i < count; i++) {
+        Peers_Row *row;
+        Peers_Name(peers, seeds[i], now_ms);
+        row = Peers_Find(peers, seeds[i]);
+        if (row != NULL) {
+            row->seed = true;
+        }
+    }
+}
+
+Peers_Row *
+Peers_OfCall(const Peers *peers, uint64_t call_id)
+{
+    guint i;
+
+    for (i = 0; i < peers->rows->len; i++) {
+        Peers_Row *row = g_ptr_array_index(peers->rows, i);
+        if (row->call_id == call_id) {
+            return row;
+        }
+    }
+    return NULL;
+}
+
+void
+Peers_Forget(Peers *peers, int64_t now_ms)
+{
+    guint i = 0;
+
+    while (i < peers->rows->len) {
+        const Peers_Row *row = g_ptr_array_index(peers->rows, i);
+        int64_t last_ms = MAX(row->heard_ms, row->known_ms);
+        if (!row->seed && row->call_id == 0 && now_ms - last_ms > FORGET_MS) {
+            g_ptr_array_remove_index_fast(peers->rows, i);
+        }
+        else {
+            i++;
+        }
+    }
+}
+
+bool
+Peers_IsLive(const Peers_Row *row, int64_t now_ms)
+{
+    return row->heard_ms > 0 && now_ms - row->heard_ms < LIVE_MS;
+}
+
+GArray *
+Peers_Live(const Peers *peers, int64_t now_ms)
+{
+    GArray *live = g_array_new(FALSE, FALSE, sizeof(Address));
+    guint i;
+
+    for (i = 0; i < peers->rows->len; i++) {
+        const Peers_Row *row = g_ptr_array_index(peers->rows, i);
+        if (Peers_IsLive(row, now_ms)) {
+            g_array_append_val(live, row->address);
+        }
+    }
+    return live;
+}
--- /dev/null
+++ b/lease/peers.h
@@ -0,0 +1,71 @@
+/**
+ * @file peers.h
+ * @brief The entries that a process knows: from its settings, and from what
+ * other processes say they have heard of lately.
+ *
+ * Times are monotonic, in ms.
+ */
+#ifndef LC_LEASE_PEERS_H
+#define LC_LEASE_PEERS_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/address.h"
+#include "wire/msg.h"
+
+/** One entry. */
+typedef struct {
+    Address address;
+    bool seed;        /**< named by the settings */
+    int64_t heard_ms; /**< last word of it; 0 for never */
+    int64_t known_ms; /**< when it was last named by anybody */
+    int64_t asked_ms; /**< when the call on its way was sent */
+    uint64_t call_id; /**< call on its way, or 0 */
+    uint64_t told;    /**< version of our state that it was told */
+    uint64_t telling; /**< version on its way */
+    GArray *waiting;  /**< Peers_Count, as it told last */
+} Peers_Row;
+
+/** Waiting jobs of one queue at a peer. */
+typedef struct {
+    char queue[LC_MAX_NAME];
+    uint32_t waiting;
+} Peers_Count;
+
+/** All entries known but ourselves. */
+typedef struct {
+    Address self;
+    GPtrArray *rows; /**< Peers_Row */
+} Peers;
+
+void Peers_Init(Peers *peers, Address self);
+void Peers_Clear(Peers *peers);
+
+/** Row of an address, or NULL. */
+Peers_Row *Peers_Find(const Peers *peers, Address address);
+
+/** Notes that an entry was named; returns whether it is new. */
+bool Peers_Name(Peers *peers, Address address, int64_t now_ms);
+
+/** Notes that an entry spoke; returns whether it had not lately. */
+bool Peers_Hear(Peers *peers, Address address, int64_t now_ms);
+
+/** Sets the seeds of the settings. */
+void Peers_SetSeeds(Peers *peers, const Address *seeds, uint32_t count,
+                    int64_t now_ms);
+
+/** Row that waits for the answer of a call, or NULL. */
+Peers_Row *Peers_OfCall(const Peers *peers, uint64_t call_id);
+
+/** Drops rows that are no seeds and have been silent for long. */
+void Peers_Forget(Peers *peers, int64_t now_ms);
+
+/** Whether an entry spoke lately. */
+bool Peers_IsLive(const Peers_Row *row, int64_t now_ms);
+
+/** Addresses that spoke lately; the caller frees the array. */
+GArray *Peers_Live(const Peers *peers, int64_t now_ms);
+
+#endif
--- /dev/null
+++ b/lease/resources.c
@@ -0,0 +1,34 @@
+#include "lease/resources.h"
+
+#include <glib.h>
+
+bool
+Resources_Fit(const lc_resources *need, const lc_resources *room)
+{
+    return need->cpu_milli <= room->cpu_milli &&
+           need->memory_mb <= room->memory_mb &&
+           need->accelerators <= room->accelerators;
+}
+
+void
+Resources_Add(lc_resources *sum, const lc_resources *more)
+{
+    sum->cpu_milli += more->cpu_milli;
+    sum->memory_mb += more->memory_mb;
+    sum->accelerators += more->accelerators;
+}
+
+void
+Resources_Take(lc_resources *sum, const lc_resources *less)
+{
+    sum->cpu_milli -= MIN(sum->cpu_milli, less->cpu_milli);
+    sum->memory_mb -= MIN(sum->memory_mb, less->memory_mb);
+    sum->accelerators -= MIN(sum->accelerators, less->accelerators);
+}
+
+bool
+Resources_IsNone(const lc_resources *resources)
+{
+    return resources->cpu_milli == 0 && resources->memory_mb == 0 &&
+           resources->accelerators == 0;
+}
--- /dev/null
+++ b/lease/route.h
@@ -0,0 +1,50 @@
+/**
+ * @file route.h
+ * @brief The table of queues that operators set: which requests belong to
+ * which queue, the service that runs its tasks, and its policy.
+ *
+ * A table is never changed: a newer one takes its place. Errors: BAD_RECORD.
+ */
+#ifndef LC_LEASE_ROUTE_H
+#define LC_LEASE_ROUTE_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+/** One queue. Texts are owned by the table. */
+typedef struct {
+    char *name;
+    char *authority;   /**< host name that its requests are sent to */
+    char *path_prefix; /**< with its final slash */
+    char *service;
+    int32_t priority; /**< 0 comes first */
+    uint32_t max_attempts;
+    uint32_t timeout_ms;
+    uint32_t target_ms;       /**< allowed beyond the stretched work */
+    uint32_t stretch_percent; /**< of the longest chain of work */
+    bool advised;             /**< starts need tickets of an adviser */
+} Route;
+
+/** All queues of one version. */
+typedef struct {
+    int64_t version;
+    GPtrArray *routes;   /**< Route */
+    uint32_t body_bytes; /**< longest body of a request */
+    char *source;        /**< the record it was read from, for peers */
+    size_t source_length;
+} Route_Table;
+
+Route_Table *Route_NewTable(int64_t version);
+
+/** Adds an empty queue; the table owns it. */
+Route *Route_Add(Route_Table *table);
+
+void Route_FreeTable(Route_Table *table);
+
+/** Queue with the longest prefix of @p path at @p authority (a port behind
+ * it is passed over), or NULL. */
+const Route *Route_Find(const Route_Table *table, const char *authority,
+                        const char *path);
+
+#endif
--- /dev/null
+++ b/lease/term.c
@@ -0,0 +1,51 @@
+#include "lease/term.h"
+
+#include <glib.h>
+
+/* An upstream's clock may be 2% slow. */
+#define DRIFT_PERCENT 2
+#define PERCENT 100
+/* Rounding of clocks to whole ms, at each of the places that read one. */
+#define ROUNDING_MS 8
+#define LEAST_TERM_MS 100
+
+int64_t
+Term_HoldAtMost(int64_t hold_ms)
+{
+    return hold_ms * PERCENT / (PERCENT - DRIFT_PERCENT) + 1;
+}
+
+int64_t
+Term_UpstreamElapsed(int64_t elapsed_ms)
+{
+    return elapsed_ms * (PERCENT - DRIFT_PERCENT) / PERCENT;
+}
+
+bool
+Term_Plan(const Term_Bounds *bounds, Term *term)
+{
+    int64_t left = bounds->resubmit_ms - bounds->stop_ms - bounds->tick_ms -
+                   ROUNDING_MS;
+    int64_t each = left * (PERCENT - DRIFT_PERCENT) /
+                   (2 * PERCENT - DRIFT_PERCENT);
+
+    term->stop_ms = bounds->stop_ms;
+    term->tick_ms = bounds->tick_ms;
+    term->hold_ms = MIN(each, bounds->hold_max_ms);
+    term->lease_ms = each;
+    return each >= LEAST_TERM_MS;
+}
+
+int64_t
+Term_ValidUntil(const Term *term, int64_t stamp_ms, int64_t received_ms,
+                int64_t now_ms)
+{
+    return stamp_ms + (now_ms - received_ms) + term->lease_ms;
+}
+
+int64_t
+Term_CertainEnd(const Term *term, int64_t sent_ms)
+{
+    return sent_ms + term->lease_ms + Term_HoldAtMost(term->hold_ms) +
+           term->stop_ms + term->tick_ms + ROUNDING_MS;
+}
--- a/scripts/sources.sh
+++ b/scripts/sources.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
 # Lists the sources that are held to the style; generated code is not.
 cd "$(dirname "$0")/.."
-find base cli core daemon platform tests wire \
+find base cli core daemon lease platform tests wire \
     \( -name '*.c' -o -name '*.h' -o -name '*.cc' \) |
     grep -v -e wire/levercove.h -e wire/levercove_xdr.c | sort
--- a/wire/levercove.h
+++ b/wire/levercove.h
@@ -299,6 +299,178 @@
 	bool_t granted;
 };
 typedef struct lc_borrow_res lc_borrow_res;
+#define LC_MAX_SPEC 16384
+#define LC_MAX_NAME 128
+#define LC_MAX_LABELS 16
+#define LC_MAX_PEERS 1024
+#define LC_MAX_QUEUES 1024
+
+struct lc_resources {
+	u_int cpu_milli;
+	u_int memory_mb;
+	u_int accelerators;
+};
+typedef struct lc_resources lc_resources;
+
+struct lc_run_id {
+	u_quad_t job;
+	u_int occurrence;
+	u_int step;
+	u_int index;
+	u_int run;
+};
+typedef struct lc_run_id lc_run_id;
+
+enum lc_upstream_state {
+	LC_UPSTREAM_ABSENT = 0,
+	LC_UPSTREAM_READY = 1,
+	LC_UPSTREAM_DRAINING = 2,
+	LC_UPSTREAM_TRIAL = 3,
+};
+typedef enum lc_upstream_state lc_upstream_state;
+
+struct lc_host_state {
+	lc_node node;
+	quad_t stamp_ms;
+	lc_upstream_state state;
+	lc_resources room;
+	u_int pace_percent;
+	u_int tasks;
+};
+typedef struct lc_host_state lc_host_state;
+
+enum lc_run_status {
+	LC_RUN_DONE = 0,
+	LC_RUN_FAILED = 1,
+	LC_RUN_STOPPED = 2,
+	LC_RUN_LOST = 3,
+	LC_RUN_STALLED = 4,
+	LC_RUN_NO_ROOM = 5,
+	LC_RUN_EXPIRED = 6,
+	LC_RUN_DRAINING = 7,
+	LC_RUN_NOT_READY = 8,
+	LC_RUN_OTHER_NODE = 9,
+	LC_RUN_REJECTED = 10,
+	LC_RUN_OLD = 11,
+};
+typedef enum lc_run_status lc_run_status;
+
+struct lc_run_args {
+	lc_node owner;
+	u_quad_t target;
+	quad_t valid_until_ms;
+	lc_run_id id;
+	lc_resources need;
+	u_int estimate_ms;
+	char *spec;
+};
+typedef struct lc_run_args lc_run_args;
+
+struct lc_run_res {
+	lc_run_status status;
+	u_int ran_ms;
+	lc_host_state host;
+};
+typedef struct lc_run_res lc_run_res;
+
+struct lc_renew_args {
+	lc_node owner;
+	u_quad_t target;
+	quad_t valid_until_ms;
+};
+typedef struct lc_renew_args lc_renew_args;
+
+struct lc_renew_res {
+	lc_host_state host;
+};
+typedef struct lc_renew_res lc_renew_res;
+
+struct lc_halt_args {
+	lc_node owner;
+	u_quad_t target;
+	lc_run_id id;
+};
+typedef struct lc_halt_args lc_halt_args;
+
+struct lc_halt_res {
+	lc_run_status status;
+	lc_host_state host;
+};
+typedef struct lc_halt_res lc_halt_res;
+
+typedef char *lc_label;
+
+struct lc_report_args {
+	lc_host_state host;
+	char *hall;
+	char *service;
+	char *instance;
+	lc_resources capacity;
+	struct {
+		u_int labels_len;
+		lc_label *labels_val;
+	} labels;
+};
+typedef struct lc_report_args lc_report_args;
+
+struct lc_report_res {
+	lc_node entry;
+	struct {
+		u_int entries_len;
+		u_quad_t *entries_val;
+	} entries;
+};
+typedef struct lc_report_res lc_report_res;
+
+struct lc_queue_count {
+	char *queue;
+	u_int waiting;
+};
+typedef struct lc_queue_count lc_queue_count;
+
+struct lc_gossip_args {
+	lc_node from;
+	quad_t routes_version;
+	struct {
+		u_int entries_len;
+		u_quad_t *entries_val;
+	} entries;
+	struct {
+		u_int waiting_len;
+		lc_queue_count *waiting_val;
+	} waiting;
+};
+typedef struct lc_gossip_args lc_gossip_args;
+
+struct lc_gossip_res {
+	lc_node from;
+	quad_t routes_version;
+	struct {
+		u_int entries_len;
+		u_quad_t *entries_val;
+	} entries;
+	struct {
+		u_int waiting_len;
+		lc_queue_count *waiting_val;
+	} waiting;
+	struct {
+		u_int routes_len;
+		char *routes_val;
+	} routes;
+};
+typedef struct lc_gossip_res lc_gossip_res;
+
+struct lc_withdraw_args {
+	lc_node from;
+	u_quad_t job;
+	char *queue;
+};
+typedef struct lc_withdraw_args lc_withdraw_args;
+
+struct lc_withdraw_res {
+	bool_t known;
+};
+typedef struct lc_withdraw_res lc_withdraw_res;
 
 #define LC_PROGRAM 0x20004c43
 #define LC_VERSION 1
@@ -334,6 +506,24 @@
 #define LC_BORROW 9
 extern  lc_borrow_res * lc_borrow_1(lc_borrow_args *, CLIENT *);
 extern  lc_borrow_res * lc_borrow_1_svc(lc_borrow_args *, struct svc_req *);
+#define LC_RUN 10
+extern  lc_run_res * lc_run_1(lc_run_args *, CLIENT *);
+extern  lc_run_res * lc_run_1_svc(lc_run_args *, struct svc_req *);
+#define LC_RENEW 11
+extern  lc_renew_res * lc_renew_1(lc_renew_args *, CLIENT *);
+extern  lc_renew_res * lc_renew_1_svc(lc_renew_args *, struct svc_req *);
+#define LC_HALT 12
+extern  lc_halt_res * lc_halt_1(lc_halt_args *, CLIENT *);
+extern  lc_halt_res * lc_halt_1_svc(lc_halt_args *, struct svc_req *);
+#define LC_REPORT 13
+extern  lc_report_res * lc_report_1(lc_report_args *, CLIENT *);
+extern  lc_report_res * lc_report_1_svc(lc_report_args *, struct svc_req *);
+#define LC_GOSSIP 14
+extern  lc_gossip_res * lc_gossip_1(lc_gossip_args *, CLIENT *);
+extern  lc_gossip_res * lc_gossip_1_svc(lc_gossip_args *, struct svc_req *);
+#define LC_WITHDRAW 15
+extern  lc_withdraw_res * lc_withdraw_1(lc_withdraw_args *, CLIENT *);
+extern  lc_withdraw_res * lc_withdraw_1_svc(lc_withdraw_args *, struct svc_req *);
 extern int lc_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -367,6 +557,24 @@
 #define LC_BORROW 9
 extern  lc_borrow_res * lc_borrow_1();
 extern  lc_borrow_res * lc_borrow_1_svc();
+#define LC_RUN 10
+extern  lc_run_res * lc_run_1();
+extern  lc_run_res * lc_run_1_svc();
+#define LC_RENEW 11
+extern  lc_renew_res * lc_renew_1();
+extern  lc_renew_res * lc_renew_1_svc();
+#define LC_HALT 12
+extern  lc_halt_res * lc_halt_1();
+extern  lc_halt_res * lc_halt_1_svc();
+#define LC_REPORT 13
+extern  lc_report_res * lc_report_1();
+extern  lc_report_res * lc_report_1_svc();
+#define LC_GOSSIP 14
+extern  lc_gossip_res * lc_gossip_1();
+extern  lc_gossip_res * lc_gossip_1_svc();
+#define LC_WITHDRAW 15
+extern  lc_withdraw_res * lc_withdraw_1();
+extern  lc_withdraw_res * lc_withdraw_1_svc();
 extern int lc_program_1_freeresult ();
 #endif /* K&R C */
 
@@ -404,6 +612,25 @@
 extern  bool_t xdr_lc_decline_res (XDR *, lc_decline_res*);
 extern  bool_t xdr_lc_borrow_args (XDR *, lc_borrow_args*);
 extern  bool_t xdr_lc_borrow_res (XDR *, lc_borrow_res*);
+extern  bool_t xdr_lc_resources (XDR *, lc_resources*);
+extern  bool_t xdr_lc_run_id (XDR *, lc_run_id*);
+extern  bool_t xdr_lc_upstream_state (XDR *, lc_upstream_state*);
+extern  bool_t xdr_lc_host_state (XDR *, lc_host_state*);
+extern  bool_t xdr_lc_run_status (XDR *, lc_run_status*);
+extern  bool_t xdr_lc_run_args (XDR *, lc_run_args*);
+extern  bool_t xdr_lc_run_res (XDR *, lc_run_res*);
+extern  bool_t xdr_lc_renew_args (XDR *, lc_renew_args*);
+extern  bool_t xdr_lc_renew_res (XDR *, lc_renew_res*);
+extern  bool_t xdr_lc_halt_args (XDR *, lc_halt_args*);
+extern  bool_t xdr_lc_halt_res (XDR *, lc_halt_res*);
+extern  bool_t xdr_lc_label (XDR *, lc_label*);
+extern  bool_t xdr_lc_report_args (XDR *, lc_report_args*);
+extern  bool_t xdr_lc_report_res (XDR *, lc_report_res*);
+extern  bool_t xdr_lc_queue_count (XDR *, lc_queue_count*);
+extern  bool_t xdr_lc_gossip_args (XDR *, lc_gossip_args*);
+extern  bool_t xdr_lc_gossip_res (XDR *, lc_gossip_res*);
+extern  bool_t xdr_lc_withdraw_args (XDR *, lc_withdraw_args*);
+extern  bool_t xdr_lc_withdraw_res (XDR *, lc_withdraw_res*);
 
 #else /* K&R C */
 extern bool_t xdr_lc_key ();
@@ -437,6 +664,25 @@
 extern bool_t xdr_lc_decline_res ();
 extern bool_t xdr_lc_borrow_args ();
 extern bool_t xdr_lc_borrow_res ();
+extern bool_t xdr_lc_resources ();
+extern bool_t xdr_lc_run_id ();
+extern bool_t xdr_lc_upstream_state ();
+extern bool_t xdr_lc_host_state ();
+extern bool_t xdr_lc_run_status ();
+extern bool_t xdr_lc_run_args ();
+extern bool_t xdr_lc_run_res ();
+extern bool_t xdr_lc_renew_args ();
+extern bool_t xdr_lc_renew_res ();
+extern bool_t xdr_lc_halt_args ();
+extern bool_t xdr_lc_halt_res ();
+extern bool_t xdr_lc_label ();
+extern bool_t xdr_lc_report_args ();
+extern bool_t xdr_lc_report_res ();
+extern bool_t xdr_lc_queue_count ();
+extern bool_t xdr_lc_gossip_args ();
+extern bool_t xdr_lc_gossip_res ();
+extern bool_t xdr_lc_withdraw_args ();
+extern bool_t xdr_lc_withdraw_res ();
 
 #endif /* K&R C */
 
--- a/wire/levercove.x
+++ b/wire/levercove.x
@@ -233,6 +233,152 @@
     bool granted;
 };
 
+/*
+ * Leased jobs: jobs that need not be kept. The entry that received a job runs
+ * it; companions run its tasks under leases on their own monotonic clock.
+ */
+const LC_MAX_SPEC = 16384;
+const LC_MAX_NAME = 128;
+const LC_MAX_LABELS = 16;
+const LC_MAX_PEERS = 1024;
+const LC_MAX_QUEUES = 1024;
+
+struct lc_resources {
+    unsigned int cpu_milli;
+    unsigned int memory_mb;
+    unsigned int accelerators;
+};
+
+/* One start of one task. */
+struct lc_run_id {
+    unsigned hyper job;
+    unsigned int occurrence;
+    unsigned int step;
+    unsigned int index;
+    unsigned int run;
+};
+
+enum lc_upstream_state {
+    LC_UPSTREAM_ABSENT = 0,
+    LC_UPSTREAM_READY = 1,
+    LC_UPSTREAM_DRAINING = 2,
+    LC_UPSTREAM_TRIAL = 3
+};
+
+/* What a companion says of itself in every message. */
+struct lc_host_state {
+    lc_node node;
+    hyper stamp_ms; /* its monotonic clock when this was written */
+    lc_upstream_state state;
+    lc_resources room;
+    unsigned int pace_percent; /* time of tasks over their estimate */
+    unsigned int tasks;
+};
+
+enum lc_run_status {
+    LC_RUN_DONE = 0,
+    LC_RUN_FAILED = 1,     /* it ran and ended badly */
+    LC_RUN_STOPPED = 2,    /* asked for by its entry, or its lease is over */
+    LC_RUN_LOST = 3,       /* its upstream died or let the lease lapse */
+    LC_RUN_STALLED = 4,    /* stopped by the companion: no progress */
+    LC_RUN_NO_ROOM = 5,    /* not started, as all that follow */
+    LC_RUN_EXPIRED = 6,
+    LC_RUN_DRAINING = 7,
+    LC_RUN_NOT_READY = 8,
+    LC_RUN_OTHER_NODE = 9, /* nothing that was started before lives */
+    LC_RUN_REJECTED = 10,  /* by the upstream */
+    LC_RUN_OLD = 11        /* the upstream knows a later run */
+};
+
+struct lc_run_args {
+    lc_node owner;
+    unsigned hyper target;  /* incarnation of the companion, 0 for any */
+    hyper valid_until_ms;   /* on the companion's monotonic clock */
+    lc_run_id id;
+    lc_resources need;
+    unsigned int estimate_ms;
+    string spec<LC_MAX_SPEC>;
+};
+
+struct lc_run_res {
+    lc_run_status status;
+    unsigned int ran_ms;
+    lc_host_state host;
+};
+
+/* Extends the lease of all that an entry runs at a companion. */
+struct lc_renew_args {
+    lc_node owner;
+    unsigned hyper target;
+    hyper valid_until_ms;
+};
+
+struct lc_renew_res {
+    lc_host_state host;
+};
+
+/* Stops one run; the answer says that it is over. */
+struct lc_halt_args {
+    lc_node owner;
+    unsigned hyper target;
+    lc_run_id id;
+};
+
+struct lc_halt_res {
+    lc_run_status status;
+    lc_host_state host;
+};
+
+typedef string lc_label<LC_MAX_NAME>;
+
+/* A companion tells an entry of itself and its upstream. */
+struct lc_report_args {
+    lc_host_state host;
+    string hall<LC_MAX_NAME>;
+    string service<LC_MAX_NAME>;
+    string instance<LC_MAX_NAME>;
+    lc_resources capacity;
+    lc_label labels<LC_MAX_LABELS>;
+};
+
+struct lc_report_res {
+    lc_node entry;
+    unsigned hyper entries<LC_MAX_PEERS>;
+};
+
+/* Jobs of a queue that no task of has begun. */
+struct lc_queue_count {
+    string queue<LC_MAX_NAME>;
+    unsigned int waiting;
+};
+
+/* An entry tells another of itself; the answer may hold newer routes. */
+struct lc_gossip_args {
+    lc_node from;
+    hyper routes_version;
+    unsigned hyper entries<LC_MAX_PEERS>;
+    lc_queue_count waiting<LC_MAX_QUEUES>;
+};
+
+struct lc_gossip_res {
+    lc_node from;
+    hyper routes_version;
+    unsigned hyper entries<LC_MAX_PEERS>;
+    lc_queue_count waiting<LC_MAX_QUEUES>;
+    opaque routes<LC_MAX_RECORD>; /* empty if not newer */
+};
+
+/* Cancels a job wherever it is. */
+struct lc_withdraw_args {
+    lc_node from;
+    unsigned hyper job;
+    string queue<LC_MAX_NAME>;
+};
+
+struct lc_withdraw_res {
+    bool known;
+};
+
 program LC_PROGRAM {
     version LC_VERSION {
         void LC_NULL(void) = 0;
@@ -245,5 +391,11 @@
         lc_submit_res LC_SUBMIT(lc_submit_args) = 7;
         lc_decline_res LC_DECLINE(lc_decline_args) = 8;
         lc_borrow_res LC_BORROW(lc_borrow_args) = 9;
+        lc_run_res LC_RUN(lc_run_args) = 10;
+        lc_renew_res LC_RENEW(lc_renew_args) = 11;
+        lc_halt_res LC_HALT(lc_halt_args) = 12;
+        lc_report_res LC_REPORT(lc_report_args) = 13;
+        lc_gossip_res LC_GOSSIP(lc_gossip_args) = 14;
+        lc_withdraw_res LC_WITHDRAW(lc_withdraw_args) = 15;
     } = 1;
 } = 0x20004c43;
--- a/wire/levercove_xdr.c
+++ b/wire/levercove_xdr.c
@@ -538,3 +538,322 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_lc_resources (XDR *xdrs, lc_resources *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->cpu_milli))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->memory_mb))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->accelerators))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_lc_run_id (XDR *xdrs, lc_run_id *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->job))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->occurrence))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->step))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->index))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->run))
+				 return FALSE;
+		} else {
+			IXDR_PUT_U_LONG(buf, objp->occurrence);
+			IXDR_PUT_U_LONG(buf, objp->step);
+			IXDR_PUT_U_LONG(buf, objp->index);
+			IXDR_PUT_U_LONG(buf, objp->run);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->job))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->occurrence))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->step))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->index))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->run))
+				 return FALSE;
+		} else {
+			objp->occurrence = IXDR_GET_U_LONG(buf);
+			objp->step = IXDR_GET_U_LONG(buf);
+			objp->index = IXDR_GET_U_LONG(buf);
+			objp->run = IXDR_GET_U_LONG(buf);
+		}
+	 return TRUE;
+	}
+
+	 if (!xdr_u_quad_t (xdrs, &objp->job))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->occurrence))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->step))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->index))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->run))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_lc_upstream_state (XDR *xdrs, lc_upstream_state *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_lc_host_state (XDR *xdrs, lc_host_state *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_lc_node (xdrs, &objp->node))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->stamp_ms))
+		 return FALSE;
+	 if (!xdr_lc_upstream_state (xdrs, &objp->state))
+		 return FALSE;
+	 if (!xdr_lc_resources (xdrs, &objp->room))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->pace_percent))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->tasks))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_lc_run_status (XDR *xdrs, lc_run_status *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_lc_run_args (XDR *xdrs, lc_run_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_lc_node (xdrs, &objp->owner))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->target))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->valid_until_ms))
+		 return FALSE;
+	 if (!xdr_lc_run_id (xdrs, &objp->id))
+		 return FALSE;
+	 if (!xdr_lc_resources (xdrs, &objp->need))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->estimate_ms))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->spec, LC_MAX_SPEC))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_lc_run_res (XDR *xdrs, lc_run_res *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_lc_run_status (xdrs, &objp->status))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->ran_ms))
+		 return FALSE;
+	 if (!xdr_lc_host_state (xdrs, &objp->host))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_lc_renew_args (XDR *xdrs, lc_renew_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_lc_node (xdrs, &objp->owner))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->target))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->valid_until_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_lc_renew_res (XDR *xdrs, lc_renew_res *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_lc_host_state (xdrs, &objp->host))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_lc_halt_args (XDR *xdrs, lc_halt_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_lc_node (xdrs, &objp->owner))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->target))
+		 return FALSE;
+	 if (!xdr_lc_run_id (xdrs, &objp->id))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_lc_halt_res (XDR *xdrs, lc_halt_res *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_lc_run_status (xdrs, &objp->status))
+		 return FALSE;
+	 if (!xdr_lc_host_state (xdrs, &objp->host))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_lc_label (XDR *xdrs, lc_label *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, objp, LC_MAX_NAME))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_lc_report_args (XDR *xdrs, lc_report_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_lc_host_state (xdrs, &objp->host))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->hall, LC_MAX_NAME))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->service, LC_MAX_NAME))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->instance, LC_MAX_NAME))
+		 return FALSE;
+	 if (!xdr_lc_resources (xdrs, &objp->capacity))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->labels.labels_val, (u_int *) &objp->labels.labels_len, LC_MAX_LABELS,
+		sizeof (lc_label), (xdrproc_t) xdr_lc_label))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_lc_report_res (XDR *xdrs, lc_report_res *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_lc_node (xdrs, &objp->entry))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->entries.entries_val, (u_int *) &objp->entries.entries_len, LC_MAX_PEERS,
+		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_lc_queue_count (XDR *xdrs, lc_queue_count *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->queue, LC_MAX_NAME))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->waiting))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_lc_gossip_args (XDR *xdrs, lc_gossip_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_lc_node (xdrs, &objp->from))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->routes_version))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->entries.entries_val, (u_int *) &objp->entries.entries_len, LC_MAX_PEERS,
+		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->waiting.waiting_val, (u_int *) &objp->waiting.waiting_len, LC_MAX_QUEUES,
+		sizeof (lc_queue_count), (xdrproc_t) xdr_lc_queue_count))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_lc_gossip_res (XDR *xdrs, lc_gossip_res *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_lc_node (xdrs, &objp->from))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->routes_version))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->entries.entries_val, (u_int *) &objp->entries.entries_len, LC_MAX_PEERS,
+		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->waiting.waiting_val, (u_int *) &objp->waiting.waiting_len, LC_MAX_QUEUES,
+		sizeof (lc_queue_count), (xdrproc_t) xdr_lc_queue_count))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->routes.routes_val, (u_int *) &objp->routes.routes_len, LC_MAX_RECORD))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_lc_withdraw_args (XDR *xdrs, lc_withdraw_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_lc_node (xdrs, &objp->from))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->job))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->queue, LC_MAX_NAME))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_lc_withdraw_res (XDR *xdrs, lc_withdraw_res *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bool (xdrs, &objp->known))
+		 return FALSE;
+	return TRUE;
+}
--- a/wire/msg.h
+++ b/wire/msg.h
@@ -26,7 +26,13 @@
     X(SETTLE, settle)                                                         \
     X(SUBMIT, submit)                                                         \
     X(DECLINE, decline)                                                       \
-    X(BORROW, borrow)
+    X(BORROW, borrow)                                                         \
+    X(RUN, run)                                                               \
+    X(RENEW, renew)                                                           \
+    X(HALT, halt)                                                             \
+    X(REPORT, report)                                                         \
+    X(GOSSIP, gossip)                                                         \
+    X(WITHDRAW, withdraw)
 
 /** Kinds of message, each equal to its procedure number less one. */
 typedef enum {
