A planned stop of a leased entry serves what can still end and exits in time

Connections now end with their next answer, jobs that cannot end in time are refused with a time to come back, and the process ends half a second before the kill.

--- a/base/err.h
+++ b/base/err.h
@@ -39,6 +39,7 @@
     X(NEED_MATCH, "if_match_required", 428, 2, OUTCOME_REFUSED, 0)            \
     X(UNKNOWN_QUEUE, "unknown_queue", 404, 3, OUTCOME_NOT_RUN, 0)             \
     X(UNSUPPORTED, "unsupported", 503, 3, OUTCOME_NOT_RUN, 1)                 \
+    X(STOPPING, "stopping", 503, 6, OUTCOME_NOT_RUN, 1)                       \
     X(NO_ROUTES, "no_routes", 503, 6, OUTCOME_NOT_RUN, 1)                     \
     X(CANCELLED, "cancelled", 409, 3, OUTCOME_FAILED, 0)                      \
     X(QUEUE_FULL, "queue_full", 429, 6, OUTCOME_NOT_RUN, 1)                   \
--- a/daemon/http_server.c
+++ b/daemon/http_server.c
@@ -33,6 +33,7 @@
     uv_loop_t *loop;
     uv_tcp_t listener;
     bool listening;
+    bool closing; /* connections end with their next answer */
     h2o_globalconf_t config;
     h2o_context_t context;
     h2o_accept_ctx_t accept;
@@ -309,6 +310,9 @@
     }
     stop_watching(open);
     request = open->request;
+    if (server->closing) {
+        request->http1_is_persistent = 0;
+    }
     request->res.status = response->status;
     request->res.reason = response->status < 400 ? "OK" : "Error";
     add_header(request, "content-type",
@@ -367,7 +371,7 @@
 void
 Http_CloseAfterAnswers(Http_Server *server)
 {
-    h2o_context_request_shutdown(&server->context);
+    server->closing = true;
 }
 
 uint32_t
--- a/daemon/leased_companion.c
+++ b/daemon/leased_companion.c
@@ -318,6 +318,8 @@
 
     Event_Log(EVENT_STOPPING, "companion of leased jobs");
     self->stop_ms = now_ms();
+    process->end_by_ms = self->stop_ms + process->options->grace_ms -
+                         STOP_MARGIN_MS;
     Runner_Drain(self->runner);
     tell_peers(self);
 }
@@ -326,12 +328,8 @@
 role_is_drained(const Process *process)
 {
     const leased_companion *self = (const leased_companion *)process;
-    int64_t most = process->options->grace_ms - STOP_MARGIN_MS;
 
-    if (self->stop_ms == 0) {
-        return false;
-    }
-    return Runner_IsIdle(self->runner) || now_ms() - self->stop_ms > most;
+    return self->stop_ms != 0 && Runner_IsIdle(self->runner);
 }
 
 static json_t *
--- a/daemon/leased_entry.c
+++ b/daemon/leased_entry.c
@@ -22,8 +22,11 @@
 #define STORE_CONNECTIONS 2
 #define RETRY_MS 1000
 /* New connections come for some time after the balancer was told not to. */
-#define STOP_LEAST_MS 3200
-#define STOP_MARGIN_MS 600
+#define STOP_LEAST_MS 2500
+#define STOP_MARGIN_MS 500
+/* A job takes at most so many times its estimate, and this besides. */
+#define STOP_FACTOR 2
+#define STOP_SLACK_MS 150
 #define OK_STATUS 200
 /* Calls of this file; the dispatcher numbers its own without this bit. */
 #define OWN_CALL (1ULL << 63)
@@ -240,6 +243,16 @@
     }
 }
 
+/* A planned stop is so near its end that a job could not be finished. */
+static bool
+is_past_taking(const leased_entry *self, int64_t now, const LeasedJob *job)
+{
+    int64_t needed = (int64_t)LeasedJob_ChainMs(job) * STOP_FACTOR +
+                     STOP_SLACK_MS;
+
+    return self->stop_ms != 0 && now + needed > self->process.end_by_ms;
+}
+
 static void
 serve_submit(leased_entry *self, int64_t now, const Callers_Raw *raw,
              const Http_Request *request, const Route *route,
@@ -265,6 +278,12 @@
                           status.message, 0);
         return;
     }
+    if (is_past_taking(self, now, &submit.job)) {
+        LeasedJob_Clear(&submit.job);
+        Http_RespondError(self->callers, request->id, ERR_STOPPING,
+                          "this entry is being stopped", RETRY_MS);
+        return;
+    }
     Dispatcher_OnSubmit(self->dispatcher, now, &submit);
 }
 
@@ -574,6 +593,8 @@
 
     Event_Log(EVENT_STOPPING, "entry of leased jobs");
     self->stop_ms = awake(self);
+    process->end_by_ms = self->stop_ms + process->options->grace_ms -
+                         STOP_MARGIN_MS;
     Http_CloseAfterAnswers(self->callers);
 }
 
@@ -586,9 +607,8 @@
     if (self->stop_ms == 0 || since < STOP_LEAST_MS) {
         return false;
     }
-    return (Http_Unanswered(self->callers) == 0 &&
-            Dispatcher_IsIdle(self->dispatcher)) ||
-           since > process->options->grace_ms - STOP_MARGIN_MS;
+    return Http_Unanswered(self->callers) == 0 &&
+           Dispatcher_IsIdle(self->dispatcher);
 }
 
 static json_t *
--- a/daemon/process.c
+++ b/daemon/process.c
@@ -135,11 +135,22 @@
     {NULL, NULL},
 };
 
+static void
+stop(const Process *process)
+{
+    Event_Log(EVENT_STOPPED, "%s", Address_Text(process->options->rpc));
+    uv_stop(process->loop);
+}
+
 static void
 stop_if_drained(Process *process)
 {
     int64_t now_ms = Process_Now().mono_ms;
 
+    if (process->end_by_ms != 0 && now_ms >= process->end_by_ms) {
+        stop(process);
+        return;
+    }
     if (!process->role->is_drained(process) || Rpc_Writing(process->rpc)) {
         process->drained_ms = 0;
         return;
@@ -148,8 +159,7 @@
         process->drained_ms = now_ms;
     }
     if (now_ms - process->drained_ms >= LINGER_MS) {
-        Event_Log(EVENT_STOPPED, "%s", Address_Text(process->options->rpc));
-        uv_stop(process->loop);
+        stop(process);
     }
 }
 
--- a/daemon/process.h
+++ b/daemon/process.h
@@ -46,6 +46,8 @@
     uv_signal_t interrupt;
     uv_signal_t hangup;
     bool stopping;      /**< the planned stop was asked for */
+    int64_t end_by_ms;  /**< monotonic; a planned stop ends then whatever is
+                             open; 0 for never */
     int64_t drained_ms; /**< monotonic; since when it is drained, or 0 */
     int exit_code;
 };
