Hangs by a percentage that stands still, pace only where jobs agree

Now a run hangs only if its percentage stands still, and an upstream is slow only if two jobs agree.

--- a/lease/choice.c
+++ b/lease/choice.c
@@ -6,6 +6,7 @@
 #include "lease/resources.h"
 
 #define PERCENT 100
+#define SLOW_PERCENT 200
 /* Costs in ms. */
 #define OTHER_HALL_MS 1
 #define SPREAD_MS 4
@@ -44,6 +45,19 @@
     return count;
 }
 
+/* Whether the task would miss its objective there, but not elsewhere. */
+static bool
+is_too_slow(const Choice *choice, const Active_Job *job,
+            const LeasedJob_Step *step, const Fleet_Host *host)
+{
+    int64_t left_ms = job->objective_ms - choice->now_ms;
+    int64_t there_ms = (int64_t)step->estimate_ms * host->pace_percent /
+                       PERCENT;
+
+    return host->pace_percent > SLOW_PERCENT && there_ms > left_ms &&
+           step->estimate_ms < left_ms;
+}
+
 static bool
 may_run(const Choice *choice, const Active_Job *job, const Active_Task *task,
         const Fleet_Host *host)
@@ -56,6 +70,9 @@
         !Fleet_HasLabel(host, step->requirement)) {
         return false;
     }
+    if (is_too_slow(choice, job, step, host)) {
+        return false;
+    }
     return step->most_together == 0 ||
            count_together(job, task, host->node.address) < step->most_together;
 }
--- a/lease/health.c
+++ b/lease/health.c
@@ -1,6 +1,7 @@
 #include "lease/health.h"
 
 #include <glib.h>
+#include <stdlib.h>
 
 #define PERCENT 100
 /* Weight of one more task in the mean pace. */
@@ -8,14 +9,22 @@
 #define PACE_MOST 2000
 /* Ends of different jobs in a row before an upstream is on trial. */
 #define BAD_LIMIT 3
+#define STALL_LIMIT 2
 /* Tasks that end well before a trial is over. */
 #define GOOD_LIMIT 2
 #define TRIAL_GAP_MS 250
-#define TRIAL_PACE_PERCENT 300
-/* Estimates are rough: a run may take so much longer, and this besides. */
-#define STALL_PERCENT 250
-#define STALL_SLACK_MS 150
-#define NO_PROGRESS_MS 120
+/* A run whose percentage stands still for so long would take a hundred times
+ * that: no task is that long. */
+#define HANG_MS 160
+/* Runs younger than this tell nothing of their pace. */
+#define YOUNG_MS 60
+/* Different jobs that must agree, and from which pace on. */
+#define JOBS_AGREE 2
+#define SLOW_PERCENT 300
+/* What beginning again elsewhere costs. */
+#define AGAIN_MS 60
+#define FADE_EVERY_MS 100
+#define FADE_PART 32
 
 Health
 Health_New(void)
@@ -26,13 +35,11 @@
 }
 
 static void
-note_pace(Health *health, uint32_t ran_ms, uint32_t estimate_ms)
+note_pace(Health *health, uint32_t pace)
 {
-    uint32_t pace = ran_ms * PERCENT / MAX(estimate_ms, 1);
-
     pace = MIN(pace, PACE_MOST);
-    health->pace_percent = (health->pace_percent * (PACE_WEIGHT - 1) + pace) /
-                           PACE_WEIGHT;
+    health->pace_percent =
+        (health->pace_percent * (PACE_WEIGHT - 1) + pace) / PACE_WEIGHT;
 }
 
 static bool
@@ -51,23 +58,17 @@
 {
     health->bad_in_row = 0;
     if (estimate_ms > 0) {
-        note_pace(health, ran_ms, estimate_ms);
+        note_pace(health, ran_ms * PERCENT / estimate_ms);
     }
     if (!health->trial) {
         return false;
     }
-    if (estimate_ms > 0 &&
-        ran_ms > estimate_ms * TRIAL_PACE_PERCENT / PERCENT) {
-        health->good_in_row = 0;
-        return false;
-    }
     health->good_in_row++;
     health->next_trial_ms = 0;
     if (health->good_in_row < GOOD_LIMIT) {
         return false;
     }
     health->trial = false;
-    health->pace_percent = MIN(health->pace_percent, HEALTH_PACE_PERCENT * 2);
     return true;
 }
 
@@ -88,9 +89,8 @@
 bool
 Health_Stalled(Health *health, int64_t now_ms)
 {
-    health->pace_percent = MIN(health->pace_percent * 3 / 2, PACE_MOST);
     health->bad_in_row++;
-    if (health->trial || health->bad_in_row >= 2) {
+    if (health->trial || health->bad_in_row >= STALL_LIMIT) {
         return begin_trial(health, now_ms);
     }
     return false;
@@ -110,19 +110,97 @@
     }
 }
 
-bool
-Health_IsStalled(const Health *health, uint32_t elapsed_ms, uint32_t percent,
-                 uint32_t estimate_ms)
+static uint32_t
+pace_of(const Health_Progress *run)
 {
-    uint32_t projected = elapsed_ms * PERCENT / MAX(percent, 1);
+    uint64_t whole_ms = (uint64_t)run->elapsed_ms * PERCENT /
+                        MAX(run->percent, 1);
 
-    (void)health;
-    if (percent >= 90) {
-        return false;
+    return (uint32_t)MIN(whole_ms * PERCENT / MAX(run->estimate_ms, 1),
+                         PACE_MOST);
+}
+
+/* By job, then the fastest run of each first. */
+static gint
+compare_runs(gconstpointer a, gconstpointer b)
+{
+    const Health_Progress *left = a;
+    const Health_Progress *right = b;
+
+    if (left->job != right->job) {
+        return left->job < right->job ? -1 : 1;
+    }
+    return (gint)pace_of(left) - (gint)pace_of(right);
+}
+
+static gint
+compare_paces(gconstpointer a, gconstpointer b)
+{
+    return (gint)*(const uint32_t *)a - (gint)*(const uint32_t *)b;
+}
+
+/* Paces of different jobs, each by its fastest run, in order. */
+static GArray *
+paces_by_job(Health_Progress *runs, uint32_t count)
+{
+    GArray *paces = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+    uint32_t i;
+
+    qsort(runs, count, sizeof(runs[0]), compare_runs);
+    for (i = 0; i < count; i++) {
+        uint32_t pace = pace_of(&runs[i]);
+        if (runs[i].elapsed_ms >= YOUNG_MS &&
+            (i == 0 || runs[i].job != runs[i - 1].job)) {
+            g_array_append_val(paces, pace);
+        }
+    }
+    g_array_sort(paces, compare_paces);
+    return paces;
+}
+
+uint32_t
+Health_TakeProgress(Health *health, Health_Progress *runs, uint32_t count)
+{
+    GArray *paces = paces_by_job(runs, count);
+    uint32_t slow = 0;
+
+    if (paces->len >= JOBS_AGREE) {
+        uint32_t median = g_array_index(paces, uint32_t, (paces->len - 1) / 2);
+        if (median >= SLOW_PERCENT) {
+            note_pace(health, median);
+            slow = median;
+        }
     }
-    if (percent == 0) {
-        return elapsed_ms > NO_PROGRESS_MS + estimate_ms / 10;
+    g_array_unref(paces);
+    return slow;
+}
+
+void
+Health_Fade(Health *health, int64_t now_ms)
+{
+    uint32_t above;
+
+    if (now_ms - health->faded_ms < FADE_EVERY_MS ||
+        health->pace_percent <= HEALTH_PACE_PERCENT) {
+        return;
     }
-    return elapsed_ms > NO_PROGRESS_MS &&
-           projected > estimate_ms * STALL_PERCENT / PERCENT + STALL_SLACK_MS;
+    above = health->pace_percent - HEALTH_PACE_PERCENT;
+    health->faded_ms = now_ms;
+    health->pace_percent -= MAX(above / FADE_PART, 1);
+}
+
+bool
+Health_Hangs(int64_t unchanged_ms)
+{
+    return unchanged_ms > HANG_MS;
+}
+
+bool
+Health_BetterElsewhere(const Health_Progress *run, uint32_t slow_percent)
+{
+    uint64_t whole_ms = (uint64_t)run->elapsed_ms * PERCENT /
+                        MAX(run->percent, 1);
+    uint64_t elsewhere_ms = whole_ms * PERCENT / slow_percent;
+
+    return whole_ms - run->elapsed_ms > elsewhere_ms + AGAIN_MS;
 }
--- a/lease/runner.c
+++ b/lease/runner.c
@@ -41,6 +41,8 @@
     bool stop_confirmed;
     int64_t stop_confirmed_ms;
     int64_t ended_ms;
+    int64_t progress_ms; /* when the percentage last rose; 0 if not told */
+    uint32_t percent;
     uint32_t ran_ms;
 } task;
 
@@ -564,11 +566,20 @@
                         runner->token);
 }
 
+static void
+stop_stalled(Runner *runner, int64_t now_ms, task *row, const char *reason)
+{
+    row->ran_ms = (uint32_t)(now_ms - row->ordered_ms);
+    log_run(runner, EVENT_RUN_STALLED, row,
+            "%s: %u%% after %u ms, estimated %u ms", reason, row->percent,
+            row->ran_ms, row->estimate_ms);
+    stop_task(runner, now_ms, row, LC_RUN_STALLED);
+}
+
 static void
 take_row(Runner *runner, int64_t now_ms, const Runner_Row *running)
 {
     task *row = g_hash_table_lookup(runner->tasks, &running->id);
-    uint32_t elapsed;
 
     if (row == NULL || row->state == TASK_ENDED) {
         stop_stranger(runner, &running->id);
@@ -578,21 +589,64 @@
         row->state = TASK_RUNNING;
         row->confirmed_ms = now_ms;
     }
-    elapsed = (uint32_t)(now_ms - row->ordered_ms);
-    if (row->state == TASK_RUNNING &&
-        Health_IsStalled(&runner->health, elapsed, running->percent,
-                         row->estimate_ms)) {
-        log_run(runner, EVENT_RUN_STALLED, row,
-                "%u%% after %u ms, estimated %u ms", running->percent, elapsed,
-                row->estimate_ms);
-        row->ran_ms = elapsed;
+    if (row->progress_ms == 0 || running->percent > row->percent) {
+        row->percent = running->percent;
+        row->progress_ms = now_ms;
+    }
+    else if (row->state == TASK_RUNNING &&
+             Health_Hangs(now_ms - row->progress_ms)) {
         if (Health_Stalled(&runner->health, now_ms)) {
             log_trial(runner, true);
         }
-        stop_task(runner, now_ms, row, LC_RUN_STALLED);
+        stop_stalled(runner, now_ms, row, "it hangs");
     }
 }
 
+static Health_Progress
+progress_of(const task *row, int64_t now_ms)
+{
+    Health_Progress progress = {
+        .job = row->id.job,
+        .elapsed_ms = (uint32_t)(now_ms - row->ordered_ms),
+        .percent = row->percent,
+        .estimate_ms = row->estimate_ms,
+    };
+
+    return progress;
+}
+
+/* Judges the upstream's pace by all that runs, and frees what would end
+ * sooner elsewhere. */
+static void
+judge_pace(Runner *runner, int64_t now_ms)
+{
+    GArray *runs = g_array_new(FALSE, FALSE, sizeof(Health_Progress));
+    GList *rows = all_tasks(runner);
+    GList *item;
+    uint32_t slow;
+
+    for (item = rows; item != NULL; item = item->next) {
+        const task *row = item->data;
+        if (row->state == TASK_RUNNING && row->progress_ms > 0) {
+            Health_Progress progress = progress_of(row, now_ms);
+            g_array_append_val(runs, progress);
+        }
+    }
+    slow = Health_TakeProgress(&runner->health,
+                               (Health_Progress *)(void *)runs->data,
+                               runs->len);
+    for (item = rows; slow > 0 && item != NULL; item = item->next) {
+        task *row = item->data;
+        Health_Progress progress = progress_of(row, now_ms);
+        if (row->state == TASK_RUNNING && row->progress_ms > 0 &&
+            Health_BetterElsewhere(&progress, slow)) {
+            stop_stalled(runner, now_ms, row, "the upstream is slow");
+        }
+    }
+    g_list_free(rows);
+    g_array_unref(runs);
+}
+
 static bool
 is_listed(const Runner_Listing *listing, const lc_run_id *id)
 {
@@ -651,6 +705,7 @@
         take_row(runner, now_ms, &listing->running[i]);
     }
     end_unlisted(runner, now_ms, listing);
+    judge_pace(runner, now_ms);
     if (!runner->up.inventoried) {
         runner->up.inventoried = listing->running_count == 0;
         runner->version++;
@@ -1009,6 +1064,7 @@
         end_all(runner, now_ms, LC_RUN_LOST);
     }
     forget_owners(runner, now_ms);
+    Health_Fade(&runner->health, now_ms);
     send_look(runner, now_ms);
 }
 
