--- a/daemon/leased_companion.c
+++ b/daemon/leased_companion.c
@@ -17,7 +17,6 @@
 /* Entries are told of changes at most so often each, times their number. */
 #define REPORT_GAP_MS 7
 #define REPORT_IDLE_MS 500
-#define REPORT_TIMEOUT_MS 1000
 /* A planned stop ends so long before the kill. */
 #define STOP_MARGIN_MS 700
 #define OK_STATUS 200
@@ -178,8 +177,10 @@
     if (peer->call_id != 0) {
         return -1;
     }
-    if (peer->told == Runner_Version(self->runner) ||
-        !Peers_IsLive(peer, now)) {
+    if (!Peers_IsLive(peer, now)) {
+        return since >= Peers_PatienceMs(peer, now) ? 0 : -1;
+    }
+    if (peer->told == Runner_Version(self->runner)) {
         return since >= REPORT_IDLE_MS ? 0 : -1;
     }
     return since >= gap ? 0 : gap - since;
@@ -215,7 +216,8 @@
 
     for (i = 0; i < self->peers.rows->len; i++) {
         const Peers_Row *peer = g_ptr_array_index(self->peers.rows, i);
-        if (peer->call_id != 0 && now - peer->asked_ms > REPORT_TIMEOUT_MS) {
+        if (peer->call_id != 0 &&
+            now - peer->asked_ms >= Peers_PatienceMs(peer, now)) {
             Rpc_Reset(self->process.rpc, peer->address);
         }
     }
--- a/daemon/leased_entry.c
+++ b/daemon/leased_entry.c
@@ -17,7 +17,7 @@
 #define STILL_MS 200
 #define RESUME_MS 40
 #define GOSSIP_MS 300
-#define GOSSIP_TIMEOUT_MS 1000
+#define STARTING_MS 2000
 #define CANCEL_TIMEOUT_MS 1500
 #define STORE_CONNECTIONS 2
 #define RETRY_MS 1000
@@ -43,6 +43,7 @@
     uv_timer_t resume_timer;
     GHashTable *cancels; /* call id -> cancel */
     uint64_t next_call;
+    int64_t started_ms;
     int64_t awake_ms; /* last time that anything was done */
     int64_t stop_ms;  /* when the planned stop was asked for */
     bool still;
@@ -358,11 +359,15 @@
 
 /* ---- readiness ---- */
 
+/* Companions report a moment after the start; who knows the routes by then
+ * need not be passed over for a second by the balancer. */
 static bool
 is_ready(const leased_entry *self)
 {
+    bool starting = self->awake_ms - self->started_ms < STARTING_MS;
+
     return self->stop_ms == 0 && self->routes != NULL && !self->still &&
-           Dispatcher_ReadyHosts(self->dispatcher) > 0;
+           (starting || Dispatcher_ReadyHosts(self->dispatcher) > 0);
 }
 
 static void
@@ -440,11 +445,12 @@
 
     for (i = 0; i < self->peers.rows->len; i++) {
         Peers_Row *peer = g_ptr_array_index(self->peers.rows, i);
-        if (peer->call_id == 0 && now - peer->asked_ms >= GOSSIP_MS) {
+        int64_t patience = Peers_PatienceMs(peer, now);
+        int64_t since = now - peer->asked_ms;
+        if (peer->call_id == 0 && since >= MIN(GOSSIP_MS, patience)) {
             send_gossip(self, now, peer);
         }
-        else if (peer->call_id != 0 &&
-                 now - peer->asked_ms > GOSSIP_TIMEOUT_MS) {
+        else if (peer->call_id != 0 && since >= patience) {
             Rpc_Reset(self->process.rpc, peer->address);
         }
     }
@@ -690,6 +696,7 @@
         return NULL;
     }
     self->awake_ms = Process_Now().mono_ms;
+    self->started_ms = self->awake_ms;
     return Dispatcher_New(&config, &dispatch_ports, self, self->awake_ms);
 }
 
--- a/lease/health.c
+++ b/lease/health.c
@@ -38,8 +38,8 @@
 note_pace(Health *health, uint32_t pace)
 {
     pace = MIN(pace, PACE_MOST);
-    health->pace_percent =
-        (health->pace_percent * (PACE_WEIGHT - 1) + pace) / PACE_WEIGHT;
+    health->pace_percent = (health->pace_percent * (PACE_WEIGHT - 1) + pace) /
+                           PACE_WEIGHT;
 }
 
 static bool
@@ -136,7 +136,7 @@
 static gint
 compare_paces(gconstpointer a, gconstpointer b)
 {
-    return (gint)*(const uint32_t *)a - (gint)*(const uint32_t *)b;
+    return (gint) * (const uint32_t *)a - (gint) * (const uint32_t *)b;
 }
 
 /* Paces of different jobs, each by its fastest run, in order. */
--- a/lease/peers.c
+++ b/lease/peers.c
@@ -5,6 +5,12 @@
 /* Who is no seed and was neither heard nor named for so long is dropped. */
 #define FORGET_MS 20000
 
+/* Calls to one that was heard or named first lately are given up soon: it may
+ * be starting, and what was sent before it listened is lost. */
+#define STARTING_MS 8000
+#define STARTING_PATIENCE_MS 120
+#define PATIENCE_MS 1000
+
 static void
 free_row(gpointer item)
 {
@@ -53,6 +59,7 @@
     if (is_new) {
         row = g_new0(Peers_Row, 1);
         row->address = address;
+        row->since_ms = now_ms;
         row->waiting = g_array_new(FALSE, TRUE, sizeof(Peers_Count));
         g_ptr_array_add(peers->rows, row);
     }
@@ -132,6 +139,17 @@
     return row->heard_ms > 0 && now_ms - row->heard_ms < LIVE_MS;
 }
 
+int64_t
+Peers_PatienceMs(const Peers_Row *row, int64_t now_ms)
+{
+    int64_t silent_ms = now_ms - MAX(row->heard_ms, row->since_ms);
+
+    if (Peers_IsLive(row, now_ms) || silent_ms > STARTING_MS) {
+        return PATIENCE_MS;
+    }
+    return STARTING_PATIENCE_MS;
+}
+
 GArray *
 Peers_Live(const Peers *peers, int64_t now_ms)
 {
--- a/lease/peers.h
+++ b/lease/peers.h
@@ -20,6 +20,7 @@
     Address address;
     bool seed;        /**< named by the settings */
     int64_t heard_ms; /**< last word of it; 0 for never */
+    int64_t since_ms; /**< when this row was made */
     int64_t known_ms; /**< when it was last named by anybody */
     int64_t asked_ms; /**< when the call on its way was sent */
     uint64_t call_id; /**< call on its way, or 0 */
@@ -65,6 +66,11 @@
 /** Whether an entry spoke lately. */
 bool Peers_IsLive(const Peers_Row *row, int64_t now_ms);
 
+/** How long the answer of a peer is waited for, and how often one that has
+ * not spoken lately is called, in ms: often at first, as it may be starting,
+ * seldom after some seconds. */
+int64_t Peers_PatienceMs(const Peers_Row *row, int64_t now_ms);
+
 /** Addresses that spoke lately; the caller frees the array. */
 GArray *Peers_Live(const Peers *peers, int64_t now_ms);
 
--- a/lease/runner.c
+++ b/lease/runner.c
@@ -632,9 +632,8 @@
             g_array_append_val(runs, progress);
         }
     }
-    slow = Health_TakeProgress(&runner->health,
-                               (Health_Progress *)(void *)runs->data,
-                               runs->len);
+    slow = Health_TakeProgress(
+        &runner->health, (Health_Progress *)(void *)runs->data, runs->len);
     for (item = rows; slow > 0 && item != NULL; item = item->next) {
         task *row = item->data;
         Health_Progress progress = progress_of(row, now_ms);
