A job counts as begun only if a run may have started; worthless waiting jobs are refused; a cut entry refuses at once

A run refused by its companion never started, so 'not run' may be told of its job. Jobs that have not begun and can no longer end within three times their objective are refused with a time to come back; those that begun go last and end as long as their caller waits. An entry that hears no companion for over a second refuses at once and is not ready.

--- a/daemon/leased_entry.c
+++ b/daemon/leased_entry.c
@@ -367,7 +367,8 @@
     bool starting = self->awake_ms - self->started_ms < STARTING_MS;
 
     return self->stop_ms == 0 && self->routes != NULL && !self->still &&
-           (starting || Dispatcher_ReadyHosts(self->dispatcher) > 0);
+           (starting ||
+            Dispatcher_ReadyHosts(self->dispatcher, self->awake_ms) > 0);
 }
 
 static void
@@ -575,7 +576,7 @@
         self->was_ready = ready;
         Event_Log(EVENT_READY, "%s: routes version %lld, %u companions",
                   ready ? "yes" : "no", (long long)routes_version(self),
-                  Dispatcher_ReadyHosts(self->dispatcher));
+                  Dispatcher_ReadyHosts(self->dispatcher, self->awake_ms));
     }
 }
 
--- a/lease/active.c
+++ b/lease/active.c
@@ -3,6 +3,8 @@
 #include <string.h>
 
 #define PERCENT 100
+/* Late answers are worth something up to so many times the objective. */
+#define LATE_FACTOR 3
 
 static void
 fill_tasks(Active_Job *job)
@@ -155,6 +157,21 @@
     return most;
 }
 
+bool
+Active_HasBegun(const Active_Job *job)
+{
+    return job->starts > 0;
+}
+
+int64_t
+Active_WorthlessAfter(const Active_Job *job)
+{
+    int64_t late_ms = job->arrived_ms +
+                      LATE_FACTOR * (job->objective_ms - job->arrived_ms);
+
+    return MIN(late_ms, job->deadline_ms);
+}
+
 int64_t
 Active_SlackMs(const Active_Job *job, int64_t now_ms)
 {
--- a/lease/active.h
+++ b/lease/active.h
@@ -61,7 +61,7 @@
     Active_Task *tasks;
     uint32_t waiting; /**< tasks in state WAITING */
     uint32_t open;    /**< tasks not OVER */
-    bool begun;       /**< a task was sent and not refused */
+    uint32_t starts;  /**< runs that were sent and not refused */
     bool closing;     /**< answered; only stops are waited for */
 } Active_Job;
 
@@ -86,6 +86,13 @@
 /** Estimate of the longest chain that has not ended, in ms. */
 uint32_t Active_RemainingMs(const Active_Job *job);
 
+/** Whether a task may have been started. */
+bool Active_HasBegun(const Active_Job *job);
+
+/** Last time at which an answer is still worth something: so many times the
+ * objective after the arrival, and not after the deadline. */
+int64_t Active_WorthlessAfter(const Active_Job *job);
+
 /** Time to spare before the objective cannot be met, if all went at once. */
 int64_t Active_SlackMs(const Active_Job *job, int64_t now_ms);
 
--- a/lease/choice.c
+++ b/lease/choice.c
@@ -7,6 +7,8 @@
 
 #define PERCENT 100
 #define SLOW_PERCENT 200
+/* Companions report at least every half second. */
+#define SILENT_MS 1100
 /* Costs in ms. */
 #define OTHER_HALL_MS 1
 #define SPREAD_MS 4
@@ -18,12 +20,19 @@
 /* Time that reading data from elsewhere adds, in percent. */
 #define FAR_PERCENT 50
 
+bool
+Choice_IsHeard(const Fleet_Host *host, int64_t now_ms)
+{
+    return now_ms - host->received_ms < SILENT_MS;
+}
+
 bool
 Choice_IsOpen(const Fleet_Host *host, int64_t now_ms)
 {
     return (host->state == LC_UPSTREAM_READY ||
             host->state == LC_UPSTREAM_TRIAL) &&
-           !host->suspect && now_ms >= host->avoid_until_ms;
+           !host->suspect && Choice_IsHeard(host, now_ms) &&
+           now_ms >= host->avoid_until_ms;
 }
 
 /* Tasks of the step that run at an address. */
--- a/lease/choice.h
+++ b/lease/choice.h
@@ -20,6 +20,9 @@
 Fleet_Host *Choice_Host(const Choice *choice, const Active_Job *job,
                         const Active_Task *task);
 
+/** Whether a companion has said something lately. */
+bool Choice_IsHeard(const Fleet_Host *host, int64_t now_ms);
+
 /** Whether a companion takes tasks of @p service at all. */
 bool Choice_IsOpen(const Fleet_Host *host, int64_t now_ms);
 
--- a/lease/dispatcher.c
+++ b/lease/dispatcher.c
@@ -297,7 +297,7 @@
     Dispatcher_Answer answer = {
         .outcome = DISPATCHER_GIVEN_UP, .kind = kind, .message = message};
 
-    if (!job->begun) {
+    if (!Active_HasBegun(job)) {
         answer.outcome = DISPATCHER_NOT_RUN;
         answer.kind = ERR_WAIT_TOO_LONG;
         answer.retry_ms = RETRY_MS;
@@ -361,6 +361,20 @@
     requeue_task(self, job, task, now_ms);
 }
 
+/* Whether nothing has been heard of any companion for some time. */
+static bool
+is_isolated(const Dispatcher *self, int64_t now_ms)
+{
+    guint i;
+
+    for (i = 0; i < self->fleet.hosts->len; i++) {
+        if (Choice_IsHeard(g_ptr_array_index(self->fleet.hosts, i), now_ms)) {
+            return false;
+        }
+    }
+    return self->fleet.hosts->len > 0;
+}
+
 /* ---- submission ---- */
 
 static void
@@ -422,6 +436,10 @@
         Err_Set(&status, ERR_QUEUE_FULL, "%u jobs are here",
                 Handle_Count(self->jobs));
     }
+    else if (!self->paused && is_isolated(self, now_ms)) {
+        Err_Set(&status, ERR_WAIT_TOO_LONG,
+                "this entry is cut off from all companions");
+    }
     else {
         LeasedJob_Check(&submit->job, &status);
     }
@@ -491,7 +509,7 @@
     if (job == NULL || job->closing || g_strcmp0(job->queue, queue) != 0) {
         return false;
     }
-    *begun = job->begun;
+    *begun = Active_HasBegun(job);
     return true;
 }
 
@@ -503,7 +521,7 @@
 
     for (i = 0; i < Handle_Size(self->jobs); i++) {
         const Active_Job *job = Handle_At(self->jobs, i);
-        if (job != NULL && !job->closing && !job->begun &&
+        if (job != NULL && !job->closing && !Active_HasBegun(job) &&
             g_strcmp0(job->queue, queue) == 0) {
             count++;
         }
@@ -513,8 +531,19 @@
 
 /* ---- the pass over waiting tasks ---- */
 
-/* Jobs that can meet their objective go first, the least slack before;
- * the others follow by priority and deadline. */
+/* How urgent a job is: it can be in time, late, or worth nothing. */
+static int
+urgency_of(const Active_Job *job, int64_t now_ms, int64_t slack_ms)
+{
+    if (slack_ms >= 0) {
+        return 0;
+    }
+    return now_ms + Active_RemainingMs(job) <= Active_WorthlessAfter(job) ? 1
+                                                                          : 2;
+}
+
+/* Jobs that can meet their objective go first, the least slack before; the
+ * others follow by priority and deadline, those worth nothing last. */
 static gint
 compare_urgency(gconstpointer a, gconstpointer b, gpointer now)
 {
@@ -523,16 +552,16 @@
     int64_t now_ms = *(const int64_t *)now;
     int64_t left_slack = Active_SlackMs(left, now_ms);
     int64_t right_slack = Active_SlackMs(right, now_ms);
-    bool left_late = left_slack < 0;
-    bool right_late = right_slack < 0;
+    int left_rank = urgency_of(left, now_ms, left_slack);
+    int right_rank = urgency_of(right, now_ms, right_slack);
 
-    if (left_late != right_late) {
-        return left_late ? 1 : -1;
+    if (left_rank != right_rank) {
+        return left_rank - right_rank;
     }
-    if (left_late && left->priority != right->priority) {
+    if (left_rank > 0 && left->priority != right->priority) {
         return left->priority < right->priority ? -1 : 1;
     }
-    if (left_late) {
+    if (left_rank > 0) {
         return left->deadline_ms < right->deadline_ms ? -1 : 1;
     }
     return left_slack < right_slack ? -1 : left_slack > right_slack;
@@ -546,7 +575,7 @@
     task->host = host->node;
     task->sent_ms = now_ms;
     Active_Move(job, task, ACTIVE_SENT);
-    job->begun = true;
+    job->starts++;
     host->running++;
     Resources_Take(&host->room, &Active_Step(job, task)->need);
     Counter_Add(&self->counters, COUNTER_TASKS_STARTED, 1);
@@ -735,6 +764,7 @@
            Active_Task *task, Fleet_Host *host, lc_run_status status)
 {
     Counter_Add(&self->counters, COUNTER_WASTED_BUSY, 1);
+    job->starts--;
     if (host != NULL && status != LC_RUN_NO_ROOM) {
         host->avoid_until_ms = now_ms + REFUSED_MS;
     }
@@ -931,18 +961,47 @@
     }
 }
 
+/* A job that has begun is given up only when its caller would leave: an
+ * answer without a result makes it come again as a whole. */
 static bool
 is_hopeless(const Active_Job *job, int64_t now_ms)
 {
     int64_t least_ms = (int64_t)Active_RemainingMs(job) * LEAST_OF_ESTIMATE /
                        PERCENT;
+    int64_t end_ms = Active_HasBegun(job) ? job->deadline_ms
+                                          : Active_WorthlessAfter(job);
+
+    return job->waiting > 0 && now_ms + least_ms > end_ms;
+}
+
+static void
+refuse_waiting(Dispatcher *self, int64_t now_ms, Active_Job *job)
+{
+    if (!Active_HasBegun(job)) {
+        give_up(self, now_ms, job, ERR_WAIT_TOO_LONG,
+                "this entry is cut off from all companions");
+    }
+}
 
-    return job->waiting > 0 && now_ms + least_ms > job->deadline_ms;
+static void
+tend_job(Dispatcher *self, int64_t now_ms, Active_Job *job, bool isolated)
+{
+    if (now_ms >= job->deadline_ms) {
+        give_up(self, now_ms, job, ERR_DEADLINE, "its deadline passed");
+    }
+    else if (is_hopeless(job, now_ms)) {
+        give_up(self, now_ms, job, ERR_DEADLINE,
+                "it cannot end before its deadline");
+    }
+    else if (isolated) {
+        refuse_waiting(self, now_ms, job);
+    }
 }
 
 void
 Dispatcher_Tick(Dispatcher *self, int64_t now_ms)
 {
+    bool isolated = !self->paused && is_isolated(self, now_ms);
     uint32_t i;
 
     for (i = 0; i < Handle_Size(self->jobs); i++) {
@@ -951,12 +1010,8 @@
             continue;
         }
         ask_again(self, now_ms, job);
-        if (!job->closing && now_ms >= job->deadline_ms) {
-            give_up(self, now_ms, job, ERR_DEADLINE, "its deadline passed");
-        }
-        else if (!job->closing && is_hopeless(job, now_ms)) {
-            give_up(self, now_ms, job, ERR_DEADLINE,
-                    "it cannot end before its deadline");
+        if (!job->closing) {
+            tend_job(self, now_ms, job, isolated);
         }
     }
     for (i = 0; i < self->fleet.hosts->len; i++) {
@@ -972,14 +1027,14 @@
 }
 
 uint32_t
-Dispatcher_ReadyHosts(const Dispatcher *self)
+Dispatcher_ReadyHosts(const Dispatcher *self, int64_t now_ms)
 {
     uint32_t count = 0;
     guint i;
 
     for (i = 0; i < self->fleet.hosts->len; i++) {
         const Fleet_Host *host = g_ptr_array_index(self->fleet.hosts, i);
-        count += host->state == LC_UPSTREAM_READY && !host->suspect;
+        count += Choice_IsOpen(host, now_ms);
     }
     return count;
 }
--- a/lease/dispatcher.h
+++ b/lease/dispatcher.h
@@ -115,7 +115,7 @@
 bool Dispatcher_IsIdle(const Dispatcher *dispatcher);
 
 /** Companions that take tasks now. */
-uint32_t Dispatcher_ReadyHosts(const Dispatcher *dispatcher);
+uint32_t Dispatcher_ReadyHosts(const Dispatcher *dispatcher, int64_t now_ms);
 
 Counters *Dispatcher_Counters(Dispatcher *dispatcher);
 
