Log lines are JSON objects on standard output; writing never blocks; each ended job tells its story

One line for each job with every decision about it, kept in a small list until the job ends. Lines are thinned by event; those of requests that went well go first.

--- a/base/event.c
+++ b/base/event.c
@@ -2,8 +2,15 @@
 
 #include <stdarg.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <time.h>
+#include <unistd.h>
+
+#include "base/log_buffer.h"
+
+#define NS_PER_MS 1000000L
+#define MS_PER_S 1000
 
 typedef struct {
     int number;
@@ -17,6 +24,22 @@
 #undef X
 };
 
+/* Lines a second of one event, and as many at once as in two seconds. */
+#define FLOW_PER_S 10
+#define OTHER_PER_S 200
+#define BURST_S 2
+
+typedef struct {
+    int64_t filled_ms;
+    int64_t tokens; /* thousandths of a line */
+    uint64_t left_out;
+} event_bucket;
+
+/* One process logs to one place, as GLib's writer function is global. */
+static event_bucket buckets[EVENT_COUNT];
+static Log_Buffer *output;
+static char *node_name;
+
 int
 Event_Number(Event_Id id)
 {
@@ -29,20 +52,121 @@
     return event_rows[id].text;
 }
 
+static int64_t
+per_second(Event_Id id)
+{
+    return event_rows[id].level == G_LOG_LEVEL_DEBUG ? FLOW_PER_S
+                                                     : OTHER_PER_S;
+}
+
+bool
+Event_Admit(Event_Id id)
+{
+    event_bucket *bucket = &buckets[id];
+    int64_t now_ms = g_get_monotonic_time() / 1000;
+    int64_t most = per_second(id) * BURST_S * MS_PER_S;
+
+    if (bucket->filled_ms == 0) {
+        bucket->tokens = most;
+    }
+    else {
+        bucket->tokens += (now_ms - bucket->filled_ms) * per_second(id);
+        bucket->tokens = MIN(bucket->tokens, most);
+    }
+    bucket->filled_ms = now_ms;
+    if (bucket->tokens < MS_PER_S) {
+        bucket->left_out++;
+        return false;
+    }
+    bucket->tokens -= MS_PER_S;
+    return true;
+}
+
+static const char *
+level_text(GLogLevelFlags level)
+{
+    switch (level) {
+    case G_LOG_LEVEL_CRITICAL:
+        return "critical";
+    case G_LOG_LEVEL_WARNING:
+        return "warning";
+    case G_LOG_LEVEL_MESSAGE:
+        return "notice";
+    case G_LOG_LEVEL_INFO:
+        return "info";
+    default:
+        return "debug";
+    }
+}
+
+static void
+format_time(char *text, size_t size)
+{
+    struct timespec now;
+    struct tm parts;
+    char stamp[32];
+
+    clock_gettime(CLOCK_REALTIME, &now);
+    gmtime_r(&now.tv_sec, &parts);
+    strftime(stamp, sizeof(stamp), "%Y-%m-%dT%H:%M:%S", &parts);
+    snprintf(text, size, "%s.%03ldZ", stamp, now.tv_nsec / NS_PER_MS);
+}
+
+static json_t *
+head_of(Event_Id id)
+{
+    const event_row *row = &event_rows[id];
+    char time_text[48];
+    char number[16];
+    json_t *head;
+
+    format_time(time_text, sizeof(time_text));
+    snprintf(number, sizeof(number), "LC%d", row->number);
+    head = json_pack("{s:s, s:s, s:s, s:s}", "time", time_text, "event",
+                     number, "level", level_text(row->level), "text",
+                     row->text);
+    if (node_name != NULL) {
+        json_object_set_new(head, "node", json_string(node_name));
+    }
+    if (buckets[id].left_out > 0) {
+        json_object_set_new(head, "left_out",
+                            json_integer((json_int_t)buckets[id].left_out));
+        buckets[id].left_out = 0;
+    }
+    return head;
+}
+
 void
-Event_Log(Event_Id id, const char *format, ...)
+Event_Write(Event_Id id, json_t *fields)
 {
     const event_row *row = &event_rows[id];
-    char detail[400];
+    json_t *line = head_of(id);
     char number[16];
+    char *text;
+
+    json_object_update(line, fields);
+    json_decref(fields);
+    text = json_dumps(line, JSON_COMPACT);
+    snprintf(number, sizeof(number), "%d", row->number);
+    g_log_structured("levercove", row->level, "LEVERCOVE_EVENT", number,
+                     "MESSAGE", "%s", text);
+    free(text);
+    json_decref(line);
+}
+
+void
+Event_Log(Event_Id id, const char *format, ...)
+{
+    char detail[400];
     va_list args;
 
+    if (!Event_Admit(id)) {
+        return;
+    }
     va_start(args, format);
     vsnprintf(detail, sizeof(detail), format, args);
     va_end(args);
-    snprintf(number, sizeof(number), "%d", row->number);
-    g_log_structured("levercove", row->level, "LEVERCOVE_EVENT", number,
-                     "MESSAGE", "LC%s %s: %s", number, row->text, detail);
+    Event_Write(id, json_pack("{s:s}", "detail", detail));
 }
 
 static const char *
@@ -62,22 +186,42 @@
 write_line(GLogLevelFlags level, const GLogField *fields, gsize count,
            gpointer data)
 {
-    struct timespec now;
-    struct tm parts;
-    char stamp[32];
+    const char *message = field_text(fields, count, "MESSAGE");
+    size_t length = strlen(message);
+    char *line = g_strdup_printf("%s\n", message);
 
     (void)data;
-    (void)level;
-    clock_gettime(CLOCK_REALTIME, &now);
-    gmtime_r(&now.tv_sec, &parts);
-    strftime(stamp, sizeof(stamp), "%Y-%m-%dT%H:%M:%S", &parts);
-    fprintf(stderr, "%s.%03ldZ %s\n", stamp, now.tv_nsec / 1000000L,
-            field_text(fields, count, "MESSAGE"));
+    LogBuffer_Add(output, line, length + 1, level != G_LOG_LEVEL_DEBUG);
+    if ((level & (G_LOG_LEVEL_CRITICAL | G_LOG_LEVEL_MESSAGE)) != 0) {
+        LogBuffer_Flush(output);
+    }
+    g_free(line);
     return G_LOG_WRITER_HANDLED;
 }
 
 void
-Event_UseStderr(void)
+Event_UseStdout(const char *node)
 {
-    g_log_set_writer_func(write_line, NULL, NULL);
+    g_free(node_name);
+    node_name = g_strdup(node);
+    if (output == NULL) {
+        output = LogBuffer_New(STDOUT_FILENO);
+        g_log_set_writer_func(write_line, NULL, NULL);
+    }
+}
+
+void
+Event_Flush(void)
+{
+    uint64_t dropped;
+
+    if (output == NULL) {
+        return;
+    }
+    LogBuffer_Flush(output);
+    dropped = LogBuffer_TakeDropped(output);
+    if (dropped > 0 && Event_Admit(EVENT_LINES_DROPPED)) {
+        Event_Write(EVENT_LINES_DROPPED,
+                    json_pack("{s:I}", "lines", (json_int_t)dropped));
+    }
 }
--- a/base/event.h
+++ b/base/event.h
@@ -1,13 +1,19 @@
 /**
  * @file event.h
- * @brief Numbered log events, written through GLib's structured logging.
+ * @brief Numbered log events, written through GLib's structured logging as
+ * one JSON object a line on standard output.
  *
+ * Writing never blocks, see log_buffer.h. Lines are thinned by event: those
+ * of requests that went well to a few a second, all others only where they
+ * come in hundreds; the next line of the event tells how many were left out.
  * The catalogue for operators is docs/EVENTS.md; a test compares both.
  */
 #ifndef LC_BASE_EVENT_H
 #define LC_BASE_EVENT_H
 
 #include <glib.h>
+#include <jansson.h>
+#include <stdbool.h>
 
 /** X(NAME, number, GLib level, text of the catalogue) */
 #define EVENT_LIST(X)                                                         \
@@ -18,6 +24,7 @@
     X(BAD_SETTINGS, 104, G_LOG_LEVEL_CRITICAL, "settings refused")            \
     X(LISTEN_FAILED, 105, G_LOG_LEVEL_CRITICAL, "cannot listen")              \
     X(RELOAD, 106, G_LOG_LEVEL_MESSAGE, "told to read settings again")        \
+    X(LINES_DROPPED, 107, G_LOG_LEVEL_WARNING, "log lines dropped")           \
     X(LOG_DOWN, 200, G_LOG_LEVEL_WARNING, "log service unavailable")          \
     X(LOG_UP, 201, G_LOG_LEVEL_MESSAGE, "log service available again")        \
     X(HOSTS_DOWN, 202, G_LOG_LEVEL_WARNING, "host list unavailable")          \
@@ -45,6 +52,8 @@
     X(READY, 310, G_LOG_LEVEL_MESSAGE, "readiness changed")                   \
     X(ROUTES, 402, G_LOG_LEVEL_MESSAGE, "routes in force")                    \
     X(ROUTES_BAD, 403, G_LOG_LEVEL_WARNING, "routes skipped")                 \
+    X(JOB_LATE, 508, G_LOG_LEVEL_INFO, "leased job answered late")            \
+    X(JOB_ANSWERED, 509, G_LOG_LEVEL_DEBUG, "leased job answered in time")    \
     X(JOB_REFUSED, 510, G_LOG_LEVEL_INFO, "leased job refused")               \
     X(CALLER_GONE, 511, G_LOG_LEVEL_INFO, "caller gone, job stopped")         \
     X(RUN_ENDED, 512, G_LOG_LEVEL_INFO, "run ended without a result")         \
@@ -74,11 +83,21 @@
 /** Catalogue text of an event. */
 const char *Event_Text(Event_Id id);
 
-/** Writes one event with a detail text through GLib. */
+/** Whether a line of this event would be written now; otherwise it is
+ * counted as left out. Each true must be followed by a write. */
+bool Event_Admit(Event_Id id);
+
+/** Writes an admitted event; takes @p fields, an object. */
+void Event_Write(Event_Id id, json_t *fields);
+
+/** Writes an event, if it is admitted, with a detail text. */
 void Event_Log(Event_Id id, const char *format, ...)
     __attribute__((format(printf, 2, 3)));
 
-/** Sends all GLib log records to stderr, one line each. */
-void Event_UseStderr(void);
+/** Sends all lines to standard output from now on, naming this process. */
+void Event_UseStdout(const char *node);
+
+/** Hands buffered lines to their reader, as far as it takes them. */
+void Event_Flush(void);
 
 #endif
--- a/daemon/leased_companion.c
+++ b/daemon/leased_companion.c
@@ -141,7 +141,7 @@
     .stop = port_stop,
     .look = port_look,
     .reply = Process_PortReply,
-    .event = Process_PortEvent,
+    .event = Process_PortFields,
 };
 
 /* ---- entries ---- */
--- a/daemon/leased_entry.c
+++ b/daemon/leased_entry.c
@@ -114,7 +114,7 @@
     .call = Process_PortCall,
     .reset = Process_PortReset,
     .answer = port_answer,
-    .event = Process_PortEvent,
+    .event = Process_PortFields,
 };
 
 /* ---- routes ---- */
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -94,7 +94,7 @@
     int code;
 
     signal(SIGPIPE, SIG_IGN);
-    Event_UseStderr();
+    Event_UseStdout(NULL);
     code = parse_arguments(&argc, &argv);
     if (code != 0) {
         return code;
@@ -107,5 +107,7 @@
         fprintf(stderr, "levercoved: expected one settings file\n");
         return Err_Exit(ERR_BAD_REQUEST);
     }
-    return run(argv[1]);
+    code = run(argv[1]);
+    Event_Flush();
+    return code;
 }
--- a/daemon/process.c
+++ b/daemon/process.c
@@ -63,6 +63,13 @@
     Event_Log(id, "%s", detail);
 }
 
+void
+Process_PortFields(void *process, Event_Id id, json_t *fields)
+{
+    (void)process;
+    Event_Write(id, fields);
+}
+
 static void
 on_call(void *context, uint64_t reply_id, const Msg_Call *call)
 {
@@ -169,6 +176,7 @@
     Process *process = timer->data;
 
     process->role->tick(process);
+    Event_Flush();
     stop_if_drained(process);
 }
 
@@ -217,6 +225,7 @@
     process->loop = loop;
     process->options = options;
     process->role = role;
+    Event_UseStdout(Address_Text(options->rpc));
     if (Process_ReopenRpc(process, status) != ERR_OK) {
         return ERR_IO;
     }
--- a/daemon/process.h
+++ b/daemon/process.h
@@ -79,5 +79,6 @@
                        const Msg_Reply *reply);
 void Process_PortReset(void *process, Address to);
 void Process_PortEvent(void *process, Event_Id id, const char *detail);
+void Process_PortFields(void *process, Event_Id id, json_t *fields);
 
 #endif
--- a/lease/active.c
+++ b/lease/active.c
@@ -45,6 +45,7 @@
     job->task_count = LeasedJob_Tasks(&job->spec);
     job->tasks = g_new0(Active_Task, job->task_count);
     job->open = job->task_count;
+    job->story = Story_New(now_ms);
     fill_tasks(job);
     Active_Unblock(job);
     return job;
@@ -57,6 +58,7 @@
     g_free(job->queue);
     g_free(job->service);
     g_array_unref(job->requests);
+    Story_Free(job->story);
     g_free(job->tasks);
     g_free(job);
 }
--- a/lease/active.h
+++ b/lease/active.h
@@ -15,6 +15,7 @@
 #include "base/handle.h"
 #include "lease/job.h"
 #include "lease/route.h"
+#include "lease/story.h"
 
 /** X(NAME, text): where a task stands. */
 #define ACTIVE_STATE_LIST(X)                                                  \
@@ -59,10 +60,12 @@
     int64_t deadline_ms;
     uint32_t task_count;
     Active_Task *tasks;
-    uint32_t waiting; /**< tasks in state WAITING */
-    uint32_t open;    /**< tasks not OVER */
-    uint32_t starts;  /**< runs that were sent and not refused */
-    bool closing;     /**< answered; only stops are waited for */
+    uint32_t waiting;      /**< tasks in state WAITING */
+    uint32_t open;         /**< tasks not OVER */
+    uint32_t starts;       /**< runs that were sent and not refused */
+    int64_t first_sent_ms; /**< 0 before */
+    Story *story;
+    bool closing; /**< answered; only stops are waited for */
 } Active_Job;
 
 /** Makes a job of @p spec, whose memory it takes. */
--- a/lease/dispatcher.c
+++ b/lease/dispatcher.c
@@ -102,23 +102,63 @@
     return self->config.node;
 }
 
-static void log_job(const Dispatcher *self, Event_Id id, uint64_t job,
-                    const char *format, ...)
-    __attribute__((format(printf, 4, 5)));
+/* A line about a job of which only the identity is known. */
+static void
+log_identity(const Dispatcher *self, Event_Id id, uint64_t job,
+             const char *detail)
+{
+    char text[RUN_ID_JOB_SIZE];
+
+    if (Event_Admit(id)) {
+        RunId_FormatJob(job, text);
+        self->ports->event(
+            self->context, id,
+            json_pack("{s:s, s:s}", "job", text, "detail", detail));
+    }
+}
+
+/* Everything that was decided about a job, and why it ended as it did. */
+static void
+log_job(const Dispatcher *self, Event_Id id, int64_t now_ms,
+        const Active_Job *job, const char *detail)
+{
+    int64_t waited_ms = (job->first_sent_ms == 0 ? now_ms
+                                                 : job->first_sent_ms) -
+                        job->arrived_ms;
+    char text[RUN_ID_JOB_SIZE];
+
+    if (!Event_Admit(id)) {
+        return;
+    }
+    RunId_FormatJob(job->spec.id, text);
+    self->ports->event(
+        self->context, id,
+        json_pack("{s:s, s:s, s:s, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, "
+                  "s:i, s:o}",
+                  "job", text, "queue", job->queue, "detail", detail,
+                  "took_ms", (int)(now_ms - job->arrived_ms), "waited_ms",
+                  (int)waited_ms, "objective_ms",
+                  (int)(job->objective_ms - job->arrived_ms), "deadline_ms",
+                  (int)(job->deadline_ms - job->arrived_ms), "priority",
+                  (int)job->priority, "tasks", (int)job->task_count, "waiting",
+                  (int)job->waiting, "open", (int)job->open, "companions",
+                  (int)Dispatcher_ReadyHosts(self, now_ms), "story",
+                  Story_ToJson(job->story)));
+}
 
 static void
-log_job(const Dispatcher *self, Event_Id id, uint64_t job, const char *format,
-        ...)
+log_host(const Dispatcher *self, Event_Id id, int64_t now_ms,
+         const Fleet_Host *host, const char *detail)
 {
-    char detail[300];
-    char text[360];
-    va_list args;
-
-    va_start(args, format);
-    g_vsnprintf(detail, sizeof(detail), format, args);
-    va_end(args);
-    g_snprintf(text, sizeof(text), "%016" PRIx64 ": %s", job, detail);
-    self->ports->event(self->context, id, text);
+    if (Event_Admit(id)) {
+        self->ports->event(
+            self->context, id,
+            json_pack("{s:s, s:s, s:s, s:s, s:s, s:i, s:i}", "companion",
+                      Address_Text(host->node.address), "hall", host->hall,
+                      "upstream", host->instance, "service", host->service,
+                      "detail", detail, "runs", (int)host->running,
+                      "heard_ms_ago", (int)(now_ms - host->received_ms)));
+    }
 }
 
 /* ---- calls ---- */
@@ -230,6 +270,17 @@
     Active_Free(job);
 }
 
+static Event_Id
+event_of(int64_t now_ms, const Active_Job *job,
+         const Dispatcher_Answer *answer)
+{
+    if (answer->outcome != DISPATCHER_SUCCEEDED) {
+        return answer->outcome == DISPATCHER_NOT_RUN ? EVENT_JOB_REFUSED
+                                                     : EVENT_JOB_FAILED;
+    }
+    return now_ms > job->objective_ms ? EVENT_JOB_LATE : EVENT_JOB_ANSWERED;
+}
+
 static void
 answer_job(Dispatcher *self, int64_t now_ms, Active_Job *job,
            const Dispatcher_Answer *answer)
@@ -244,13 +295,8 @@
     guint i;
 
     Counter_Add(&self->counters, counters[answer->outcome], 1);
-    if (answer->outcome != DISPATCHER_SUCCEEDED) {
-        log_job(self, EVENT_JOB_FAILED, job->spec.id,
-                "%s of %s after %d ms: %s, %u tasks waiting, %u open",
-                Err_Text(answer->kind), job->queue,
-                (int)(now_ms - job->arrived_ms), answer->message, job->waiting,
-                job->open);
-    }
+    log_job(self, event_of(now_ms, job, answer), now_ms, job,
+            answer->outcome == DISPATCHER_SUCCEEDED ? "" : answer->message);
     for (i = 0; i < job->requests->len; i++) {
         uint64_t request = g_array_index(job->requests, uint64_t, i);
         g_hash_table_remove(self->by_request, &request);
@@ -387,7 +433,7 @@
                                 .retry_ms = RETRY_MS};
 
     Counter_Add(&self->counters, COUNTER_JOBS_NOT_RUN, 1);
-    log_job(self, EVENT_JOB_REFUSED, job, "%s: %s", Err_Text(kind), message);
+    log_identity(self, EVENT_JOB_REFUSED, job, message);
     self->ports->answer(self->context, request, &answer);
 }
 
@@ -475,9 +521,7 @@
         }
     }
     if (job->requests->len == 0) {
-        log_job(self, EVENT_CALLER_GONE, job->spec.id,
-                "of %s after %d ms, %u tasks open", job->queue,
-                (int)(now_ms - job->arrived_ms), job->open);
+        log_job(self, EVENT_CALLER_GONE, now_ms, job, "stopped");
         close_job(self, job);
     }
 }
@@ -577,6 +621,11 @@
     Active_Move(job, task, ACTIVE_SENT);
     job->starts++;
     host->running++;
+    if (job->first_sent_ms == 0) {
+        job->first_sent_ms = now_ms;
+    }
+    Story_Add(job->story, now_ms, STORY_SENT, &task->id, host->node.address,
+              (int32_t)host->pace_percent);
     Resources_Take(&host->room, &Active_Step(job, task)->need);
     Counter_Add(&self->counters, COUNTER_TASKS_STARTED, 1);
     call_run(self, job, task, Fleet_Hold(host, &self->config.term, now_ms));
@@ -661,6 +710,9 @@
                 continue;
             }
             leave_host(self, task);
+            Story_Add(job->story, now_ms,
+                      but_incarnation == 0 ? STORY_EXPIRED : STORY_REBORN,
+                      &task->id, address, 0);
             task->avoid = address;
             requeue_task(self, job, task, now_ms);
             /* A job that was closing may be gone now. */
@@ -676,17 +728,13 @@
     Fleet_Host *host = NULL;
     Fleet_Change change = Fleet_TakeReport(&self->fleet, now_ms, report,
                                            &host);
-    char text[200];
 
     if (change == FLEET_STALE) {
         return;
     }
     if (change != FLEET_KNOWN) {
-        g_snprintf(text, sizeof(text), "%s in %s beside %s of %s: %s",
-                   Address_Text(host->node.address), host->hall,
-                   host->instance, host->service,
-                   change == FLEET_NEW ? "new" : "another incarnation");
-        self->ports->event(self->context, EVENT_COMPANION_FOUND, text);
+        log_host(self, EVENT_COMPANION_FOUND, now_ms, host,
+                 change == FLEET_NEW ? "new" : "another incarnation");
     }
     if (change == FLEET_REBORN) {
         host->running = 0;
@@ -700,16 +748,10 @@
 static void
 suspect_host(Dispatcher *self, int64_t now_ms, Fleet_Host *host)
 {
-    char text[120];
-
-    if (host->suspect) {
-        return;
+    if (!host->suspect) {
+        host->suspect = true;
+        log_host(self, EVENT_SUSPECT, now_ms, host, "no answer in time");
     }
-    host->suspect = true;
-    g_snprintf(text, sizeof(text), "%s: silent for %d ms, %u runs there",
-               Address_Text(host->node.address),
-               (int)(now_ms - host->received_ms), host->running);
-    self->ports->event(self->context, EVENT_SUSPECT, text);
 }
 
 static void
@@ -781,6 +823,8 @@
     Fleet_Host *host = host_of(self, task);
 
     leave_host(self, task);
+    Story_Add(job->story, now_ms, STORY_ENDED, &task->id, task->host.address,
+              (int32_t)status);
     switch (status) {
     case LC_RUN_DONE:
         if (job->closing) {
@@ -819,6 +863,8 @@
     if (result == NULL) {
         if (task->state == ACTIVE_SENT) {
             Active_Move(job, task, ACTIVE_ADRIFT);
+            Story_Add(job->story, now_ms, STORY_ADRIFT, &task->id,
+                      task->host.address, 0);
             task->again_ms = now_ms + AGAIN_MS;
         }
         return;
@@ -827,13 +873,6 @@
         task->again_ms = now_ms + AGAIN_MS;
         return;
     }
-    if (result->status != LC_RUN_DONE && result->status != LC_RUN_NO_ROOM) {
-        log_job(self, EVENT_RUN_ENDED, job->spec.id,
-                "task %u.%u run %u at %s: status %d after %u ms",
-                task->id.step, task->id.index, task->id.run,
-                Address_Text(task->host.address), (int)result->status,
-                result->ran_ms);
-    }
     run_ended(self, now_ms, job, task, result->status);
 }
 
@@ -956,6 +995,8 @@
         else if (task->state == ACTIVE_ADRIFT) {
             host = host_of(self, task);
             Active_Move(job, task, ACTIVE_SENT);
+            Story_Add(job->story, now_ms, STORY_ASKED, &task->id,
+                      task->host.address, 0);
             call_run(self, job, task, host == NULL ? 0 : host->valid_until_ms);
         }
     }
--- a/lease/dispatcher.h
+++ b/lease/dispatcher.h
@@ -46,7 +46,8 @@
     void (*reset)(void *context, Address to);
     void (*answer)(void *context, uint64_t request_id,
                    const Dispatcher_Answer *answer);
-    void (*event)(void *context, Event_Id id, const char *detail);
+    /** Writes an admitted event; takes the fields. */
+    void (*event)(void *context, Event_Id id, json_t *fields);
 } Dispatcher_Ports;
 
 /** Settings. */
--- a/lease/run_id.c
+++ b/lease/run_id.c
@@ -28,9 +28,7 @@
 }
 
 void
-RunId_Format(const lc_run_id *id, char text[RUN_ID_TEXT_SIZE])
+RunId_FormatJob(uint64_t job, char text[RUN_ID_JOB_SIZE])
 {
-    g_snprintf(text, RUN_ID_TEXT_SIZE, "%016" PRIx64 ".%u.%u.%u run %u",
-               (uint64_t)id->job, id->occurrence, id->step, id->index,
-               id->run);
+    g_snprintf(text, RUN_ID_JOB_SIZE, "%016" PRIx64, job);
 }
--- a/lease/run_id.h
+++ b/lease/run_id.h
@@ -9,8 +9,11 @@
 
 #include "wire/msg.h"
 
-/** Longest text of a name with its NUL. */
-#define RUN_ID_TEXT_SIZE 72
+/** Size of the text of a job with its NUL. */
+#define RUN_ID_JOB_SIZE 20
+
+/** Writes a job's identity in hexadecimal, as callers write it. */
+void RunId_FormatJob(uint64_t job, char text[RUN_ID_JOB_SIZE]);
 
 /** Hash of a lc_run_id. */
 guint RunId_Hash(const void *id);
@@ -21,7 +24,4 @@
 /** Whether both name the same task, whichever run. */
 bool RunId_SameTask(const lc_run_id *a, const lc_run_id *b);
 
-/** Writes "JOB.OCCURRENCE.STEP.INDEX run RUN", the job in hexadecimal. */
-void RunId_Format(const lc_run_id *id, char text[RUN_ID_TEXT_SIZE]);
-
 #endif
--- a/lease/runner.c
+++ b/lease/runner.c
@@ -147,26 +147,35 @@
 log_run(const Runner *runner, Event_Id id, const task *row, const char *format,
         ...)
 {
-    char name[RUN_ID_TEXT_SIZE];
+    char job[RUN_ID_JOB_SIZE];
     char detail[300];
-    char text[400];
     va_list args;
 
+    if (!Event_Admit(id)) {
+        return;
+    }
     va_start(args, format);
     g_vsnprintf(detail, sizeof(detail), format, args);
     va_end(args);
-    RunId_Format(&row->id, name);
-    g_snprintf(text, sizeof(text), "%s: %s", name, detail);
-    runner->ports->event(runner->context, id, text);
+    RunId_FormatJob(row->id.job, job);
+    runner->ports->event(
+        runner->context, id,
+        json_pack("{s:s, s:i, s:i, s:i, s:s, s:s, s:s}", "job", job, "step",
+                  (int)row->id.step, "index", (int)row->id.index, "run",
+                  (int)row->id.run, "owner", Address_Text(row->owner.address),
+                  "upstream", runner->up.instance, "detail", detail));
 }
 
 static void
 log_upstream(const Runner *runner, Event_Id id, const char *reason)
 {
-    char text[300];
-
-    g_snprintf(text, sizeof(text), "%s: %s", runner->up.instance, reason);
-    runner->ports->event(runner->context, id, text);
+    if (Event_Admit(id)) {
+        runner->ports->event(
+            runner->context, id,
+            json_pack("{s:s, s:s, s:i, s:i}", "upstream", runner->up.instance,
+                      "detail", reason, "tasks", (int)runner->live,
+                      "pace_percent", (int)runner->health.pace_percent));
+    }
 }
 
 /* The upstream's clock shows at least this now. */
--- a/lease/runner.h
+++ b/lease/runner.h
@@ -110,7 +110,8 @@
                  const char *instance, int64_t token);
     void (*look)(void *context, uint64_t look_id, const Runner_Look *look);
     void (*reply)(void *context, uint64_t reply_id, const Msg_Reply *reply);
-    void (*event)(void *context, Event_Id id, const char *detail);
+    /** Writes an admitted event; takes the fields. */
+    void (*event)(void *context, Event_Id id, json_t *fields);
 } Runner_Ports;
 
 /** Settings. */
--- a/tests/lease_world.cc
+++ b/tests/lease_world.cc
@@ -651,24 +651,35 @@
 }
 
 void
-port_entry_event(void *context, Event_Id id, const char *detail)
+print_event(int64_t now, const char *who, uint32_t index, Event_Id id,
+            const json_t *fields)
+{
+    char *text = json_dumps(fields, JSON_COMPACT);
+
+    fprintf(stderr, "%6ld %s %u LC%d %s\n", (long)now, who, index,
+            Event_Number(id), text);
+    free(text);
+}
+
+void
+port_entry_event(void *context, Event_Id id, json_t *fields)
 {
     EntryNode *entry = (EntryNode *)context;
     if (entry->world->trace) {
-        fprintf(stderr, "%6ld entry %u LC%d %s\n", (long)entry->world->now,
-                entry->index, Event_Number(id), detail);
+        print_event(entry->world->now, "entry", entry->index, id, fields);
     }
+    json_decref(fields);
 }
 
 void
-port_companion_event(void *context, Event_Id id, const char *detail)
+port_companion_event(void *context, Event_Id id, json_t *fields)
 {
     CompanionNode *companion = (CompanionNode *)context;
     if (companion->world->trace) {
-        fprintf(stderr, "%6ld companion %u LC%d %s\n",
-                (long)companion->world->now, companion->index,
-                Event_Number(id), detail);
+        print_event(companion->world->now, "companion", companion->index, id,
+                    fields);
     }
+    json_decref(fields);
 }
 
 void
