--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -38,7 +38,9 @@
 process_test() { check "process/$1" env BUILD="$SANITIZED" "tests/process/$1.sh"; }
 
 check cases "$SANITIZED/tests/cases"
+check lease_cases "$SANITIZED/tests/lease_cases"
 check rules "$SANITIZED/tests/rules"
+check platform_names scripts/check_platform_names.sh
 check events scripts/check_events.sh "$BUILD"
 check properties env RC_PARAMS="seed=20261202 max_success=100" "$BUILD/tests/prop_cluster"
 check properties-sanitized env RC_PARAMS="seed=5 max_success=8" "$SANITIZED/tests/prop_cluster"
--- a/tests/cases.c
+++ b/tests/cases.c
@@ -1,14 +1,4 @@
-/*
- * Case tables: each file under tests/cases holds cases of one kind, as
- *
- *     == name
- *     input lines
- *     --
- *     expected output lines
- *
- * The kind is the file's name; its function turns input into output, which
- * must equal the expected one. Lines that begin with "# " are remarks.
- */
+/* Cases of the modules of jobs that are owned by key. */
 
 #include <glib.h>
 #include <stdio.h>
@@ -22,35 +12,13 @@
 #include "core/fold.h"
 #include "core/group.h"
 #include "daemon/options.h"
+#include "tests/case_table.h"
 #include "wire/msg.h"
 
-typedef void (*case_function)(const char *input, GString *output);
-
-typedef struct {
-    char *name;
-    case_function run;
-    GString *input;
-    GString *expected;
-} test_case;
-
-/* One line at a time; the caller frees the array. */
-static char **
-lines_of(const char *input)
-{
-    char **lines = g_strsplit(input, "\n", 0);
-    guint count = g_strv_length(lines);
-
-    if (count > 0 && lines[count - 1][0] == '\0') {
-        g_free(lines[count - 1]);
-        lines[count - 1] = NULL;
-    }
-    return lines;
-}
-
 static void
 run_key(const char *input, GString *output)
 {
-    char **lines = lines_of(input);
+    char **lines = CaseTable_Lines(input);
     char text[KEY_TEXT_LENGTH + 1];
     Key key;
     guint i;
@@ -148,7 +116,7 @@
 run_fold(const char *input, GString *output)
 {
     Fold *fold = Fold_New(600000);
-    char **lines = lines_of(input);
+    char **lines = CaseTable_Lines(input);
     guint i;
 
     for (i = 0; lines[i] != NULL; i++) {
@@ -228,7 +196,7 @@
         [MSG_IS_REPLY] = "reply", [MSG_IS_DENIED] = "denied",
         [MSG_IS_BAD] = "refuse",  [MSG_IS_JUNK] = "junk",
     };
-    char **lines = lines_of(input);
+    char **lines = CaseTable_Lines(input);
     guint i;
 
     for (i = 0; lines[i] != NULL; i++) {
@@ -317,7 +285,7 @@
 {
     Arbiter *arbiter = Arbiter_New(2, 100, 1);
     Table *table = Table_New();
-    char **lines = lines_of(input);
+    char **lines = CaseTable_Lines(input);
     Table_Row row;
     guint i;
 
@@ -366,7 +334,7 @@
 {
     Ledger *ledger = Ledger_New(100, 1000);
     Groups *groups = NULL;
-    char **lines = lines_of(input);
+    char **lines = CaseTable_Lines(input);
     Job *last = NULL;
     guint i;
 
@@ -404,71 +372,15 @@
     Ledger_Free(ledger);
 }
 
-static const struct {
-    const char *kind;
-    case_function run;
-} kinds[] = {
-    {"key", run_key},     {"settings", run_settings}, {"fold", run_fold},
-    {"csv", run_csv},     {"rpc", run_rpc},           {"arbiter", run_arbiter},
-    {"group", run_group},
+static const CaseTable_Kind kinds[] = {
+    {"key", run_key},     {"settings", run_settings},
+    {"fold", run_fold},   {"csv", run_csv},
+    {"rpc", run_rpc},     {"arbiter", run_arbiter},
+    {"group", run_group}, {NULL, NULL},
 };
 
-static void
-run_case(gconstpointer data)
-{
-    const test_case *one = data;
-    GString *output = g_string_new(NULL);
-
-    one->run(one->input->str, output);
-    g_assert_cmpstr(output->str, ==, one->expected->str);
-    g_string_free(output, TRUE);
-}
-
-static void
-load_cases(const char *folder, const char *kind, case_function run)
-{
-    char *file = g_strconcat(folder, "/", kind, ".txt", NULL);
-    char *text = NULL;
-    char **lines;
-    test_case *one = NULL;
-    GString *part = NULL;
-    guint i;
-
-    g_assert_true(g_file_get_contents(file, &text, NULL, NULL));
-    lines = lines_of(text);
-    for (i = 0; lines[i] != NULL; i++) {
-        if (g_str_has_prefix(lines[i], "== ")) {
-            one = g_new0(test_case, 1);
-            one->name = g_strconcat("/", kind, "/", lines[i] + 3, NULL);
-            one->run = run;
-            one->input = g_string_new(NULL);
-            one->expected = g_string_new(NULL);
-            part = one->input;
-            g_test_add_data_func(one->name, one, run_case);
-        }
-        else if (one != NULL && strcmp(lines[i], "--") == 0) {
-            part = one->expected;
-        }
-        else if (part != NULL && !g_str_has_prefix(lines[i], "# ")) {
-            g_string_append_printf(part, "%s\n", lines[i]);
-        }
-    }
-    g_strfreev(lines);
-    g_free(text);
-    g_free(file);
-}
-
 int
 main(int argc, char **argv)
 {
-    const char *folder = g_getenv("LEVERCOVE_CASES");
-    size_t i;
-
-    g_test_init(&argc, &argv, NULL);
-    g_test_set_nonfatal_assertions();
-    for (i = 0; i < G_N_ELEMENTS(kinds); i++) {
-        load_cases(folder == NULL ? "tests/cases" : folder, kinds[i].kind,
-                   kinds[i].run);
-    }
-    return g_test_run();
+    return CaseTable_Main(argc, argv, kinds);
 }
--- /dev/null
+++ b/tests/lease_cases.c
@@ -0,0 +1,311 @@
+/* Cases of the modules of leased jobs and of what translates for them. */
+
+#include <glib.h>
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "lease/health.h"
+#include "lease/term.h"
+#include "platform/callers.h"
+#include "platform/routes.h"
+#include "platform/upstreams.h"
+#include "tests/case_table.h"
+
+static int
+number(char **words, guint index)
+{
+    return index < g_strv_length(words) ? atoi(words[index]) : 0;
+}
+
+static const char *
+verb_text(Callers_Verb verb)
+{
+    static const char *const texts[] = {
+        [CALLERS_SUBMIT] = "submit", [CALLERS_LOOK] = "look",
+        [CALLERS_CANCEL] = "cancel", [CALLERS_COUNT] = "count",
+        [CALLERS_OTHER] = "other",
+    };
+
+    return texts[verb];
+}
+
+/* Lines: METHOD PATH [DEADLINE]. */
+static void
+run_request(const char *input, GString *output)
+{
+    char **lines = CaseTable_Lines(input);
+    guint i;
+
+    for (i = 0; lines[i] != NULL; i++) {
+        char **words = g_strsplit(lines[i], " ", 0);
+        Callers_Raw raw = {.method = words[0],
+                           .path = words[1],
+                           .deadline = g_strv_length(words) > 2 ? words[2]
+                                                                : NULL};
+        Callers_Request request;
+        Callers_Parse(&raw, &request);
+        g_string_append_printf(output, "%s %016" PRIx64 " %lld\n",
+                               verb_text(request.verb), request.job,
+                               (long long)request.deadline_ms);
+        g_strfreev(words);
+    }
+    g_strfreev(lines);
+}
+
+static void
+print_step(const LeasedJob_Step *step, GString *output)
+{
+    g_string_append_printf(output, "%u tasks, %u/%u/%u, %u ms, after %" PRIx64,
+                           step->count, step->need.cpu_milli,
+                           step->need.memory_mb, step->need.accelerators,
+                           step->estimate_ms, step->depends_on);
+    if (step->most_together > 0) {
+        g_string_append_printf(output, ", %u together", step->most_together);
+    }
+    if (step->requirement[0] != '\0') {
+        g_string_append_printf(output, ", needs %s", step->requirement);
+    }
+    if (step->affinity[0] != '\0') {
+        g_string_append_printf(output, ", data at %s", step->affinity);
+    }
+    g_string_append_c(output, '\n');
+}
+
+/* The whole input is a body. */
+static void
+run_job(const char *input, GString *output)
+{
+    Callers_Raw raw = {.body = input, .length = strlen(input)};
+    Status status = {ERR_OK, ""};
+    LeasedJob job;
+    uint32_t i;
+
+    Callers_ParseJob(&raw, 1, &job, &status);
+    if (status.kind != ERR_OK) {
+        g_string_append_printf(output, "%s: %s\n", Err_Text(status.kind),
+                               status.message);
+        return;
+    }
+    for (i = 0; i < job.step_count; i++) {
+        print_step(&job.steps[i], output);
+    }
+    LeasedJob_Check(&job, &status);
+    g_string_append_printf(output, "spec \"%s\", chain %u ms, %s%s%s\n",
+                           job.spec, LeasedJob_ChainMs(&job),
+                           status.kind == ERR_OK ? "served" : "refused",
+                           status.kind == ERR_OK ? "" : ": ", status.message);
+    LeasedJob_Clear(&job);
+}
+
+/* "match AUTHORITY PATH" lines follow the record, which is one line. */
+static void
+run_routes(const char *input, GString *output)
+{
+    char **lines = CaseTable_Lines(input);
+    Status status = {ERR_OK, ""};
+    Route_Table *table = Routes_Read(lines[0], strlen(lines[0]), &status);
+    guint i;
+
+    if (table == NULL) {
+        g_string_append_printf(output, "%s: %s\n", Err_Text(status.kind),
+                               status.message);
+        g_strfreev(lines);
+        return;
+    }
+    for (i = 1; lines[i] != NULL; i++) {
+        char **words = g_strsplit(lines[i], " ", 0);
+        const Route *route = Route_Find(table, words[1], words[2]);
+        if (route == NULL) {
+            g_string_append(output, "no queue\n");
+        }
+        else {
+            g_string_append_printf(
+                output, "%s of %s, priority %d, %u attempts, %u%% + %u ms\n",
+                route->name, route->service, route->priority,
+                route->max_attempts, route->stretch_percent, route->target_ms);
+        }
+        g_strfreev(words);
+    }
+    g_strfreev(lines);
+    Route_FreeTable(table);
+}
+
+/* The first line is METHOD PATH, the rest the body. */
+static void
+run_beat(const char *input, GString *output)
+{
+    const char *body = strchr(input, '\n') + 1;
+    char *first = g_strndup(input, (gsize)(body - input - 1));
+    char **words = g_strsplit(first, " ", 2);
+    Status status = {ERR_OK, ""};
+    Upstreams_Beat beat;
+    char *instance;
+
+    switch (Upstreams_ParseCall(words[0], words[1], &instance)) {
+    case UPSTREAMS_UNKNOWN:
+        g_string_append(output, "unknown call\n");
+        break;
+    case UPSTREAMS_LEAVES:
+        g_string_append_printf(output, "%s leaves\n", instance);
+        break;
+    case UPSTREAMS_BEAT:
+        if (Upstreams_ReadBeat(instance, body, strlen(body), &beat, &status) !=
+            ERR_OK) {
+            g_string_append_printf(output, "%s: %s\n", Err_Text(status.kind),
+                                   status.message);
+        }
+        else {
+            g_string_append_printf(
+                output, "%s of %s, %s, %u/%u/%u, clock %lld\n",
+                beat.upstream.instance, beat.upstream.service,
+                beat.upstream.says == RUNNER_UPSTREAM_READY ? "ready"
+                                                            : "draining",
+                beat.upstream.capacity.cpu_milli,
+                beat.upstream.capacity.memory_mb,
+                beat.upstream.capacity.accelerators,
+                (long long)beat.upstream.clock_ms);
+        }
+        Upstreams_FreeBeat(&beat);
+        break;
+    }
+    g_free(instance);
+    g_strfreev(words);
+    g_free(first);
+}
+
+/* The first line is a status, the rest the body of the answer to a look. */
+static void
+run_listing(const char *input, GString *output)
+{
+    const char *body = strchr(input, '\n') + 1;
+    Http_ClientAnswer answer = {.end = HTTP_CLIENT_ANSWERED,
+                                .status = atoi(input),
+                                .body = body,
+                                .length = strlen(body)};
+    Upstreams_Listing listing;
+    uint32_t i;
+
+    Upstreams_ReadListing(&answer, &listing);
+    g_string_append_printf(output, "end %d at %lld\n",
+                           (int)listing.listing.end,
+                           (long long)listing.listing.clock_ms);
+    for (i = 0; i < listing.listing.running_count; i++) {
+        const Runner_Row *row = &listing.listing.running[i];
+        g_string_append_printf(
+            output, "runs %016" PRIx64 ".%u.%u.%u %u %u%%\n",
+            (uint64_t)row->id.job, row->id.occurrence, row->id.step,
+            row->id.index, row->id.run, row->percent);
+    }
+    for (i = 0; i < listing.listing.ended_count; i++) {
+        const Runner_EndRow *row = &listing.listing.ended[i];
+        g_string_append_printf(
+            output, "%" PRIu64 " %016" PRIx64 ".%u.%u.%u %u end %d\n",
+            row->number, (uint64_t)row->id.job, row->id.occurrence,
+            row->id.step, row->id.index, row->id.run, (int)row->end);
+    }
+    Upstreams_FreeListing(&listing);
+}
+
+static void
+progress_line(Health *health, char **words, GString *output)
+{
+    Health_Progress runs[16];
+    uint32_t count = 0;
+    guint i;
+
+    for (i = 1; words[i] != NULL; i++) {
+        char **parts = g_strsplit(words[i], "/", 4);
+        runs[count].job = (uint64_t)number(parts, 0);
+        runs[count].elapsed_ms = (uint32_t)number(parts, 1);
+        runs[count].percent = (uint32_t)number(parts, 2);
+        runs[count].estimate_ms = (uint32_t)number(parts, 3);
+        count++;
+        g_strfreev(parts);
+    }
+    g_string_append_printf(output, "slow %u\n",
+                           Health_TakeProgress(health, runs, count));
+}
+
+/*
+ * Lines: "good RAN ESTIMATE", "bad MS JOB", "stalled MS", "started MS",
+ * "admits MS RUNNING", "progress JOB/ELAPSED/PERCENT/ESTIMATE...",
+ * "fade MS", "show".
+ */
+static void
+run_health(const char *input, GString *output)
+{
+    char **lines = CaseTable_Lines(input);
+    Health health = Health_New();
+    guint i;
+
+    for (i = 0; lines[i] != NULL; i++) {
+        char **words = g_strsplit(lines[i], " ", 0);
+        const char *verb = words[0];
+        if (strcmp(verb, "good") == 0) {
+            Health_Good(&health, (uint32_t)number(words, 1),
+                        (uint32_t)number(words, 2));
+        }
+        else if (strcmp(verb, "bad") == 0) {
+            Health_Bad(&health, number(words, 1), (uint64_t)number(words, 2));
+        }
+        else if (strcmp(verb, "stalled") == 0) {
+            Health_Stalled(&health, number(words, 1));
+        }
+        else if (strcmp(verb, "started") == 0) {
+            Health_Started(&health, number(words, 1));
+        }
+        else if (strcmp(verb, "admits") == 0) {
+            bool admits = Health_Admits(&health, number(words, 1),
+                                        (uint32_t)number(words, 2));
+            g_string_append(output, admits ? "admits\n" : "refuses\n");
+        }
+        else if (strcmp(verb, "progress") == 0) {
+            progress_line(&health, words, output);
+        }
+        else if (strcmp(verb, "fade") == 0) {
+            Health_Fade(&health, number(words, 1));
+        }
+        else {
+            g_string_append_printf(output, "pace %u%s\n", health.pace_percent,
+                                   health.trial ? ", on trial" : "");
+        }
+        g_strfreev(words);
+    }
+    g_strfreev(lines);
+}
+
+/* Lines: RESUBMIT HOLD_MAX STOP TICK. */
+static void
+run_term(const char *input, GString *output)
+{
+    char **lines = CaseTable_Lines(input);
+    guint i;
+
+    for (i = 0; lines[i] != NULL; i++) {
+        char **words = g_strsplit(lines[i], " ", 0);
+        Term_Bounds bounds = {number(words, 0), number(words, 1),
+                              number(words, 2), number(words, 3)};
+        Term term;
+        bool fits = Term_Plan(&bounds, &term);
+        g_string_append_printf(
+            output, "lease %lld hold %lld over after %lld%s\n",
+            (long long)term.lease_ms, (long long)term.hold_ms,
+            (long long)Term_CertainEnd(&term, 0), fits ? "" : ", too short");
+        g_strfreev(words);
+    }
+    g_strfreev(lines);
+}
+
+static const CaseTable_Kind kinds[] = {
+    {"request", run_request}, {"job", run_job},
+    {"routes", run_routes},   {"beat", run_beat},
+    {"listing", run_listing}, {"health", run_health},
+    {"term", run_term},       {NULL, NULL},
+};
+
+int
+main(int argc, char **argv)
+{
+    return CaseTable_Main(argc, argv, kinds);
+}
