A soak of real processes between stand-ins, with proxies, signals and a checker

The stand-in upstream is the model of the properties behind HTTP; the store follows the platform's keyed topics; callers leave, come again and count.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SANITIZED := build-san
 JOBS := $(shell nproc)
 
-.PHONY: all install demo sanitized test test-long bench capacity mutations lint format clean
+.PHONY: all install demo sanitized test test-long bench capacity mutations soak lint format clean
 
 all: install
 	cmake -S . -B $(BUILD) >/dev/null
@@ -35,6 +35,9 @@
 capacity: all
 	BUILD=$(BUILD) scripts/capacity.sh
 
+soak: all
+	BUILD=$(BUILD) scripts/soak.sh
+
 mutations: install
 	scripts/mutations.sh
 
--- a/daemon/options.c
+++ b/daemon/options.c
@@ -34,6 +34,7 @@
     TEXT(role, 1, "entry|companion"),
     TEXT(hall, 1, NULL),
     ADDRESS(rpc, 1),
+    ADDRESS(rpc_listen, 0),
     ADDRESS(admin, 1),
     ADDRESS(callers, 0),
     ADDRESS(log, 0),
--- a/daemon/options.h
+++ b/daemon/options.h
@@ -17,15 +17,16 @@
     char order[SETTING_TEXT_SIZE];
     char placement[SETTING_TEXT_SIZE];
     char jobs[SETTING_TEXT_SIZE]; /**< "owned" by key, or "leased" */
-    Address rpc;                  /**< where peers call */
-    Address admin;    /**< where operators read state and metrics */
-    Address callers;  /**< where callers send jobs; entry only */
-    Address log;      /**< the log service; entry only */
-    Address hosts;    /**< the host list; entry only */
-    Address upstream; /**< the upstream; companion only */
-    Address ready;    /**< where the balancer asks; leased, entry only */
-    Address beats;    /**< where the upstream beats; leased, companion only */
-    Address store;    /**< holds the routes; leased, entry only */
+    Address rpc;                  /**< where peers call; names this process */
+    Address rpc_listen; /**< if calls arrive at another address here, or 0 */
+    Address admin;      /**< where operators read state and metrics */
+    Address callers;    /**< where callers send jobs; entry only */
+    Address log;        /**< the log service; entry only */
+    Address hosts;      /**< the host list; entry only */
+    Address upstream;   /**< the upstream; companion only */
+    Address ready;      /**< where the balancer asks; leased, entry only */
+    Address beats; /**< where the upstream beats; leased, companion only */
+    Address store; /**< holds the routes; leased, entry only */
     Setting_Addresses seeds; /**< hosts of entries; their ports are passed
                                   over. Leased only */
     int64_t slots;
--- a/daemon/process.c
+++ b/daemon/process.c
@@ -215,7 +215,11 @@
     }
     process->rpc = Rpc_New(process->loop, process->role->counters(process),
                            &handlers, process);
-    return Rpc_Listen(process->rpc, process->options->rpc, status);
+    return Rpc_Listen(process->rpc,
+                      process->options->rpc_listen != 0
+                          ? process->options->rpc_listen
+                          : process->options->rpc,
+                      status);
 }
 
 Err_Kind
--- /dev/null
+++ b/scripts/soak.sh
@@ -0,0 +1,42 @@
+#!/usr/bin/env bash
+# Runs the soak: SEEDS="1 2 3" (fresh ones by default), SECONDS_EACH with faults,
+# WORKERS side by side. Keeps the logs of a seed that failed and prints where.
+# Usage: BUILD=build scripts/soak.sh
+set -u
+cd "$(dirname "$0")/.."
+BUILD=${BUILD:-build}
+SECONDS_EACH=${SECONDS_EACH:-12}
+WORKERS=${WORKERS:-4}
+if [ -z "${SEEDS:-}" ]; then
+    base=$(date +%s)
+    SEEDS=$(seq "$base" $((base + ${COUNT:-8} - 1)))
+fi
+KEEP=${KEEP:-$(mktemp -d)}
+
+# one SEED WORKER
+one() {
+    local folder="$KEEP/seed-$1"
+    mkdir -p "$folder"
+    if timeout $((SECONDS_EACH + 60)) "$BUILD/tests/soak" --seed "$1" --seconds "$SECONDS_EACH" \
+        --program "$BUILD/daemon/levercoved" --folder "$folder" \
+        --port $((21000 + $2 * 20)) --verbose >"$folder/out" 2>&1; then
+        grep '^seed' "$folder/out"
+        rm -rf "$folder"
+    else
+        echo "FAILED seed $1, logs in $folder"
+        grep -A 20 '^seed' "$folder/out" || tail -n 5 "$folder/out"
+    fi
+}
+
+number=0
+for seed in $SEEDS; do
+    one "$seed" $((number % WORKERS)) &
+    number=$((number + 1))
+    [ $((number % WORKERS)) = 0 ] && wait
+done >"$KEEP/summary"
+wait
+cat "$KEEP/summary"
+failed=$(grep -c '^FAILED' "$KEEP/summary")
+echo "$((number - failed)) seeds passed, $failed failed"
+[ "$failed" = 0 ] && rm -rf "$KEEP"
+[ "$failed" = 0 ]
--- /dev/null
+++ b/tests/soak/process.cc
@@ -0,0 +1,125 @@
+#include "tests/soak/process.h"
+
+#include <fcntl.h>
+#include <signal.h>
+#include <unistd.h>
+
+#include <cstdio>
+#include <cstdlib>
+
+namespace soak {
+
+namespace {
+
+const int64_t RESTART_MS = 150;
+
+void
+on_closed(uv_handle_t *handle)
+{
+    delete (uv_process_t *)handle;
+}
+
+} // namespace
+
+Process::Process(uv_loop_t *on, std::string called, std::string path,
+                 std::string folder, std::string settings)
+    : name(called), loop(on), program(path),
+      log_file(folder + "/" + called + ".log"),
+      settings_file(folder + "/" + called + ".json")
+{
+    FILE *file = fopen(settings_file.c_str(), "w");
+
+    fputs(settings.c_str(), file);
+    fclose(file);
+    uv_timer_init(loop, &restart);
+    restart.data = this;
+}
+
+void
+Process::start()
+{
+    uv_process_options_t options = {};
+    uv_stdio_container_t stdio[3] = {};
+    int log = open(log_file.c_str(), O_CREAT | O_WRONLY | O_APPEND, 0644);
+    char *words[] = {(char *)program.c_str(), (char *)settings_file.c_str(),
+                     nullptr};
+
+    stdio[0].flags = UV_IGNORE;
+    stdio[1].flags = UV_INHERIT_FD;
+    stdio[1].data.fd = log;
+    stdio[2] = stdio[1];
+    options.file = program.c_str();
+    options.args = words;
+    options.stdio = stdio;
+    options.stdio_count = 3;
+    options.exit_cb = on_exit;
+    handle = new uv_process_t;
+    handle->data = this;
+    if (uv_spawn(loop, handle, &options) != 0) {
+        fprintf(stderr, "cannot start %s\n", program.c_str());
+        exit(1);
+    }
+    close(log);
+    starts++;
+    up = true;
+    asked = false;
+    terminated_ms = 0;
+}
+
+void
+Process::on_exit(uv_process_t *process, int64_t status, int number)
+{
+    Process *self = (Process *)process->data;
+
+    uv_close((uv_handle_t *)process, on_closed);
+    self->handle = nullptr;
+    self->up = false;
+    if (!self->asked) {
+        self->own_ends++;
+        fprintf(stderr, "%s ended by itself: status %ld, signal %d\n",
+                self->name.c_str(), (long)status, number);
+    }
+    if (self->wanted) {
+        uv_timer_start(&self->restart, on_restart, (uint64_t)self->down_ms, 0);
+    }
+    self->down_ms = RESTART_MS;
+}
+
+void
+Process::on_restart(uv_timer_t *timer)
+{
+    ((Process *)timer->data)->start();
+}
+
+void
+Process::signal(int number)
+{
+    if (!up) {
+        return;
+    }
+    if (number == SIGTERM || number == SIGKILL) {
+        asked = true;
+    }
+    if (number == SIGTERM && terminated_ms == 0) {
+        terminated_ms = (int64_t)uv_now(loop);
+    }
+    uv_process_kill(handle, number);
+}
+
+void
+Process::kill(int64_t for_ms)
+{
+    down_ms = for_ms;
+    signal(SIGCONT);
+    signal(SIGKILL);
+}
+
+void
+Process::finish()
+{
+    wanted = false;
+    uv_timer_stop(&restart);
+    kill(0);
+}
+
+} // namespace soak
--- /dev/null
+++ b/tests/soak/proxy.h
@@ -0,0 +1,57 @@
+/**
+ * @file proxy.h
+ * @brief A TCP proxy on loopback that harms what passes through it.
+ */
+#ifndef LC_TESTS_SOAK_PROXY_H
+#define LC_TESTS_SOAK_PROXY_H
+
+#include <uv.h>
+
+#include <cstdint>
+#include <set>
+#include <vector>
+
+extern "C" {
+#include "base/address.h"
+}
+
+namespace soak {
+
+/** What a proxy does to bytes. */
+struct Harm {
+    bool hold_in = false;  /**< towards the target: held up until it ends */
+    bool hold_out = false; /**< away from the target */
+    bool lose = false;     /**< what was held is lost with its connections */
+    int64_t delay_ms = 0;  /**< of each piece of bytes */
+};
+
+/** Passes connections of @p from on to @p to. */
+class Proxy {
+  public:
+    Proxy(uv_loop_t *loop, Address from, Address to);
+
+    /** Harms all connections, or those with odd numbers alone. */
+    void harm(const Harm &harm, bool half);
+    /** Passes everything on again. */
+    void heal();
+    /** Resets all connections, or about half of them. */
+    void reset(bool half);
+
+    struct Connection;
+
+  private:
+    static void on_incoming(uv_stream_t *listener, int status);
+
+    friend struct Connection;
+    uv_loop_t *loop;
+    Address target;
+    uv_tcp_t listener;
+    std::set<Connection *> connections;
+    uint64_t next_number = 0;
+    Harm current;
+    bool half_only = false;
+};
+
+} // namespace soak
+
+#endif
--- /dev/null
+++ b/tests/soak/store.h
@@ -0,0 +1,67 @@
+/**
+ * @file store.h
+ * @brief A stand-in of the platform's store: one keyed topic of operators'
+ * records, read whole and followed. It may be down, silent, slow or lossy.
+ */
+#ifndef LC_TESTS_SOAK_STORE_H
+#define LC_TESTS_SOAK_STORE_H
+
+#include <uv.h>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "daemon/http_server.h"
+}
+
+namespace soak {
+
+/** How the store behaves. */
+enum class StoreManner { Well, Busy, Silent, Slow, Lossy, Count };
+
+/** The store. */
+class Store {
+  public:
+    Store(uv_loop_t *loop, Address address);
+
+    /** Writes the newest record of a key. */
+    void put(const std::string &key, const std::string &value);
+    /** Drops older records: who follows must read anew. */
+    void compact();
+
+    StoreManner manner = StoreManner::Well;
+    uint64_t calls = 0;
+
+  private:
+    struct Record {
+        uint64_t offset;
+        std::string key;
+        std::string value;
+    };
+    struct Reader {
+        uint64_t request;
+        uint64_t from;
+        int64_t until_ms;
+    };
+
+    static void serve(void *context, const Http_Request *request);
+    static void on_tick(uv_timer_t *timer);
+    void serve_newest(uint64_t request);
+    void serve_read(const Http_Request *request);
+    bool answer_read(const Reader &reader);
+    void respond(uint64_t request, int status, const std::string &body);
+
+    Http_Server *server;
+    uv_loop_t *loop;
+    uv_timer_t tick;
+    std::vector<Record> records;
+    std::vector<Reader> readers;
+    uint64_t end = 0;
+    uint64_t first = 0;
+};
+
+} // namespace soak
+
+#endif
