--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -12,6 +12,7 @@
     SEEDS=$(seq "$base" $((base + ${COUNT:-8} - 1)))
 fi
 KEEP=${KEEP:-$(mktemp -d)}
+mkdir -p "$KEEP"
 
 # one SEED WORKER
 one() {
