--- /dev/null
+++ b/lease/dispatcher_ends.c
@@ -0,0 +1,183 @@
+#include "lease/dispatcher_state.h"
+
+/* When a caller whose job was not run should come back. */
+#define RETRY_MS 1000
+/* Failures at upstreams on trial are no attempts, up to a number. */
+#define FREE_ATTEMPTS 4
+
+Fleet_Host *
+DispatcherEnd_HostOf(const Dispatcher *self, const Active_Task *task)
+{
+    Fleet_Host *host = Fleet_Find(&self->fleet, task->host.address);
+
+    if (host == NULL || host->node.incarnation != task->host.incarnation) {
+        return NULL;
+    }
+    return host;
+}
+
+bool
+DispatcherEnd_IsOut(const Active_Task *task)
+{
+    return task->state == ACTIVE_SENT || task->state == ACTIVE_ADRIFT ||
+           task->state == ACTIVE_HALTING;
+}
+
+/* A run is over, or was never begun. */
+void
+DispatcherEnd_LeaveHost(Dispatcher *self, const Active_Task *task)
+{
+    Fleet_Host *host = DispatcherEnd_HostOf(self, task);
+
+    if (host != NULL && DispatcherEnd_IsOut(task) && host->running > 0) {
+        host->running--;
+    }
+}
+
+static void
+forget_job(Dispatcher *self, Active_Job *job)
+{
+    if (g_hash_table_lookup(self->by_id, &job->spec.id) == job) {
+        g_hash_table_remove(self->by_id, &job->spec.id);
+    }
+    Handle_Remove(self->jobs, job->handle);
+    Active_Free(job);
+}
+
+static Event_Id
+event_of(int64_t now_ms, const Active_Job *job,
+         const Dispatcher_Answer *answer)
+{
+    if (answer->outcome != DISPATCHER_SUCCEEDED) {
+        return answer->outcome == DISPATCHER_NOT_RUN ? EVENT_JOB_REFUSED
+                                                     : EVENT_JOB_FAILED;
+    }
+    return now_ms > job->objective_ms ? EVENT_JOB_LATE : EVENT_JOB_ANSWERED;
+}
+
+static void
+answer_job(Dispatcher *self, int64_t now_ms, Active_Job *job,
+           const Dispatcher_Answer *answer)
+{
+    static const Counter_Id counters[] = {
+        [DISPATCHER_SUCCEEDED] = COUNTER_JOBS_DONE,
+        [DISPATCHER_FAILED] = COUNTER_JOBS_FAILED,
+        [DISPATCHER_NOT_RUN] = COUNTER_JOBS_NOT_RUN,
+        [DISPATCHER_GIVEN_UP] = COUNTER_JOBS_FAILED,
+        [DISPATCHER_CANCELLED] = COUNTER_JOBS_FAILED,
+    };
+    guint i;
+
+    Counter_Add(&self->counters, counters[answer->outcome], 1);
+    DispatcherLog_Job(
+        self, event_of(now_ms, job, answer), now_ms, job,
+        answer->outcome == DISPATCHER_SUCCEEDED ? "" : answer->message);
+    for (i = 0; i < job->requests->len; i++) {
+        uint64_t request = g_array_index(job->requests, uint64_t, i);
+        g_hash_table_remove(self->by_request, &request);
+        self->ports->answer(self->context, request, answer);
+        self->unanswered--;
+    }
+    g_array_set_size(job->requests, 0);
+}
+
+/* Stops what runs of an answered job; frees it when nothing does. */
+void
+DispatcherEnd_Close(Dispatcher *self, Active_Job *job)
+{
+    uint32_t i;
+
+    job->closing = true;
+    for (i = 0; i < job->task_count; i++) {
+        Active_Task *task = &job->tasks[i];
+        if (task->state == ACTIVE_SENT || task->state == ACTIVE_ADRIFT) {
+            Active_Move(job, task, ACTIVE_HALTING);
+            DispatcherCall_Halt(self, job, task);
+        }
+        else if (task->state != ACTIVE_HALTING) {
+            Active_Move(job, task, ACTIVE_OVER);
+        }
+    }
+    if (job->open == 0) {
+        forget_job(self, job);
+    }
+}
+
+void
+DispatcherEnd_Job(Dispatcher *self, int64_t now_ms, Active_Job *job,
+                  const Dispatcher_Answer *answer)
+{
+    answer_job(self, now_ms, job, answer);
+    DispatcherEnd_Close(self, job);
+}
+
+void
+DispatcherEnd_GiveUp(Dispatcher *self, int64_t now_ms, Active_Job *job,
+                     Err_Kind kind, const char *message)
+{
+    Dispatcher_Answer answer = {
+        .outcome = DISPATCHER_GIVEN_UP, .kind = kind, .message = message};
+
+    if (!Active_HasBegun(job)) {
+        answer.outcome = DISPATCHER_NOT_RUN;
+        answer.kind = ERR_WAIT_TOO_LONG;
+        answer.retry_ms = RETRY_MS;
+    }
+    DispatcherEnd_Job(self, now_ms, job, &answer);
+}
+
+void
+DispatcherEnd_Finish(Dispatcher *self, int64_t now_ms, Active_Job *job,
+                     Active_Task *task)
+{
+    Dispatcher_Answer answer = {
+        .outcome = DISPATCHER_SUCCEEDED, .kind = ERR_OK, .message = ""};
+
+    task->done = true;
+    Active_Move(job, task, ACTIVE_OVER);
+    if (Active_IsDone(job)) {
+        DispatcherEnd_Job(self, now_ms, job, &answer);
+        return;
+    }
+    if (job->spec.step_count > 1) {
+        Active_Unblock(job);
+    }
+}
+
+/* The task may be sent again; its last run is certainly over. */
+void
+DispatcherEnd_Requeue(Dispatcher *self, Active_Job *job, Active_Task *task,
+                      int64_t not_before_ms)
+{
+    if (job->closing) {
+        Active_Move(job, task, ACTIVE_OVER);
+        if (job->open == 0) {
+            forget_job(self, job);
+        }
+        return;
+    }
+    Active_Move(job, task, ACTIVE_WAITING);
+    task->again_ms = not_before_ms;
+}
+
+void
+DispatcherEnd_Fail(Dispatcher *self, int64_t now_ms, Active_Job *job,
+                   Active_Task *task, const Fleet_Host *host)
+{
+    Dispatcher_Answer answer = {.outcome = DISPATCHER_FAILED,
+                                .kind = ERR_UPSTREAM_FAILED,
+                                .message = "a task failed too often"};
+    uint32_t most = job->max_attempts;
+
+    task->failures++;
+    task->avoid = task->host.address;
+    if (host != NULL && host->state == LC_UPSTREAM_TRIAL) {
+        most += FREE_ATTEMPTS;
+    }
+    if (!job->closing && task->failures >= most) {
+        Active_Move(job, task, ACTIVE_OVER);
+        DispatcherEnd_Job(self, now_ms, job, &answer);
+        return;
+    }
+    DispatcherEnd_Requeue(self, job, task, now_ms);
+}
--- /dev/null
+++ b/lease/dispatcher_hosts.c
@@ -0,0 +1,131 @@
+#include "lease/dispatcher_state.h"
+
+#include "base/address.h"
+#include "lease/choice.h"
+
+/* An entry renews its leases so often, and suspects a companion that has
+ * not answered for so long. */
+#define RENEW_MS 100
+#define SUSPECT_MS 250
+
+/* Whether nothing has been heard of any companion for some time. */
+bool
+DispatcherHosts_Isolated(const Dispatcher *self, int64_t now_ms)
+{
+    guint i;
+
+    for (i = 0; i < self->fleet.hosts->len; i++) {
+        if (Choice_IsHeard(g_ptr_array_index(self->fleet.hosts, i), now_ms)) {
+            return false;
+        }
+    }
+    return self->fleet.hosts->len > 0;
+}
+
+/* Calls `over` for every task that is out at a companion's incarnation. */
+static void
+end_runs_at(Dispatcher *self, int64_t now_ms, Address address,
+            uint64_t but_incarnation)
+{
+    uint32_t i;
+    uint32_t j;
+
+    for (i = 0; i < Handle_Size(self->jobs); i++) {
+        Active_Job *job = Handle_At(self->jobs, i);
+        for (j = 0; job != NULL && j < job->task_count; j++) {
+            Active_Task *task = &job->tasks[j];
+            if (!DispatcherEnd_IsOut(task) || task->host.address != address ||
+                task->host.incarnation == but_incarnation) {
+                continue;
+            }
+            DispatcherEnd_LeaveHost(self, task);
+            Story_Add(job->story, now_ms,
+                      but_incarnation == 0 ? STORY_EXPIRED : STORY_REBORN,
+                      &task->id, address, 0);
+            task->avoid = address;
+            DispatcherEnd_Requeue(self, job, task, now_ms);
+            /* A job that was closing may be gone now. */
+            job = Handle_At(self->jobs, i);
+        }
+    }
+}
+
+void
+Dispatcher_OnReport(Dispatcher *self, int64_t now_ms,
+                    const lc_report_args *report)
+{
+    Fleet_Host *host = NULL;
+    Fleet_Change change = Fleet_TakeReport(&self->fleet, now_ms, report,
+                                           &host);
+
+    if (change == FLEET_STALE) {
+        return;
+    }
+    if (change != FLEET_KNOWN) {
+        DispatcherLog_Host(self, EVENT_COMPANION_FOUND, now_ms, host,
+                           change == FLEET_NEW ? "new"
+                                               : "another incarnation");
+    }
+    if (change == FLEET_REBORN) {
+        host->running = 0;
+        end_runs_at(self, now_ms, host->node.address, host->node.incarnation);
+    }
+    DispatcherQueue_Pass(self, now_ms);
+}
+
+/* A companion that has not answered in time is sent nothing new, and its
+ * leases are not renewed, so that they end. */
+void
+DispatcherHosts_Suspect(Dispatcher *self, int64_t now_ms, Fleet_Host *host)
+{
+    if (!host->suspect) {
+        host->suspect = true;
+        DispatcherLog_Host(self, EVENT_SUSPECT, now_ms, host,
+                           "no answer in time");
+    }
+}
+
+void
+DispatcherHosts_Tend(Dispatcher *self, int64_t now_ms, Fleet_Host *host)
+{
+    int64_t certain_ms = Fleet_CertainEnd(host, &self->config.term);
+
+    if (host->renewing != 0 && now_ms - host->renew_ms > SUSPECT_MS) {
+        DispatcherHosts_Suspect(self, now_ms, host);
+    }
+    if (host->suspect && host->running > 0 && now_ms > certain_ms) {
+        self->ports->reset(self->context, host->node.address);
+        host->running = 0;
+        end_runs_at(self, now_ms, host->node.address, 0);
+        return;
+    }
+    if (host->running > 0 && !host->suspect && host->renewing == 0 &&
+        now_ms - host->renew_ms >= RENEW_MS) {
+        DispatcherCall_Renew(self, now_ms, host);
+    }
+}
+
+uint32_t
+Dispatcher_ReadyHosts(const Dispatcher *self, int64_t now_ms)
+{
+    uint32_t count = 0;
+    guint i;
+
+    for (i = 0; i < self->fleet.hosts->len; i++) {
+        const Fleet_Host *host = g_ptr_array_index(self->fleet.hosts, i);
+        count += Choice_IsOpen(host, now_ms);
+    }
+    return count;
+}
+
+json_t *
+DispatcherHosts_Dump(const Fleet_Host *host, int64_t now_ms)
+{
+    return json_pack(
+        "{s:s, s:s, s:s, s:i, s:i, s:i, s:i, s:b, s:I}", "address",
+        Address_Text(host->node.address), "hall", host->hall, "instance",
+        host->instance, "state", (int)host->state, "room_cpu_milli",
+        (int)host->room.cpu_milli, "pace_percent", (int)host->pace_percent,
+        "running", (int)host->running, "suspect", host->suspect,
+        "heard_ms_ago", (json_int_t)(now_ms - host->received_ms));
+}
--- /dev/null
+++ b/lease/dispatcher_state.h
@@ -0,0 +1,126 @@
+/**
+ * @file dispatcher_state.h
+ * @brief State of a dispatcher, shared by the files that make it up: calls,
+ * ends of runs and jobs, the queue of waiting tasks, companions.
+ *
+ * For lease/dispatcher*.c alone. The table of jobs owns them; a function that
+ * ends a task may free its job, and says so.
+ */
+#ifndef LC_LEASE_DISPATCHER_STATE_H
+#define LC_LEASE_DISPATCHER_STATE_H
+
+#include "base/handle.h"
+#include "lease/active.h"
+#include "lease/dispatcher.h"
+
+/* What a call on its way is about. */
+typedef struct {
+    Msg_Kind kind;
+    Handle job;
+    uint32_t task;
+    lc_node host;
+    uint32_t run;
+} Dispatcher_Call;
+
+struct Dispatcher {
+    Dispatcher_Config config;
+    const Dispatcher_Ports *ports;
+    void *context;
+    Counters counters;
+    Fleet fleet;
+    Handle_Table *jobs;
+    Handle_Table *calls;    /* Dispatcher_Call */
+    GHashTable *by_id;      /* job id -> Active_Job */
+    GHashTable *by_request; /* request id -> Active_Job */
+    GPtrArray *queue;       /* scratch of a pass */
+    uint64_t random;
+    uint32_t unanswered;
+    bool paused;
+};
+
+/* Log lines: dispatcher_log.c. */
+
+/** Writes a line about a job of which only the identity is known. */
+void DispatcherLog_Identity(const Dispatcher *self, Event_Id id, uint64_t job,
+                            const char *detail);
+
+/** Writes everything that was decided about a job. */
+void DispatcherLog_Job(const Dispatcher *self, Event_Id id, int64_t now_ms,
+                       const Active_Job *job, const char *detail);
+
+/** Writes a line about a companion. */
+void DispatcherLog_Host(const Dispatcher *self, Event_Id id, int64_t now_ms,
+                        const Fleet_Host *host, const char *detail);
+
+/* Calls: dispatcher_calls.c. */
+
+/** Asks the task's host to run it, or to tell how that run goes. */
+void DispatcherCall_Run(Dispatcher *self, const Active_Job *job,
+                        const Active_Task *task, int64_t valid_until_ms);
+
+/** Asks the task's host to stop its run. */
+void DispatcherCall_Halt(Dispatcher *self, const Active_Job *job,
+                         Active_Task *task);
+
+/** Lengthens the lease on all runs at a host. */
+void DispatcherCall_Renew(Dispatcher *self, int64_t now_ms, Fleet_Host *host);
+
+/* Ends: dispatcher_ends.c. */
+
+/** Companion that has the task's run, or NULL if it began anew. */
+Fleet_Host *DispatcherEnd_HostOf(const Dispatcher *self,
+                                 const Active_Task *task);
+
+/** Whether a run of the task may be under way. */
+bool DispatcherEnd_IsOut(const Active_Task *task);
+
+/** The run is over or was never begun: its host has one less. */
+void DispatcherEnd_LeaveHost(Dispatcher *self, const Active_Task *task);
+
+/** The task is done. May free its job. */
+void DispatcherEnd_Finish(Dispatcher *self, int64_t now_ms, Active_Job *job,
+                          Active_Task *task);
+
+/** The task's run is certainly over; it may run again, not before a time.
+ * May free its job. */
+void DispatcherEnd_Requeue(Dispatcher *self, Active_Job *job,
+                           Active_Task *task, int64_t not_before_ms);
+
+/** The task's run failed; ends the job after too many. May free it. */
+void DispatcherEnd_Fail(Dispatcher *self, int64_t now_ms, Active_Job *job,
+                        Active_Task *task, const Fleet_Host *host);
+
+/** Answers a job and stops what runs of it. May free it. */
+void DispatcherEnd_Job(Dispatcher *self, int64_t now_ms, Active_Job *job,
+                       const Dispatcher_Answer *answer);
+
+/** Stops what runs of a job that needs no answer any more. May free it. */
+void DispatcherEnd_Close(Dispatcher *self, Active_Job *job);
+
+/** Ends a job without a result: as not run, if none of its runs may have
+ * begun. May free it. */
+void DispatcherEnd_GiveUp(Dispatcher *self, int64_t now_ms, Active_Job *job,
+                          Err_Kind kind, const char *message);
+
+/* Waiting tasks: dispatcher_queue.c. */
+
+/** Sends every waiting task that fits somewhere, the most urgent first. */
+void DispatcherQueue_Pass(Dispatcher *self, int64_t now_ms);
+
+/* Companions: dispatcher_hosts.c. */
+
+/** Whether nothing has been heard of any companion for some time. */
+bool DispatcherHosts_Isolated(const Dispatcher *self, int64_t now_ms);
+
+/** A companion has not answered in time: it is sent nothing new, and its
+ * leases are not renewed, so that they end. */
+void DispatcherHosts_Suspect(Dispatcher *self, int64_t now_ms,
+                             Fleet_Host *host);
+
+/** Renews leases, and takes back runs whose lease is certainly over. */
+void DispatcherHosts_Tend(Dispatcher *self, int64_t now_ms, Fleet_Host *host);
+
+/** State of a companion for operators; the caller owns the result. */
+json_t *DispatcherHosts_Dump(const Fleet_Host *host, int64_t now_ms);
+
+#endif
--- /dev/null
+++ b/lease/runner_look.c
@@ -0,0 +1,298 @@
+#include "lease/runner_state.h"
+
+#include "lease/run_id.h"
+
+/* A look waits so long for an end, and tells progress at least so often. */
+#define LOOK_WAIT_MS 100
+/* After a look without an answer, or to another incarnation. */
+#define LOOK_AGAIN_MS 50
+#define OTHER_AGAIN_MS 150
+
+static bool
+look_wanted(const Runner *runner)
+{
+    return runner->live > 0 || !runner->up.inventoried ||
+           runner->up.last_seen > runner->up.acknowledged ||
+           runner->up.doubtful;
+}
+
+void
+RunnerLook_NoteHold(Runner *runner, int64_t now_ms, int64_t ahead_ms)
+{
+    int64_t until = now_ms + Term_HoldAtMost(ahead_ms);
+
+    runner->hold_until_ms = MAX(runner->hold_until_ms, until);
+}
+
+void
+RunnerLook_Send(Runner *runner, int64_t now_ms)
+{
+    Runner_Look look = {.instance = runner->up.instance,
+                        .token = runner->token,
+                        .last_seen = runner->up.last_seen};
+    int64_t ahead;
+
+    if (runner->look_id != 0 || !look_wanted(runner) ||
+        now_ms < runner->look_again_ms) {
+        return;
+    }
+    ahead = runner->up.inventoried ? RunnerOwner_HoldAhead(runner, now_ms) : 0;
+    if (ahead > 0 && runner->up.clock_ms > 0) {
+        look.deadline_ms = RunnerUpstream_Clock(runner, now_ms) + ahead;
+        RunnerLook_NoteHold(runner, now_ms, ahead);
+    }
+    if (runner->live > 0 && !runner->up.doubtful) {
+        look.wait_ms = LOOK_WAIT_MS;
+    }
+    runner->look_id = ++runner->last_look_id;
+    runner->look_sent_ms = now_ms;
+    runner->look_seen = runner->up.last_seen;
+    runner->ports->look(runner->context, runner->look_id, &look);
+}
+
+static lc_run_status
+status_of_end(const Runner_Task *row, Runner_End end)
+{
+    static const lc_run_status statuses[RUNNER_END_COUNT] = {
+        [RUNNER_END_DONE] = LC_RUN_DONE,
+        [RUNNER_END_FAILED] = LC_RUN_FAILED,
+        [RUNNER_END_STOPPED] = LC_RUN_STOPPED,
+        [RUNNER_END_LAPSED] = LC_RUN_LOST,
+    };
+
+    if (row->state == TASK_STOPPING && end != RUNNER_END_DONE) {
+        return row->status;
+    }
+    return statuses[end];
+}
+
+static void
+log_trial(const Runner *runner, bool begins)
+{
+    char text[80];
+
+    g_snprintf(text, sizeof(text), "pace %u%%, %u bad in a row",
+               runner->health.pace_percent, runner->health.bad_in_row);
+    RunnerUpstream_Log(
+        runner, begins ? EVENT_UPSTREAM_TRIAL : EVENT_UPSTREAM_TRUSTED, text);
+}
+
+static void
+judge_end(Runner *runner, int64_t now_ms, const Runner_Task *row,
+          Runner_End end)
+{
+    bool begins = false;
+
+    if (end == RUNNER_END_DONE) {
+        if (Health_Good(&runner->health, row->ran_ms, row->estimate_ms)) {
+            log_trial(runner, false);
+        }
+    }
+    else if (end == RUNNER_END_FAILED && row->state != TASK_STOPPING) {
+        begins = Health_Bad(&runner->health, now_ms, row->id.job);
+    }
+    if (begins) {
+        log_trial(runner, true);
+    }
+}
+
+static void
+take_end(Runner *runner, int64_t now_ms, const Runner_EndRow *ended)
+{
+    Runner_Task *row = g_hash_table_lookup(runner->tasks, &ended->id);
+
+    runner->up.last_seen = MAX(runner->up.last_seen, ended->number);
+    if (row == NULL || row->state == TASK_ENDED) {
+        return;
+    }
+    row->ran_ms = (uint32_t)(now_ms - row->ordered_ms);
+    judge_end(runner, now_ms, row, ended->end);
+    RunnerTask_End(runner, now_ms, row, status_of_end(row, ended->end));
+}
+
+static void
+stop_stranger(Runner *runner, const lc_run_id *id)
+{
+    runner->ports->stop(runner->context, 0, id, runner->up.instance,
+                        runner->token);
+}
+
+static void
+stop_stalled(Runner *runner, int64_t now_ms, Runner_Task *row,
+             const char *reason)
+{
+    row->ran_ms = (uint32_t)(now_ms - row->ordered_ms);
+    RunnerTask_Log(runner, EVENT_RUN_STALLED, row,
+                   "%s: %u%% after %u ms, estimated %u ms", reason,
+                   row->percent, row->ran_ms, row->estimate_ms);
+    RunnerTask_Stop(runner, now_ms, row, LC_RUN_STALLED);
+}
+
+static void
+take_row(Runner *runner, int64_t now_ms, const Runner_Row *running)
+{
+    Runner_Task *row = g_hash_table_lookup(runner->tasks, &running->id);
+
+    if (row == NULL || row->state == TASK_ENDED) {
+        stop_stranger(runner, &running->id);
+        return;
+    }
+    if (row->state == TASK_ORDERED) {
+        row->state = TASK_RUNNING;
+        row->confirmed_ms = now_ms;
+    }
+    if (row->progress_ms == 0 || running->percent > row->percent) {
+        row->percent = running->percent;
+        row->progress_ms = now_ms;
+    }
+    else if (row->state == TASK_RUNNING &&
+             Health_Hangs(now_ms - row->progress_ms)) {
+        if (Health_Stalled(&runner->health, now_ms)) {
+            log_trial(runner, true);
+        }
+        stop_stalled(runner, now_ms, row, "it hangs");
+    }
+}
+
+static Health_Progress
+progress_of(const Runner_Task *row, int64_t now_ms)
+{
+    Health_Progress progress = {
+        .job = row->id.job,
+        .elapsed_ms = (uint32_t)(now_ms - row->ordered_ms),
+        .percent = row->percent,
+        .estimate_ms = row->estimate_ms,
+    };
+
+    return progress;
+}
+
+/* Judges the upstream's pace by all that runs, and frees what would end
+ * sooner elsewhere. */
+static void
+judge_pace(Runner *runner, int64_t now_ms)
+{
+    GArray *runs = g_array_new(FALSE, FALSE, sizeof(Health_Progress));
+    GList *rows = RunnerTask_All(runner);
+    GList *item;
+    uint32_t slow;
+
+    for (item = rows; item != NULL; item = item->next) {
+        const Runner_Task *row = item->data;
+        if (row->state == TASK_RUNNING && row->progress_ms > 0) {
+            Health_Progress progress = progress_of(row, now_ms);
+            g_array_append_val(runs, progress);
+        }
+    }
+    slow = Health_TakeProgress(
+        &runner->health, (Health_Progress *)(void *)runs->data, runs->len);
+    for (item = rows; slow > 0 && item != NULL; item = item->next) {
+        Runner_Task *row = item->data;
+        Health_Progress progress = progress_of(row, now_ms);
+        if (row->state == TASK_RUNNING && row->progress_ms > 0 &&
+            Health_BetterElsewhere(&progress, slow)) {
+            stop_stalled(runner, now_ms, row, "the upstream is slow");
+        }
+    }
+    g_list_free(rows);
+    g_array_unref(runs);
+}
+
+static bool
+is_listed(const Runner_Listing *listing, const lc_run_id *id)
+{
+    uint32_t i;
+
+    for (i = 0; i < listing->running_count; i++) {
+        if (RunId_Equal(&listing->running[i].id, id)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Whether a task that the look does not list can neither run nor come. */
+static bool
+is_over(const Runner *runner, const Runner_Task *row, int64_t clock_ms)
+{
+    if (row->confirmed_ms > 0 && row->confirmed_ms < runner->look_sent_ms) {
+        return true;
+    }
+    if (row->stop_confirmed && row->stop_confirmed_ms < runner->look_sent_ms) {
+        return true;
+    }
+    return clock_ms > row->deadline_clock_ms;
+}
+
+static void
+end_unlisted(Runner *runner, int64_t now_ms, const Runner_Listing *listing)
+{
+    GList *rows = RunnerTask_All(runner);
+    GList *item;
+
+    for (item = rows; item != NULL; item = item->next) {
+        Runner_Task *row = item->data;
+        if (row->state != TASK_ENDED && !is_listed(listing, &row->id) &&
+            is_over(runner, row, listing->clock_ms)) {
+            RunnerTask_End(runner, now_ms, row,
+                           row->state == TASK_STOPPING ? row->status
+                                                       : LC_RUN_LOST);
+        }
+    }
+    g_list_free(rows);
+}
+
+static void
+take_listing(Runner *runner, int64_t now_ms, const Runner_Listing *listing)
+{
+    uint32_t i;
+
+    runner->up.doubtful = false;
+    runner->up.acknowledged = runner->look_seen;
+    RunnerUpstream_TakeClock(runner, now_ms, listing->clock_ms);
+    for (i = 0; i < listing->ended_count; i++) {
+        take_end(runner, now_ms, &listing->ended[i]);
+    }
+    for (i = 0; i < listing->running_count; i++) {
+        take_row(runner, now_ms, &listing->running[i]);
+    }
+    end_unlisted(runner, now_ms, listing);
+    judge_pace(runner, now_ms);
+    if (!runner->up.inventoried) {
+        runner->up.inventoried = listing->running_count == 0;
+        runner->version++;
+    }
+}
+
+void
+Runner_OnLook(Runner *runner, int64_t now_ms, uint64_t look_id,
+              const Runner_Listing *listing)
+{
+    if (look_id != runner->look_id) {
+        return;
+    }
+    runner->look_id = 0;
+    runner->look_again_ms = now_ms;
+    switch (listing->end) {
+    case RUNNER_ORDER_TAKEN:
+        take_listing(runner, now_ms, listing);
+        break;
+    case RUNNER_ORDER_FENCED:
+        RunnerUpstream_RaiseToken(runner);
+        break;
+    case RUNNER_ORDER_OTHER:
+        RunnerUpstream_MeetOther(runner, now_ms);
+        runner->look_again_ms = now_ms + OTHER_AGAIN_MS;
+        break;
+    default:
+        if (!runner->up.doubtful && runner->up.known) {
+            RunnerUpstream_Log(runner, EVENT_UPSTREAM_LOST,
+                               "a look had no answer");
+        }
+        runner->up.doubtful = true;
+        runner->version++;
+        runner->look_again_ms = now_ms + LOOK_AGAIN_MS;
+        break;
+    }
+    RunnerLook_Send(runner, now_ms);
+}
--- /dev/null
+++ b/lease/runner_owners.c
@@ -0,0 +1,66 @@
+#include "lease/runner_state.h"
+
+Runner_Owner *
+RunnerOwner_Find(const Runner *runner, const lc_node *node)
+{
+    guint i;
+
+    for (i = 0; i < runner->owners->len; i++) {
+        Runner_Owner *row = &g_array_index(runner->owners, Runner_Owner, i);
+        if (row->node.address == node->address &&
+            row->node.incarnation == node->incarnation) {
+            return row;
+        }
+    }
+    return NULL;
+}
+
+Runner_Owner *
+RunnerOwner_Extend(Runner *runner, const lc_node *node, int64_t until_ms)
+{
+    Runner_Owner *row = RunnerOwner_Find(runner, node);
+    Runner_Owner fresh = {.node = *node};
+
+    if (row == NULL) {
+        g_array_append_val(runner->owners, fresh);
+        row = &g_array_index(runner->owners, Runner_Owner,
+                             runner->owners->len - 1);
+    }
+    row->until_ms = MAX(row->until_ms, until_ms);
+    return row;
+}
+
+/* How far the hold may reach: never past the longest lease of an owner with
+ * work there. */
+int64_t
+RunnerOwner_HoldAhead(const Runner *runner, int64_t now_ms)
+{
+    int64_t ahead = 0;
+    guint i;
+
+    for (i = 0; i < runner->owners->len; i++) {
+        const Runner_Owner *row = &g_array_index(runner->owners, Runner_Owner,
+                                                 i);
+        if (row->running > 0) {
+            ahead = MAX(ahead, row->until_ms - now_ms);
+        }
+    }
+    return MIN(ahead, runner->config.term.hold_ms);
+}
+
+void
+RunnerOwner_Forget(Runner *runner, int64_t now_ms)
+{
+    guint i = 0;
+
+    while (i < runner->owners->len) {
+        const Runner_Owner *row = &g_array_index(runner->owners, Runner_Owner,
+                                                 i);
+        if (row->running == 0 && now_ms > row->until_ms) {
+            g_array_remove_index_fast(runner->owners, i);
+        }
+        else {
+            i++;
+        }
+    }
+}
--- /dev/null
+++ b/lease/runner_state.h
@@ -0,0 +1,190 @@
+/**
+ * @file runner_state.h
+ * @brief State of a runner, shared by the files that make it up: tasks,
+ * owners (entries with a lease), the upstream, and looks at it.
+ *
+ * For lease/runner*.c alone.
+ */
+#ifndef LC_LEASE_RUNNER_STATE_H
+#define LC_LEASE_RUNNER_STATE_H
+
+#include <glib.h>
+
+#include "base/handle.h"
+#include "lease/health.h"
+#include "lease/runner.h"
+
+typedef enum {
+    TASK_ORDERED,  /* the start is on its way */
+    TASK_RUNNING,  /* the upstream has it */
+    TASK_STOPPING, /* it is to end as `status` */
+    TASK_ENDED
+} Runner_TaskState;
+
+typedef struct {
+    lc_run_id id;
+    lc_node owner;
+    lc_resources need;
+    char *spec;
+    uint32_t estimate_ms;
+    Runner_TaskState state;
+    lc_run_status status; /* while stopping, and at the end */
+    Handle handle;
+    GArray *waiting; /* uint64_t ids of replies owed */
+    int64_t ordered_ms;
+    int64_t confirmed_ms; /* it ran or was refused for certain; 0 before */
+    int64_t deadline_clock_ms; /* of the start, on the upstream's clock */
+    int64_t stop_sent_ms;
+    bool stop_confirmed;
+    int64_t stop_confirmed_ms;
+    int64_t ended_ms;
+    int64_t progress_ms; /* when the percentage last rose; 0 if not told */
+    uint32_t percent;
+    uint32_t ran_ms;
+} Runner_Task;
+
+typedef struct {
+    lc_node node;
+    int64_t until_ms;
+    uint32_t running;
+} Runner_Owner;
+
+/* What is known of the upstream beside this companion. */
+typedef struct {
+    bool known; /* it has spoken */
+    bool draining;
+    bool inventoried; /* nothing of an earlier companion runs there */
+    char *instance;
+    char *service;
+    char **labels;
+    lc_resources capacity;
+    int64_t heard_ms;
+    int64_t clock_ms; /* its clock at least, when read */
+    int64_t clock_read_ms;
+    uint64_t last_seen;
+    uint64_t acknowledged; /* the last_seen of the last answered look */
+    bool doubtful;         /* a look had no answer */
+} Runner_Known;
+
+struct Runner {
+    Runner_Config config;
+    const Runner_Ports *ports;
+    void *context;
+    Counters counters;
+    Health health;
+    Runner_Known up;
+    lc_resources used;
+    GHashTable *tasks; /* lc_run_id -> Runner_Task */
+    Handle_Table *by_handle;
+    GArray *owners;
+    int64_t token;
+    uint64_t look_id; /* of the look on its way, or 0 */
+    uint64_t last_look_id;
+    uint64_t look_seen;
+    int64_t look_sent_ms;
+    int64_t look_again_ms; /* not before */
+    int64_t hold_until_ms; /* the upstream lets all go by then */
+    uint32_t live;         /* tasks that have not ended */
+    bool draining;
+    uint64_t version;
+    lc_label label_row[LC_MAX_LABELS];
+};
+
+/* Tasks: runner_tasks.c. A task belongs to the table that lists it. */
+
+/** Adds a task that is to be started, at the time of its order. */
+Runner_Task *RunnerTask_Add(Runner *runner, int64_t now_ms,
+                            const lc_run_args *args);
+
+/** Frees a task that no table lists. */
+void RunnerTask_Free(gpointer item);
+
+/** Drops an ended task from all tables. */
+void RunnerTask_Forget(Runner *runner, Runner_Task *row);
+
+/** Notes that a RUN or HALT is to be answered when the task has ended. */
+void RunnerTask_Owe(Runner_Task *row, uint64_t reply_id, Msg_Kind kind);
+
+/** Answers all that is owed for an ended task. */
+void RunnerTask_Answer(Runner *runner, int64_t now_ms, Runner_Task *row);
+
+/** Answers one RUN. */
+void RunnerTask_ReplyRun(Runner *runner, int64_t now_ms, uint64_t reply_id,
+                         lc_run_status status, uint32_t ran_ms);
+
+/** Answers one HALT. */
+void RunnerTask_ReplyHalt(Runner *runner, int64_t now_ms, uint64_t reply_id,
+                          lc_run_status status);
+
+/** The task neither runs nor can begin: frees its room, answers. */
+void RunnerTask_End(Runner *runner, int64_t now_ms, Runner_Task *row,
+                    lc_run_status status);
+
+/** Ends all tasks alike. */
+void RunnerTask_EndAll(Runner *runner, int64_t now_ms, lc_run_status status);
+
+/** Begins to stop a task, which is to end as @p status. */
+void RunnerTask_Stop(Runner *runner, int64_t now_ms, Runner_Task *row,
+                     lc_run_status status);
+
+/** Orders the start, held until @p lease_until_ms at most. */
+void RunnerTask_OrderStart(Runner *runner, int64_t now_ms, Runner_Task *row,
+                           int64_t lease_until_ms);
+
+/** Orders the stop, again if need be. */
+void RunnerTask_OrderStop(Runner *runner, int64_t now_ms, Runner_Task *row);
+
+/** All tasks, in a list that may be walked while they end; free it. */
+GList *RunnerTask_All(const Runner *runner);
+
+/** Writes a line about a run. */
+void RunnerTask_Log(const Runner *runner, Event_Id id, const Runner_Task *row,
+                    const char *format, ...)
+    __attribute__((format(printf, 4, 5)));
+
+/* Owners: runner_owners.c. */
+
+/** Row of an entry, or NULL. */
+Runner_Owner *RunnerOwner_Find(const Runner *runner, const lc_node *node);
+
+/** Lengthens the lease of an entry, never shortens it. */
+Runner_Owner *RunnerOwner_Extend(Runner *runner, const lc_node *node,
+                                 int64_t until_ms);
+
+/** How far a hold may reach from now: never past the longest lease of an
+ * owner with work there. */
+int64_t RunnerOwner_HoldAhead(const Runner *runner, int64_t now_ms);
+
+/** Drops owners without work whose leases are over. */
+void RunnerOwner_Forget(Runner *runner, int64_t now_ms);
+
+/* The upstream: runner_upstream.c. */
+
+/** The upstream's clock shows at least this now. */
+int64_t RunnerUpstream_Clock(const Runner *runner, int64_t now_ms);
+
+/** Takes a reading of its clock; 0 is none. */
+void RunnerUpstream_TakeClock(Runner *runner, int64_t now_ms,
+                              int64_t clock_ms);
+
+/** All that ran there is lost. */
+void RunnerUpstream_Lose(Runner *runner, int64_t now_ms, const char *reason);
+
+/** Another incarnation than the one known has answered. */
+void RunnerUpstream_MeetOther(Runner *runner, int64_t now_ms);
+
+/** The upstream has seen a higher token than ours. */
+void RunnerUpstream_RaiseToken(Runner *runner);
+
+/** Writes a line about the upstream. */
+void RunnerUpstream_Log(const Runner *runner, Event_Id id, const char *reason);
+
+/* Looks: runner_look.c. */
+
+/** Looks at the upstream if there is reason to, and none is on its way. */
+void RunnerLook_Send(Runner *runner, int64_t now_ms);
+
+/** Notes how long the upstream may go on by itself. */
+void RunnerLook_NoteHold(Runner *runner, int64_t now_ms, int64_t ahead_ms);
+
+#endif
--- /dev/null
+++ b/lease/runner_tasks.c
@@ -0,0 +1,201 @@
+#include "lease/runner_state.h"
+
+#include <string.h>
+
+#include "base/address.h"
+#include "lease/resources.h"
+#include "lease/run_id.h"
+
+/* Replies owed carry their kind in the lowest bit. */
+#define OWED_HALT 1U
+
+void
+RunnerTask_Free(gpointer item)
+{
+    Runner_Task *row = item;
+
+    g_array_unref(row->waiting);
+    g_free(row->spec);
+    g_free(row);
+}
+
+void
+RunnerTask_Log(const Runner *runner, Event_Id id, const Runner_Task *row,
+               const char *format, ...)
+{
+    char job[RUN_ID_JOB_SIZE];
+    char detail[300];
+    va_list args;
+
+    if (!Event_Admit(id)) {
+        return;
+    }
+    va_start(args, format);
+    g_vsnprintf(detail, sizeof(detail), format, args);
+    va_end(args);
+    RunId_FormatJob(row->id.job, job);
+    runner->ports->event(
+        runner->context, id,
+        json_pack("{s:s, s:i, s:i, s:i, s:s, s:s, s:s}", "job", job, "step",
+                  (int)row->id.step, "index", (int)row->id.index, "run",
+                  (int)row->id.run, "owner", Address_Text(row->owner.address),
+                  "upstream", runner->up.instance, "detail", detail));
+}
+
+void
+RunnerTask_ReplyRun(Runner *runner, int64_t now_ms, uint64_t reply_id,
+                    lc_run_status status, uint32_t ran_ms)
+{
+    Msg_Reply reply = {.kind = MSG_RUN};
+
+    reply.u.run.status = status;
+    reply.u.run.ran_ms = ran_ms;
+    Runner_State(runner, now_ms, &reply.u.run.host);
+    runner->ports->reply(runner->context, reply_id, &reply);
+}
+
+void
+RunnerTask_ReplyHalt(Runner *runner, int64_t now_ms, uint64_t reply_id,
+                     lc_run_status status)
+{
+    Msg_Reply reply = {.kind = MSG_HALT};
+
+    reply.u.halt.status = status;
+    Runner_State(runner, now_ms, &reply.u.halt.host);
+    runner->ports->reply(runner->context, reply_id, &reply);
+}
+
+void
+RunnerTask_Owe(Runner_Task *row, uint64_t reply_id, Msg_Kind kind)
+{
+    uint64_t owed = reply_id << 1 | (kind == MSG_HALT ? OWED_HALT : 0);
+
+    g_array_append_val(row->waiting, owed);
+}
+
+void
+RunnerTask_Answer(Runner *runner, int64_t now_ms, Runner_Task *row)
+{
+    GArray *waiting = row->waiting;
+    guint i;
+
+    row->waiting = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    for (i = 0; i < waiting->len; i++) {
+        uint64_t owed = g_array_index(waiting, uint64_t, i);
+        if ((owed & OWED_HALT) != 0) {
+            RunnerTask_ReplyHalt(runner, now_ms, owed >> 1, row->status);
+        }
+        else {
+            RunnerTask_ReplyRun(runner, now_ms, owed >> 1, row->status,
+                                row->ran_ms);
+        }
+    }
+    g_array_unref(waiting);
+}
+
+void
+RunnerTask_End(Runner *runner, int64_t now_ms, Runner_Task *row,
+               lc_run_status status)
+{
+    Runner_Owner *holder = RunnerOwner_Find(runner, &row->owner);
+
+    if (row->state == TASK_ENDED) {
+        return;
+    }
+    row->state = TASK_ENDED;
+    row->status = status;
+    row->ended_ms = now_ms;
+    Resources_Take(&runner->used, &row->need);
+    runner->live--;
+    runner->version++;
+    if (holder != NULL) {
+        holder->running--;
+    }
+    Counter_Add(
+        &runner->counters,
+        status == LC_RUN_DONE ? COUNTER_TASKS_DONE : COUNTER_TASKS_FAILED, 1);
+    if (status != LC_RUN_DONE) {
+        RunnerTask_Log(runner, EVENT_RUN_ENDED, row, "status %d after %u ms",
+                       (int)status, row->ran_ms);
+    }
+    RunnerTask_Answer(runner, now_ms, row);
+}
+
+void
+RunnerTask_OrderStop(Runner *runner, int64_t now_ms, Runner_Task *row)
+{
+    row->stop_sent_ms = now_ms;
+    runner->ports->stop(runner->context, row->handle, &row->id,
+                        runner->up.instance, runner->token);
+}
+
+void
+RunnerTask_Stop(Runner *runner, int64_t now_ms, Runner_Task *row,
+                lc_run_status status)
+{
+    if (row->state == TASK_ENDED || row->state == TASK_STOPPING) {
+        return;
+    }
+    row->state = TASK_STOPPING;
+    row->status = status;
+    RunnerTask_OrderStop(runner, now_ms, row);
+}
+
+/* All tasks, in a list that may be walked while they end. */
+GList *
+RunnerTask_All(const Runner *runner)
+{
+    return g_hash_table_get_values(runner->tasks);
+}
+
+void
+RunnerTask_EndAll(Runner *runner, int64_t now_ms, lc_run_status status)
+{
+    GList *rows = RunnerTask_All(runner);
+    GList *item;
+
+    for (item = rows; item != NULL; item = item->next) {
+        RunnerTask_End(runner, now_ms, item->data, status);
+    }
+    g_list_free(rows);
+}
+
+void
+RunnerTask_OrderStart(Runner *runner, int64_t now_ms, Runner_Task *row,
+                      int64_t lease_until_ms)
+{
+    Runner_Start start = {.id = row->id,
+                          .spec = row->spec,
+                          .instance = runner->up.instance,
+                          .token = runner->token};
+    int64_t ahead = MIN(lease_until_ms - now_ms, runner->config.term.hold_ms);
+
+    row->deadline_clock_ms = RunnerUpstream_Clock(runner, now_ms) + ahead;
+    start.deadline_ms = row->deadline_clock_ms;
+    RunnerLook_NoteHold(runner, now_ms, ahead);
+    runner->ports->start(runner->context, row->handle, &start);
+}
+
+Runner_Task *
+RunnerTask_Add(Runner *runner, int64_t now_ms, const lc_run_args *args)
+{
+    Runner_Task *row = g_new0(Runner_Task, 1);
+
+    row->id = args->id;
+    row->owner = args->owner;
+    row->need = args->need;
+    row->estimate_ms = args->estimate_ms;
+    row->spec = g_strdup(args->spec);
+    row->waiting = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    row->ordered_ms = now_ms;
+    row->handle = Handle_Add(runner->by_handle, row);
+    g_hash_table_replace(runner->tasks, &row->id, row);
+    return row;
+}
+
+void
+RunnerTask_Forget(Runner *runner, Runner_Task *row)
+{
+    Handle_Remove(runner->by_handle, row->handle);
+    g_hash_table_remove(runner->tasks, &row->id);
+}
