levercove explain: the life of a job out of logs; metrics with latencies; asks back off

Three failures are played on stand-ins and each is found from the job's identity by its logs. What they showed: a run adrift was asked for every 50 ms for over a second, a hanging task was found after 306 ms instead of 200, and an upstream on trial was sent all waiting tasks at once. Mended with this change.

--- a/cli/commands.c
+++ b/cli/commands.c
@@ -8,6 +8,7 @@
 
 #include "cli/csv.h"
 #include "cli/exchange.h"
+#include "cli/explain.h"
 #include "daemon/options.h"
 
 static int
@@ -363,5 +364,8 @@
      1, 1, run_state},
     {"check-settings", "FILE", "check a settings file", 1, 1, run_check},
     {"submit", "FILE", "submit a job and print its answer", 1, 1, run_submit},
+    {"explain", "JOB FILE...",
+     "print the life of a leased job from the logs of processes", 2, 4096,
+     Explain_Run},
     {NULL, NULL, NULL, 0, 0, NULL},
 };
--- a/daemon/companion_process.c
+++ b/daemon/companion_process.c
@@ -135,7 +135,7 @@
 
 static const Process_Role companion_role = {
     role_tick,     role_drain, role_is_drained, role_dump,
-    role_counters, role_call,  role_reply,
+    role_counters, NULL,       role_call,       role_reply,
 };
 
 static Companion *
--- a/daemon/leased_companion.c
+++ b/daemon/leased_companion.c
@@ -348,6 +348,14 @@
     return Runner_Counters(((leased_companion *)process)->runner);
 }
 
+static void
+role_metrics(Process *process, GString *out)
+{
+    leased_companion *self = (leased_companion *)process;
+
+    Runner_Metrics(self->runner, now_ms(), out);
+}
+
 static bool
 role_call(Process *process, uint64_t reply_id, const Msg_Call *call)
 {
@@ -375,8 +383,8 @@
 }
 
 static const Process_Role leased_companion_role = {
-    role_tick,     role_drain, role_is_drained, role_dump,
-    role_counters, role_call,  role_reply,
+    role_tick,     role_drain,   role_is_drained, role_dump,
+    role_counters, role_metrics, role_call,       role_reply,
 };
 
 static Runner *
--- a/daemon/leased_entry.c
+++ b/daemon/leased_entry.c
@@ -44,6 +44,8 @@
     GHashTable *cancels; /* call id -> cancel */
     uint64_t next_call;
     int64_t started_ms;
+    int64_t routes_ms; /* when the routes in force were taken */
+    bool store_answers;
     int64_t awake_ms; /* last time that anything was done */
     int64_t stop_ms;  /* when the planned stop was asked for */
     bool still;
@@ -136,6 +138,7 @@
     }
     Route_FreeTable(self->routes);
     self->routes = table;
+    self->routes_ms = self->awake_ms;
     Event_Log(EVENT_ROUTES, "version %lld from %s, %u queues",
               (long long)table->version, source, table->routes->len);
 }
@@ -152,7 +155,10 @@
 static void
 on_store_change(void *context, int answers)
 {
-    awake(context);
+    leased_entry *self = context;
+
+    awake(self);
+    self->store_answers = answers;
     Event_Log(answers ? EVENT_LOG_UP : EVENT_LOG_DOWN, "store");
 }
 
@@ -636,6 +642,24 @@
     return Dispatcher_Counters(((leased_entry *)process)->dispatcher);
 }
 
+static void
+role_metrics(Process *process, GString *out)
+{
+    const leased_entry *self = (const leased_entry *)process;
+    int64_t now = Process_Now().mono_ms;
+
+    Dispatcher_Metrics(self->dispatcher, now, out);
+    g_string_append_printf(out,
+                           "levercove_ready %d\n"
+                           "levercove_routes_version %lld\n"
+                           "levercove_routes_age_seconds %lld\n"
+                           "levercove_store_answers %d\n"
+                           "levercove_entries_known %u\n",
+                           is_ready(self), (long long)routes_version(self),
+                           (long long)(now - self->routes_ms) / 1000,
+                           self->store_answers, self->peers.rows->len);
+}
+
 static bool
 role_call(Process *process, uint64_t reply_id, const Msg_Call *call)
 {
@@ -680,8 +704,8 @@
 }
 
 static const Process_Role leased_entry_role = {
-    role_tick,     role_drain, role_is_drained, role_dump,
-    role_counters, role_call,  role_reply,
+    role_tick,     role_drain,   role_is_drained, role_dump,
+    role_counters, role_metrics, role_call,       role_reply,
 };
 
 static Dispatcher *
--- a/daemon/process.c
+++ b/daemon/process.c
@@ -126,6 +126,9 @@
     Http_Response response = {.status = 200, .type = "text/plain"};
 
     Counter_Print(process->role->counters(process), out);
+    if (process->role->metrics != NULL) {
+        process->role->metrics(process, out);
+    }
     print_traffic(out, "calls_sent", traffic->calls_out);
     print_traffic(out, "calls_received", traffic->calls_in);
     print_traffic(out, "replies_sent", traffic->replies_out);
--- a/daemon/process.h
+++ b/daemon/process.h
@@ -29,6 +29,8 @@
     json_t *(*dump)(const Process *process);
     /** Counters of the role. */
     Counters *(*counters)(Process *process);
+    /** Figures of the role beside its counters; NULL for none. */
+    void (*metrics)(Process *process, GString *out);
     /** A peer calls; false if this role does not answer such calls. */
     bool (*call)(Process *process, uint64_t reply_id, const Msg_Call *call);
     /** A call ended. */
--- a/lease/active.h
+++ b/lease/active.h
@@ -44,6 +44,7 @@
     Address avoid;     /**< where it went wrong last */
     int64_t again_ms;  /**< nothing is sent for it before */
     int64_t sent_ms;
+    uint32_t asks; /**< in vain, for the run on its way */
 } Active_Task;
 
 /** One job. */
--- a/lease/dispatcher.c
+++ b/lease/dispatcher.c
@@ -18,6 +18,7 @@
     self->ports = ports;
     self->context = context;
     Fleet_Init(&self->fleet);
+    QueueStats_Init(&self->stats);
     self->jobs = Handle_NewTable();
     self->calls = Handle_NewTable();
     self->by_id = g_hash_table_new(g_int64_hash, g_int64_equal);
@@ -48,6 +49,7 @@
     g_hash_table_unref(self->by_request);
     g_ptr_array_unref(self->queue);
     Fleet_Clear(&self->fleet);
+    QueueStats_Clear(&self->stats);
     g_free(self);
 }
 
@@ -155,7 +157,8 @@
         }
     }
     if (job->requests->len == 0) {
-        DispatcherLog_Job(self, EVENT_CALLER_GONE, now_ms, job, "stopped");
+        DispatcherEnd_Note(self, now_ms, job, QUEUE_OUTCOME_CALLER_GONE,
+                           "its caller left, its runs are stopped");
         DispatcherEnd_Close(self, job);
     }
 }
@@ -232,14 +235,14 @@
         if (task->again_ms > now_ms) {
             continue;
         }
+        task->asks += task->state == ACTIVE_HALTING ||
+                      task->state == ACTIVE_ADRIFT;
         if (task->state == ACTIVE_HALTING) {
             DispatcherCall_Halt(self, job, task);
         }
         else if (task->state == ACTIVE_ADRIFT) {
             host = DispatcherEnd_HostOf(self, task);
             Active_Move(job, task, ACTIVE_SENT);
-            Story_Add(job->story, now_ms, STORY_ASKED, &task->id,
-                      task->host.address, 0);
             DispatcherCall_Run(self, job, task,
                                host == NULL ? 0 : host->valid_until_ms);
         }
@@ -313,6 +316,18 @@
     return self->unanswered == 0 && Handle_Count(self->jobs) == 0;
 }
 
+void
+Dispatcher_Metrics(const Dispatcher *self, int64_t now_ms, GString *out)
+{
+    QueueStats_Print(&self->stats, out);
+    g_string_append_printf(out,
+                           "levercove_jobs_open %u\n"
+                           "levercove_companions_known %u\n"
+                           "levercove_companions_open %u\n",
+                           Handle_Count(self->jobs), self->fleet.hosts->len,
+                           Dispatcher_ReadyHosts(self, now_ms));
+}
+
 Counters *
 Dispatcher_Counters(Dispatcher *self)
 {
--- a/lease/dispatcher.h
+++ b/lease/dispatcher.h
@@ -118,6 +118,10 @@
 /** Companions that take tasks now. */
 uint32_t Dispatcher_ReadyHosts(const Dispatcher *dispatcher, int64_t now_ms);
 
+/** Appends figures for scrapers. */
+void Dispatcher_Metrics(const Dispatcher *dispatcher, int64_t now_ms,
+                        GString *out);
+
 Counters *Dispatcher_Counters(Dispatcher *dispatcher);
 
 /** State for operators; the caller owns the result. */
--- a/lease/dispatcher_ends.c
+++ b/lease/dispatcher_ends.c
@@ -44,15 +44,53 @@
     Active_Free(job);
 }
 
+static Queue_Outcome
+outcome_of(int64_t now_ms, const Active_Job *job,
+           const Dispatcher_Answer *answer)
+{
+    static const Queue_Outcome outcomes[] = {
+        [DISPATCHER_SUCCEEDED] = QUEUE_OUTCOME_IN_TIME,
+        [DISPATCHER_FAILED] = QUEUE_OUTCOME_FAILED,
+        [DISPATCHER_NOT_RUN] = QUEUE_OUTCOME_NOT_RUN,
+        [DISPATCHER_GIVEN_UP] = QUEUE_OUTCOME_GIVEN_UP,
+        [DISPATCHER_CANCELLED] = QUEUE_OUTCOME_CANCELLED,
+    };
+
+    if (answer->outcome == DISPATCHER_SUCCEEDED &&
+        now_ms > job->objective_ms) {
+        return QUEUE_OUTCOME_LATE;
+    }
+    return outcomes[answer->outcome];
+}
+
 static Event_Id
-event_of(int64_t now_ms, const Active_Job *job,
-         const Dispatcher_Answer *answer)
+event_of(Queue_Outcome outcome)
 {
-    if (answer->outcome != DISPATCHER_SUCCEEDED) {
-        return answer->outcome == DISPATCHER_NOT_RUN ? EVENT_JOB_REFUSED
-                                                     : EVENT_JOB_FAILED;
+    static const Event_Id events[QUEUE_OUTCOME_COUNT] = {
+        [QUEUE_OUTCOME_IN_TIME] = EVENT_JOB_ANSWERED,
+        [QUEUE_OUTCOME_LATE] = EVENT_JOB_LATE,
+        [QUEUE_OUTCOME_FAILED] = EVENT_JOB_FAILED,
+        [QUEUE_OUTCOME_NOT_RUN] = EVENT_JOB_REFUSED,
+        [QUEUE_OUTCOME_GIVEN_UP] = EVENT_JOB_FAILED,
+        [QUEUE_OUTCOME_CANCELLED] = EVENT_JOB_FAILED,
+        [QUEUE_OUTCOME_CALLER_GONE] = EVENT_CALLER_GONE,
+    };
+
+    return events[outcome];
+}
+
+void
+DispatcherEnd_Note(Dispatcher *self, int64_t now_ms, const Active_Job *job,
+                   Queue_Outcome outcome, const char *detail)
+{
+    Queue_Stats *stats = QueueStats_Of(&self->stats, job->queue);
+
+    stats->outcomes[outcome]++;
+    Histogram_Add(&stats->answer, now_ms - job->arrived_ms);
+    if (job->first_sent_ms != 0) {
+        Histogram_Add(&stats->wait, job->first_sent_ms - job->arrived_ms);
     }
-    return now_ms > job->objective_ms ? EVENT_JOB_LATE : EVENT_JOB_ANSWERED;
+    DispatcherLog_Job(self, event_of(outcome), now_ms, job, detail);
 }
 
 static void
@@ -69,9 +107,8 @@
     guint i;
 
     Counter_Add(&self->counters, counters[answer->outcome], 1);
-    DispatcherLog_Job(
-        self, event_of(now_ms, job, answer), now_ms, job,
-        answer->outcome == DISPATCHER_SUCCEEDED ? "" : answer->message);
+    DispatcherEnd_Note(self, now_ms, job, outcome_of(now_ms, job, answer),
+                       answer->message);
     for (i = 0; i < job->requests->len; i++) {
         uint64_t request = g_array_index(job->requests, uint64_t, i);
         g_hash_table_remove(self->by_request, &request);
--- a/lease/dispatcher_queue.c
+++ b/lease/dispatcher_queue.c
@@ -1,5 +1,7 @@
 #include "lease/dispatcher_state.h"
 
+#include <string.h>
+
 #include "lease/choice.h"
 #include "lease/resources.h"
 
@@ -46,6 +48,7 @@
     task->id.run++;
     task->host = host->node;
     task->sent_ms = now_ms;
+    task->asks = 0;
     Active_Move(job, task, ACTIVE_SENT);
     job->starts++;
     host->running++;
@@ -54,6 +57,9 @@
     }
     Story_Add(job->story, now_ms, STORY_SENT, &task->id, host->node.address,
               (int32_t)host->pace_percent);
+    if (host->state == LC_UPSTREAM_TRIAL) {
+        memset(&host->room, 0, sizeof(host->room)); /* one at a time */
+    }
     Resources_Take(&host->room, &Active_Step(job, task)->need);
     Counter_Add(&self->counters, COUNTER_TASKS_STARTED, 1);
     DispatcherCall_Run(self, job, task,
--- a/lease/dispatcher_replies.c
+++ b/lease/dispatcher_replies.c
@@ -3,6 +3,8 @@
 /* Asking again after a broken connection, or an answer that settles
  * nothing. */
 #define AGAIN_MS 50
+#define AGAIN_DOUBLINGS 8
+#define AGAIN_MOST_MS 400
 /* Refused for another reason than room: elsewhere, here not for a moment. */
 #define REFUSED_MS 20
 /* Runs of an earlier submission that an upstream may know of. */
@@ -33,6 +35,14 @@
            state->node.incarnation != about->host.incarnation;
 }
 
+/* Each time twice as long, up to a limit. */
+static int64_t
+ask_pause_ms(const Active_Task *task)
+{
+    return MIN((int64_t)AGAIN_MS << MIN(task->asks, AGAIN_DOUBLINGS),
+               AGAIN_MOST_MS);
+}
+
 static void
 refused_by(Dispatcher *self, int64_t now_ms, Active_Job *job,
            Active_Task *task, Fleet_Host *host, lc_run_status status)
@@ -95,14 +105,16 @@
     if (result == NULL) {
         if (task->state == ACTIVE_SENT) {
             Active_Move(job, task, ACTIVE_ADRIFT);
-            Story_Add(job->story, now_ms, STORY_ADRIFT, &task->id,
-                      task->host.address, 0);
-            task->again_ms = now_ms + AGAIN_MS;
+            if (task->asks == 0) {
+                Story_Add(job->story, now_ms, STORY_ADRIFT, &task->id,
+                          task->host.address, 0);
+            }
+            task->again_ms = now_ms + ask_pause_ms(task);
         }
         return;
     }
     if (settles_nothing(result->status, &result->host, about)) {
-        task->again_ms = now_ms + AGAIN_MS;
+        task->again_ms = now_ms + ask_pause_ms(task);
         return;
     }
     run_ended(self, now_ms, job, task, result->status);
@@ -120,7 +132,7 @@
     }
     if (result == NULL ||
         settles_nothing(result->status, &result->host, about)) {
-        task->again_ms = now_ms + AGAIN_MS;
+        task->again_ms = now_ms + ask_pause_ms(task);
         return;
     }
     run_ended(self, now_ms, job, task, result->status);
--- a/lease/dispatcher_state.h
+++ b/lease/dispatcher_state.h
@@ -12,6 +12,7 @@
 #include "base/handle.h"
 #include "lease/active.h"
 #include "lease/dispatcher.h"
+#include "lease/queue_stats.h"
 
 /* What a call on its way is about. */
 typedef struct {
@@ -27,6 +28,7 @@
     const Dispatcher_Ports *ports;
     void *context;
     Counters counters;
+    Queue_Table stats;
     Fleet fleet;
     Handle_Table *jobs;
     Handle_Table *calls;    /* Dispatcher_Call */
@@ -94,6 +96,11 @@
 void DispatcherEnd_Job(Dispatcher *self, int64_t now_ms, Active_Job *job,
                        const Dispatcher_Answer *answer);
 
+/** Counts and logs how a job is over. */
+void DispatcherEnd_Note(Dispatcher *self, int64_t now_ms,
+                        const Active_Job *job, Queue_Outcome outcome,
+                        const char *detail);
+
 /** Stops what runs of a job that needs no answer any more. May free it. */
 void DispatcherEnd_Close(Dispatcher *self, Active_Job *job);
 
--- a/lease/health.c
+++ b/lease/health.c
@@ -13,9 +13,10 @@
 /* Tasks that end well before a trial is over. */
 #define GOOD_LIMIT 2
 #define TRIAL_GAP_MS 250
-/* A run whose percentage stands still for so long would take a hundred times
- * that: no task is that long. */
+/* A run whose percentage stands still for so long, and a part of its estimate
+ * besides, would take several times its estimate, however wrong that is. */
 #define HANG_MS 160
+#define HANG_PART 20
 /* Runs younger than this tell nothing of their pace. */
 #define YOUNG_MS 60
 /* Different jobs that must agree, and from which pace on. */
@@ -190,9 +191,9 @@
 }
 
 bool
-Health_Hangs(int64_t unchanged_ms)
+Health_Hangs(int64_t unchanged_ms, uint32_t estimate_ms)
 {
-    return unchanged_ms > HANG_MS;
+    return unchanged_ms > HANG_MS + estimate_ms / HANG_PART;
 }
 
 bool
--- a/lease/health.h
+++ b/lease/health.h
@@ -62,7 +62,7 @@
 void Health_Fade(Health *health, int64_t now_ms);
 
 /** Whether a run without progress for so long hangs. */
-bool Health_Hangs(int64_t unchanged_ms);
+bool Health_Hangs(int64_t unchanged_ms, uint32_t estimate_ms);
 
 /** Whether a run would end sooner if it began again elsewhere, on an upstream
  * that is @p slow_percent slower than others. */
--- /dev/null
+++ b/lease/queue_stats.h
@@ -0,0 +1,51 @@
+/**
+ * @file queue_stats.h
+ * @brief Latencies and outcomes of leased jobs by queue, for metrics.
+ */
+#ifndef LC_LEASE_QUEUE_STATS_H
+#define LC_LEASE_QUEUE_STATS_H
+
+#include <glib.h>
+
+#include "base/histogram.h"
+
+/** X(NAME, label): how jobs are over. */
+#define QUEUE_OUTCOME_LIST(X)                                                 \
+    X(IN_TIME, "in_time")                                                     \
+    X(LATE, "late")                                                           \
+    X(FAILED, "failed")                                                       \
+    X(NOT_RUN, "not_run")                                                     \
+    X(GIVEN_UP, "given_up")                                                   \
+    X(CANCELLED, "cancelled")                                                 \
+    X(CALLER_GONE, "caller_gone")
+
+/** Outcomes, in the order of QUEUE_OUTCOME_LIST. */
+typedef enum {
+#define X(name, label) QUEUE_OUTCOME_##name,
+    QUEUE_OUTCOME_LIST(X)
+#undef X
+        QUEUE_OUTCOME_COUNT
+} Queue_Outcome;
+
+/** Figures of one queue. */
+typedef struct {
+    Histogram wait;   /**< from arrival to the first run sent */
+    Histogram answer; /**< from arrival to the answer */
+    uint64_t outcomes[QUEUE_OUTCOME_COUNT];
+} Queue_Stats;
+
+/** Figures of all queues, by name. */
+typedef struct {
+    GHashTable *queues; /**< name -> Queue_Stats */
+} Queue_Table;
+
+void QueueStats_Init(Queue_Table *table);
+void QueueStats_Clear(Queue_Table *table);
+
+/** Figures of a queue, made at their first use. */
+Queue_Stats *QueueStats_Of(Queue_Table *table, const char *queue);
+
+/** Appends all figures as metrics. */
+void QueueStats_Print(const Queue_Table *table, GString *out);
+
+#endif
--- a/lease/runner.c
+++ b/lease/runner.c
@@ -1,5 +1,6 @@
 #include "lease/runner.h"
 
+#include <inttypes.h>
 #include <string.h>
 
 #include "base/address.h"
@@ -132,9 +133,7 @@
     }
     status = admit(runner, now_ms, args);
     if (status != LC_RUN_DONE) {
-        if (status == LC_RUN_NO_ROOM) {
-            Counter_Add(&runner->counters, COUNTER_WASTED_BUSY, 1);
-        }
+        runner->refusals[status]++;
         RunnerTask_ReplyRun(runner, now_ms, reply_id, status, 0);
         return;
     }
@@ -234,9 +233,11 @@
     if (row == NULL || row->state == TASK_ENDED) {
         return;
     }
+    Histogram_Add(&runner->orders, now_ms - row->ordered_ms);
     switch (end) {
     case RUNNER_ORDER_TAKEN:
         row->confirmed_ms = now_ms;
+        row->progress_ms = now_ms;
         if (row->state == TASK_ORDERED) {
             row->state = TASK_RUNNING;
         }
@@ -376,6 +377,41 @@
     return runner->version;
 }
 
+void
+Runner_Metrics(const Runner *runner, int64_t now_ms, GString *out)
+{
+    static const char *const statuses[LC_RUN_OLD + 1] = {
+        [LC_RUN_NO_ROOM] = "no_room",       [LC_RUN_EXPIRED] = "expired",
+        [LC_RUN_DRAINING] = "draining",     [LC_RUN_NOT_READY] = "not_ready",
+        [LC_RUN_OTHER_NODE] = "other_node",
+    };
+    lc_host_state state;
+    int i;
+
+    Runner_State(runner, now_ms, &state);
+    Histogram_Print(&runner->orders, "order", "", out);
+    Histogram_Print(&runner->runs, "task_run", "", out);
+    for (i = 0; i <= LC_RUN_OLD; i++) {
+        if (statuses[i] != NULL) {
+            g_string_append_printf(
+                out,
+                "levercove_runs_refused_total{reason=\"%s\"} %" PRIu64 "\n",
+                statuses[i], runner->refusals[i]);
+        }
+    }
+    g_string_append_printf(
+        out,
+        "levercove_tasks_running %u\n"
+        "levercove_room_cpu_millicores %u\n"
+        "levercove_room_memory_mebibytes %u\n"
+        "levercove_upstream_pace_percent %u\n"
+        "levercove_upstream_state %d\n"
+        "levercove_upstream_heard_age_seconds %" PRId64 "\n",
+        runner->live, state.room.cpu_milli, state.room.memory_mb,
+        state.pace_percent, (int)state.state,
+        (now_ms - runner->up.heard_ms) / 1000);
+}
+
 Counters *
 Runner_Counters(Runner *runner)
 {
--- a/lease/runner.h
+++ b/lease/runner.h
@@ -173,6 +173,9 @@
 /** Rises whenever the room or state that entries know has changed. */
 uint64_t Runner_Version(const Runner *runner);
 
+/** Appends figures for scrapers. */
+void Runner_Metrics(const Runner *runner, int64_t now_ms, GString *out);
+
 Counters *Runner_Counters(Runner *runner);
 
 /** State for operators; the caller owns the result. */
--- a/lease/runner_look.c
+++ b/lease/runner_look.c
@@ -84,6 +84,7 @@
     bool begins = false;
 
     if (end == RUNNER_END_DONE) {
+        Histogram_Add(&runner->runs, row->ran_ms);
         if (Health_Good(&runner->health, row->ran_ms, row->estimate_ms)) {
             log_trial(runner, false);
         }
@@ -146,7 +147,7 @@
         row->progress_ms = now_ms;
     }
     else if (row->state == TASK_RUNNING &&
-             Health_Hangs(now_ms - row->progress_ms)) {
+             Health_Hangs(now_ms - row->progress_ms, row->estimate_ms)) {
         if (Health_Stalled(&runner->health, now_ms)) {
             log_trial(runner, true);
         }
--- a/lease/runner_state.h
+++ b/lease/runner_state.h
@@ -11,6 +11,7 @@
 #include <glib.h>
 
 #include "base/handle.h"
+#include "base/histogram.h"
 #include "lease/health.h"
 #include "lease/runner.h"
 
@@ -71,6 +72,9 @@
     const Runner_Ports *ports;
     void *context;
     Counters counters;
+    Histogram orders;                  /* from a start to its answer */
+    Histogram runs;                    /* of tasks that ended well */
+    uint64_t refusals[LC_RUN_OLD + 1]; /* by status */
     Health health;
     Runner_Known up;
     lc_resources used;
--- a/lease/runner_tasks.c
+++ b/lease/runner_tasks.c
@@ -5,6 +5,7 @@
 #include "base/address.h"
 #include "lease/resources.h"
 #include "lease/run_id.h"
+#include "lease/run_status.h"
 
 /* Replies owed carry their kind in the lowest bit. */
 #define OWED_HALT 1U
@@ -115,8 +116,8 @@
         &runner->counters,
         status == LC_RUN_DONE ? COUNTER_TASKS_DONE : COUNTER_TASKS_FAILED, 1);
     if (status != LC_RUN_DONE) {
-        RunnerTask_Log(runner, EVENT_RUN_ENDED, row, "status %d after %u ms",
-                       (int)status, row->ran_ms);
+        RunnerTask_Log(runner, EVENT_RUN_ENDED, row, "%s after %u ms",
+                       RunStatus_Text(status), row->ran_ms);
     }
     RunnerTask_Answer(runner, now_ms, row);
 }
--- a/lease/story.h
+++ b/lease/story.h
@@ -18,7 +18,6 @@
     X(SENT, "sent")       /* value: pace of the host in percent */            \
     X(ENDED, "ended")     /* value: status of the run */                      \
     X(ADRIFT, "adrift")   /* the connection broke */                          \
-    X(ASKED, "asked")     /* again, for the same run */                       \
     X(HALTED, "halted")   /* its stop was asked for */                        \
     X(EXPIRED, "expired") /* its lease is certainly over */                   \
     X(REBORN, "reborn")   /* its companion began anew */
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -25,8 +25,8 @@
     for test in $(targets_of "$name"); do
         if ! RC_PARAMS="seed=20261202 max_success=$SCHEDULES noshrink=1" \
             "$folder/build/tests/$test" >"$folder/log" 2>&1; then
-            echo "caught $name: $(grep -m 1 -E '^(not ok|at [0-9]+ ms:|double start|partial|wrong|false not_run|unanswered|work to a leaving|cut off|table|limit)' "$folder/log" |
-                cut -c1-90)"
+            echo "caught $name: $(grep -m 1 -E '^(Bail out|not ok|at [0-9]+ ms:|double start|partial|wrong|false not_run|unanswered|work to a leaving|cut off|table|limit)' "$folder/log" |
+                cut -c1-110)"
             return
         fi
     done
--- /dev/null
+++ b/tests/soak/cluster.cc
@@ -0,0 +1,377 @@
+#include "tests/soak/cluster.h"
+
+#include <signal.h>
+
+#include <cinttypes>
+#include <cstdio>
+#include <cstdlib>
+#include <cstring>
+
+extern "C" {
+#include "base/random.h"
+}
+
+namespace soak {
+
+namespace {
+
+const int64_t RESUBMIT_MS = 1300;
+const int64_t CALLER_MS = 2500;
+const int TRIES = 3;
+const int STORE_HOST = 200;
+
+/* Ports of a host; every process has an IP number of its own. */
+enum {
+    PORT_RPC,
+    PORT_RPC_LISTEN,
+    PORT_ADMIN,
+    PORT_FRONT,
+    PORT_READY,
+    PORT_BEATS,
+    PORT_APP,
+    PORT_APP_PROXY,
+    PORT_STORE
+};
+
+struct Timer {
+    uv_timer_t handle;
+    std::function<void()> run;
+};
+
+int
+entry_host(int index)
+{
+    return 10 + index;
+}
+
+int
+companion_host(int index)
+{
+    return 50 + index;
+}
+
+} // namespace
+
+struct Cluster::Attempt {
+    Cluster *cluster;
+    uint64_t id;
+    bool leaves;
+};
+
+Cluster::Cluster(const Shape &wanted)
+    : shape(wanted), loop(uv_default_loop()), begin_ms((int64_t)uv_now(loop)),
+      random_state(Random_Seed(wanted.seed * 2654435761U)),
+      client(Http_NewClient(loop))
+{
+    srand((unsigned)wanted.seed);
+    set_up();
+    watch_upstreams();
+    put_routes();
+}
+
+uint32_t
+Cluster::pick(uint32_t below)
+{
+    return (uint32_t)(Random_Next(&random_state) >> 33) % below;
+}
+
+void
+Cluster::say(const std::string &text) const
+{
+    if (shape.verbose) {
+        fprintf(stderr, "%6" PRId64 " %s\n", now(), text.c_str());
+    }
+}
+
+void
+Cluster::after(int64_t ms, std::function<void()> run) const
+{
+    Timer *timer = new Timer{{}, std::move(run)};
+
+    uv_timer_init(loop, &timer->handle);
+    timer->handle.data = timer;
+    uv_timer_start(
+        &timer->handle,
+        [](uv_timer_t *handle) {
+            ((Timer *)handle->data)->run();
+            uv_close((uv_handle_t *)handle,
+                     [](uv_handle_t *gone) { delete (Timer *)gone->data; });
+        },
+        (uint64_t)ms, 0);
+}
+
+std::string
+Cluster::place(int host, int port) const
+{
+    return "127.7.0." + std::to_string(host) + ":" +
+           std::to_string(shape.base_port + port);
+}
+
+Address
+Cluster::address(int host, int port) const
+{
+    Address parsed = 0;
+
+    Address_Parse(place(host, port).c_str(), &parsed);
+    return parsed;
+}
+
+std::string
+Cluster::common(const char *role, int host) const
+{
+    std::string seeds;
+
+    for (int i = 0; i < shape.entries; i++) {
+        seeds += (i == 0 ? "\"" : ",\"") + place(entry_host(i), PORT_RPC) +
+                 "\"";
+    }
+    return std::string("{\"role\":\"") + role +
+           "\",\"jobs\":\"leased\",\"hall\":\"hall-" +
+           std::to_string(host % 3) + "\",\"rpc\":\"" + place(host, PORT_RPC) +
+           "\",\"rpc_listen\":\"" + place(host, PORT_RPC_LISTEN) +
+           "\",\"admin\":\"" + place(host, PORT_ADMIN) + "\",\"seeds\":[" +
+           seeds +
+           "],\"times\":{\"resubmit_ms\":1300,\"beat_ms\":500,"
+           "\"grace_ms\":3000},";
+}
+
+void
+Cluster::set_up()
+{
+    store.reset(new Store(loop, address(STORE_HOST, PORT_STORE)));
+    for (int i = 0; i < shape.companions; i++) {
+        int host = companion_host(i);
+        upstreams.emplace_back(
+            new Upstream(loop, client, "upstream-" + std::to_string(i),
+                         address(host, PORT_APP), address(host, PORT_BEATS)));
+        upstream_app.emplace_back(new Proxy(
+            loop, address(host, PORT_APP_PROXY), address(host, PORT_APP)));
+        companion_rpc.emplace_back(new Proxy(loop, address(host, PORT_RPC),
+                                             address(host, PORT_RPC_LISTEN)));
+        companions.emplace_back(
+            new Process(loop, "companion-" + std::to_string(i), shape.program,
+                        shape.folder,
+                        common("companion", host) + "\"upstream\":\"" +
+                            place(host, PORT_APP_PROXY) + "\",\"beats\":\"" +
+                            place(host, PORT_BEATS) + "\"}"));
+    }
+    for (int i = 0; i < shape.entries; i++) {
+        int host = entry_host(i);
+        entry_rpc.emplace_back(new Proxy(loop, address(host, PORT_RPC),
+                                         address(host, PORT_RPC_LISTEN)));
+        store_paths.emplace_back(new Proxy(loop, address(host, PORT_STORE),
+                                           address(STORE_HOST, PORT_STORE)));
+        entries.emplace_back(new Process(
+            loop, "entry-" + std::to_string(i), shape.program, shape.folder,
+            common("entry", host) + "\"callers\":\"" +
+                place(host, PORT_FRONT) + "\",\"ready\":\"" +
+                place(host, PORT_READY) + "\",\"store\":\"" +
+                place(host, PORT_STORE) + "\"}"));
+    }
+}
+
+void
+Cluster::watch_upstreams()
+{
+    for (auto &one : upstreams) {
+        Upstream *upstream = one.get();
+        upstream->model.on_start = [this, upstream](const lc_run_id &id) {
+            checker.on_start(now(), upstream->name, id);
+        };
+        upstream->model.on_end = [this, upstream](const lc_run_id &id,
+                                                  Runner_End end) {
+            checker.on_end(now(), upstream->name, id, end);
+        };
+        upstream->model.work_of = [this](const lc_run_id &id) {
+            const Job *job = checker.find(id.job);
+            return job == nullptr ? 100 : job->work_ms;
+        };
+        upstream->come_up();
+    }
+}
+
+std::vector<Proxy *>
+Cluster::proxies()
+{
+    std::vector<Proxy *> all;
+
+    for (auto list :
+         {&entry_rpc, &companion_rpc, &upstream_app, &store_paths}) {
+        for (auto &one : *list) {
+            all.push_back(one.get());
+        }
+    }
+    return all;
+}
+
+std::vector<Process *>
+Cluster::processes()
+{
+    std::vector<Process *> all;
+
+    for (auto list : {&entries, &companions}) {
+        for (auto &one : *list) {
+            all.push_back(one.get());
+        }
+    }
+    return all;
+}
+
+void
+Cluster::start()
+{
+    for (Process *process : processes()) {
+        process->start();
+    }
+}
+
+void
+Cluster::put_routes()
+{
+    std::string rows;
+
+    version += 1 + pick(3);
+    /* Callers name an entry by its IP number. */
+    for (int i = 0; i < shape.entries; i++) {
+        std::string host = "\"host\":\"127.7.0." +
+                           std::to_string(entry_host(i)) + "\"";
+        rows += std::string(i == 0 ? "" : ",") + "{\"name\":\"queue\"," +
+                host +
+                ",\"path_prefix\":\"/q/\",\"service\":\"service\","
+                "\"timeout_ms\":1500,\"max_attempts\":3,\"stretch\":1.6,"
+                "\"target_latency_ms\":60},{\"name\":\"newest\"," +
+                host + ",\"path_prefix\":\"/v" + std::to_string(version) +
+                "/\",\"service\":\"service\"}";
+    }
+    store->put("config", "{\"version\":" + std::to_string(version) +
+                             ",\"routes\":[" + rows + "]}");
+}
+
+void
+Cluster::on_answer(void *context, const Http_ClientAnswer *http)
+{
+    std::unique_ptr<Attempt> attempt((Attempt *)context);
+    Cluster *self = attempt->cluster;
+    Job *job = self->checker.find(attempt->id);
+    Answer answer = {http->end == HTTP_CLIENT_ANSWERED, http->status, ""};
+
+    if (answer.whole) {
+        answer.body.assign(http->body, http->length);
+    }
+    if (http->end == HTTP_CLIENT_UNREACHED) {
+        answer = {true, 503, ""};
+    }
+    self->checker.on_answer(self->now(), *job, answer);
+    bool again = !answer.whole || answer.status == 502 || answer.status == 504;
+    if (again && job->tries < TRIES && !self->over) {
+        uint64_t id = job->id;
+        bool leaves = attempt->leaves;
+        self->after(RESUBMIT_MS,
+                    [self, id, leaves] { self->submit(id, leaves); });
+    }
+}
+
+void
+Cluster::submit(uint64_t id, bool leaves)
+{
+    Job *job = checker.find(id);
+    int entry = (int)pick((uint32_t)shape.entries);
+    char path[64];
+    std::string body =
+        "{\"spec\":\"soak\",\"best_effort\":true,\"steps\":[{\"count\":" +
+        std::to_string(job->tasks) +
+        ",\"cpu\":" + std::to_string(job->cpu_milli) +
+        ",\"mem_mb\":64,\"estimate_ms\":" + std::to_string(job->work_ms) +
+        "}]}";
+    Http_ClientRequest request = {};
+
+    job->tries++;
+    snprintf(path, sizeof(path), "/q/%016" PRIx64, id);
+    request.to = address(entry_host(entry), PORT_FRONT);
+    request.method = "POST";
+    request.path = path;
+    request.headers = "X-Deadline-Ms: 2000\r\n"
+                      "Content-Type: application/json\r\n";
+    request.body = body.data();
+    request.length = body.size();
+    request.timeout_ms = leaves && pick(20) == 0 ? 30 + pick(300) : CALLER_MS;
+    Http_Send(client, &request, on_answer, new Attempt{this, id, leaves});
+}
+
+uint64_t
+Cluster::hand_in(uint32_t tasks, uint32_t cpu_milli, int64_t work_ms,
+                 bool leaves)
+{
+    uint64_t id = ++jobs;
+
+    checker.add_job(id, tasks, cpu_milli, work_ms, now());
+    submit(id, leaves);
+    return id;
+}
+
+void
+Cluster::heal()
+{
+    say("heal");
+    store->manner = StoreManner::Well;
+    for (Proxy *proxy : proxies()) {
+        proxy->heal();
+    }
+    for (auto &one : upstreams) {
+        one->model.manner = {false, false, 1};
+        one->late_orders = false;
+        if (!one->model.is_up()) {
+            one->come_up();
+        }
+    }
+    for (Process *process : processes()) {
+        process->signal(SIGCONT);
+    }
+}
+
+void
+Cluster::probe_routes()
+{
+    for (int i = 0; i < shape.entries; i++) {
+        Http_ClientRequest request = {};
+        std::string path = "/v" + std::to_string(version) + "/";
+
+        request.to = address(entry_host(i), PORT_FRONT);
+        request.method = "GET";
+        request.path = path.c_str();
+        request.timeout_ms = 1000;
+        Http_Send(
+            client, &request,
+            [](void *context, const Http_ClientAnswer *answer) {
+                Cluster *self = (Cluster *)context;
+                if (answer->end != HTTP_CLIENT_ANSWERED ||
+                    answer->status != 200) {
+                    self->checker.violation(
+                        self->now(),
+                        "an entry does not know the newest configuration");
+                }
+            },
+            this);
+    }
+}
+
+void
+Cluster::finish()
+{
+    uint64_t own_ends = 0;
+
+    for (Process *process : processes()) {
+        own_ends += process->own_ends;
+    }
+    if (own_ends > 0) {
+        checker.violation(now(), std::to_string(own_ends) +
+                                     " processes ended by themselves");
+    }
+    checker.finish(now());
+    for (Process *process : processes()) {
+        process->finish();
+    }
+    after(300, [this] { uv_stop(loop); });
+}
+
+} // namespace soak
--- /dev/null
+++ b/tests/soak/cluster.h
@@ -0,0 +1,101 @@
+/**
+ * @file cluster.h
+ * @brief Real processes, stand-ins and proxies on loopback, in one loop, with
+ * callers that hand jobs in. The soak and the scenarios are played on it.
+ */
+#ifndef LC_TESTS_SOAK_CLUSTER_H
+#define LC_TESTS_SOAK_CLUSTER_H
+
+#include <uv.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "tests/soak/checker.h"
+#include "tests/soak/process.h"
+#include "tests/soak/proxy.h"
+#include "tests/soak/store.h"
+#include "tests/soak/upstream.h"
+
+namespace soak {
+
+/** Settings of a cluster. */
+struct Shape {
+    int entries = 3;
+    int companions = 6;
+    int base_port = 21000;
+    std::string program; /**< levercoved */
+    std::string folder;  /**< for settings and logs */
+    bool verbose = false;
+    uint64_t seed = 1;
+};
+
+/** One cluster; lives as long as the process. */
+class Cluster {
+  public:
+    explicit Cluster(const Shape &shape);
+
+    void start();
+    /** Ends all processes, then the loop. */
+    void finish();
+    /** Stand-ins, proxies and processes are well again. */
+    void heal();
+
+    /** Operators write the next version of the routes. */
+    void put_routes();
+    /** Every entry must know the newest routes by now. */
+    void probe_routes();
+
+    /** Makes a job and hands it in at a random entry; @p leaves says whether
+     * some callers hang up early. */
+    uint64_t hand_in(uint32_t tasks, uint32_t cpu_milli, int64_t work_ms,
+                     bool leaves);
+
+    /** ms since the cluster was made. */
+    int64_t
+    now() const
+    {
+        return (int64_t)uv_now(loop) - begin_ms;
+    }
+    uint32_t pick(uint32_t below);
+    void say(const std::string &text) const;
+    void after(int64_t ms, std::function<void()> run) const;
+    std::vector<Proxy *> proxies();
+    std::vector<Process *> processes();
+
+    Shape shape;
+    uv_loop_t *loop;
+    Checker checker;
+    std::unique_ptr<Store> store;
+    std::vector<std::unique_ptr<Process>> entries;
+    std::vector<std::unique_ptr<Process>> companions;
+    std::vector<std::unique_ptr<Upstream>> upstreams;
+    uint64_t jobs = 0;
+    bool over = false; /**< callers send nothing again */
+
+  private:
+    std::string place(int host, int port) const;
+    Address address(int host, int port) const;
+    std::string common(const char *role, int host) const;
+    void set_up();
+    void watch_upstreams();
+    void submit(uint64_t id, bool leaves);
+
+    struct Attempt;
+    static void on_answer(void *context, const Http_ClientAnswer *http);
+
+    int64_t begin_ms;
+    uint64_t random_state;
+    Http_Client *client;
+    std::vector<std::unique_ptr<Proxy>> entry_rpc;
+    std::vector<std::unique_ptr<Proxy>> companion_rpc;
+    std::vector<std::unique_ptr<Proxy>> upstream_app;
+    std::vector<std::unique_ptr<Proxy>> store_paths;
+    int64_t version = 0;
+};
+
+} // namespace soak
+
+#endif
--- /dev/null
+++ b/tests/soak/scenario.cc
@@ -0,0 +1,89 @@
+/*
+ * Single failures on a small cluster, for the operators' page: each hands a
+ * job in, lets something fail, and prints the job's identity and its answer.
+ * What the logs then say is looked at by tests/process/explain.sh.
+ */
+
+#include <glib.h>
+#include <signal.h>
+
+#include <cinttypes>
+#include <cstdio>
+#include <cstring>
+
+#include "tests/soak/cluster.h"
+
+namespace {
+
+const int64_t START_MS = 2500;
+const int64_t END_MS = 4500; /* after the start */
+
+soak::Cluster *cluster;
+uint64_t watched;
+
+/* All companions are gone: the job is refused. */
+void
+play_refusal()
+{
+    for (auto &process : cluster->companions) {
+        process->finish();
+    }
+    cluster->after(300,
+                   [] { watched = cluster->hand_in(2, 1000, 100, false); });
+}
+
+/* One upstream lets everything hang: the job is late, or tried elsewhere. */
+void
+play_grey()
+{
+    cluster->upstreams[0]->model.manner.stuck = true;
+    cluster->upstreams[1]->model.manner.stuck = true;
+    watched = cluster->hand_in(6, 3000, 200, false);
+}
+
+/* A companion dies in the middle of a job and does not come back. */
+void
+play_companion_dies()
+{
+    watched = cluster->hand_in(6, 3000, 700, false);
+    cluster->after(200, [] { cluster->companions[0]->finish(); });
+}
+
+const struct {
+    const char *name;
+    void (*play)();
+} scenarios[] = {
+    {"refusal", play_refusal},
+    {"grey", play_grey},
+    {"companion_dies", play_companion_dies},
+};
+
+} // namespace
+
+int
+main(int argc, char **argv)
+{
+    soak::Shape shape;
+
+    if (argc != 5) {
+        fprintf(stderr, "usage: scenario NAME LEVERCOVED FOLDER PORT\n");
+        return 2;
+    }
+    signal(SIGPIPE, SIG_IGN);
+    shape.entries = 1;
+    shape.companions = 2;
+    shape.program = argv[2];
+    shape.folder = argv[3];
+    shape.base_port = atoi(argv[4]);
+    cluster = new soak::Cluster(shape);
+    cluster->start();
+    for (const auto &one : scenarios) {
+        if (strcmp(one.name, argv[1]) == 0) {
+            cluster->after(START_MS, one.play);
+        }
+    }
+    cluster->after(START_MS + END_MS, [] { cluster->finish(); });
+    uv_run(cluster->loop, UV_RUN_DEFAULT);
+    printf("%016" PRIx64 "\n", watched);
+    return watched == 0;
+}
