Fuzzing of every decoder that a foreign byte reaches; a test of a log that nobody reads

With the log stalled for nine seconds of failing jobs every request has its answer and the dropped lines are counted.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -41,6 +41,7 @@
 check lease_cases "$SANITIZED/tests/lease_cases"
 check lease_rules "$SANITIZED/tests/lease_rules"
 check rules "$SANITIZED/tests/rules"
+check fuzz "$SANITIZED/tests/fuzz" tests/corpus 300
 check platform_names scripts/check_platform_names.sh
 check events scripts/check_events.sh "$BUILD"
 check properties env RC_PARAMS="seed=20261202 max_success=100" "$BUILD/tests/prop_cluster"
--- /dev/null
+++ b/tests/fuzz.c
@@ -0,0 +1,225 @@
+/*
+ * Fuzzing of every decoder that a foreign byte reaches: bodies of callers and
+ * upstreams, answers of upstreams, records of routes, RPC records, settings.
+ *
+ * Without a fuzzing engine: each file of the corpus, and many mutations of it
+ * by a fixed seed, is handed to each decoder. Whatever they answer is right;
+ * what is looked for is what the sanitizers find. Usage: fuzz FOLDER ROUNDS
+ */
+
+#include <glib.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "base/random.h"
+#include "daemon/options.h"
+#include "platform/callers.h"
+#include "platform/routes.h"
+#include "platform/upstreams.h"
+#include "wire/msg.h"
+
+#define MOST_EDITS 8
+
+typedef void (*decoder)(const char *bytes, size_t length);
+
+static void
+decode_job(const char *bytes, size_t length)
+{
+    Callers_Raw raw = {.body = bytes, .length = length};
+    Status status = {ERR_OK, ""};
+    LeasedJob job;
+
+    if (Callers_ParseJob(&raw, 1, &job, &status) == ERR_OK) {
+        LeasedJob_Check(&job, &status);
+        LeasedJob_ChainMs(&job);
+        LeasedJob_Clear(&job);
+    }
+}
+
+static void
+decode_request(const char *bytes, size_t length)
+{
+    char *text = g_strndup(bytes, length);
+    Callers_Raw raw = {.method = "POST", .path = text, .deadline = text};
+    Callers_Request request;
+
+    Callers_Parse(&raw, &request);
+    g_free(text);
+}
+
+static void
+decode_routes(const char *bytes, size_t length)
+{
+    Status status = {ERR_OK, ""};
+    Route_Table *table = Routes_Read(bytes, length, &status);
+
+    if (table != NULL) {
+        Route_Find(table, "a.example:1", "/x/y/z");
+        Route_FreeTable(table);
+    }
+}
+
+static void
+decode_beat(const char *bytes, size_t length)
+{
+    Status status = {ERR_OK, ""};
+    Upstreams_Beat beat;
+
+    Upstreams_ReadBeat("i-1", bytes, length, &beat, &status);
+    Upstreams_FreeBeat(&beat);
+}
+
+static void
+decode_listing(const char *bytes, size_t length)
+{
+    Http_ClientAnswer answer = {.end = HTTP_CLIENT_ANSWERED,
+                                .status = 200,
+                                .body = bytes,
+                                .length = length};
+    Upstreams_Listing listing;
+
+    Upstreams_ReadListing(&answer, &listing);
+    Upstreams_FreeListing(&listing);
+}
+
+static void
+decode_rpc(const char *bytes, size_t length)
+{
+    Msg_Record record;
+    Msg_Reply reply;
+    int kind;
+
+    Msg_Decode((const uint8_t *)bytes, length, &record);
+    if (record.type == MSG_IS_CALL) {
+        Msg_FreeCall(&record.call);
+    }
+    for (kind = 0; kind < MSG_COUNT; kind++) {
+        if (Msg_DecodeReply((Msg_Kind)kind, (const uint8_t *)bytes, length,
+                            &reply)) {
+            Msg_FreeReply(&reply);
+        }
+    }
+}
+
+static void
+decode_settings(const char *bytes, size_t length)
+{
+    char *name = NULL;
+    int fd = g_file_open_tmp("levercove-XXXXXX", &name, NULL);
+    char *errors = NULL;
+    Options options;
+
+    if (fd >= 0 && write(fd, bytes, length) == (ssize_t)length) {
+        Options_Load(name, &options, &errors);
+    }
+    close(fd);
+    unlink(name);
+    g_free(errors);
+    g_free(name);
+}
+
+static const decoder decoders[] = {
+    decode_job,     decode_request, decode_routes,   decode_beat,
+    decode_listing, decode_rpc,     decode_settings,
+};
+
+/* One more byte, one less, a flipped bit, a run copied, or a cut. */
+static void
+edit(GByteArray *bytes, uint64_t *random)
+{
+    guint place = bytes->len == 0 ? 0
+                                  : (guint)(Random_Next(random) % bytes->len);
+    guint8 byte = (guint8)Random_Next(random);
+
+    switch (Random_Next(random) % 5) {
+    case 0:
+        g_byte_array_append(bytes, &byte, 1);
+        break;
+    case 1:
+        if (bytes->len > 0) {
+            g_byte_array_remove_index(bytes, place);
+        }
+        break;
+    case 2:
+        if (bytes->len > 0) {
+            bytes->data[place] ^= (guint8)(1U << (byte % 8));
+        }
+        break;
+    case 3:
+        if (bytes->len > 0) {
+            GByteArray *copy = g_byte_array_new();
+            g_byte_array_append(copy, bytes->data + place,
+                                MIN(bytes->len - place, 32));
+            g_byte_array_append(bytes, copy->data, copy->len);
+            g_byte_array_unref(copy);
+        }
+        break;
+    default:
+        g_byte_array_set_size(bytes, place);
+        break;
+    }
+}
+
+static void
+try_all(const GByteArray *bytes)
+{
+    size_t i;
+
+    for (i = 0; i < G_N_ELEMENTS(decoders); i++) {
+        /* A copy of its own, so that a read past its end is found. */
+        char *copy = bytes->len == 0 ? g_malloc(1)
+                                     : g_memdup2(bytes->data, bytes->len);
+        decoders[i](copy, bytes->len);
+        g_free(copy);
+    }
+}
+
+static void
+fuzz_file(const char *file, int rounds, uint64_t *random)
+{
+    char *text = NULL;
+    gsize length = 0;
+    int round;
+
+    if (!g_file_get_contents(file, &text, &length, NULL)) {
+        fprintf(stderr, "fuzz: cannot read %s\n", file);
+        exit(1);
+    }
+    for (round = 0; round < rounds; round++) {
+        GByteArray *bytes = g_byte_array_new();
+        int edits = round == 0 ? 0
+                               : 1 + (int)(Random_Next(random) % MOST_EDITS);
+        g_byte_array_append(bytes, (const guint8 *)text, (guint)length);
+        while (edits-- > 0) {
+            edit(bytes, random);
+        }
+        try_all(bytes);
+        g_byte_array_unref(bytes);
+    }
+    g_free(text);
+}
+
+int
+main(int argc, char **argv)
+{
+    uint64_t random = Random_Seed(20261202);
+    GDir *folder = argc == 3 ? g_dir_open(argv[1], 0, NULL) : NULL;
+    const char *name;
+    int files = 0;
+
+    if (folder == NULL) {
+        fprintf(stderr, "usage: fuzz FOLDER ROUNDS\n");
+        return 2;
+    }
+    while ((name = g_dir_read_name(folder)) != NULL) {
+        char *file = g_build_filename(argv[1], name, NULL);
+        fuzz_file(file, atoi(argv[2]), &random);
+        g_free(file);
+        files++;
+    }
+    g_dir_close(folder);
+    printf("%d files, %s rounds each\n", files, argv[2]);
+    return files == 0;
+}
--- /dev/null
+++ b/tests/process/stalled_log.sh
@@ -0,0 +1,14 @@
+#!/usr/bin/env bash
+# Nobody reads an entry's log under load: every request is answered as soon as
+# ever, what was dropped is counted, and lines of failures are kept first.
+set -u
+cd "$(dirname "$0")/../.."
+BUILD=${BUILD:-build}
+DIR=$(mktemp -d)
+trap 'rm -rf "$DIR"' EXIT
+"$BUILD/tests/scenario" stalled_reader "$PWD/$BUILD/daemon/levercoved" "$DIR" 24300 >"$DIR/out" 2>&1 ||
+    { cat "$DIR/out"; exit 1; }
+grep -qE 'answers: 2xx [1-9][0-9]*, 5xx [0-9]+, none 0' "$DIR/out" ||
+    { echo "requests without an answer: $(cat "$DIR/out")"; exit 1; }
+grep -q '"event":"LC107"' "$DIR/entry-0.log" ||
+    { echo "no line tells of dropped lines; $(wc -c <"$DIR/entry-0.log") bytes"; cat "$DIR/out"; exit 1; }
--- a/tests/soak/cluster.cc
+++ b/tests/soak/cluster.cc
@@ -2,6 +2,7 @@
 
 #include <signal.h>
 
+#include <algorithm>
 #include <cinttypes>
 #include <cstdio>
 #include <cstdlib>
@@ -56,6 +57,7 @@
     Cluster *cluster;
     uint64_t id;
     bool leaves;
+    int64_t sent_ms;
 };
 
 Cluster::Cluster(const Shape &wanted)
@@ -256,6 +258,8 @@
     Answer answer = {http->end == HTTP_CLIENT_ANSWERED, http->status, ""};
 
     if (answer.whole) {
+        self->slowest_ms = std::max(self->slowest_ms,
+                                    self->now() - attempt->sent_ms);
         answer.body.assign(http->body, http->length);
     }
     if (http->end == HTTP_CLIENT_UNREACHED) {
@@ -295,7 +299,8 @@
     request.body = body.data();
     request.length = body.size();
     request.timeout_ms = leaves && pick(20) == 0 ? 30 + pick(300) : CALLER_MS;
-    Http_Send(client, &request, on_answer, new Attempt{this, id, leaves});
+    Http_Send(client, &request, on_answer,
+              new Attempt{this, id, leaves, now()});
 }
 
 uint64_t
--- a/tests/soak/cluster.h
+++ b/tests/soak/cluster.h
@@ -73,7 +73,8 @@
     std::vector<std::unique_ptr<Process>> companions;
     std::vector<std::unique_ptr<Upstream>> upstreams;
     uint64_t jobs = 0;
-    bool over = false; /**< callers send nothing again */
+    bool over = false;      /**< callers send nothing again */
+    int64_t slowest_ms = 0; /**< of all attempts that were answered */
 
   private:
     std::string place(int host, int port) const;
--- a/tests/soak/process.cc
+++ b/tests/soak/process.cc
@@ -48,6 +48,12 @@
     stdio[1].flags = UV_INHERIT_FD;
     stdio[1].data.fd = log;
     stdio[2] = stdio[1];
+    if (stalled) {
+        uv_pipe_init(loop, &log_pipe, 0);
+        log_pipe.data = this;
+        stdio[1].flags = (uv_stdio_flags)(UV_CREATE_PIPE | UV_WRITABLE_PIPE);
+        stdio[1].data.stream = (uv_stream_t *)&log_pipe;
+    }
     options.file = program.c_str();
     options.args = words;
     options.stdio = stdio;
@@ -85,6 +91,32 @@
     self->down_ms = RESTART_MS;
 }
 
+void
+Process::on_log(uv_stream_t *stream, ssize_t count, const uv_buf_t *buffer)
+{
+    Process *self = (Process *)stream->data;
+
+    if (count > 0) {
+        FILE *file = fopen(self->log_file.c_str(), "a");
+        fwrite(buffer->base, 1, (size_t)count, file);
+        fclose(file);
+    }
+    else if (count < 0) {
+        uv_read_stop(stream);
+    }
+}
+
+void
+Process::drain_log()
+{
+    uv_read_start((uv_stream_t *)&log_pipe,
+                  [](uv_handle_t *, size_t, uv_buf_t *buffer) {
+                      static char chunk[65536];
+                      *buffer = uv_buf_init(chunk, sizeof(chunk));
+                  },
+                  on_log);
+}
+
 void
 Process::on_restart(uv_timer_t *timer)
 {
--- a/tests/soak/process.h
+++ b/tests/soak/process.h
@@ -25,6 +25,15 @@
     /** Ends it for good. */
     void finish();
 
+    /** From the next start on, nobody reads the log until drain_log. */
+    void
+    stall_log()
+    {
+        stalled = true;
+    }
+    /** Reads what waits, and all that follows, into the log's file. */
+    void drain_log();
+
     bool
     is_up() const
     {
@@ -44,12 +53,16 @@
   private:
     static void on_exit(uv_process_t *process, int64_t status, int number);
     static void on_restart(uv_timer_t *timer);
+    static void on_log(uv_stream_t *stream, ssize_t count,
+                       const uv_buf_t *buffer);
 
     uv_loop_t *loop;
     std::string program;
     std::string log_file;
     std::string settings_file;
     uv_process_t *handle = nullptr;
+    uv_pipe_t log_pipe;
+    bool stalled = false;
     uv_timer_t restart;
     bool up = false;
     bool wanted = true;
--- a/tests/soak/scenario.cc
+++ b/tests/soak/scenario.cc
@@ -17,6 +17,8 @@
 
 const int64_t START_MS = 2500;
 const int64_t END_MS = 4500; /* after the start */
+const int64_t STALL_MS = 9000;
+const int64_t ANSWERS_MS = 3500; /* until the last caller has its answer */
 
 soak::Cluster *cluster;
 uint64_t watched;
@@ -49,13 +51,40 @@
     cluster->after(200, [] { cluster->companions[0]->finish(); });
 }
 
+/* Nobody reads the entry's log while hundreds of jobs fail: no answer is
+ * held up, and what was dropped is counted. */
+void
+stalled_load()
+{
+    if (cluster->now() > START_MS + STALL_MS) {
+        cluster->entries[0]->drain_log();
+        cluster->over = true;
+        return;
+    }
+    for (int i = 0; i < 2; i++) {
+        watched = cluster->hand_in(4, 500, 20, false);
+    }
+    cluster->after(10, stalled_load);
+}
+
+void
+play_stalled_reader()
+{
+    for (auto &upstream : cluster->upstreams) {
+        upstream->model.manner.failing = true;
+    }
+    stalled_load();
+}
+
 const struct {
     const char *name;
     void (*play)();
+    int64_t length_ms;
 } scenarios[] = {
-    {"refusal", play_refusal},
-    {"grey", play_grey},
-    {"companion_dies", play_companion_dies},
+    {"refusal", play_refusal, END_MS},
+    {"grey", play_grey, END_MS},
+    {"companion_dies", play_companion_dies, END_MS},
+    {"stalled_reader", play_stalled_reader, STALL_MS + ANSWERS_MS},
 };
 
 } // namespace
@@ -76,14 +105,23 @@
     shape.folder = argv[3];
     shape.base_port = atoi(argv[4]);
     cluster = new soak::Cluster(shape);
+    if (strcmp(argv[1], "stalled_reader") == 0) {
+        cluster->entries[0]->stall_log();
+    }
     cluster->start();
     for (const auto &one : scenarios) {
         if (strcmp(one.name, argv[1]) == 0) {
             cluster->after(START_MS, one.play);
+            cluster->after(START_MS + one.length_ms,
+                           [] { cluster->finish(); });
         }
     }
-    cluster->after(START_MS + END_MS, [] { cluster->finish(); });
     uv_run(cluster->loop, UV_RUN_DEFAULT);
     printf("%016" PRIx64 "\n", watched);
+    fprintf(stderr,
+            "answers: 2xx %" PRIu64 ", 5xx %" PRIu64 ", none %" PRIu64
+            ", slowest %" PRId64 " ms\n",
+            cluster->checker.answers[2], cluster->checker.answers[5],
+            cluster->checker.answers[0], cluster->slowest_ms);
     return watched == 0;
 }
