Reports and gossip grow with the number of entries no more

Idle reports and gossip are spaced by the number of entries, a report says when the next one comes, and lists of entries are sent only where digests differ.

--- a/daemon/leased_companion.c
+++ b/daemon/leased_companion.c
@@ -16,7 +16,11 @@
 #define MOST_CONNECTIONS 16
 /* Entries are told of changes at most so often each, times their number. */
 #define REPORT_GAP_MS 7
-#define REPORT_IDLE_MS 500
+#define REPORT_GAP_MOST_MS 500
+/* ... and without a change so often, times their number, within bounds. */
+#define REPORT_IDLE_MS 80
+#define REPORT_IDLE_LEAST_MS 500
+#define REPORT_IDLE_MOST_MS 3000
 /* A planned stop ends so long before the kill. */
 #define STOP_MARGIN_MS 700
 #define OK_STATUS 200
@@ -146,6 +150,24 @@
 
 /* ---- entries ---- */
 
+/* Time between reports while nothing changes. */
+static int64_t
+idle_ms(const leased_companion *self)
+{
+    return Peers_SpacedMs(&self->peers, REPORT_IDLE_MS, REPORT_IDLE_LEAST_MS,
+                          REPORT_IDLE_MOST_MS);
+}
+
+static uint64_t
+known_digest(const leased_companion *self, int64_t now)
+{
+    GArray *live = Peers_Live(&self->peers, now, 0);
+    uint64_t digest = Peers_Digest(live);
+
+    g_array_unref(live);
+    return digest;
+}
+
 static void
 send_report(leased_companion *self, int64_t now, Peers_Row *peer)
 {
@@ -155,6 +177,8 @@
         return;
     }
     call.u.report.hall = (char *)(uintptr_t)self->process.options->hall;
+    call.u.report.next_ms = (u_int)idle_ms(self);
+    call.u.report.known = known_digest(self, now);
     peer->call_id = ++self->next_call;
     peer->asked_ms = now;
     peer->telling = Runner_Version(self->runner);
@@ -171,7 +195,8 @@
 static int64_t
 report_due(const leased_companion *self, int64_t now, const Peers_Row *peer)
 {
-    int64_t gap = (int64_t)REPORT_GAP_MS * self->peers.rows->len;
+    int64_t gap = Peers_SpacedMs(&self->peers, REPORT_GAP_MS, REPORT_GAP_MS,
+                                 REPORT_GAP_MOST_MS);
     int64_t since = now - peer->asked_ms;
 
     if (peer->call_id != 0) {
@@ -181,7 +206,7 @@
         return since >= Peers_PatienceMs(peer, now) ? 0 : -1;
     }
     if (peer->told == Runner_Version(self->runner)) {
-        return since >= REPORT_IDLE_MS ? 0 : -1;
+        return since >= idle_ms(self) ? 0 : -1;
     }
     return since >= gap ? 0 : gap - since;
 }
--- a/daemon/leased_entry.c
+++ b/daemon/leased_entry.c
@@ -16,7 +16,10 @@
  * started. */
 #define STILL_MS 200
 #define RESUME_MS 40
-#define GOSSIP_MS 300
+/* Entries talk to each other so often, times their number, within bounds. */
+#define GOSSIP_MS 75
+#define GOSSIP_LEAST_MS 300
+#define GOSSIP_MOST_MS 1500
 #define STARTING_MS 2000
 #define CANCEL_TIMEOUT_MS 1500
 #define STORE_CONNECTIONS 2
@@ -401,6 +404,14 @@
 
 /* ---- other entries ---- */
 
+/* Entries that spoke lately, and this one; free the array. */
+static GArray *
+known_entries(const leased_entry *self)
+{
+    return Peers_Live(&self->peers, self->awake_ms,
+                      self->process.options->rpc);
+}
+
 /* Texts are borrowed from the routes; free the array. */
 static GArray *
 own_counts(const leased_entry *self)
@@ -428,14 +439,17 @@
 static void
 send_gossip(leased_entry *self, int64_t now, Peers_Row *peer)
 {
-    GArray *live = Peers_Live(&self->peers, now);
+    GArray *live = known_entries(self);
     GArray *counts = own_counts(self);
     Msg_Call call = {.kind = MSG_GOSSIP};
 
     call.u.gossip.from = Dispatcher_Node(self->dispatcher);
     call.u.gossip.routes_version = routes_version(self);
-    call.u.gossip.entries.entries_len = live->len;
-    call.u.gossip.entries.entries_val = (u_quad_t *)(void *)live->data;
+    call.u.gossip.known = Peers_Digest(live);
+    if (peer->digest != call.u.gossip.known) {
+        call.u.gossip.entries.entries_len = live->len;
+        call.u.gossip.entries.entries_val = (u_quad_t *)(void *)live->data;
+    }
     call.u.gossip.waiting.waiting_len = counts->len;
     call.u.gossip.waiting.waiting_val = (lc_queue_count *)(void *)counts->data;
     peer->call_id = ++self->next_call | OWN_CALL;
@@ -448,13 +462,15 @@
 static void
 gossip(leased_entry *self, int64_t now)
 {
+    int64_t spaced = Peers_SpacedMs(&self->peers, GOSSIP_MS, GOSSIP_LEAST_MS,
+                                    GOSSIP_MOST_MS);
     guint i;
 
     for (i = 0; i < self->peers.rows->len; i++) {
         Peers_Row *peer = g_ptr_array_index(self->peers.rows, i);
         int64_t patience = Peers_PatienceMs(peer, now);
         int64_t since = now - peer->asked_ms;
-        if (peer->call_id == 0 && since >= MIN(GOSSIP_MS, patience)) {
+        if (peer->call_id == 0 && since >= MIN(spaced, patience)) {
             send_gossip(self, now, peer);
         }
         else if (peer->call_id != 0 && since >= patience) {
@@ -464,8 +480,9 @@
 }
 
 static void
-take_news(leased_entry *self, Address from, const u_quad_t *entries,
-          u_int entry_count, const lc_queue_count *counts, u_int count)
+take_news(leased_entry *self, Address from, uint64_t digest,
+          const u_quad_t *entries, u_int entry_count,
+          const lc_queue_count *counts, u_int count)
 {
     int64_t now = self->awake_ms;
     Peers_Row *peer;
@@ -481,6 +498,7 @@
     if (peer == NULL) {
         return;
     }
+    peer->digest = digest;
     g_array_set_size(peer->waiting, 0);
     for (i = 0; i < count; i++) {
         Peers_Count row = {.waiting = counts[i].waiting};
@@ -498,14 +516,17 @@
     GArray *live;
     GArray *counts = own_counts(self);
 
-    take_news(self, args->from.address, args->entries.entries_val,
+    take_news(self, args->from.address, args->known, args->entries.entries_val,
               args->entries.entries_len, args->waiting.waiting_val,
               args->waiting.waiting_len);
-    live = Peers_Live(&self->peers, self->awake_ms);
+    live = known_entries(self);
     result->from = Dispatcher_Node(self->dispatcher);
     result->routes_version = routes_version(self);
-    result->entries.entries_len = live->len;
-    result->entries.entries_val = (u_quad_t *)(void *)live->data;
+    result->known = Peers_Digest(live);
+    if (args->known != result->known) {
+        result->entries.entries_len = live->len;
+        result->entries.entries_val = (u_quad_t *)(void *)live->data;
+    }
     result->waiting.waiting_len = counts->len;
     result->waiting.waiting_val = (lc_queue_count *)(void *)counts->data;
     if (self->routes != NULL && args->routes_version < self->routes->version) {
@@ -520,9 +541,9 @@
 static void
 take_gossip(leased_entry *self, const lc_gossip_res *result)
 {
-    take_news(self, result->from.address, result->entries.entries_val,
-              result->entries.entries_len, result->waiting.waiting_val,
-              result->waiting.waiting_len);
+    take_news(self, result->from.address, result->known,
+              result->entries.entries_val, result->entries.entries_len,
+              result->waiting.waiting_val, result->waiting.waiting_len);
     if (result->routes.routes_len > 0) {
         take_routes(self, result->routes.routes_val, result->routes.routes_len,
                     Address_Text(result->from.address));
@@ -534,11 +555,13 @@
               const lc_report_args *args)
 {
     Msg_Reply reply = {.kind = MSG_REPORT};
-    GArray *live = Peers_Live(&self->peers, now);
+    GArray *live = known_entries(self);
 
     reply.u.report.entry = Dispatcher_Node(self->dispatcher);
-    reply.u.report.entries.entries_len = live->len;
-    reply.u.report.entries.entries_val = (u_quad_t *)(void *)live->data;
+    if (args->known != Peers_Digest(live)) {
+        reply.u.report.entries.entries_len = live->len;
+        reply.u.report.entries.entries_val = (u_quad_t *)(void *)live->data;
+    }
     Process_PortReply(&self->process, reply_id, &reply);
     g_array_unref(live);
     Dispatcher_OnReport(self->dispatcher, now, args);
--- a/lease/choice.c
+++ b/lease/choice.c
@@ -7,8 +7,8 @@
 
 #define PERCENT 100
 #define SLOW_PERCENT 200
-/* Companions report at least every half second. */
-#define SILENT_MS 1100
+/* A companion may be late with its next word by so much. */
+#define SILENT_MS 600
 /* Costs in ms. */
 #define OTHER_HALL_MS 1
 #define SPREAD_MS 4
@@ -23,7 +23,9 @@
 bool
 Choice_IsHeard(const Fleet_Host *host, int64_t now_ms)
 {
-    return now_ms - host->received_ms < SILENT_MS;
+    int64_t promised_ms = host->reported_ms + host->next_ms;
+
+    return now_ms < MAX(host->received_ms, promised_ms) + SILENT_MS;
 }
 
 bool
--- a/lease/fleet.c
+++ b/lease/fleet.c
@@ -119,6 +119,8 @@
     replace_text(&host->instance, report->instance);
     take_labels(host, report);
     host->capacity = report->capacity;
+    host->next_ms = report->next_ms;
+    host->reported_ms = now_ms;
     Fleet_TakeState(host, now_ms, &report->host);
     return change;
 }
--- a/lease/fleet.h
+++ b/lease/fleet.h
@@ -30,6 +30,8 @@
     uint32_t pace_percent;
     int64_t stamp_ms;       /**< its clock at its last word */
     int64_t received_ms;    /**< when that arrived */
+    int64_t reported_ms;    /**< when its last report arrived */
+    uint32_t next_ms;       /**< after which the next was promised */
     int64_t valid_until_ms; /**< on its clock: the furthest hold sent */
     int64_t held_ms;        /**< when that was sent; 0 for never */
     uint32_t running;       /**< runs of this entry that are not over */
--- a/lease/peers.c
+++ b/lease/peers.c
@@ -1,7 +1,9 @@
 #include "lease/peers.h"
 
+#include <xxhash.h>
+
 /* Who has not spoken for so long is not told of to others. */
-#define LIVE_MS 3000
+#define LIVE_MS 8000
 /* Who is no seed and was neither heard nor named for so long is dropped. */
 #define FORGET_MS 20000
 
@@ -151,11 +153,14 @@
 }
 
 GArray *
-Peers_Live(const Peers *peers, int64_t now_ms)
+Peers_Live(const Peers *peers, int64_t now_ms, Address with)
 {
     GArray *live = g_array_new(FALSE, FALSE, sizeof(Address));
     guint i;
 
+    if (with != 0) {
+        g_array_append_val(live, with);
+    }
     for (i = 0; i < peers->rows->len; i++) {
         const Peers_Row *row = g_ptr_array_index(peers->rows, i);
         if (Peers_IsLive(row, now_ms)) {
@@ -164,3 +169,23 @@
     }
     return live;
 }
+
+uint64_t
+Peers_Digest(const GArray *addresses)
+{
+    uint64_t digest = 0;
+    guint i;
+
+    for (i = 0; i < addresses->len; i++) {
+        Address address = g_array_index(addresses, Address, i);
+        digest ^= XXH3_64bits(&address, sizeof(address));
+    }
+    return digest;
+}
+
+int64_t
+Peers_SpacedMs(const Peers *peers, int64_t each_ms, int64_t least_ms,
+               int64_t most_ms)
+{
+    return CLAMP(each_ms * (int64_t)peers->rows->len, least_ms, most_ms);
+}
--- a/lease/peers.h
+++ b/lease/peers.h
@@ -26,6 +26,7 @@
     uint64_t call_id; /**< call on its way, or 0 */
     uint64_t told;    /**< version of our state that it was told */
     uint64_t telling; /**< version on its way */
+    uint64_t digest;  /**< of the entries that it knows, as it told last */
     GArray *waiting;  /**< Peers_Count, as it told last */
 } Peers_Row;
 
@@ -71,7 +72,16 @@
  * seldom after some seconds. */
 int64_t Peers_PatienceMs(const Peers_Row *row, int64_t now_ms);
 
-/** Addresses that spoke lately; the caller frees the array. */
-GArray *Peers_Live(const Peers *peers, int64_t now_ms);
+/** Addresses that spoke lately, and @p with unless it is 0; the caller frees
+ * the array. */
+GArray *Peers_Live(const Peers *peers, int64_t now_ms, Address with);
+
+/** Digest of a set of addresses, whatever their order. */
+uint64_t Peers_Digest(const GArray *addresses);
+
+/** How often one that is well is called, in ms: so often that the calls of
+ * all together stay few, within bounds. */
+int64_t Peers_SpacedMs(const Peers *peers, int64_t each_ms, int64_t least_ms,
+                       int64_t most_ms);
 
 #endif
--- a/tests/lease_rules.c
+++ b/tests/lease_rules.c
@@ -451,6 +451,7 @@
     report.hall = (char *)(uintptr_t) "hall";
     report.service = (char *)(uintptr_t) "service";
     report.instance = (char *)(uintptr_t) "i-1";
+    report.next_ms = 500;
     Dispatcher_OnReport(fix->dispatcher, fix->now_ms, &report);
 }
 
--- a/tests/lease_world.cc
+++ b/tests/lease_world.cc
@@ -879,6 +879,7 @@
                 copy.instance = (char *)instance.c_str();
                 copy.service = (char *)service.c_str();
                 copy.capacity = room;
+                copy.next_ms = 500;
                 Dispatcher_OnReport(entry->dispatcher, now, &copy);
             });
         });
--- a/wire/levercove.h
+++ b/wire/levercove.h
@@ -410,6 +410,8 @@
 		u_int labels_len;
 		lc_label *labels_val;
 	} labels;
+	u_int next_ms;
+	u_quad_t known;
 };
 typedef struct lc_report_args lc_report_args;
 
@@ -431,6 +433,7 @@
 struct lc_gossip_args {
 	lc_node from;
 	quad_t routes_version;
+	u_quad_t known;
 	struct {
 		u_int entries_len;
 		u_quad_t *entries_val;
@@ -445,6 +448,7 @@
 struct lc_gossip_res {
 	lc_node from;
 	quad_t routes_version;
+	u_quad_t known;
 	struct {
 		u_int entries_len;
 		u_quad_t *entries_val;
--- a/wire/levercove.x
+++ b/wire/levercove.x
@@ -339,11 +339,13 @@
     string instance<LC_MAX_NAME>;
     lc_resources capacity;
     lc_label labels<LC_MAX_LABELS>;
+    unsigned int next_ms;  /* the next report comes by then, if only the time passes */
+    unsigned hyper known;  /* digest of the entries it knows */
 };
 
 struct lc_report_res {
     lc_node entry;
-    unsigned hyper entries<LC_MAX_PEERS>;
+    unsigned hyper entries<LC_MAX_PEERS>; /* none if the digest is ours */
 };
 
 /* Jobs of a queue that no task of has begun. */
@@ -356,13 +358,15 @@
 struct lc_gossip_args {
     lc_node from;
     hyper routes_version;
-    unsigned hyper entries<LC_MAX_PEERS>;
+    unsigned hyper known; /* digest of the entries it knows, with itself */
+    unsigned hyper entries<LC_MAX_PEERS>; /* none if the other knows them */
     lc_queue_count waiting<LC_MAX_QUEUES>;
 };
 
 struct lc_gossip_res {
     lc_node from;
     hyper routes_version;
+    unsigned hyper known;
     unsigned hyper entries<LC_MAX_PEERS>;
     lc_queue_count waiting<LC_MAX_QUEUES>;
     opaque routes<LC_MAX_RECORD>; /* empty if not newer */
--- a/wire/levercove_xdr.c
+++ b/wire/levercove_xdr.c
@@ -768,6 +768,10 @@
 	 if (!xdr_array (xdrs, (char **)&objp->labels.labels_val, (u_int *) &objp->labels.labels_len, LC_MAX_LABELS,
 		sizeof (lc_label), (xdrproc_t) xdr_lc_label))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->next_ms))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->known))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -805,6 +809,8 @@
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->routes_version))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->known))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->entries.entries_val, (u_int *) &objp->entries.entries_len, LC_MAX_PEERS,
 		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
 		 return FALSE;
@@ -823,6 +829,8 @@
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->routes_version))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->known))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->entries.entries_val, (u_int *) &objp->entries.entries_len, LC_MAX_PEERS,
 		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
 		 return FALSE;
