--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -53,6 +53,8 @@
     name=$(basename "$file" .sh)
     [ "$name" = lib ] || process_test "$name"
 done
+check soak_checker "$BUILD/tests/soak_checker"
+check soak env BUILD="$BUILD" SEEDS="1 2" SECONDS_EACH=5 WORKERS=2 scripts/soak.sh
 check demo env BUILD="$BUILD" scripts/demo.sh
 [ "$known" = 0 ] || echo "$known known red"
 echo "$passed passed, $failed failed"
--- a/tests/soak/cluster.cc
+++ b/tests/soak/cluster.cc
@@ -69,6 +69,24 @@
     set_up();
     watch_upstreams();
     put_routes();
+    end_on(&terminate, SIGTERM);
+    end_on(&interrupt, SIGINT);
+}
+
+/* Whoever ends the soak ends what it started. */
+void
+Cluster::end_on(uv_signal_t *handle, int number)
+{
+    uv_signal_init(loop, handle);
+    handle->data = this;
+    uv_signal_start(
+        handle,
+        [](uv_signal_t *given, int) {
+            Cluster *self = (Cluster *)given->data;
+            self->checker.violation(self->now(), "the soak was ended early");
+            self->finish();
+        },
+        number);
 }
 
 uint32_t
--- a/tests/soak/cluster.h
+++ b/tests/soak/cluster.h
@@ -83,6 +83,7 @@
     void set_up();
     void watch_upstreams();
     void submit(uint64_t id, bool leaves);
+    void end_on(uv_signal_t *handle, int number);
 
     struct Attempt;
     static void on_answer(void *context, const Http_ClientAnswer *http);
@@ -95,6 +96,8 @@
     std::vector<std::unique_ptr<Proxy>> upstream_app;
     std::vector<std::unique_ptr<Proxy>> store_paths;
     int64_t version = 0;
+    uv_signal_t terminate;
+    uv_signal_t interrupt;
 };
 
 } // namespace soak
--- /dev/null
+++ b/tests/soak_checker.cc
@@ -0,0 +1,154 @@
+/*
+ * The soak's checker must itself be right: it is told of each kind of wrong,
+ * and of a run without any.
+ */
+
+#include <glib.h>
+
+#include "tests/soak/checker.h"
+
+namespace {
+
+const char *const PLACE = "upstream-0";
+const char *const OTHER = "upstream-1";
+
+lc_run_id
+run_of(uint64_t job, uint32_t index, uint32_t run)
+{
+    lc_run_id id = {};
+
+    id.job = job;
+    id.index = index;
+    id.run = run;
+    return id;
+}
+
+size_t
+count(soak::Checker &checker)
+{
+    checker.finish(1000);
+    return checker.violations.size();
+}
+
+void
+test_nothing_wrong()
+{
+    soak::Checker checker;
+    soak::Job &job = checker.add_job(1, 1, 1000, 100, 0);
+
+    checker.on_start(10, PLACE, run_of(1, 0, 1));
+    checker.on_end(110, PLACE, run_of(1, 0, 1), RUNNER_END_DONE);
+    checker.on_answer(111, job, {true, 200, "{\"state\":\"succeeded\"}"});
+    g_assert_cmpuint(count(checker), ==, 0);
+}
+
+void
+test_two_runs()
+{
+    soak::Checker checker;
+    soak::Job &job = checker.add_job(1, 1, 1000, 100, 0);
+
+    checker.on_start(10, PLACE, run_of(1, 0, 1));
+    checker.on_start(20, OTHER, run_of(1, 0, 2));
+    checker.on_end(30, PLACE, run_of(1, 0, 1), RUNNER_END_DONE);
+    checker.on_end(30, OTHER, run_of(1, 0, 2), RUNNER_END_DONE);
+    checker.on_answer(40, job, {false, 0, ""});
+    g_assert_cmpuint(count(checker), ==, 1);
+}
+
+void
+test_over_room()
+{
+    soak::Checker checker;
+
+    for (uint64_t id = 1; id <= 2; id++) {
+        soak::Job &job = checker.add_job(id, 1, 9000, 100, 0);
+        checker.on_start(10, PLACE, run_of(id, 0, 1));
+        checker.on_answer(40, job, {false, 0, ""});
+    }
+    for (uint64_t id = 1; id <= 2; id++) {
+        checker.on_end(50, PLACE, run_of(id, 0, 1), RUNNER_END_DONE);
+    }
+    g_assert_cmpuint(count(checker), ==, 1);
+}
+
+void
+test_done_without_all()
+{
+    soak::Checker checker;
+    soak::Job &job = checker.add_job(1, 2, 1000, 100, 0);
+
+    checker.on_start(10, PLACE, run_of(1, 0, 1));
+    checker.on_end(110, PLACE, run_of(1, 0, 1), RUNNER_END_DONE);
+    checker.on_answer(111, job, {true, 200, "{\"state\":\"succeeded\"}"});
+    g_assert_cmpuint(count(checker), ==, 1);
+}
+
+void
+test_refused_but_ran()
+{
+    soak::Checker checker;
+    soak::Job &job = checker.add_job(1, 1, 1000, 100, 0);
+
+    checker.on_start(10, PLACE, run_of(1, 0, 1));
+    checker.on_end(20, PLACE, run_of(1, 0, 1), RUNNER_END_STOPPED);
+    checker.on_answer(111, job, {true, 503, "{}"});
+    g_assert_cmpuint(count(checker), ==, 1);
+}
+
+void
+test_start_of_no_job()
+{
+    soak::Checker checker;
+
+    checker.on_start(10, PLACE, run_of(7, 0, 1));
+    checker.on_end(20, PLACE, run_of(7, 0, 1), RUNNER_END_STOPPED);
+    g_assert_cmpuint(count(checker), ==, 1);
+}
+
+void
+test_still_running()
+{
+    soak::Checker checker;
+    soak::Job &job = checker.add_job(1, 1, 1000, 100, 0);
+
+    checker.on_start(10, PLACE, run_of(1, 0, 1));
+    checker.on_answer(40, job, {false, 0, ""});
+    g_assert_cmpuint(count(checker), ==, 1);
+}
+
+void
+test_service_not_back()
+{
+    soak::Checker checker;
+
+    checker.calm_from_ms = 100;
+    checker.add_job(1, 1, 1000, 100, 200);
+    g_assert_cmpuint(count(checker), ==, 1);
+}
+
+const struct {
+    const char *name;
+    void (*run)();
+} tests[] = {
+    {"/checker/nothing wrong", test_nothing_wrong},
+    {"/checker/two runs at once", test_two_runs},
+    {"/checker/over room", test_over_room},
+    {"/checker/done without all tasks", test_done_without_all},
+    {"/checker/refused but ran", test_refused_but_ran},
+    {"/checker/a start of no job", test_start_of_no_job},
+    {"/checker/still running", test_still_running},
+    {"/checker/service not back", test_service_not_back},
+};
+
+} // namespace
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, nullptr);
+    for (const auto &one : tests) {
+        g_test_add_func(one.name, one.run);
+    }
+    return g_test_run();
+}
