One pass over waiting tasks for all input at hand; an entry says how often it wants reports

Now input is only noted, one pass follows when the loop has taken all of it, keys are computed once a pass, and companions report changes as often as the entry asks for: 500 a second of all together.

--- a/daemon/leased_companion.c
+++ b/daemon/leased_companion.c
@@ -14,10 +14,8 @@
 #define LOOK_SLACK_MS 120
 /* Connections kept open to the upstream. */
 #define MOST_CONNECTIONS 16
-/* Entries are told of changes at most so often each, times their number. */
-#define REPORT_GAP_MS 7
-#define REPORT_GAP_MOST_MS 500
-/* ... and without a change so often, times their number, within bounds. */
+/* Entries are told without a change so often, times their number, within
+ * bounds. */
 #define REPORT_IDLE_MS 80
 #define REPORT_IDLE_LEAST_MS 500
 #define REPORT_IDLE_MOST_MS 3000
@@ -195,8 +193,7 @@
 static int64_t
 report_due(const leased_companion *self, int64_t now, const Peers_Row *peer)
 {
-    int64_t gap = Peers_SpacedMs(&self->peers, REPORT_GAP_MS, REPORT_GAP_MS,
-                                 REPORT_GAP_MOST_MS);
+    int64_t gap = peer->gap_ms;
     int64_t since = now - peer->asked_ms;
 
     if (peer->call_id != 0) {
@@ -256,6 +253,7 @@
     u_int i;
 
     peer->told = peer->telling;
+    peer->gap_ms = result->gap_ms;
     if (Peers_Hear(&self->peers, peer->address, now)) {
         Event_Log(EVENT_PEER_FOUND, "%s", Address_Text(peer->address));
     }
--- a/daemon/leased_entry.c
+++ b/daemon/leased_entry.c
@@ -44,6 +44,7 @@
     Peers peers;
     Seeds seeds;
     uv_timer_t resume_timer;
+    uv_check_t settled;
     GHashTable *cancels; /* call id -> cancel */
     uint64_t next_call;
     int64_t started_ms;
@@ -71,7 +72,16 @@
 
     self->still = false;
     self->awake_ms = Process_Now().mono_ms;
-    Dispatcher_Resume(self->dispatcher, self->awake_ms);
+    Dispatcher_Resume(self->dispatcher);
+}
+
+/* All input at hand has been taken. */
+static void
+on_settled(uv_check_t *check)
+{
+    leased_entry *self = check->data;
+
+    Dispatcher_Settle(self->dispatcher, Process_Now().mono_ms);
 }
 
 /* Time now; notices that the process stood still. */
@@ -558,6 +568,7 @@
     GArray *live = known_entries(self);
 
     reply.u.report.entry = Dispatcher_Node(self->dispatcher);
+    reply.u.report.gap_ms = Dispatcher_ReportGapMs(self->dispatcher);
     if (args->known != Peers_Digest(live)) {
         reply.u.report.entries.entries_len = live->len;
         reply.u.report.entries.entries_val = (u_quad_t *)(void *)live->data;
@@ -781,6 +792,9 @@
     Seeds_Init(&self->seeds, options);
     uv_timer_init(loop, &self->resume_timer);
     self->resume_timer.data = self;
+    uv_check_init(loop, &self->settled);
+    self->settled.data = self;
+    uv_check_start(&self->settled, on_settled);
     self->dispatcher = new_dispatcher(self, options);
     if (self->dispatcher == NULL) {
         Event_Log(EVENT_BAD_SETTINGS, "times.resubmit_ms leaves no time for "
--- a/lease/active.c
+++ b/lease/active.c
@@ -135,11 +135,15 @@
 uint32_t
 Active_RemainingMs(const Active_Job *job)
 {
-    uint32_t longest[LEASED_JOB_MAX_STEPS] = {0};
+    uint32_t longest[LEASED_JOB_MAX_STEPS];
     uint32_t most = 0;
     uint32_t i;
     uint32_t j;
 
+    if (job->spec.step_count == 1) {
+        return Active_IsDone(job) ? 0 : job->spec.steps[0].estimate_ms;
+    }
+    memset(longest, 0, sizeof(longest));
     for (i = 0; i < job->task_count; i++) {
         const Active_Task *task = &job->tasks[i];
         if (!task->done) {
--- a/lease/dispatcher.c
+++ b/lease/dispatcher.c
@@ -24,7 +24,6 @@
     self->by_id = g_hash_table_new(g_int64_hash, g_int64_equal);
     self->by_request = g_hash_table_new_full(g_int64_hash, g_int64_equal,
                                              g_free, NULL);
-    self->queue = g_ptr_array_new();
     self->random = Random_Seed(config->node.incarnation ^ (uint64_t)now_ms);
     return self;
 }
@@ -47,7 +46,6 @@
     Handle_FreeTable(self->calls);
     g_hash_table_unref(self->by_id);
     g_hash_table_unref(self->by_request);
-    g_ptr_array_unref(self->queue);
     Fleet_Clear(&self->fleet);
     QueueStats_Clear(&self->stats);
     g_free(self);
@@ -136,7 +134,7 @@
     job->handle = Handle_Add(self->jobs, job);
     g_hash_table_insert(self->by_id, &job->spec.id, job);
     attach_request(self, job, submit->request_id);
-    DispatcherQueue_Pass(self, now_ms);
+    self->unsettled = true;
 }
 
 void
@@ -210,6 +208,15 @@
     return count;
 }
 
+void
+Dispatcher_Settle(Dispatcher *self, int64_t now_ms)
+{
+    if (self->unsettled && !self->paused) {
+        self->unsettled = false;
+        DispatcherQueue_Pass(self, now_ms);
+    }
+}
+
 void
 Dispatcher_Pause(Dispatcher *self)
 {
@@ -217,10 +224,10 @@
 }
 
 void
-Dispatcher_Resume(Dispatcher *self, int64_t now_ms)
+Dispatcher_Resume(Dispatcher *self)
 {
     self->paused = false;
-    DispatcherQueue_Pass(self, now_ms);
+    self->unsettled = true;
 }
 
 /* Asks again for runs whose fate is open, holding them no longer. */
@@ -307,7 +314,7 @@
         DispatcherHosts_Tend(self, now_ms,
                              g_ptr_array_index(self->fleet.hosts, i));
     }
-    DispatcherQueue_Pass(self, now_ms);
+    self->unsettled = true;
 }
 
 bool
--- a/lease/dispatcher.h
+++ b/lease/dispatcher.h
@@ -104,10 +104,14 @@
 void Dispatcher_OnReply(Dispatcher *dispatcher, int64_t now_ms,
                         uint64_t call_id, const Msg_Reply *reply);
 
+/** Sends the waiting tasks that find room. To be called when all input at
+ * hand has been taken: the functions above only note what came. */
+void Dispatcher_Settle(Dispatcher *dispatcher, int64_t now_ms);
+
 /** Starts nothing until Dispatcher_Resume: input that waited while the process
  * stood still must be read first. */
 void Dispatcher_Pause(Dispatcher *dispatcher);
-void Dispatcher_Resume(Dispatcher *dispatcher, int64_t now_ms);
+void Dispatcher_Resume(Dispatcher *dispatcher);
 
 /** Time has passed; to be called every `term.tick_ms` or more often. */
 void Dispatcher_Tick(Dispatcher *dispatcher, int64_t now_ms);
@@ -115,6 +119,10 @@
 /** Whether no job is unanswered and no run is unaccounted for. */
 bool Dispatcher_IsIdle(const Dispatcher *dispatcher);
 
+/** How often a companion should report changes at most, in ms, so that the
+ * reports of all together stay few. */
+uint32_t Dispatcher_ReportGapMs(const Dispatcher *dispatcher);
+
 /** Companions that take tasks now. */
 uint32_t Dispatcher_ReadyHosts(const Dispatcher *dispatcher, int64_t now_ms);
 
--- a/lease/dispatcher_hosts.c
+++ b/lease/dispatcher_hosts.c
@@ -7,6 +7,10 @@
  * not answered for so long. */
 #define RENEW_MS 100
 #define SUSPECT_MS 250
+/* Five hundred reports a second of all companions, within bounds. */
+#define REPORT_GAP_EACH_MS 2U
+#define REPORT_GAP_LEAST_MS 15U
+#define REPORT_GAP_MOST_MS 500U
 
 /* Whether nothing has been heard of any companion for some time. */
 bool
@@ -70,7 +74,7 @@
         host->running = 0;
         end_runs_at(self, now_ms, host->node.address, host->node.incarnation);
     }
-    DispatcherQueue_Pass(self, now_ms);
+    self->unsettled = true;
 }
 
 /* A companion that has not answered in time is sent nothing new, and its
@@ -105,6 +109,13 @@
     }
 }
 
+uint32_t
+Dispatcher_ReportGapMs(const Dispatcher *self)
+{
+    return CLAMP(self->fleet.hosts->len * REPORT_GAP_EACH_MS,
+                 REPORT_GAP_LEAST_MS, REPORT_GAP_MOST_MS);
+}
+
 uint32_t
 Dispatcher_ReadyHosts(const Dispatcher *self, int64_t now_ms)
 {
--- a/lease/dispatcher_queue.c
+++ b/lease/dispatcher_queue.c
@@ -5,40 +5,57 @@
 #include "lease/choice.h"
 #include "lease/resources.h"
 
-/* How urgent a job is: it can be in time, late, or worth nothing. */
-static int
-urgency_of(const Active_Job *job, int64_t now_ms, int64_t slack_ms)
+/* How urgent a job is; the smaller goes first. */
+typedef enum { RANK_IN_TIME, RANK_LATE, RANK_WORTHLESS } urgency_rank;
+
+typedef struct {
+    Active_Job *job;
+    urgency_rank rank;
+    int64_t slack_ms;
+} queue_entry;
+
+static queue_entry
+entry_of(Active_Job *job, int64_t now_ms)
 {
-    if (slack_ms >= 0) {
-        return 0;
+    uint32_t remaining_ms = Active_RemainingMs(job);
+    queue_entry entry = {
+        .job = job,
+        .rank = RANK_IN_TIME,
+        .slack_ms = job->objective_ms - now_ms - remaining_ms,
+    };
+
+    if (entry.slack_ms < 0) {
+        entry.rank = now_ms + remaining_ms <= Active_WorthlessAfter(job)
+                         ? RANK_LATE
+                         : RANK_WORTHLESS;
     }
-    return now_ms + Active_RemainingMs(job) <= Active_WorthlessAfter(job) ? 1
-                                                                          : 2;
+    return entry;
+}
+
+static gint
+compare_numbers(int64_t left, int64_t right)
+{
+    return left < right ? -1 : left > right;
 }
 
 /* Jobs that can meet their objective go first, the least slack before; the
  * others follow by priority and deadline, those worth nothing last. */
 static gint
-compare_urgency(gconstpointer a, gconstpointer b, gpointer now)
+compare_urgency(gconstpointer a, gconstpointer b)
 {
-    const Active_Job *left = *(const Active_Job *const *)a;
-    const Active_Job *right = *(const Active_Job *const *)b;
-    int64_t now_ms = *(const int64_t *)now;
-    int64_t left_slack = Active_SlackMs(left, now_ms);
-    int64_t right_slack = Active_SlackMs(right, now_ms);
-    int left_rank = urgency_of(left, now_ms, left_slack);
-    int right_rank = urgency_of(right, now_ms, right_slack);
-
-    if (left_rank != right_rank) {
-        return left_rank - right_rank;
+    const queue_entry *left = a;
+    const queue_entry *right = b;
+
+    if (left->rank != right->rank) {
+        return compare_numbers(left->rank, right->rank);
     }
-    if (left_rank > 0 && left->priority != right->priority) {
-        return left->priority < right->priority ? -1 : 1;
+    if (left->rank == RANK_IN_TIME) {
+        return compare_numbers(left->slack_ms, right->slack_ms);
     }
-    if (left_rank > 0) {
-        return left->deadline_ms < right->deadline_ms ? -1 : 1;
+    if (left->job->priority != right->job->priority) {
+        return compare_numbers(left->job->priority, right->job->priority);
     }
-    return left_slack < right_slack ? -1 : left_slack > right_slack;
+    return compare_numbers(left->job->deadline_ms, right->job->deadline_ms);
 }
 
 static void
@@ -66,9 +83,29 @@
                        Fleet_Hold(host, &self->config.term, now_ms));
 }
 
-/* Sends what fits of one job; false once a task found no host. */
-static bool
-dispatch_job(Dispatcher *self, int64_t now_ms, Active_Job *job)
+/* The most of each resource that any open companion has left. */
+static lc_resources
+largest_room(const Dispatcher *self, int64_t now_ms)
+{
+    lc_resources most = {0, 0, 0};
+    guint i;
+
+    for (i = 0; i < self->fleet.hosts->len; i++) {
+        const Fleet_Host *host = g_ptr_array_index(self->fleet.hosts, i);
+        if (Choice_IsOpen(host, now_ms)) {
+            most.cpu_milli = MAX(most.cpu_milli, host->room.cpu_milli);
+            most.memory_mb = MAX(most.memory_mb, host->room.memory_mb);
+            most.accelerators = MAX(most.accelerators,
+                                    host->room.accelerators);
+        }
+    }
+    return most;
+}
+
+/* Sends what fits of one job, up to the first task that finds no host. */
+static void
+dispatch_job(Dispatcher *self, int64_t now_ms, Active_Job *job,
+             lc_resources *largest)
 {
     Choice choice = {.fleet = &self->fleet,
                      .hall = self->config.hall,
@@ -82,46 +119,50 @@
         if (task->state != ACTIVE_WAITING || task->again_ms > now_ms) {
             continue;
         }
+        if (!Resources_Fit(&Active_Step(job, task)->need, largest)) {
+            return;
+        }
         host = Choice_Host(&choice, job, task);
         if (host == NULL) {
-            return false;
+            *largest = largest_room(self, now_ms);
+            return;
         }
         send_task(self, now_ms, job, task, host);
     }
-    return true;
 }
 
-static bool
-any_room(const Dispatcher *self, int64_t now_ms)
+/* Jobs with waiting tasks, the most urgent first; free the array. */
+static GArray *
+sorted_queue(const Dispatcher *self, int64_t now_ms)
 {
-    guint i;
+    GArray *queue = g_array_new(FALSE, FALSE, sizeof(queue_entry));
+    uint32_t i;
 
-    for (i = 0; i < self->fleet.hosts->len; i++) {
-        const Fleet_Host *host = g_ptr_array_index(self->fleet.hosts, i);
-        if (Choice_IsOpen(host, now_ms) && !Resources_IsNone(&host->room)) {
-            return true;
+    for (i = 0; i < Handle_Size(self->jobs); i++) {
+        Active_Job *job = Handle_At(self->jobs, i);
+        if (job != NULL && !job->closing && job->waiting > 0) {
+            queue_entry entry = entry_of(job, now_ms);
+            g_array_append_val(queue, entry);
         }
     }
-    return false;
+    g_array_sort(queue, compare_urgency);
+    return queue;
 }
 
 void
 DispatcherQueue_Pass(Dispatcher *self, int64_t now_ms)
 {
-    uint32_t i;
+    lc_resources largest = largest_room(self, now_ms);
+    GArray *queue;
+    guint i;
 
-    if (self->paused || !any_room(self, now_ms)) {
+    if (self->paused || Resources_IsNone(&largest)) {
         return;
     }
-    g_ptr_array_set_size(self->queue, 0);
-    for (i = 0; i < Handle_Size(self->jobs); i++) {
-        Active_Job *job = Handle_At(self->jobs, i);
-        if (job != NULL && !job->closing && job->waiting > 0) {
-            g_ptr_array_add(self->queue, job);
-        }
-    }
-    g_ptr_array_sort_with_data(self->queue, compare_urgency, &now_ms);
-    for (i = 0; i < self->queue->len; i++) {
-        dispatch_job(self, now_ms, g_ptr_array_index(self->queue, i));
+    queue = sorted_queue(self, now_ms);
+    for (i = 0; i < queue->len; i++) {
+        dispatch_job(self, now_ms, g_array_index(queue, queue_entry, i).job,
+                     &largest);
     }
+    g_array_unref(queue);
 }
--- a/lease/dispatcher_replies.c
+++ b/lease/dispatcher_replies.c
@@ -203,5 +203,5 @@
         break;
     }
     g_free(about);
-    DispatcherQueue_Pass(self, now_ms);
+    self->unsettled = true;
 }
--- a/lease/dispatcher_state.h
+++ b/lease/dispatcher_state.h
@@ -34,10 +34,10 @@
     Handle_Table *calls;    /* Dispatcher_Call */
     GHashTable *by_id;      /* job id -> Active_Job */
     GHashTable *by_request; /* request id -> Active_Job */
-    GPtrArray *queue;       /* scratch of a pass */
     uint64_t random;
     uint32_t unanswered;
     bool paused;
+    bool unsettled; /* something came that may let tasks be sent */
 };
 
 /* Log lines: dispatcher_log.c. */
--- a/lease/peers.h
+++ b/lease/peers.h
@@ -26,6 +26,7 @@
     uint64_t call_id; /**< call on its way, or 0 */
     uint64_t told;    /**< version of our state that it was told */
     uint64_t telling; /**< version on its way */
+    uint32_t gap_ms;  /**< it wants to be told at most so often */
     uint64_t digest;  /**< of the entries that it knows, as it told last */
     GArray *waiting;  /**< Peers_Count, as it told last */
 } Peers_Row;
--- a/tests/lease_rules.c
+++ b/tests/lease_rules.c
@@ -453,6 +453,7 @@
     report.instance = (char *)(uintptr_t) "i-1";
     report.next_ms = 500;
     Dispatcher_OnReport(fix->dispatcher, fix->now_ms, &report);
+    Dispatcher_Settle(fix->dispatcher, fix->now_ms);
 }
 
 static void
@@ -498,6 +499,7 @@
     submit.job.steps[0].need.cpu_milli = 1000;
     submit.job.steps[0].estimate_ms = 1000;
     Dispatcher_OnSubmit(fix->dispatcher, fix->now_ms, &submit);
+    Dispatcher_Settle(fix->dispatcher, fix->now_ms);
 }
 
 static int
@@ -539,6 +541,7 @@
     reply.u.run.host.room.memory_mb = 4096;
     reply.u.run.host.pace_percent = 100;
     Dispatcher_OnReply(fix->dispatcher, fix->now_ms, call->id, &reply);
+    Dispatcher_Settle(fix->dispatcher, fix->now_ms);
 }
 
 static void
@@ -547,6 +550,7 @@
     while (fix->now_ms < until_ms) {
         fix->now_ms += 50;
         Dispatcher_Tick(fix->dispatcher, fix->now_ms);
+        Dispatcher_Settle(fix->dispatcher, fix->now_ms);
     }
 }
 
@@ -560,7 +564,8 @@
     hand_in(&fix, 1, 1);
     g_assert_cmpint(calls_of(&fix, MSG_RUN), ==, 0);
     Dispatcher_OnCallerGone(fix.dispatcher, fix.now_ms, 1);
-    Dispatcher_Resume(fix.dispatcher, fix.now_ms);
+    Dispatcher_Resume(fix.dispatcher);
+    Dispatcher_Settle(fix.dispatcher, fix.now_ms);
     g_assert_cmpint(calls_of(&fix, MSG_RUN), ==, 0);
     hand_in(&fix, 2, 1);
     g_assert_cmpint(calls_of(&fix, MSG_RUN), ==, 1);
--- a/tests/lease_world.cc
+++ b/tests/lease_world.cc
@@ -339,6 +339,7 @@
     }
     touch(entry);
     run();
+    Dispatcher_Settle(entry->dispatcher, now);
 }
 
 /* As the process does: after standing still, all input is read first. */
@@ -351,7 +352,8 @@
         Dispatcher_Pause(entry->dispatcher);
         at(now + 40, [this, entry, life] {
             if (entry->life == life && entry->alive) {
-                Dispatcher_Resume(entry->dispatcher, now);
+                Dispatcher_Resume(entry->dispatcher);
+                Dispatcher_Settle(entry->dispatcher, now);
             }
         });
     }
--- a/wire/levercove.h
+++ b/wire/levercove.h
@@ -421,6 +421,7 @@
 		u_int entries_len;
 		u_quad_t *entries_val;
 	} entries;
+	u_int gap_ms;
 };
 typedef struct lc_report_res lc_report_res;
 
--- a/wire/levercove.x
+++ b/wire/levercove.x
@@ -346,6 +346,7 @@
 struct lc_report_res {
     lc_node entry;
     unsigned hyper entries<LC_MAX_PEERS>; /* none if the digest is ours */
+    unsigned int gap_ms; /* changes are welcome so often at most */
 };
 
 /* Jobs of a queue that no task of has begun. */
--- a/wire/levercove_xdr.c
+++ b/wire/levercove_xdr.c
@@ -785,6 +785,8 @@
 	 if (!xdr_array (xdrs, (char **)&objp->entries.entries_val, (u_int *) &objp->entries.entries_len, LC_MAX_PEERS,
 		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->gap_ms))
+		 return FALSE;
 	return TRUE;
 }
 
