One look without an answer is no verdict on the upstream

Now the first is asked again at once, a second in a row or a refused connection counts, and answers are waited for 70 ms longer than their wait instead of 120.

--- a/daemon/leased_companion.c
+++ b/daemon/leased_companion.c
@@ -10,8 +10,8 @@
 #include "platform/upstreams.h"
 
 /* Orders are answered in well under a ms; one lost is stopped soon. */
-#define ORDER_TIMEOUT_MS 150
-#define LOOK_SLACK_MS 120
+#define ORDER_TIMEOUT_MS 100
+#define LOOK_SLACK_MS 70
 /* Connections kept open to the upstream. */
 #define MOST_CONNECTIONS 16
 /* Entries are told without a change so often, times their number, within
--- a/lease/runner_look.c
+++ b/lease/runner_look.c
@@ -41,7 +41,7 @@
         look.deadline_ms = RunnerUpstream_Clock(runner, now_ms) + ahead;
         RunnerLook_NoteHold(runner, now_ms, ahead);
     }
-    if (runner->live > 0 && !runner->up.doubtful) {
+    if (runner->live > 0 && runner->missed_looks == 0) {
         look.wait_ms = LOOK_WAIT_MS;
     }
     runner->look_id = ++runner->last_look_id;
@@ -249,6 +249,7 @@
     uint32_t i;
 
     runner->up.doubtful = false;
+    runner->missed_looks = 0;
     runner->up.acknowledged = runner->look_seen;
     RunnerUpstream_TakeClock(runner, now_ms, listing->clock_ms);
     for (i = 0; i < listing->ended_count; i++) {
@@ -265,6 +266,25 @@
     }
 }
 
+/* One answer may be lost on its way; a second in a row, or a connection that
+ * is refused, makes the upstream doubtful. */
+static void
+miss_look(Runner *runner, int64_t now_ms, Runner_OrderEnd end)
+{
+    bool first = ++runner->missed_looks == 1 && end != RUNNER_ORDER_UNSENT;
+
+    runner->look_again_ms = first ? now_ms : now_ms + LOOK_AGAIN_MS;
+    if (first || runner->up.doubtful) {
+        return;
+    }
+    if (runner->up.known) {
+        RunnerUpstream_Log(runner, EVENT_UPSTREAM_LOST,
+                           "looks have no answer");
+    }
+    runner->up.doubtful = true;
+    runner->version++;
+}
+
 void
 Runner_OnLook(Runner *runner, int64_t now_ms, uint64_t look_id,
               const Runner_Listing *listing)
@@ -286,13 +306,7 @@
         runner->look_again_ms = now_ms + OTHER_AGAIN_MS;
         break;
     default:
-        if (!runner->up.doubtful && runner->up.known) {
-            RunnerUpstream_Log(runner, EVENT_UPSTREAM_LOST,
-                               "a look had no answer");
-        }
-        runner->up.doubtful = true;
-        runner->version++;
-        runner->look_again_ms = now_ms + LOOK_AGAIN_MS;
+        miss_look(runner, now_ms, listing->end);
         break;
     }
     RunnerLook_Send(runner, now_ms);
--- a/lease/runner_state.h
+++ b/lease/runner_state.h
@@ -84,6 +84,7 @@
     int64_t token;
     uint64_t look_id; /* of the look on its way, or 0 */
     uint64_t last_look_id;
+    uint32_t missed_looks; /* in a row */
     uint64_t look_seen;
     int64_t look_sent_ms;
     int64_t look_again_ms; /* not before */
--- a/lease/runner_upstream.c
+++ b/lease/runner_upstream.c
@@ -47,6 +47,7 @@
     runner->up.clock_ms = 0;
     runner->up.clock_read_ms = now_ms;
     runner->up.doubtful = false;
+    runner->missed_looks = 0;
     runner->look_id = 0;
     runner->look_again_ms = now_ms;
     runner->hold_until_ms = 0;
