--- a/tests/soak/scenario.cc
+++ b/tests/soak/scenario.cc
@@ -76,6 +76,26 @@
     stalled_load();
 }
 
+/* An entry is stopped as planned under load: whoever reaches it until it is
+ * gone has an answer. */
+void
+stopping_load()
+{
+    if (cluster->now() > START_MS + 1800) {
+        cluster->over = true;
+        return;
+    }
+    watched = cluster->hand_in(3, 1000, 300, false);
+    cluster->after(40, stopping_load);
+}
+
+void
+play_planned_stop()
+{
+    stopping_load();
+    cluster->after(500, [] { cluster->entries[0]->signal(SIGTERM); });
+}
+
 const struct {
     const char *name;
     void (*play)();
@@ -84,6 +104,7 @@
     {"refusal", play_refusal, END_MS},
     {"grey", play_grey, END_MS},
     {"companion_dies", play_companion_dies, END_MS},
+    {"planned_stop", play_planned_stop, END_MS},
     {"stalled_reader", play_stalled_reader, STALL_MS + ANSWERS_MS},
 };
 
