--- a/daemon/http_server.c
+++ b/daemon/http_server.c
@@ -329,6 +329,18 @@
     h2o_send_inline(request, response->body, response->length);
 }
 
+void
+Http_RespondText(Http_Server *server, uint64_t id, int status,
+                 uint32_t retry_ms, const char *text)
+{
+    Http_Response response = {.status = status,
+                              .retry_ms = retry_ms,
+                              .body = text,
+                              .length = strlen(text)};
+
+    Http_Respond(server, id, &response);
+}
+
 void
 Http_RespondError(Http_Server *server, uint64_t id, Err_Kind kind,
                   const char *message, uint32_t retry_ms)
@@ -336,7 +348,6 @@
     json_t *body = json_pack("{s:s, s:s, s:s}", "outcome",
                              Err_OutcomeText(Err_Outcome(kind)), "error",
                              Err_Text(kind), "message", message);
-    Http_Response response = {.status = Err_Http(kind), .retry_ms = retry_ms};
     char *text;
 
     if (Err_Outcome(kind) == OUTCOME_REFUSED) {
@@ -346,9 +357,7 @@
         json_object_set_new(body, "retry_after_ms", json_integer(retry_ms));
     }
     text = json_dumps(body, JSON_COMPACT);
-    response.body = text;
-    response.length = strlen(text);
-    Http_Respond(server, id, &response);
+    Http_RespondText(server, id, Err_Http(kind), retry_ms, text);
     free(text);
     json_decref(body);
 }
--- a/daemon/http_server.h
+++ b/daemon/http_server.h
@@ -79,6 +79,10 @@
 void Http_Respond(Http_Server *server, uint64_t id,
                   const Http_Response *response);
 
+/** Answers with a JSON text. */
+void Http_RespondText(Http_Server *server, uint64_t id, int status,
+                      uint32_t retry_ms, const char *text);
+
 /** Answers with an error of the closed list as JSON. */
 void Http_RespondError(Http_Server *server, uint64_t id, Err_Kind kind,
                        const char *message, uint32_t retry_ms);
--- a/daemon/leased_companion.c
+++ b/daemon/leased_companion.c
@@ -264,15 +264,6 @@
 
 /* ---- the upstream's calls ---- */
 
-static void
-respond(Http_Server *server, uint64_t id, int status, const char *body)
-{
-    Http_Response response = {
-        .status = status, .body = body, .length = strlen(body)};
-
-    Http_Respond(server, id, &response);
-}
-
 static void
 take_beat(leased_companion *self, const Http_Request *request,
           const char *instance)
@@ -287,7 +278,7 @@
     }
     else {
         Runner_OnUpstream(self->runner, now_ms(), &beat.upstream);
-        respond(self->beats, request->id, OK_STATUS, "{}");
+        Http_RespondText(self->beats, request->id, OK_STATUS, 0, "{}");
     }
     Upstreams_FreeBeat(&beat);
     tell_peers(self);
@@ -305,7 +296,7 @@
         break;
     case UPSTREAMS_LEAVES:
         Runner_OnUpstreamGone(self->runner, now_ms(), instance);
-        respond(self->beats, request->id, OK_STATUS, "{}");
+        Http_RespondText(self->beats, request->id, OK_STATUS, 0, "{}");
         tell_peers(self);
         break;
     default:
--- a/daemon/leased_entry.c
+++ b/daemon/leased_entry.c
@@ -102,26 +102,14 @@
 
 /* ---- ports of the dispatcher ---- */
 
-static void
-respond(Http_Server *server, uint64_t id, int status, uint32_t retry_ms,
-        const char *body)
-{
-    Http_Response response = {.status = status,
-                              .retry_ms = retry_ms,
-                              .body = body,
-                              .length = strlen(body)};
-
-    Http_Respond(server, id, &response);
-}
-
 static void
 port_answer(void *context, uint64_t request, const Dispatcher_Answer *answer)
 {
     leased_entry *self = context;
     char *body = Callers_Body(answer);
 
-    respond(self->callers, request, Callers_Status(answer), answer->retry_ms,
-            body);
+    Http_RespondText(self->callers, request, Callers_Status(answer),
+                     answer->retry_ms, body);
     g_free(body);
 }
 
@@ -204,7 +192,7 @@
 {
     char *body = Callers_CountBody(count_waiting(self, route->name));
 
-    respond(self->callers, request->id, OK_STATUS, 0, body);
+    Http_RespondText(self->callers, request->id, OK_STATUS, 0, body);
     g_free(body);
 }
 
@@ -216,19 +204,21 @@
     char *body;
 
     if (!Dispatcher_Look(self->dispatcher, job, route->name, &begun)) {
-        respond(self->callers, request->id, Callers_UnknownStatus(), 0, "{}");
+        Http_RespondText(self->callers, request->id, Callers_UnknownStatus(),
+                         0, "{}");
         return;
     }
     body = Callers_StateBody(begun);
-    respond(self->callers, request->id, OK_STATUS, 0, body);
+    Http_RespondText(self->callers, request->id, OK_STATUS, 0, body);
     g_free(body);
 }
 
 static void
 end_cancel(leased_entry *self, cancel *pending)
 {
-    respond(self->callers, pending->request,
-            pending->known ? OK_STATUS : Callers_UnknownStatus(), 0, "{}");
+    Http_RespondText(self->callers, pending->request,
+                     pending->known ? OK_STATUS : Callers_UnknownStatus(), 0,
+                     "{}");
     g_free(pending);
 }
 
@@ -397,7 +387,7 @@
 
     awake(self);
     if (is_ready(self)) {
-        respond(self->ready, request->id, OK_STATUS, 0, "{}");
+        Http_RespondText(self->ready, request->id, OK_STATUS, 0, "{}");
     }
     else {
         Http_RespondError(self->ready, request->id, ERR_NO_ROUTES,
--- a/lease/dispatcher.h
+++ b/lease/dispatcher.h
@@ -72,67 +72,66 @@
 Dispatcher *Dispatcher_New(const Dispatcher_Config *config,
                            const Dispatcher_Ports *ports, void *context,
                            int64_t now_ms);
-void Dispatcher_Free(Dispatcher *dispatcher);
+void Dispatcher_Free(Dispatcher *self);
 
 /** Identity of this entry. */
-lc_node Dispatcher_Node(const Dispatcher *dispatcher);
+lc_node Dispatcher_Node(const Dispatcher *self);
 
 /** Takes a job; it is answered in the end, at once if it is refused. */
-void Dispatcher_OnSubmit(Dispatcher *dispatcher, int64_t now_ms,
+void Dispatcher_OnSubmit(Dispatcher *self, int64_t now_ms,
                          Dispatcher_Submit *submit);
 
 /** A caller has gone: its job is stopped and not answered. */
-void Dispatcher_OnCallerGone(Dispatcher *dispatcher, int64_t now_ms,
+void Dispatcher_OnCallerGone(Dispatcher *self, int64_t now_ms,
                              uint64_t request_id);
 
 /** A job is cancelled; false if it is not known here. */
-bool Dispatcher_OnCancel(Dispatcher *dispatcher, int64_t now_ms, uint64_t job,
+bool Dispatcher_OnCancel(Dispatcher *self, int64_t now_ms, uint64_t job,
                          const char *queue);
 
 /** Whether a job is known here and not over; @p begun tells if a task is. */
-bool Dispatcher_Look(const Dispatcher *dispatcher, uint64_t job,
-                     const char *queue, bool *begun);
+bool Dispatcher_Look(const Dispatcher *self, uint64_t job, const char *queue,
+                     bool *begun);
 
 /** Jobs of a queue of which no task was started. */
-uint32_t Dispatcher_Waiting(const Dispatcher *dispatcher, const char *queue);
+uint32_t Dispatcher_Waiting(const Dispatcher *self, const char *queue);
 
 /** A companion reports. */
-void Dispatcher_OnReport(Dispatcher *dispatcher, int64_t now_ms,
+void Dispatcher_OnReport(Dispatcher *self, int64_t now_ms,
                          const lc_report_args *report);
 
 /** A call ended; @p reply is NULL when its connection broke. */
-void Dispatcher_OnReply(Dispatcher *dispatcher, int64_t now_ms,
-                        uint64_t call_id, const Msg_Reply *reply);
+void Dispatcher_OnReply(Dispatcher *self, int64_t now_ms, uint64_t call_id,
+                        const Msg_Reply *reply);
 
 /** Sends the waiting tasks that find room. To be called when all input at
  * hand has been taken: the functions above only note what came. */
-void Dispatcher_Settle(Dispatcher *dispatcher, int64_t now_ms);
+void Dispatcher_Settle(Dispatcher *self, int64_t now_ms);
 
 /** Starts nothing until Dispatcher_Resume: input that waited while the process
  * stood still must be read first. */
-void Dispatcher_Pause(Dispatcher *dispatcher);
-void Dispatcher_Resume(Dispatcher *dispatcher);
+void Dispatcher_Pause(Dispatcher *self);
+void Dispatcher_Resume(Dispatcher *self);
 
 /** Time has passed; to be called every `term.tick_ms` or more often. */
-void Dispatcher_Tick(Dispatcher *dispatcher, int64_t now_ms);
+void Dispatcher_Tick(Dispatcher *self, int64_t now_ms);
 
 /** Whether no job is unanswered and no run is unaccounted for. */
-bool Dispatcher_IsIdle(const Dispatcher *dispatcher);
+bool Dispatcher_IsIdle(const Dispatcher *self);
 
 /** How often a companion should report changes at most, in ms, so that the
  * reports of all together stay few. */
-uint32_t Dispatcher_ReportGapMs(const Dispatcher *dispatcher);
+uint32_t Dispatcher_ReportGapMs(const Dispatcher *self);
 
 /** Companions that take tasks now. */
-uint32_t Dispatcher_ReadyHosts(const Dispatcher *dispatcher, int64_t now_ms);
+uint32_t Dispatcher_ReadyHosts(const Dispatcher *self, int64_t now_ms);
 
 /** Appends figures for scrapers. */
-void Dispatcher_Metrics(const Dispatcher *dispatcher, int64_t now_ms,
-                        GString *out);
+void Dispatcher_Metrics(const Dispatcher *self, int64_t now_ms, GString *out);
 
-Counters *Dispatcher_Counters(Dispatcher *dispatcher);
+Counters *Dispatcher_Counters(Dispatcher *self);
 
 /** State for operators; the caller owns the result. */
-json_t *Dispatcher_Dump(const Dispatcher *dispatcher, int64_t now_ms);
+json_t *Dispatcher_Dump(const Dispatcher *self, int64_t now_ms);
 
 #endif
--- a/lease/fleet.c
+++ b/lease/fleet.c
@@ -96,7 +96,7 @@
 
 Fleet_Change
 Fleet_TakeReport(Fleet *fleet, int64_t now_ms, const lc_report_args *report,
-                 Fleet_Host **out)
+                 Fleet_Host **host_out)
 {
     Fleet_Host *host = Fleet_Find(fleet, report->host.node.address);
     Fleet_Change change = FLEET_NEW;
@@ -107,7 +107,7 @@
     else {
         change = compare_incarnation(host, report);
     }
-    *out = host;
+    *host_out = host;
     if (change == FLEET_STALE) {
         return change;
     }
--- a/lease/fleet.h
+++ b/lease/fleet.h
@@ -64,7 +64,8 @@
 /** Takes a report. A new incarnation that is not ready yet is passed over
  * (STALE) until it knows what its upstream runs. */
 Fleet_Change Fleet_TakeReport(Fleet *fleet, int64_t now_ms,
-                              const lc_report_args *report, Fleet_Host **host);
+                              const lc_report_args *report,
+                              Fleet_Host **host_out);
 
 /** Takes what a companion says of itself in an answer; false if it is not
  * of the incarnation known. */
--- a/lease/runner_upstream.c
+++ b/lease/runner_upstream.c
@@ -34,13 +34,13 @@
 }
 
 static void
-begin_instance(Runner *runner, int64_t now_ms, const Runner_Upstream *from)
+begin_instance(Runner *runner, int64_t now_ms, const Runner_Upstream *upstream)
 {
     bool first = !runner->up.known && runner->up.instance[0] == '\0';
 
     RunnerTask_EndAll(runner, now_ms, LC_RUN_LOST);
     g_free(runner->up.instance);
-    runner->up.instance = g_strdup(from->instance);
+    runner->up.instance = g_strdup(upstream->instance);
     runner->up.inventoried = false;
     runner->up.last_seen = 0;
     runner->up.acknowledged = 0;
@@ -57,12 +57,13 @@
 }
 
 void
-Runner_OnUpstream(Runner *runner, int64_t now_ms, const Runner_Upstream *from)
+Runner_OnUpstream(Runner *runner, int64_t now_ms,
+                  const Runner_Upstream *upstream)
 {
-    bool draining = from->says == RUNNER_UPSTREAM_DRAINING;
+    bool draining = upstream->says == RUNNER_UPSTREAM_DRAINING;
 
-    if (strcmp(runner->up.instance, from->instance) != 0) {
-        begin_instance(runner, now_ms, from);
+    if (strcmp(runner->up.instance, upstream->instance) != 0) {
+        begin_instance(runner, now_ms, upstream);
     }
     if (draining != runner->up.draining) {
         RunnerUpstream_Log(runner, EVENT_UPSTREAM_DRAINING,
@@ -73,12 +74,12 @@
     runner->up.known = true;
     runner->up.draining = draining;
     runner->up.heard_ms = now_ms;
-    runner->up.capacity = from->capacity;
+    runner->up.capacity = upstream->capacity;
     g_free(runner->up.service);
-    runner->up.service = g_strdup(from->service);
+    runner->up.service = g_strdup(upstream->service);
     g_strfreev(runner->up.labels);
-    runner->up.labels = g_strdupv((char **)from->labels);
-    RunnerUpstream_TakeClock(runner, now_ms, from->clock_ms);
+    runner->up.labels = g_strdupv((char **)upstream->labels);
+    RunnerUpstream_TakeClock(runner, now_ms, upstream->clock_ms);
     RunnerLook_Send(runner, now_ms);
 }
 
