--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -41,4 +41,12 @@
 STARTS=$(all_starts | wc -l)
 echo "starts seen by the upstreams: $STARTS"
 [ "$STARTS" = 12 ] || fail "expected 12 starts"
+
+echo "== a leased job on stand-ins of the users' platform, explained from its logs"
+mkdir "$DIR/leased"
+JOB=$("$BUILD/tests/scenario" calm "$PWD/$BUILD/daemon/levercoved" "$DIR/leased" 24500 2>/dev/null) ||
+    fail "leased job"
+"$CLI" explain "$JOB" "$DIR"/leased/*.log >"$DIR/life" || fail "explain"
+grep -E 'LC50[89]|sent|ended' "$DIR/life"
+[ "$(grep -c 'ended task .*: done' "$DIR/life")" = 5 ] || fail "a task is missing"
 echo "== done"
--- a/tests/lease_rules.c
+++ b/tests/lease_rules.c
@@ -702,6 +702,19 @@
     free_dispatcher(&fix);
 }
 
+static void
+test_advised_queue(void)
+{
+    dispatcher_fixture fix;
+
+    new_dispatcher(&fix);
+    fix.route->advised = true;
+    hand_in(&fix, 1, 1);
+    g_assert_cmpint(fix.outcome, ==, DISPATCHER_NOT_RUN);
+    g_assert_cmpint(calls_of(&fix, MSG_RUN), ==, 0);
+    free_dispatcher(&fix);
+}
+
 static const struct {
     const char *name;
     void (*run)(void);
@@ -733,6 +746,7 @@
     {"/dispatcher/stops the job of a caller that left", test_caller_gone},
     {"/dispatcher/tells not run after refusals alone",
      test_refused_is_not_run},
+    {"/dispatcher/refuses queues that need tickets", test_advised_queue},
     {"/dispatcher/counts failed attempts", test_attempts},
     {"/dispatcher/tells given up once begun",
      test_begun_is_not_told_as_not_run},
--- a/tests/soak/cluster.cc
+++ b/tests/soak/cluster.cc
@@ -96,8 +96,9 @@
 }
 
 void
-Cluster::say(const std::string &text) const
+Cluster::say(const std::string &text)
 {
+    seconds[now() / 1000].faults.push_back(text);
     if (shape.verbose) {
         fprintf(stderr, "%6" PRId64 " %s\n", now(), text.c_str());
     }
@@ -267,6 +268,52 @@
                              ",\"routes\":[" + rows + "]}");
 }
 
+void
+Cluster::note(const Attempt &attempt, const Job &job, const Answer &answer)
+{
+    Second &second = seconds[attempt.sent_ms / 1000];
+
+    if (!answer.whole) {
+        second.none++;
+    }
+    else if (answer.status == 200) {
+        second.done++;
+        second.response_ms += now() - attempt.sent_ms;
+        second.ideal_ms += job.work_ms;
+    }
+    else if (answer.status == 429 || answer.status == 503) {
+        second.refused++;
+    }
+    else {
+        second.given_up++;
+    }
+}
+
+void
+Cluster::write_figures(const std::string &file) const
+{
+    FILE *out = fopen(file.c_str(), "w");
+
+    for (const auto &pair : seconds) {
+        const Second &second = pair.second;
+        fprintf(out,
+                "{\"second\":%" PRId64 ",\"sent\":%d,\"done\":%d,"
+                "\"refused\":%d,\"given_up\":%d,\"none\":%d,"
+                "\"response_over_ideal\":%.3f,\"faults\":[",
+                pair.first, second.sent, second.done, second.refused,
+                second.given_up, second.none,
+                second.ideal_ms == 0
+                    ? 0.0
+                    : (double)second.response_ms / (double)second.ideal_ms);
+        for (size_t i = 0; i < second.faults.size(); i++) {
+            fprintf(out, "%s\"%s\"", i == 0 ? "" : ",",
+                    second.faults[i].c_str());
+        }
+        fprintf(out, "]}\n");
+    }
+    fclose(out);
+}
+
 void
 Cluster::on_answer(void *context, const Http_ClientAnswer *http)
 {
@@ -284,6 +331,7 @@
         answer = {true, 503, ""};
     }
     self->checker.on_answer(self->now(), *job, answer);
+    self->note(*attempt, *job, answer);
     bool again = !answer.whole || answer.status == 502 || answer.status == 504;
     if (again && job->tries < TRIES && !self->over) {
         uint64_t id = job->id;
@@ -308,6 +356,7 @@
     Http_ClientRequest request = {};
 
     job->tries++;
+    seconds[now() / 1000].sent++;
     snprintf(path, sizeof(path), "/q/%016" PRIx64, id);
     request.to = address(entry_host(entry), PORT_FRONT);
     request.method = "POST";
--- a/tests/soak/cluster.h
+++ b/tests/soak/cluster.h
@@ -9,6 +9,7 @@
 #include <uv.h>
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -60,7 +61,8 @@
         return (int64_t)uv_now(loop) - begin_ms;
     }
     uint32_t pick(uint32_t below);
-    void say(const std::string &text) const;
+    /** Notes what is done to the cluster, and prints it if wanted. */
+    void say(const std::string &text);
     void after(int64_t ms, std::function<void()> run) const;
     std::vector<Proxy *> proxies();
     std::vector<Process *> processes();
@@ -72,6 +74,21 @@
     std::vector<std::unique_ptr<Process>> entries;
     std::vector<std::unique_ptr<Process>> companions;
     std::vector<std::unique_ptr<Upstream>> upstreams;
+    /** What callers saw in one second, and what was done to the cluster. */
+    struct Second {
+        int sent = 0;
+        int done = 0;
+        int refused = 0;         /**< 429 and 503 */
+        int given_up = 0;        /**< 502 and 504 */
+        int none = 0;            /**< no answer */
+        int64_t response_ms = 0; /**< sum over those done */
+        int64_t ideal_ms = 0;    /**< sum of their work */
+        std::vector<std::string> faults;
+    };
+    std::map<int64_t, Second> seconds;
+    /** Writes all seconds as JSON lines. */
+    void write_figures(const std::string &file) const;
+
     uint64_t jobs = 0;
     bool over = false;      /**< callers send nothing again */
     int64_t slowest_ms = 0; /**< of all attempts that were answered */
@@ -86,6 +103,7 @@
     void end_on(uv_signal_t *handle, int number);
 
     struct Attempt;
+    void note(const Attempt &attempt, const Job &job, const Answer &answer);
     static void on_answer(void *context, const Http_ClientAnswer *http);
 
     int64_t begin_ms;
--- a/tests/soak/scenario.cc
+++ b/tests/soak/scenario.cc
@@ -23,6 +23,13 @@
 soak::Cluster *cluster;
 uint64_t watched;
 
+/* Nothing fails. */
+void
+play_calm()
+{
+    watched = cluster->hand_in(5, 1000, 200, false);
+}
+
 /* All companions are gone: the job is refused. */
 void
 play_refusal()
@@ -101,6 +108,7 @@
     void (*play)();
     int64_t length_ms;
 } scenarios[] = {
+    {"calm", play_calm, END_MS},
     {"refusal", play_refusal, END_MS},
     {"grey", play_grey, END_MS},
     {"companion_dies", play_companion_dies, END_MS},
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -26,6 +26,7 @@
 gint base_port = 21000;
 gchar *program;
 gchar *folder;
+gchar *figures;
 gboolean verbose;
 
 const int64_t START_MS = 2500;
@@ -42,6 +43,8 @@
     {"port", 0, 0, G_OPTION_ARG_INT, &base_port, "First port", "N"},
     {"program", 0, 0, G_OPTION_ARG_FILENAME, &program, "levercoved", "FILE"},
     {"folder", 0, 0, G_OPTION_ARG_FILENAME, &folder, "For logs", "DIR"},
+    {"figures", 0, 0, G_OPTION_ARG_FILENAME, &figures,
+     "JSON lines by second, for scripts/report.sh", "FILE"},
     {"verbose", 0, 0, G_OPTION_ARG_NONE, &verbose, "Print faults", nullptr},
     {nullptr, 0, 0, G_OPTION_ARG_NONE, nullptr, nullptr, nullptr},
 };
@@ -123,6 +126,8 @@
 void
 fault_harm()
 {
+    static const char *const texts[] = {"one way held", "other way held",
+                                        "both held", "both lost", "delay"};
     soak::Proxy &proxy = any_proxy();
     soak::Harm harm;
     int64_t ms = 100 + cluster->pick(2500);
@@ -132,7 +137,7 @@
     harm.hold_out = kind == 1 || kind == 2 || kind == 3;
     harm.lose = kind == 3;
     harm.delay_ms = kind == 4 ? 20 + cluster->pick(300) : 0;
-    cluster->say("harm " + std::to_string(kind) + " for " +
+    cluster->say(std::string("network: ") + texts[kind] + " for " +
                  std::to_string(ms));
     proxy.harm(harm, cluster->pick(2) == 0);
     cluster->after(ms, [&proxy] { proxy.heal(); });
@@ -191,7 +196,7 @@
     soak::StoreManner manner = (soak::StoreManner)(
         1 + cluster->pick((uint32_t)soak::StoreManner::Count - 1));
 
-    cluster->say("store " + std::to_string((int)manner));
+    cluster->say(std::string("store ") + soak::StoreManner_Text(manner));
     cluster->store->manner = manner;
     cluster->after(300 + cluster->pick(2500),
                    [] { cluster->store->manner = soak::StoreManner::Well; });
@@ -309,5 +314,8 @@
     cluster->after(healed + CALM_MS + 1500, [] { cluster->probe_routes(); });
     cluster->after(healed + CALM_MS + 3500, [] { cluster->finish(); });
     uv_run(cluster->loop, UV_RUN_DEFAULT);
+    if (figures != nullptr) {
+        cluster->write_figures(figures);
+    }
     return report();
 }
--- a/tests/soak/store.cc
+++ b/tests/soak/store.cc
@@ -68,6 +68,15 @@
 
 } // namespace
 
+const char *
+StoreManner_Text(StoreManner manner)
+{
+    static const char *const texts[] = {"well", "busy", "silent", "slow",
+                                        "lossy"};
+
+    return texts[(int)manner];
+}
+
 Store::Store(uv_loop_t *on, Address address) : loop(on)
 {
     static const Http_Route routes[] = {{"/", serve}, {nullptr, nullptr}};
--- a/tests/soak/store.h
+++ b/tests/soak/store.h
@@ -21,6 +21,9 @@
 /** How the store behaves. */
 enum class StoreManner { Well, Busy, Silent, Slow, Lossy, Count };
 
+/** For people. */
+const char *StoreManner_Text(StoreManner manner);
+
 /** The store. */
 class Store {
   public:
