--- a/lease/health.c
+++ b/lease/health.c
@@ -147,7 +147,9 @@
     GArray *paces = g_array_new(FALSE, FALSE, sizeof(uint32_t));
     uint32_t i;
 
-    qsort(runs, count, sizeof(runs[0]), compare_runs);
+    if (count > 1) {
+        qsort(runs, count, sizeof(runs[0]), compare_runs);
+    }
     for (i = 0; i < count; i++) {
         uint32_t pace = pace_of(&runs[i]);
         if (runs[i].elapsed_ms >= YOUNG_MS &&
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -44,7 +44,7 @@
 
 echo "== a leased job on stand-ins of the users' platform, explained from its logs"
 mkdir "$DIR/leased"
-JOB=$("$BUILD/tests/scenario" calm "$PWD/$BUILD/daemon/levercoved" "$DIR/leased" 24500 2>/dev/null) ||
+JOB=$("$BUILD/tests/scenario" calm "$PWD/$BUILD/daemon/levercoved" "$DIR/leased" $((20000 + $$ % 100 * 100)) 2>/dev/null) ||
     fail "leased job"
 "$CLI" explain "$JOB" "$DIR"/leased/*.log >"$DIR/life" || fail "explain"
 grep -E 'LC50[89]|sent|ended' "$DIR/life"
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -20,7 +20,7 @@
     mkdir -p "$folder"
     if timeout $((SECONDS_EACH + 60)) "$BUILD/tests/soak" --seed "$1" --seconds "$SECONDS_EACH" \
         --program "$BUILD/daemon/levercoved" --folder "$folder" \
-        --port $((21000 + $2 * 20)) --verbose >"$folder/out" 2>&1; then
+        --port $((20000 + $$ % 100 * 100 + $2 * 20)) --verbose >"$folder/out" 2>&1; then
         grep '^seed' "$folder/out"
         rm -rf "$folder"
     else
