An entry that stood still between input and its pass starts nothing either

Found by reading: input was noted, the process could stand still for seconds, and the pass behind it then sent a task whose caller may have left. The check behind the loop now looks at the time like every other input. No test of its own: the loop is not played in the properties; the rule of the pause is (/dispatcher/starts nothing while paused).

--- a/daemon/leased_entry.c
+++ b/daemon/leased_entry.c
@@ -21,7 +21,6 @@
 #define GOSSIP_LEAST_MS 300
 #define GOSSIP_MOST_MS 1500
 #define STARTING_MS 2000
-#define CANCEL_TIMEOUT_MS 1500
 #define STORE_CONNECTIONS 2
 #define RETRY_MS 1000
 /* New connections come for some time after the balancer was told not to. */
@@ -59,10 +58,8 @@
 /* A caller's cancel that other entries were told of. */
 typedef struct {
     uint64_t request;
-    uint64_t job;
     uint32_t open; /* calls on their way */
     bool known;
-    int64_t since_ms;
 } cancel;
 
 static void
@@ -75,15 +72,6 @@
     Dispatcher_Resume(self->dispatcher);
 }
 
-/* All input at hand has been taken. */
-static void
-on_settled(uv_check_t *check)
-{
-    leased_entry *self = check->data;
-
-    Dispatcher_Settle(self->dispatcher, Process_Now().mono_ms);
-}
-
 /* Time now; notices that the process stood still. */
 static int64_t
 awake(leased_entry *self)
@@ -100,6 +88,15 @@
     return now;
 }
 
+/* All input at hand has been taken. The process may have stood still since. */
+static void
+on_settled(uv_check_t *check)
+{
+    leased_entry *self = check->data;
+
+    Dispatcher_Settle(self->dispatcher, awake(self));
+}
+
 /* ---- ports of the dispatcher ---- */
 
 static void
@@ -231,8 +228,6 @@
     guint i;
 
     pending->request = request->id;
-    pending->job = job;
-    pending->since_ms = now;
     pending->known = Dispatcher_OnCancel(self->dispatcher, now, job,
                                          route->name);
     call.u.withdraw.job = job;
--- a/lease/dispatcher_hosts.c
+++ b/lease/dispatcher_hosts.c
@@ -12,7 +12,6 @@
 #define REPORT_GAP_LEAST_MS 15U
 #define REPORT_GAP_MOST_MS 500U
 
-/* Whether nothing has been heard of any companion for some time. */
 bool
 DispatcherHosts_Isolated(const Dispatcher *self, int64_t now_ms)
 {
@@ -26,7 +25,8 @@
     return self->fleet.hosts->len > 0;
 }
 
-/* Calls `over` for every task that is out at a companion's incarnation. */
+/* Takes back every run at an address, but for those of one incarnation (0 for
+ * none): all of them are certainly over. */
 static void
 end_runs_at(Dispatcher *self, int64_t now_ms, Address address,
             uint64_t but_incarnation)
@@ -77,8 +77,6 @@
     self->unsettled = true;
 }
 
-/* A companion that has not answered in time is sent nothing new, and its
- * leases are not renewed, so that they end. */
 void
 DispatcherHosts_Suspect(Dispatcher *self, int64_t now_ms, Fleet_Host *host)
 {
