--- /dev/null
+++ b/daemon/leased_entry_state.h
@@ -0,0 +1,91 @@
+/**
+ * @file leased_entry_state.h
+ * @brief State of an entry process of leased jobs, shared by the files that
+ * make it up: the process, what callers ask for, and talk with other entries.
+ *
+ * For daemon/leased_*.c alone.
+ */
+#ifndef LC_DAEMON_LEASED_ENTRY_STATE_H
+#define LC_DAEMON_LEASED_ENTRY_STATE_H
+
+#include <glib.h>
+
+#include "daemon/process.h"
+#include "daemon/seeds.h"
+#include "lease/dispatcher.h"
+#include "lease/peers.h"
+#include "platform/http_client.h"
+
+/** Calls of the process itself; the dispatcher numbers its own without this
+ * bit. */
+#define LEASED_OWN_CALL (1ULL << 63)
+
+/** The process. */
+typedef struct {
+    Process process; /* first, see Process */
+    Dispatcher *dispatcher;
+    Route_Table *routes;
+    Http_Client *http;
+    Http_Server *callers;
+    Http_Server *ready;
+    Peers peers;
+    Seeds seeds;
+    uv_timer_t resume_timer;
+    uv_check_t settled;
+    GHashTable *cancels; /* call id -> Leased_Cancel */
+    uint64_t next_call;
+    int64_t started_ms;
+    int64_t routes_ms; /* when the routes in force were taken */
+    bool store_answers;
+    int64_t awake_ms; /* last time that anything was done */
+    int64_t stop_ms;  /* when the planned stop was asked for */
+    bool still;
+    bool was_ready;
+} Leased_Entry;
+
+/* The process: leased_entry.c. */
+
+/** Time now; to be asked at every input, as it notices that the process stood
+ * still, and pauses the dispatcher until all input has been read. */
+int64_t LeasedEntry_Awake(Leased_Entry *self);
+
+/** Takes a record of routes, unless they are older than those in force. */
+void LeasedEntry_TakeRoutes(Leased_Entry *self, const char *record,
+                            size_t length, const char *source);
+
+/** Version of the routes in force, or -1. */
+int64_t LeasedEntry_RoutesVersion(const Leased_Entry *self);
+
+/* Callers: leased_callers.c. */
+
+/** Serves a request of a caller. @p context is the process. */
+void LeasedCallers_Serve(void *context, const Http_Request *request);
+
+/** A caller has gone before its answer. */
+void LeasedCallers_Gone(void *context, uint64_t request);
+
+/** Another entry cancels a job for its caller. */
+void LeasedCallers_AnswerWithdraw(Leased_Entry *self, int64_t now,
+                                  uint64_t reply_id,
+                                  const lc_withdraw_args *args);
+
+/** Another entry has cancelled a job for us, or cannot be reached. */
+void LeasedCallers_TakeWithdraw(Leased_Entry *self, uint64_t call_id,
+                                const Msg_Reply *reply);
+
+/* Other entries: leased_gossip.c. */
+
+/** Entries that spoke lately, and this one; free the array. */
+GArray *LeasedGossip_Known(const Leased_Entry *self);
+
+/** Tells other entries what is due, and gives up on those that are silent. */
+void LeasedGossip_Tick(Leased_Entry *self, int64_t now);
+
+/** Another entry tells us of itself. */
+void LeasedGossip_Answer(Leased_Entry *self, uint64_t reply_id,
+                         const lc_gossip_args *args);
+
+/** Another entry has answered what we told it. */
+void LeasedGossip_Take(Leased_Entry *self, const lc_gossip_res *result);
+
+#endif
--- /dev/null
+++ b/daemon/leased_gossip.c
@@ -0,0 +1,149 @@
+#include "daemon/leased_entry_state.h"
+
+#include "base/event.h"
+
+/* Entries talk to each other so often, times their number, within bounds. */
+#define GOSSIP_MS 75
+#define GOSSIP_LEAST_MS 300
+#define GOSSIP_MOST_MS 1500
+
+/* Entries that spoke lately, and this one; free the array. */
+GArray *
+LeasedGossip_Known(const Leased_Entry *self)
+{
+    return Peers_Live(&self->peers, self->awake_ms,
+                      self->process.options->rpc);
+}
+
+/* Texts are borrowed from the routes; free the array. */
+static GArray *
+own_counts(const Leased_Entry *self)
+{
+    GArray *counts = g_array_new(FALSE, TRUE, sizeof(lc_queue_count));
+    guint i;
+
+    for (i = 0; self->routes != NULL && i < self->routes->routes->len; i++) {
+        const Route *route = g_ptr_array_index(self->routes->routes, i);
+        lc_queue_count row = {.queue = route->name};
+        row.waiting = Dispatcher_Waiting(self->dispatcher, route->name);
+        if (row.waiting > 0) {
+            g_array_append_val(counts, row);
+        }
+    }
+    return counts;
+}
+
+static void
+send_gossip(Leased_Entry *self, int64_t now, Peers_Row *peer)
+{
+    GArray *live = LeasedGossip_Known(self);
+    GArray *counts = own_counts(self);
+    Msg_Call call = {.kind = MSG_GOSSIP};
+
+    call.u.gossip.from = Dispatcher_Node(self->dispatcher);
+    call.u.gossip.routes_version = LeasedEntry_RoutesVersion(self);
+    call.u.gossip.known = Peers_Digest(live);
+    if (peer->digest != call.u.gossip.known) {
+        call.u.gossip.entries.entries_len = live->len;
+        call.u.gossip.entries.entries_val = (u_quad_t *)(void *)live->data;
+    }
+    call.u.gossip.waiting.waiting_len = counts->len;
+    call.u.gossip.waiting.waiting_val = (lc_queue_count *)(void *)counts->data;
+    peer->call_id = ++self->next_call | LEASED_OWN_CALL;
+    peer->asked_ms = now;
+    Rpc_Call(self->process.rpc, peer->address, peer->call_id, &call);
+    g_array_unref(live);
+    g_array_unref(counts);
+}
+
+void
+LeasedGossip_Tick(Leased_Entry *self, int64_t now)
+{
+    int64_t spaced = Peers_SpacedMs(&self->peers, GOSSIP_MS, GOSSIP_LEAST_MS,
+                                    GOSSIP_MOST_MS);
+    guint i;
+
+    for (i = 0; i < self->peers.rows->len; i++) {
+        Peers_Row *peer = g_ptr_array_index(self->peers.rows, i);
+        int64_t patience = Peers_PatienceMs(peer, now);
+        int64_t since = now - peer->asked_ms;
+        if (peer->call_id == 0 && since >= MIN(spaced, patience)) {
+            send_gossip(self, now, peer);
+        }
+        else if (peer->call_id != 0 && since >= patience) {
+            Rpc_Reset(self->process.rpc, peer->address);
+        }
+    }
+}
+
+static void
+take_news(Leased_Entry *self, Address from, uint64_t digest,
+          const u_quad_t *entries, u_int entry_count,
+          const lc_queue_count *counts, u_int count)
+{
+    int64_t now = self->awake_ms;
+    Peers_Row *peer;
+    u_int i;
+
+    if (Peers_Hear(&self->peers, from, now)) {
+        Event_Log(EVENT_PEER_FOUND, "%s", Address_Text(from));
+    }
+    for (i = 0; i < entry_count; i++) {
+        Peers_Name(&self->peers, entries[i], now);
+    }
+    peer = Peers_Find(&self->peers, from);
+    if (peer == NULL) {
+        return;
+    }
+    peer->digest = digest;
+    g_array_set_size(peer->waiting, 0);
+    for (i = 0; i < count; i++) {
+        Peers_Count row = {.waiting = counts[i].waiting};
+        g_strlcpy(row.queue, counts[i].queue, sizeof(row.queue));
+        g_array_append_val(peer->waiting, row);
+    }
+}
+
+void
+LeasedGossip_Answer(Leased_Entry *self, uint64_t reply_id,
+                    const lc_gossip_args *args)
+{
+    Msg_Reply reply = {.kind = MSG_GOSSIP};
+    lc_gossip_res *result = &reply.u.gossip;
+    GArray *live;
+    GArray *counts = own_counts(self);
+
+    take_news(self, args->from.address, args->known, args->entries.entries_val,
+              args->entries.entries_len, args->waiting.waiting_val,
+              args->waiting.waiting_len);
+    live = LeasedGossip_Known(self);
+    result->from = Dispatcher_Node(self->dispatcher);
+    result->routes_version = LeasedEntry_RoutesVersion(self);
+    result->known = Peers_Digest(live);
+    if (args->known != result->known) {
+        result->entries.entries_len = live->len;
+        result->entries.entries_val = (u_quad_t *)(void *)live->data;
+    }
+    result->waiting.waiting_len = counts->len;
+    result->waiting.waiting_val = (lc_queue_count *)(void *)counts->data;
+    if (self->routes != NULL && args->routes_version < self->routes->version) {
+        result->routes.routes_val = self->routes->source;
+        result->routes.routes_len = (u_int)self->routes->source_length;
+    }
+    Process_PortReply(&self->process, reply_id, &reply);
+    g_array_unref(live);
+    g_array_unref(counts);
+}
+
+void
+LeasedGossip_Take(Leased_Entry *self, const lc_gossip_res *result)
+{
+    take_news(self, result->from.address, result->known,
+              result->entries.entries_val, result->entries.entries_len,
+              result->waiting.waiting_val, result->waiting.waiting_len);
+    if (result->routes.routes_len > 0) {
+        LeasedEntry_TakeRoutes(self, result->routes.routes_val,
+                               result->routes.routes_len,
+                               Address_Text(result->from.address));
+    }
+}
