Dead code of the leased jobs out: an unused function and field, one retry time in four places

Active_SlackMs and sent_ms of a task were left behind when the pass began to compute its keys once; the time after which a caller should come back is one constant of the dispatcher now. Behaviour stays.

--- a/daemon/leased_callers.c
+++ b/daemon/leased_callers.c
@@ -4,7 +4,6 @@
 
 #include "platform/callers.h"
 
-#define RETRY_MS 1000
 /* Near the end of a planned stop only jobs are taken that can still end: one
  * takes at most so many times its estimate, and this besides. */
 #define STOP_FACTOR 2
@@ -142,7 +141,7 @@
     if (is_past_taking(self, now, &submit.job)) {
         LeasedJob_Clear(&submit.job);
         Http_RespondError(self->callers, request->id, ERR_STOPPING,
-                          "this entry is being stopped", RETRY_MS);
+                          "this entry is being stopped", DISPATCHER_RETRY_MS);
         return;
     }
     Dispatcher_OnSubmit(self->dispatcher, now, &submit);
@@ -192,7 +191,7 @@
 
     if (self->routes == NULL) {
         Http_RespondError(self->callers, request->id, ERR_NO_ROUTES,
-                          "no routes are known yet", RETRY_MS);
+                          "no routes are known yet", DISPATCHER_RETRY_MS);
         return;
     }
     route = Route_Find(self->routes, request->authority, request->path);
--- a/daemon/leased_entry.c
+++ b/daemon/leased_entry.c
@@ -15,7 +15,6 @@
 #define RESUME_MS 40
 #define STARTING_MS 2000
 #define STORE_CONNECTIONS 2
-#define RETRY_MS 1000
 /* New connections come for some time after the balancer was told not to. */
 #define STOP_LEAST_MS 2500
 #define STOP_MARGIN_MS 500
@@ -151,7 +150,7 @@
         Http_RespondError(self->ready, request->id, ERR_NO_ROUTES,
                           "routes or companions are not known yet, or the "
                           "process is being stopped",
-                          RETRY_MS);
+                          DISPATCHER_RETRY_MS);
     }
 }
 
--- a/lease/active.c
+++ b/lease/active.c
@@ -177,9 +177,3 @@
 
     return MIN(late_ms, job->deadline_ms);
 }
-
-int64_t
-Active_SlackMs(const Active_Job *job, int64_t now_ms)
-{
-    return job->objective_ms - now_ms - Active_RemainingMs(job);
-}
--- a/lease/active.h
+++ b/lease/active.h
@@ -43,8 +43,7 @@
     lc_node host;      /**< of the last run */
     Address avoid;     /**< where it went wrong last */
     int64_t again_ms;  /**< nothing is sent for it before */
-    int64_t sent_ms;
-    uint32_t asks; /**< in vain, for the run on its way */
+    uint32_t asks;     /**< in vain, for the run on its way */
 } Active_Task;
 
 /** One job. */
@@ -97,7 +96,4 @@
  * objective after the arrival, and not after the deadline. */
 int64_t Active_WorthlessAfter(const Active_Job *job);
 
-/** Time to spare before the objective cannot be met, if all went at once. */
-int64_t Active_SlackMs(const Active_Job *job, int64_t now_ms);
-
 #endif
--- a/lease/dispatcher.c
+++ b/lease/dispatcher.c
@@ -3,7 +3,6 @@
 #include "base/random.h"
 #include "lease/dispatcher_state.h"
 
-#define RETRY_MS 1000
 #define PERCENT 100
 /* A task may end so much sooner than its estimate says. */
 #define LEAST_OF_ESTIMATE 55
@@ -64,7 +63,7 @@
     Dispatcher_Answer answer = {.outcome = DISPATCHER_NOT_RUN,
                                 .kind = kind,
                                 .message = message,
-                                .retry_ms = RETRY_MS};
+                                .retry_ms = DISPATCHER_RETRY_MS};
 
     Counter_Add(&self->counters, COUNTER_JOBS_NOT_RUN, 1);
     DispatcherLog_Identity(self, EVENT_JOB_REFUSED, job, message);
--- a/lease/dispatcher.h
+++ b/lease/dispatcher.h
@@ -22,6 +22,9 @@
 #include "lease/route.h"
 #include "lease/term.h"
 
+/** When a caller whose job was not run should come back, in ms. */
+#define DISPATCHER_RETRY_MS 1000
+
 /** How a job is over for its caller. */
 typedef enum {
     DISPATCHER_SUCCEEDED,
--- a/lease/dispatcher_ends.c
+++ b/lease/dispatcher_ends.c
@@ -1,7 +1,5 @@
 #include "lease/dispatcher_state.h"
 
-/* When a caller whose job was not run should come back. */
-#define RETRY_MS 1000
 /* Failures at upstreams on trial are no attempts, up to a number. */
 #define FREE_ATTEMPTS 4
 
@@ -158,7 +156,7 @@
     if (!Active_HasBegun(job)) {
         answer.outcome = DISPATCHER_NOT_RUN;
         answer.kind = ERR_WAIT_TOO_LONG;
-        answer.retry_ms = RETRY_MS;
+        answer.retry_ms = DISPATCHER_RETRY_MS;
     }
     DispatcherEnd_Job(self, now_ms, job, &answer);
 }
--- a/lease/dispatcher_queue.c
+++ b/lease/dispatcher_queue.c
@@ -64,7 +64,6 @@
 {
     task->id.run++;
     task->host = host->node;
-    task->sent_ms = now_ms;
     task->asks = 0;
     Active_Move(job, task, ACTIVE_SENT);
     job->starts++;
