--- a/lease/dispatcher.c
+++ b/lease/dispatcher.c
@@ -260,17 +260,16 @@
     }
 }
 
-/* A job that has begun is given up only when its caller would leave: an
- * answer without a result makes it come again as a whole. */
+/* A job whose tasks still wait when their end would be worth nothing is given
+ * up, begun or not: it would hold room that others can use in time, and its
+ * caller would learn of it no sooner than at its deadline. */
 static bool
 is_hopeless(const Active_Job *job, int64_t now_ms)
 {
     int64_t least_ms = (int64_t)Active_RemainingMs(job) * LEAST_OF_ESTIMATE /
                        PERCENT;
-    int64_t end_ms = Active_HasBegun(job) ? job->deadline_ms
-                                          : Active_WorthlessAfter(job);
 
-    return job->waiting > 0 && now_ms + least_ms > end_ms;
+    return job->waiting > 0 && now_ms + least_ms > Active_WorthlessAfter(job);
 }
 
 static void
--- a/tests/lease_rules.c
+++ b/tests/lease_rules.c
@@ -11,7 +11,7 @@
 
 #define START_MS 10000
 #define CLOCK_MS 500000
-#define MOST 64
+#define MOST 256
 
 static const lc_node entry_node = {0x7f0000011b59, 100};
 static const lc_node companion_node = {0x7f0000011b63, 900};
@@ -554,6 +554,28 @@
     }
 }
 
+/* The same, while the companion answers what renews its leases. */
+static void
+tick_in_touch(dispatcher_fixture *fix, int64_t until_ms)
+{
+    Msg_Reply reply = {.kind = MSG_RENEW};
+    int seen = 0;
+
+    reply.u.renew.host.node = companion_node;
+    reply.u.renew.host.state = LC_UPSTREAM_READY;
+    reply.u.renew.host.pace_percent = 100;
+    while (fix->now_ms < until_ms) {
+        tick_until(fix, fix->now_ms + 50);
+        reply.u.renew.host.stamp_ms = fix->now_ms;
+        for (; seen < fix->count; seen++) {
+            if (fix->calls[seen].kind == MSG_RENEW) {
+                Dispatcher_OnReply(fix->dispatcher, fix->now_ms,
+                                   fix->calls[seen].id, &reply);
+            }
+        }
+    }
+}
+
 static void
 test_paused(void)
 {
@@ -702,6 +724,26 @@
     free_dispatcher(&fix);
 }
 
+/* Two of six tasks never find room: the job is given up, and its runs are
+ * stopped, when their end would be worth nothing, well before its deadline. */
+static void
+test_begun_is_given_up(void)
+{
+    dispatcher_fixture fix;
+
+    new_dispatcher(&fix);
+    fix.route->target_ms = 0;
+    hand_in(&fix, 1, 6);
+    g_assert_cmpint(calls_of(&fix, MSG_RUN), ==, 4);
+    tick_in_touch(&fix, START_MS + 4200);
+    g_assert_cmpint(fix.answers, ==, 0);
+    tick_in_touch(&fix, START_MS + 4400);
+    g_assert_cmpint(fix.answers, ==, 1);
+    g_assert_cmpint(fix.outcome, ==, DISPATCHER_GIVEN_UP);
+    g_assert_cmpint(calls_of(&fix, MSG_HALT), ==, 4);
+    free_dispatcher(&fix);
+}
+
 static void
 test_advised_queue(void)
 {
@@ -750,6 +792,8 @@
     {"/dispatcher/counts failed attempts", test_attempts},
     {"/dispatcher/tells given up once begun",
      test_begun_is_not_told_as_not_run},
+    {"/dispatcher/gives up a begun job that is worth nothing",
+     test_begun_is_given_up},
 };
 
 int
