--- a/base/event.h
+++ b/base/event.h
@@ -50,6 +50,10 @@
     X(PEER_FOUND, 308, G_LOG_LEVEL_MESSAGE, "entry found")                    \
     X(STOOD_STILL, 309, G_LOG_LEVEL_WARNING, "process stood still")           \
     X(READY, 310, G_LOG_LEVEL_MESSAGE, "readiness changed")                   \
+    X(KEPT_CLAIMED, 311, G_LOG_LEVEL_MESSAGE, "kept jobs taken over")         \
+    X(KEPT_LOST, 312, G_LOG_LEVEL_WARNING, "kept jobs were taken over")       \
+    X(KEPT_BAD, 313, G_LOG_LEVEL_WARNING, "kept job cannot be read")          \
+    X(KEPT_REFUSED, 314, G_LOG_LEVEL_WARNING, "store refused a record")       \
     X(ROUTES, 402, G_LOG_LEVEL_MESSAGE, "routes in force")                    \
     X(ROUTES_BAD, 403, G_LOG_LEVEL_WARNING, "routes skipped")                 \
     X(JOB_LATE, 508, G_LOG_LEVEL_INFO, "leased job answered late")            \
--- a/daemon/leased_callers.c
+++ b/daemon/leased_callers.c
@@ -21,7 +21,8 @@
 count_waiting(const Leased_Entry *self, const char *queue)
 {
     int64_t now = self->awake_ms;
-    uint32_t count = Dispatcher_Waiting(self->dispatcher, queue);
+    uint32_t count = Dispatcher_Waiting(self->dispatcher, queue) +
+                     Keeper_Waiting(self->keeper, queue);
     guint i;
     guint j;
 
@@ -49,15 +50,15 @@
 }
 
 static void
-serve_look(Leased_Entry *self, const Http_Request *request, const Route *route,
-           uint64_t job)
+serve_look(Leased_Entry *self, int64_t now, const Http_Request *request,
+           const Route *route, uint64_t job)
 {
     bool begun = false;
     char *body;
 
-    if (!Dispatcher_Look(self->dispatcher, job, route->name, &begun)) {
-        Http_RespondText(self->callers, request->id, Callers_UnknownStatus(),
-                         0, "{}");
+    if (Keeper_Look(self->keeper, now, job, route->name) > KEEPER_STALE ||
+        !Dispatcher_Look(self->dispatcher, job, route->name, &begun)) {
+        Keeper_OnLook(self->keeper, now, request->id, job, route->name);
         return;
     }
     body = Callers_StateBody(begun);
@@ -79,9 +80,13 @@
              const Route *route, uint64_t job)
 {
     Msg_Call call = {.kind = MSG_WITHDRAW};
-    Leased_Cancel *pending = g_new0(Leased_Cancel, 1);
+    Leased_Cancel *pending;
     guint i;
 
+    if (Keeper_OnCancel(self->keeper, now, request->id, job, route->name)) {
+        return;
+    }
+    pending = g_new0(Leased_Cancel, 1);
     pending->request = request->id;
     pending->known = Dispatcher_OnCancel(self->dispatcher, now, job,
                                          route->name);
@@ -138,6 +143,11 @@
                           status.message, 0);
         return;
     }
+    if (submit.job.needs_keeping) {
+        LeasedKept_Submit(self, now, request, &submit);
+        LeasedJob_Clear(&submit.job);
+        return;
+    }
     if (is_past_taking(self, now, &submit.job)) {
         LeasedJob_Clear(&submit.job);
         Http_RespondError(self->callers, request->id, ERR_STOPPING,
@@ -167,7 +177,7 @@
         serve_submit(self, now, &raw, request, route, &parsed);
         break;
     case CALLERS_LOOK:
-        serve_look(self, request, route, parsed.job);
+        serve_look(self, now, request, route, parsed.job);
         break;
     case CALLERS_CANCEL:
         serve_cancel(self, now, request, route, parsed.job);
@@ -210,6 +220,7 @@
 
     Dispatcher_OnCallerGone(self->dispatcher, LeasedEntry_Awake(self),
                             request);
+    Keeper_OnCallerGone(self->keeper, request);
 }
 
 void
--- a/daemon/leased_entry.c
+++ b/daemon/leased_entry.c
@@ -14,7 +14,7 @@
 #define STILL_MS 200
 #define RESUME_MS 40
 #define STARTING_MS 2000
-#define STORE_CONNECTIONS 2
+#define STORE_CONNECTIONS 4
 /* New connections come for some time after the balancer was told not to. */
 #define STOP_LEAST_MS 2500
 #define STOP_MARGIN_MS 500
@@ -53,6 +53,7 @@
     Leased_Entry *self = check->data;
 
     Dispatcher_Settle(self->dispatcher, LeasedEntry_Awake(self));
+    Keeper_Settle(self->keeper, self->awake_ms);
 }
 
 /* ---- ports of the dispatcher ---- */
@@ -73,6 +74,8 @@
     .reset = Process_PortReset,
     .answer = port_answer,
     .event = Process_PortFields,
+    .kept_end = LeasedKept_End,
+    .kept_over = LeasedKept_Over,
 };
 
 /* ---- routes ---- */
@@ -165,6 +168,25 @@
     return self->routes == NULL ? -1 : self->routes->version;
 }
 
+static uint64_t
+incarnation_of(const Leased_Entry *self, Address companion)
+{
+    const Fleet_Host *host = Dispatcher_Host(self->dispatcher, companion);
+
+    return host == NULL ? 0 : host->node.incarnation;
+}
+
+static void
+take_report(Leased_Entry *self, int64_t now, const lc_report_args *args)
+{
+    uint64_t before = incarnation_of(self, args->host.node.address);
+
+    Dispatcher_OnReport(self->dispatcher, now, args);
+    if (incarnation_of(self, args->host.node.address) != before) {
+        Keeper_OnHost(self->keeper, now);
+    }
+}
+
 static void
 answer_report(Leased_Entry *self, int64_t now, uint64_t reply_id,
               const lc_report_args *args)
@@ -180,7 +202,7 @@
     }
     Process_PortReply(&self->process, reply_id, &reply);
     g_array_unref(live);
-    Dispatcher_OnReport(self->dispatcher, now, args);
+    take_report(self, now, args);
 }
 
 /* ---- the role ---- */
@@ -208,6 +230,8 @@
     Seeds_Refresh(&self->seeds, &self->peers, now);
     Peers_Forget(&self->peers, now);
     LeasedGossip_Tick(self, now);
+    LeasedStore_Tick(self, now);
+    Keeper_Tick(self->keeper, now);
     Dispatcher_Tick(self->dispatcher, now);
     note_ready(self);
 }
@@ -222,6 +246,7 @@
     process->end_by_ms = self->stop_ms + process->options->grace_ms -
                          STOP_MARGIN_MS;
     Http_CloseAfterAnswers(self->callers);
+    Keeper_Leave(self->keeper, self->stop_ms);
 }
 
 static bool
@@ -234,7 +259,7 @@
         return false;
     }
     return Http_Unanswered(self->callers) == 0 &&
-           Dispatcher_IsIdle(self->dispatcher);
+           Keeper_IsIdle(self->keeper) && Dispatcher_IsIdle(self->dispatcher);
 }
 
 static json_t *
@@ -243,6 +268,8 @@
     const Leased_Entry *self = (const Leased_Entry *)process;
     json_t *state = Dispatcher_Dump(self->dispatcher, Process_Now().mono_ms);
 
+    json_object_set_new(state, "kept",
+                        Keeper_Dump(self->keeper, Process_Now().mono_ms));
     json_object_set_new(state, "routes_version",
                         json_integer(LeasedEntry_RoutesVersion(self)));
     json_object_set_new(state, "ready", json_boolean(is_ready(self)));
@@ -262,6 +289,7 @@
     int64_t now = Process_Now().mono_ms;
 
     Dispatcher_Metrics(self->dispatcher, now, out);
+    Keeper_Metrics(self->keeper, now, out);
     g_string_append_printf(out,
                            "levercove_ready %d\n"
                            "levercove_routes_version %lld\n"
@@ -287,6 +315,9 @@
     case MSG_GOSSIP:
         LeasedGossip_Answer(self, reply_id, &call->u.gossip);
         return true;
+    case MSG_STORE:
+        LeasedStore_AnswerCall(self, reply_id, &call->u.store);
+        return true;
     case MSG_WITHDRAW:
         LeasedCallers_AnswerWithdraw(self, now, reply_id, &call->u.withdraw);
         return true;
@@ -302,10 +333,18 @@
     int64_t now = LeasedEntry_Awake(self);
     Peers_Row *peer;
 
+    if ((call_id & LEASED_KEEPER_CALL) != 0) {
+        Keeper_OnReply(self->keeper, now, call_id & ~LEASED_KEEPER_CALL,
+                       reply);
+        return;
+    }
     if ((call_id & LEASED_OWN_CALL) == 0) {
         Dispatcher_OnReply(self->dispatcher, now, call_id, reply);
         return;
     }
+    if (LeasedStore_TakeReply(self, call_id, reply)) {
+        return;
+    }
     peer = Peers_OfCall(&self->peers, call_id);
     if (peer == NULL) {
         LeasedCallers_TakeWithdraw(self, call_id, reply);
@@ -368,6 +407,8 @@
 
     self->cancels = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
                                           NULL);
+    self->relayed = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+                                          g_free);
     Peers_Init(&self->peers, options->rpc);
     Seeds_Init(&self->seeds, options);
     uv_timer_init(loop, &self->resume_timer);
@@ -382,22 +423,27 @@
         code = Err_Exit(ERR_BAD_SETTINGS);
         goto done;
     }
+    self->http = Http_NewClient(loop);
+    Http_KeepAlive(self->http, options->store, STORE_CONNECTIONS);
+    LeasedKept_Open(self, options);
     if (open_servers(self, loop, options, &status) != ERR_OK) {
         Event_Log(EVENT_LISTEN_FAILED, "%s", status.message);
         goto done;
     }
-    self->http = Http_NewClient(loop);
-    Http_KeepAlive(self->http, options->store, STORE_CONNECTIONS);
     Store_Follow(loop, self->http, options->store, on_routes, on_store_change,
                  self);
     code = Process_Run(&self->process);
 done:
+    if (self->keeper != NULL) {
+        Keeper_Free(self->keeper);
+    }
     if (self->dispatcher != NULL) {
         Dispatcher_Free(self->dispatcher);
     }
     Route_FreeTable(self->routes);
     Peers_Clear(&self->peers);
     g_hash_table_unref(self->cancels);
+    g_hash_table_unref(self->relayed);
     /* The loop's handles live in `self`; the process ends here. */
     return code;
 }
--- a/daemon/leased_entry_state.h
+++ b/daemon/leased_entry_state.h
@@ -13,17 +13,26 @@
 #include "daemon/process.h"
 #include "daemon/seeds.h"
 #include "lease/dispatcher.h"
+#include "lease/keeper.h"
 #include "lease/peers.h"
 #include "platform/http_client.h"
+#include "platform/keyed_log.h"
 
 /** Calls of the process itself; the dispatcher numbers its own without this
  * bit. */
 #define LEASED_OWN_CALL (1ULL << 63)
+/** Calls of the keeper. */
+#define LEASED_KEEPER_CALL (1ULL << 62)
 
 /** The process. */
 typedef struct {
     Process process; /* first, see Process */
     Dispatcher *dispatcher;
+    Keeper *keeper;
+    Keyed_Log *kept_log;
+    GHashTable *relayed; /* call id -> Leased_Relay, see leased_store.c */
+    bool store_away;     /* it does not answer this entry */
+    int64_t store_probed_ms;
     Route_Table *routes;
     Http_Client *http;
     Http_Server *callers;
@@ -73,6 +82,40 @@
 void LeasedCallers_TakeWithdraw(Leased_Entry *self, uint64_t call_id,
                                 const Msg_Reply *reply);
 
+/* Kept jobs: leased_kept.c. */
+
+/** Makes the keeper, and follows its records from now on. */
+void LeasedKept_Open(Leased_Entry *self, const Options *options);
+
+/** Ports of the dispatcher. */
+void LeasedKept_End(void *context, const lc_run_id *id, uint32_t task,
+                    lc_node host, bool done);
+void LeasedKept_Over(void *context, uint64_t job, Dispatcher_Outcome outcome);
+
+/** Takes a job that must be kept. */
+void LeasedKept_Submit(Leased_Entry *self, int64_t now,
+                       const Http_Request *request,
+                       const Dispatcher_Submit *submit);
+
+/* The store, directly or through another entry: leased_store.c. */
+
+/** Sends a request to the store. While it does not answer this entry, others
+ * are asked to call it. @p context is the process. */
+void LeasedStore_Send(void *context, const Http_ClientRequest *request,
+                      Http_ClientDone done, void *done_context);
+
+/** Another entry cannot reach the store. */
+void LeasedStore_AnswerCall(Leased_Entry *self, uint64_t reply_id,
+                            const lc_store_args *args);
+
+/** Another entry has called the store for us; false if @p call_id is not of
+ * such a call. */
+bool LeasedStore_TakeReply(Leased_Entry *self, uint64_t call_id,
+                           const Msg_Reply *reply);
+
+/** Gives up calls that others have not answered. */
+void LeasedStore_Tick(Leased_Entry *self, int64_t now);
+
 /* Other entries: leased_gossip.c. */
 
 /** Entries that spoke lately, and this one; free the array. */
--- a/daemon/leased_gossip.c
+++ b/daemon/leased_gossip.c
@@ -25,7 +25,8 @@
     for (i = 0; self->routes != NULL && i < self->routes->routes->len; i++) {
         const Route *route = g_ptr_array_index(self->routes->routes, i);
         lc_queue_count row = {.queue = route->name};
-        row.waiting = Dispatcher_Waiting(self->dispatcher, route->name);
+        row.waiting = Dispatcher_Waiting(self->dispatcher, route->name) +
+                      Keeper_Waiting(self->keeper, route->name);
         if (row.waiting > 0) {
             g_array_append_val(counts, row);
         }
@@ -41,6 +42,7 @@
     Msg_Call call = {.kind = MSG_GOSSIP};
 
     call.u.gossip.from = Dispatcher_Node(self->dispatcher);
+    call.u.gossip.kept = Keeper_Identity(self->keeper, now);
     call.u.gossip.routes_version = LeasedEntry_RoutesVersion(self);
     call.u.gossip.known = Peers_Digest(live);
     if (peer->digest != call.u.gossip.known) {
@@ -113,11 +115,14 @@
     GArray *live;
     GArray *counts = own_counts(self);
 
+    Keeper_OnPeer(self->keeper, self->awake_ms, args->from.address,
+                  args->kept);
     take_news(self, args->from.address, args->known, args->entries.entries_val,
               args->entries.entries_len, args->waiting.waiting_val,
               args->waiting.waiting_len);
     live = LeasedGossip_Known(self);
     result->from = Dispatcher_Node(self->dispatcher);
+    result->kept = Keeper_Identity(self->keeper, self->awake_ms);
     result->routes_version = LeasedEntry_RoutesVersion(self);
     result->known = Peers_Digest(live);
     if (args->known != result->known) {
@@ -138,6 +143,8 @@
 void
 LeasedGossip_Take(Leased_Entry *self, const lc_gossip_res *result)
 {
+    Keeper_OnPeer(self->keeper, self->awake_ms, result->from.address,
+                  result->kept);
     take_news(self, result->from.address, result->known,
               result->entries.entries_val, result->entries.entries_len,
               result->waiting.waiting_val, result->waiting.waiting_len);
--- /dev/null
+++ b/daemon/leased_kept.c
@@ -0,0 +1,191 @@
+#include "daemon/leased_entry_state.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#include "platform/callers.h"
+
+#define TOPIC "levercove.jobs"
+/* With what is written beside it, a body fits one record of the store. */
+#define MOST_BODY 200000U
+
+/* ---- the log ---- */
+
+static void
+on_record(void *context, const KeyedLog_Record *read)
+{
+    Leased_Entry *self = context;
+    Kept_Record record = {read->offset, read->key, read->key_length,
+                          read->value, read->length};
+
+    Keeper_OnRecord(self->keeper, LeasedEntry_Awake(self), &record);
+}
+
+static void
+on_read(void *context, int64_t asked_ms)
+{
+    Leased_Entry *self = context;
+
+    Keeper_OnRead(self->keeper, LeasedEntry_Awake(self), asked_ms);
+}
+
+static void
+on_written(void *context, uint64_t number)
+{
+    Leased_Entry *self = context;
+
+    Keeper_OnWritten(self->keeper, LeasedEntry_Awake(self), number);
+}
+
+static void
+on_refused(void *context, int status, const char *body, size_t length)
+{
+    (void)context;
+    Event_Log(EVENT_KEPT_REFUSED, "status %d: %.*s", status,
+              (int)MIN(length, 200), body);
+}
+
+static const KeyedLog_Ports log_ports = {
+    LeasedStore_Send, on_record, on_read, on_written, on_refused,
+};
+
+/* ---- ports of the keeper ---- */
+
+static uint64_t
+port_put(void *context, const char *key, const uint8_t *value, size_t length)
+{
+    Leased_Entry *self = context;
+
+    return KeyedLog_Put(self->kept_log, key, value, length);
+}
+
+static void
+port_answer(void *context, uint64_t request, const Dispatcher_Answer *answer)
+{
+    Leased_Entry *self = context;
+    char *body;
+
+    if (answer->outcome == DISPATCHER_NOT_RUN) {
+        Http_RespondError(self->callers, request, answer->kind,
+                          answer->message, answer->retry_ms);
+        return;
+    }
+    body = Callers_Body(answer);
+    Http_RespondText(self->callers, request, Callers_Status(answer),
+                     answer->retry_ms, body);
+    g_free(body);
+}
+
+static void
+port_tell(void *context, uint64_t request, Keeper_State state)
+{
+    Leased_Entry *self = context;
+    char *body = Callers_KeptBody(state);
+
+    Http_RespondText(self->callers, request, Callers_KeptStatus(state), 0,
+                     body);
+    g_free(body);
+}
+
+static void
+port_call(void *context, Address to, uint64_t call_id, const Msg_Call *call)
+{
+    Leased_Entry *self = context;
+
+    Rpc_Call(self->process.rpc, to, call_id | LEASED_KEEPER_CALL, call);
+}
+
+static const Route *
+port_route(void *context, const char *queue)
+{
+    const Leased_Entry *self = context;
+    guint i;
+
+    for (i = 0; self->routes != NULL && i < self->routes->routes->len; i++) {
+        const Route *route = g_ptr_array_index(self->routes->routes, i);
+        if (strcmp(route->name, queue) == 0) {
+            return route;
+        }
+    }
+    return NULL;
+}
+
+static Err_Kind
+port_parse(void *context, uint64_t id, const char *body, LeasedJob *job,
+           Status *status)
+{
+    Callers_Raw raw = {.body = body, .length = strlen(body)};
+
+    (void)context;
+    return Callers_ParseJob(&raw, id, job, status);
+}
+
+static void
+port_event(void *context, Event_Id id, const char *detail)
+{
+    (void)context;
+    Event_Log(id, "%s", detail);
+}
+
+static const Keeper_Ports keeper_ports = {
+    port_put,   port_answer, port_tell,  port_call,
+    port_route, port_parse,  port_event,
+};
+
+void
+LeasedKept_Open(Leased_Entry *self, const Options *options)
+{
+    Keeper_Config config = {.node = Dispatcher_Node(self->dispatcher),
+                            .max_jobs = (uint32_t)options->max_jobs,
+                            .resubmit_ms = options->resubmit_ms,
+                            .keep_ms = options->keep_ms};
+    char writer[64];
+
+    self->keeper = Keeper_New(&config, &keeper_ports, self, self->dispatcher,
+                              self->awake_ms);
+    g_snprintf(writer, sizeof(writer), "%" PRIx64 "-%" PRIx64,
+               (uint64_t)config.node.address,
+               (uint64_t)config.node.incarnation);
+    self->kept_log = KeyedLog_Open(uv_default_loop(), TOPIC, writer,
+                                   &log_ports, self);
+}
+
+void
+LeasedKept_End(void *context, const lc_run_id *id, uint32_t task, lc_node host,
+               bool done)
+{
+    Leased_Entry *self = context;
+
+    Keeper_OnRunEnd(self->keeper, id, task, host, done);
+}
+
+void
+LeasedKept_Over(void *context, uint64_t job, Dispatcher_Outcome outcome)
+{
+    Leased_Entry *self = context;
+
+    Keeper_OnJobOver(self->keeper, job, outcome);
+}
+
+/* ---- callers ---- */
+
+void
+LeasedKept_Submit(Leased_Entry *self, int64_t now, const Http_Request *request,
+                  const Dispatcher_Submit *submit)
+{
+    Keeper_Submit keep = {.request_id = request->id,
+                          .route = submit->route,
+                          .deadline_ms = submit->deadline_ms,
+                          .job = &submit->job};
+    char *body;
+
+    if (request->length > MOST_BODY) {
+        Http_RespondError(self->callers, request->id, ERR_TOO_LARGE,
+                          "a kept job's body is longer than 200000 bytes", 0);
+        return;
+    }
+    body = g_strndup(request->body, request->length);
+    keep.body = body;
+    Keeper_OnSubmit(self->keeper, now, &keep);
+    g_free(body);
+}
--- a/daemon/options.c
+++ b/daemon/options.c
@@ -64,6 +64,7 @@
     INTEGER("times.", task_timeout_ms, 100, 3600000),
     INTEGER("times.", grant_ms, 10, 10000),
     INTEGER("times.", resubmit_ms, 500, 600000),
+    INTEGER("times.", keep_ms, 1000, 604800000),
     INTEGER("times.", hold_max_ms, 100, 60000),
     INTEGER("times.", stop_ms, 0, 10000),
     INTEGER("times.", beat_ms, 10, 60000),
@@ -86,6 +87,7 @@
     g_strlcpy(options->placement, "grants", sizeof(options->placement));
     g_strlcpy(options->jobs, "owned", sizeof(options->jobs));
     options->resubmit_ms = 1300;
+    options->keep_ms = 120000;
     options->hold_max_ms = 1000;
     options->stop_ms = 50;
     options->beat_ms = 1500;
--- a/daemon/options.h
+++ b/daemon/options.h
@@ -46,6 +46,7 @@
     int64_t task_timeout_ms;
     int64_t grant_ms;
     int64_t resubmit_ms; /**< least time before a caller sends again */
+    int64_t keep_ms;     /**< outcomes of kept jobs are known for so long */
     int64_t hold_max_ms;
     int64_t stop_ms;
     int64_t beat_ms;
--- a/lease/dispatcher.c
+++ b/lease/dispatcher.c
@@ -87,7 +87,8 @@
     if (job == NULL) {
         return false;
     }
-    if (job->closing || g_strcmp0(job->queue, submit->route->name) != 0) {
+    if (job->closing || job->kept ||
+        g_strcmp0(job->queue, submit->route->name) != 0) {
         refuse(self, submit->request_id, submit->job.id, ERR_UNSETTLED,
                "an earlier run of this job is being stopped");
     }
@@ -309,7 +310,7 @@
             continue;
         }
         ask_again(self, now_ms, job);
-        if (!job->closing) {
+        if (!job->closing && !job->kept) {
             tend_job(self, now_ms, job, isolated);
         }
     }
--- a/lease/dispatcher.h
+++ b/lease/dispatcher.h
@@ -31,7 +31,8 @@
     DISPATCHER_FAILED,   /**< a task failed too often */
     DISPATCHER_NOT_RUN,  /**< no task was started and none will be */
     DISPATCHER_GIVEN_UP, /**< tasks were started; the job has no result */
-    DISPATCHER_CANCELLED
+    DISPATCHER_CANCELLED,
+    DISPATCHER_KEPT /**< it is written down and will be run */
 } Dispatcher_Outcome;
 
 /** Answer to a caller. */
@@ -51,6 +52,11 @@
                    const Dispatcher_Answer *answer);
     /** Writes an admitted event; takes the fields. */
     void (*event)(void *context, Event_Id id, json_t *fields);
+    /** A run of a kept job ended, well or badly. */
+    void (*kept_end)(void *context, const lc_run_id *id, uint32_t task,
+                     lc_node host, bool done);
+    /** A kept job is over. */
+    void (*kept_over)(void *context, uint64_t job, Dispatcher_Outcome outcome);
 } Dispatcher_Ports;
 
 /** Settings. */
@@ -69,6 +75,22 @@
     LeasedJob job;       /**< the dispatcher takes what it owns */
 } Dispatcher_Submit;
 
+/** A run of a kept job that was found at a companion. */
+typedef struct {
+    lc_run_id id;
+    lc_node host;
+} Dispatcher_Placement;
+
+/** A kept job to be run, or gone on with. */
+typedef struct {
+    const Route *route;
+    LeasedJob job;          /**< the dispatcher takes what it owns */
+    const GByteArray *done; /**< a bit for each task */
+    const GArray *failures; /**< lc_kept_failures */
+    const GArray *runs;     /**< Dispatcher_Placement */
+    uint32_t run_base;      /**< earlier runs are numbered up to this */
+} Dispatcher_Kept;
+
 /** Opaque dispatcher. */
 typedef struct Dispatcher Dispatcher;
 
@@ -99,6 +121,23 @@
 /** Jobs of a queue of which no task was started. */
 uint32_t Dispatcher_Waiting(const Dispatcher *self, const char *queue);
 
+/** Sets the identity under which kept jobs are run. All kept jobs of an
+ * earlier one are forgotten as they are: others look after them. */
+void Dispatcher_OwnKept(Dispatcher *self, uint64_t incarnation);
+
+/** Whether kept jobs may be started and their leases renewed. */
+void Dispatcher_HoldKept(Dispatcher *self, bool held);
+
+/** Takes a kept job; it has no caller and no deadline. */
+void Dispatcher_AddKept(Dispatcher *self, int64_t now_ms,
+                        Dispatcher_Kept *start);
+
+/** All companions known. */
+const Fleet *Dispatcher_Fleet(const Dispatcher *self);
+
+/** Companion at an address, or NULL. */
+const Fleet_Host *Dispatcher_Host(const Dispatcher *self, Address address);
+
 /** A companion reports. */
 void Dispatcher_OnReport(Dispatcher *self, int64_t now_ms,
                          const lc_report_args *report);
--- a/lease/dispatcher_calls.c
+++ b/lease/dispatcher_calls.c
@@ -22,6 +22,18 @@
     return about;
 }
 
+/* Kept jobs are run under an identity that others may take over. */
+static lc_node
+owner_of(const Dispatcher *self, const Active_Job *job)
+{
+    lc_node owner = self->config.node;
+
+    if (job->kept) {
+        owner.incarnation = self->kept;
+    }
+    return owner;
+}
+
 void
 DispatcherCall_Run(Dispatcher *self, const Active_Job *job,
                    const Active_Task *task, int64_t valid_until_ms)
@@ -30,7 +42,7 @@
     Dispatcher_Call about = about_task(job, task, MSG_RUN);
     Msg_Call call = {.kind = MSG_RUN};
 
-    call.u.run.owner = self->config.node;
+    call.u.run.owner = owner_of(self, job);
     call.u.run.target = task->host.incarnation;
     call.u.run.valid_until_ms = valid_until_ms;
     call.u.run.id = task->id;
@@ -46,7 +58,7 @@
     Dispatcher_Call about = about_task(job, task, MSG_HALT);
     Msg_Call call = {.kind = MSG_HALT};
 
-    call.u.halt.owner = self->config.node;
+    call.u.halt.owner = owner_of(self, job);
     call.u.halt.target = task->host.incarnation;
     call.u.halt.id = task->id;
     task->again_ms = INT64_MAX;
@@ -60,6 +72,7 @@
     Msg_Call call = {.kind = MSG_RENEW};
 
     call.u.renew.owner = self->config.node;
+    call.u.renew.kept = self->kept_held ? self->kept : 0;
     call.u.renew.target = host->node.incarnation;
     call.u.renew.valid_until_ms = Fleet_Hold(host, &self->config.term, now_ms);
     host->renew_ms = now_ms;
--- a/lease/dispatcher_ends.c
+++ b/lease/dispatcher_ends.c
@@ -32,8 +32,8 @@
     }
 }
 
-static void
-forget_job(Dispatcher *self, Active_Job *job)
+void
+DispatcherEnd_Forget(Dispatcher *self, Active_Job *job)
 {
     if (g_hash_table_lookup(self->by_id, &job->spec.id) == job) {
         g_hash_table_remove(self->by_id, &job->spec.id);
@@ -104,6 +104,9 @@
     };
     guint i;
 
+    if (job->kept) {
+        self->ports->kept_over(self->context, job->spec.id, answer->outcome);
+    }
     Counter_Add(&self->counters, counters[answer->outcome], 1);
     DispatcherEnd_Note(self, now_ms, job, outcome_of(now_ms, job, answer),
                        answer->message);
@@ -134,7 +137,7 @@
         }
     }
     if (job->open == 0) {
-        forget_job(self, job);
+        DispatcherEnd_Forget(self, job);
     }
 }
 
@@ -187,7 +190,7 @@
     if (job->closing) {
         Active_Move(job, task, ACTIVE_OVER);
         if (job->open == 0) {
-            forget_job(self, job);
+            DispatcherEnd_Forget(self, job);
         }
         return;
     }
@@ -206,7 +209,7 @@
 
     task->failures++;
     task->avoid = task->host.address;
-    if (host != NULL && host->state == LC_UPSTREAM_TRIAL) {
+    if (host != NULL && host->state == LC_UPSTREAM_TRIAL && !job->kept) {
         most += FREE_ATTEMPTS;
     }
     if (!job->closing && task->failures >= most) {
--- a/lease/dispatcher_hosts.c
+++ b/lease/dispatcher_hosts.c
@@ -25,15 +25,39 @@
     return self->fleet.hosts->len > 0;
 }
 
+/* A kept task may have ended well where nobody can be asked: it is tried
+ * elsewhere only after that companion was silent for so long. */
+#define KEPT_PATIENCE_MS 6000
+
+/* The run is over, but how it ended may be known to a companion. */
+static bool
+ask_first(Active_Job *job, Active_Task *task, const Fleet_Host *host,
+          int64_t now_ms, bool reborn)
+{
+    if (!job->kept || job->closing) {
+        return false;
+    }
+    if (!reborn) {
+        return now_ms - host->received_ms < KEPT_PATIENCE_MS;
+    }
+    task->host = host->node;
+    task->asks = 0;
+    task->again_ms = now_ms;
+    Active_Move(job, task, ACTIVE_ADRIFT);
+    return true;
+}
+
 /* Takes back every run at an address, but for those of one incarnation (0 for
  * none): all of them are certainly over. */
 static void
-end_runs_at(Dispatcher *self, int64_t now_ms, Address address,
+end_runs_at(Dispatcher *self, int64_t now_ms, Fleet_Host *host,
             uint64_t but_incarnation)
 {
+    Address address = host->node.address;
     uint32_t i;
     uint32_t j;
 
+    host->running = 0;
     for (i = 0; i < Handle_Size(self->jobs); i++) {
         Active_Job *job = Handle_At(self->jobs, i);
         for (j = 0; job != NULL && j < job->task_count; j++) {
@@ -42,7 +66,10 @@
                 task->host.incarnation == but_incarnation) {
                 continue;
             }
-            DispatcherEnd_LeaveHost(self, task);
+            if (ask_first(job, task, host, now_ms, but_incarnation != 0)) {
+                host->running++;
+                continue;
+            }
             Story_Add(job->story, now_ms,
                       but_incarnation == 0 ? STORY_EXPIRED : STORY_REBORN,
                       &task->id, address, 0);
@@ -71,8 +98,7 @@
                                                : "another incarnation");
     }
     if (change == FLEET_REBORN) {
-        host->running = 0;
-        end_runs_at(self, now_ms, host->node.address, host->node.incarnation);
+        end_runs_at(self, now_ms, host, host->node.incarnation);
     }
     self->unsettled = true;
 }
@@ -97,8 +123,7 @@
     }
     if (host->suspect && host->running > 0 && now_ms > certain_ms) {
         self->ports->reset(self->context, host->node.address);
-        host->running = 0;
-        end_runs_at(self, now_ms, host->node.address, 0);
+        end_runs_at(self, now_ms, host, 0);
         return;
     }
     if (host->running > 0 && !host->suspect && host->renewing == 0 &&
--- /dev/null
+++ b/lease/dispatcher_kept.c
@@ -0,0 +1,145 @@
+#include "lease/dispatcher_state.h"
+#include "lease/kept.h"
+
+/* Kept jobs have no deadline. */
+#define NEVER_MS (INT64_MAX / 4)
+
+void
+Dispatcher_OwnKept(Dispatcher *self, uint64_t incarnation)
+{
+    uint32_t i;
+    uint32_t j;
+
+    self->kept = incarnation;
+    for (i = 0; i < Handle_Size(self->jobs); i++) {
+        Active_Job *job = Handle_At(self->jobs, i);
+        if (job == NULL || !job->kept) {
+            continue;
+        }
+        for (j = 0; j < job->task_count; j++) {
+            DispatcherEnd_LeaveHost(self, &job->tasks[j]);
+        }
+        DispatcherEnd_Forget(self, job);
+    }
+}
+
+void
+Dispatcher_HoldKept(Dispatcher *self, bool held)
+{
+    self->kept_held = held;
+    self->unsettled |= held;
+}
+
+static void
+take_failures(Active_Job *job, const GArray *failures)
+{
+    guint i;
+
+    for (i = 0; i < failures->len; i++) {
+        const lc_kept_failures *row = &g_array_index(failures,
+                                                     lc_kept_failures, i);
+        if (row->task < job->task_count) {
+            job->tasks[row->task].failures = row->count;
+        }
+    }
+}
+
+static void
+take_done(Active_Job *job, const Dispatcher_Kept *start)
+{
+    uint32_t i;
+
+    for (i = 0; i < job->task_count; i++) {
+        Active_Task *task = &job->tasks[i];
+        task->id.run = start->run_base;
+        if (Kept_IsDone(start->done, i)) {
+            task->done = true;
+            Active_Move(job, task, ACTIVE_OVER);
+            job->starts++;
+        }
+    }
+    Active_Unblock(job);
+}
+
+/* The latest run of a task that a companion knows is asked for. */
+static void
+take_run(Dispatcher *self, int64_t now_ms, Active_Job *job,
+         const Dispatcher_Placement *run)
+{
+    uint32_t i;
+
+    for (i = 0; i < job->task_count; i++) {
+        Active_Task *task = &job->tasks[i];
+        Fleet_Host *host;
+        if (task->done || task->id.step != run->id.step ||
+            task->id.index != run->id.index ||
+            (DispatcherEnd_IsOut(task) && task->id.run >= run->id.run)) {
+            continue;
+        }
+        DispatcherEnd_LeaveHost(self, task);
+        task->id.run = run->id.run;
+        task->host = run->host;
+        task->again_ms = now_ms;
+        Active_Move(job, task, ACTIVE_ADRIFT);
+        host = DispatcherEnd_HostOf(self, task);
+        if (host != NULL) {
+            host->running++;
+        }
+        job->starts++;
+    }
+}
+
+/* What was written down may be all that there was to do. */
+static void
+end_if_over(Dispatcher *self, int64_t now_ms, Active_Job *job)
+{
+    Dispatcher_Answer answer = {
+        .outcome = DISPATCHER_SUCCEEDED, .kind = ERR_OK, .message = ""};
+    uint32_t i;
+
+    if (Active_IsDone(job)) {
+        DispatcherEnd_Job(self, now_ms, job, &answer);
+        return;
+    }
+    for (i = 0; i < job->task_count; i++) {
+        if (job->tasks[i].failures >= job->max_attempts) {
+            answer.outcome = DISPATCHER_FAILED;
+            answer.kind = ERR_UPSTREAM_FAILED;
+            answer.message = "a task failed too often";
+            DispatcherEnd_Job(self, now_ms, job, &answer);
+            return;
+        }
+    }
+}
+
+void
+Dispatcher_AddKept(Dispatcher *self, int64_t now_ms, Dispatcher_Kept *start)
+{
+    Active_Job *job = Active_New(&start->job, start->route, now_ms, NEVER_MS);
+    guint i;
+
+    job->kept = true;
+    job->handle = Handle_Add(self->jobs, job);
+    g_hash_table_replace(self->by_id, &job->spec.id, job);
+    take_done(job, start);
+    take_failures(job, start->failures);
+    for (i = 0; i < start->runs->len; i++) {
+        take_run(self, now_ms, job,
+                 &g_array_index(start->runs, Dispatcher_Placement, i));
+    }
+    Counter_Add(&self->counters, COUNTER_JOBS_SUBMITTED, 1);
+    self->unsettled = true;
+    end_if_over(self, now_ms, job);
+}
+
+const Fleet *
+Dispatcher_Fleet(const Dispatcher *self)
+{
+    return &self->fleet;
+}
+
+const Fleet_Host *
+Dispatcher_Host(const Dispatcher *self, Address address)
+{
+    return Fleet_Find(&self->fleet, address);
+}
--- a/lease/dispatcher_queue.c
+++ b/lease/dispatcher_queue.c
@@ -55,7 +55,11 @@
     if (left->job->priority != right->job->priority) {
         return compare_numbers(left->job->priority, right->job->priority);
     }
-    return compare_numbers(left->job->deadline_ms, right->job->deadline_ms);
+    if (left->job->deadline_ms != right->job->deadline_ms) {
+        return compare_numbers(left->job->deadline_ms,
+                               right->job->deadline_ms);
+    }
+    return compare_numbers(left->job->arrived_ms, right->job->arrived_ms);
 }
 
 static void
@@ -139,7 +143,8 @@
 
     for (i = 0; i < Handle_Size(self->jobs); i++) {
         Active_Job *job = Handle_At(self->jobs, i);
-        if (job != NULL && !job->closing && job->waiting > 0) {
+        if (job != NULL && !job->closing && job->waiting > 0 &&
+            (self->kept_held || !job->kept)) {
             queue_entry entry = entry_of(job, now_ms);
             g_array_append_val(queue, entry);
         }
--- a/lease/dispatcher_replies.c
+++ b/lease/dispatcher_replies.c
@@ -65,6 +65,11 @@
     Fleet_Host *host = DispatcherEnd_HostOf(self, task);
 
     DispatcherEnd_LeaveHost(self, task);
+    if (job->kept && (status == LC_RUN_DONE || status == LC_RUN_FAILED)) {
+        self->ports->kept_end(self->context, &task->id,
+                              (uint32_t)(task - job->tasks), task->host,
+                              status == LC_RUN_DONE);
+    }
     Story_Add(job->story, now_ms, STORY_ENDED, &task->id, task->host.address,
               (int32_t)status);
     switch (status) {
@@ -92,6 +97,25 @@
     }
 }
 
+/* The companion that ran a kept task is gone; its successor may have found
+ * how the run ended. */
+static void
+ask_successor(Dispatcher *self, int64_t now_ms, Active_Job *job,
+              Active_Task *task, const lc_node *successor)
+{
+    Fleet_Host *host;
+
+    DispatcherEnd_LeaveHost(self, task);
+    task->host = *successor;
+    task->asks = 0;
+    task->again_ms = now_ms;
+    Active_Move(job, task, ACTIVE_ADRIFT);
+    host = DispatcherEnd_HostOf(self, task);
+    if (host != NULL) {
+        host->running++;
+    }
+}
+
 static void
 on_run_reply(Dispatcher *self, int64_t now_ms, const Dispatcher_Call *about,
              const lc_run_res *result)
@@ -117,6 +141,10 @@
         task->again_ms = now_ms + ask_pause_ms(task);
         return;
     }
+    if (result->status == LC_RUN_OTHER_NODE && job->kept && !job->closing) {
+        ask_successor(self, now_ms, job, task, &result->host.node);
+        return;
+    }
     run_ended(self, now_ms, job, task, result->status);
 }
 
--- a/lease/dispatcher_state.h
+++ b/lease/dispatcher_state.h
@@ -36,6 +36,8 @@
     GHashTable *by_request; /* request id -> Active_Job */
     uint64_t random;
     uint32_t unanswered;
+    uint64_t kept; /* incarnation as an owner of kept jobs */
+    bool kept_held;
     bool paused;
     bool unsettled; /* something came that may let tasks be sent */
 };
@@ -69,6 +71,9 @@
 
 /* Ends: dispatcher_ends.c. */
 
+/** Frees a job and forgets its identity. */
+void DispatcherEnd_Forget(Dispatcher *self, Active_Job *job);
+
 /** Companion that has the task's run, or NULL if it began anew. */
 Fleet_Host *DispatcherEnd_HostOf(const Dispatcher *self,
                                  const Active_Task *task);
--- a/lease/fleet.c
+++ b/lease/fleet.c
@@ -139,6 +139,7 @@
     host->state = state->state;
     host->room = state->room;
     host->pace_percent = state->pace_percent;
+    host->held = state->held;
     host->suspect = false;
     return true;
 }
--- a/lease/fleet.h
+++ b/lease/fleet.h
@@ -28,6 +28,8 @@
     lc_resources capacity;
     lc_resources room; /**< as far as known, less what was sent since */
     uint32_t pace_percent;
+    uint32_t held;          /**< ends of kept jobs that wait there for long */
+    int64_t held_asked_ms;  /**< when this entry asked for them */
     int64_t stamp_ms;       /**< its clock at its last word */
     int64_t received_ms;    /**< when that arrived */
     int64_t reported_ms;    /**< when its last report arrived */
--- a/lease/job.c
+++ b/lease/job.c
@@ -22,6 +22,18 @@
     return count;
 }
 
+uint32_t
+LeasedJob_TaskNumber(const LeasedJob *job, uint32_t step, uint32_t index)
+{
+    uint32_t number = index;
+    uint32_t i;
+
+    for (i = 0; i < step && i < job->step_count; i++) {
+        number += job->steps[i].count;
+    }
+    return number;
+}
+
 uint32_t
 LeasedJob_ChainMs(const LeasedJob *job)
 {
@@ -47,9 +59,6 @@
 {
     uint32_t i;
 
-    if (job->needs_keeping) {
-        return "jobs that must be kept";
-    }
     if (job->repeated) {
         return "jobs that run at set times";
     }
--- a/lease/job.h
+++ b/lease/job.h
@@ -47,6 +47,10 @@
 /** Tasks of all steps. */
 uint32_t LeasedJob_Tasks(const LeasedJob *job);
 
+/** Number of a task among those of all steps. */
+uint32_t LeasedJob_TaskNumber(const LeasedJob *job, uint32_t step,
+                              uint32_t index);
+
 /** Longest chain of estimates in ms. */
 uint32_t LeasedJob_ChainMs(const LeasedJob *job);
 
--- a/lease/run_id.c
+++ b/lease/run_id.c
@@ -32,3 +32,9 @@
 {
     g_snprintf(text, RUN_ID_JOB_SIZE, "%016" PRIx64, job);
 }
+
+bool
+RunId_IsKept(const lc_run_id *id)
+{
+    return id->run > RUN_ID_KEPT_BASE;
+}
--- a/lease/run_id.h
+++ b/lease/run_id.h
@@ -12,6 +12,15 @@
 /** Size of the text of a job with its NUL. */
 #define RUN_ID_JOB_SIZE 20
 
+/** Runs of kept jobs are numbered from here, others below: so a companion that
+ * finds the end of a run tells the kind of its job. */
+#define RUN_ID_KEPT_BASE 1024
+/** Each owner of a kept job numbers its runs from a multiple of this. */
+#define RUN_ID_OWNER_STEP 1024
+
+/** Whether a run is of a kept job. */
+bool RunId_IsKept(const lc_run_id *id);
+
 /** Writes a job's identity in hexadecimal, as callers write it. */
 void RunId_FormatJob(uint64_t job, char text[RUN_ID_JOB_SIZE]);
 
--- a/lease/runner.c
+++ b/lease/runner.c
@@ -8,8 +8,6 @@
 #include "lease/run_id.h"
 #include "lease/runner_state.h"
 
-/* Ends are kept so long for entries that ask again. */
-#define FORGET_MS 4000
 #define STOP_AGAIN_MS 150
 /* Beats that may be missed before an upstream counts as gone. */
 #define BEATS_MISSED 3
@@ -28,6 +26,7 @@
                                           RunnerTask_Free);
     runner->by_handle = Handle_NewTable();
     runner->owners = g_array_new(FALSE, TRUE, sizeof(Runner_Owner));
+    runner->fenced = g_array_new(FALSE, TRUE, sizeof(lc_node));
     runner->token = config->first_token;
     runner->up.instance = g_strdup("");
     runner->up.service = g_strdup("");
@@ -42,6 +41,7 @@
     g_hash_table_unref(runner->tasks);
     Handle_FreeTable(runner->by_handle);
     g_array_unref(runner->owners);
+    g_array_unref(runner->fenced);
     g_free(runner->up.instance);
     g_free(runner->up.service);
     g_strfreev(runner->up.labels);
@@ -86,6 +86,7 @@
     }
     state->pace_percent = runner->health.pace_percent;
     state->tasks = runner->live;
+    state->held = RunnerKept_HeldLong(runner, now_ms);
 }
 
 /* LC_RUN_DONE if it may start. */
@@ -97,7 +98,8 @@
     if (args->target != 0 && args->target != runner->config.node.incarnation) {
         return runner->up.inventoried ? LC_RUN_OTHER_NODE : LC_RUN_NOT_READY;
     }
-    if (now_ms > args->valid_until_ms) {
+    if (now_ms > args->valid_until_ms ||
+        RunnerKept_IsFenced(runner, &args->owner)) {
         return LC_RUN_EXPIRED;
     }
     switch (current_state(runner, now_ms)) {
@@ -183,10 +185,14 @@
          const lc_renew_args *args)
 {
     Msg_Reply reply = {.kind = MSG_RENEW};
+    lc_node keeper = {args->owner.address, args->kept};
 
     if (args->target == runner->config.node.incarnation &&
         args->valid_until_ms >= now_ms) {
         RunnerOwner_Extend(runner, &args->owner, args->valid_until_ms);
+        if (args->kept != 0 && !RunnerKept_IsFenced(runner, &keeper)) {
+            RunnerOwner_Extend(runner, &keeper, args->valid_until_ms);
+        }
     }
     Runner_State(runner, now_ms, &reply.u.renew.host);
     runner->ports->reply(runner->context, reply_id, &reply);
@@ -206,6 +212,12 @@
     case MSG_HALT:
         on_halt(runner, now_ms, reply_id, &call->u.halt);
         break;
+    case MSG_RELEASE:
+        RunnerKept_OnRelease(runner, now_ms, reply_id, &call->u.release);
+        break;
+    case MSG_FENCE:
+        RunnerKept_OnFence(runner, now_ms, reply_id, &call->u.fence);
+        break;
     default:
         return false;
     }
@@ -322,7 +334,8 @@
         if (row->state != TASK_ENDED) {
             stop_lapsed(runner, now_ms, row);
         }
-        else if (now_ms - row->ended_ms > FORGET_MS) {
+        else if (RunnerKept_IsForgotten(row, now_ms)) {
+            RunnerKept_LetGo(runner, row);
             RunnerTask_Forget(runner, row);
         }
     }
@@ -347,7 +360,7 @@
 Runner_IsIdle(const Runner *runner)
 {
     return runner->live == 0 &&
-           (runner->up.last_seen == runner->up.acknowledged ||
+           (RunnerKept_LastSeen(runner) == runner->up.acknowledged ||
             !runner->up.known);
 }
 
--- /dev/null
+++ b/lease/runner_kept.c
@@ -0,0 +1,243 @@
+#include <string.h>
+
+#include "lease/kept.h"
+#include "lease/run_id.h"
+#include "lease/runner_state.h"
+
+/* Ends are kept so long for entries that ask again. */
+#define FORGET_MS 4000
+/* An end that nobody releases is held so long: more than it takes until an
+ * owner that is gone was claimed. */
+#define FORGET_HELD_MS 30000
+/* By then its owner has mostly written it down. */
+#define HELD_LONG_MS 1500
+/* Owners that are gone do not come back after so many others. */
+#define MOST_FENCED 64
+
+bool
+RunnerKept_IsFenced(const Runner *runner, const lc_node *owner)
+{
+    guint i;
+
+    for (i = 0; i < runner->fenced->len; i++) {
+        if (Kept_SameNode(&g_array_index(runner->fenced, lc_node, i), owner)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Only an end that counts for good is held. */
+static bool
+is_held(Runner_End end)
+{
+    return end == RUNNER_END_DONE || end == RUNNER_END_FAILED;
+}
+
+static Runner_Task *
+add_stranger(Runner *runner, int64_t now_ms, const Runner_EndRow *ended)
+{
+    lc_run_args found = {.id = ended->id, .spec = (char *)(uintptr_t) ""};
+    Runner_Task *row = RunnerTask_Add(runner, now_ms, &found);
+
+    row->state = TASK_ENDED;
+    row->status = ended->end == RUNNER_END_DONE ? LC_RUN_DONE : LC_RUN_FAILED;
+    row->ended_ms = now_ms;
+    return row;
+}
+
+void
+RunnerKept_HoldEnd(Runner *runner, int64_t now_ms, Runner_Task *row,
+                   const Runner_EndRow *ended)
+{
+    bool stopped = row != NULL && row->state == TASK_STOPPING &&
+                   ended->end != RUNNER_END_DONE;
+
+    if (!is_held(ended->end) || stopped) {
+        return; /* its owner is told that it was stopped */
+    }
+    if (row == NULL) {
+        row = add_stranger(runner, now_ms, ended);
+    }
+    row->end_number = ended->number;
+    row->unreleased = true;
+    runner->unreleased++;
+}
+
+void
+RunnerKept_LetGo(Runner *runner, Runner_Task *row)
+{
+    if (row->unreleased) {
+        row->unreleased = false;
+        runner->unreleased--;
+    }
+}
+
+void
+RunnerKept_LetGoAll(Runner *runner)
+{
+    GList *rows = RunnerTask_All(runner);
+    GList *item;
+
+    for (item = rows; item != NULL; item = item->next) {
+        Runner_Task *row = item->data;
+        RunnerKept_LetGo(runner, row);
+        row->end_number = 0; /* it may be listed anew */
+    }
+    g_list_free(rows);
+}
+
+uint64_t
+RunnerKept_LastSeen(const Runner *runner)
+{
+    uint64_t last = runner->up.last_seen;
+    GHashTableIter iter;
+    gpointer item;
+
+    if (runner->unreleased == 0) {
+        return last;
+    }
+    g_hash_table_iter_init(&iter, runner->tasks);
+    while (g_hash_table_iter_next(&iter, NULL, &item)) {
+        const Runner_Task *row = item;
+        if (row->unreleased) {
+            last = MIN(last, row->end_number - 1);
+        }
+    }
+    return last;
+}
+
+uint32_t
+RunnerKept_HeldLong(const Runner *runner, int64_t now_ms)
+{
+    uint32_t count = 0;
+    GHashTableIter iter;
+    gpointer item;
+
+    if (runner->unreleased == 0) {
+        return 0;
+    }
+    g_hash_table_iter_init(&iter, runner->tasks);
+    while (g_hash_table_iter_next(&iter, NULL, &item)) {
+        const Runner_Task *row = item;
+        count += row->unreleased && now_ms - row->ended_ms > HELD_LONG_MS;
+    }
+    return count;
+}
+
+bool
+RunnerKept_IsForgotten(const Runner_Task *row, int64_t now_ms)
+{
+    return now_ms - row->ended_ms >
+           (row->unreleased ? FORGET_HELD_MS : FORGET_MS);
+}
+
+void
+RunnerKept_OnRelease(Runner *runner, int64_t now_ms, uint64_t reply_id,
+                     const lc_release_args *args)
+{
+    Msg_Reply reply = {.kind = MSG_RELEASE};
+    u_int i;
+
+    for (i = 0; args->target == runner->config.node.incarnation &&
+                i < args->runs.runs_len;
+         i++) {
+        Runner_Task *row = g_hash_table_lookup(runner->tasks,
+                                               &args->runs.runs_val[i]);
+        if (row != NULL) {
+            RunnerKept_LetGo(runner, row);
+        }
+    }
+    Runner_State(runner, now_ms, &reply.u.release.host);
+    runner->ports->reply(runner->context, reply_id, &reply);
+}
+
+static void
+add_fenced(Runner *runner, const lc_node *gone)
+{
+    if (RunnerKept_IsFenced(runner, gone)) {
+        return;
+    }
+    if (runner->fenced->len >= MOST_FENCED) {
+        g_array_remove_index(runner->fenced, 0);
+    }
+    g_array_append_val(runner->fenced, *gone);
+}
+
+/* The run goes on for the heir, as long as it was held and a lease more. */
+static void
+bequeath(Runner *runner, int64_t now_ms, Runner_Task *row, const lc_node *heir)
+{
+    Runner_Owner *gone = RunnerOwner_Find(runner, &row->owner);
+
+    if (gone != NULL) {
+        gone->running--;
+    }
+    row->owner = *heir;
+    RunnerOwner_Extend(runner, heir, now_ms + runner->config.term.lease_ms)
+        ->running++;
+}
+
+static bool
+is_of(const Runner_Task *row, const lc_fence_args *args)
+{
+    u_int i;
+
+    for (i = 0; i < args->gone.gone_len; i++) {
+        if (Kept_SameNode(&row->owner, &args->gone.gone_val[i])) {
+            return true;
+        }
+    }
+    return row->unreleased &&
+           (row->owner.incarnation == 0 || args->gone.gone_len == 0);
+}
+
+static void
+list_runs(Runner *runner, int64_t now_ms, const lc_fence_args *args,
+          GArray *runs)
+{
+    GHashTableIter iter;
+    gpointer item;
+
+    g_hash_table_iter_init(&iter, runner->tasks);
+    while (g_hash_table_iter_next(&iter, NULL, &item)) {
+        Runner_Task *row = item;
+        lc_held_run held = {.id = row->id,
+                            .running = row->state != TASK_ENDED,
+                            .status = row->status};
+        if (!RunId_IsKept(&row->id) || !is_of(row, args) ||
+            runs->len >= LC_MAX_PAGE) {
+            continue;
+        }
+        if (row->state != TASK_ENDED) {
+            bequeath(runner, now_ms, row, &args->heir);
+        }
+        else if (!row->unreleased) {
+            continue;
+        }
+        g_array_append_val(runs, held);
+    }
+}
+
+void
+RunnerKept_OnFence(Runner *runner, int64_t now_ms, uint64_t reply_id,
+                   const lc_fence_args *args)
+{
+    Msg_Reply reply = {.kind = MSG_FENCE};
+    GArray *runs = g_array_new(FALSE, TRUE, sizeof(lc_held_run));
+    u_int i;
+
+    if (args->target == runner->config.node.incarnation &&
+        runner->up.inventoried) {
+        reply.u.fence.taken = true;
+        for (i = 0; i < args->gone.gone_len; i++) {
+            add_fenced(runner, &args->gone.gone_val[i]);
+        }
+        list_runs(runner, now_ms, args, runs);
+    }
+    reply.u.fence.runs.runs_len = runs->len;
+    reply.u.fence.runs.runs_val = (lc_held_run *)(void *)runs->data;
+    Runner_State(runner, now_ms, &reply.u.fence.host);
+    runner->ports->reply(runner->context, reply_id, &reply);
+    g_array_unref(runs);
+}
--- a/lease/runner_look.c
+++ b/lease/runner_look.c
@@ -12,7 +12,7 @@
 look_wanted(const Runner *runner)
 {
     return runner->live > 0 || !runner->up.inventoried ||
-           runner->up.last_seen > runner->up.acknowledged ||
+           RunnerKept_LastSeen(runner) > runner->up.acknowledged ||
            runner->up.doubtful;
 }
 
@@ -29,7 +29,7 @@
 {
     Runner_Look look = {.instance = runner->up.instance,
                         .token = runner->token,
-                        .last_seen = runner->up.last_seen};
+                        .last_seen = RunnerKept_LastSeen(runner)};
     int64_t ahead;
 
     if (runner->look_id != 0 || !look_wanted(runner) ||
@@ -46,7 +46,7 @@
     }
     runner->look_id = ++runner->last_look_id;
     runner->look_sent_ms = now_ms;
-    runner->look_seen = runner->up.last_seen;
+    runner->look_seen = look.last_seen;
     runner->ports->look(runner->context, runner->look_id, &look);
 }
 
@@ -103,6 +103,9 @@
     Runner_Task *row = g_hash_table_lookup(runner->tasks, &ended->id);
 
     runner->up.last_seen = MAX(runner->up.last_seen, ended->number);
+    if (RunId_IsKept(&ended->id) && (row == NULL || row->end_number == 0)) {
+        RunnerKept_HoldEnd(runner, now_ms, row, ended);
+    }
     if (row == NULL || row->state == TASK_ENDED) {
         return;
     }
--- a/lease/runner_state.h
+++ b/lease/runner_state.h
@@ -39,6 +39,8 @@
     bool stop_confirmed;
     int64_t stop_confirmed_ms;
     int64_t ended_ms;
+    uint64_t end_number; /* as the upstream listed it; 0 if it has not */
+    bool unreleased;     /* a kept job's end that is not written down yet */
     int64_t progress_ms; /* when the percentage last rose; 0 if not told */
     uint32_t percent;
     uint32_t ran_ms;
@@ -90,6 +92,8 @@
     int64_t look_again_ms; /* not before */
     int64_t hold_until_ms; /* the upstream lets all go by then */
     uint32_t live;         /* tasks that have not ended */
+    uint32_t unreleased;   /* ends that are not to be taken note of yet */
+    GArray *fenced;        /* lc_node, owners of kept jobs that are gone */
     bool draining;
     uint64_t version;
     lc_label label_row[LC_MAX_LABELS];
@@ -163,6 +167,39 @@
 /** Drops owners without work whose leases are over. */
 void RunnerOwner_Forget(Runner *runner, int64_t now_ms);
 
+/* Kept jobs: runner_kept.c. */
+
+/** Whether an owner of kept jobs is gone. */
+bool RunnerKept_IsFenced(const Runner *runner, const lc_node *owner);
+
+/** Holds the end of a kept job's run until it is released; one that is not
+ * known here was found at the upstream, and nobody owns it. */
+void RunnerKept_HoldEnd(Runner *runner, int64_t now_ms, Runner_Task *row,
+                        const Runner_EndRow *ended);
+
+/** Lets go of an end. */
+void RunnerKept_LetGo(Runner *runner, Runner_Task *row);
+
+/** Ends that are held for longer than it takes to write them down. */
+uint32_t RunnerKept_HeldLong(const Runner *runner, int64_t now_ms);
+
+/** Lets go of all ends: the upstream that listed them is gone. */
+void RunnerKept_LetGoAll(Runner *runner);
+
+/** Ends up to this number may be taken note of. */
+uint64_t RunnerKept_LastSeen(const Runner *runner);
+
+/** Whether an ended run is not needed any more. */
+bool RunnerKept_IsForgotten(const Runner_Task *row, int64_t now_ms);
+
+/** Answers a RELEASE. */
+void RunnerKept_OnRelease(Runner *runner, int64_t now_ms, uint64_t reply_id,
+                          const lc_release_args *args);
+
+/** Answers a FENCE. */
+void RunnerKept_OnFence(Runner *runner, int64_t now_ms, uint64_t reply_id,
+                        const lc_fence_args *args);
+
 /* The upstream: runner_upstream.c. */
 
 /** The upstream's clock shows at least this now. */
--- a/lease/runner_upstream.c
+++ b/lease/runner_upstream.c
@@ -39,6 +39,7 @@
     bool first = !runner->up.known && runner->up.instance[0] == '\0';
 
     RunnerTask_EndAll(runner, now_ms, LC_RUN_LOST);
+    RunnerKept_LetGoAll(runner);
     g_free(runner->up.instance);
     runner->up.instance = g_strdup(upstream->instance);
     runner->up.inventoried = false;
--- a/tests/lease_rules.c
+++ b/tests/lease_rules.c
@@ -394,6 +394,9 @@
     int count;
     int resets;
     int answers;
+    int kept_done;
+    int kept_failed;
+    int kept_over;
     Dispatcher_Outcome outcome;
 } dispatcher_fixture;
 
@@ -433,8 +436,32 @@
     fix->outcome = answer->outcome;
 }
 
-static const Dispatcher_Ports dispatcher_ports = {port_call, port_reset,
-                                                  port_answer, port_event};
+static void
+port_kept_end(void *context, const lc_run_id *id, uint32_t task, lc_node host,
+              bool done)
+{
+    dispatcher_fixture *fix = context;
+
+    (void)id;
+    (void)task;
+    (void)host;
+    fix->kept_done += done;
+    fix->kept_failed += !done;
+}
+
+static void
+port_kept_over(void *context, uint64_t job, Dispatcher_Outcome outcome)
+{
+    dispatcher_fixture *fix = context;
+
+    (void)job;
+    fix->kept_over++;
+    fix->outcome = outcome;
+}
+
+static const Dispatcher_Ports dispatcher_ports = {
+    port_call,  port_reset,    port_answer,
+    port_event, port_kept_end, port_kept_over};
 
 static void
 report_of(dispatcher_fixture *fix, const lc_node *node)
--- a/tests/lease_upstream.cc
+++ b/tests/lease_upstream.cc
@@ -64,6 +64,7 @@
     running.erase(task_of(id));
     refused_up_to[task_of(id)] = id.run;
     ends.push_back(row);
+    lapses_at[row.number] = lapses;
     on_end(id, how);
 }
 
@@ -72,6 +73,11 @@
 {
     std::map<TaskName, Running> now_running = running;
 
+    if (!lapsed && clock(now_ms) >= deadline_clock_ms) {
+        lapsed = true;
+        lapses++;
+    }
+
     for (auto &pair : now_running) {
         const Running &task = pair.second;
         if (clock(now_ms) >= deadline_clock_ms) {
@@ -96,6 +102,7 @@
     int64_t most = clock(now_ms) + HOLD_MAX_MS;
 
     deadline_clock_ms = std::max(deadline_clock_ms, std::min(deadline, most));
+    lapsed = lapsed && clock(now_ms) >= deadline_clock_ms;
 }
 
 Runner_OrderEnd
@@ -166,7 +173,12 @@
         extend(now_ms, order.deadline_ms);
     }
     while (!ends.empty() && ends.front().number <= order.last_seen) {
+        const Runner_EndRow row = ends.front();
         ends.erase(ends.begin());
+        if (on_noted && lapses_at[row.number] == lapses) {
+            on_noted(row.id, row.end);
+        }
+        lapses_at.erase(row.number);
     }
     for (auto &pair : running) {
         const Running &task = pair.second;
--- a/tests/lease_upstream.h
+++ b/tests/lease_upstream.h
@@ -49,6 +49,9 @@
     /** Called for each start and each end, with the true time. */
     std::function<void(const lc_run_id &)> on_start;
     std::function<void(const lc_run_id &, Runner_End)> on_end;
+    /** Called when an end is taken note of, unless the lease of everything
+     * lapsed since. */
+    std::function<void(const lc_run_id &, Runner_End)> on_noted;
     /** Work of a task in ms. */
     std::function<int64_t(const lc_run_id &)> work_of;
 
@@ -83,6 +86,12 @@
     {
         return running;
     }
+    /** The first end that was not taken note of; there must be one. */
+    const lc_run_id &
+    first_unseen() const
+    {
+        return ends.front().id;
+    }
     size_t
     unseen_ends() const
     {
@@ -103,6 +112,9 @@
     int64_t token = 0;
     int64_t deadline_clock_ms = 0;
     uint64_t last_end = 0;
+    uint64_t lapses = 0;
+    bool lapsed = false;
+    std::map<uint64_t, uint64_t> lapses_at; /* by the number of an end */
     std::map<TaskName, Running> running;
     std::map<TaskName, uint32_t> refused_up_to; /* stopped or ended runs */
     std::vector<Runner_EndRow> ends;
--- a/tests/lease_world.h
+++ b/tests/lease_world.h
@@ -21,6 +21,7 @@
 extern "C" {
 #include "base/random.h"
 #include "lease/dispatcher.h"
+#include "lease/keeper.h"
 #include "lease/route.h"
 #include "lease/runner.h"
 }
@@ -45,6 +46,11 @@
     Slow,
     HangUps, /**< callers leave early */
     Burst,
+    CutEntries,   /**< an entry hears no other */
+    StoreDown,    /**< the store answers nobody */
+    StoreCut,     /**< it answers one entry not */
+    StoreLossy,   /**< appends go unanswered, some are done seconds later */
+    StoreCompact, /**< its history is gone, but for the newest of each key */
     Count
 };
 
@@ -65,6 +71,7 @@
     int64_t length_ms = 4000;
     int64_t quiet_ms = 6000; /**< after the faults, without any */
     int64_t job_every_ms = 60;
+    int64_t kept_every_ms = 500; /**< kept jobs; 0 for none */
     std::vector<Action> actions;
 };
 
@@ -79,6 +86,10 @@
     uint64_t late_succeeded = 0; /**< in the second half of the quiet time */
     uint64_t late_jobs = 0;
     uint64_t starts = 0;
+    uint64_t kept_jobs = 0;
+    uint64_t kept_accepted = 0;
+    uint64_t kept_succeeded = 0;
+    uint64_t claims = 0;
 
     std::string text() const;
 };
--- a/tests/prop_lease.cc
+++ b/tests/prop_lease.cc
@@ -77,6 +77,10 @@
     total.not_run += report.not_run;
     total.given_up += report.given_up;
     total.starts += report.starts;
+    total.kept_jobs += report.kept_jobs;
+    total.kept_accepted += report.kept_accepted;
+    total.kept_succeeded += report.kept_succeeded;
+    total.claims += report.claims;
 }
 
 void
--- a/tests/soak/checker.cc
+++ b/tests/soak/checker.cc
@@ -7,6 +7,8 @@
 namespace {
 
 const size_t MOST_VIOLATIONS = 20;
+/* An accepted job is known everywhere after so long. */
+const int64_t VISIBLE_MS = 3000;
 
 std::string
 text_of(const lc_run_id &id)
@@ -71,6 +73,9 @@
         return;
     }
     job->started = true;
+    if (job->kept) {
+        check_kept_start(now_ms, id);
+    }
     used[place] += job->cpu_milli;
     if (used[place] > UPSTREAM_CAPACITY.cpu_milli) {
         violation(now_ms, place + " is over its room");
@@ -87,12 +92,100 @@
     at_work[lease::task_of(id)].erase(place);
     if (end == RUNNER_END_DONE) {
         ended_well[lease::task_of(id)] = true;
+        well_ends[lease::task_of(id)].push_back({id.run, false, false});
     }
     if (job != nullptr) {
         used[place] -= job->cpu_milli;
     }
 }
 
+/* An end that is taken note of, before or later, is the last of its task. */
+void
+Checker::check_kept_start(int64_t now_ms, const lc_run_id &id)
+{
+    for (WellEnd &end : well_ends[lease::task_of(id)]) {
+        end.followed = true;
+        if (end.noted) {
+            violation(now_ms,
+                      "a start after an end taken note of: " + text_of(id));
+        }
+    }
+}
+
+void
+Checker::on_noted(int64_t now_ms, const lc_run_id &id, Runner_End end)
+{
+    const Job *job = find(id.job);
+
+    if (end != RUNNER_END_DONE || job == nullptr || !job->kept) {
+        return;
+    }
+    for (WellEnd &row : well_ends[lease::task_of(id)]) {
+        if (row.run != id.run) {
+            continue;
+        }
+        row.noted = true;
+        if (row.followed) {
+            violation(now_ms, "an end taken note of after another start: " +
+                                  text_of(id));
+        }
+    }
+}
+
+void
+Checker::on_look(int64_t now_ms, Job &job, const Answer &answer)
+{
+    job.looks++;
+    if (!answer.whole || answer.status == 503) {
+        return;
+    }
+    if (answer.status != 200 && now_ms - job.accepted_ms < VISIBLE_MS) {
+        return; /* read elsewhere a moment later */
+    }
+    if (answer.status != 200) {
+        violation(now_ms, "kept job " + std::to_string(job.id) +
+                              " is told as unknown");
+        return;
+    }
+    if (answer.body.find("failed") != std::string::npos ||
+        answer.body.find("cancelled") != std::string::npos) {
+        job.over_ms = now_ms; /* a task may fail too often on a bad day */
+    }
+    if (answer.body.find("succeeded") == std::string::npos ||
+        job.over_ms != 0) {
+        return;
+    }
+    job.over_ms = now_ms;
+    job.done = true;
+    kept_done++;
+    for (uint32_t i = 0; i < job.tasks; i++) {
+        if (!ended_well[lease::TaskName(job.id, 0, i)]) {
+            violation(now_ms, "kept job " + std::to_string(job.id) +
+                                  " told as done with a task that is not");
+        }
+    }
+}
+
+uint64_t
+Checker::kept_open() const
+{
+    uint64_t open = 0;
+
+    for (auto &pair : jobs) {
+        open += pair.second.accepted && pair.second.over_ms == 0;
+    }
+    return open;
+}
+
+void
+Checker::finish_kept(int64_t now_ms, const Job &job)
+{
+    if (job.accepted && job.over_ms == 0) {
+        violation(now_ms, "kept job " + std::to_string(job.id) +
+                              " was accepted and is not over");
+    }
+}
+
 void
 Checker::on_answer(int64_t now_ms, Job &job, const Answer &answer)
 {
@@ -106,6 +199,14 @@
     if (!answer.whole || answer.status != 200) {
         return;
     }
+    if (job.kept) {
+        if (!job.accepted) {
+            kept_accepted++;
+            job.accepted = true;
+            job.accepted_ms = now_ms;
+        }
+        return;
+    }
     if (answer.body.find("succeeded") != std::string::npos) {
         job.done = true;
         if (job.first_ms >= calm_from_ms) {
@@ -130,6 +231,9 @@
         }
     }
     for (auto &pair : jobs) {
+        if (pair.second.kept) {
+            finish_kept(now_ms, pair.second);
+        }
         if (pair.second.started && !pair.second.may_have_run) {
             violation(now_ms, "job " + std::to_string(pair.first) +
                                   " ran though all attempts were refused");
--- a/tests/soak/checker.h
+++ b/tests/soak/checker.h
@@ -25,6 +25,11 @@
     bool started = false;
     bool done = false;
     int64_t first_ms = 0;
+    bool kept = false;     /**< it must not get lost */
+    bool accepted = false; /**< of a kept job: it was answered 200 */
+    int64_t accepted_ms = 0;
+    int64_t over_ms = 0; /**< of a kept job: when that was told */
+    int looks = 0;       /**< of a kept job */
 };
 
 /** Answer to one attempt. */
@@ -45,7 +50,13 @@
                   const lc_run_id &id);
     void on_end(int64_t now_ms, const std::string &place, const lc_run_id &id,
                 Runner_End end);
+    /** An end was taken note of, while the lease on it lasted. */
+    void on_noted(int64_t now_ms, const lc_run_id &id, Runner_End end);
     void on_answer(int64_t now_ms, Job &job, const Answer &answer);
+    /** Kept jobs that were accepted and not told as over. */
+    uint64_t kept_open() const;
+    /** A look at a kept job was answered. */
+    void on_look(int64_t now_ms, Job &job, const Answer &answer);
     void violation(int64_t now_ms, const std::string &text);
     /** To be called when all is over. */
     void finish(int64_t now_ms);
@@ -56,8 +67,20 @@
     uint64_t late_jobs = 0;   /**< sent when the faults were long over */
     uint64_t late_done = 0;
     int64_t calm_from_ms = INT64_MAX;
+    uint64_t kept_accepted = 0;
+    uint64_t kept_done = 0;
 
   private:
+    /* A run of a kept task that ended well. */
+    struct WellEnd {
+        uint32_t run;
+        bool noted;
+        bool followed; /* by a start of another run */
+    };
+    void check_kept_start(int64_t now_ms, const lc_run_id &id);
+    void finish_kept(int64_t now_ms, const Job &job);
+
+    std::map<lease::TaskName, std::vector<WellEnd>> well_ends;
     std::map<uint64_t, Job> jobs;
     std::map<lease::TaskName, std::map<std::string, lc_run_id>> at_work;
     std::map<lease::TaskName, bool> ended_well;
--- a/tests/soak/cluster.cc
+++ b/tests/soak/cluster.cc
@@ -18,6 +18,8 @@
 
 const int64_t RESUBMIT_MS = 1300;
 const int64_t CALLER_MS = 2500;
+const int64_t LOOK_MS = 1000;
+const int64_t LOOK_AGAIN_MS = 250;
 const int TRIES = 3;
 const int STORE_HOST = 200;
 
@@ -203,6 +205,10 @@
                                                   Runner_End end) {
             checker.on_end(now(), upstream->name, id, end);
         };
+        upstream->model.on_noted = [this](const lc_run_id &id,
+                                          Runner_End end) {
+            checker.on_noted(now(), id, end);
+        };
         upstream->model.work_of = [this](const lc_run_id &id) {
             const Job *job = checker.find(id.job);
             return job == nullptr ? 100 : job->work_ms;
@@ -332,6 +338,18 @@
     }
     self->checker.on_answer(self->now(), *job, answer);
     self->note(*attempt, *job, answer);
+    if (job->kept && answer.whole && answer.status == 200 && job->looks == 0) {
+        uint64_t id = job->id;
+        self->after(job->work_ms, [self, id] { self->look(id); });
+        /* Now and then it comes once more. */
+        if (job->tries == 1 && self->pick(5) == 0) {
+            self->after(self->pick(2000), [self, id] {
+                if (!self->over) {
+                    self->submit(id, false);
+                }
+            });
+        }
+    }
     bool again = !answer.whole || answer.status == 502 || answer.status == 504;
     if (again && job->tries < TRIES && !self->over) {
         uint64_t id = job->id;
@@ -347,12 +365,12 @@
     Job *job = checker.find(id);
     int entry = (int)pick((uint32_t)shape.entries);
     char path[64];
-    std::string body =
-        "{\"spec\":\"soak\",\"best_effort\":true,\"steps\":[{\"count\":" +
-        std::to_string(job->tasks) +
-        ",\"cpu\":" + std::to_string(job->cpu_milli) +
-        ",\"mem_mb\":64,\"estimate_ms\":" + std::to_string(job->work_ms) +
-        "}]}";
+    std::string body = std::string("{\"spec\":\"soak\",") +
+                       (job->kept ? "" : "\"best_effort\":true,") +
+                       "\"steps\":[{\"count\":" + std::to_string(job->tasks) +
+                       ",\"cpu\":" + std::to_string(job->cpu_milli) +
+                       ",\"mem_mb\":64,\"estimate_ms\":" +
+                       std::to_string(job->work_ms) + "}]}";
     Http_ClientRequest request = {};
 
     job->tries++;
@@ -381,6 +399,49 @@
     return id;
 }
 
+uint64_t
+Cluster::hand_in_kept(uint32_t tasks, uint32_t cpu_milli, int64_t work_ms)
+{
+    uint64_t id = ++jobs;
+
+    checker.add_job(id, tasks, cpu_milli, work_ms, INT64_MIN).kept = true;
+    submit(id, false);
+    return id;
+}
+
+void
+Cluster::look(uint64_t id)
+{
+    int entry = (int)pick((uint32_t)shape.entries);
+    Http_ClientRequest request = {};
+    char path[64];
+
+    snprintf(path, sizeof(path), "/q/%016" PRIx64, id);
+    request.to = address(entry_host(entry), PORT_FRONT);
+    request.method = "GET";
+    request.path = path;
+    request.timeout_ms = LOOK_MS;
+    Http_Send(client, &request, on_look, new Attempt{this, id, false, now()});
+}
+
+void
+Cluster::on_look(void *context, const Http_ClientAnswer *http)
+{
+    std::unique_ptr<Attempt> attempt((Attempt *)context);
+    Cluster *self = attempt->cluster;
+    Job *job = self->checker.find(attempt->id);
+    Answer answer = {http->end == HTTP_CLIENT_ANSWERED, http->status, ""};
+    uint64_t id = attempt->id;
+
+    if (answer.whole) {
+        answer.body.assign(http->body, http->length);
+    }
+    self->checker.on_look(self->now(), *job, answer);
+    if (job->over_ms == 0) {
+        self->after(LOOK_AGAIN_MS, [self, id] { self->look(id); });
+    }
+}
+
 void
 Cluster::heal()
 {
--- a/tests/soak/cluster.h
+++ b/tests/soak/cluster.h
@@ -54,6 +54,10 @@
     uint64_t hand_in(uint32_t tasks, uint32_t cpu_milli, int64_t work_ms,
                      bool leaves);
 
+    /** The same for a job that must be kept, which is looked at from time to
+     * time until it is over. */
+    uint64_t hand_in_kept(uint32_t tasks, uint32_t cpu_milli, int64_t work_ms);
+
     /** ms since the cluster was made. */
     int64_t
     now() const
@@ -105,6 +109,8 @@
     struct Attempt;
     void note(const Attempt &attempt, const Job &job, const Answer &answer);
     static void on_answer(void *context, const Http_ClientAnswer *http);
+    void look(uint64_t id);
+    static void on_look(void *context, const Http_ClientAnswer *http);
 
     int64_t begin_ms;
     uint64_t random_state;
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -33,6 +33,7 @@
 const int64_t LOADED_MS = 50;   /* from the start to main */
 const int64_t CALM_MS = 6000;   /* after the last fault */
 const int64_t SETTLE_MS = 3000; /* of it, until service must be back */
+const int64_t KEPT_MS = 20000;  /* since then, until all kept jobs are over */
 
 const GOptionEntry options[] = {
     {"seed", 0, 0, G_OPTION_ARG_INT64, &seed, "Of all choices", "N"},
@@ -60,8 +61,15 @@
     if (cluster->over) {
         return;
     }
-    cluster->hand_in(1 + cluster->pick(6), 1000 + cluster->pick(4) * 300,
-                     works[cluster->pick(6)], true);
+    if (cluster->pick(5) == 0) {
+        cluster->hand_in_kept(1 + cluster->pick(4),
+                              1000 + cluster->pick(4) * 300,
+                              works[cluster->pick(6)]);
+    }
+    else {
+        cluster->hand_in(1 + cluster->pick(6), 1000 + cluster->pick(4) * 300,
+                         works[cluster->pick(6)], true);
+    }
     cluster->after(1 + cluster->pick((uint32_t)(2000 / per_second)), make_job);
 }
 
@@ -246,17 +254,32 @@
     cluster->after(50 + cluster->pick(900), next_fault);
 }
 
+/* Kept jobs may need longer, if those who looked after them died at the
+ * last. */
+void
+finish_when_kept()
+{
+    if (cluster->checker.kept_open() > 0 &&
+        cluster->now() < cluster->checker.calm_from_ms + KEPT_MS) {
+        cluster->after(200, finish_when_kept);
+        return;
+    }
+    cluster->finish();
+}
+
 int
 report()
 {
     printf("seed %" G_GINT64_FORMAT ": %" PRIu64 " faults, %" PRIu64
            " jobs, %" PRIu64 " starts; answers 2xx %" PRIu64 ", 4xx %" PRIu64
            ", 5xx %" PRIu64 ", none %" PRIu64 "; %" PRIu64 " of %" PRIu64
-           " done in the calm; %zu violations\n",
+           " done in the calm; kept %" PRIu64 " of %" PRIu64
+           "; %zu violations\n",
            seed, faults, cluster->jobs, cluster->checker.starts,
            cluster->checker.answers[2], cluster->checker.answers[4],
            cluster->checker.answers[5], cluster->checker.answers[0],
            cluster->checker.late_done, cluster->checker.late_jobs,
+           cluster->checker.kept_done, cluster->checker.kept_accepted,
            cluster->checker.violations.size());
     for (const std::string &line : cluster->checker.violations) {
         printf("  %s\n", line.c_str());
@@ -312,7 +335,7 @@
     });
     cluster->after(healed + CALM_MS, [] { cluster->over = true; });
     cluster->after(healed + CALM_MS + 1500, [] { cluster->probe_routes(); });
-    cluster->after(healed + CALM_MS + 3500, [] { cluster->finish(); });
+    cluster->after(healed + CALM_MS + 3500, finish_when_kept);
     uv_run(cluster->loop, UV_RUN_DEFAULT);
     if (figures != nullptr) {
         cluster->write_figures(figures);
--- a/tests/soak/store.cc
+++ b/tests/soak/store.cc
@@ -11,7 +11,9 @@
 
 namespace {
 
-const int64_t TICK_MS = 20;
+const int64_t TICK_MS = 5;
+const size_t PAGE = 500;
+const char *const OPERATORS = "keyed.op";
 const int64_t SLOW_MS = 400;
 
 /* Number behind NAME= in a query. */
@@ -23,6 +25,30 @@
     return place == nullptr ? 0 : strtoull(place + strlen(name), nullptr, 10);
 }
 
+/* Text behind NAME= in a query. */
+std::string
+text_of(const char *query, const char *name)
+{
+    const char *place = strstr(query, name);
+
+    if (place == nullptr) {
+        return "";
+    }
+    place += strlen(name);
+    return std::string(place, strcspn(place, "&"));
+}
+
+uint64_t
+read_big(const char *bytes)
+{
+    uint64_t value = 0;
+
+    for (int i = 0; i < 4; i++) {
+        value = value << 8 | (uint8_t)bytes[i];
+    }
+    return value;
+}
+
 void
 append_big(std::string &out, uint64_t value, int size)
 {
@@ -95,13 +121,16 @@
 void
 Store::put(const std::string &key, const std::string &value)
 {
-    records.push_back({end++, key, value});
+    topics[OPERATORS].records.push_back({key, value});
+    answer_readers();
 }
 
 void
 Store::compact()
 {
-    first = end;
+    for (auto &pair : topics) {
+        pair.second.first = pair.second.records.size();
+    }
 }
 
 void
@@ -121,32 +150,40 @@
 }
 
 void
-Store::serve_newest(uint64_t request)
+Store::serve_newest(const Http_Request *request)
 {
+    const Topic &topic = topics[text_of(request->query, "topic=")];
+    std::string after = text_of(request->query, "depends_on=");
+    std::map<std::string, uint64_t> last;
     json_t *items = json_array();
+    bool more = false;
     json_t *body;
     char *text;
 
-    for (size_t i = 0; i < records.size(); i++) {
-        bool newest = true;
-        for (size_t j = i + 1; j < records.size(); j++) {
-            newest &= records[j].key != records[i].key;
+    for (uint64_t i = 0; i < topic.records.size(); i++) {
+        last[topic.records[i].key] = i;
+    }
+    for (auto &pair : last) {
+        const Record &record = topic.records[pair.second];
+        if (record.key <= after || record.value.empty()) {
+            continue;
         }
-        if (newest) {
-            gchar *value = g_base64_encode(
-                (const guchar *)records[i].value.data(),
-                records[i].value.size());
-            json_array_append_new(
-                items, json_pack("{s:s, s:s, s:I}", "key",
-                                 records[i].key.c_str(), "value", value,
-                                 "offset", (json_int_t)records[i].offset));
-            g_free(value);
+        if (json_array_size(items) == PAGE) {
+            more = true;
+            break;
         }
+        gchar *value = g_base64_encode((const guchar *)record.value.data(),
+                                       record.value.size());
+        json_array_append_new(items,
+                              json_pack("{s:s, s:s, s:I}", "key",
+                                        record.key.c_str(), "value", value,
+                                        "offset", (json_int_t)pair.second));
+        g_free(value);
     }
-    body = json_pack("{s:o, s:b, s:I}", "items", items, "more", 0, "end",
-                     (json_int_t)end);
+    body = json_pack("{s:o, s:b, s:I}", "items", items, "more", (int)more,
+                     "end", (json_int_t)topic.records.size());
     text = json_dumps(body, JSON_COMPACT);
-    respond(request, 200, text);
+    respond(request->id, 200, text);
     free(text);
     json_decref(body);
 }
@@ -154,24 +191,25 @@
 bool
 Store::answer_read(const Reader &reader)
 {
+    const Topic &topic = topics[reader.topic];
+    uint64_t end = topic.records.size();
     std::string body;
 
-    if (reader.from < first) {
+    if (reader.from < topic.first) {
         respond(reader.request, 410,
-                "{\"first\":" + std::to_string(first) + "}");
+                "{\"first\":" + std::to_string(topic.first) + "}");
         return true;
     }
     if (reader.from >= end && (int64_t)uv_now(loop) < reader.until_ms) {
         return false;
     }
     append_big(body, end, 8);
-    append_big(body, first, 8);
-    for (const Record &record : records) {
-        if (record.offset >= reader.from) {
-            append_big(body, 1 + record.key.size() + record.value.size(), 4);
-            body.push_back((char)record.key.size());
-            body += record.key + record.value;
-        }
+    append_big(body, topic.first, 8);
+    for (uint64_t i = reader.from; i < end; i++) {
+        const Record &record = topic.records[i];
+        append_big(body, 1 + record.key.size() + record.value.size(), 4);
+        body.push_back((char)record.key.size());
+        body += record.key + record.value;
     }
     respond(reader.request, 200, body);
     return true;
@@ -183,6 +221,7 @@
     Reader reader;
 
     reader.request = request->id;
+    reader.topic = text_of(request->query, "topic=");
     reader.from = number_of(request->query, "from=");
     reader.until_ms = (int64_t)uv_now(loop) +
                       (int64_t)number_of(request->query, "wait_ms=");
@@ -191,6 +230,55 @@
     }
 }
 
+/* All or nothing, once for each number of a writer. */
+void
+Store::serve_append(const Http_Request *request)
+{
+    Topic &topic = topics[text_of(request->query, "topic=")];
+    uint64_t sequence = number_of(request->query, "&seq=");
+    uint64_t &last = topic.sequences[text_of(request->query, "producer=")];
+    size_t place = 0;
+
+    if (sequence <= last) {
+        respond(request->id, 200, "{\"offset\":0,\"end\":0}");
+        return;
+    }
+    if (sequence != last + 1) {
+        respond(request->id, 409,
+                "{\"reason\":\"seq\",\"seq\":" + std::to_string(last + 1) +
+                    "}");
+        return;
+    }
+    last = sequence;
+    while (place + 4 < request->length) {
+        size_t size = read_big(request->body + place);
+        const char *bytes = request->body + place + 4;
+        size_t key = (uint8_t)bytes[0];
+        topic.records.push_back(
+            {std::string(bytes + 1, key),
+             std::string(bytes + 1 + key, size - 1 - key)});
+        place += 4 + size;
+    }
+    respond(request->id, 200, "{\"offset\":0,\"end\":0}");
+    answer_readers();
+}
+
+void
+Store::answer_readers()
+{
+    std::vector<Reader> left;
+
+    if (manner == StoreManner::Silent) {
+        return;
+    }
+    for (const Reader &reader : readers) {
+        if (!answer_read(reader)) {
+            left.push_back(reader);
+        }
+    }
+    readers = left;
+}
+
 void
 Store::serve(void *context, const Http_Request *request)
 {
@@ -204,11 +292,14 @@
         send(self->server, request->id, 503, "{}");
     }
     else if (strcmp(request->path, "/log-newest") == 0) {
-        self->serve_newest(request->id);
+        self->serve_newest(request);
     }
     else if (strcmp(request->path, "/log-read") == 0) {
         self->serve_read(request);
     }
+    else if (strcmp(request->path, "/log-append") == 0) {
+        self->serve_append(request);
+    }
     else {
         send(self->server, request->id, 404, "{}");
     }
@@ -217,18 +308,7 @@
 void
 Store::on_tick(uv_timer_t *timer)
 {
-    Store *self = (Store *)timer->data;
-    std::vector<Reader> left;
-
-    if (self->manner == StoreManner::Silent) {
-        return;
-    }
-    for (const Reader &reader : self->readers) {
-        if (!self->answer_read(reader)) {
-            left.push_back(reader);
-        }
-    }
-    self->readers = left;
+    ((Store *)timer->data)->answer_readers();
 }
 
 } // namespace soak
--- a/tests/soak_checker.cc
+++ b/tests/soak_checker.cc
@@ -42,6 +42,78 @@
     g_assert_cmpuint(count(checker), ==, 0);
 }
 
+/* A kept job whose task ended well, and was taken note of, twice. */
+soak::Job &
+play_kept(soak::Checker &checker, bool noted_before)
+{
+    soak::Job &job = checker.add_job(1, 1, 1000, 100, 0);
+
+    job.kept = true;
+    checker.on_answer(5, job, {true, 200, "{}"});
+    checker.on_start(10, PLACE, run_of(1, 0, 1));
+    checker.on_end(110, PLACE, run_of(1, 0, 1), RUNNER_END_DONE);
+    if (noted_before) {
+        checker.on_noted(120, run_of(1, 0, 1), RUNNER_END_DONE);
+    }
+    return job;
+}
+
+void
+test_kept_well()
+{
+    soak::Checker checker;
+    soak::Job &job = play_kept(checker, true);
+
+    checker.on_look(130, job, {true, 410, "{}"});
+    checker.on_look(150, job, {true, 200, "{\"state\":\"succeeded\"}"});
+    g_assert_cmpuint(count(checker), ==, 0);
+}
+
+void
+test_kept_again()
+{
+    soak::Checker checker;
+    soak::Job &job = play_kept(checker, true);
+
+    checker.on_start(200, OTHER, run_of(1, 0, 2));
+    checker.on_end(300, OTHER, run_of(1, 0, 2), RUNNER_END_DONE);
+    checker.on_look(310, job, {true, 200, "{\"state\":\"succeeded\"}"});
+    g_assert_cmpuint(count(checker), ==, 1);
+}
+
+void
+test_kept_noted_late()
+{
+    soak::Checker checker;
+    soak::Job &job = play_kept(checker, false);
+
+    checker.on_start(200, OTHER, run_of(1, 0, 2));
+    checker.on_end(300, OTHER, run_of(1, 0, 2), RUNNER_END_DONE);
+    checker.on_noted(305, run_of(1, 0, 1), RUNNER_END_DONE);
+    checker.on_look(310, job, {true, 200, "{\"state\":\"succeeded\"}"});
+    g_assert_cmpuint(count(checker), ==, 1);
+}
+
+void
+test_kept_lost()
+{
+    soak::Checker checker;
+
+    play_kept(checker, true);
+    g_assert_cmpuint(count(checker), ==, 1);
+}
+
+void
+test_kept_unknown()
+{
+    soak::Checker checker;
+    soak::Job &job = play_kept(checker, true);
+
+    checker.on_look(4000, job, {true, 410, "{}"});
+    checker.on_look(4010, job, {true, 200, "{\"state\":\"succeeded\"}"});
+    g_assert_cmpuint(count(checker), ==, 1);
+}
+
 void
 test_two_runs()
 {
@@ -132,6 +204,11 @@
     void (*run)();
 } tests[] = {
     {"/checker/nothing wrong", test_nothing_wrong},
+    {"/checker/a kept job, nothing wrong", test_kept_well},
+    {"/checker/a kept task again after its end", test_kept_again},
+    {"/checker/a kept end noted after another start", test_kept_noted_late},
+    {"/checker/a kept job not over", test_kept_lost},
+    {"/checker/a kept job told as unknown", test_kept_unknown},
     {"/checker/two runs at once", test_two_runs},
     {"/checker/over room", test_over_room},
     {"/checker/done without all tasks", test_done_without_all},
--- a/wire/levercove.h
+++ b/wire/levercove.h
@@ -21,6 +21,8 @@
 #define LC_MAX_KEYS 262144
 #define LC_MAX_DEMAND 256
 #define LC_MAX_PAGE 4096
+#define LC_MAX_PATH 400
+#define LC_MAX_ANSWER 4194304
 
 struct lc_key {
 	char bytes[16];
@@ -336,6 +338,7 @@
 	lc_resources room;
 	u_int pace_percent;
 	u_int tasks;
+	u_int held;
 };
 typedef struct lc_host_state lc_host_state;
 
@@ -375,6 +378,7 @@
 
 struct lc_renew_args {
 	lc_node owner;
+	u_quad_t kept;
 	u_quad_t target;
 	quad_t valid_until_ms;
 };
@@ -433,6 +437,7 @@
 
 struct lc_gossip_args {
 	lc_node from;
+	u_quad_t kept;
 	quad_t routes_version;
 	u_quad_t known;
 	struct {
@@ -448,6 +453,7 @@
 
 struct lc_gossip_res {
 	lc_node from;
+	u_quad_t kept;
 	quad_t routes_version;
 	u_quad_t known;
 	struct {
@@ -477,6 +483,137 @@
 };
 typedef struct lc_withdraw_res lc_withdraw_res;
 
+struct lc_release_args {
+	u_quad_t target;
+	struct {
+		u_int runs_len;
+		lc_run_id *runs_val;
+	} runs;
+};
+typedef struct lc_release_args lc_release_args;
+
+struct lc_release_res {
+	lc_host_state host;
+};
+typedef struct lc_release_res lc_release_res;
+
+struct lc_fence_args {
+	u_quad_t target;
+	struct {
+		u_int gone_len;
+		lc_node *gone_val;
+	} gone;
+	lc_node heir;
+};
+typedef struct lc_fence_args lc_fence_args;
+
+struct lc_held_run {
+	lc_run_id id;
+	bool_t running;
+	lc_run_status status;
+};
+typedef struct lc_held_run lc_held_run;
+
+struct lc_fence_res {
+	bool_t taken;
+	struct {
+		u_int runs_len;
+		lc_held_run *runs_val;
+	} runs;
+	lc_host_state host;
+};
+typedef struct lc_fence_res lc_fence_res;
+
+struct lc_store_args {
+	char *method;
+	char *path;
+	struct {
+		u_int body_len;
+		char *body_val;
+	} body;
+	u_int timeout_ms;
+};
+typedef struct lc_store_args lc_store_args;
+
+struct lc_store_res {
+	bool_t answered;
+	u_int status;
+	struct {
+		u_int body_len;
+		char *body_val;
+	} body;
+};
+typedef struct lc_store_res lc_store_res;
+
+enum lc_kept_kind {
+	LC_KEPT_SUBMIT = 0,
+	LC_KEPT_PROGRESS = 1,
+	LC_KEPT_CANCEL = 2,
+	LC_KEPT_CLAIM = 3,
+	LC_KEPT_ALIVE = 4,
+};
+typedef enum lc_kept_kind lc_kept_kind;
+
+enum lc_kept_outcome {
+	LC_KEPT_OPEN = 0,
+	LC_KEPT_SUCCEEDED = 1,
+	LC_KEPT_FAILED = 2,
+	LC_KEPT_CANCELLED = 3,
+};
+typedef enum lc_kept_outcome lc_kept_outcome;
+
+struct lc_kept_submit {
+	lc_node owner;
+	char *queue;
+	char *body;
+};
+typedef struct lc_kept_submit lc_kept_submit;
+
+struct lc_kept_failures {
+	u_int task;
+	u_int count;
+	u_int run;
+};
+typedef struct lc_kept_failures lc_kept_failures;
+
+struct lc_kept_progress {
+	char *queue;
+	lc_kept_outcome outcome;
+	struct {
+		u_int done_len;
+		char *done_val;
+	} done;
+	struct {
+		u_int failures_len;
+		lc_kept_failures *failures_val;
+	} failures;
+};
+typedef struct lc_kept_progress lc_kept_progress;
+
+struct lc_kept_claim {
+	lc_node gone;
+	lc_node heir;
+};
+typedef struct lc_kept_claim lc_kept_claim;
+
+struct lc_kept_body {
+	lc_kept_kind kind;
+	union {
+		lc_kept_submit submit;
+		lc_kept_progress progress;
+		char *queue;
+		lc_kept_claim claim;
+		lc_node alive;
+	} lc_kept_body_u;
+};
+typedef struct lc_kept_body lc_kept_body;
+
+struct lc_kept_record {
+	u_quad_t job;
+	lc_kept_body body;
+};
+typedef struct lc_kept_record lc_kept_record;
+
 #define LC_PROGRAM 0x20004c43
 #define LC_VERSION 1
 
@@ -529,6 +666,15 @@
 #define LC_WITHDRAW 15
 extern  lc_withdraw_res * lc_withdraw_1(lc_withdraw_args *, CLIENT *);
 extern  lc_withdraw_res * lc_withdraw_1_svc(lc_withdraw_args *, struct svc_req *);
+#define LC_RELEASE 16
+extern  lc_release_res * lc_release_1(lc_release_args *, CLIENT *);
+extern  lc_release_res * lc_release_1_svc(lc_release_args *, struct svc_req *);
+#define LC_FENCE 17
+extern  lc_fence_res * lc_fence_1(lc_fence_args *, CLIENT *);
+extern  lc_fence_res * lc_fence_1_svc(lc_fence_args *, struct svc_req *);
+#define LC_STORE 18
+extern  lc_store_res * lc_store_1(lc_store_args *, CLIENT *);
+extern  lc_store_res * lc_store_1_svc(lc_store_args *, struct svc_req *);
 extern int lc_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -580,6 +726,15 @@
 #define LC_WITHDRAW 15
 extern  lc_withdraw_res * lc_withdraw_1();
 extern  lc_withdraw_res * lc_withdraw_1_svc();
+#define LC_RELEASE 16
+extern  lc_release_res * lc_release_1();
+extern  lc_release_res * lc_release_1_svc();
+#define LC_FENCE 17
+extern  lc_fence_res * lc_fence_1();
+extern  lc_fence_res * lc_fence_1_svc();
+#define LC_STORE 18
+extern  lc_store_res * lc_store_1();
+extern  lc_store_res * lc_store_1_svc();
 extern int lc_program_1_freeresult ();
 #endif /* K&R C */
 
@@ -636,6 +791,21 @@
 extern  bool_t xdr_lc_gossip_res (XDR *, lc_gossip_res*);
 extern  bool_t xdr_lc_withdraw_args (XDR *, lc_withdraw_args*);
 extern  bool_t xdr_lc_withdraw_res (XDR *, lc_withdraw_res*);
+extern  bool_t xdr_lc_release_args (XDR *, lc_release_args*);
+extern  bool_t xdr_lc_release_res (XDR *, lc_release_res*);
+extern  bool_t xdr_lc_fence_args (XDR *, lc_fence_args*);
+extern  bool_t xdr_lc_held_run (XDR *, lc_held_run*);
+extern  bool_t xdr_lc_fence_res (XDR *, lc_fence_res*);
+extern  bool_t xdr_lc_store_args (XDR *, lc_store_args*);
+extern  bool_t xdr_lc_store_res (XDR *, lc_store_res*);
+extern  bool_t xdr_lc_kept_kind (XDR *, lc_kept_kind*);
+extern  bool_t xdr_lc_kept_outcome (XDR *, lc_kept_outcome*);
+extern  bool_t xdr_lc_kept_submit (XDR *, lc_kept_submit*);
+extern  bool_t xdr_lc_kept_failures (XDR *, lc_kept_failures*);
+extern  bool_t xdr_lc_kept_progress (XDR *, lc_kept_progress*);
+extern  bool_t xdr_lc_kept_claim (XDR *, lc_kept_claim*);
+extern  bool_t xdr_lc_kept_body (XDR *, lc_kept_body*);
+extern  bool_t xdr_lc_kept_record (XDR *, lc_kept_record*);
 
 #else /* K&R C */
 extern bool_t xdr_lc_key ();
@@ -688,6 +858,21 @@
 extern bool_t xdr_lc_gossip_res ();
 extern bool_t xdr_lc_withdraw_args ();
 extern bool_t xdr_lc_withdraw_res ();
+extern bool_t xdr_lc_release_args ();
+extern bool_t xdr_lc_release_res ();
+extern bool_t xdr_lc_fence_args ();
+extern bool_t xdr_lc_held_run ();
+extern bool_t xdr_lc_fence_res ();
+extern bool_t xdr_lc_store_args ();
+extern bool_t xdr_lc_store_res ();
+extern bool_t xdr_lc_kept_kind ();
+extern bool_t xdr_lc_kept_outcome ();
+extern bool_t xdr_lc_kept_submit ();
+extern bool_t xdr_lc_kept_failures ();
+extern bool_t xdr_lc_kept_progress ();
+extern bool_t xdr_lc_kept_claim ();
+extern bool_t xdr_lc_kept_body ();
+extern bool_t xdr_lc_kept_record ();
 
 #endif /* K&R C */
 
--- a/wire/levercove.x
+++ b/wire/levercove.x
@@ -8,6 +8,8 @@
 const LC_MAX_KEYS = 262144;
 const LC_MAX_DEMAND = 256;
 const LC_MAX_PAGE = 4096;
+const LC_MAX_PATH = 400;
+const LC_MAX_ANSWER = 4194304;
 
 struct lc_key {
     opaque bytes[16];
@@ -273,6 +275,7 @@
     lc_resources room;
     unsigned int pace_percent; /* time of tasks over their estimate */
     unsigned int tasks;
+    unsigned int held; /* ends of kept jobs that nobody has released for long */
 };
 
 enum lc_run_status {
@@ -309,6 +312,7 @@
 /* Extends the lease of all that an entry runs at a companion. */
 struct lc_renew_args {
     lc_node owner;
+    unsigned hyper kept; /* incarnation under which it owns kept jobs; 0: none are renewed */
     unsigned hyper target;
     hyper valid_until_ms;
 };
@@ -358,6 +362,7 @@
 /* An entry tells another of itself; the answer may hold newer routes. */
 struct lc_gossip_args {
     lc_node from;
+    unsigned hyper kept; /* incarnation under which it owns kept jobs; 0: it cannot look after them */
     hyper routes_version;
     unsigned hyper known; /* digest of the entries it knows, with itself */
     unsigned hyper entries<LC_MAX_PEERS>; /* none if the other knows them */
@@ -366,6 +371,7 @@
 
 struct lc_gossip_res {
     lc_node from;
+    unsigned hyper kept;
     hyper routes_version;
     unsigned hyper known;
     unsigned hyper entries<LC_MAX_PEERS>;
@@ -384,6 +390,108 @@
     bool known;
 };
 
+/* Ends of runs of kept jobs that are written down for good. */
+struct lc_release_args {
+    unsigned hyper target;
+    lc_run_id runs<LC_MAX_PAGE>;
+};
+
+struct lc_release_res {
+    lc_host_state host;
+};
+
+/* A companion takes no more orders of an owner of kept jobs that is gone; what
+ * it runs for it is the heir's. */
+struct lc_fence_args {
+    unsigned hyper target;
+    lc_node gone<LC_MAX_PEERS>; /* none: all ends that are held are told */
+    lc_node heir;
+};
+
+struct lc_held_run {
+    lc_run_id id;
+    bool running;
+    lc_run_status status; /* of an end that nobody has released */
+};
+
+struct lc_fence_res {
+    bool taken; /* false: the companion does not know what its upstream runs */
+    lc_held_run runs<LC_MAX_PAGE>;
+    lc_host_state host;
+};
+
+/* An entry that cannot reach the store asks another to call it. */
+struct lc_store_args {
+    string method<LC_MAX_NAME>;
+    string path<LC_MAX_PATH>;
+    opaque body<LC_MAX_RECORD>;
+    unsigned int timeout_ms;
+};
+
+struct lc_store_res {
+    bool answered;
+    unsigned int status;
+    opaque body<LC_MAX_ANSWER>;
+};
+
+/* Records of kept jobs in the store: lease/kept.h. */
+enum lc_kept_kind {
+    LC_KEPT_SUBMIT = 0,
+    LC_KEPT_PROGRESS = 1,
+    LC_KEPT_CANCEL = 2,
+    LC_KEPT_CLAIM = 3,
+    LC_KEPT_ALIVE = 4
+};
+
+enum lc_kept_outcome {
+    LC_KEPT_OPEN = 0,
+    LC_KEPT_SUCCEEDED = 1,
+    LC_KEPT_FAILED = 2,
+    LC_KEPT_CANCELLED = 3
+};
+
+struct lc_kept_submit {
+    lc_node owner;
+    string queue<LC_MAX_NAME>;
+    string body<LC_MAX_PAYLOAD>; /* as its caller sent it */
+};
+
+struct lc_kept_failures {
+    unsigned int task;
+    unsigned int count;
+    unsigned int run; /* the last that was counted */
+};
+
+struct lc_kept_progress {
+    string queue<LC_MAX_NAME>;
+    lc_kept_outcome outcome;
+    opaque done<LC_MAX_TASKS>; /* a bit for each task, the lowest first */
+    lc_kept_failures failures<LC_MAX_TASKS>;
+};
+
+struct lc_kept_claim {
+    lc_node gone;
+    lc_node heir;
+};
+
+union lc_kept_body switch (lc_kept_kind kind) {
+case LC_KEPT_SUBMIT:
+    lc_kept_submit submit;
+case LC_KEPT_PROGRESS:
+    lc_kept_progress progress;
+case LC_KEPT_CANCEL:
+    string queue<LC_MAX_NAME>;
+case LC_KEPT_CLAIM:
+    lc_kept_claim claim;
+case LC_KEPT_ALIVE:
+    lc_node alive;
+};
+
+struct lc_kept_record {
+    unsigned hyper job; /* 0 for a claim */
+    lc_kept_body body;
+};
+
 program LC_PROGRAM {
     version LC_VERSION {
         void LC_NULL(void) = 0;
@@ -402,5 +510,8 @@
         lc_report_res LC_REPORT(lc_report_args) = 13;
         lc_gossip_res LC_GOSSIP(lc_gossip_args) = 14;
         lc_withdraw_res LC_WITHDRAW(lc_withdraw_args) = 15;
+        lc_release_res LC_RELEASE(lc_release_args) = 16;
+        lc_fence_res LC_FENCE(lc_fence_args) = 17;
+        lc_store_res LC_STORE(lc_store_args) = 18;
     } = 1;
 } = 0x20004c43;
--- a/wire/levercove_xdr.c
+++ b/wire/levercove_xdr.c
@@ -641,6 +641,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->tasks))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->held))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -697,6 +699,8 @@
 
 	 if (!xdr_lc_node (xdrs, &objp->owner))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->kept))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->target))
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->valid_until_ms))
@@ -809,6 +813,8 @@
 
 	 if (!xdr_lc_node (xdrs, &objp->from))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->kept))
+		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->routes_version))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->known))
@@ -829,6 +835,8 @@
 
 	 if (!xdr_lc_node (xdrs, &objp->from))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->kept))
+		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->routes_version))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->known))
@@ -867,3 +875,223 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_lc_release_args (XDR *xdrs, lc_release_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->target))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->runs.runs_val, (u_int *) &objp->runs.runs_len, LC_MAX_PAGE,
+		sizeof (lc_run_id), (xdrproc_t) xdr_lc_run_id))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_lc_release_res (XDR *xdrs, lc_release_res *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_lc_host_state (xdrs, &objp->host))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_lc_fence_args (XDR *xdrs, lc_fence_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->target))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->gone.gone_val, (u_int *) &objp->gone.gone_len, LC_MAX_PEERS,
+		sizeof (lc_node), (xdrproc_t) xdr_lc_node))
+		 return FALSE;
+	 if (!xdr_lc_node (xdrs, &objp->heir))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_lc_held_run (XDR *xdrs, lc_held_run *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_lc_run_id (xdrs, &objp->id))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->running))
+		 return FALSE;
+	 if (!xdr_lc_run_status (xdrs, &objp->status))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_lc_fence_res (XDR *xdrs, lc_fence_res *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bool (xdrs, &objp->taken))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->runs.runs_val, (u_int *) &objp->runs.runs_len, LC_MAX_PAGE,
+		sizeof (lc_held_run), (xdrproc_t) xdr_lc_held_run))
+		 return FALSE;
+	 if (!xdr_lc_host_state (xdrs, &objp->host))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_lc_store_args (XDR *xdrs, lc_store_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->method, LC_MAX_NAME))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->path, LC_MAX_PATH))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->body.body_val, (u_int *) &objp->body.body_len, LC_MAX_RECORD))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->timeout_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_lc_store_res (XDR *xdrs, lc_store_res *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bool (xdrs, &objp->answered))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->status))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->body.body_val, (u_int *) &objp->body.body_len, LC_MAX_ANSWER))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_lc_kept_kind (XDR *xdrs, lc_kept_kind *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_lc_kept_outcome (XDR *xdrs, lc_kept_outcome *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_lc_kept_submit (XDR *xdrs, lc_kept_submit *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_lc_node (xdrs, &objp->owner))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->queue, LC_MAX_NAME))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->body, LC_MAX_PAYLOAD))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_lc_kept_failures (XDR *xdrs, lc_kept_failures *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->task))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->count))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->run))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_lc_kept_progress (XDR *xdrs, lc_kept_progress *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->queue, LC_MAX_NAME))
+		 return FALSE;
+	 if (!xdr_lc_kept_outcome (xdrs, &objp->outcome))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->done.done_val, (u_int *) &objp->done.done_len, LC_MAX_TASKS))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->failures.failures_val, (u_int *) &objp->failures.failures_len, LC_MAX_TASKS,
+		sizeof (lc_kept_failures), (xdrproc_t) xdr_lc_kept_failures))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_lc_kept_claim (XDR *xdrs, lc_kept_claim *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_lc_node (xdrs, &objp->gone))
+		 return FALSE;
+	 if (!xdr_lc_node (xdrs, &objp->heir))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_lc_kept_body (XDR *xdrs, lc_kept_body *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_lc_kept_kind (xdrs, &objp->kind))
+		 return FALSE;
+	switch (objp->kind) {
+	case LC_KEPT_SUBMIT:
+		 if (!xdr_lc_kept_submit (xdrs, &objp->lc_kept_body_u.submit))
+			 return FALSE;
+		break;
+	case LC_KEPT_PROGRESS:
+		 if (!xdr_lc_kept_progress (xdrs, &objp->lc_kept_body_u.progress))
+			 return FALSE;
+		break;
+	case LC_KEPT_CANCEL:
+		 if (!xdr_string (xdrs, &objp->lc_kept_body_u.queue, LC_MAX_NAME))
+			 return FALSE;
+		break;
+	case LC_KEPT_CLAIM:
+		 if (!xdr_lc_kept_claim (xdrs, &objp->lc_kept_body_u.claim))
+			 return FALSE;
+		break;
+	case LC_KEPT_ALIVE:
+		 if (!xdr_lc_node (xdrs, &objp->lc_kept_body_u.alive))
+			 return FALSE;
+		break;
+	default:
+		return FALSE;
+	}
+	return TRUE;
+}
+
+bool_t
+xdr_lc_kept_record (XDR *xdrs, lc_kept_record *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->job))
+		 return FALSE;
+	 if (!xdr_lc_kept_body (xdrs, &objp->body))
+		 return FALSE;
+	return TRUE;
+}
--- a/wire/msg.c
+++ b/wire/msg.c
@@ -236,3 +236,41 @@
     xdr_free(msg_rows[reply->kind].results, &reply->u);
     memset(&reply->u, 0, sizeof(reply->u));
 }
+
+void
+Msg_EncodeKept(const lc_kept_record *record, GByteArray *out)
+{
+    /* The codec takes no const, but only reads while it encodes. */
+    lc_kept_record *body = (lc_kept_record *)(uintptr_t)record;
+    size_t size = xdr_sizeof((xdrproc_t)xdr_lc_kept_record, body);
+    guint start = out->len;
+    XDR xdr;
+
+    g_byte_array_set_size(out, start + (guint)size);
+    xdrmem_create(&xdr, (char *)out->data + start, (u_int)size, XDR_ENCODE);
+    xdr_lc_kept_record(&xdr, body);
+    xdr_destroy(&xdr);
+}
+
+bool
+Msg_DecodeKept(const uint8_t *data, size_t length, lc_kept_record *record)
+{
+    bool read;
+    XDR xdr;
+
+    memset(record, 0, sizeof(*record));
+    xdrmem_create(&xdr, (char *)(uintptr_t)data, (u_int)length, XDR_DECODE);
+    read = xdr_lc_kept_record(&xdr, record);
+    xdr_destroy(&xdr);
+    if (!read) {
+        Msg_FreeKept(record);
+    }
+    return read;
+}
+
+void
+Msg_FreeKept(lc_kept_record *record)
+{
+    xdr_free((xdrproc_t)xdr_lc_kept_record, (char *)record);
+    memset(record, 0, sizeof(*record));
+}
--- a/wire/msg.h
+++ b/wire/msg.h
@@ -32,7 +32,10 @@
     X(HALT, halt)                                                             \
     X(REPORT, report)                                                         \
     X(GOSSIP, gossip)                                                         \
-    X(WITHDRAW, withdraw)
+    X(WITHDRAW, withdraw)                                                     \
+    X(RELEASE, release)                                                       \
+    X(FENCE, fence)                                                           \
+    X(STORE, store)
 
 /** Kinds of message, each equal to its procedure number less one. */
 typedef enum {
@@ -109,6 +112,15 @@
 bool Msg_DecodeReply(Msg_Kind kind, const uint8_t *data, size_t length,
                      Msg_Reply *reply);
 
+/** Appends a record of a kept job as it stands in the store. */
+void Msg_EncodeKept(const lc_kept_record *record, GByteArray *out);
+
+/** Reads such a record; false if it is malformed. Free with Msg_FreeKept. */
+bool Msg_DecodeKept(const uint8_t *data, size_t length,
+                    lc_kept_record *record);
+
+void Msg_FreeKept(lc_kept_record *record);
+
 void Msg_FreeCall(Msg_Call *call);
 void Msg_FreeReply(Msg_Reply *reply);
 
