An heir reads the log once more after the last companion has answered

What was released before a companion answered stands in the log by then, so one more read shows it. Ruled out: the companions (the end was held until it was written). Rules of the keeper one by one in tests/kept_rules.c, this one failed before; the property has planned stops.

--- a/lease/keeper.c
+++ b/lease/keeper.c
@@ -297,6 +297,22 @@
     }
 }
 
+/* As far as the log or the own dispatcher tells. */
+static bool
+has_begun(const Keeper *keeper, const Kept_Job *job)
+{
+    bool begun = true; /* an own job that the dispatcher has ended */
+
+    if (job->writers->len > 0) {
+        return true;
+    }
+    if (!g_hash_table_contains(keeper->jobs, &job->id)) {
+        return false;
+    }
+    Dispatcher_Look(keeper->dispatcher, job->id, job->queue, &begun);
+    return begun;
+}
+
 static Keeper_State
 state_of(const Keeper *keeper, const Kept_Job *job)
 {
@@ -306,15 +322,10 @@
         [LC_KEPT_FAILED] = KEEPER_FAILED,
         [LC_KEPT_CANCELLED] = KEEPER_CANCELLED,
     };
-    bool begun = job->writers->len > 0;
-
     if (job->outcome == LC_KEPT_OPEN && job->cancelled) {
         return KEEPER_CANCELLED;
     }
-    if (job->outcome == LC_KEPT_OPEN &&
-        (begun ||
-         (Dispatcher_Look(keeper->dispatcher, job->id, job->queue, &begun) &&
-          begun))) {
+    if (job->outcome == LC_KEPT_OPEN && has_begun(keeper, job)) {
         return KEEPER_RUNNING;
     }
     return states[job->outcome];
@@ -453,6 +464,7 @@
     keeper->contact_ms = MAX(keeper->contact_ms, asked_ms);
     Dispatcher_HoldKept(keeper->dispatcher,
                         now_ms - keeper->contact_ms < KEEPER_HOLD_MS);
+    KeeperOwner_Recover(keeper, now_ms);
     KeeperJob_StartAll(keeper, now_ms);
     tell_lookers(keeper, now_ms);
 }
--- a/lease/keeper_owners.c
+++ b/lease/keeper_owners.c
@@ -392,8 +392,13 @@
     while (i < keeper->recoveries->len) {
         Keeper_Recovery *recovery = &g_array_index(keeper->recoveries,
                                                    Keeper_Recovery, i);
-        bool all = ask_companions(keeper, now_ms, recovery);
-        if (!all && now_ms - recovery->claimed_ms < certain_ms) {
+        bool told = ask_companions(keeper, now_ms, recovery) ||
+                    now_ms - recovery->claimed_ms >= certain_ms;
+        if (told && recovery->told_ms == 0) {
+            recovery->told_ms = now_ms;
+        }
+        /* What the old owner had released before is written by now. */
+        if (!told || keeper->contact_ms <= recovery->told_ms) {
             i++;
             continue;
         }
--- a/lease/keeper_state.h
+++ b/lease/keeper_state.h
@@ -54,8 +54,10 @@
 typedef struct {
     lc_node gone;
     int64_t claimed_ms;
-    GArray *fenced; /* lc_node, companions that have answered */
-    GArray *runs;   /* Keeper_Found */
+    int64_t told_ms; /* since when nothing more can be learnt of its runs but
+                        from the log; 0 before */
+    GArray *fenced;  /* lc_node, companions that have answered */
+    GArray *runs;    /* Keeper_Found */
 } Keeper_Recovery;
 
 /* A run found at a companion. */
--- /dev/null
+++ b/tests/kept_rules.c
@@ -0,0 +1,808 @@
+/*
+ * Single rules of kept jobs: one keeper with its dispatcher, or one runner,
+ * driven through their doors with fake ports.
+ */
+
+#include <glib.h>
+#include <string.h>
+
+#include "lease/keeper.h"
+#include "lease/runner.h"
+
+#define START_MS 10000
+#define MOST 256
+#define HOLD_MS 6000
+#define RESUBMIT_MS 1300
+
+static const lc_node own_node = {0x7f0000011b59, 1000};
+static const lc_node companion_node = {0x7f0000011b63, 900};
+/* Another entry, as an owner. */
+static const lc_node other_owner = {0x7f0000011b5a, 2001};
+
+typedef struct {
+    char key[KEPT_KEY_SIZE];
+    GByteArray *value;
+} put_record;
+
+typedef struct {
+    uint64_t id;
+    Msg_Kind kind;
+    lc_run_id run;
+} sent_call;
+
+typedef struct {
+    Dispatcher *dispatcher;
+    Keeper *keeper;
+    Route_Table *routes;
+    Route *route;
+    int64_t now_ms;
+    uint64_t offset; /* of the next record that is read */
+    GPtrArray *puts; /* put_record */
+    GArray *calls;   /* sent_call, of both */
+    int answers;
+    Dispatcher_Outcome outcome;
+    Err_Kind kind;
+    uint32_t tasks; /* of each job */
+} fixture;
+
+/* ---- ports ---- */
+
+static void
+free_put(gpointer item)
+{
+    put_record *put = item;
+
+    g_byte_array_unref(put->value);
+    g_free(put);
+}
+
+static uint64_t
+port_put(void *context, const char *key, const uint8_t *value, size_t length)
+{
+    fixture *fix = context;
+    put_record *put = g_new0(put_record, 1);
+
+    g_strlcpy(put->key, key, sizeof(put->key));
+    put->value = g_byte_array_new();
+    if (length > 0) {
+        g_byte_array_append(put->value, value, (guint)length);
+    }
+    g_ptr_array_add(fix->puts, put);
+    return fix->puts->len;
+}
+
+static void
+port_answer(void *context, uint64_t request, const Dispatcher_Answer *answer)
+{
+    fixture *fix = context;
+
+    (void)request;
+    fix->answers++;
+    fix->outcome = answer->outcome;
+    fix->kind = answer->kind;
+}
+
+static void
+port_tell(void *context, uint64_t request, Keeper_State state)
+{
+    (void)context;
+    (void)request;
+    (void)state;
+}
+
+static void
+port_call(void *context, Address to, uint64_t id, const Msg_Call *call)
+{
+    fixture *fix = context;
+    sent_call sent = {.id = id, .kind = call->kind};
+
+    (void)to;
+    if (call->kind == MSG_RUN) {
+        sent.run = call->u.run.id;
+    }
+    g_array_append_val(fix->calls, sent);
+}
+
+static const Route *
+port_route(void *context, const char *queue)
+{
+    (void)queue;
+    return ((fixture *)context)->route;
+}
+
+static Err_Kind
+port_parse(void *context, uint64_t id, const char *body, LeasedJob *job,
+           Status *status)
+{
+    fixture *fix = context;
+
+    (void)body;
+    (void)status;
+    memset(job, 0, sizeof(*job));
+    job->id = id;
+    job->spec = g_strdup("");
+    job->step_count = 1;
+    job->steps = g_new0(LeasedJob_Step, 1);
+    job->steps[0].count = fix->tasks;
+    job->steps[0].need.cpu_milli = 1000;
+    job->steps[0].estimate_ms = 100;
+    return ERR_OK;
+}
+
+static void
+port_keeper_event(void *context, Event_Id id, const char *detail)
+{
+    (void)context;
+    (void)id;
+    (void)detail;
+}
+
+static void
+port_event(void *context, Event_Id id, json_t *fields)
+{
+    (void)context;
+    (void)id;
+    json_decref(fields);
+}
+
+static void
+port_reset(void *context, Address to)
+{
+    (void)context;
+    (void)to;
+}
+
+static void
+port_end(void *context, const lc_run_id *id, uint32_t task, lc_node host,
+         bool done)
+{
+    Keeper_OnRunEnd(((fixture *)context)->keeper, id, task, host, done);
+}
+
+static void
+port_over(void *context, uint64_t job, Dispatcher_Outcome outcome)
+{
+    Keeper_OnJobOver(((fixture *)context)->keeper, job, outcome);
+}
+
+static const Keeper_Ports keeper_ports = {
+    port_put,   port_answer, port_tell,         port_call,
+    port_route, port_parse,  port_keeper_event,
+};
+static const Dispatcher_Ports dispatcher_ports = {
+    port_call, port_reset, port_answer, port_event, port_end, port_over,
+};
+
+/* ---- a keeper ---- */
+
+static Term
+make_term(void)
+{
+    Term_Bounds bounds = {RESUBMIT_MS, 1000, 50, 50};
+    Term term;
+
+    g_assert_true(Term_Plan(&bounds, &term));
+    return term;
+}
+
+static void
+report_host(fixture *fix)
+{
+    lc_report_args report;
+
+    memset(&report, 0, sizeof(report));
+    report.host.node = companion_node;
+    report.host.stamp_ms = fix->now_ms;
+    report.host.state = LC_UPSTREAM_READY;
+    report.host.room.cpu_milli = 4000;
+    report.host.pace_percent = 100;
+    report.hall = (char *)(uintptr_t) "hall";
+    report.service = (char *)(uintptr_t) "service";
+    report.instance = (char *)(uintptr_t) "i-1";
+    report.next_ms = 500;
+    Dispatcher_OnReport(fix->dispatcher, fix->now_ms, &report);
+}
+
+static void
+settle(fixture *fix)
+{
+    Dispatcher_Settle(fix->dispatcher, fix->now_ms);
+    Keeper_Settle(fix->keeper, fix->now_ms);
+}
+
+static void
+read_log(fixture *fix)
+{
+    Keeper_OnRead(fix->keeper, fix->now_ms, fix->now_ms);
+    settle(fix);
+}
+
+/* Time passes in touch with the log and the companion. */
+static void
+pass(fixture *fix, int64_t ms)
+{
+    int64_t until = fix->now_ms + ms;
+
+    while (fix->now_ms < until) {
+        fix->now_ms += 50;
+        report_host(fix);
+        read_log(fix);
+        Keeper_Tick(fix->keeper, fix->now_ms);
+        Dispatcher_Tick(fix->dispatcher, fix->now_ms);
+        settle(fix);
+    }
+}
+
+static void
+new_fixture(fixture *fix)
+{
+    Dispatcher_Config config = {.node = own_node, .max_jobs = 100};
+    Keeper_Config keeping = {.node = own_node,
+                             .max_jobs = 100,
+                             .resubmit_ms = RESUBMIT_MS,
+                             .keep_ms = 60000};
+
+    memset(fix, 0, sizeof(*fix));
+    fix->now_ms = START_MS;
+    fix->tasks = 1;
+    fix->puts = g_ptr_array_new_with_free_func(free_put);
+    fix->calls = g_array_new(FALSE, TRUE, sizeof(sent_call));
+    config.term = make_term();
+    fix->dispatcher = Dispatcher_New(&config, &dispatcher_ports, fix,
+                                     fix->now_ms);
+    fix->routes = Route_NewTable(1);
+    fix->route = Route_Add(fix->routes);
+    fix->route->name = g_strdup("queue");
+    fix->route->authority = g_strdup("host");
+    fix->route->path_prefix = g_strdup("/q/");
+    fix->route->service = g_strdup("service");
+    fix->route->max_attempts = 2;
+    fix->keeper = Keeper_New(&keeping, &keeper_ports, fix, fix->dispatcher,
+                             fix->now_ms);
+    report_host(fix);
+    read_log(fix);
+}
+
+static void
+free_fixture(fixture *fix)
+{
+    Keeper_Free(fix->keeper);
+    Dispatcher_Free(fix->dispatcher);
+    Route_FreeTable(fix->routes);
+    g_ptr_array_unref(fix->puts);
+    g_array_unref(fix->calls);
+}
+
+static void
+submit(fixture *fix, uint64_t id)
+{
+    LeasedJob job;
+    Keeper_Submit submit = {.request_id = id,
+                            .route = fix->route,
+                            .body = "{}",
+                            .deadline_ms = 1500,
+                            .job = &job};
+
+    port_parse(fix, id, "", &job, NULL);
+    Keeper_OnSubmit(fix->keeper, fix->now_ms, &submit);
+    LeasedJob_Clear(&job);
+}
+
+static void
+read_bytes(fixture *fix, const char *key, const uint8_t *value, size_t length)
+{
+    Kept_Record record = {fix->offset++, key, strlen(key), value, length};
+
+    Keeper_OnRecord(fix->keeper, fix->now_ms, &record);
+}
+
+/* Reads back what was put as number, from 1. */
+static void
+read_put(fixture *fix, guint number)
+{
+    const put_record *put = g_ptr_array_index(fix->puts, number - 1);
+
+    read_bytes(fix, put->key, put->value->data, put->value->len);
+}
+
+static void
+read_record(fixture *fix, const char *key, const lc_kept_record *record)
+{
+    GByteArray *bytes = g_byte_array_new();
+
+    Msg_EncodeKept(record, bytes);
+    read_bytes(fix, key, bytes->data, bytes->len);
+    g_byte_array_unref(bytes);
+}
+
+/* A submission of another entry. */
+static void
+read_submit(fixture *fix, uint64_t id, const lc_node *owner)
+{
+    lc_kept_record record = {.job = id};
+    lc_kept_submit *body = &record.body.lc_kept_body_u.submit;
+    char key[KEPT_KEY_SIZE];
+
+    record.body.kind = LC_KEPT_SUBMIT;
+    body->owner = *owner;
+    body->queue = (char *)(uintptr_t) "queue";
+    body->body = (char *)(uintptr_t) "{}";
+    Kept_SubmitKey(id, owner->incarnation, key);
+    read_record(fix, key, &record);
+}
+
+static void
+read_claim(fixture *fix, const lc_node *gone, const lc_node *heir)
+{
+    lc_kept_record record = {.job = 0};
+    char key[KEPT_KEY_SIZE];
+
+    record.body.kind = LC_KEPT_CLAIM;
+    record.body.lc_kept_body_u.claim.gone = *gone;
+    record.body.lc_kept_body_u.claim.heir = *heir;
+    Kept_ClaimKey(gone, heir->incarnation, key);
+    read_record(fix, key, &record);
+}
+
+static int
+count_calls(const fixture *fix, Msg_Kind kind)
+{
+    int count = 0;
+    guint i;
+
+    for (i = 0; i < fix->calls->len; i++) {
+        count += g_array_index(fix->calls, sent_call, i).kind == kind;
+    }
+    return count;
+}
+
+static const sent_call *
+last_call(const fixture *fix, Msg_Kind kind)
+{
+    guint i;
+
+    for (i = fix->calls->len; i > 0; i--) {
+        const sent_call *call = &g_array_index(fix->calls, sent_call, i - 1);
+        if (call->kind == kind) {
+            return call;
+        }
+    }
+    g_assert_not_reached();
+}
+
+/* The companion says how the last run ended. */
+static void
+end_run(fixture *fix, lc_run_status status)
+{
+    Msg_Reply reply = {.kind = MSG_RUN};
+
+    reply.u.run.status = status;
+    reply.u.run.host.node = companion_node;
+    reply.u.run.host.stamp_ms = fix->now_ms;
+    reply.u.run.host.state = LC_UPSTREAM_READY;
+    reply.u.run.host.room.cpu_milli = 4000;
+    reply.u.run.host.pace_percent = 100;
+    Dispatcher_OnReply(fix->dispatcher, fix->now_ms,
+                       last_call(fix, MSG_RUN)->id, &reply);
+    settle(fix);
+}
+
+/* The companion answers the last FENCE with one run, or none. */
+static void
+answer_fence(fixture *fix, const lc_held_run *run)
+{
+    Msg_Reply reply = {.kind = MSG_FENCE};
+    lc_held_run copy;
+
+    reply.u.fence.taken = true;
+    if (run != NULL) {
+        copy = *run;
+        reply.u.fence.runs.runs_val = &copy;
+        reply.u.fence.runs.runs_len = 1;
+    }
+    Keeper_OnReply(fix->keeper, fix->now_ms, last_call(fix, MSG_FENCE)->id,
+                   &reply);
+    settle(fix);
+}
+
+static lc_node
+own_identity(const fixture *fix)
+{
+    lc_node node = own_node;
+
+    node.incarnation = Keeper_Identity(fix->keeper, fix->now_ms);
+    return node;
+}
+
+/* ---- submissions ---- */
+
+static void
+test_answered_when_written(void)
+{
+    fixture fix;
+
+    new_fixture(&fix);
+    submit(&fix, 7);
+    g_assert_cmpint(fix.answers, ==, 0);
+    Keeper_OnWritten(fix.keeper, fix.now_ms, 1);
+    g_assert_cmpint(fix.answers, ==, 1);
+    g_assert_cmpint(fix.outcome, ==, DISPATCHER_KEPT);
+    free_fixture(&fix);
+}
+
+static void
+test_started_when_read(void)
+{
+    fixture fix;
+
+    new_fixture(&fix);
+    submit(&fix, 7);
+    Keeper_OnWritten(fix.keeper, fix.now_ms, 1);
+    settle(&fix);
+    g_assert_cmpint(count_calls(&fix, MSG_RUN), ==, 0);
+    read_put(&fix, 1);
+    read_log(&fix);
+    g_assert_cmpint(count_calls(&fix, MSG_RUN), ==, 1);
+    g_assert_cmpuint(last_call(&fix, MSG_RUN)->run.run, ==, 1025);
+    free_fixture(&fix);
+}
+
+static void
+test_one_job(void)
+{
+    fixture fix;
+
+    new_fixture(&fix);
+    submit(&fix, 7);
+    submit(&fix, 7);
+    g_assert_cmpuint(fix.puts->len, ==, 1);
+    Keeper_OnWritten(fix.keeper, fix.now_ms, 1);
+    g_assert_cmpint(fix.answers, ==, 2);
+    read_put(&fix, 1);
+    read_log(&fix);
+    submit(&fix, 7);
+    g_assert_cmpint(fix.answers, ==, 3);
+    g_assert_cmpint(fix.outcome, ==, DISPATCHER_KEPT);
+    g_assert_cmpuint(fix.puts->len, ==, 1);
+    free_fixture(&fix);
+}
+
+static void
+test_first_submission_counts(void)
+{
+    fixture fix;
+
+    new_fixture(&fix);
+    submit(&fix, 7);
+    read_submit(&fix, 7, &other_owner);
+    read_put(&fix, 1);
+    read_log(&fix);
+    g_assert_cmpint(count_calls(&fix, MSG_RUN), ==, 0);
+    free_fixture(&fix);
+}
+
+static void
+test_refused_without_log(void)
+{
+    fixture fix;
+
+    new_fixture(&fix);
+    fix.now_ms += 2000;
+    submit(&fix, 7);
+    g_assert_cmpuint(fix.puts->len, ==, 0);
+    g_assert_cmpint(fix.outcome, ==, DISPATCHER_NOT_RUN);
+    g_assert_cmpint(fix.kind, ==, ERR_LOG_DOWN);
+    free_fixture(&fix);
+}
+
+/* Whether it is written is not known: the caller is told nothing certain. */
+static void
+test_unwritten_is_given_up(void)
+{
+    fixture fix;
+
+    new_fixture(&fix);
+    submit(&fix, 7);
+    pass(&fix, 2100);
+    g_assert_cmpint(fix.answers, ==, 1);
+    g_assert_cmpint(fix.outcome, ==, DISPATCHER_GIVEN_UP);
+    g_assert_cmpint(Keeper_Look(fix.keeper, fix.now_ms, 7, "queue"), ==,
+                    KEEPER_PENDING);
+    free_fixture(&fix);
+}
+
+static void
+test_unknown_or_stale(void)
+{
+    fixture fix;
+
+    new_fixture(&fix);
+    g_assert_cmpint(Keeper_Look(fix.keeper, fix.now_ms, 7, "queue"), ==,
+                    KEEPER_UNKNOWN);
+    fix.now_ms += 2000;
+    g_assert_cmpint(Keeper_Look(fix.keeper, fix.now_ms, 7, "queue"), ==,
+                    KEEPER_STALE);
+    free_fixture(&fix);
+}
+
+/* ---- ends ---- */
+
+static void
+start_own(fixture *fix)
+{
+    new_fixture(fix);
+    submit(fix, 7);
+    Keeper_OnWritten(fix->keeper, fix->now_ms, 1);
+    read_put(fix, 1);
+    read_log(fix);
+}
+
+static void
+test_released_when_written(void)
+{
+    fixture fix;
+
+    start_own(&fix);
+    end_run(&fix, LC_RUN_DONE);
+    g_assert_cmpuint(fix.puts->len, ==, 2);
+    pass(&fix, 200);
+    g_assert_cmpint(count_calls(&fix, MSG_RELEASE), ==, 0);
+    g_assert_cmpint(Keeper_Look(fix.keeper, fix.now_ms, 7, "queue"), ==,
+                    KEEPER_RUNNING);
+    Keeper_OnWritten(fix.keeper, fix.now_ms, 2);
+    g_assert_cmpint(count_calls(&fix, MSG_RELEASE), ==, 1);
+    read_put(&fix, 2);
+    g_assert_cmpint(Keeper_Look(fix.keeper, fix.now_ms, 7, "queue"), ==,
+                    KEEPER_SUCCEEDED);
+    free_fixture(&fix);
+}
+
+static void
+test_attempts_are_written(void)
+{
+    fixture fix;
+
+    start_own(&fix);
+    end_run(&fix, LC_RUN_FAILED);
+    g_assert_cmpint(count_calls(&fix, MSG_RUN), ==, 2);
+    end_run(&fix, LC_RUN_FAILED);
+    g_assert_cmpint(count_calls(&fix, MSG_RUN), ==, 2);
+    read_put(&fix, fix.puts->len);
+    g_assert_cmpint(Keeper_Look(fix.keeper, fix.now_ms, 7, "queue"), ==,
+                    KEEPER_FAILED);
+    free_fixture(&fix);
+}
+
+static void
+test_held_in_touch_only(void)
+{
+    fixture fix;
+
+    start_own(&fix);
+    fix.now_ms += HOLD_MS + 100;
+    Keeper_Tick(fix.keeper, fix.now_ms);
+    report_host(&fix);
+    end_run(&fix, LC_RUN_STOPPED);
+    g_assert_cmpint(count_calls(&fix, MSG_RUN), ==, 1);
+    read_log(&fix);
+    g_assert_cmpint(count_calls(&fix, MSG_RUN), ==, 2);
+    free_fixture(&fix);
+}
+
+/* ---- owners ---- */
+
+static void
+test_claims_the_silent(void)
+{
+    fixture fix;
+    guint puts;
+
+    new_fixture(&fix);
+    read_submit(&fix, 7, &other_owner);
+    Keeper_OnPeer(fix.keeper, fix.now_ms, other_owner.address,
+                  other_owner.incarnation);
+    pass(&fix, 1900);
+    puts = fix.puts->len;
+    g_assert_cmpuint(puts, ==, 0);
+    pass(&fix, 200);
+    g_assert_cmpuint(fix.puts->len, ==, 1);
+    free_fixture(&fix);
+}
+
+static void
+test_one_that_writes_lives(void)
+{
+    fixture fix;
+    int i;
+
+    new_fixture(&fix);
+    read_submit(&fix, 7, &other_owner);
+    for (i = 0; i < 5; i++) {
+        pass(&fix, 1000);
+        read_submit(&fix, 8 + (uint64_t)i, &other_owner);
+    }
+    g_assert_cmpuint(fix.puts->len, ==, 0);
+    free_fixture(&fix);
+}
+
+/* This entry has claimed the other's job. */
+static void
+inherit(fixture *fix)
+{
+    lc_node heir;
+
+    new_fixture(fix);
+    read_submit(fix, 7, &other_owner);
+    pass(fix, 3000);
+    heir = own_identity(fix);
+    read_claim(fix, &other_owner, &heir);
+    pass(fix, 50);
+}
+
+static void
+test_heir_asks_first(void)
+{
+    fixture fix;
+
+    inherit(&fix);
+    g_assert_cmpint(count_calls(&fix, MSG_FENCE), ==, 1);
+    g_assert_cmpint(count_calls(&fix, MSG_RUN), ==, 0);
+    answer_fence(&fix, NULL);
+    g_assert_cmpint(count_calls(&fix, MSG_RUN), ==, 0);
+    /* What the old owner wrote last is read before anything starts. */
+    fix.now_ms += 5;
+    read_log(&fix);
+    g_assert_cmpint(count_calls(&fix, MSG_RUN), ==, 1);
+    g_assert_cmpuint(last_call(&fix, MSG_RUN)->run.run, ==, 2049);
+    free_fixture(&fix);
+}
+
+static void
+test_heir_reads_the_last_end(void)
+{
+    lc_kept_record record = {.job = 7};
+    lc_kept_progress *progress = &record.body.lc_kept_body_u.progress;
+    char done = 1;
+    char key[KEPT_KEY_SIZE];
+    fixture fix;
+
+    inherit(&fix);
+    answer_fence(&fix, NULL);
+    record.body.kind = LC_KEPT_PROGRESS;
+    progress->queue = (char *)(uintptr_t) "queue";
+    progress->done.done_val = &done;
+    progress->done.done_len = 1;
+    Kept_ProgressKey(7, other_owner.incarnation, key);
+    read_record(&fix, key, &record);
+    pass(&fix, 100);
+    g_assert_cmpint(count_calls(&fix, MSG_RUN), ==, 0);
+    free_fixture(&fix);
+}
+
+static void
+test_heir_takes_a_held_end(void)
+{
+    lc_held_run held = {.id = {.job = 7, .run = 1025},
+                        .running = false,
+                        .status = LC_RUN_DONE};
+    fixture fix;
+
+    inherit(&fix);
+    answer_fence(&fix, &held);
+    pass(&fix, 100);
+    g_assert_cmpint(count_calls(&fix, MSG_RUN), ==, 0);
+    read_put(&fix, fix.puts->len);
+    g_assert_cmpint(Keeper_Look(fix.keeper, fix.now_ms, 7, "queue"), ==,
+                    KEEPER_SUCCEEDED);
+    free_fixture(&fix);
+}
+
+static void
+test_heir_goes_on_with_a_run(void)
+{
+    lc_held_run held = {.id = {.job = 7, .run = 1025}, .running = true};
+    fixture fix;
+
+    inherit(&fix);
+    answer_fence(&fix, &held);
+    pass(&fix, 100);
+    g_assert_cmpuint(last_call(&fix, MSG_RUN)->run.run, ==, 1025);
+    free_fixture(&fix);
+}
+
+static void
+test_heir_waits_for_the_silent(void)
+{
+    fixture fix;
+
+    inherit(&fix);
+    pass(&fix, HOLD_MS + RESUBMIT_MS - 200);
+    g_assert_cmpint(count_calls(&fix, MSG_RUN), ==, 0);
+    pass(&fix, 400);
+    g_assert_cmpint(count_calls(&fix, MSG_RUN), ==, 1);
+    free_fixture(&fix);
+}
+
+static void
+test_claimed_lets_go(void)
+{
+    uint64_t before;
+    lc_node own;
+    fixture fix;
+
+    start_own(&fix);
+    own = own_identity(&fix);
+    before = own.incarnation;
+    read_claim(&fix, &own, &other_owner);
+    pass(&fix, 200);
+    g_assert_cmpint(count_calls(&fix, MSG_HALT), ==, 0);
+    g_assert_cmpint(count_calls(&fix, MSG_RUN), ==, 1);
+    g_assert_true(Dispatcher_IsIdle(fix.dispatcher));
+    g_assert_cmpuint(Keeper_Identity(fix.keeper, fix.now_ms), !=, before);
+    free_fixture(&fix);
+}
+
+static void
+test_leaving_names_another(void)
+{
+    const put_record *put;
+    lc_kept_record record;
+    fixture fix;
+
+    new_fixture(&fix);
+    Keeper_OnPeer(fix.keeper, fix.now_ms, other_owner.address,
+                  other_owner.incarnation);
+    Keeper_Leave(fix.keeper, fix.now_ms);
+    g_assert_cmpuint(Keeper_Identity(fix.keeper, fix.now_ms), ==, 0);
+    submit(&fix, 7);
+    put = g_ptr_array_index(fix.puts, 1);
+    g_assert_true(Msg_DecodeKept(put->value->data, put->value->len, &record));
+    g_assert_cmpuint(record.body.lc_kept_body_u.submit.owner.incarnation, ==,
+                     other_owner.incarnation);
+    Msg_FreeKept(&record);
+    free_fixture(&fix);
+}
+
+static const struct {
+    const char *name;
+    void (*run)(void);
+} rules[] = {
+    {"/keeper/answers when it is written", test_answered_when_written},
+    {"/keeper/starts when it is read", test_started_when_read},
+    {"/keeper/an identity is one job", test_one_job},
+    {"/keeper/the first submission counts", test_first_submission_counts},
+    {"/keeper/refuses while the log is down", test_refused_without_log},
+    {"/keeper/gives up what is not written in time",
+     test_unwritten_is_given_up},
+    {"/keeper/does not call a job unknown without the log",
+     test_unknown_or_stale},
+    {"/keeper/releases ends when they are written",
+     test_released_when_written},
+    {"/keeper/counts attempts", test_attempts_are_written},
+    {"/keeper/starts nothing long after its last word of the log",
+     test_held_in_touch_only},
+    {"/keeper/claims a silent owner", test_claims_the_silent},
+    {"/keeper/does not claim one that writes", test_one_that_writes_lives},
+    {"/keeper/asks companions and the log before it goes on",
+     test_heir_asks_first},
+    {"/keeper/reads what the old owner wrote last",
+     test_heir_reads_the_last_end},
+    {"/keeper/takes ends that companions hold", test_heir_takes_a_held_end},
+    {"/keeper/goes on with what runs", test_heir_goes_on_with_a_run},
+    {"/keeper/waits for a silent companion", test_heir_waits_for_the_silent},
+    {"/keeper/lets go when it is claimed", test_claimed_lets_go},
+    {"/keeper/hands new jobs to others when it leaves",
+     test_leaving_names_another},
+};
+
+int
+main(int argc, char **argv)
+{
+    size_t i;
+
+    g_test_init(&argc, &argv, NULL);
+    for (i = 0; i < G_N_ELEMENTS(rules); i++) {
+        g_test_add_func(rules[i].name, rules[i].run);
+    }
+    return g_test_run();
+}
--- a/tests/lease_world.cc
+++ b/tests/lease_world.cc
@@ -80,6 +80,9 @@
     case Fault::StoreLossy:
         store.lossy_until = until;
         break;
+    case Fault::StopEntry:
+        stop_entry(entry, length);
+        break;
     case Fault::StoreCompact:
         store.first = store.log.size();
         break;
--- a/tests/lease_world.h
+++ b/tests/lease_world.h
@@ -51,6 +51,7 @@
     StoreCut,     /**< it answers one entry not */
     StoreLossy,   /**< appends go unanswered, some are done seconds later */
     StoreCompact, /**< its history is gone, but for the newest of each key */
+    StopEntry,    /**< a planned stop, then its end */
     Count
 };
 
--- a/tests/lease_world_nodes.cc
+++ b/tests/lease_world_nodes.cc
@@ -264,6 +264,23 @@
     at(now + for_ms, [this, index] { start_entry(index); });
 }
 
+void
+World::stop_entry(uint32_t index, int64_t length_ms)
+{
+    EntryNode *entry = &entries[index];
+    uint64_t life = entry->life;
+
+    if (!entry->alive) {
+        return;
+    }
+    when_awake(entry, [this, entry] { Keeper_Leave(entry->keeper, now); });
+    at(now + length_ms / 2, [this, entry, index, life, length_ms] {
+        if (entry->life == life) {
+            kill_entry(index, length_ms / 4);
+        }
+    });
+}
+
 void
 World::kill_companion(uint32_t index, int64_t for_ms)
 {
--- a/tests/lease_world_state.h
+++ b/tests/lease_world_state.h
@@ -261,6 +261,7 @@
     void start_entry(uint32_t index);
     void start_companion(uint32_t index);
     void kill_entry(uint32_t index, int64_t for_ms);
+    void stop_entry(uint32_t index, int64_t length_ms);
     void kill_companion(uint32_t index, int64_t for_ms);
     void break_link(uint32_t entry, uint32_t companion);
     void beat(uint32_t index);
