--- a/tests/soak/cluster.h
+++ b/tests/soak/cluster.h
@@ -69,6 +69,12 @@
     void say(const std::string &text);
     void after(int64_t ms, std::function<void()> run) const;
     std::vector<Proxy *> proxies();
+    /** Before the store, as one entry sees it. */
+    Proxy *
+    store_path(int entry)
+    {
+        return store_paths[(size_t)entry].get();
+    }
     std::vector<Process *> processes();
 
     Shape shape;
