--- a/tests/kept_rules.c
+++ b/tests/kept_rules.c
@@ -43,6 +43,7 @@
     Dispatcher_Outcome outcome;
     Err_Kind kind;
     uint32_t tasks; /* of each job */
+    lc_upstream_state state;
 } fixture;
 
 /* ---- ports ---- */
@@ -193,7 +194,7 @@
     memset(&report, 0, sizeof(report));
     report.host.node = companion_node;
     report.host.stamp_ms = fix->now_ms;
-    report.host.state = LC_UPSTREAM_READY;
+    report.host.state = fix->state;
     report.host.room.cpu_milli = 4000;
     report.host.pace_percent = 100;
     report.hall = (char *)(uintptr_t) "hall";
@@ -245,6 +246,7 @@
     memset(fix, 0, sizeof(*fix));
     fix->now_ms = START_MS;
     fix->tasks = 1;
+    fix->state = LC_UPSTREAM_READY;
     fix->puts = g_ptr_array_new_with_free_func(free_put);
     fix->calls = g_array_new(FALSE, TRUE, sizeof(sent_call));
     config.term = make_term();
@@ -379,7 +381,7 @@
     reply.u.run.status = status;
     reply.u.run.host.node = companion_node;
     reply.u.run.host.stamp_ms = fix->now_ms;
-    reply.u.run.host.state = LC_UPSTREAM_READY;
+    reply.u.run.host.state = fix->state;
     reply.u.run.host.room.cpu_milli = 4000;
     reply.u.run.host.pace_percent = 100;
     Dispatcher_OnReply(fix->dispatcher, fix->now_ms,
@@ -423,6 +425,7 @@
 
     new_fixture(&fix);
     submit(&fix, 7);
+    submit(&fix, 8);
     g_assert_cmpint(fix.answers, ==, 0);
     Keeper_OnWritten(fix.keeper, fix.now_ms, 1);
     g_assert_cmpint(fix.answers, ==, 1);
@@ -573,6 +576,23 @@
     free_fixture(&fix);
 }
 
+/* Failures at an upstream on trial count as others do. */
+static void
+test_attempts_on_trial(void)
+{
+    fixture fix;
+
+    start_own(&fix);
+    fix.state = LC_UPSTREAM_TRIAL;
+    report_host(&fix);
+    end_run(&fix, LC_RUN_FAILED);
+    end_run(&fix, LC_RUN_FAILED);
+    read_put(&fix, fix.puts->len);
+    g_assert_cmpint(Keeper_Look(fix.keeper, fix.now_ms, 7, "queue"), ==,
+                    KEEPER_FAILED);
+    free_fixture(&fix);
+}
+
 static void
 test_held_in_touch_only(void)
 {
@@ -779,6 +799,7 @@
     {"/keeper/releases ends when they are written",
      test_released_when_written},
     {"/keeper/counts attempts", test_attempts_are_written},
+    {"/keeper/counts attempts on trial", test_attempts_on_trial},
     {"/keeper/starts nothing long after its last word of the log",
      test_held_in_touch_only},
     {"/keeper/claims a silent owner", test_claims_the_silent},
--- a/tests/lease_rules.c
+++ b/tests/lease_rules.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "lease/dispatcher.h"
+#include "lease/run_id.h"
 #include "lease/runner.h"
 
 #define START_MS 10000
@@ -14,6 +15,7 @@
 #define MOST 256
 
 static const lc_node entry_node = {0x7f0000011b59, 100};
+static const lc_node heir_node = {0x7f0000011b5a, 101};
 static const lc_node companion_node = {0x7f0000011b63, 900};
 static const lc_node other_companion = {0x7f0000011b64, 901};
 
@@ -42,6 +44,7 @@
     uint64_t stop_id;
     lc_run_id stopped;
     int replies;
+    u_int held_runs; /* told by the last FENCE */
     lc_run_status status;
 } runner_fixture;
 
@@ -88,6 +91,9 @@
     if (reply->kind == MSG_RUN) {
         fix->status = reply->u.run.status;
     }
+    else if (reply->kind == MSG_FENCE) {
+        fix->held_runs = reply->u.fence.runs.runs_len;
+    }
     else if (reply->kind == MSG_HALT) {
         fix->status = reply->u.halt.status;
     }
@@ -340,6 +346,75 @@
     Runner_Free(fix.runner);
 }
 
+static void
+test_kept_ends_are_held(void)
+{
+    runner_fixture fix;
+    Msg_Call release = {.kind = MSG_RELEASE};
+    lc_run_id run = run_named(1, RUN_ID_KEPT_BASE + 1);
+    Runner_EndRow ended = {5, run, RUNNER_END_DONE};
+
+    new_ready_runner(&fix);
+    call_run(&fix, 1, run.run, 1000, 500);
+    fix.now_ms += 50;
+    answer_look(&fix, NULL, 0, &ended, 1);
+    g_assert_cmpint(fix.status, ==, LC_RUN_DONE);
+    g_assert_cmpuint(fix.look.last_seen, ==, 4);
+    release.u.release.target = companion_node.incarnation;
+    release.u.release.runs.runs_val = &run;
+    release.u.release.runs.runs_len = 1;
+    Runner_OnCall(fix.runner, fix.now_ms, 3, &release);
+    answer_look(&fix, NULL, 0, &ended, 1);
+    g_assert_cmpuint(fix.look.last_seen, ==, 5);
+    Runner_Free(fix.runner);
+}
+
+/* The entry that calls is gone, another has taken its kept jobs over. */
+static void
+fence_entry(runner_fixture *fix)
+{
+    Msg_Call call = {.kind = MSG_FENCE};
+    lc_node gone = entry_node;
+
+    call.u.fence.target = companion_node.incarnation;
+    call.u.fence.gone.gone_val = &gone;
+    call.u.fence.gone.gone_len = 1;
+    call.u.fence.heir = heir_node;
+    Runner_OnCall(fix->runner, fix->now_ms, 4, &call);
+}
+
+static void
+test_fenced_owner(void)
+{
+    runner_fixture fix;
+
+    new_ready_runner(&fix);
+    fence_entry(&fix);
+    call_run(&fix, 1, RUN_ID_KEPT_BASE + 1, 1000, 500);
+    g_assert_cmpint(fix.status, ==, LC_RUN_EXPIRED);
+    g_assert_cmpint(fix.starts, ==, 0);
+    Runner_Free(fix.runner);
+}
+
+/* What runs is the heir's, and lasts as long as its lease. */
+static void
+test_fence_hands_over(void)
+{
+    runner_fixture fix;
+
+    new_ready_runner(&fix);
+    call_run(&fix, 1, RUN_ID_KEPT_BASE + 1, 1000, 100);
+    fence_entry(&fix);
+    g_assert_cmpuint(fix.held_runs, ==, 1);
+    fix.now_ms += 300;
+    Runner_Tick(fix.runner, fix.now_ms);
+    g_assert_cmpint(fix.stops, ==, 0);
+    fix.now_ms += 400;
+    Runner_Tick(fix.runner, fix.now_ms);
+    g_assert_cmpint(fix.stops, ==, 1);
+    Runner_Free(fix.runner);
+}
+
 static void
 test_trial_admits_one(void)
 {
@@ -801,6 +876,10 @@
     {"/runner/looks for strangers first", test_inventory_first},
     {"/runner/starts nothing on an upstream that leaves", test_draining},
     {"/runner/takes note of ends", test_ends_are_noted},
+    {"/runner/holds ends of kept jobs until they are released",
+     test_kept_ends_are_held},
+    {"/runner/takes no order of an owner that is gone", test_fenced_owner},
+    {"/runner/hands runs over to the heir", test_fence_hands_over},
     {"/runner/admits one task on trial", test_trial_admits_one},
     {"/runner/loses runs to another incarnation", test_other_incarnation},
     {"/dispatcher/starts nothing while paused", test_paused},
