Kept runs outlive their owner until an heir is found; tasks that last

A companion goes on with kept runs for 2.5 s after the lease, so that the claim (2 s) finds them running and nothing of them is thrown away; heirs that cannot ask a companion wait so much longer. Kept jobs with long_running steps are served: their tasks are started again however they end.

--- a/lease/active.c
+++ b/lease/active.c
@@ -14,6 +14,7 @@
     uint32_t index;
 
     for (step = 0; step < job->spec.step_count; step++) {
+        job->lasts |= job->spec.steps[step].long_running;
         for (index = 0; index < job->spec.steps[step].count; index++) {
             task->id.job = job->spec.id;
             task->id.step = step;
--- a/lease/active.h
+++ b/lease/active.h
@@ -65,6 +65,7 @@
     uint32_t starts;       /**< runs that were sent and not refused */
     int64_t first_sent_ms; /**< 0 before */
     Story *story;
+    bool lasts;   /**< some of its tasks are started again for good */
     bool kept;    /**< it has no caller and no deadline */
     bool closing; /**< answered; only stops are waited for */
 } Active_Job;
--- a/lease/dispatcher_calls.c
+++ b/lease/dispatcher_calls.c
@@ -47,7 +47,8 @@
     call.u.run.valid_until_ms = valid_until_ms;
     call.u.run.id = task->id;
     call.u.run.need = step->need;
-    call.u.run.estimate_ms = step->estimate_ms;
+    /* Of a task that lasts nothing is expected but that it goes on. */
+    call.u.run.estimate_ms = step->long_running ? 0 : step->estimate_ms;
     call.u.run.spec = job->spec.spec;
     send_call(self, &about, &call);
 }
--- a/lease/dispatcher_queue.c
+++ b/lease/dispatcher_queue.c
@@ -24,6 +24,9 @@
         .slack_ms = job->objective_ms - now_ms - remaining_ms,
     };
 
+    if (job->lasts) {
+        entry.slack_ms = 0; /* never late: what lasts is missed while away */
+    }
     if (entry.slack_ms < 0) {
         entry.rank = now_ms + remaining_ms <= Active_WorthlessAfter(job)
                          ? RANK_LATE
--- a/lease/dispatcher_replies.c
+++ b/lease/dispatcher_replies.c
@@ -7,6 +7,8 @@
 #define AGAIN_MOST_MS 400
 /* Refused for another reason than room: elsewhere, here not for a moment. */
 #define REFUSED_MS 20
+/* A task that lasts is started again after so long, wherever it ended. */
+#define LAST_AGAIN_MS 50
 /* Runs of an earlier submission that an upstream may know of. */
 #define RUNS_SKIPPED 16
 
@@ -67,11 +69,16 @@
     DispatcherEnd_LeaveHost(self, task);
     if (job->kept && (status == LC_RUN_DONE || status == LC_RUN_FAILED)) {
         self->ports->kept_end(self->context, &task->id,
-                              (uint32_t)(task - job->tasks), task->host,
-                              status == LC_RUN_DONE);
+                              LeasedJob_EndNumber(&job->spec, &task->id),
+                              task->host, status == LC_RUN_DONE);
     }
     Story_Add(job->story, now_ms, STORY_ENDED, &task->id, task->host.address,
               (int32_t)status);
+    if (Active_Step(job, task)->long_running && status <= LC_RUN_STALLED) {
+        task->avoid = task->host.address;
+        DispatcherEnd_Requeue(self, job, task, now_ms + LAST_AGAIN_MS);
+        return;
+    }
     switch (status) {
     case LC_RUN_DONE:
         if (job->closing) {
--- a/lease/job.c
+++ b/lease/job.c
@@ -34,6 +34,15 @@
     return number;
 }
 
+uint32_t
+LeasedJob_EndNumber(const LeasedJob *job, const lc_run_id *id)
+{
+    if (id->step < job->step_count && job->steps[id->step].long_running) {
+        return UINT32_MAX;
+    }
+    return LeasedJob_TaskNumber(job, id->step, id->index);
+}
+
 uint32_t
 LeasedJob_ChainMs(const LeasedJob *job)
 {
@@ -66,8 +75,11 @@
         if (job->steps[i].gang) {
             return "tasks that only work together";
         }
-        if (job->steps[i].long_running) {
-            return "tasks that last";
+        if (job->steps[i].fills) {
+            return "tasks that take what others leave";
+        }
+        if (job->steps[i].long_running && !job->needs_keeping) {
+            return "tasks that last and need not be kept";
         }
     }
     return NULL;
--- a/lease/job.h
+++ b/lease/job.h
@@ -28,7 +28,8 @@
     char requirement[LC_MAX_NAME]; /**< label of its upstream, or "" */
     char affinity[LC_MAX_NAME];    /**< label where its data lies, or "" */
     bool gang;
-    bool long_running;
+    bool long_running; /**< its tasks are started again however they end */
+    bool fills;        /**< its tasks take what others leave unused */
 } LeasedJob_Step;
 
 /** A job. Owned by whoever parsed it until a dispatcher takes it. */
@@ -51,6 +52,10 @@
 uint32_t LeasedJob_TaskNumber(const LeasedJob *job, uint32_t step,
                               uint32_t index);
 
+/** The same of a run's end that is to be written down; UINT32_MAX for a task
+ * that lasts, as it is started again in any case. */
+uint32_t LeasedJob_EndNumber(const LeasedJob *job, const lc_run_id *id);
+
 /** Longest chain of estimates in ms. */
 uint32_t LeasedJob_ChainMs(const LeasedJob *job);
 
--- a/lease/keeper.h
+++ b/lease/keeper.h
@@ -112,6 +112,9 @@
 /** All records up to a number are written. */
 void Keeper_OnWritten(Keeper *keeper, int64_t now_ms, uint64_t number);
 
+/** Number of no task: of an end that is not to be written down. */
+#define KEEPER_NO_TASK UINT32_MAX
+
 /** The dispatcher tells of a run that ended well or badly. */
 void Keeper_OnRunEnd(Keeper *keeper, const lc_run_id *id, uint32_t task,
                      lc_node host, bool done);
--- a/lease/keeper_jobs.c
+++ b/lease/keeper_jobs.c
@@ -102,6 +102,10 @@
     Keeper_Job *row = g_hash_table_lookup(keeper->jobs, &id->job);
     Keeper_End end = {.host = host, .run = *id};
 
+    if (task == KEEPER_NO_TASK) {
+        KeeperJob_Release(keeper, &end);
+        return;
+    }
     if (row == NULL) {
         return; /* not ours any more, or over: see KeeperOwner_AskHeld */
     }
@@ -243,9 +247,8 @@
             g_array_append_val(runs, place);
             continue;
         }
-        Keeper_OnRunEnd(keeper, id,
-                        LeasedJob_TaskNumber(job, id->step, id->index),
-                        found->host, found->run.status == LC_RUN_DONE);
+        Keeper_OnRunEnd(keeper, id, LeasedJob_EndNumber(job, id), found->host,
+                        found->run.status == LC_RUN_DONE);
     }
 }
 
--- a/lease/keeper_owners.c
+++ b/lease/keeper_owners.c
@@ -386,7 +386,8 @@
 void
 KeeperOwner_Recover(Keeper *keeper, int64_t now_ms)
 {
-    int64_t certain_ms = KEEPER_HOLD_MS + keeper->config.resubmit_ms;
+    int64_t certain_ms = KEEPER_HOLD_MS + keeper->config.resubmit_ms +
+                         TERM_KEPT_MS;
     guint i = 0;
 
     while (i < keeper->recoveries->len) {
@@ -414,6 +415,7 @@
 {
     Status status = {ERR_OK, ""};
     LeasedJob job;
+    uint32_t number;
     bool done;
 
     if (kept == NULL || kept->outcome != LC_KEPT_OPEN) {
@@ -424,8 +426,8 @@
                              &status) != ERR_OK) {
         return false;
     }
-    done = Kept_IsDone(kept->done,
-                       LeasedJob_TaskNumber(&job, id->step, id->index));
+    number = LeasedJob_EndNumber(&job, id);
+    done = number == KEEPER_NO_TASK || Kept_IsDone(kept->done, number);
     LeasedJob_Clear(&job);
     return done;
 }
--- a/lease/runner.c
+++ b/lease/runner.c
@@ -117,6 +117,12 @@
     return LC_RUN_DONE;
 }
 
+static int64_t
+lease_until(const lc_run_args *args)
+{
+    return args->valid_until_ms + (RunId_IsKept(&args->id) ? TERM_KEPT_MS : 0);
+}
+
 static void
 on_run(Runner *runner, int64_t now_ms, uint64_t reply_id,
        const lc_run_args *args)
@@ -139,7 +145,7 @@
         RunnerTask_ReplyRun(runner, now_ms, reply_id, status, 0);
         return;
     }
-    holder = RunnerOwner_Extend(runner, &args->owner, args->valid_until_ms);
+    holder = RunnerOwner_Extend(runner, &args->owner, lease_until(args));
     holder->running++;
     row = RunnerTask_Add(runner, now_ms, args);
     RunnerTask_Owe(row, reply_id, MSG_RUN);
@@ -191,7 +197,8 @@
         args->valid_until_ms >= now_ms) {
         RunnerOwner_Extend(runner, &args->owner, args->valid_until_ms);
         if (args->kept != 0 && !RunnerKept_IsFenced(runner, &keeper)) {
-            RunnerOwner_Extend(runner, &keeper, args->valid_until_ms);
+            RunnerOwner_Extend(runner, &keeper,
+                               args->valid_until_ms + TERM_KEPT_MS);
         }
     }
     Runner_State(runner, now_ms, &reply.u.renew.host);
--- a/lease/runner_kept.c
+++ b/lease/runner_kept.c
@@ -174,7 +174,8 @@
         gone->running--;
     }
     row->owner = *heir;
-    RunnerOwner_Extend(runner, heir, now_ms + runner->config.term.lease_ms)
+    RunnerOwner_Extend(runner, heir,
+                       now_ms + runner->config.term.lease_ms + TERM_KEPT_MS)
         ->running++;
 }
 
--- a/lease/runner_look.c
+++ b/lease/runner_look.c
@@ -149,7 +149,7 @@
         row->percent = running->percent;
         row->progress_ms = now_ms;
     }
-    else if (row->state == TASK_RUNNING &&
+    else if (row->state == TASK_RUNNING && row->estimate_ms > 0 &&
              Health_Hangs(now_ms - row->progress_ms, row->estimate_ms)) {
         if (Health_Stalled(&runner->health, now_ms)) {
             log_trial(runner, true);
@@ -183,7 +183,8 @@
 
     for (item = rows; item != NULL; item = item->next) {
         const Runner_Task *row = item->data;
-        if (row->state == TASK_RUNNING && row->progress_ms > 0) {
+        if (row->state == TASK_RUNNING && row->progress_ms > 0 &&
+            row->estimate_ms > 0) {
             Health_Progress progress = progress_of(row, now_ms);
             g_array_append_val(runs, progress);
         }
@@ -194,7 +195,7 @@
         Runner_Task *row = item->data;
         Health_Progress progress = progress_of(row, now_ms);
         if (row->state == TASK_RUNNING && row->progress_ms > 0 &&
-            Health_BetterElsewhere(&progress, slow)) {
+            row->estimate_ms > 0 && Health_BetterElsewhere(&progress, slow)) {
             stop_stalled(runner, now_ms, row, "the upstream is slow");
         }
     }
--- a/lease/term.h
+++ b/lease/term.h
@@ -14,6 +14,10 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+/** Runs of kept jobs are not bound to the resubmission time: a companion goes
+ * on with them for so long after the lease, until an heir has been found. */
+#define TERM_KEPT_MS 2500
+
 /** Times in ms. */
 typedef struct {
     int64_t lease_ms; /**< an entry's hold on its runs at a companion */
--- a/tests/lease_world.cc
+++ b/tests/lease_world.cc
@@ -149,6 +149,7 @@
          when += plan.kept_every_ms) {
         at(when, [this] { make_kept(); });
     }
+    at(jobs_until, [this] { end_lasting(); });
     for (int64_t when = 0; when < end; when++) {
         while (!events.empty() && events.top().at <= when) {
             Event event = events.top();
--- a/tests/lease_world_state.h
+++ b/tests/lease_world_state.h
@@ -75,6 +75,8 @@
     uint64_t id;
     uint32_t tasks;
     uint32_t steps; /* 1, or 2 of which the second waits for the first */
+    bool lasts;     /* its tasks are started again for good */
+    int64_t last_start_ms = 0;
     int64_t work_ms;
     int tries = 0;
     bool accepted = false;
@@ -298,6 +300,7 @@
     void make_kept();
     void submit_kept(uint64_t id);
     void cancel_kept(uint64_t id);
+    void end_lasting();
     void lose_kept(uint32_t entry);
     void on_kept_start(const lc_run_id &id);
     void on_kept_end(const lc_run_id &id, Runner_End end);
