Kept jobs at set times

A kept job with repeat_count has the tasks of its steps for each time; those of a time that is not due are blocked, by the owner's wall clock.

--- a/daemon/leased_entry.c
+++ b/daemon/leased_entry.c
@@ -232,6 +232,7 @@
     LeasedGossip_Tick(self, now);
     LeasedStore_Tick(self, now);
     Keeper_Tick(self->keeper, now);
+    Dispatcher_SetWall(self->dispatcher, Process_Now().wall_ms - now);
     Dispatcher_Tick(self->dispatcher, now);
     note_ready(self);
 }
--- a/lease/active.c
+++ b/lease/active.c
@@ -9,18 +9,23 @@
 static void
 fill_tasks(Active_Job *job)
 {
+    uint32_t times = LeasedJob_Times(&job->spec);
     Active_Task *task = job->tasks;
+    uint32_t occurrence;
     uint32_t step;
     uint32_t index;
 
-    for (step = 0; step < job->spec.step_count; step++) {
-        job->lasts |= job->spec.steps[step].long_running;
-        for (index = 0; index < job->spec.steps[step].count; index++) {
-            task->id.job = job->spec.id;
-            task->id.step = step;
-            task->id.index = index;
-            task->state = ACTIVE_BLOCKED;
-            task++;
+    for (occurrence = 0; occurrence < times; occurrence++) {
+        for (step = 0; step < job->spec.step_count; step++) {
+            job->lasts |= job->spec.steps[step].long_running;
+            for (index = 0; index < job->spec.steps[step].count; index++) {
+                task->id.job = job->spec.id;
+                task->id.occurrence = occurrence;
+                task->id.step = step;
+                task->id.index = index;
+                task->state = ACTIVE_BLOCKED;
+                task++;
+            }
         }
     }
 }
@@ -43,12 +48,13 @@
     job->objective_ms = now_ms + route->target_ms +
                         (int64_t)chain_ms * route->stretch_percent / PERCENT;
     job->deadline_ms = deadline_ms;
-    job->task_count = LeasedJob_Tasks(&job->spec);
+    job->task_count = LeasedJob_Tasks(&job->spec) *
+                      LeasedJob_Times(&job->spec);
     job->tasks = g_new0(Active_Task, job->task_count);
     job->open = job->task_count;
     job->story = Story_New(now_ms);
     fill_tasks(job);
-    Active_Unblock(job);
+    Active_Unblock(job, INT64_MIN);
     return job;
 }
 
@@ -88,8 +94,9 @@
     task->state = state;
 }
 
+/* Steps of one time all of whose tasks are done. */
 static uint64_t
-ended_steps(const Active_Job *job)
+ended_steps(const Active_Job *job, const Active_Task *tasks, uint32_t count)
 {
     uint64_t ended = 0;
     uint32_t i;
@@ -97,25 +104,34 @@
     for (i = 0; i < job->spec.step_count; i++) {
         ended |= (uint64_t)1 << i;
     }
-    for (i = 0; i < job->task_count; i++) {
-        if (!job->tasks[i].done) {
-            ended &= ~((uint64_t)1 << job->tasks[i].id.step);
+    for (i = 0; i < count; i++) {
+        if (!tasks[i].done) {
+            ended &= ~((uint64_t)1 << tasks[i].id.step);
         }
     }
     return ended;
 }
 
 void
-Active_Unblock(Active_Job *job)
+Active_Unblock(Active_Job *job, int64_t wall_ms)
 {
-    uint64_t ended = ended_steps(job);
+    uint32_t count = LeasedJob_Tasks(&job->spec);
+    uint32_t times = LeasedJob_Times(&job->spec);
+    uint32_t occurrence;
     uint32_t i;
 
-    for (i = 0; i < job->task_count; i++) {
-        Active_Task *task = &job->tasks[i];
-        uint64_t needed = Active_Step(job, task)->depends_on;
-        if (task->state == ACTIVE_BLOCKED && (needed & ~ended) == 0) {
-            Active_Move(job, task, ACTIVE_WAITING);
+    for (occurrence = 0; occurrence < times; occurrence++) {
+        Active_Task *tasks = job->tasks + (size_t)occurrence * count;
+        uint64_t ended;
+        if (LeasedJob_DueMs(&job->spec, occurrence) > wall_ms) {
+            return;
+        }
+        ended = ended_steps(job, tasks, count);
+        for (i = 0; i < count; i++) {
+            uint64_t needed = Active_Step(job, &tasks[i])->depends_on;
+            if (tasks[i].state == ACTIVE_BLOCKED && (needed & ~ended) == 0) {
+                Active_Move(job, &tasks[i], ACTIVE_WAITING);
+            }
         }
     }
 }
--- a/lease/active.h
+++ b/lease/active.h
@@ -70,7 +70,8 @@
     bool closing; /**< answered; only stops are waited for */
 } Active_Job;
 
-/** Makes a job of @p spec, whose memory it takes. */
+/** Makes a job of @p spec, whose memory it takes. Unless the job has times,
+ * the tasks of its first steps wait. */
 Active_Job *Active_New(LeasedJob *spec, const Route *route, int64_t now_ms,
                        int64_t deadline_ms);
 void Active_Free(Active_Job *job);
@@ -82,8 +83,9 @@
 /** Moves a task to another state; keeps the counts. */
 void Active_Move(Active_Job *job, Active_Task *task, Active_State state);
 
-/** Unblocks the tasks whose steps may start now. */
-void Active_Unblock(Active_Job *job);
+/** Unblocks the tasks whose steps and times may start now; @p wall_ms is the
+ * wall clock. */
+void Active_Unblock(Active_Job *job, int64_t wall_ms);
 
 /** Whether all tasks are done. */
 bool Active_IsDone(const Active_Job *job);
--- a/lease/choice.c
+++ b/lease/choice.c
@@ -47,6 +47,7 @@
     for (i = 0; i < job->task_count; i++) {
         const Active_Task *other = &job->tasks[i];
         if (other != task && other->id.step == task->id.step &&
+            other->id.occurrence == task->id.occurrence &&
             (other->done || (other->state != ACTIVE_WAITING &&
                              other->state != ACTIVE_BLOCKED)) &&
             other->host.address == address) {
--- a/lease/dispatcher.c
+++ b/lease/dispatcher.c
@@ -310,6 +310,9 @@
             continue;
         }
         ask_again(self, now_ms, job);
+        if (job->spec.repeat_count > 0 && !job->closing) {
+            Active_Unblock(job, now_ms + self->wall_ahead_ms);
+        }
         if (!job->closing && !job->kept) {
             tend_job(self, now_ms, job, isolated);
         }
--- a/lease/dispatcher.h
+++ b/lease/dispatcher.h
@@ -128,6 +128,10 @@
 /** Whether kept jobs may be started and their leases renewed. */
 void Dispatcher_HoldKept(Dispatcher *self, bool held);
 
+/** Sets how far the wall clock is ahead of the monotonic one; to be called
+ * before each tick, as the former may step. */
+void Dispatcher_SetWall(Dispatcher *self, int64_t ahead_ms);
+
 /** Takes a kept job; it has no caller and no deadline. */
 void Dispatcher_AddKept(Dispatcher *self, int64_t now_ms,
                         Dispatcher_Kept *start);
--- a/lease/dispatcher_ends.c
+++ b/lease/dispatcher_ends.c
@@ -178,7 +178,7 @@
         return;
     }
     if (job->spec.step_count > 1) {
-        Active_Unblock(job);
+        Active_Unblock(job, now_ms + self->wall_ahead_ms);
     }
 }
 
--- a/lease/dispatcher_kept.c
+++ b/lease/dispatcher_kept.c
@@ -23,6 +23,12 @@
     }
 }
 
+void
+Dispatcher_SetWall(Dispatcher *self, int64_t ahead_ms)
+{
+    self->wall_ahead_ms = ahead_ms;
+}
+
 void
 Dispatcher_HoldKept(Dispatcher *self, bool held)
 {
@@ -45,7 +51,7 @@
 }
 
 static void
-take_done(Active_Job *job, const Dispatcher_Kept *start)
+take_done(Active_Job *job, const Dispatcher_Kept *start, int64_t wall_ms)
 {
     uint32_t i;
 
@@ -58,7 +64,7 @@
             job->starts++;
         }
     }
-    Active_Unblock(job);
+    Active_Unblock(job, wall_ms);
 }
 
 /* The latest run of a task that a companion knows is asked for. */
@@ -71,8 +77,8 @@
     for (i = 0; i < job->task_count; i++) {
         Active_Task *task = &job->tasks[i];
         Fleet_Host *host;
-        if (task->done || task->id.step != run->id.step ||
-            task->id.index != run->id.index ||
+        if (task->done || task->id.occurrence != run->id.occurrence ||
+            task->id.step != run->id.step || task->id.index != run->id.index ||
             (DispatcherEnd_IsOut(task) && task->id.run >= run->id.run)) {
             continue;
         }
@@ -121,7 +127,7 @@
     job->kept = true;
     job->handle = Handle_Add(self->jobs, job);
     g_hash_table_replace(self->by_id, &job->spec.id, job);
-    take_done(job, start);
+    take_done(job, start, now_ms + self->wall_ahead_ms);
     take_failures(job, start->failures);
     for (i = 0; i < start->runs->len; i++) {
         take_run(self, now_ms, job,
--- a/lease/dispatcher_queue.c
+++ b/lease/dispatcher_queue.c
@@ -24,8 +24,9 @@
         .slack_ms = job->objective_ms - now_ms - remaining_ms,
     };
 
-    if (job->lasts) {
-        entry.slack_ms = 0; /* never late: what lasts is missed while away */
+    if (job->lasts || job->spec.repeat_count > 0) {
+        /* What lasts is missed while it is away; a time that waits is due. */
+        entry.slack_ms = 0;
     }
     if (entry.slack_ms < 0) {
         entry.rank = now_ms + remaining_ms <= Active_WorthlessAfter(job)
--- a/lease/dispatcher_state.h
+++ b/lease/dispatcher_state.h
@@ -36,7 +36,8 @@
     GHashTable *by_request; /* request id -> Active_Job */
     uint64_t random;
     uint32_t unanswered;
-    uint64_t kept; /* incarnation as an owner of kept jobs */
+    int64_t wall_ahead_ms; /* of the wall clock before the monotonic one */
+    uint64_t kept;         /* incarnation as an owner of kept jobs */
     bool kept_held;
     bool paused;
     bool unsettled; /* something came that may let tasks be sent */
--- a/lease/job.c
+++ b/lease/job.c
@@ -23,12 +23,27 @@
 }
 
 uint32_t
-LeasedJob_TaskNumber(const LeasedJob *job, uint32_t step, uint32_t index)
+LeasedJob_Times(const LeasedJob *job)
 {
-    uint32_t number = index;
+    return MAX(job->repeat_count, 1);
+}
+
+int64_t
+LeasedJob_DueMs(const LeasedJob *job, uint32_t occurrence)
+{
+    if (job->repeat_count == 0) {
+        return INT64_MIN;
+    }
+    return job->start_at_ms + (int64_t)occurrence * job->interval_ms;
+}
+
+uint32_t
+LeasedJob_TaskNumber(const LeasedJob *job, const lc_run_id *id)
+{
+    uint32_t number = id->occurrence * LeasedJob_Tasks(job) + id->index;
     uint32_t i;
 
-    for (i = 0; i < step && i < job->step_count; i++) {
+    for (i = 0; i < id->step && i < job->step_count; i++) {
         number += job->steps[i].count;
     }
     return number;
@@ -40,7 +55,7 @@
     if (id->step < job->step_count && job->steps[id->step].long_running) {
         return UINT32_MAX;
     }
-    return LeasedJob_TaskNumber(job, id->step, id->index);
+    return LeasedJob_TaskNumber(job, id);
 }
 
 uint32_t
@@ -68,8 +83,8 @@
 {
     uint32_t i;
 
-    if (job->repeated) {
-        return "jobs that run at set times";
+    if (job->repeat_count > 0 && !job->needs_keeping) {
+        return "jobs at set times that need not be kept";
     }
     for (i = 0; i < job->step_count; i++) {
         if (job->steps[i].gang) {
--- a/lease/job.h
+++ b/lease/job.h
@@ -13,6 +13,8 @@
 #include "base/err.h"
 #include "wire/msg.h"
 
+/** Most tasks of one job, times its times: a bit for each is written down. */
+#define LEASED_JOB_MAX_TIMED (8 * LC_MAX_TASKS)
 /** Most tasks of one job, as in the developers' sizes. */
 #define LEASED_JOB_MAX_TASKS 1500
 /** Most steps of one job. */
@@ -37,7 +39,10 @@
     uint64_t id;
     char *spec;         /**< handed to the upstream as it is */
     bool needs_keeping; /**< the caller expects it to survive all processes */
-    bool repeated;      /**< it runs at times of its own */
+    uint32_t repeat_count; /**< it runs so often at times of its own; 0: once
+                                and at once */
+    int64_t start_at_ms;   /**< wall clock, of the first time */
+    int64_t interval_ms;   /**< between times */
     uint32_t step_count;
     LeasedJob_Step *steps;
 } LeasedJob;
@@ -45,12 +50,18 @@
 /** Frees what @p job owns. */
 void LeasedJob_Clear(LeasedJob *job);
 
-/** Tasks of all steps. */
+/** Tasks of all steps, of one time. */
 uint32_t LeasedJob_Tasks(const LeasedJob *job);
 
-/** Number of a task among those of all steps. */
-uint32_t LeasedJob_TaskNumber(const LeasedJob *job, uint32_t step,
-                              uint32_t index);
+/** How often the steps run: 1 for a job without times. */
+uint32_t LeasedJob_Times(const LeasedJob *job);
+
+/** When a time falls due, on the wall clock; INT64_MIN for a job without
+ * times. */
+int64_t LeasedJob_DueMs(const LeasedJob *job, uint32_t occurrence);
+
+/** Number of a run's task among those of all times and steps. */
+uint32_t LeasedJob_TaskNumber(const LeasedJob *job, const lc_run_id *id);
 
 /** The same of a run's end that is to be written down; UINT32_MAX for a task
  * that lasts, as it is started again in any case. */
--- a/tests/kept_rules.c
+++ b/tests/kept_rules.c
@@ -13,6 +13,8 @@
 #define MOST 256
 #define HOLD_MS 6000
 #define RESUBMIT_MS 1300
+/* The wall clock shows so much more than the monotonic one. */
+#define WALL_MS 1700000000000
 
 static const lc_node own_node = {0x7f0000011b59, 1000};
 static const lc_node companion_node = {0x7f0000011b63, 900};
@@ -44,6 +46,7 @@
     Err_Kind kind;
     uint32_t tasks; /* of each job */
     bool lasts;
+    uint32_t times;
     lc_upstream_state state;
 } fixture;
 
@@ -130,6 +133,9 @@
     job->steps[0].estimate_ms = 100;
     job->steps[0].long_running = fix->lasts;
     job->needs_keeping = true;
+    job->repeat_count = fix->times;
+    job->start_at_ms = WALL_MS + START_MS + 500;
+    job->interval_ms = 500;
     return ERR_OK;
 }
 
@@ -625,6 +631,34 @@
     free_fixture(&fix);
 }
 
+/* Each time begins when the wall clock shows it, whatever the other did. */
+static void
+test_times(void)
+{
+    fixture fix;
+
+    new_fixture(&fix);
+    fix.times = 2;
+    Dispatcher_SetWall(fix.dispatcher, WALL_MS);
+    submit(&fix, 7);
+    read_put(&fix, 1);
+    read_log(&fix);
+    pass(&fix, 400);
+    g_assert_cmpint(count_calls(&fix, MSG_RUN), ==, 0);
+    pass(&fix, 150);
+    g_assert_cmpint(count_calls(&fix, MSG_RUN), ==, 1);
+    pass(&fix, 400);
+    g_assert_cmpint(count_calls(&fix, MSG_RUN), ==, 1);
+    pass(&fix, 100);
+    g_assert_cmpint(count_calls(&fix, MSG_RUN), ==, 2);
+    g_assert_cmpuint(last_call(&fix, MSG_RUN)->run.occurrence, ==, 1);
+    end_run(&fix, LC_RUN_DONE);
+    read_put(&fix, fix.puts->len);
+    g_assert_cmpint(Keeper_Look(fix.keeper, fix.now_ms, 7, "queue"), ==,
+                    KEEPER_RUNNING);
+    free_fixture(&fix);
+}
+
 static void
 test_held_in_touch_only(void)
 {
@@ -833,6 +867,7 @@
     {"/keeper/counts attempts", test_attempts_are_written},
     {"/keeper/counts attempts on trial", test_attempts_on_trial},
     {"/keeper/starts what lasts again", test_lasting},
+    {"/keeper/starts each time when it is due", test_times},
     {"/keeper/starts nothing long after its last word of the log",
      test_held_in_touch_only},
     {"/keeper/claims a silent owner", test_claims_the_silent},
--- a/tests/lease_world_nodes.cc
+++ b/tests/lease_world_nodes.cc
@@ -309,6 +309,7 @@
     }
     when_awake(entry, [this, entry] {
         Keeper_Tick(entry->keeper, now);
+        Dispatcher_SetWall(entry->dispatcher, WALL_AHEAD_MS);
         Dispatcher_Tick(entry->dispatcher, now);
     });
     at(now + TICK_MS, [this, index, life] { tick_entry(index, life); });
--- a/tests/lease_world_state.h
+++ b/tests/lease_world_state.h
@@ -22,6 +22,8 @@
 const uint64_t FIRST_KEPT = 1000000;
 const uint64_t KEEPER_CALL = 1ULL << 62;
 const uint32_t MOST_ATTEMPTS = 3;
+/* The wall clock shows so much more than the time of the world. */
+const int64_t WALL_AHEAD_MS = 1700000000000;
 const lc_resources CAPACITY = {16000, 65536, 0};
 
 class World;
@@ -76,6 +78,9 @@
     uint32_t tasks;
     uint32_t steps; /* 1, or 2 of which the second waits for the first */
     bool lasts;     /* its tasks are started again for good */
+    uint32_t times; /* 0: none, it runs once and at once */
+    int64_t start_at_ms;
+    int64_t interval_ms;
     int64_t last_start_ms = 0;
     int64_t work_ms;
     int tries = 0;
