--- a/lease/keeper_jobs.c
+++ b/lease/keeper_jobs.c
@@ -52,7 +52,6 @@
     const Kept_Job *job = Kept_Find(keeper->kept, row->id);
     lc_kept_record record = {.job = row->id};
     lc_kept_progress *progress = &record.body.lc_kept_body_u.progress;
-    GByteArray *bytes = g_byte_array_new();
     char key[KEPT_KEY_SIZE];
     uint64_t number;
     guint i;
@@ -65,10 +64,8 @@
     progress->failures.failures_val =
         (lc_kept_failures *)(void *)row->failures->data;
     progress->failures.failures_len = row->failures->len;
-    Msg_EncodeKept(&record, bytes);
     Kept_ProgressKey(row->id, keeper->node.incarnation, key);
-    number = keeper->ports->put(keeper->context, key, bytes->data, bytes->len);
-    g_byte_array_unref(bytes);
+    number = Keeper_Put(keeper, key, &record);
     for (i = 0; i < row->ends->len; i++) {
         Keeper_End end = g_array_index(row->ends, Keeper_End, i);
         end.number = number;
--- a/lease/keeper_owners.c
+++ b/lease/keeper_owners.c
@@ -141,7 +141,6 @@
 KeeperOwner_SayAlive(Keeper *keeper, int64_t now_ms)
 {
     lc_kept_record record = {.job = 0};
-    GByteArray *bytes;
     char key[KEPT_KEY_SIZE];
 
     if (g_hash_table_size(keeper->jobs) == 0 ||
@@ -149,13 +148,10 @@
         return;
     }
     keeper->alive_ms = now_ms;
-    bytes = g_byte_array_new();
     record.body.kind = LC_KEPT_ALIVE;
     record.body.lc_kept_body_u.alive = keeper->node;
-    Msg_EncodeKept(&record, bytes);
     Kept_AliveKey(&keeper->node, key);
-    keeper->ports->put(keeper->context, key, bytes->data, bytes->len);
-    g_byte_array_unref(bytes);
+    Keeper_Put(keeper, key, &record);
 }
 
 static bool
@@ -193,16 +189,13 @@
 {
     lc_kept_record record = {.job = 0};
     lc_kept_claim *claim = &record.body.lc_kept_body_u.claim;
-    GByteArray *bytes = g_byte_array_new();
     char key[KEPT_KEY_SIZE];
 
     record.body.kind = LC_KEPT_CLAIM;
     claim->gone = *gone;
     claim->heir = *heir;
-    Msg_EncodeKept(&record, bytes);
     Kept_ClaimKey(gone, keeper->node.incarnation, key);
-    keeper->ports->put(keeper->context, key, bytes->data, bytes->len);
-    g_byte_array_unref(bytes);
+    Keeper_Put(keeper, key, &record);
     g_array_append_val(keeper->claims, *gone);
     keeper->claimed_ms = now_ms;
 }
--- a/lease/keeper_state.h
+++ b/lease/keeper_state.h
@@ -115,6 +115,21 @@
     bool unstarted; /* own jobs may wait to be started */
 };
 
+/** Puts a record; returns its number. */
+uint64_t Keeper_Put(Keeper *keeper, const char *key,
+                    const lc_kept_record *record);
+
+/* Callers: keeper_callers.c. */
+
+/** Whether the log has not answered lately. */
+bool KeeperCaller_LogIsDown(const Keeper *keeper, int64_t now_ms);
+
+/** Tells those whose job is over, or who have waited. */
+void KeeperCaller_TellLookers(Keeper *keeper, int64_t now_ms);
+
+/** Answers those whose record was not written in time. */
+void KeeperCaller_GiveUp(Keeper *keeper, int64_t now_ms);
+
 /* Own jobs: keeper_jobs.c. */
 
 void KeeperJob_Free(gpointer item);
