Claims that cross, and ends that a full list hides

Cause: an entry that had stood still claimed others before it read that one of them had claimed it; the two claims made a circle with no live owner. Now a claim whose heir was claimed before is void, and claims need fresh word of the log. Now a full list ends nothing, and a companion with 300 such ends takes no more kept runs. Both have a rule that failed before.

--- a/lease/choice.c
+++ b/lease/choice.c
@@ -4,6 +4,7 @@
 
 #include "base/random.h"
 #include "lease/resources.h"
+#include "lease/runner.h"
 
 #define PERCENT 100
 #define SLOW_PERCENT 200
@@ -82,6 +83,9 @@
         !Fleet_HasLabel(host, step->requirement)) {
         return false;
     }
+    if (job->kept && host->held >= RUNNER_MOST_HELD) {
+        return false; /* their ends could not be told */
+    }
     if (is_too_slow(choice, job, step, host)) {
         return false;
     }
--- a/lease/fleet.c
+++ b/lease/fleet.c
@@ -140,6 +140,7 @@
     host->room = state->room;
     host->pace_percent = state->pace_percent;
     host->held = state->held;
+    host->held_long = state->held_long;
     host->suspect = false;
     return true;
 }
--- a/lease/fleet.h
+++ b/lease/fleet.h
@@ -28,7 +28,9 @@
     lc_resources capacity;
     lc_resources room; /**< as far as known, less what was sent since */
     uint32_t pace_percent;
-    uint32_t held;          /**< ends of kept jobs that wait there for long */
+    uint32_t held;      /**< ends of kept jobs that are not released there */
+    uint32_t held_long; /**< of them those that wait for long */
+
     int64_t held_asked_ms;  /**< when this entry asked for them */
     int64_t stamp_ms;       /**< its clock at its last word */
     int64_t received_ms;    /**< when that arrived */
--- a/lease/keeper_owners.c
+++ b/lease/keeper_owners.c
@@ -8,6 +8,8 @@
  * claim it one after the other, so that mostly one does. */
 #define SILENT_MS 2000
 #define TURN_MS 400
+/* Claims are made on fresh word of the log only. */
+#define FRESH_MS 1000
 /* A claim that was put is not put again for so long. */
 #define CLAIM_AGAIN_MS 3000
 /* Companions have reported to an entry by this time after its start. */
@@ -209,8 +211,9 @@
     if (now_ms - keeper->claimed_ms >= CLAIM_AGAIN_MS) {
         g_array_set_size(keeper->claims, 0);
     }
-    if (Keeper_Identity(keeper, now_ms) == 0) {
-        return;
+    if (Keeper_Identity(keeper, now_ms) == 0 ||
+        now_ms - keeper->contact_ms > FRESH_MS) {
+        return; /* the log may tell that we are gone ourselves */
     }
     open = Kept_Open(keeper->kept);
     for (i = 0; i < open->len; i++) {
@@ -482,7 +485,8 @@
 
     for (i = 0; i < fleet->hosts->len; i++) {
         Fleet_Host *host = g_ptr_array_index(fleet->hosts, i);
-        if (host->held > 0 && now_ms - host->held_asked_ms > ASK_HELD_MS &&
+        if (host->held_long > 0 &&
+            now_ms - host->held_asked_ms > ASK_HELD_MS &&
             Choice_IsHeard(host, now_ms)) {
             host->held_asked_ms = now_ms;
             KeeperOwner_Ask(keeper, host->node, nobody);
--- a/lease/kept.c
+++ b/lease/kept.c
@@ -14,12 +14,13 @@
     uint64_t offset;
     lc_node gone;
     lc_node heir;
+    bool counts;
 } kept_claim;
 
 struct Kept {
     GHashTable *jobs; /* id -> Kept_Job */
     GHashTable *open; /* set of those that are submitted and not over */
-    GArray *claims;   /* kept_claim, the first of each owner */
+    GArray *claims;   /* kept_claim, by offset */
 };
 
 static void
@@ -251,32 +252,71 @@
 
     for (i = 0; i < kept->claims->len; i++) {
         kept_claim *claim = &g_array_index(kept->claims, kept_claim, i);
-        if (Kept_SameNode(&claim->gone, gone)) {
+        if (claim->counts && Kept_SameNode(&claim->gone, gone)) {
             return claim;
         }
     }
     return NULL;
 }
 
+static gint
+compare_claims(gconstpointer a, gconstpointer b)
+{
+    const kept_claim *left = a;
+    const kept_claim *right = b;
+
+    return left->offset < right->offset ? -1 : left->offset > right->offset;
+}
+
+/* Of an owner the first claim counts, unless its heir was claimed before: so
+ * two that claim each other do not both lose. */
+static void
+judge_claims(Kept *kept)
+{
+    guint i;
+
+    g_array_sort(kept->claims, compare_claims);
+    for (i = 0; i < kept->claims->len; i++) {
+        g_array_index(kept->claims, kept_claim, i).counts = false;
+    }
+    for (i = 0; i < kept->claims->len; i++) {
+        kept_claim *claim = &g_array_index(kept->claims, kept_claim, i);
+        claim->counts = find_claim(kept, &claim->gone) == NULL &&
+                        find_claim(kept, &claim->heir) == NULL;
+    }
+}
+
+static bool
+is_known(const Kept *kept, uint64_t offset)
+{
+    guint i;
+
+    for (i = 0; i < kept->claims->len; i++) {
+        if (g_array_index(kept->claims, kept_claim, i).offset == offset) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static Kept_Change
 take_claim(Kept *kept, uint64_t offset, const lc_kept_claim *taken)
 {
     Kept_Change change = {.kind = KEPT_NOTHING};
-    kept_claim *known = find_claim(kept, &taken->gone);
-    kept_claim fresh = {offset, taken->gone, taken->heir};
+    kept_claim fresh = {offset, taken->gone, taken->heir, false};
+    const kept_claim *counts;
 
-    if (known != NULL && known->offset <= offset) {
+    if (is_known(kept, offset)) {
         return change;
     }
-    if (known != NULL) {
-        *known = fresh;
-    }
-    else {
-        g_array_append_val(kept->claims, fresh);
+    g_array_append_val(kept->claims, fresh);
+    judge_claims(kept);
+    counts = find_claim(kept, &taken->gone);
+    if (counts != NULL && counts->offset == offset) {
+        change.kind = KEPT_CLAIMED;
+        change.gone = taken->gone;
+        change.heir = taken->heir;
     }
-    change.kind = KEPT_CLAIMED;
-    change.gone = taken->gone;
-    change.heir = taken->heir;
     return change;
 }
 
--- a/lease/kept.h
+++ b/lease/kept.h
@@ -5,8 +5,9 @@
  *
  * Records are keyed, and the newest of each key stays in the store. Taking a
  * record twice, or late, changes nothing: of two submissions or claims the
- * lower offset counts, what is done stays done, the first outcome stays. No
- * I/O. Times are monotonic, in ms.
+ * lower offset counts, and no claim of an heir that was claimed before; what
+ * is done stays done, the first outcome stays. No I/O. Times are monotonic, in
+ * ms.
  */
 #ifndef LC_LEASE_KEPT_H
 #define LC_LEASE_KEPT_H
--- a/lease/runner.c
+++ b/lease/runner.c
@@ -86,7 +86,8 @@
     }
     state->pace_percent = runner->health.pace_percent;
     state->tasks = runner->live;
-    state->held = RunnerKept_HeldLong(runner, now_ms);
+    state->held = runner->unreleased;
+    state->held_long = RunnerKept_HeldLong(runner, now_ms);
 }
 
 /* LC_RUN_DONE if it may start. */
@@ -110,6 +111,9 @@
     default:
         break;
     }
+    if (RunId_IsKept(&args->id) && runner->unreleased >= RUNNER_MOST_HELD) {
+        return LC_RUN_NO_ROOM;
+    }
     if (!Resources_Fit(&args->need, &room) ||
         !Health_Admits(&runner->health, now_ms, runner->live)) {
         return LC_RUN_NO_ROOM;
--- a/lease/runner.h
+++ b/lease/runner.h
@@ -20,6 +20,12 @@
 #include "lease/term.h"
 #include "wire/msg.h"
 
+/** An upstream lists so many ends at once; later ones are not told until
+ * these are taken note of. */
+#define RUNNER_ENDS_AT_ONCE 500
+/** So many ends of kept jobs may wait to be written down at a companion. */
+#define RUNNER_MOST_HELD 300
+
 /** X(NAME, text): how an upstream says that a run ended. */
 #define RUNNER_END_LIST(X)                                                    \
     X(DONE, "done")                                                           \
--- a/lease/runner_look.c
+++ b/lease/runner_look.c
@@ -262,7 +262,9 @@
     for (i = 0; i < listing->running_count; i++) {
         take_row(runner, now_ms, &listing->running[i]);
     }
-    end_unlisted(runner, now_ms, listing);
+    if (listing->ended_count < RUNNER_ENDS_AT_ONCE) {
+        end_unlisted(runner, now_ms, listing);
+    }
     judge_pace(runner, now_ms);
     if (!runner->up.inventoried) {
         runner->up.inventoried = listing->running_count == 0;
--- a/tests/kept_rules.c
+++ b/tests/kept_rules.c
@@ -828,6 +828,27 @@
     free_fixture(&fix);
 }
 
+/* Two that claim each other: the first claim counts, the other is void, and
+ * its heir looks after the jobs of both. */
+static void
+test_mutual_claims(void)
+{
+    lc_node own;
+    fixture fix;
+
+    new_fixture(&fix);
+    own = own_identity(&fix);
+    read_submit(&fix, 7, &other_owner);
+    read_claim(&fix, &other_owner, &own);
+    read_claim(&fix, &own, &other_owner);
+    g_assert_cmpuint(own_identity(&fix).incarnation, ==, own.incarnation);
+    pass(&fix, 3000);
+    answer_fence(&fix, NULL);
+    pass(&fix, 100);
+    g_assert_cmpint(count_calls(&fix, MSG_RUN), ==, 1);
+    free_fixture(&fix);
+}
+
 static void
 test_leaving_names_another(void)
 {
@@ -880,6 +901,8 @@
     {"/keeper/goes on with what runs", test_heir_goes_on_with_a_run},
     {"/keeper/waits for a silent companion", test_heir_waits_for_the_silent},
     {"/keeper/lets go when it is claimed", test_claimed_lets_go},
+    {"/keeper/of two that claim each other the first stays",
+     test_mutual_claims},
     {"/keeper/hands new jobs to others when it leaves",
      test_leaving_names_another},
 };
--- a/tests/lease_rules.c
+++ b/tests/lease_rules.c
@@ -369,6 +369,34 @@
     Runner_Free(fix.runner);
 }
 
+/* More ends than an upstream lists at once hide that of a run. */
+static void
+test_full_listing(void)
+{
+    runner_fixture fix;
+    Runner_EndRow ended[RUNNER_ENDS_AT_ONCE];
+    uint32_t i;
+
+    new_ready_runner(&fix);
+    call_run(&fix, 1, RUN_ID_KEPT_BASE + 1, 1000, 5000);
+    Runner_OnStarted(fix.runner, fix.now_ms, fix.start_id, RUNNER_ORDER_TAKEN,
+                     0);
+    for (i = 0; i < RUNNER_ENDS_AT_ONCE; i++) {
+        ended[i].number = i + 1;
+        ended[i].id = run_named(1000 + i, RUN_ID_KEPT_BASE + 1);
+        ended[i].end = RUNNER_END_DONE;
+    }
+    fix.now_ms += 10;
+    answer_look(&fix, NULL, 0, NULL, 0);
+    fix.replies = 0;
+    fix.now_ms += 10;
+    answer_look(&fix, NULL, 0, ended, RUNNER_ENDS_AT_ONCE);
+    g_assert_cmpint(fix.replies, ==, 0);
+    call_run(&fix, 2, RUN_ID_KEPT_BASE + 1, 1000, 500);
+    g_assert_cmpint(fix.status, ==, LC_RUN_NO_ROOM);
+    Runner_Free(fix.runner);
+}
+
 /* The entry that calls is gone, another has taken its kept jobs over. */
 static void
 fence_entry(runner_fixture *fix)
@@ -878,6 +906,8 @@
     {"/runner/takes note of ends", test_ends_are_noted},
     {"/runner/holds ends of kept jobs until they are released",
      test_kept_ends_are_held},
+    {"/runner/does not take a run as over when its end may be hidden",
+     test_full_listing},
     {"/runner/takes no order of an owner that is gone", test_fenced_owner},
     {"/runner/hands runs over to the heir", test_fence_hands_over},
     {"/runner/admits one task on trial", test_trial_admits_one},
--- a/tests/prop_cluster.cc
+++ b/tests/prop_cluster.cc
@@ -106,6 +106,20 @@
     return plan;
 }
 
+/* More jobs of the limited group than it may start in the time. */
+pump::Plan
+rated_plan()
+{
+    pump::Plan plan;
+
+    plan.rate = 10;
+    plan.jobs = 90;
+    plan.most_tasks = 1;
+    plan.length_ms = 1000;
+    plan.max_wait_ms = 3000;
+    return plan;
+}
+
 /* Callers come all the time, on both sides. */
 pump::Plan
 split_plan()
@@ -212,6 +226,14 @@
                     pump::Fault::LogOutage, pump::Fault::Burst},
                    6);
     });
+    property("rates", [] { check_plan(rated_plan(), {}, 0); });
+    property("rates while entries come and go", [] {
+        check_plan(rated_plan(),
+                   {pump::Fault::KillEntry, pump::Fault::KillEntryHost,
+                    pump::Fault::Freeze, pump::Fault::CutAll,
+                    pump::Fault::DrainEntry, pump::Fault::LogOutage},
+                   2);
+    });
     property("no faults but late and lost messages",
              [] { check_plan(capped_plan(), {pump::Fault::Burst}, 0); });
     property("entries frozen with work queued, tasks that hang", [] {
--- a/tests/pump.cc
+++ b/tests/pump.cc
@@ -589,6 +589,9 @@
     /* The upstream goes on whatever becomes of its companion. */
     std::string group = task->group;
     int64_t running = ++running_[group];
+    if (group == "large") {
+        large_starts_.push_back(now_ms_);
+    }
     if (group == "large" && plan_.cap > 0 && running > plan_.cap) {
         report_.limit.push_back(format("%lld tasks run, the cap is %lld",
                                        (long long)running,
--- a/tests/pump.h
+++ b/tests/pump.h
@@ -84,6 +84,7 @@
     bool once = false;          /**< callers never send a request again */
     bool planned = false;       /**< planned stops only: nothing may be cut */
     int64_t cap = 0;            /**< max_running of the group "large" */
+    int64_t rate = 0;           /**< starts_per_s of the group "large" */
     int64_t max_wait_ms = 0;    /**< of the group "small" */
     int64_t window_ms = 20000;
     std::vector<Action> actions;
--- a/tests/pump_callers.cc
+++ b/tests/pump_callers.cc
@@ -140,9 +140,10 @@
     }
     bool large = strcmp(group, "large") == 0;
     json_t *value = json_pack(
-        "{s:I, s:I, s:I}", "weight", (json_int_t)weight, "max_running",
-        (json_int_t)(large ? plan_.cap : 0), "max_wait_ms",
-        (json_int_t)(large ? 0 : plan_.max_wait_ms));
+        "{s:I, s:I, s:I, s:I}", "weight", (json_int_t)weight, "max_running",
+        (json_int_t)(large ? plan_.cap : 0), "starts_per_s",
+        (json_int_t)(large ? plan_.rate : 0), "max_wait_ms",
+        (json_int_t)(large && plan_.rate == 0 ? 0 : plan_.max_wait_ms));
     Table_RowFromJson(group, value, &row, &status);
     json_decref(value);
     uint64_t base = Table_Version(Entry_Table(node->entry), group);
--- a/tests/pump_checks.cc
+++ b/tests/pump_checks.cc
@@ -77,6 +77,34 @@
     }
 }
 
+/* Starts of the limited group within any time of some lengths. An entry may
+ * save its share of two seconds and starts one task at least; while views
+ * change, two may stand side by side, and each new life has savings anew. */
+void
+World::check_rate()
+{
+    bool calm = plan_.actions.empty();
+    int64_t saved = 2 * plan_.rate * (1 + (int64_t)plan_.actions.size()) +
+                    plan_.entries;
+
+    for (int64_t window_ms : {1000, 2000, 4000}) {
+        int64_t most = plan_.rate * window_ms / 1000 * (calm ? 1 : 2) + saved;
+        size_t first = 0;
+        for (size_t last = 0; last < large_starts_.size(); last++) {
+            while (large_starts_[last] - large_starts_[first] >= window_ms) {
+                first++;
+            }
+            int64_t count = (int64_t)(last - first + 1);
+            if (plan_.rate > 0 && count > most) {
+                report_.limit.push_back(format(
+                    "%lld starts within %lld ms, at most %lld",
+                    (long long)count, (long long)window_ms, (long long)most));
+                return;
+            }
+        }
+    }
+}
+
 void
 World::check_jobs()
 {
@@ -139,6 +167,7 @@
 World::check_end()
 {
     check_starts();
+    check_rate();
     check_jobs();
     check_table();
 }
--- a/tests/pump_world.h
+++ b/tests/pump_world.h
@@ -170,6 +170,7 @@
     uint64_t next_owed_ = 0;
     std::map<Address, int64_t> leaving_since_;
     std::map<std::string, int64_t> running_;
+    std::vector<int64_t> large_starts_; /* of the limited group */
     uint64_t incarnations_ = 0;
     bool faults_on_ = true;
 
@@ -212,6 +213,7 @@
     void check_in_force(const AcceptedEdit &edit);
     void check_end();
     void check_starts();
+    void check_rate();
     void check_jobs();
     void check_table();
 };
--- a/wire/levercove.h
+++ b/wire/levercove.h
@@ -339,6 +339,7 @@
 	u_int pace_percent;
 	u_int tasks;
 	u_int held;
+	u_int held_long;
 };
 typedef struct lc_host_state lc_host_state;
 
--- a/wire/levercove.x
+++ b/wire/levercove.x
@@ -275,7 +275,8 @@
     lc_resources room;
     unsigned int pace_percent; /* time of tasks over their estimate */
     unsigned int tasks;
-    unsigned int held; /* ends of kept jobs that nobody has released for long */
+    unsigned int held; /* ends of kept jobs that are not released */
+    unsigned int held_long; /* of them those that nobody has released for long */
 };
 
 enum lc_run_status {
--- a/wire/levercove_xdr.c
+++ b/wire/levercove_xdr.c
@@ -629,6 +629,61 @@
 {
 	register int32_t *buf;
 
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_lc_node (xdrs, &objp->node))
+			 return FALSE;
+		 if (!xdr_quad_t (xdrs, &objp->stamp_ms))
+			 return FALSE;
+		 if (!xdr_lc_upstream_state (xdrs, &objp->state))
+			 return FALSE;
+		 if (!xdr_lc_resources (xdrs, &objp->room))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->pace_percent))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->tasks))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->held))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->held_long))
+				 return FALSE;
+		} else {
+			IXDR_PUT_U_LONG(buf, objp->pace_percent);
+			IXDR_PUT_U_LONG(buf, objp->tasks);
+			IXDR_PUT_U_LONG(buf, objp->held);
+			IXDR_PUT_U_LONG(buf, objp->held_long);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_lc_node (xdrs, &objp->node))
+			 return FALSE;
+		 if (!xdr_quad_t (xdrs, &objp->stamp_ms))
+			 return FALSE;
+		 if (!xdr_lc_upstream_state (xdrs, &objp->state))
+			 return FALSE;
+		 if (!xdr_lc_resources (xdrs, &objp->room))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->pace_percent))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->tasks))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->held))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->held_long))
+				 return FALSE;
+		} else {
+			objp->pace_percent = IXDR_GET_U_LONG(buf);
+			objp->tasks = IXDR_GET_U_LONG(buf);
+			objp->held = IXDR_GET_U_LONG(buf);
+			objp->held_long = IXDR_GET_U_LONG(buf);
+		}
+	 return TRUE;
+	}
+
 	 if (!xdr_lc_node (xdrs, &objp->node))
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->stamp_ms))
@@ -643,6 +698,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->held))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->held_long))
+		 return FALSE;
 	return TRUE;
 }
 
