--- a/daemon/leased_callers.c
+++ b/daemon/leased_callers.c
@@ -13,6 +13,8 @@
 /* A caller's cancel that other entries were told of. */
 typedef struct {
     uint64_t request;
+    uint64_t job;
+    char queue[LC_MAX_NAME];
     uint32_t open; /* calls on their way */
     bool known;
 } Leased_Cancel;
@@ -69,9 +71,13 @@
 static void
 end_cancel(Leased_Entry *self, Leased_Cancel *pending)
 {
-    Http_RespondText(self->callers, pending->request,
-                     pending->known ? OK_STATUS : Callers_UnknownStatus(), 0,
-                     "{}");
+    if (pending->known) {
+        Http_RespondText(self->callers, pending->request, OK_STATUS, 0, "{}");
+    }
+    else {
+        Keeper_CancelUnknown(self->keeper, self->awake_ms, pending->request,
+                             pending->job, pending->queue);
+    }
     g_free(pending);
 }
 
@@ -88,6 +94,8 @@
     }
     pending = g_new0(Leased_Cancel, 1);
     pending->request = request->id;
+    pending->job = job;
+    g_strlcpy(pending->queue, route->name, sizeof(pending->queue));
     pending->known = Dispatcher_OnCancel(self->dispatcher, now, job,
                                          route->name);
     call.u.withdraw.job = job;
--- a/lease/keeper.c
+++ b/lease/keeper.c
@@ -156,6 +156,7 @@
                         now_ms - keeper->contact_ms < KEEPER_HOLD_MS);
     KeeperOwner_Recover(keeper, now_ms);
     KeeperJob_StartAll(keeper, now_ms);
+    KeeperCaller_TakeRead(keeper, now_ms);
     KeeperCaller_TellLookers(keeper, now_ms);
 }
 
--- a/lease/keeper_callers.c
+++ b/lease/keeper_callers.c
@@ -52,6 +52,7 @@
                             .request = request,
                             .job = job,
                             .queue = g_strdup(queue),
+                            .asked_ms = now_ms,
                             .until_ms = now_ms + WAITER_MS,
                             .cancels = cancels};
 
@@ -177,6 +178,13 @@
     return true;
 }
 
+void
+Keeper_CancelUnknown(Keeper *keeper, int64_t now_ms, uint64_t request,
+                     uint64_t id, const char *queue)
+{
+    add_waiter(keeper, now_ms, UINT64_MAX, request, id, queue, true);
+}
+
 static void
 remove_looker(Keeper *keeper, guint index)
 {
@@ -323,6 +331,30 @@
     g_array_remove_index(keeper->waiters, index);
 }
 
+void
+KeeperCaller_TakeRead(Keeper *keeper, int64_t now_ms)
+{
+    guint i = 0;
+
+    while (i < keeper->waiters->len) {
+        Keeper_Waiter waiter = g_array_index(keeper->waiters, Keeper_Waiter,
+                                             i);
+        if (waiter.number != UINT64_MAX ||
+            keeper->contact_ms <= waiter.asked_ms) {
+            i++;
+            continue;
+        }
+        g_array_remove_index(keeper->waiters, i);
+        if (waiter.request != 0 &&
+            !Keeper_OnCancel(keeper, now_ms, waiter.request, waiter.job,
+                             waiter.queue)) {
+            keeper->ports->tell(keeper->context, waiter.request,
+                                KEEPER_UNKNOWN);
+        }
+        g_free(waiter.queue);
+    }
+}
+
 void
 Keeper_OnWritten(Keeper *keeper, int64_t now_ms, uint64_t number)
 {
--- a/lease/keeper_state.h
+++ b/lease/keeper_state.h
@@ -17,7 +17,9 @@
 
 /* A caller that waits for its job to be written down, or cancelled. */
 typedef struct {
-    uint64_t number; /* of the record that it waits for */
+    uint64_t number; /* of the record that it waits for; UINT64_MAX: for
+                        what stands in the log at `asked_ms` */
+    int64_t asked_ms;
     uint64_t request;
     uint64_t job;
     char *queue;
@@ -127,6 +129,9 @@
 /** Tells those whose job is over, or who have waited. */
 void KeeperCaller_TellLookers(Keeper *keeper, int64_t now_ms);
 
+/** Cancels, or calls unknown, what was asked for before the last read. */
+void KeeperCaller_TakeRead(Keeper *keeper, int64_t now_ms);
+
 /** Answers those whose record was not written in time. */
 void KeeperCaller_GiveUp(Keeper *keeper, int64_t now_ms);
 
