--- a/lease/keeper.h
+++ b/lease/keeper.h
@@ -88,8 +88,8 @@
 
 /** Cancels a job that no entry knows: the log is read once more first, as it
  * may have been accepted a moment ago elsewhere. */
-void Keeper_CancelUnknown(Keeper *keeper, int64_t now_ms, uint64_t request_id,
-                          uint64_t job, const char *queue);
+void Keeper_CancelUnknown(Keeper *keeper, int64_t now_ms, uint64_t request,
+                          uint64_t id, const char *queue);
 
 /** A caller has gone: it is not answered; its job stays. */
 void Keeper_OnCallerGone(Keeper *keeper, uint64_t request_id);
