--- a/daemon/leased_kept.c
+++ b/daemon/leased_kept.c
@@ -175,7 +175,6 @@
 {
     Keeper_Submit keep = {.request_id = request->id,
                           .route = submit->route,
-                          .deadline_ms = submit->deadline_ms,
                           .job = &submit->job};
     char *body;
 
--- a/lease/keeper.h
+++ b/lease/keeper.h
@@ -65,8 +65,7 @@
 typedef struct {
     uint64_t request_id;
     const Route *route;
-    const char *body;    /**< as its caller sent it */
-    int64_t deadline_ms; /**< from now; after it the caller does not wait */
+    const char *body; /**< as its caller sent it */
     const LeasedJob *job;
 } Keeper_Submit;
 
--- a/tests/kept_rules.c
+++ b/tests/kept_rules.c
@@ -292,11 +292,8 @@
 submit(fixture *fix, uint64_t id)
 {
     LeasedJob job;
-    Keeper_Submit submit = {.request_id = id,
-                            .route = fix->route,
-                            .body = "{}",
-                            .deadline_ms = 1500,
-                            .job = &job};
+    Keeper_Submit submit = {
+        .request_id = id, .route = fix->route, .body = "{}", .job = &job};
 
     port_parse(fix, id, "", &job, NULL);
     Keeper_OnSubmit(fix->keeper, fix->now_ms, &submit);
--- a/tests/lease_world_kept.cc
+++ b/tests/lease_world_kept.cc
@@ -393,7 +393,6 @@
             submit.request_id = request;
             submit.route = route;
             submit.body = "{}";
-            submit.deadline_ms = DEADLINE_MS;
             submit.job = &job;
             Keeper_OnSubmit(entry->keeper, now, &submit);
             LeasedJob_Clear(&job);
