--- a/tests/lease_world.h
+++ b/tests/lease_world.h
@@ -88,6 +88,7 @@
     uint64_t late_succeeded = 0; /**< in the second half of the quiet time */
     uint64_t late_jobs = 0;
     uint64_t starts = 0;
+    std::vector<uint64_t> starts_at; /**< by upstream */
     uint64_t kept_jobs = 0;
     uint64_t kept_accepted = 0;
     uint64_t kept_succeeded = 0;
--- a/tests/lease_world_checks.cc
+++ b/tests/lease_world_checks.cc
@@ -31,6 +31,8 @@
     auto job = jobs.find(id.job);
 
     report.starts++;
+    report.starts_at.resize(plan.companions);
+    report.starts_at[index]++;
     if (id.job >= FIRST_KEPT) {
         on_kept_start(id);
     }
--- a/tests/prop_lease.cc
+++ b/tests/prop_lease.cc
@@ -14,6 +14,9 @@
 
 namespace {
 
+/* Of the mean share, and the same part of it at least. */
+const uint64_t MOST_SHARE_PERCENT = 150;
+
 uint64_t schedules;
 lease::Report total;
 
@@ -99,6 +102,27 @@
     }
 }
 
+/* Equal upstreams share the work of a calm day, whatever the entries drew. */
+void
+check_shares()
+{
+    lease::Plan plan;
+
+    plan.seed = *rc::gen::inRange<uint64_t>(1, 1ULL << 40);
+    plan.companions = *rc::gen::inRange<uint32_t>(2, 6);
+    lease::Report report = lease::play(plan);
+    add(report);
+    uint64_t mean = report.starts / plan.companions;
+    for (uint64_t starts : report.starts_at) {
+        if (starts * 100 > mean * MOST_SHARE_PERCENT ||
+            starts * MOST_SHARE_PERCENT < mean * 100) {
+            RC_FAIL("an upstream had " + std::to_string(starts) +
+                    " starts, the mean is " + std::to_string(mean) + " " +
+                    describe(plan));
+        }
+    }
+}
+
 /* Every pair of faults, close together on the same nodes. */
 bool
 check_pairs()
@@ -141,6 +165,8 @@
                       [] { check(3); });
     good &= rc::check("no two runs, room, answers, many faults",
                       [] { check(12); });
+    good &= rc::check("equal upstreams share the work",
+                      [] { check_shares(); });
     printf("%lu schedules, %lu jobs, %lu starts: %lu succeeded, %lu failed, "
            "%lu not run, %lu given up\n",
            (unsigned long)schedules, (unsigned long)total.jobs,
