One piece where the change had written two

A kept run that a companion may know was left to be asked for in three places: DispatcherEnd_AskFor. Which jobs a queue serves was checked by dispatcher and keeper: Route_Check. Nodes were compared in core, lease and runner, and looked for in arrays three times: Msg_SameNode, Msg_HasNode. An entry's waiting jobs were summed twice: LeasedEntry_Waiting. A companion counted ends held for long at every message by a walk over its tasks; the tick, which walks over them anyway, counts them now, so that the figure is up to 50 ms old. LogBuffer_Free had no caller.

--- a/base/log_buffer.c
+++ b/base/log_buffer.c
@@ -28,13 +28,6 @@
     return buffer;
 }
 
-void
-LogBuffer_Free(Log_Buffer *buffer)
-{
-    LogBuffer_Flush(buffer);
-    g_free(buffer);
-}
-
 static bool
 is_writable(const Log_Buffer *buffer)
 {
--- a/base/log_buffer.h
+++ b/base/log_buffer.h
@@ -21,7 +21,6 @@
 
 /** Writes to @p descriptor, which stays as it is and is not closed. */
 Log_Buffer *LogBuffer_New(int descriptor);
-void LogBuffer_Free(Log_Buffer *buffer);
 
 /** Adds a line; false if it was dropped. Lines that are not @p vital leave
  * the reserve free. */
--- a/core/node.h
+++ b/core/node.h
@@ -78,7 +78,7 @@
 static inline bool
 Node_Same(const lc_node *a, const lc_node *b)
 {
-    return a->address == b->address && a->incarnation == b->incarnation;
+    return Msg_SameNode(a, b);
 }
 
 /** Hash of a lc_node for GLib tables. */
--- a/daemon/leased_callers.c
+++ b/daemon/leased_callers.c
@@ -23,8 +23,7 @@
 count_waiting(const Leased_Entry *self, const char *queue)
 {
     int64_t now = self->awake_ms;
-    uint32_t count = Dispatcher_Waiting(self->dispatcher, queue) +
-                     Keeper_Waiting(self->keeper, queue);
+    uint32_t count = LeasedEntry_Waiting(self, queue);
     guint i;
     guint j;
 
--- a/daemon/leased_entry.c
+++ b/daemon/leased_entry.c
@@ -162,6 +162,13 @@
     {NULL, NULL},
 };
 
+uint32_t
+LeasedEntry_Waiting(const Leased_Entry *self, const char *queue)
+{
+    return Dispatcher_Waiting(self->dispatcher, queue) +
+           Keeper_Waiting(self->keeper, queue);
+}
+
 int64_t
 LeasedEntry_RoutesVersion(const Leased_Entry *self)
 {
--- a/daemon/leased_entry_state.h
+++ b/daemon/leased_entry_state.h
@@ -54,6 +54,9 @@
 
 /* The process: leased_entry.c. */
 
+/** Jobs of a queue at this entry of which no task was started. */
+uint32_t LeasedEntry_Waiting(const Leased_Entry *self, const char *queue);
+
 /** Time now; to be asked at every input, as it notices that the process stood
  * still, and pauses the dispatcher until all input has been read. */
 int64_t LeasedEntry_Awake(Leased_Entry *self);
--- a/daemon/leased_gossip.c
+++ b/daemon/leased_gossip.c
@@ -25,8 +25,7 @@
     for (i = 0; self->routes != NULL && i < self->routes->routes->len; i++) {
         const Route *route = g_ptr_array_index(self->routes->routes, i);
         lc_queue_count row = {.queue = route->name};
-        row.waiting = Dispatcher_Waiting(self->dispatcher, route->name) +
-                      Keeper_Waiting(self->keeper, route->name);
+        row.waiting = LeasedEntry_Waiting(self, route->name);
         if (row.waiting > 0) {
             g_array_append_val(counts, row);
         }
--- a/daemon/leased_kept.c
+++ b/daemon/leased_kept.c
@@ -12,7 +12,7 @@
 /* ---- the log ---- */
 
 static void
-on_record(void *context, const KeyedLog_Record *read)
+on_record(void *context, const Keyed_Record *read)
 {
     Leased_Entry *self = context;
     Kept_Record record = {read->offset, read->key, read->key_length,
--- a/lease/dispatcher.c
+++ b/lease/dispatcher.c
@@ -120,13 +120,8 @@
         Err_Set(&status, ERR_WAIT_TOO_LONG,
                 "this entry is cut off from all companions");
     }
-    else if (submit->route->advised) {
-        Err_Set(
-            &status, ERR_UNSUPPORTED,
-            "not served yet: queues whose starts need an adviser's ticket");
-    }
     else {
-        LeasedJob_Check(&submit->job, &status);
+        Route_Check(submit->route, &submit->job, &status);
     }
     if (status.kind != ERR_OK) {
         refuse(self, submit->request_id, submit->job.id, status.kind,
--- a/lease/dispatcher_ends.c
+++ b/lease/dispatcher_ends.c
@@ -32,6 +32,23 @@
     }
 }
 
+void
+DispatcherEnd_AskFor(Dispatcher *self, int64_t now_ms, Active_Job *job,
+                     Active_Task *task, lc_node host)
+{
+    Fleet_Host *row;
+
+    DispatcherEnd_LeaveHost(self, task);
+    task->host = host;
+    task->asks = 0;
+    task->again_ms = now_ms;
+    Active_Move(job, task, ACTIVE_ADRIFT);
+    row = DispatcherEnd_HostOf(self, task);
+    if (row != NULL) {
+        row->running++;
+    }
+}
+
 void
 DispatcherEnd_Forget(Dispatcher *self, Active_Job *job)
 {
--- a/lease/dispatcher_hosts.c
+++ b/lease/dispatcher_hosts.c
@@ -29,21 +29,23 @@
  * elsewhere only after that companion was silent for so long. */
 #define KEPT_PATIENCE_MS 6000
 
-/* The run is over, but how it ended may be known to a companion. */
+/* The run is over, but how it ended may be known to the companion or to its
+ * successor: the task is left to be asked for. */
 static bool
-ask_first(Active_Job *job, Active_Task *task, const Fleet_Host *host,
-          int64_t now_ms, bool reborn)
+ask_first(Dispatcher *self, int64_t now_ms, Active_Job *job, Active_Task *task,
+          Fleet_Host *host, bool reborn)
 {
     if (!job->kept || job->closing) {
         return false;
     }
-    if (!reborn) {
-        return now_ms - host->received_ms < KEPT_PATIENCE_MS;
+    if (reborn) {
+        DispatcherEnd_AskFor(self, now_ms, job, task, host->node);
+        return true;
     }
-    task->host = host->node;
-    task->asks = 0;
-    task->again_ms = now_ms;
-    Active_Move(job, task, ACTIVE_ADRIFT);
+    if (now_ms - host->received_ms >= KEPT_PATIENCE_MS) {
+        return false;
+    }
+    host->running++;
     return true;
 }
 
@@ -66,8 +68,8 @@
                 task->host.incarnation == but_incarnation) {
                 continue;
             }
-            if (ask_first(job, task, host, now_ms, but_incarnation != 0)) {
-                host->running++;
+            if (ask_first(self, now_ms, job, task, host,
+                          but_incarnation != 0)) {
                 continue;
             }
             Story_Add(job->story, now_ms,
--- a/lease/dispatcher_kept.c
+++ b/lease/dispatcher_kept.c
@@ -76,21 +76,13 @@
 
     for (i = 0; i < job->task_count; i++) {
         Active_Task *task = &job->tasks[i];
-        Fleet_Host *host;
         if (task->done || task->id.occurrence != run->id.occurrence ||
             task->id.step != run->id.step || task->id.index != run->id.index ||
             (DispatcherEnd_IsOut(task) && task->id.run >= run->id.run)) {
             continue;
         }
-        DispatcherEnd_LeaveHost(self, task);
         task->id.run = run->id.run;
-        task->host = run->host;
-        task->again_ms = now_ms;
-        Active_Move(job, task, ACTIVE_ADRIFT);
-        host = DispatcherEnd_HostOf(self, task);
-        if (host != NULL) {
-            host->running++;
-        }
+        DispatcherEnd_AskFor(self, now_ms, job, task, run->host);
         job->starts++;
     }
 }
--- a/lease/dispatcher_replies.c
+++ b/lease/dispatcher_replies.c
@@ -104,25 +104,6 @@
     }
 }
 
-/* The companion that ran a kept task is gone; its successor may have found
- * how the run ended. */
-static void
-ask_successor(Dispatcher *self, int64_t now_ms, Active_Job *job,
-              Active_Task *task, const lc_node *successor)
-{
-    Fleet_Host *host;
-
-    DispatcherEnd_LeaveHost(self, task);
-    task->host = *successor;
-    task->asks = 0;
-    task->again_ms = now_ms;
-    Active_Move(job, task, ACTIVE_ADRIFT);
-    host = DispatcherEnd_HostOf(self, task);
-    if (host != NULL) {
-        host->running++;
-    }
-}
-
 static void
 on_run_reply(Dispatcher *self, int64_t now_ms, const Dispatcher_Call *about,
              const lc_run_res *result)
@@ -149,7 +130,8 @@
         return;
     }
     if (result->status == LC_RUN_OTHER_NODE && job->kept && !job->closing) {
-        ask_successor(self, now_ms, job, task, &result->host.node);
+        /* Its successor may have found how the run ended. */
+        DispatcherEnd_AskFor(self, now_ms, job, task, result->host.node);
         return;
     }
     run_ended(self, now_ms, job, task, result->status);
--- a/lease/dispatcher_state.h
+++ b/lease/dispatcher_state.h
@@ -85,6 +85,11 @@
 /** The run is over or was never begun: its host has one less. */
 void DispatcherEnd_LeaveHost(Dispatcher *self, const Active_Task *task);
 
+/** A run may be known to a companion, which is asked for it at the next
+ * tick. */
+void DispatcherEnd_AskFor(Dispatcher *self, int64_t now_ms, Active_Job *job,
+                          Active_Task *task, lc_node host);
+
 /** The task is done. May free its job. */
 void DispatcherEnd_Finish(Dispatcher *self, int64_t now_ms, Active_Job *job,
                           Active_Task *task);
--- a/lease/keeper_callers.c
+++ b/lease/keeper_callers.c
@@ -129,13 +129,8 @@
         Err_Set(&status, ERR_QUEUE_FULL, "%u kept jobs are open",
                 Kept_OpenCount(keeper->kept));
     }
-    else if (submit->route->advised) {
-        Err_Set(
-            &status, ERR_UNSUPPORTED,
-            "not served yet: queues whose starts need an adviser's ticket");
-    }
     else {
-        LeasedJob_Check(submit->job, &status);
+        Route_Check(submit->route, submit->job, &status);
     }
     if (status.kind != ERR_OK) {
         answer(keeper, submit->request_id, DISPATCHER_NOT_RUN, status.kind,
@@ -316,7 +311,7 @@
         const Kept_Job *job = g_ptr_array_index(open, i);
         lc_node owner = Kept_OwnerOf(keeper->kept, job);
         count += strcmp(job->queue, queue) == 0 &&
-                 Kept_SameNode(&owner, &keeper->node) &&
+                 Msg_SameNode(&owner, &keeper->node) &&
                  job->writers->len == 0 &&
                  !g_hash_table_contains(keeper->jobs, &job->id);
     }
--- a/lease/keeper_jobs.c
+++ b/lease/keeper_jobs.c
@@ -179,7 +179,7 @@
     while (i < keeper->ends->len) {
         Keeper_End *end = &g_array_index(keeper->ends, Keeper_End, i);
         if (end->number <= keeper->written &&
-            Kept_SameNode(&end->host, &host) && taken->len < LC_MAX_PAGE) {
+            Msg_SameNode(&end->host, &host) && taken->len < LC_MAX_PAGE) {
             g_array_append_val(taken, *end);
             g_array_remove_index_fast(keeper->ends, i);
         }
@@ -313,7 +313,7 @@
     for (i = 0; i < open->len; i++) {
         Kept_Job *job = g_ptr_array_index(open, i);
         lc_node owner = Kept_OwnerOf(keeper->kept, job);
-        if (!Kept_SameNode(&owner, &keeper->node) ||
+        if (!Msg_SameNode(&owner, &keeper->node) ||
             g_hash_table_contains(keeper->jobs, &job->id)) {
             continue;
         }
--- a/lease/keeper_owners.c
+++ b/lease/keeper_owners.c
@@ -111,7 +111,7 @@
 
     for (i = 0; i < keeper->seen->len; i++) {
         const Keeper_Seen *row = &g_array_index(keeper->seen, Keeper_Seen, i);
-        if (Kept_SameNode(&row->owner, owner)) {
+        if (Msg_SameNode(&row->owner, owner)) {
             return row->since_ms;
         }
     }
@@ -172,19 +172,6 @@
            SILENT_MS + (int64_t)turn_of(keeper, now_ms) * TURN_MS;
 }
 
-static bool
-is_put(const Keeper *keeper, const lc_node *owner)
-{
-    guint i;
-
-    for (i = 0; i < keeper->claims->len; i++) {
-        if (Kept_SameNode(&g_array_index(keeper->claims, lc_node, i), owner)) {
-            return true;
-        }
-    }
-    return false;
-}
-
 void
 KeeperOwner_PutClaim(Keeper *keeper, int64_t now_ms, const lc_node *gone,
                      const lc_node *heir)
@@ -218,7 +205,8 @@
     open = Kept_Open(keeper->kept);
     for (i = 0; i < open->len; i++) {
         lc_node owner = Kept_OwnerOf(keeper->kept, g_ptr_array_index(open, i));
-        if (!Kept_SameNode(&owner, &keeper->node) && !is_put(keeper, &owner) &&
+        if (!Msg_SameNode(&owner, &keeper->node) &&
+            !Msg_HasNode(keeper->claims, &owner) &&
             is_due(keeper, now_ms, &owner)) {
             KeeperOwner_PutClaim(keeper, now_ms, &owner, &keeper->node);
         }
@@ -252,11 +240,11 @@
 {
     Keeper_Recovery recovery = {.gone = gone, .claimed_ms = now_ms};
 
-    if (Kept_SameNode(&gone, &keeper->node)) {
+    if (Msg_SameNode(&gone, &keeper->node)) {
         lose_identity(keeper);
         return;
     }
-    if (!Kept_SameNode(&heir, &keeper->node)) {
+    if (!Msg_SameNode(&heir, &keeper->node)) {
         return;
     }
     keeper->ports->event(keeper->context, EVENT_KEPT_CLAIMED,
@@ -274,7 +262,7 @@
 {
     guint i;
 
-    if (Kept_SameNode(&job->owner, &keeper->node)) {
+    if (Msg_SameNode(&job->owner, &keeper->node)) {
         return NULL;
     }
     for (i = keeper->recoveries->len; i > 0; i--) {
@@ -308,19 +296,6 @@
     g_array_unref(line);
 }
 
-static bool
-has_node(const GArray *nodes, const lc_node *node)
-{
-    guint i;
-
-    for (i = 0; i < nodes->len; i++) {
-        if (Kept_SameNode(&g_array_index(nodes, lc_node, i), node)) {
-            return true;
-        }
-    }
-    return false;
-}
-
 static bool
 is_asked(const Keeper *keeper, const lc_node *host, const lc_node *gone)
 {
@@ -329,8 +304,8 @@
     for (i = 0; i < Handle_Size(keeper->calls); i++) {
         const Keeper_Call *call = Handle_At(keeper->calls, i);
         if (call != NULL && call->kind == MSG_FENCE &&
-            Kept_SameNode(&call->host, host) &&
-            Kept_SameNode(&call->gone, gone)) {
+            Msg_SameNode(&call->host, host) &&
+            Msg_SameNode(&call->gone, gone)) {
             return true;
         }
     }
@@ -348,7 +323,7 @@
     for (i = 0; i < fleet->hosts->len; i++) {
         const Fleet_Host *host = g_ptr_array_index(fleet->hosts, i);
         if (now_ms - host->received_ms > FORGOTTEN_MS ||
-            has_node(recovery->fenced, &host->node)) {
+            Msg_HasNode(recovery->fenced, &host->node)) {
             continue;
         }
         all = false;
@@ -370,7 +345,7 @@
     for (i = 0; i < open->len; i++) {
         Kept_Job *job = g_ptr_array_index(open, i);
         lc_node owner = Kept_OwnerOf(keeper->kept, job);
-        if (Kept_SameNode(&owner, &keeper->node) &&
+        if (Msg_SameNode(&owner, &keeper->node) &&
             !g_hash_table_contains(keeper->jobs, &job->id) &&
             KeeperOwner_RecoveryOf(keeper, job) == recovery) {
             KeeperJob_Start(keeper, now_ms, job, recovery);
@@ -460,8 +435,8 @@
     for (i = 0; i < keeper->recoveries->len; i++) {
         Keeper_Recovery *recovery = &g_array_index(keeper->recoveries,
                                                    Keeper_Recovery, i);
-        if (!Kept_SameNode(&recovery->gone, &call->gone) ||
-            has_node(recovery->fenced, &call->host)) {
+        if (!Msg_SameNode(&recovery->gone, &call->gone) ||
+            Msg_HasNode(recovery->fenced, &call->host)) {
             continue;
         }
         g_array_append_val(recovery->fenced, call->host);
--- a/lease/kept.c
+++ b/lease/kept.c
@@ -58,12 +58,6 @@
     g_free(kept);
 }
 
-bool
-Kept_SameNode(const lc_node *a, const lc_node *b)
-{
-    return a->address == b->address && a->incarnation == b->incarnation;
-}
-
 void
 Kept_SubmitKey(uint64_t job, uint64_t writer, char key[KEPT_KEY_SIZE])
 {
@@ -252,7 +246,7 @@
 
     for (i = 0; i < kept->claims->len; i++) {
         kept_claim *claim = &g_array_index(kept->claims, kept_claim, i);
-        if (claim->counts && Kept_SameNode(&claim->gone, gone)) {
+        if (claim->counts && Msg_SameNode(&claim->gone, gone)) {
             return claim;
         }
     }
@@ -420,7 +414,7 @@
 
     for (count = 0; count < MOST_CLAIMS; count++) {
         const kept_claim *claim = find_claim(kept, &from);
-        if (Kept_SameNode(&from, node)) {
+        if (Msg_SameNode(&from, node)) {
             return true;
         }
         if (claim == NULL) {
@@ -446,7 +440,7 @@
     g_array_append_val(line, *node);
     for (i = 0; i < kept->claims->len && line->len < LC_MAX_PEERS; i++) {
         lc_node gone = g_array_index(kept->claims, kept_claim, i).gone;
-        if (!Kept_SameNode(&gone, node) && leads_to(kept, gone, node)) {
+        if (!Msg_SameNode(&gone, node) && leads_to(kept, gone, node)) {
             g_array_append_val(line, gone);
         }
     }
--- a/lease/kept.h
+++ b/lease/kept.h
@@ -119,7 +119,4 @@
 /** Marks a task. */
 void Kept_MarkDone(GByteArray *done, uint32_t task);
 
-/** Whether both are the same incarnation at the same address. */
-bool Kept_SameNode(const lc_node *a, const lc_node *b);
-
 #endif
--- a/lease/route.c
+++ b/lease/route.c
@@ -51,6 +51,17 @@
            g_ascii_strncasecmp(route->authority, authority, length) == 0;
 }
 
+Err_Kind
+Route_Check(const Route *route, const LeasedJob *job, Status *status)
+{
+    if (route->advised) {
+        return Err_Set(
+            status, ERR_UNSUPPORTED,
+            "not served yet: queues whose starts need an adviser's ticket");
+    }
+    return LeasedJob_Check(job, status);
+}
+
 const Route *
 Route_Find(const Route_Table *table, const char *authority, const char *path)
 {
--- a/lease/route.h
+++ b/lease/route.h
@@ -12,6 +12,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "lease/job.h"
+
 /** One queue. Texts are owned by the table. */
 typedef struct {
     char *name;
@@ -42,6 +44,10 @@
 
 void Route_FreeTable(Route_Table *table);
 
+/** Whether jobs of this kind are served in this queue. Errors: UNSUPPORTED
+ * with the part that is not. */
+Err_Kind Route_Check(const Route *route, const LeasedJob *job, Status *status);
+
 /** Queue with the longest prefix of @p path at @p authority (a port behind
  * it is passed over), or NULL. */
 const Route *Route_Find(const Route_Table *table, const char *authority,
--- a/lease/runner.c
+++ b/lease/runner.c
@@ -87,7 +87,7 @@
     state->pace_percent = runner->health.pace_percent;
     state->tasks = runner->live;
     state->held = runner->unreleased;
-    state->held_long = RunnerKept_HeldLong(runner, now_ms);
+    state->held_long = runner->held_long;
 }
 
 /* LC_RUN_DONE if it may start. */
@@ -340,8 +340,10 @@
     GList *rows = RunnerTask_All(runner);
     GList *item;
 
+    runner->held_long = 0;
     for (item = rows; item != NULL; item = item->next) {
         Runner_Task *row = item->data;
+        runner->held_long += RunnerKept_IsHeldLong(row, now_ms);
         if (row->state != TASK_ENDED) {
             stop_lapsed(runner, now_ms, row);
         }
--- a/lease/runner_kept.c
+++ b/lease/runner_kept.c
@@ -17,14 +17,7 @@
 bool
 RunnerKept_IsFenced(const Runner *runner, const lc_node *owner)
 {
-    guint i;
-
-    for (i = 0; i < runner->fenced->len; i++) {
-        if (Kept_SameNode(&g_array_index(runner->fenced, lc_node, i), owner)) {
-            return true;
-        }
-    }
-    return false;
+    return Msg_HasNode(runner->fenced, owner);
 }
 
 /* Only an end that counts for good is held. */
@@ -107,22 +100,10 @@
     return last;
 }
 
-uint32_t
-RunnerKept_HeldLong(const Runner *runner, int64_t now_ms)
+bool
+RunnerKept_IsHeldLong(const Runner_Task *row, int64_t now_ms)
 {
-    uint32_t count = 0;
-    GHashTableIter iter;
-    gpointer item;
-
-    if (runner->unreleased == 0) {
-        return 0;
-    }
-    g_hash_table_iter_init(&iter, runner->tasks);
-    while (g_hash_table_iter_next(&iter, NULL, &item)) {
-        const Runner_Task *row = item;
-        count += row->unreleased && now_ms - row->ended_ms > HELD_LONG_MS;
-    }
-    return count;
+    return row->unreleased && now_ms - row->ended_ms > HELD_LONG_MS;
 }
 
 bool
@@ -185,7 +166,7 @@
     u_int i;
 
     for (i = 0; i < args->gone.gone_len; i++) {
-        if (Kept_SameNode(&row->owner, &args->gone.gone_val[i])) {
+        if (Msg_SameNode(&row->owner, &args->gone.gone_val[i])) {
             return true;
         }
     }
--- a/lease/runner_owners.c
+++ b/lease/runner_owners.c
@@ -7,8 +7,7 @@
 
     for (i = 0; i < runner->owners->len; i++) {
         Runner_Owner *row = &g_array_index(runner->owners, Runner_Owner, i);
-        if (row->node.address == node->address &&
-            row->node.incarnation == node->incarnation) {
+        if (Msg_SameNode(&row->node, node)) {
             return row;
         }
     }
--- a/lease/runner_state.h
+++ b/lease/runner_state.h
@@ -93,6 +93,7 @@
     int64_t hold_until_ms; /* the upstream lets all go by then */
     uint32_t live;         /* tasks that have not ended */
     uint32_t unreleased;   /* ends that are not to be taken note of yet */
+    uint32_t held_long;    /* of them those held for long, at the last tick */
     GArray *fenced;        /* lc_node, owners of kept jobs that are gone */
     bool draining;
     uint64_t version;
@@ -180,8 +181,8 @@
 /** Lets go of an end. */
 void RunnerKept_LetGo(Runner *runner, Runner_Task *row);
 
-/** Ends that are held for longer than it takes to write them down. */
-uint32_t RunnerKept_HeldLong(const Runner *runner, int64_t now_ms);
+/** Whether an end is held for longer than it takes to write it down. */
+bool RunnerKept_IsHeldLong(const Runner_Task *row, int64_t now_ms);
 
 /** Lets go of all ends: the upstream that listed them is gone. */
 void RunnerKept_LetGoAll(Runner *runner);
--- a/wire/msg.c
+++ b/wire/msg.c
@@ -19,6 +19,25 @@
 #define RPC_VERSION 2
 #define LAST_FRAGMENT 0x80000000U
 
+bool
+Msg_SameNode(const lc_node *a, const lc_node *b)
+{
+    return a->address == b->address && a->incarnation == b->incarnation;
+}
+
+bool
+Msg_HasNode(const GArray *nodes, const lc_node *node)
+{
+    guint i;
+
+    for (i = 0; i < nodes->len; i++) {
+        if (Msg_SameNode(&g_array_index(nodes, lc_node, i), node)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 const char *
 Msg_Name(Msg_Kind kind)
 {
--- a/wire/msg.h
+++ b/wire/msg.h
@@ -90,6 +90,12 @@
     Msg_Call call;            /**< for MSG_IS_CALL; free with Msg_FreeCall */
 } Msg_Record;
 
+/** Whether both are the same incarnation at the same address. */
+bool Msg_SameNode(const lc_node *a, const lc_node *b);
+
+/** Whether an array of lc_node holds a node. */
+bool Msg_HasNode(const GArray *nodes, const lc_node *node);
+
 /** Lower-case name of a kind. */
 const char *Msg_Name(Msg_Kind kind);
 
