Begun jobs first, then priority; what is too late unbegun is refused

Cause: under overload the room is 97% taken, but by work that earns nothing: jobs ordered by slack alone all start when they are just too late, one task at a time, and begun ones are given up half done.

Change: jobs that have begun go first, then the operators' priority, then slack; a job that has not begun when it can no longer meet its objective, with companions open, is refused at once as not run.

--- a/lease/active.c
+++ b/lease/active.c
@@ -180,6 +180,12 @@
     return most;
 }
 
+int64_t
+Active_SlackMs(const Active_Job *job, int64_t now_ms)
+{
+    return job->objective_ms - now_ms - Active_RemainingMs(job);
+}
+
 bool
 Active_HasBegun(const Active_Job *job)
 {
--- a/lease/active.h
+++ b/lease/active.h
@@ -93,6 +93,10 @@
 /** Estimate of the longest chain that has not ended, in ms. */
 uint32_t Active_RemainingMs(const Active_Job *job);
 
+/** Time that a job can still wait and meet its objective, in ms; negative if
+ * it cannot. */
+int64_t Active_SlackMs(const Active_Job *job, int64_t now_ms);
+
 /** Whether a task may have been started. */
 bool Active_HasBegun(const Active_Job *job);
 
--- a/lease/dispatcher.c
+++ b/lease/dispatcher.c
@@ -268,6 +268,15 @@
     return job->waiting > 0 && now_ms + least_ms > Active_WorthlessAfter(job);
 }
 
+/* A job that has not begun when it cannot meet its objective any more has
+ * found no room all the while: others would wait for what it took. */
+static bool
+is_crowded_out(const Dispatcher *self, const Active_Job *job, int64_t now_ms)
+{
+    return !Active_HasBegun(job) && Active_SlackMs(job, now_ms) < 0 &&
+           Dispatcher_ReadyHosts(self, now_ms) > 0;
+}
+
 static void
 refuse_waiting(Dispatcher *self, int64_t now_ms, Active_Job *job)
 {
@@ -288,6 +297,10 @@
         DispatcherEnd_GiveUp(self, now_ms, job, ERR_DEADLINE,
                              "it cannot end before its deadline");
     }
+    else if (is_crowded_out(self, job, now_ms)) {
+        DispatcherEnd_GiveUp(self, now_ms, job, ERR_WAIT_TOO_LONG,
+                             "it found no room in time for its objective");
+    }
     else if (isolated) {
         refuse_waiting(self, now_ms, job);
     }
--- a/lease/dispatcher_queue.c
+++ b/lease/dispatcher_queue.c
@@ -5,8 +5,15 @@
 #include "lease/choice.h"
 #include "lease/resources.h"
 
-/* How urgent a job is; the smaller goes first. */
-typedef enum { RANK_IN_TIME, RANK_LATE, RANK_WORTHLESS } urgency_rank;
+/* How urgent a job is; the smaller goes first. A job that has begun goes
+ * before those that have not, since what it has run is lost if the rest of it
+ * comes late. */
+typedef enum {
+    RANK_BEGUN,   /* begun, and can meet its objective */
+    RANK_IN_TIME, /* can meet its objective */
+    RANK_LATE,
+    RANK_WORTHLESS
+} urgency_rank;
 
 typedef struct {
     Active_Job *job;
@@ -14,25 +21,27 @@
     int64_t slack_ms;
 } queue_entry;
 
+static urgency_rank
+rank_of(const Active_Job *job, int64_t now_ms, int64_t slack_ms)
+{
+    if (slack_ms >= 0) {
+        return Active_HasBegun(job) ? RANK_BEGUN : RANK_IN_TIME;
+    }
+    return now_ms + Active_RemainingMs(job) <= Active_WorthlessAfter(job)
+               ? RANK_LATE
+               : RANK_WORTHLESS;
+}
+
 static queue_entry
 entry_of(Active_Job *job, int64_t now_ms)
 {
-    uint32_t remaining_ms = Active_RemainingMs(job);
-    queue_entry entry = {
-        .job = job,
-        .rank = RANK_IN_TIME,
-        .slack_ms = job->objective_ms - now_ms - remaining_ms,
-    };
+    queue_entry entry = {.job = job, .slack_ms = Active_SlackMs(job, now_ms)};
 
     if (job->lasts || job->spec.repeat_count > 0) {
         /* What lasts is missed while it is away; a time that waits is due. */
         entry.slack_ms = 0;
     }
-    if (entry.slack_ms < 0) {
-        entry.rank = now_ms + remaining_ms <= Active_WorthlessAfter(job)
-                         ? RANK_LATE
-                         : RANK_WORTHLESS;
-    }
+    entry.rank = rank_of(job, now_ms, entry.slack_ms);
     return entry;
 }
 
@@ -42,8 +51,8 @@
     return left < right ? -1 : left > right;
 }
 
-/* Jobs that can meet their objective go first, the least slack before; the
- * others follow by priority and deadline, those worth nothing last. */
+/* By rank, then by the operators' priority; among jobs that can meet their
+ * objective the least slack goes first, among others the next deadline. */
 static gint
 compare_urgency(gconstpointer a, gconstpointer b)
 {
@@ -53,12 +62,12 @@
     if (left->rank != right->rank) {
         return compare_numbers(left->rank, right->rank);
     }
-    if (left->rank == RANK_IN_TIME) {
-        return compare_numbers(left->slack_ms, right->slack_ms);
-    }
     if (left->job->priority != right->job->priority) {
         return compare_numbers(left->job->priority, right->job->priority);
     }
+    if (left->rank <= RANK_IN_TIME) {
+        return compare_numbers(left->slack_ms, right->slack_ms);
+    }
     if (left->job->deadline_ms != right->job->deadline_ms) {
         return compare_numbers(left->job->deadline_ms,
                                right->job->deadline_ms);
--- a/tests/lease_rules.c
+++ b/tests/lease_rules.c
@@ -30,6 +30,7 @@
     Msg_Kind kind;
     Address to;
     uint64_t id;
+    uint64_t job; /* of a RUN */
     uint32_t run;
     int64_t valid_until_ms;
     int64_t at_ms;
@@ -48,6 +49,7 @@
     int kept_failed;
     int kept_over;
     Dispatcher_Outcome outcome;
+    uint32_t retry_ms;
 } dispatcher_fixture;
 
 static void
@@ -63,6 +65,7 @@
     sent->id = id;
     sent->at_ms = fix->now_ms;
     if (call->kind == MSG_RUN) {
+        sent->job = call->u.run.id.job;
         sent->run = call->u.run.id.run;
         sent->valid_until_ms = call->u.run.valid_until_ms;
     }
@@ -92,6 +95,7 @@
     (void)request;
     fix->answers++;
     fix->outcome = answer->outcome;
+    fix->retry_ms = answer->retry_ms;
 }
 
 static void
@@ -122,15 +126,16 @@
     port_event, port_kept_end, port_kept_over};
 
 static void
-report_of(dispatcher_fixture *fix, const lc_node *node)
+report_all(dispatcher_fixture *fix, const lc_node *node,
+           lc_upstream_state state, uint32_t cpu)
 {
     lc_report_args report;
 
     memset(&report, 0, sizeof(report));
     report.host.node = *node;
     report.host.stamp_ms = fix->now_ms;
-    report.host.state = LC_UPSTREAM_READY;
-    report.host.room.cpu_milli = 4000;
+    report.host.state = state;
+    report.host.room.cpu_milli = cpu;
     report.host.room.memory_mb = 4096;
     report.host.pace_percent = 100;
     report.hall = (char *)(uintptr_t) "hall";
@@ -141,6 +146,24 @@
     Dispatcher_Settle(fix->dispatcher, fix->now_ms);
 }
 
+static void
+report_of(dispatcher_fixture *fix, const lc_node *node)
+{
+    report_all(fix, node, LC_UPSTREAM_READY, 4000);
+}
+
+static void
+report_state(dispatcher_fixture *fix, lc_upstream_state state, uint32_t cpu)
+{
+    report_all(fix, &companion_node, state, cpu);
+}
+
+static void
+report_room(dispatcher_fixture *fix, uint32_t cpu)
+{
+    report_state(fix, LC_UPSTREAM_READY, cpu);
+}
+
 static void
 new_dispatcher(dispatcher_fixture *fix)
 {
@@ -429,6 +452,79 @@
     free_dispatcher(&fix);
 }
 
+/* Hands jobs in that fill the only companion, then one each of two
+ * priorities; the last call tells which of them goes first. */
+static void
+test_priority_first(void)
+{
+    dispatcher_fixture fix;
+
+    new_dispatcher(&fix);
+    hand_in(&fix, 1, 4);
+    fix.route->priority = 1;
+    hand_in(&fix, 2, 1);
+    fix.now_ms += 1;
+    fix.route->priority = 0;
+    hand_in(&fix, 3, 1);
+    g_assert_cmpint(calls_of(&fix, MSG_RUN), ==, 4);
+    report_room(&fix, 1000);
+    g_assert_cmpint(calls_of(&fix, MSG_RUN), ==, 5);
+    g_assert_cmpuint(fix.calls[fix.count - 1].job, ==, 3);
+    free_dispatcher(&fix);
+}
+
+static void
+test_begun_first(void)
+{
+    dispatcher_fixture fix;
+
+    new_dispatcher(&fix);
+    fix.route->priority = 1;
+    hand_in(&fix, 1, 5);
+    fix.route->priority = 0;
+    hand_in(&fix, 2, 1);
+    report_room(&fix, 1000);
+    g_assert_cmpint(calls_of(&fix, MSG_RUN), ==, 5);
+    g_assert_cmpuint(fix.calls[fix.count - 1].job, ==, 1);
+    free_dispatcher(&fix);
+}
+
+/* The objective is 1,660 ms, the estimate 1,000. */
+static void
+test_crowded_out(void)
+{
+    dispatcher_fixture fix;
+
+    new_dispatcher(&fix);
+    hand_in(&fix, 1, 4);
+    hand_in(&fix, 2, 1);
+    tick_in_touch(&fix, START_MS + 650);
+    g_assert_cmpint(fix.answers, ==, 0);
+    tick_in_touch(&fix, START_MS + 750);
+    g_assert_cmpint(fix.answers, ==, 1);
+    g_assert_cmpint(fix.outcome, ==, DISPATCHER_NOT_RUN);
+    g_assert_cmpint(fix.retry_ms, >, 0);
+    free_dispatcher(&fix);
+}
+
+/* Where no companion is open, the same job waits for one. */
+static void
+test_not_crowded_out(void)
+{
+    dispatcher_fixture fix;
+
+    new_dispatcher(&fix);
+    report_state(&fix, LC_UPSTREAM_ABSENT, 0);
+    hand_in(&fix, 1, 1);
+    fix.now_ms += 800;
+    report_state(&fix, LC_UPSTREAM_ABSENT, 0);
+    Dispatcher_Tick(fix.dispatcher, fix.now_ms);
+    g_assert_cmpint(fix.answers, ==, 0);
+    report_state(&fix, LC_UPSTREAM_READY, 4000);
+    g_assert_cmpint(calls_of(&fix, MSG_RUN), ==, 1);
+    free_dispatcher(&fix);
+}
+
 static void
 test_advised_queue(void)
 {
@@ -464,6 +560,10 @@
      test_begun_is_not_told_as_not_run},
     {"/dispatcher/gives up a begun job that is worth nothing",
      test_begun_is_given_up},
+    {"/dispatcher/goes by priority", test_priority_first},
+    {"/dispatcher/goes on with a begun job first", test_begun_first},
+    {"/dispatcher/refuses a job that found no room in time", test_crowded_out},
+    {"/dispatcher/keeps a job that found no companion", test_not_crowded_out},
 };
 
 int
