Room is kept for jobs of the first priority

Cause: in a burst jobs of the first priority need room for eight tasks within 100 ms, while lower priorities of four entries take each piece that falls free; no order within one entry reaches the others.

Change: trunk reservation. A job below the first priority begins only while half a usual job of the first priority would still fit; bounded by a sixteenth of all that fits, forgotten after 10 s without such jobs.

--- a/lease/dispatcher.c
+++ b/lease/dispatcher.c
@@ -134,6 +134,7 @@
     job->handle = Handle_Add(self->jobs, job);
     g_hash_table_insert(self->by_id, &job->spec.id, job);
     attach_request(self, job, submit->request_id);
+    Reserve_Note(&self->reserve, now_ms, job->priority, job->task_count);
     self->unsettled = true;
 }
 
--- a/lease/dispatcher_queue.c
+++ b/lease/dispatcher_queue.c
@@ -118,6 +118,15 @@
     return most;
 }
 
+static bool
+may_begin(const Dispatcher *self, int64_t now_ms, const Active_Job *job,
+          const Active_Task *task)
+{
+    return Active_HasBegun(job) ||
+           Reserve_Allows(&self->reserve, &self->fleet, now_ms, job->priority,
+                          &Active_Step(job, task)->need);
+}
+
 /* Sends what fits of one job, up to the first task that finds no host. */
 static void
 dispatch_job(Dispatcher *self, int64_t now_ms, Active_Job *job,
@@ -135,7 +144,8 @@
         if (task->state != ACTIVE_WAITING || task->again_ms > now_ms) {
             continue;
         }
-        if (!Resources_Fit(&Active_Step(job, task)->need, largest)) {
+        if (!Resources_Fit(&Active_Step(job, task)->need, largest) ||
+            !may_begin(self, now_ms, job, task)) {
             return;
         }
         host = Choice_Host(&choice, job, task);
--- a/lease/dispatcher_state.h
+++ b/lease/dispatcher_state.h
@@ -13,6 +13,7 @@
 #include "lease/active.h"
 #include "lease/dispatcher.h"
 #include "lease/queue_stats.h"
+#include "lease/reserve.h"
 
 /* What a call on its way is about. */
 typedef struct {
@@ -30,6 +31,7 @@
     Counters counters;
     Queue_Table stats;
     Fleet fleet;
+    Reserve reserve;
     Handle_Table *jobs;
     Handle_Table *calls;    /* Dispatcher_Call */
     GHashTable *by_id;      /* job id -> Active_Job */
--- a/tests/lease_rules.c
+++ b/tests/lease_rules.c
@@ -50,6 +50,7 @@
     int kept_over;
     Dispatcher_Outcome outcome;
     uint32_t retry_ms;
+    uint32_t capacity_cpu; /* that companions report */
 } dispatcher_fixture;
 
 static void
@@ -136,6 +137,8 @@
     report.host.stamp_ms = fix->now_ms;
     report.host.state = state;
     report.host.room.cpu_milli = cpu;
+    report.capacity.cpu_milli = fix->capacity_cpu;
+    report.capacity.memory_mb = 4096;
     report.host.room.memory_mb = 4096;
     report.host.pace_percent = 100;
     report.hall = (char *)(uintptr_t) "hall";
@@ -525,6 +528,77 @@
     free_dispatcher(&fix);
 }
 
+/* A first job of four tasks, whose room falls free again; half of it is kept
+ * for the next. */
+static void
+see_first_priority(dispatcher_fixture *fix)
+{
+    fix->capacity_cpu = 64000;
+    fix->route->priority = 0;
+    hand_in(fix, 1, 4);
+    g_assert_cmpint(calls_of(fix, MSG_RUN), ==, 4);
+    report_room(fix, 0);
+    fix->route->priority = 1;
+}
+
+static void
+test_reserve(void)
+{
+    dispatcher_fixture fix;
+
+    new_dispatcher(&fix);
+    see_first_priority(&fix);
+    hand_in(&fix, 2, 1);
+    report_room(&fix, 2000);
+    g_assert_cmpint(calls_of(&fix, MSG_RUN), ==, 4);
+    report_room(&fix, 3000);
+    g_assert_cmpint(calls_of(&fix, MSG_RUN), ==, 5);
+    free_dispatcher(&fix);
+}
+
+/* What has begun takes the last room, and so does the first priority. */
+static void
+test_reserve_is_used(void)
+{
+    dispatcher_fixture fix;
+
+    new_dispatcher(&fix);
+    see_first_priority(&fix);
+    hand_in(&fix, 2, 4);
+    report_room(&fix, 3000);
+    g_assert_cmpint(calls_of(&fix, MSG_RUN), ==, 7);
+    report_room(&fix, 1000);
+    g_assert_cmpint(calls_of(&fix, MSG_RUN), ==, 8);
+    fix.route->priority = 0;
+    hand_in(&fix, 3, 1);
+    report_room(&fix, 1000);
+    g_assert_cmpint(calls_of(&fix, MSG_RUN), ==, 9);
+    free_dispatcher(&fix);
+}
+
+/* Nothing is kept for a priority that no job had for long, nor where so few
+ * tasks fit at all that it would leave much idle. */
+static void
+test_reserve_bounds(void)
+{
+    dispatcher_fixture fix;
+
+    new_dispatcher(&fix);
+    see_first_priority(&fix);
+    hand_in(&fix, 2, 1);
+    fix.now_ms += 10001;
+    report_room(&fix, 1000);
+    g_assert_cmpint(calls_of(&fix, MSG_RUN), ==, 5);
+    free_dispatcher(&fix);
+    new_dispatcher(&fix);
+    see_first_priority(&fix);
+    fix.capacity_cpu = 15000;
+    hand_in(&fix, 2, 1);
+    report_room(&fix, 1000);
+    g_assert_cmpint(calls_of(&fix, MSG_RUN), ==, 5);
+    free_dispatcher(&fix);
+}
+
 static void
 test_advised_queue(void)
 {
@@ -561,6 +635,10 @@
     {"/dispatcher/gives up a begun job that is worth nothing",
      test_begun_is_given_up},
     {"/dispatcher/goes by priority", test_priority_first},
+    {"/dispatcher/keeps room for the first priority", test_reserve},
+    {"/dispatcher/gives the room kept to those it is for",
+     test_reserve_is_used},
+    {"/dispatcher/bounds the room kept", test_reserve_bounds},
     {"/dispatcher/goes on with a begun job first", test_begun_first},
     {"/dispatcher/refuses a job that found no room in time", test_crowded_out},
     {"/dispatcher/keeps a job that found no companion", test_not_crowded_out},
