Job trace, successor, orphaned: the field's words for three metaphors

The field `story` of log lines about jobs is `trace` now. Behaviour is as it was: cases, rules, kept rules, process tests explain, kept and leased_stop pass; two mutations that touch the renamed lines are caught.

--- a/cli/explain.c
+++ b/cli/explain.c
@@ -132,7 +132,7 @@
     all->from_us = MIN(all->from_us, line->time_us - took_us - BEFORE_US);
     all->until_us = MAX(all->until_us, line->time_us + AFTER_US);
     note_node(all, line->node);
-    json_array_foreach(json_object_get(line->fields, "story"), i, item)
+    json_array_foreach(json_object_get(line->fields, "trace"), i, item)
     {
         const char *host = json_string_value(json_array_get(item, 4));
         if (host != NULL) {
@@ -185,7 +185,7 @@
 is_head(const char *name)
 {
     static const char *const heads[] = {"time", "event",  "level", "text",
-                                        "node", "detail", "story", NULL};
+                                        "node", "detail", "trace", NULL};
 
     return g_strv_contains(heads, name);
 }
@@ -216,7 +216,7 @@
         }
     }
     printf("\n");
-    json_array_foreach(json_object_get(line->fields, "story"), i, item)
+    json_array_foreach(json_object_get(line->fields, "trace"), i, item)
     {
         print_item(line, item);
     }
--- a/lease/active.c
+++ b/lease/active.c
@@ -52,7 +52,7 @@
                       LeasedJob_Times(&job->spec);
     job->tasks = g_new0(Active_Task, job->task_count);
     job->open = job->task_count;
-    job->story = Story_New(now_ms);
+    job->trace = JobTrace_New(now_ms);
     fill_tasks(job);
     Active_Unblock(job, INT64_MIN);
     return job;
@@ -65,7 +65,7 @@
     g_free(job->queue);
     g_free(job->service);
     g_array_unref(job->requests);
-    Story_Free(job->story);
+    JobTrace_Free(job->trace);
     g_free(job->tasks);
     g_free(job);
 }
--- a/lease/active.h
+++ b/lease/active.h
@@ -14,17 +14,17 @@
 #include "base/address.h"
 #include "base/handle.h"
 #include "lease/job.h"
+#include "lease/job_trace.h"
 #include "lease/route.h"
-#include "lease/story.h"
 
 /** X(NAME, text): where a task stands. */
 #define ACTIVE_STATE_LIST(X)                                                  \
-    X(BLOCKED, "blocked") /* steps before it have not ended */                \
-    X(WAITING, "waiting") /* may be sent */                                   \
-    X(SENT, "sent")       /* a companion has it, or will refuse it */         \
-    X(ADRIFT, "adrift")   /* the connection broke: it may run */              \
-    X(HALTING, "halting") /* it is being stopped */                           \
-    X(OVER, "over")       /* done, or not to be run any more */
+    X(BLOCKED, "blocked")   /* steps before it have not ended */              \
+    X(WAITING, "waiting")   /* may be sent */                                 \
+    X(SENT, "sent")         /* a companion has it, or will refuse it */       \
+    X(ORPHANED, "orphaned") /* the connection broke: it may run */            \
+    X(HALTING, "halting")   /* it is being stopped */                         \
+    X(OVER, "over")         /* done, or not to be run any more */
 
 /** States of tasks, in the order of ACTIVE_STATE_LIST. */
 typedef enum {
@@ -64,7 +64,7 @@
     uint32_t open;         /**< tasks not OVER */
     uint32_t starts;       /**< runs that were sent and not refused */
     int64_t first_sent_ms; /**< 0 before */
-    Story *story;
+    JobTrace *trace;
     bool lasts;   /**< some of its tasks are started again for good */
     bool kept;    /**< it has no caller and no deadline */
     bool closing; /**< answered; only stops are waited for */
--- a/lease/dispatcher.c
+++ b/lease/dispatcher.c
@@ -244,11 +244,11 @@
             continue;
         }
         task->asks += task->state == ACTIVE_HALTING ||
-                      task->state == ACTIVE_ADRIFT;
+                      task->state == ACTIVE_ORPHANED;
         if (task->state == ACTIVE_HALTING) {
             DispatcherCall_Halt(self, job, task);
         }
-        else if (task->state == ACTIVE_ADRIFT) {
+        else if (task->state == ACTIVE_ORPHANED) {
             host = DispatcherEnd_HostOf(self, task);
             Active_Move(job, task, ACTIVE_SENT);
             DispatcherCall_Run(self, job, task,
@@ -288,7 +288,7 @@
 }
 
 static void
-tend_job(Dispatcher *self, int64_t now_ms, Active_Job *job, bool isolated)
+check_job(Dispatcher *self, int64_t now_ms, Active_Job *job, bool isolated)
 {
     if (now_ms >= job->deadline_ms) {
         DispatcherEnd_GiveUp(self, now_ms, job, ERR_DEADLINE,
@@ -323,12 +323,12 @@
             Active_Unblock(job, now_ms + self->wall_ahead_ms);
         }
         if (!job->closing && !job->kept) {
-            tend_job(self, now_ms, job, isolated);
+            check_job(self, now_ms, job, isolated);
         }
     }
     for (i = 0; i < self->fleet.hosts->len; i++) {
-        DispatcherHosts_Tend(self, now_ms,
-                             g_ptr_array_index(self->fleet.hosts, i));
+        DispatcherHosts_Check(self, now_ms,
+                              g_ptr_array_index(self->fleet.hosts, i));
     }
     self->unsettled = true;
 }
--- a/lease/dispatcher_ends.c
+++ b/lease/dispatcher_ends.c
@@ -17,7 +17,7 @@
 bool
 DispatcherEnd_IsOut(const Active_Task *task)
 {
-    return task->state == ACTIVE_SENT || task->state == ACTIVE_ADRIFT ||
+    return task->state == ACTIVE_SENT || task->state == ACTIVE_ORPHANED ||
            task->state == ACTIVE_HALTING;
 }
 
@@ -42,7 +42,7 @@
     task->host = host;
     task->asks = 0;
     task->again_ms = now_ms;
-    Active_Move(job, task, ACTIVE_ADRIFT);
+    Active_Move(job, task, ACTIVE_ORPHANED);
     row = DispatcherEnd_HostOf(self, task);
     if (row != NULL) {
         row->running++;
@@ -145,7 +145,7 @@
     job->closing = true;
     for (i = 0; i < job->task_count; i++) {
         Active_Task *task = &job->tasks[i];
-        if (task->state == ACTIVE_SENT || task->state == ACTIVE_ADRIFT) {
+        if (task->state == ACTIVE_SENT || task->state == ACTIVE_ORPHANED) {
             Active_Move(job, task, ACTIVE_HALTING);
             DispatcherCall_Halt(self, job, task);
         }
--- a/lease/dispatcher_hosts.c
+++ b/lease/dispatcher_hosts.c
@@ -72,9 +72,10 @@
                           but_incarnation != 0)) {
                 continue;
             }
-            Story_Add(job->story, now_ms,
-                      but_incarnation == 0 ? STORY_EXPIRED : STORY_REBORN,
-                      &task->id, address, 0);
+            JobTrace_Add(job->trace, now_ms,
+                         but_incarnation == 0 ? JOB_TRACE_EXPIRED
+                                              : JOB_TRACE_REBORN,
+                         &task->id, address, 0);
             task->avoid = address;
             DispatcherEnd_Requeue(self, job, task, now_ms);
             /* A job that was closing may be gone now. */
@@ -116,7 +117,7 @@
 }
 
 void
-DispatcherHosts_Tend(Dispatcher *self, int64_t now_ms, Fleet_Host *host)
+DispatcherHosts_Check(Dispatcher *self, int64_t now_ms, Fleet_Host *host)
 {
     int64_t certain_ms = Fleet_CertainEnd(host, &self->config.term);
 
--- a/lease/dispatcher_queue.c
+++ b/lease/dispatcher_queue.c
@@ -88,8 +88,8 @@
     if (job->first_sent_ms == 0) {
         job->first_sent_ms = now_ms;
     }
-    Story_Add(job->story, now_ms, STORY_SENT, &task->id, host->node.address,
-              (int32_t)host->pace_percent);
+    JobTrace_Add(job->trace, now_ms, JOB_TRACE_SENT, &task->id,
+                 host->node.address, (int32_t)host->pace_percent);
     if (host->state == LC_UPSTREAM_TRIAL) {
         memset(&host->room, 0, sizeof(host->room)); /* one at a time */
     }
--- a/lease/dispatcher_replies.c
+++ b/lease/dispatcher_replies.c
@@ -72,8 +72,8 @@
                               LeasedJob_EndNumber(&job->spec, &task->id),
                               task->host, status == LC_RUN_DONE);
     }
-    Story_Add(job->story, now_ms, STORY_ENDED, &task->id, task->host.address,
-              (int32_t)status);
+    JobTrace_Add(job->trace, now_ms, JOB_TRACE_ENDED, &task->id,
+                 task->host.address, (int32_t)status);
     if (Active_Step(job, task)->long_running && status <= LC_RUN_STALLED) {
         task->avoid = task->host.address;
         DispatcherEnd_Requeue(self, job, task, now_ms + LAST_AGAIN_MS);
@@ -116,10 +116,10 @@
     }
     if (result == NULL) {
         if (task->state == ACTIVE_SENT) {
-            Active_Move(job, task, ACTIVE_ADRIFT);
+            Active_Move(job, task, ACTIVE_ORPHANED);
             if (task->asks == 0) {
-                Story_Add(job->story, now_ms, STORY_ADRIFT, &task->id,
-                          task->host.address, 0);
+                JobTrace_Add(job->trace, now_ms, JOB_TRACE_ORPHANED, &task->id,
+                             task->host.address, 0);
             }
             task->again_ms = now_ms + ask_pause_ms(task);
         }
--- a/lease/dispatcher_state.h
+++ b/lease/dispatcher_state.h
@@ -138,7 +138,7 @@
                              Fleet_Host *host);
 
 /** Renews leases, and takes back runs whose lease is certainly over. */
-void DispatcherHosts_Tend(Dispatcher *self, int64_t now_ms, Fleet_Host *host);
+void DispatcherHosts_Check(Dispatcher *self, int64_t now_ms, Fleet_Host *host);
 
 /** State of a companion for operators; the caller owns the result. */
 json_t *DispatcherHosts_Dump(const Fleet_Host *host, int64_t now_ms);
--- a/lease/keeper.c
+++ b/lease/keeper.c
@@ -141,7 +141,7 @@
         KeeperOwner_Wrote(keeper, now_ms, change.gone.incarnation);
         break;
     case KEPT_CLAIMED:
-        KeeperOwner_Claimed(keeper, now_ms, change.gone, change.heir);
+        KeeperOwner_Claimed(keeper, now_ms, change.gone, change.successor);
         break;
     default:
         break;
@@ -254,11 +254,11 @@
 void
 Keeper_Leave(Keeper *keeper, int64_t now_ms)
 {
-    lc_node heir = KeeperOwner_Other(keeper, now_ms);
+    lc_node successor = KeeperOwner_Other(keeper, now_ms);
 
     keeper->leaving = true;
-    if (heir.incarnation != 0) {
-        KeeperOwner_PutClaim(keeper, now_ms, &keeper->node, &heir);
+    if (successor.incarnation != 0) {
+        KeeperOwner_PutClaim(keeper, now_ms, &keeper->node, &successor);
     }
 }
 
--- a/lease/keeper_owners.c
+++ b/lease/keeper_owners.c
@@ -174,7 +174,7 @@
 
 void
 KeeperOwner_PutClaim(Keeper *keeper, int64_t now_ms, const lc_node *gone,
-                     const lc_node *heir)
+                     const lc_node *successor)
 {
     lc_kept_record record = {.job = 0};
     lc_kept_claim *claim = &record.body.lc_kept_body_u.claim;
@@ -182,7 +182,7 @@
 
     record.body.kind = LC_KEPT_CLAIM;
     claim->gone = *gone;
-    claim->heir = *heir;
+    claim->successor = *successor;
     Kept_ClaimKey(gone, keeper->node.incarnation, key);
     Keeper_Put(keeper, key, &record);
     g_array_append_val(keeper->claims, *gone);
@@ -236,7 +236,8 @@
 }
 
 void
-KeeperOwner_Claimed(Keeper *keeper, int64_t now_ms, lc_node gone, lc_node heir)
+KeeperOwner_Claimed(Keeper *keeper, int64_t now_ms, lc_node gone,
+                    lc_node successor)
 {
     Keeper_Recovery recovery = {.gone = gone, .claimed_ms = now_ms};
 
@@ -244,7 +245,7 @@
         lose_identity(keeper);
         return;
     }
-    if (!Msg_SameNode(&heir, &keeper->node)) {
+    if (!Msg_SameNode(&successor, &keeper->node)) {
         return;
     }
     keeper->ports->event(keeper->context, EVENT_KEPT_CLAIMED,
@@ -290,7 +291,7 @@
     call.u.fence.target = host.incarnation;
     call.u.fence.gone.gone_len = line->len;
     call.u.fence.gone.gone_val = (lc_node *)(void *)line->data;
-    call.u.fence.heir = keeper->node;
+    call.u.fence.successor = keeper->node;
     keeper->ports->call(keeper->context, host.address,
                         Handle_Add(keeper->calls, about), &call);
     g_array_unref(line);
--- a/lease/keeper_state.h
+++ b/lease/keeper_state.h
@@ -166,9 +166,9 @@
 /** Claims owners that are gone. */
 void KeeperOwner_Watch(Keeper *keeper, int64_t now_ms);
 
-/** Writes that an owner's jobs are its heir's. */
+/** Writes that an owner's jobs are its successor's. */
 void KeeperOwner_PutClaim(Keeper *keeper, int64_t now_ms, const lc_node *gone,
-                          const lc_node *heir);
+                          const lc_node *successor);
 
 /** Another entry that can look after jobs; zeros if there is none. */
 lc_node KeeperOwner_Other(const Keeper *keeper, int64_t now_ms);
@@ -181,7 +181,7 @@
 
 /** A claim was read. */
 void KeeperOwner_Claimed(Keeper *keeper, int64_t now_ms, lc_node gone,
-                         lc_node heir);
+                         lc_node successor);
 
 /** Asks companions, and starts jobs once all have answered. */
 void KeeperOwner_Recover(Keeper *keeper, int64_t now_ms);
--- a/lease/kept.c
+++ b/lease/kept.c
@@ -4,7 +4,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* Heirs of heirs: no chain is that long but one that closes on itself. */
+/* Successors of successors: no chain is that long but one that closes on
+ * itself. */
 #define MOST_CLAIMS 64
 #define BITS 8
 #define PROGRESS_LETTER 'p'
@@ -13,7 +14,7 @@
 typedef struct {
     uint64_t offset;
     lc_node gone;
-    lc_node heir;
+    lc_node successor;
     bool counts;
 } kept_claim;
 
@@ -262,8 +263,8 @@
     return left->offset < right->offset ? -1 : left->offset > right->offset;
 }
 
-/* Of an owner the first claim counts, unless its heir was claimed before: so
- * two that claim each other do not both lose. */
+/* Of an owner the first claim counts, unless its successor was claimed before:
+ * so two that claim each other do not both lose. */
 static void
 judge_claims(Kept *kept)
 {
@@ -276,7 +277,7 @@
     for (i = 0; i < kept->claims->len; i++) {
         kept_claim *claim = &g_array_index(kept->claims, kept_claim, i);
         claim->counts = find_claim(kept, &claim->gone) == NULL &&
-                        find_claim(kept, &claim->heir) == NULL;
+                        find_claim(kept, &claim->successor) == NULL;
     }
 }
 
@@ -297,7 +298,7 @@
 take_claim(Kept *kept, uint64_t offset, const lc_kept_claim *taken)
 {
     Kept_Change change = {.kind = KEPT_NOTHING};
-    kept_claim fresh = {offset, taken->gone, taken->heir, false};
+    kept_claim fresh = {offset, taken->gone, taken->successor, false};
     const kept_claim *counts;
 
     if (is_known(kept, offset)) {
@@ -309,7 +310,7 @@
     if (counts != NULL && counts->offset == offset) {
         change.kind = KEPT_CLAIMED;
         change.gone = taken->gone;
-        change.heir = taken->heir;
+        change.successor = taken->successor;
     }
     return change;
 }
@@ -383,7 +384,7 @@
     const kept_claim *claim = find_claim(kept, node);
 
     while (claim != NULL && count < MOST_CLAIMS) {
-        *node = claim->heir;
+        *node = claim->successor;
         count++;
         claim = find_claim(kept, node);
     }
@@ -420,7 +421,7 @@
         if (claim == NULL) {
             return false;
         }
-        from = claim->heir;
+        from = claim->successor;
     }
     return false;
 }
--- a/lease/kept.h
+++ b/lease/kept.h
@@ -5,9 +5,9 @@
  *
  * Records are keyed, and the newest of each key stays in the store. Taking a
  * record twice, or late, changes nothing: of two submissions or claims the
- * lower offset counts, and no claim of an heir that was claimed before; what
- * is done stays done, the first outcome stays. No I/O. Times are monotonic, in
- * ms.
+ * lower offset counts, and no claim of a successor that was claimed before;
+ * what is done stays done, the first outcome stays. No I/O. Times are
+ * monotonic, in ms.
  */
 #ifndef LC_LEASE_KEPT_H
 #define LC_LEASE_KEPT_H
@@ -56,7 +56,7 @@
     Kept_Kind kind;
     Kept_Job *job; /**< or NULL */
     lc_node gone;  /**< of a claim; who lives, of KEPT_ALIVE */
-    lc_node heir;
+    lc_node successor;
 } Kept_Change;
 
 /** A record as the store holds it. Borrowed. */
@@ -80,13 +80,13 @@
 /** Job of an identity, or NULL. */
 Kept_Job *Kept_Find(const Kept *kept, uint64_t id);
 
-/** Who looks after a job: its first owner or the last heir. */
+/** Who looks after a job: its first owner or the last successor. */
 lc_node Kept_OwnerOf(const Kept *kept, const Kept_Job *job);
 
 /** How often its owners were claimed. */
 uint32_t Kept_Generation(const Kept *kept, const Kept_Job *job);
 
-/** Whether a node is the first owner of a job or among its heirs. */
+/** Whether a node is the first owner of a job or among its successors. */
 bool Kept_Passed(const Kept *kept, const Kept_Job *job, const lc_node *node);
 
 /** An owner with all whose jobs it had taken over, lc_node; the caller frees
--- a/lease/runner_kept.c
+++ b/lease/runner_kept.c
@@ -145,17 +145,19 @@
     g_array_append_val(runner->fenced, *gone);
 }
 
-/* The run goes on for the heir, as long as it was held and a lease more. */
+/* The run goes on for the successor, as long as it was held and a lease more.
+ */
 static void
-bequeath(Runner *runner, int64_t now_ms, Runner_Task *row, const lc_node *heir)
+hand_over(Runner *runner, int64_t now_ms, Runner_Task *row,
+          const lc_node *successor)
 {
     Runner_Owner *gone = RunnerOwner_Find(runner, &row->owner);
 
     if (gone != NULL) {
         gone->running--;
     }
-    row->owner = *heir;
-    RunnerOwner_Extend(runner, heir,
+    row->owner = *successor;
+    RunnerOwner_Extend(runner, successor,
                        now_ms + runner->config.term.lease_ms + TERM_KEPT_MS)
         ->running++;
 }
@@ -192,7 +194,7 @@
             continue;
         }
         if (row->state != TASK_ENDED) {
-            bequeath(runner, now_ms, row, &args->heir);
+            hand_over(runner, now_ms, row, &args->successor);
         }
         else if (!row->unreleased) {
             continue;
--- a/lease/term.h
+++ b/lease/term.h
@@ -15,7 +15,8 @@
 #include <stdint.h>
 
 /** Runs of kept jobs are not bound to the resubmission time: a companion goes
- * on with them for so long after the lease, until an heir has been found. */
+ * on with them for so long after the lease, until a successor has been found.
+ */
 #define TERM_KEPT_MS 2500
 
 /** Times in ms. */
--- /dev/null
+++ b/scripts/lost.sh
@@ -0,0 +1,33 @@
+#!/usr/bin/env bash
+# Where a day lost worth: the parts of its score, prices, and by class, hall,
+# window and last answer what was asked, late, refused and failed.
+# Usage: scripts/lost.sh REPORT
+# REPORT: what the users' bench wrote with --report.
+set -eu
+[ $# = 1 ] || { echo "usage: lost.sh REPORT" >&2; exit 2; }
+[ -r "$1" ] || { echo "lost.sh: $1: can't be read" >&2; exit 1; }
+
+# rows FIELD: the rows of a table that lost something, the most first
+rows() {
+    jq -r --arg field "$1" '
+        .[$field][] | select(.worth != null and .worth < 0.995)
+        | [.name, .n, .in_aim, .late, .refused, .failed, .worth] | @tsv' "$REPORT" |
+        sort -t "$(printf '\t')" -k 7,7n
+}
+
+# table TITLE FIELD
+table() {
+    printf '\n%-16s %7s %7s %6s %7s %6s %6s\n' "$1" asked in-time late refused failed worth
+    rows "$2" | awk -F '\t' '{printf "%-16s %7d %7d %6d %7d %6d %6.3f\n", $1, $2, $3, $4, $5, $6, $7}'
+}
+
+REPORT=$1
+jq -r '"worth \(.G), rules broken: \(.breaks | keys | join(" "))",
+    (.parts[] | "\(.[0]): \(.[2]), weight \(.[1]), loses \((.[1] * (1 - .[2]) * 10000 | round) / 10000)"),
+    (.prices[] | select(.[2] > 0.001) | "price of \(.[0]): \(.[2])")' "$REPORT"
+table class classes
+table hall zones
+table "from second" windows
+printf '\n%-16s %7s\n' "last answer" unserved
+jq -r '.unserved_by[] | [.[0], .[1]] | @tsv' "$REPORT" |
+    awk -F '\t' '{printf "%-16s %7d\n", $1, $2}'
--- a/tests/kept_rules.c
+++ b/tests/kept_rules.c
@@ -344,15 +344,15 @@
 }
 
 static void
-read_claim(fixture *fix, const lc_node *gone, const lc_node *heir)
+read_claim(fixture *fix, const lc_node *gone, const lc_node *successor)
 {
     lc_kept_record record = {.job = 0};
     char key[KEPT_KEY_SIZE];
 
     record.body.kind = LC_KEPT_CLAIM;
     record.body.lc_kept_body_u.claim.gone = *gone;
-    record.body.lc_kept_body_u.claim.heir = *heir;
-    Kept_ClaimKey(gone, heir->incarnation, key);
+    record.body.lc_kept_body_u.claim.successor = *successor;
+    Kept_ClaimKey(gone, successor->incarnation, key);
     read_record(fix, key, &record);
 }
 
@@ -738,18 +738,18 @@
 static void
 inherit(fixture *fix)
 {
-    lc_node heir;
+    lc_node successor;
 
     new_fixture(fix);
     read_submit(fix, 7, &other_owner);
     pass(fix, 3000);
-    heir = own_identity(fix);
-    read_claim(fix, &other_owner, &heir);
+    successor = own_identity(fix);
+    read_claim(fix, &other_owner, &successor);
     pass(fix, 50);
 }
 
 static void
-test_heir_asks_first(void)
+test_successor_asks_first(void)
 {
     fixture fix;
 
@@ -767,7 +767,7 @@
 }
 
 static void
-test_heir_reads_the_last_end(void)
+test_successor_reads_the_last_end(void)
 {
     lc_kept_record record = {.job = 7};
     lc_kept_progress *progress = &record.body.lc_kept_body_u.progress;
@@ -789,7 +789,7 @@
 }
 
 static void
-test_heir_takes_a_held_end(void)
+test_successor_takes_a_held_end(void)
 {
     lc_held_run held = {.id = {.job = 7, .run = 1025},
                         .running = false,
@@ -807,7 +807,7 @@
 }
 
 static void
-test_heir_goes_on_with_a_run(void)
+test_successor_goes_on_with_a_run(void)
 {
     lc_held_run held = {.id = {.job = 7, .run = 1025}, .running = true};
     fixture fix;
@@ -820,7 +820,7 @@
 }
 
 static void
-test_heir_waits_for_the_silent(void)
+test_successor_waits_for_the_silent(void)
 {
     fixture fix;
 
@@ -852,7 +852,7 @@
 }
 
 /* Two that claim each other: the first claim counts, the other is void, and
- * its heir looks after the jobs of both. */
+ * its successor looks after the jobs of both. */
 static void
 test_mutual_claims(void)
 {
@@ -919,12 +919,14 @@
     {"/keeper/claims a silent owner", test_claims_the_silent},
     {"/keeper/does not claim one that writes", test_one_that_writes_lives},
     {"/keeper/asks companions and the log before it goes on",
-     test_heir_asks_first},
+     test_successor_asks_first},
     {"/keeper/reads what the old owner wrote last",
-     test_heir_reads_the_last_end},
-    {"/keeper/takes ends that companions hold", test_heir_takes_a_held_end},
-    {"/keeper/goes on with what runs", test_heir_goes_on_with_a_run},
-    {"/keeper/waits for a silent companion", test_heir_waits_for_the_silent},
+     test_successor_reads_the_last_end},
+    {"/keeper/takes ends that companions hold",
+     test_successor_takes_a_held_end},
+    {"/keeper/goes on with what runs", test_successor_goes_on_with_a_run},
+    {"/keeper/waits for a silent companion",
+     test_successor_waits_for_the_silent},
     {"/keeper/lets go when it is claimed", test_claimed_lets_go},
     {"/keeper/of two that claim each other the first stays",
      test_mutual_claims},
--- a/tests/process/explain.sh
+++ b/tests/process/explain.sh
@@ -33,6 +33,6 @@
 says grey 'ended task .* stalled'
 play companion_dies
 says companion_dies 'LC303 .*companion 127.7.0.50'
-says companion_dies 'adrift task'
+says companion_dies 'orphaned task'
 says companion_dies 'expired task'
 says companion_dies 'sent task .* run 2 at 127.7.0.51'
--- a/tests/runner_fixture.c
+++ b/tests/runner_fixture.c
@@ -6,7 +6,7 @@
 #include "lease/run_id.h"
 
 static const lc_node entry_node = {0x7f0000011b59, 100};
-static const lc_node heir_node = {0x7f0000011b5a, 101};
+static const lc_node successor_node = {0x7f0000011b5a, 101};
 static const lc_node companion_node = RUNNER_FIX_COMPANION;
 
 static Term
@@ -171,6 +171,6 @@
     call.u.fence.target = companion_node.incarnation;
     call.u.fence.gone.gone_val = &gone;
     call.u.fence.gone.gone_len = 1;
-    call.u.fence.heir = heir_node;
+    call.u.fence.successor = successor_node;
     Runner_OnCall(fix->runner, fix->now_ms, 4, &call);
 }
--- a/tests/runner_rules.c
+++ b/tests/runner_rules.c
@@ -209,7 +209,7 @@
     Runner_Free(fix.runner);
 }
 
-/* What runs is the heir's, and lasts as long as its lease. */
+/* What runs is the successor's, and lasts as long as its lease. */
 static void
 test_fence_hands_over(void)
 {
@@ -282,7 +282,7 @@
     {"/runner/does not take a run as over when its end may be hidden",
      test_full_listing},
     {"/runner/takes no order of an owner that is gone", test_fenced_owner},
-    {"/runner/hands runs over to the heir", test_fence_hands_over},
+    {"/runner/hands runs over to the successor", test_fence_hands_over},
     {"/runner/admits one task on trial", test_trial_admits_one},
     {"/runner/loses runs to another incarnation", test_other_incarnation},
 };
--- a/wire/levercove.h
+++ b/wire/levercove.h
@@ -504,7 +504,7 @@
 		u_int gone_len;
 		lc_node *gone_val;
 	} gone;
-	lc_node heir;
+	lc_node successor;
 };
 typedef struct lc_fence_args lc_fence_args;
 
@@ -593,7 +593,7 @@
 
 struct lc_kept_claim {
 	lc_node gone;
-	lc_node heir;
+	lc_node successor;
 };
 typedef struct lc_kept_claim lc_kept_claim;
 
--- a/wire/levercove.x
+++ b/wire/levercove.x
@@ -402,11 +402,11 @@
 };
 
 /* A companion takes no more orders of an owner of kept jobs that is gone; what
- * it runs for it is the heir's. */
+ * it runs for it is the successor's. */
 struct lc_fence_args {
     unsigned hyper target;
     lc_node gone<LC_MAX_PEERS>; /* none: all ends that are held are told */
-    lc_node heir;
+    lc_node successor;
 };
 
 struct lc_held_run {
@@ -472,7 +472,7 @@
 
 struct lc_kept_claim {
     lc_node gone;
-    lc_node heir;
+    lc_node successor;
 };
 
 union lc_kept_body switch (lc_kept_kind kind) {
--- a/wire/levercove_xdr.c
+++ b/wire/levercove_xdr.c
@@ -966,7 +966,7 @@
 	 if (!xdr_array (xdrs, (char **)&objp->gone.gone_val, (u_int *) &objp->gone.gone_len, LC_MAX_PEERS,
 		sizeof (lc_node), (xdrproc_t) xdr_lc_node))
 		 return FALSE;
-	 if (!xdr_lc_node (xdrs, &objp->heir))
+	 if (!xdr_lc_node (xdrs, &objp->successor))
 		 return FALSE;
 	return TRUE;
 }
@@ -1102,7 +1102,7 @@
 
 	 if (!xdr_lc_node (xdrs, &objp->gone))
 		 return FALSE;
-	 if (!xdr_lc_node (xdrs, &objp->heir))
+	 if (!xdr_lc_node (xdrs, &objp->successor))
 		 return FALSE;
 	return TRUE;
 }
