--- a/lease/dispatcher.c
+++ b/lease/dispatcher.c
@@ -346,9 +346,11 @@
     g_string_append_printf(out,
                            "levercove_jobs_open %u\n"
                            "levercove_companions_known %u\n"
-                           "levercove_companions_open %u\n",
+                           "levercove_companions_open %u\n"
+                           "levercove_reserve_tasks %u\n",
                            Handle_Count(self->jobs), self->fleet.hosts->len,
-                           Dispatcher_ReadyHosts(self, now_ms));
+                           Dispatcher_ReadyHosts(self, now_ms),
+                           Reserve_Tasks(&self->reserve, now_ms));
 }
 
 Counters *
--- a/lease/reserve.c
+++ b/lease/reserve.c
@@ -14,12 +14,17 @@
  * wide jobs do not leave much idle. Chosen. */
 #define MOST_PART 16
 
+static bool
+is_known(const Reserve *reserve, int64_t now_ms)
+{
+    return reserve->seen_ms != 0 && now_ms - reserve->seen_ms <= FORGET_MS;
+}
+
 void
 Reserve_Note(Reserve *reserve, int64_t now_ms, int32_t priority,
              uint32_t tasks)
 {
-    bool known = reserve->seen_ms != 0 &&
-                 now_ms - reserve->seen_ms <= FORGET_MS;
+    bool known = is_known(reserve, now_ms);
 
     if (known && priority > reserve->priority) {
         return;
@@ -32,6 +37,15 @@
     reserve->width_x16 += tasks - reserve->width_x16 / MEAN_PART;
 }
 
+uint32_t
+Reserve_Tasks(const Reserve *reserve, int64_t now_ms)
+{
+    if (!is_known(reserve, now_ms)) {
+        return 0;
+    }
+    return reserve->width_x16 / MEAN_PART / USUAL_PART;
+}
+
 static uint32_t
 count_fitting(const lc_resources *room, const lc_resources *need)
 {
@@ -53,13 +67,12 @@
 Reserve_Allows(const Reserve *reserve, const Fleet *fleet, int64_t now_ms,
                int32_t priority, const lc_resources *need)
 {
-    uint64_t kept = reserve->width_x16 / MEAN_PART / USUAL_PART;
+    uint64_t kept = Reserve_Tasks(reserve, now_ms);
     uint64_t fits = 0;
     uint64_t most = 0;
     guint i;
 
-    if (priority <= reserve->priority || reserve->seen_ms == 0 ||
-        now_ms - reserve->seen_ms > FORGET_MS) {
+    if (priority <= reserve->priority || kept == 0) {
         return true;
     }
     for (i = 0; i < fleet->hosts->len && fits <= kept; i++) {
--- a/lease/reserve.h
+++ b/lease/reserve.h
@@ -28,6 +28,9 @@
 void Reserve_Note(Reserve *reserve, int64_t now_ms, int32_t priority,
                   uint32_t tasks);
 
+/** Tasks that are kept room for, as far as there is enough. */
+uint32_t Reserve_Tasks(const Reserve *reserve, int64_t now_ms);
+
 /** Whether a job that has not begun may begin, as far as the reserve goes. */
 bool Reserve_Allows(const Reserve *reserve, const Fleet *fleet, int64_t now_ms,
                     int32_t priority, const lc_resources *need);
--- a/lease/runner.c
+++ b/lease/runner.c
@@ -367,9 +367,12 @@
         "levercove_room_memory_mebibytes %u\n"
         "levercove_upstream_pace_percent %u\n"
         "levercove_upstream_state %d\n"
+        "levercove_upstream_answer_timeout_milliseconds %" PRId64 "\n"
+        "levercove_upstream_unanswered_permille %u\n"
         "levercove_upstream_heard_age_seconds %" PRId64 "\n",
         runner->live, state.room.cpu_milli, state.room.memory_mb,
         state.pace_percent, (int)state.state,
+        AnswerTime_TimeoutMs(&runner->answers), runner->answers.lost_permille,
         (now_ms - runner->up.heard_ms) / 1000);
 }
 
