--- a/scripts/seeds.sh
+++ b/scripts/seeds.sh
@@ -41,6 +41,7 @@
     done | awk -v day="$(basename "$day" .toml)" '
         {text = text sprintf(" %.3f", $1); sum += $1; broken += $2
          if (NR == 1 || $1 < worst) worst = $1}
-        END {printf "%-14s%s | mean %.3f worst %.3f rules broken %d\n",
-             day, text, sum / (NR ? NR : 1), worst, broken}'
+        END {if (NR == 0) {printf "%-14s no run gave a report\n", day; exit}
+             printf "%-14s%s | mean %.3f worst %.3f rules broken %d\n",
+             day, text, sum / NR, worst, broken}'
 done
