--- a/daemon/leased_entry.c
+++ b/daemon/leased_entry.c
@@ -18,6 +18,9 @@
 /* New connections come for some time after the balancer was told not to. */
 #define STOP_LEAST_MS 2500
 #define STOP_MARGIN_MS 500
+/* Jobs still open so long before that end are given up. Chosen: four ticks, so
+ * that the answers have left. */
+#define LAST_ANSWERS_MS 200
 #define OK_STATUS 200
 
 static void
@@ -253,6 +256,7 @@
     self->stop_ms = LeasedEntry_Awake(self);
     process->end_by_ms = self->stop_ms + process->options->grace_ms -
                          STOP_MARGIN_MS;
+    Dispatcher_EndBy(self->dispatcher, process->end_by_ms - LAST_ANSWERS_MS);
     Http_CloseAfterAnswers(self->callers);
     Keeper_Leave(self->keeper, self->stop_ms);
 }
--- a/lease/dispatcher.c
+++ b/lease/dispatcher.c
@@ -16,6 +16,7 @@
     self->config = *config;
     self->ports = ports;
     self->context = context;
+    self->end_ms = INT64_MAX;
     Fleet_Init(&self->fleet);
     QueueStats_Init(&self->stats);
     self->jobs = Handle_NewTable();
@@ -218,6 +219,12 @@
     }
 }
 
+void
+Dispatcher_EndBy(Dispatcher *self, int64_t end_ms)
+{
+    self->end_ms = end_ms;
+}
+
 void
 Dispatcher_Pause(Dispatcher *self)
 {
@@ -295,6 +302,10 @@
         DispatcherEnd_GiveUp(self, now_ms, job, ERR_DEADLINE,
                              "its deadline passed");
     }
+    else if (now_ms >= self->end_ms) {
+        DispatcherEnd_GiveUp(self, now_ms, job, ERR_STOPPING,
+                             "this entry is being stopped");
+    }
     else if (is_hopeless(job, now_ms)) {
         DispatcherEnd_GiveUp(self, now_ms, job, ERR_DEADLINE,
                              "it cannot end before its deadline");
--- a/lease/dispatcher.h
+++ b/lease/dispatcher.h
@@ -154,6 +154,10 @@
  * hand has been taken: the functions above only note what came. */
 void Dispatcher_Settle(Dispatcher *self, int64_t now_ms);
 
+/** The process ends soon after @p end_ms: jobs that are open by then are given
+ * up and answered, so that no caller's connection just breaks. */
+void Dispatcher_EndBy(Dispatcher *self, int64_t end_ms);
+
 /** Starts nothing until Dispatcher_Resume: input that waited while the process
  * stood still must be read first. */
 void Dispatcher_Pause(Dispatcher *self);
--- a/lease/dispatcher_state.h
+++ b/lease/dispatcher_state.h
@@ -41,6 +41,7 @@
     int64_t wall_ahead_ms; /* of the wall clock before the monotonic one */
     uint64_t kept;         /* incarnation as an owner of kept jobs */
     bool kept_held;
+    int64_t end_ms; /* all jobs are answered by then; INT64_MAX if not set */
     bool paused;
     bool unsettled; /* something came that may let tasks be sent */
 };
--- a/tests/lease_rules.c
+++ b/tests/lease_rules.c
@@ -599,6 +599,24 @@
     free_dispatcher(&fix);
 }
 
+/* A job that is open shortly before the process ends is answered then. */
+static void
+test_end_of_process(void)
+{
+    dispatcher_fixture fix;
+
+    new_dispatcher(&fix);
+    hand_in(&fix, 1, 1);
+    Dispatcher_EndBy(fix.dispatcher, START_MS + 300);
+    tick_in_touch(&fix, START_MS + 250);
+    g_assert_cmpint(fix.answers, ==, 0);
+    tick_in_touch(&fix, START_MS + 350);
+    g_assert_cmpint(fix.answers, ==, 1);
+    g_assert_cmpint(fix.outcome, ==, DISPATCHER_GIVEN_UP);
+    g_assert_cmpint(calls_of(&fix, MSG_HALT), ==, 1);
+    free_dispatcher(&fix);
+}
+
 static void
 test_advised_queue(void)
 {
@@ -634,6 +652,8 @@
      test_begun_is_not_told_as_not_run},
     {"/dispatcher/gives up a begun job that is worth nothing",
      test_begun_is_given_up},
+    {"/dispatcher/answers what is open before the process ends",
+     test_end_of_process},
     {"/dispatcher/goes by priority", test_priority_first},
     {"/dispatcher/keeps room for the first priority", test_reserve},
     {"/dispatcher/gives the room kept to those it is for",
