One table of rules, one set of terms; nothing worked out twice in the queue

Behaviour stays as it is; assertions are moved, none changed.

- Four programs of rules had the same main, three the same terms and the same silent event port: tests/rule_table and tests/lease_fixture serve them all.
- rank_of works the end of a job out from its slack in place of walking its tasks again, in the sort of every pass.
- An entry's answer to a report tells the runner nothing, so the companion does not scan its open orders after it; reports are most of its messages.
- stop_lapsed stops what has lapsed; the tick itself sends orders again.

--- a/daemon/leased_companion.c
+++ b/daemon/leased_companion.c
@@ -423,7 +423,7 @@
     if (reply != NULL && reply->kind == MSG_REPORT) {
         take_report_reply(self, peer, &reply->u.report);
     }
-    follow_up(self);
+    tell_peers(self);
 }
 
 static const Process_Role leased_companion_role = {
--- a/lease/dispatcher_queue.c
+++ b/lease/dispatcher_queue.c
@@ -22,14 +22,14 @@
 } queue_entry;
 
 static urgency_rank
-rank_of(const Active_Job *job, int64_t now_ms, int64_t slack_ms)
+rank_of(const Active_Job *job, int64_t slack_ms)
 {
+    int64_t end_ms = job->objective_ms - slack_ms;
+
     if (slack_ms >= 0) {
         return Active_HasBegun(job) ? RANK_BEGUN : RANK_IN_TIME;
     }
-    return now_ms + Active_RemainingMs(job) <= Active_WorthlessAfter(job)
-               ? RANK_LATE
-               : RANK_WORTHLESS;
+    return end_ms <= Active_WorthlessAfter(job) ? RANK_LATE : RANK_WORTHLESS;
 }
 
 static queue_entry
@@ -41,7 +41,7 @@
         /* What lasts is missed while it is away; a time that waits is due. */
         entry.slack_ms = 0;
     }
-    entry.rank = rank_of(job, now_ms, entry.slack_ms);
+    entry.rank = rank_of(job, entry.slack_ms);
     return entry;
 }
 
--- a/lease/runner.c
+++ b/lease/runner.c
@@ -253,7 +253,6 @@
                        Address_Text(row->owner.address));
         RunnerTask_Stop(runner, now_ms, row, LC_RUN_STOPPED);
     }
-    RunnerOrder_Retry(runner, now_ms, row);
 }
 
 void
@@ -268,6 +267,7 @@
         runner->held_long += RunnerKept_IsHeldLong(row, now_ms);
         if (row->state != TASK_ENDED) {
             stop_lapsed(runner, now_ms, row);
+            RunnerOrder_Retry(runner, now_ms, row);
         }
         else if (RunnerKept_IsForgotten(row, now_ms)) {
             RunnerKept_LetGo(runner, row);
--- a/tests/kept_rules.c
+++ b/tests/kept_rules.c
@@ -8,6 +8,8 @@
 
 #include "lease/keeper.h"
 #include "lease/runner.h"
+#include "tests/lease_fixture.h"
+#include "tests/rule_table.h"
 
 #define START_MS 10000
 #define MOST 256
@@ -151,14 +153,6 @@
     (void)detail;
 }
 
-static void
-port_event(void *context, Event_Id id, json_t *fields)
-{
-    (void)context;
-    (void)id;
-    json_decref(fields);
-}
-
 static void
 port_reset(void *context, Address to)
 {
@@ -184,21 +178,12 @@
     port_route, port_parse,  port_keeper_event,
 };
 static const Dispatcher_Ports dispatcher_ports = {
-    port_call, port_reset, port_answer, port_event, port_end, port_over,
+    port_call,          port_reset, port_answer,
+    LeaseFix_DropEvent, port_end,   port_over,
 };
 
 /* ---- a keeper ---- */
 
-static Term
-make_term(void)
-{
-    Term_Bounds bounds = {RESUBMIT_MS, 1000, 50, 50};
-    Term term;
-
-    g_assert_true(Term_Plan(&bounds, &term));
-    return term;
-}
-
 static void
 report_host(fixture *fix)
 {
@@ -262,7 +247,7 @@
     fix->state = LC_UPSTREAM_READY;
     fix->puts = g_ptr_array_new_with_free_func(free_put);
     fix->calls = g_array_new(FALSE, TRUE, sizeof(sent_call));
-    config.term = make_term();
+    config.term = LeaseFix_Term();
     fix->dispatcher = Dispatcher_New(&config, &dispatcher_ports, fix,
                                      fix->now_ms);
     fix->routes = Route_NewTable(1);
@@ -893,10 +878,7 @@
     free_fixture(&fix);
 }
 
-static const struct {
-    const char *name;
-    void (*run)(void);
-} rules[] = {
+static const RuleTable_Row rules[] = {
     {"/keeper/answers when it is written", test_answered_when_written},
     {"/keeper/starts when it is read", test_started_when_read},
     {"/keeper/an identity is one job", test_one_job},
@@ -937,11 +919,5 @@
 int
 main(int argc, char **argv)
 {
-    size_t i;
-
-    g_test_init(&argc, &argv, NULL);
-    for (i = 0; i < G_N_ELEMENTS(rules); i++) {
-        g_test_add_func(rules[i].name, rules[i].run);
-    }
-    return g_test_run();
+    return RuleTable_Main(argc, argv, rules, G_N_ELEMENTS(rules));
 }
--- /dev/null
+++ b/tests/lease_fixture.h
@@ -0,0 +1,19 @@
+/**
+ * @file lease_fixture.h
+ * @brief What the fixtures of leased jobs share: terms and silent events.
+ */
+#ifndef LC_TESTS_LEASE_FIXTURE_H
+#define LC_TESTS_LEASE_FIXTURE_H
+
+#include <jansson.h>
+
+#include "base/event.h"
+#include "lease/term.h"
+
+/** Terms by the bounds of the users' platform. */
+Term LeaseFix_Term(void);
+
+/** A port for events that drops them. */
+void LeaseFix_DropEvent(void *context, Event_Id id, json_t *fields);
+
+#endif
--- a/tests/lease_rules.c
+++ b/tests/lease_rules.c
@@ -8,6 +8,8 @@
 
 #include "lease/dispatcher.h"
 #include "lease/run_id.h"
+#include "tests/lease_fixture.h"
+#include "tests/rule_table.h"
 
 #define START_MS 10000
 #define MOST 256
@@ -16,16 +18,6 @@
 static const lc_node companion_node = {0x7f0000011b63, 900};
 static const lc_node other_companion = {0x7f0000011b64, 901};
 
-static Term
-make_term(void)
-{
-    Term_Bounds bounds = {1300, 1000, 50, 50};
-    Term term;
-
-    g_assert_true(Term_Plan(&bounds, &term));
-    return term;
-}
-
 typedef struct {
     Msg_Kind kind;
     Address to;
@@ -73,14 +65,6 @@
     fix->count++;
 }
 
-static void
-port_event(void *context, Event_Id id, json_t *fields)
-{
-    (void)context;
-    (void)id;
-    json_decref(fields);
-}
-
 static void
 port_reset(void *context, Address to)
 {
@@ -123,8 +107,8 @@
 }
 
 static const Dispatcher_Ports dispatcher_ports = {
-    port_call,  port_reset,    port_answer,
-    port_event, port_kept_end, port_kept_over};
+    port_call,          port_reset,    port_answer,
+    LeaseFix_DropEvent, port_kept_end, port_kept_over};
 
 static void
 report_all(dispatcher_fixture *fix, const lc_node *node,
@@ -174,7 +158,7 @@
 
     memset(fix, 0, sizeof(*fix));
     fix->now_ms = START_MS;
-    config.term = make_term();
+    config.term = LeaseFix_Term();
     fix->dispatcher = Dispatcher_New(&config, &dispatcher_ports, fix,
                                      fix->now_ms);
     fix->routes = Route_NewTable(1);
@@ -339,7 +323,7 @@
 test_elsewhere_after_the_lease(void)
 {
     dispatcher_fixture fix;
-    Term term = make_term();
+    Term term = LeaseFix_Term();
     int64_t held_ms;
 
     new_dispatcher(&fix);
@@ -630,10 +614,7 @@
     free_dispatcher(&fix);
 }
 
-static const struct {
-    const char *name;
-    void (*run)(void);
-} rules[] = {
+static const RuleTable_Row rules[] = {
     {"/dispatcher/starts nothing while paused", test_paused},
     {"/dispatcher/asks again without a longer hold",
      test_ask_again_holds_no_longer},
@@ -667,11 +648,5 @@
 int
 main(int argc, char **argv)
 {
-    size_t i;
-
-    g_test_init(&argc, &argv, NULL);
-    for (i = 0; i < G_N_ELEMENTS(rules); i++) {
-        g_test_add_func(rules[i].name, rules[i].run);
-    }
-    return g_test_run();
+    return RuleTable_Main(argc, argv, rules, G_N_ELEMENTS(rules));
 }
--- a/tests/order_rules.c
+++ b/tests/order_rules.c
@@ -6,6 +6,7 @@
 #include <glib.h>
 
 #include "lease/run_id.h"
+#include "tests/rule_table.h"
 #include "tests/runner_fixture.h"
 
 /* Above any pause between two copies, in ms. */
@@ -54,6 +55,15 @@
                      CLOCK_MS + fix->now_ms - START_MS);
 }
 
+/* A runner with one run that the upstream has confirmed. */
+static void
+new_with_run(runner_fixture *fix)
+{
+    RunnerFix_NewReady(fix);
+    RunnerFix_CallRun(fix, 1, 1, 1000, 500);
+    answer_start(fix, RUNNER_ORDER_TAKEN);
+}
+
 static void
 test_start_sent_again(void)
 {
@@ -76,9 +86,7 @@
 {
     runner_fixture fix;
 
-    RunnerFix_NewReady(&fix);
-    RunnerFix_CallRun(&fix, 1, 1, 1000, 500);
-    answer_start(&fix, RUNNER_ORDER_TAKEN);
+    new_with_run(&fix);
     stay_silent(&fix, PAUSE_MS);
     Runner_Tick(fix.runner, fix.now_ms);
     g_assert_cmpint(fix.starts, ==, 1);
@@ -242,9 +250,7 @@
     Runner_Listing late = {RUNNER_ORDER_TAKEN, CLOCK_MS, NULL, 0, &ended, 1};
     uint64_t first;
 
-    RunnerFix_NewReady(&fix);
-    RunnerFix_CallRun(&fix, 1, 1, 1000, 500);
-    answer_start(&fix, RUNNER_ORDER_TAKEN);
+    new_with_run(&fix);
     first = fix.look_id;
     stay_silent(&fix, 130);
     g_assert_cmpuint(fix.look_id, >, first);
@@ -263,9 +269,7 @@
     Runner_Listing late = {RUNNER_ORDER_TAKEN, CLOCK_MS, &running, 1, NULL, 0};
     uint64_t first;
 
-    RunnerFix_NewReady(&fix);
-    RunnerFix_CallRun(&fix, 1, 1, 1000, 500);
-    answer_start(&fix, RUNNER_ORDER_TAKEN);
+    new_with_run(&fix);
     first = fix.look_id;
     stay_silent(&fix, 130);
     RunnerFix_AnswerLook(&fix, NULL, 0, &ended, 1);
@@ -298,9 +302,7 @@
     uint32_t calm_ms;
     Runner_Row running = {RunnerFix_Run(1, 1), 50};
 
-    RunnerFix_NewReady(&fix);
-    RunnerFix_CallRun(&fix, 1, 1, 1000, 500);
-    answer_start(&fix, RUNNER_ORDER_TAKEN);
+    new_with_run(&fix);
     calm_ms = fix.look.wait_ms;
     stay_silent(&fix, 130);
     g_assert_cmpuint(fix.look.wait_ms, ==, 0);
@@ -310,10 +312,7 @@
     Runner_Free(fix.runner);
 }
 
-static const struct {
-    const char *name;
-    void (*run)(void);
-} rules[] = {
+static const RuleTable_Row rules[] = {
     {"/orders/a start without an answer is sent again", test_start_sent_again},
     {"/orders/a start that was answered is not sent again",
      test_answered_start_not_sent_again},
@@ -342,11 +341,5 @@
 int
 main(int argc, char **argv)
 {
-    size_t i;
-
-    g_test_init(&argc, &argv, NULL);
-    for (i = 0; i < G_N_ELEMENTS(rules); i++) {
-        g_test_add_func(rules[i].name, rules[i].run);
-    }
-    return g_test_run();
+    return RuleTable_Main(argc, argv, rules, G_N_ELEMENTS(rules));
 }
--- /dev/null
+++ b/tests/rule_table.c
@@ -0,0 +1,15 @@
+#include "tests/rule_table.h"
+
+#include <glib.h>
+
+int
+RuleTable_Main(int argc, char **argv, const RuleTable_Row *rules, size_t count)
+{
+    size_t i;
+
+    g_test_init(&argc, &argv, NULL);
+    for (i = 0; i < count; i++) {
+        g_test_add_func(rules[i].name, rules[i].run);
+    }
+    return g_test_run();
+}
--- a/tests/runner_fixture.c
+++ b/tests/runner_fixture.c
@@ -4,21 +4,12 @@
 #include <string.h>
 
 #include "lease/run_id.h"
+#include "tests/lease_fixture.h"
 
 static const lc_node entry_node = {0x7f0000011b59, 100};
 static const lc_node successor_node = {0x7f0000011b5a, 101};
 static const lc_node companion_node = RUNNER_FIX_COMPANION;
 
-static Term
-make_term(void)
-{
-    Term_Bounds bounds = {1300, 1000, 50, 50};
-    Term term;
-
-    g_assert_true(Term_Plan(&bounds, &term));
-    return term;
-}
-
 static void
 port_start(void *context, uint64_t id, const Runner_Start *start)
 {
@@ -70,16 +61,8 @@
     }
 }
 
-static void
-port_event(void *context, Event_Id id, json_t *fields)
-{
-    (void)context;
-    (void)id;
-    json_decref(fields);
-}
-
 static const Runner_Ports runner_ports = {port_start, port_stop, port_look,
-                                          port_reply, port_event};
+                                          port_reply, LeaseFix_DropEvent};
 
 void
 RunnerFix_Beat(runner_fixture *fix, Runner_Says says)
@@ -115,7 +98,7 @@
 
     memset(fix, 0, sizeof(*fix));
     fix->now_ms = START_MS;
-    config.term = make_term();
+    config.term = LeaseFix_Term();
     fix->runner = Runner_New(&config, &runner_ports, fix, fix->now_ms);
 }
 
--- a/tests/runner_rules.c
+++ b/tests/runner_rules.c
@@ -6,6 +6,7 @@
 #include <glib.h>
 
 #include "lease/run_id.h"
+#include "tests/rule_table.h"
 #include "tests/runner_fixture.h"
 
 static const lc_node companion_node = RUNNER_FIX_COMPANION;
@@ -262,10 +263,7 @@
     Runner_Free(fix.runner);
 }
 
-static const struct {
-    const char *name;
-    void (*run)(void);
-} rules[] = {
+static const RuleTable_Row rules[] = {
     {"/runner/refuses a run whose hold is over", test_expired_run},
     {"/runner/stops the runs of a silent entry", test_lease_lapses},
     {"/runner/holds the upstream no longer than the lease",
@@ -290,11 +288,5 @@
 int
 main(int argc, char **argv)
 {
-    size_t i;
-
-    g_test_init(&argc, &argv, NULL);
-    for (i = 0; i < G_N_ELEMENTS(rules); i++) {
-        g_test_add_func(rules[i].name, rules[i].run);
-    }
-    return g_test_run();
+    return RuleTable_Main(argc, argv, rules, G_N_ELEMENTS(rules));
 }
