--- a/daemon/leased_companion.c
+++ b/daemon/leased_companion.c
@@ -9,9 +9,11 @@
 #include "lease/runner.h"
 #include "platform/upstreams.h"
 
-/* Orders are answered in well under a ms; one lost is stopped soon. */
-#define ORDER_TIMEOUT_MS 100
-#define LOOK_SLACK_MS 70
+/* A request is kept open so long past the time that its answer may wait: the
+ * runner sends another long before, and an answer that comes late still
+ * counts and leaves the connection usable. Chosen above the longest timeout
+ * of lease/answer_time.c. */
+#define ANSWER_MOST_MS 250
 /* Connections kept open to the upstream. */
 #define MOST_CONNECTIONS 16
 /* Entries are told without a change so often, times their number, within
@@ -31,6 +33,8 @@
     Peers peers;
     Seeds seeds;
     uv_timer_t report_timer;
+    uv_timer_t answer_timer; /* at answer_due_ms, if that is not INT64_MAX */
+    int64_t answer_due_ms;
     uint64_t next_call;
     int64_t stop_ms; /* when the planned stop was asked for */
 } leased_companion;
@@ -48,6 +52,31 @@
 }
 
 static void tell_peers(leased_companion *self);
+static void on_answer_timer(uv_timer_t *timer);
+
+/* To be called after all that the runner was told. */
+static void
+follow_up(leased_companion *self)
+{
+    int64_t due = Runner_DueMs(self->runner);
+
+    if (due < self->answer_due_ms) {
+        self->answer_due_ms = due;
+        uv_timer_start(&self->answer_timer, on_answer_timer,
+                       (uint64_t)MAX(due - now_ms(), 0), 0);
+    }
+    tell_peers(self);
+}
+
+static void
+on_answer_timer(uv_timer_t *timer)
+{
+    leased_companion *self = timer->data;
+
+    self->answer_due_ms = INT64_MAX;
+    Runner_Wake(self->runner, now_ms());
+    follow_up(self);
+}
 
 /* ---- orders ---- */
 
@@ -80,7 +109,7 @@
 
     Runner_OnStarted(self->runner, now_ms(), context->id, end, clock_ms);
     g_free(context);
-    tell_peers(self);
+    follow_up(self);
 }
 
 static void
@@ -93,6 +122,7 @@
 
     Runner_OnStopped(self->runner, now_ms(), context->id, end, clock_ms);
     g_free(context);
+    follow_up(self);
 }
 
 static void
@@ -106,7 +136,7 @@
     Runner_OnLook(self->runner, now_ms(), context->id, &listing.listing);
     Upstreams_FreeListing(&listing);
     g_free(context);
-    tell_peers(self);
+    follow_up(self);
 }
 
 static void
@@ -115,7 +145,7 @@
     Upstreams_Order order;
 
     Upstreams_StartOrder(start, &order);
-    send_order(context, id, &order, ORDER_TIMEOUT_MS, on_start_answer);
+    send_order(context, id, &order, ANSWER_MOST_MS, on_start_answer);
 }
 
 static void
@@ -125,7 +155,7 @@
     Upstreams_Order order;
 
     Upstreams_StopOrder(run, instance, token, &order);
-    send_order(context, id, &order, ORDER_TIMEOUT_MS, on_stop_answer);
+    send_order(context, id, &order, ANSWER_MOST_MS, on_stop_answer);
 }
 
 static void
@@ -134,7 +164,7 @@
     Upstreams_Order order;
 
     Upstreams_LookOrder(look, &order);
-    send_order(context, id, &order, look->wait_ms + LOOK_SLACK_MS,
+    send_order(context, id, &order, look->wait_ms + ANSWER_MOST_MS,
                on_look_answer);
 }
 
@@ -281,7 +311,7 @@
         Http_RespondText(self->beats, request->id, OK_STATUS, 0, "{}");
     }
     Upstreams_FreeBeat(&beat);
-    tell_peers(self);
+    follow_up(self);
 }
 
 static void
@@ -297,7 +327,7 @@
     case UPSTREAMS_LEAVES:
         Runner_OnUpstreamGone(self->runner, now_ms(), instance);
         Http_RespondText(self->beats, request->id, OK_STATUS, 0, "{}");
-        tell_peers(self);
+        follow_up(self);
         break;
     default:
         Http_RespondError(self->beats, request->id, ERR_NOT_FOUND,
@@ -324,7 +354,7 @@
     Runner_Tick(self->runner, now);
     Peers_Forget(&self->peers, now);
     reset_silent(self, now);
-    tell_peers(self);
+    follow_up(self);
 }
 
 static void
@@ -337,7 +367,7 @@
     process->end_by_ms = self->stop_ms + process->options->grace_ms -
                          STOP_MARGIN_MS;
     Runner_Drain(self->runner);
-    tell_peers(self);
+    follow_up(self);
 }
 
 static bool
@@ -376,7 +406,7 @@
     leased_companion *self = (leased_companion *)process;
     bool served = Runner_OnCall(self->runner, now_ms(), reply_id, call);
 
-    tell_peers(self);
+    follow_up(self);
     return served;
 }
 
@@ -393,7 +423,7 @@
     if (reply != NULL && reply->kind == MSG_REPORT) {
         take_report_reply(self, peer, &reply->u.report);
     }
-    tell_peers(self);
+    follow_up(self);
 }
 
 static const Process_Role leased_companion_role = {
@@ -438,6 +468,9 @@
     Seeds_Init(&self->seeds, options);
     uv_timer_init(loop, &self->report_timer);
     self->report_timer.data = self;
+    uv_timer_init(loop, &self->answer_timer);
+    self->answer_timer.data = self;
+    self->answer_due_ms = INT64_MAX;
     self->beats = Http_NewServer(loop, options->beats, beat_routes, self,
                                  &status);
     if (self->beats == NULL ||
--- a/lease/runner.c
+++ b/lease/runner.c
@@ -8,7 +8,6 @@
 #include "lease/run_id.h"
 #include "lease/runner_state.h"
 
-#define STOP_AGAIN_MS 150
 /* Beats that may be missed before an upstream counts as gone. */
 #define BEATS_MISSED 3
 
@@ -25,6 +24,7 @@
     runner->tasks = g_hash_table_new_full(RunId_Hash, RunId_Equal, NULL,
                                           RunnerTask_Free);
     runner->by_handle = Handle_NewTable();
+    runner->orders = Handle_NewTable();
     runner->owners = g_array_new(FALSE, TRUE, sizeof(Runner_Owner));
     runner->fenced = g_array_new(FALSE, TRUE, sizeof(lc_node));
     runner->token = config->first_token;
@@ -38,6 +38,12 @@
 void
 Runner_Free(Runner *runner)
 {
+    uint32_t i;
+
+    for (i = 0; i < Handle_Size(runner->orders); i++) {
+        g_free(Handle_At(runner->orders, i));
+    }
+    Handle_FreeTable(runner->orders);
     g_hash_table_unref(runner->tasks);
     Handle_FreeTable(runner->by_handle);
     g_array_unref(runner->owners);
@@ -158,7 +164,7 @@
     runner->version++;
     Health_Started(&runner->health, now_ms);
     Counter_Add(&runner->counters, COUNTER_TASKS_STARTED, 1);
-    RunnerTask_OrderStart(runner, now_ms, row, args->valid_until_ms);
+    RunnerOrder_Start(runner, now_ms, row, args->valid_until_ms);
 }
 
 static void
@@ -236,87 +242,6 @@
     return true;
 }
 
-/* The upstream has not begun it, and will not. */
-static void
-end_refused(Runner *runner, int64_t now_ms, Runner_Task *row,
-            lc_run_status status)
-{
-    row->ran_ms = 0;
-    RunnerTask_End(runner, now_ms, row,
-                   row->state == TASK_STOPPING ? row->status : status);
-}
-
-void
-Runner_OnStarted(Runner *runner, int64_t now_ms, uint64_t order_id,
-                 Runner_OrderEnd end, int64_t clock_ms)
-{
-    Runner_Task *row = Handle_Get(runner->by_handle, order_id);
-
-    RunnerUpstream_TakeClock(runner, now_ms, clock_ms);
-    if (row == NULL || row->state == TASK_ENDED) {
-        return;
-    }
-    Histogram_Add(&runner->orders, now_ms - row->ordered_ms);
-    switch (end) {
-    case RUNNER_ORDER_TAKEN:
-        row->confirmed_ms = now_ms;
-        row->progress_ms = now_ms;
-        if (row->state == TASK_ORDERED) {
-            row->state = TASK_RUNNING;
-        }
-        break;
-    case RUNNER_ORDER_UNANSWERED:
-        RunnerTask_Log(runner, EVENT_ORDER_UNANSWERED, row, "start");
-        RunnerTask_Stop(runner, now_ms, row, LC_RUN_LOST);
-        break;
-    case RUNNER_ORDER_OTHER:
-        RunnerUpstream_MeetOther(runner, now_ms);
-        break;
-    case RUNNER_ORDER_OLD:
-        end_refused(runner, now_ms, row, LC_RUN_OLD);
-        break;
-    case RUNNER_ORDER_UNWELL:
-        Health_Bad(&runner->health, now_ms, row->id.job);
-        end_refused(runner, now_ms, row, LC_RUN_REJECTED);
-        break;
-    case RUNNER_ORDER_UNSENT:
-        runner->up.doubtful = true;
-        end_refused(runner, now_ms, row, LC_RUN_REJECTED);
-        break;
-    case RUNNER_ORDER_FENCED:
-        RunnerUpstream_RaiseToken(runner);
-        end_refused(runner, now_ms, row, LC_RUN_REJECTED);
-        break;
-    default:
-        RunnerTask_Log(runner, EVENT_ORDER_REFUSED, row, "start, order end %d",
-                       (int)end);
-        end_refused(runner, now_ms, row, LC_RUN_REJECTED);
-        break;
-    }
-    RunnerLook_Send(runner, now_ms);
-}
-
-void
-Runner_OnStopped(Runner *runner, int64_t now_ms, uint64_t order_id,
-                 Runner_OrderEnd end, int64_t clock_ms)
-{
-    Runner_Task *row = order_id == 0 ? NULL
-                                     : Handle_Get(runner->by_handle, order_id);
-
-    RunnerUpstream_TakeClock(runner, now_ms, clock_ms);
-    if (end == RUNNER_ORDER_FENCED) {
-        RunnerUpstream_RaiseToken(runner);
-    }
-    if (row == NULL || row->state == TASK_ENDED) {
-        return;
-    }
-    if (end == RUNNER_ORDER_TAKEN) {
-        row->stop_confirmed = true;
-        row->stop_confirmed_ms = now_ms;
-    }
-    RunnerLook_Send(runner, now_ms);
-}
-
 static void
 stop_lapsed(Runner *runner, int64_t now_ms, Runner_Task *row)
 {
@@ -328,10 +253,7 @@
                        Address_Text(row->owner.address));
         RunnerTask_Stop(runner, now_ms, row, LC_RUN_STOPPED);
     }
-    else if (row->state == TASK_STOPPING && !row->stop_confirmed &&
-             now_ms - row->stop_sent_ms >= STOP_AGAIN_MS) {
-        RunnerTask_OrderStop(runner, now_ms, row);
-    }
+    RunnerOrder_Retry(runner, now_ms, row);
 }
 
 void
@@ -362,6 +284,19 @@
     RunnerLook_Send(runner, now_ms);
 }
 
+int64_t
+Runner_DueMs(const Runner *runner)
+{
+    return MIN(RunnerOrder_DueMs(runner), RunnerLook_DueMs(runner));
+}
+
+void
+Runner_Wake(Runner *runner, int64_t now_ms)
+{
+    RunnerOrder_Wake(runner, now_ms);
+    RunnerLook_Wake(runner, now_ms);
+}
+
 void
 Runner_Drain(Runner *runner)
 {
@@ -415,7 +350,7 @@
     int i;
 
     Runner_State(runner, now_ms, &state);
-    Histogram_Print(&runner->orders, "order", "", out);
+    Histogram_Print(&runner->orders_time, "order", "", out);
     Histogram_Print(&runner->runs, "task_run", "", out);
     for (i = 0; i <= LC_RUN_OLD; i++) {
         if (statuses[i] != NULL) {
--- a/lease/runner.h
+++ b/lease/runner.h
@@ -162,6 +162,13 @@
 /** Time has passed; to be called every `term.tick_ms`. */
 void Runner_Tick(Runner *runner, int64_t now_ms);
 
+/** When an answer of the upstream is overdue, or INT64_MAX if none is
+ * awaited; Runner_Wake is to be called then. */
+int64_t Runner_DueMs(const Runner *runner);
+
+/** Acts on answers that are overdue. */
+void Runner_Wake(Runner *runner, int64_t now_ms);
+
 /** Takes no new tasks from now on. */
 void Runner_Drain(Runner *runner);
 
--- a/lease/runner_look.c
+++ b/lease/runner_look.c
@@ -1,10 +1,16 @@
 #include "lease/runner_state.h"
 
+#include <string.h>
+
 #include "lease/run_id.h"
 
 /* A look waits so long for an end, and tells progress at least so often. */
 #define LOOK_WAIT_MS 100
-/* After a look without an answer, or to another incarnation. */
+/* Likewise while answers go missing: an end that a lost answer told of is
+ * told again by the next look. */
+#define LOOK_WAIT_LOSSY_MS 20
+/* After a look to an upstream that does not answer, or to another
+ * incarnation. */
 #define LOOK_AGAIN_MS 50
 #define OTHER_AGAIN_MS 150
 
@@ -24,6 +30,55 @@
     runner->hold_until_ms = MAX(runner->hold_until_ms, until);
 }
 
+/* After a missed answer the state is asked for at once. */
+static uint32_t
+wait_ms(const Runner *runner)
+{
+    if (runner->live == 0 || runner->missed_in_row > 0) {
+        return 0;
+    }
+    return AnswerTime_IsLossy(&runner->answers) ? LOOK_WAIT_LOSSY_MS
+                                                : LOOK_WAIT_MS;
+}
+
+static void
+drop_look(Runner *runner, uint32_t index)
+{
+    uint32_t after = --runner->look_count - index;
+
+    memmove(&runner->looks[index], &runner->looks[index + 1],
+            after * sizeof(runner->looks[0]));
+}
+
+static uint64_t
+add_look(Runner *runner, int64_t now_ms, const Runner_Look *look)
+{
+    Runner_OpenLook open = {.id = ++runner->last_look_id,
+                            .sent_ms = now_ms,
+                            .last_seen = look->last_seen,
+                            .waits = look->wait_ms > 0};
+
+    open.due_ms = now_ms + look->wait_ms +
+                  AnswerTime_TimeoutMs(&runner->answers);
+    if (runner->look_count == RUNNER_LOOKS_MOST) {
+        drop_look(runner, 0);
+    }
+    runner->looks[runner->look_count++] = open;
+    return open.id;
+}
+
+int64_t
+RunnerLook_DueMs(const Runner *runner)
+{
+    int64_t due_ms = INT64_MAX;
+    uint32_t i;
+
+    for (i = 0; i < runner->look_count; i++) {
+        due_ms = MIN(due_ms, runner->looks[i].due_ms);
+    }
+    return due_ms;
+}
+
 void
 RunnerLook_Send(Runner *runner, int64_t now_ms)
 {
@@ -32,7 +87,7 @@
                         .last_seen = RunnerKept_LastSeen(runner)};
     int64_t ahead;
 
-    if (runner->look_id != 0 || !look_wanted(runner) ||
+    if (RunnerLook_DueMs(runner) != INT64_MAX || !look_wanted(runner) ||
         now_ms < runner->look_again_ms) {
         return;
     }
@@ -41,13 +96,9 @@
         look.deadline_ms = RunnerUpstream_Clock(runner, now_ms) + ahead;
         RunnerLook_NoteHold(runner, now_ms, ahead);
     }
-    if (runner->live > 0 && runner->missed_looks == 0) {
-        look.wait_ms = LOOK_WAIT_MS;
-    }
-    runner->look_id = ++runner->last_look_id;
-    runner->look_sent_ms = now_ms;
-    runner->look_seen = look.last_seen;
-    runner->ports->look(runner->context, runner->look_id, &look);
+    look.wait_ms = wait_ms(runner);
+    runner->ports->look(runner->context, add_look(runner, now_ms, &look),
+                        &look);
 }
 
 static lc_run_status
@@ -133,10 +184,15 @@
 }
 
 static void
-take_row(Runner *runner, int64_t now_ms, const Runner_Row *running)
+take_row(Runner *runner, int64_t now_ms, const Runner_OpenLook *look,
+         const Runner_Row *running)
 {
     Runner_Task *row = g_hash_table_lookup(runner->tasks, &running->id);
 
+    if (row != NULL && row->state == TASK_ENDED &&
+        row->ended_ms >= look->sent_ms) {
+        return; /* an answer that was passed by a later one */
+    }
     if (row == NULL || row->state == TASK_ENDED) {
         stop_stranger(runner, &running->id);
         return;
@@ -218,19 +274,20 @@
 
 /* Whether a task that the look does not list can neither run nor come. */
 static bool
-is_over(const Runner *runner, const Runner_Task *row, int64_t clock_ms)
+is_over(const Runner_OpenLook *look, const Runner_Task *row, int64_t clock_ms)
 {
-    if (row->confirmed_ms > 0 && row->confirmed_ms < runner->look_sent_ms) {
+    if (row->confirmed_ms > 0 && row->confirmed_ms < look->sent_ms) {
         return true;
     }
-    if (row->stop_confirmed && row->stop_confirmed_ms < runner->look_sent_ms) {
+    if (row->stop_confirmed && row->stop_confirmed_ms < look->sent_ms) {
         return true;
     }
     return clock_ms > row->deadline_clock_ms;
 }
 
 static void
-end_unlisted(Runner *runner, int64_t now_ms, const Runner_Listing *listing)
+end_unlisted(Runner *runner, int64_t now_ms, const Runner_OpenLook *look,
+             const Runner_Listing *listing)
 {
     GList *rows = RunnerTask_All(runner);
     GList *item;
@@ -238,7 +295,7 @@
     for (item = rows; item != NULL; item = item->next) {
         Runner_Task *row = item->data;
         if (row->state != TASK_ENDED && !is_listed(listing, &row->id) &&
-            is_over(runner, row, listing->clock_ms)) {
+            is_over(look, row, listing->clock_ms)) {
             RunnerTask_End(runner, now_ms, row,
                            row->state == TASK_STOPPING ? row->status
                                                        : LC_RUN_LOST);
@@ -248,22 +305,22 @@
 }
 
 static void
-take_listing(Runner *runner, int64_t now_ms, const Runner_Listing *listing)
+take_listing(Runner *runner, int64_t now_ms, const Runner_OpenLook *look,
+             const Runner_Listing *listing)
 {
     uint32_t i;
 
     runner->up.doubtful = false;
-    runner->missed_looks = 0;
-    runner->up.acknowledged = runner->look_seen;
+    runner->up.acknowledged = MAX(runner->up.acknowledged, look->last_seen);
     RunnerUpstream_TakeClock(runner, now_ms, listing->clock_ms);
     for (i = 0; i < listing->ended_count; i++) {
         take_end(runner, now_ms, &listing->ended[i]);
     }
     for (i = 0; i < listing->running_count; i++) {
-        take_row(runner, now_ms, &listing->running[i]);
+        take_row(runner, now_ms, look, &listing->running[i]);
     }
     if (listing->ended_count < RUNNER_ENDS_AT_ONCE) {
-        end_unlisted(runner, now_ms, listing);
+        end_unlisted(runner, now_ms, look, listing);
     }
     judge_pace(runner, now_ms);
     if (!runner->up.inventoried) {
@@ -272,39 +329,86 @@
     }
 }
 
-/* One answer may be lost on its way; a second in a row, or a connection that
- * is refused, makes the upstream doubtful. */
 static void
-miss_look(Runner *runner, int64_t now_ms, Runner_OrderEnd end)
+miss_look(Runner *runner, int64_t now_ms, const Runner_OpenLook *look)
 {
-    bool first = ++runner->missed_looks == 1 && end != RUNNER_ORDER_UNSENT;
+    RunnerOrder_NoteMiss(runner, now_ms, look->sent_ms);
+    runner->look_again_ms = now_ms;
+    if (runner->up.doubtful) {
+        runner->look_again_ms += LOOK_AGAIN_MS;
+    }
+}
 
-    runner->look_again_ms = first ? now_ms : now_ms + LOOK_AGAIN_MS;
-    if (first || runner->up.doubtful) {
-        return;
+void
+RunnerLook_Wake(Runner *runner, int64_t now_ms)
+{
+    uint32_t i;
+
+    for (i = 0; i < runner->look_count; i++) {
+        Runner_OpenLook *look = &runner->looks[i];
+        if (now_ms >= look->due_ms) {
+            look->due_ms = INT64_MAX;
+            miss_look(runner, now_ms, look);
+        }
     }
-    if (runner->up.known) {
-        RunnerUpstream_Log(runner, EVENT_UPSTREAM_LOST,
-                           "looks have no answer");
+    RunnerLook_Send(runner, now_ms);
+}
+
+static void
+take_look_answer(Runner *runner, int64_t now_ms, const Runner_OpenLook *look)
+{
+    RunnerOrder_NoteAnswer(runner, look->due_ms != INT64_MAX);
+    if (!look->waits) {
+        AnswerTime_Take(&runner->answers, now_ms - look->sent_ms);
     }
-    runner->up.doubtful = true;
-    runner->version++;
+    runner->look_again_ms = now_ms;
+}
+
+/* No connection makes the upstream doubtful at once; a missing answer is
+ * counted, but once. */
+static void
+lose_look(Runner *runner, int64_t now_ms, const Runner_OpenLook *look,
+          Runner_OrderEnd end)
+{
+    if (end == RUNNER_ORDER_UNSENT) {
+        RunnerUpstream_Doubt(runner, "no connection");
+    }
+    if (look->due_ms != INT64_MAX) {
+        miss_look(runner, now_ms, look);
+    }
+}
+
+static bool
+remove_look(Runner *runner, uint64_t look_id, Runner_OpenLook *look)
+{
+    uint32_t i;
+
+    for (i = 0; i < runner->look_count; i++) {
+        if (runner->looks[i].id == look_id) {
+            *look = runner->looks[i];
+            drop_look(runner, i);
+            return true;
+        }
+    }
+    return false;
 }
 
 void
 Runner_OnLook(Runner *runner, int64_t now_ms, uint64_t look_id,
               const Runner_Listing *listing)
 {
-    if (look_id != runner->look_id) {
+    Runner_OpenLook look;
+
+    if (!remove_look(runner, look_id, &look)) {
         return;
     }
-    runner->look_id = 0;
-    runner->look_again_ms = now_ms;
     switch (listing->end) {
     case RUNNER_ORDER_TAKEN:
-        take_listing(runner, now_ms, listing);
+        take_look_answer(runner, now_ms, &look);
+        take_listing(runner, now_ms, &look, listing);
         break;
     case RUNNER_ORDER_FENCED:
+        take_look_answer(runner, now_ms, &look);
         RunnerUpstream_RaiseToken(runner);
         break;
     case RUNNER_ORDER_OTHER:
@@ -312,7 +416,7 @@
         runner->look_again_ms = now_ms + OTHER_AGAIN_MS;
         break;
     default:
-        miss_look(runner, now_ms, listing->end);
+        lose_look(runner, now_ms, &look, listing->end);
         break;
     }
     RunnerLook_Send(runner, now_ms);
--- a/lease/runner_state.h
+++ b/lease/runner_state.h
@@ -1,7 +1,8 @@
 /**
  * @file runner_state.h
  * @brief State of a runner, shared by the files that make it up: tasks,
- * owners (entries with a lease), the upstream, and looks at it.
+ * orders about them, owners (entries with a lease), the upstream, and looks
+ * at it.
  *
  * For lease/runner*.c alone.
  */
@@ -12,6 +13,7 @@
 
 #include "base/handle.h"
 #include "base/histogram.h"
+#include "lease/answer_time.h"
 #include "lease/health.h"
 #include "lease/runner.h"
 
@@ -35,7 +37,10 @@
     int64_t ordered_ms;
     int64_t confirmed_ms; /* it ran or was refused for certain; 0 before */
     int64_t deadline_clock_ms; /* of the start, on the upstream's clock */
-    int64_t stop_sent_ms;
+    uint32_t start_copies;     /* of the start, as sent */
+    uint32_t refused_copies;   /* of them those certainly not carried out */
+    uint32_t stop_copies;      /* of the stop, as sent */
+    int64_t order_ms;          /* when the last copy of either was sent */
     bool stop_confirmed;
     int64_t stop_confirmed_ms;
     int64_t ended_ms;
@@ -66,15 +71,35 @@
     int64_t clock_read_ms;
     uint64_t last_seen;
     uint64_t acknowledged; /* the last_seen of the last answered look */
-    bool doubtful;         /* a look had no answer */
+    bool doubtful;         /* it answers nothing */
 } Runner_Known;
 
+/* One copy of an order on its way to the upstream. */
+typedef struct {
+    Handle task;
+    int64_t sent_ms;
+    int64_t due_ms; /* its answer is missing then; INT64_MAX once it was */
+} Runner_Order;
+
+/* A look on its way. */
+typedef struct {
+    uint64_t id;
+    int64_t sent_ms;
+    int64_t due_ms; /* as of an order */
+    uint64_t last_seen;
+    bool waits; /* its answer may wait for an end */
+} Runner_OpenLook;
+
+/* Looks that may be on their way at once: all but the last are overdue, and
+ * an answer that comes late still tells of ends. */
+#define RUNNER_LOOKS_MOST 4
+
 struct Runner {
     Runner_Config config;
     const Runner_Ports *ports;
     void *context;
     Counters counters;
-    Histogram orders;                  /* from a start to its answer */
+    Histogram orders_time;             /* from a start to its answer */
     Histogram runs;                    /* of tasks that ended well */
     uint64_t refusals[LC_RUN_OLD + 1]; /* by status */
     Health health;
@@ -84,11 +109,13 @@
     Handle_Table *by_handle;
     GArray *owners;
     int64_t token;
-    uint64_t look_id; /* of the look on its way, or 0 */
+    Handle_Table *orders; /* Runner_Order */
+    AnswerTime answers;
+    uint32_t missed_in_row;  /* orders and looks without an answer */
+    int64_t missed_since_ms; /* when the first of them was sent */
+    Runner_OpenLook looks[RUNNER_LOOKS_MOST]; /* the oldest first */
+    uint32_t look_count;
     uint64_t last_look_id;
-    uint32_t missed_looks; /* in a row */
-    uint64_t look_seen;
-    int64_t look_sent_ms;
     int64_t look_again_ms; /* not before */
     int64_t hold_until_ms; /* the upstream lets all go by then */
     uint32_t live;         /* tasks that have not ended */
@@ -137,13 +164,6 @@
 void RunnerTask_Stop(Runner *runner, int64_t now_ms, Runner_Task *row,
                      lc_run_status status);
 
-/** Orders the start, held until @p lease_until_ms at most. */
-void RunnerTask_OrderStart(Runner *runner, int64_t now_ms, Runner_Task *row,
-                           int64_t lease_until_ms);
-
-/** Orders the stop, again if need be. */
-void RunnerTask_OrderStop(Runner *runner, int64_t now_ms, Runner_Task *row);
-
 /** All tasks, in a list that may be walked while they end; free it. */
 GList *RunnerTask_All(const Runner *runner);
 
@@ -152,6 +172,30 @@
                     const char *format, ...)
     __attribute__((format(printf, 4, 5)));
 
+/* Orders: runner_orders.c. */
+
+/** Orders the start, held until @p lease_until_ms at most. */
+void RunnerOrder_Start(Runner *runner, int64_t now_ms, Runner_Task *row,
+                       int64_t lease_until_ms);
+
+/** Orders the stop. */
+void RunnerOrder_Stop(Runner *runner, int64_t now_ms, Runner_Task *row);
+
+/** Sends the order that a task waits for again if its answer is missing. */
+void RunnerOrder_Retry(Runner *runner, int64_t now_ms, Runner_Task *row);
+
+/** The upstream answered, at @p in_time before the answer was missed. */
+void RunnerOrder_NoteAnswer(Runner *runner, bool in_time);
+
+/** The answer to something that was sent at @p sent_ms is missing. */
+void RunnerOrder_NoteMiss(Runner *runner, int64_t now_ms, int64_t sent_ms);
+
+/** Takes every order whose answer is overdue as unanswered so far. */
+void RunnerOrder_Wake(Runner *runner, int64_t now_ms);
+
+/** When the next answer to an order is overdue, or INT64_MAX. */
+int64_t RunnerOrder_DueMs(const Runner *runner);
+
 /* Owners: runner_owners.c. */
 
 /** Row of an entry, or NULL. */
@@ -213,6 +257,9 @@
 /** All that ran there is lost. */
 void RunnerUpstream_Lose(Runner *runner, int64_t now_ms, const char *reason);
 
+/** It answers nothing: it is sent nothing but looks until it does. */
+void RunnerUpstream_Doubt(Runner *runner, const char *reason);
+
 /** Another incarnation than the one known has answered. */
 void RunnerUpstream_MeetOther(Runner *runner, int64_t now_ms);
 
@@ -227,6 +274,12 @@
 /** Looks at the upstream if there is reason to, and none is on its way. */
 void RunnerLook_Send(Runner *runner, int64_t now_ms);
 
+/** Takes a look whose answer is overdue as unanswered so far. */
+void RunnerLook_Wake(Runner *runner, int64_t now_ms);
+
+/** When the answer to a look is overdue, or INT64_MAX. */
+int64_t RunnerLook_DueMs(const Runner *runner);
+
 /** Notes how long the upstream may go on by itself. */
 void RunnerLook_NoteHold(Runner *runner, int64_t now_ms, int64_t ahead_ms);
 
--- a/lease/runner_tasks.c
+++ b/lease/runner_tasks.c
@@ -122,14 +122,6 @@
     RunnerTask_Answer(runner, now_ms, row);
 }
 
-void
-RunnerTask_OrderStop(Runner *runner, int64_t now_ms, Runner_Task *row)
-{
-    row->stop_sent_ms = now_ms;
-    runner->ports->stop(runner->context, row->handle, &row->id,
-                        runner->up.instance, runner->token);
-}
-
 void
 RunnerTask_Stop(Runner *runner, int64_t now_ms, Runner_Task *row,
                 lc_run_status status)
@@ -139,7 +131,7 @@
     }
     row->state = TASK_STOPPING;
     row->status = status;
-    RunnerTask_OrderStop(runner, now_ms, row);
+    RunnerOrder_Stop(runner, now_ms, row);
 }
 
 /* All tasks, in a list that may be walked while they end. */
@@ -161,22 +153,6 @@
     g_list_free(rows);
 }
 
-void
-RunnerTask_OrderStart(Runner *runner, int64_t now_ms, Runner_Task *row,
-                      int64_t lease_until_ms)
-{
-    Runner_Start start = {.id = row->id,
-                          .spec = row->spec,
-                          .instance = runner->up.instance,
-                          .token = runner->token};
-    int64_t ahead = MIN(lease_until_ms - now_ms, runner->config.term.hold_ms);
-
-    row->deadline_clock_ms = RunnerUpstream_Clock(runner, now_ms) + ahead;
-    start.deadline_ms = row->deadline_clock_ms;
-    RunnerLook_NoteHold(runner, now_ms, ahead);
-    runner->ports->start(runner->context, row->handle, &start);
-}
-
 Runner_Task *
 RunnerTask_Add(Runner *runner, int64_t now_ms, const lc_run_args *args)
 {
--- a/lease/runner_upstream.c
+++ b/lease/runner_upstream.c
@@ -48,8 +48,9 @@
     runner->up.clock_ms = 0;
     runner->up.clock_read_ms = now_ms;
     runner->up.doubtful = false;
-    runner->missed_looks = 0;
-    runner->look_id = 0;
+    runner->missed_in_row = 0;
+    runner->look_count = 0;
+    memset(&runner->answers, 0, sizeof(runner->answers));
     runner->look_again_ms = now_ms;
     runner->hold_until_ms = 0;
     runner->health = Health_New();
@@ -101,6 +102,19 @@
     }
 }
 
+void
+RunnerUpstream_Doubt(Runner *runner, const char *reason)
+{
+    if (runner->up.doubtful) {
+        return;
+    }
+    if (runner->up.known) {
+        RunnerUpstream_Log(runner, EVENT_UPSTREAM_LOST, reason);
+    }
+    runner->up.doubtful = true;
+    runner->version++;
+}
+
 /* What is known of the upstream's incarnation is out of date. */
 void
 RunnerUpstream_MeetOther(Runner *runner, int64_t now_ms)
--- /dev/null
+++ b/scripts/seeds.sh
@@ -0,0 +1,46 @@
+#!/usr/bin/env bash
+# Plays days of a site with several seeds on the users' bench and prints one
+# line a day: worth by seed, mean and worst, so that two versions of the code
+# can be compared. Every run leaves its entry in journal/.
+# Usage: FLEETBENCH=PROGRAM scripts/seeds.sh SITE "DAY..." "SEED..." WHY [OPTION...]
+# WORKERS: runs side by side (4). OPTION goes to the bench, such as --no-cpu.
+set -eu
+[ $# -ge 4 ] || { echo "usage: seeds.sh SITE \"DAY...\" \"SEED...\" WHY [OPTION...]" >&2; exit 2; }
+SITE=$1 DAYS=$2 SEEDS=$3 WHY=$4
+shift 4
+WORKERS=${WORKERS:-4}
+SCRATCH=$(mktemp -d)
+trap 'rm -rf "$SCRATCH"' EXIT
+
+"$FLEETBENCH" build >"$SCRATCH/build.log" 2>&1 || { cat "$SCRATCH/build.log" >&2; exit 1; }
+
+# play DAY SEED OPTION...: leaves the day's report, or its error
+play() {
+    local day=$1 seed=$2 name
+    name=$(basename "$day" .toml)-$seed
+    shift 2
+    "$FLEETBENCH" run "$SITE" "$day" --seed "$seed" --why "$WHY" \
+        --report "$SCRATCH/$name.json" "$@" >"$SCRATCH/$name.log" 2>&1 ||
+        echo "failed: $name: $(tail -n 1 "$SCRATCH/$name.log")" >&2
+}
+
+running=0
+for day in $DAYS; do
+    for seed in $SEEDS; do
+        play "$day" "$seed" "$@" &
+        running=$((running + 1))
+        [ "$running" -lt "$WORKERS" ] || { wait -n || true; running=$((running - 1)); }
+    done
+done
+wait
+
+for day in $DAYS; do
+    for seed in $SEEDS; do
+        report=$SCRATCH/$(basename "$day" .toml)-$seed.json
+        [ -e "$report" ] && jq -r '[.G, (.breaks | length)] | @tsv' "$report"
+    done | awk -v day="$(basename "$day" .toml)" '
+        {text = text sprintf(" %.3f", $1); sum += $1; broken += $2
+         if (NR == 1 || $1 < worst) worst = $1}
+        END {printf "%-14s%s | mean %.3f worst %.3f rules broken %d\n",
+             day, text, sum / (NR ? NR : 1), worst, broken}'
+done
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -40,6 +40,8 @@
 check cases "$SANITIZED/tests/cases"
 check lease_cases "$SANITIZED/tests/lease_cases"
 check lease_rules "$SANITIZED/tests/lease_rules"
+check runner_rules "$SANITIZED/tests/runner_rules"
+check order_rules "$SANITIZED/tests/order_rules"
 check kept_rules "$SANITIZED/tests/kept_rules"
 check rules "$SANITIZED/tests/rules"
 check fuzz "$SANITIZED/tests/fuzz" tests/corpus 300
--- a/tests/lease_cases.c
+++ b/tests/lease_cases.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "lease/answer_time.h"
 #include "lease/health.h"
 #include "lease/term.h"
 #include "platform/callers.h"
@@ -297,11 +298,48 @@
     g_strfreev(lines);
 }
 
+/* Lines: "take MS TIMES", "hit TIMES", "miss TIMES", "show". */
+static void
+run_answer_time(const char *input, GString *output)
+{
+    char **lines = CaseTable_Lines(input);
+    AnswerTime times = {0};
+    guint i;
+    int j;
+
+    for (i = 0; lines[i] != NULL; i++) {
+        char **words = g_strsplit(lines[i], " ", 0);
+        const char *verb = words[0];
+        for (j = 0; strcmp(verb, "take") == 0 && j < number(words, 2); j++) {
+            AnswerTime_Take(&times, number(words, 1));
+        }
+        for (j = 0; strcmp(verb, "hit") == 0 && j < number(words, 1); j++) {
+            AnswerTime_Hit(&times);
+        }
+        for (j = 0; strcmp(verb, "miss") == 0 && j < number(words, 1); j++) {
+            AnswerTime_Miss(&times);
+        }
+        if (strcmp(verb, "show") == 0) {
+            g_string_append_printf(
+                output, "%d ms, %u permille lost%s\n",
+                (int)AnswerTime_TimeoutMs(&times), times.lost_permille,
+                AnswerTime_IsLossy(&times) ? ", lossy" : "");
+        }
+        g_strfreev(words);
+    }
+    g_strfreev(lines);
+}
+
 static const CaseTable_Kind kinds[] = {
-    {"request", run_request}, {"job", run_job},
-    {"routes", run_routes},   {"beat", run_beat},
-    {"listing", run_listing}, {"health", run_health},
-    {"term", run_term},       {NULL, NULL},
+    {"request", run_request},
+    {"job", run_job},
+    {"routes", run_routes},
+    {"beat", run_beat},
+    {"listing", run_listing},
+    {"health", run_health},
+    {"term", run_term},
+    {"answer_time", run_answer_time},
+    {NULL, NULL},
 };
 
 int
--- a/tests/lease_world_nodes.cc
+++ b/tests/lease_world_nodes.cc
@@ -63,6 +63,28 @@
         return;
     }
     run();
+    arm(companion);
+}
+
+/* As the process does: the runner is called when an answer is overdue. */
+void
+World::arm(CompanionNode *companion)
+{
+    int64_t due = std::max(Runner_DueMs(companion->runner), now + 1);
+    uint64_t life = companion->life;
+
+    if (due >= INT64_MAX - 1 ||
+        (companion->wake_ms > now && companion->wake_ms <= due)) {
+        return;
+    }
+    companion->wake_ms = due;
+    at(due, [this, companion, life] {
+        if (companion->life == life) {
+            when_awake(companion, [this, companion] {
+                Runner_Wake(companion->runner, now);
+            });
+        }
+    });
 }
 
 namespace {
@@ -219,6 +241,7 @@
                        ++incarnations[companion_address(index)]};
     companion->alive = true;
     companion->frozen_until = 0;
+    companion->wake_ms = 0;
     companion->owed.clear();
     config.node = companion->node;
     config.term = make_term();
--- a/tests/lease_world_state.h
+++ b/tests/lease_world_state.h
@@ -133,6 +133,7 @@
     bool alive = false;
     uint64_t life = 0;
     std::map<uint64_t, Owed> owed; /* by the id of the reply */
+    int64_t wake_ms = 0;           /* when it is woken next, 0 if not */
     uint64_t next_reply = 0;
 };
 
@@ -278,6 +279,7 @@
     void touch(EntryNode *entry);
     void when_awake(EntryNode *entry, std::function<void()> run);
     void when_awake(CompanionNode *companion, std::function<void()> run);
+    void arm(CompanionNode *companion);
     void to_companion(uint32_t entry, uint32_t companion, Call message);
     void lose(uint32_t entry, uint64_t life, uint64_t call_id);
     void order(CompanionNode *from, std::function<Runner_OrderEnd()> act,
--- /dev/null
+++ b/tests/order_rules.c
@@ -0,0 +1,352 @@
+/*
+ * Single rules of orders and looks whose answers go missing: one runner,
+ * driven through its door with fake ports.
+ */
+
+#include <glib.h>
+
+#include "lease/run_id.h"
+#include "tests/runner_fixture.h"
+
+/* Above any pause between two copies, in ms. */
+#define PAUSE_MS 200
+/* Copies of a start before its run is stopped. */
+#define COPIES 6
+/* Of two starts until the doubt begins. */
+#define COPIES_OF_TWO 12
+/* Between two readings of the clock while answers are awaited, in ms. */
+#define STEP_MS 10
+
+/* No answer comes for @p ms. */
+static void
+stay_silent(runner_fixture *fix, int64_t ms)
+{
+    int64_t until_ms = fix->now_ms + ms;
+
+    while (fix->now_ms < until_ms) {
+        fix->now_ms += STEP_MS;
+        if (Runner_DueMs(fix->runner) <= fix->now_ms) {
+            Runner_Wake(fix->runner, fix->now_ms);
+        }
+    }
+}
+
+/* No order is answered for @p ms, but looks are. */
+static void
+answer_looks_alone(runner_fixture *fix, int64_t ms)
+{
+    int64_t until_ms = fix->now_ms + ms;
+    uint64_t answered = 0;
+
+    while (fix->now_ms < until_ms) {
+        stay_silent(fix, STEP_MS);
+        if (fix->look_id != answered) {
+            answered = fix->look_id;
+            RunnerFix_AnswerLook(fix, NULL, 0, NULL, 0);
+        }
+    }
+}
+
+static void
+answer_start(runner_fixture *fix, Runner_OrderEnd end)
+{
+    Runner_OnStarted(fix->runner, fix->now_ms, fix->start_id, end,
+                     CLOCK_MS + fix->now_ms - START_MS);
+}
+
+static void
+test_start_sent_again(void)
+{
+    runner_fixture fix;
+    Runner_Start first;
+
+    RunnerFix_NewReady(&fix);
+    RunnerFix_CallRun(&fix, 1, 1, 1000, 500);
+    first = fix.start;
+    stay_silent(&fix, STEP_MS);
+    g_assert_cmpint(fix.starts, ==, 2);
+    g_assert_cmpint(fix.stops, ==, 0);
+    g_assert_true(RunId_Equal(&fix.start.id, &first.id));
+    g_assert_cmpint(fix.start.deadline_ms, ==, first.deadline_ms);
+    Runner_Free(fix.runner);
+}
+
+static void
+test_answered_start_not_sent_again(void)
+{
+    runner_fixture fix;
+
+    RunnerFix_NewReady(&fix);
+    RunnerFix_CallRun(&fix, 1, 1, 1000, 500);
+    answer_start(&fix, RUNNER_ORDER_TAKEN);
+    stay_silent(&fix, PAUSE_MS);
+    Runner_Tick(fix.runner, fix.now_ms);
+    g_assert_cmpint(fix.starts, ==, 1);
+    Runner_Free(fix.runner);
+}
+
+static void
+test_unanswered_keeps_room(void)
+{
+    runner_fixture fix;
+    Runner_EndRow ended = {1, RunnerFix_Run(1, 1), RUNNER_END_STOPPED};
+
+    RunnerFix_NewReady(&fix);
+    RunnerFix_CallRun(&fix, 1, 1, 3000, 500);
+    answer_looks_alone(&fix, 300);
+    g_assert_cmpint(fix.starts, ==, COPIES);
+    g_assert_cmpint(fix.stops, >=, 1);
+    RunnerFix_CallRun(&fix, 2, 1, 1500, 500);
+    g_assert_cmpint(fix.status, ==, LC_RUN_NO_ROOM);
+    fix.now_ms += STEP_MS;
+    RunnerFix_AnswerLook(&fix, NULL, 0, &ended, 1);
+    RunnerFix_CallRun(&fix, 2, 1, 1500, 500);
+    g_assert_cmpint(fix.starts, ==, COPIES + 1);
+    Runner_Free(fix.runner);
+}
+
+/* One broken connection is answered by a second copy, not by a stop. */
+static void
+test_broken_connection(void)
+{
+    runner_fixture fix;
+
+    RunnerFix_NewReady(&fix);
+    RunnerFix_CallRun(&fix, 1, 1, 3000, 500);
+    stay_silent(&fix, STEP_MS);
+    answer_start(&fix, RUNNER_ORDER_UNANSWERED);
+    stay_silent(&fix, PAUSE_MS / 4);
+    Runner_Tick(fix.runner, fix.now_ms);
+    g_assert_cmpint(fix.starts, >=, 2);
+    g_assert_cmpint(fix.stops, ==, 0);
+    Runner_Free(fix.runner);
+}
+
+/* The refused copy says nothing of the one that had no answer. */
+static void
+test_refused_copy_keeps_room(void)
+{
+    static const Runner_OrderEnd refusals[] = {
+        RUNNER_ORDER_NO_ROOM, RUNNER_ORDER_LATE,    RUNNER_ORDER_FENCED,
+        RUNNER_ORDER_UNWELL,  RUNNER_ORDER_REFUSED, RUNNER_ORDER_UNSENT,
+    };
+    size_t i;
+
+    for (i = 0; i < G_N_ELEMENTS(refusals); i++) {
+        runner_fixture fix;
+        RunnerFix_NewReady(&fix);
+        RunnerFix_CallRun(&fix, 1, 1, 3000, 500);
+        stay_silent(&fix, STEP_MS);
+        g_assert_cmpint(fix.starts, ==, 2);
+        fix.replies = 0;
+        answer_start(&fix, refusals[i]);
+        g_assert_cmpint(fix.replies, ==, 0);
+        g_assert_cmpint(fix.stops, ==, 1);
+        Runner_Free(fix.runner);
+    }
+}
+
+/* A refused start that was sent once has certainly not begun. */
+static void
+test_refused_at_once(void)
+{
+    runner_fixture fix;
+
+    RunnerFix_NewReady(&fix);
+    RunnerFix_CallRun(&fix, 1, 1, 3000, 500);
+    answer_start(&fix, RUNNER_ORDER_NO_ROOM);
+    g_assert_cmpint(fix.status, ==, LC_RUN_REJECTED);
+    g_assert_cmpint(fix.stops, ==, 0);
+    Runner_Free(fix.runner);
+}
+
+/* The first copy was carried out and has ended before the second came. */
+static void
+test_old_after_copy(void)
+{
+    runner_fixture fix;
+    Runner_EndRow ended = {1, RunnerFix_Run(1, 1), RUNNER_END_FAILED};
+
+    RunnerFix_NewReady(&fix);
+    RunnerFix_CallRun(&fix, 1, 1, 3000, 500);
+    stay_silent(&fix, STEP_MS);
+    fix.replies = 0;
+    answer_start(&fix, RUNNER_ORDER_OLD);
+    g_assert_cmpint(fix.replies, ==, 0);
+    g_assert_cmpint(fix.stops, ==, 0);
+    fix.now_ms += STEP_MS;
+    RunnerFix_AnswerLook(&fix, NULL, 0, &ended, 1);
+    g_assert_cmpint(fix.status, ==, LC_RUN_FAILED);
+    Runner_Free(fix.runner);
+}
+
+static void
+test_stop_sent_again(void)
+{
+    runner_fixture fix;
+
+    RunnerFix_NewReady(&fix);
+    RunnerFix_CallRun(&fix, 1, 1, 3000, 500);
+    answer_start(&fix, RUNNER_ORDER_TAKEN);
+    RunnerFix_CallHalt(&fix, 1, 1);
+    stay_silent(&fix, STEP_MS);
+    g_assert_cmpint(fix.stops, >=, 2);
+    Runner_Free(fix.runner);
+}
+
+/* An upstream that answers nothing gets no more copies, and takes no work. */
+static void
+test_silent_upstream(void)
+{
+    runner_fixture fix;
+    lc_host_state state;
+    int starts;
+
+    RunnerFix_NewReady(&fix);
+    RunnerFix_CallRun(&fix, 1, 1, 1000, 500);
+    RunnerFix_CallRun(&fix, 2, 1, 1000, 500);
+    stay_silent(&fix, 120);
+    Runner_State(fix.runner, fix.now_ms, &state);
+    g_assert_cmpint(state.state, ==, LC_UPSTREAM_ABSENT);
+    starts = fix.starts;
+    g_assert_cmpint(starts, <, COPIES_OF_TWO);
+    stay_silent(&fix, PAUSE_MS);
+    Runner_Tick(fix.runner, fix.now_ms);
+    g_assert_cmpint(fix.starts, ==, starts);
+    RunnerFix_AnswerLook(&fix, NULL, 0, NULL, 0);
+    Runner_State(fix.runner, fix.now_ms, &state);
+    g_assert_cmpint(state.state, ==, LC_UPSTREAM_READY);
+    Runner_Free(fix.runner);
+}
+
+/* Three answers missing in a row are still taken for chance. */
+static void
+test_few_misses(void)
+{
+    runner_fixture fix;
+    lc_host_state state;
+
+    RunnerFix_NewReady(&fix);
+    RunnerFix_CallRun(&fix, 1, 1, 1000, 500);
+    stay_silent(&fix, STEP_MS);
+    Runner_State(fix.runner, fix.now_ms, &state);
+    g_assert_cmpint(state.state, ==, LC_UPSTREAM_READY);
+    Runner_Free(fix.runner);
+}
+
+static void
+test_overdue_look(void)
+{
+    runner_fixture fix;
+    Runner_EndRow ended = {1, RunnerFix_Run(1, 1), RUNNER_END_DONE};
+    Runner_Listing late = {RUNNER_ORDER_TAKEN, CLOCK_MS, NULL, 0, &ended, 1};
+    uint64_t first;
+
+    RunnerFix_NewReady(&fix);
+    RunnerFix_CallRun(&fix, 1, 1, 1000, 500);
+    answer_start(&fix, RUNNER_ORDER_TAKEN);
+    first = fix.look_id;
+    stay_silent(&fix, 130);
+    g_assert_cmpuint(fix.look_id, >, first);
+    Runner_OnLook(fix.runner, fix.now_ms, first, &late);
+    g_assert_cmpint(fix.status, ==, LC_RUN_DONE);
+    Runner_Free(fix.runner);
+}
+
+/* What an answer tells that a later one has passed is out of date. */
+static void
+test_passed_look(void)
+{
+    runner_fixture fix;
+    Runner_Row running = {RunnerFix_Run(1, 1), 50};
+    Runner_EndRow ended = {1, RunnerFix_Run(1, 1), RUNNER_END_DONE};
+    Runner_Listing late = {RUNNER_ORDER_TAKEN, CLOCK_MS, &running, 1, NULL, 0};
+    uint64_t first;
+
+    RunnerFix_NewReady(&fix);
+    RunnerFix_CallRun(&fix, 1, 1, 1000, 500);
+    answer_start(&fix, RUNNER_ORDER_TAKEN);
+    first = fix.look_id;
+    stay_silent(&fix, 130);
+    RunnerFix_AnswerLook(&fix, NULL, 0, &ended, 1);
+    Runner_OnLook(fix.runner, fix.now_ms, first, &late);
+    g_assert_cmpint(fix.stops, ==, 0);
+    Runner_Free(fix.runner);
+}
+
+/* A start that was confirmed after a look was sent may be missing from it. */
+static void
+test_look_before_start(void)
+{
+    runner_fixture fix;
+
+    RunnerFix_NewReady(&fix);
+    RunnerFix_CallRun(&fix, 1, 1, 1000, 500);
+    fix.replies = 0;
+    fix.now_ms += 5;
+    answer_start(&fix, RUNNER_ORDER_TAKEN);
+    RunnerFix_AnswerLook(&fix, NULL, 0, NULL, 0);
+    g_assert_cmpint(fix.replies, ==, 0);
+    Runner_Free(fix.runner);
+}
+
+/* Once an answer was missed, looks wait shorter for an end. */
+static void
+test_looks_while_answers_go_missing(void)
+{
+    runner_fixture fix;
+    uint32_t calm_ms;
+    Runner_Row running = {RunnerFix_Run(1, 1), 50};
+
+    RunnerFix_NewReady(&fix);
+    RunnerFix_CallRun(&fix, 1, 1, 1000, 500);
+    answer_start(&fix, RUNNER_ORDER_TAKEN);
+    calm_ms = fix.look.wait_ms;
+    stay_silent(&fix, 130);
+    g_assert_cmpuint(fix.look.wait_ms, ==, 0);
+    RunnerFix_AnswerLook(&fix, &running, 1, NULL, 0);
+    g_assert_cmpuint(fix.look.wait_ms, >, 0);
+    g_assert_cmpuint(fix.look.wait_ms, <, calm_ms);
+    Runner_Free(fix.runner);
+}
+
+static const struct {
+    const char *name;
+    void (*run)(void);
+} rules[] = {
+    {"/orders/a start without an answer is sent again", test_start_sent_again},
+    {"/orders/a start that was answered is not sent again",
+     test_answered_start_not_sent_again},
+    {"/orders/a start without an answer keeps its room",
+     test_unanswered_keeps_room},
+    {"/orders/a broken connection is followed by a copy",
+     test_broken_connection},
+    {"/orders/a refused copy does not free the room of another",
+     test_refused_copy_keeps_room},
+    {"/orders/a start refused at once has not begun", test_refused_at_once},
+    {"/orders/a run that ended before its second copy came is not refused",
+     test_old_after_copy},
+    {"/orders/a stop without an answer is sent again", test_stop_sent_again},
+    {"/orders/a silent upstream is sent nothing but looks",
+     test_silent_upstream},
+    {"/orders/a few missing answers are taken for chance", test_few_misses},
+    {"/looks/an overdue look is followed by another and still counts",
+     test_overdue_look},
+    {"/looks/an answer that was passed changes nothing", test_passed_look},
+    {"/looks/a look sent before a start does not end it",
+     test_look_before_start},
+    {"/looks/wait shorter while answers go missing",
+     test_looks_while_answers_go_missing},
+};
+
+int
+main(int argc, char **argv)
+{
+    size_t i;
+
+    g_test_init(&argc, &argv, NULL);
+    for (i = 0; i < G_N_ELEMENTS(rules); i++) {
+        g_test_add_func(rules[i].name, rules[i].run);
+    }
+    return g_test_run();
+}
--- /dev/null
+++ b/tests/runner_fixture.c
@@ -0,0 +1,176 @@
+#include "tests/runner_fixture.h"
+
+#include <glib.h>
+#include <string.h>
+
+#include "lease/run_id.h"
+
+static const lc_node entry_node = {0x7f0000011b59, 100};
+static const lc_node heir_node = {0x7f0000011b5a, 101};
+static const lc_node companion_node = RUNNER_FIX_COMPANION;
+
+static Term
+make_term(void)
+{
+    Term_Bounds bounds = {1300, 1000, 50, 50};
+    Term term;
+
+    g_assert_true(Term_Plan(&bounds, &term));
+    return term;
+}
+
+static void
+port_start(void *context, uint64_t id, const Runner_Start *start)
+{
+    runner_fixture *fix = context;
+
+    fix->starts++;
+    fix->start_id = id;
+    fix->start = *start;
+}
+
+static void
+port_stop(void *context, uint64_t id, const lc_run_id *run,
+          const char *instance, int64_t token)
+{
+    runner_fixture *fix = context;
+
+    (void)instance;
+    (void)token;
+    fix->stops++;
+    fix->stop_id = id;
+    fix->stopped = *run;
+}
+
+static void
+port_look(void *context, uint64_t id, const Runner_Look *look)
+{
+    runner_fixture *fix = context;
+
+    fix->looks++;
+    fix->look_id = id;
+    fix->look = *look;
+}
+
+static void
+port_reply(void *context, uint64_t id, const Msg_Reply *reply)
+{
+    runner_fixture *fix = context;
+
+    (void)id;
+    fix->replies++;
+    if (reply->kind == MSG_RUN) {
+        fix->status = reply->u.run.status;
+    }
+    else if (reply->kind == MSG_FENCE) {
+        fix->held_runs = reply->u.fence.runs.runs_len;
+    }
+    else if (reply->kind == MSG_HALT) {
+        fix->status = reply->u.halt.status;
+    }
+}
+
+static void
+port_event(void *context, Event_Id id, json_t *fields)
+{
+    (void)context;
+    (void)id;
+    json_decref(fields);
+}
+
+static const Runner_Ports runner_ports = {port_start, port_stop, port_look,
+                                          port_reply, port_event};
+
+void
+RunnerFix_Beat(runner_fixture *fix, Runner_Says says)
+{
+    static const char *const labels[] = {NULL};
+    Runner_Upstream upstream = {"i-1",  "service",
+                                says,   {4000, 4096, 0},
+                                labels, CLOCK_MS + fix->now_ms - START_MS};
+
+    Runner_OnUpstream(fix->runner, fix->now_ms, &upstream);
+}
+
+void
+RunnerFix_AnswerLook(runner_fixture *fix, const Runner_Row *running,
+                     uint32_t count, const Runner_EndRow *ended,
+                     uint32_t ended_count)
+{
+    Runner_Listing listing = {RUNNER_ORDER_TAKEN,
+                              CLOCK_MS + fix->now_ms - START_MS,
+                              running,
+                              count,
+                              ended,
+                              ended_count};
+
+    Runner_OnLook(fix->runner, fix->now_ms, fix->look_id, &listing);
+}
+
+void
+RunnerFix_New(runner_fixture *fix)
+{
+    Runner_Config config = {
+        .node = companion_node, .first_token = 7, .beat_ms = 1500};
+
+    memset(fix, 0, sizeof(*fix));
+    fix->now_ms = START_MS;
+    config.term = make_term();
+    fix->runner = Runner_New(&config, &runner_ports, fix, fix->now_ms);
+}
+
+void
+RunnerFix_NewReady(runner_fixture *fix)
+{
+    RunnerFix_New(fix);
+    RunnerFix_Beat(fix, RUNNER_UPSTREAM_READY);
+    RunnerFix_AnswerLook(fix, NULL, 0, NULL, 0);
+}
+
+lc_run_id
+RunnerFix_Run(uint64_t job, uint32_t run)
+{
+    lc_run_id id = {.job = job, .run = run};
+
+    return id;
+}
+
+void
+RunnerFix_CallRun(runner_fixture *fix, uint64_t job, uint32_t run,
+                  uint32_t cpu, int64_t valid_ms)
+{
+    Msg_Call call = {.kind = MSG_RUN};
+
+    call.u.run.owner = entry_node;
+    call.u.run.target = companion_node.incarnation;
+    call.u.run.valid_until_ms = fix->now_ms + valid_ms;
+    call.u.run.id = RunnerFix_Run(job, run);
+    call.u.run.need.cpu_milli = cpu;
+    call.u.run.estimate_ms = 100;
+    call.u.run.spec = (char *)(uintptr_t) "";
+    Runner_OnCall(fix->runner, fix->now_ms, 1, &call);
+}
+
+void
+RunnerFix_CallHalt(runner_fixture *fix, uint64_t job, uint32_t run)
+{
+    Msg_Call call = {.kind = MSG_HALT};
+
+    call.u.halt.owner = entry_node;
+    call.u.halt.target = companion_node.incarnation;
+    call.u.halt.id = RunnerFix_Run(job, run);
+    Runner_OnCall(fix->runner, fix->now_ms, 2, &call);
+}
+
+void
+RunnerFix_FenceEntry(runner_fixture *fix)
+{
+    Msg_Call call = {.kind = MSG_FENCE};
+    lc_node gone = entry_node;
+
+    call.u.fence.target = companion_node.incarnation;
+    call.u.fence.gone.gone_val = &gone;
+    call.u.fence.gone.gone_len = 1;
+    call.u.fence.heir = heir_node;
+    Runner_OnCall(fix->runner, fix->now_ms, 4, &call);
+}
--- /dev/null
+++ b/tests/runner_rules.c
@@ -0,0 +1,300 @@
+/*
+ * Single rules of a companion's decisions: one runner, driven through its
+ * door with fake ports. What random schedules reach too seldom to prove.
+ */
+
+#include <glib.h>
+
+#include "lease/run_id.h"
+#include "tests/runner_fixture.h"
+
+static const lc_node companion_node = RUNNER_FIX_COMPANION;
+
+static void
+test_expired_run(void)
+{
+    runner_fixture fix;
+
+    RunnerFix_NewReady(&fix);
+    RunnerFix_CallRun(&fix, 1, 1, 1000, -1);
+    g_assert_cmpint(fix.status, ==, LC_RUN_EXPIRED);
+    g_assert_cmpint(fix.starts, ==, 0);
+    Runner_Free(fix.runner);
+}
+
+static void
+test_lease_lapses(void)
+{
+    runner_fixture fix;
+
+    RunnerFix_NewReady(&fix);
+    RunnerFix_CallRun(&fix, 1, 1, 1000, 100);
+    Runner_OnStarted(fix.runner, fix.now_ms, fix.start_id, RUNNER_ORDER_TAKEN,
+                     CLOCK_MS);
+    fix.now_ms += 99;
+    Runner_Tick(fix.runner, fix.now_ms);
+    g_assert_cmpint(fix.stops, ==, 0);
+    fix.now_ms += 1;
+    Runner_Tick(fix.runner, fix.now_ms);
+    g_assert_cmpint(fix.stops, ==, 1);
+    Runner_Free(fix.runner);
+}
+
+static void
+test_hold_within_lease(void)
+{
+    runner_fixture fix;
+
+    RunnerFix_NewReady(&fix);
+    RunnerFix_CallRun(&fix, 1, 1, 1000, 100);
+    g_assert_cmpint(fix.start.deadline_ms, <=, CLOCK_MS + 100);
+    g_assert_cmpint(fix.look.deadline_ms, <=, CLOCK_MS + 100);
+    g_assert_cmpint(fix.look.deadline_ms, >, CLOCK_MS);
+    Runner_Free(fix.runner);
+}
+
+static void
+test_no_room(void)
+{
+    runner_fixture fix;
+
+    RunnerFix_NewReady(&fix);
+    RunnerFix_CallRun(&fix, 1, 1, 3000, 500);
+    RunnerFix_CallRun(&fix, 2, 1, 1500, 500);
+    g_assert_cmpint(fix.status, ==, LC_RUN_NO_ROOM);
+    g_assert_cmpint(fix.starts, ==, 1);
+    Runner_Free(fix.runner);
+}
+
+static void
+test_halt_before_run(void)
+{
+    runner_fixture fix;
+
+    RunnerFix_NewReady(&fix);
+    RunnerFix_CallHalt(&fix, 1, 1);
+    g_assert_cmpint(fix.status, ==, LC_RUN_STOPPED);
+    fix.now_ms += 300;
+    Runner_Tick(fix.runner, fix.now_ms);
+    RunnerFix_CallRun(&fix, 1, 1, 1000, 500);
+    g_assert_cmpint(fix.status, ==, LC_RUN_STOPPED);
+    g_assert_cmpint(fix.starts, ==, 0);
+    Runner_Free(fix.runner);
+}
+
+static void
+test_same_run_twice(void)
+{
+    runner_fixture fix;
+
+    RunnerFix_NewReady(&fix);
+    RunnerFix_CallRun(&fix, 1, 1, 1000, 500);
+    RunnerFix_CallRun(&fix, 1, 1, 1000, 500);
+    g_assert_cmpint(fix.starts, ==, 1);
+    Runner_Free(fix.runner);
+}
+
+static void
+test_inventory_first(void)
+{
+    runner_fixture fix;
+    Runner_Row stranger = {RunnerFix_Run(9, 4), 10};
+
+    RunnerFix_New(&fix);
+    RunnerFix_Beat(&fix, RUNNER_UPSTREAM_READY);
+    RunnerFix_AnswerLook(&fix, &stranger, 1, NULL, 0);
+    g_assert_cmpint(fix.stops, ==, 1);
+    g_assert_cmpuint(fix.stopped.job, ==, 9);
+    RunnerFix_CallRun(&fix, 1, 1, 1000, 500);
+    g_assert_cmpint(fix.status, ==, LC_RUN_NOT_READY);
+    fix.now_ms += 60;
+    Runner_Tick(fix.runner, fix.now_ms);
+    RunnerFix_AnswerLook(&fix, NULL, 0, NULL, 0);
+    RunnerFix_CallRun(&fix, 1, 1, 1000, 500);
+    g_assert_cmpint(fix.starts, ==, 1);
+    Runner_Free(fix.runner);
+}
+
+static void
+test_draining(void)
+{
+    runner_fixture fix;
+
+    RunnerFix_NewReady(&fix);
+    RunnerFix_Beat(&fix, RUNNER_UPSTREAM_DRAINING);
+    RunnerFix_CallRun(&fix, 1, 1, 1000, 500);
+    g_assert_cmpint(fix.status, ==, LC_RUN_DRAINING);
+    Runner_Free(fix.runner);
+}
+
+static void
+test_ends_are_noted(void)
+{
+    runner_fixture fix;
+    Runner_EndRow ended = {5, RunnerFix_Run(1, 1), RUNNER_END_DONE};
+
+    RunnerFix_NewReady(&fix);
+    RunnerFix_CallRun(&fix, 1, 1, 1000, 500);
+    fix.now_ms += 50;
+    RunnerFix_AnswerLook(&fix, NULL, 0, &ended, 1);
+    g_assert_cmpint(fix.status, ==, LC_RUN_DONE);
+    g_assert_cmpuint(fix.look.last_seen, ==, 5);
+    g_assert_false(Runner_IsIdle(fix.runner));
+    RunnerFix_AnswerLook(&fix, NULL, 0, NULL, 0);
+    g_assert_true(Runner_IsIdle(fix.runner));
+    Runner_Free(fix.runner);
+}
+
+static void
+test_kept_ends_are_held(void)
+{
+    runner_fixture fix;
+    Msg_Call release = {.kind = MSG_RELEASE};
+    lc_run_id run = RunnerFix_Run(1, RUN_ID_KEPT_BASE + 1);
+    Runner_EndRow ended = {5, run, RUNNER_END_DONE};
+
+    RunnerFix_NewReady(&fix);
+    RunnerFix_CallRun(&fix, 1, run.run, 1000, 500);
+    fix.now_ms += 50;
+    RunnerFix_AnswerLook(&fix, NULL, 0, &ended, 1);
+    g_assert_cmpint(fix.status, ==, LC_RUN_DONE);
+    g_assert_cmpuint(fix.look.last_seen, ==, 4);
+    release.u.release.target = companion_node.incarnation;
+    release.u.release.runs.runs_val = &run;
+    release.u.release.runs.runs_len = 1;
+    Runner_OnCall(fix.runner, fix.now_ms, 3, &release);
+    RunnerFix_AnswerLook(&fix, NULL, 0, &ended, 1);
+    g_assert_cmpuint(fix.look.last_seen, ==, 5);
+    Runner_Free(fix.runner);
+}
+
+/* More ends than an upstream lists at once hide that of a run. */
+static void
+test_full_listing(void)
+{
+    runner_fixture fix;
+    Runner_EndRow ended[RUNNER_ENDS_AT_ONCE];
+    uint32_t i;
+
+    RunnerFix_NewReady(&fix);
+    RunnerFix_CallRun(&fix, 1, RUN_ID_KEPT_BASE + 1, 1000, 5000);
+    Runner_OnStarted(fix.runner, fix.now_ms, fix.start_id, RUNNER_ORDER_TAKEN,
+                     0);
+    for (i = 0; i < RUNNER_ENDS_AT_ONCE; i++) {
+        ended[i].number = i + 1;
+        ended[i].id = RunnerFix_Run(1000 + i, RUN_ID_KEPT_BASE + 1);
+        ended[i].end = RUNNER_END_DONE;
+    }
+    fix.now_ms += 10;
+    RunnerFix_AnswerLook(&fix, NULL, 0, NULL, 0);
+    fix.replies = 0;
+    fix.now_ms += 10;
+    RunnerFix_AnswerLook(&fix, NULL, 0, ended, RUNNER_ENDS_AT_ONCE);
+    g_assert_cmpint(fix.replies, ==, 0);
+    RunnerFix_CallRun(&fix, 2, RUN_ID_KEPT_BASE + 1, 1000, 500);
+    g_assert_cmpint(fix.status, ==, LC_RUN_NO_ROOM);
+    Runner_Free(fix.runner);
+}
+
+static void
+test_fenced_owner(void)
+{
+    runner_fixture fix;
+
+    RunnerFix_NewReady(&fix);
+    RunnerFix_FenceEntry(&fix);
+    RunnerFix_CallRun(&fix, 1, RUN_ID_KEPT_BASE + 1, 1000, 500);
+    g_assert_cmpint(fix.status, ==, LC_RUN_EXPIRED);
+    g_assert_cmpint(fix.starts, ==, 0);
+    Runner_Free(fix.runner);
+}
+
+/* What runs is the heir's, and lasts as long as its lease. */
+static void
+test_fence_hands_over(void)
+{
+    runner_fixture fix;
+
+    RunnerFix_NewReady(&fix);
+    RunnerFix_CallRun(&fix, 1, RUN_ID_KEPT_BASE + 1, 1000, 100);
+    RunnerFix_FenceEntry(&fix);
+    g_assert_cmpuint(fix.held_runs, ==, 1);
+    fix.now_ms += TERM_KEPT_MS + 300;
+    Runner_Tick(fix.runner, fix.now_ms);
+    g_assert_cmpint(fix.stops, ==, 0);
+    fix.now_ms += 400;
+    Runner_Tick(fix.runner, fix.now_ms);
+    g_assert_cmpint(fix.stops, ==, 1);
+    Runner_Free(fix.runner);
+}
+
+static void
+test_trial_admits_one(void)
+{
+    runner_fixture fix;
+    uint64_t job;
+
+    RunnerFix_NewReady(&fix);
+    for (job = 1; job <= 3; job++) {
+        Runner_EndRow ended = {job, RunnerFix_Run(job, 1), RUNNER_END_FAILED};
+        RunnerFix_CallRun(&fix, job, 1, 1000, 500);
+        fix.now_ms += 10;
+        RunnerFix_AnswerLook(&fix, NULL, 0, &ended, 1);
+    }
+    fix.now_ms += 300;
+    RunnerFix_CallRun(&fix, 10, 1, 1000, 500);
+    RunnerFix_CallRun(&fix, 11, 1, 1000, 500);
+    g_assert_cmpint(fix.starts, ==, 4);
+    g_assert_cmpint(fix.status, ==, LC_RUN_NO_ROOM);
+    Runner_Free(fix.runner);
+}
+
+static void
+test_other_incarnation(void)
+{
+    runner_fixture fix;
+    Runner_Listing other = {.end = RUNNER_ORDER_OTHER};
+
+    RunnerFix_NewReady(&fix);
+    RunnerFix_CallRun(&fix, 1, 1, 1000, 500);
+    Runner_OnLook(fix.runner, fix.now_ms, fix.look_id, &other);
+    g_assert_cmpint(fix.status, ==, LC_RUN_LOST);
+    Runner_Free(fix.runner);
+}
+
+static const struct {
+    const char *name;
+    void (*run)(void);
+} rules[] = {
+    {"/runner/refuses a run whose hold is over", test_expired_run},
+    {"/runner/stops the runs of a silent entry", test_lease_lapses},
+    {"/runner/holds the upstream no longer than the lease",
+     test_hold_within_lease},
+    {"/runner/starts only what fits", test_no_room},
+    {"/runner/refuses a run that was stopped before it came",
+     test_halt_before_run},
+    {"/runner/starts a run once", test_same_run_twice},
+    {"/runner/looks for strangers first", test_inventory_first},
+    {"/runner/starts nothing on an upstream that leaves", test_draining},
+    {"/runner/takes note of ends", test_ends_are_noted},
+    {"/runner/holds ends of kept jobs until they are released",
+     test_kept_ends_are_held},
+    {"/runner/does not take a run as over when its end may be hidden",
+     test_full_listing},
+    {"/runner/takes no order of an owner that is gone", test_fenced_owner},
+    {"/runner/hands runs over to the heir", test_fence_hands_over},
+    {"/runner/admits one task on trial", test_trial_admits_one},
+    {"/runner/loses runs to another incarnation", test_other_incarnation},
+};
+
+int
+main(int argc, char **argv)
+{
+    size_t i;
+
+    g_test_init(&argc, &argv, NULL);
+    for (i = 0; i < G_N_ELEMENTS(rules); i++) {
+        g_test_add_func(rules[i].name, rules[i].run);
+    }
+    return g_test_run();
+}
