--- a/base/counter.h
+++ b/base/counter.h
@@ -37,6 +37,8 @@
     X(RECORDS_SKIPPED, "records_skipped")                                     \
     X(VIEWS_APPLIED, "views_applied")                                         \
     X(APPENDS, "log_appends")                                                 \
+    X(REQUESTS_NO_ROUTE, "requests_no_route")                                 \
+    X(GOSSIP_GIVEN_UP, "gossip_given_up")                                     \
     X(RPC_BYTES_IN, "rpc_bytes_in")                                           \
     X(RPC_BYTES_OUT, "rpc_bytes_out")                                         \
     X(RPC_BAD, "rpc_bad_records")
--- a/base/event.h
+++ b/base/event.h
@@ -32,6 +32,7 @@
     X(RECORD_SKIPPED, 204, G_LOG_LEVEL_WARNING, "log record skipped")         \
     X(SNAPSHOT, 205, G_LOG_LEVEL_INFO, "snapshot appended")                   \
     X(LOG_GAP, 206, G_LOG_LEVEL_WARNING, "log records expired unread")        \
+    X(READ_GIVEN_UP, 207, G_LOG_LEVEL_WARNING, "read of the store failed")    \
     X(VIEW, 300, G_LOG_LEVEL_MESSAGE, "view applied")                         \
     X(VIEW_PROPOSED, 301, G_LOG_LEVEL_INFO, "view change appended")           \
     X(SETTLED, 302, G_LOG_LEVEL_MESSAGE, "ranges of this view are known")     \
@@ -54,8 +55,10 @@
     X(KEPT_LOST, 312, G_LOG_LEVEL_WARNING, "kept jobs were taken over")       \
     X(KEPT_BAD, 313, G_LOG_LEVEL_WARNING, "kept job cannot be read")          \
     X(KEPT_REFUSED, 314, G_LOG_LEVEL_WARNING, "store refused a record")       \
+    X(PEER_SILENT, 315, G_LOG_LEVEL_WARNING, "entry gave no answer in time")  \
     X(ROUTES, 402, G_LOG_LEVEL_MESSAGE, "routes in force")                    \
     X(ROUTES_BAD, 403, G_LOG_LEVEL_WARNING, "routes skipped")                 \
+    X(NO_ROUTE, 404, G_LOG_LEVEL_INFO, "request for no known queue")          \
     X(JOB_LATE, 508, G_LOG_LEVEL_INFO, "leased job answered late")            \
     X(JOB_ANSWERED, 509, G_LOG_LEVEL_DEBUG, "leased job answered in time")    \
     X(JOB_REFUSED, 510, G_LOG_LEVEL_INFO, "leased job refused")               \
--- a/daemon/leased_callers.c
+++ b/daemon/leased_callers.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "base/event.h"
 #include "platform/callers.h"
 
 /* Near the end of a planned stop only jobs are taken that can still end: one
@@ -199,6 +200,20 @@
     }
 }
 
+static void
+refuse_unknown(Leased_Entry *self, int64_t now, const Http_Request *request)
+{
+    Counter_Add(Dispatcher_Counters(self->dispatcher),
+                COUNTER_REQUESTS_NO_ROUTE, 1);
+    Event_Log(EVENT_NO_ROUTE,
+              "%.100s at %.100s; routes version %lld, %lld ms old",
+              request->path, request->authority,
+              (long long)LeasedEntry_RoutesVersion(self),
+              (long long)(now - self->routes_ms));
+    Http_RespondError(self->callers, request->id, ERR_UNKNOWN_QUEUE,
+                      "no such queue", 0);
+}
+
 void
 LeasedCallers_Serve(void *context, const Http_Request *request)
 {
@@ -213,8 +228,7 @@
     }
     route = Route_Find(self->routes, request->authority, request->path);
     if (route == NULL) {
-        Http_RespondError(self->callers, request->id, ERR_UNKNOWN_QUEUE,
-                          "no such queue", 0);
+        refuse_unknown(self, now, request);
         return;
     }
     serve_route(self, now, request, route);
--- a/daemon/leased_entry.c
+++ b/daemon/leased_entry.c
@@ -72,11 +72,22 @@
     g_free(body);
 }
 
+/* What decided a request is read beside the routes that were in force. */
+static void
+port_event(void *context, Event_Id id, json_t *fields)
+{
+    const Leased_Entry *self = context;
+
+    json_object_set_new(fields, "routes_version",
+                        json_integer(LeasedEntry_RoutesVersion(self)));
+    Process_PortFields(context, id, fields);
+}
+
 static const Dispatcher_Ports dispatch_ports = {
     .call = Process_PortCall,
     .reset = Process_PortReset,
     .answer = port_answer,
-    .event = Process_PortFields,
+    .event = port_event,
     .kept_end = LeasedKept_End,
     .kept_over = LeasedKept_Over,
 };
@@ -101,8 +112,8 @@
     Route_FreeTable(self->routes);
     self->routes = table;
     self->routes_ms = self->awake_ms;
-    Event_Log(EVENT_ROUTES, "version %lld from %s, %u queues",
-              (long long)table->version, source, table->routes->len);
+    Event_Log(EVENT_ROUTES, "version %lld from %s, %u queues, %zu bytes",
+              (long long)table->version, source, table->routes->len, length);
 }
 
 static void
--- a/daemon/leased_gossip.c
+++ b/daemon/leased_gossip.c
@@ -57,6 +57,16 @@
     g_array_unref(counts);
 }
 
+static void
+log_silent(Leased_Entry *self, const Peers_Row *peer, int64_t since_ms)
+{
+    Counter_Add(Dispatcher_Counters(self->dispatcher), COUNTER_GOSSIP_GIVEN_UP,
+                1);
+    Event_Log(EVENT_PEER_SILENT, "%s, asked %lld ms ago, routes version %lld",
+              Address_Text(peer->address), (long long)since_ms,
+              (long long)LeasedEntry_RoutesVersion(self));
+}
+
 void
 LeasedGossip_Tick(Leased_Entry *self, int64_t now)
 {
@@ -72,6 +82,7 @@
             send_gossip(self, now, peer);
         }
         else if (peer->call_id != 0 && since >= patience) {
+            log_silent(self, peer, since);
             Rpc_Reset(self->process.rpc, peer->address);
         }
     }
