--- /dev/null
+++ b/tests/process/large_configuration.sh
@@ -0,0 +1,14 @@
+#!/usr/bin/env bash
+# A configuration of 0.8 MB is in force in time at an entry whose line carries
+# it in 0.4 s, though it changes four times in a row and other entries have it.
+set -u
+cd "$(dirname "$0")/../.."
+BUILD=${BUILD:-build}
+DIR=$(mktemp -d)
+trap 'rm -rf "$DIR"' EXIT
+"$BUILD/tests/scenario" large_configuration "$PWD/$BUILD/daemon/levercoved" "$DIR" $((20000 + $$ % 100 * 100)) >"$DIR/out" 2>&1 ||
+    { cat "$DIR/out"; exit 1; }
+if grep '^violation' "$DIR/out"; then
+    grep -hE '"LC(207|315|402)"' "$DIR/entry-0.log" | tail -n 30
+    exit 1
+fi
--- a/tests/soak/cluster.cc
+++ b/tests/soak/cluster.cc
@@ -53,8 +53,36 @@
     return 50 + index;
 }
 
+/* As long as those of the users' larger deployments, some 200 bytes. */
+std::string
+idle_queue(int number)
+{
+    char text[256];
+
+    snprintf(text, sizeof(text),
+             ",{\"name\":\"idle-%06d\",\"host\":\"idle-%06d.example\","
+             "\"path_prefix\":\"/idle-%06d/\",\"service\":\"service\","
+             "\"timeout_ms\":1500,\"max_attempts\":3,\"stretch\":1.6,"
+             "\"priority\":1,\"target_latency_ms\":60}",
+             number, number, number);
+    return text;
+}
+
 } // namespace
 
+void
+Cluster::narrow(int entry, int64_t bytes_per_s)
+{
+    auto line = std::make_shared<Line>(bytes_per_s);
+
+    store_paths[(size_t)entry]->answer_over(line);
+    for (int i = 0; i < shape.entries; i++) {
+        if (i != entry) {
+            entry_rpc[(size_t)i]->answer_over(line);
+        }
+    }
+}
+
 struct Cluster::Attempt {
     Cluster *cluster;
     uint64_t id;
@@ -270,6 +298,9 @@
                 host + ",\"path_prefix\":\"/v" + std::to_string(version) +
                 "/\",\"service\":\"service\"}";
     }
+    for (int i = 0; i < idle_queues; i++) {
+        rows += idle_queue(i);
+    }
     store->put("config", "{\"version\":" + std::to_string(version) +
                              ",\"routes\":[" + rows + "]}");
 }
--- a/tests/soak/cluster.h
+++ b/tests/soak/cluster.h
@@ -46,6 +46,14 @@
 
     /** Operators write the next version of the routes. */
     void put_routes();
+    /** So many queues besides, that nobody uses, from the next version on. */
+    void
+    add_idle_queues(int count)
+    {
+        idle_queues += count;
+    }
+    /** All that other hosts send to an entry passes one line from now on. */
+    void narrow(int entry, int64_t bytes_per_s);
     /** Every entry must know the newest routes by now. */
     void probe_routes();
 
@@ -126,6 +134,7 @@
     std::vector<std::unique_ptr<Proxy>> upstream_app;
     std::vector<std::unique_ptr<Proxy>> store_paths;
     int64_t version = 0;
+    int idle_queues = 0;
     uv_signal_t terminate;
     uv_signal_t interrupt;
 };
--- a/tests/soak/proxy.cc
+++ b/tests/soak/proxy.cc
@@ -1,5 +1,6 @@
 #include "tests/soak/proxy.h"
 
+#include <algorithm>
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
@@ -11,6 +12,8 @@
 namespace {
 
 const size_t CHUNK = 65536;
+const int64_t US_PER_MS = 1000;
+const int64_t US_PER_S = 1000000;
 
 struct Write {
     uv_write_t request;
@@ -25,6 +28,14 @@
 
 } // namespace
 
+int64_t
+Line::carry(int64_t now_ms, size_t size)
+{
+    free_at_us = std::max(free_at_us, now_ms * US_PER_MS) +
+                 (int64_t)size * US_PER_S / rate;
+    return free_at_us / US_PER_MS;
+}
+
 /* Bytes on their way to one side. */
 struct Piece {
     int64_t due_ms;
@@ -39,6 +50,7 @@
     bool is_target;
     bool open = false; /* may be written to */
     bool shut = false;
+    bool paused = false; /* not read until the line has carried the rest */
 };
 
 struct Proxy::Connection {
@@ -103,6 +115,25 @@
         gone((Connection *)handle->data);
     }
 
+    void
+    wake_in(uint64_t ms)
+    {
+        if (!uv_is_active((uv_handle_t *)&timer) ||
+            uv_timer_get_due_in(&timer) > ms) {
+            uv_timer_start(&timer, on_timer, ms, 0);
+        }
+    }
+
+    /* Reads on once the line has carried all of it. */
+    void
+    resume(Side &side)
+    {
+        if (!closing && side.paused) {
+            side.paused = false;
+            uv_read_start((uv_stream_t *)&side.tcp, on_alloc, on_read);
+        }
+    }
+
     /* Writes what is due to a side. */
     void
     pump(Side &side)
@@ -113,8 +144,7 @@
                !side.waiting.empty()) {
             Piece &piece = side.waiting.front();
             if (piece.due_ms > now) {
-                uv_timer_start(&timer, on_timer,
-                               (uint64_t)(piece.due_ms - now), 0);
+                wake_in((uint64_t)(piece.due_ms - now));
                 return;
             }
             if (piece.bytes.empty()) {
@@ -132,6 +162,9 @@
                 close(true);
             }
         }
+        if (side.waiting.empty()) {
+            resume(side.is_target ? client : target);
+        }
     }
 
     static void
@@ -167,6 +200,11 @@
         if (self->is_harmed()) {
             due += self->proxy->current.delay_ms;
         }
+        if (count > 0 && side->is_target && self->proxy->line != nullptr) {
+            due = self->proxy->line->carry(due, (size_t)count);
+            side->paused = true;
+            uv_read_stop(stream);
+        }
         if (count == UV_ECONNRESET && !self->is_held(other)) {
             self->close(true);
             return;
--- a/tests/soak/proxy.h
+++ b/tests/soak/proxy.h
@@ -8,6 +8,7 @@
 #include <uv.h>
 
 #include <cstdint>
+#include <memory>
 #include <set>
 #include <vector>
 
@@ -25,6 +26,23 @@
     int64_t delay_ms = 0;  /**< of each piece of bytes */
 };
 
+/** A line of limited rate, shared by the connections of several proxies: each
+ * has one chunk of bytes on it at a time, so that all get as much. */
+class Line {
+  public:
+    explicit Line(int64_t bytes_per_s) : rate(bytes_per_s)
+    {
+    }
+
+    /** Takes @p size bytes that come at @p now_ms; returns when they have
+     * passed. */
+    int64_t carry(int64_t now_ms, size_t size);
+
+  private:
+    int64_t rate;
+    int64_t free_at_us = 0;
+};
+
 /** Passes connections of @p from on to @p to. */
 class Proxy {
   public:
@@ -32,6 +50,12 @@
 
     /** Harms all connections, or those with odd numbers alone. */
     void harm(const Harm &harm, bool half);
+    /** Sends what leaves the target over a line from now on. */
+    void
+    answer_over(std::shared_ptr<Line> wanted)
+    {
+        line = std::move(wanted);
+    }
     /** Passes everything on again. */
     void heal();
     /** Resets all connections, or about half of them. */
@@ -49,6 +73,7 @@
     std::set<Connection *> connections;
     uint64_t next_number = 0;
     Harm current;
+    std::shared_ptr<Line> line;
     bool half_only = false;
 };
 
--- a/tests/soak/scenario.cc
+++ b/tests/soak/scenario.cc
@@ -18,6 +18,13 @@
 const int64_t START_MS = 2500;
 const int64_t END_MS = 4500; /* after the start */
 const int64_t STALL_MS = 9000;
+/* A configuration of the size in docs/incidents/inc1-config.md, on a line that
+ * carries it in 0.4 s. */
+const int IDLE_QUEUES = 4000;
+const int64_t LINE_BYTES_PER_S = 2000000;
+const int64_t CHANGE_MS = 900;
+const int CHANGES = 4;
+const int64_t APPLY_MS = 3000; /* config_apply_ms of the larger deployments */
 const uint64_t KEPT_JOBS = 12;
 const int64_t KEPT_END_MS = 14000; /* a takeover may take nine seconds */
 const int64_t ANSWERS_MS = 3500;   /* until the last caller has its answer */
@@ -167,6 +174,22 @@
     cluster->after(2000, hand_in_some_kept);
 }
 
+/* A large configuration changes again and again; one entry is behind a line
+ * that carries less than what others might send it. */
+void
+play_large_configuration()
+{
+    cluster->narrow(0, LINE_BYTES_PER_S);
+    cluster->add_idle_queues(IDLE_QUEUES);
+    for (int i = 0; i < CHANGES; i++) {
+        cluster->after(i * CHANGE_MS, [] { cluster->put_routes(); });
+    }
+    cluster->after((CHANGES - 1) * CHANGE_MS + APPLY_MS, [] {
+        cluster->probe_routes();
+        watched = cluster->hand_in(2, 500, 100, false);
+    });
+}
+
 const struct {
     const char *name;
     void (*play)();
@@ -179,6 +202,8 @@
     {"companion_dies", play_companion_dies, END_MS, 1},
     {"planned_stop", play_planned_stop, END_MS, 1},
     {"stalled_reader", play_stalled_reader, STALL_MS + ANSWERS_MS, 1},
+    {"large_configuration", play_large_configuration,
+     CHANGES *CHANGE_MS + APPLY_MS + ANSWERS_MS, 4},
     {"kept_owner_dies", play_kept_owner_dies, KEPT_END_MS, 2},
     {"kept_power_loss", play_kept_power_loss, KEPT_END_MS, 2},
     {"kept_store_away", play_kept_store_away, KEPT_END_MS, 2},
