--- a/daemon/leased_callers.c
+++ b/daemon/leased_callers.c
@@ -24,10 +24,12 @@
 count_waiting(const Leased_Entry *self, const char *queue)
 {
     int64_t now = self->awake_ms;
-    uint32_t count = LeasedEntry_Waiting(self, queue);
+    QueueCounts *own = LeasedEntry_Waiting(self);
+    uint32_t count = QueueCounts_Of(own, queue);
     guint i;
     guint j;
 
+    g_hash_table_unref(own);
     for (i = 0; i < self->peers.rows->len; i++) {
         const Peers_Row *peer = g_ptr_array_index(self->peers.rows, i);
         for (j = 0; Peers_IsLive(peer, now) && j < peer->waiting->len; j++) {
@@ -208,7 +210,7 @@
     Event_Log(EVENT_NO_ROUTE,
               "%.100s at %.100s; routes version %lld, %lld ms old",
               request->path, request->authority,
-              (long long)LeasedEntry_RoutesVersion(self),
+              (long long)LeasedRoutes_Version(self),
               (long long)(now - self->routes_ms));
     Http_RespondError(self->callers, request->id, ERR_UNKNOWN_QUEUE,
                       "no such queue", 0);
--- a/daemon/leased_entry.c
+++ b/daemon/leased_entry.c
@@ -5,8 +5,6 @@
 
 #include "daemon/leased_entry_state.h"
 #include "platform/callers.h"
-#include "platform/routes.h"
-#include "platform/store.h"
 
 /* The loop wakes up every PROCESS_TICK_MS; a longer gap means that the
  * process stood still, and input that waited is read before anything is
@@ -79,7 +77,7 @@
     const Leased_Entry *self = context;
 
     json_object_set_new(fields, "routes_version",
-                        json_integer(LeasedEntry_RoutesVersion(self)));
+                        json_integer(LeasedRoutes_Version(self)));
     Process_PortFields(context, id, fields);
 }
 
@@ -92,49 +90,6 @@
     .kept_over = LeasedKept_Over,
 };
 
-/* ---- routes ---- */
-
-void
-LeasedEntry_TakeRoutes(Leased_Entry *self, const char *record, size_t length,
-                       const char *source)
-{
-    Status status = {ERR_OK, ""};
-    Route_Table *table = Routes_Read(record, length, &status);
-
-    if (table == NULL) {
-        Event_Log(EVENT_ROUTES_BAD, "from %s: %s", source, status.message);
-        return;
-    }
-    if (self->routes != NULL && table->version <= self->routes->version) {
-        Route_FreeTable(table);
-        return;
-    }
-    Route_FreeTable(self->routes);
-    self->routes = table;
-    self->routes_ms = self->awake_ms;
-    Event_Log(EVENT_ROUTES, "version %lld from %s, %u queues, %zu bytes",
-              (long long)table->version, source, table->routes->len, length);
-}
-
-static void
-on_routes(void *context, const char *record, size_t length)
-{
-    Leased_Entry *self = context;
-
-    LeasedEntry_Awake(self);
-    LeasedEntry_TakeRoutes(self, record, length, "the store");
-}
-
-static void
-on_store_change(void *context, int answers)
-{
-    Leased_Entry *self = context;
-
-    LeasedEntry_Awake(self);
-    self->store_answers = answers;
-    Event_Log(answers ? EVENT_LOG_UP : EVENT_LOG_DOWN, "store");
-}
-
 static const Http_Route caller_routes[] = {
     {"/", LeasedCallers_Serve},
     {NULL, NULL},
@@ -176,17 +131,14 @@
     {NULL, NULL},
 };
 
-uint32_t
-LeasedEntry_Waiting(const Leased_Entry *self, const char *queue)
+QueueCounts *
+LeasedEntry_Waiting(const Leased_Entry *self)
 {
-    return Dispatcher_Waiting(self->dispatcher, queue) +
-           Keeper_Waiting(self->keeper, queue);
-}
+    QueueCounts *counts = QueueCounts_New();
 
-int64_t
-LeasedEntry_RoutesVersion(const Leased_Entry *self)
-{
-    return self->routes == NULL ? -1 : self->routes->version;
+    Dispatcher_AddWaiting(self->dispatcher, counts);
+    Keeper_AddWaiting(self->keeper, counts);
+    return counts;
 }
 
 static uint64_t
@@ -236,8 +188,7 @@
     if (ready != self->was_ready) {
         self->was_ready = ready;
         Event_Log(EVENT_READY, "%s: routes version %lld, %u companions",
-                  ready ? "yes" : "no",
-                  (long long)LeasedEntry_RoutesVersion(self),
+                  ready ? "yes" : "no", (long long)LeasedRoutes_Version(self),
                   Dispatcher_ReadyHosts(self->dispatcher, self->awake_ms));
     }
 }
@@ -251,6 +202,7 @@
     Seeds_Refresh(&self->seeds, &self->peers, now);
     Peers_Forget(&self->peers, now);
     LeasedGossip_Tick(self, now);
+    LeasedRoutes_Tick(self, now);
     LeasedStore_Tick(self, now);
     Keeper_Tick(self->keeper, now);
     Dispatcher_SetWall(self->dispatcher, Process_Now().wall_ms - now);
@@ -294,7 +246,7 @@
     json_object_set_new(state, "kept",
                         Keeper_Dump(self->keeper, Process_Now().mono_ms));
     json_object_set_new(state, "routes_version",
-                        json_integer(LeasedEntry_RoutesVersion(self)));
+                        json_integer(LeasedRoutes_Version(self)));
     json_object_set_new(state, "ready", json_boolean(is_ready(self)));
     return state;
 }
@@ -320,7 +272,7 @@
                            "levercove_store_answers %d\n"
                            "levercove_entries_known %u\n",
                            is_ready(self),
-                           (long long)LeasedEntry_RoutesVersion(self),
+                           (long long)LeasedRoutes_Version(self),
                            (long long)(now - self->routes_ms) / 1000,
                            self->store_answers, self->peers.rows->len);
 }
@@ -338,6 +290,9 @@
     case MSG_GOSSIP:
         LeasedGossip_Answer(self, reply_id, &call->u.gossip);
         return true;
+    case MSG_ROUTES:
+        LeasedRoutes_Answer(self, reply_id, &call->u.routes);
+        return true;
     case MSG_STORE:
         LeasedStore_AnswerCall(self, reply_id, &call->u.store);
         return true;
@@ -365,7 +320,8 @@
         Dispatcher_OnReply(self->dispatcher, now, call_id, reply);
         return;
     }
-    if (LeasedStore_TakeReply(self, call_id, reply)) {
+    if (LeasedStore_TakeReply(self, call_id, reply) ||
+        LeasedRoutes_TakeReply(self, now, call_id, reply)) {
         return;
     }
     peer = Peers_OfCall(&self->peers, call_id);
@@ -453,8 +409,7 @@
         Event_Log(EVENT_LISTEN_FAILED, "%s", status.message);
         goto done;
     }
-    Store_Follow(loop, self->http, options->store, on_routes, on_store_change,
-                 self);
+    LeasedRoutes_Open(self, options);
     code = Process_Run(&self->process);
 done:
     if (self->keeper != NULL) {
@@ -463,7 +418,7 @@
     if (self->dispatcher != NULL) {
         Dispatcher_Free(self->dispatcher);
     }
-    Route_FreeTable(self->routes);
+    LeasedRoutes_Close(self);
     Peers_Clear(&self->peers);
     g_hash_table_unref(self->cancels);
     g_hash_table_unref(self->relayed);
--- a/daemon/leased_entry_state.h
+++ b/daemon/leased_entry_state.h
@@ -15,6 +15,8 @@
 #include "lease/dispatcher.h"
 #include "lease/keeper.h"
 #include "lease/peers.h"
+#include "lease/queue_counts.h"
+#include "lease/routes_fetch.h"
 #include "platform/http_client.h"
 #include "platform/keyed_log.h"
 
@@ -34,6 +36,8 @@
     bool store_away;     /* it does not answer this entry */
     int64_t store_probed_ms;
     Route_Table *routes;
+    Routes_Fetch fetch;  /* of newer ones from other entries */
+    uint64_t fetch_call; /* call on its way, or 0 */
     Http_Client *http;
     Http_Server *callers;
     Http_Server *ready;
@@ -54,20 +58,14 @@
 
 /* The process: leased_entry.c. */
 
-/** Jobs of a queue at this entry of which no task was started. */
-uint32_t LeasedEntry_Waiting(const Leased_Entry *self, const char *queue);
+/** Jobs at this entry of which no task was started, by queue. Names are
+ * borrowed; free it before anything is done about the jobs. */
+QueueCounts *LeasedEntry_Waiting(const Leased_Entry *self);
 
 /** Time now; to be asked at every input, as it notices that the process stood
  * still, and pauses the dispatcher until all input has been read. */
 int64_t LeasedEntry_Awake(Leased_Entry *self);
 
-/** Takes a record of routes, unless they are older than those in force. */
-void LeasedEntry_TakeRoutes(Leased_Entry *self, const char *record,
-                            size_t length, const char *source);
-
-/** Version of the routes in force, or -1. */
-int64_t LeasedEntry_RoutesVersion(const Leased_Entry *self);
-
 /* Callers: leased_callers.c. */
 
 /** Serves a request of a caller. @p context is the process. */
@@ -100,6 +98,27 @@
                        const Http_Request *request,
                        const Dispatcher_Submit *submit);
 
+/* Routes, from the store or other entries: leased_routes.c. */
+
+/** Follows the store's record of routes from now on. */
+void LeasedRoutes_Open(Leased_Entry *self, const Options *options);
+void LeasedRoutes_Close(Leased_Entry *self);
+
+/** Version of the routes in force, or -1. */
+int64_t LeasedRoutes_Version(const Leased_Entry *self);
+
+/** Asks another entry for newer routes, if that is due. */
+void LeasedRoutes_Tick(Leased_Entry *self, int64_t now);
+
+/** Another entry asks for a chunk of the routes. */
+void LeasedRoutes_Answer(Leased_Entry *self, uint64_t reply_id,
+                         const lc_routes_args *args);
+
+/** Another entry has answered, or cannot be reached; false if @p call_id is
+ * not of such a call. */
+bool LeasedRoutes_TakeReply(Leased_Entry *self, int64_t now, uint64_t call_id,
+                            const Msg_Reply *reply);
+
 /* The store, directly or through another entry: leased_store.c. */
 
 /** Sends a request to the store. While it does not answer this entry, others
--- a/daemon/leased_gossip.c
+++ b/daemon/leased_gossip.c
@@ -15,22 +15,25 @@
                       self->process.options->rpc);
 }
 
-/* Texts are borrowed from the routes; free the array. */
+/* Texts are borrowed from the jobs; free the array. */
 static GArray *
 own_counts(const Leased_Entry *self)
 {
-    GArray *counts = g_array_new(FALSE, TRUE, sizeof(lc_queue_count));
-    guint i;
+    GArray *rows = g_array_new(FALSE, TRUE, sizeof(lc_queue_count));
+    QueueCounts *counts = LeasedEntry_Waiting(self);
+    GHashTableIter iter;
+    gpointer queue;
+    gpointer waiting;
 
-    for (i = 0; self->routes != NULL && i < self->routes->routes->len; i++) {
-        const Route *route = g_ptr_array_index(self->routes->routes, i);
-        lc_queue_count row = {.queue = route->name};
-        row.waiting = LeasedEntry_Waiting(self, route->name);
-        if (row.waiting > 0) {
-            g_array_append_val(counts, row);
-        }
+    g_hash_table_iter_init(&iter, counts);
+    while (rows->len < LC_MAX_QUEUES &&
+           g_hash_table_iter_next(&iter, &queue, &waiting)) {
+        lc_queue_count row = {.queue = queue,
+                              .waiting = GPOINTER_TO_UINT(waiting)};
+        g_array_append_val(rows, row);
     }
-    return counts;
+    g_hash_table_unref(counts);
+    return rows;
 }
 
 static void
@@ -42,7 +45,7 @@
 
     call.u.gossip.from = Dispatcher_Node(self->dispatcher);
     call.u.gossip.kept = Keeper_Identity(self->keeper, now);
-    call.u.gossip.routes_version = LeasedEntry_RoutesVersion(self);
+    call.u.gossip.routes_version = LeasedRoutes_Version(self);
     call.u.gossip.known = Peers_Digest(live);
     if (peer->digest != call.u.gossip.known) {
         call.u.gossip.entries.entries_len = live->len;
@@ -64,7 +67,7 @@
                 1);
     Event_Log(EVENT_PEER_SILENT, "%s, asked %lld ms ago, routes version %lld",
               Address_Text(peer->address), (long long)since_ms,
-              (long long)LeasedEntry_RoutesVersion(self));
+              (long long)LeasedRoutes_Version(self));
 }
 
 void
@@ -89,8 +92,8 @@
 }
 
 static void
-take_news(Leased_Entry *self, Address from, uint64_t digest,
-          const u_quad_t *entries, u_int entry_count,
+take_news(Leased_Entry *self, Address from, int64_t routes_version,
+          uint64_t digest, const u_quad_t *entries, u_int entry_count,
           const lc_queue_count *counts, u_int count)
 {
     int64_t now = self->awake_ms;
@@ -107,6 +110,7 @@
     if (peer == NULL) {
         return;
     }
+    peer->routes_version = routes_version;
     peer->digest = digest;
     g_array_set_size(peer->waiting, 0);
     for (i = 0; i < count; i++) {
@@ -127,13 +131,13 @@
 
     Keeper_OnPeer(self->keeper, self->awake_ms, args->from.address,
                   args->kept);
-    take_news(self, args->from.address, args->known, args->entries.entries_val,
-              args->entries.entries_len, args->waiting.waiting_val,
-              args->waiting.waiting_len);
+    take_news(self, args->from.address, args->routes_version, args->known,
+              args->entries.entries_val, args->entries.entries_len,
+              args->waiting.waiting_val, args->waiting.waiting_len);
     live = LeasedGossip_Known(self);
     result->from = Dispatcher_Node(self->dispatcher);
     result->kept = Keeper_Identity(self->keeper, self->awake_ms);
-    result->routes_version = LeasedEntry_RoutesVersion(self);
+    result->routes_version = LeasedRoutes_Version(self);
     result->known = Peers_Digest(live);
     if (args->known != result->known) {
         result->entries.entries_len = live->len;
@@ -141,10 +145,6 @@
     }
     result->waiting.waiting_len = counts->len;
     result->waiting.waiting_val = (lc_queue_count *)(void *)counts->data;
-    if (self->routes != NULL && args->routes_version < self->routes->version) {
-        result->routes.routes_val = self->routes->source;
-        result->routes.routes_len = (u_int)self->routes->source_length;
-    }
     Process_PortReply(&self->process, reply_id, &reply);
     g_array_unref(live);
     g_array_unref(counts);
@@ -155,12 +155,8 @@
 {
     Keeper_OnPeer(self->keeper, self->awake_ms, result->from.address,
                   result->kept);
-    take_news(self, result->from.address, result->known,
-              result->entries.entries_val, result->entries.entries_len,
-              result->waiting.waiting_val, result->waiting.waiting_len);
-    if (result->routes.routes_len > 0) {
-        LeasedEntry_TakeRoutes(self, result->routes.routes_val,
-                               result->routes.routes_len,
-                               Address_Text(result->from.address));
-    }
+    take_news(self, result->from.address, result->routes_version,
+              result->known, result->entries.entries_val,
+              result->entries.entries_len, result->waiting.waiting_val,
+              result->waiting.waiting_len);
 }
--- a/daemon/leased_kept.c
+++ b/daemon/leased_kept.c
@@ -46,7 +46,9 @@
 }
 
 static const KeyedLog_Ports log_ports = {
-    LeasedStore_Send, on_record, on_read, on_written, on_refused,
+    .reader = {.send = LeasedStore_Send, .record = on_record, .read = on_read},
+    .written = on_written,
+    .refused = on_refused,
 };
 
 /* ---- ports of the keeper ---- */
--- /dev/null
+++ b/daemon/leased_routes.c
@@ -0,0 +1,139 @@
+#include "daemon/leased_entry_state.h"
+
+#include "base/event.h"
+#include "platform/routes.h"
+#include "platform/store.h"
+
+/* ---- taking ---- */
+
+/* Versions alone decide: what is older than the routes in force never returns,
+ * whoever tells it. */
+static void
+take_record(Leased_Entry *self, const char *record, size_t length,
+            const char *source)
+{
+    Status status = {ERR_OK, ""};
+    Route_Table *table = Routes_Read(record, length, &status);
+
+    if (table == NULL) {
+        Event_Log(EVENT_ROUTES_BAD, "from %s: %s", source, status.message);
+        return;
+    }
+    if (table->version <= LeasedRoutes_Version(self)) {
+        Route_FreeTable(table);
+        return;
+    }
+    Route_FreeTable(self->routes);
+    self->routes = table;
+    self->routes_ms = self->awake_ms;
+    Event_Log(EVENT_ROUTES, "version %lld from %s, %u queues, %zu bytes",
+              (long long)table->version, source, table->routes->len, length);
+}
+
+int64_t
+LeasedRoutes_Version(const Leased_Entry *self)
+{
+    return self->routes == NULL ? -1 : self->routes->version;
+}
+
+/* ---- from the store ---- */
+
+static void
+on_routes(void *context, const char *record, size_t length)
+{
+    Leased_Entry *self = context;
+
+    LeasedEntry_Awake(self);
+    take_record(self, record, length, "the store");
+}
+
+static void
+on_store_change(void *context, int answers)
+{
+    Leased_Entry *self = context;
+
+    LeasedEntry_Awake(self);
+    self->store_answers = answers;
+    Event_Log(answers ? EVENT_LOG_UP : EVENT_LOG_DOWN, "store");
+}
+
+void
+LeasedRoutes_Open(Leased_Entry *self, const Options *options)
+{
+    self->store_answers = true;
+    RoutesFetch_Init(&self->fetch,
+                     (uint32_t)Dispatcher_Node(self->dispatcher).incarnation);
+    Store_Follow(uv_default_loop(), self->http, options->store, on_routes,
+                 on_store_change, self);
+}
+
+void
+LeasedRoutes_Close(Leased_Entry *self)
+{
+    RoutesFetch_Clear(&self->fetch);
+    Route_FreeTable(self->routes);
+}
+
+/* ---- from other entries ---- */
+
+void
+LeasedRoutes_Tick(Leased_Entry *self, int64_t now)
+{
+    Msg_Call call = {.kind = MSG_ROUTES};
+    RoutesFetch_Call wanted;
+
+    if (!RoutesFetch_Next(&self->fetch, now, LeasedRoutes_Version(self),
+                          self->store_answers, &self->peers, &wanted)) {
+        return;
+    }
+    call.u.routes = wanted.args;
+    self->fetch_call = ++self->next_call | LEASED_OWN_CALL;
+    Rpc_Call(self->process.rpc, wanted.to, self->fetch_call, &call);
+}
+
+void
+LeasedRoutes_Answer(Leased_Entry *self, uint64_t reply_id,
+                    const lc_routes_args *args)
+{
+    Msg_Reply reply = {.kind = MSG_ROUTES};
+    lc_routes_res *result = &reply.u.routes;
+    const Route_Table *routes = self->routes;
+
+    result->routes_version = LeasedRoutes_Version(self);
+    if (routes != NULL) {
+        size_t offset = args->routes_version == routes->version ? args->offset
+                                                                : 0;
+        offset = MIN(offset, routes->source_length);
+        result->offset = (u_int)offset;
+        result->total = (u_int)routes->source_length;
+        result->data.data_val = routes->source + offset;
+        result->data.data_len = (u_int)MIN(routes->source_length - offset,
+                                           LC_MAX_CHUNK);
+    }
+    Process_PortReply(&self->process, reply_id, &reply);
+}
+
+bool
+LeasedRoutes_TakeReply(Leased_Entry *self, int64_t now, uint64_t call_id,
+                       const Msg_Reply *reply)
+{
+    RoutesFetch_Step step;
+
+    if (call_id != self->fetch_call) {
+        return false;
+    }
+    self->fetch_call = 0;
+    if (!self->fetch.asking) {
+        return true;
+    }
+    step = RoutesFetch_Take(&self->fetch,
+                            reply == NULL ? NULL : &reply->u.routes);
+    if (step == ROUTES_FETCH_WHOLE) {
+        take_record(self, (const char *)self->fetch.bytes->data,
+                    self->fetch.bytes->len, Address_Text(self->fetch.from));
+    }
+    if (step != ROUTES_FETCH_FAILED) {
+        LeasedRoutes_Tick(self, now);
+    }
+    return true;
+}
--- a/daemon/leased_store.c
+++ b/daemon/leased_store.c
@@ -8,6 +8,10 @@
 #define PROBE_GIVE_UP_MS 400
 /* The other entry may need so much longer than the store. */
 #define GRACE_MS 200
+/* Of the time for the rest of an answer, so much is waited for another entry:
+ * nothing tells here whether bytes come. A page of 1 MB comes in time over a
+ * line of 5 Mbit/s. */
+#define TRANSFER_MOST_MS 1600
 #define BUSY_STATUS 503
 #define MANY_STATUS 429
 
@@ -69,7 +73,8 @@
 
     relay->done = done;
     relay->done_context = done_context;
-    relay->until_ms = self->awake_ms + request->timeout_ms + GRACE_MS;
+    relay->until_ms = self->awake_ms + request->timeout_ms +
+                      MIN(request->transfer_ms, TRANSFER_MOST_MS) + GRACE_MS;
     g_hash_table_insert(self->relayed, g_memdup2(&call_id, sizeof(call_id)),
                         relay);
     call.u.store.method = (char *)(uintptr_t)request->method;
@@ -77,6 +82,7 @@
     call.u.store.body.body_val = (char *)(uintptr_t)request->body;
     call.u.store.body.body_len = (u_int)request->length;
     call.u.store.timeout_ms = request->timeout_ms;
+    call.u.store.transfer_ms = request->transfer_ms;
     Rpc_Call(self->process.rpc, peer, call_id, &call);
 }
 
@@ -188,7 +194,8 @@
                                   .path = args->path,
                                   .body = args->body.body_val,
                                   .length = args->body.body_len,
-                                  .timeout_ms = args->timeout_ms};
+                                  .timeout_ms = args->timeout_ms,
+                                  .transfer_ms = args->transfer_ms};
 
     call->self = self;
     call->reply_id = reply_id;
--- a/lease/dispatcher.c
+++ b/lease/dispatcher.c
@@ -194,20 +194,17 @@
     return true;
 }
 
-uint32_t
-Dispatcher_Waiting(const Dispatcher *self, const char *queue)
+void
+Dispatcher_AddWaiting(const Dispatcher *self, QueueCounts *counts)
 {
-    uint32_t count = 0;
     uint32_t i;
 
     for (i = 0; i < Handle_Size(self->jobs); i++) {
         const Active_Job *job = Handle_At(self->jobs, i);
-        if (job != NULL && !job->closing && !Active_HasBegun(job) &&
-            g_strcmp0(job->queue, queue) == 0) {
-            count++;
+        if (job != NULL && !job->closing && !Active_HasBegun(job)) {
+            QueueCounts_Add(counts, job->queue);
         }
     }
-    return count;
 }
 
 void
--- a/lease/dispatcher.h
+++ b/lease/dispatcher.h
@@ -19,6 +19,7 @@
 #include "base/event.h"
 #include "lease/fleet.h"
 #include "lease/job.h"
+#include "lease/queue_counts.h"
 #include "lease/route.h"
 #include "lease/term.h"
 
@@ -118,8 +119,8 @@
 bool Dispatcher_Look(const Dispatcher *self, uint64_t job, const char *queue,
                      bool *begun);
 
-/** Jobs of a queue of which no task was started. */
-uint32_t Dispatcher_Waiting(const Dispatcher *self, const char *queue);
+/** Counts the jobs of which no task was started. Names are borrowed. */
+void Dispatcher_AddWaiting(const Dispatcher *self, QueueCounts *counts);
 
 /** Sets the identity under which kept jobs are run. All kept jobs of an
  * earlier one are forgotten as they are: others look after them. */
--- a/lease/keeper.h
+++ b/lease/keeper.h
@@ -17,6 +17,7 @@
 
 #include "lease/dispatcher.h"
 #include "lease/kept.h"
+#include "lease/queue_counts.h"
 
 /** What is known of a job. */
 typedef enum {
@@ -103,8 +104,9 @@
 Keeper_State Keeper_Look(const Keeper *keeper, int64_t now_ms, uint64_t id,
                          const char *queue);
 
-/** Own jobs of a queue that the dispatcher does not have yet. */
-uint32_t Keeper_Waiting(const Keeper *keeper, const char *queue);
+/** Counts the jobs of this owner of which no task was started. Names are
+ * borrowed. */
+void Keeper_AddWaiting(const Keeper *keeper, QueueCounts *counts);
 
 /** A record was read. */
 void Keeper_OnRecord(Keeper *keeper, int64_t now_ms,
--- a/lease/keeper_callers.c
+++ b/lease/keeper_callers.c
@@ -296,27 +296,32 @@
     }
 }
 
-uint32_t
-Keeper_Waiting(const Keeper *keeper, const char *queue)
+static bool
+is_waiting(const Keeper *keeper, const Kept_Job *job)
+{
+    lc_node owner = Kept_OwnerOf(keeper->kept, job);
+
+    return Msg_SameNode(&owner, &keeper->node) && job->writers->len == 0 &&
+           !g_hash_table_contains(keeper->jobs, &job->id);
+}
+
+void
+Keeper_AddWaiting(const Keeper *keeper, QueueCounts *counts)
 {
     GPtrArray *open;
-    uint32_t count = 0;
     guint i;
 
     if (!keeper->unstarted && keeper->recoveries->len == 0) {
-        return 0;
+        return;
     }
     open = Kept_Open(keeper->kept);
     for (i = 0; i < open->len; i++) {
         const Kept_Job *job = g_ptr_array_index(open, i);
-        lc_node owner = Kept_OwnerOf(keeper->kept, job);
-        count += strcmp(job->queue, queue) == 0 &&
-                 Msg_SameNode(&owner, &keeper->node) &&
-                 job->writers->len == 0 &&
-                 !g_hash_table_contains(keeper->jobs, &job->id);
+        if (is_waiting(keeper, job)) {
+            QueueCounts_Add(counts, job->queue);
+        }
     }
     g_ptr_array_unref(open);
-    return count;
 }
 
 static void
--- a/lease/peers.c
+++ b/lease/peers.c
@@ -62,6 +62,7 @@
         row = g_new0(Peers_Row, 1);
         row->address = address;
         row->since_ms = now_ms;
+        row->routes_version = -1;
         row->waiting = g_array_new(FALSE, TRUE, sizeof(Peers_Count));
         g_ptr_array_add(peers->rows, row);
     }
--- a/lease/peers.h
+++ b/lease/peers.h
@@ -28,7 +28,8 @@
     uint64_t telling; /**< version on its way */
     uint32_t gap_ms;  /**< it wants to be told at most so often */
     uint64_t digest;  /**< of the entries that it knows, as it told last */
-    GArray *waiting;  /**< Peers_Count, as it told last */
+    int64_t routes_version; /**< of its routes, as it told last; -1: none */
+    GArray *waiting;        /**< Peers_Count, as it told last */
 } Peers_Row;
 
 /** Waiting jobs of one queue at a peer. */
--- a/lease/route.c
+++ b/lease/route.c
@@ -24,12 +24,20 @@
     return table;
 }
 
+static void
+drop_index(Route_Table *table)
+{
+    g_clear_pointer(&table->by_prefix, g_hash_table_unref);
+    g_clear_pointer(&table->lengths, g_array_unref);
+}
+
 Route *
 Route_Add(Route_Table *table)
 {
     Route *route = g_new0(Route, 1);
 
     g_ptr_array_add(table->routes, route);
+    drop_index(table);
     return route;
 }
 
@@ -39,18 +47,12 @@
     if (table == NULL) {
         return;
     }
+    drop_index(table);
     g_ptr_array_unref(table->routes);
     g_free(table->source);
     g_free(table);
 }
 
-static bool
-is_authority(const Route *route, const char *authority, size_t length)
-{
-    return strlen(route->authority) == length &&
-           g_ascii_strncasecmp(route->authority, authority, length) == 0;
-}
-
 Err_Kind
 Route_Check(const Route *route, const LeasedJob *job, Status *status)
 {
@@ -62,22 +64,72 @@
     return LeasedJob_Check(job, status);
 }
 
-const Route *
-Route_Find(const Route_Table *table, const char *authority, const char *path)
+static gint
+compare_longest_first(gconstpointer a, gconstpointer b)
+{
+    size_t left = *(const size_t *)a;
+    size_t right = *(const size_t *)b;
+
+    return left > right ? -1 : left < right;
+}
+
+static void
+note_length(GArray *lengths, size_t length)
 {
-    size_t length = strcspn(authority, ":");
-    const Route *best = NULL;
-    size_t best_length = 0;
     guint i;
 
+    for (i = 0; i < lengths->len; i++) {
+        if (g_array_index(lengths, size_t, i) == length) {
+            return;
+        }
+    }
+    g_array_append_val(lengths, length);
+}
+
+/* A search looks a few texts up, as a table may hold thousands of queues. Of
+ * two queues with one prefix the later is found. */
+static void
+make_index(Route_Table *table)
+{
+    guint i;
+
+    table->by_prefix = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+                                             NULL);
+    table->lengths = g_array_new(FALSE, FALSE, sizeof(size_t));
     for (i = 0; i < table->routes->len; i++) {
-        const Route *route = g_ptr_array_index(table->routes, i);
-        size_t prefix = strlen(route->path_prefix);
-        if (prefix >= best_length && is_authority(route, authority, length) &&
-            strncmp(path, route->path_prefix, prefix) == 0) {
-            best = route;
-            best_length = prefix;
+        Route *route = g_ptr_array_index(table->routes, i);
+        char *host = g_ascii_strdown(route->authority, -1);
+        g_hash_table_insert(table->by_prefix,
+                            g_strconcat(host, route->path_prefix, NULL),
+                            route);
+        note_length(table->lengths, strlen(route->path_prefix));
+        g_free(host);
+    }
+    g_array_sort(table->lengths, compare_longest_first);
+}
+
+const Route *
+Route_Find(Route_Table *table, const char *authority, const char *path)
+{
+    char *host = g_ascii_strdown(authority, (gssize)strcspn(authority, ":"));
+    GString *key = g_string_new(host);
+    size_t host_length = key->len;
+    size_t path_length = strlen(path);
+    const Route *found = NULL;
+    guint i;
+
+    if (table->by_prefix == NULL) {
+        make_index(table);
+    }
+    g_string_append(key, path);
+    for (i = 0; found == NULL && i < table->lengths->len; i++) {
+        size_t length = g_array_index(table->lengths, size_t, i);
+        if (length <= path_length) {
+            g_string_truncate(key, host_length + length);
+            found = g_hash_table_lookup(table->by_prefix, key->str);
         }
     }
-    return best;
+    g_string_free(key, TRUE);
+    g_free(host);
+    return found;
 }
--- a/lease/route.h
+++ b/lease/route.h
@@ -31,9 +31,12 @@
 /** All queues of one version. */
 typedef struct {
     int64_t version;
-    GPtrArray *routes;   /**< Route */
-    uint32_t body_bytes; /**< longest body of a request */
-    char *source;        /**< the record it was read from, for peers */
+    GPtrArray *routes;     /**< Route */
+    GHashTable *by_prefix; /**< host name in small letters with the prefix ->
+                              Route; made by the first search */
+    GArray *lengths;       /**< of all prefixes, the longest first */
+    uint32_t body_bytes;   /**< longest body of a request */
+    char *source;          /**< the record it was read from, for peers */
     size_t source_length;
 } Route_Table;
 
@@ -50,7 +53,7 @@
 
 /** Queue with the longest prefix of @p path at @p authority (a port behind
  * it is passed over), or NULL. */
-const Route *Route_Find(const Route_Table *table, const char *authority,
+const Route *Route_Find(Route_Table *table, const char *authority,
                         const char *path);
 
 #endif
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -42,6 +42,7 @@
 check lease_rules "$SANITIZED/tests/lease_rules"
 check runner_rules "$SANITIZED/tests/runner_rules"
 check order_rules "$SANITIZED/tests/order_rules"
+check routes_rules "$SANITIZED/tests/routes_rules"
 check kept_rules "$SANITIZED/tests/kept_rules"
 check rules "$SANITIZED/tests/rules"
 check fuzz "$SANITIZED/tests/fuzz" tests/corpus 300
--- a/wire/levercove.h
+++ b/wire/levercove.h
@@ -23,6 +23,7 @@
 #define LC_MAX_PAGE 4096
 #define LC_MAX_PATH 400
 #define LC_MAX_ANSWER 4194304
+#define LC_MAX_CHUNK 32768
 
 struct lc_key {
 	char bytes[16];
@@ -465,13 +466,26 @@
 		u_int waiting_len;
 		lc_queue_count *waiting_val;
 	} waiting;
-	struct {
-		u_int routes_len;
-		char *routes_val;
-	} routes;
 };
 typedef struct lc_gossip_res lc_gossip_res;
 
+struct lc_routes_args {
+	quad_t routes_version;
+	u_int offset;
+};
+typedef struct lc_routes_args lc_routes_args;
+
+struct lc_routes_res {
+	quad_t routes_version;
+	u_int offset;
+	u_int total;
+	struct {
+		u_int data_len;
+		char *data_val;
+	} data;
+};
+typedef struct lc_routes_res lc_routes_res;
+
 struct lc_withdraw_args {
 	lc_node from;
 	u_quad_t job;
@@ -533,6 +547,7 @@
 		char *body_val;
 	} body;
 	u_int timeout_ms;
+	u_int transfer_ms;
 };
 typedef struct lc_store_args lc_store_args;
 
@@ -676,6 +691,9 @@
 #define LC_STORE 18
 extern  lc_store_res * lc_store_1(lc_store_args *, CLIENT *);
 extern  lc_store_res * lc_store_1_svc(lc_store_args *, struct svc_req *);
+#define LC_ROUTES 19
+extern  lc_routes_res * lc_routes_1(lc_routes_args *, CLIENT *);
+extern  lc_routes_res * lc_routes_1_svc(lc_routes_args *, struct svc_req *);
 extern int lc_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -736,6 +754,9 @@
 #define LC_STORE 18
 extern  lc_store_res * lc_store_1();
 extern  lc_store_res * lc_store_1_svc();
+#define LC_ROUTES 19
+extern  lc_routes_res * lc_routes_1();
+extern  lc_routes_res * lc_routes_1_svc();
 extern int lc_program_1_freeresult ();
 #endif /* K&R C */
 
@@ -790,6 +811,8 @@
 extern  bool_t xdr_lc_queue_count (XDR *, lc_queue_count*);
 extern  bool_t xdr_lc_gossip_args (XDR *, lc_gossip_args*);
 extern  bool_t xdr_lc_gossip_res (XDR *, lc_gossip_res*);
+extern  bool_t xdr_lc_routes_args (XDR *, lc_routes_args*);
+extern  bool_t xdr_lc_routes_res (XDR *, lc_routes_res*);
 extern  bool_t xdr_lc_withdraw_args (XDR *, lc_withdraw_args*);
 extern  bool_t xdr_lc_withdraw_res (XDR *, lc_withdraw_res*);
 extern  bool_t xdr_lc_release_args (XDR *, lc_release_args*);
@@ -857,6 +880,8 @@
 extern bool_t xdr_lc_queue_count ();
 extern bool_t xdr_lc_gossip_args ();
 extern bool_t xdr_lc_gossip_res ();
+extern bool_t xdr_lc_routes_args ();
+extern bool_t xdr_lc_routes_res ();
 extern bool_t xdr_lc_withdraw_args ();
 extern bool_t xdr_lc_withdraw_res ();
 extern bool_t xdr_lc_release_args ();
--- a/wire/levercove.x
+++ b/wire/levercove.x
@@ -10,6 +10,7 @@
 const LC_MAX_PAGE = 4096;
 const LC_MAX_PATH = 400;
 const LC_MAX_ANSWER = 4194304;
+const LC_MAX_CHUNK = 32768;
 
 struct lc_key {
     opaque bytes[16];
@@ -360,7 +361,7 @@
     unsigned int waiting;
 };
 
-/* An entry tells another of itself; the answer may hold newer routes. */
+/* An entry tells another of itself. Newer routes are fetched apart. */
 struct lc_gossip_args {
     lc_node from;
     unsigned hyper kept; /* incarnation under which it owns kept jobs; 0: it cannot look after them */
@@ -377,7 +378,20 @@
     unsigned hyper known;
     unsigned hyper entries<LC_MAX_PEERS>;
     lc_queue_count waiting<LC_MAX_QUEUES>;
-    opaque routes<LC_MAX_RECORD>; /* empty if not newer */
+};
+
+/* Asks an entry for a chunk of its routes. If it has another version by now, the
+ * answer is the first chunk of that one. */
+struct lc_routes_args {
+    hyper routes_version;
+    unsigned int offset;
+};
+
+struct lc_routes_res {
+    hyper routes_version; /* -1: it has none */
+    unsigned int offset;
+    unsigned int total; /* bytes of all chunks */
+    opaque data<LC_MAX_CHUNK>;
 };
 
 /* Cancels a job wherever it is. */
@@ -427,6 +441,7 @@
     string path<LC_MAX_PATH>;
     opaque body<LC_MAX_RECORD>;
     unsigned int timeout_ms;
+    unsigned int transfer_ms; /* as in Http_ClientRequest */
 };
 
 struct lc_store_res {
@@ -514,5 +529,6 @@
         lc_release_res LC_RELEASE(lc_release_args) = 16;
         lc_fence_res LC_FENCE(lc_fence_args) = 17;
         lc_store_res LC_STORE(lc_store_args) = 18;
+        lc_routes_res LC_ROUTES(lc_routes_args) = 19;
     } = 1;
 } = 0x20004c43;
--- a/wire/levercove_xdr.c
+++ b/wire/levercove_xdr.c
@@ -904,7 +904,33 @@
 	 if (!xdr_array (xdrs, (char **)&objp->waiting.waiting_val, (u_int *) &objp->waiting.waiting_len, LC_MAX_QUEUES,
 		sizeof (lc_queue_count), (xdrproc_t) xdr_lc_queue_count))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->routes.routes_val, (u_int *) &objp->routes.routes_len, LC_MAX_RECORD))
+	return TRUE;
+}
+
+bool_t
+xdr_lc_routes_args (XDR *xdrs, lc_routes_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_quad_t (xdrs, &objp->routes_version))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->offset))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_lc_routes_res (XDR *xdrs, lc_routes_res *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_quad_t (xdrs, &objp->routes_version))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->offset))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->total))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->data.data_val, (u_int *) &objp->data.data_len, LC_MAX_CHUNK))
 		 return FALSE;
 	return TRUE;
 }
@@ -1013,6 +1039,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->timeout_ms))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->transfer_ms))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/wire/msg.h
+++ b/wire/msg.h
@@ -35,7 +35,8 @@
     X(WITHDRAW, withdraw)                                                     \
     X(RELEASE, release)                                                       \
     X(FENCE, fence)                                                           \
-    X(STORE, store)
+    X(STORE, store)                                                           \
+    X(ROUTES, routes)
 
 /** Kinds of message, each equal to its procedure number less one. */
 typedef enum {
