--- a/lease/runner.h
+++ b/lease/runner.h
@@ -61,6 +61,7 @@
 /** What an upstream says of itself. */
 typedef struct {
     const char *instance;
+    uint64_t sequence; /**< of its heartbeats: the later is the higher */
     const char *service;
     Runner_Says says;
     lc_resources capacity;
--- /dev/null
+++ b/tests/heartbeat_rules.c
@@ -0,0 +1,197 @@
+/*
+ * Rules of heartbeats that come late or out of order, and of incarnations that
+ * take each other's place at one address.
+ */
+
+#include <glib.h>
+#include <string.h>
+
+#include "tests/rule_table.h"
+#include "tests/runner_fixture.h"
+
+/* The upstream i-1 runs a task of the entry. */
+static void
+begin_task(runner_fixture *fix)
+{
+    RunnerFix_NewReady(fix);
+    RunnerFix_CallRun(fix, 1, 1, 1000, 500);
+    Runner_OnStarted(fix->runner, fix->now_ms, fix->start_id,
+                     RUNNER_ORDER_TAKEN, CLOCK_MS);
+    fix->replies = 0;
+    fix->status = LC_RUN_DONE;
+}
+
+/* The upstream lists the task that it runs. */
+static void
+answer_running(runner_fixture *fix)
+{
+    Runner_Row row = {RunnerFix_Run(1, 1), 10};
+
+    RunnerFix_AnswerLook(fix, &row, 1, NULL, 0);
+}
+
+static bool
+takes_tasks(runner_fixture *fix, uint64_t job)
+{
+    int before = fix->starts;
+
+    RunnerFix_CallRun(fix, job, 1, 100, 500);
+    return fix->starts == before + 1;
+}
+
+/* i-1 has crashed and i-2 has taken its place, by the upstream's own word. */
+static void
+replace(runner_fixture *fix)
+{
+    RunnerFix_BeatOf(fix, "i-2", 1, RUNNER_UPSTREAM_READY);
+    RunnerFix_AnswerLookOther(fix);
+    RunnerFix_AnswerLook(fix, NULL, 0, NULL, 0);
+}
+
+static void
+test_late_beat_of_a_dead_one(void)
+{
+    runner_fixture fix;
+
+    RunnerFix_NewReady(&fix);
+    replace(&fix);
+    g_assert_true(takes_tasks(&fix, 1));
+    g_assert_cmpstr(fix.start.instance, ==, "i-2");
+    fix.replies = 0;
+    RunnerFix_BeatOf(&fix, "i-1", 99, RUNNER_UPSTREAM_READY);
+    g_assert_cmpint(fix.replies, ==, 0);
+    g_assert_true(takes_tasks(&fix, 2));
+    g_assert_cmpstr(fix.start.instance, ==, "i-2");
+    Runner_Free(fix.runner);
+}
+
+static void
+test_new_one_is_taken_at_once(void)
+{
+    runner_fixture fix;
+
+    begin_task(&fix);
+    answer_running(&fix);
+    RunnerFix_BeatOf(&fix, "i-2", 1, RUNNER_UPSTREAM_READY);
+    RunnerFix_AnswerLookOther(&fix);
+    g_assert_cmpint(fix.status, ==, LC_RUN_LOST);
+    RunnerFix_AnswerLook(&fix, NULL, 0, NULL, 0);
+    g_assert_true(takes_tasks(&fix, 2));
+    g_assert_cmpstr(fix.start.instance, ==, "i-2");
+    Runner_Free(fix.runner);
+}
+
+/* A companion that has started since knows no dead ones: what the upstream
+ * answers decides. */
+static void
+test_unknown_one_that_is_dead(void)
+{
+    runner_fixture fix;
+
+    begin_task(&fix);
+    answer_running(&fix);
+    RunnerFix_BeatOf(&fix, "i-0", 50, RUNNER_UPSTREAM_READY);
+    g_assert_cmpint(fix.replies, ==, 0);
+    g_assert_cmpstr(fix.look.instance, ==, "i-1");
+    answer_running(&fix);
+    answer_running(&fix);
+    g_assert_cmpint(fix.replies, ==, 0);
+    g_assert_true(takes_tasks(&fix, 2));
+    g_assert_cmpstr(fix.start.instance, ==, "i-1");
+    Runner_Free(fix.runner);
+}
+
+/* Its first heartbeat overtakes the last of the one before. */
+static void
+test_first_before_last(void)
+{
+    runner_fixture fix;
+
+    RunnerFix_NewReady(&fix);
+    replace(&fix);
+    RunnerFix_BeatOf(&fix, "i-1", 2, RUNNER_UPSTREAM_DRAINING);
+    RunnerFix_BeatOf(&fix, "i-2", 2, RUNNER_UPSTREAM_READY);
+    g_assert_true(takes_tasks(&fix, 1));
+    g_assert_cmpstr(fix.start.instance, ==, "i-2");
+    Runner_Free(fix.runner);
+}
+
+static void
+test_late_ready_after_draining(void)
+{
+    runner_fixture fix;
+
+    RunnerFix_NewReady(&fix);
+    RunnerFix_BeatOf(&fix, "i-1", 5, RUNNER_UPSTREAM_DRAINING);
+    RunnerFix_BeatOf(&fix, "i-1", 4, RUNNER_UPSTREAM_READY);
+    g_assert_false(takes_tasks(&fix, 1));
+    RunnerFix_BeatOf(&fix, "i-1", 6, RUNNER_UPSTREAM_READY);
+    g_assert_true(takes_tasks(&fix, 2));
+    Runner_Free(fix.runner);
+}
+
+static void
+test_twice_the_same(void)
+{
+    runner_fixture fix;
+
+    RunnerFix_NewReady(&fix);
+    RunnerFix_BeatOf(&fix, "i-1", 5, RUNNER_UPSTREAM_DRAINING);
+    RunnerFix_BeatOf(&fix, "i-1", 5, RUNNER_UPSTREAM_READY);
+    g_assert_false(takes_tasks(&fix, 1));
+    Runner_Free(fix.runner);
+}
+
+static void
+test_one_that_left_stays_gone(void)
+{
+    runner_fixture fix;
+
+    RunnerFix_NewReady(&fix);
+    Runner_OnUpstreamGone(fix.runner, fix.now_ms, "i-1");
+    RunnerFix_BeatOf(&fix, "i-1", 9, RUNNER_UPSTREAM_READY);
+    g_assert_false(takes_tasks(&fix, 1));
+    RunnerFix_BeatOf(&fix, "i-2", 1, RUNNER_UPSTREAM_READY);
+    RunnerFix_AnswerLook(&fix, NULL, 0, NULL, 0);
+    g_assert_true(takes_tasks(&fix, 2));
+    Runner_Free(fix.runner);
+}
+
+/* The one in force answers nothing: the other's second heartbeat will do. */
+static void
+test_current_one_is_silent(void)
+{
+    Runner_Listing none = {.end = RUNNER_ORDER_UNSENT};
+    runner_fixture fix;
+
+    RunnerFix_NewReady(&fix);
+    RunnerFix_BeatOf(&fix, "i-2", 1, RUNNER_UPSTREAM_READY);
+    Runner_OnLook(fix.runner, fix.now_ms, fix.look_id, &none);
+    RunnerFix_BeatOf(&fix, "i-2", 2, RUNNER_UPSTREAM_READY);
+    RunnerFix_AnswerLook(&fix, NULL, 0, NULL, 0);
+    g_assert_true(takes_tasks(&fix, 1));
+    g_assert_cmpstr(fix.start.instance, ==, "i-2");
+    Runner_Free(fix.runner);
+}
+
+static const RuleTable_Row rules[] = {
+    {"/heartbeats/a dead incarnation is not believed again",
+     test_late_beat_of_a_dead_one},
+    {"/heartbeats/a new incarnation is taken at once",
+     test_new_one_is_taken_at_once},
+    {"/heartbeats/the upstream decides on one never heard of",
+     test_unknown_one_that_is_dead},
+    {"/heartbeats/the first of one before the last of another",
+     test_first_before_last},
+    {"/heartbeats/ready that comes after a later draining",
+     test_late_ready_after_draining},
+    {"/heartbeats/one number counts once", test_twice_the_same},
+    {"/heartbeats/one that left stays gone", test_one_that_left_stays_gone},
+    {"/heartbeats/one that is silent gives way", test_current_one_is_silent},
+};
+
+int
+main(int argc, char **argv)
+{
+    return RuleTable_Main(argc, argv, rules, G_N_ELEMENTS(rules));
+}
--- a/tests/lease_cases.c
+++ b/tests/lease_cases.c
@@ -158,14 +158,15 @@
         }
         else {
             g_string_append_printf(
-                output, "%s of %s, %s, %u/%u/%u, clock %lld\n",
+                output, "%s of %s, %s, %u/%u/%u, clock %lld, heartbeat %llu\n",
                 beat.upstream.instance, beat.upstream.service,
                 beat.upstream.says == RUNNER_UPSTREAM_READY ? "ready"
                                                             : "draining",
                 beat.upstream.capacity.cpu_milli,
                 beat.upstream.capacity.memory_mb,
                 beat.upstream.capacity.accelerators,
-                (long long)beat.upstream.clock_ms);
+                (long long)beat.upstream.clock_ms,
+                (unsigned long long)beat.upstream.sequence);
         }
         Upstreams_FreeBeat(&beat);
         break;
--- a/tests/lease_upstream.h
+++ b/tests/lease_upstream.h
@@ -100,6 +100,7 @@
     }
 
     Manner manner = {false, false, 1};
+    uint64_t beats = 0; /**< heartbeats sent so far */
 
   private:
     void extend(int64_t now_ms, int64_t deadline_clock_ms);
--- a/tests/lease_world.cc
+++ b/tests/lease_world.cc
@@ -2,6 +2,12 @@
 
 namespace lease {
 
+namespace {
+
+const int64_t LATE_BEAT_MS = 700;
+
+} // namespace
+
 /* ---- faults ---- */
 
 void
@@ -44,6 +50,9 @@
         break_link(entry, companion);
         break;
     case Fault::CrashUpstream:
+        /* Its last heartbeat comes when the next incarnation has registered.
+         */
+        send_beat(companion, length / 2 + LATE_BEAT_MS);
         upstream->crash(now, false);
         at(now + length / 2, [this, upstream] { upstream->come_up(now); });
         break;
--- a/tests/lease_world_nodes.cc
+++ b/tests/lease_world_nodes.cc
@@ -4,6 +4,14 @@
 
 namespace lease {
 
+namespace {
+
+const int64_t BEAT_MS = 500;
+const uint64_t HELD_UP_EACH = 5;
+const int64_t HELD_UP_MS = 1200;
+
+} // namespace
+
 /* ---- time of nodes ---- */
 
 void
@@ -401,25 +409,38 @@
     }
 }
 
+/* A heartbeat as it is sent now, that arrives after @p delay_ms. */
 void
-World::beat(uint32_t index)
+World::send_beat(uint32_t index, int64_t delay_ms)
 {
     CompanionNode *companion = &companions[index];
     Upstream *upstream = &upstreams[index];
-    static const char *const labels[] = {nullptr};
-
-    if (upstream->is_up()) {
-        when_awake(companion, [this, companion, upstream] {
-            Runner_Upstream said = {upstream->instance().c_str(),
-                                    "service",
-                                    RUNNER_UPSTREAM_READY,
-                                    CAPACITY,
-                                    labels,
-                                    upstream->clock(now)};
+    std::string instance = upstream->instance();
+    uint64_t sequence = ++upstream->beats;
+    int64_t clock_ms = upstream->clock(now);
+
+    if (!upstream->is_up()) {
+        return;
+    }
+    at(now + delay_ms, [this, companion, instance, sequence, clock_ms] {
+        when_awake(companion, [this, companion, instance, sequence, clock_ms] {
+            static const char *const labels[] = {nullptr};
+            Runner_Upstream said = {
+                instance.c_str(), sequence, "service", RUNNER_UPSTREAM_READY,
+                CAPACITY,         labels,   clock_ms};
             Runner_OnUpstream(companion->runner, now, &said);
         });
-    }
-    at(now + 500, [this, index] { beat(index); });
+    });
+}
+
+/* Every fifth heartbeat is held up by a cut until later ones have come. */
+void
+World::beat(uint32_t index)
+{
+    uint64_t number = upstreams[index].beats + index;
+
+    send_beat(index, number % HELD_UP_EACH == 0 ? HELD_UP_MS : 0);
+    at(now + BEAT_MS, [this, index] { beat(index); });
 }
 
 } // namespace lease
--- a/tests/lease_world_state.h
+++ b/tests/lease_world_state.h
@@ -273,6 +273,7 @@
     void kill_companion(uint32_t index, int64_t for_ms);
     void break_link(uint32_t entry, uint32_t companion);
     void beat(uint32_t index);
+    void send_beat(uint32_t index, int64_t delay_ms);
     void report_to_entries(uint32_t index);
     void tick_entry(uint32_t index, uint64_t life);
     void tick_companion(uint32_t index, uint64_t life);
--- a/tests/runner_fixture.c
+++ b/tests/runner_fixture.c
@@ -65,16 +65,35 @@
                                           port_reply, LeaseFix_DropEvent};
 
 void
-RunnerFix_Beat(runner_fixture *fix, Runner_Says says)
+RunnerFix_BeatOf(runner_fixture *fix, const char *instance, uint64_t sequence,
+                 Runner_Says says)
 {
     static const char *const labels[] = {NULL};
-    Runner_Upstream upstream = {"i-1",  "service",
-                                says,   {4000, 4096, 0},
-                                labels, CLOCK_MS + fix->now_ms - START_MS};
+    Runner_Upstream upstream = {instance,
+                                sequence,
+                                "service",
+                                says,
+                                {4000, 4096, 0},
+                                labels,
+                                CLOCK_MS + fix->now_ms - START_MS};
 
     Runner_OnUpstream(fix->runner, fix->now_ms, &upstream);
 }
 
+void
+RunnerFix_Beat(runner_fixture *fix, Runner_Says says)
+{
+    RunnerFix_BeatOf(fix, "i-1", ++fix->beats, says);
+}
+
+void
+RunnerFix_AnswerLookOther(runner_fixture *fix)
+{
+    Runner_Listing listing = {.end = RUNNER_ORDER_OTHER};
+
+    Runner_OnLook(fix->runner, fix->now_ms, fix->look_id, &listing);
+}
+
 void
 RunnerFix_AnswerLook(runner_fixture *fix, const Runner_Row *running,
                      uint32_t count, const Runner_EndRow *ended,
--- a/tests/runner_fixture.h
+++ b/tests/runner_fixture.h
@@ -23,6 +23,7 @@
 typedef struct {
     Runner *runner;
     int64_t now_ms;
+    uint64_t beats; /* number of the last heartbeat */
     int starts;
     int stops;
     int looks;
@@ -46,6 +47,13 @@
 /** The upstream says that it is there. */
 void RunnerFix_Beat(runner_fixture *fix, Runner_Says says);
 
+/** A heartbeat of any incarnation, of that number. */
+void RunnerFix_BeatOf(runner_fixture *fix, const char *instance,
+                      uint64_t sequence, Runner_Says says);
+
+/** The last look is answered by another incarnation. */
+void RunnerFix_AnswerLookOther(runner_fixture *fix);
+
 /** The last look is answered with these lists. */
 void RunnerFix_AnswerLook(runner_fixture *fix, const Runner_Row *running,
                           uint32_t count, const Runner_EndRow *ended,
