--- a/base/counter.h
+++ b/base/counter.h
@@ -37,6 +37,7 @@
     X(RECORDS_SKIPPED, "records_skipped")                                     \
     X(VIEWS_APPLIED, "views_applied")                                         \
     X(APPENDS, "log_appends")                                                 \
+    X(HEARTBEATS_LATE, "heartbeats_late")                                     \
     X(REQUESTS_NO_ROUTE, "requests_no_route")                                 \
     X(GOSSIP_GIVEN_UP, "gossip_given_up")                                     \
     X(RPC_BYTES_IN, "rpc_bytes_in")                                           \
--- a/base/event.h
+++ b/base/event.h
@@ -73,6 +73,7 @@
     X(UPSTREAM_DRAINING, 522, G_LOG_LEVEL_MESSAGE, "upstream drain changed")  \
     X(UPSTREAM_TRIAL, 523, G_LOG_LEVEL_WARNING, "upstream on trial")          \
     X(UPSTREAM_TRUSTED, 524, G_LOG_LEVEL_MESSAGE, "upstream trusted again")   \
+    X(HEARTBEAT_LATE, 525, G_LOG_LEVEL_INFO, "late heartbeat passed over")    \
     X(RPC_BAD, 600, G_LOG_LEVEL_WARNING, "RPC record refused")                \
     X(HTTP_BAD, 601, G_LOG_LEVEL_INFO, "HTTP request refused")
 
--- a/lease/runner.c
+++ b/lease/runner.c
@@ -29,6 +29,7 @@
     runner->fenced = g_array_new(FALSE, TRUE, sizeof(lc_node));
     runner->token = config->first_token;
     runner->up.instance = g_strdup("");
+    Incarnations_Init(&runner->gone);
     runner->up.service = g_strdup("");
     runner->up.labels = g_new0(char *, 1);
     runner->look_again_ms = now_ms;
@@ -48,9 +49,7 @@
     Handle_FreeTable(runner->by_handle);
     g_array_unref(runner->owners);
     g_array_unref(runner->fenced);
-    g_free(runner->up.instance);
-    g_free(runner->up.service);
-    g_strfreev(runner->up.labels);
+    RunnerUpstream_Clear(runner);
     g_free(runner);
 }
 
--- a/lease/runner_look.c
+++ b/lease/runner_look.c
@@ -20,7 +20,7 @@
 {
     return runner->live > 0 || !runner->up.inventoried ||
            RunnerKept_LastSeen(runner) > runner->up.acknowledged ||
-           runner->up.doubtful;
+           runner->up.doubtful || runner->successor.pending;
 }
 
 void
@@ -35,7 +35,8 @@
 static uint32_t
 wait_ms(const Runner *runner)
 {
-    if (runner->live == 0 || runner->missed_in_row > 0) {
+    if (runner->live == 0 || runner->missed_in_row > 0 ||
+        runner->successor.pending) {
         return 0;
     }
     return AnswerTime_IsLossy(&runner->answers) ? LOOK_WAIT_LOSSY_MS
@@ -406,6 +407,7 @@
     switch (listing->end) {
     case RUNNER_ORDER_TAKEN:
         take_look_answer(runner, now_ms, &look);
+        RunnerUpstream_Confirm(runner, look.id);
         take_listing(runner, now_ms, &look, listing);
         break;
     case RUNNER_ORDER_FENCED:
@@ -414,7 +416,9 @@
         break;
     case RUNNER_ORDER_OTHER:
         RunnerUpstream_MeetOther(runner, now_ms);
-        runner->look_again_ms = now_ms + OTHER_AGAIN_MS;
+        if (!runner->up.known) {
+            runner->look_again_ms = now_ms + OTHER_AGAIN_MS;
+        }
         break;
     default:
         lose_look(runner, now_ms, &look, listing->end);
--- a/lease/runner_orders.c
+++ b/lease/runner_orders.c
@@ -277,16 +277,27 @@
     }
 }
 
+/* The answer to a task's order has the clock of the incarnation in force, as
+ * tasks end with theirs, but where another incarnation answers. */
+static void
+take_clock(Runner *runner, int64_t now_ms, Runner_OrderEnd end,
+           int64_t clock_ms)
+{
+    if (end != RUNNER_ORDER_OTHER) {
+        RunnerUpstream_TakeClock(runner, now_ms, clock_ms);
+    }
+}
+
 void
 Runner_OnStarted(Runner *runner, int64_t now_ms, uint64_t order_id,
                  Runner_OrderEnd end, int64_t clock_ms)
 {
     Runner_Task *row = take_answer(runner, now_ms, order_id, end);
 
-    RunnerUpstream_TakeClock(runner, now_ms, clock_ms);
     if (row == NULL) {
         return;
     }
+    take_clock(runner, now_ms, end, clock_ms);
     Histogram_Add(&runner->orders_time, now_ms - row->ordered_ms);
     take_start(runner, now_ms, row, end);
     RunnerLook_Send(runner, now_ms);
@@ -298,13 +309,13 @@
 {
     Runner_Task *row = take_answer(runner, now_ms, order_id, end);
 
-    RunnerUpstream_TakeClock(runner, now_ms, clock_ms);
     if (end == RUNNER_ORDER_FENCED) {
         RunnerUpstream_RaiseToken(runner);
     }
     if (row == NULL) {
         return;
     }
+    take_clock(runner, now_ms, end, clock_ms);
     if (end == RUNNER_ORDER_TAKEN) {
         row->stop_confirmed = true;
         row->stop_confirmed_ms = now_ms;
--- a/lease/runner_state.h
+++ b/lease/runner_state.h
@@ -15,6 +15,7 @@
 #include "base/histogram.h"
 #include "lease/answer_time.h"
 #include "lease/health.h"
+#include "lease/incarnations.h"
 #include "lease/runner.h"
 
 typedef enum {
@@ -63,6 +64,7 @@
     bool draining;
     bool inventoried; /* nothing of an earlier companion runs there */
     char *instance;
+    uint64_t sequence; /* of its last heartbeat in order */
     char *service;
     char **labels;
     lc_resources capacity;
@@ -74,6 +76,17 @@
     bool doubtful;         /* it answers nothing */
 } Runner_Known;
 
+/* A heartbeat of another incarnation than the one in force. The upstream's
+ * answer to a look that names the latter decides which of them lives. */
+typedef struct {
+    bool pending;
+    uint64_t after_look; /* answers to looks behind this one decide */
+    char *instance;
+    char *service;
+    char **labels;
+    Runner_Upstream said; /* points to the texts above */
+} Runner_Successor;
+
 /* One copy of an order on its way to the upstream. */
 typedef struct {
     Handle task;
@@ -105,6 +118,8 @@
     uint64_t refusals[LC_RUN_OLD + 1]; /* by status */
     Health health;
     Runner_Known up;
+    Runner_Successor successor;
+    Incarnations gone;
     lc_resources used;
     GHashTable *tasks; /* lc_run_id -> Runner_Task */
     Handle_Table *by_handle;
@@ -264,6 +279,12 @@
 /** Another incarnation than the one known has answered. */
 void RunnerUpstream_MeetOther(Runner *runner, int64_t now_ms);
 
+/** The incarnation in force has answered a look: no other lives. */
+void RunnerUpstream_Confirm(Runner *runner, uint64_t look_id);
+
+/** Frees what is known of the upstream. */
+void RunnerUpstream_Clear(Runner *runner);
+
 /** The upstream has seen a higher token than ours. */
 void RunnerUpstream_RaiseToken(Runner *runner);
 
--- a/lease/runner_upstream.c
+++ b/lease/runner_upstream.c
@@ -42,6 +42,7 @@
     RunnerKept_LetGoAll(runner);
     g_free(runner->up.instance);
     runner->up.instance = g_strdup(upstream->instance);
+    runner->up.sequence = 0;
     runner->up.inventoried = false;
     runner->up.last_seen = 0;
     runner->up.acknowledged = 0;
@@ -58,15 +59,73 @@
                        first ? "heard of" : "a new incarnation");
 }
 
+/* ---- successors ---- */
+
+static void
+drop_successor(Runner *runner)
+{
+    Runner_Successor *successor = &runner->successor;
+
+    g_free(successor->instance);
+    g_free(successor->service);
+    g_strfreev(successor->labels);
+    memset(successor, 0, sizeof(*successor));
+}
+
+static void
+keep_successor(Runner *runner, int64_t now_ms, const Runner_Upstream *said)
+{
+    Runner_Successor *successor = &runner->successor;
+
+    drop_successor(runner);
+    successor->pending = true;
+    successor->after_look = runner->last_look_id;
+    successor->instance = g_strdup(said->instance);
+    successor->service = g_strdup(said->service);
+    successor->labels = g_strdupv((char **)said->labels);
+    successor->said = *said;
+    successor->said.instance = successor->instance;
+    successor->said.service = successor->service;
+    successor->said.labels = (const char *const *)successor->labels;
+    runner->look_again_ms = now_ms;
+    RunnerLook_Send(runner, now_ms);
+}
+
+static void
+pass_over(Runner *runner, const char *instance, uint64_t sequence,
+          const char *reason)
+{
+    Counter_Add(&runner->counters, COUNTER_HEARTBEATS_LATE, 1);
+    if (Event_Admit(EVENT_HEARTBEAT_LATE)) {
+        runner->ports->event(
+            runner->context, EVENT_HEARTBEAT_LATE,
+            json_pack("{s:s, s:I, s:s, s:s, s:I}", "upstream", instance,
+                      "sequence", (json_int_t)sequence, "detail", reason,
+                      "in_force", runner->up.instance, "in_force_sequence",
+                      (json_int_t)runner->up.sequence));
+    }
+}
+
 void
-Runner_OnUpstream(Runner *runner, int64_t now_ms,
-                  const Runner_Upstream *upstream)
+RunnerUpstream_Confirm(Runner *runner, uint64_t look_id)
 {
-    bool draining = upstream->says == RUNNER_UPSTREAM_DRAINING;
+    Runner_Successor *successor = &runner->successor;
 
-    if (strcmp(runner->up.instance, upstream->instance) != 0) {
-        begin_instance(runner, now_ms, upstream);
+    if (successor->pending && look_id > successor->after_look) {
+        pass_over(runner, successor->instance, successor->said.sequence,
+                  "another incarnation answers at its address");
+        Incarnations_NoteGone(&runner->gone, successor->instance);
+        drop_successor(runner);
     }
+}
+
+/* ---- heartbeats ---- */
+
+static void
+take_state(Runner *runner, int64_t now_ms, const Runner_Upstream *upstream)
+{
+    bool draining = upstream->says == RUNNER_UPSTREAM_DRAINING;
+
     if (draining != runner->up.draining) {
         RunnerUpstream_Log(runner, EVENT_UPSTREAM_DRAINING,
                            draining ? "takes no more tasks"
@@ -75,6 +134,7 @@
     runner->version++;
     runner->up.known = true;
     runner->up.draining = draining;
+    runner->up.sequence = upstream->sequence;
     runner->up.heard_ms = now_ms;
     runner->up.capacity = upstream->capacity;
     g_free(runner->up.service);
@@ -85,6 +145,41 @@
     RunnerLook_Send(runner, now_ms);
 }
 
+/* The upstream is asked first if the incarnation in force may live. It is
+ * taken as gone for good on the upstream's own word alone: this incarnation
+ * may be the dead one. */
+static void
+take_other(Runner *runner, int64_t now_ms, const Runner_Upstream *upstream)
+{
+    if (runner->up.known && !runner->up.doubtful) {
+        keep_successor(runner, now_ms, upstream);
+        return;
+    }
+    drop_successor(runner);
+    begin_instance(runner, now_ms, upstream);
+    take_state(runner, now_ms, upstream);
+}
+
+void
+Runner_OnUpstream(Runner *runner, int64_t now_ms,
+                  const Runner_Upstream *upstream)
+{
+    if (Incarnations_IsGone(&runner->gone, upstream->instance)) {
+        pass_over(runner, upstream->instance, upstream->sequence,
+                  "this incarnation is gone");
+    }
+    else if (strcmp(runner->up.instance, upstream->instance) != 0) {
+        take_other(runner, now_ms, upstream);
+    }
+    else if (upstream->sequence <= runner->up.sequence) {
+        pass_over(runner, upstream->instance, upstream->sequence,
+                  "a later one has come");
+    }
+    else {
+        take_state(runner, now_ms, upstream);
+    }
+}
+
 void
 RunnerUpstream_Lose(Runner *runner, int64_t now_ms, const char *reason)
 {
@@ -97,6 +192,7 @@
 void
 Runner_OnUpstreamGone(Runner *runner, int64_t now_ms, const char *instance)
 {
+    Incarnations_NoteGone(&runner->gone, instance);
     if (runner->up.known && strcmp(runner->up.instance, instance) == 0) {
         RunnerUpstream_Lose(runner, now_ms, "it has left");
     }
@@ -119,12 +215,19 @@
 void
 RunnerUpstream_MeetOther(Runner *runner, int64_t now_ms)
 {
-    if (runner->up.known) {
-        RunnerUpstream_Lose(runner, now_ms, "another incarnation answers");
-    }
-    else {
+    Runner_Successor next = runner->successor;
+
+    if (!runner->up.known) {
         g_free(runner->up.instance);
         runner->up.instance = g_strdup("");
+        return;
+    }
+    RunnerUpstream_Lose(runner, now_ms, "another incarnation answers");
+    Incarnations_NoteGone(&runner->gone, runner->up.instance);
+    if (next.pending) {
+        begin_instance(runner, now_ms, &next.said);
+        take_state(runner, now_ms, &next.said);
+        drop_successor(runner);
     }
 }
 
@@ -133,3 +236,13 @@
 {
     runner->token += TOKEN_STEP;
 }
+
+void
+RunnerUpstream_Clear(Runner *runner)
+{
+    drop_successor(runner);
+    Incarnations_Clear(&runner->gone);
+    g_free(runner->up.instance);
+    g_free(runner->up.service);
+    g_strfreev(runner->up.labels);
+}
--- a/tests/heartbeat_rules.c
+++ b/tests/heartbeat_rules.c
@@ -174,6 +174,49 @@
     Runner_Free(fix.runner);
 }
 
+/* What is ordered of the living one is reckoned by its own clock. */
+static void
+test_clock_of_a_dead_one(void)
+{
+    static const Runner_OrderEnd ends[] = {
+        RUNNER_ORDER_TAKEN, RUNNER_ORDER_OTHER, RUNNER_ORDER_LATE};
+    size_t i;
+
+    for (i = 0; i < G_N_ELEMENTS(ends); i++) {
+        runner_fixture fix;
+        uint64_t order;
+        RunnerFix_NewReady(&fix);
+        RunnerFix_CallRun(&fix, 1, 1, 1000, 500);
+        order = fix.start_id;
+        replace(&fix);
+        Runner_OnStarted(fix.runner, fix.now_ms, order, ends[i],
+                         CLOCK_MS + 1000000);
+        g_assert_true(takes_tasks(&fix, 2));
+        g_assert_cmpint(fix.start.deadline_ms, <, CLOCK_MS + 10000);
+        Runner_Free(fix.runner);
+    }
+}
+
+/* Nobody knows which lives: the one that is asked for is not given up for
+ * good. */
+static void
+test_wrong_one_taken(void)
+{
+    Runner_Listing none = {.end = RUNNER_ORDER_UNSENT};
+    runner_fixture fix;
+
+    begin_task(&fix);
+    Runner_OnLook(fix.runner, fix.now_ms, fix.look_id, &none);
+    RunnerFix_BeatOf(&fix, "i-0", 50, RUNNER_UPSTREAM_READY);
+    RunnerFix_AnswerLookOther(&fix);
+    fix.now_ms += 1000;
+    RunnerFix_BeatOf(&fix, "i-1", 9, RUNNER_UPSTREAM_READY);
+    RunnerFix_AnswerLook(&fix, NULL, 0, NULL, 0);
+    g_assert_true(takes_tasks(&fix, 2));
+    g_assert_cmpstr(fix.start.instance, ==, "i-1");
+    Runner_Free(fix.runner);
+}
+
 static const RuleTable_Row rules[] = {
     {"/heartbeats/a dead incarnation is not believed again",
      test_late_beat_of_a_dead_one},
@@ -188,6 +231,9 @@
     {"/heartbeats/one number counts once", test_twice_the_same},
     {"/heartbeats/one that left stays gone", test_one_that_left_stays_gone},
     {"/heartbeats/one that is silent gives way", test_current_one_is_silent},
+    {"/heartbeats/the clock of a dead one does not count",
+     test_clock_of_a_dead_one},
+    {"/heartbeats/the wrong one taken gives way", test_wrong_one_taken},
 };
 
 int
