--- a/tests/soak/cluster.cc
+++ b/tests/soak/cluster.cc
@@ -245,15 +245,30 @@
     }
 }
 
+std::vector<Proxy *>
+Cluster::proxies_of(const std::string &kind)
+{
+    const std::map<std::string, std::vector<std::unique_ptr<Proxy>> *> kinds =
+        {{"entries", &entry_rpc},
+         {"companions", &companion_rpc},
+         {"upstreams", &upstream_app},
+         {"store", &store_paths}};
+    std::vector<Proxy *> all;
+
+    for (auto &one : *kinds.at(kind)) {
+        all.push_back(one.get());
+    }
+    return all;
+}
+
 std::vector<Proxy *>
 Cluster::proxies()
 {
     std::vector<Proxy *> all;
 
-    for (auto list :
-         {&entry_rpc, &companion_rpc, &upstream_app, &store_paths}) {
-        for (auto &one : *list) {
-            all.push_back(one.get());
+    for (const char *kind : {"entries", "companions", "upstreams", "store"}) {
+        for (Proxy *proxy : proxies_of(kind)) {
+            all.push_back(proxy);
         }
     }
     return all;
--- a/tests/soak/cluster.h
+++ b/tests/soak/cluster.h
@@ -77,6 +77,9 @@
     void say(const std::string &text);
     void after(int64_t ms, std::function<void()> run) const;
     std::vector<Proxy *> proxies();
+    /** Before one kind of address: "entries", "companions", "upstreams" or
+     * "store". */
+    std::vector<Proxy *> proxies_of(const std::string &kind);
     /** Before the store, as one entry sees it. */
     Proxy *
     store_path(int entry)
--- a/tests/soak/proxy.cc
+++ b/tests/soak/proxy.cc
@@ -61,6 +61,8 @@
     uv_connect_t connect;
     uv_timer_t timer;
     bool closing = false;
+    bool silent_in = false;
+    bool silent_out = false;
     int handles = 3;
 
     bool
@@ -186,6 +188,20 @@
         *buffer = uv_buf_init(chunk, CHUNK);
     }
 
+    /* Bytes of a silent connection are taken, as a kernel would for some time,
+     * and lost. Who opened it may give it up; the other side's end is not
+     * told. */
+    void
+    lose(uv_stream_t *stream, const Side &side, ssize_t count)
+    {
+        if (count < 0 && side.is_target) {
+            uv_read_stop(stream);
+        }
+        else if (count < 0) {
+            close(false);
+        }
+    }
+
     static void
     on_read(uv_stream_t *stream, ssize_t count, const uv_buf_t *buffer)
     {
@@ -205,6 +221,10 @@
             side->paused = true;
             uv_read_stop(stream);
         }
+        if (side->is_target ? self->silent_out : self->silent_in) {
+            self->lose(stream, *side, count);
+            return;
+        }
         if (count == UV_ECONNRESET && !self->is_held(other)) {
             self->close(true);
             return;
@@ -323,6 +343,21 @@
     }
 }
 
+void
+Proxy::silence(bool in, bool out)
+{
+    for (Connection *connection : connections) {
+        connection->silent_in |= in;
+        connection->silent_out |= out;
+        if (in) {
+            connection->target.waiting.clear();
+        }
+        if (out) {
+            connection->client.waiting.clear();
+        }
+    }
+}
+
 void
 Proxy::reset(bool half)
 {
--- a/tests/soak/proxy.h
+++ b/tests/soak/proxy.h
@@ -56,7 +56,10 @@
     {
         line = std::move(wanted);
     }
-    /** Passes everything on again. */
+    /** All connections open now pass nothing more that way, for good and
+     * without a word; new ones work. */
+    void silence(bool in, bool out);
+    /** Passes everything on again, but over connections that were silenced. */
     void heal();
     /** Resets all connections, or about half of them. */
     void reset(bool half);
--- a/tests/soak/scenario.cc
+++ b/tests/soak/scenario.cc
@@ -25,6 +25,9 @@
 const int64_t CHANGE_MS = 900;
 const int CHANGES = 4;
 const int64_t APPLY_MS = 3000; /* config_apply_ms of the larger deployments */
+const int64_t SILENT_LOAD_MS = 6000;
+const int64_t SILENCE_MS = 1500;
+const int64_t SILENT_APPLY_MS = 2000; /* the least config_apply_ms */
 const uint64_t KEPT_JOBS = 12;
 const int64_t KEPT_END_MS = 14000; /* a takeover may take nine seconds */
 const int64_t ANSWERS_MS = 3500;   /* until the last caller has its answer */
@@ -190,6 +193,79 @@
     });
 }
 
+/* All connections that are open go silent under load; new ones work. */
+void
+silent_load()
+{
+    if (cluster->now() > START_MS + SILENT_LOAD_MS) {
+        cluster->over = true;
+        return;
+    }
+    watched = cluster->hand_in(2, 500, 100, false);
+    cluster->after(25, silent_load);
+}
+
+void
+silence(const std::vector<std::string> &kinds, bool in, bool out)
+{
+    silent_load();
+    cluster->after(SILENCE_MS, [kinds, in, out] {
+        for (const std::string &kind : kinds) {
+            for (soak::Proxy *proxy : cluster->proxies_of(kind)) {
+                proxy->silence(in, out);
+            }
+        }
+        cluster->put_routes();
+    });
+    cluster->after(SILENCE_MS + SILENT_APPLY_MS,
+                   [] { cluster->probe_routes(); });
+}
+
+const std::vector<std::string> EVERY = {"entries", "companions", "upstreams",
+                                        "store"};
+
+void
+play_silent_both()
+{
+    silence(EVERY, true, true);
+}
+
+void
+play_silent_in()
+{
+    silence(EVERY, true, false);
+}
+
+void
+play_silent_out()
+{
+    silence(EVERY, false, true);
+}
+
+void
+play_silent_entries()
+{
+    silence({"entries"}, true, true);
+}
+
+void
+play_silent_companions()
+{
+    silence({"companions"}, true, true);
+}
+
+void
+play_silent_upstreams()
+{
+    silence({"upstreams"}, true, true);
+}
+
+void
+play_silent_store()
+{
+    silence({"store"}, true, true);
+}
+
 const struct {
     const char *name;
     void (*play)();
@@ -204,6 +280,15 @@
     {"stalled_reader", play_stalled_reader, STALL_MS + ANSWERS_MS, 1},
     {"large_configuration", play_large_configuration,
      CHANGES *CHANGE_MS + APPLY_MS + ANSWERS_MS, 4},
+    {"silent_both", play_silent_both, SILENT_LOAD_MS + ANSWERS_MS, 3},
+    {"silent_in", play_silent_in, SILENT_LOAD_MS + ANSWERS_MS, 3},
+    {"silent_out", play_silent_out, SILENT_LOAD_MS + ANSWERS_MS, 3},
+    {"silent_entries", play_silent_entries, SILENT_LOAD_MS + ANSWERS_MS, 3},
+    {"silent_companions", play_silent_companions, SILENT_LOAD_MS + ANSWERS_MS,
+     3},
+    {"silent_upstreams", play_silent_upstreams, SILENT_LOAD_MS + ANSWERS_MS,
+     3},
+    {"silent_store", play_silent_store, SILENT_LOAD_MS + ANSWERS_MS, 3},
     {"kept_owner_dies", play_kept_owner_dies, KEPT_END_MS, 2},
     {"kept_power_loss", play_kept_power_loss, KEPT_END_MS, 2},
     {"kept_store_away", play_kept_store_away, KEPT_END_MS, 2},
@@ -249,6 +334,14 @@
     for (const std::string &line : cluster->checker.violations) {
         fprintf(stderr, "violation %s\n", line.c_str());
     }
+    for (const auto &pair : cluster->seconds) {
+        const soak::Cluster::Second &second = pair.second;
+        fprintf(stderr,
+                "second %" PRId64 ": sent %d, done %d, refused %d, given up "
+                "%d, none %d\n",
+                pair.first, second.sent, second.done, second.refused,
+                second.given_up, second.none);
+    }
     fprintf(stderr,
             "answers: 2xx %" PRIu64 ", 5xx %" PRIu64 ", none %" PRIu64
             ", slowest %" PRId64 " ms\n",
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -15,6 +15,10 @@
 
 #include "tests/soak/cluster.h"
 
+extern "C" {
+#include "base/random.h"
+}
+
 namespace {
 
 /* Settings of a run. */
@@ -30,10 +34,11 @@
 gboolean verbose;
 
 const int64_t START_MS = 2500;
-const int64_t LOADED_MS = 50;   /* from the start to main */
-const int64_t CALM_MS = 6000;   /* after the last fault */
-const int64_t SETTLE_MS = 3000; /* of it, until service must be back */
-const int64_t KEPT_MS = 20000;  /* since then, until all kept jobs are over */
+const int64_t SILENCE_LEAST_MS = 2000; /* between two faults of this kind */
+const int64_t LOADED_MS = 50;          /* from the start to main */
+const int64_t CALM_MS = 6000;          /* after the last fault */
+const int64_t SETTLE_MS = 3000;        /* of it, until service must be back */
+const int64_t KEPT_MS = 20000; /* since then, until all kept jobs are over */
 
 const GOptionEntry options[] = {
     {"seed", 0, 0, G_OPTION_ARG_INT64, &seed, "Of all choices", "N"},
@@ -236,6 +241,34 @@
     }
 }
 
+/* Connections that are open go silent for good: of one address or of all,
+ * both ways or one way. Drawn apart, so that the other faults of a seed stay
+ * as they were. */
+void
+next_silence()
+{
+    static uint64_t state = Random_Seed((uint64_t)seed);
+    uint64_t draw = Random_Next(&state) >> 20;
+    std::vector<soak::Proxy *> all = cluster->proxies();
+    bool in = draw % 3 != 0;
+    bool out = draw % 3 != 1;
+
+    if (cluster->now() > START_MS + (int64_t)seconds * 1000) {
+        return;
+    }
+    faults++;
+    cluster->say(std::string("silent connections") + (in ? ", in" : "") +
+                 (out ? ", out" : "") + (draw % 5 == 0 ? ", all" : ""));
+    for (size_t i = 0; i < all.size(); i++) {
+        if (draw % 5 == 0 || i == (draw >> 8) % all.size()) {
+            all[i]->silence(in, out);
+        }
+    }
+    cluster->after(SILENCE_LEAST_MS +
+                       (int64_t)((draw >> 24) % SILENCE_LEAST_MS),
+                   next_silence);
+}
+
 void
 next_fault()
 {
@@ -329,6 +362,7 @@
     int64_t healed = START_MS + (int64_t)seconds * 1000 + 3000;
     cluster->after(START_MS, make_job);
     cluster->after(START_MS + 500, next_fault);
+    cluster->after(START_MS + 900, next_silence);
     cluster->after(healed, [] {
         cluster->heal();
         cluster->checker.calm_from_ms = cluster->now() + SETTLE_MS;
--- a/tests/soak/upstream.cc
+++ b/tests/soak/upstream.cc
@@ -81,6 +81,8 @@
 void
 Upstream::crash()
 {
+    dead = model.instance();
+    beats_since = 0;
     model.crash(now(), false);
     waiting.clear();
 }
@@ -257,29 +259,44 @@
 }
 
 void
-Upstream::on_beat(uv_timer_t *timer)
+Upstream::send_beat(const std::string &instance, uint64_t number,
+                    int64_t clock_ms)
 {
-    Upstream *self = (Upstream *)timer->data;
     Http_ClientRequest request = {};
     char body[400];
-    std::string path = "/instances/" + self->model.instance() + "/heartbeat";
+    std::string path = "/instances/" + instance + "/heartbeat";
 
-    if (!self->model.is_up()) {
-        return;
-    }
     snprintf(body, sizeof(body),
              "{\"service\":\"service\",\"state\":\"ready\",\"capacity\":"
              "{\"cpu\":%u,\"mem_mb\":%u,\"gpu\":0},\"labels\":[],"
              "\"clock_ms\":%" PRId64 ",\"seq\":%" PRIu64 "}",
              UPSTREAM_CAPACITY.cpu_milli, UPSTREAM_CAPACITY.memory_mb,
-             self->model.clock(self->now()), ++self->beats);
-    request.to = self->companion;
+             clock_ms, number);
+    request.to = companion;
     request.method = "POST";
     request.path = path.c_str();
     request.body = body;
     request.length = strlen(body);
     request.timeout_ms = 1000;
-    Http_Send(self->client, &request, on_beat_answer, self);
+    Http_Send(client, &request, on_beat_answer, this);
+}
+
+/* The last heartbeat of one that crashed comes when its successor has
+ * registered. */
+void
+Upstream::on_beat(uv_timer_t *timer)
+{
+    Upstream *self = (Upstream *)timer->data;
+
+    if (!self->model.is_up()) {
+        return;
+    }
+    self->send_beat(self->model.instance(), ++self->beats,
+                    self->model.clock(self->now()));
+    if (!self->dead.empty() && ++self->beats_since == 2) {
+        self->send_beat(self->dead, self->beats, 1);
+        self->dead.clear();
+    }
 }
 
 } // namespace soak
--- a/tests/soak/upstream.h
+++ b/tests/soak/upstream.h
@@ -51,6 +51,8 @@
     static void on_beat(uv_timer_t *timer);
     static void on_beat_answer(void *context, const Http_ClientAnswer *answer);
     static void on_late(uv_timer_t *timer);
+    void send_beat(const std::string &instance, uint64_t number,
+                   int64_t clock_ms);
     void handle(uint64_t request, const std::string &path,
                 const std::string &body, const std::string &expected);
     bool answer_look(Waiting &waiting);
@@ -70,6 +72,8 @@
     uv_timer_t beat;
     int64_t begin_ms;
     uint64_t beats = 0;
+    std::string dead; /**< its last heartbeat is still on its way */
+    int beats_since = 0;
     std::vector<Waiting> waiting;
 };
 
