--- a/base/counter.h
+++ b/base/counter.h
@@ -42,6 +42,7 @@
     X(GOSSIP_GIVEN_UP, "gossip_given_up")                                     \
     X(RPC_BYTES_IN, "rpc_bytes_in")                                           \
     X(RPC_BYTES_OUT, "rpc_bytes_out")                                         \
+    X(CONNECTIONS_SILENT, "connections_silent")                               \
     X(RPC_BAD, "rpc_bad_records")
 
 /** Counter identifiers, in the order of COUNTER_LIST. */
--- a/base/event.h
+++ b/base/event.h
@@ -75,7 +75,8 @@
     X(UPSTREAM_TRUSTED, 524, G_LOG_LEVEL_MESSAGE, "upstream trusted again")   \
     X(HEARTBEAT_LATE, 525, G_LOG_LEVEL_INFO, "late heartbeat passed over")    \
     X(RPC_BAD, 600, G_LOG_LEVEL_WARNING, "RPC record refused")                \
-    X(HTTP_BAD, 601, G_LOG_LEVEL_INFO, "HTTP request refused")
+    X(HTTP_BAD, 601, G_LOG_LEVEL_INFO, "HTTP request refused")                \
+    X(CONNECTION_SILENT, 602, G_LOG_LEVEL_WARNING, "connection silent, closed")
 
 /** Event identifiers, in the order of EVENT_LIST. */
 typedef enum {
--- a/daemon/leased_companion.c
+++ b/daemon/leased_companion.c
@@ -456,7 +456,10 @@
     int code = Err_Exit(ERR_IO);
 
     self->http = Http_NewClient(loop);
-    Http_KeepAlive(self->http, options->upstream, MOST_CONNECTIONS);
+    /* An order without an answer is sent again over another connection long
+     * before its own is given up, and upstreams leave orders unanswered whose
+     * connections are well: one is no sign against the others. */
+    Http_KeepAlive(self->http, options->upstream, MOST_CONNECTIONS, false);
     Peers_Init(&self->peers, options->rpc);
     self->runner = new_runner(self, options);
     if (self->runner == NULL) {
@@ -479,6 +482,7 @@
         Event_Log(EVENT_LISTEN_FAILED, "%s", status.message);
         goto done;
     }
+    Rpc_KeepAlive(self->process.rpc, PROCESS_SILENCE_MS);
     code = Process_Run(&self->process);
 done:
     if (self->runner != NULL) {
--- a/daemon/leased_entry.c
+++ b/daemon/leased_entry.c
@@ -403,13 +403,15 @@
         goto done;
     }
     self->http = Http_NewClient(loop);
-    Http_KeepAlive(self->http, options->store, STORE_CONNECTIONS);
+    Http_CountSilent(self->http, role_counters(&self->process));
+    Http_KeepAlive(self->http, options->store, STORE_CONNECTIONS, true);
     LeasedKept_Open(self, options);
     if (open_servers(self, loop, options, &status) != ERR_OK) {
         Event_Log(EVENT_LISTEN_FAILED, "%s", status.message);
         goto done;
     }
     LeasedRoutes_Open(self, options);
+    Rpc_KeepAlive(self->process.rpc, PROCESS_SILENCE_MS);
     code = Process_Run(&self->process);
 done:
     if (self->keeper != NULL) {
--- a/daemon/process.h
+++ b/daemon/process.h
@@ -13,6 +13,10 @@
 
 /** Time between ticks of a role. */
 #define PROCESS_TICK_MS 50
+/** A connection between processes of leased jobs that is silent for so long is
+ * closed: as long as a lease (lease/term.c), since what runs for an owner that
+ * is not heard lapses by then. */
+#define PROCESS_SILENCE_MS 600
 
 /** A running role; the first member of its own structure. */
 typedef struct Process Process;
--- a/tests/heartbeat_rules.c
+++ b/tests/heartbeat_rules.c
@@ -197,6 +197,22 @@
     }
 }
 
+/* Likewise where another incarnation answers the stop of a task. */
+static void
+test_clock_of_another(void)
+{
+    runner_fixture fix;
+
+    begin_task(&fix);
+    answer_running(&fix);
+    RunnerFix_CallHalt(&fix, 1, 1);
+    Runner_OnStopped(fix.runner, fix.now_ms, fix.stop_id, RUNNER_ORDER_OTHER,
+                     CLOCK_MS + 1000000);
+    g_assert_true(takes_tasks(&fix, 2));
+    g_assert_cmpint(fix.start.deadline_ms, <, CLOCK_MS + 10000);
+    Runner_Free(fix.runner);
+}
+
 /* Nobody knows which lives: the one that is asked for is not given up for
  * good. */
 static void
@@ -233,6 +249,8 @@
     {"/heartbeats/one that is silent gives way", test_current_one_is_silent},
     {"/heartbeats/the clock of a dead one does not count",
      test_clock_of_a_dead_one},
+    {"/heartbeats/the clock of another does not count",
+     test_clock_of_another},
     {"/heartbeats/the wrong one taken gives way", test_wrong_one_taken},
 };
 
--- a/wire/msg.c
+++ b/wire/msg.c
@@ -85,8 +85,9 @@
     return TRUE;
 }
 
-void
-Msg_EncodeCall(const Msg_Call *call, uint32_t xid, GByteArray *out)
+static void
+write_call(uint32_t xid, rpcproc_t procedure, xdrproc_t proc, const void *body,
+           GByteArray *out)
 {
     struct rpc_msg head;
 
@@ -96,9 +97,21 @@
     head.rm_call.cb_rpcvers = RPC_VERSION;
     head.rm_call.cb_prog = LC_PROGRAM;
     head.rm_call.cb_vers = LC_VERSION;
-    head.rm_call.cb_proc = (rpcproc_t)call->kind + 1;
-    write_record(out, (xdrproc_t)xdr_callmsg, &head, msg_rows[call->kind].args,
-                 &call->u);
+    head.rm_call.cb_proc = procedure;
+    write_record(out, (xdrproc_t)xdr_callmsg, &head, proc, body);
+}
+
+void
+Msg_EncodeCall(const Msg_Call *call, uint32_t xid, GByteArray *out)
+{
+    write_call(xid, (rpcproc_t)call->kind + 1, msg_rows[call->kind].args,
+               &call->u, out);
+}
+
+void
+Msg_EncodePing(uint32_t xid, GByteArray *out)
+{
+    write_call(xid, 0, NULL, NULL, out);
 }
 
 static void
--- a/wire/msg.h
+++ b/wire/msg.h
@@ -106,6 +106,9 @@
 /** Appends a whole record for a reply. */
 void Msg_EncodeReply(const Msg_Reply *reply, uint32_t xid, GByteArray *out);
 
+/** Appends a call of the NULL procedure, which any peer answers at once. */
+void Msg_EncodePing(uint32_t xid, GByteArray *out);
+
 /** Appends the empty reply of the NULL procedure. */
 void Msg_EncodeNull(uint32_t xid, GByteArray *out);
 
--- a/wire/rpc.c
+++ b/wire/rpc.c
@@ -8,6 +8,15 @@
 #define LISTEN_BACKLOG 512
 #define READ_CHUNK 65536
 #define LAST_FRAGMENT 0x80000000U
+/* Connections are looked at so often while they are kept alive. */
+#define KEEP_TICK_MS 100
+/* The tick came so late: this process stood still, and what others sent waits
+ * to be read. */
+#define KEEP_LATE_MS 200
+/* Who opened a connection closes it after so long without use; what the other
+ * side has not heard on for twice as long is gone without a word. Chosen: far
+ * beyond the longest pause between reports (3 s). */
+#define IDLE_MS 60000
 
 /* One TCP connection, opened by us (`peer` set) or by a peer. */
 typedef struct {
@@ -22,6 +31,8 @@
     GByteArray *out;     /* held back until connected */
     GHashTable *pending; /* xid -> pending_call */
     uint32_t next_xid;
+    int64_t used_ms;   /* something came, or was first waited for */
+    uint32_t ping_xid; /* of the ping on its way, or 0 */
     uint32_t writes;
 } connection;
 
@@ -47,6 +58,9 @@
     uv_loop_t *loop;
     uv_tcp_t listener;
     uv_timer_t lost_timer;
+    uv_timer_t keep_timer;
+    int64_t kept_ms;     /* the last look at all connections */
+    uint32_t silence_ms; /* 0: connections are not kept alive */
     bool listening;
     bool closing;
     int handles;
@@ -163,6 +177,7 @@
     conn->out = g_byte_array_new();
     conn->pending = g_hash_table_new_full(NULL, NULL, NULL, g_free);
     conn->handle = Handle_Add(rpc->connections, conn);
+    conn->used_ms = (int64_t)uv_now(rpc->loop);
     uv_tcp_init(rpc->loop, &conn->tcp);
     conn->tcp.data = conn;
     rpc->handles++;
@@ -231,10 +246,15 @@
 {
     Rpc *rpc = conn->rpc;
     gpointer xid = GUINT_TO_POINTER(record->xid);
+    bool is_ping = record->xid == conn->ping_xid && conn->ping_xid != 0;
     pending_call *pending = g_hash_table_lookup(conn->pending, xid);
     pending_call ended;
     Msg_Reply reply;
 
+    if (is_ping) {
+        conn->ping_xid = 0;
+        return;
+    }
     if (pending == NULL) {
         Counter_Add(rpc->counters, COUNTER_WASTED_LATE, 1);
         return;
@@ -344,6 +364,7 @@
     if (count == 0) {
         return;
     }
+    conn->used_ms = (int64_t)uv_now(conn->rpc->loop);
     Counter_Add(conn->rpc->counters, COUNTER_RPC_BYTES_IN, (uint64_t)count);
     g_byte_array_append(conn->in, (const guint8 *)buffer->base, (guint)count);
     take_input(conn);
@@ -413,6 +434,84 @@
     return conn;
 }
 
+/* ---- keeping alive ---- */
+
+/* Asks the peer for a word; nothing else may have been owed for some time. */
+static void
+ping(connection *conn)
+{
+    GByteArray *bytes = g_byte_array_new();
+
+    conn->ping_xid = ++conn->next_xid;
+    Msg_EncodePing(conn->ping_xid, bytes);
+    write_bytes(conn, bytes);
+}
+
+static void
+close_silent(connection *conn, int64_t since_ms)
+{
+    Counter_Add(conn->rpc->counters, COUNTER_CONNECTIONS_SILENT, 1);
+    Event_Log(EVENT_CONNECTION_SILENT,
+              "%s, nothing for %lld ms, %u calls without an answer",
+              conn->peer == 0 ? "from a peer" : Address_Text(conn->peer),
+              (long long)since_ms, g_hash_table_size(conn->pending));
+    close_connection(conn);
+}
+
+static void
+look_after(connection *conn, int64_t now)
+{
+    int64_t since_ms = now - conn->used_ms;
+    bool waits = g_hash_table_size(conn->pending) > 0;
+
+    if (conn->peer == 0) {
+        if (since_ms >= 2 * IDLE_MS) {
+            close_silent(conn, since_ms);
+        }
+    }
+    else if (!waits && since_ms >= IDLE_MS) {
+        close_connection(conn);
+    }
+    else if (waits && since_ms >= conn->rpc->silence_ms) {
+        close_silent(conn, since_ms);
+    }
+    else if (waits && since_ms >= conn->rpc->silence_ms / 2 &&
+             conn->ping_xid == 0) {
+        ping(conn);
+    }
+}
+
+static void
+on_keep_timer(uv_timer_t *timer)
+{
+    Rpc *rpc = timer->data;
+    int64_t now = (int64_t)uv_now(rpc->loop);
+    bool stood_still = now - rpc->kept_ms >= KEEP_TICK_MS + KEEP_LATE_MS;
+    uint32_t i;
+
+    rpc->kept_ms = now;
+    for (i = 0; i < Handle_Size(rpc->connections); i++) {
+        connection *conn = Handle_At(rpc->connections, i);
+        if (conn != NULL && stood_still) {
+            conn->used_ms = now;
+        }
+        else if (conn != NULL) {
+            look_after(conn, now);
+        }
+    }
+}
+
+void
+Rpc_KeepAlive(Rpc *rpc, uint32_t silence_ms)
+{
+    rpc->silence_ms = silence_ms;
+    rpc->kept_ms = (int64_t)uv_now(rpc->loop);
+    uv_timer_start(&rpc->keep_timer, on_keep_timer, KEEP_TICK_MS,
+                   KEEP_TICK_MS);
+}
+
+/* ---- the door ---- */
+
 Rpc *
 Rpc_New(uv_loop_t *loop, Counters *counters, const Rpc_Handlers *handlers,
         void *context)
@@ -429,7 +528,9 @@
     rpc->lost = g_array_new(FALSE, FALSE, sizeof(uint64_t));
     uv_timer_init(loop, &rpc->lost_timer);
     rpc->lost_timer.data = rpc;
-    rpc->handles = 1;
+    uv_timer_init(loop, &rpc->keep_timer);
+    rpc->keep_timer.data = rpc;
+    rpc->handles = 2;
     return rpc;
 }
 
@@ -467,6 +568,9 @@
         add_lost(rpc, call_id);
         return;
     }
+    if (g_hash_table_size(conn->pending) == 0) {
+        conn->used_ms = (int64_t)uv_now(rpc->loop);
+    }
     xid = ++conn->next_xid;
     pending = g_new0(pending_call, 1);
     pending->call_id = call_id;
@@ -555,4 +659,5 @@
         uv_close((uv_handle_t *)&rpc->listener, on_handle_closed);
     }
     uv_close((uv_handle_t *)&rpc->lost_timer, on_handle_closed);
+    uv_close((uv_handle_t *)&rpc->keep_timer, on_handle_closed);
 }
--- a/wire/rpc.h
+++ b/wire/rpc.h
@@ -54,6 +54,12 @@
 /** Breaks the connection to a peer; its pending calls are lost. */
 void Rpc_Reset(Rpc *rpc, Address to);
 
+/** Keeps connections alive from now on: one on which a call waits and nothing
+ * has come for @p silence_ms is closed, and its calls are lost; after half of
+ * that the peer is asked for a sign of life. Connections that are not used are
+ * closed after a minute. */
+void Rpc_KeepAlive(Rpc *rpc, uint32_t silence_ms);
+
 /** Whether replies still wait to be written. */
 int Rpc_Writing(const Rpc *rpc);
 
