--- a/daemon/leased_routes.c
+++ b/daemon/leased_routes.c
@@ -124,10 +124,13 @@
     }
     self->fetch_call = 0;
     if (!self->fetch.asking) {
+        return true; /* the store has given them meanwhile */
+    }
+    if (reply == NULL) {
+        RoutesFetch_Fail(&self->fetch);
         return true;
     }
-    step = RoutesFetch_Take(&self->fetch,
-                            reply == NULL ? NULL : &reply->u.routes);
+    step = RoutesFetch_Take(&self->fetch, &reply->u.routes);
     if (step == ROUTES_FETCH_WHOLE) {
         take_record(self, (const char *)self->fetch.bytes->data,
                     self->fetch.bytes->len, Address_Text(self->fetch.from));
--- a/lease/routes_fetch.c
+++ b/lease/routes_fetch.c
@@ -95,7 +95,7 @@
     const Peers_Row *peer;
 
     if (fetch->asking && now_ms - fetch->asked_ms >= CHUNK_PATIENCE_MS) {
-        RoutesFetch_Take(fetch, NULL);
+        RoutesFetch_Fail(fetch);
     }
     peer = choose_peer(fetch, now_ms, version, peers);
     if (peer == NULL) {
@@ -128,25 +128,31 @@
 static bool
 is_useful(const Routes_Fetch *fetch, const lc_routes_res *answer)
 {
-    return answer != NULL && answer->data.data_len > 0 &&
-           answer->total <= ROUTES_FETCH_MOST &&
+    return answer->routes_version == fetch->version &&
+           answer->data.data_len > 0 && answer->total <= ROUTES_FETCH_MOST &&
            answer->offset == fetch->bytes->len &&
            answer->offset <= answer->total &&
            answer->data.data_len <= answer->total - answer->offset &&
            (fetch->total == 0 || answer->total == fetch->total);
 }
 
+void
+RoutesFetch_Fail(Routes_Fetch *fetch)
+{
+    fetch->asking = false;
+    fetch->failed = true;
+    fetch->turn++;
+}
+
 RoutesFetch_Step
 RoutesFetch_Take(Routes_Fetch *fetch, const lc_routes_res *answer)
 {
     fetch->asking = false;
-    if (answer != NULL && answer->routes_version > fetch->version) {
+    if (answer->routes_version > fetch->version) {
         begin_anew(fetch, answer->routes_version);
     }
-    if (!is_useful(fetch, answer) ||
-        answer->routes_version != fetch->version) {
-        fetch->failed = true;
-        fetch->turn++;
+    if (!is_useful(fetch, answer)) {
+        RoutesFetch_Fail(fetch);
         return ROUTES_FETCH_FAILED;
     }
     fetch->total = answer->total;
--- a/lease/routes_fetch.h
+++ b/lease/routes_fetch.h
@@ -59,7 +59,10 @@
                       bool store_answers, const Peers *peers,
                       RoutesFetch_Call *call);
 
-/** Takes the answer of the last call; NULL if there was none. */
+/** The last call has no answer: its peer cannot be reached, or is slow. */
+void RoutesFetch_Fail(Routes_Fetch *fetch);
+
+/** Takes the answer of the last call. */
 RoutesFetch_Step RoutesFetch_Take(Routes_Fetch *fetch,
                                   const lc_routes_res *answer);
 
--- a/tests/heartbeat_rules.c
+++ b/tests/heartbeat_rules.c
@@ -249,8 +249,7 @@
     {"/heartbeats/one that is silent gives way", test_current_one_is_silent},
     {"/heartbeats/the clock of a dead one does not count",
      test_clock_of_a_dead_one},
-    {"/heartbeats/the clock of another does not count",
-     test_clock_of_another},
+    {"/heartbeats/the clock of another does not count", test_clock_of_another},
     {"/heartbeats/the wrong one taken gives way", test_wrong_one_taken},
 };
 
--- a/tests/routes_rules.c
+++ b/tests/routes_rules.c
@@ -13,7 +13,7 @@
 #define FIRST 2
 #define SECOND 3
 #define NOW_MS 50000
-#define STORE_FIRST_MS 300
+#define STORE_FIRST_MS ((int64_t)300)
 #define PATIENCE_MS 1000
 
 typedef struct {
@@ -210,8 +210,7 @@
     begin(&fix);
     Peers_Find(&fix.peers, fix.call.to == FIRST ? SECOND : FIRST)
         ->routes_version = 5;
-    g_assert_cmpint(RoutesFetch_Take(&fix.fetch, NULL), ==,
-                    ROUTES_FETCH_FAILED);
+    RoutesFetch_Fail(&fix.fetch);
     g_assert_true(next(&fix));
     free_fetch(&fix);
 }
--- a/wire/rpc.c
+++ b/wire/rpc.c
@@ -16,7 +16,7 @@
 /* Who opened a connection closes it after so long without use; what the other
  * side has not heard on for twice as long is gone without a word. Chosen: far
  * beyond the longest pause between reports (3 s). */
-#define IDLE_MS 60000
+#define IDLE_MS ((int64_t)60000)
 
 /* One TCP connection, opened by us (`peer` set) or by a peer. */
 typedef struct {
