--- a/tests/kept_rules.c
+++ b/tests/kept_rules.c
@@ -52,6 +52,7 @@
     bool lasts;
     uint32_t times;
     lc_upstream_state state;
+    u_int held_long; /* ends that the companion says it holds for long */
 } fixture;
 
 /* ---- ports ---- */
@@ -193,6 +194,7 @@
     report.host.node = companion_node;
     report.host.stamp_ms = fix->now_ms;
     report.host.state = fix->state;
+    report.host.held_long = fix->held_long;
     report.host.room.cpu_milli = 4000;
     report.host.pace_percent = 100;
     report.hall = (char *)(uintptr_t) "hall";
@@ -878,6 +880,57 @@
     free_fixture(&fix);
 }
 
+/* A companion tells of an end that it holds for long, of a job that this entry
+ * has not read. */
+static void
+hear_of_held_end(fixture *fix)
+{
+    lc_held_run held = {.id = {.job = 9, .run = 1025}, .status = LC_RUN_DONE};
+
+    new_fixture(fix);
+    fix->held_long = 1;
+    report_host(fix);
+    Keeper_Tick(fix->keeper, fix->now_ms);
+    answer_fence(fix, &held);
+    fix->held_long = 0;
+    report_host(fix);
+    g_assert_cmpint(count_calls(fix, MSG_RELEASE), ==, 0);
+}
+
+/* Its job stands in the log that was not read far enough. */
+static void
+test_held_end_of_an_unread_job(void)
+{
+    lc_node other = {own_node.address + 1, 500};
+    fixture fix;
+
+    hear_of_held_end(&fix);
+    Keeper_OnRead(fix.keeper, fix.now_ms + 5, fix.now_ms - 5);
+    settle(&fix);
+    g_assert_cmpint(count_calls(&fix, MSG_RELEASE), ==, 0);
+    fix.now_ms += 10;
+    read_submit(&fix, 9, &other);
+    read_log(&fix);
+    g_assert_cmpint(count_calls(&fix, MSG_RELEASE), ==, 0);
+    free_fixture(&fix);
+}
+
+/* Nobody knows its job. */
+static void
+test_held_end_of_no_job(void)
+{
+    fixture fix;
+
+    hear_of_held_end(&fix);
+    fix.now_ms += 10;
+    read_log(&fix);
+    g_assert_cmpint(count_calls(&fix, MSG_RELEASE), ==, 1);
+    fix.now_ms += 10;
+    read_log(&fix);
+    g_assert_cmpint(count_calls(&fix, MSG_RELEASE), ==, 1);
+    free_fixture(&fix);
+}
+
 static const RuleTable_Row rules[] = {
     {"/keeper/answers when it is written", test_answered_when_written},
     {"/keeper/starts when it is read", test_started_when_read},
@@ -912,6 +965,10 @@
     {"/keeper/lets go when it is claimed", test_claimed_lets_go},
     {"/keeper/of two that claim each other the first stays",
      test_mutual_claims},
+    {"/keeper/keeps the end of a job that it has not read",
+     test_held_end_of_an_unread_job},
+    {"/keeper/lets go of the end of a job that nobody knows",
+     test_held_end_of_no_job},
     {"/keeper/hands new jobs to others when it leaves",
      test_leaving_names_another},
 };
