--- a/lease/keeper.c
+++ b/lease/keeper.c
@@ -31,6 +31,7 @@
     keeper->jobs = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
                                          KeeperJob_Free);
     keeper->changed = g_hash_table_new(g_int64_hash, g_int64_equal);
+    keeper->doubts = g_array_new(FALSE, TRUE, sizeof(Keeper_Doubt));
     keeper->ends = g_array_new(FALSE, TRUE, sizeof(Keeper_End));
     keeper->recoveries = g_array_new(FALSE, TRUE, sizeof(Keeper_Recovery));
     keeper->peers = g_array_new(FALSE, TRUE, sizeof(Keeper_Peer));
@@ -76,6 +77,7 @@
     g_hash_table_unref(keeper->jobs);
     g_array_unref(keeper->waiters);
     g_array_unref(keeper->lookers);
+    g_array_unref(keeper->doubts);
     g_array_unref(keeper->ends);
     g_array_unref(keeper->recoveries);
     g_array_unref(keeper->peers);
@@ -154,6 +156,7 @@
     keeper->contact_ms = MAX(keeper->contact_ms, asked_ms);
     Dispatcher_HoldKept(keeper->dispatcher,
                         now_ms - keeper->contact_ms < KEEPER_HOLD_MS);
+    KeeperOwner_TakeRead(keeper);
     KeeperOwner_Recover(keeper, now_ms);
     KeeperJob_StartAll(keeper, now_ms);
     KeeperCaller_TakeRead(keeper, now_ms);
--- a/lease/keeper_owners.c
+++ b/lease/keeper_owners.c
@@ -15,6 +15,9 @@
 /* Companions have reported to an entry by this time after its start. */
 #define GATHERED_MS 2500
 #define ASK_HELD_MS 1000
+/* Ends of unknown jobs that are remembered until the log was read, which is
+ * after a tenth of a second on calm days; those beyond are asked for again. */
+#define MOST_DOUBTS 1024
 #define MOST_SEEN 256
 /* An owner that wrote nothing for so long says that it lives. */
 #define ALIVE_MS 700
@@ -390,7 +393,7 @@
     uint32_t number;
     bool done;
 
-    if (kept == NULL || kept->outcome != LC_KEPT_OPEN) {
+    if (kept->outcome != LC_KEPT_OPEN) {
         return true;
     }
     if (kept->body == NULL ||
@@ -404,22 +407,64 @@
     return done;
 }
 
-/* Ends that nobody asks for any more are let go of. */
+static void
+add_doubt(Keeper *keeper, int64_t now_ms, const Keeper_End *end)
+{
+    Keeper_Doubt doubt = {.end = *end, .heard_ms = now_ms};
+    guint i;
+
+    for (i = 0; i < keeper->doubts->len; i++) {
+        const Keeper_End *known =
+            &g_array_index(keeper->doubts, Keeper_Doubt, i).end;
+        if (Msg_SameNode(&known->host, &end->host) &&
+            RunId_Equal(&known->run, &end->run)) {
+            return;
+        }
+    }
+    if (keeper->doubts->len < MOST_DOUBTS) {
+        g_array_append_val(keeper->doubts, doubt);
+    }
+}
+
+void
+KeeperOwner_TakeRead(Keeper *keeper)
+{
+    guint i = 0;
+
+    while (i < keeper->doubts->len) {
+        const Keeper_Doubt *doubt = &g_array_index(keeper->doubts,
+                                                   Keeper_Doubt, i);
+        if (doubt->heard_ms >= keeper->contact_ms) {
+            i++;
+            continue;
+        }
+        if (Kept_Find(keeper->kept, doubt->end.run.job) == NULL) {
+            KeeperJob_Release(keeper, &doubt->end);
+        }
+        g_array_remove_index_fast(keeper->doubts, i);
+    }
+    KeeperJob_ReleaseWritten(keeper);
+}
+
+/* Ends that nobody asks for any more are let go of. A run begins after its job
+ * was written: a log that is read after the end was heard of tells the job. */
 static void
 release_useless(Keeper *keeper, int64_t now_ms, lc_node host,
                 const lc_fence_res *result)
 {
     u_int i;
 
-    if (Keeper_Identity(keeper, now_ms) == 0) {
-        return; /* the log may tell more */
-    }
     for (i = 0; i < result->runs.runs_len; i++) {
         const lc_held_run *run = &result->runs.runs_val[i];
+        const Kept_Job *job = Kept_Find(keeper->kept, run->id.job);
         Keeper_End end = {.host = host, .run = run->id};
-        if (!run->running &&
-            is_written(keeper, Kept_Find(keeper->kept, run->id.job),
-                       &run->id)) {
+        if (run->running) {
+            continue;
+        }
+        if (job == NULL) {
+            add_doubt(keeper, now_ms, &end);
+        }
+        else if (is_written(keeper, job, &run->id)) {
             KeeperJob_Release(keeper, &end);
         }
     }
--- a/lease/keeper_state.h
+++ b/lease/keeper_state.h
@@ -52,6 +52,13 @@
     lc_run_id run;
 } Keeper_End;
 
+/* A held end of a job that is not known here: it is gone, or newer than what
+ * was read of the log. */
+typedef struct {
+    Keeper_End end;
+    int64_t heard_ms;
+} Keeper_Doubt;
+
 /* What companions say of the runs of an owner that is gone. */
 typedef struct {
     lc_node gone;
@@ -104,6 +111,7 @@
     GHashTable *jobs;    /* id -> Keeper_Job */
     GHashTable *changed; /* set of ids */
     GArray *ends;        /* Keeper_End, put but not written */
+    GArray *doubts;      /* Keeper_Doubt */
     GArray *recoveries;  /* Keeper_Recovery */
     GArray *peers;       /* Keeper_Peer */
     GArray *seen;        /* Keeper_Seen */
@@ -186,6 +194,10 @@
 /** Asks companions, and starts jobs once all have answered. */
 void KeeperOwner_Recover(Keeper *keeper, int64_t now_ms);
 
+/** Lets go of ends of jobs that the log, read since they were heard of, does
+ * not know. */
+void KeeperOwner_TakeRead(Keeper *keeper);
+
 /** Asks companions for ends that they hold for long. */
 void KeeperOwner_AskHeld(Keeper *keeper, int64_t now_ms);
 
