--- a/tests/runner_rules.c
+++ b/tests/runner_rules.c
@@ -95,6 +95,42 @@
     Runner_Free(fix.runner);
 }
 
+/* An earlier copy of its call may come after one that was refused, over a
+ * connection that was held up; its entry may have sent the task elsewhere. */
+static void
+test_refused_run_stays_refused(void)
+{
+    static const struct {
+        const char *name;
+        lc_run_status status;
+    } cases[] = {
+        {"no room", LC_RUN_NO_ROOM},
+        {"expired", LC_RUN_EXPIRED},
+        {"draining", LC_RUN_DRAINING},
+    };
+    size_t i;
+
+    for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+        bool expired = cases[i].status == LC_RUN_EXPIRED;
+        bool full = cases[i].status == LC_RUN_NO_ROOM;
+        runner_fixture fix;
+        RunnerFix_NewReady(&fix);
+        g_test_message("%s", cases[i].name);
+        if (cases[i].status == LC_RUN_DRAINING) {
+            RunnerFix_Beat(&fix, RUNNER_UPSTREAM_DRAINING);
+        }
+        RunnerFix_CallRun(&fix, 1, 1, full ? 5000 : 1000, expired ? -1 : 500);
+        g_assert_cmpint(fix.status, ==, cases[i].status);
+        RunnerFix_Beat(&fix, RUNNER_UPSTREAM_READY);
+        RunnerFix_CallRun(&fix, 1, 1, 1000, 500);
+        g_assert_cmpint(fix.starts, ==, 0);
+        g_assert_cmpint(fix.status, ==, cases[i].status);
+        RunnerFix_CallRun(&fix, 1, 2, 1000, 500);
+        g_assert_cmpint(fix.starts, ==, 1);
+        Runner_Free(fix.runner);
+    }
+}
+
 static void
 test_inventory_first(void)
 {
@@ -272,6 +308,7 @@
     {"/runner/refuses a run that was stopped before it came",
      test_halt_before_run},
     {"/runner/starts a run once", test_same_run_twice},
+    {"/runner/a refused run stays refused", test_refused_run_stays_refused},
     {"/runner/looks for strangers first", test_inventory_first},
     {"/runner/starts nothing on an upstream that leaves", test_draining},
     {"/runner/takes note of ends", test_ends_are_noted},
