--- a/lease/runner.c
+++ b/lease/runner.c
@@ -132,6 +132,23 @@
     return args->valid_until_ms + (RunId_IsKept(&args->id) ? TERM_KEPT_MS : 0);
 }
 
+/* A copy of a call to run it that comes later finds this and is not done: its
+ * entry may have sent the task elsewhere. Copies are valid for a lease,
+ * shorter than rows are kept. */
+static Runner_Task *
+add_tombstone(Runner *runner, int64_t now_ms, const lc_node *owner,
+              const lc_run_id *id, lc_run_status status)
+{
+    lc_run_args gone = {
+        .owner = *owner, .id = *id, .spec = (char *)(uintptr_t) ""};
+    Runner_Task *row = RunnerTask_Add(runner, now_ms, &gone);
+
+    row->state = TASK_ENDED;
+    row->status = status;
+    row->ended_ms = now_ms;
+    return row;
+}
+
 static void
 on_run(Runner *runner, int64_t now_ms, uint64_t reply_id,
        const lc_run_args *args)
@@ -152,6 +169,9 @@
     if (status != LC_RUN_DONE) {
         runner->refusals[status]++;
         RunnerTask_ReplyRun(runner, now_ms, reply_id, status, 0);
+        if (args->target == runner->config.node.incarnation) {
+            add_tombstone(runner, now_ms, &args->owner, &args->id, status);
+        }
         return;
     }
     holder = RunnerOwner_Extend(runner, &args->owner, lease_until(args));
@@ -171,7 +191,6 @@
         const lc_halt_args *args)
 {
     Runner_Task *row = g_hash_table_lookup(runner->tasks, &args->id);
-    lc_run_args tombstone = {.owner = args->owner, .id = args->id};
 
     if (args->target != runner->config.node.incarnation) {
         RunnerTask_ReplyHalt(runner, now_ms, reply_id,
@@ -180,12 +199,8 @@
         return;
     }
     if (row == NULL) {
-        /* A late copy of the call to run it finds this and is not done. */
-        tombstone.spec = (char *)(uintptr_t) "";
-        row = RunnerTask_Add(runner, now_ms, &tombstone);
-        row->state = TASK_ENDED;
-        row->status = LC_RUN_STOPPED;
-        row->ended_ms = now_ms;
+        row = add_tombstone(runner, now_ms, &args->owner, &args->id,
+                            LC_RUN_STOPPED);
     }
     RunnerTask_Owe(row, reply_id, MSG_HALT);
     if (row->state == TASK_ENDED) {
