Red: a load bench of a large fleet; two starts of three find no room

55 entries and 240 companions of the real decisions in one process and virtual time (40 s for six loads): usual load, a rush on one kind while hosts come, a burst over all capacity, a third of the entries away, a tenth of the upstreams flapping, all processes begun together. It prints worth, refused starts, refusals with room free, processors taken, spread over hosts, the share of new hosts and waits.

Every entry takes the host of the least pace; paces from 92 to 105% are noise of estimates that are wrong by 40%, but a task of 200 ms makes 26 ms of them, and the random 0 to 3 ms beside them decide nothing. All 55 entries crowd onto the same few hosts.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -53,6 +53,7 @@
 check properties-sanitized env RC_PARAMS="seed=5 max_success=8" "$SANITIZED/tests/prop_cluster"
 check leases env RC_PARAMS="seed=20261202 max_success=150" "$BUILD/tests/prop_lease"
 check leases-sanitized env RC_PARAMS="seed=5 max_success=4" "$SANITIZED/tests/prop_lease"
+check fleet_load "$BUILD/tests/fleet_load"
 check http env BUILD="$SANITIZED" tests/http_cases.sh
 for file in tests/process/*.sh; do
     name=$(basename "$file" .sh)
--- /dev/null
+++ b/tests/fleet_load.c
@@ -0,0 +1,177 @@
+/*
+ * Loads of a large fleet, played in virtual time: what of it is served, how
+ * many starts find no room, how evenly hosts are used. "--print PART SEED"
+ * writes the figures of the loads whose names have that part ("" for all).
+ */
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "tests/fleet_world.h"
+
+#define ENTRIES 55
+#define COMPANIONS 240
+
+/* A load, and the least that must be shown. */
+typedef struct {
+    const char *name;
+    FleetWorld_Load load;
+    double worth;          /* at least, of the jobs of the rush */
+    double refused_starts; /* at most, for each start */
+    double spread;         /* at most */
+    double late_share;     /* at least; 0 if no host comes */
+} load_case;
+
+/* As loads go on the users' large deployment; usual is 60% of all processors
+ * at 1. The bounds leave a tenth or so to what was measured. */
+static const load_case load_cases[] = {
+    {"usual load",
+     {.usual = 0.65,
+      .rush = 0.65,
+      .only = -1,
+      .rush_ms = 1000,
+      .rush_end_ms = 4000,
+      .length_ms = 4000},
+     0.99,
+     0.1,
+     0.2,
+     0},
+    {"a rush on one kind while hosts come",
+     {.usual = 0.8,
+      .rush = 2,
+      .only = 1,
+      .rush_ms = 1000,
+      .rush_end_ms = 6000,
+      .length_ms = 6000,
+      .late_companions = 48},
+     0.98,
+     0.5,
+     0.15,
+     0.85},
+    {"a burst over all capacity",
+     {.usual = 1,
+      .rush = 1.8,
+      .only = -1,
+      .rush_ms = 1000,
+      .rush_end_ms = 5000,
+      .length_ms = 6000},
+     0.79,
+     0.65,
+     0.15,
+     0},
+    {"a third of the entries away",
+     {.usual = 1,
+      .rush = 1.3,
+      .only = -1,
+      .rush_ms = 1000,
+      .rush_end_ms = 5000,
+      .length_ms = 5000,
+      .away = 0.34},
+     0.98,
+     0.55,
+     0.15,
+     0},
+    {"a tenth of the upstreams flapping",
+     {.usual = 1,
+      .rush = 1.3,
+      .only = -1,
+      .rush_ms = 1000,
+      .rush_end_ms = 5000,
+      .length_ms = 5000,
+      .flapping = 0.1},
+     0.9,
+     0.68,
+     0.2,
+     0},
+    {"all processes begin together under load",
+     {.usual = 1,
+      .rush = 1.2,
+      .only = -1,
+      .rush_ms = 1000,
+      .rush_end_ms = 4000,
+      .length_ms = 4000,
+      .fresh_start = true},
+     0.98,
+     0.55,
+     0.15,
+     0},
+};
+
+static void
+print_report(const char *name, const FleetWorld_Report *report)
+{
+    int kind;
+
+    printf("%-42s %.3f %.3f | %.3f %5" G_GUINT64_FORMAT
+           " | %.3f %.3f %.2f %4d "
+           "| %3d %4d |",
+           name, report->worth, report->worth_rush,
+           (double)report->refused_starts / (double)MAX(report->starts, 1),
+           report->refused_free, report->busy_rush, report->spread,
+           report->late_share, (int)report->first_start_ms,
+           (int)report->wait_p50_ms, (int)report->wait_p99_ms);
+    for (kind = 0; kind < FLEET_WORLD_KINDS; kind++) {
+        const FleetWorld_Jobs *jobs = &report->kinds[kind];
+        printf(" %u/%u/%u/%u", jobs->in_time, jobs->late, jobs->refused,
+               jobs->given_up);
+    }
+    printf("\n");
+}
+
+static FleetWorld_Report
+play(const load_case *one, uint64_t seed)
+{
+    FleetWorld_Load load = one->load;
+
+    load.entries = ENTRIES;
+    load.companions = COMPANIONS;
+    load.seed = seed;
+    return FleetWorld_Play(&load);
+}
+
+static void
+print_all(const char *part, uint64_t seed)
+{
+    size_t i;
+
+    printf("load: worth, of the rush | refused starts, refused with a tenth "
+           "free | busy, spread, share of new hosts, their first start | wait "
+           "p50, p99 | quick, long, check: in time/late/refused/given up\n");
+    for (i = 0; i < G_N_ELEMENTS(load_cases); i++) {
+        if (strstr(load_cases[i].name, part) != NULL) {
+            FleetWorld_Report report = play(&load_cases[i], seed);
+            print_report(load_cases[i].name, &report);
+        }
+    }
+}
+
+static void
+test_load(gconstpointer item)
+{
+    const load_case *one = item;
+    FleetWorld_Report report = play(one, 1);
+
+    g_assert_cmpfloat(report.worth_rush, >=, one->worth);
+    g_assert_cmpfloat((double)report.refused_starts, <=,
+                      one->refused_starts * (double)report.starts);
+    g_assert_cmpfloat(report.spread, <=, one->spread);
+    g_assert_cmpfloat(report.late_share, >=, one->late_share);
+}
+
+int
+main(int argc, char **argv)
+{
+    size_t i;
+
+    if (argc == 4 && strcmp(argv[1], "--print") == 0) {
+        print_all(argv[2], g_ascii_strtoull(argv[3], NULL, 10));
+        return 0;
+    }
+    g_test_init(&argc, &argv, NULL);
+    for (i = 0; i < G_N_ELEMENTS(load_cases); i++) {
+        char *path = g_strdup_printf("/fleet/%s", load_cases[i].name);
+        g_test_add_data_func(path, &load_cases[i], test_load);
+        g_free(path);
+    }
+    return g_test_run();
+}
--- /dev/null
+++ b/tests/fleet_world.h
@@ -0,0 +1,75 @@
+/**
+ * @file fleet_world.h
+ * @brief A large fleet in one process and virtual time: entries, companions
+ * with their upstreams, and callers whose load is played.
+ *
+ * For the decisions under load alone. What must hold when messages are lost or
+ * nodes fail is played by lease_world.h; here every message arrives.
+ */
+#ifndef LC_TESTS_FLEET_WORLD_H
+#define LC_TESTS_FLEET_WORLD_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#define FLEET_WORLD_KINDS 3
+#define FLEET_WORLD_HALLS 5
+
+/** A kind of job: its tasks are alike but for chance. */
+typedef struct {
+    const char *queue;
+    int32_t priority;
+    double per_s; /**< jobs at usual load */
+    uint32_t tasks;
+    uint32_t work_ms;
+} FleetWorld_Kind;
+
+/** A load. Times are ms since the first job. */
+typedef struct {
+    uint32_t entries;
+    uint32_t companions;
+    int64_t length_ms;
+    double usual; /**< times the usual load, all the time */
+    double rush;  /**< times the usual load from rush_ms on */
+    int only;     /**< the rush is of this kind alone; -1: of all */
+    int64_t rush_ms;
+    int64_t rush_end_ms;
+    uint32_t late_companions; /**< of them, so many begin at rush_ms */
+    double away;      /**< share of entries without power during the rush */
+    double flapping;  /**< share of upstreams that leave and come back */
+    bool fresh_start; /**< the processes begin together at rush_ms */
+    uint64_t seed;
+} FleetWorld_Load;
+
+/** What became of jobs of one kind. */
+typedef struct {
+    uint32_t sent;
+    uint32_t in_time;
+    uint32_t late;
+    uint32_t refused; /**< not run */
+    uint32_t given_up;
+} FleetWorld_Jobs;
+
+/** What a load showed. */
+typedef struct {
+    FleetWorld_Jobs kinds[FLEET_WORLD_KINDS];
+    double worth;      /**< in time 1, late 0.2; kinds alike */
+    double worth_rush; /**< of the jobs handed in during the rush */
+    uint64_t starts;   /**< RUN calls */
+    uint64_t refused_starts;
+    uint64_t refused_free; /**< jobs refused while a tenth of all is free */
+    double busy_rush;      /**< processors taken during the rush, share */
+    double spread;         /**< starts by host: deviation over mean */
+    double late_share;     /**< starts at hosts that came during the rush, over
+                                those at as many others, from 0.5 s after */
+    int64_t first_start_ms; /**< at a host that came, after its coming */
+    int64_t wait_p50_ms;    /**< from handing in to the first start */
+    int64_t wait_p99_ms;
+} FleetWorld_Report;
+
+extern const FleetWorld_Kind fleet_world_kinds[FLEET_WORLD_KINDS];
+
+/** Plays a load. */
+FleetWorld_Report FleetWorld_Play(const FleetWorld_Load *load);
+
+#endif
