Hosts are drawn by the room believed of them, the own hall's first

Change: paces below 150% are alike; among hosts of equal cost one is drawn with a chance in proportion to the tasks that fit there; a task's first start goes within its entry's hall if there is room, the next anywhere.

What is left of a burst is that nobody settles which entry uses room that falls free.

--- a/lease/active.h
+++ b/lease/active.h
@@ -43,6 +43,7 @@
     lc_node host;      /**< of the last run */
     Address avoid;     /**< where it went wrong last */
     int64_t again_ms;  /**< nothing is sent for it before */
+    uint32_t refused;  /**< starts in a row that were refused */
     uint32_t asks;     /**< in vain, for the run on its way */
 } Active_Task;
 
--- a/lease/choice.c
+++ b/lease/choice.c
@@ -10,9 +10,12 @@
 #define SLOW_PERCENT 200
 /* A companion may be late with its next word by so much. */
 #define SILENT_MS 600
+/* A pace below this is taken as normal: the mean of estimates that are wrong
+ * by 40% each moves so far by chance, and who follows it sends everything to
+ * the same few hosts. Chosen below SLOW_PERCENT. */
+#define NORMAL_PERCENT 150
 /* Costs in ms. */
 #define OTHER_HALL_MS 1
-#define SPREAD_MS 4
 /* A host on trial is the last resort, but for one task in so many. */
 #define TRIAL_MS 400
 #define TRIAL_ONE_IN 16
@@ -93,22 +96,20 @@
            count_together(job, task, host->node.address) < step->most_together;
 }
 
+/* Expected time there in ms, and what makes it worse. */
 static int64_t
 cost_at(const Choice *choice, const Active_Job *job, const Active_Task *task,
         const Fleet_Host *host)
 {
     const LeasedJob_Step *step = Active_Step(job, task);
-    int64_t work_ms = (int64_t)step->estimate_ms * host->pace_percent /
-                      PERCENT;
-    int64_t cost = work_ms +
-                   (int64_t)(Random_Next(choice->random) % SPREAD_MS);
+    uint32_t pace = host->pace_percent < NORMAL_PERCENT ? PERCENT
+                                                        : host->pace_percent;
+    int64_t work_ms = (int64_t)step->estimate_ms * pace / PERCENT;
+    int64_t cost = work_ms;
 
     if (!Fleet_HasLabel(host, step->affinity)) {
         cost += work_ms * FAR_PERCENT / PERCENT;
     }
-    if (g_strcmp0(host->hall, choice->hall) != 0) {
-        cost += OTHER_HALL_MS;
-    }
     if (task->avoid == host->node.address) {
         cost += AVOID_MS + step->estimate_ms;
     }
@@ -116,28 +117,53 @@
         Random_Next(choice->random) % TRIAL_ONE_IN != 0) {
         cost += TRIAL_MS;
     }
+    if (task->refused == 0 && g_strcmp0(host->hall, choice->hall) != 0) {
+        cost += OTHER_HALL_MS;
+    }
     return cost;
 }
 
+/* Companions of the least cost so far, one of which is drawn. */
+typedef struct {
+    int64_t cost_ms;
+    uint64_t fits; /* tasks that fit there, of all of them */
+    Fleet_Host *drawn;
+} Draw;
+
+/* Each is drawn with a chance in proportion to the tasks that fit there: what
+ * is believed of it is as old as its last message, and the more room it had
+ * the likelier there is still some. */
+static void
+add_to_draw(Draw *draw, const Choice *choice, Fleet_Host *host,
+            int64_t cost_ms, uint32_t fits)
+{
+    if (cost_ms > draw->cost_ms) {
+        return;
+    }
+    if (cost_ms < draw->cost_ms) {
+        draw->cost_ms = cost_ms;
+        draw->fits = 0;
+    }
+    draw->fits += fits;
+    if (Random_Next(choice->random) % draw->fits < fits) {
+        draw->drawn = host;
+    }
+}
+
 Fleet_Host *
 Choice_Host(const Choice *choice, const Active_Job *job,
             const Active_Task *task)
 {
-    Fleet_Host *best = NULL;
-    int64_t least = INT64_MAX;
+    const lc_resources *need = &Active_Step(job, task)->need;
+    Draw draw = {.cost_ms = INT64_MAX};
     guint i;
 
     for (i = 0; i < choice->fleet->hosts->len; i++) {
         Fleet_Host *host = g_ptr_array_index(choice->fleet->hosts, i);
-        int64_t cost;
-        if (!may_run(choice, job, task, host)) {
-            continue;
-        }
-        cost = cost_at(choice, job, task, host);
-        if (cost < least) {
-            least = cost;
-            best = host;
+        if (may_run(choice, job, task, host)) {
+            add_to_draw(&draw, choice, host, cost_at(choice, job, task, host),
+                        Resources_Count(need, &host->room));
         }
     }
-    return best;
+    return draw.drawn;
 }
--- a/lease/dispatcher_replies.c
+++ b/lease/dispatcher_replies.c
@@ -51,6 +51,7 @@
 {
     Counter_Add(&self->counters, COUNTER_WASTED_BUSY, 1);
     job->starts--;
+    task->refused++;
     if (host != NULL && status != LC_RUN_NO_ROOM) {
         host->avoid_until_ms = now_ms + REFUSED_MS;
     }
--- a/lease/reserve.c
+++ b/lease/reserve.c
@@ -46,23 +46,6 @@
     return reserve->width_x16 / MEAN_PART / USUAL_PART;
 }
 
-static uint32_t
-count_fitting(const lc_resources *room, const lc_resources *need)
-{
-    uint32_t count = UINT32_MAX;
-
-    if (need->cpu_milli > 0) {
-        count = MIN(count, room->cpu_milli / need->cpu_milli);
-    }
-    if (need->memory_mb > 0) {
-        count = MIN(count, room->memory_mb / need->memory_mb);
-    }
-    if (need->accelerators > 0) {
-        count = MIN(count, room->accelerators / need->accelerators);
-    }
-    return count;
-}
-
 bool
 Reserve_Allows(const Reserve *reserve, const Fleet *fleet, int64_t now_ms,
                int32_t priority, const lc_resources *need)
@@ -78,8 +61,8 @@
     for (i = 0; i < fleet->hosts->len && fits <= kept; i++) {
         const Fleet_Host *host = g_ptr_array_index(fleet->hosts, i);
         if (Choice_IsOpen(host, now_ms)) {
-            fits += count_fitting(&host->room, need);
-            most += count_fitting(&host->capacity, need);
+            fits += Resources_Count(need, &host->room);
+            most += Resources_Count(need, &host->capacity);
         }
     }
     return fits > MIN(kept, most / MOST_PART);
--- a/lease/resources.c
+++ b/lease/resources.c
@@ -32,3 +32,20 @@
     return resources->cpu_milli == 0 && resources->memory_mb == 0 &&
            resources->accelerators == 0;
 }
+
+uint32_t
+Resources_Count(const lc_resources *need, const lc_resources *room)
+{
+    uint32_t count = UINT32_MAX;
+
+    if (need->cpu_milli > 0) {
+        count = MIN(count, room->cpu_milli / need->cpu_milli);
+    }
+    if (need->memory_mb > 0) {
+        count = MIN(count, room->memory_mb / need->memory_mb);
+    }
+    if (need->accelerators > 0) {
+        count = MIN(count, room->accelerators / need->accelerators);
+    }
+    return count;
+}
--- a/lease/resources.h
+++ b/lease/resources.h
@@ -22,4 +22,7 @@
 /** Whether all parts are zero. */
 bool Resources_IsNone(const lc_resources *resources);
 
+/** How often @p need fits into @p room; UINT32_MAX if nothing is needed. */
+uint32_t Resources_Count(const lc_resources *need, const lc_resources *room);
+
 #endif
