A store of which some connections are silent is left to peers for longer

Cause: a read without an answer (900 ms) made the entry call the store through others, but its probe was due at once, went over a connection that answers, and 60 ms later the next read waited 1,300 ms over a silent one: 2.3 s without contact, and jobs that must be kept are refused after 1.5 s.

Change: the first probe comes 500 ms after the failure, and the pause doubles, up to 8 s, with each failure within 10 s of a probe that went well. While the store answers nothing it stays at 500 ms.

--- a/daemon/leased_entry.c
+++ b/daemon/leased_entry.c
@@ -388,6 +388,7 @@
                                           NULL);
     self->relayed = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
                                           g_free);
+    self->store_back_ms = INT64_MIN / 2;
     Peers_Init(&self->peers, options->rpc);
     Seeds_Init(&self->seeds, options);
     uv_timer_init(loop, &self->resume_timer);
--- a/daemon/leased_entry_state.h
+++ b/daemon/leased_entry_state.h
@@ -35,6 +35,8 @@
     GHashTable *relayed; /* call id -> Leased_Relay, see leased_store.c */
     bool store_away;     /* it does not answer this entry */
     int64_t store_probed_ms;
+    int64_t probe_pause_ms;
+    int64_t store_back_ms; /* when a probe went well last */
     Route_Table *routes;
     Routes_Fetch fetch;  /* of newer ones from other entries */
     uint64_t fetch_call; /* call on its way, or 0 */
--- a/daemon/leased_store.c
+++ b/daemon/leased_store.c
@@ -5,6 +5,12 @@
 /* After a call that failed others are asked to call the store, until it has
  * answered a probe; one is sent so often. */
 #define PROBE_MS 500
+/* Doubled up to the most with each failure so soon behind a probe that went
+ * well: a store of which some connections are silent answers probes, and calls
+ * over the others would be waited for in vain again and again (a gap of 2.3 s
+ * in which jobs that must be kept were refused). */
+#define RELAPSE_MS 10000
+#define PROBE_MOST_MS 8000
 #define PROBE_GIVE_UP_MS 400
 /* The other entry may need so much longer than the store. */
 #define GRACE_MS 200
@@ -37,13 +43,29 @@
            answer->status == BUSY_STATUS || answer->status == MANY_STATUS;
 }
 
+static void
+note_away(Leased_Entry *self)
+{
+    int64_t now = Process_Now().mono_ms;
+    bool relapse = now - self->store_back_ms < RELAPSE_MS;
+
+    if (!self->store_away) {
+        self->probe_pause_ms =
+            relapse ? MIN(2 * self->probe_pause_ms, PROBE_MOST_MS) : PROBE_MS;
+        self->store_probed_ms = now;
+        self->store_away = true;
+    }
+}
+
 static void
 on_direct(void *context, const Http_ClientAnswer *answer)
 {
     store_call *call = context;
     Leased_Entry *self = call->self;
 
-    self->store_away |= is_turned_away(answer);
+    if (is_turned_away(answer)) {
+        note_away(self);
+    }
     call->done(call->done_context, answer);
     g_free(call);
 }
@@ -128,7 +150,10 @@
 {
     Leased_Entry *self = context;
 
-    self->store_away = is_turned_away(answer);
+    if (self->store_away && !is_turned_away(answer)) {
+        self->store_away = false;
+        self->store_back_ms = Process_Now().mono_ms;
+    }
 }
 
 static void
@@ -139,7 +164,8 @@
                                   .path = store_probe_path,
                                   .timeout_ms = PROBE_GIVE_UP_MS};
 
-    if (self->store_away && now - self->store_probed_ms >= PROBE_MS) {
+    if (self->store_away &&
+        now - self->store_probed_ms >= self->probe_pause_ms) {
         self->store_probed_ms = now;
         Http_Send(self->http, &request, on_probe, self);
     }
