Entries find each other by a register in the store, not by seeds alone

Ways weighed: addresses kept by the companion (it has no disk); the list of machines (counts as a list call, 48 a second for all, and has no addresses of ours); a record of each entry in a keyed topic, read at the start. The last also serves a process whose seeds were all replaced while it was cut off.

Change: lease/registry decides (read at once; a missing record is put; alone again after 1 s; an entry looks every 30 s; one live entry drops the record of one that was silent for a minute), platform/members has the calls, both roles carry it out. The register is a hint: who is named is called, nobody is taken as live or gone for it.

--- a/base/event.h
+++ b/base/event.h
@@ -56,6 +56,8 @@
     X(KEPT_BAD, 313, G_LOG_LEVEL_WARNING, "kept job cannot be read")          \
     X(KEPT_REFUSED, 314, G_LOG_LEVEL_WARNING, "store refused a record")       \
     X(PEER_SILENT, 315, G_LOG_LEVEL_WARNING, "entry gave no answer in time")  \
+    X(PEER_DROPPED, 316, G_LOG_LEVEL_MESSAGE,                                 \
+      "entry dropped from the register")                                      \
     X(ROUTES, 402, G_LOG_LEVEL_MESSAGE, "routes in force")                    \
     X(ROUTES_BAD, 403, G_LOG_LEVEL_WARNING, "routes skipped")                 \
     X(NO_ROUTE, 404, G_LOG_LEVEL_INFO, "request for no known queue")          \
--- a/daemon/leased_companion.c
+++ b/daemon/leased_companion.c
@@ -3,6 +3,7 @@
 #include <glib.h>
 #include <string.h>
 
+#include "daemon/leased_registry.h"
 #include "daemon/process.h"
 #include "daemon/seeds.h"
 #include "lease/peers.h"
@@ -32,6 +33,7 @@
     Http_Server *beats;
     Peers peers;
     Seeds seeds;
+    Leased_Registry registry;
     uv_timer_t report_timer;
     uv_timer_t answer_timer; /* at answer_due_ms, if that is not INT64_MAX */
     int64_t answer_due_ms;
@@ -261,6 +263,13 @@
     }
 }
 
+/* Entries were named by the register. */
+static void
+on_named(void *context)
+{
+    tell_peers(context);
+}
+
 static void
 reset_silent(leased_companion *self, int64_t now)
 {
@@ -351,6 +360,7 @@
     int64_t now = now_ms();
 
     Seeds_Refresh(&self->seeds, &self->peers, now);
+    LeasedRegistry_Tick(&self->registry, now);
     Runner_Tick(self->runner, now);
     Peers_Forget(&self->peers, now);
     reset_silent(self, now);
@@ -483,6 +493,11 @@
         goto done;
     }
     Rpc_KeepAlive(self->process.rpc, PROCESS_SILENCE_MS);
+    LeasedRegistry_Open(&self->registry, loop, 0, options->store,
+                        &self->peers);
+    self->registry.named = on_named;
+    self->registry.context = self;
+    LeasedRegistry_Tick(&self->registry, now_ms());
     code = Process_Run(&self->process);
 done:
     if (self->runner != NULL) {
--- a/daemon/leased_entry.c
+++ b/daemon/leased_entry.c
@@ -200,6 +200,7 @@
     int64_t now = LeasedEntry_Awake(self);
 
     Seeds_Refresh(&self->seeds, &self->peers, now);
+    LeasedRegistry_Tick(&self->registry, now);
     Peers_Forget(&self->peers, now);
     LeasedGossip_Tick(self, now);
     LeasedRoutes_Tick(self, now);
@@ -412,6 +413,9 @@
         goto done;
     }
     LeasedRoutes_Open(self, options);
+    LeasedRegistry_Open(&self->registry, loop, options->rpc, options->store,
+                        &self->peers);
+    LeasedRegistry_Tick(&self->registry, self->awake_ms);
     Rpc_KeepAlive(self->process.rpc, PROCESS_SILENCE_MS);
     code = Process_Run(&self->process);
 done:
--- a/daemon/leased_entry_state.h
+++ b/daemon/leased_entry_state.h
@@ -10,6 +10,7 @@
 
 #include <glib.h>
 
+#include "daemon/leased_registry.h"
 #include "daemon/process.h"
 #include "daemon/seeds.h"
 #include "lease/dispatcher.h"
@@ -45,6 +46,7 @@
     Http_Server *ready;
     Peers peers;
     Seeds seeds;
+    Leased_Registry registry;
     uv_timer_t resume_timer;
     uv_check_t settled;
     GHashTable *cancels; /* call id -> Leased_Cancel */
--- /dev/null
+++ b/daemon/leased_registry.c
@@ -0,0 +1,62 @@
+#include "daemon/leased_registry.h"
+
+#include "base/event.h"
+#include "daemon/process.h"
+
+static void
+on_read(void *context, const GArray *entries)
+{
+    Leased_Registry *registry = context;
+
+    Registry_OnRead(&registry->state, Process_Now().mono_ms, entries,
+                    registry->peers);
+    if (entries != NULL && registry->named != NULL) {
+        registry->named(registry->context);
+    }
+}
+
+static void
+on_written(void *context, bool confirmed)
+{
+    Leased_Registry *registry = context;
+
+    Registry_OnWritten(&registry->state, Process_Now().mono_ms, confirmed);
+}
+
+static const Members_Ports ports = {.read = on_read, .written = on_written};
+
+void
+LeasedRegistry_Open(Leased_Registry *registry, uv_loop_t *loop, Address self,
+                    Address store, Peers *peers)
+{
+    registry->peers = peers;
+    Registry_Init(&registry->state, self, Process_Now().mono_ms);
+    if (store != 0) {
+        registry->members = Members_New(Http_NewClient(loop), store, &ports,
+                                        registry);
+    }
+}
+
+void
+LeasedRegistry_Tick(Leased_Registry *registry, int64_t now_ms)
+{
+    Address gone = 0;
+
+    if (registry->members == NULL) {
+        return;
+    }
+    switch (Registry_Next(&registry->state, now_ms, registry->peers, &gone)) {
+    case REGISTRY_WAIT:
+        break;
+    case REGISTRY_READ:
+        Members_Read(registry->members);
+        break;
+    case REGISTRY_PUT:
+        Members_Put(registry->members, registry->state.self);
+        break;
+    case REGISTRY_DROP:
+        Event_Log(EVENT_PEER_DROPPED, "%s", Address_Text(gone));
+        Members_Drop(registry->members, gone);
+        break;
+    }
+}
--- /dev/null
+++ b/tests/registry_rules.c
@@ -0,0 +1,291 @@
+/* When the register of entries is read, and who puts and drops records. */
+#include <glib.h>
+
+#include "lease/registry.h"
+#include "tests/rule_table.h"
+
+#define SELF 100
+#define OTHER 200
+#define THIRD 300
+#define START_MS 1000
+
+typedef struct {
+    Registry registry;
+    Peers peers;
+    Address gone;
+} fixture;
+
+static void
+begin(fixture *f, Address self)
+{
+    Peers_Init(&f->peers, self == 0 ? 1 : self);
+    Registry_Init(&f->registry, self, START_MS);
+    f->gone = 0;
+}
+
+static void
+end(fixture *f)
+{
+    Registry_Clear(&f->registry);
+    Peers_Clear(&f->peers);
+}
+
+static Registry_Step
+next(fixture *f, int64_t now_ms)
+{
+    return Registry_Next(&f->registry, now_ms, &f->peers, &f->gone);
+}
+
+/* The register holds so many of these entries. */
+static void
+answer(fixture *f, int64_t now_ms, const Address *entries, guint count)
+{
+    GArray *list = g_array_new(FALSE, FALSE, sizeof(Address));
+
+    g_array_append_vals(list, entries, count);
+    Registry_OnRead(&f->registry, now_ms, list, &f->peers);
+    g_array_unref(list);
+}
+
+static const Address all_entries[] = {SELF, OTHER, THIRD};
+
+static void
+test_read_at_once(void)
+{
+    fixture f;
+
+    begin(&f, SELF);
+    g_assert_cmpint(next(&f, START_MS), ==, REGISTRY_READ);
+    g_assert_cmpint(next(&f, START_MS + 5000), ==, REGISTRY_WAIT);
+    end(&f);
+}
+
+static void
+test_entries_are_named(void)
+{
+    fixture f;
+
+    begin(&f, SELF);
+    next(&f, START_MS);
+    answer(&f, START_MS, all_entries, 3);
+    g_assert_nonnull(Peers_Find(&f.peers, OTHER));
+    g_assert_nonnull(Peers_Find(&f.peers, THIRD));
+    g_assert_cmpuint(f.peers.rows->len, ==, 2);
+    end(&f);
+}
+
+static void
+test_failed_read_doubles(void)
+{
+    static const int64_t pauses[] = {100, 200, 400, 800, 1600, 2000, 2000};
+    int64_t now_ms = START_MS;
+    fixture f;
+    size_t i;
+
+    begin(&f, SELF);
+    next(&f, now_ms);
+    for (i = 0; i < G_N_ELEMENTS(pauses); i++) {
+        Registry_OnRead(&f.registry, now_ms, NULL, &f.peers);
+        g_assert_cmpint(next(&f, now_ms + pauses[i] - 1), ==, REGISTRY_WAIT);
+        now_ms += pauses[i];
+        g_assert_cmpint(next(&f, now_ms), ==, REGISTRY_READ);
+    }
+    end(&f);
+}
+
+static void
+test_missing_record_is_put(void)
+{
+    fixture f;
+
+    begin(&f, SELF);
+    next(&f, START_MS);
+    answer(&f, START_MS, &all_entries[1], 2);
+    g_assert_cmpint(next(&f, START_MS), ==, REGISTRY_PUT);
+    Registry_OnWritten(&f.registry, START_MS, true);
+    g_assert_cmpint(next(&f, START_MS), ==, REGISTRY_WAIT);
+    end(&f);
+}
+
+static void
+test_unconfirmed_put_is_looked_for(void)
+{
+    fixture f;
+
+    begin(&f, SELF);
+    next(&f, START_MS);
+    answer(&f, START_MS, &all_entries[1], 2);
+    next(&f, START_MS);
+    Registry_OnWritten(&f.registry, START_MS, false);
+    g_assert_cmpint(next(&f, START_MS + 100), ==, REGISTRY_READ);
+    answer(&f, START_MS + 100, &all_entries[1], 2);
+    g_assert_cmpint(next(&f, START_MS + 100), ==, REGISTRY_PUT);
+    end(&f);
+}
+
+static void
+test_known_record_is_not_put(void)
+{
+    fixture f;
+
+    begin(&f, SELF);
+    next(&f, START_MS);
+    answer(&f, START_MS, all_entries, 3);
+    g_assert_cmpint(next(&f, START_MS), ==, REGISTRY_WAIT);
+    end(&f);
+}
+
+static void
+test_alone_reads_again(void)
+{
+    fixture f;
+
+    begin(&f, 0);
+    next(&f, START_MS);
+    answer(&f, START_MS, all_entries, 3);
+    g_assert_cmpint(next(&f, START_MS + 999), ==, REGISTRY_WAIT);
+    g_assert_cmpint(next(&f, START_MS + 1000), ==, REGISTRY_READ);
+    end(&f);
+}
+
+/* A companion that hears entries is told of others by them. */
+static void
+test_reader_that_hears_reads_no_more(void)
+{
+    fixture f;
+
+    begin(&f, 0);
+    next(&f, START_MS);
+    answer(&f, START_MS, all_entries, 3);
+    Peers_Hear(&f.peers, OTHER, START_MS + 500);
+    g_assert_cmpint(next(&f, START_MS + 5000), ==, REGISTRY_WAIT);
+    g_assert_cmpint(next(&f, START_MS + 9000), ==, REGISTRY_READ);
+    answer(&f, START_MS + 9000, NULL, 0);
+    g_assert_cmpint(next(&f, START_MS + 9001), ==, REGISTRY_WAIT);
+    end(&f);
+}
+
+static void
+test_entry_looks_for_its_record_again(void)
+{
+    fixture f;
+
+    begin(&f, SELF);
+    next(&f, START_MS);
+    Peers_Hear(&f.peers, OTHER, START_MS);
+    answer(&f, START_MS, all_entries, 3);
+    Peers_Hear(&f.peers, OTHER, START_MS + 29000);
+    g_assert_cmpint(next(&f, START_MS + 29999), ==, REGISTRY_WAIT);
+    g_assert_cmpint(next(&f, START_MS + 30000), ==, REGISTRY_READ);
+    end(&f);
+}
+
+/* Reads the register every 30 s; OTHER speaks all the time, THIRD is silent
+ * but for `heard_ms` (0 for never). Returns the step after @p until_ms. */
+static Registry_Step
+stay_silent(fixture *f, Address self, int64_t heard_ms, int64_t until_ms)
+{
+    Address talker = self == OTHER ? SELF : OTHER;
+    int64_t now_ms;
+
+    begin(f, self);
+    for (now_ms = START_MS; now_ms <= until_ms; now_ms += 1000) {
+        Peers_Hear(&f->peers, talker, now_ms);
+        if (heard_ms != 0 && now_ms == START_MS + heard_ms) {
+            Peers_Hear(&f->peers, THIRD, now_ms);
+        }
+        switch (next(f, now_ms)) {
+        case REGISTRY_READ:
+            answer(f, now_ms, all_entries, 3);
+            break;
+        case REGISTRY_DROP:
+            return REGISTRY_DROP;
+        default:
+            break;
+        }
+    }
+    return REGISTRY_WAIT;
+}
+
+static void
+test_gone_record_is_dropped(void)
+{
+    fixture f;
+
+    /* Of 100 and 200 the former follows 300. */
+    g_assert_cmpint(stay_silent(&f, SELF, 0, START_MS + 59000), ==,
+                    REGISTRY_WAIT);
+    end(&f);
+    g_assert_cmpint(stay_silent(&f, SELF, 0, START_MS + 60000), ==,
+                    REGISTRY_DROP);
+    g_assert_cmpuint(f.gone, ==, THIRD);
+    end(&f);
+}
+
+static void
+test_one_entry_drops_it(void)
+{
+    fixture f;
+
+    g_assert_cmpint(stay_silent(&f, OTHER, 0, START_MS + 100000), ==,
+                    REGISTRY_WAIT);
+    end(&f);
+}
+
+static void
+test_heard_entry_is_not_dropped(void)
+{
+    fixture f;
+
+    g_assert_cmpint(stay_silent(&f, SELF, 59000, START_MS + 100000), ==,
+                    REGISTRY_WAIT);
+    end(&f);
+}
+
+static void
+test_who_hears_nobody_drops_nothing(void)
+{
+    fixture f;
+    int64_t now_ms;
+
+    begin(&f, SELF);
+    for (now_ms = START_MS; now_ms <= START_MS + 100000; now_ms += 1000) {
+        Registry_Step step = next(&f, now_ms);
+        g_assert_cmpint(step, !=, REGISTRY_DROP);
+        if (step == REGISTRY_READ) {
+            answer(&f, now_ms, all_entries, 3);
+        }
+    }
+    end(&f);
+}
+
+static const RuleTable_Row rules[] = {
+    {"/registry/is read at once", test_read_at_once},
+    {"/registry/names all entries", test_entries_are_named},
+    {"/registry/a read that fails is tried again, ever later",
+     test_failed_read_doubles},
+    {"/registry/an entry puts its record where it is missing",
+     test_missing_record_is_put},
+    {"/registry/a put without an answer is looked for",
+     test_unconfirmed_put_is_looked_for},
+    {"/registry/a record that stands there is not put again",
+     test_known_record_is_not_put},
+    {"/registry/who is alone reads again", test_alone_reads_again},
+    {"/registry/a companion that hears entries reads no more",
+     test_reader_that_hears_reads_no_more},
+    {"/registry/an entry looks for its record from time to time",
+     test_entry_looks_for_its_record_again},
+    {"/registry/the record of an entry that is gone is dropped",
+     test_gone_record_is_dropped},
+    {"/registry/one entry drops it", test_one_entry_drops_it},
+    {"/registry/an entry that was heard is not dropped",
+     test_heard_entry_is_not_dropped},
+    {"/registry/who hears nobody drops nothing",
+     test_who_hears_nobody_drops_nothing},
+};
+
+int
+main(int argc, char **argv)
+{
+    return RuleTable_Main(argc, argv, rules, G_N_ELEMENTS(rules));
+}
--- a/tests/soak/cluster.cc
+++ b/tests/soak/cluster.cc
@@ -22,6 +22,7 @@
 const int64_t LOOK_AGAIN_MS = 250;
 const int TRIES = 3;
 const int STORE_HOST = 200;
+const int GONE_HOST = 230;
 
 /* Ports of a host; every process has an IP number of its own. */
 enum {
@@ -173,8 +174,8 @@
     std::string seeds;
 
     for (int i = 0; i < shape.entries; i++) {
-        seeds += (i == 0 ? "\"" : ",\"") + place(entry_host(i), PORT_RPC) +
-                 "\"";
+        int seed = shape.seeds_gone ? GONE_HOST + i : entry_host(i);
+        seeds += (i == 0 ? "\"" : ",\"") + place(seed, PORT_RPC) + "\"";
     }
     return std::string("{\"role\":\"") + role +
            "\",\"jobs\":\"leased\",\"hall\":\"hall-" +
@@ -204,7 +205,8 @@
                         shape.folder,
                         common("companion", host) + "\"upstream\":\"" +
                             place(host, PORT_APP_PROXY) + "\",\"beats\":\"" +
-                            place(host, PORT_BEATS) + "\"}"));
+                            place(host, PORT_BEATS) + "\",\"store\":\"" +
+                            place(STORE_HOST, PORT_STORE) + "\"}"));
     }
     for (int i = 0; i < shape.entries; i++) {
         int host = entry_host(i);
--- a/tests/soak/cluster.h
+++ b/tests/soak/cluster.h
@@ -31,6 +31,7 @@
     std::string folder;  /**< for settings and logs */
     bool verbose = false;
     uint64_t seed = 1;
+    bool seeds_gone = false; /**< nobody is at the seeds' addresses */
 };
 
 /** One cluster; lives as long as the process. */
--- a/tests/soak/scenario.cc
+++ b/tests/soak/scenario.cc
@@ -27,6 +27,8 @@
 const int64_t APPLY_MS = 3000; /* config_apply_ms of the larger deployments */
 const int64_t SILENT_LOAD_MS = 6000;
 const int64_t SILENCE_MS = 1500;
+const int64_t SEEDLESS_LOAD_MS = 3500;
+const int64_t POWER_LOSS_MS = 1000;
 const int64_t SILENT_APPLY_MS = 2000; /* the least config_apply_ms */
 const uint64_t KEPT_JOBS = 12;
 const int64_t KEPT_END_MS = 14000; /* a takeover may take nine seconds */
@@ -266,6 +268,30 @@
     silence({"store"}, true, true);
 }
 
+/* Entries and companions are told of seeds that are no more. */
+void
+seedless_load()
+{
+    if (cluster->now() > START_MS + SEEDLESS_LOAD_MS) {
+        cluster->over = true;
+        return;
+    }
+    watched = cluster->hand_in(2, 500, 100, false);
+    cluster->after(25, seedless_load);
+}
+
+/* Then all power is lost, and comes back. */
+void
+play_seeds_gone()
+{
+    seedless_load();
+    cluster->after(POWER_LOSS_MS, [] {
+        for (soak::Process *process : cluster->processes()) {
+            process->kill(100);
+        }
+    });
+}
+
 const struct {
     const char *name;
     void (*play)();
@@ -289,6 +315,7 @@
     {"silent_upstreams", play_silent_upstreams, SILENT_LOAD_MS + ANSWERS_MS,
      3},
     {"silent_store", play_silent_store, SILENT_LOAD_MS + ANSWERS_MS, 3},
+    {"seeds_gone", play_seeds_gone, SEEDLESS_LOAD_MS + ANSWERS_MS, 3},
     {"kept_owner_dies", play_kept_owner_dies, KEPT_END_MS, 2},
     {"kept_power_loss", play_kept_power_loss, KEPT_END_MS, 2},
     {"kept_store_away", play_kept_store_away, KEPT_END_MS, 2},
@@ -312,6 +339,7 @@
         }
     }
     shape.companions = 2;
+    shape.seeds_gone = strcmp(argv[1], "seeds_gone") == 0;
     shape.program = argv[2];
     shape.folder = argv[3];
     shape.base_port = atoi(argv[4]);
--- a/tests/soak/store.cc
+++ b/tests/soak/store.cc
@@ -235,10 +235,14 @@
 Store::serve_append(const Http_Request *request)
 {
     Topic &topic = topics[text_of(request->query, "topic=")];
+    bool numbered = strstr(request->query, "producer=") != nullptr;
     uint64_t sequence = number_of(request->query, "&seq=");
     uint64_t &last = topic.sequences[text_of(request->query, "producer=")];
     size_t place = 0;
 
+    if (!numbered) {
+        sequence = last + 1; /* each copy counts */
+    }
     if (sequence <= last) {
         respond(request->id, 200, "{\"offset\":0,\"end\":0}");
         return;
