--- a/daemon/process.c
+++ b/daemon/process.c
@@ -133,6 +133,8 @@
     print_traffic(out, "calls_received", traffic->calls_in);
     print_traffic(out, "replies_sent", traffic->replies_out);
     print_traffic(out, "replies_received", traffic->replies_in);
+    print_traffic(out, "call_bytes_sent", traffic->call_bytes_out);
+    print_traffic(out, "reply_bytes_sent", traffic->reply_bytes_out);
     response.body = out->str;
     response.length = out->len;
     Http_Respond(process->admin, request->id, &response);
--- a/lease/dispatcher.c
+++ b/lease/dispatcher.c
@@ -352,6 +352,7 @@
 Dispatcher_Metrics(const Dispatcher *self, int64_t now_ms, GString *out)
 {
     QueueStats_Print(&self->stats, out);
+    Histogram_Print(&self->belief_age, "belief_age", "", out);
     g_string_append_printf(out,
                            "levercove_jobs_open %u\n"
                            "levercove_companions_known %u\n"
--- a/lease/dispatcher_queue.c
+++ b/lease/dispatcher_queue.c
@@ -79,6 +79,7 @@
 send_task(Dispatcher *self, int64_t now_ms, Active_Job *job, Active_Task *task,
           Fleet_Host *host)
 {
+    Histogram_Add(&self->belief_age, now_ms - host->received_ms);
     task->id.run++;
     task->host = host->node;
     task->asks = 0;
--- a/lease/dispatcher_state.h
+++ b/lease/dispatcher_state.h
@@ -10,6 +10,7 @@
 #define LC_LEASE_DISPATCHER_STATE_H
 
 #include "base/handle.h"
+#include "base/histogram.h"
 #include "lease/active.h"
 #include "lease/dispatcher.h"
 #include "lease/queue_stats.h"
@@ -32,6 +33,7 @@
     Queue_Table stats;
     Fleet fleet;
     Reserve reserve;
+    Histogram belief_age; /* of a companion's room as a task is sent there */
     Handle_Table *jobs;
     Handle_Table *calls;    /* Dispatcher_Call */
     GHashTable *by_id;      /* job id -> Active_Job */
--- a/wire/rpc.c
+++ b/wire/rpc.c
@@ -579,6 +579,7 @@
     rpc->traffic.calls_out[call->kind]++;
     bytes = g_byte_array_new();
     Msg_EncodeCall(call, xid, bytes);
+    rpc->traffic.call_bytes_out[call->kind] += bytes->len;
     write_bytes(conn, bytes);
 }
 
@@ -597,6 +598,7 @@
         rpc->traffic.replies_out[reply->kind]++;
         bytes = g_byte_array_new();
         Msg_EncodeReply(reply, owed->xid, bytes);
+        rpc->traffic.reply_bytes_out[reply->kind] += bytes->len;
         write_bytes(conn, bytes);
     }
     g_free(owed);
--- a/wire/rpc.h
+++ b/wire/rpc.h
@@ -34,6 +34,8 @@
     uint64_t calls_in[MSG_COUNT];
     uint64_t replies_out[MSG_COUNT];
     uint64_t replies_in[MSG_COUNT];
+    uint64_t call_bytes_out[MSG_COUNT];
+    uint64_t reply_bytes_out[MSG_COUNT];
 } Rpc_Traffic;
 
 Rpc *Rpc_New(uv_loop_t *loop, Counters *counters, const Rpc_Handlers *handlers,
