--- /dev/null
+++ b/tests/choice_rules.c
@@ -0,0 +1,247 @@
+/*
+ * How a companion is chosen for a task: hosts as a table, a choice drawn many
+ * times, and the share that each host must get.
+ */
+#include <glib.h>
+#include <string.h>
+
+#include "base/random.h"
+#include "lease/choice.h"
+#include "tests/rule_table.h"
+
+#define NOW_MS 10000
+#define DRAWS 3000
+#define MOST_HOSTS 4
+/* Four deviations of a share of a half over so many draws. */
+#define SHARE_ERROR 0.04
+#define ESTIMATE_MS 200
+#define NEED_MILLI 1000
+
+/* One host. */
+typedef struct {
+    const char *hall;
+    uint32_t room_milli;
+    uint32_t pace_percent;
+    const char *label;
+    double share; /* expected */
+} host_row;
+
+/* One choice. The hosts end with one without a hall. */
+typedef struct {
+    const char *affinity;
+    const char *requirement;
+    uint32_t refused; /* starts in a row */
+    int avoid;        /* host where it went wrong, or -1 */
+    host_row hosts[MOST_HOSTS + 1];
+} choice_case;
+
+static Address
+address_of(int host)
+{
+    return (Address)(host + 1) << 16;
+}
+
+static void
+add_host(Fleet *fleet, int number, const host_row *row)
+{
+    lc_report_args report;
+    lc_label labels[1];
+    Fleet_Host *host;
+
+    memset(&report, 0, sizeof(report));
+    labels[0] = (char *)(uintptr_t)row->label;
+    report.host.node.address = address_of(number);
+    report.host.node.incarnation = 1;
+    report.host.stamp_ms = NOW_MS;
+    report.host.state = LC_UPSTREAM_READY;
+    report.host.room.cpu_milli = row->room_milli;
+    report.host.room.memory_mb = 1024;
+    report.host.pace_percent = row->pace_percent;
+    report.hall = (char *)(uintptr_t)row->hall;
+    report.service = (char *)(uintptr_t) "service";
+    report.instance = (char *)(uintptr_t) "upstream";
+    report.labels.labels_len = row->label == NULL ? 0 : 1;
+    report.labels.labels_val = labels;
+    report.next_ms = 500;
+    Fleet_TakeReport(fleet, NOW_MS, &report, &host);
+}
+
+static Active_Job *
+new_job(const choice_case *one)
+{
+    Route route = {.name = (char *)(uintptr_t) "queue",
+                   .service = (char *)(uintptr_t) "service",
+                   .max_attempts = 2,
+                   .target_ms = 60,
+                   .stretch_percent = 160};
+    LeasedJob spec = {.id = 1, .spec = g_strdup(""), .step_count = 1};
+    Active_Job *job;
+
+    spec.steps = g_new0(LeasedJob_Step, 1);
+    spec.steps[0].count = 1;
+    spec.steps[0].need.cpu_milli = NEED_MILLI;
+    spec.steps[0].estimate_ms = ESTIMATE_MS;
+    if (one->affinity != NULL) {
+        g_strlcpy(spec.steps[0].affinity, one->affinity, LC_MAX_NAME);
+    }
+    if (one->requirement != NULL) {
+        g_strlcpy(spec.steps[0].requirement, one->requirement, LC_MAX_NAME);
+    }
+    job = Active_New(&spec, &route, NOW_MS, NOW_MS + 1500);
+    job->tasks[0].refused = one->refused;
+    job->tasks[0].avoid = one->avoid < 0 ? 0 : address_of(one->avoid);
+    return job;
+}
+
+static void
+check(const choice_case *one)
+{
+    uint64_t random = Random_Seed(7);
+    uint32_t drawn[MOST_HOSTS + 1] = {0}; /* the last: none */
+    Active_Job *job = new_job(one);
+    Fleet fleet;
+    Choice choice = {&fleet, "own", NOW_MS, &random};
+    int i;
+
+    Fleet_Init(&fleet);
+    for (i = 0; one->hosts[i].hall != NULL; i++) {
+        add_host(&fleet, i, &one->hosts[i]);
+    }
+    for (i = 0; i < DRAWS; i++) {
+        const Fleet_Host *host = Choice_Host(&choice, job, &job->tasks[0]);
+        drawn[host == NULL ? MOST_HOSTS
+                           : (int)(host->node.address >> 16) - 1]++;
+    }
+    for (i = 0; one->hosts[i].hall != NULL; i++) {
+        double share = (double)drawn[i] / DRAWS;
+        g_assert_cmpfloat_with_epsilon(share, one->hosts[i].share,
+                                       SHARE_ERROR);
+        if (one->hosts[i].share == 0) {
+            g_assert_cmpuint(drawn[i], ==, 0);
+        }
+    }
+    Active_Free(job);
+    Fleet_Clear(&fleet);
+}
+
+static void
+test_paces_of_chance_are_alike(void)
+{
+    static const choice_case one = {
+        .avoid = -1,
+        .hosts = {{"own", 4000, 80, NULL, 0.333},
+                  {"own", 4000, 100, NULL, 0.333},
+                  {"own", 4000, 149, NULL, 0.333}}};
+
+    check(&one);
+}
+
+static void
+test_slow_host_is_left(void)
+{
+    static const choice_case one = {
+        .avoid = -1,
+        .hosts = {{"own", 1000, 100, NULL, 1}, {"own", 8000, 190, NULL, 0}}};
+
+    check(&one);
+}
+
+static void
+test_share_by_room(void)
+{
+    static const choice_case one = {.avoid = -1,
+                                    .hosts = {{"own", 1900, 100, NULL, 0.25},
+                                              {"own", 3000, 100, NULL, 0.75},
+                                              {"own", 999, 100, NULL, 0}}};
+
+    check(&one);
+}
+
+static void
+test_own_hall_first(void)
+{
+    static const choice_case one = {
+        .avoid = -1,
+        .hosts = {{"own", 1000, 100, NULL, 1}, {"other", 8000, 100, NULL, 0}}};
+
+    check(&one);
+}
+
+static void
+test_other_hall_when_own_is_full(void)
+{
+    static const choice_case one = {
+        .avoid = -1,
+        .hosts = {{"own", 900, 100, NULL, 0}, {"other", 8000, 100, NULL, 1}}};
+
+    check(&one);
+}
+
+static void
+test_refused_start_goes_anywhere(void)
+{
+    static const choice_case one = {
+        .refused = 1,
+        .avoid = -1,
+        .hosts = {{"own", 2000, 100, NULL, 0.5},
+                  {"other", 2000, 100, NULL, 0.5}}};
+
+    check(&one);
+}
+
+static void
+test_near_its_data_first(void)
+{
+    static const choice_case one = {
+        .affinity = "rack-1",
+        .avoid = -1,
+        .hosts = {{"own", 8000, 100, "rack-2", 0},
+                  {"other", 1000, 100, "rack-1", 1}}};
+
+    check(&one);
+}
+
+static void
+test_where_it_went_wrong_last(void)
+{
+    static const choice_case one = {
+        .avoid = 0,
+        .hosts = {{"own", 8000, 100, NULL, 0}, {"other", 1000, 100, NULL, 1}}};
+
+    check(&one);
+}
+
+static void
+test_required_label(void)
+{
+    static const choice_case one = {.requirement = "large",
+                                    .avoid = -1,
+                                    .hosts = {{"own", 8000, 100, "small", 0},
+                                              {"own", 900, 100, "large", 0}}};
+
+    check(&one);
+}
+
+static const RuleTable_Row rules[] = {
+    {"/choice/paces that differ by chance are alike",
+     test_paces_of_chance_are_alike},
+    {"/choice/a slow host is left while others have room",
+     test_slow_host_is_left},
+    {"/choice/hosts get their share by the tasks that fit",
+     test_share_by_room},
+    {"/choice/the own hall comes first", test_own_hall_first},
+    {"/choice/another hall serves when the own is full",
+     test_other_hall_when_own_is_full},
+    {"/choice/a refused start goes anywhere",
+     test_refused_start_goes_anywhere},
+    {"/choice/near its data first", test_near_its_data_first},
+    {"/choice/where a task went wrong comes last",
+     test_where_it_went_wrong_last},
+    {"/choice/a required label is never passed over", test_required_label},
+};
+
+int
+main(int argc, char **argv)
+{
+    return RuleTable_Main(argc, argv, rules, G_N_ELEMENTS(rules));
+}
