--- a/tests/choice_rules.c
+++ b/tests/choice_rules.c
@@ -7,7 +7,6 @@
 
 #include "base/random.h"
 #include "lease/choice.h"
-#include "tests/rule_table.h"
 
 #define NOW_MS 10000
 #define DRAWS 3000
@@ -28,6 +27,7 @@
 
 /* One choice. The hosts end with one without a hall. */
 typedef struct {
+    const char *name;
     const char *affinity;
     const char *requirement;
     uint32_t refused; /* starts in a row */
@@ -94,8 +94,9 @@
 }
 
 static void
-check(const choice_case *one)
+check(gconstpointer item)
 {
+    const choice_case *one = item;
     uint64_t random = Random_Seed(7);
     uint32_t drawn[MOST_HOSTS + 1] = {0}; /* the last: none */
     Active_Job *job = new_job(one);
@@ -124,124 +125,53 @@
     Fleet_Clear(&fleet);
 }
 
-static void
-test_paces_of_chance_are_alike(void)
-{
-    static const choice_case one = {
-        .avoid = -1,
-        .hosts = {{"own", 4000, 80, NULL, 0.333},
-                  {"own", 4000, 100, NULL, 0.333},
-                  {"own", 4000, 149, NULL, 0.333}}};
-
-    check(&one);
-}
-
-static void
-test_slow_host_is_left(void)
-{
-    static const choice_case one = {
-        .avoid = -1,
-        .hosts = {{"own", 1000, 100, NULL, 1}, {"own", 8000, 190, NULL, 0}}};
-
-    check(&one);
-}
-
-static void
-test_share_by_room(void)
-{
-    static const choice_case one = {.avoid = -1,
-                                    .hosts = {{"own", 1900, 100, NULL, 0.25},
-                                              {"own", 3000, 100, NULL, 0.75},
-                                              {"own", 999, 100, NULL, 0}}};
-
-    check(&one);
-}
-
-static void
-test_own_hall_first(void)
-{
-    static const choice_case one = {
-        .avoid = -1,
-        .hosts = {{"own", 1000, 100, NULL, 1}, {"other", 8000, 100, NULL, 0}}};
-
-    check(&one);
-}
-
-static void
-test_other_hall_when_own_is_full(void)
-{
-    static const choice_case one = {
-        .avoid = -1,
-        .hosts = {{"own", 900, 100, NULL, 0}, {"other", 8000, 100, NULL, 1}}};
-
-    check(&one);
-}
-
-static void
-test_refused_start_goes_anywhere(void)
-{
-    static const choice_case one = {
-        .refused = 1,
-        .avoid = -1,
-        .hosts = {{"own", 2000, 100, NULL, 0.5},
-                  {"other", 2000, 100, NULL, 0.5}}};
-
-    check(&one);
-}
-
-static void
-test_near_its_data_first(void)
-{
-    static const choice_case one = {
-        .affinity = "rack-1",
-        .avoid = -1,
-        .hosts = {{"own", 8000, 100, "rack-2", 0},
-                  {"other", 1000, 100, "rack-1", 1}}};
-
-    check(&one);
-}
-
-static void
-test_where_it_went_wrong_last(void)
-{
-    static const choice_case one = {
-        .avoid = 0,
-        .hosts = {{"own", 8000, 100, NULL, 0}, {"other", 1000, 100, NULL, 1}}};
-
-    check(&one);
-}
-
-static void
-test_required_label(void)
-{
-    static const choice_case one = {.requirement = "large",
-                                    .avoid = -1,
-                                    .hosts = {{"own", 8000, 100, "small", 0},
-                                              {"own", 900, 100, "large", 0}}};
-
-    check(&one);
-}
-
-static const RuleTable_Row rules[] = {
-    {"/choice/paces that differ by chance are alike",
-     test_paces_of_chance_are_alike},
-    {"/choice/a slow host is left while others have room",
-     test_slow_host_is_left},
-    {"/choice/hosts get their share by the tasks that fit",
-     test_share_by_room},
-    {"/choice/the own hall comes first", test_own_hall_first},
-    {"/choice/another hall serves when the own is full",
-     test_other_hall_when_own_is_full},
-    {"/choice/a refused start goes anywhere",
-     test_refused_start_goes_anywhere},
-    {"/choice/near its data first", test_near_its_data_first},
-    {"/choice/where a task went wrong comes last",
-     test_where_it_went_wrong_last},
-    {"/choice/a required label is never passed over", test_required_label},
+static const choice_case choice_cases[] = {
+    {.name = "/choice/paces that differ by chance are alike",
+     .avoid = -1,
+     .hosts = {{"own", 4000, 80, NULL, 0.333},
+               {"own", 4000, 100, NULL, 0.333},
+               {"own", 4000, 149, NULL, 0.333}}},
+    {.name = "/choice/a slow host is left while others have room",
+     .avoid = -1,
+     .hosts = {{"own", 1000, 100, NULL, 1}, {"own", 8000, 190, NULL, 0}}},
+    {.name = "/choice/hosts get their share by the tasks that fit",
+     .avoid = -1,
+     .hosts = {{"own", 1900, 100, NULL, 0.25},
+               {"own", 3000, 100, NULL, 0.75},
+               {"own", 999, 100, NULL, 0}}},
+    {.name = "/choice/the own hall comes first",
+     .avoid = -1,
+     .hosts = {{"own", 1000, 100, NULL, 1}, {"other", 8000, 100, NULL, 0}}},
+    {.name = "/choice/another hall serves when the own is full",
+     .avoid = -1,
+     .hosts = {{"own", 900, 100, NULL, 0}, {"other", 8000, 100, NULL, 1}}},
+    {.name = "/choice/a refused start goes anywhere",
+     .refused = 1,
+     .avoid = -1,
+     .hosts = {{"own", 2000, 100, NULL, 0.5},
+               {"other", 2000, 100, NULL, 0.5}}},
+    {.name = "/choice/near its data first",
+     .affinity = "rack-1",
+     .avoid = -1,
+     .hosts = {{"own", 8000, 100, "rack-2", 0},
+               {"other", 1000, 100, "rack-1", 1}}},
+    {.name = "/choice/where a task went wrong comes last",
+     .avoid = 0,
+     .hosts = {{"own", 8000, 100, NULL, 0}, {"other", 1000, 100, NULL, 1}}},
+    {.name = "/choice/a required label is never passed over",
+     .requirement = "large",
+     .avoid = -1,
+     .hosts = {{"own", 8000, 100, "small", 0}, {"own", 900, 100, "large", 0}}},
 };
 
 int
 main(int argc, char **argv)
 {
-    return RuleTable_Main(argc, argv, rules, G_N_ELEMENTS(rules));
+    size_t i;
+
+    g_test_init(&argc, &argv, NULL);
+    for (i = 0; i < G_N_ELEMENTS(choice_cases); i++) {
+        g_test_add_data_func(choice_cases[i].name, &choice_cases[i], check);
+    }
+    return g_test_run();
 }
--- a/tests/fleet_world.c
+++ b/tests/fleet_world.c
@@ -65,7 +65,6 @@
     GArray *ended;       /* Runner_EndRow */
     uint64_t last_end;
     uint64_t look_id; /* one that waits for an end, or 0 */
-    uint64_t look_number;
     GHashTable *owed; /* reply id -> owed_reply */
     uint64_t next_reply;
     int64_t wake_ms;
@@ -176,7 +175,6 @@
 typedef struct {
     uint32_t companion;
     uint64_t id;
-    uint64_t number;
 } look_answer;
 
 typedef struct {
@@ -250,7 +248,7 @@
     row.number = ++node->last_end;
     g_array_append_val(node->ended, row);
     if (node->look_id != 0) {
-        look_answer answer = {node->index, node->look_id, 0};
+        look_answer answer = {node->index, node->look_id};
         at(w, w->now_ms + 1, on_look_answer, &answer, sizeof(answer));
     }
 }
@@ -353,7 +351,7 @@
 {
     companion_node *node = context;
     world *w = node->world;
-    look_answer answer = {node->index, look_id, 0};
+    look_answer answer = {node->index, look_id};
     guint seen = 0;
 
     while (seen < node->ended->len &&
--- a/tests/soak/scenario.cc
+++ b/tests/soak/scenario.cc
@@ -195,22 +195,23 @@
     });
 }
 
-/* All connections that are open go silent under load; new ones work. */
+/* Small jobs at a steady rate for so long. */
 void
-silent_load()
+steady_load(int64_t length_ms)
 {
-    if (cluster->now() > START_MS + SILENT_LOAD_MS) {
+    if (cluster->now() > START_MS + length_ms) {
         cluster->over = true;
         return;
     }
     watched = cluster->hand_in(2, 500, 100, false);
-    cluster->after(25, silent_load);
+    cluster->after(25, [length_ms] { steady_load(length_ms); });
 }
 
+/* All connections that are open go silent under load; new ones work. */
 void
 silence(const std::vector<std::string> &kinds, bool in, bool out)
 {
-    silent_load();
+    steady_load(SILENT_LOAD_MS);
     cluster->after(SILENCE_MS, [kinds, in, out] {
         for (const std::string &kind : kinds) {
             for (soak::Proxy *proxy : cluster->proxies_of(kind)) {
@@ -268,23 +269,12 @@
     silence({"store"}, true, true);
 }
 
-/* Entries and companions are told of seeds that are no more. */
-void
-seedless_load()
-{
-    if (cluster->now() > START_MS + SEEDLESS_LOAD_MS) {
-        cluster->over = true;
-        return;
-    }
-    watched = cluster->hand_in(2, 500, 100, false);
-    cluster->after(25, seedless_load);
-}
-
-/* Then all power is lost, and comes back. */
+/* Entries and companions are told of seeds that are no more; then all power is
+ * lost, and comes back. */
 void
 play_seeds_gone()
 {
-    seedless_load();
+    steady_load(SEEDLESS_LOAD_MS);
     cluster->after(POWER_LOSS_MS, [] {
         for (soak::Process *process : cluster->processes()) {
             process->kill(100);
