Property: a job refused while nothing of it fits anywhere is not owed

Trace: at each of the five refusals no upstream had room for one task of the job (used of 16,000 and need: 14,400 15,400 14,000 and 2,200; 14,800 three times and 1,800; 15,800 15,800 15,400 and 1,800; 15,800 three times and 2,200; 15,000 14,200 16,000 and 2,200). Two entries and three companions are open all the while; a clump of durable jobs fills them from 8.25 to 9.25 s. So the case is allowed: it says nothing of service.

Change: a late job counts as owed unless it was refused while no upstream that is up had room for a single task of it.

--- a/tests/lease_world_state.h
+++ b/tests/lease_world_state.h
@@ -169,6 +169,25 @@
     return 0x7f0000010000ULL + 8000 + index;
 }
 
+/* Processors that each task of a job needs. */
+inline uint32_t
+need_of(uint64_t job)
+{
+    return 1000 + (uint32_t)(job % 4) * 400;
+}
+
+/* Processors taken at an upstream. */
+inline uint32_t
+used_at(const Upstream &upstream)
+{
+    uint32_t used = 0;
+
+    for (auto &pair : upstream.tasks()) {
+        used += need_of(pair.second.id.job);
+    }
+    return used;
+}
+
 class World {
   public:
     explicit World(const Plan &schedule)
@@ -290,6 +309,7 @@
     void again(CallerJob *job, int64_t after_ms);
     void hang_up(uint64_t request);
     void make_job();
+    bool has_room(const CallerJob &job) const;
     void on_started(uint32_t index, const lc_run_id &id);
     void on_ended(uint32_t index, const lc_run_id &id, Runner_End end);
     void check_room(uint32_t index);
