Halls that operators close: read from the store, told between processes, refused by companions

Change: lease/closures holds what is known, ordered by the number of operators' records that were read; entries tell each other with gossip, companions with answers to reports and back; a companion refuses a start in its closed hall unless its sender knows of later records; one that nobody has confirmed for half of times.close_ms asks the store. A job that could run nowhere else is refused at once (hall_closed), truly not run. Open: property and soak over schedules, the operators' command.

--- a/base/err.h
+++ b/base/err.h
@@ -42,6 +42,7 @@
     X(STOPPING, "stopping", 503, 6, OUTCOME_NOT_RUN, 1)                       \
     X(NO_ROUTES, "no_routes", 503, 6, OUTCOME_NOT_RUN, 1)                     \
     X(CANCELLED, "cancelled", 409, 3, OUTCOME_FAILED, 0)                      \
+    X(HALL_CLOSED, "hall_closed", 503, 6, OUTCOME_NOT_RUN, 1)                 \
     X(QUEUE_FULL, "queue_full", 429, 6, OUTCOME_NOT_RUN, 1)                   \
     X(WAIT_TOO_LONG, "wait_too_long", 503, 6, OUTCOME_NOT_RUN, 1)             \
     X(NO_EVIDENCE, "no_evidence", 503, 6, OUTCOME_UNKNOWN, 1)                 \
--- a/base/event.h
+++ b/base/event.h
@@ -61,6 +61,10 @@
     X(ROUTES, 402, G_LOG_LEVEL_MESSAGE, "routes in force")                    \
     X(ROUTES_BAD, 403, G_LOG_LEVEL_WARNING, "routes skipped")                 \
     X(NO_ROUTE, 404, G_LOG_LEVEL_INFO, "request for no known queue")          \
+    X(HALLS, 405, G_LOG_LEVEL_MESSAGE, "closed halls changed")                \
+    X(HALLS_UNSURE, 406, G_LOG_LEVEL_WARNING,                                 \
+      "closed halls not confirmed for long")                                  \
+    X(HALL_BAD, 407, G_LOG_LEVEL_WARNING, "odd record of a closed hall")      \
     X(JOB_LATE, 508, G_LOG_LEVEL_INFO, "leased job answered late")            \
     X(JOB_ANSWERED, 509, G_LOG_LEVEL_DEBUG, "leased job answered in time")    \
     X(JOB_REFUSED, 510, G_LOG_LEVEL_INFO, "leased job refused")               \
--- a/daemon/leased_companion.c
+++ b/daemon/leased_companion.c
@@ -8,6 +8,7 @@
 #include "daemon/seeds.h"
 #include "lease/peers.h"
 #include "lease/runner.h"
+#include "platform/store.h"
 #include "platform/upstreams.h"
 
 /* A request is kept open so long past the time that its answer may wait: the
@@ -25,6 +26,10 @@
 /* A planned stop ends so long before the kill. */
 #define STOP_MARGIN_MS 700
 #define OK_STATUS 200
+/* What is known of the closed halls is asked for at the store when no entry
+ * has confirmed it for this part of times.close_ms: the rest is left for the
+ * read and a second try. */
+#define UNSURE_PART 2
 
 typedef struct {
     Process process; /* first, see Process */
@@ -34,6 +39,7 @@
     Peers peers;
     Seeds seeds;
     Leased_Registry registry;
+    Store_Follower *halls; /* NULL if no store is known */
     uv_timer_t report_timer;
     uv_timer_t answer_timer; /* at answer_due_ms, if that is not INT64_MAX */
     int64_t answer_due_ms;
@@ -291,6 +297,8 @@
     int64_t now = now_ms();
     u_int i;
 
+    Runner_TakeClosures(self->runner, now, peer->asked_ms, &result->closures,
+                        Address_Text(peer->address));
     peer->told = peer->telling;
     peer->gap_ms = result->gap_ms;
     if (Peers_Hear(&self->peers, peer->address, now)) {
@@ -301,6 +309,39 @@
     }
 }
 
+/* ---- closed halls ---- */
+
+static void
+on_closures(void *context, int64_t asked_ms, const lc_closures *told)
+{
+    leased_companion *self = context;
+
+    Runner_TakeClosures(self->runner, now_ms(), asked_ms, told, "the store");
+}
+
+static const Store_Ports halls_ports = {.closures = on_closures};
+
+/* Entries tell with their answers to reports. If all that reach this companion
+ * are cut off from the store and from other entries, only the store is left.
+ */
+static void
+confirm_halls(leased_companion *self, int64_t now)
+{
+    const Closures *closures = Runner_Closures(self->runner);
+    int64_t age = Closures_AgeMs(closures, now);
+    lc_closures known;
+
+    if (self->halls == NULL ||
+        age < self->process.options->close_ms / UNSURE_PART) {
+        return;
+    }
+    Closures_Tell(closures, now, &known);
+    if (Store_Ask(self->halls, &known)) {
+        Event_Log(EVENT_HALLS_UNSURE, "for %lld ms; the store is asked",
+                  (long long)age);
+    }
+}
+
 /* ---- the upstream's calls ---- */
 
 static void
@@ -361,6 +402,7 @@
 
     Seeds_Refresh(&self->seeds, &self->peers, now);
     LeasedRegistry_Tick(&self->registry, now);
+    confirm_halls(self, now);
     Runner_Tick(self->runner, now);
     Peers_Forget(&self->peers, now);
     reset_silent(self, now);
@@ -448,6 +490,7 @@
     Term_Bounds bounds = {options->resubmit_ms, options->hold_max_ms,
                           options->stop_ms, PROCESS_TICK_MS};
     Runner_Config config = {.node = Process_NewNode(options),
+                            .hall = options->hall,
                             .first_token = now.wall_ms,
                             .beat_ms = options->beat_ms};
 
@@ -495,6 +538,10 @@
     Rpc_KeepAlive(self->process.rpc, PROCESS_SILENCE_MS);
     LeasedRegistry_Open(&self->registry, loop, 0, options->store,
                         &self->peers);
+    if (options->store != 0) {
+        self->halls = Store_FollowHalls(loop, Http_NewClient(loop),
+                                        options->store, &halls_ports, self);
+    }
     self->registry.named = on_named;
     self->registry.context = self;
     LeasedRegistry_Tick(&self->registry, now_ms());
--- a/daemon/leased_entry.c
+++ b/daemon/leased_entry.c
@@ -106,7 +106,7 @@
 
     return self->stop_ms == 0 && self->routes != NULL && !self->still &&
            (starting ||
-            Dispatcher_ReadyHosts(self->dispatcher, self->awake_ms) > 0);
+            Dispatcher_WellHosts(self->dispatcher, self->awake_ms) > 0);
 }
 
 static void
@@ -173,6 +173,8 @@
         reply.u.report.entries.entries_len = live->len;
         reply.u.report.entries.entries_val = (u_quad_t *)(void *)live->data;
     }
+    Closures_Tell(Dispatcher_Closures(self->dispatcher), now,
+                  &reply.u.report.closures);
     Process_PortReply(&self->process, reply_id, &reply);
     g_array_unref(live);
     take_report(self, now, args);
@@ -332,7 +334,7 @@
     }
     peer->call_id = 0;
     if (reply != NULL && reply->kind == MSG_GOSSIP) {
-        LeasedGossip_Take(self, &reply->u.gossip);
+        LeasedGossip_Take(self, peer->asked_ms, &reply->u.gossip);
     }
 }
 
--- a/daemon/leased_entry_state.h
+++ b/daemon/leased_entry_state.h
@@ -154,7 +154,8 @@
 void LeasedGossip_Answer(Leased_Entry *self, uint64_t reply_id,
                          const lc_gossip_args *args);
 
-/** Another entry has answered what we told it. */
-void LeasedGossip_Take(Leased_Entry *self, const lc_gossip_res *result);
+/** Another entry has answered what we told it at @p asked_ms. */
+void LeasedGossip_Take(Leased_Entry *self, int64_t asked_ms,
+                       const lc_gossip_res *result);
 
 #endif
--- a/daemon/leased_gossip.c
+++ b/daemon/leased_gossip.c
@@ -53,6 +53,8 @@
     }
     call.u.gossip.waiting.waiting_len = counts->len;
     call.u.gossip.waiting.waiting_val = (lc_queue_count *)(void *)counts->data;
+    Closures_Tell(Dispatcher_Closures(self->dispatcher), now,
+                  &call.u.gossip.closures);
     peer->call_id = ++self->next_call | LEASED_OWN_CALL;
     peer->asked_ms = now;
     Rpc_Call(self->process.rpc, peer->address, peer->call_id, &call);
@@ -131,6 +133,8 @@
 
     Keeper_OnPeer(self->keeper, self->awake_ms, args->from.address,
                   args->kept);
+    Dispatcher_TakeClosures(self->dispatcher, self->awake_ms, CLOSURES_UNASKED,
+                            &args->closures, Address_Text(args->from.address));
     take_news(self, args->from.address, args->routes_version, args->known,
               args->entries.entries_val, args->entries.entries_len,
               args->waiting.waiting_val, args->waiting.waiting_len);
@@ -145,16 +149,22 @@
     }
     result->waiting.waiting_len = counts->len;
     result->waiting.waiting_val = (lc_queue_count *)(void *)counts->data;
+    Closures_Tell(Dispatcher_Closures(self->dispatcher), self->awake_ms,
+                  &result->closures);
     Process_PortReply(&self->process, reply_id, &reply);
     g_array_unref(live);
     g_array_unref(counts);
 }
 
 void
-LeasedGossip_Take(Leased_Entry *self, const lc_gossip_res *result)
+LeasedGossip_Take(Leased_Entry *self, int64_t asked_ms,
+                  const lc_gossip_res *result)
 {
     Keeper_OnPeer(self->keeper, self->awake_ms, result->from.address,
                   result->kept);
+    Dispatcher_TakeClosures(self->dispatcher, self->awake_ms, asked_ms,
+                            &result->closures,
+                            Address_Text(result->from.address));
     take_news(self, result->from.address, result->routes_version,
               result->known, result->entries.entries_val,
               result->entries.entries_len, result->waiting.waiting_val,
--- a/daemon/leased_kept.c
+++ b/daemon/leased_kept.c
@@ -22,10 +22,11 @@
 }
 
 static void
-on_read(void *context, int64_t asked_ms)
+on_read(void *context, int64_t asked_ms, uint64_t end)
 {
     Leased_Entry *self = context;
 
+    (void)end;
     Keeper_OnRead(self->keeper, LeasedEntry_Awake(self), asked_ms);
 }
 
--- a/daemon/leased_routes.c
+++ b/daemon/leased_routes.c
@@ -48,7 +48,16 @@
 }
 
 static void
-on_store_change(void *context, int answers)
+on_closures(void *context, int64_t asked_ms, const lc_closures *told)
+{
+    Leased_Entry *self = context;
+
+    Dispatcher_TakeClosures(self->dispatcher, LeasedEntry_Awake(self),
+                            asked_ms, told, "the store");
+}
+
+static void
+on_store_change(void *context, bool answers)
 {
     Leased_Entry *self = context;
 
@@ -57,14 +66,20 @@
     Event_Log(answers ? EVENT_LOG_UP : EVENT_LOG_DOWN, "store");
 }
 
+static const Store_Ports store_ports = {
+    .routes = on_routes,
+    .closures = on_closures,
+    .change = on_store_change,
+};
+
 void
 LeasedRoutes_Open(Leased_Entry *self, const Options *options)
 {
     self->store_answers = true;
     RoutesFetch_Init(&self->fetch,
                      (uint32_t)Dispatcher_Node(self->dispatcher).incarnation);
-    Store_Follow(uv_default_loop(), self->http, options->store, on_routes,
-                 on_store_change, self);
+    Store_Follow(uv_default_loop(), self->http, options->store, &store_ports,
+                 self);
 }
 
 void
--- a/daemon/options.h
+++ b/daemon/options.h
@@ -50,6 +50,8 @@
     int64_t hold_max_ms;
     int64_t stop_ms;
     int64_t beat_ms;
+    int64_t close_ms; /**< no task starts in a hall so long after operators
+                         have closed it */
     int64_t grace_ms; /**< from the planned stop to the kill */
     int64_t max_jobs;
     int64_t max_answer_bytes;
--- a/lease/choice.c
+++ b/lease/choice.c
@@ -33,7 +33,7 @@
 }
 
 bool
-Choice_IsOpen(const Fleet_Host *host, int64_t now_ms)
+Choice_IsWell(const Fleet_Host *host, int64_t now_ms)
 {
     return (host->state == LC_UPSTREAM_READY ||
             host->state == LC_UPSTREAM_TRIAL) &&
@@ -41,6 +41,12 @@
            now_ms >= host->avoid_until_ms;
 }
 
+bool
+Choice_IsOpen(const Fleet_Host *host, int64_t now_ms)
+{
+    return !host->closed && Choice_IsWell(host, now_ms);
+}
+
 /* Tasks of the step that run at an address. */
 static uint32_t
 count_together(const Active_Job *job, const Active_Task *task, Address address)
--- a/lease/choice.h
+++ b/lease/choice.h
@@ -23,7 +23,10 @@
 /** Whether a companion has said something lately. */
 bool Choice_IsHeard(const Fleet_Host *host, int64_t now_ms);
 
-/** Whether a companion takes tasks of @p service at all. */
+/** Whether a companion and its upstream are well, as far as is known. */
+bool Choice_IsWell(const Fleet_Host *host, int64_t now_ms);
+
+/** Whether a companion is well and operators let tasks start in its hall. */
 bool Choice_IsOpen(const Fleet_Host *host, int64_t now_ms);
 
 #endif
--- a/lease/dispatcher.c
+++ b/lease/dispatcher.c
@@ -18,6 +18,7 @@
     self->context = context;
     self->end_ms = INT64_MAX;
     Fleet_Init(&self->fleet);
+    Closures_Init(&self->closures, now_ms);
     QueueStats_Init(&self->stats);
     self->jobs = Handle_NewTable();
     self->calls = Handle_NewTable();
@@ -47,6 +48,7 @@
     g_hash_table_unref(self->by_id);
     g_hash_table_unref(self->by_request);
     Fleet_Clear(&self->fleet);
+    Closures_Clear(&self->closures);
     QueueStats_Clear(&self->stats);
     g_free(self);
 }
@@ -121,6 +123,11 @@
         Err_Set(&status, ERR_WAIT_TOO_LONG,
                 "this entry is cut off from all companions");
     }
+    else if (DispatcherHalls_ClosedTo(self, now_ms, &submit->job,
+                                      submit->route->service)) {
+        Err_Set(&status, ERR_HALL_CLOSED,
+                "operators have closed the halls it can run in");
+    }
     else {
         Route_Check(submit->route, &submit->job, &status);
     }
@@ -307,6 +314,12 @@
         DispatcherEnd_GiveUp(self, now_ms, job, ERR_DEADLINE,
                              "it cannot end before its deadline");
     }
+    else if (!Active_HasBegun(job) &&
+             DispatcherHalls_ClosedTo(self, now_ms, &job->spec,
+                                      job->service)) {
+        DispatcherEnd_GiveUp(self, now_ms, job, ERR_HALL_CLOSED,
+                             "operators have closed the halls it can run in");
+    }
     else if (is_crowded_out(self, job, now_ms)) {
         DispatcherEnd_GiveUp(self, now_ms, job, ERR_WAIT_TOO_LONG,
                              "it found no room in time for its objective");
@@ -353,13 +366,16 @@
 {
     QueueStats_Print(&self->stats, out);
     Histogram_Print(&self->belief_age, "belief_age", "", out);
+    Closures_Metrics(&self->closures, now_ms, out);
     g_string_append_printf(out,
                            "levercove_jobs_open %u\n"
                            "levercove_companions_known %u\n"
                            "levercove_companions_open %u\n"
+                           "levercove_companions_well %u\n"
                            "levercove_reserve_tasks %u\n",
                            Handle_Count(self->jobs), self->fleet.hosts->len,
                            Dispatcher_ReadyHosts(self, now_ms),
+                           Dispatcher_WellHosts(self, now_ms),
                            Reserve_Tasks(&self->reserve, now_ms));
 }
 
@@ -380,8 +396,9 @@
             hosts, DispatcherHosts_Dump(
                        g_ptr_array_index(self->fleet.hosts, i), now_ms));
     }
-    return json_pack("{s:s, s:i, s:i, s:b, s:o}", "role", "entry", "jobs",
+    return json_pack("{s:s, s:i, s:i, s:b, s:o, s:o}", "role", "entry", "jobs",
                      (int)Handle_Count(self->jobs), "unanswered",
                      (int)self->unanswered, "paused", self->paused,
-                     "companions", hosts);
+                     "companions", hosts, "closed",
+                     Closures_Dump(&self->closures, now_ms));
 }
--- a/lease/dispatcher.h
+++ b/lease/dispatcher.h
@@ -17,6 +17,7 @@
 #include "base/counter.h"
 #include "base/err.h"
 #include "base/event.h"
+#include "lease/closures.h"
 #include "lease/fleet.h"
 #include "lease/job.h"
 #include "lease/queue_counts.h"
@@ -147,6 +148,15 @@
 void Dispatcher_OnReport(Dispatcher *self, int64_t now_ms,
                          const lc_report_args *report);
 
+/** Takes what @p source knows of the halls that operators have closed; see
+ * Closures_Take for @p asked_ms. */
+void Dispatcher_TakeClosures(Dispatcher *self, int64_t now_ms,
+                             int64_t asked_ms, const lc_closures *told,
+                             const char *source);
+
+/** What is known of the closed halls here. */
+const Closures *Dispatcher_Closures(const Dispatcher *self);
+
 /** A call ended; @p reply is NULL when its connection broke. */
 void Dispatcher_OnReply(Dispatcher *self, int64_t now_ms, uint64_t call_id,
                         const Msg_Reply *reply);
@@ -177,6 +187,9 @@
 /** Companions that take tasks now. */
 uint32_t Dispatcher_ReadyHosts(const Dispatcher *self, int64_t now_ms);
 
+/** Companions that are well, also those whose halls are closed. */
+uint32_t Dispatcher_WellHosts(const Dispatcher *self, int64_t now_ms);
+
 /** Appends figures for scrapers. */
 void Dispatcher_Metrics(const Dispatcher *self, int64_t now_ms, GString *out);
 
--- a/lease/dispatcher_calls.c
+++ b/lease/dispatcher_calls.c
@@ -45,6 +45,7 @@
     call.u.run.owner = owner_of(self, job);
     call.u.run.target = task->host.incarnation;
     call.u.run.valid_until_ms = valid_until_ms;
+    call.u.run.closures_as_of = self->closures.as_of;
     call.u.run.id = task->id;
     call.u.run.need = step->need;
     /* Of a task that lasts nothing is expected but that it goes on. */
--- a/lease/dispatcher_ends.c
+++ b/lease/dispatcher_ends.c
@@ -175,7 +175,9 @@
 
     if (!Active_HasBegun(job)) {
         answer.outcome = DISPATCHER_NOT_RUN;
-        answer.kind = ERR_WAIT_TOO_LONG;
+        if (Err_Outcome(kind) != OUTCOME_NOT_RUN) {
+            answer.kind = ERR_WAIT_TOO_LONG;
+        }
         answer.retry_ms = DISPATCHER_RETRY_MS;
     }
     DispatcherEnd_Job(self, now_ms, job, &answer);
--- /dev/null
+++ b/lease/dispatcher_halls.c
@@ -0,0 +1,127 @@
+#include "lease/dispatcher_state.h"
+
+#include "lease/choice.h"
+#include "lease/resources.h"
+
+static void
+mark_host(const Dispatcher *self, Fleet_Host *host)
+{
+    host->closed = Closures_Has(&self->closures, host->hall);
+}
+
+/* Hosts that are known in closed halls, and runs of this entry there. A hall
+ * without any is of no deployment, or its hosts have not reported yet. */
+static json_t *
+describe_halls(const Dispatcher *self)
+{
+    json_t *halls = json_object();
+    guint i;
+    guint j;
+
+    for (i = 0; i < self->closures.halls->len; i++) {
+        const char *hall = self->closures.halls->pdata[i];
+        int hosts = 0;
+        int runs = 0;
+        for (j = 0; j < self->fleet.hosts->len; j++) {
+            const Fleet_Host *host = self->fleet.hosts->pdata[j];
+            if (g_strcmp0(host->hall, hall) == 0) {
+                hosts++;
+                runs += (int)host->running;
+            }
+        }
+        json_object_set_new(
+            halls, hall,
+            json_pack("{s:i, s:i}", "hosts", hosts, "runs", runs));
+    }
+    return halls;
+}
+
+static void
+log_halls(const Dispatcher *self, const char *source)
+{
+    char *names = Closures_Text(&self->closures);
+
+    if (Event_Admit(EVENT_HALLS)) {
+        self->ports->event(self->context, EVENT_HALLS,
+                           json_pack("{s:s, s:I, s:s, s:o}", "closed", names,
+                                     "as_of", (json_int_t)self->closures.as_of,
+                                     "source", source, "halls",
+                                     describe_halls(self)));
+    }
+    g_free(names);
+}
+
+void
+Dispatcher_TakeClosures(Dispatcher *self, int64_t now_ms, int64_t asked_ms,
+                        const lc_closures *told, const char *source)
+{
+    guint i;
+
+    if (Closures_Take(&self->closures, now_ms, asked_ms, told) !=
+        CLOSURES_DIFFERENT) {
+        return;
+    }
+    for (i = 0; i < self->fleet.hosts->len; i++) {
+        mark_host(self, self->fleet.hosts->pdata[i]);
+    }
+    log_halls(self, source);
+    self->unsettled = true;
+}
+
+const Closures *
+Dispatcher_Closures(const Dispatcher *self)
+{
+    return &self->closures;
+}
+
+void
+DispatcherHalls_Mark(Dispatcher *self, Fleet_Host *host)
+{
+    mark_host(self, host);
+}
+
+static bool
+could_run(const LeasedJob_Step *step, const char *service,
+          const Fleet_Host *host)
+{
+    return Resources_Fit(&step->need, &host->capacity) &&
+           g_strcmp0(host->service, service) == 0 &&
+           Fleet_HasLabel(host, step->requirement);
+}
+
+static bool
+step_is_closed_out(const Dispatcher *self, int64_t now_ms,
+                   const LeasedJob_Step *step, const char *service)
+{
+    bool closed = false;
+    guint i;
+
+    for (i = 0; i < self->fleet.hosts->len; i++) {
+        const Fleet_Host *host = self->fleet.hosts->pdata[i];
+        if (!Choice_IsHeard(host, now_ms) || !could_run(step, service, host)) {
+            continue;
+        }
+        if (!host->closed) {
+            return false;
+        }
+        closed = true;
+    }
+    return closed;
+}
+
+bool
+DispatcherHalls_ClosedTo(const Dispatcher *self, int64_t now_ms,
+                         const LeasedJob *job, const char *service)
+{
+    uint32_t i;
+
+    if (self->closures.halls->len == 0) {
+        return false;
+    }
+    for (i = 0; i < job->step_count; i++) {
+        if (step_is_closed_out(self, now_ms, &job->steps[i], service)) {
+            return true;
+        }
+    }
+    return false;
+}
--- a/lease/dispatcher_hosts.c
+++ b/lease/dispatcher_hosts.c
@@ -92,9 +92,12 @@
     Fleet_Change change = Fleet_TakeReport(&self->fleet, now_ms, report,
                                            &host);
 
+    Dispatcher_TakeClosures(self, now_ms, CLOSURES_UNASKED, &report->closures,
+                            Address_Text(report->host.node.address));
     if (change == FLEET_STALE) {
         return;
     }
+    DispatcherHalls_Mark(self, host);
     if (change != FLEET_KNOWN) {
         DispatcherLog_Host(self, EVENT_COMPANION_FOUND, now_ms, host,
                            change == FLEET_NEW ? "new"
@@ -142,27 +145,40 @@
                  REPORT_GAP_LEAST_MS, REPORT_GAP_MOST_MS);
 }
 
-uint32_t
-Dispatcher_ReadyHosts(const Dispatcher *self, int64_t now_ms)
+static uint32_t
+count_hosts(const Dispatcher *self, int64_t now_ms,
+            bool (*holds)(const Fleet_Host *host, int64_t now_ms))
 {
     uint32_t count = 0;
     guint i;
 
     for (i = 0; i < self->fleet.hosts->len; i++) {
-        const Fleet_Host *host = g_ptr_array_index(self->fleet.hosts, i);
-        count += Choice_IsOpen(host, now_ms);
+        count += holds(g_ptr_array_index(self->fleet.hosts, i), now_ms);
     }
     return count;
 }
 
+uint32_t
+Dispatcher_ReadyHosts(const Dispatcher *self, int64_t now_ms)
+{
+    return count_hosts(self, now_ms, Choice_IsOpen);
+}
+
+uint32_t
+Dispatcher_WellHosts(const Dispatcher *self, int64_t now_ms)
+{
+    return count_hosts(self, now_ms, Choice_IsWell);
+}
+
 json_t *
 DispatcherHosts_Dump(const Fleet_Host *host, int64_t now_ms)
 {
-    return json_pack(
-        "{s:s, s:s, s:s, s:i, s:i, s:i, s:i, s:b, s:I}", "address",
-        Address_Text(host->node.address), "hall", host->hall, "instance",
-        host->instance, "state", (int)host->state, "room_cpu_milli",
-        (int)host->room.cpu_milli, "pace_percent", (int)host->pace_percent,
-        "running", (int)host->running, "suspect", host->suspect,
-        "heard_ms_ago", (json_int_t)(now_ms - host->received_ms));
+    return json_pack("{s:s, s:s, s:s, s:i, s:i, s:i, s:i, s:b, s:b, s:I}",
+                     "address", Address_Text(host->node.address), "hall",
+                     host->hall, "instance", host->instance, "state",
+                     (int)host->state, "room_cpu_milli",
+                     (int)host->room.cpu_milli, "pace_percent",
+                     (int)host->pace_percent, "running", (int)host->running,
+                     "suspect", host->suspect, "closed", host->closed,
+                     "heard_ms_ago", (json_int_t)(now_ms - host->received_ms));
 }
--- a/lease/dispatcher_replies.c
+++ b/lease/dispatcher_replies.c
@@ -7,6 +7,10 @@
 #define AGAIN_MOST_MS 400
 /* Refused for another reason than room: elsewhere, here not for a moment. */
 #define REFUSED_MS 20
+/* A companion whose hall is closed, as it knows but this entry does not yet:
+ * its report comes within a report gap (500 ms at most, dispatcher_hosts.c).
+ */
+#define CLOSED_MS 500
 /* A task that lasts is started again after so long, wherever it ended. */
 #define LAST_AGAIN_MS 50
 /* Runs of an earlier submission that an upstream may know of. */
@@ -53,7 +57,8 @@
     job->starts--;
     task->refused++;
     if (host != NULL && status != LC_RUN_NO_ROOM) {
-        host->avoid_until_ms = now_ms + REFUSED_MS;
+        host->avoid_until_ms = now_ms + (status == LC_RUN_CLOSED ? CLOSED_MS
+                                                                 : REFUSED_MS);
     }
     if (status == LC_RUN_OLD) {
         task->id.run += RUNS_SKIPPED;
--- a/lease/dispatcher_state.h
+++ b/lease/dispatcher_state.h
@@ -12,6 +12,7 @@
 #include "base/handle.h"
 #include "base/histogram.h"
 #include "lease/active.h"
+#include "lease/closures.h"
 #include "lease/dispatcher.h"
 #include "lease/queue_stats.h"
 #include "lease/reserve.h"
@@ -32,6 +33,7 @@
     Counters counters;
     Queue_Table stats;
     Fleet fleet;
+    Closures closures;
     Reserve reserve;
     Histogram belief_age; /* of a companion's room as a task is sent there */
     Handle_Table *jobs;
@@ -143,6 +145,16 @@
 /** Renews leases, and takes back runs whose lease is certainly over. */
 void DispatcherHosts_Check(Dispatcher *self, int64_t now_ms, Fleet_Host *host);
 
+/* Closed halls: dispatcher_halls.c. */
+
+/** Notes whether a companion's hall is closed. */
+void DispatcherHalls_Mark(Dispatcher *self, Fleet_Host *host);
+
+/** Whether a step of a job for @p service could run in closed halls, and
+ * nowhere else. */
+bool DispatcherHalls_ClosedTo(const Dispatcher *self, int64_t now_ms,
+                              const LeasedJob *job, const char *service);
+
 /** State of a companion for operators; the caller owns the result. */
 json_t *DispatcherHosts_Dump(const Fleet_Host *host, int64_t now_ms);
 
--- a/lease/fleet.h
+++ b/lease/fleet.h
@@ -42,6 +42,7 @@
     uint64_t renewing;      /**< RENEW on its way, or 0 */
     int64_t renew_ms;       /**< when the last RENEW was sent */
     bool suspect;           /**< a RENEW had no answer in time */
+    bool closed;            /**< operators have closed its hall */
     int64_t avoid_until_ms; /**< after refusals that are no want of room */
 } Fleet_Host;
 
--- a/lease/run_status.c
+++ b/lease/run_status.c
@@ -3,16 +3,17 @@
 const char *
 RunStatus_Text(int status)
 {
-    static const char *const texts[LC_RUN_OLD + 1] = {
+    static const char *const texts[LC_RUN_CLOSED + 1] = {
         [LC_RUN_DONE] = "done",           [LC_RUN_FAILED] = "failed",
         [LC_RUN_STOPPED] = "stopped",     [LC_RUN_LOST] = "lost",
         [LC_RUN_STALLED] = "stalled",     [LC_RUN_NO_ROOM] = "no_room",
         [LC_RUN_EXPIRED] = "expired",     [LC_RUN_DRAINING] = "draining",
         [LC_RUN_NOT_READY] = "not_ready", [LC_RUN_OTHER_NODE] = "other_node",
         [LC_RUN_REJECTED] = "rejected",   [LC_RUN_OLD] = "old",
+        [LC_RUN_CLOSED] = "closed",
     };
 
-    if (status < 0 || status > LC_RUN_OLD) {
+    if (status < 0 || status > LC_RUN_CLOSED) {
         return "unknown";
     }
     return texts[status];
--- a/lease/runner.c
+++ b/lease/runner.c
@@ -30,6 +30,7 @@
     runner->token = config->first_token;
     runner->up.instance = g_strdup("");
     Incarnations_Init(&runner->gone);
+    Closures_Init(&runner->closures, now_ms);
     runner->up.service = g_strdup("");
     runner->up.labels = g_new0(char *, 1);
     runner->look_again_ms = now_ms;
@@ -50,6 +51,7 @@
     g_array_unref(runner->owners);
     g_array_unref(runner->fenced);
     RunnerUpstream_Clear(runner);
+    Closures_Clear(&runner->closures);
     g_free(runner);
 }
 
@@ -108,6 +110,10 @@
         RunnerKept_IsFenced(runner, &args->owner)) {
         return LC_RUN_EXPIRED;
     }
+    if (Closures_Refuses(&runner->closures, runner->config.hall,
+                         args->closures_as_of)) {
+        return LC_RUN_CLOSED;
+    }
     switch (current_state(runner, now_ms)) {
     case LC_UPSTREAM_ABSENT:
         return LC_RUN_NOT_READY;
@@ -168,6 +174,9 @@
     status = admit(runner, now_ms, args);
     if (status != LC_RUN_DONE) {
         runner->refusals[status]++;
+        if (status == LC_RUN_CLOSED) {
+            runner->version++; /* the report tells its owner of the halls */
+        }
         RunnerTask_ReplyRun(runner, now_ms, reply_id, status, 0);
         if (args->target == runner->config.node.incarnation) {
             add_tombstone(runner, now_ms, &args->owner, &args->id, status);
@@ -343,9 +352,40 @@
     }
     report->labels.labels_len = i;
     report->labels.labels_val = mutable_runner->label_row;
+    Closures_Tell(&runner->closures, now_ms, &report->closures);
     return runner->up.known;
 }
 
+void
+Runner_TakeClosures(Runner *runner, int64_t now_ms, int64_t asked_ms,
+                    const lc_closures *told, const char *source)
+{
+    char *names;
+
+    if (Closures_Take(&runner->closures, now_ms, asked_ms, told) !=
+        CLOSURES_DIFFERENT) {
+        return;
+    }
+    runner->version++;
+    names = Closures_Text(&runner->closures);
+    if (Event_Admit(EVENT_HALLS)) {
+        runner->ports->event(
+            runner->context, EVENT_HALLS,
+            json_pack("{s:s, s:I, s:s, s:b, s:i}", "closed", names, "as_of",
+                      (json_int_t)runner->closures.as_of, "source", source,
+                      "own_hall_closed",
+                      Closures_Has(&runner->closures, runner->config.hall),
+                      "tasks", (int)runner->live));
+    }
+    g_free(names);
+}
+
+const Closures *
+Runner_Closures(const Runner *runner)
+{
+    return &runner->closures;
+}
+
 uint64_t
 Runner_Version(const Runner *runner)
 {
@@ -355,18 +395,19 @@
 void
 Runner_Metrics(const Runner *runner, int64_t now_ms, GString *out)
 {
-    static const char *const statuses[LC_RUN_OLD + 1] = {
+    static const char *const statuses[LC_RUN_CLOSED + 1] = {
         [LC_RUN_NO_ROOM] = "no_room",       [LC_RUN_EXPIRED] = "expired",
         [LC_RUN_DRAINING] = "draining",     [LC_RUN_NOT_READY] = "not_ready",
-        [LC_RUN_OTHER_NODE] = "other_node",
+        [LC_RUN_OTHER_NODE] = "other_node", [LC_RUN_CLOSED] = "hall_closed",
     };
     lc_host_state state;
     int i;
 
     Runner_State(runner, now_ms, &state);
+    Closures_Metrics(&runner->closures, now_ms, out);
     Histogram_Print(&runner->orders_time, "order", "", out);
     Histogram_Print(&runner->runs, "task_run", "", out);
-    for (i = 0; i <= LC_RUN_OLD; i++) {
+    for (i = 0; i <= LC_RUN_CLOSED; i++) {
         if (statuses[i] != NULL) {
             g_string_append_printf(
                 out,
@@ -403,11 +444,12 @@
 
     Runner_State(runner, now_ms, &state);
     return json_pack(
-        "{s:s, s:s, s:s, s:i, s:i, s:i, s:i, s:i, s:I, s:b, s:b}", "role",
+        "{s:s, s:s, s:s, s:i, s:i, s:i, s:i, s:i, s:I, s:b, s:b, s:o}", "role",
         "companion", "instance", runner->up.instance, "service",
         runner->up.service, "state", (int)state.state, "room_cpu_milli",
         (int)state.room.cpu_milli, "room_memory_mb", (int)state.room.memory_mb,
         "tasks", (int)runner->live, "pace_percent", (int)state.pace_percent,
         "token", (json_int_t)runner->token, "doubtful", runner->up.doubtful,
-        "inventoried", runner->up.inventoried);
+        "inventoried", runner->up.inventoried, "closed",
+        Closures_Dump(&runner->closures, now_ms));
 }
--- a/lease/runner.h
+++ b/lease/runner.h
@@ -17,6 +17,7 @@
 
 #include "base/counter.h"
 #include "base/event.h"
+#include "lease/closures.h"
 #include "lease/term.h"
 #include "wire/msg.h"
 
@@ -124,6 +125,7 @@
 /** Settings. */
 typedef struct {
     lc_node node;
+    const char *hall; /**< of this companion; borrowed for good */
     Term term;
     int64_t first_token; /**< higher than any used before, as far as known */
     int64_t beat_ms;     /**< an upstream says something so often */
@@ -184,6 +186,14 @@
 bool Runner_Report(const Runner *runner, int64_t now_ms,
                    lc_report_args *report);
 
+/** Takes what @p source knows of the halls that operators have closed; see
+ * Closures_Take for @p asked_ms. */
+void Runner_TakeClosures(Runner *runner, int64_t now_ms, int64_t asked_ms,
+                         const lc_closures *told, const char *source);
+
+/** What is known of the closed halls here. */
+const Closures *Runner_Closures(const Runner *runner);
+
 /** Rises whenever the room or state that entries know has changed. */
 uint64_t Runner_Version(const Runner *runner);
 
--- a/lease/runner_state.h
+++ b/lease/runner_state.h
@@ -14,6 +14,7 @@
 #include "base/handle.h"
 #include "base/histogram.h"
 #include "lease/answer_time.h"
+#include "lease/closures.h"
 #include "lease/health.h"
 #include "lease/incarnations.h"
 #include "lease/runner.h"
@@ -113,13 +114,14 @@
     const Runner_Ports *ports;
     void *context;
     Counters counters;
-    Histogram orders_time;             /* from a start to its answer */
-    Histogram runs;                    /* of tasks that ended well */
-    uint64_t refusals[LC_RUN_OLD + 1]; /* by status */
+    Histogram orders_time;                /* from a start to its answer */
+    Histogram runs;                       /* of tasks that ended well */
+    uint64_t refusals[LC_RUN_CLOSED + 1]; /* by status */
     Health health;
     Runner_Known up;
     Runner_Successor successor;
     Incarnations gone;
+    Closures closures;
     lc_resources used;
     GHashTable *tasks; /* lc_run_id -> Runner_Task */
     Handle_Table *by_handle;
--- a/tests/lease_cases.c
+++ b/tests/lease_cases.c
@@ -9,6 +9,7 @@
 #include "lease/health.h"
 #include "lease/term.h"
 #include "platform/callers.h"
+#include "platform/halls.h"
 #include "platform/routes.h"
 #include "platform/upstreams.h"
 #include "tests/case_table.h"
@@ -331,16 +332,78 @@
     g_strfreev(lines);
 }
 
+static gint
+compare_texts(gconstpointer a, gconstpointer b)
+{
+    return strcmp(*(const char *const *)a, *(const char *const *)b);
+}
+
+static void
+print_halls(Halls *halls, int end, GString *output)
+{
+    lc_closures told;
+    u_int i;
+
+    Halls_Tell(halls, (uint64_t)end, &told);
+    qsort((void *)told.halls.halls_val, told.halls.halls_len, sizeof(char *),
+          compare_texts);
+    g_string_append_printf(output, "as of %lld:", (long long)told.as_of);
+    for (i = 0; i < told.halls.halls_len; i++) {
+        g_string_append_printf(output, " %s", told.halls.halls_val[i]);
+    }
+    g_string_append_c(output, '\n');
+}
+
+/* Lines: "put OFFSET KEY VALUE", "drop OFFSET KEY", "begin", "know END HALL",
+ * "read END". */
+static void
+run_halls(const char *input, GString *output)
+{
+    char **lines = CaseTable_Lines(input);
+    Halls *halls = Halls_New();
+    guint i;
+
+    /* Warnings of odd records are expected here. */
+    g_log_set_always_fatal(G_LOG_FATAL_MASK);
+    for (i = 0; lines[i] != NULL; i++) {
+        char **words = g_strsplit(lines[i], " ", 4);
+        const char *verb = words[0];
+        if (strcmp(verb, "put") == 0 || strcmp(verb, "drop") == 0) {
+            const char *value = words[3] == NULL ? "" : words[3];
+            Keyed_Record record = {.offset = (uint64_t)number(words, 1),
+                                   .key = words[2],
+                                   .key_length = strlen(words[2]),
+                                   .value = (const uint8_t *)value,
+                                   .length = strlen(value)};
+            if (!Halls_Take(halls, &record)) {
+                g_string_append_printf(output, "not about a hall: %s\n",
+                                       words[2]);
+            }
+        }
+        else if (strcmp(verb, "begin") == 0) {
+            Halls_Begin(halls);
+        }
+        else if (strcmp(verb, "know") == 0) {
+            lc_closures known = {.as_of = number(words, 1)};
+            known.halls.halls_len = 1;
+            known.halls.halls_val = &words[2];
+            Halls_Know(halls, &known);
+        }
+        else {
+            print_halls(halls, number(words, 1), output);
+        }
+        g_strfreev(words);
+    }
+    Halls_Free(halls);
+    g_strfreev(lines);
+}
+
 static const CaseTable_Kind kinds[] = {
-    {"request", run_request},
-    {"job", run_job},
-    {"routes", run_routes},
-    {"beat", run_beat},
-    {"listing", run_listing},
-    {"health", run_health},
-    {"term", run_term},
-    {"answer_time", run_answer_time},
-    {NULL, NULL},
+    {"request", run_request}, {"job", run_job},
+    {"routes", run_routes},   {"beat", run_beat},
+    {"listing", run_listing}, {"health", run_health},
+    {"term", run_term},       {"answer_time", run_answer_time},
+    {"halls", run_halls},     {NULL, NULL},
 };
 
 int
--- a/tests/runner_fixture.c
+++ b/tests/runner_fixture.c
@@ -112,8 +112,10 @@
 void
 RunnerFix_New(runner_fixture *fix)
 {
-    Runner_Config config = {
-        .node = companion_node, .first_token = 7, .beat_ms = 1500};
+    Runner_Config config = {.node = companion_node,
+                            .hall = RUNNER_FIX_HALL,
+                            .first_token = 7,
+                            .beat_ms = 1500};
 
     memset(fix, 0, sizeof(*fix));
     fix->now_ms = START_MS;
@@ -150,6 +152,7 @@
     call.u.run.need.cpu_milli = cpu;
     call.u.run.estimate_ms = 100;
     call.u.run.spec = (char *)(uintptr_t) "";
+    call.u.run.closures_as_of = fix->caller_as_of;
     Runner_OnCall(fix->runner, fix->now_ms, 1, &call);
 }
 
--- a/tests/runner_fixture.h
+++ b/tests/runner_fixture.h
@@ -19,11 +19,15 @@
         0x7f0000011b63, 900                                                   \
     }
 
+/** Its hall. */
+#define RUNNER_FIX_HALL "own"
+
 /** A runner and what it did last. */
 typedef struct {
     Runner *runner;
     int64_t now_ms;
-    uint64_t beats; /* number of the last heartbeat */
+    uint64_t beats;       /* number of the last heartbeat */
+    int64_t caller_as_of; /* records of operators that the entry has read */
     int starts;
     int stops;
     int looks;
--- a/wire/levercove.h
+++ b/wire/levercove.h
@@ -307,6 +307,7 @@
 #define LC_MAX_LABELS 16
 #define LC_MAX_PEERS 1024
 #define LC_MAX_QUEUES 1024
+#define LC_MAX_HALLS 64
 
 struct lc_resources {
 	u_int cpu_milli;
@@ -357,6 +358,7 @@
 	LC_RUN_OTHER_NODE = 9,
 	LC_RUN_REJECTED = 10,
 	LC_RUN_OLD = 11,
+	LC_RUN_CLOSED = 12,
 };
 typedef enum lc_run_status lc_run_status;
 
@@ -364,6 +366,7 @@
 	lc_node owner;
 	u_quad_t target;
 	quad_t valid_until_ms;
+	quad_t closures_as_of;
 	lc_run_id id;
 	lc_resources need;
 	u_int estimate_ms;
@@ -406,6 +409,18 @@
 
 typedef char *lc_label;
 
+typedef char *lc_hall;
+
+struct lc_closures {
+	quad_t as_of;
+	u_int age_ms;
+	struct {
+		u_int halls_len;
+		lc_hall *halls_val;
+	} halls;
+};
+typedef struct lc_closures lc_closures;
+
 struct lc_report_args {
 	lc_host_state host;
 	char *hall;
@@ -418,6 +433,7 @@
 	} labels;
 	u_int next_ms;
 	u_quad_t known;
+	lc_closures closures;
 };
 typedef struct lc_report_args lc_report_args;
 
@@ -428,6 +444,7 @@
 		u_quad_t *entries_val;
 	} entries;
 	u_int gap_ms;
+	lc_closures closures;
 };
 typedef struct lc_report_res lc_report_res;
 
@@ -450,6 +467,7 @@
 		u_int waiting_len;
 		lc_queue_count *waiting_val;
 	} waiting;
+	lc_closures closures;
 };
 typedef struct lc_gossip_args lc_gossip_args;
 
@@ -466,6 +484,7 @@
 		u_int waiting_len;
 		lc_queue_count *waiting_val;
 	} waiting;
+	lc_closures closures;
 };
 typedef struct lc_gossip_res lc_gossip_res;
 
@@ -806,6 +825,8 @@
 extern  bool_t xdr_lc_halt_args (XDR *, lc_halt_args*);
 extern  bool_t xdr_lc_halt_res (XDR *, lc_halt_res*);
 extern  bool_t xdr_lc_label (XDR *, lc_label*);
+extern  bool_t xdr_lc_hall (XDR *, lc_hall*);
+extern  bool_t xdr_lc_closures (XDR *, lc_closures*);
 extern  bool_t xdr_lc_report_args (XDR *, lc_report_args*);
 extern  bool_t xdr_lc_report_res (XDR *, lc_report_res*);
 extern  bool_t xdr_lc_queue_count (XDR *, lc_queue_count*);
@@ -875,6 +896,8 @@
 extern bool_t xdr_lc_halt_args ();
 extern bool_t xdr_lc_halt_res ();
 extern bool_t xdr_lc_label ();
+extern bool_t xdr_lc_hall ();
+extern bool_t xdr_lc_closures ();
 extern bool_t xdr_lc_report_args ();
 extern bool_t xdr_lc_report_res ();
 extern bool_t xdr_lc_queue_count ();
--- a/wire/levercove.x
+++ b/wire/levercove.x
@@ -245,6 +245,7 @@
 const LC_MAX_LABELS = 16;
 const LC_MAX_PEERS = 1024;
 const LC_MAX_QUEUES = 1024;
+const LC_MAX_HALLS = 64;
 
 struct lc_resources {
     unsigned int cpu_milli;
@@ -292,13 +293,15 @@
     LC_RUN_NOT_READY = 8,
     LC_RUN_OTHER_NODE = 9, /* nothing that was started before lives */
     LC_RUN_REJECTED = 10,  /* by the upstream */
-    LC_RUN_OLD = 11        /* the upstream knows a later run */
+    LC_RUN_OLD = 11,       /* the upstream knows a later run */
+    LC_RUN_CLOSED = 12     /* the operators have closed the hall */
 };
 
 struct lc_run_args {
     lc_node owner;
     unsigned hyper target;  /* incarnation of the companion, 0 for any */
     hyper valid_until_ms;   /* on the companion's monotonic clock */
+    hyper closures_as_of;   /* by which the owner takes the hall as open */
     lc_run_id id;
     lc_resources need;
     unsigned int estimate_ms;
@@ -337,6 +340,16 @@
 
 typedef string lc_label<LC_MAX_NAME>;
 
+typedef string lc_hall<LC_MAX_NAME>;
+
+/* The halls that operators have closed, as the store's record of it stood at one
+ * time. Of two the one that more records were read for is the newer one. */
+struct lc_closures {
+    hyper as_of;         /* records of operators that were read; -1: none */
+    unsigned int age_ms; /* it was in force so long before, at the latest */
+    lc_hall halls<LC_MAX_HALLS>;
+};
+
 /* A companion tells an entry of itself and its upstream. */
 struct lc_report_args {
     lc_host_state host;
@@ -347,12 +360,14 @@
     lc_label labels<LC_MAX_LABELS>;
     unsigned int next_ms;  /* the next report comes by then, if only the time passes */
     unsigned hyper known;  /* digest of the entries it knows */
+    lc_closures closures;
 };
 
 struct lc_report_res {
     lc_node entry;
     unsigned hyper entries<LC_MAX_PEERS>; /* none if the digest is ours */
     unsigned int gap_ms; /* changes are welcome so often at most */
+    lc_closures closures;
 };
 
 /* Jobs of a queue that no task of has begun. */
@@ -369,6 +384,7 @@
     unsigned hyper known; /* digest of the entries it knows, with itself */
     unsigned hyper entries<LC_MAX_PEERS>; /* none if the other knows them */
     lc_queue_count waiting<LC_MAX_QUEUES>;
+    lc_closures closures;
 };
 
 struct lc_gossip_res {
@@ -378,6 +394,7 @@
     unsigned hyper known;
     unsigned hyper entries<LC_MAX_PEERS>;
     lc_queue_count waiting<LC_MAX_QUEUES>;
+    lc_closures closures;
 };
 
 /* Asks an entry for a chunk of its routes. If it has another version by now, the
--- a/wire/levercove_xdr.c
+++ b/wire/levercove_xdr.c
@@ -724,6 +724,8 @@
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->valid_until_ms))
 		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->closures_as_of))
+		 return FALSE;
 	 if (!xdr_lc_run_id (xdrs, &objp->id))
 		 return FALSE;
 	 if (!xdr_lc_resources (xdrs, &objp->need))
@@ -811,6 +813,31 @@
 	return TRUE;
 }
 
+bool_t
+xdr_lc_hall (XDR *xdrs, lc_hall *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, objp, LC_MAX_NAME))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_lc_closures (XDR *xdrs, lc_closures *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_quad_t (xdrs, &objp->as_of))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->halls.halls_val, (u_int *) &objp->halls.halls_len, LC_MAX_HALLS,
+		sizeof (lc_hall), (xdrproc_t) xdr_lc_hall))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_lc_report_args (XDR *xdrs, lc_report_args *objp)
 {
@@ -833,6 +860,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->known))
 		 return FALSE;
+	 if (!xdr_lc_closures (xdrs, &objp->closures))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -848,6 +877,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->gap_ms))
 		 return FALSE;
+	 if (!xdr_lc_closures (xdrs, &objp->closures))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -882,6 +913,8 @@
 	 if (!xdr_array (xdrs, (char **)&objp->waiting.waiting_val, (u_int *) &objp->waiting.waiting_len, LC_MAX_QUEUES,
 		sizeof (lc_queue_count), (xdrproc_t) xdr_lc_queue_count))
 		 return FALSE;
+	 if (!xdr_lc_closures (xdrs, &objp->closures))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -904,6 +937,8 @@
 	 if (!xdr_array (xdrs, (char **)&objp->waiting.waiting_val, (u_int *) &objp->waiting.waiting_len, LC_MAX_QUEUES,
 		sizeof (lc_queue_count), (xdrproc_t) xdr_lc_queue_count))
 		 return FALSE;
+	 if (!xdr_lc_closures (xdrs, &objp->closures))
+		 return FALSE;
 	return TRUE;
 }
 
