--- a/tests/prop_lease.cc
+++ b/tests/prop_lease.cc
@@ -181,6 +181,23 @@
     return good;
 }
 
+/* No entry reaches the store while a hall is closed, opened and closed again:
+ * companions are left to ask it themselves. */
+bool
+check_all_cut()
+{
+    lease::Plan plan;
+
+    plan.actions = {{lease::Fault::StoreCut, 300, 3500, 0, 0},
+                    {lease::Fault::StoreCut, 300, 3500, 1, 0},
+                    {lease::Fault::CloseHall, 500, 1400, 0, 0},
+                    {lease::Fault::CloseHall, 2000, 1900, 1, 0}};
+    lease::Report report = lease::play(plan);
+    add(report);
+    fprintf(stderr, "%s", report.text().c_str());
+    return report.violations.empty();
+}
+
 } // namespace
 
 int
@@ -195,6 +212,7 @@
         return report.violations.empty() ? 0 : 1;
     }
     good &= check_pairs();
+    good &= check_all_cut();
     good &= rc::check("no two runs, room, answers, few faults",
                       [] { check(3); });
     good &= rc::check("no two runs, room, answers, many faults",
--- a/tests/soak/cluster.cc
+++ b/tests/soak/cluster.cc
@@ -22,6 +22,14 @@
 const int64_t LOOK_AGAIN_MS = 250;
 const int TRIES = 3;
 const int STORE_HOST = 200;
+/* Of the settings: no start in a hall that is closed for longer. */
+const int64_t CLOSE_MS = 3000;
+/* Besides, for ticks and waits on a machine that is busy with all processes.
+ */
+const int64_t CLOSE_SLACK_MS = 1000;
+/* An order that is carried out late is so by this at most. */
+const int64_t LATE_MOST_MS = 8000;
+const int HALLS = 3;
 const int GONE_HOST = 230;
 
 /* Ports of a host; every process has an IP number of its own. */
@@ -179,12 +187,12 @@
     }
     return std::string("{\"role\":\"") + role +
            "\",\"jobs\":\"leased\",\"hall\":\"hall-" +
-           std::to_string(host % 3) + "\",\"rpc\":\"" + place(host, PORT_RPC) +
-           "\",\"rpc_listen\":\"" + place(host, PORT_RPC_LISTEN) +
-           "\",\"admin\":\"" + place(host, PORT_ADMIN) + "\",\"seeds\":[" +
-           seeds +
-           "],\"times\":{\"resubmit_ms\":1300,\"beat_ms\":500,"
-           "\"grace_ms\":3000},";
+           std::to_string(host % HALLS) + "\",\"rpc\":\"" +
+           place(host, PORT_RPC) + "\",\"rpc_listen\":\"" +
+           place(host, PORT_RPC_LISTEN) + "\",\"admin\":\"" +
+           place(host, PORT_ADMIN) + "\",\"seeds\":[" + seeds +
+           "],\"times\":{\"resubmit_ms\":1300,\"beat_ms\":500,\"close_ms\":" +
+           std::to_string(CLOSE_MS) + ",\"grace_ms\":3000},";
 }
 
 void
@@ -223,13 +231,52 @@
     }
 }
 
+void
+Cluster::put_hall(int hall, bool closed)
+{
+    std::string name = "hall-" + std::to_string(hall % HALLS);
+
+    say((closed ? "close " : "open ") + name);
+    store->put("evacuate/" + name, closed ? "{}" : "");
+    if (closed) {
+        closed_since.emplace(hall % HALLS, (int64_t)uv_now(loop));
+    }
+    else {
+        closed_since.erase(hall % HALLS);
+    }
+}
+
+/* A start beside a companion that had a path to the store all the time in
+ * which it had to learn that its hall is closed, if none may be a late copy.
+ */
+void
+Cluster::check_hall(int index)
+{
+    const Upstream &upstream = *upstreams[(size_t)index];
+    auto closed = closed_since.find(companion_host(index) % HALLS);
+    int64_t at = (int64_t)uv_now(loop);
+    int64_t since = at - CLOSE_MS - CLOSE_SLACK_MS;
+
+    if (closed != closed_since.end() && closed->second < since &&
+        companions[(size_t)index]->troubled_ms < since &&
+        store->troubled_ms < since &&
+        upstream_app[(size_t)index]->troubled_ms < since &&
+        upstream.late_ms < at - LATE_MOST_MS) {
+        checker.violation(now(), "a start at " + upstream.name +
+                                     ", whose hall is closed for " +
+                                     std::to_string(at - closed->second) +
+                                     " ms");
+    }
+}
+
 void
 Cluster::watch_upstreams()
 {
-    for (auto &one : upstreams) {
-        Upstream *upstream = one.get();
-        upstream->model.on_start = [this, upstream](const lc_run_id &id) {
+    for (size_t i = 0; i < upstreams.size(); i++) {
+        Upstream *upstream = upstreams[i].get();
+        upstream->model.on_start = [this, upstream, i](const lc_run_id &id) {
             checker.on_start(now(), upstream->name, id);
+            check_hall((int)i);
         };
         upstream->model.on_end = [this, upstream](const lc_run_id &id,
                                                   Runner_End end) {
--- a/tests/soak/cluster.h
+++ b/tests/soak/cluster.h
@@ -45,6 +45,8 @@
     /** Stand-ins, proxies and processes are well again. */
     void heal();
 
+    /** Operators close one of the three halls, or open it again. */
+    void put_hall(int hall, bool closed);
     /** Operators write the next version of the routes. */
     void put_routes();
     /** So many queues besides, that nobody uses, from the next version on. */
@@ -121,6 +123,7 @@
     std::string common(const char *role, int host) const;
     void set_up();
     void watch_upstreams();
+    void check_hall(int companion);
     void submit(uint64_t id, bool leaves);
     void end_on(uv_signal_t *handle, int number);
 
@@ -139,6 +142,7 @@
     std::vector<std::unique_ptr<Proxy>> store_paths;
     int64_t version = 0;
     int idle_queues = 0;
+    std::map<int, int64_t> closed_since; /* halls that are */
     uv_signal_t terminate;
     uv_signal_t interrupt;
 };
--- a/tests/soak/process.cc
+++ b/tests/soak/process.cc
@@ -68,6 +68,7 @@
     close(log);
     starts++;
     started_ms = (int64_t)uv_now(loop);
+    troubled_ms = started_ms;
     up = true;
     asked = false;
     terminated_ms = 0;
@@ -130,6 +131,7 @@
     if (!up) {
         return;
     }
+    troubled_ms = (int64_t)uv_now(loop);
     if (number == SIGTERM || number == SIGKILL) {
         asked = true;
     }
--- a/tests/soak/process.h
+++ b/tests/soak/process.h
@@ -48,6 +48,7 @@
     uint64_t own_ends = 0;     /**< ends that nobody asked for */
     int64_t started_ms = 0;    /**< when this life began */
     int64_t terminated_ms = 0; /**< when SIGTERM was sent to this life */
+    int64_t troubled_ms = 0;   /**< when it was last sent a signal or began */
 
     const std::string name;
 
--- a/tests/soak/proxy.cc
+++ b/tests/soak/proxy.cc
@@ -317,6 +317,7 @@
 void
 Proxy::harm(const Harm &harm, bool half)
 {
+    troubled_ms = (int64_t)uv_now(loop);
     current = harm;
     half_only = half;
 }
@@ -324,6 +325,7 @@
 void
 Proxy::heal()
 {
+    troubled_ms = (int64_t)uv_now(loop);
     std::set<Connection *> all = connections;
     bool lose = current.lose;
 
@@ -346,6 +348,7 @@
 void
 Proxy::silence(bool in, bool out)
 {
+    troubled_ms = (int64_t)uv_now(loop);
     for (Connection *connection : connections) {
         connection->silent_in |= in;
         connection->silent_out |= out;
--- a/tests/soak/proxy.h
+++ b/tests/soak/proxy.h
@@ -64,6 +64,8 @@
     /** Resets all connections, or about half of them. */
     void reset(bool half);
 
+    int64_t troubled_ms = 0; /**< when anything was last done to it */
+
     struct Connection;
 
   private:
--- a/tests/soak/scenario.cc
+++ b/tests/soak/scenario.cc
@@ -29,6 +29,10 @@
 const int64_t SILENCE_MS = 1500;
 const int64_t SEEDLESS_LOAD_MS = 3500;
 const int64_t POWER_LOSS_MS = 1000;
+const int64_t HALL_CUT_MS = 500;
+const int64_t HALL_KILL_MS = 5500;
+const int64_t HALL_OPEN_MS = 9500;
+const int64_t HALL_LOAD_MS = 11500;
 const int64_t SILENT_APPLY_MS = 2000; /* the least config_apply_ms */
 const uint64_t KEPT_JOBS = 12;
 const int64_t KEPT_END_MS = 14000; /* a takeover may take nine seconds */
@@ -282,6 +286,35 @@
     });
 }
 
+/* A hall is closed while the entries cannot reach the store, and opened when
+ * the store has dropped its history; the whole system is killed between. */
+void
+play_closed_hall()
+{
+    steady_load(HALL_LOAD_MS);
+    cluster->after(HALL_CUT_MS, [] {
+        soak::Harm harm;
+        harm.hold_in = true;
+        harm.hold_out = true;
+        for (soak::Proxy *path : cluster->proxies_of("store")) {
+            path->harm(harm, false);
+        }
+        cluster->put_hall(0, true);
+    });
+    cluster->after(HALL_KILL_MS, [] {
+        for (soak::Proxy *path : cluster->proxies_of("store")) {
+            path->heal();
+        }
+        for (soak::Process *process : cluster->processes()) {
+            process->kill(100);
+        }
+    });
+    cluster->after(HALL_OPEN_MS, [] {
+        cluster->put_hall(0, false);
+        cluster->store->compact();
+    });
+}
+
 const struct {
     const char *name;
     void (*play)();
@@ -305,6 +338,7 @@
     {"silent_upstreams", play_silent_upstreams, SILENT_LOAD_MS + ANSWERS_MS,
      3},
     {"silent_store", play_silent_store, SILENT_LOAD_MS + ANSWERS_MS, 3},
+    {"closed_hall", play_closed_hall, HALL_LOAD_MS + ANSWERS_MS, 3},
     {"seeds_gone", play_seeds_gone, SEEDLESS_LOAD_MS + ANSWERS_MS, 3},
     {"kept_owner_dies", play_kept_owner_dies, KEPT_END_MS, 2},
     {"kept_power_loss", play_kept_power_loss, KEPT_END_MS, 2},
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -35,10 +35,12 @@
 
 const int64_t START_MS = 2500;
 const int64_t SILENCE_LEAST_MS = 2000; /* between two faults of this kind */
-const int64_t LOADED_MS = 50;          /* from the start to main */
-const int64_t CALM_MS = 6000;          /* after the last fault */
-const int64_t SETTLE_MS = 3000;        /* of it, until service must be back */
-const int64_t KEPT_MS = 20000; /* since then, until all kept jobs are over */
+const int64_t CLOSED_LEAST_MS = 300;   /* of a hall */
+const int64_t CLOSED_MORE_MS = 6000;
+const int64_t LOADED_MS = 50;   /* from the start to main */
+const int64_t CALM_MS = 6000;   /* after the last fault */
+const int64_t SETTLE_MS = 3000; /* of it, until service must be back */
+const int64_t KEPT_MS = 20000;  /* since then, until all kept jobs are over */
 
 const GOptionEntry options[] = {
     {"seed", 0, 0, G_OPTION_ARG_INT64, &seed, "Of all choices", "N"},
@@ -269,6 +271,33 @@
                    next_silence);
 }
 
+/* Operators close a hall and open it again, also several, also again and
+ * again. Drawn apart, likewise. */
+void
+next_closing()
+{
+    static uint64_t state = Random_Seed((uint64_t)seed + 1);
+    static int closings[3];
+    uint64_t draw = Random_Next(&state) >> 20;
+    int hall = (int)(draw % 3);
+    int64_t end_ms = START_MS + (int64_t)seconds * 1000;
+    int64_t ms = CLOSED_LEAST_MS + (int64_t)((draw >> 8) % CLOSED_MORE_MS);
+
+    if (cluster->now() > end_ms) {
+        return;
+    }
+    faults++;
+    int closing = ++closings[hall];
+    cluster->put_hall(hall, true);
+    cluster->after(std::min(ms, end_ms - cluster->now()), [hall, closing] {
+        if (closings[hall] == closing) {
+            cluster->put_hall(hall, false);
+        }
+    });
+    cluster->after(CLOSED_LEAST_MS + (int64_t)((draw >> 32) % CLOSED_MORE_MS),
+                   next_closing);
+}
+
 void
 next_fault()
 {
@@ -363,6 +392,7 @@
     cluster->after(START_MS, make_job);
     cluster->after(START_MS + 500, next_fault);
     cluster->after(START_MS + 900, next_silence);
+    cluster->after(START_MS + 1200, next_closing);
     cluster->after(healed, [] {
         cluster->heal();
         cluster->checker.calm_from_ms = cluster->now() + SETTLE_MS;
--- a/tests/soak/store.cc
+++ b/tests/soak/store.cc
@@ -312,7 +312,12 @@
 void
 Store::on_tick(uv_timer_t *timer)
 {
-    ((Store *)timer->data)->answer_readers();
+    Store *self = (Store *)timer->data;
+
+    if (self->manner != StoreManner::Well) {
+        self->troubled_ms = (int64_t)uv_now(self->loop);
+    }
+    self->answer_readers();
 }
 
 } // namespace soak
--- a/tests/soak/store.h
+++ b/tests/soak/store.h
@@ -37,6 +37,7 @@
     void compact();
 
     StoreManner manner = StoreManner::Well;
+    int64_t troubled_ms = 0; /**< when it was last not well */
     uint64_t calls = 0;
 
   private:
--- a/tests/soak/upstream.cc
+++ b/tests/soak/upstream.cc
@@ -241,6 +241,9 @@
     Upstream *self = (Upstream *)timer->data;
     std::vector<Waiting> left;
 
+    if (self->late_orders) {
+        self->late_ms = (int64_t)uv_now(self->loop);
+    }
     if (!self->model.is_up()) {
         return;
     }
--- a/tests/soak/upstream.h
+++ b/tests/soak/upstream.h
@@ -36,6 +36,7 @@
     void come_up();
 
     bool late_orders = false; /**< one in three is done seconds later */
+    int64_t late_ms = 0;      /**< when that was so last */
     const std::string name;
 
   private:
