--- a/cli/commands.c
+++ b/cli/commands.c
@@ -9,6 +9,7 @@
 #include "cli/csv.h"
 #include "cli/exchange.h"
 #include "cli/explain.h"
+#include "cli/halls.h"
 #include "daemon/options.h"
 
 static int
@@ -351,21 +352,32 @@
 }
 
 const Command command_table[] = {
-    {"table show", "", "print the table", 0, 0, run_show},
-    {"table set", "GROUP COLUMN=NUMBER...", "set cells of a row", 1, 16,
-     run_set},
-    {"table remove", "GROUP", "remove a row", 1, 1, run_remove},
-    {"table import", "FILE.csv", "set the rows of a CSV file", 1, 1,
-     run_import},
-    {"table export", "", "print the table as CSV", 0, 0, run_export},
+    {"table show", "", "print the table", 0, 0, true, false, run_show},
+    {"table set", "GROUP COLUMN=NUMBER...", "set cells of a row", 1, 16, true,
+     false, run_set},
+    {"table remove", "GROUP", "remove a row", 1, 1, true, false, run_remove},
+    {"table import", "FILE.csv", "set the rows of a CSV file", 1, 1, true,
+     false, run_import},
+    {"table export", "", "print the table as CSV", 0, 0, true, false,
+     run_export},
+    {"hall close", "HALL", "start no more tasks in a hall", 1, 1, false, true,
+     HallsCommand_Close},
+    {"hall open", "HALL", "start tasks in a hall again", 1, 1, false, true,
+     HallsCommand_Open},
+    {"hall show", "[ADDRESS...]",
+     "print the closed halls, and what the processes "
+     "at these admin addresses know of them",
+     0, 4096, false, true, HallsCommand_Show},
     {"state", "ADDRESS",
      "print the state of the process whose admin "
      "address this is",
-     1, 1, run_state},
-    {"check-settings", "FILE", "check a settings file", 1, 1, run_check},
-    {"submit", "FILE", "submit a job and print its answer", 1, 1, run_submit},
+     1, 1, false, false, run_state},
+    {"check-settings", "FILE", "check a settings file", 1, 1, false, false,
+     run_check},
+    {"submit", "FILE", "submit a job and print its answer", 1, 1, true, false,
+     run_submit},
     {"explain", "JOB FILE...",
      "print the life of a leased job from the logs of processes", 2, 4096,
-     Explain_Run},
-    {NULL, NULL, NULL, 0, 0, NULL},
+     false, false, Explain_Run},
+    {NULL, NULL, NULL, 0, 0, false, false, NULL},
 };
--- /dev/null
+++ b/cli/halls.c
@@ -0,0 +1,253 @@
+#include "cli/halls.h"
+
+#include <glib.h>
+#include <jansson.h>
+#include <stdio.h>
+
+#include "cli/exchange.h"
+#include "platform/halls.h"
+
+#define OK_STATUS 200
+#define NEVER (-1)
+
+static int
+fail(const Status *status)
+{
+    fprintf(stderr, "levercove: %s\n", status->message);
+    return Err_Exit(status->kind);
+}
+
+static Err_Kind
+ask_store(const Exchange_Request *request, Exchange_Answer *answer,
+          Status *status)
+{
+    if (Exchange_Do(request, answer, status) != ERR_OK) {
+        return status->kind;
+    }
+    if (answer->status != OK_STATUS) {
+        return Err_Set(status, ERR_LOG_DOWN,
+                       "the store answered %d; try again: the same change "
+                       "twice does no harm",
+                       answer->status);
+    }
+    return ERR_OK;
+}
+
+static int
+write_hall(const Command_Options *options, const char *hall, bool close)
+{
+    Status status = {ERR_OK, ""};
+    GByteArray *record = g_byte_array_new();
+    Exchange_Request request = {
+        .to = options->store,
+        .method = "POST",
+        .path = halls_write_path,
+        .headers = "Content-Type: application/octet-stream\r\n"};
+    Exchange_Answer answer = {0};
+    int code = 0;
+
+    if (Halls_CheckName(hall, &status) != ERR_OK) {
+        code = fail(&status);
+        goto done;
+    }
+    if (close) {
+        Halls_WriteClosed(record, hall, options->by);
+    }
+    else {
+        Halls_WriteOpen(record, hall);
+    }
+    request.body = record->data;
+    request.length = record->len;
+    if (ask_store(&request, &answer, &status) != ERR_OK) {
+        code = fail(&status);
+        goto done;
+    }
+    printf("%s: %s\n", hall, close ? "closed" : "open");
+done:
+    Exchange_Clear(&answer);
+    g_byte_array_unref(record);
+    return code;
+}
+
+int
+HallsCommand_Close(const Command_Options *options, int count, char **arguments)
+{
+    (void)count;
+    return write_hall(options, arguments[0], true);
+}
+
+int
+HallsCommand_Open(const Command_Options *options, int count, char **arguments)
+{
+    (void)count;
+    return write_hall(options, arguments[0], false);
+}
+
+/* ---- show ---- */
+
+static void
+print_row(void *context, const Halls_Row *row)
+{
+    int *rows = context;
+
+    if (*rows == 0) {
+        printf("%-24s %-20s %-16s %8s\n", "closed hall", "since", "by",
+               "record");
+    }
+    (*rows)++;
+    printf("%-24s %-20s %-16s %8lld\n", row->hall, row->since, row->by,
+           (long long)row->offset);
+}
+
+/* Reads one page; *after is the key to go on after, as in Halls_ReadPage. */
+static Err_Kind
+show_page(const Command_Options *options, char **after, int *rows,
+          Status *status)
+{
+    char *path = Halls_ReadPath(*after);
+    Exchange_Request request = {
+        .to = options->store, .method = "GET", .path = path};
+    Exchange_Answer answer = {0};
+    Err_Kind kind = ask_store(&request, &answer, status);
+
+    g_clear_pointer(after, g_free);
+    if (kind == ERR_OK) {
+        kind = Halls_ReadPage(answer.body, answer.length, print_row, rows,
+                              after, status);
+    }
+    Exchange_Clear(&answer);
+    g_free(path);
+    return kind;
+}
+
+static int
+show_store(const Command_Options *options)
+{
+    Status status = {ERR_OK, ""};
+    char *after = NULL;
+    int rows = 0;
+
+    do {
+        if (show_page(options, &after, &rows, &status) != ERR_OK) {
+            return fail(&status);
+        }
+    } while (after != NULL);
+    if (rows == 0) {
+        printf("no hall is closed\n");
+    }
+    return 0;
+}
+
+static json_int_t
+number_of(const json_t *object, const char *name)
+{
+    const json_t *member = json_object_get(object, name);
+
+    return json_is_integer(member) ? json_integer_value(member) : NEVER;
+}
+
+/* Names of a list, joined. */
+static char *
+join_names(const json_t *names)
+{
+    GString *text = g_string_new(NULL);
+    const json_t *name;
+    size_t i;
+
+    json_array_foreach(names, i, name)
+    {
+        g_string_append_printf(text, "%s%s", i == 0 ? "" : ",",
+                               json_string_value(name));
+    }
+    return g_string_free(text, FALSE);
+}
+
+/* Tasks that run beside a companion, or those of an entry's in closed halls.
+ */
+static json_int_t
+tasks_of(const json_t *state)
+{
+    json_int_t tasks = number_of(state, "tasks");
+    const json_t *host;
+    size_t i;
+
+    if (tasks != NEVER) {
+        return tasks;
+    }
+    tasks = 0;
+    json_array_foreach(json_object_get(state, "companions"), i, host)
+    {
+        if (json_is_true(json_object_get(host, "closed"))) {
+            tasks += number_of(host, "running");
+        }
+    }
+    return tasks;
+}
+
+static void
+print_process(const char *address, const json_t *state)
+{
+    const json_t *closed = json_object_get(state, "closed");
+    char *names = join_names(json_object_get(closed, "halls"));
+    json_int_t idle_ms = number_of(state, "idle_ms");
+
+    printf("%-22s %-10s %-16s %8lld %8lld %6lld ", address,
+           json_string_value(json_object_get(state, "role")),
+           json_string_value(json_object_get(state, "hall")),
+           (long long)number_of(closed, "as_of"),
+           (long long)number_of(closed, "age_ms"), (long long)tasks_of(state));
+    if (idle_ms == NEVER) {
+        printf("%9s", "-");
+    }
+    else {
+        printf("%9lld", (long long)idle_ms);
+    }
+    printf(" %s\n", names[0] == '\0' ? "-" : names);
+    g_free(names);
+}
+
+static int
+show_process(const char *text)
+{
+    Exchange_Request request = {.method = "GET", .path = "/state"};
+    Exchange_Answer answer = {0};
+    Status status = {ERR_OK, ""};
+    json_t *state = NULL;
+    int code = 0;
+
+    if (!Address_Parse(text, &request.to)) {
+        Err_Set(&status, ERR_BAD_REQUEST, "%s: expected IP:port", text);
+        return fail(&status);
+    }
+    if (Exchange_Do(&request, &answer, &status) == ERR_OK) {
+        state = json_loadb(answer.body, answer.length, 0, NULL);
+    }
+    if (!json_is_object(json_object_get(state, "closed"))) {
+        printf("%-22s %s\n", text,
+               state == NULL ? "no answer" : "no process of leased jobs");
+        code = Err_Exit(ERR_IO);
+    }
+    else {
+        print_process(text, state);
+    }
+    json_decref(state);
+    Exchange_Clear(&answer);
+    return code;
+}
+
+int
+HallsCommand_Show(const Command_Options *options, int count, char **arguments)
+{
+    int code = show_store(options);
+    int i;
+
+    if (count > 0) {
+        printf("\n%-22s %-10s %-16s %8s %8s %6s %9s %s\n", "process", "role",
+               "hall", "knows", "age_ms", "tasks", "idle_ms", "closed");
+    }
+    for (i = 0; i < count; i++) {
+        int failed = show_process(arguments[i]);
+        code = code == 0 ? failed : code;
+    }
+    return code;
+}
--- a/cli/main.c
+++ b/cli/main.c
@@ -10,6 +10,8 @@
 
 static gboolean show_version;
 static char *entry_text;
+static char *store_text;
+static char *by_text;
 static char *key_text;
 
 static const GOptionEntry entries[] = {
@@ -17,6 +19,10 @@
      "Print the version and exit", NULL},
     {"entry", 'e', 0, G_OPTION_ARG_STRING, &entry_text,
      "Callers' address of an entry (default: $LEVERCOVE_ENTRY)", "IP:PORT"},
+    {"store", 's', 0, G_OPTION_ARG_STRING, &store_text,
+     "Address of the platform's store (default: $LEVERCOVE_STORE)", "IP:PORT"},
+    {"by", 'b', 0, G_OPTION_ARG_STRING, &by_text,
+     "Who closes a hall (default: the user's name)", "TEXT"},
     {"key", 'k', 0, G_OPTION_ARG_STRING, &key_text,
      "Idempotency key for submit, a UUID of version 7", "UUID"},
     {NULL, 0, 0, 0, NULL, NULL, NULL},
@@ -76,28 +82,41 @@
     return NULL;
 }
 
+/* An address from an option, or else from the environment. */
 static int
-parse_entry(Command_Options *options)
+parse_address(const char *name, const char *option, const char *variable,
+              Address *address)
 {
-    const char *text = entry_text == NULL ? g_getenv("LEVERCOVE_ENTRY")
-                                          : entry_text;
+    const char *text = option == NULL ? g_getenv(variable) : option;
 
-    options->key = key_text;
-    if (text != NULL && !Address_Parse(text, &options->entry)) {
-        fprintf(stderr, "levercove: entry %s: expected IP:port\n", text);
+    if (text != NULL && !Address_Parse(text, address)) {
+        fprintf(stderr, "levercove: %s %s: expected IP:port\n", name, text);
         return Err_Exit(ERR_BAD_REQUEST);
     }
     return 0;
 }
 
+static int
+parse_options(Command_Options *options)
+{
+    int code = parse_address("entry", entry_text, "LEVERCOVE_ENTRY",
+                             &options->entry);
+
+    options->key = key_text;
+    options->by = by_text == NULL ? g_get_user_name() : by_text;
+    return code != 0 ? code
+                     : parse_address("store", store_text, "LEVERCOVE_STORE",
+                                     &options->store);
+}
+
 static int
 run(int argc, char **argv)
 {
-    Command_Options options = {0, NULL};
-    int words;
+    Command_Options options = {0};
+    int words = 0;
     const Command *command = find_command(argc, argv, &words);
     int count = argc - 1 - (command == NULL ? 0 : words);
-    int code = parse_entry(&options);
+    int code = parse_options(&options);
 
     if (code != 0) {
         return code;
@@ -111,11 +130,14 @@
                 command->arguments);
         return Err_Exit(ERR_BAD_REQUEST);
     }
-    if (options.entry == 0 &&
-        (words == 2 || strcmp(command->name, "submit") == 0)) {
+    if (command->needs_entry && options.entry == 0) {
         fprintf(stderr, "levercove: give --entry or LEVERCOVE_ENTRY\n");
         return Err_Exit(ERR_BAD_REQUEST);
     }
+    if (command->needs_store && options.store == 0) {
+        fprintf(stderr, "levercove: give --store or LEVERCOVE_STORE\n");
+        return Err_Exit(ERR_BAD_REQUEST);
+    }
     return command->run(&options, count, argv + 1 + words);
 }
 
--- a/lease/runner.c
+++ b/lease/runner.c
@@ -34,6 +34,7 @@
     runner->up.service = g_strdup("");
     runner->up.labels = g_new0(char *, 1);
     runner->look_again_ms = now_ms;
+    runner->idle_ms = now_ms;
     return runner;
 }
 
@@ -444,12 +445,13 @@
 
     Runner_State(runner, now_ms, &state);
     return json_pack(
-        "{s:s, s:s, s:s, s:i, s:i, s:i, s:i, s:i, s:I, s:b, s:b, s:o}", "role",
-        "companion", "instance", runner->up.instance, "service",
+        "{s:s, s:s, s:s, s:i, s:i, s:i, s:i, s:i, s:I, s:b, s:b, s:I, s:o}",
+        "role", "companion", "instance", runner->up.instance, "service",
         runner->up.service, "state", (int)state.state, "room_cpu_milli",
         (int)state.room.cpu_milli, "room_memory_mb", (int)state.room.memory_mb,
         "tasks", (int)runner->live, "pace_percent", (int)state.pace_percent,
         "token", (json_int_t)runner->token, "doubtful", runner->up.doubtful,
-        "inventoried", runner->up.inventoried, "closed",
-        Closures_Dump(&runner->closures, now_ms));
+        "inventoried", runner->up.inventoried, "idle_ms",
+        (json_int_t)(runner->live > 0 ? 0 : now_ms - runner->idle_ms),
+        "closed", Closures_Dump(&runner->closures, now_ms));
 }
--- a/lease/runner_state.h
+++ b/lease/runner_state.h
@@ -137,6 +137,7 @@
     int64_t look_again_ms; /* not before */
     int64_t hold_until_ms; /* the upstream lets all go by then */
     uint32_t live;         /* tasks that have not ended */
+    int64_t idle_ms;       /* when the last of them ended */
     uint32_t unreleased;   /* ends that are not to be taken note of yet */
     uint32_t held_long;    /* of them those held for long, at the last tick */
     GArray *fenced;        /* lc_node, owners of kept jobs that are gone */
--- a/lease/runner_tasks.c
+++ b/lease/runner_tasks.c
@@ -108,6 +108,7 @@
     row->ended_ms = now_ms;
     Resources_Take(&runner->used, &row->need);
     runner->live--;
+    runner->idle_ms = now_ms;
     runner->version++;
     if (holder != NULL) {
         holder->running--;
--- a/tests/soak/scenario.cc
+++ b/tests/soak/scenario.cc
@@ -29,6 +29,7 @@
 const int64_t SILENCE_MS = 1500;
 const int64_t SEEDLESS_LOAD_MS = 3500;
 const int64_t POWER_LOSS_MS = 1000;
+const int64_t STEADY_LOAD_MS = 7000;
 const int64_t HALL_CUT_MS = 500;
 const int64_t HALL_KILL_MS = 5500;
 const int64_t HALL_OPEN_MS = 9500;
@@ -286,6 +287,13 @@
     });
 }
 
+/* Nothing fails, under load: for commands of operators. */
+void
+play_steady()
+{
+    steady_load(STEADY_LOAD_MS);
+}
+
 /* A hall is closed while the entries cannot reach the store, and opened when
  * the store has dropped its history; the whole system is killed between. */
 void
@@ -338,6 +346,7 @@
     {"silent_upstreams", play_silent_upstreams, SILENT_LOAD_MS + ANSWERS_MS,
      3},
     {"silent_store", play_silent_store, SILENT_LOAD_MS + ANSWERS_MS, 3},
+    {"steady", play_steady, STEADY_LOAD_MS + ANSWERS_MS, 3},
     {"closed_hall", play_closed_hall, HALL_LOAD_MS + ANSWERS_MS, 3},
     {"seeds_gone", play_seeds_gone, SEEDLESS_LOAD_MS + ANSWERS_MS, 3},
     {"kept_owner_dies", play_kept_owner_dies, KEPT_END_MS, 2},
