--- a/tests/fleet_load.c
+++ b/tests/fleet_load.c
@@ -9,8 +9,32 @@
 
 #include "tests/fleet_world.h"
 
-#define ENTRIES 55
-#define COMPANIONS 240
+/* The users' large deployment; usual is 60% of all processors at 1. */
+static const FleetWorld_Shape large = {
+    .entries = 55,
+    .companions = 240,
+    .halls = 5,
+    .cpu_milli = 3800,
+    .link_ms = 1,
+    .kinds = {{"quick", 0, 309, 8, 60},
+              {"long", 2, 56, 4, 900},
+              {"check", 1, 900, 2, 200}},
+};
+
+/* That of shifted work: fewer, larger hosts for small tasks, more of the long
+ * ones, and a wave. */
+static const FleetWorld_Shape shifted = {
+    .entries = 11,
+    .companions = 65,
+    .halls = 3,
+    .cpu_milli = 1500,
+    .link_ms = 1,
+    .wave = 0.27,
+    .wave_ms = 11000,
+    .kinds = {{"quick", 0, 166, 8, 60},
+              {"long", 2, 65.9, 4, 900},
+              {"check", 1, 486, 2, 200}},
+};
 
 /* A load, and the least that must be shown. */
 typedef struct {
@@ -22,11 +46,11 @@
     double late_share;     /* at least; 0 if no host comes */
 } load_case;
 
-/* As loads go on the users' large deployment; usual is 60% of all processors
- * at 1. The bounds leave a tenth or so to what was measured. */
+/* The bounds leave a tenth or so to what was measured. */
 static const load_case load_cases[] = {
     {"usual load",
-     {.usual = 0.65,
+     {.shape = &large,
+      .usual = 0.65,
       .rush = 0.65,
       .only = -1,
       .rush_ms = 1000,
@@ -37,7 +61,8 @@
      .spread = 0.2,
      .late_share = 0},
     {"a rush on one kind while hosts come",
-     {.usual = 0.8,
+     {.shape = &large,
+      .usual = 0.8,
       .rush = 2,
       .only = 1,
       .rush_ms = 1000,
@@ -49,7 +74,8 @@
      .spread = 0.15,
      .late_share = 0.85},
     {"a burst over all capacity",
-     {.usual = 1,
+     {.shape = &large,
+      .usual = 1,
       .rush = 1.8,
       .only = -1,
       .rush_ms = 1000,
@@ -60,7 +86,8 @@
      .spread = 0.15,
      .late_share = 0},
     {"a third of the entries away",
-     {.usual = 1,
+     {.shape = &large,
+      .usual = 1,
       .rush = 1.3,
       .only = -1,
       .rush_ms = 1000,
@@ -72,7 +99,8 @@
      .spread = 0.15,
      .late_share = 0},
     {"a tenth of the upstreams flapping",
-     {.usual = 1,
+     {.shape = &large,
+      .usual = 1,
       .rush = 1.3,
       .only = -1,
       .rush_ms = 1000,
@@ -84,7 +112,8 @@
      .spread = 0.2,
      .late_share = 0},
     {"all processes begin together under load",
-     {.usual = 1,
+     {.shape = &large,
+      .usual = 1,
       .rush = 1.2,
       .only = -1,
       .rush_ms = 1000,
@@ -95,6 +124,83 @@
      .refused_starts = 0.55,
      .spread = 0.15,
      .late_share = 0},
+    {"shifted: usual load and its wave",
+     {.shape = &shifted,
+      .usual = 1,
+      .rush = 1,
+      .only = -1,
+      .rush_ms = 1000,
+      .rush_end_ms = 12000,
+      .length_ms = 12000},
+     .worth = 0.9,
+     .refused_starts = 0.9,
+     .spread = 0.9,
+     .late_share = 0},
+    {"shifted: a hall closed for 11 s and taken back",
+     {.shape = &shifted,
+      .usual = 1,
+      .rush = 1,
+      .only = -1,
+      .rush_ms = 1000,
+      .rush_end_ms = 12000,
+      .length_ms = 14000,
+      .close_ms = 1000,
+      .open_ms = 12000},
+     .worth = 0.5,
+     .refused_starts = 0.9,
+     .spread = 0.9,
+     .late_share = 0},
+    {"shifted: a hall closed and a burst of 1.4 besides",
+     {.shape = &shifted,
+      .usual = 1,
+      .rush = 1.4,
+      .only = -1,
+      .rush_ms = 2000,
+      .rush_end_ms = 6000,
+      .length_ms = 9000,
+      .close_ms = 1000,
+      .open_ms = 8000},
+     .worth = 0.5,
+     .refused_starts = 0.9,
+     .spread = 0.9,
+     .late_share = 0},
+    {"shifted: a third of the entries away in a burst",
+     {.shape = &shifted,
+      .usual = 1,
+      .rush = 1.5,
+      .only = -1,
+      .rush_ms = 1000,
+      .rush_end_ms = 5000,
+      .length_ms = 6000,
+      .away = 0.34},
+     .worth = 0.5,
+     .refused_starts = 0.9,
+     .spread = 0.9,
+     .late_share = 0},
+    {"shifted: a rush of over twice the load",
+     {.shape = &shifted,
+      .usual = 1,
+      .rush = 2.2,
+      .only = -1,
+      .rush_ms = 1000,
+      .rush_end_ms = 5000,
+      .length_ms = 6000},
+     .worth = 0.5,
+     .refused_starts = 0.9,
+     .spread = 0.9,
+     .late_share = 0},
+    {"a rush of over twice the load",
+     {.shape = &large,
+      .usual = 1,
+      .rush = 2.2,
+      .only = -1,
+      .rush_ms = 1000,
+      .rush_end_ms = 5000,
+      .length_ms = 6000},
+     .worth = 0.5,
+     .refused_starts = 0.9,
+     .spread = 0.9,
+     .late_share = 0},
 };
 
 static void
@@ -123,8 +229,6 @@
 {
     FleetWorld_Load load = one->load;
 
-    load.entries = ENTRIES;
-    load.companions = COMPANIONS;
     load.seed = seed;
     return FleetWorld_Play(&load);
 }
--- a/tests/fleet_world.c
+++ b/tests/fleet_world.c
@@ -11,13 +11,11 @@
 
 #define TICK_MS 50
 #define BEAT_MS 1500
-#define LINK_MS 1
 #define IDLE_REPORT_MS 3000
 #define RESUBMIT_MS 1300
 #define DEADLINE_MS 1500
 #define TARGET_MS 60
 #define STRETCH_PERCENT 160
-#define CPU_MILLI 3800
 #define CORE_MILLI 1000
 #define CAPACITY_MILLI 16000
 #define LARGE_MILLI 24000
@@ -32,13 +30,6 @@
 #define PORT 7000
 #define MOST_WAIT_MS 4000
 #define FREE_PART 10
-#define USUAL_COMPANIONS 240.0 /* for fleet_world_kinds */
-
-const FleetWorld_Kind fleet_world_kinds[FLEET_WORLD_KINDS] = {
-    {"quick", 0, 309, 8, 60},
-    {"long", 2, 56, 4, 900},
-    {"check", 1, 900, 2, 200},
-};
 
 struct world;
 
@@ -244,7 +235,7 @@
         return;
     }
     g_hash_table_remove(node->running, &end->id);
-    node->used -= CPU_MILLI;
+    node->used -= w->load->shape->cpu_milli;
     row.number = ++node->last_end;
     g_array_append_val(node->ended, row);
     if (node->look_id != 0) {
@@ -318,7 +309,7 @@
         task->start_ms = w->now_ms;
         task->work_ms = (int64_t)(job->work_ms * (0.85 + 0.3 * chance(w)));
         g_hash_table_insert(node->running, &task->id, task);
-        node->used += CPU_MILLI;
+        node->used += w->load->shape->cpu_milli;
         note_start(w, node, &start->id);
         at(w, w->now_ms + task->work_ms, on_task_end, &end, sizeof(end));
     }
@@ -412,7 +403,8 @@
     if (reply->kind == MSG_RUN && reply->u.run.status >= LC_RUN_NO_ROOM) {
         w->report.refused_starts++;
     }
-    at(w, w->now_ms + LINK_MS, on_reply, &message, sizeof(message));
+    at(w, w->now_ms + w->load->shape->link_ms, on_reply, &message,
+       sizeof(message));
     g_hash_table_remove(node->owed, &reply_id);
 }
 
@@ -493,10 +485,13 @@
     message.args.instance = node->instance;
     message.args.service = (char *)(uintptr_t) "service";
     message.args.next_ms = IDLE_REPORT_MS;
+    message.args.closures.as_of = -1; /* told by tell_halls alone */
+    message.args.closures.halls.halls_len = 0;
     told->told = version;
     told->told_ms = w->now_ms;
     told->gap_ms = Dispatcher_ReportGapMs(entry->dispatcher);
-    at(w, w->now_ms + LINK_MS, on_report, &message, sizeof(message));
+    at(w, w->now_ms + w->load->shape->link_ms, on_report, &message,
+       sizeof(message));
 }
 
 static void
@@ -543,6 +538,7 @@
 {
     companion_node *node = &w->companions[((companion_item *)item)->companion];
     Runner_Config config = {.node = node->node,
+                            .hall = node->hall,
                             .term = w->term,
                             .first_token = 1000,
                             .beat_ms = BEAT_MS};
@@ -635,7 +631,8 @@
         message.call.u.run.spec = (char *)(uintptr_t) "";
         w->report.starts++;
     }
-    at(w, w->now_ms + LINK_MS, on_call, &message, sizeof(message));
+    at(w, w->now_ms + w->load->shape->link_ms, on_call, &message,
+       sizeof(message));
 }
 
 static void
@@ -652,7 +649,7 @@
     uint64_t all = 0;
     uint32_t i;
 
-    for (i = 0; i < w->load->companions; i++) {
+    for (i = 0; i < w->load->shape->companions; i++) {
         const companion_node *node = &w->companions[i];
         if (node->up) {
             room += node->capacity - MIN(node->used, node->capacity);
@@ -752,14 +749,14 @@
     entry->node.incarnation++;
     config.node = entry->node;
     g_snprintf(config.hall, sizeof(config.hall), "hall-%u",
-               index % FLEET_WORLD_HALLS);
+               index % w->load->shape->halls);
     if (entry->dispatcher != NULL) {
         Dispatcher_Free(entry->dispatcher);
     }
     entry->dispatcher = Dispatcher_New(&config, &dispatcher_ports, entry,
                                        w->now_ms + index);
     entry->up = true;
-    memset(entry->told, 0, w->load->companions * sizeof(told_state));
+    memset(entry->told, 0, w->load->shape->companions * sizeof(told_state));
     at(w, w->now_ms + (int64_t)(chance(w) * TICK_MS), on_entry_tick, &item,
        sizeof(item));
 }
@@ -769,15 +766,15 @@
 static void
 submit(world *w, int kind)
 {
-    const FleetWorld_Kind *of = &fleet_world_kinds[kind];
-    uint32_t index = (uint32_t)(chance(w) * w->load->entries);
+    const FleetWorld_Kind *of = &w->load->shape->kinds[kind];
+    uint32_t index = (uint32_t)(chance(w) * w->load->shape->entries);
     Dispatcher_Submit submit = {.route = w->route_of[kind],
                                 .deadline_ms = DEADLINE_MS};
     job_row job = {.kind = kind, .sent_ms = w->now_ms};
     uint32_t estimate_ms;
 
     while (!w->entries[index].up) {
-        index = (index + 1) % w->load->entries;
+        index = (index + 1) % w->load->shape->entries;
     }
     job.in_rush = in_rush(w);
     job.work_ms = (uint32_t)(of->work_ms * (0.6 + 0.8 * chance(w)));
@@ -795,7 +792,7 @@
     submit.job.steps = g_new0(LeasedJob_Step, 1);
     submit.job.steps[0].count = MAX(
         1, (uint32_t)(of->tasks * (0.6 + 0.8 * chance(w)) + 0.5));
-    submit.job.steps[0].need.cpu_milli = CPU_MILLI;
+    submit.job.steps[0].need.cpu_milli = w->load->shape->cpu_milli;
     submit.job.steps[0].need.memory_mb = TASK_MEMORY_MB;
     submit.job.steps[0].estimate_ms = estimate_ms;
     Dispatcher_OnSubmit(w->entries[index].dispatcher, w->now_ms, &submit);
@@ -808,7 +805,12 @@
     const FleetWorld_Load *load = w->load;
     bool of_rush = in_rush(w) && (load->only < 0 || load->only == kind);
 
-    return of_rush ? load->rush : load->usual;
+    double wave = load->shape->wave_ms == 0
+                      ? 0
+                      : load->shape->wave * sin(2 * G_PI * (double)w->now_ms /
+                                                (double)load->shape->wave_ms);
+
+    return (of_rush ? load->rush : load->usual) * (1 + wave);
 }
 
 /* Poisson arrivals within one ms; a few at most. */
@@ -818,8 +820,8 @@
     int kind;
 
     for (kind = 0; kind < FLEET_WORLD_KINDS; kind++) {
-        double mean = fleet_world_kinds[kind].per_s * load_now(w, kind) *
-                      w->load->companions / USUAL_COMPANIONS / 1000;
+        double mean = w->load->shape->kinds[kind].per_s * load_now(w, kind) /
+                      1000;
         double left = exp(-mean);
         double product = chance(w);
         while (product > left) {
@@ -833,27 +835,28 @@
 change_at_rush(world *w)
 {
     const FleetWorld_Load *load = w->load;
-    uint32_t away = (uint32_t)(load->away * load->entries);
+    uint32_t away = (uint32_t)(load->away * load->shape->entries);
     uint32_t i;
 
     for (i = 0; i < away; i++) {
-        w->entries[i * load->entries / away].up = false;
+        w->entries[i * load->shape->entries / away].up = false;
     }
-    for (i = 0; i < (uint32_t)(load->flapping * load->companions); i++) {
-        companion_item item = {i * 7 % load->companions};
+    for (i = 0; i < (uint32_t)(load->flapping * load->shape->companions);
+         i++) {
+        companion_item item = {i * 7 % load->shape->companions};
         at(w, w->now_ms + (int64_t)(chance(w) * FLAP_MS), on_flap, &item,
            sizeof(item));
     }
-    for (i = load->companions - load->late_companions; i < load->companions;
-         i++) {
+    for (i = load->shape->companions - load->late_companions;
+         i < load->shape->companions; i++) {
         companion_item item = {i};
         begin_companion(w, &item);
     }
-    for (i = 0; load->fresh_start && i < load->companions; i++) {
+    for (i = 0; load->fresh_start && i < load->shape->companions; i++) {
         companion_item item = {i};
         begin_companion(w, &item);
     }
-    for (i = 0; load->fresh_start && i < load->entries; i++) {
+    for (i = 0; load->fresh_start && i < load->shape->entries; i++) {
         begin_entry(w, i);
     }
 }
@@ -863,7 +866,7 @@
 {
     uint32_t i;
 
-    for (i = 0; in_rush(w) && i < w->load->companions; i++) {
+    for (i = 0; in_rush(w) && i < w->load->shape->companions; i++) {
         const companion_node *node = &w->companions[i];
         if (node->up) {
             w->busy_ms += MIN(node->used, node->capacity);
@@ -878,9 +881,9 @@
     uint32_t i;
     uint32_t j;
 
-    for (i = 0; i < w->load->companions; i++) {
+    for (i = 0; i < w->load->shape->companions; i++) {
         companion_node *node = &w->companions[i];
-        for (j = 0; node->runner != NULL && j < w->load->entries; j++) {
+        for (j = 0; node->runner != NULL && j < w->load->shape->entries; j++) {
             tell(w, node, &w->entries[j]);
         }
     }
@@ -900,6 +903,29 @@
     g_clear_pointer(&w->slots[w->now_ms], g_array_unref);
 }
 
+/* All entries learn of it at once, as from the store; companions likewise. */
+static void
+tell_halls(world *w, int64_t as_of, bool closed)
+{
+    lc_hall hall = (char *)(uintptr_t) "hall-0";
+    lc_closures told = {.as_of = as_of};
+    uint32_t i;
+
+    told.halls.halls_len = closed;
+    told.halls.halls_val = &hall;
+    for (i = 0; i < w->load->shape->entries; i++) {
+        Dispatcher_TakeClosures(w->entries[i].dispatcher, w->now_ms, w->now_ms,
+                                &told, "test");
+        settle(&w->entries[i]);
+    }
+    for (i = 0; i < w->load->shape->companions; i++) {
+        if (w->companions[i].runner != NULL) {
+            Runner_TakeClosures(w->companions[i].runner, w->now_ms, w->now_ms,
+                                &told, "test");
+        }
+    }
+}
+
 static void
 step(world *w)
 {
@@ -908,6 +934,12 @@
     if (since_ms == w->load->rush_ms) {
         change_at_rush(w);
     }
+    if (w->load->close_ms > 0 && since_ms == w->load->close_ms) {
+        tell_halls(w, 1, true);
+    }
+    if (w->load->close_ms > 0 && since_ms == w->load->open_ms) {
+        tell_halls(w, 2, false);
+    }
     run_slot(w);
     if (since_ms >= 0 && since_ms < w->load->length_ms) {
         arrive(w);
@@ -943,13 +975,13 @@
     double sum = 0;
     double squares = 0;
     uint32_t count = 0;
-    uint32_t early = w->load->companions - w->load->late_companions;
+    uint32_t early = w->load->shape->companions - w->load->late_companions;
     double soon = 0;
     double soon_late = 0;
     uint32_t i;
 
     w->report.first_start_ms = -1;
-    for (i = 0; i < w->load->companions; i++) {
+    for (i = 0; i < w->load->shape->companions; i++) {
         const companion_node *node = &w->companions[i];
         double starts = (double)node->starts * CAPACITY_MILLI / node->capacity;
         if (i < early) {
@@ -1001,11 +1033,11 @@
     w->routes = Route_NewTable(1);
     for (kind = 0; kind < FLEET_WORLD_KINDS; kind++) {
         Route *route = Route_Add(w->routes);
-        route->name = g_strdup(fleet_world_kinds[kind].queue);
+        route->name = g_strdup(w->load->shape->kinds[kind].queue);
         route->authority = g_strdup("host");
         route->path_prefix = g_strdup_printf("/%d/", kind);
         route->service = g_strdup("service");
-        route->priority = fleet_world_kinds[kind].priority;
+        route->priority = w->load->shape->kinds[kind].priority;
         route->max_attempts = 3;
         route->timeout_ms = DEADLINE_MS;
         route->target_ms = TARGET_MS;
@@ -1019,8 +1051,8 @@
 {
     uint32_t i;
 
-    w->companions = g_new0(companion_node, w->load->companions);
-    for (i = 0; i < w->load->companions; i++) {
+    w->companions = g_new0(companion_node, w->load->shape->companions);
+    for (i = 0; i < w->load->shape->companions; i++) {
         companion_node *node = &w->companions[i];
         companion_item item = {i};
         node->world = w;
@@ -1029,14 +1061,14 @@
         node->node.incarnation = 1;
         node->capacity = i % 3 == 2 ? LARGE_MILLI : CAPACITY_MILLI;
         g_snprintf(node->hall, sizeof(node->hall), "hall-%u",
-                   i % FLEET_WORLD_HALLS);
+                   i % w->load->shape->halls);
         g_snprintf(node->instance, sizeof(node->instance), "u%u", i);
         node->running = g_hash_table_new_full(RunId_Hash, RunId_Equal, NULL,
                                               g_free);
         node->ended = g_array_new(FALSE, TRUE, sizeof(Runner_EndRow));
         node->owed = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
                                            g_free);
-        if (i < w->load->companions - w->load->late_companions) {
+        if (i < w->load->shape->companions - w->load->late_companions) {
             begin_companion(w, &item);
         }
     }
@@ -1047,11 +1079,11 @@
 {
     uint32_t i;
 
-    w->entries = g_new0(entry_node, w->load->entries);
-    for (i = 0; i < w->load->entries; i++) {
+    w->entries = g_new0(entry_node, w->load->shape->entries);
+    for (i = 0; i < w->load->shape->entries; i++) {
         w->entries[i].world = w;
         w->entries[i].index = i;
-        w->entries[i].told = g_new0(told_state, w->load->companions);
+        w->entries[i].told = g_new0(told_state, w->load->shape->companions);
         begin_entry(w, i);
     }
 }
@@ -1061,11 +1093,11 @@
 {
     uint32_t i;
 
-    for (i = 0; i < w->load->entries; i++) {
+    for (i = 0; i < w->load->shape->entries; i++) {
         Dispatcher_Free(w->entries[i].dispatcher);
         g_free(w->entries[i].told);
     }
-    for (i = 0; i < w->load->companions; i++) {
+    for (i = 0; i < w->load->shape->companions; i++) {
         companion_node *node = &w->companions[i];
         if (node->runner != NULL) {
             Runner_Free(node->runner);
--- a/tests/fleet_world.h
+++ b/tests/fleet_world.h
@@ -13,8 +13,6 @@
 #include <stdint.h>
 
 #define FLEET_WORLD_KINDS 3
-#define FLEET_WORLD_HALLS 5
-
 /** A kind of job: its tasks are alike but for chance. */
 typedef struct {
     const char *queue;
@@ -24,10 +22,21 @@
     uint32_t work_ms;
 } FleetWorld_Kind;
 
-/** A load. Times are ms since the first job. */
+/** A deployment. */
 typedef struct {
     uint32_t entries;
     uint32_t companions;
+    uint32_t halls;
+    uint32_t cpu_milli; /**< of each task */
+    int64_t link_ms;    /**< one way */
+    double wave;        /**< the load swings by this share */
+    int64_t wave_ms;    /**< its period */
+    FleetWorld_Kind kinds[FLEET_WORLD_KINDS];
+} FleetWorld_Shape;
+
+/** A load. Times are ms since the first job. */
+typedef struct {
+    const FleetWorld_Shape *shape;
     int64_t length_ms;
     double usual; /**< times the usual load, all the time */
     double rush;  /**< times the usual load from rush_ms on */
@@ -38,6 +47,8 @@
     double away;      /**< share of entries without power during the rush */
     double flapping;  /**< share of upstreams that leave and come back */
     bool fresh_start; /**< the processes begin together at rush_ms */
+    int64_t close_ms; /**< the first hall is closed then; 0: never */
+    int64_t open_ms;  /**< and opened again */
     uint64_t seed;
 } FleetWorld_Load;
 
@@ -67,8 +78,6 @@
     int64_t wait_p99_ms;
 } FleetWorld_Report;
 
-extern const FleetWorld_Kind fleet_world_kinds[FLEET_WORLD_KINDS];
-
 /** Plays a load. */
 FleetWorld_Report FleetWorld_Play(const FleetWorld_Load *load);
 
