Load bench: tasks whose needs differ; room lent by hosts and a queue at companions, tried and left out

Hypothesis: room that falls free should go to the most urgent that asked for it, not to whom hears of it first. Conclusion: left out; reports to all stay.

--- a/tests/fleet_world.c
+++ b/tests/fleet_world.c
@@ -17,6 +17,8 @@
 #define TARGET_MS 60
 #define STRETCH_PERCENT 160
 #define CORE_MILLI 1000
+/* Tasks of different jobs need so much more or less than the mean. */
+#define CPU_SPREAD 0.35
 #define CAPACITY_MILLI 16000
 #define LARGE_MILLI 24000
 #define MEMORY_MB 32768
@@ -91,6 +93,7 @@
     int64_t sent_ms;
     int64_t objective_ms;
     uint32_t work_ms;
+    uint32_t cpu_milli; /* of each of its tasks */
     int64_t first_start_ms;
     bool answered;
     bool in_rush;
@@ -222,6 +225,12 @@
     arm(node);
 }
 
+static uint32_t
+cpu_of(const world *w, const lc_run_id *id)
+{
+    return g_array_index(w->jobs, job_row, id->job - 1).cpu_milli;
+}
+
 static void
 on_task_end(world *w, void *item)
 {
@@ -235,7 +244,7 @@
         return;
     }
     g_hash_table_remove(node->running, &end->id);
-    node->used -= w->load->shape->cpu_milli;
+    node->used -= cpu_of(w, &end->id);
     row.number = ++node->last_end;
     g_array_append_val(node->ended, row);
     if (node->look_id != 0) {
@@ -309,7 +318,7 @@
         task->start_ms = w->now_ms;
         task->work_ms = (int64_t)(job->work_ms * (0.85 + 0.3 * chance(w)));
         g_hash_table_insert(node->running, &task->id, task);
-        node->used += w->load->shape->cpu_milli;
+        node->used += job->cpu_milli;
         note_start(w, node, &start->id);
         at(w, w->now_ms + task->work_ms, on_task_end, &end, sizeof(end));
     }
@@ -777,6 +786,8 @@
         index = (index + 1) % w->load->shape->entries;
     }
     job.in_rush = in_rush(w);
+    job.cpu_milli = (uint32_t)(w->load->shape->cpu_milli *
+                               (1 + CPU_SPREAD * (2 * chance(w) - 1)));
     job.work_ms = (uint32_t)(of->work_ms * (0.6 + 0.8 * chance(w)));
     estimate_ms = (uint32_t)(job.work_ms * (0.6 + 0.8 * chance(w)));
     job.objective_ms = w->now_ms + TARGET_MS +
@@ -792,7 +803,7 @@
     submit.job.steps = g_new0(LeasedJob_Step, 1);
     submit.job.steps[0].count = MAX(
         1, (uint32_t)(of->tasks * (0.6 + 0.8 * chance(w)) + 0.5));
-    submit.job.steps[0].need.cpu_milli = w->load->shape->cpu_milli;
+    submit.job.steps[0].need.cpu_milli = job.cpu_milli;
     submit.job.steps[0].need.memory_mb = TASK_MEMORY_MB;
     submit.job.steps[0].estimate_ms = estimate_ms;
     Dispatcher_OnSubmit(w->entries[index].dispatcher, w->now_ms, &submit);
