--- a/lease/dispatcher_halls.c
+++ b/lease/dispatcher_halls.c
@@ -3,8 +3,8 @@
 #include "lease/choice.h"
 #include "lease/resources.h"
 
-static void
-mark_host(const Dispatcher *self, Fleet_Host *host)
+void
+DispatcherHalls_Mark(const Dispatcher *self, Fleet_Host *host)
 {
     host->closed = Closures_Has(&self->closures, host->hall);
 }
@@ -62,7 +62,7 @@
         return;
     }
     for (i = 0; i < self->fleet.hosts->len; i++) {
-        mark_host(self, self->fleet.hosts->pdata[i]);
+        DispatcherHalls_Mark(self, self->fleet.hosts->pdata[i]);
     }
     log_halls(self, source);
     self->unsettled = true;
@@ -74,12 +74,6 @@
     return &self->closures;
 }
 
-void
-DispatcherHalls_Mark(Dispatcher *self, Fleet_Host *host)
-{
-    mark_host(self, host);
-}
-
 static bool
 could_run(const LeasedJob_Step *step, const char *service,
           const Fleet_Host *host)
--- a/lease/dispatcher_state.h
+++ b/lease/dispatcher_state.h
@@ -148,7 +148,7 @@
 /* Closed halls: dispatcher_halls.c. */
 
 /** Notes whether a companion's hall is closed. */
-void DispatcherHalls_Mark(Dispatcher *self, Fleet_Host *host);
+void DispatcherHalls_Mark(const Dispatcher *self, Fleet_Host *host);
 
 /** Whether a step of a job for @p service could run in closed halls, and
  * nowhere else. */
