--- a/tests/lease_cases.c
+++ b/tests/lease_cases.c
@@ -345,8 +345,10 @@
     u_int i;
 
     Halls_Tell(halls, (uint64_t)end, &told);
-    qsort((void *)told.halls.halls_val, told.halls.halls_len, sizeof(char *),
-          compare_texts);
+    if (told.halls.halls_len > 1) {
+        qsort((void *)told.halls.halls_val, told.halls.halls_len,
+              sizeof(char *), compare_texts);
+    }
     g_string_append_printf(output, "as of %lld:", (long long)told.as_of);
     for (i = 0; i < told.halls.halls_len; i++) {
         g_string_append_printf(output, " %s", told.halls.halls_val[i]);
