--- a/scripts/regression.sh
+++ b/scripts/regression.sh
@@ -12,7 +12,7 @@
 shift 2
 OUT=${OUT:-$(mktemp -d)}
 JOBS=${JOBS:-4}
-[ $# -gt 0 ] || set -- large/songlam-judge-large further/wlk-jagdfisch \
+[ $# -gt 0 ] || set -- shifted/songlam-judge-now-grown large/songlam-judge-large further/wlk-jagdfisch \
     further-grown/wlk-jagdfisch-grown grown/songlam-judge-grown grown/vbb-spieltisch-grown
 LARGE='-(large|grown)$'
 status=0
