--- a/cli/commands.c
+++ b/cli/commands.c
@@ -12,13 +12,6 @@
 #include "cli/halls.h"
 #include "daemon/options.h"
 
-static int
-fail(const Status *status)
-{
-    fprintf(stderr, "levercove: %s\n", status->message);
-    return Err_Exit(status->kind);
-}
-
 /* Sends a request and prints the error it ends in, if any. */
 static int
 call(const Exchange_Request *request, Exchange_Answer *answer)
@@ -27,7 +20,7 @@
 
     if (Exchange_Do(request, answer, &status) != ERR_OK ||
         Exchange_Check(answer, &status) != ERR_OK) {
-        return fail(&status);
+        return Exchange_Fail(&status);
     }
     return 0;
 }
@@ -99,7 +92,7 @@
     *row = NULL;
     etag[0] = '\0';
     if (Exchange_Do(&request, &answer, &status) != ERR_OK) {
-        code = fail(&status);
+        code = Exchange_Fail(&status);
     }
     else if (answer.status == 200) {
         *row = json_loadb(answer.body, answer.length, 0, NULL);
@@ -108,7 +101,7 @@
     }
     else if (answer.status != 404) {
         Exchange_Check(&answer, &status);
-        code = fail(&status);
+        code = Exchange_Fail(&status);
     }
     Exchange_Clear(&answer);
     g_free(path);
@@ -339,7 +332,7 @@
     request.body = text;
     request.length = length;
     if (Exchange_Do(&request, &answer, &status) != ERR_OK) {
-        code = fail(&status);
+        code = Exchange_Fail(&status);
     }
     else {
         puts(answer.body);
--- a/cli/exchange.c
+++ b/cli/exchange.c
@@ -2,6 +2,7 @@
 
 #include <glib.h>
 #include <jansson.h>
+#include <stdio.h>
 #include <string.h>
 
 #include "platform/http_client.h"
@@ -86,6 +87,13 @@
     return kind;
 }
 
+int
+Exchange_Fail(const Status *status)
+{
+    fprintf(stderr, "levercove: %s\n", status->message);
+    return Err_Exit(status->kind);
+}
+
 void
 Exchange_Clear(Exchange_Answer *answer)
 {
--- a/cli/exchange.h
+++ b/cli/exchange.h
@@ -38,6 +38,9 @@
 /** Kind of error that an answer tells of, with its message; or ERR_OK. */
 Err_Kind Exchange_Check(const Exchange_Answer *answer, Status *status);
 
+/** Prints an error; returns its exit code. */
+int Exchange_Fail(const Status *status);
+
 void Exchange_Clear(Exchange_Answer *answer);
 
 #endif
--- a/cli/halls.c
+++ b/cli/halls.c
@@ -10,13 +10,6 @@
 #define OK_STATUS 200
 #define NEVER (-1)
 
-static int
-fail(const Status *status)
-{
-    fprintf(stderr, "levercove: %s\n", status->message);
-    return Err_Exit(status->kind);
-}
-
 static Err_Kind
 ask_store(const Exchange_Request *request, Exchange_Answer *answer,
           Status *status)
@@ -47,7 +40,7 @@
     int code = 0;
 
     if (Halls_CheckName(hall, &status) != ERR_OK) {
-        code = fail(&status);
+        code = Exchange_Fail(&status);
         goto done;
     }
     if (close) {
@@ -59,7 +52,7 @@
     request.body = record->data;
     request.length = record->len;
     if (ask_store(&request, &answer, &status) != ERR_OK) {
-        code = fail(&status);
+        code = Exchange_Fail(&status);
         goto done;
     }
     printf("%s: %s\n", hall, close ? "closed" : "open");
@@ -129,7 +122,7 @@
 
     do {
         if (show_page(options, &after, &rows, &status) != ERR_OK) {
-            return fail(&status);
+            return Exchange_Fail(&status);
         }
     } while (after != NULL);
     if (rows == 0) {
@@ -217,7 +210,7 @@
 
     if (!Address_Parse(text, &request.to)) {
         Err_Set(&status, ERR_BAD_REQUEST, "%s: expected IP:port", text);
-        return fail(&status);
+        return Exchange_Fail(&status);
     }
     if (Exchange_Do(&request, &answer, &status) == ERR_OK) {
         state = json_loadb(answer.body, answer.length, 0, NULL);
--- a/lease/closures.h
+++ b/lease/closures.h
@@ -37,16 +37,16 @@
 void Closures_Init(Closures *closures, int64_t now_ms);
 void Closures_Clear(Closures *closures);
 
+/** Of a message that nobody asked for: it may have been held up for long, and
+ * confirms nothing. */
+#define CLOSURES_UNASKED INT64_MIN
+
 /** Takes what somebody knows. @p asked_ms is when it was asked for: it was in
  * force its age before that at the latest, however long the answer was on its
  * way. Of what came unasked it is CLOSURES_UNASKED. */
 Closures_Change Closures_Take(Closures *closures, int64_t now_ms,
                               int64_t asked_ms, const lc_closures *told);
 
-/** Of a message that nobody asked for: it may have been held up for long, and
- * confirms nothing. */
-#define CLOSURES_UNASKED INT64_MIN
-
 /** Whether tasks may not be started in @p hall. */
 bool Closures_Has(const Closures *closures, const char *hall);
 
--- a/tests/halls_rules.c
+++ b/tests/halls_rules.c
@@ -326,12 +326,7 @@
     fix->dispatcher = Dispatcher_New(&config, &dispatcher_ports, fix,
                                      fix->now_ms);
     fix->routes = Route_NewTable(1);
-    fix->route = Route_Add(fix->routes);
-    fix->route->name = g_strdup("queue");
-    fix->route->authority = g_strdup("host");
-    fix->route->path_prefix = g_strdup("/q/");
-    fix->route->service = g_strdup("service");
-    fix->route->max_attempts = 2;
+    fix->route = LeaseFix_AddRoute(fix->routes);
     fix->route->stretch_percent = 160;
     fix->route->target_ms = 60;
     report(fix);
--- a/tests/lease_fixture.c
+++ b/tests/lease_fixture.c
@@ -12,6 +12,19 @@
     return term;
 }
 
+Route *
+LeaseFix_AddRoute(Route_Table *routes)
+{
+    Route *route = Route_Add(routes);
+
+    route->name = g_strdup("queue");
+    route->authority = g_strdup("host");
+    route->path_prefix = g_strdup("/q/");
+    route->service = g_strdup("service");
+    route->max_attempts = 2;
+    return route;
+}
+
 void
 LeaseFix_DropEvent(void *context, Event_Id id, json_t *fields)
 {
--- a/tests/lease_world_halls.cc
+++ b/tests/lease_world_halls.cc
@@ -13,7 +13,7 @@
 const uint32_t HALLS = 2;
 const int64_t READ_MS = 20;
 /* A companion asks the store after so long without a confirmation, as the
- * process does after half of times.close_ms. */
+ * process does after three quarters of times.close_ms. */
 const int64_t UNSURE_MS = 500;
 /* Nothing starts so long after a hall was closed: what is left for the read,
  * ticks and the way of the order. */
@@ -23,13 +23,6 @@
 const uint64_t STALE_EACH = 8;
 const int64_t STALE_MS = 1500;
 
-/* Sliding: whether `since` to now lies in a stretch without trouble. */
-bool
-is_calm(int64_t since, int64_t trouble_until)
-{
-    return trouble_until <= since;
-}
-
 } // namespace
 
 std::string
@@ -207,9 +200,8 @@
     }
     started_in[hall_of(index)] = now;
     if (closed != closed_since.end() && closed->second < since &&
-        is_calm(since, companion.started_ms) &&
-        is_calm(since, companion.frozen_until) &&
-        is_calm(since, store.down_until)) {
+        companion.started_ms <= since && companion.frozen_until <= since &&
+        store.down_until <= since) {
         violation("a start in " + hall_of(index) + ", closed since " +
                   std::to_string(closed->second) + " ms: " + name(id));
     }
