--- a/base/counter.h
+++ b/base/counter.h
@@ -38,6 +38,9 @@
     X(VIEWS_APPLIED, "views_applied")                                         \
     X(APPENDS, "log_appends")                                                 \
     X(HEARTBEATS_LATE, "heartbeats_late")                                     \
+    X(HEARTBEATS_BAD, "heartbeats_refused")                                   \
+    X(TASKS_CRASHED, "tasks_crashed")                                         \
+    X(JOBS_CRASHING, "jobs_crashing")                                         \
     X(REQUESTS_NO_ROUTE, "requests_no_route")                                 \
     X(GOSSIP_GIVEN_UP, "gossip_given_up")                                     \
     X(RPC_BYTES_IN, "rpc_bytes_in")                                           \
--- a/base/err.h
+++ b/base/err.h
@@ -52,6 +52,7 @@
     X(LOST, "lost", 502, 7, OUTCOME_FAILED, 0)                                \
     X(ANSWER_EVICTED, "answer_evicted", 502, 7, OUTCOME_FAILED, 0)            \
     X(UPSTREAM_FAILED, "upstream_failed", 502, 7, OUTCOME_FAILED, 0)          \
+    X(TASK_CRASHES, "task_crashes_upstreams", 502, 7, OUTCOME_FAILED, 0)      \
     X(TASK_TIMEOUT, "task_timeout", 504, 7, OUTCOME_FAILED, 0)                \
     X(DEADLINE, "deadline_passed", 504, 7, OUTCOME_FAILED, 0)                 \
     X(LOG_DOWN, "log_unavailable", 503, 8, OUTCOME_UNKNOWN, 1)                \
--- a/base/event.h
+++ b/base/event.h
@@ -56,6 +56,7 @@
     X(KEPT_BAD, 313, G_LOG_LEVEL_WARNING, "kept job cannot be read")          \
     X(KEPT_REFUSED, 314, G_LOG_LEVEL_WARNING, "store refused a record")       \
     X(PEER_SILENT, 315, G_LOG_LEVEL_WARNING, "entry gave no answer in time")  \
+    X(SUSPENDED, 317, G_LOG_LEVEL_WARNING, "machine was suspended")           \
     X(PEER_DROPPED, 316, G_LOG_LEVEL_MESSAGE,                                 \
       "entry dropped from the register")                                      \
     X(ROUTES, 402, G_LOG_LEVEL_MESSAGE, "routes in force")                    \
@@ -74,6 +75,7 @@
     X(LEASE_LAPSED, 514, G_LOG_LEVEL_WARNING, "lease lapsed, run stopped")    \
     X(ORDER_UNANSWERED, 515, G_LOG_LEVEL_WARNING, "order without an answer")  \
     X(ORDER_REFUSED, 516, G_LOG_LEVEL_INFO, "order refused by the upstream")  \
+    X(RUN_CRASHED, 517, G_LOG_LEVEL_WARNING, "upstream crashed under a run")  \
     X(UPSTREAM_KNOWN, 520, G_LOG_LEVEL_MESSAGE, "upstream known")             \
     X(UPSTREAM_LOST, 521, G_LOG_LEVEL_WARNING, "upstream lost")               \
     X(UPSTREAM_DRAINING, 522, G_LOG_LEVEL_MESSAGE, "upstream drain changed")  \
--- a/core/node.h
+++ b/core/node.h
@@ -26,7 +26,7 @@
 
 /** The time of an input. */
 typedef struct {
-    int64_t mono_ms; /**< monotonic clock of this process */
+    int64_t mono_ms; /**< monotonic, see Clock_NowMs */
     int64_t wall_ms; /**< Unix epoch, within the skew margin of others */
 } Node_Time;
 
--- a/daemon/leased_companion.c
+++ b/daemon/leased_companion.c
@@ -3,6 +3,7 @@
 #include <glib.h>
 #include <string.h>
 
+#include "base/clock.h"
 #include "daemon/leased_registry.h"
 #include "daemon/process.h"
 #include "daemon/seeds.h"
@@ -48,6 +49,7 @@
     int64_t answer_due_ms;
     uint64_t next_call;
     int64_t stop_ms; /* when the planned stop was asked for */
+    Clock_Suspension suspension;
 } leased_companion;
 
 /* An order on its way to the upstream. */
@@ -56,13 +58,23 @@
     uint64_t id;
 } order_context;
 
+/* Time now; to be asked at every input, as it tells the runner of a
+ * suspension before anything that waited is read. */
 static int64_t
-now_ms(void)
+now_ms(leased_companion *self)
 {
-    return Process_Now().mono_ms;
+    Clock_Reading reading = Clock_Read();
+    int64_t suspended_ms = Clock_Suspended(&self->suspension, reading);
+
+    if (suspended_ms > 0) {
+        Event_Log(EVENT_SUSPENDED, "for %d ms", (int)suspended_ms);
+        Runner_OnSuspended(self->runner, reading.now_ms, suspended_ms);
+    }
+    return reading.now_ms;
 }
 
 static void tell_peers(leased_companion *self);
+static Counters *role_counters(Process *process);
 static void on_answer_timer(uv_timer_t *timer);
 
 /* To be called after all that the runner was told. */
@@ -74,7 +86,7 @@
     if (due < self->answer_due_ms) {
         self->answer_due_ms = due;
         uv_timer_start(&self->answer_timer, on_answer_timer,
-                       (uint64_t)MAX(due - now_ms(), 0), 0);
+                       (uint64_t)MAX(due - now_ms(self), 0), 0);
     }
     tell_peers(self);
 }
@@ -85,7 +97,7 @@
     leased_companion *self = timer->data;
 
     self->answer_due_ms = INT64_MAX;
-    Runner_Wake(self->runner, now_ms());
+    Runner_Wake(self->runner, now_ms(self));
     follow_up(self);
 }
 
@@ -118,7 +130,7 @@
     int64_t clock_ms;
     Runner_OrderEnd end = Upstreams_OrderEnd(answer, &clock_ms);
 
-    Runner_OnStarted(self->runner, now_ms(), context->id, end, clock_ms);
+    Runner_OnStarted(self->runner, now_ms(self), context->id, end, clock_ms);
     g_free(context);
     follow_up(self);
 }
@@ -131,7 +143,7 @@
     int64_t clock_ms;
     Runner_OrderEnd end = Upstreams_OrderEnd(answer, &clock_ms);
 
-    Runner_OnStopped(self->runner, now_ms(), context->id, end, clock_ms);
+    Runner_OnStopped(self->runner, now_ms(self), context->id, end, clock_ms);
     g_free(context);
     follow_up(self);
 }
@@ -144,7 +156,7 @@
     Upstreams_Listing listing;
 
     Upstreams_ReadListing(answer, &listing);
-    Runner_OnLook(self->runner, now_ms(), context->id, &listing.listing);
+    Runner_OnLook(self->runner, now_ms(self), context->id, &listing.listing);
     Upstreams_FreeListing(&listing);
     g_free(context);
     follow_up(self);
@@ -252,7 +264,7 @@
 static void
 tell_peers(leased_companion *self)
 {
-    int64_t now = now_ms();
+    int64_t now = now_ms(self);
     int64_t next = -1;
     guint i;
 
@@ -297,7 +309,7 @@
 take_report_reply(leased_companion *self, Peers_Row *peer,
                   const lc_report_res *result)
 {
-    int64_t now = now_ms();
+    int64_t now = now_ms(self);
     u_int i;
 
     Runner_TakeClosures(self->runner, now, peer->asked_ms, &result->closures,
@@ -319,7 +331,8 @@
 {
     leased_companion *self = context;
 
-    Runner_TakeClosures(self->runner, now_ms(), asked_ms, told, "the store");
+    Runner_TakeClosures(self->runner, now_ms(self), asked_ms, told,
+                        "the store");
 }
 
 static const Store_Ports halls_ports = {.closures = on_closures};
@@ -356,11 +369,12 @@
 
     if (Upstreams_ReadBeat(instance, request->body, request->length, &beat,
                            &status) != ERR_OK) {
+        Counter_Add(role_counters(&self->process), COUNTER_HEARTBEATS_BAD, 1);
         Http_RespondError(self->beats, request->id, status.kind,
                           status.message, 0);
     }
     else {
-        Runner_OnUpstream(self->runner, now_ms(), &beat.upstream);
+        Runner_OnUpstream(self->runner, now_ms(self), &beat.upstream);
         Http_RespondText(self->beats, request->id, OK_STATUS, 0, "{}");
     }
     Upstreams_FreeBeat(&beat);
@@ -378,7 +392,9 @@
         take_beat(self, request, instance);
         break;
     case UPSTREAMS_LEAVES:
-        Runner_OnUpstreamGone(self->runner, now_ms(), instance);
+        Runner_OnUpstreamGone(
+            self->runner, now_ms(self), instance,
+            Upstreams_ReadBorn(request->body, request->length));
         Http_RespondText(self->beats, request->id, OK_STATUS, 0, "{}");
         follow_up(self);
         break;
@@ -401,7 +417,7 @@
 role_tick(Process *process)
 {
     leased_companion *self = (leased_companion *)process;
-    int64_t now = now_ms();
+    int64_t now = now_ms(self);
 
     Seeds_Refresh(&self->seeds, &self->peers, now);
     LeasedRegistry_Tick(&self->registry, now);
@@ -418,7 +434,7 @@
     leased_companion *self = (leased_companion *)process;
 
     Event_Log(EVENT_STOPPING, "companion of leased jobs");
-    self->stop_ms = now_ms();
+    self->stop_ms = now_ms(self);
     process->end_by_ms = self->stop_ms + process->options->grace_ms -
                          STOP_MARGIN_MS;
     Runner_Drain(self->runner);
@@ -438,7 +454,7 @@
 {
     const leased_companion *self = (const leased_companion *)process;
 
-    return Runner_Dump(self->runner, now_ms());
+    return Runner_Dump(self->runner, Clock_NowMs());
 }
 
 static Counters *
@@ -452,14 +468,14 @@
 {
     leased_companion *self = (leased_companion *)process;
 
-    Runner_Metrics(self->runner, now_ms(), out);
+    Runner_Metrics(self->runner, now_ms(self), out);
 }
 
 static bool
 role_call(Process *process, uint64_t reply_id, const Msg_Call *call)
 {
     leased_companion *self = (leased_companion *)process;
-    bool served = Runner_OnCall(self->runner, now_ms(), reply_id, call);
+    bool served = Runner_OnCall(self->runner, now_ms(self), reply_id, call);
 
     follow_up(self);
     return served;
@@ -489,18 +505,19 @@
 static Runner *
 new_runner(leased_companion *self, const Options *options)
 {
-    Node_Time now = Process_Now();
+    Clock_Reading reading = Clock_Read();
     Term_Bounds bounds = {options->resubmit_ms, options->hold_max_ms,
                           options->stop_ms, PROCESS_TICK_MS};
     Runner_Config config = {.node = Process_NewNode(options),
                             .hall = options->hall,
-                            .first_token = now.wall_ms,
+                            .first_token = Process_Now().wall_ms,
                             .beat_ms = options->beat_ms};
 
     if (!Term_Plan(&bounds, &config.term)) {
         return NULL;
     }
-    return Runner_New(&config, &runner_ports, self, now.mono_ms);
+    Clock_Follow(&self->suspension, reading);
+    return Runner_New(&config, &runner_ports, self, reading.now_ms);
 }
 
 int
@@ -547,7 +564,7 @@
     }
     self->registry.named = on_named;
     self->registry.context = self;
-    LeasedRegistry_Tick(&self->registry, now_ms());
+    LeasedRegistry_Tick(&self->registry, now_ms(self));
     code = Process_Run(&self->process);
 done:
     if (self->runner != NULL) {
--- a/daemon/process.c
+++ b/daemon/process.c
@@ -6,6 +6,8 @@
 #include <string.h>
 #include <time.h>
 
+#include "base/clock.h"
+
 /* A drained process stays this long for answers on their way out. */
 #define LINGER_MS 300
 #define NS_PER_MS 1000000
@@ -19,7 +21,7 @@
     Node_Time now;
 
     clock_gettime(CLOCK_REALTIME, &wall);
-    now.mono_ms = (int64_t)(uv_hrtime() / NS_PER_MS);
+    now.mono_ms = Clock_NowMs();
     now.wall_ms = (int64_t)wall.tv_sec * 1000 + wall.tv_nsec / NS_PER_MS;
     return now;
 }
--- a/lease/active.h
+++ b/lease/active.h
@@ -40,6 +40,8 @@
     Active_State state;
     bool done;
     uint32_t failures; /**< ends that count as attempts */
+    uint32_t crashes;  /**< upstreams that crashed under it */
+    Address crashed;   /**< where the last of them is */
     lc_node host;      /**< of the last run */
     Address avoid;     /**< where it went wrong last */
     int64_t again_ms;  /**< nothing is sent for it before */
--- a/lease/dispatcher_calls.c
+++ b/lease/dispatcher_calls.c
@@ -50,6 +50,7 @@
     call.u.run.need = step->need;
     /* Of a task that lasts nothing is expected but that it goes on. */
     call.u.run.estimate_ms = step->long_running ? 0 : step->estimate_ms;
+    call.u.run.crashes = task->crashes;
     call.u.run.spec = job->spec.spec;
     send_call(self, &about, &call);
 }
--- a/lease/dispatcher_ends.c
+++ b/lease/dispatcher_ends.c
@@ -2,6 +2,12 @@
 
 /* Failures at upstreams on trial are no attempts, up to a number. */
 #define FREE_ATTEMPTS 4
+/* A task is given up when so many upstreams have crashed under it: the least
+ * that the platform's rules allow, as each crash takes all that runs beside
+ * it. One that lasts is one of a few, and may meet two by chance in its life:
+ * one more. */
+#define CRASHES_MOST 2
+#define CRASHES_MOST_LASTING 3
 
 Fleet_Host *
 DispatcherEnd_HostOf(const Dispatcher *self, const Active_Task *task)
@@ -217,6 +223,47 @@
     task->again_ms = not_before_ms;
 }
 
+static void
+log_crash(const Dispatcher *self, int64_t now_ms, const Active_Job *job,
+          const Active_Task *task)
+{
+    char detail[160];
+    char earlier[ADDRESS_TEXT_SIZE];
+
+    g_strlcpy(earlier,
+              task->crashes > 1 ? Address_Text(task->crashed) : "none",
+              sizeof(earlier));
+    g_snprintf(detail, sizeof(detail),
+               "task %u.%u, run %u: upstream beside %s crashed, %u so far, "
+               "the one before beside %s",
+               task->id.step, task->id.index, task->id.run,
+               Address_Text(task->host.address), task->crashes, earlier);
+    DispatcherLog_Job(self, EVENT_RUN_CRASHED, now_ms, job, detail);
+}
+
+bool
+DispatcherEnd_Crash(Dispatcher *self, int64_t now_ms, Active_Job *job,
+                    Active_Task *task)
+{
+    Dispatcher_Answer answer = {.outcome = DISPATCHER_FAILED,
+                                .kind = ERR_TASK_CRASHES,
+                                .message = "upstreams crash under a task"};
+    uint32_t most = Active_Step(job, task)->long_running ? CRASHES_MOST_LASTING
+                                                         : CRASHES_MOST;
+
+    task->crashes++;
+    Counter_Add(&self->counters, COUNTER_TASKS_CRASHED, 1);
+    log_crash(self, now_ms, job, task);
+    task->crashed = task->host.address;
+    if (job->closing || task->crashes < most) {
+        return false;
+    }
+    Counter_Add(&self->counters, COUNTER_JOBS_CRASHING, 1);
+    Active_Move(job, task, ACTIVE_OVER);
+    DispatcherEnd_Job(self, now_ms, job, &answer);
+    return true;
+}
+
 void
 DispatcherEnd_Fail(Dispatcher *self, int64_t now_ms, Active_Job *job,
                    Active_Task *task, const Fleet_Host *host)
--- a/lease/dispatcher_replies.c
+++ b/lease/dispatcher_replies.c
@@ -80,7 +80,12 @@
     }
     JobTrace_Add(job->trace, now_ms, JOB_TRACE_ENDED, &task->id,
                  task->host.address, (int32_t)status);
-    if (Active_Step(job, task)->long_running && status <= LC_RUN_STALLED) {
+    if (status == LC_RUN_CRASHED &&
+        DispatcherEnd_Crash(self, now_ms, job, task)) {
+        return;
+    }
+    if (Active_Step(job, task)->long_running &&
+        (status <= LC_RUN_STALLED || status == LC_RUN_CRASHED)) {
         task->avoid = task->host.address;
         DispatcherEnd_Requeue(self, job, task, now_ms + LAST_AGAIN_MS);
         return;
@@ -100,6 +105,7 @@
     case LC_RUN_STOPPED:
     case LC_RUN_LOST:
     case LC_RUN_STALLED:
+    case LC_RUN_CRASHED:
     case LC_RUN_OTHER_NODE:
         task->avoid = task->host.address;
         DispatcherEnd_Requeue(self, job, task, now_ms);
--- a/lease/dispatcher_state.h
+++ b/lease/dispatcher_state.h
@@ -110,6 +110,11 @@
 void DispatcherEnd_Fail(Dispatcher *self, int64_t now_ms, Active_Job *job,
                         Active_Task *task, const Fleet_Host *host);
 
+/** An upstream has crashed under the task's run. True if its job was given up
+ * for that, and is over; it may be freed. */
+bool DispatcherEnd_Crash(Dispatcher *self, int64_t now_ms, Active_Job *job,
+                         Active_Task *task);
+
 /** Answers a job and stops what runs of it. May free it. */
 void DispatcherEnd_Job(Dispatcher *self, int64_t now_ms, Active_Job *job,
                        const Dispatcher_Answer *answer);
--- a/lease/incarnations.c
+++ b/lease/incarnations.c
@@ -2,6 +2,11 @@
 
 #include <string.h>
 
+typedef struct {
+    int64_t born_ms;
+    char instance[]; /* ends with a NUL */
+} gone_life;
+
 void
 Incarnations_Init(Incarnations *list)
 {
@@ -15,12 +20,15 @@
 }
 
 bool
-Incarnations_IsGone(const Incarnations *list, const char *instance)
+Incarnations_IsGone(const Incarnations *list, const char *instance,
+                    int64_t born_ms)
 {
     const GList *item;
 
     for (item = list->gone.head; item != NULL; item = item->next) {
-        if (strcmp(item->data, instance) == 0) {
+        const gone_life *life = item->data;
+        if (life->born_ms == born_ms &&
+            strcmp(life->instance, instance) == 0) {
             return true;
         }
     }
@@ -28,12 +36,19 @@
 }
 
 void
-Incarnations_NoteGone(Incarnations *list, const char *instance)
+Incarnations_NoteGone(Incarnations *list, const char *instance,
+                      int64_t born_ms)
 {
-    if (instance[0] == '\0' || Incarnations_IsGone(list, instance)) {
+    size_t size = strlen(instance) + 1;
+    gone_life *life;
+
+    if (instance[0] == '\0' || Incarnations_IsGone(list, instance, born_ms)) {
         return;
     }
-    g_queue_push_head(&list->gone, g_strdup(instance));
+    life = g_malloc(sizeof(*life) + size);
+    life->born_ms = born_ms;
+    memcpy(life->instance, instance, size);
+    g_queue_push_head(&list->gone, life);
     if (g_queue_get_length(&list->gone) > INCARNATIONS_MOST) {
         g_free(g_queue_pop_tail(&list->gone));
     }
--- a/lease/keeper.c
+++ b/lease/keeper.c
@@ -140,7 +140,7 @@
         cancel_own(keeper, now_ms, change.job);
         break;
     case KEPT_ALIVE:
-        KeeperOwner_Wrote(keeper, now_ms, change.gone.incarnation);
+        KeeperOwner_Wrote(keeper, now_ms, change.gone);
         break;
     case KEPT_CLAIMED:
         KeeperOwner_Claimed(keeper, now_ms, change.gone, change.successor);
@@ -184,8 +184,8 @@
     for (i = 0; i < over->len; i++) {
         const Kept_Job *job = g_ptr_array_index(over, i);
         for (j = 0; j < job->submitters->len; j++) {
-            Kept_SubmitKey(job->id,
-                           g_array_index(job->submitters, uint64_t, j), key);
+            Kept_SubmitKey(job->id, g_array_index(job->submitters, lc_node, j),
+                           key);
             keeper->ports->put(keeper->context, key, NULL, 0);
         }
         Kept_CancelKey(job->id, key);
@@ -193,7 +193,7 @@
             keeper->ports->put(keeper->context, key, NULL, 0);
         }
         for (j = 0; j < job->writers->len; j++) {
-            Kept_ProgressKey(job->id, g_array_index(job->writers, uint64_t, j),
+            Kept_ProgressKey(job->id, g_array_index(job->writers, lc_node, j),
                              key);
             keeper->ports->put(keeper->context, key, NULL, 0);
         }
--- a/lease/keeper_callers.c
+++ b/lease/keeper_callers.c
@@ -108,7 +108,7 @@
     body->owner = owner;
     body->queue = submit->route->name;
     body->body = (char *)(uintptr_t)submit->body;
-    Kept_SubmitKey(submit->job->id, keeper->node.incarnation, key);
+    Kept_SubmitKey(submit->job->id, keeper->node, key);
     return Keeper_Put(keeper, key, &record);
 }
 
--- a/lease/keeper_jobs.c
+++ b/lease/keeper_jobs.c
@@ -64,7 +64,7 @@
     progress->failures.failures_val =
         (lc_kept_failures *)(void *)row->failures->data;
     progress->failures.failures_len = row->failures->len;
-    Kept_ProgressKey(row->id, keeper->node.incarnation, key);
+    Kept_ProgressKey(row->id, keeper->node, key);
     number = Keeper_Put(keeper, key, &record);
     for (i = 0; i < row->ends->len; i++) {
         Keeper_End end = g_array_index(row->ends, Keeper_End, i);
--- a/lease/keeper_owners.c
+++ b/lease/keeper_owners.c
@@ -125,18 +125,26 @@
     return now_ms;
 }
 
+/* Whether a record's key names a node; some name its incarnation alone. */
+static bool
+is_writer(const lc_node *node, const lc_node *writer)
+{
+    return node->incarnation == writer->incarnation &&
+           (writer->address == 0 || node->address == writer->address);
+}
+
 void
-KeeperOwner_Wrote(Keeper *keeper, int64_t now_ms, uint64_t incarnation)
+KeeperOwner_Wrote(Keeper *keeper, int64_t now_ms, lc_node writer)
 {
     guint i;
 
-    if (incarnation == keeper->node.incarnation) {
+    if (is_writer(&keeper->node, &writer)) {
         keeper->wrote_ms = now_ms;
         return;
     }
     for (i = 0; i < keeper->seen->len; i++) {
         Keeper_Seen *row = &g_array_index(keeper->seen, Keeper_Seen, i);
-        if (row->owner.incarnation == incarnation) {
+        if (is_writer(&row->owner, &writer)) {
             row->since_ms = now_ms;
         }
     }
@@ -186,7 +194,7 @@
     record.body.kind = LC_KEPT_CLAIM;
     claim->gone = *gone;
     claim->successor = *successor;
-    Kept_ClaimKey(gone, keeper->node.incarnation, key);
+    Kept_ClaimKey(gone, keeper->node, key);
     Keeper_Put(keeper, key, &record);
     g_array_append_val(keeper->claims, *gone);
     keeper->claimed_ms = now_ms;
--- a/lease/keeper_state.h
+++ b/lease/keeper_state.h
@@ -182,7 +182,7 @@
 lc_node KeeperOwner_Other(const Keeper *keeper, int64_t now_ms);
 
 /** An owner has written a record: it lives, whether others hear it or not. */
-void KeeperOwner_Wrote(Keeper *keeper, int64_t now_ms, uint64_t incarnation);
+void KeeperOwner_Wrote(Keeper *keeper, int64_t now_ms, lc_node writer);
 
 /** Writes that this owner lives, if it has jobs and wrote nothing lately. */
 void KeeperOwner_SayAlive(Keeper *keeper, int64_t now_ms);
--- a/lease/kept.c
+++ b/lease/kept.c
@@ -59,16 +59,30 @@
     g_free(kept);
 }
 
+static void
+format_key(char letter, uint64_t about, lc_node writer,
+           char key[KEPT_KEY_SIZE])
+{
+    gsize length = (gsize)g_snprintf(key, KEPT_KEY_SIZE,
+                                     "%c%016" PRIx64 ".%" PRIx64, letter,
+                                     about, (uint64_t)writer.incarnation);
+
+    if (writer.address != 0) {
+        g_snprintf(key + length, KEPT_KEY_SIZE - length, ".%" PRIx64,
+                   (uint64_t)writer.address);
+    }
+}
+
 void
-Kept_SubmitKey(uint64_t job, uint64_t writer, char key[KEPT_KEY_SIZE])
+Kept_SubmitKey(uint64_t job, lc_node writer, char key[KEPT_KEY_SIZE])
 {
-    g_snprintf(key, KEPT_KEY_SIZE, "s%016" PRIx64 ".%" PRIx64, job, writer);
+    format_key('s', job, writer, key);
 }
 
 void
-Kept_ProgressKey(uint64_t job, uint64_t writer, char key[KEPT_KEY_SIZE])
+Kept_ProgressKey(uint64_t job, lc_node writer, char key[KEPT_KEY_SIZE])
 {
-    g_snprintf(key, KEPT_KEY_SIZE, "p%016" PRIx64 ".%" PRIx64, job, writer);
+    format_key(PROGRESS_LETTER, job, writer, key);
 }
 
 void
@@ -78,10 +92,14 @@
 }
 
 void
-Kept_ClaimKey(const lc_node *gone, uint64_t writer, char key[KEPT_KEY_SIZE])
+Kept_ClaimKey(const lc_node *gone, lc_node writer, char key[KEPT_KEY_SIZE])
 {
-    g_snprintf(key, KEPT_KEY_SIZE, "c%016" PRIx64 ".%" PRIx64,
-               (uint64_t)gone->incarnation, writer);
+    gsize length;
+
+    format_key('c', gone->incarnation, writer, key);
+    length = strlen(key);
+    g_snprintf(key + length, KEPT_KEY_SIZE - length, ".%" PRIx64,
+               (uint64_t)gone->address);
 }
 
 /* One for each address, whatever its incarnation. */
@@ -128,34 +146,38 @@
     job->queue = g_strdup(queue);
     job->done = g_byte_array_new();
     job->failures = g_array_new(FALSE, TRUE, sizeof(lc_kept_failures));
-    job->submitters = g_array_new(FALSE, TRUE, sizeof(uint64_t));
-    job->writers = g_array_new(FALSE, TRUE, sizeof(uint64_t));
+    job->submitters = g_array_new(FALSE, TRUE, sizeof(lc_node));
+    job->writers = g_array_new(FALSE, TRUE, sizeof(lc_node));
     g_hash_table_insert(kept->jobs, &job->id, job);
     return job;
 }
 
 static void
-note_writer(GArray *writers, uint64_t writer)
+note_writer(GArray *writers, lc_node writer)
 {
-    guint i;
-
-    for (i = 0; i < writers->len; i++) {
-        if (g_array_index(writers, uint64_t, i) == writer) {
-            return;
-        }
+    if (!Msg_HasNode(writers, &writer)) {
+        g_array_append_val(writers, writer);
     }
-    g_array_append_val(writers, writer);
 }
 
-uint64_t
+lc_node
 Kept_Writer(const Kept_Record *record)
 {
     char text[KEPT_KEY_SIZE];
+    lc_node writer = {0, 0};
     const char *dot;
+    char *end;
 
     g_strlcpy(text, record->key, MIN(record->key_length + 1, sizeof(text)));
     dot = strchr(text, '.');
-    return dot == NULL ? 0 : g_ascii_strtoull(dot + 1, NULL, HEX_DIGITS);
+    if (dot == NULL) {
+        return writer;
+    }
+    writer.incarnation = g_ascii_strtoull(dot + 1, &end, HEX_DIGITS);
+    if (*end == '.') {
+        writer.address = g_ascii_strtoull(end + 1, NULL, HEX_DIGITS);
+    }
+    return writer;
 }
 
 static Kept_Change
--- a/lease/kept.h
+++ b/lease/kept.h
@@ -20,7 +20,7 @@
 #include "wire/msg.h"
 
 /** Size of the text of a key with its NUL. */
-#define KEPT_KEY_SIZE 48
+#define KEPT_KEY_SIZE 64
 
 /** One job. Owned by its table. */
 typedef struct {
@@ -36,8 +36,8 @@
     int64_t over_ms;      /**< when an outcome was first taken */
     GByteArray *done;     /**< a bit for each task */
     GArray *failures;     /**< lc_kept_failures */
-    GArray *submitters;   /**< uint64_t incarnations with a submission */
-    GArray *writers;      /**< uint64_t incarnations with progress */
+    GArray *submitters;   /**< lc_node, with a submission */
+    GArray *writers;      /**< lc_node, with progress */
 } Kept_Job;
 
 /** What a record changed. */
@@ -102,15 +102,17 @@
 /** Number of jobs that are not over. */
 uint32_t Kept_OpenCount(const Kept *kept);
 
-/** Incarnation that wrote a record, or 0. */
-uint64_t Kept_Writer(const Kept_Record *record);
+/** Who wrote a record, as its key tells: the incarnation is 0 if that is not
+ * told there; the address is 0 in keys of versions that left it out. */
+lc_node Kept_Writer(const Kept_Record *record);
 
-/** Keys, written into a text. */
-void Kept_SubmitKey(uint64_t job, uint64_t writer, char key[KEPT_KEY_SIZE]);
-void Kept_ProgressKey(uint64_t job, uint64_t writer, char key[KEPT_KEY_SIZE]);
+/** Keys, written into a text. The writer stands there with its address: of
+ * processes that start at one moment two may have the same incarnation. */
+void Kept_SubmitKey(uint64_t job, lc_node writer, char key[KEPT_KEY_SIZE]);
+void Kept_ProgressKey(uint64_t job, lc_node writer, char key[KEPT_KEY_SIZE]);
 void Kept_CancelKey(uint64_t job, char key[KEPT_KEY_SIZE]);
 void Kept_AliveKey(const lc_node *owner, char key[KEPT_KEY_SIZE]);
-void Kept_ClaimKey(const lc_node *gone, uint64_t writer,
+void Kept_ClaimKey(const lc_node *gone, lc_node writer,
                    char key[KEPT_KEY_SIZE]);
 
 /** Whether a task is marked in a map of done tasks. */
--- a/lease/run_status.h
+++ b/lease/run_status.h
@@ -7,6 +7,9 @@
 
 #include "wire/msg.h"
 
+/** Number of statuses. */
+#define RUN_STATUS_COUNT (LC_RUN_CRASHED + 1)
+
 /** Short text of a status; "unknown" for numbers that are none. */
 const char *RunStatus_Text(int status);
 
--- a/lease/runner.c
+++ b/lease/runner.c
@@ -98,6 +98,27 @@
     state->held_long = runner->held_long;
 }
 
+/* Of tasks under which an upstream has crashed only one runs here at a time:
+ * if there is another crash, it is known which of them to blame. */
+static bool
+is_apart(const Runner *runner, const lc_run_args *args)
+{
+    GHashTableIter iter;
+    gpointer item;
+
+    if (args->crashes == 0) {
+        return true;
+    }
+    g_hash_table_iter_init(&iter, runner->tasks);
+    while (g_hash_table_iter_next(&iter, NULL, &item)) {
+        const Runner_Task *row = item;
+        if (row->state != TASK_ENDED && row->crashes > 0) {
+            return false;
+        }
+    }
+    return true;
+}
+
 /* LC_RUN_DONE if it may start. */
 static lc_run_status
 admit(const Runner *runner, int64_t now_ms, const lc_run_args *args)
@@ -126,7 +147,7 @@
     if (RunId_IsKept(&args->id) && runner->unreleased >= RUNNER_MOST_HELD) {
         return LC_RUN_NO_ROOM;
     }
-    if (!Resources_Fit(&args->need, &room) ||
+    if (!Resources_Fit(&args->need, &room) || !is_apart(runner, args) ||
         !Health_Admits(&runner->health, now_ms, runner->live)) {
         return LC_RUN_NO_ROOM;
     }
@@ -301,13 +322,24 @@
     g_list_free(rows);
     if (runner->live > 0 && runner->up.doubtful &&
         now_ms > runner->hold_until_ms + runner->config.term.stop_ms) {
-        RunnerTask_EndAll(runner, now_ms, LC_RUN_LOST);
+        RunnerTask_LoseAll(runner, now_ms,
+                           runner->up.refused && !runner->up.draining);
     }
     RunnerOwner_Forget(runner, now_ms);
     Health_Fade(&runner->health, now_ms);
     RunnerLook_Send(runner, now_ms);
 }
 
+void
+Runner_OnSuspended(Runner *runner, int64_t now_ms, int64_t suspended_ms)
+{
+    runner->up.clock_read_ms = MIN(runner->up.clock_read_ms + suspended_ms,
+                                   now_ms);
+    if (runner->hold_until_ms > 0) {
+        runner->hold_until_ms += suspended_ms;
+    }
+}
+
 int64_t
 Runner_DueMs(const Runner *runner)
 {
@@ -396,7 +428,7 @@
 void
 Runner_Metrics(const Runner *runner, int64_t now_ms, GString *out)
 {
-    static const char *const statuses[LC_RUN_CLOSED + 1] = {
+    static const char *const statuses[RUN_STATUS_COUNT] = {
         [LC_RUN_NO_ROOM] = "no_room",       [LC_RUN_EXPIRED] = "expired",
         [LC_RUN_DRAINING] = "draining",     [LC_RUN_NOT_READY] = "not_ready",
         [LC_RUN_OTHER_NODE] = "other_node", [LC_RUN_CLOSED] = "hall_closed",
@@ -408,7 +440,7 @@
     Closures_Metrics(&runner->closures, now_ms, out);
     Histogram_Print(&runner->orders_time, "order", "", out);
     Histogram_Print(&runner->runs, "task_run", "", out);
-    for (i = 0; i <= LC_RUN_CLOSED; i++) {
+    for (i = 0; i < RUN_STATUS_COUNT; i++) {
         if (statuses[i] != NULL) {
             g_string_append_printf(
                 out,
--- a/lease/runner.h
+++ b/lease/runner.h
@@ -62,6 +62,8 @@
 /** What an upstream says of itself. */
 typedef struct {
     const char *instance;
+    int64_t born_ms;   /**< wall clock of its start, which tells its lives
+                            under one name apart; 0 if it told none */
     uint64_t sequence; /**< of its heartbeats: the later is the higher */
     const char *service;
     Runner_Says says;
@@ -105,6 +107,7 @@
 typedef struct {
     Runner_OrderEnd end; /**< TAKEN, or the lists are empty */
     int64_t clock_ms;
+    int64_t born_ms; /**< as in Runner_Upstream */
     const Runner_Row *running;
     uint32_t running_count;
     const Runner_EndRow *ended;
@@ -142,9 +145,14 @@
 void Runner_OnUpstream(Runner *runner, int64_t now_ms,
                        const Runner_Upstream *upstream);
 
-/** The upstream has said that it ends. */
+/** The upstream has said that it ends; @p born_ms as in Runner_Upstream. */
 void Runner_OnUpstreamGone(Runner *runner, int64_t now_ms,
-                           const char *instance);
+                           const char *instance, int64_t born_ms);
+
+/** The machine was suspended for @p suspended_ms until now. The upstream's
+ * clock stood still as well, or did not: what is worked out from it takes the
+ * case that is worse. To be called before anything that came since. */
+void Runner_OnSuspended(Runner *runner, int64_t now_ms, int64_t suspended_ms);
 
 /** An entry calls; false if runners do not answer such calls. */
 bool Runner_OnCall(Runner *runner, int64_t now_ms, uint64_t reply_id,
--- a/lease/runner_look.c
+++ b/lease/runner_look.c
@@ -199,6 +199,11 @@
         stop_stranger(runner, &running->id);
         return;
     }
+    if (RunnerTask_IsOfEarlierLife(runner, row)) {
+        /* It came late, with a deadline on another life's clock. */
+        RunnerTask_Stop(runner, now_ms, row, LC_RUN_LOST);
+        return;
+    }
     if (row->state == TASK_ORDERED) {
         row->state = TASK_RUNNING;
         row->confirmed_ms = now_ms;
@@ -274,10 +279,16 @@
     return false;
 }
 
-/* Whether a task that the look does not list can neither run nor come. */
+/* Whether a task that the look does not list can neither run nor come. All
+ * looks in this life carry a token above that of earlier lives' starts, so
+ * that none of these is carried out behind them. */
 static bool
-is_over(const Runner_OpenLook *look, const Runner_Task *row, int64_t clock_ms)
+is_over(const Runner *runner, const Runner_OpenLook *look,
+        const Runner_Task *row, int64_t clock_ms)
 {
+    if (RunnerTask_IsOfEarlierLife(runner, row)) {
+        return true;
+    }
     if (row->confirmed_ms > 0 && row->confirmed_ms < look->sent_ms) {
         return true;
     }
@@ -297,15 +308,27 @@
     for (item = rows; item != NULL; item = item->next) {
         Runner_Task *row = item->data;
         if (row->state != TASK_ENDED && !is_listed(listing, &row->id) &&
-            is_over(look, row, listing->clock_ms)) {
-            RunnerTask_End(runner, now_ms, row,
-                           row->state == TASK_STOPPING ? row->status
-                                                       : LC_RUN_LOST);
+            is_over(runner, look, row, listing->clock_ms)) {
+            RunnerTask_Lose(runner, now_ms, row,
+                            RunnerTask_IsOfEarlierLife(runner, row) &&
+                                !runner->up.drained);
         }
     }
     g_list_free(rows);
 }
 
+/* Nothing is started before the upstream was found empty, so that it holds
+ * nothing then. */
+static void
+take_inventory(Runner *runner, bool empty)
+{
+    runner->up.inventoried = empty;
+    runner->version++;
+    if (empty) {
+        runner->hold_until_ms = 0;
+    }
+}
+
 static void
 take_listing(Runner *runner, int64_t now_ms, const Runner_OpenLook *look,
              const Runner_Listing *listing)
@@ -313,6 +336,7 @@
     uint32_t i;
 
     runner->up.doubtful = false;
+    runner->up.refused = false;
     runner->up.acknowledged = MAX(runner->up.acknowledged, look->last_seen);
     RunnerUpstream_TakeClock(runner, now_ms, listing->clock_ms);
     for (i = 0; i < listing->ended_count; i++) {
@@ -326,8 +350,7 @@
     }
     judge_pace(runner, now_ms);
     if (!runner->up.inventoried) {
-        runner->up.inventoried = listing->running_count == 0;
-        runner->version++;
+        take_inventory(runner, listing->running_count == 0);
     }
 }
 
@@ -373,7 +396,7 @@
           Runner_OrderEnd end)
 {
     if (end == RUNNER_ORDER_UNSENT) {
-        RunnerUpstream_Doubt(runner, "no connection");
+        RunnerUpstream_Refused(runner);
     }
     if (look->due_ms != INT64_MAX) {
         miss_look(runner, now_ms, look);
@@ -407,6 +430,9 @@
     switch (listing->end) {
     case RUNNER_ORDER_TAKEN:
         take_look_answer(runner, now_ms, &look);
+        if (RunnerUpstream_MeetLife(runner, now_ms, listing->born_ms)) {
+            break;
+        }
         RunnerUpstream_Confirm(runner, look.id);
         take_listing(runner, now_ms, &look, listing);
         break;
--- a/lease/runner_orders.c
+++ b/lease/runner_orders.c
@@ -127,13 +127,22 @@
     }
 }
 
+/* A start that an earlier life may not have got is not sent to the next one:
+ * its deadline is on the clock of the former. */
+static bool
+is_pending(const Runner *runner, const Runner_Task *row)
+{
+    return row->state == TASK_STOPPING ||
+           !RunnerTask_IsOfEarlierLife(runner, row);
+}
+
 void
 RunnerOrder_Retry(Runner *runner, int64_t now_ms, Runner_Task *row)
 {
     uint32_t copies = row->state == TASK_STOPPING ? row->stop_copies
                                                   : row->start_copies;
 
-    if (row->state != TASK_ENDED &&
+    if (row->state != TASK_ENDED && is_pending(runner, row) &&
         now_ms - row->order_ms >= pause_ms(runner, copies)) {
         resend(runner, now_ms, row);
     }
@@ -178,7 +187,7 @@
  * A copy whose connection broke is missed at once. */
 static Runner_Task *
 take_answer(Runner *runner, int64_t now_ms, uint64_t order_id,
-            Runner_OrderEnd end)
+            Runner_OrderEnd end, int64_t clock_ms)
 {
     Runner_Order *order = Handle_Remove(runner->orders, order_id);
     Runner_Task *row;
@@ -189,6 +198,10 @@
     }
     row = Handle_Get(runner->by_handle, order->task);
     in_time = order->due_ms != INT64_MAX;
+    if (end != RUNNER_ORDER_OTHER && row != NULL &&
+        !RunnerTask_IsOfEarlierLife(runner, row)) {
+        RunnerUpstream_CheckClock(runner, now_ms, order->sent_ms, clock_ms);
+    }
     if (end != RUNNER_ORDER_UNSENT && end != RUNNER_ORDER_UNANSWERED) {
         AnswerTime_Take(&runner->answers, now_ms - order->sent_ms);
         RunnerOrder_NoteAnswer(runner, in_time);
@@ -262,11 +275,13 @@
         refuse_copy(runner, now_ms, row, LC_RUN_REJECTED);
         break;
     case RUNNER_ORDER_UNSENT:
-        RunnerUpstream_Doubt(runner, "no connection");
+        RunnerUpstream_Refused(runner);
         refuse_copy(runner, now_ms, row, LC_RUN_REJECTED);
         break;
     case RUNNER_ORDER_FENCED:
-        RunnerUpstream_RaiseToken(runner);
+        if (!RunnerTask_IsOfEarlierLife(runner, row)) {
+            RunnerUpstream_RaiseToken(runner);
+        }
         refuse_copy(runner, now_ms, row, LC_RUN_REJECTED);
         break;
     default:
@@ -277,13 +292,14 @@
     }
 }
 
-/* The answer to a task's order has the clock of the incarnation in force, as
- * tasks end with theirs, but where another incarnation answers. */
+/* The answer to a task's order has the clock of the life that it was ordered
+ * from, but where another incarnation answers. */
 static void
-take_clock(Runner *runner, int64_t now_ms, Runner_OrderEnd end,
-           int64_t clock_ms)
+take_clock(Runner *runner, int64_t now_ms, const Runner_Task *row,
+           Runner_OrderEnd end, int64_t clock_ms)
 {
-    if (end != RUNNER_ORDER_OTHER) {
+    if (end != RUNNER_ORDER_OTHER &&
+        !RunnerTask_IsOfEarlierLife(runner, row)) {
         RunnerUpstream_TakeClock(runner, now_ms, clock_ms);
     }
 }
@@ -292,12 +308,12 @@
 Runner_OnStarted(Runner *runner, int64_t now_ms, uint64_t order_id,
                  Runner_OrderEnd end, int64_t clock_ms)
 {
-    Runner_Task *row = take_answer(runner, now_ms, order_id, end);
+    Runner_Task *row = take_answer(runner, now_ms, order_id, end, clock_ms);
 
     if (row == NULL) {
         return;
     }
-    take_clock(runner, now_ms, end, clock_ms);
+    take_clock(runner, now_ms, row, end, clock_ms);
     Histogram_Add(&runner->orders_time, now_ms - row->ordered_ms);
     take_start(runner, now_ms, row, end);
     RunnerLook_Send(runner, now_ms);
@@ -307,7 +323,7 @@
 Runner_OnStopped(Runner *runner, int64_t now_ms, uint64_t order_id,
                  Runner_OrderEnd end, int64_t clock_ms)
 {
-    Runner_Task *row = take_answer(runner, now_ms, order_id, end);
+    Runner_Task *row = take_answer(runner, now_ms, order_id, end, clock_ms);
 
     if (end == RUNNER_ORDER_FENCED) {
         RunnerUpstream_RaiseToken(runner);
@@ -315,7 +331,7 @@
     if (row == NULL) {
         return;
     }
-    take_clock(runner, now_ms, end, clock_ms);
+    take_clock(runner, now_ms, row, end, clock_ms);
     if (end == RUNNER_ORDER_TAKEN) {
         row->stop_confirmed = true;
         row->stop_confirmed_ms = now_ms;
--- a/lease/runner_state.h
+++ b/lease/runner_state.h
@@ -17,6 +17,7 @@
 #include "lease/closures.h"
 #include "lease/health.h"
 #include "lease/incarnations.h"
+#include "lease/run_status.h"
 #include "lease/runner.h"
 
 typedef enum {
@@ -32,6 +33,8 @@
     lc_resources need;
     char *spec;
     uint32_t estimate_ms;
+    uint32_t crashes; /* upstreams that crashed under the task before */
+    uint32_t life;    /* of the upstream that it was ordered from */
     Runner_TaskState state;
     lc_run_status status; /* while stopping, and at the end */
     Handle handle;
@@ -65,6 +68,9 @@
     bool draining;
     bool inventoried; /* nothing of an earlier companion runs there */
     char *instance;
+    int64_t born_ms;   /* 0 while it told no start */
+    uint32_t life;     /* rises whenever another life is in force */
+    bool drained;      /* the life before took no more tasks at its end */
     uint64_t sequence; /* of its last heartbeat in order */
     char *service;
     char **labels;
@@ -75,6 +81,7 @@
     uint64_t last_seen;
     uint64_t acknowledged; /* the last_seen of the last answered look */
     bool doubtful;         /* it answers nothing */
+    bool refused;          /* and nothing listens at its address */
 } Runner_Known;
 
 /* A heartbeat of another incarnation than the one in force. The upstream's
@@ -114,9 +121,9 @@
     const Runner_Ports *ports;
     void *context;
     Counters counters;
-    Histogram orders_time;                /* from a start to its answer */
-    Histogram runs;                       /* of tasks that ended well */
-    uint64_t refusals[LC_RUN_CLOSED + 1]; /* by status */
+    Histogram orders_time;               /* from a start to its answer */
+    Histogram runs;                      /* of tasks that ended well */
+    uint64_t refusals[RUN_STATUS_COUNT]; /* by status */
     Health health;
     Runner_Known up;
     Runner_Successor successor;
@@ -176,8 +183,16 @@
 void RunnerTask_End(Runner *runner, int64_t now_ms, Runner_Task *row,
                     lc_run_status status);
 
-/** Ends all tasks alike. */
-void RunnerTask_EndAll(Runner *runner, int64_t now_ms, lc_run_status status);
+/** The upstream that had a task is gone, or has begun another life, and the
+ * task neither runs nor can begin. @p crashed: it went without a word. */
+void RunnerTask_Lose(Runner *runner, int64_t now_ms, Runner_Task *row,
+                     bool crashed);
+
+/** Loses all tasks. */
+void RunnerTask_LoseAll(Runner *runner, int64_t now_ms, bool crashed);
+
+/** Whether a task was ordered from an earlier life of the upstream. */
+bool RunnerTask_IsOfEarlierLife(const Runner *runner, const Runner_Task *row);
 
 /** Begins to stop a task, which is to end as @p status. */
 void RunnerTask_Stop(Runner *runner, int64_t now_ms, Runner_Task *row,
@@ -273,12 +288,21 @@
 void RunnerUpstream_TakeClock(Runner *runner, int64_t now_ms,
                               int64_t clock_ms);
 
-/** All that ran there is lost. */
-void RunnerUpstream_Lose(Runner *runner, int64_t now_ms, const char *reason);
-
 /** It answers nothing: it is sent nothing but looks until it does. */
 void RunnerUpstream_Doubt(Runner *runner, const char *reason);
 
+/** No connection to it can be opened. */
+void RunnerUpstream_Refused(Runner *runner);
+
+/** The answer to something that was sent at @p sent_ms shows a clock that has
+ * gone back: another life may have answered. */
+void RunnerUpstream_CheckClock(Runner *runner, int64_t now_ms, int64_t sent_ms,
+                               int64_t clock_ms);
+
+/** The upstream has told in an answer when it started. True if that begins
+ * another life, and the rest of the answer is of no use. */
+bool RunnerUpstream_MeetLife(Runner *runner, int64_t now_ms, int64_t born_ms);
+
 /** Another incarnation than the one known has answered. */
 void RunnerUpstream_MeetOther(Runner *runner, int64_t now_ms);
 
--- a/lease/runner_tasks.c
+++ b/lease/runner_tasks.c
@@ -7,6 +7,10 @@
 #include "lease/run_id.h"
 #include "lease/run_status.h"
 
+/* A task that crashes its upstream does so soon after it started, or by the
+ * end of its work. Chosen: far above the time until a crash is noticed (a hold
+ * of 600 ms, a heartbeat), far below the life of a task that lasts. */
+#define BLAME_MS 3000
 /* Replies owed carry their kind in the lowest bit. */
 #define OWED_HALT 1U
 
@@ -142,14 +146,36 @@
     return g_hash_table_get_values(runner->tasks);
 }
 
+bool
+RunnerTask_IsOfEarlierLife(const Runner *runner, const Runner_Task *row)
+{
+    return row->life != runner->up.life;
+}
+
+void
+RunnerTask_Lose(Runner *runner, int64_t now_ms, Runner_Task *row, bool crashed)
+{
+    int64_t young_ms = MAX(BLAME_MS, 2 * (int64_t)row->estimate_ms);
+
+    if (row->state == TASK_STOPPING) {
+        RunnerTask_End(runner, now_ms, row, row->status);
+    }
+    else if (crashed && now_ms - row->ordered_ms <= young_ms) {
+        RunnerTask_End(runner, now_ms, row, LC_RUN_CRASHED);
+    }
+    else {
+        RunnerTask_End(runner, now_ms, row, LC_RUN_LOST);
+    }
+}
+
 void
-RunnerTask_EndAll(Runner *runner, int64_t now_ms, lc_run_status status)
+RunnerTask_LoseAll(Runner *runner, int64_t now_ms, bool crashed)
 {
     GList *rows = RunnerTask_All(runner);
     GList *item;
 
     for (item = rows; item != NULL; item = item->next) {
-        RunnerTask_End(runner, now_ms, item->data, status);
+        RunnerTask_Lose(runner, now_ms, item->data, crashed);
     }
     g_list_free(rows);
 }
@@ -163,6 +189,8 @@
     row->owner = args->owner;
     row->need = args->need;
     row->estimate_ms = args->estimate_ms;
+    row->crashes = args->crashes;
+    row->life = runner->up.life;
     row->spec = g_strdup(args->spec);
     row->waiting = g_array_new(FALSE, FALSE, sizeof(uint64_t));
     row->ordered_ms = now_ms;
--- a/lease/term.c
+++ b/lease/term.c
@@ -32,6 +32,7 @@
     term->stop_ms = bounds->stop_ms;
     term->tick_ms = bounds->tick_ms;
     term->hold_ms = MIN(each, bounds->hold_max_ms);
+    term->hold_most_ms = bounds->hold_max_ms;
     term->lease_ms = each;
     return each >= LEAST_TERM_MS;
 }
--- a/lease/term.h
+++ b/lease/term.h
@@ -21,10 +21,11 @@
 
 /** Times in ms. */
 typedef struct {
-    int64_t lease_ms; /**< an entry's hold on its runs at a companion */
-    int64_t hold_ms;  /**< a companion's hold on its upstream, at most */
-    int64_t stop_ms;  /**< an upstream needs so long to stop a task */
-    int64_t tick_ms;  /**< a companion looks at its leases so often */
+    int64_t lease_ms;     /**< an entry's hold on its runs at a companion */
+    int64_t hold_ms;      /**< a companion's hold on its upstream, at most */
+    int64_t hold_most_ms; /**< an upstream cuts any hold to this */
+    int64_t stop_ms;      /**< an upstream needs so long to stop a task */
+    int64_t tick_ms;      /**< a companion looks at its leases so often */
 } Term;
 
 /** What the platform promises, in ms. */
--- a/tests/lease_rules.c
+++ b/tests/lease_rules.c
@@ -24,6 +24,7 @@
     uint64_t id;
     uint64_t job; /* of a RUN */
     uint32_t run;
+    uint32_t crashes;
     int64_t valid_until_ms;
     int64_t at_ms;
 } sent_call;
@@ -60,6 +61,7 @@
     if (call->kind == MSG_RUN) {
         sent->job = call->u.run.id.job;
         sent->run = call->u.run.id.run;
+        sent->crashes = call->u.run.crashes;
         sent->valid_until_ms = call->u.run.valid_until_ms;
     }
     fix->count++;
@@ -401,6 +403,65 @@
     free_dispatcher(&fix);
 }
 
+/* The companions are told of it, so that such tasks run apart; after the
+ * second upstream the job is given up at once. */
+static void
+test_two_crashes(void)
+{
+    dispatcher_fixture fix;
+
+    new_dispatcher(&fix);
+    report_of(&fix, &other_companion);
+    hand_in(&fix, 1, 1);
+    g_assert_cmpuint(last_of(&fix, MSG_RUN)->crashes, ==, 0);
+    reply_run(&fix, last_of(&fix, MSG_RUN), LC_RUN_CRASHED);
+    g_assert_cmpint(fix.answers, ==, 0);
+    g_assert_cmpint(calls_of(&fix, MSG_RUN), ==, 2);
+    g_assert_cmpuint(last_of(&fix, MSG_RUN)->crashes, ==, 1);
+    reply_run(&fix, last_of(&fix, MSG_RUN), LC_RUN_CRASHED);
+    g_assert_cmpint(fix.answers, ==, 1);
+    g_assert_cmpint(fix.outcome, ==, DISPATCHER_FAILED);
+    g_assert_cmpint(calls_of(&fix, MSG_RUN), ==, 2);
+    free_dispatcher(&fix);
+}
+
+/* A run that was lost in another way blames nobody. */
+static void
+test_losses_are_no_crashes(void)
+{
+    dispatcher_fixture fix;
+    int i;
+
+    new_dispatcher(&fix);
+    hand_in(&fix, 1, 1);
+    for (i = 0; i < 4; i++) {
+        reply_run(&fix, last_of(&fix, MSG_RUN), LC_RUN_LOST);
+        g_assert_cmpuint(last_of(&fix, MSG_RUN)->crashes, ==, 0);
+    }
+    g_assert_cmpint(fix.answers, ==, 0);
+    free_dispatcher(&fix);
+}
+
+/* Of a job with several tasks each is counted by itself. */
+static void
+test_crashes_of_several_tasks(void)
+{
+    dispatcher_fixture fix;
+    int i;
+
+    new_dispatcher(&fix);
+    hand_in(&fix, 1, 2);
+    g_assert_cmpint(calls_of(&fix, MSG_RUN), ==, 2);
+    for (i = 0; i < 2; i++) {
+        sent_call call = fix.calls[i];
+        g_assert_cmpint(call.kind, ==, MSG_RUN);
+        reply_run(&fix, &call, LC_RUN_CRASHED);
+    }
+    g_assert_cmpint(fix.answers, ==, 0);
+    g_assert_cmpint(calls_of(&fix, MSG_RUN), ==, 4);
+    free_dispatcher(&fix);
+}
+
 static void
 test_begun_is_not_told_as_not_run(void)
 {
@@ -624,6 +685,11 @@
      test_refused_is_not_run},
     {"/dispatcher/refuses queues that need tickets", test_advised_queue},
     {"/dispatcher/counts failed attempts", test_attempts},
+    {"/dispatcher/gives up a task under which two upstreams crash",
+     test_two_crashes},
+    {"/dispatcher/takes no other loss for a crash",
+     test_losses_are_no_crashes},
+    {"/dispatcher/counts crashes by task", test_crashes_of_several_tasks},
     {"/dispatcher/tells given up once begun",
      test_begun_is_not_told_as_not_run},
     {"/dispatcher/gives up a begun job that is worth nothing",
--- a/tests/lease_world.cc
+++ b/tests/lease_world.cc
@@ -5,6 +5,7 @@
 namespace {
 
 const int64_t LATE_BEAT_MS = 700;
+const uint32_t SHRUNK_CPU_MILLI = 4000;
 
 } // namespace
 
@@ -98,11 +99,64 @@
     case Fault::CloseHall:
         close_hall(action.target, until);
         break;
+    case Fault::RebornUpstream:
+        send_beat(companion, length / 4 + LATE_BEAT_MS);
+        upstream->crash(now, false);
+        at(now + length / 4, [this, upstream] {
+            if (!upstream->is_up()) {
+                upstream->come_again(now);
+            }
+        });
+        break;
+    case Fault::Suspend:
+        suspend(companion, until);
+        break;
+    case Fault::Shrink:
+        upstream->cpu_milli = SHRUNK_CPU_MILLI;
+        upstream->shrunk_ms = now;
+        at(until, [upstream] { upstream->cpu_milli = CAPACITY.cpu_milli; });
+        break;
+    case Fault::Crasher:
+        make_crasher();
+        break;
     case Fault::Count:
         break;
     }
 }
 
+/* Companion and upstream stand on one machine. What runs there is not counted
+ * meanwhile; when both are awake again, runs whose lease is over are to be
+ * stopped soon. */
+void
+World::suspend(uint32_t index, int64_t until)
+{
+    CompanionNode *companion = &companions[index];
+    Upstream *upstream = &upstreams[index];
+
+    if (upstream->asleep_until() > 0 || companion->frozen_until > now ||
+        until <= now) {
+        return;
+    }
+    companion->frozen_until = until;
+    companion->suspended_ms = until - now;
+    upstream->suspend(now, until);
+    for (auto &pair : upstream->tasks()) {
+        at_work[task_of(pair.second.id)].erase(index);
+    }
+    at(until, [this, upstream, index] {
+        upstream->wake();
+        at(now + WAKE_MS, [this, index] { count_again(index); });
+    });
+}
+
+void
+World::count_again(uint32_t index)
+{
+    for (auto &pair : upstreams[index].tasks()) {
+        count_run(index, pair.second.id);
+    }
+}
+
 Report
 World::run()
 {
--- a/tests/lease_world.h
+++ b/tests/lease_world.h
@@ -46,13 +46,17 @@
     Slow,
     HangUps, /**< callers leave early */
     Burst,
-    CutEntries,   /**< an entry hears no other */
-    StoreDown,    /**< the store answers nobody */
-    StoreCut,     /**< it answers one entry not */
-    StoreLossy,   /**< appends go unanswered, some are done seconds later */
-    StoreCompact, /**< its history is gone, but for the newest of each key */
-    StopEntry,    /**< a planned stop, then its end */
-    CloseHall,    /**< operators close a hall and open it again */
+    CutEntries,     /**< an entry hears no other */
+    StoreDown,      /**< the store answers nobody */
+    StoreCut,       /**< it answers one entry not */
+    StoreLossy,     /**< appends go unanswered, some are done seconds later */
+    StoreCompact,   /**< its history is gone, but for the newest of each key */
+    StopEntry,      /**< a planned stop, then its end */
+    CloseHall,      /**< operators close a hall and open it again */
+    RebornUpstream, /**< it crashes and starts again under its name */
+    Suspend,        /**< a companion's machine, its upstream with it */
+    Shrink,         /**< an upstream has less room for a while */
+    Crasher,        /**< a job comes under which upstreams crash */
     Count
 };
 
@@ -96,6 +100,7 @@
     uint64_t kept_accepted = 0;
     uint64_t kept_succeeded = 0;
     uint64_t claims = 0;
+    int most_crashed = 0; /**< upstreams under one submission of a job */
 
     std::string text() const;
 };
--- a/tests/lease_world_callers.cc
+++ b/tests/lease_world_callers.cc
@@ -25,6 +25,21 @@
     submit(&jobs[job.id]);
 }
 
+void
+World::make_crasher()
+{
+    CallerJob job;
+
+    job.id = ++next_job;
+    job.tasks = 1;
+    job.work_ms = 60;
+    job.first_ms = now;
+    job.crashes = true;
+    jobs[job.id] = job;
+    report.jobs++;
+    submit(&jobs[job.id]);
+}
+
 void
 World::submit(CallerJob *job)
 {
@@ -35,6 +50,7 @@
     uint64_t life = entry->life;
 
     job->tries++;
+    job->crashed = 0;
     if (!entry->alive) {
         again(job, RESUBMIT_MS);
         return;
--- a/tests/lease_world_state.h
+++ b/tests/lease_world_state.h
@@ -27,6 +27,14 @@
 /* The wall clock shows so much more than the time of the world. */
 const int64_t WALL_AHEAD_MS = 1700000000000;
 const lc_resources CAPACITY = {16000, 65536, 0};
+/* A machine that was suspended has stopped what it may not run by then: a
+ * tick, a stop, and orders that are sent again. */
+const int64_t WAKE_MS = 700;
+/* An upstream that has shrunk has told so by then: a heartbeat, held up. */
+const int64_t SHRINK_TOLD_MS = 500 + 1200 + 100;
+/* Upstreams that may crash under one submission of a job: the platform's three
+ * and two, since starts that are lost for other reasons count here too. */
+const int CRASHES_MOST = 5;
 
 class World;
 
@@ -146,6 +154,7 @@
     lc_node node;
     Runner *runner = nullptr;
     int64_t frozen_until = 0;
+    int64_t suspended_ms = 0; /* not told to its runner yet */
     int64_t started_ms = 0;
     std::string hall;
     bool alive = false;
@@ -161,6 +170,8 @@
     uint32_t tasks;
     int64_t work_ms;
     int tries = 0;
+    bool crashes = false; /* an upstream that starts a task of it crashes */
+    int crashed = 0;      /* upstreams, in this try */
     bool over = false;
     bool any_taken = false; /* an attempt ended otherwise than "not run" */
     uint64_t open_request = 0;
@@ -320,6 +331,7 @@
     void arm(CompanionNode *companion);
     void to_companion(uint32_t entry, uint32_t companion, Call message);
     void lose(uint32_t entry, uint64_t life, uint64_t call_id);
+    void when_up(const Upstream *upstream, std::function<void()> act);
     void order(CompanionNode *from, std::function<Runner_OrderEnd()> act,
                std::function<void(Runner_OrderEnd, int64_t)> done);
     void apply(const Action &action);
@@ -327,6 +339,11 @@
     void again(CallerJob *job, int64_t after_ms);
     void hang_up(uint64_t request);
     void make_job();
+    void make_crasher();
+    void crash_under(uint32_t index, CallerJob *job);
+    void suspend(uint32_t index, int64_t until);
+    void count_again(uint32_t index);
+    void count_run(uint32_t index, const lc_run_id &id);
     bool has_room(const CallerJob &job) const;
     void on_started(uint32_t index, const lc_run_id &id);
     void on_ended(uint32_t index, const lc_run_id &id, Runner_End end);
--- a/tests/prop_lease.cc
+++ b/tests/prop_lease.cc
@@ -136,6 +136,53 @@
     }
 }
 
+/* Upstreams that start again under their names, machines that are suspended,
+ * capacity that shrinks and tasks under which upstreams crash, beside orders
+ * that come late and companions that die. */
+void
+check_lives(int most)
+{
+    static const lease::Fault faults[] = {
+        lease::Fault::RebornUpstream, lease::Fault::RebornUpstream,
+        lease::Fault::RebornUpstream, lease::Fault::Suspend,
+        lease::Fault::Suspend,        lease::Fault::Shrink,
+        lease::Fault::Crasher,        lease::Fault::LateOrders,
+        lease::Fault::KillCompanion,  lease::Fault::CrashUpstream,
+        lease::Fault::CutLossy,       lease::Fault::FreezeEntry,
+    };
+    lease::Plan plan;
+
+    plan.seed = *rc::gen::inRange<uint64_t>(1, 1ULL << 40);
+    plan.actions = *rc::gen::resize(
+        most, rc::gen::container<std::vector<lease::Action>>(
+                  gen_action(plan.length_ms)));
+    for (lease::Action &action : plan.actions) {
+        action.fault = faults[(int)action.fault % G_N_ELEMENTS(faults)];
+    }
+    lease::Report report = lease::play(plan);
+    add(report);
+    if (!report.violations.empty()) {
+        RC_FAIL(report.text() + describe(plan));
+    }
+}
+
+/* On a day without other faults the second crash is the last. */
+bool
+check_crashers()
+{
+    lease::Plan plan;
+
+    plan.companions = 6;
+    for (int64_t at_ms = 300; at_ms < plan.length_ms; at_ms += 900) {
+        plan.actions.push_back({lease::Fault::Crasher, at_ms, 100, 0, 0});
+    }
+    lease::Report report = lease::play(plan);
+    add(report);
+    fprintf(stderr, "%sat most %d upstreams crashed under one job\n",
+            report.text().c_str(), report.most_crashed);
+    return report.violations.empty() && report.most_crashed <= 2;
+}
+
 /* Equal upstreams share the work of a calm day, whatever the entries drew. */
 void
 check_shares()
@@ -181,6 +228,33 @@
     return good;
 }
 
+/* Schedules that showed a fault, and what it was. */
+const char *const known_plans[] = {
+    /* a late heartbeat, taken unasked, made a life that lives count as gone */
+    "68 21 0 50 0 0 21 13 50 0 0 21 0 50 0 2",
+    "38 21 0 50 0 0 21 13 50 0 0 21 0 50 0 2",
+    /* two entries with one incarnation at two addresses put a job under one
+     * key: the store kept the later record, and the ends of the one that had
+     * begun it were not asked for */
+    "339939079932 2 5 211 0 0 0 224 50 3 0 0 226 50 0 0",
+};
+
+bool
+check_known_plans()
+{
+    bool good = true;
+
+    for (const char *plan : known_plans) {
+        lease::Report report = lease::play(parse(plan));
+        add(report);
+        if (!report.violations.empty()) {
+            fprintf(stderr, "%s%s\n", report.text().c_str(), plan);
+            good = false;
+        }
+    }
+    return good;
+}
+
 /* No entry reaches the store while a hall is closed, opened and closed again:
  * companions are left to ask it themselves. */
 bool
@@ -213,12 +287,18 @@
     }
     good &= check_pairs();
     good &= check_all_cut();
+    good &= check_known_plans();
     good &= rc::check("no two runs, room, answers, few faults",
                       [] { check(3); });
     good &= rc::check("no two runs, room, answers, many faults",
                       [] { check(12); });
     good &= rc::check("closed halls, few faults", [] { check_halls(4); });
     good &= rc::check("closed halls, many faults", [] { check_halls(14); });
+    good &= check_crashers();
+    good &= rc::check("lives of upstreams, few faults",
+                      [] { check_lives(4); });
+    good &= rc::check("lives of upstreams, many faults",
+                      [] { check_lives(14); });
     good &= rc::check("equal upstreams share the work",
                       [] { check_shares(); });
     printf("%lu schedules, %lu jobs, %lu starts: %lu succeeded, %lu failed, "
--- /dev/null
+++ b/tests/rebirth_rules.c
@@ -0,0 +1,566 @@
+/*
+ * Rules of an upstream that starts again under the name it had, of machines
+ * that are suspended, of tasks that crash the upstreams that start them, and
+ * of capacity that changes while tasks run.
+ */
+
+#include <glib.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "tests/rule_table.h"
+#include "tests/runner_fixture.h"
+
+#define FIRST_BORN_MS 1700000000000
+#define LATER_BORN_MS 1700000005000
+
+/* The upstream of the first life runs a task of job 1. */
+static void
+begin_task(runner_fixture *fix)
+{
+    RunnerFix_New(fix);
+    fix->born_ms = FIRST_BORN_MS;
+    RunnerFix_Beat(fix, RUNNER_UPSTREAM_READY);
+    RunnerFix_AnswerLook(fix, NULL, 0, NULL, 0);
+    RunnerFix_CallRun(fix, 1, 1, 1000, 500);
+    Runner_OnStarted(fix->runner, fix->now_ms, fix->start_id,
+                     RUNNER_ORDER_TAKEN, fix->clock_ms);
+    fix->replies = 0;
+    fix->status = LC_RUN_DONE;
+}
+
+static void
+answer_running(runner_fixture *fix, uint64_t job)
+{
+    Runner_Row row = {RunnerFix_Run(job, 1), 10};
+
+    RunnerFix_AnswerLook(fix, &row, 1, NULL, 0);
+}
+
+/* It has crashed and started again: its clock and all its counts are new. */
+static void
+start_again(runner_fixture *fix)
+{
+    fix->born_ms = LATER_BORN_MS;
+    fix->clock_ms = 1000;
+    fix->beats = 0;
+}
+
+/* The entry holds its runs for a lease more. */
+static void
+renew(runner_fixture *fix, int64_t valid_ms)
+{
+    Msg_Call call = {.kind = MSG_RENEW};
+
+    call.u.renew.owner.address = 0x7f0000011b59;
+    call.u.renew.owner.incarnation = 100;
+    call.u.renew.target = 900;
+    call.u.renew.valid_until_ms = fix->now_ms + valid_ms;
+    Runner_OnCall(fix->runner, fix->now_ms, 3, &call);
+}
+
+static bool
+takes_tasks(runner_fixture *fix, uint64_t job)
+{
+    int before = fix->starts;
+
+    RunnerFix_CallRun(fix, job, 1, 100, 500);
+    return fix->starts == before + 1;
+}
+
+static void
+test_heartbeat_of_a_later_life(void)
+{
+    runner_fixture fix;
+    int64_t token;
+
+    begin_task(&fix);
+    answer_running(&fix, 1);
+    token = fix.look.token;
+    start_again(&fix);
+    RunnerFix_Beat(&fix, RUNNER_UPSTREAM_READY);
+    RunnerFix_AnswerLook(&fix, NULL, 0, NULL, 0);
+    g_assert_cmpint(fix.look.token, >, token);
+    g_assert_cmpint(fix.replies, ==, 0);
+    RunnerFix_AnswerLook(&fix, NULL, 0, NULL, 0);
+    g_assert_cmpint(fix.replies, ==, 1);
+    g_assert_cmpint(fix.status, ==, LC_RUN_CRASHED);
+    g_assert_true(takes_tasks(&fix, 2));
+    g_assert_cmpint(fix.start.token, >, token);
+    g_assert_cmpint(fix.start.deadline_ms, <, CLOCK_MS);
+    Runner_Free(fix.runner);
+}
+
+/* A list of runs is the first sign. Nothing is started before the heartbeat
+ * has told what there is room for. */
+static void
+test_list_of_a_later_life(void)
+{
+    runner_fixture fix;
+
+    begin_task(&fix);
+    answer_running(&fix, 1);
+    start_again(&fix);
+    RunnerFix_AnswerLook(&fix, NULL, 0, NULL, 0);
+    RunnerFix_AnswerLook(&fix, NULL, 0, NULL, 0);
+    g_assert_cmpint(fix.status, ==, LC_RUN_CRASHED);
+    g_assert_false(takes_tasks(&fix, 2));
+    RunnerFix_Beat(&fix, RUNNER_UPSTREAM_READY);
+    g_assert_true(takes_tasks(&fix, 3));
+    Runner_Free(fix.runner);
+}
+
+/* Its ends are numbered from 1 again, below those that were read of the life
+ * before: none of them is taken note of unread. */
+static void
+test_ends_of_a_later_life_are_read(void)
+{
+    runner_fixture fix;
+    Runner_EndRow many = {57, RunnerFix_Run(1, 1), RUNNER_END_DONE};
+    Runner_EndRow one = {1, RunnerFix_Run(2, 1), RUNNER_END_DONE};
+
+    begin_task(&fix);
+    RunnerFix_AnswerLook(&fix, NULL, 0, &many, 1);
+    g_assert_cmpint((int64_t)fix.look.last_seen, ==, 57);
+    start_again(&fix);
+    RunnerFix_Beat(&fix, RUNNER_UPSTREAM_READY);
+    RunnerFix_AnswerLook(&fix, NULL, 0, NULL, 0);
+    g_assert_cmpint((int64_t)fix.look.last_seen, ==, 0);
+    RunnerFix_AnswerLook(&fix, NULL, 0, NULL, 0);
+    g_assert_true(takes_tasks(&fix, 2));
+    Runner_OnStarted(fix.runner, fix.now_ms, fix.start_id, RUNNER_ORDER_TAKEN,
+                     1000);
+    g_assert_cmpint((int64_t)fix.look.last_seen, ==, 0);
+    fix.status = LC_RUN_LOST;
+    RunnerFix_AnswerLook(&fix, NULL, 0, &one, 1);
+    g_assert_cmpint(fix.status, ==, LC_RUN_DONE);
+    g_assert_cmpint((int64_t)fix.look.last_seen, ==, 1);
+    Runner_Free(fix.runner);
+}
+
+/* A start for the life before was carried out by the next one: the run is not
+ * told as over before it has been stopped. */
+static void
+test_start_taken_by_the_later_life(void)
+{
+    runner_fixture fix;
+
+    begin_task(&fix);
+    RunnerFix_CallRun(&fix, 2, 1, 1000, 500);
+    answer_running(&fix, 1);
+    start_again(&fix);
+    RunnerFix_Beat(&fix, RUNNER_UPSTREAM_READY);
+    RunnerFix_AnswerLook(&fix, NULL, 0, NULL, 0);
+    fix.replies = 0;
+    answer_running(&fix, 2);
+    g_assert_cmpint(fix.replies, ==, 1); /* job 1 */
+    g_assert_cmpint(fix.stops, ==, 1);
+    g_assert_cmpuint(fix.stopped.job, ==, 2);
+    g_assert_false(takes_tasks(&fix, 3));
+    fix.replies = 0;
+    Runner_OnStopped(fix.runner, fix.now_ms, fix.stop_id, RUNNER_ORDER_TAKEN,
+                     1000);
+    fix.now_ms += 60;
+    RunnerFix_AnswerLook(&fix, NULL, 0, NULL, 0);
+    g_assert_cmpint(fix.replies, ==, 1);
+    g_assert_true(takes_tasks(&fix, 4));
+    Runner_Free(fix.runner);
+}
+
+/* Its deadline means nothing on the later life's clock. */
+static void
+test_start_is_not_sent_again_to_a_later_life(void)
+{
+    runner_fixture fix;
+    int starts;
+
+    begin_task(&fix);
+    RunnerFix_CallRun(&fix, 2, 1, 1000, 500);
+    starts = fix.starts;
+    start_again(&fix);
+    RunnerFix_Beat(&fix, RUNNER_UPSTREAM_READY);
+    RunnerFix_AnswerLook(&fix, NULL, 0, NULL, 0);
+    fix.now_ms += 60;
+    Runner_Tick(fix.runner, fix.now_ms);
+    Runner_Wake(fix.runner, fix.now_ms);
+    g_assert_cmpint(fix.starts, ==, starts);
+    Runner_Free(fix.runner);
+}
+
+/* The answer to a start shows a clock that has gone back: the upstream is
+ * asked who it is, and is sent nothing else meanwhile. */
+static void
+test_clock_that_goes_back(void)
+{
+    runner_fixture fix;
+
+    begin_task(&fix);
+    answer_running(&fix, 1);
+    RunnerFix_CallRun(&fix, 2, 1, 1000, 500);
+    start_again(&fix);
+    Runner_OnStarted(fix.runner, fix.now_ms, fix.start_id, RUNNER_ORDER_TAKEN,
+                     1000);
+    g_assert_false(takes_tasks(&fix, 3));
+    RunnerFix_AnswerLook(&fix, NULL, 0, NULL, 0);
+    answer_running(&fix, 2);
+    g_assert_cmpint(fix.stops, ==, 1);
+    Runner_Free(fix.runner);
+}
+
+static void
+test_late_heartbeat_of_the_earlier_life(void)
+{
+    runner_fixture fix;
+
+    begin_task(&fix);
+    start_again(&fix);
+    RunnerFix_Beat(&fix, RUNNER_UPSTREAM_READY);
+    RunnerFix_AnswerLook(&fix, NULL, 0, NULL, 0);
+    RunnerFix_AnswerLook(&fix, NULL, 0, NULL, 0);
+    fix.born_ms = FIRST_BORN_MS;
+    RunnerFix_BeatOf(&fix, "i-1", 99, RUNNER_UPSTREAM_DRAINING);
+    g_assert_true(takes_tasks(&fix, 2));
+    Runner_Free(fix.runner);
+}
+
+/* A companion that has started since knows no earlier life: the upstream
+ * tells which of two is in force. The time of day may have gone back. */
+static void
+test_unknown_life_is_asked_about(void)
+{
+    runner_fixture fix;
+
+    begin_task(&fix);
+    answer_running(&fix, 1);
+    fix.born_ms = LATER_BORN_MS;
+    RunnerFix_BeatOf(&fix, "i-1", 50, RUNNER_UPSTREAM_DRAINING);
+    fix.born_ms = FIRST_BORN_MS;
+    answer_running(&fix, 1);
+    answer_running(&fix, 1);
+    g_assert_cmpint(fix.replies, ==, 0);
+    g_assert_true(takes_tasks(&fix, 2));
+    fix.born_ms = FIRST_BORN_MS - 60000;
+    fix.clock_ms = 1000;
+    RunnerFix_BeatOf(&fix, "i-1", 1, RUNNER_UPSTREAM_READY);
+    RunnerFix_AnswerLook(&fix, NULL, 0, NULL, 0);
+    RunnerFix_AnswerLook(&fix, NULL, 0, NULL, 0);
+    g_assert_cmpint(fix.status, ==, LC_RUN_CRASHED);
+    g_assert_true(takes_tasks(&fix, 3));
+    Runner_Free(fix.runner);
+}
+
+/* Of another writer, or of an earlier life: it tells no start. */
+static void
+test_heartbeat_without_a_start(void)
+{
+    runner_fixture fix;
+
+    begin_task(&fix);
+    fix.born_ms = 0;
+    RunnerFix_BeatOf(&fix, "i-1", 99, RUNNER_UPSTREAM_DRAINING);
+    fix.born_ms = FIRST_BORN_MS;
+    g_assert_true(takes_tasks(&fix, 2));
+    RunnerFix_Beat(&fix, RUNNER_UPSTREAM_DRAINING);
+    g_assert_false(takes_tasks(&fix, 3));
+    Runner_Free(fix.runner);
+}
+
+/* That it leaves may be told late, of a life that is over. */
+static void
+test_leave_of_an_earlier_life(void)
+{
+    runner_fixture fix;
+
+    begin_task(&fix);
+    answer_running(&fix, 1);
+    Runner_OnUpstreamGone(fix.runner, fix.now_ms, "i-1", FIRST_BORN_MS - 1);
+    g_assert_true(takes_tasks(&fix, 2));
+    fix.replies = 0;
+    Runner_OnUpstreamGone(fix.runner, fix.now_ms, "i-1", 0);
+    g_assert_cmpint(fix.replies, ==, 0);
+    g_assert_false(takes_tasks(&fix, 3));
+    answer_running(&fix, 1);
+    answer_running(&fix, 1);
+    g_assert_true(takes_tasks(&fix, 4));
+    Runner_OnUpstreamGone(fix.runner, fix.now_ms, "i-1", FIRST_BORN_MS);
+    g_assert_false(takes_tasks(&fix, 5));
+    g_assert_cmpint(fix.status, ==, LC_RUN_NOT_READY);
+    Runner_Free(fix.runner);
+}
+
+/* One life serves one service: the heartbeat is another writer's. */
+static void
+test_another_service(void)
+{
+    runner_fixture fix;
+    static const char *const labels[] = {NULL};
+    Runner_Upstream said = {.instance = "i-1",
+                            .born_ms = FIRST_BORN_MS,
+                            .sequence = 99,
+                            .service = "other",
+                            .says = RUNNER_UPSTREAM_DRAINING,
+                            .labels = labels};
+
+    begin_task(&fix);
+    Runner_OnUpstream(fix.runner, fix.now_ms, &said);
+    g_assert_true(takes_tasks(&fix, 2));
+    RunnerFix_Beat(&fix, RUNNER_UPSTREAM_READY);
+    g_assert_true(takes_tasks(&fix, 3));
+    Runner_Free(fix.runner);
+}
+
+/* ---- suspension ---- */
+
+/* The upstream's clock may have stood still as long: a deadline that is worked
+ * out from it reaches no further than without the suspension. */
+static void
+test_deadline_after_a_suspension(void)
+{
+    runner_fixture fix;
+
+    begin_task(&fix);
+    fix.now_ms += 3000;
+    Runner_OnSuspended(fix.runner, fix.now_ms, 3000);
+    g_assert_true(takes_tasks(&fix, 2));
+    g_assert_cmpint(fix.start.deadline_ms, <=, CLOCK_MS + 600);
+    Runner_Free(fix.runner);
+}
+
+/* To its owner the time has passed: the run is stopped before anything else,
+ * and its room stays taken as long as the upstream may go on by itself. */
+static void
+test_lease_after_a_suspension(void)
+{
+    runner_fixture fix;
+    Runner_Listing none = {.end = RUNNER_ORDER_UNSENT};
+
+    begin_task(&fix);
+    answer_running(&fix, 1);
+    fix.now_ms += 9000;
+    Runner_OnSuspended(fix.runner, fix.now_ms, 9000);
+    Runner_Tick(fix.runner, fix.now_ms);
+    g_assert_cmpint(fix.stops, ==, 1);
+    Runner_OnLook(fix.runner, fix.now_ms, fix.look_id, &none);
+    Runner_Tick(fix.runner, fix.now_ms + 50);
+    g_assert_cmpint(fix.replies, ==, 0);
+    Runner_Tick(fix.runner, fix.now_ms + 700);
+    g_assert_cmpint(fix.replies, ==, 1);
+    Runner_Free(fix.runner);
+}
+
+/* A renewal that lay in a buffer meanwhile is older than the lease. */
+static void
+test_renewal_after_a_suspension(void)
+{
+    runner_fixture fix;
+    Msg_Call call = {.kind = MSG_RENEW};
+
+    begin_task(&fix);
+    call.u.renew.target = 900;
+    call.u.renew.valid_until_ms = fix.now_ms + 589;
+    fix.now_ms += 600;
+    Runner_OnSuspended(fix.runner, fix.now_ms, 600);
+    Runner_OnCall(fix.runner, fix.now_ms, 3, &call);
+    Runner_Tick(fix.runner, fix.now_ms);
+    g_assert_cmpint(fix.stops, ==, 1);
+    Runner_Free(fix.runner);
+}
+
+static void
+test_clock_counts_suspensions(void)
+{
+    Clock_Suspension suspension;
+    int64_t before = Clock_NowMs();
+
+    Clock_Follow(&suspension, Clock_Read());
+    g_assert_cmpint(Clock_Suspended(&suspension, Clock_Read()), ==, 0);
+    Clock_TestSuspend(7000);
+    g_assert_cmpint(Clock_NowMs() - before, >=, 7000);
+    g_assert_cmpint(Clock_Suspended(&suspension, Clock_Read()), >=, 7000);
+    g_assert_cmpint(Clock_Suspended(&suspension, Clock_Read()), ==, 0);
+}
+
+/* ---- tasks under which upstreams crash ---- */
+
+/* The upstream crashes and is seen in its next life. */
+static lc_run_status
+crash(runner_fixture *fix)
+{
+    start_again(fix);
+    RunnerFix_Beat(fix, RUNNER_UPSTREAM_READY);
+    RunnerFix_AnswerLook(fix, NULL, 0, NULL, 0);
+    RunnerFix_AnswerLook(fix, NULL, 0, NULL, 0);
+    return fix->status;
+}
+
+static void
+test_crash_is_told(void)
+{
+    runner_fixture fix;
+
+    begin_task(&fix);
+    answer_running(&fix, 1);
+    g_assert_cmpint(crash(&fix), ==, LC_RUN_CRASHED);
+    Runner_Free(fix.runner);
+}
+
+/* One that has run for long has not crashed it. */
+static void
+test_old_runs_are_not_blamed(void)
+{
+    runner_fixture fix;
+    Runner_Row row = {RunnerFix_Run(1, 1), 0};
+    int i;
+
+    begin_task(&fix);
+    for (i = 0; i < 100; i++) {
+        renew(&fix, 589);
+        row.percent = (uint32_t)i;
+        RunnerFix_AnswerLook(&fix, &row, 1, NULL, 0);
+        fix.now_ms += 100;
+    }
+    RunnerFix_Beat(&fix, RUNNER_UPSTREAM_READY);
+    g_assert_cmpint(crash(&fix), ==, LC_RUN_LOST);
+    Runner_Free(fix.runner);
+}
+
+/* An upstream that drains may end without a word. */
+static void
+test_end_of_a_drain_blames_nobody(void)
+{
+    runner_fixture fix;
+
+    begin_task(&fix);
+    answer_running(&fix, 1);
+    RunnerFix_Beat(&fix, RUNNER_UPSTREAM_DRAINING);
+    g_assert_cmpint(crash(&fix), ==, LC_RUN_LOST);
+    Runner_Free(fix.runner);
+}
+
+/* Nothing listens there any more, and its hold is over. */
+static void
+test_crash_without_a_later_life(void)
+{
+    runner_fixture fix;
+    Runner_Listing none = {.end = RUNNER_ORDER_UNSENT};
+
+    begin_task(&fix);
+    answer_running(&fix, 1);
+    Runner_OnLook(fix.runner, fix.now_ms, fix.look_id, &none);
+    renew(&fix, 2500);
+    fix.now_ms += 2000;
+    Runner_Tick(fix.runner, fix.now_ms);
+    g_assert_cmpint(fix.status, ==, LC_RUN_CRASHED);
+    Runner_Free(fix.runner);
+}
+
+/* Two tasks under which upstreams have crashed run apart; others beside them.
+ */
+static void
+test_suspects_run_apart(void)
+{
+    runner_fixture fix;
+
+    begin_task(&fix);
+    fix.crashes = 1;
+    g_assert_true(takes_tasks(&fix, 2));
+    g_assert_false(takes_tasks(&fix, 3));
+    g_assert_cmpint(fix.status, ==, LC_RUN_NO_ROOM);
+    fix.crashes = 0;
+    g_assert_true(takes_tasks(&fix, 4));
+    Runner_Free(fix.runner);
+}
+
+/* ---- capacity ---- */
+
+static u_int
+room_told(const runner_fixture *fix)
+{
+    lc_host_state state;
+
+    Runner_State(fix->runner, fix->now_ms, &state);
+    return state.room.cpu_milli;
+}
+
+/* What runs, and what is being stopped, still counts. */
+static void
+test_capacity_that_shrinks(void)
+{
+    runner_fixture fix;
+    uint64_t version;
+
+    begin_task(&fix);
+    RunnerFix_CallRun(&fix, 2, 1, 1000, 500);
+    g_assert_cmpuint(room_told(&fix), ==, 2000);
+    version = Runner_Version(fix.runner);
+    fix.cpu_milli = 2100;
+    RunnerFix_Beat(&fix, RUNNER_UPSTREAM_READY);
+    g_assert_cmpuint(Runner_Version(fix.runner), >, version);
+    g_assert_cmpuint(room_told(&fix), ==, 100);
+    RunnerFix_CallHalt(&fix, 1, 1);
+    g_assert_cmpuint(room_told(&fix), ==, 100);
+    fix.cpu_milli = 1500;
+    RunnerFix_Beat(&fix, RUNNER_UPSTREAM_READY);
+    g_assert_cmpuint(room_told(&fix), ==, 0);
+    g_assert_false(takes_tasks(&fix, 3));
+    g_assert_cmpint(fix.status, ==, LC_RUN_NO_ROOM);
+    Runner_Free(fix.runner);
+}
+
+static void
+test_capacity_that_grows_again(void)
+{
+    runner_fixture fix;
+
+    begin_task(&fix);
+    fix.cpu_milli = 500;
+    RunnerFix_Beat(&fix, RUNNER_UPSTREAM_READY);
+    g_assert_cmpuint(room_told(&fix), ==, 0);
+    answer_running(&fix, 1);
+    g_assert_cmpint(fix.stops, ==, 0);
+    fix.cpu_milli = 4000;
+    RunnerFix_Beat(&fix, RUNNER_UPSTREAM_READY);
+    g_assert_cmpuint(room_told(&fix), ==, 3000);
+    g_assert_true(takes_tasks(&fix, 2));
+    Runner_Free(fix.runner);
+}
+
+static const RuleTable_Row rules[] = {
+    {"/rebirth/a heartbeat of a later life", test_heartbeat_of_a_later_life},
+    {"/rebirth/a list of runs is the first sign", test_list_of_a_later_life},
+    {"/rebirth/ends of a later life are read",
+     test_ends_of_a_later_life_are_read},
+    {"/rebirth/a start taken by the later life is stopped first",
+     test_start_taken_by_the_later_life},
+    {"/rebirth/a start is not sent again to a later life",
+     test_start_is_not_sent_again_to_a_later_life},
+    {"/rebirth/a clock that goes back", test_clock_that_goes_back},
+    {"/rebirth/a late heartbeat of the earlier life",
+     test_late_heartbeat_of_the_earlier_life},
+    {"/rebirth/the upstream tells which life is in force",
+     test_unknown_life_is_asked_about},
+    {"/rebirth/a heartbeat that tells no start",
+     test_heartbeat_without_a_start},
+    {"/rebirth/a leave of an earlier life", test_leave_of_an_earlier_life},
+    {"/rebirth/a heartbeat of another service", test_another_service},
+    {"/suspension/a deadline reaches no further",
+     test_deadline_after_a_suspension},
+    {"/suspension/leases are over", test_lease_after_a_suspension},
+    {"/suspension/a renewal that waited is too old",
+     test_renewal_after_a_suspension},
+    {"/suspension/the clock counts it", test_clock_counts_suspensions},
+    {"/crashes/are told", test_crash_is_told},
+    {"/crashes/old runs are not blamed", test_old_runs_are_not_blamed},
+    {"/crashes/the end of a drain blames nobody",
+     test_end_of_a_drain_blames_nobody},
+    {"/crashes/without a later life", test_crash_without_a_later_life},
+    {"/crashes/suspects run apart", test_suspects_run_apart},
+    {"/capacity/shrinks while tasks run", test_capacity_that_shrinks},
+    {"/capacity/grows again", test_capacity_that_grows_again},
+};
+
+int
+main(int argc, char **argv)
+{
+    return RuleTable_Main(argc, argv, rules, G_N_ELEMENTS(rules));
+}
--- a/tests/runner_fixture.h
+++ b/tests/runner_fixture.h
@@ -27,6 +27,10 @@
     Runner *runner;
     int64_t now_ms;
     uint64_t beats;       /* number of the last heartbeat */
+    int64_t born_ms;      /* what the upstream tells of its start */
+    int64_t clock_ms;     /* the upstream's clock at START_MS */
+    u_int cpu_milli;      /* its capacity */
+    u_int crashes;        /* told with calls for runs */
     int64_t caller_as_of; /* records of operators that the entry has read */
     int starts;
     int stops;
--- a/wire/levercove.h
+++ b/wire/levercove.h
@@ -359,6 +359,7 @@
 	LC_RUN_REJECTED = 10,
 	LC_RUN_OLD = 11,
 	LC_RUN_CLOSED = 12,
+	LC_RUN_CRASHED = 13,
 };
 typedef enum lc_run_status lc_run_status;
 
@@ -370,6 +371,7 @@
 	lc_run_id id;
 	lc_resources need;
 	u_int estimate_ms;
+	u_int crashes;
 	char *spec;
 };
 typedef struct lc_run_args lc_run_args;
--- a/wire/levercove.x
+++ b/wire/levercove.x
@@ -294,7 +294,8 @@
     LC_RUN_OTHER_NODE = 9, /* nothing that was started before lives */
     LC_RUN_REJECTED = 10,  /* by the upstream */
     LC_RUN_OLD = 11,       /* the upstream knows a later run */
-    LC_RUN_CLOSED = 12     /* the operators have closed the hall */
+    LC_RUN_CLOSED = 12,    /* the operators have closed the hall */
+    LC_RUN_CRASHED = 13    /* it ran, and its upstream crashed under it */
 };
 
 struct lc_run_args {
@@ -305,6 +306,7 @@
     lc_run_id id;
     lc_resources need;
     unsigned int estimate_ms;
+    unsigned int crashes;   /* upstreams that crashed under this task */
     string spec<LC_MAX_SPEC>;
 };
 
--- a/wire/levercove_xdr.c
+++ b/wire/levercove_xdr.c
@@ -732,6 +732,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->estimate_ms))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->crashes))
+		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->spec, LC_MAX_SPEC))
 		 return FALSE;
 	return TRUE;
