Partial views: a companion reports to 40 entries at most; entries space gossip and reads of the store

Change: a companion chooses 24 entries of its hall and 16 others by rendezvous hashing (lease/partial_view); the register tells halls, so that nobody is called to learn them; entries of other halls are told of changes a quarter as often. While a kept job is open anywhere all companions report to all entries, since a successor asks all of them. Entries with nothing to tell gossip each 4 s in place of 1; their reads of the store are held 100 ms x entries, drawn, so that all together ask ten times a second. Sites with 40 entries or fewer report as before.

--- a/daemon/leased_companion.c
+++ b/daemon/leased_companion.c
@@ -7,6 +7,7 @@
 #include "daemon/leased_registry.h"
 #include "daemon/process.h"
 #include "daemon/seeds.h"
+#include "lease/partial_view.h"
 #include "lease/peers.h"
 #include "lease/runner.h"
 #include "platform/store.h"
@@ -24,6 +25,16 @@
 #define REPORT_IDLE_MS 80
 #define REPORT_IDLE_LEAST_MS 500
 #define REPORT_IDLE_MOST_MS 3000
+/* Entries of other halls are told of changes so many times as seldom, where
+ * not all entries are told: they start tasks here when their own hall is full.
+ */
+#define REPORT_FAR_TIMES 4
+/* Which entries are told is chosen anew so often. Chosen: far below the time
+ * after which a silent entry leaves the others' lists (8 s). */
+#define VIEW_MS 500
+/* An entry that has to know every companion says so with each answer; it is
+ * believed so long. Chosen: three of the longest times between reports. */
+#define ALL_MS 9000
 /* A planned stop ends so long before the kill. */
 #define STOP_MARGIN_MS 700
 #define OK_STATUS 200
@@ -48,7 +59,10 @@
     uv_timer_t answer_timer; /* at answer_due_ms, if that is not INT64_MAX */
     int64_t answer_due_ms;
     uint64_t next_call;
-    int64_t stop_ms; /* when the planned stop was asked for */
+    uint32_t left_out;    /* entries that are not told */
+    int64_t view_ms;      /* when they were chosen last */
+    int64_t all_until_ms; /* until then all of them are told */
+    int64_t stop_ms;      /* when the planned stop was asked for */
     Clock_Suspension suspension;
 } leased_companion;
 
@@ -209,16 +223,6 @@
                           REPORT_IDLE_MOST_MS);
 }
 
-static uint64_t
-known_digest(const leased_companion *self, int64_t now)
-{
-    GArray *live = Peers_Live(&self->peers, now, 0);
-    uint64_t digest = Peers_Digest(live);
-
-    g_array_unref(live);
-    return digest;
-}
-
 static void
 send_report(leased_companion *self, int64_t now, Peers_Row *peer)
 {
@@ -229,7 +233,7 @@
     }
     call.u.report.hall = (char *)(uintptr_t)self->process.options->hall;
     call.u.report.next_ms = (u_int)idle_ms(self);
-    call.u.report.known = known_digest(self, now);
+    call.u.report.known = self->peers.list_digest;
     peer->call_id = ++self->next_call;
     peer->asked_ms = now;
     peer->telling = Runner_Version(self->runner);
@@ -242,14 +246,24 @@
     tell_peers(timer->data);
 }
 
+/* Changes are told so often at most. */
+static int64_t
+gap_ms(const leased_companion *self, const Peers_Row *peer)
+{
+    bool far = self->left_out > 0 &&
+               strcmp(peer->hall, self->process.options->hall) != 0;
+
+    return far ? (int64_t)peer->gap_ms * REPORT_FAR_TIMES : peer->gap_ms;
+}
+
 /* Time until a peer should be told, 0 for now, -1 for not by itself. */
 static int64_t
 report_due(const leased_companion *self, int64_t now, const Peers_Row *peer)
 {
-    int64_t gap = peer->gap_ms;
+    int64_t gap = gap_ms(self, peer);
     int64_t since = now - peer->asked_ms;
 
-    if (peer->call_id != 0) {
+    if (peer->call_id != 0 || !peer->chosen) {
         return -1;
     }
     if (!Peers_IsLive(peer, now)) {
@@ -261,6 +275,15 @@
     return since >= gap ? 0 : gap - since;
 }
 
+static void
+choose_view(leased_companion *self, int64_t now)
+{
+    self->view_ms = now;
+    self->left_out = PartialView_Choose(
+        &self->peers, self->process.options->rpc, self->process.options->hall,
+        now < self->all_until_ms);
+}
+
 static void
 tell_peers(leased_companion *self)
 {
@@ -288,7 +311,10 @@
 static void
 on_named(void *context)
 {
-    tell_peers(context);
+    leased_companion *self = context;
+
+    choose_view(self, now_ms(self));
+    tell_peers(self);
 }
 
 static void
@@ -310,7 +336,7 @@
                   const lc_report_res *result)
 {
     int64_t now = now_ms(self);
-    u_int i;
+    bool all = now < self->all_until_ms;
 
     Runner_TakeClosures(self->runner, now, peer->asked_ms, &result->closures,
                         Address_Text(peer->address));
@@ -319,8 +345,19 @@
     if (Peers_Hear(&self->peers, peer->address, now)) {
         Event_Log(EVENT_PEER_FOUND, "%s", Address_Text(peer->address));
     }
-    for (i = 0; i < result->entries.entries_len; i++) {
-        Peers_Name(&self->peers, result->entries.entries_val[i], now);
+    Peers_SetHall(&self->peers, peer->address, result->hall);
+    if (result->entries.entries_len == 0) {
+        Peers_ConfirmList(&self->peers, now);
+    }
+    else {
+        Peers_TakeList(&self->peers, result->entries.entries_val,
+                       result->entries.entries_len, now);
+    }
+    if (result->all) {
+        self->all_until_ms = now + ALL_MS;
+    }
+    if (result->entries.entries_len > 0 || all != result->all) {
+        choose_view(self, now);
     }
 }
 
@@ -424,6 +461,9 @@
     confirm_halls(self, now);
     Runner_Tick(self->runner, now);
     Peers_Forget(&self->peers, now);
+    if (now - self->view_ms >= VIEW_MS) {
+        choose_view(self, now);
+    }
     reset_silent(self, now);
     follow_up(self);
 }
@@ -557,7 +597,7 @@
     }
     Rpc_KeepAlive(self->process.rpc, PROCESS_SILENCE_MS);
     LeasedRegistry_Open(&self->registry, loop, 0, options->store,
-                        &self->peers);
+                        options->hall, &self->peers);
     if (options->store != 0) {
         self->halls = Store_FollowHalls(loop, Http_NewClient(loop),
                                         options->store, &halls_ports, self);
--- a/daemon/leased_entry.c
+++ b/daemon/leased_entry.c
@@ -169,6 +169,8 @@
 
     reply.u.report.entry = Dispatcher_Node(self->dispatcher);
     reply.u.report.gap_ms = Dispatcher_ReportGapMs(self->dispatcher);
+    reply.u.report.hall = (char *)(uintptr_t)self->process.options->hall;
+    reply.u.report.all = Keeper_NeedsAll(self->keeper);
     if (args->known != Peers_Digest(live)) {
         reply.u.report.entries.entries_len = live->len;
         reply.u.report.entries.entries_val = (u_quad_t *)(void *)live->data;
@@ -416,7 +418,7 @@
     }
     LeasedRoutes_Open(self, options);
     LeasedRegistry_Open(&self->registry, loop, options->rpc, options->store,
-                        &self->peers);
+                        options->hall, &self->peers);
     LeasedRegistry_Tick(&self->registry, self->awake_ms);
     Rpc_KeepAlive(self->process.rpc, PROCESS_SILENCE_MS);
     code = Process_Run(&self->process);
--- a/daemon/leased_entry_state.h
+++ b/daemon/leased_entry_state.h
@@ -20,6 +20,7 @@
 #include "lease/routes_fetch.h"
 #include "platform/http_client.h"
 #include "platform/keyed_log.h"
+#include "platform/store.h"
 
 /** Calls of the process itself; the dispatcher numbers its own without this
  * bit. */
@@ -39,6 +40,8 @@
     int64_t probe_pause_ms;
     int64_t store_back_ms; /* when a probe went well last */
     Route_Table *routes;
+    Store_Follower *follower; /* of the operators' records */
+    uint64_t random;
     Routes_Fetch fetch;  /* of newer ones from other entries */
     uint64_t fetch_call; /* call on its way, or 0 */
     Http_Client *http;
--- a/daemon/leased_gossip.c
+++ b/daemon/leased_gossip.c
@@ -6,6 +6,10 @@
 #define GOSSIP_MS 75
 #define GOSSIP_LEAST_MS 300
 #define GOSSIP_MOST_MS 1500
+/* Likewise where there is nothing new to tell: no jobs wait, and none did when
+ * the other was told last. Chosen: twice within the time after which a silent
+ * entry leaves the others' lists (8 s). */
+#define GOSSIP_QUIET_MOST_MS 4000
 
 /* Entries that spoke lately, and this one; free the array. */
 GArray *
@@ -57,6 +61,8 @@
                   &call.u.gossip.closures);
     peer->call_id = ++self->next_call | LEASED_OWN_CALL;
     peer->asked_ms = now;
+    peer->told_waiting = counts->len > 0;
+    peer->told_routes = call.u.gossip.routes_version;
     Rpc_Call(self->process.rpc, peer->address, peer->call_id, &call);
     g_array_unref(live);
     g_array_unref(counts);
@@ -72,18 +78,48 @@
               (long long)LeasedRoutes_Version(self));
 }
 
+/* Jobs wait here, or other entries have to know soon that this one lives. */
+static bool
+has_news(const Leased_Entry *self)
+{
+    GArray *counts;
+    bool waiting;
+
+    if (Keeper_NeedsAll(self->keeper)) {
+        return true;
+    }
+    counts = own_counts(self);
+    waiting = counts->len > 0;
+    g_array_unref(counts);
+    return waiting;
+}
+
+static int64_t
+spaced_ms(const Leased_Entry *self, int64_t now, const Peers_Row *peer,
+          bool news)
+{
+    bool quiet = !news && !peer->told_waiting &&
+                 peer->told_routes == LeasedRoutes_Version(self);
+    int64_t spaced = Peers_SpacedMs(&self->peers, GOSSIP_MS, GOSSIP_LEAST_MS,
+                                    quiet ? GOSSIP_QUIET_MOST_MS
+                                          : GOSSIP_MOST_MS);
+
+    return Peers_IsLive(peer, now) ? spaced
+                                   : MIN(spaced, Peers_PatienceMs(peer, now));
+}
+
 void
 LeasedGossip_Tick(Leased_Entry *self, int64_t now)
 {
-    int64_t spaced = Peers_SpacedMs(&self->peers, GOSSIP_MS, GOSSIP_LEAST_MS,
-                                    GOSSIP_MOST_MS);
+    bool news = has_news(self);
     guint i;
 
     for (i = 0; i < self->peers.rows->len; i++) {
         Peers_Row *peer = g_ptr_array_index(self->peers.rows, i);
+        int64_t spaced = spaced_ms(self, now, peer, news);
         int64_t patience = Peers_PatienceMs(peer, now);
         int64_t since = now - peer->asked_ms;
-        if (peer->call_id == 0 && since >= MIN(spaced, patience)) {
+        if (peer->call_id == 0 && since >= spaced) {
             send_gossip(self, now, peer);
         }
         else if (peer->call_id != 0 && since >= patience) {
--- a/daemon/leased_registry.c
+++ b/daemon/leased_registry.c
@@ -27,9 +27,10 @@
 
 void
 LeasedRegistry_Open(Leased_Registry *registry, uv_loop_t *loop, Address self,
-                    Address store, Peers *peers)
+                    Address store, const char *hall, Peers *peers)
 {
     registry->peers = peers;
+    registry->hall = hall;
     Registry_Init(&registry->state, self, Process_Now().mono_ms);
     if (store != 0) {
         registry->members = Members_New(Http_NewClient(loop), store, &ports,
@@ -52,7 +53,7 @@
         Members_Read(registry->members);
         break;
     case REGISTRY_PUT:
-        Members_Put(registry->members, registry->state.self);
+        Members_Put(registry->members, registry->state.self, registry->hall);
         break;
     case REGISTRY_DROP:
         Event_Log(EVENT_PEER_DROPPED, "%s", Address_Text(gone));
--- a/daemon/leased_routes.c
+++ b/daemon/leased_routes.c
@@ -1,8 +1,9 @@
 #include "daemon/leased_entry_state.h"
 
 #include "base/event.h"
+#include "base/random.h"
+#include "lease/store_wait.h"
 #include "platform/routes.h"
-#include "platform/store.h"
 
 /* ---- taking ---- */
 
@@ -78,8 +79,9 @@
     self->store_answers = true;
     RoutesFetch_Init(&self->fetch,
                      (uint32_t)Dispatcher_Node(self->dispatcher).incarnation);
-    Store_Follow(uv_default_loop(), self->http, options->store, &store_ports,
-                 self);
+    self->random = Random_Seed(Dispatcher_Node(self->dispatcher).incarnation);
+    self->follower = Store_Follow(uv_default_loop(), self->http,
+                                  options->store, &store_ports, self);
 }
 
 void
@@ -97,6 +99,9 @@
     Msg_Call call = {.kind = MSG_ROUTES};
     RoutesFetch_Call wanted;
 
+    Store_SetWait(
+        self->follower,
+        StoreWait_Draw(Peers_CountLive(&self->peers, now), &self->random));
     if (!RoutesFetch_Next(&self->fetch, now, LeasedRoutes_Version(self),
                           self->store_answers, &self->peers, &wanted)) {
         return;
--- a/lease/keeper.c
+++ b/lease/keeper.c
@@ -215,9 +215,35 @@
     g_hash_table_remove_all(keeper->changed);
 }
 
+/* All companions are asked to report for so long after the last job is over:
+ * longer than they hold ends of it for sure (lease/runner_kept.c). */
+#define NEEDS_ALL_MS 30000
+
+static void
+note_open(Keeper *keeper, int64_t now_ms)
+{
+    if (Kept_OpenCount(keeper->kept) == 0) {
+        if (now_ms - keeper->open_ms >= NEEDS_ALL_MS) {
+            keeper->open_ms = 0;
+        }
+        return;
+    }
+    if (keeper->open_ms == 0) {
+        keeper->all_since_ms = now_ms;
+    }
+    keeper->open_ms = now_ms;
+}
+
+bool
+Keeper_NeedsAll(const Keeper *keeper)
+{
+    return keeper->open_ms != 0 || Kept_OpenCount(keeper->kept) > 0;
+}
+
 void
 Keeper_Tick(Keeper *keeper, int64_t now_ms)
 {
+    note_open(keeper, now_ms);
     Dispatcher_HoldKept(keeper->dispatcher,
                         keeper->contact_ms != 0 &&
                             now_ms - keeper->contact_ms < KEEPER_HOLD_MS);
--- a/lease/keeper.h
+++ b/lease/keeper.h
@@ -156,6 +156,11 @@
 /** Identity as an owner that others may rely on, or 0. */
 uint64_t Keeper_Identity(const Keeper *keeper, int64_t now_ms);
 
+/** Whether this entry has to hear every companion, and every entry often: some
+ * entry's kept jobs are open, or were until lately. Who takes them over asks
+ * all companions for what they hold. */
+bool Keeper_NeedsAll(const Keeper *keeper);
+
 /** Whether no caller waits and no own job is open. */
 bool Keeper_IsIdle(const Keeper *keeper);
 
--- a/lease/keeper_owners.c
+++ b/lease/keeper_owners.c
@@ -329,7 +329,8 @@
 ask_companions(Keeper *keeper, int64_t now_ms, const Keeper_Recovery *recovery)
 {
     const Fleet *fleet = Dispatcher_Fleet(keeper->dispatcher);
-    bool all = now_ms - keeper->started_ms >= GATHERED_MS;
+    int64_t since_ms = MAX(keeper->started_ms, keeper->all_since_ms);
+    bool all = now_ms - since_ms >= GATHERED_MS;
     guint i;
 
     for (i = 0; i < fleet->hosts->len; i++) {
--- a/lease/peers.c
+++ b/lease/peers.c
@@ -1,5 +1,6 @@
 #include "lease/peers.h"
 
+#include <string.h>
 #include <xxhash.h>
 
 /* Who has not spoken for so long is not told of to others. */
@@ -13,6 +14,12 @@
 #define STARTING_PATIENCE_MS 120
 #define PATIENCE_MS 1000
 
+static uint64_t
+digest_of(Address address)
+{
+    return XXH3_64bits(&address, sizeof(address));
+}
+
 static void
 free_row(gpointer item)
 {
@@ -25,6 +32,7 @@
 void
 Peers_Init(Peers *peers, Address self)
 {
+    memset(peers, 0, sizeof(*peers));
     peers->self = self;
     peers->rows = g_ptr_array_new_with_free_func(free_row);
 }
@@ -70,6 +78,45 @@
     return is_new;
 }
 
+void
+Peers_SetHall(Peers *peers, Address address, const char *hall)
+{
+    Peers_Row *row = Peers_Find(peers, address);
+
+    if (row != NULL && hall != NULL && hall[0] != '\0') {
+        g_strlcpy(row->hall, hall, sizeof(row->hall));
+    }
+}
+
+void
+Peers_TakeList(Peers *peers, const u_quad_t *entries, u_int count,
+               int64_t now_ms)
+{
+    uint64_t digest = 0;
+    guint i;
+
+    for (i = 0; i < peers->rows->len; i++) {
+        ((Peers_Row *)g_ptr_array_index(peers->rows, i))->listed = false;
+    }
+    for (i = 0; i < count; i++) {
+        Peers_Row *row;
+        digest ^= digest_of(entries[i]);
+        Peers_Name(peers, entries[i], now_ms);
+        row = Peers_Find(peers, entries[i]);
+        if (row != NULL) {
+            row->listed = true;
+        }
+    }
+    peers->list_digest = digest;
+    peers->list_ms = now_ms;
+}
+
+void
+Peers_ConfirmList(Peers *peers, int64_t now_ms)
+{
+    peers->list_ms = now_ms;
+}
+
 bool
 Peers_Hear(Peers *peers, Address address, int64_t now_ms)
 {
@@ -127,6 +174,9 @@
     while (i < peers->rows->len) {
         const Peers_Row *row = g_ptr_array_index(peers->rows, i);
         int64_t last_ms = MAX(row->heard_ms, row->known_ms);
+        if (row->listed) {
+            last_ms = MAX(last_ms, peers->list_ms);
+        }
         if (!row->seed && row->call_id == 0 && now_ms - last_ms > FORGET_MS) {
             g_ptr_array_remove_index_fast(peers->rows, i);
         }
@@ -171,6 +221,18 @@
     return live;
 }
 
+uint32_t
+Peers_CountLive(const Peers *peers, int64_t now_ms)
+{
+    uint32_t count = 0;
+    guint i;
+
+    for (i = 0; i < peers->rows->len; i++) {
+        count += Peers_IsLive(g_ptr_array_index(peers->rows, i), now_ms);
+    }
+    return count;
+}
+
 uint64_t
 Peers_Digest(const GArray *addresses)
 {
@@ -178,8 +240,7 @@
     guint i;
 
     for (i = 0; i < addresses->len; i++) {
-        Address address = g_array_index(addresses, Address, i);
-        digest ^= XXH3_64bits(&address, sizeof(address));
+        digest ^= digest_of(g_array_index(addresses, Address, i));
     }
     return digest;
 }
--- a/lease/registry.c
+++ b/lease/registry.c
@@ -139,10 +139,12 @@
     }
     registry->pause_ms = RETRY_MS;
     for (i = 0; i < entries->len; i++) {
-        Address address = g_array_index(entries, Address, i);
+        const Peers_Named *named = &g_array_index(entries, Peers_Named, i);
+        Address address = named->address;
         found |= address == registry->self;
         if (address != registry->self) {
             Peers_Name(peers, address, now_ms);
+            Peers_SetHall(peers, address, named->hall);
             note_silent(registry, now_ms, address, peers);
         }
     }
--- a/lease/registry.h
+++ b/lease/registry.h
@@ -48,7 +48,7 @@
                             const Peers *peers, Address *gone);
 
 /** The register was read; names all entries to @p peers. @p entries is an
- * array of Address, or NULL if the read failed. */
+ * array of Peers_Named, or NULL if the read failed. */
 void Registry_OnRead(Registry *registry, int64_t now_ms, const GArray *entries,
                      Peers *peers);
 
--- /dev/null
+++ b/lease/store_wait.c
@@ -0,0 +1,25 @@
+#include "lease/store_wait.h"
+
+#include <glib.h>
+
+#include "base/random.h"
+
+/* Between reads of all entries together. Chosen: a tenth of the least wait. */
+#define EACH_MS 100U
+/* Within the least config_apply_ms (2,000) for an entry alone, with the time
+ * for a first byte. */
+#define LEAST_MS 1000U
+/* The store holds a read no longer: at 300 entries. */
+#define MOST_MS 30000U
+
+uint32_t
+StoreWait_Draw(uint32_t live, uint64_t *random)
+{
+    uint32_t wait_ms = CLAMP((live + 1) * EACH_MS, LEAST_MS, MOST_MS);
+    uint32_t half_ms = wait_ms / 2;
+
+    if (wait_ms == LEAST_MS) {
+        return wait_ms;
+    }
+    return half_ms + (uint32_t)(Random_Next(random) % half_ms) + 1;
+}
--- a/tests/registry_rules.c
+++ b/tests/registry_rules.c
@@ -40,9 +40,13 @@
 static void
 answer(fixture *f, int64_t now_ms, const Address *entries, guint count)
 {
-    GArray *list = g_array_new(FALSE, FALSE, sizeof(Address));
+    GArray *list = g_array_new(FALSE, FALSE, sizeof(Peers_Named));
+    guint i;
 
-    g_array_append_vals(list, entries, count);
+    for (i = 0; i < count; i++) {
+        Peers_Named named = {entries[i], "own"};
+        g_array_append_val(list, named);
+    }
     Registry_OnRead(&f->registry, now_ms, list, &f->peers);
     g_array_unref(list);
 }
--- a/wire/levercove.h
+++ b/wire/levercove.h
@@ -446,6 +446,8 @@
 		u_quad_t *entries_val;
 	} entries;
 	u_int gap_ms;
+	char *hall;
+	bool_t all;
 	lc_closures closures;
 };
 typedef struct lc_report_res lc_report_res;
--- a/wire/levercove.x
+++ b/wire/levercove.x
@@ -369,6 +369,8 @@
     lc_node entry;
     unsigned hyper entries<LC_MAX_PEERS>; /* none if the digest is ours */
     unsigned int gap_ms; /* changes are welcome so often at most */
+    string hall<LC_MAX_NAME>; /* of the entry */
+    bool all; /* it has to know every companion */
     lc_closures closures;
 };
 
--- a/wire/levercove_xdr.c
+++ b/wire/levercove_xdr.c
@@ -879,6 +879,10 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->gap_ms))
 		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->hall, LC_MAX_NAME))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->all))
+		 return FALSE;
 	 if (!xdr_lc_closures (xdrs, &objp->closures))
 		 return FALSE;
 	return TRUE;
