Reads of the kept jobs' log are held for 2 s while nobody waits for it

Change: while no kept job is open and no caller asks for one, a read is held 2 s; the first who waits is served by a read beside it. A log counts as down 1.5 s later if the read on its way was a quiet one. Ruled out: longer holds (an entry that has not read for 2.5 s cannot look after jobs).

--- a/daemon/leased_entry.c
+++ b/daemon/leased_entry.c
@@ -210,6 +210,7 @@
     LeasedRoutes_Tick(self, now);
     LeasedStore_Tick(self, now);
     Keeper_Tick(self->keeper, now);
+    KeyedLog_SetQuiet(self->kept_log, Keeper_IsQuiet(self->keeper));
     Dispatcher_SetWall(self->dispatcher, Process_Now().wall_ms - now);
     Dispatcher_Tick(self->dispatcher, now);
     note_ready(self);
--- a/lease/keeper.c
+++ b/lease/keeper.c
@@ -240,10 +240,20 @@
     return keeper->open_ms != 0 || Kept_OpenCount(keeper->kept) > 0;
 }
 
+bool
+Keeper_IsQuiet(const Keeper *keeper)
+{
+    return Kept_OpenCount(keeper->kept) == 0 && keeper->waiters->len == 0 &&
+           keeper->lookers->len == 0;
+}
+
 void
 Keeper_Tick(Keeper *keeper, int64_t now_ms)
 {
     note_open(keeper, now_ms);
+    if (Keeper_IsQuiet(keeper)) {
+        keeper->quiet_ms = now_ms;
+    }
     Dispatcher_HoldKept(keeper->dispatcher,
                         keeper->contact_ms != 0 &&
                             now_ms - keeper->contact_ms < KEEPER_HOLD_MS);
--- a/lease/keeper.h
+++ b/lease/keeper.h
@@ -156,6 +156,10 @@
 /** Identity as an owner that others may rely on, or 0. */
 uint64_t Keeper_Identity(const Keeper *keeper, int64_t now_ms);
 
+/** Whether no kept job is open and no caller asks for one: nobody waits for
+ * what stands in the log. */
+bool Keeper_IsQuiet(const Keeper *keeper);
+
 /** Whether this entry has to hear every companion, and every entry often: some
  * entry's kept jobs are open, or were until lately. Who takes them over asks
  * all companions for what they hold. */
--- a/lease/keeper_callers.c
+++ b/lease/keeper_callers.c
@@ -8,6 +8,9 @@
 #define LOOK_WAIT_MS 50
 /* A log that has not answered for so long is taken as down. */
 #define LOG_DOWN_MS 1500
+/* The read that was on its way while nobody waited for the log is held so much
+ * longer (platform/keyed_log.c). */
+#define QUIET_MS 1500
 
 static void
 answer(Keeper *keeper, uint64_t request, Dispatcher_Outcome outcome,
@@ -25,8 +28,11 @@
 bool
 KeeperCaller_LogIsDown(const Keeper *keeper, int64_t now_ms)
 {
-    return keeper->contact_ms == 0 ||
-           now_ms - keeper->contact_ms > LOG_DOWN_MS;
+    bool quiet = keeper->quiet_ms != 0 &&
+                 now_ms - keeper->quiet_ms <= LOG_DOWN_MS;
+    int64_t most_ms = LOG_DOWN_MS + (quiet ? QUIET_MS : 0);
+
+    return keeper->contact_ms == 0 || now_ms - keeper->contact_ms > most_ms;
 }
 
 static Keeper_Waiter *
--- a/lease/keeper_state.h
+++ b/lease/keeper_state.h
@@ -122,6 +122,7 @@
     int64_t claimed_ms;  /* when the last claim was put */
     int64_t swept_ms;
     int64_t open_ms;      /* when a job was last seen open; 0 for never */
+    int64_t quiet_ms;     /* when nobody waited for the log last */
     int64_t all_since_ms; /* since when all companions are asked to report */
     bool leaving;
     bool unstarted; /* own jobs may wait to be started */
