--- a/daemon/leased_entry.c
+++ b/daemon/leased_entry.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "daemon/leased_entry_state.h"
+#include "lease/store_wait.h"
 #include "platform/callers.h"
 
 /* The loop wakes up every PROCESS_TICK_MS; a longer gap means that the
@@ -210,7 +211,8 @@
     LeasedRoutes_Tick(self, now);
     LeasedStore_Tick(self, now);
     Keeper_Tick(self->keeper, now);
-    KeyedLog_SetQuiet(self->kept_log, Keeper_IsQuiet(self->keeper));
+    KeyedLog_SetQuiet(self->kept_log, Keeper_IsQuiet(self->keeper),
+                      StoreWait_Quiet(Peers_CountLive(&self->peers, now)));
     Dispatcher_SetWall(self->dispatcher, Process_Now().wall_ms - now);
     Dispatcher_Tick(self->dispatcher, now);
     note_ready(self);
--- a/lease/store_wait.c
+++ b/lease/store_wait.c
@@ -11,6 +11,18 @@
 #define LEAST_MS 1000U
 /* The store holds a read no longer: at 300 entries. */
 #define MOST_MS 30000U
+/* Of the kept jobs' log: some 90 reads a second of all entries from 40 on, as
+ * many as 40 entries make at two a second. Chosen; at most 0.5 s below the
+ * time after which an entry that has not read cannot look after jobs (2,500).
+ */
+#define QUIET_EACH_MS 11U
+#define QUIET_MOST_MS 2000U
+
+uint32_t
+StoreWait_Quiet(uint32_t live)
+{
+    return MIN((live + 1) * QUIET_EACH_MS, QUIET_MOST_MS);
+}
 
 uint32_t
 StoreWait_Draw(uint32_t live, uint64_t *random)
--- a/lease/store_wait.h
+++ b/lease/store_wait.h
@@ -19,4 +19,11 @@
  * so that entries that started together do not ask together. */
 uint32_t StoreWait_Draw(uint32_t live, uint64_t *random);
 
+/** Time in ms for a read of the kept jobs' log while nobody waits for what
+ * stands there: it grows with the entries, within the time after which one
+ * that has not read counts as unable to look after jobs. A connection that
+ * goes silent meanwhile is noticed so much later, and new jobs that have to be
+ * kept are refused until then. */
+uint32_t StoreWait_Quiet(uint32_t live);
+
 #endif
--- a/tests/view_rules.c
+++ b/tests/view_rules.c
@@ -273,6 +273,10 @@
     g_assert_cmpuint(calls_of(300), <=, 1400);
     g_assert_cmpuint(calls_of(184), >=, 1000);
     g_assert_cmpuint(StoreWait_Draw(5000, &random), <=, 30000);
+    g_assert_cmpuint(StoreWait_Quiet(0), <=, 500);
+    g_assert_cmpuint(StoreWait_Quiet(39), <=, 500);
+    g_assert_cmpuint(StoreWait_Quiet(183), ==, 2000);
+    g_assert_cmpuint(StoreWait_Quiet(5000), ==, 2000);
 }
 
 static const RuleTable_Row rules[] = {
