Eight entries watch the store; crashes of kept jobs' tasks are written down; the soak's upstreams start again under their names

Change: the eight entries of the lowest hashes ask each second, the others as before; who hears no other watches by itself. Kept jobs: a task's crashes stand in its progress record, a successor counts on (two rules).

--- a/daemon/leased_entry.c
+++ b/daemon/leased_entry.c
@@ -88,6 +88,7 @@
     .answer = port_answer,
     .event = port_event,
     .kept_end = LeasedKept_End,
+    .kept_crash = LeasedKept_Crash,
     .kept_over = LeasedKept_Over,
 };
 
--- a/daemon/leased_entry_state.h
+++ b/daemon/leased_entry_state.h
@@ -98,6 +98,7 @@
 /** Ports of the dispatcher. */
 void LeasedKept_End(void *context, const lc_run_id *id, uint32_t task,
                     lc_node host, bool done);
+void LeasedKept_Crash(void *context, const lc_run_id *id, uint32_t task);
 void LeasedKept_Over(void *context, uint64_t job, Dispatcher_Outcome outcome);
 
 /** Takes a job that must be kept. */
--- a/daemon/leased_kept.c
+++ b/daemon/leased_kept.c
@@ -162,6 +162,14 @@
     Keeper_OnRunEnd(self->keeper, id, task, host, done);
 }
 
+void
+LeasedKept_Crash(void *context, const lc_run_id *id, uint32_t task)
+{
+    Leased_Entry *self = context;
+
+    Keeper_OnCrash(self->keeper, id, task);
+}
+
 void
 LeasedKept_Over(void *context, uint64_t job, Dispatcher_Outcome outcome)
 {
--- a/daemon/leased_routes.c
+++ b/daemon/leased_routes.c
@@ -93,15 +93,22 @@
 
 /* ---- from other entries ---- */
 
+static uint32_t
+store_wait(Leased_Entry *self, int64_t now)
+{
+    if (StoreWait_IsWatcher(&self->peers, now)) {
+        return StoreWait_Watcher();
+    }
+    return StoreWait_Draw(Peers_CountLive(&self->peers, now), &self->random);
+}
+
 void
 LeasedRoutes_Tick(Leased_Entry *self, int64_t now)
 {
     Msg_Call call = {.kind = MSG_ROUTES};
     RoutesFetch_Call wanted;
 
-    Store_SetWait(
-        self->follower,
-        StoreWait_Draw(Peers_CountLive(&self->peers, now), &self->random));
+    Store_SetWait(self->follower, store_wait(self, now));
     if (!RoutesFetch_Next(&self->fetch, now, LeasedRoutes_Version(self),
                           self->store_answers, &self->peers, &wanted)) {
         return;
--- a/lease/dispatcher.h
+++ b/lease/dispatcher.h
@@ -57,6 +57,8 @@
     /** A run of a kept job ended, well or badly. */
     void (*kept_end)(void *context, const lc_run_id *id, uint32_t task,
                      lc_node host, bool done);
+    /** An upstream has crashed under a run of a kept job's task. */
+    void (*kept_crash)(void *context, const lc_run_id *id, uint32_t task);
     /** A kept job is over. */
     void (*kept_over)(void *context, uint64_t job, Dispatcher_Outcome outcome);
 } Dispatcher_Ports;
@@ -88,7 +90,7 @@
     const Route *route;
     LeasedJob job;          /**< the dispatcher takes what it owns */
     const GByteArray *done; /**< a bit for each task */
-    const GArray *failures; /**< lc_kept_failures */
+    const GArray *failures; /**< lc_kept_failures, see KEPT_CRASHES */
     const GArray *runs;     /**< Dispatcher_Placement */
     uint32_t run_base;      /**< earlier runs are numbered up to this */
 } Dispatcher_Kept;
--- a/lease/dispatcher_ends.c
+++ b/lease/dispatcher_ends.c
@@ -242,8 +242,8 @@
 }
 
 bool
-DispatcherEnd_Crash(Dispatcher *self, int64_t now_ms, Active_Job *job,
-                    Active_Task *task)
+DispatcherEnd_GiveUpCrashing(Dispatcher *self, int64_t now_ms, Active_Job *job,
+                             const Active_Task *task)
 {
     Dispatcher_Answer answer = {.outcome = DISPATCHER_FAILED,
                                 .kind = ERR_TASK_CRASHES,
@@ -251,19 +251,30 @@
     uint32_t most = Active_Step(job, task)->long_running ? CRASHES_MOST_LASTING
                                                          : CRASHES_MOST;
 
-    task->crashes++;
-    Counter_Add(&self->counters, COUNTER_TASKS_CRASHED, 1);
-    log_crash(self, now_ms, job, task);
-    task->crashed = task->host.address;
     if (job->closing || task->crashes < most) {
         return false;
     }
     Counter_Add(&self->counters, COUNTER_JOBS_CRASHING, 1);
-    Active_Move(job, task, ACTIVE_OVER);
     DispatcherEnd_Job(self, now_ms, job, &answer);
     return true;
 }
 
+bool
+DispatcherEnd_Crash(Dispatcher *self, int64_t now_ms, Active_Job *job,
+                    Active_Task *task)
+{
+    task->crashes++;
+    Counter_Add(&self->counters, COUNTER_TASKS_CRASHED, 1);
+    log_crash(self, now_ms, job, task);
+    task->crashed = task->host.address;
+    if (job->kept) {
+        self->ports->kept_crash(self->context, &task->id,
+                                LeasedJob_TaskNumber(&job->spec, &task->id));
+    }
+    Active_Move(job, task, ACTIVE_WAITING);
+    return DispatcherEnd_GiveUpCrashing(self, now_ms, job, task);
+}
+
 void
 DispatcherEnd_Fail(Dispatcher *self, int64_t now_ms, Active_Job *job,
                    Active_Task *task, const Fleet_Host *host)
--- a/lease/dispatcher_kept.c
+++ b/lease/dispatcher_kept.c
@@ -44,8 +44,15 @@
     for (i = 0; i < failures->len; i++) {
         const lc_kept_failures *row = &g_array_index(failures,
                                                      lc_kept_failures, i);
-        if (row->task < job->task_count) {
-            job->tasks[row->task].failures = row->count;
+        uint32_t task = row->task & ~KEPT_CRASHES;
+        if (task >= job->task_count) {
+            continue;
+        }
+        if ((row->task & KEPT_CRASHES) != 0) {
+            job->tasks[task].crashes = row->count;
+        }
+        else {
+            job->tasks[task].failures = row->count;
         }
     }
 }
@@ -107,6 +114,9 @@
             DispatcherEnd_Job(self, now_ms, job, &answer);
             return;
         }
+        if (DispatcherEnd_GiveUpCrashing(self, now_ms, job, &job->tasks[i])) {
+            return;
+        }
     }
 }
 
--- a/lease/dispatcher_state.h
+++ b/lease/dispatcher_state.h
@@ -115,6 +115,11 @@
 bool DispatcherEnd_Crash(Dispatcher *self, int64_t now_ms, Active_Job *job,
                          Active_Task *task);
 
+/** Ends a job if enough upstreams have crashed under a task of it, and says
+ * whether. */
+bool DispatcherEnd_GiveUpCrashing(Dispatcher *self, int64_t now_ms,
+                                  Active_Job *job, const Active_Task *task);
+
 /** Answers a job and stops what runs of it. May free it. */
 void DispatcherEnd_Job(Dispatcher *self, int64_t now_ms, Active_Job *job,
                        const Dispatcher_Answer *answer);
--- a/lease/keeper.h
+++ b/lease/keeper.h
@@ -125,6 +125,9 @@
 void Keeper_OnRunEnd(Keeper *keeper, const lc_run_id *id, uint32_t task,
                      lc_node host, bool done);
 
+/** The dispatcher tells that an upstream has crashed under a run. */
+void Keeper_OnCrash(Keeper *keeper, const lc_run_id *id, uint32_t task);
+
 /** The dispatcher tells that a job is over. */
 void Keeper_OnJobOver(Keeper *keeper, uint64_t job,
                       Dispatcher_Outcome outcome);
--- a/lease/keeper_jobs.c
+++ b/lease/keeper_jobs.c
@@ -116,6 +116,17 @@
     note_change(keeper, row);
 }
 
+void
+Keeper_OnCrash(Keeper *keeper, const lc_run_id *id, uint32_t task)
+{
+    Keeper_Job *row = g_hash_table_lookup(keeper->jobs, &id->job);
+
+    if (row != NULL) {
+        add_failure(row, task | KEPT_CRASHES, id->run);
+        note_change(keeper, row);
+    }
+}
+
 void
 Keeper_OnJobOver(Keeper *keeper, uint64_t job, Dispatcher_Outcome outcome)
 {
--- a/lease/kept.h
+++ b/lease/kept.h
@@ -19,6 +19,10 @@
 
 #include "wire/msg.h"
 
+/** In a row of failures: it counts upstreams that crashed under the task
+ * instead. Versions that knew none pass such rows over, as no task has that
+ * number. */
+#define KEPT_CRASHES (1U << 31)
 /** Size of the text of a key with its NUL. */
 #define KEPT_KEY_SIZE 64
 
--- a/lease/store_wait.c
+++ b/lease/store_wait.c
@@ -1,10 +1,14 @@
 #include "lease/store_wait.h"
 
 #include <glib.h>
+#include <xxhash.h>
 
 #include "base/random.h"
 
-/* Between reads of all entries together. Chosen: a tenth of the least wait. */
+/* So many ask each second. Chosen: with one in eight lost each second, one of
+ * them still asks in nearly every second. */
+#define WATCHERS 8U
+/* Between reads of all others together. Chosen: a tenth of the least wait. */
 #define EACH_MS 100U
 /* Within the least config_apply_ms (2,000) for an entry alone, with the time
  * for a first byte. */
@@ -18,6 +22,27 @@
 #define QUIET_EACH_MS 11U
 #define QUIET_MOST_MS 2000U
 
+bool
+StoreWait_IsWatcher(const Peers *peers, int64_t now_ms)
+{
+    uint64_t own = XXH3_64bits(&peers->self, sizeof(peers->self));
+    uint32_t before = 0;
+    guint i;
+
+    for (i = 0; i < peers->rows->len; i++) {
+        const Peers_Row *row = g_ptr_array_index(peers->rows, i);
+        before += Peers_IsLive(row, now_ms) &&
+                  XXH3_64bits(&row->address, sizeof(row->address)) < own;
+    }
+    return before < WATCHERS;
+}
+
+uint32_t
+StoreWait_Watcher(void)
+{
+    return LEAST_MS;
+}
+
 uint32_t
 StoreWait_Quiet(uint32_t live)
 {
--- a/tests/fleet_world.c
+++ b/tests/fleet_world.c
@@ -716,6 +716,14 @@
     (void)done;
 }
 
+static void
+port_kept_crash(void *context, const lc_run_id *id, uint32_t task)
+{
+    (void)context;
+    (void)id;
+    (void)task;
+}
+
 static void
 port_kept_over(void *context, uint64_t job, Dispatcher_Outcome outcome)
 {
@@ -725,8 +733,8 @@
 }
 
 static const Dispatcher_Ports dispatcher_ports = {
-    port_call,  port_reset,    port_answer,
-    drop_event, port_kept_end, port_kept_over};
+    port_call,     port_reset,      port_answer,   drop_event,
+    port_kept_end, port_kept_crash, port_kept_over};
 
 typedef struct {
     uint32_t entry;
--- a/tests/kept_rules.c
+++ b/tests/kept_rules.c
@@ -169,6 +169,12 @@
     Keeper_OnRunEnd(((fixture *)context)->keeper, id, task, host, done);
 }
 
+static void
+port_crash(void *context, const lc_run_id *id, uint32_t task)
+{
+    Keeper_OnCrash(((fixture *)context)->keeper, id, task);
+}
+
 static void
 port_over(void *context, uint64_t job, Dispatcher_Outcome outcome)
 {
@@ -180,8 +186,8 @@
     port_route, port_parse,  port_keeper_event,
 };
 static const Dispatcher_Ports dispatcher_ports = {
-    port_call,          port_reset, port_answer,
-    LeaseFix_DropEvent, port_end,   port_over,
+    port_call, port_reset, port_answer, LeaseFix_DropEvent,
+    port_end,  port_crash, port_over,
 };
 
 /* ---- a keeper ---- */
@@ -591,6 +597,26 @@
     free_fixture(&fix);
 }
 
+/* The log tells a successor how many upstreams have crashed under a task. */
+static void
+test_crashes_are_written(void)
+{
+    fixture fix;
+
+    start_own(&fix);
+    end_run(&fix, LC_RUN_CRASHED);
+    g_assert_cmpint(count_calls(&fix, MSG_RUN), ==, 2);
+    read_put(&fix, fix.puts->len);
+    g_assert_cmpint(Keeper_Look(fix.keeper, fix.now_ms, 7, "queue"), ==,
+                    KEEPER_RUNNING);
+    end_run(&fix, LC_RUN_CRASHED);
+    g_assert_cmpint(count_calls(&fix, MSG_RUN), ==, 2);
+    read_put(&fix, fix.puts->len);
+    g_assert_cmpint(Keeper_Look(fix.keeper, fix.now_ms, 7, "queue"), ==,
+                    KEEPER_FAILED);
+    free_fixture(&fix);
+}
+
 /* Failures at an upstream on trial count as others do. */
 static void
 test_attempts_on_trial(void)
@@ -771,6 +797,33 @@
     free_fixture(&fix);
 }
 
+/* One crash under another owner, one under this: the job is given up. */
+static void
+test_successor_counts_on(void)
+{
+    lc_kept_record record = {.job = 7};
+    lc_kept_progress *progress = &record.body.lc_kept_body_u.progress;
+    lc_kept_failures crash = {KEPT_CRASHES, 1, 1025};
+    char key[KEPT_KEY_SIZE];
+    fixture fix;
+
+    inherit(&fix);
+    answer_fence(&fix, NULL);
+    record.body.kind = LC_KEPT_PROGRESS;
+    progress->queue = (char *)(uintptr_t) "queue";
+    progress->failures.failures_val = &crash;
+    progress->failures.failures_len = 1;
+    Kept_ProgressKey(7, other_owner, key);
+    read_record(&fix, key, &record);
+    pass(&fix, 100);
+    g_assert_cmpint(count_calls(&fix, MSG_RUN), ==, 1);
+    end_run(&fix, LC_RUN_CRASHED);
+    read_put(&fix, fix.puts->len);
+    g_assert_cmpint(Keeper_Look(fix.keeper, fix.now_ms, 7, "queue"), ==,
+                    KEEPER_FAILED);
+    free_fixture(&fix);
+}
+
 static void
 test_successor_takes_a_held_end(void)
 {
@@ -970,6 +1023,8 @@
     {"/keeper/releases ends when they are written",
      test_released_when_written},
     {"/keeper/counts attempts", test_attempts_are_written},
+    {"/keeper/writes crashes down", test_crashes_are_written},
+    {"/keeper/a successor counts crashes on", test_successor_counts_on},
     {"/keeper/counts attempts on trial", test_attempts_on_trial},
     {"/keeper/starts what lasts again", test_lasting},
     {"/keeper/starts each time when it is due", test_times},
--- a/tests/lease_rules.c
+++ b/tests/lease_rules.c
@@ -40,6 +40,7 @@
     int answers;
     int kept_done;
     int kept_failed;
+    int kept_crashes;
     int kept_over;
     Dispatcher_Outcome outcome;
     uint32_t retry_ms;
@@ -98,6 +99,16 @@
     fix->kept_failed += !done;
 }
 
+static void
+port_kept_crash(void *context, const lc_run_id *id, uint32_t task)
+{
+    dispatcher_fixture *fix = context;
+
+    (void)id;
+    (void)task;
+    fix->kept_crashes++;
+}
+
 static void
 port_kept_over(void *context, uint64_t job, Dispatcher_Outcome outcome)
 {
@@ -109,8 +120,8 @@
 }
 
 static const Dispatcher_Ports dispatcher_ports = {
-    port_call,          port_reset,    port_answer,
-    LeaseFix_DropEvent, port_kept_end, port_kept_over};
+    port_call,     port_reset,      port_answer,   LeaseFix_DropEvent,
+    port_kept_end, port_kept_crash, port_kept_over};
 
 static void
 report_all(dispatcher_fixture *fix, const lc_node *node,
--- a/tests/lease_world_nodes.cc
+++ b/tests/lease_world_nodes.cc
@@ -192,15 +192,21 @@
     Keeper_OnRunEnd(((EntryNode *)context)->keeper, id, task, host, done);
 }
 
+void
+port_kept_crash(void *context, const lc_run_id *id, uint32_t task)
+{
+    Keeper_OnCrash(((EntryNode *)context)->keeper, id, task);
+}
+
 void
 port_kept_over(void *context, uint64_t job, Dispatcher_Outcome outcome)
 {
     Keeper_OnJobOver(((EntryNode *)context)->keeper, job, outcome);
 }
 
-const Dispatcher_Ports entry_ports = {port_call,     port_reset,
-                                      port_answer,   port_entry_event,
-                                      port_kept_end, port_kept_over};
+const Dispatcher_Ports entry_ports = {
+    port_call,     port_reset,      port_answer,   port_entry_event,
+    port_kept_end, port_kept_crash, port_kept_over};
 const Runner_Ports companion_ports = {port_start, port_stop, port_look,
                                       port_reply, port_companion_event};
 
--- a/tests/soak/upstream.cc
+++ b/tests/soak/upstream.cc
@@ -82,6 +82,8 @@
 Upstream::crash()
 {
     dead = model.instance();
+    dead_born = model.born();
+    dead_beats = beats;
     beats_since = 0;
     model.crash(now(), false);
     waiting.clear();
@@ -90,7 +92,14 @@
 void
 Upstream::come_up()
 {
-    model.come_up(now());
+    /* Every second life has the name of the one before. */
+    if (lives++ % 2 == 1) {
+        model.come_again(now());
+    }
+    else {
+        model.come_up(now());
+    }
+    beats = 0;
 }
 
 void
@@ -131,7 +140,8 @@
 {
     std::vector<Runner_Row> running;
     std::vector<Runner_EndRow> ended;
-    std::string more = ",\"running\":[";
+    std::string more = ",\"born\":" + std::to_string(model.born()) +
+                       ",\"running\":[";
     static const char *const ends[] = {"done", "failed", "stopped", "lapsed"};
 
     one.look.instance = one.instance.c_str();
@@ -263,7 +273,7 @@
 
 void
 Upstream::send_beat(const std::string &instance, uint64_t number,
-                    int64_t clock_ms)
+                    int64_t clock_ms, int64_t born_ms)
 {
     Http_ClientRequest request = {};
     char body[400];
@@ -272,9 +282,10 @@
     snprintf(body, sizeof(body),
              "{\"service\":\"service\",\"state\":\"ready\",\"capacity\":"
              "{\"cpu\":%u,\"mem_mb\":%u,\"gpu\":0},\"labels\":[],"
-             "\"clock_ms\":%" PRId64 ",\"seq\":%" PRIu64 "}",
+             "\"clock_ms\":%" PRId64 ",\"seq\":%" PRIu64 ",\"born\":%" PRId64
+             "}",
              UPSTREAM_CAPACITY.cpu_milli, UPSTREAM_CAPACITY.memory_mb,
-             clock_ms, number);
+             clock_ms, number, born_ms);
     request.to = companion;
     request.method = "POST";
     request.path = path.c_str();
@@ -295,9 +306,9 @@
         return;
     }
     self->send_beat(self->model.instance(), ++self->beats,
-                    self->model.clock(self->now()));
+                    self->model.clock(self->now()), self->model.born());
     if (!self->dead.empty() && ++self->beats_since == 2) {
-        self->send_beat(self->dead, self->beats, 1);
+        self->send_beat(self->dead, self->dead_beats + 1, 1, self->dead_born);
         self->dead.clear();
     }
 }
--- a/tests/soak/upstream.h
+++ b/tests/soak/upstream.h
@@ -53,7 +53,7 @@
     static void on_beat_answer(void *context, const Http_ClientAnswer *answer);
     static void on_late(uv_timer_t *timer);
     void send_beat(const std::string &instance, uint64_t number,
-                   int64_t clock_ms);
+                   int64_t clock_ms, int64_t born_ms);
     void handle(uint64_t request, const std::string &path,
                 const std::string &body, const std::string &expected);
     bool answer_look(Waiting &waiting);
@@ -74,7 +74,10 @@
     int64_t begin_ms;
     uint64_t beats = 0;
     std::string dead; /**< its last heartbeat is still on its way */
+    int64_t dead_born = 0;
+    uint64_t dead_beats = 0;
     int beats_since = 0;
+    uint32_t lives = 0;
     std::vector<Waiting> waiting;
 };
 
--- a/tests/view_rules.c
+++ b/tests/view_rules.c
@@ -261,6 +261,28 @@
     return (uint64_t)entries * 1000 * 1000 * 100 / waited;
 }
 
+/* Eight of many watch, all of few, and one that is alone. */
+static void
+test_watchers(void)
+{
+    uint32_t watchers = 0;
+    uint32_t i;
+
+    for (i = 0; i < 184; i++) {
+        Peers peers;
+        uint32_t j;
+        Peers_Init(&peers, entry_at(i));
+        for (j = 0; j < 184; j++) {
+            Peers_Hear(&peers, entry_at(j), NOW_MS);
+        }
+        watchers += StoreWait_IsWatcher(&peers, NOW_MS);
+        /* All others have been silent for long. */
+        g_assert_true(StoreWait_IsWatcher(&peers, NOW_MS + 60000));
+        Peers_Clear(&peers);
+    }
+    g_assert_cmpuint(watchers, ==, 8);
+}
+
 static void
 test_calls_to_the_store(void)
 {
@@ -288,6 +310,7 @@
     {"/view/few pairs move", test_few_pairs_move},
     {"/view/flat in the fleet", test_flat_in_the_fleet},
     {"/view/a list that is confirmed", test_list_is_confirmed},
+    {"/view/some watch the store", test_watchers},
     {"/view/calls to the store", test_calls_to_the_store},
 };
 
