--- a/base/event.c
+++ b/base/event.c
@@ -158,6 +158,7 @@
 Event_Log(Event_Id id, const char *format, ...)
 {
     char detail[400];
+    char *valid;
     va_list args;
 
     if (!Event_Admit(id)) {
@@ -166,7 +167,10 @@
     va_start(args, format);
     vsnprintf(detail, sizeof(detail), format, args);
     va_end(args);
-    Event_Write(id, json_pack("{s:s}", "detail", detail));
+    /* Bytes of others that are no UTF-8 would leave no line but its number. */
+    valid = g_utf8_make_valid(detail, -1);
+    Event_Write(id, json_pack("{s:s}", "detail", valid));
+    g_free(valid);
 }
 
 static const char *
--- a/tests/fleet_load.c
+++ b/tests/fleet_load.c
@@ -124,6 +124,19 @@
      .refused_starts = 0.55,
      .spread = 0.15,
      .late_share = 0},
+    {"one job of a thousand crashes upstreams",
+     {.shape = &large,
+      .usual = 1,
+      .rush = 1,
+      .only = -1,
+      .rush_ms = 1000,
+      .rush_end_ms = 7000,
+      .length_ms = 8000,
+      .crashing = 0.001},
+     .worth = 0.98,
+     .refused_starts = 0.5,
+     .spread = 0.3,
+     .late_share = 0},
     {"shifted: usual load and its wave",
      {.shape = &shifted,
       .usual = 1,
@@ -221,6 +234,10 @@
         printf(" %u/%u/%u/%u", jobs->in_time, jobs->late, jobs->refused,
                jobs->given_up);
     }
+    if (report->crashes > 0) {
+        printf(" | %u crashes, %u most, %u innocent", report->crashes,
+               report->most_crashes, report->innocent);
+    }
     printf("\n");
 }
 
@@ -260,6 +277,7 @@
                       one->refused_starts * (double)report.starts);
     g_assert_cmpfloat(report.spread, <=, one->spread);
     g_assert_cmpfloat(report.late_share, >=, one->late_share);
+    g_assert_cmpuint(report.most_crashes, <=, 2);
 }
 
 int
--- a/tests/fleet_world.c
+++ b/tests/fleet_world.c
@@ -9,6 +9,10 @@
 #include "lease/run_id.h"
 #include "lease/runner.h"
 
+/* An upstream crashes so soon after it started such a task, and is away for so
+ * long. */
+#define CRASH_AFTER_MS 40
+#define CRASHED_MS 2000
 #define TICK_MS 50
 #define BEAT_MS 1500
 #define IDLE_REPORT_MS 3000
@@ -51,6 +55,7 @@
     int64_t since_ms;
     char hall[16];
     char instance[24];
+    int64_t born_ms; /* counted from the start of the world */
     uint64_t sequence;
     uint32_t capacity;
     uint32_t used;
@@ -97,6 +102,8 @@
     int64_t first_start_ms;
     bool answered;
     bool in_rush;
+    bool crashing;
+    uint32_t crashes; /* upstreams under it */
 } job_row;
 
 typedef struct {
@@ -194,7 +201,8 @@
     GHashTableIter iter;
     gpointer value;
     Runner_Listing listing = {.end = RUNNER_ORDER_TAKEN,
-                              .clock_ms = clock_of(w)};
+                              .clock_ms = clock_of(w),
+                              .born_ms = 1 + node->born_ms};
 
     if (node->look_id != answer->id || node->runner == NULL) {
         return;
@@ -299,6 +307,60 @@
     }
 }
 
+static void
+go_down(companion_node *node)
+{
+    node->up = false;
+    g_hash_table_remove_all(node->running);
+    g_array_set_size(node->ended, 0);
+    node->used = 0;
+    node->last_end = 0;
+}
+
+typedef struct {
+    uint32_t companion;
+} companion_item;
+
+static void beat(world *w, companion_node *node);
+
+/* It starts again under its name. */
+static void
+on_back(world *w, void *item)
+{
+    companion_node *node = &w->companions[((companion_item *)item)->companion];
+
+    node->up = true;
+    node->born_ms = w->now_ms;
+    node->sequence = 0;
+    beat(w, node);
+}
+
+static void
+on_crash(world *w, void *item)
+{
+    companion_node *node = &w->companions[((companion_item *)item)->companion];
+
+    if (node->up) {
+        go_down(node);
+        at(w, w->now_ms + CRASHED_MS, on_back, item, sizeof(companion_item));
+    }
+}
+
+static void
+crash_soon(world *w, companion_node *node, const lc_run_id *id)
+{
+    job_row *job = &g_array_index(w->jobs, job_row, id->job - 1);
+    companion_item item = {node->index};
+
+    if (!job->crashing || id->index != 0) {
+        return;
+    }
+    w->report.crashes++;
+    w->report.most_crashes = MAX(w->report.most_crashes, ++job->crashes);
+    at(w, w->now_ms + (int64_t)(CRASH_AFTER_MS * chance(w)) + 1, on_crash,
+       &item, sizeof(item));
+}
+
 static void
 port_start(void *context, uint64_t order_id, const Runner_Start *start)
 {
@@ -320,6 +382,7 @@
         g_hash_table_insert(node->running, &task->id, task);
         node->used += job->cpu_milli;
         note_start(w, node, &start->id);
+        crash_soon(w, node, &start->id);
         at(w, w->now_ms + task->work_ms, on_task_end, &end, sizeof(end));
     }
     at(w, w->now_ms + 1, on_started, &answer, sizeof(answer));
@@ -428,10 +491,6 @@
 static const Runner_Ports runner_ports = {port_start, port_stop, port_look,
                                           port_reply, drop_event};
 
-typedef struct {
-    uint32_t companion;
-} companion_item;
-
 static void
 on_wake(world *w, void *item)
 {
@@ -522,6 +581,7 @@
 {
     static const char *const labels[] = {NULL};
     Runner_Upstream said = {.instance = node->instance,
+                            .born_ms = 1 + node->born_ms,
                             .sequence = ++node->sequence,
                             .service = "service",
                             .says = RUNNER_UPSTREAM_READY,
@@ -583,14 +643,11 @@
     if (!in_rush(w) && node->up) {
         return;
     }
-    node->up = !node->up;
-    if (!node->up) {
-        g_hash_table_remove_all(node->running);
-        g_array_set_size(node->ended, 0);
-        node->used = 0;
-        node->last_end = 0;
+    if (node->up) {
+        go_down(node);
     }
     else {
+        node->up = true;
         g_snprintf(node->instance, sizeof(node->instance), "u%u-%u",
                    node->index, (unsigned)w->now_ms);
         node->sequence = 1;
@@ -701,7 +758,10 @@
 
     if (!job->answered) {
         job->answered = true;
-        note_answer(w, job, answer);
+        if (!job->crashing) {
+            note_answer(w, job, answer);
+            w->report.innocent += answer->kind == ERR_TASK_CRASHES;
+        }
     }
 }
 
@@ -800,9 +860,14 @@
     estimate_ms = (uint32_t)(job.work_ms * (0.6 + 0.8 * chance(w)));
     job.objective_ms = w->now_ms + TARGET_MS +
                        (int64_t)job.work_ms * STRETCH_PERCENT / 100;
+    if (w->load->crashing > 0) {
+        job.crashing = chance(w) < w->load->crashing;
+    }
     g_array_append_val(w->jobs, job);
-    w->report.kinds[kind].sent++;
-    w->rush_count[kind] += job.in_rush;
+    if (!job.crashing) {
+        w->report.kinds[kind].sent++;
+        w->rush_count[kind] += job.in_rush;
+    }
     submit.request_id = w->jobs->len;
     submit.deadline_ms = MAX(DEADLINE_MS, 3 * (int64_t)job.work_ms);
     submit.job.id = w->jobs->len;
--- a/tests/fleet_world.h
+++ b/tests/fleet_world.h
@@ -46,6 +46,9 @@
     uint32_t late_companions; /**< of them, so many begin at rush_ms */
     double away;      /**< share of entries without power during the rush */
     double flapping;  /**< share of upstreams that leave and come back */
+    double crashing;  /**< share of jobs of which a task crashes the upstreams
+                           that start it; they earn nothing and are not missed
+                           */
     bool fresh_start; /**< the processes begin together at rush_ms */
     int64_t close_ms; /**< the first hall is closed then; 0: never */
     int64_t open_ms;  /**< and opened again */
@@ -69,6 +72,9 @@
     uint64_t starts;   /**< RUN calls */
     uint64_t refused_starts;
     uint64_t refused_free; /**< jobs refused while a tenth of all is free */
+    uint32_t crashes;      /**< upstreams that crashed under a task */
+    uint32_t most_crashes; /**< under one job */
+    uint32_t innocent;     /**< jobs that failed though they crash nothing */
     double busy_rush;      /**< processors taken during the rush, share */
     double spread;         /**< starts by host: deviation over mean */
     double late_share;     /**< starts at hosts that came during the rush, over
--- a/tests/fuzz.c
+++ b/tests/fuzz.c
@@ -17,6 +17,8 @@
 #include "daemon/options.h"
 #include "lease/kept.h"
 #include "platform/callers.h"
+#include "platform/halls.h"
+#include "platform/keyed_records.h"
 #include "platform/routes.h"
 #include "platform/upstreams.h"
 #include "wire/msg.h"
@@ -99,6 +101,61 @@
     Upstreams_FreeListing(&listing);
 }
 
+static void
+take_keyed(void *context, const Keyed_Record *record)
+{
+    Halls_Take(context, record);
+}
+
+/* Records of the operators, a page of the newest or as the log has them. */
+static void
+decode_records(const char *bytes, size_t length)
+{
+    Halls *halls = Halls_New();
+    json_t *page = json_loadb(bytes, length, 0, NULL);
+    lc_closures told;
+
+    Halls_Begin(halls);
+    KeyedRecords_TakePage(page, take_keyed, halls);
+    if (length >= KEYED_RECORDS_HEAD_SIZE) {
+        KeyedRecords_TakeRead((const uint8_t *)bytes, length, 1, take_keyed,
+                              halls);
+    }
+    Halls_Tell(halls, 1, &told);
+    json_decref(page);
+    Halls_Free(halls);
+}
+
+static void
+take_hall(void *context, const Halls_Row *row)
+{
+    *(size_t *)context += strlen(row->hall) + strlen(row->by) +
+                          strlen(row->since);
+}
+
+static void
+decode_halls(const char *bytes, size_t length)
+{
+    Status status = {ERR_OK, ""};
+    char *after = NULL;
+    size_t sum = 0;
+
+    Halls_ReadPage(bytes, length, take_hall, &sum, &after, &status);
+    g_free(after);
+}
+
+static void
+decode_leave(const char *bytes, size_t length)
+{
+    char *text = g_strndup(bytes, length);
+    char *instance;
+
+    Upstreams_ReadBorn(bytes, length);
+    Upstreams_ParseCall("POST", text, &instance);
+    g_free(instance);
+    g_free(text);
+}
+
 static void
 decode_rpc(const char *bytes, size_t length)
 {
@@ -138,6 +195,7 @@
 static const decoder decoders[] = {
     decode_job,     decode_request, decode_routes, decode_beat,
     decode_listing, decode_kept,    decode_rpc,    decode_settings,
+    decode_records, decode_halls,   decode_leave,
 };
 
 /* One more byte, one less, a flipped bit, a run copied, or a cut. */
