Companions keep entries that others have lost; a successor waits for all companions after the first kept job

Found by reading: an entry that no other entry hears left every list, and with partial views no companion would have reported to it while its callers still came. Change: who answered lately stays a candidate. A companion may be unknown to a successor when the first kept job has just come: the recovery waits as long as after a start of the entry (2.5 s).

--- a/daemon/leased_companion.c
+++ b/daemon/leased_companion.c
@@ -280,8 +280,8 @@
 {
     self->view_ms = now;
     self->left_out = PartialView_Choose(
-        &self->peers, self->process.options->rpc, self->process.options->hall,
-        now < self->all_until_ms);
+        &self->peers, now, self->process.options->rpc,
+        self->process.options->hall, now < self->all_until_ms);
 }
 
 static void
--- a/lease/partial_view.c
+++ b/lease/partial_view.c
@@ -57,8 +57,8 @@
 }
 
 uint32_t
-PartialView_Choose(const Peers *peers, Address self, const char *hall,
-                   bool all)
+PartialView_Choose(const Peers *peers, int64_t now_ms, Address self,
+                   const char *hall, bool all)
 {
     GArray *candidates = g_array_new(FALSE, FALSE, sizeof(candidate));
     uint32_t count;
@@ -69,7 +69,8 @@
         Peers_Row *row = g_ptr_array_index(peers->rows, i);
         candidate one = {rank_of(self, row->address), row};
         row->chosen = false;
-        if (peers->list_digest == 0 || row->listed || row->seed) {
+        if (peers->list_digest == 0 || row->listed || row->seed ||
+            Peers_IsLive(row, now_ms)) {
             g_array_append_val(candidates, one);
         }
     }
--- a/lease/partial_view.h
+++ b/lease/partial_view.h
@@ -24,11 +24,11 @@
 /** Of them so many of its own hall; fewer where that has fewer. */
 #define PARTIAL_VIEW_OWN 24
 
-/** Marks the entries that the companion at @p self in @p hall reports to,
- * those in the list that was taken last, or all that were ever named before
- * the first list. @p all: whatever their number. Returns how many are left
- * out. */
-uint32_t PartialView_Choose(const Peers *peers, Address self, const char *hall,
-                            bool all);
+/** Marks the entries that the companion at @p self in @p hall reports to: of
+ * those in the list that was taken last (all that were ever named before the
+ * first list), and of those that answered lately though no other hears them.
+ * @p all: whatever their number. Returns how many are left out. */
+uint32_t PartialView_Choose(const Peers *peers, int64_t now_ms, Address self,
+                            const char *hall, bool all);
 
 #endif
--- a/tests/kept_rules.c
+++ b/tests/kept_rules.c
@@ -908,6 +908,37 @@
     free_fixture(&fix);
 }
 
+/* Companions may have reported to some entries alone until the first kept job
+ * came: a successor waits until all that live have reported to it. */
+static void
+test_first_job_gathers_companions(void)
+{
+    lc_node own;
+    fixture fix;
+
+    new_fixture(&fix);
+    pass(&fix, 5000);
+    g_assert_false(Keeper_NeedsAll(fix.keeper));
+    own = own_identity(&fix);
+    read_submit(&fix, 7, &other_owner);
+    g_assert_true(Keeper_NeedsAll(fix.keeper));
+    pass(&fix, 100);
+    read_claim(&fix, &other_owner, &own);
+    pass(&fix, 100);
+    answer_fence(&fix, NULL);
+    pass(&fix, 1500);
+    g_assert_cmpint(count_calls(&fix, MSG_RUN), ==, 0);
+    pass(&fix, 1500);
+    g_assert_cmpint(count_calls(&fix, MSG_RUN), ==, 1);
+    end_run(&fix, LC_RUN_DONE);
+    read_put(&fix, fix.puts->len);
+    pass(&fix, 20000);
+    g_assert_true(Keeper_NeedsAll(fix.keeper));
+    pass(&fix, 11000);
+    g_assert_false(Keeper_NeedsAll(fix.keeper));
+    free_fixture(&fix);
+}
+
 /* Two processes that start at one moment may have the same incarnation. */
 static void
 test_keys_name_the_address(void)
@@ -1042,6 +1073,8 @@
     {"/keeper/waits for a silent companion",
      test_successor_waits_for_the_silent},
     {"/keeper/lets go when it is claimed", test_claimed_lets_go},
+    {"/keeper/the first job gathers all companions",
+     test_first_job_gathers_companions},
     {"/keeper/keys name a writer's address", test_keys_name_the_address},
     {"/keeper/of two that claim each other the first stays",
      test_mutual_claims},
--- a/tests/view_rules.c
+++ b/tests/view_rules.c
@@ -87,8 +87,9 @@
     Peers peers;
 
     new_peers(&peers, PARTIAL_VIEW_MOST);
-    g_assert_cmpuint(PartialView_Choose(&peers, companion_at(1), "a", false),
-                     ==, 0);
+    g_assert_cmpuint(
+        PartialView_Choose(&peers, NOW_MS, companion_at(1), "a", false), ==,
+        0);
     g_assert_cmpuint(count_chosen(&peers, NULL), ==, PARTIAL_VIEW_MOST);
     Peers_Clear(&peers);
 }
@@ -99,8 +100,9 @@
     Peers peers;
 
     new_peers(&peers, 184);
-    g_assert_cmpuint(PartialView_Choose(&peers, companion_at(1), "b", false),
-                     ==, 184 - PARTIAL_VIEW_MOST);
+    g_assert_cmpuint(
+        PartialView_Choose(&peers, NOW_MS, companion_at(1), "b", false), ==,
+        184 - PARTIAL_VIEW_MOST);
     g_assert_cmpuint(count_chosen(&peers, NULL), ==, PARTIAL_VIEW_MOST);
     g_assert_cmpuint(count_chosen(&peers, "b"), >=, PARTIAL_VIEW_OWN);
     Peers_Clear(&peers);
@@ -113,7 +115,7 @@
     Peers peers;
 
     new_peers(&peers, 184);
-    PartialView_Choose(&peers, companion_at(1), "nowhere", false);
+    PartialView_Choose(&peers, NOW_MS, companion_at(1), "nowhere", false);
     g_assert_cmpuint(count_chosen(&peers, NULL), ==, PARTIAL_VIEW_MOST);
     Peers_Clear(&peers);
 }
@@ -124,8 +126,8 @@
     Peers peers;
 
     new_peers(&peers, 184);
-    g_assert_cmpuint(PartialView_Choose(&peers, companion_at(1), "b", true),
-                     ==, 0);
+    g_assert_cmpuint(
+        PartialView_Choose(&peers, NOW_MS, companion_at(1), "b", true), ==, 0);
     g_assert_cmpuint(count_chosen(&peers, NULL), ==, 184);
     Peers_Clear(&peers);
 }
@@ -138,10 +140,10 @@
 
     Peers_Init(&peers, 0);
     take_list(&peers, 0, 100);
-    PartialView_Choose(&peers, companion_at(1), "b", false);
+    PartialView_Choose(&peers, NOW_MS, companion_at(1), "b", false);
     g_assert_cmpuint(count_chosen(&peers, NULL), ==, 100);
     tell_halls(&peers, 100);
-    PartialView_Choose(&peers, companion_at(1), "b", false);
+    PartialView_Choose(&peers, NOW_MS, companion_at(1), "b", false);
     g_assert_cmpuint(count_chosen(&peers, NULL), ==, PARTIAL_VIEW_MOST);
     Peers_Clear(&peers);
 }
@@ -156,12 +158,12 @@
     uint32_t i;
 
     new_peers(&peers, 184);
-    PartialView_Choose(&peers, companion_at(1), "b", false);
+    PartialView_Choose(&peers, NOW_MS, companion_at(1), "b", false);
     for (i = 0; i < 184; i++) {
         before[i] = Peers_Find(&peers, entry_at(i))->chosen;
     }
     take_list(&peers, 1, 184);
-    PartialView_Choose(&peers, companion_at(1), "b", false);
+    PartialView_Choose(&peers, NOW_MS, companion_at(1), "b", false);
     g_assert_cmpuint(count_chosen(&peers, NULL), ==, PARTIAL_VIEW_MOST);
     for (i = 1; i < 184; i++) {
         moved += Peers_Find(&peers, entry_at(i))->chosen != before[i];
@@ -170,6 +172,27 @@
     Peers_Clear(&peers);
 }
 
+/* An entry that all others have lost, but not this companion, keeps it. */
+static void
+test_entry_that_others_lost(void)
+{
+    Peers peers;
+    uint32_t lost = 0;
+
+    new_peers(&peers, 100);
+    PartialView_Choose(&peers, NOW_MS, companion_at(1), "a", false);
+    while (!Peers_Find(&peers, entry_at(lost))->chosen) {
+        lost++;
+    }
+    Peers_Hear(&peers, entry_at(lost), NOW_MS);
+    take_list(&peers, lost + 1, 100);
+    PartialView_Choose(&peers, NOW_MS + 1000, companion_at(1), "a", false);
+    g_assert_true(Peers_Find(&peers, entry_at(lost))->chosen);
+    PartialView_Choose(&peers, NOW_MS + 10000, companion_at(1), "a", false);
+    g_assert_false(Peers_Find(&peers, entry_at(lost))->chosen);
+    Peers_Clear(&peers);
+}
+
 typedef struct {
     uint32_t least;
     uint32_t most;
@@ -189,7 +212,7 @@
 
     new_peers(&peers, entries);
     for (i = 0; i < companions; i++) {
-        PartialView_Choose(&peers, companion_at(i), hall_of(i), false);
+        PartialView_Choose(&peers, NOW_MS, companion_at(i), hall_of(i), false);
         for (j = 0; j < entries; j++) {
             bool chosen = Peers_Find(&peers, entry_at(j))->chosen;
             heard[j] += chosen;
@@ -308,6 +331,7 @@
     {"/view/all when they have to know", test_all_when_asked},
     {"/view/a hall that is not known is asked for", test_unknown_halls},
     {"/view/few pairs move", test_few_pairs_move},
+    {"/view/an entry that others have lost", test_entry_that_others_lost},
     {"/view/flat in the fleet", test_flat_in_the_fleet},
     {"/view/a list that is confirmed", test_list_is_confirmed},
     {"/view/some watch the store", test_watchers},
