--- a/tests/soak/scenario.cc
+++ b/tests/soak/scenario.cc
@@ -17,6 +17,8 @@
 
 const int64_t START_MS = 2500;
 const int64_t END_MS = 4500; /* after the start */
+/* Longer than the grace time of a planned stop (cluster.cc). */
+const int64_t STOP_END_MS = 5500;
 const int64_t STALL_MS = 9000;
 /* A configuration of the size in docs/incidents/inc1-config.md, on a line that
  * carries it in 0.4 s. */
@@ -184,6 +186,26 @@
     cluster->after(2000, hand_in_some_kept);
 }
 
+/* An entry with kept jobs is stopped while the store answers nobody. */
+void
+play_stop_store_silent()
+{
+    soak::Harm harm;
+
+    harm.hold_in = true;
+    harm.hold_out = true;
+    cluster->after(300, [] {
+        for (uint64_t i = 0; i < KEPT_JOBS; i++) {
+            watched = cluster->hand_in_kept(3, 500, STOP_END_MS);
+        }
+    });
+    cluster->after(1000, [harm] {
+        cluster->store_path(0)->harm(harm, true);
+        cluster->store_path(1)->harm(harm, true);
+    });
+    cluster->after(1200, [] { cluster->entries[0]->signal(SIGTERM); });
+}
+
 /* A large configuration changes again and again; one entry is behind a line
  * that carries less than what others might send it. */
 void
@@ -334,6 +356,7 @@
     {"grey", play_grey, END_MS, 1},
     {"companion_dies", play_companion_dies, END_MS, 1},
     {"planned_stop", play_planned_stop, END_MS, 1},
+    {"stop_store_silent", play_stop_store_silent, STOP_END_MS, 2},
     {"stalled_reader", play_stalled_reader, STALL_MS + ANSWERS_MS, 1},
     {"large_configuration", play_large_configuration,
      CHANGES *CHANGE_MS + APPLY_MS + ANSWERS_MS, 4},
