--- a/tests/fleet_world.c
+++ b/tests/fleet_world.c
@@ -356,7 +356,8 @@
         return;
     }
     w->report.crashes++;
-    w->report.most_crashes = MAX(w->report.most_crashes, ++job->crashes);
+    job->crashes++;
+    w->report.most_crashes = MAX(w->report.most_crashes, job->crashes);
     at(w, w->now_ms + (int64_t)(CRASH_AFTER_MS * chance(w)) + 1, on_crash,
        &item, sizeof(item));
 }
--- a/tests/kept_rules.c
+++ b/tests/kept_rules.c
@@ -597,6 +597,22 @@
     free_fixture(&fix);
 }
 
+static void
+check_crash_record(const fixture *fix)
+{
+    const put_record *put = g_ptr_array_index(fix->puts, fix->puts->len - 1);
+    lc_kept_record record;
+    const lc_kept_progress *progress = &record.body.lc_kept_body_u.progress;
+
+    g_assert_true(Msg_DecodeKept(put->value->data, put->value->len, &record));
+    g_assert_cmpint(record.body.kind, ==, LC_KEPT_PROGRESS);
+    g_assert_cmpuint(progress->failures.failures_len, ==, 1);
+    g_assert_cmpuint(progress->failures.failures_val[0].task, ==,
+                     KEPT_CRASHES);
+    g_assert_cmpuint(progress->failures.failures_val[0].count, ==, 1);
+    Msg_FreeKept(&record);
+}
+
 /* The log tells a successor how many upstreams have crashed under a task. */
 static void
 test_crashes_are_written(void)
@@ -606,6 +622,7 @@
     start_own(&fix);
     end_run(&fix, LC_RUN_CRASHED);
     g_assert_cmpint(count_calls(&fix, MSG_RUN), ==, 2);
+    check_crash_record(&fix);
     read_put(&fix, fix.puts->len);
     g_assert_cmpint(Keeper_Look(fix.keeper, fix.now_ms, 7, "queue"), ==,
                     KEEPER_RUNNING);
