--- a/tests/view_rules.c
+++ b/tests/view_rules.c
@@ -237,14 +237,14 @@
     load once = load_of(184, 800);
     load twice = load_of(368, 1600);
 
-    g_assert_cmpuint(once.pairs, ==, 800U * PARTIAL_VIEW_MOST);
-    g_assert_cmpuint(twice.pairs, ==, 1600U * PARTIAL_VIEW_MOST);
+    g_assert_cmpuint(once.pairs, ==, 800UL * PARTIAL_VIEW_MOST);
+    g_assert_cmpuint(twice.pairs, ==, 1600UL * PARTIAL_VIEW_MOST);
     g_assert_cmpuint(once.least, >=, 120);
     g_assert_cmpuint(once.most, <=, 230);
     g_assert_cmpuint(twice.least, >=, 120);
     g_assert_cmpuint(twice.most, <=, 230);
-    g_assert_cmpuint(once.far, <=, 800U * 17);
-    g_assert_cmpuint(twice.far, <=, 1600U * 17);
+    g_assert_cmpuint(once.far, <=, 800UL * 17);
+    g_assert_cmpuint(twice.far, <=, 1600UL * 17);
 }
 
 /* A list that nobody tells anew stays as long as others have the same one. */
