Process test: companions whose machines are suspended under load

The issue asked for a program whose steady clock loses time: tests/suspended_clock.c is preloaded and takes 2.5 s off the steady clock of a companion that was stopped as long.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -35,7 +35,7 @@
 }
 
 # process_test NAME: with the sanitized programs
-process_test() { check "process/$1" env BUILD="$SANITIZED" "tests/process/$1.sh"; }
+process_test() { check "process/$1" env BUILD="$SANITIZED" PLAIN_BUILD="$BUILD" "tests/process/$1.sh"; }
 
 check cases "$SANITIZED/tests/cases"
 check lease_cases "$SANITIZED/tests/lease_cases"
--- a/tests/soak/scenario.cc
+++ b/tests/soak/scenario.cc
@@ -20,6 +20,10 @@
 /* Longer than the grace time of a planned stop (cluster.cc). */
 const int64_t STOP_END_MS = 5500;
 const int64_t STALL_MS = 9000;
+/* Longer than a lease and a hold, so that runs go elsewhere meanwhile. */
+const int64_t SUSPENDED_MS = 2500;
+const int64_t SUSPENDED_LOAD_MS = 9000;
+const int64_t JOB_EACH_MS = 60;
 /* A configuration of the size in docs/incidents/inc1-config.md, on a line that
  * carries it in 0.4 s. */
 const int IDLE_QUEUES = 4000;
@@ -206,6 +210,34 @@
     cluster->after(1200, [] { cluster->entries[0]->signal(SIGTERM); });
 }
 
+/* Machines of companions are suspended under load, one after the other; the
+ * programs run with tests/suspended_clock.c. */
+void
+suspend_companion(size_t index)
+{
+    cluster->companions[index]->signal(SIGSTOP);
+    cluster->after(SUSPENDED_MS, [index] {
+        std::string file = std::string(getenv("SUSPENDED")) + "/" +
+                           std::to_string(cluster->companions[index]->pid());
+        FILE *out = fopen(file.c_str(), "w");
+        fprintf(out, "%d\n", (int)SUSPENDED_MS);
+        fclose(out);
+        cluster->companions[index]->signal(SIGCONT);
+    });
+}
+
+void
+play_suspended()
+{
+    for (int i = 0; i < SUSPENDED_LOAD_MS / JOB_EACH_MS; i++) {
+        cluster->after(i * JOB_EACH_MS, [] {
+            watched = cluster->hand_in(2, 1500, 150, false);
+        });
+    }
+    cluster->after(500, [] { suspend_companion(0); });
+    cluster->after(500 + SUSPENDED_MS + 1000, [] { suspend_companion(1); });
+}
+
 /* A large configuration changes again and again; one entry is behind a line
  * that carries less than what others might send it. */
 void
@@ -357,6 +389,7 @@
     {"companion_dies", play_companion_dies, END_MS, 1},
     {"planned_stop", play_planned_stop, END_MS, 1},
     {"stop_store_silent", play_stop_store_silent, STOP_END_MS, 2},
+    {"suspended", play_suspended, SUSPENDED_LOAD_MS + ANSWERS_MS, 2},
     {"stalled_reader", play_stalled_reader, STALL_MS + ANSWERS_MS, 1},
     {"large_configuration", play_large_configuration,
      CHANGES *CHANGE_MS + APPLY_MS + ANSWERS_MS, 4},
