--- a/tests/suspended_clock.c
+++ b/tests/suspended_clock.c
@@ -41,7 +41,7 @@
 }
 
 int
-clock_gettime(clockid_t id, struct timespec *now)
+clock_gettime(clockid_t clock_id, struct timespec *tp)
 {
     static clock_function real;
     int result;
@@ -51,17 +51,17 @@
         void *symbol = dlsym(RTLD_NEXT, "clock_gettime");
         memcpy(&real, &symbol, sizeof(real));
     }
-    result = real(id, now);
+    result = real(clock_id, tp);
     if (result != 0 ||
-        (id != CLOCK_MONOTONIC && id != CLOCK_MONOTONIC_COARSE)) {
+        (clock_id != CLOCK_MONOTONIC && clock_id != CLOCK_MONOTONIC_COARSE)) {
         return result;
     }
     lost = lost_ms();
-    now->tv_sec -= lost / MS_PER_S;
-    now->tv_nsec -= lost % MS_PER_S * NS_PER_MS;
-    if (now->tv_nsec < 0) {
-        now->tv_nsec += NS_PER_S;
-        now->tv_sec--;
+    tp->tv_sec -= lost / MS_PER_S;
+    tp->tv_nsec -= lost % MS_PER_S * NS_PER_MS;
+    if (tp->tv_nsec < 0) {
+        tp->tv_nsec += NS_PER_S;
+        tp->tv_sec--;
     }
     return 0;
 }
