One connection and one call for each pair of gossiping entries; connections to entries left out are closed

By reading: at the first boot the register is empty, so companions call every entry to learn its hall, and those connections stay open for the idle time of 120 s; entries keep two connections a pair, as both call. Change: a companion closes what it leaves out; an answer to gossip counts as told, and of a pair the lower address calls, the other one only after a quarter more time.

--- a/daemon/leased_companion.c
+++ b/daemon/leased_companion.c
@@ -237,6 +237,7 @@
     peer->call_id = ++self->next_call;
     peer->asked_ms = now;
     peer->telling = Runner_Version(self->runner);
+    peer->connected = true;
     Rpc_Call(self->process.rpc, peer->address, peer->call_id, &call);
 }
 
@@ -275,6 +276,22 @@
     return since >= gap ? 0 : gap - since;
 }
 
+/* Connections to entries that are not told any more are closed, so that these
+ * hold as many as they hear companions. */
+static void
+close_left_out(const leased_companion *self)
+{
+    guint i;
+
+    for (i = 0; i < self->peers.rows->len; i++) {
+        Peers_Row *peer = g_ptr_array_index(self->peers.rows, i);
+        if (!peer->chosen && peer->connected && peer->call_id == 0) {
+            peer->connected = false;
+            Rpc_Reset(self->process.rpc, peer->address);
+        }
+    }
+}
+
 static void
 choose_view(leased_companion *self, int64_t now)
 {
@@ -282,6 +299,7 @@
     self->left_out = PartialView_Choose(
         &self->peers, now, self->process.options->rpc,
         self->process.options->hall, now < self->all_until_ms);
+    close_left_out(self);
 }
 
 static void
--- a/daemon/leased_gossip.c
+++ b/daemon/leased_gossip.c
@@ -11,6 +11,12 @@
  * entry leaves the others' lists (8 s). */
 #define GOSSIP_QUIET_MOST_MS 4000
 
+/* Who expects to be called waits longer by so much before it calls itself.
+ * Chosen: a tick and a slow call of the other are within it, and waiting jobs
+ * are told within the 2 s that their count may be old. */
+#define WAIT_FOR_CALL_PERCENT 125
+#define PERCENT 100
+
 /* Entries that spoke lately, and this one; free the array. */
 GArray *
 LeasedGossip_Known(const Leased_Entry *self)
@@ -40,6 +46,15 @@
     return rows;
 }
 
+static void
+note_told(const Leased_Entry *self, int64_t now, Peers_Row *peer,
+          const GArray *counts)
+{
+    peer->told_ms = now;
+    peer->told_waiting = counts->len > 0;
+    peer->told_routes = LeasedRoutes_Version(self);
+}
+
 static void
 send_gossip(Leased_Entry *self, int64_t now, Peers_Row *peer)
 {
@@ -61,8 +76,7 @@
                   &call.u.gossip.closures);
     peer->call_id = ++self->next_call | LEASED_OWN_CALL;
     peer->asked_ms = now;
-    peer->told_waiting = counts->len > 0;
-    peer->told_routes = call.u.gossip.routes_version;
+    note_told(self, now, peer, counts);
     Rpc_Call(self->process.rpc, peer->address, peer->call_id, &call);
     g_array_unref(live);
     g_array_unref(counts);
@@ -104,8 +118,14 @@
                                     quiet ? GOSSIP_QUIET_MOST_MS
                                           : GOSSIP_MOST_MS);
 
-    return Peers_IsLive(peer, now) ? spaced
-                                   : MIN(spaced, Peers_PatienceMs(peer, now));
+    if (!Peers_IsLive(peer, now)) {
+        return MIN(spaced, Peers_PatienceMs(peer, now));
+    }
+    /* An answer tells as much as a call: of a pair the one with the lower
+     * address calls, and one connection serves both. */
+    return peer->address < self->process.options->rpc
+               ? spaced * WAIT_FOR_CALL_PERCENT / PERCENT
+               : spaced;
 }
 
 void
@@ -119,7 +139,8 @@
         int64_t spaced = spaced_ms(self, now, peer, news);
         int64_t patience = Peers_PatienceMs(peer, now);
         int64_t since = now - peer->asked_ms;
-        if (peer->call_id == 0 && since >= spaced) {
+        int64_t untold = now - MAX(peer->told_ms, peer->asked_ms);
+        if (peer->call_id == 0 && untold >= spaced) {
             send_gossip(self, now, peer);
         }
         else if (peer->call_id != 0 && since >= patience) {
@@ -164,6 +185,7 @@
 {
     Msg_Reply reply = {.kind = MSG_GOSSIP};
     lc_gossip_res *result = &reply.u.gossip;
+    Peers_Row *peer;
     GArray *live;
     GArray *counts = own_counts(self);
 
@@ -187,6 +209,10 @@
     result->waiting.waiting_val = (lc_queue_count *)(void *)counts->data;
     Closures_Tell(Dispatcher_Closures(self->dispatcher), self->awake_ms,
                   &result->closures);
+    peer = Peers_Find(&self->peers, args->from.address);
+    if (peer != NULL) {
+        note_told(self, self->awake_ms, peer, counts);
+    }
     Process_PortReply(&self->process, reply_id, &reply);
     g_array_unref(live);
     g_array_unref(counts);
--- a/lease/peers.h
+++ b/lease/peers.h
@@ -22,14 +22,17 @@
     bool seed;              /**< named by the settings */
     bool listed;            /**< in the list that was taken last */
     bool chosen;            /**< see lease/partial_view.h */
-    int64_t heard_ms;       /**< last word of it; 0 for never */
-    int64_t since_ms;       /**< when this row was made */
-    int64_t known_ms;       /**< when it was last named by anybody */
-    int64_t asked_ms;       /**< when the call on its way was sent */
-    uint64_t call_id;       /**< call on its way, or 0 */
-    uint64_t told;          /**< version of our state that it was told */
-    uint64_t telling;       /**< version on its way */
-    uint32_t gap_ms;        /**< it wants to be told at most so often */
+    bool connected;   /**< it was called since its connection was closed */
+    int64_t heard_ms; /**< last word of it; 0 for never */
+    int64_t since_ms; /**< when this row was made */
+    int64_t known_ms; /**< when it was last named by anybody */
+    int64_t asked_ms; /**< when the call on its way was sent */
+    int64_t
+        told_ms; /**< when it was last told of us, by a call or an answer */
+    uint64_t call_id;    /**< call on its way, or 0 */
+    uint64_t told;       /**< version of our state that it was told */
+    uint64_t telling;    /**< version on its way */
+    uint32_t gap_ms;     /**< it wants to be told at most so often */
     uint64_t digest;     /**< of the entries that it knows, as it told last */
     bool told_waiting;   /**< it was told last that jobs wait here */
     int64_t told_routes; /**< version of ours that it was told last */
