--- a/lease/partial_view.c
+++ b/lease/partial_view.c
@@ -25,15 +25,19 @@
     return left->rank < right->rank ? -1 : left->rank > right->rank;
 }
 
-/* An entry whose hall is not known is asked for it, by a report. */
+/* Entries whose halls are not known are asked for them, by a report, a view's
+ * number at once: when all processes begin together, and none is in the
+ * register yet, nobody is called by every companion. */
 static void
 choose_unknown(const GArray *candidates)
 {
+    uint32_t asked = 0;
     guint i;
 
     for (i = 0; i < candidates->len; i++) {
         Peers_Row *row = g_array_index(candidates, candidate, i).row;
-        row->chosen = row->hall[0] == '\0';
+        row->chosen = row->hall[0] == '\0' && asked < PARTIAL_VIEW_MOST;
+        asked += row->chosen;
     }
 }
 
