--- a/tests/view_rules.c
+++ b/tests/view_rules.c
@@ -163,7 +163,7 @@
         g_assert_cmpint(rounds++, <, 6);
         PartialView_Choose(&peers, NOW_MS, companion_at(1), "b", false);
         g_assert_cmpuint(count_chosen(&peers, NULL), <=,
-                         2 * PARTIAL_VIEW_MOST);
+                         2UL * PARTIAL_VIEW_MOST);
     } while (tell_chosen_halls(&peers, 184) > 0);
     PartialView_Choose(&peers, NOW_MS, companion_at(1), "b", false);
     g_assert_cmpuint(count_chosen(&peers, NULL), ==, PARTIAL_VIEW_MOST);
