--- a/tests/soak/cluster.cc
+++ b/tests/soak/cluster.cc
@@ -53,7 +53,7 @@
 int
 entry_host(int index)
 {
-    return 10 + index;
+    return index < 40 ? 10 + index : 130 + index;
 }
 
 int
--- a/tests/soak/scenario.cc
+++ b/tests/soak/scenario.cc
@@ -24,6 +24,8 @@
 const int64_t SUSPENDED_MS = 2500;
 const int64_t SUSPENDED_LOAD_MS = 9000;
 const int64_t JOB_EACH_MS = 60;
+const int64_t MANY_LOAD_MS = 18000;
+const int64_t MANY_KEPT_MS = 8000;
 /* A configuration of the size in docs/incidents/inc1-config.md, on a line that
  * carries it in 0.4 s. */
 const int IDLE_QUEUES = 4000;
@@ -238,6 +240,22 @@
     cluster->after(500 + SUSPENDED_MS + 1000, [] { suspend_companion(1); });
 }
 
+/* More entries than a companion reports to, until kept jobs come. */
+void
+play_many_entries()
+{
+    for (int i = 0; i < MANY_LOAD_MS / JOB_EACH_MS; i++) {
+        cluster->after(i * JOB_EACH_MS, [] {
+            watched = cluster->hand_in(2, 1500, 100, false);
+        });
+    }
+    cluster->after(MANY_KEPT_MS, [] {
+        for (uint64_t i = 0; i < KEPT_JOBS; i++) {
+            cluster->hand_in_kept(3, 500, 500);
+        }
+    });
+}
+
 /* A large configuration changes again and again; one entry is behind a line
  * that carries less than what others might send it. */
 void
@@ -390,6 +408,7 @@
     {"planned_stop", play_planned_stop, END_MS, 1},
     {"stop_store_silent", play_stop_store_silent, STOP_END_MS, 2},
     {"suspended", play_suspended, SUSPENDED_LOAD_MS + ANSWERS_MS, 2},
+    {"many_entries", play_many_entries, MANY_LOAD_MS + ANSWERS_MS, 46},
     {"stalled_reader", play_stalled_reader, STALL_MS + ANSWERS_MS, 1},
     {"large_configuration", play_large_configuration,
      CHANGES *CHANGE_MS + APPLY_MS + ANSWERS_MS, 4},
@@ -427,7 +446,7 @@
             shape.entries = one.entries;
         }
     }
-    shape.companions = 2;
+    shape.companions = strcmp(argv[1], "many_entries") == 0 ? 12 : 2;
     shape.seeds_gone = strcmp(argv[1], "seeds_gone") == 0;
     shape.program = argv[2];
     shape.folder = argv[3];
