A job of which a task is larger than every upstream that is heard is refused at once

Cause: it waited until it could no longer meet its objective, though nothing could ever run it. Change: capacities told by companions are compared at its arrival and at each tick before it begins, from 2.5 s after the entry's start (lease/dispatcher_fit). Metrics of partial views at companions.

--- a/daemon/leased_companion.c
+++ b/daemon/leased_companion.c
@@ -527,6 +527,10 @@
     leased_companion *self = (leased_companion *)process;
 
     Runner_Metrics(self->runner, now_ms(self), out);
+    g_string_append_printf(out,
+                           "levercove_entries_known %u\n"
+                           "levercove_entries_left_out %u\n",
+                           self->peers.rows->len, self->left_out);
 }
 
 static bool
--- a/lease/dispatcher.c
+++ b/lease/dispatcher.c
@@ -17,6 +17,7 @@
     self->ports = ports;
     self->context = context;
     self->end_ms = INT64_MAX;
+    self->started_ms = now_ms;
     Fleet_Init(&self->fleet);
     Closures_Init(&self->closures, now_ms);
     QueueStats_Init(&self->stats);
@@ -128,6 +129,11 @@
         Err_Set(&status, ERR_HALL_CLOSED,
                 "operators have closed the halls it can run in");
     }
+    else if (DispatcherFit_Nowhere(self, now_ms, &submit->job,
+                                   submit->route->service)) {
+        Err_Set(&status, ERR_WAIT_TOO_LONG,
+                "no upstream has the capacity for one of its tasks");
+    }
     else {
         Route_Check(submit->route, &submit->job, &status);
     }
@@ -320,6 +326,12 @@
         DispatcherEnd_GiveUp(self, now_ms, job, ERR_HALL_CLOSED,
                              "operators have closed the halls it can run in");
     }
+    else if (!Active_HasBegun(job) &&
+             DispatcherFit_Nowhere(self, now_ms, &job->spec, job->service)) {
+        DispatcherEnd_GiveUp(self, now_ms, job, ERR_WAIT_TOO_LONG,
+                             "no upstream has the capacity for one of its "
+                             "tasks");
+    }
     else if (is_crowded_out(self, job, now_ms)) {
         DispatcherEnd_GiveUp(self, now_ms, job, ERR_WAIT_TOO_LONG,
                              "it found no room in time for its objective");
--- a/lease/dispatcher_halls.c
+++ b/lease/dispatcher_halls.c
@@ -1,7 +1,6 @@
 #include "lease/dispatcher_state.h"
 
 #include "lease/choice.h"
-#include "lease/resources.h"
 
 void
 DispatcherHalls_Mark(const Dispatcher *self, Fleet_Host *host)
@@ -74,15 +73,6 @@
     return &self->closures;
 }
 
-static bool
-could_run(const LeasedJob_Step *step, const char *service,
-          const Fleet_Host *host)
-{
-    return Resources_Fit(&step->need, &host->capacity) &&
-           g_strcmp0(host->service, service) == 0 &&
-           Fleet_HasLabel(host, step->requirement);
-}
-
 static bool
 step_is_closed_out(const Dispatcher *self, int64_t now_ms,
                    const LeasedJob_Step *step, const char *service)
@@ -92,7 +82,8 @@
 
     for (i = 0; i < self->fleet.hosts->len; i++) {
         const Fleet_Host *host = self->fleet.hosts->pdata[i];
-        if (!Choice_IsHeard(host, now_ms) || !could_run(step, service, host)) {
+        if (!Choice_IsHeard(host, now_ms) ||
+            !DispatcherFit_CouldRun(step, service, host)) {
             continue;
         }
         if (!host->closed) {
--- a/lease/dispatcher_state.h
+++ b/lease/dispatcher_state.h
@@ -41,6 +41,7 @@
     GHashTable *by_id;      /* job id -> Active_Job */
     GHashTable *by_request; /* request id -> Active_Job */
     uint64_t random;
+    int64_t started_ms;
     uint32_t unanswered;
     int64_t wall_ahead_ms; /* of the wall clock before the monotonic one */
     uint64_t kept;         /* incarnation as an owner of kept jobs */
@@ -155,6 +156,17 @@
 /** Renews leases, and takes back runs whose lease is certainly over. */
 void DispatcherHosts_Check(Dispatcher *self, int64_t now_ms, Fleet_Host *host);
 
+/* Capacity: dispatcher_fit.c. */
+
+/** Whether a host could run a task of the step if nothing else ran there. */
+bool DispatcherFit_CouldRun(const LeasedJob_Step *step, const char *service,
+                            const Fleet_Host *host);
+
+/** Whether a task of a job for @p service is larger than every upstream that
+ * is heard: it cannot begin, however long it waits. */
+bool DispatcherFit_Nowhere(const Dispatcher *self, int64_t now_ms,
+                           const LeasedJob *job, const char *service);
+
 /* Closed halls: dispatcher_halls.c. */
 
 /** Notes whether a companion's hall is closed. */
--- a/tests/lease_rules.c
+++ b/tests/lease_rules.c
@@ -436,6 +436,54 @@
     free_dispatcher(&fix);
 }
 
+/* It is refused at once, truly not run, once the companions are known. */
+static void
+test_larger_than_any_upstream(void)
+{
+    dispatcher_fixture fix;
+
+    new_dispatcher(&fix);
+    fix.capacity_cpu = 500;
+    report_of(&fix, &companion_node);
+    hand_in(&fix, 1, 1);
+    g_assert_cmpint(fix.answers, ==, 0);
+    free_dispatcher(&fix);
+    new_dispatcher(&fix);
+    fix.now_ms += 3000;
+    fix.capacity_cpu = 500;
+    report_of(&fix, &companion_node);
+    hand_in(&fix, 1, 1);
+    g_assert_cmpint(fix.answers, ==, 1);
+    g_assert_cmpint(fix.outcome, ==, DISPATCHER_NOT_RUN);
+    g_assert_cmpint(calls_of(&fix, MSG_RUN), ==, 0);
+    fix.capacity_cpu = 4000;
+    report_of(&fix, &other_companion);
+    hand_in(&fix, 2, 1);
+    g_assert_cmpint(fix.answers, ==, 1);
+    free_dispatcher(&fix);
+}
+
+/* The upstreams shrink while it waits for room. */
+static void
+test_upstreams_shrink_below_a_job(void)
+{
+    dispatcher_fixture fix;
+
+    new_dispatcher(&fix);
+    fix.now_ms += 3000;
+    fix.capacity_cpu = 4000;
+    report_room(&fix, 0);
+    hand_in(&fix, 1, 1);
+    tick_until(&fix, fix.now_ms + 50);
+    g_assert_cmpint(fix.answers, ==, 0);
+    fix.capacity_cpu = 500;
+    report_room(&fix, 0);
+    tick_until(&fix, fix.now_ms + 50);
+    g_assert_cmpint(fix.answers, ==, 1);
+    g_assert_cmpint(fix.outcome, ==, DISPATCHER_NOT_RUN);
+    free_dispatcher(&fix);
+}
+
 /* A run that was lost in another way blames nobody. */
 static void
 test_losses_are_no_crashes(void)
@@ -698,6 +746,10 @@
     {"/dispatcher/counts failed attempts", test_attempts},
     {"/dispatcher/gives up a task under which two upstreams crash",
      test_two_crashes},
+    {"/dispatcher/refuses what is larger than any upstream",
+     test_larger_than_any_upstream},
+    {"/dispatcher/refuses what upstreams have shrunk below",
+     test_upstreams_shrink_below_a_job},
     {"/dispatcher/takes no other loss for a crash",
      test_losses_are_no_crashes},
     {"/dispatcher/counts crashes by task", test_crashes_of_several_tasks},
