--- a/tests/lease_cases.c
+++ b/tests/lease_cases.c
@@ -180,6 +180,51 @@
     g_free(first);
 }
 
+/* Bodies that no text file holds: none of them is a heartbeat. */
+static void
+test_odd_bodies(void)
+{
+    static const char not_utf8[] =
+        "{\"service\":\"\xff\xfe\",\"state\":\"ready\",\"seq\":1,"
+        "\"capacity\":{\"cpu\":1,\"mem_mb\":1}}";
+    static const char with_nul[] =
+        "{\"service\":\"a\0b\",\"state\":\"ready\",\"seq\":1,"
+        "\"capacity\":{\"cpu\":1,\"mem_mb\":1}}";
+    char *deep = g_strnfill(100000, '[');
+    char *large = g_strnfill(1000000, 'x');
+    char *long_name = g_strdup_printf(
+        "{\"service\":\"%s\",\"state\":\"ready\",\"seq\":1,"
+        "\"capacity\":{\"cpu\":1,\"mem_mb\":1}}",
+        large);
+    const struct {
+        const char *body;
+        size_t length;
+    } bodies[] = {
+        {not_utf8, sizeof(not_utf8) - 1},
+        {with_nul, sizeof(with_nul) - 1},
+        {deep, strlen(deep)},
+        {large, strlen(large)},
+        {long_name, strlen(long_name)},
+        {"", 0},
+    };
+    size_t i;
+
+    for (i = 0; i < G_N_ELEMENTS(bodies); i++) {
+        Status status = {ERR_OK, ""};
+        Upstreams_Beat beat;
+        g_assert_cmpint(Upstreams_ReadBeat("i-1", bodies[i].body,
+                                           bodies[i].length, &beat, &status),
+                        !=, ERR_OK);
+        g_assert_cmpuint(strlen(status.message), >, 0);
+        g_assert_cmpint(Upstreams_ReadBorn(bodies[i].body, bodies[i].length),
+                        ==, 0);
+        Upstreams_FreeBeat(&beat);
+    }
+    g_free(deep);
+    g_free(large);
+    g_free(long_name);
+}
+
 /* The first line is a status, the rest the body of the answer to a look. */
 static void
 run_listing(const char *input, GString *output)
@@ -420,5 +465,6 @@
 int
 main(int argc, char **argv)
 {
+    test_odd_bodies();
     return CaseTable_Main(argc, argv, kinds);
 }
--- a/tests/rebirth_rules.c
+++ b/tests/rebirth_rules.c
@@ -366,6 +366,46 @@
     Runner_Free(fix.runner);
 }
 
+/* However long the machine was suspended, and whether its upstream was or not:
+ * what waited starts nothing, and a new start is held no longer than ever. */
+static void
+test_any_suspension(void)
+{
+    static const int64_t lengths_ms[] = {100,  300,  589,  601,
+                                         1300, 4000, 20000};
+    size_t i;
+    int with;
+
+    for (i = 0; i < 2 * G_N_ELEMENTS(lengths_ms); i++) {
+        int64_t length_ms = lengths_ms[i / 2];
+        runner_fixture fix;
+        Msg_Call late = {.kind = MSG_RUN};
+        int starts;
+
+        with = i % 2 == 0;
+        begin_task(&fix);
+        answer_running(&fix, 1);
+        starts = fix.starts;
+        late.u.run.owner.address = 0x7f0000011b59;
+        late.u.run.owner.incarnation = 100;
+        late.u.run.target = 900;
+        late.u.run.valid_until_ms = fix.now_ms + 99;
+        late.u.run.id = RunnerFix_Run(7, 1);
+        late.u.run.spec = (char *)(uintptr_t) "";
+        fix.now_ms += length_ms;
+        fix.clock_ms -= with ? length_ms : 0;
+        Runner_OnSuspended(fix.runner, fix.now_ms, length_ms);
+        Runner_OnCall(fix.runner, fix.now_ms, 5, &late);
+        g_assert_cmpint(fix.starts, ==, starts);
+        g_assert_cmpint(fix.status, ==, LC_RUN_EXPIRED);
+        RunnerFix_Beat(&fix, RUNNER_UPSTREAM_READY);
+        g_assert_true(takes_tasks(&fix, 8));
+        g_assert_cmpint(fix.start.deadline_ms, <=,
+                        fix.clock_ms + fix.now_ms - START_MS + 600);
+        Runner_Free(fix.runner);
+    }
+}
+
 static void
 test_clock_counts_suspensions(void)
 {
@@ -548,6 +588,8 @@
     {"/suspension/leases are over", test_lease_after_a_suspension},
     {"/suspension/a renewal that waited is too old",
      test_renewal_after_a_suspension},
+    {"/suspension/of any length, with the upstream or without",
+     test_any_suspension},
     {"/suspension/the clock counts it", test_clock_counts_suspensions},
     {"/crashes/are told", test_crash_is_told},
     {"/crashes/old runs are not blamed", test_old_runs_are_not_blamed},
