--- a/lease/store_wait.c
+++ b/lease/store_wait.c
@@ -5,8 +5,8 @@
 
 #include "base/random.h"
 
-/* So many ask each second. Chosen: with one in eight lost each second, one of
- * them still asks in nearly every second. */
+/* So many ask each second. Chosen: who dies counts as live for 8 s yet
+ * (lease/peers.c), and several may die at once; some are left. */
 #define WATCHERS 8U
 /* Between reads of all others together. Chosen: a tenth of the least wait. */
 #define EACH_MS 100U
