--- a/tests/lease_cases.c
+++ b/tests/lease_cases.c
@@ -212,12 +212,12 @@
     for (i = 0; i < G_N_ELEMENTS(bodies); i++) {
         Status status = {ERR_OK, ""};
         Upstreams_Beat beat;
-        g_assert_cmpint(Upstreams_ReadBeat("i-1", bodies[i].body,
-                                           bodies[i].length, &beat, &status),
-                        !=, ERR_OK);
-        g_assert_cmpuint(strlen(status.message), >, 0);
-        g_assert_cmpint(Upstreams_ReadBorn(bodies[i].body, bodies[i].length),
-                        ==, 0);
+        g_assert_true(Upstreams_ReadBeat("i-1", bodies[i].body,
+                                         bodies[i].length, &beat,
+                                         &status) != ERR_OK);
+        g_assert_true(status.message[0] != '\0');
+        g_assert_true(Upstreams_ReadBorn(bodies[i].body, bodies[i].length) ==
+                      0);
         Upstreams_FreeBeat(&beat);
     }
     g_free(deep);
