--- a/base/counter.h
+++ b/base/counter.h
@@ -19,6 +19,7 @@
     X(JOBS_UNKNOWN, "jobs_unknown")                                           \
     X(JOBS_RECOVERED, "jobs_recovered")                                       \
     X(TASKS_STARTED, "tasks_started")                                         \
+    X(TASKS_JOINED, "tasks_joined")                                           \
     X(TASKS_DONE, "tasks_done")                                               \
     X(TASKS_FAILED, "tasks_failed")                                           \
     X(WASTED_BUSY, "wasted_busy")                                             \
--- a/base/settings.c
+++ b/base/settings.c
@@ -94,6 +94,21 @@
     *place = json_integer_value(value);
 }
 
+static void
+read_number(reader *in, const Setting *setting, const json_t *value)
+{
+    double *place = (double *)(void *)(in->out + setting->place);
+
+    if (!json_is_number(value) ||
+        json_number_value(value) < (double)setting->least ||
+        json_number_value(value) > (double)setting->most) {
+        complain(in, setting->path, "expected a number from %lld to %lld",
+                 (long long)setting->least, (long long)setting->most);
+        return;
+    }
+    *place = json_number_value(value);
+}
+
 static int
 is_choice(const char *choices, const char *text)
 {
@@ -142,6 +157,9 @@
     case SETTING_INTEGER:
         read_integer(in, setting, value);
         break;
+    case SETTING_NUMBER:
+        read_number(in, setting, value);
+        break;
     case SETTING_TEXT:
         read_text(in, setting, value);
         break;
--- a/base/settings.h
+++ b/base/settings.h
@@ -16,6 +16,7 @@
 typedef enum {
     SETTING_ADDRESS,   /**< "IP:port" into an Address */
     SETTING_INTEGER,   /**< least to most, into an int64_t */
+    SETTING_NUMBER,    /**< least to most, whole or not, into a double */
     SETTING_ADDRESSES, /**< list of "IP:port" into a Setting_Addresses */
     SETTING_TEXT,      /**< one of `choices`, or any, into a char[64] */
     SETTING_GROUP      /**< an object whose members follow, "name." each */
--- a/daemon/http_server.c
+++ b/daemon/http_server.c
@@ -15,6 +15,8 @@
 #define MS_PER_S 1000
 /* Never seen: its caller has hung up. */
 #define CALLER_GONE_STATUS 499
+/* Status line and headers of an answer. */
+#define ANSWER_HEAD_BYTES 160
 
 typedef struct {
     h2o_handler_t super;
@@ -42,6 +44,7 @@
     Handle_Table *open;
     void (*gone)(void *context, uint64_t id);
     GHashTable *watched; /* h2o_socket_t -> open_request */
+    uint64_t bytes_out;
 };
 
 /* h2o calls this when the request ends, answered or not. */
@@ -326,9 +329,16 @@
         add_header(request, "retry-after", seconds);
     }
     request->res.content_length = response->length;
+    server->bytes_out += ANSWER_HEAD_BYTES + response->length;
     h2o_send_inline(request, response->body, response->length);
 }
 
+uint64_t
+Http_BytesOut(const Http_Server *server)
+{
+    return server->bytes_out;
+}
+
 void
 Http_RespondText(Http_Server *server, uint64_t id, int status,
                  uint32_t retry_ms, const char *text)
--- a/daemon/http_server.h
+++ b/daemon/http_server.h
@@ -90,6 +90,9 @@
 /** Requests that have not been answered. */
 uint32_t Http_Unanswered(const Http_Server *server);
 
+/** Bytes of all answers so far, with their headers as they usually are. */
+uint64_t Http_BytesOut(const Http_Server *server);
+
 /** Takes no more connections; those open go on. */
 void Http_StopListening(Http_Server *server);
 
--- a/daemon/leased_entry.c
+++ b/daemon/leased_entry.c
@@ -22,6 +22,8 @@
 #define LAST_ANSWERS_MS 200
 #define OK_STATUS 200
 
+static Counters *role_counters(Process *process);
+
 static void
 on_resume(uv_timer_t *timer)
 {
@@ -48,6 +50,44 @@
     return now;
 }
 
+/* Tells the dispatcher what else than its starts has left since the last time:
+ * answers, renewals, gossip. */
+static void
+note_sent(Leased_Entry *self)
+{
+    const Rpc_Traffic *traffic = Rpc_GetTraffic(self->process.rpc);
+    uint64_t all =
+        role_counters(&self->process)->value[COUNTER_RPC_BYTES_OUT] +
+        Http_BytesOut(self->callers);
+    uint64_t starts = traffic->call_bytes_out[MSG_RUN] +
+                      traffic->call_bytes_out[MSG_RUNS];
+    uint64_t others = all > starts ? all - starts : 0;
+
+    if (others > self->other_bytes) {
+        Dispatcher_NoteSent(self->dispatcher,
+                            (int64_t)(others - self->other_bytes));
+        self->other_bytes = others;
+    }
+}
+
+static void
+on_link_free(uv_timer_t *timer)
+{
+    (void)timer; /* on_settled comes behind it */
+}
+
+/* Wakes the loop when starts that wait for the link may leave. */
+static void
+arm_link_timer(Leased_Entry *self)
+{
+    int64_t due_ms = Dispatcher_DueMs(self->dispatcher);
+
+    if (due_ms < INT64_MAX) {
+        int64_t wait_ms = MAX(due_ms - self->awake_ms, 1);
+        uv_timer_start(&self->link_timer, on_link_free, (uint64_t)wait_ms, 0);
+    }
+}
+
 /* All input at hand has been taken. The process may have stood still since. */
 static void
 on_settled(uv_check_t *check)
@@ -55,6 +95,7 @@
     Leased_Entry *self = check->data;
 
     Dispatcher_Settle(self->dispatcher, LeasedEntry_Awake(self));
+    arm_link_timer(self);
     Keeper_Settle(self->keeper, self->awake_ms);
 }
 
@@ -90,6 +131,7 @@
     .kept_end = LeasedKept_End,
     .kept_crash = LeasedKept_Crash,
     .kept_over = LeasedKept_Over,
+    .runs = Process_PortRuns,
 };
 
 static const Http_Route caller_routes[] = {
@@ -214,6 +256,7 @@
     Keeper_Tick(self->keeper, now);
     KeyedLog_SetQuiet(self->kept_log, Keeper_IsQuiet(self->keeper),
                       StoreWait_Quiet(Peers_CountLive(&self->peers, now)));
+    note_sent(self);
     Dispatcher_SetWall(self->dispatcher, Process_Now().wall_ms - now);
     Dispatcher_Tick(self->dispatcher, now);
     note_ready(self);
@@ -355,6 +398,8 @@
     Term_Bounds bounds = {options->resubmit_ms, options->hold_max_ms,
                           options->stop_ms, PROCESS_TICK_MS};
     Dispatcher_Config config = {.node = Process_NewNode(options),
+                                .link_mbps = options->link_mbps,
+                                .join_runs = options->link_mbps > 0,
                                 .max_jobs = (uint32_t)options->max_jobs};
 
     g_strlcpy(config.hall, options->hall, sizeof(config.hall));
@@ -402,6 +447,7 @@
     Seeds_Init(&self->seeds, options);
     uv_timer_init(loop, &self->resume_timer);
     self->resume_timer.data = self;
+    uv_timer_init(loop, &self->link_timer);
     uv_check_init(loop, &self->settled);
     self->settled.data = self;
     uv_check_start(&self->settled, on_settled);
--- a/daemon/leased_entry_state.h
+++ b/daemon/leased_entry_state.h
@@ -51,9 +51,11 @@
     Seeds seeds;
     Leased_Registry registry;
     uv_timer_t resume_timer;
+    uv_timer_t link_timer; /* starts may leave then */
     uv_check_t settled;
     GHashTable *cancels; /* call id -> Leased_Cancel */
     uint64_t next_call;
+    uint64_t other_bytes; /* sent besides starts, as told the dispatcher */
     int64_t started_ms;
     int64_t routes_ms; /* when the routes in force were taken */
     bool store_answers;
--- a/daemon/options.c
+++ b/daemon/options.c
@@ -6,6 +6,7 @@
 #include "wire/levercove.h"
 
 #define DAY_MS 86400000
+#define MOST_MBPS 1000000
 #define MOST_BYTES (4LL * 1024 * 1024 * 1024)
 
 #define ADDRESS(name, required)                                               \
@@ -28,6 +29,11 @@
         group #name, SETTING_INTEGER, offsetof(Options, name), 0, (least),    \
             (most), NULL                                                      \
     }
+#define NUMBER(group, name, least, most)                                      \
+    {                                                                         \
+        group #name, SETTING_NUMBER, offsetof(Options, name), 0, (least),     \
+            (most), NULL                                                      \
+    }
 /* NOLINTEND(bugprone-macro-parentheses) */
 
 static const Setting option_table[] = {
@@ -74,6 +80,7 @@
     INTEGER("limits.", snapshot_records, 1, 1000000),
     /* A SETTLE names all keys an entry holds in one message. */
     INTEGER("limits.", max_jobs, 1, LC_MAX_KEYS),
+    NUMBER("limits.", link_mbps, 0, MOST_MBPS),
     INTEGER("limits.", max_answer_bytes, 0, MOST_BYTES),
     INTEGER("limits.", max_records, 1, 100000000),
     INTEGER("limits.", max_result_bytes, 0, MOST_BYTES),
--- a/daemon/options.h
+++ b/daemon/options.h
@@ -54,6 +54,7 @@
                          have closed it */
     int64_t grace_ms; /**< from the planned stop to the kill */
     int64_t max_jobs;
+    double link_mbps; /**< of the host's link, Mbit/s; 0: not known */
     int64_t max_answer_bytes;
     int64_t max_records;
     int64_t max_result_bytes;
--- a/daemon/process.c
+++ b/daemon/process.c
@@ -46,6 +46,13 @@
     Rpc_Call(((Process *)process)->rpc, to, call_id, call);
 }
 
+void
+Process_PortRuns(void *process, Address to, const uint64_t *call_ids,
+                 const lc_runs_args *runs)
+{
+    Rpc_CallRuns(((Process *)process)->rpc, to, call_ids, runs);
+}
+
 void
 Process_PortReply(void *process, uint64_t reply_id, const Msg_Reply *reply)
 {
--- a/daemon/process.h
+++ b/daemon/process.h
@@ -81,6 +81,8 @@
 /** Node ports that any role passes on to its RPC and its log. */
 void Process_PortCall(void *process, Address to, uint64_t call_id,
                       const Msg_Call *call);
+void Process_PortRuns(void *process, Address to, const uint64_t *call_ids,
+                      const lc_runs_args *runs);
 void Process_PortReply(void *process, uint64_t reply_id,
                        const Msg_Reply *reply);
 void Process_PortReset(void *process, Address to);
--- a/lease/choice.c
+++ b/lease/choice.c
@@ -132,7 +132,8 @@
 /* Companions of the least cost so far, one of which is drawn. */
 typedef struct {
     int64_t cost_ms;
-    uint64_t fits; /* tasks that fit there, of all of them */
+    uint32_t calls; /* that start the tasks which go together */
+    uint64_t fits;  /* tasks that fit there, of all of them */
     Fleet_Host *drawn;
 } Draw;
 
@@ -145,11 +146,15 @@
 add_to_draw(Draw *draw, const Choice *choice, Fleet_Host *host,
             int64_t cost_ms, uint32_t fits)
 {
-    if (cost_ms > draw->cost_ms) {
+    uint32_t calls = choice->together / fits + (choice->together % fits != 0);
+
+    if (cost_ms > draw->cost_ms ||
+        (cost_ms == draw->cost_ms && calls > draw->calls)) {
         return;
     }
-    if (cost_ms < draw->cost_ms) {
+    if (cost_ms < draw->cost_ms || calls < draw->calls) {
         draw->cost_ms = cost_ms;
+        draw->calls = calls;
         draw->fits = 0;
     }
     draw->fits += fits;
@@ -166,6 +171,11 @@
     Draw draw = {.cost_ms = INT64_MAX};
     guint i;
 
+    if (choice->together > 0 && choice->with != NULL &&
+        choice->with->node.address != task->avoid &&
+        may_run(choice, job, task, choice->with)) {
+        return choice->with;
+    }
     for (i = 0; i < choice->fleet->hosts->len; i++) {
         Fleet_Host *host = g_ptr_array_index(choice->fleet->hosts, i);
         if (may_run(choice, job, task, host)) {
--- a/lease/choice.h
+++ b/lease/choice.h
@@ -14,6 +14,10 @@
     const char *hall; /**< of the entry */
     int64_t now_ms;
     uint64_t *random;
+    /** Tasks of the job, this one among them, that are to go to as few hosts
+     * as can be; 0: each may go anywhere. */
+    uint32_t together;
+    Fleet_Host *with; /**< where the last of them went, or NULL */
 } Choice;
 
 /** Companion that may run @p task now and should, or NULL. */
--- a/lease/dispatcher.c
+++ b/lease/dispatcher.c
@@ -20,6 +20,7 @@
     self->started_ms = now_ms;
     Fleet_Init(&self->fleet);
     Closures_Init(&self->closures, now_ms);
+    LinkBudget_Init(&self->link, now_ms, config->link_mbps);
     QueueStats_Init(&self->stats);
     self->jobs = Handle_NewTable();
     self->calls = Handle_NewTable();
@@ -229,6 +230,18 @@
     }
 }
 
+int64_t
+Dispatcher_DueMs(const Dispatcher *self)
+{
+    return self->link_full ? LinkBudget_DueMs(&self->link) : INT64_MAX;
+}
+
+void
+Dispatcher_NoteSent(Dispatcher *self, int64_t bytes)
+{
+    LinkBudget_Spend(&self->link, bytes);
+}
+
 void
 Dispatcher_EndBy(Dispatcher *self, int64_t end_ms)
 {
@@ -384,11 +397,19 @@
                            "levercove_companions_known %u\n"
                            "levercove_companions_open %u\n"
                            "levercove_companions_well %u\n"
-                           "levercove_reserve_tasks %u\n",
+                           "levercove_reserve_tasks %u\n"
+                           "levercove_link_bytes_per_second %lld\n"
+                           "levercove_link_usable_bytes_per_second %lld\n"
+                           "levercove_link_short %d\n"
+                           "levercove_link_waits_total %llu\n",
                            Handle_Count(self->jobs), self->fleet.hosts->len,
                            Dispatcher_ReadyHosts(self, now_ms),
                            Dispatcher_WellHosts(self, now_ms),
-                           Reserve_Tasks(&self->reserve, now_ms));
+                           Reserve_Tasks(&self->reserve, now_ms),
+                           (long long)self->link.rate,
+                           (long long)self->link.bytes_per_s,
+                           LinkBudget_IsShort(&self->link, now_ms),
+                           (unsigned long long)self->link.waits);
 }
 
 Counters *
--- a/lease/dispatcher.h
+++ b/lease/dispatcher.h
@@ -61,6 +61,10 @@
     void (*kept_crash)(void *context, const lc_run_id *id, uint32_t task);
     /** A kept job is over. */
     void (*kept_over)(void *context, uint64_t job, Dispatcher_Outcome outcome);
+    /** Starts several tasks of a job; row i ends as @p call_ids[i]. Not used
+     * unless the settings say so. */
+    void (*runs)(void *context, Address to, const uint64_t *call_ids,
+                 const lc_runs_args *runs);
 } Dispatcher_Ports;
 
 /** Settings. */
@@ -69,6 +73,9 @@
     Term term;
     char hall[LC_MAX_NAME];
     uint32_t max_jobs; /**< at once */
+    double link_mbps;  /**< of this entry's link; 0: not known */
+    bool join_runs; /**< tasks of a job that go to one host are started in one
+                     call */
 } Dispatcher_Config;
 
 /** A job handed in. */
@@ -167,6 +174,13 @@
  * hand has been taken: the functions above only note what came. */
 void Dispatcher_Settle(Dispatcher *self, int64_t now_ms);
 
+/** When Dispatcher_Settle is to be called again though nothing comes, or
+ * INT64_MAX: starts wait for the link. */
+int64_t Dispatcher_DueMs(const Dispatcher *self);
+
+/** Bytes other than starts that this entry has put on its link. */
+void Dispatcher_NoteSent(Dispatcher *self, int64_t bytes);
+
 /** The process ends soon after @p end_ms: jobs that are open by then are given
  * up and answered, so that no caller's connection just breaks. */
 void Dispatcher_EndBy(Dispatcher *self, int64_t end_ms);
--- a/lease/dispatcher_calls.c
+++ b/lease/dispatcher_calls.c
@@ -1,4 +1,7 @@
 #include "lease/dispatcher_state.h"
+#include "wire/runs.h"
+
+#include <string.h>
 
 static uint64_t
 send_call(Dispatcher *self, const Dispatcher_Call *about, const Msg_Call *call)
@@ -34,27 +37,132 @@
     return owner;
 }
 
+static lc_run_args
+run_args(const Dispatcher *self, const Active_Job *job,
+         const Active_Task *task, int64_t valid_until_ms)
+{
+    const LeasedJob_Step *step = Active_Step(job, task);
+    lc_run_args run = {.owner = owner_of(self, job),
+                       .target = task->host.incarnation,
+                       .valid_until_ms = valid_until_ms,
+                       .closures_as_of = self->closures.as_of,
+                       .id = task->id,
+                       .need = step->need,
+                       .crashes = task->crashes,
+                       .spec = job->spec.spec};
+
+    /* Of a task that lasts nothing is expected but that it goes on. */
+    run.estimate_ms = step->long_running ? 0 : step->estimate_ms;
+    return run;
+}
+
 void
 DispatcherCall_Run(Dispatcher *self, const Active_Job *job,
                    const Active_Task *task, int64_t valid_until_ms)
 {
-    const LeasedJob_Step *step = Active_Step(job, task);
     Dispatcher_Call about = about_task(job, task, MSG_RUN);
     Msg_Call call = {.kind = MSG_RUN};
 
-    call.u.run.owner = owner_of(self, job);
-    call.u.run.target = task->host.incarnation;
-    call.u.run.valid_until_ms = valid_until_ms;
-    call.u.run.closures_as_of = self->closures.as_of;
-    call.u.run.id = task->id;
-    call.u.run.need = step->need;
-    /* Of a task that lasts nothing is expected but that it goes on. */
-    call.u.run.estimate_ms = step->long_running ? 0 : step->estimate_ms;
-    call.u.run.crashes = task->crashes;
-    call.u.run.spec = job->spec.spec;
+    call.u.run = run_args(self, job, task, valid_until_ms);
     send_call(self, &about, &call);
 }
 
+/* What a call that starts tasks takes on the wire besides its rows and the
+ * spec, as wire/levercove.x encodes it. */
+#define START_BYTES 100
+
+static void
+note_start(Dispatcher *self, const Active_Job *job, guint rows)
+{
+    LinkBudget_Spend(&self->link,
+                     (int64_t)(START_BYTES + strlen(job->spec.spec) +
+                               rows * sizeof(lc_runs_row)));
+}
+
+/* Starts tasks that go to one host, two or more, in one call. */
+static void
+send_joined(Dispatcher *self, const Active_Job *job, Active_Task *const *tasks,
+            guint count, int64_t valid_until_ms)
+{
+    lc_run_args run = run_args(self, job, tasks[0], valid_until_ms);
+    lc_runs_args runs = {.owner = run.owner,
+                         .target = run.target,
+                         .valid_until_ms = run.valid_until_ms,
+                         .closures_as_of = run.closures_as_of,
+                         .job = run.id.job,
+                         .spec = run.spec};
+    uint64_t *call_ids = g_new(uint64_t, count);
+    guint i;
+
+    runs.rows.rows_len = count;
+    runs.rows.rows_val = g_new(lc_runs_row, count);
+    for (i = 0; i < count; i++) {
+        Dispatcher_Call about = about_task(job, tasks[i], MSG_RUN);
+        run = run_args(self, job, tasks[i], valid_until_ms);
+        Runs_Put(&run, &runs.rows.rows_val[i]);
+        call_ids[i] = Handle_Add(self->calls,
+                                 g_memdup2(&about, sizeof(about)));
+    }
+    Counter_Add(&self->counters, COUNTER_TASKS_JOINED, count);
+    self->ports->runs(self->context, tasks[0]->host.address, call_ids, &runs);
+    g_free(runs.rows.rows_val);
+    g_free(call_ids);
+}
+
+static gint
+compare_hosts(gconstpointer a, gconstpointer b)
+{
+    const Active_Task *left = *(Active_Task *const *)a;
+    const Active_Task *right = *(Active_Task *const *)b;
+
+    if (left->host.address != right->host.address) {
+        return left->host.address < right->host.address ? -1 : 1;
+    }
+    return left < right ? -1 : left > right;
+}
+
+/* How many tasks of the array from one on go to the same host. */
+static guint
+count_same_host(const GPtrArray *tasks, guint from)
+{
+    const Active_Task *first = g_ptr_array_index(tasks, from);
+    guint end = from;
+
+    while (
+        end < tasks->len &&
+        ((const Active_Task *)g_ptr_array_index(tasks, end))->host.address ==
+            first->host.address) {
+        end++;
+    }
+    return end - from;
+}
+
+void
+DispatcherCall_Starts(Dispatcher *self, int64_t now_ms, const Active_Job *job,
+                      GPtrArray *tasks)
+{
+    guint from = 0;
+
+    if (self->config.join_runs) {
+        g_ptr_array_sort(tasks, compare_hosts);
+    }
+    while (from < tasks->len) {
+        Active_Task *const *group = (Active_Task *const *)&tasks->pdata[from];
+        guint count = self->config.join_runs ? count_same_host(tasks, from)
+                                             : 1;
+        Fleet_Host *host = Fleet_Find(&self->fleet, group[0]->host.address);
+        int64_t valid_until_ms = Fleet_Hold(host, &self->config.term, now_ms);
+        note_start(self, job, count);
+        if (count > 1) {
+            send_joined(self, job, group, count, valid_until_ms);
+        }
+        else {
+            DispatcherCall_Run(self, job, group[0], valid_until_ms);
+        }
+        from += count;
+    }
+}
+
 void
 DispatcherCall_Halt(Dispatcher *self, const Active_Job *job, Active_Task *task)
 {
--- a/lease/dispatcher_queue.c
+++ b/lease/dispatcher_queue.c
@@ -75,9 +75,10 @@
     return compare_numbers(left->job->arrived_ms, right->job->arrived_ms);
 }
 
+/* Gives a task to a host, which is still to be asked for it. */
 static void
-send_task(Dispatcher *self, int64_t now_ms, Active_Job *job, Active_Task *task,
-          Fleet_Host *host)
+place_task(Dispatcher *self, int64_t now_ms, Active_Job *job,
+           Active_Task *task, Fleet_Host *host)
 {
     Histogram_Add(&self->belief_age, now_ms - host->received_ms);
     task->id.run++;
@@ -96,8 +97,6 @@
     }
     Resources_Take(&host->room, &Active_Step(job, task)->need);
     Counter_Add(&self->counters, COUNTER_TASKS_STARTED, 1);
-    DispatcherCall_Run(self, job, task,
-                       Fleet_Hold(host, &self->config.term, now_ms));
 }
 
 /* The most of each resource that any open companion has left. */
@@ -128,17 +127,22 @@
                           &Active_Step(job, task)->need);
 }
 
-/* Sends what fits of one job, up to the first task that finds no host. */
+/* Finds hosts for the waiting tasks of a job, up to the first that finds none;
+ * appends those that found one. */
 static void
-dispatch_job(Dispatcher *self, int64_t now_ms, Active_Job *job,
-             lc_resources *largest)
+place_job(Dispatcher *self, int64_t now_ms, Active_Job *job,
+          lc_resources *largest, GPtrArray *placed)
 {
     Choice choice = {.fleet = &self->fleet,
                      .hall = self->config.hall,
                      .now_ms = now_ms,
                      .random = &self->random};
+    bool few_calls = self->config.join_runs &&
+                     LinkBudget_IsShort(&self->link, now_ms);
     uint32_t i;
 
+    choice.together = few_calls ? job->waiting : 0;
+
     for (i = 0; i < job->task_count && job->waiting > 0; i++) {
         Active_Task *task = &job->tasks[i];
         Fleet_Host *host;
@@ -154,10 +158,25 @@
             *largest = largest_room(self, now_ms);
             return;
         }
-        send_task(self, now_ms, job, task, host);
+        place_task(self, now_ms, job, task, host);
+        choice.with = host;
+        choice.together = few_calls ? job->waiting : 0;
+        g_ptr_array_add(placed, task);
     }
 }
 
+/* Sends what fits of one job. */
+static void
+dispatch_job(Dispatcher *self, int64_t now_ms, Active_Job *job,
+             lc_resources *largest)
+{
+    GPtrArray *placed = g_ptr_array_new();
+
+    place_job(self, now_ms, job, largest, placed);
+    DispatcherCall_Starts(self, now_ms, job, placed);
+    g_ptr_array_unref(placed);
+}
+
 /* Jobs with waiting tasks, the most urgent first; free the array. */
 static GArray *
 sorted_queue(const Dispatcher *self, int64_t now_ms)
@@ -177,6 +196,37 @@
     return queue;
 }
 
+static bool
+has_waiting(const Dispatcher *self)
+{
+    uint32_t i;
+
+    for (i = 0; i < Handle_Size(self->jobs); i++) {
+        const Active_Job *job = Handle_At(self->jobs, i);
+        if (job != NULL && !job->closing && job->waiting > 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Whether the link takes another start now; if not, there is another pass
+ * when it does. */
+static bool
+link_allows(Dispatcher *self, int64_t now_ms)
+{
+    self->link_full = false;
+    if (LinkBudget_Allows(&self->link, now_ms)) {
+        return true;
+    }
+    if (has_waiting(self)) {
+        self->link_full = true;
+        self->unsettled = true;
+        LinkBudget_NoteWait(&self->link, now_ms);
+    }
+    return false;
+}
+
 void
 DispatcherQueue_Pass(Dispatcher *self, int64_t now_ms)
 {
@@ -184,11 +234,12 @@
     GArray *queue;
     guint i;
 
-    if (self->paused || Resources_IsNone(&largest)) {
+    if (self->paused || Resources_IsNone(&largest) ||
+        !link_allows(self, now_ms)) {
         return;
     }
     queue = sorted_queue(self, now_ms);
-    for (i = 0; i < queue->len; i++) {
+    for (i = 0; i < queue->len && link_allows(self, now_ms); i++) {
         dispatch_job(self, now_ms, g_array_index(queue, queue_entry, i).job,
                      &largest);
     }
--- a/lease/dispatcher_state.h
+++ b/lease/dispatcher_state.h
@@ -14,6 +14,7 @@
 #include "lease/active.h"
 #include "lease/closures.h"
 #include "lease/dispatcher.h"
+#include "lease/link_budget.h"
 #include "lease/queue_stats.h"
 #include "lease/reserve.h"
 
@@ -35,6 +36,8 @@
     Fleet fleet;
     Closures closures;
     Reserve reserve;
+    LinkBudget link;
+    bool link_full;       /* starts wait for the link */
     Histogram belief_age; /* of a companion's room as a task is sent there */
     Handle_Table *jobs;
     Handle_Table *calls;    /* Dispatcher_Call */
@@ -71,6 +74,11 @@
 void DispatcherCall_Run(Dispatcher *self, const Active_Job *job,
                         const Active_Task *task, int64_t valid_until_ms);
 
+/** Asks the hosts of a job's tasks, an array of Active_Task, to start them;
+ * those at one host are asked for in one call. Sorts the array. */
+void DispatcherCall_Starts(Dispatcher *self, int64_t now_ms,
+                           const Active_Job *job, GPtrArray *tasks);
+
 /** Asks the task's host to stop its run. */
 void DispatcherCall_Halt(Dispatcher *self, const Active_Job *job,
                          Active_Task *task);
--- a/tests/choice_rules.c
+++ b/tests/choice_rules.c
@@ -30,8 +30,9 @@
     const char *name;
     const char *affinity;
     const char *requirement;
-    uint32_t refused; /* starts in a row */
-    int avoid;        /* host where it went wrong, or -1 */
+    uint32_t refused;  /* starts in a row */
+    int avoid;         /* host where it went wrong, or -1 */
+    uint32_t together; /* tasks that are to go to few hosts */
     host_row hosts[MOST_HOSTS + 1];
 } choice_case;
 
@@ -101,7 +102,11 @@
     uint32_t drawn[MOST_HOSTS + 1] = {0}; /* the last: none */
     Active_Job *job = new_job(one);
     Fleet fleet;
-    Choice choice = {&fleet, "own", NOW_MS, &random};
+    Choice choice = {.fleet = &fleet,
+                     .hall = "own",
+                     .now_ms = NOW_MS,
+                     .random = &random,
+                     .together = one->together};
     int i;
 
     Fleet_Init(&fleet);
@@ -162,6 +167,24 @@
      .requirement = "large",
      .avoid = -1,
      .hosts = {{"own", 8000, 100, "small", 0}, {"own", 900, 100, "large", 0}}},
+    {.name = "/choice/tasks that go together find the host that takes all",
+     .avoid = -1,
+     .together = 4,
+     .hosts = {{"own", 3900, 100, NULL, 0},
+               {"own", 4000, 100, NULL, 0.333},
+               {"own", 8000, 100, NULL, 0.667}}},
+    {.name = "/choice/or those that take most of them",
+     .avoid = -1,
+     .together = 4,
+     .hosts = {{"own", 1000, 100, NULL, 0},
+               {"own", 2000, 100, NULL, 0.4},
+               {"own", 3000, 100, NULL, 0.6}}},
+    {.name = "/choice/together is worth no slow host and no other hall",
+     .avoid = -1,
+     .together = 4,
+     .hosts = {{"own", 1000, 100, NULL, 1},
+               {"own", 8000, 190, NULL, 0},
+               {"other", 8000, 100, NULL, 0}}},
 };
 
 int
--- /dev/null
+++ b/tests/entry_fixture.c
@@ -0,0 +1,206 @@
+#include "tests/entry_fixture.h"
+
+#include <string.h>
+
+#include "tests/lease_fixture.h"
+#include "wire/runs.h"
+
+#define TICK_MS 50
+#define TASK_MILLI 1000
+#define MEMORY_MB 65536
+#define DEADLINE_MS 5000
+#define ESTIMATE_MS 100
+
+static void
+note_start(EntryFix *fix, Address to, uint64_t call_id, const lc_run_args *run,
+           uint32_t joined)
+{
+    EntryFix_Start *start = &fix->starts[fix->start_count++];
+
+    g_assert_cmpint(fix->start_count, <=, ENTRY_FIX_MOST);
+    start->to = to;
+    start->call_id = call_id;
+    start->owner = run->owner.incarnation;
+    start->joined = joined;
+    start->id = run->id;
+    start->valid_until_ms = run->valid_until_ms;
+    start->spec_length = strlen(run->spec);
+    start->at_ms = fix->now_ms;
+}
+
+static void
+port_call(void *context, Address to, uint64_t call_id, const Msg_Call *call)
+{
+    EntryFix *fix = context;
+    EntryFix_Call *row;
+
+    if (call->kind == MSG_RUN) {
+        note_start(fix, to, call_id, &call->u.run, 0);
+        return;
+    }
+    g_assert_cmpint(fix->call_count, <, ENTRY_FIX_MOST);
+    row = &fix->calls[fix->call_count++];
+    row->to = to;
+    row->call_id = call_id;
+    row->kind = call->kind;
+    row->at_ms = fix->now_ms;
+    if (call->kind == MSG_RENEW) {
+        row->renew = call->u.renew;
+    }
+}
+
+static void
+port_runs(void *context, Address to, const uint64_t *call_ids,
+          const lc_runs_args *runs)
+{
+    u_int i;
+
+    for (i = 0; i < runs->rows.rows_len; i++) {
+        Msg_Call run;
+        Runs_Get(runs, i, &run);
+        note_start(context, to, call_ids[i], &run.u.run, runs->rows.rows_len);
+    }
+}
+
+static void
+port_reset(void *context, Address to)
+{
+    (void)context;
+    (void)to;
+}
+
+static void
+port_answer(void *context, uint64_t request, const Dispatcher_Answer *answer)
+{
+    EntryFix *fix = context;
+    EntryFix_Answer *row = &fix->answers[fix->answer_count++];
+
+    g_assert_cmpint(fix->answer_count, <=, ENTRY_FIX_MOST);
+    row->request = request;
+    row->outcome = answer->outcome;
+    row->kind = answer->kind;
+}
+
+static const Dispatcher_Ports ports = {
+    .call = port_call,
+    .runs = port_runs,
+    .reset = port_reset,
+    .answer = port_answer,
+    .event = LeaseFix_DropEvent,
+};
+
+void
+EntryFix_Open(EntryFix *fix, Address address, double link_mbps)
+{
+    Dispatcher_Config config = {.node = {address, 77},
+                                .max_jobs = 1000,
+                                .link_mbps = link_mbps,
+                                .join_runs = link_mbps > 0};
+
+    memset(fix, 0, sizeof(*fix));
+    fix->now_ms = ENTRY_FIX_START_MS;
+    fix->term = LeaseFix_Term();
+    config.term = fix->term;
+    fix->dispatcher = Dispatcher_New(&config, &ports, fix, fix->now_ms);
+    fix->routes = Route_NewTable(1);
+    fix->route = LeaseFix_AddRoute(fix->routes);
+    fix->route->stretch_percent = 160;
+    fix->route->target_ms = 500;
+}
+
+void
+EntryFix_Close(EntryFix *fix)
+{
+    Dispatcher_Free(fix->dispatcher);
+    Route_FreeTable(fix->routes);
+}
+
+lc_node
+EntryFix_Host(uint32_t host)
+{
+    lc_node node = {(Address)(host + 1) << 16, host + 1};
+
+    return node;
+}
+
+static void
+fill_state(const EntryFix *fix, uint32_t host, uint32_t tasks,
+           lc_host_state *state)
+{
+    state->node = EntryFix_Host(host);
+    state->stamp_ms = fix->now_ms;
+    state->state = LC_UPSTREAM_READY;
+    state->room.cpu_milli = tasks * TASK_MILLI;
+    state->room.memory_mb = MEMORY_MB;
+    state->pace_percent = 100;
+}
+
+void
+EntryFix_Report(EntryFix *fix, uint32_t host, uint32_t tasks)
+{
+    lc_report_args report;
+
+    memset(&report, 0, sizeof(report));
+    fill_state(fix, host, tasks, &report.host);
+    report.capacity.cpu_milli = 16 * TASK_MILLI;
+    report.capacity.memory_mb = MEMORY_MB;
+    report.hall = (char *)(uintptr_t) "hall";
+    report.service = (char *)(uintptr_t) "service";
+    report.instance = (char *)(uintptr_t) "i-1";
+    report.next_ms = 60000;
+    report.closures.as_of = -1;
+    Dispatcher_OnReport(fix->dispatcher, fix->now_ms, &report);
+    Dispatcher_Settle(fix->dispatcher, fix->now_ms);
+}
+
+void
+EntryFix_Submit(EntryFix *fix, uint64_t job, uint32_t tasks, int32_t priority)
+{
+    Dispatcher_Submit submit = {
+        .request_id = job, .route = fix->route, .deadline_ms = DEADLINE_MS};
+
+    fix->route->priority = priority;
+    submit.job.id = job;
+    submit.job.spec = g_strnfill(ENTRY_FIX_SPEC, 'x');
+    submit.job.step_count = 1;
+    submit.job.steps = g_new0(LeasedJob_Step, 1);
+    submit.job.steps[0].count = tasks;
+    submit.job.steps[0].need.cpu_milli = TASK_MILLI;
+    submit.job.steps[0].estimate_ms = ESTIMATE_MS;
+    Dispatcher_OnSubmit(fix->dispatcher, fix->now_ms, &submit);
+    Dispatcher_Settle(fix->dispatcher, fix->now_ms);
+}
+
+void
+EntryFix_Reply(EntryFix *fix, const EntryFix_Start *start,
+               lc_run_status status, uint32_t tasks_left)
+{
+    Msg_Reply reply = {.kind = MSG_RUN};
+
+    reply.u.run.status = status;
+    fill_state(fix, (uint32_t)(start->to >> 16) - 1, tasks_left,
+               &reply.u.run.host);
+    Dispatcher_OnReply(fix->dispatcher, fix->now_ms, start->call_id, &reply);
+    Dispatcher_Settle(fix->dispatcher, fix->now_ms);
+}
+
+void
+EntryFix_Lose(EntryFix *fix, const EntryFix_Start *start)
+{
+    Dispatcher_OnReply(fix->dispatcher, fix->now_ms, start->call_id, NULL);
+    Dispatcher_Settle(fix->dispatcher, fix->now_ms);
+}
+
+void
+EntryFix_Pass(EntryFix *fix, int64_t ms)
+{
+    int64_t until_ms = fix->now_ms + ms;
+
+    while (fix->now_ms < until_ms) {
+        fix->now_ms++;
+        if (fix->now_ms % TICK_MS == 0) {
+            Dispatcher_Tick(fix->dispatcher, fix->now_ms);
+        }
+        Dispatcher_Settle(fix->dispatcher, fix->now_ms);
+    }
+}
--- a/tests/fleet_load.c
+++ b/tests/fleet_load.c
@@ -1,7 +1,8 @@
 /*
  * Loads of a large fleet, played in virtual time: what of it is served, how
  * many starts find no room, how evenly hosts are used. "--print PART SEED"
- * writes the figures of the loads whose names have that part ("" for all).
+ * writes the figures of the loads whose names have that part ("" for all);
+ * with "plain" behind it, of starts that are neither joined nor paced.
  */
 #include <glib.h>
 #include <stdio.h>
@@ -36,6 +37,19 @@
               {"check", 1, 486, 2, 200}},
 };
 
+/* Few entries, one of them with a link that the demand of its hall can fill;
+ * half of all processors at 1. */
+static const FleetWorld_Shape narrow = {
+    .entries = 8,
+    .companions = 54,
+    .halls = 4,
+    .cpu_milli = 1300,
+    .link_ms = 1,
+    .kinds = {{"quick", 0, 181, 8, 51},
+              {"long", 2, 32.9, 4, 760},
+              {"check", 1, 527, 2, 170}},
+};
+
 /* A load, and the least that must be shown. */
 typedef struct {
     const char *name;
@@ -44,6 +58,8 @@
     double refused_starts; /* at most, for each start */
     double spread;         /* at most */
     double late_share;     /* at least; 0 if no host comes */
+    double first_served;   /* at least, of the jobs of the rush at the first
+                              entry, in time */
 } load_case;
 
 /* The bounds leave a tenth or so to what was measured. */
@@ -216,6 +232,67 @@
      .late_share = 0},
 };
 
+/* The narrow link carries some 2,500 starts with a spec a second: enough for
+ * what the first entry's callers usually want, not for a burst of theirs. */
+static const load_case link_cases[] = {
+    {"narrow link: usual load",
+     {.shape = &narrow,
+      .usual = 1,
+      .rush = 1,
+      .only = -1,
+      .rush_ms = 1000,
+      .rush_end_ms = 5000,
+      .length_ms = 5000,
+      .link_mbps = 25,
+      .demand = 2},
+     .worth = 0.98,
+     .refused_starts = 0.1,
+     .spread = 0.25,
+     .first_served = 0.98},
+    {"narrow link: demand of 1.5 beside a burst of all",
+     {.shape = &narrow,
+      .usual = 1,
+      .rush = 1.4,
+      .only = -1,
+      .rush_ms = 1000,
+      .rush_end_ms = 5000,
+      .length_ms = 5000,
+      .link_mbps = 25,
+      .demand = 3},
+     .worth = 0.95,
+     .refused_starts = 0.5,
+     .spread = 0.25,
+     .first_served = 0.95},
+    {"narrow link: demand of 2.8",
+     {.shape = &narrow,
+      .usual = 1,
+      .rush = 1,
+      .only = -1,
+      .rush_ms = 1000,
+      .rush_end_ms = 5000,
+      .length_ms = 5000,
+      .link_mbps = 25,
+      .demand = 5.6},
+     .worth = 0.95,
+     .refused_starts = 0.5,
+     .spread = 0.25,
+     .first_served = 0.95},
+    {"narrow link: a tenth of the others'",
+     {.shape = &narrow,
+      .usual = 0.8,
+      .rush = 0.8,
+      .only = -1,
+      .rush_ms = 1000,
+      .rush_end_ms = 5000,
+      .length_ms = 5000,
+      .link_mbps = 10,
+      .demand = 2.5},
+     .worth = 0.95,
+     .refused_starts = 0.5,
+     .spread = 0.25,
+     .first_served = 0.95},
+};
+
 static void
 print_report(const char *name, const FleetWorld_Report *report)
 {
@@ -234,6 +311,14 @@
         printf(" %u/%u/%u/%u", jobs->in_time, jobs->late, jobs->refused,
                jobs->given_up);
     }
+    if (report->first.sent > 0) {
+        printf(" | first %u/%u/%u/%u of %u, %d ms queued",
+               report->first.in_time, report->first.late,
+               report->first.refused, report->first.given_up,
+               report->first.sent, (int)report->queued_most_ms);
+    }
+    printf(" | %.0f B a start",
+           (double)report->bytes / (double)MAX(report->starts, 1));
     if (report->crashes > 0) {
         printf(" | %u crashes, %u most, %u innocent", report->crashes,
                report->most_crashes, report->innocent);
@@ -241,36 +326,50 @@
     printf("\n");
 }
 
+/* @p plain: starts are neither joined nor paced. */
 static FleetWorld_Report
-play(const load_case *one, uint64_t seed)
+play(const load_case *one, uint64_t seed, bool plain)
 {
     FleetWorld_Load load = one->load;
 
     load.seed = seed;
+    /* As an entry does whose settings tell its link. */
+    load.join_runs = load.link_mbps > 0 && !plain;
+    load.paced = load.join_runs;
     return FleetWorld_Play(&load);
 }
 
 static void
-print_all(const char *part, uint64_t seed)
+print_table(const load_case *cases, size_t count, const char *part,
+            uint64_t seed, bool plain)
 {
     size_t i;
 
-    printf("load: worth, of the rush | refused starts, refused with a tenth "
-           "free | busy, spread, share of new hosts, their first start | wait "
-           "p50, p99 | quick, long, check: in time/late/refused/given up\n");
-    for (i = 0; i < G_N_ELEMENTS(load_cases); i++) {
-        if (strstr(load_cases[i].name, part) != NULL) {
-            FleetWorld_Report report = play(&load_cases[i], seed);
-            print_report(load_cases[i].name, &report);
+    for (i = 0; i < count; i++) {
+        if (strstr(cases[i].name, part) != NULL) {
+            FleetWorld_Report report = play(&cases[i], seed, plain);
+            print_report(cases[i].name, &report);
         }
     }
 }
 
+static void
+print_all(const char *part, uint64_t seed, bool plain)
+{
+    printf("load: worth, of the rush | refused starts, refused with a tenth "
+           "free | busy, spread, share of new hosts, their first start | wait "
+           "p50, p99 | quick, long, check: in time/late/refused/given up | "
+           "the same of the entry with the narrow link, the longest wait for "
+           "it\n");
+    print_table(link_cases, G_N_ELEMENTS(link_cases), part, seed, plain);
+    print_table(load_cases, G_N_ELEMENTS(load_cases), part, seed, plain);
+}
+
 static void
 test_load(gconstpointer item)
 {
     const load_case *one = item;
-    FleetWorld_Report report = play(one, 1);
+    FleetWorld_Report report = play(one, 1, false);
 
     g_assert_cmpfloat(report.worth_rush, >=, one->worth);
     g_assert_cmpfloat((double)report.refused_starts, <=,
@@ -278,22 +377,33 @@
     g_assert_cmpfloat(report.spread, <=, one->spread);
     g_assert_cmpfloat(report.late_share, >=, one->late_share);
     g_assert_cmpuint(report.most_crashes, <=, 2);
+    g_assert_cmpfloat((double)report.first.in_time, >=,
+                      one->first_served * (double)report.first.sent);
+}
+
+static void
+add_cases(const load_case *cases, size_t count)
+{
+    size_t i;
+
+    for (i = 0; i < count; i++) {
+        char *path = g_strdup_printf("/fleet/%s", cases[i].name);
+        g_test_add_data_func(path, &cases[i], test_load);
+        g_free(path);
+    }
 }
 
 int
 main(int argc, char **argv)
 {
-    size_t i;
+    bool plain = argc == 5 && strcmp(argv[4], "plain") == 0;
 
-    if (argc == 4 && strcmp(argv[1], "--print") == 0) {
-        print_all(argv[2], g_ascii_strtoull(argv[3], NULL, 10));
+    if (argc >= 4 && strcmp(argv[1], "--print") == 0) {
+        print_all(argv[2], g_ascii_strtoull(argv[3], NULL, 10), plain);
         return 0;
     }
     g_test_init(&argc, &argv, NULL);
-    for (i = 0; i < G_N_ELEMENTS(load_cases); i++) {
-        char *path = g_strdup_printf("/fleet/%s", load_cases[i].name);
-        g_test_add_data_func(path, &load_cases[i], test_load);
-        g_free(path);
-    }
+    add_cases(link_cases, G_N_ELEMENTS(link_cases));
+    add_cases(load_cases, G_N_ELEMENTS(load_cases));
     return g_test_run();
 }
--- a/tests/fleet_world.c
+++ b/tests/fleet_world.c
@@ -8,6 +8,7 @@
 #include "lease/dispatcher.h"
 #include "lease/run_id.h"
 #include "lease/runner.h"
+#include "wire/runs.h"
 
 /* An upstream crashes so soon after it started such a task, and is away for so
  * long. */
@@ -36,6 +37,14 @@
 #define PORT 7000
 #define MOST_WAIT_MS 4000
 #define FREE_PART 10
+/* Of a start on the wire: what a spec takes, a row, and the rest. */
+#define SPEC_BYTES 1200
+#define ROW_BYTES 36
+#define HEAD_BYTES 108
+/* Renewals and stops; answers to callers. */
+#define SMALL_CALL_BYTES 90
+#define ANSWER_BYTES 200
+#define BYTES_PER_MBIT_MS 125.0
 
 struct world;
 
@@ -91,6 +100,7 @@
     bool up;
     uint32_t life;
     told_state *told; /* by companion */
+    double link_free_ms;
 } entry_node;
 
 typedef struct {
@@ -683,10 +693,29 @@
     arm(node);
 }
 
+/* How long bytes that the entry sends now wait for its link, with all that
+ * was sent before. */
+static int64_t
+queue_on_link(entry_node *entry, uint64_t bytes)
+{
+    world *w = entry->world;
+    double now_ms = (double)w->now_ms;
+
+    if (entry->index != 0 || w->load->link_mbps == 0) {
+        return 0;
+    }
+    entry->link_free_ms = MAX(entry->link_free_ms, now_ms) +
+                          (double)bytes /
+                              (w->load->link_mbps * BYTES_PER_MBIT_MS);
+    w->report.queued_most_ms = MAX(w->report.queued_most_ms,
+                                   (int64_t)(entry->link_free_ms - now_ms));
+    return (int64_t)(entry->link_free_ms - now_ms);
+}
+
 static void
-port_call(void *context, Address to, uint64_t call_id, const Msg_Call *call)
+send_call(entry_node *entry, Address to, uint64_t call_id,
+          const Msg_Call *call, int64_t queued_ms)
 {
-    entry_node *entry = context;
     world *w = entry->world;
     call_message message = {.companion = (uint32_t)(to >> 16) - 1,
                             .entry = entry->index,
@@ -698,10 +727,41 @@
         message.call.u.run.spec = (char *)(uintptr_t) "";
         w->report.starts++;
     }
-    at(w, w->now_ms + w->load->shape->link_ms, on_call, &message,
+    at(w, w->now_ms + queued_ms + w->load->shape->link_ms, on_call, &message,
        sizeof(message));
 }
 
+static void
+port_call(void *context, Address to, uint64_t call_id, const Msg_Call *call)
+{
+    entry_node *entry = context;
+    uint64_t bytes = SMALL_CALL_BYTES;
+
+    if (call->kind == MSG_RUN) {
+        bytes = HEAD_BYTES + SPEC_BYTES + ROW_BYTES;
+        entry->world->report.bytes += bytes;
+    }
+    send_call(entry, to, call_id, call, queue_on_link(entry, bytes));
+}
+
+static void
+port_runs(void *context, Address to, const uint64_t *call_ids,
+          const lc_runs_args *runs)
+{
+    entry_node *entry = context;
+    uint64_t bytes = HEAD_BYTES + SPEC_BYTES +
+                     (uint64_t)ROW_BYTES * runs->rows.rows_len;
+    int64_t queued_ms = queue_on_link(entry, bytes);
+    u_int i;
+
+    entry->world->report.bytes += bytes;
+    for (i = 0; i < runs->rows.rows_len; i++) {
+        Msg_Call run;
+        Runs_Get(runs, i, &run);
+        send_call(entry, to, call_ids[i], &run, queued_ms);
+    }
+}
+
 static void
 port_reset(void *context, Address to)
 {
@@ -727,24 +787,39 @@
 }
 
 static void
-note_answer(world *w, job_row *job, const Dispatcher_Answer *answer)
+count_answer(FleetWorld_Jobs *jobs, const Dispatcher_Answer *answer, bool late)
 {
-    FleetWorld_Jobs *jobs = &w->report.kinds[job->kind];
-    double worth = 0;
-
     if (answer->outcome == DISPATCHER_SUCCEEDED) {
-        bool late = w->now_ms > job->objective_ms;
-        worth = late ? LATE_WORTH : 1;
         jobs->late += late;
         jobs->in_time += !late;
     }
     else if (answer->outcome == DISPATCHER_NOT_RUN) {
         jobs->refused++;
-        w->report.refused_free += much_is_free(w);
     }
     else {
         jobs->given_up++;
     }
+}
+
+static void
+note_answer(entry_node *entry, job_row *job, const Dispatcher_Answer *answer)
+{
+    world *w = entry->world;
+    int64_t queued_ms = queue_on_link(entry, ANSWER_BYTES);
+    bool late = w->now_ms + queued_ms > job->objective_ms;
+    double worth = 0;
+
+    if (answer->outcome == DISPATCHER_SUCCEEDED) {
+        worth = late ? LATE_WORTH : 1;
+    }
+    else if (answer->outcome == DISPATCHER_NOT_RUN) {
+        w->report.refused_free += much_is_free(w);
+    }
+    count_answer(&w->report.kinds[job->kind], answer, late);
+    if (entry->index == 0 && job->in_rush) {
+        w->report.first.sent++;
+        count_answer(&w->report.first, answer, late);
+    }
     w->worth_sum[job->kind] += worth;
     if (job->in_rush) {
         w->rush_sum[job->kind] += worth;
@@ -760,7 +835,7 @@
     if (!job->answered) {
         job->answered = true;
         if (!job->crashing) {
-            note_answer(w, job, answer);
+            note_answer(context, job, answer);
             w->report.innocent += answer->kind == ERR_TASK_CRASHES;
         }
     }
@@ -794,8 +869,8 @@
 }
 
 static const Dispatcher_Ports dispatcher_ports = {
-    port_call,     port_reset,      port_answer,   drop_event,
-    port_kept_end, port_kept_crash, port_kept_over};
+    port_call,     port_reset,      port_answer,    drop_event,
+    port_kept_end, port_kept_crash, port_kept_over, port_runs};
 
 typedef struct {
     uint32_t entry;
@@ -820,12 +895,16 @@
 begin_entry(world *w, uint32_t index)
 {
     entry_node *entry = &w->entries[index];
-    Dispatcher_Config config = {.term = w->term, .max_jobs = 100000};
+    Dispatcher_Config config = {
+        .term = w->term, .max_jobs = 100000, .join_runs = w->load->join_runs};
     entry_item item = {index, ++entry->life};
 
     entry->node.address = PORT + index;
     entry->node.incarnation++;
     config.node = entry->node;
+    if (index == 0 && w->load->paced) {
+        config.link_mbps = w->load->link_mbps;
+    }
     g_snprintf(config.hall, sizeof(config.hall), "hall-%u",
                index % w->load->shape->halls);
     if (entry->dispatcher != NULL) {
@@ -841,11 +920,22 @@
 
 /* ---- load ---- */
 
+/* The entry to which a job comes. */
+static uint32_t
+pick_entry(world *w)
+{
+    uint32_t count = w->load->shape->entries;
+    double first = in_rush(w) && w->load->demand > 0 ? w->load->demand : 1;
+    double drawn = chance(w) * (count - 1 + first);
+
+    return drawn < first ? 0 : MIN((uint32_t)(drawn - first) + 1, count - 1);
+}
+
 static void
 submit(world *w, int kind)
 {
     const FleetWorld_Kind *of = &w->load->shape->kinds[kind];
-    uint32_t index = (uint32_t)(chance(w) * w->load->shape->entries);
+    uint32_t index = pick_entry(w);
     Dispatcher_Submit submit = {.route = w->route_of[kind],
                                 .deadline_ms = DEADLINE_MS};
     job_row job = {.kind = kind, .sent_ms = w->now_ms};
@@ -872,7 +962,7 @@
     submit.request_id = w->jobs->len;
     submit.deadline_ms = MAX(DEADLINE_MS, 3 * (int64_t)job.work_ms);
     submit.job.id = w->jobs->len;
-    submit.job.spec = g_strdup("");
+    submit.job.spec = g_strnfill(SPEC_BYTES, 'x');
     submit.job.step_count = 1;
     submit.job.steps = g_new0(LeasedJob_Step, 1);
     submit.job.steps[0].count = MAX(
@@ -895,6 +985,9 @@
                       : load->shape->wave * sin(2 * G_PI * (double)w->now_ms /
                                                 (double)load->shape->wave_ms);
 
+    if (in_rush(w) && load->demand > 0) {
+        wave += (load->demand - 1) / load->shape->entries;
+    }
     return (of_rush ? load->rush : load->usual) * (1 + wave);
 }
 
--- a/tests/fleet_world.h
+++ b/tests/fleet_world.h
@@ -53,6 +53,12 @@
     int64_t close_ms; /**< the first hall is closed then; 0: never */
     int64_t open_ms;  /**< and opened again */
     uint64_t seed;
+    bool join_runs;   /**< a job's starts at one host go in one call */
+    double link_mbps; /**< of the first entry's link, the others' are wide;
+                           0: wide too */
+    bool paced;       /**< that entry knows it */
+    double demand;    /**< times the usual that comes to that entry during the
+                           rush; 0: as the others */
 } FleetWorld_Load;
 
 /** What became of jobs of one kind. */
@@ -67,9 +73,12 @@
 /** What a load showed. */
 typedef struct {
     FleetWorld_Jobs kinds[FLEET_WORLD_KINDS];
-    double worth;      /**< in time 1, late 0.2; kinds alike */
-    double worth_rush; /**< of the jobs handed in during the rush */
-    uint64_t starts;   /**< RUN calls */
+    double worth;           /**< in time 1, late 0.2; kinds alike */
+    double worth_rush;      /**< of the jobs handed in during the rush */
+    uint64_t starts;        /**< of tasks, as they were sent */
+    uint64_t bytes;         /**< of them on the wire */
+    FleetWorld_Jobs first;  /**< of all kinds, at the first entry */
+    int64_t queued_most_ms; /**< that bytes waited for its link */
     uint64_t refused_starts;
     uint64_t refused_free; /**< jobs refused while a tenth of all is free */
     uint32_t crashes;      /**< upstreams that crashed under a task */
--- a/tests/kept_rules.c
+++ b/tests/kept_rules.c
@@ -187,8 +187,7 @@
 };
 static const Dispatcher_Ports dispatcher_ports = {
     port_call, port_reset, port_answer, LeaseFix_DropEvent,
-    port_end,  port_crash, port_over,
-};
+    port_end,  port_crash, port_over,   NULL};
 
 /* ---- a keeper ---- */
 
--- a/tests/lease_world.h
+++ b/tests/lease_world.h
@@ -24,6 +24,7 @@
 #include "lease/keeper.h"
 #include "lease/route.h"
 #include "lease/runner.h"
+#include "wire/runs.h"
 }
 
 #include "tests/lease_upstream.h"
--- a/tests/lease_world_callers.cc
+++ b/tests/lease_world_callers.cc
@@ -69,7 +69,7 @@
             submit.route = route;
             submit.deadline_ms = DEADLINE_MS;
             submit.job.id = id;
-            submit.job.spec = g_strdup("");
+            submit.job.spec = g_strdup(spec_of(id).c_str());
             submit.job.step_count = 1;
             submit.job.steps = g_new0(LeasedJob_Step, 1);
             submit.job.steps[0].count = caller.tasks;
--- a/tests/lease_world_checks.cc
+++ b/tests/lease_world_checks.cc
@@ -23,6 +23,21 @@
     }
 }
 
+std::string
+spec_of(uint64_t job)
+{
+    return "spec of job " + std::to_string(job);
+}
+
+/* A start brings what its own job's caller handed in. */
+void
+World::check_spec(const lc_run_id &id, const char *spec)
+{
+    if (spec != spec_of(id.job)) {
+        violation(name(id) + " started with \"" + spec + "\"");
+    }
+}
+
 void
 World::count_run(uint32_t index, const lc_run_id &id)
 {
--- a/tests/lease_world_kept.cc
+++ b/tests/lease_world_kept.cc
@@ -50,7 +50,7 @@
 {
     EntryNode *entry = (EntryNode *)context;
 
-    entry->world->call(entry, to, id | KEEPER_CALL, call);
+    entry->world->call(entry, to, {id | KEEPER_CALL}, call);
 }
 
 const Route *
@@ -325,7 +325,7 @@
 
     memset(job, 0, sizeof(*job));
     job->id = id;
-    job->spec = g_strdup("");
+    job->spec = g_strdup(spec_of(id).c_str());
     job->needs_keeping = true;
     job->repeat_count = caller.times;
     job->start_at_ms = caller.start_at_ms;
--- a/tests/lease_world_messages.cc
+++ b/tests/lease_world_messages.cc
@@ -79,7 +79,7 @@
     int64_t arrives = std::max(now + LINK_MS, link.free_ms);
     auto shared = std::make_shared<Call>(std::move(message));
 
-    link.pending.insert(shared->call_id);
+    link.pending.insert(shared->call_ids.begin(), shared->call_ids.end());
     if (!companions[index].alive) {
         break_link(entry, index);
         return;
@@ -98,25 +98,32 @@
         }
         when_awake(companion, [this, entry, companion, generation, shared] {
             Msg_Record record;
-            uint64_t reply_id = ++companion->next_reply;
             Msg_Decode(shared->bytes.data() + MSG_MARK_SIZE,
                        shared->bytes.size() - MSG_MARK_SIZE, &record);
-            companion->owed[reply_id] = {entry, shared->call_id, generation};
-            Runner_OnCall(companion->runner, now, reply_id, &record.call);
+            for (u_int i = 0; i < shared->call_ids.size(); i++) {
+                uint64_t reply_id = ++companion->next_reply;
+                Msg_Call row = record.call;
+                if (record.call.kind == MSG_RUNS) {
+                    Runs_Get(&record.call.u.runs, i, &row);
+                }
+                companion->owed[reply_id] = {entry, shared->call_ids[i],
+                                             generation};
+                Runner_OnCall(companion->runner, now, reply_id, &row);
+            }
             Msg_FreeCall(&record.call);
         });
     });
 }
 
 void
-World::call(EntryNode *from, Address to, uint64_t call_id,
+World::call(EntryNode *from, Address to, std::vector<uint64_t> call_ids,
             const Msg_Call *message)
 {
     GByteArray *bytes = g_byte_array_new();
     Call copy;
 
     Msg_EncodeCall(message, 1, bytes);
-    copy.call_id = call_id;
+    copy.call_ids = std::move(call_ids);
     copy.bytes.assign(bytes->data, bytes->data + bytes->len);
     g_byte_array_unref(bytes);
     to_companion(from->index, (uint32_t)(to - companion_address(0)),
@@ -236,6 +243,7 @@
     Runner_Start copy = *start;
     auto instance = std::make_shared<std::string>(start->instance);
 
+    check_spec(copy.id, start->spec);
     copy.spec = "";
     check_hall(index, copy.id);
     order(
--- a/tests/lease_world_nodes.cc
+++ b/tests/lease_world_nodes.cc
@@ -107,7 +107,19 @@
 port_call(void *context, Address to, uint64_t id, const Msg_Call *call)
 {
     EntryNode *entry = (EntryNode *)context;
-    entry->world->call(entry, to, id, call);
+    entry->world->call(entry, to, {id}, call);
+}
+
+void
+port_runs(void *context, Address to, const uint64_t *ids,
+          const lc_runs_args *runs)
+{
+    EntryNode *entry = (EntryNode *)context;
+    Msg_Call call;
+
+    call.kind = MSG_RUNS;
+    call.u.runs = *runs;
+    entry->world->call(entry, to, {ids, ids + runs->rows.rows_len}, &call);
 }
 
 void
@@ -205,8 +217,8 @@
 }
 
 const Dispatcher_Ports entry_ports = {
-    port_call,     port_reset,      port_answer,   port_entry_event,
-    port_kept_end, port_kept_crash, port_kept_over};
+    port_call,     port_reset,      port_answer,    port_entry_event,
+    port_kept_end, port_kept_crash, port_kept_over, port_runs};
 const Runner_Ports companion_ports = {port_start, port_stop, port_look,
                                       port_reply, port_companion_event};
 
@@ -240,6 +252,8 @@
     config.node = entry->node;
     config.term = make_term();
     config.max_jobs = 10000;
+    /* Both ways stand side by side, as while a new version is rolled out. */
+    config.join_runs = index % 2 == 1;
     entry->dispatcher = Dispatcher_New(&config, &entry_ports, entry, now);
     start_keeper(entry);
     uint64_t life = ++entry->life;
--- a/tests/lease_world_state.h
+++ b/tests/lease_world_state.h
@@ -38,9 +38,12 @@
 
 class World;
 
-/* A message kept with its own memory. */
+/* What a job's caller hands in for its upstreams. */
+std::string spec_of(uint64_t job);
+
+/* A message kept with its own memory; a RUNS is several calls. */
 struct Call {
-    uint64_t call_id;
+    std::vector<uint64_t> call_ids;
     std::vector<uint8_t> bytes;
 };
 
@@ -255,7 +258,7 @@
     Report run();
 
     /* ports */
-    void call(EntryNode *from, Address to, uint64_t call_id,
+    void call(EntryNode *from, Address to, std::vector<uint64_t> call_ids,
               const Msg_Call *call);
     void reset(EntryNode *from, Address to);
     void answer(EntryNode *from, uint64_t request,
@@ -370,6 +373,7 @@
                         int64_t asked_ms, HallNews news);
     void confirm_halls(CompanionNode *companion);
     void check_hall(uint32_t index, const lc_run_id &id);
+    void check_spec(const lc_run_id &id, const char *spec);
     void check_halls_serve();
     int64_t halls_serve_by() const;
     void make_kept();
--- /dev/null
+++ b/tests/link_rules.c
@@ -0,0 +1,270 @@
+/*
+ * Rules of an entry whose link is limited: starts of one job at one host go in
+ * one call, starts wait for the link in the order of their urgency, and go to
+ * few hosts while it is short.
+ */
+#include <glib.h>
+
+#include "lease/link_budget.h"
+#include "tests/entry_fixture.h"
+#include "tests/rule_table.h"
+
+#define ENTRY 7000
+/* 11,250 usable bytes in 10 ms: the burst. */
+#define LINK_MBPS 10.0
+#define BURST_BYTES INT64_C(11250)
+
+static void
+test_budget(void)
+{
+    LinkBudget budget;
+
+    LinkBudget_Init(&budget, 1000, LINK_MBPS);
+    g_assert_true(LinkBudget_Allows(&budget, 1000));
+    LinkBudget_Spend(&budget, BURST_BYTES + 1125);
+    g_assert_false(LinkBudget_Allows(&budget, 1000));
+    g_assert_cmpint(LinkBudget_DueMs(&budget), ==, 1002);
+    g_assert_false(LinkBudget_Allows(&budget, 1001));
+    g_assert_true(LinkBudget_Allows(&budget, 1002));
+}
+
+static void
+test_not_saved_up(void)
+{
+    LinkBudget budget;
+
+    LinkBudget_Init(&budget, 1000, LINK_MBPS);
+    g_assert_true(LinkBudget_Allows(&budget, 60000));
+    LinkBudget_Spend(&budget, BURST_BYTES);
+    g_assert_false(LinkBudget_Allows(&budget, 60000));
+}
+
+static void
+test_unlimited(void)
+{
+    LinkBudget budget;
+
+    LinkBudget_Init(&budget, 1000, 0);
+    LinkBudget_Spend(&budget, INT32_MAX);
+    g_assert_true(LinkBudget_Allows(&budget, 1000));
+    g_assert_false(LinkBudget_IsShort(&budget, 1000));
+    g_assert_cmpint(LinkBudget_Headroom(&budget, 1000), ==, INT64_MAX);
+}
+
+static void
+test_short(void)
+{
+    LinkBudget budget;
+
+    LinkBudget_Init(&budget, 1000, LINK_MBPS);
+    LinkBudget_Allows(&budget, 1000);
+    LinkBudget_Spend(&budget, 100000);
+    LinkBudget_Allows(&budget, 1500);
+    g_assert_cmpint(LinkBudget_Headroom(&budget, 1500), ==, 1125000 - 200000);
+    LinkBudget_NoteWait(&budget, 1500);
+    g_assert_true(LinkBudget_IsShort(&budget, 1500));
+    g_assert_cmpint(LinkBudget_Headroom(&budget, 1500), ==, 0);
+    g_assert_true(LinkBudget_IsShort(&budget, 2499));
+    g_assert_false(LinkBudget_IsShort(&budget, 2500));
+}
+
+static void
+test_one_call(void)
+{
+    EntryFix fix;
+    int i;
+
+    EntryFix_Open(&fix, ENTRY, LINK_MBPS);
+    EntryFix_Report(&fix, 0, 8);
+    EntryFix_Submit(&fix, 1, 8, 0);
+    g_assert_cmpint(fix.start_count, ==, 8);
+    for (i = 0; i < 8; i++) {
+        g_assert_cmpuint(fix.starts[i].joined, ==, 8);
+        g_assert_cmpuint(fix.starts[i].id.index, ==, i);
+        g_assert_cmpuint(fix.starts[i].id.run, ==, 1);
+        g_assert_cmpint(fix.starts[i].valid_until_ms, ==,
+                        fix.starts[0].valid_until_ms);
+        g_assert_cmpuint(fix.starts[i].spec_length, ==, ENTRY_FIX_SPEC);
+    }
+    /* Each is answered by itself, in any order. */
+    for (i = 7; i >= 0; i--) {
+        g_assert_cmpint(fix.answer_count, ==, 0);
+        EntryFix_Reply(&fix, &fix.starts[i], LC_RUN_DONE, 8);
+    }
+    g_assert_cmpint(fix.answer_count, ==, 1);
+    g_assert_cmpint(fix.answers[0].outcome, ==, DISPATCHER_SUCCEEDED);
+    EntryFix_Close(&fix);
+}
+
+static void
+test_link_not_known(void)
+{
+    EntryFix fix;
+    int i;
+
+    EntryFix_Open(&fix, ENTRY, 0);
+    EntryFix_Report(&fix, 0, 8);
+    EntryFix_Submit(&fix, 1, 8, 0);
+    g_assert_cmpint(fix.start_count, ==, 8);
+    for (i = 0; i < 8; i++) {
+        g_assert_cmpuint(fix.starts[i].joined, ==, 0);
+    }
+    EntryFix_Close(&fix);
+}
+
+static void
+test_refused_row(void)
+{
+    EntryFix fix;
+
+    EntryFix_Open(&fix, ENTRY, LINK_MBPS);
+    EntryFix_Report(&fix, 0, 3);
+    EntryFix_Submit(&fix, 1, 3, 0);
+    EntryFix_Report(&fix, 1, 1);
+    EntryFix_Reply(&fix, &fix.starts[1], LC_RUN_NO_ROOM, 0);
+    g_assert_cmpint(fix.start_count, ==, 4);
+    g_assert_cmpuint(fix.starts[3].to, ==, EntryFix_Host(1).address);
+    g_assert_cmpuint(fix.starts[3].joined, ==, 0);
+    g_assert_cmpuint(fix.starts[3].id.index, ==, 1);
+    g_assert_cmpuint(fix.starts[3].id.run, ==, 2);
+    EntryFix_Reply(&fix, &fix.starts[0], LC_RUN_DONE, 0);
+    EntryFix_Reply(&fix, &fix.starts[2], LC_RUN_DONE, 0);
+    g_assert_cmpint(fix.answer_count, ==, 0);
+    EntryFix_Reply(&fix, &fix.starts[3], LC_RUN_DONE, 0);
+    g_assert_cmpint(fix.answers[0].outcome, ==, DISPATCHER_SUCCEEDED);
+    EntryFix_Close(&fix);
+}
+
+/* Nobody knows which of the rows have begun: each is asked for again as the
+ * same run, and held no longer. */
+static void
+test_lost_call(void)
+{
+    EntryFix fix;
+    int i;
+
+    EntryFix_Open(&fix, ENTRY, LINK_MBPS);
+    EntryFix_Report(&fix, 0, 3);
+    EntryFix_Report(&fix, 1, 8);
+    EntryFix_Submit(&fix, 1, 3, 0);
+    fix.start_count = 3;
+    for (i = 0; i < 3; i++) {
+        EntryFix_Lose(&fix, &fix.starts[i]);
+    }
+    g_assert_cmpint(fix.start_count, ==, 3);
+    EntryFix_Pass(&fix, 100);
+    g_assert_cmpint(fix.start_count, ==, 6);
+    for (i = 3; i < 6; i++) {
+        g_assert_cmpuint(fix.starts[i].to, ==, fix.starts[i - 3].to);
+        g_assert_cmpuint(fix.starts[i].id.run, ==, 1);
+        g_assert_cmpint(fix.starts[i].valid_until_ms, <=,
+                        fix.starts[i - 3].valid_until_ms);
+    }
+    EntryFix_Close(&fix);
+}
+
+/* Jobs whose starts fill the burst of the link; one task each. */
+static int
+fill_link(EntryFix *fix)
+{
+    uint64_t job;
+
+    for (job = 1; job <= 20; job++) {
+        EntryFix_Submit(fix, job, 1, 1);
+    }
+    return fix->start_count;
+}
+
+static void
+test_starts_wait_in_order(void)
+{
+    EntryFix fix;
+    int sent;
+
+    EntryFix_Open(&fix, ENTRY, LINK_MBPS);
+    EntryFix_Report(&fix, 0, 64);
+    sent = fill_link(&fix);
+    g_assert_cmpint(sent, ==, 9); /* of 1,336 bytes */
+    EntryFix_Submit(&fix, 100, 1, 0);
+    g_assert_cmpint(fix.start_count, ==, sent);
+    g_assert_cmpint(Dispatcher_DueMs(fix.dispatcher), >, fix.now_ms);
+    EntryFix_Pass(&fix, 1);
+    g_assert_cmpint(fix.start_count, ==, sent + 1);
+    g_assert_cmpuint(fix.starts[sent].id.job, ==, 100);
+    /* The rest leave as fast as the link carries them. */
+    EntryFix_Pass(&fix, 5);
+    g_assert_cmpint(fix.start_count, <, 16);
+    EntryFix_Pass(&fix, 20);
+    g_assert_cmpint(fix.start_count, ==, 21);
+    g_assert_cmpint(Dispatcher_DueMs(fix.dispatcher), ==, INT64_MAX);
+    EntryFix_Close(&fix);
+}
+
+static void
+test_other_bytes_count(void)
+{
+    EntryFix fix;
+
+    EntryFix_Open(&fix, ENTRY, LINK_MBPS);
+    EntryFix_Report(&fix, 0, 64);
+    Dispatcher_NoteSent(fix.dispatcher, BURST_BYTES * 2);
+    EntryFix_Submit(&fix, 1, 1, 0);
+    g_assert_cmpint(fix.start_count, ==, 0);
+    EntryFix_Pass(&fix, 9);
+    g_assert_cmpint(fix.start_count, ==, 0);
+    EntryFix_Pass(&fix, 3);
+    g_assert_cmpint(fix.start_count, ==, 1);
+    EntryFix_Close(&fix);
+}
+
+/* A job's tasks are spread while the link carries that, and go to the host
+ * that takes all of them while it is short. */
+static void
+test_few_calls_while_short(void)
+{
+    EntryFix fix;
+    uint32_t host;
+    int i;
+    int sent;
+
+    EntryFix_Open(&fix, ENTRY, LINK_MBPS);
+    for (host = 0; host < 10; host++) {
+        EntryFix_Report(&fix, host, 2);
+    }
+    EntryFix_Report(&fix, 10, 32);
+    fill_link(&fix);
+    EntryFix_Pass(&fix, 30);
+    for (host = 0; host < 10; host++) {
+        EntryFix_Report(&fix, host, 2);
+    }
+    EntryFix_Report(&fix, 10, 32);
+    sent = fix.start_count;
+    EntryFix_Submit(&fix, 50, 4, 0);
+    g_assert_cmpint(fix.start_count, ==, sent + 4);
+    for (i = sent; i < fix.start_count; i++) {
+        g_assert_cmpuint(fix.starts[i].joined, ==, 4);
+        g_assert_cmpuint(fix.starts[i].to, ==, EntryFix_Host(10).address);
+    }
+    EntryFix_Close(&fix);
+}
+
+int
+main(int argc, char **argv)
+{
+    static const RuleTable_Row rules[] = {
+        {"/link/a bucket", test_budget},
+        {"/link/what is not used is not saved up", test_not_saved_up},
+        {"/link/not limited", test_unlimited},
+        {"/link/short for a while", test_short},
+        {"/link/tasks at one host are started in one call", test_one_call},
+        {"/link/not joined where the link is not known", test_link_not_known},
+        {"/link/a refused row is started elsewhere", test_refused_row},
+        {"/link/a lost call leaves each row open", test_lost_call},
+        {"/link/starts wait in the order of urgency",
+         test_starts_wait_in_order},
+        {"/link/other bytes count", test_other_bytes_count},
+        {"/link/few calls while it is short", test_few_calls_while_short},
+    };
+
+    return RuleTable_Main(argc, argv, rules, G_N_ELEMENTS(rules));
+}
--- a/wire/levercove.h
+++ b/wire/levercove.h
@@ -383,6 +383,33 @@
 };
 typedef struct lc_run_res lc_run_res;
 
+struct lc_runs_row {
+	u_int occurrence;
+	u_int step;
+	u_int index;
+	u_int run;
+	lc_resources need;
+	u_int estimate_ms;
+	u_int crashes;
+};
+typedef struct lc_runs_row lc_runs_row;
+
+struct lc_runs_args {
+	lc_node owner;
+	u_quad_t target;
+	quad_t valid_until_ms;
+	quad_t closures_as_of;
+	u_quad_t job;
+	struct {
+		u_int rows_len;
+		lc_runs_row *rows_val;
+	} rows;
+	char *spec;
+};
+typedef struct lc_runs_args lc_runs_args;
+
+typedef lc_run_res lc_runs_res;
+
 struct lc_renew_args {
 	lc_node owner;
 	u_quad_t kept;
@@ -717,6 +744,9 @@
 #define LC_ROUTES 19
 extern  lc_routes_res * lc_routes_1(lc_routes_args *, CLIENT *);
 extern  lc_routes_res * lc_routes_1_svc(lc_routes_args *, struct svc_req *);
+#define LC_RUNS 20
+extern  lc_runs_res * lc_runs_1(lc_runs_args *, CLIENT *);
+extern  lc_runs_res * lc_runs_1_svc(lc_runs_args *, struct svc_req *);
 extern int lc_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -780,6 +810,9 @@
 #define LC_ROUTES 19
 extern  lc_routes_res * lc_routes_1();
 extern  lc_routes_res * lc_routes_1_svc();
+#define LC_RUNS 20
+extern  lc_runs_res * lc_runs_1();
+extern  lc_runs_res * lc_runs_1_svc();
 extern int lc_program_1_freeresult ();
 #endif /* K&R C */
 
@@ -824,6 +857,9 @@
 extern  bool_t xdr_lc_run_status (XDR *, lc_run_status*);
 extern  bool_t xdr_lc_run_args (XDR *, lc_run_args*);
 extern  bool_t xdr_lc_run_res (XDR *, lc_run_res*);
+extern  bool_t xdr_lc_runs_row (XDR *, lc_runs_row*);
+extern  bool_t xdr_lc_runs_args (XDR *, lc_runs_args*);
+extern  bool_t xdr_lc_runs_res (XDR *, lc_runs_res*);
 extern  bool_t xdr_lc_renew_args (XDR *, lc_renew_args*);
 extern  bool_t xdr_lc_renew_res (XDR *, lc_renew_res*);
 extern  bool_t xdr_lc_halt_args (XDR *, lc_halt_args*);
@@ -895,6 +931,9 @@
 extern bool_t xdr_lc_run_status ();
 extern bool_t xdr_lc_run_args ();
 extern bool_t xdr_lc_run_res ();
+extern bool_t xdr_lc_runs_row ();
+extern bool_t xdr_lc_runs_args ();
+extern bool_t xdr_lc_runs_res ();
 extern bool_t xdr_lc_renew_args ();
 extern bool_t xdr_lc_renew_res ();
 extern bool_t xdr_lc_halt_args ();
--- a/wire/levercove.x
+++ b/wire/levercove.x
@@ -316,6 +316,34 @@
     lc_host_state host;
 };
 
+/* What differs between the starts of one RUNS. */
+struct lc_runs_row {
+    unsigned int occurrence;
+    unsigned int step;
+    unsigned int index;
+    unsigned int run;
+    lc_resources need;
+    unsigned int estimate_ms;
+    unsigned int crashes;
+};
+
+/*
+ * Starts of several tasks of one job, the spec once. Each row is a RUN of its
+ * own: the reply to row i is that of a RUN, under the number of this call
+ * plus i.
+ */
+struct lc_runs_args {
+    lc_node owner;
+    unsigned hyper target;
+    hyper valid_until_ms;
+    hyper closures_as_of;
+    unsigned hyper job;
+    lc_runs_row rows<LC_MAX_TASKS>;
+    string spec<LC_MAX_SPEC>;
+};
+
+typedef lc_run_res lc_runs_res;
+
 /* Extends the lease of all that an entry runs at a companion. */
 struct lc_renew_args {
     lc_node owner;
@@ -551,5 +579,6 @@
         lc_fence_res LC_FENCE(lc_fence_args) = 17;
         lc_store_res LC_STORE(lc_store_args) = 18;
         lc_routes_res LC_ROUTES(lc_routes_args) = 19;
+        lc_runs_res LC_RUNS(lc_runs_args) = 20;
     } = 1;
 } = 0x20004c43;
--- a/wire/levercove_xdr.c
+++ b/wire/levercove_xdr.c
@@ -753,6 +753,114 @@
 	return TRUE;
 }
 
+bool_t
+xdr_lc_runs_row (XDR *xdrs, lc_runs_row *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->occurrence))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->step))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->index))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->run))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->occurrence);
+		IXDR_PUT_U_LONG(buf, objp->step);
+		IXDR_PUT_U_LONG(buf, objp->index);
+		IXDR_PUT_U_LONG(buf, objp->run);
+		}
+		 if (!xdr_lc_resources (xdrs, &objp->need))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->estimate_ms))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->crashes))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->occurrence))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->step))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->index))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->run))
+				 return FALSE;
+
+		} else {
+		objp->occurrence = IXDR_GET_U_LONG(buf);
+		objp->step = IXDR_GET_U_LONG(buf);
+		objp->index = IXDR_GET_U_LONG(buf);
+		objp->run = IXDR_GET_U_LONG(buf);
+		}
+		 if (!xdr_lc_resources (xdrs, &objp->need))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->estimate_ms))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->crashes))
+			 return FALSE;
+	 return TRUE;
+	}
+
+	 if (!xdr_u_int (xdrs, &objp->occurrence))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->step))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->index))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->run))
+		 return FALSE;
+	 if (!xdr_lc_resources (xdrs, &objp->need))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->estimate_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->crashes))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_lc_runs_args (XDR *xdrs, lc_runs_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_lc_node (xdrs, &objp->owner))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->target))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->valid_until_ms))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->closures_as_of))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->job))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->rows.rows_val, (u_int *) &objp->rows.rows_len, LC_MAX_TASKS,
+		sizeof (lc_runs_row), (xdrproc_t) xdr_lc_runs_row))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->spec, LC_MAX_SPEC))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_lc_runs_res (XDR *xdrs, lc_runs_res *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_lc_run_res (xdrs, objp))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_lc_renew_args (XDR *xdrs, lc_renew_args *objp)
 {
--- a/wire/msg.h
+++ b/wire/msg.h
@@ -36,7 +36,8 @@
     X(RELEASE, release)                                                       \
     X(FENCE, fence)                                                           \
     X(STORE, store)                                                           \
-    X(ROUTES, routes)
+    X(ROUTES, routes)                                                         \
+    X(RUNS, runs)
 
 /** Kinds of message, each equal to its procedure number less one. */
 typedef enum {
--- a/wire/rpc.c
+++ b/wire/rpc.c
@@ -4,6 +4,7 @@
 
 #include "base/event.h"
 #include "base/handle.h"
+#include "wire/runs.h"
 
 #define LISTEN_BACKLOG 512
 #define READ_CHUNK 65536
@@ -39,6 +40,7 @@
 typedef struct {
     uint64_t call_id;
     Msg_Kind kind;
+    u_int rows; /* of the RUNS that begin with it; 0 for none */
 } pending_call;
 
 /* A call of a peer that waits for its answer. */
@@ -225,19 +227,78 @@
 }
 
 static void
-take_call(connection *conn, Msg_Record *record)
+hand_on_call(Rpc *rpc, Handle from, uint32_t xid, const Msg_Call *call)
 {
-    Rpc *rpc = conn->rpc;
     owed_reply *owed = g_new0(owed_reply, 1);
     Handle reply_id;
 
-    owed->connection = conn->handle;
-    owed->xid = record->xid;
-    owed->kind = record->call.kind;
+    owed->connection = from;
+    owed->xid = xid;
+    owed->kind = call->kind;
     reply_id = Handle_Add(rpc->owed, owed);
-    rpc->traffic.calls_in[owed->kind]++;
-    rpc->handlers.call(rpc->context, reply_id, &record->call);
-    Msg_FreeCall(&record->call);
+    rpc->handlers.call(rpc->context, reply_id, call);
+}
+
+static void
+refuse_call(connection *conn, uint32_t xid, enum accept_stat reason)
+{
+    GByteArray *out = g_byte_array_new();
+
+    Counter_Add(conn->rpc->counters, COUNTER_RPC_BAD, 1);
+    Event_Log(EVENT_RPC_BAD, "call refused with accept status %d",
+              (int)reason);
+    Msg_EncodeRefusal(xid, reason, out);
+    write_bytes(conn, out);
+}
+
+static void
+take_runs(connection *conn, uint32_t first_xid, const lc_runs_args *runs)
+{
+    /* The connection may be closed while rows are handed on. */
+    Handle handle = conn->handle;
+    Rpc *rpc = conn->rpc;
+    u_int i;
+
+    if (runs->rows.rows_len == 0) {
+        refuse_call(conn, first_xid, GARBAGE_ARGS);
+    }
+    for (i = 0; i < runs->rows.rows_len; i++) {
+        Msg_Call run;
+        Runs_Get(runs, i, &run);
+        hand_on_call(rpc, handle, first_xid + i, &run);
+    }
+}
+
+static void
+take_call(connection *conn, Msg_Record *record)
+{
+    Msg_Call *call = &record->call;
+
+    conn->rpc->traffic.calls_in[call->kind]++;
+    if (call->kind == MSG_RUNS) {
+        take_runs(conn, record->xid, &call->u.runs);
+    }
+    else {
+        hand_on_call(conn->rpc, conn->handle, record->xid, call);
+    }
+    Msg_FreeCall(call);
+}
+
+/* A peer that does not know RUNS, or could not read this one, has done
+ * nothing of it. */
+static void
+lose_rows(connection *conn, uint32_t first_xid, u_int rows)
+{
+    u_int i;
+
+    for (i = 1; i < rows; i++) {
+        gpointer xid = GUINT_TO_POINTER(first_xid + i);
+        const pending_call *row = g_hash_table_lookup(conn->pending, xid);
+        if (row != NULL) {
+            add_lost(conn->rpc, row->call_id);
+            g_hash_table_remove(conn->pending, xid);
+        }
+    }
 }
 
 static void
@@ -268,6 +329,9 @@
         Event_Log(EVENT_RPC_BAD, "reply to %s from %s", Msg_Name(ended.kind),
                   Address_Text(conn->peer));
         add_lost(rpc, ended.call_id);
+        if (record->type == MSG_IS_DENIED) {
+            lose_rows(conn, record->xid, ended.rows);
+        }
         return;
     }
     rpc->traffic.replies_in[ended.kind]++;
@@ -293,12 +357,7 @@
         write_bytes(conn, out);
         break;
     case MSG_IS_BAD:
-        Counter_Add(rpc->counters, COUNTER_RPC_BAD, 1);
-        Event_Log(EVENT_RPC_BAD, "call refused with accept status %d",
-                  (int)record.refusal);
-        out = g_byte_array_new();
-        Msg_EncodeRefusal(record.xid, record.refusal, out);
-        write_bytes(conn, out);
+        refuse_call(conn, record.xid, record.refusal);
         break;
     case MSG_IS_REPLY:
     case MSG_IS_DENIED:
@@ -556,31 +615,71 @@
     return ERR_OK;
 }
 
+/* Notes that a reply of that kind is awaited; returns its number. */
+static uint32_t
+await_reply(connection *conn, uint64_t call_id, Msg_Kind kind, u_int rows)
+{
+    pending_call *pending = g_new0(pending_call, 1);
+    uint32_t xid = ++conn->next_xid;
+
+    if (g_hash_table_size(conn->pending) == 0) {
+        conn->used_ms = (int64_t)uv_now(conn->rpc->loop);
+    }
+    pending->call_id = call_id;
+    pending->kind = kind;
+    pending->rows = rows;
+    g_hash_table_insert(conn->pending, GUINT_TO_POINTER(xid), pending);
+    return xid;
+}
+
+static void
+write_call(connection *conn, const Msg_Call *call, uint32_t xid)
+{
+    GByteArray *bytes = g_byte_array_new();
+
+    conn->rpc->traffic.calls_out[call->kind]++;
+    Msg_EncodeCall(call, xid, bytes);
+    conn->rpc->traffic.call_bytes_out[call->kind] += bytes->len;
+    write_bytes(conn, bytes);
+}
+
 void
 Rpc_Call(Rpc *rpc, Address to, uint64_t call_id, const Msg_Call *call)
 {
     connection *conn = connect_to(rpc, to);
-    GByteArray *bytes;
-    pending_call *pending;
-    uint32_t xid;
 
     if (conn == NULL) {
         add_lost(rpc, call_id);
         return;
     }
-    if (g_hash_table_size(conn->pending) == 0) {
-        conn->used_ms = (int64_t)uv_now(rpc->loop);
+    write_call(conn, call, await_reply(conn, call_id, call->kind, 0));
+}
+
+void
+Rpc_CallRuns(Rpc *rpc, Address to, const uint64_t *call_ids,
+             const lc_runs_args *runs)
+{
+    Msg_Call call = {.kind = MSG_RUNS, .u.runs = *runs};
+    connection *conn = connect_to(rpc, to);
+    u_int rows = runs->rows.rows_len;
+    uint32_t first = 0;
+    u_int i;
+
+    for (i = 0; i < rows; i++) {
+        if (conn == NULL) {
+            add_lost(rpc, call_ids[i]);
+            continue;
+        }
+        if (i == 0) {
+            first = await_reply(conn, call_ids[i], MSG_RUN, rows);
+        }
+        else {
+            await_reply(conn, call_ids[i], MSG_RUN, 0);
+        }
+    }
+    if (conn != NULL && rows > 0) {
+        write_call(conn, &call, first);
     }
-    xid = ++conn->next_xid;
-    pending = g_new0(pending_call, 1);
-    pending->call_id = call_id;
-    pending->kind = call->kind;
-    g_hash_table_insert(conn->pending, GUINT_TO_POINTER(xid), pending);
-    rpc->traffic.calls_out[call->kind]++;
-    bytes = g_byte_array_new();
-    Msg_EncodeCall(call, xid, bytes);
-    rpc->traffic.call_bytes_out[call->kind] += bytes->len;
-    write_bytes(conn, bytes);
 }
 
 void
--- a/wire/rpc.h
+++ b/wire/rpc.h
@@ -47,6 +47,12 @@
 /** Sends a call; its end is delivered with @p call_id. */
 void Rpc_Call(Rpc *rpc, Address to, uint64_t call_id, const Msg_Call *call);
 
+/** Sends a RUNS call. Row i is a RUN of its own, the end of which is delivered
+ * as
+ * @p call_ids[i]; a peer that refuses the call has done none of them. */
+void Rpc_CallRuns(Rpc *rpc, Address to, const uint64_t *call_ids,
+                  const lc_runs_args *runs);
+
 /** Answers a call; ignored when its connection has gone. */
 void Rpc_Reply(Rpc *rpc, uint64_t reply_id, const Msg_Reply *reply);
 
