--- a/base/counter.h
+++ b/base/counter.h
@@ -19,6 +19,10 @@
     X(JOBS_UNKNOWN, "jobs_unknown")                                           \
     X(JOBS_RECOVERED, "jobs_recovered")                                       \
     X(TASKS_STARTED, "tasks_started")                                         \
+    X(FORWARDS_TAKEN, "forwards_taken")                                       \
+    X(FORWARDS_REFUSED, "forwards_refused")                                   \
+    X(FORWARDS_LOST, "forwards_lost")                                         \
+    X(REFUSED_LINK, "refused_link")                                           \
     X(TASKS_JOINED, "tasks_joined")                                           \
     X(TASKS_DONE, "tasks_done")                                               \
     X(TASKS_FAILED, "tasks_failed")                                           \
--- a/base/event.h
+++ b/base/event.h
@@ -76,6 +76,10 @@
     X(ORDER_UNANSWERED, 515, G_LOG_LEVEL_WARNING, "order without an answer")  \
     X(ORDER_REFUSED, 516, G_LOG_LEVEL_INFO, "order refused by the upstream")  \
     X(RUN_CRASHED, 517, G_LOG_LEVEL_WARNING, "upstream crashed under a run")  \
+    X(JOB_FORWARDED, 518, G_LOG_LEVEL_DEBUG, "job handed to another entry")   \
+    X(FORWARD_TAKEN, 519, G_LOG_LEVEL_DEBUG, "job taken for another entry")   \
+    X(FORWARD_LAPSED, 526, G_LOG_LEVEL_WARNING,                               \
+      "jobs of a silent entry stopped")                                       \
     X(UPSTREAM_KNOWN, 520, G_LOG_LEVEL_MESSAGE, "upstream known")             \
     X(UPSTREAM_LOST, 521, G_LOG_LEVEL_WARNING, "upstream lost")               \
     X(UPSTREAM_DRAINING, 522, G_LOG_LEVEL_MESSAGE, "upstream drain changed")  \
--- a/daemon/leased_entry.c
+++ b/daemon/leased_entry.c
@@ -132,6 +132,7 @@
     .kept_crash = LeasedKept_Crash,
     .kept_over = LeasedKept_Over,
     .runs = Process_PortRuns,
+    .reply = Process_PortReply,
 };
 
 static const Http_Route caller_routes[] = {
@@ -241,6 +242,20 @@
     }
 }
 
+static void
+offer_delegates(Leased_Entry *self, int64_t now)
+{
+    GArray *live;
+
+    Dispatcher_SetRoutesVersion(self->dispatcher, LeasedRoutes_Version(self));
+    if (Dispatcher_WantsDelegates(self->dispatcher, now)) {
+        live = Peers_Live(&self->peers, now, 0);
+        Dispatcher_OfferDelegates(
+            self->dispatcher, (const Address *)(void *)live->data, live->len);
+        g_array_unref(live);
+    }
+}
+
 static void
 role_tick(Process *process)
 {
@@ -257,6 +272,7 @@
     KeyedLog_SetQuiet(self->kept_log, Keeper_IsQuiet(self->keeper),
                       StoreWait_Quiet(Peers_CountLive(&self->peers, now)));
     note_sent(self);
+    offer_delegates(self, now);
     Dispatcher_SetWall(self->dispatcher, Process_Now().wall_ms - now);
     Dispatcher_Tick(self->dispatcher, now);
     note_ready(self);
@@ -348,6 +364,16 @@
     case MSG_STORE:
         LeasedStore_AnswerCall(self, reply_id, &call->u.store);
         return true;
+    case MSG_FORWARD:
+        Dispatcher_OnForward(
+            self->dispatcher, now, reply_id, &call->u.forward,
+            self->routes == NULL
+                ? NULL
+                : Route_Named(self->routes, call->u.forward.queue));
+        return true;
+    case MSG_EXTEND:
+        Dispatcher_OnExtend(self->dispatcher, now, reply_id, &call->u.extend);
+        return true;
     case MSG_WITHDRAW:
         LeasedCallers_AnswerWithdraw(self, now, reply_id, &call->u.withdraw);
         return true;
--- a/lease/active.h
+++ b/lease/active.h
@@ -24,6 +24,7 @@
     X(SENT, "sent")         /* a companion has it, or will refuse it */       \
     X(ORPHANED, "orphaned") /* the connection broke: it may run */            \
     X(HALTING, "halting")   /* it is being stopped */                         \
+    X(AWAY, "away")         /* another entry runs the job */                  \
     X(OVER, "over")         /* done, or not to be run any more */
 
 /** States of tasks, in the order of ACTIVE_STATE_LIST. */
@@ -68,8 +69,13 @@
     uint32_t starts;       /**< runs that were sent and not refused */
     int64_t first_sent_ms; /**< 0 before */
     JobTrace *trace;
-    bool lasts;   /**< some of its tasks are started again for good */
-    bool kept;    /**< it has no caller and no deadline */
+    bool lasts;       /**< some of its tasks are started again for good */
+    bool kept;        /**< it has no caller and no deadline */
+    Address delegate; /**< the entry that runs it for this one, or 0 */
+    struct Dispatcher_Origin *origin; /**< the entry for which this one runs
+                                           it, or NULL */
+    uint64_t forward_number;          /**< by which either entry names it */
+    bool forward_refused;             /**< it stays here */
     bool closing; /**< answered; only stops are waited for */
 } Active_Job;
 
--- a/lease/dispatcher.c
+++ b/lease/dispatcher.c
@@ -19,6 +19,10 @@
     self->end_ms = INT64_MAX;
     self->started_ms = now_ms;
     Fleet_Init(&self->fleet);
+    Delegates_Init(&self->delegates, config->node.incarnation);
+    self->origins = g_ptr_array_new_with_free_func(g_free);
+    self->origin_replies = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+                                                 g_free, g_free);
     Closures_Init(&self->closures, now_ms);
     LinkBudget_Init(&self->link, now_ms, config->link_mbps);
     QueueStats_Init(&self->stats);
@@ -50,6 +54,9 @@
     g_hash_table_unref(self->by_id);
     g_hash_table_unref(self->by_request);
     Fleet_Clear(&self->fleet);
+    Delegates_Clear(&self->delegates);
+    g_ptr_array_unref(self->origins);
+    g_hash_table_unref(self->origin_replies);
     Closures_Clear(&self->closures);
     QueueStats_Clear(&self->stats);
     g_free(self);
@@ -63,20 +70,20 @@
 
 static void
 refuse(Dispatcher *self, uint64_t request, uint64_t job, Err_Kind kind,
-       const char *message)
+       const char *message, uint32_t retry_ms)
 {
     Dispatcher_Answer answer = {.outcome = DISPATCHER_NOT_RUN,
                                 .kind = kind,
                                 .message = message,
-                                .retry_ms = DISPATCHER_RETRY_MS};
+                                .retry_ms = retry_ms};
 
     Counter_Add(&self->counters, COUNTER_JOBS_NOT_RUN, 1);
     DispatcherLog_Identity(self, EVENT_JOB_REFUSED, job, message);
     self->ports->answer(self->context, request, &answer);
 }
 
-static void
-attach_request(Dispatcher *self, Active_Job *job, uint64_t request)
+void
+Dispatcher_AttachRequest(Dispatcher *self, Active_Job *job, uint64_t request)
 {
     g_array_append_val(job->requests, request);
     g_hash_table_insert(self->by_request, g_memdup2(&request, sizeof(request)),
@@ -95,22 +102,43 @@
     if (job->closing || job->kept ||
         g_strcmp0(job->queue, submit->route->name) != 0) {
         refuse(self, submit->request_id, submit->job.id, ERR_UNSETTLED,
-               "an earlier run of this job is being stopped");
+               "an earlier run of this job is being stopped",
+               DISPATCHER_RETRY_MS);
     }
     else {
         Counter_Add(&self->counters, COUNTER_JOBS_ATTACHED, 1);
         job->deadline_ms = MAX(job->deadline_ms, now_ms + submit->deadline_ms);
-        attach_request(self, job, submit->request_id);
+        Dispatcher_AttachRequest(self, job, submit->request_id);
     }
     LeasedJob_Clear(&submit->job);
     return true;
 }
 
+/* How long the job's starts would wait for the link, if that is too long; else
+ * 0. */
+static int64_t
+too_long_for_link(const Dispatcher *self, int64_t now_ms,
+                  const Dispatcher_Submit *submit)
+{
+    uint32_t chain_ms = LeasedJob_ChainMs(&submit->job);
+    const Route *route = submit->route;
+    Dispatcher_Arrival arrival = {
+        .priority = route->priority,
+        .slack_ms = route->target_ms +
+                    (int64_t)chain_ms * route->stretch_percent / PERCENT -
+                    chain_ms};
+    int64_t wait_ms = DispatcherLink_WaitMs(self, now_ms, &arrival);
+
+    return wait_ms > arrival.slack_ms ? wait_ms : 0;
+}
+
 void
 Dispatcher_OnSubmit(Dispatcher *self, int64_t now_ms,
                     Dispatcher_Submit *submit)
 {
     Status status = {ERR_OK, ""};
+    uint32_t retry_ms = DISPATCHER_RETRY_MS;
+    int64_t wait_ms = 0;
     Active_Job *job;
 
     Counter_Add(&self->counters, COUNTER_JOBS_SUBMITTED, 1);
@@ -135,12 +163,17 @@
         Err_Set(&status, ERR_WAIT_TOO_LONG,
                 "no upstream has the capacity for one of its tasks");
     }
-    else {
-        Route_Check(submit->route, &submit->job, &status);
+    else if (Route_Check(submit->route, &submit->job, &status) == ERR_OK &&
+             (wait_ms = too_long_for_link(self, now_ms, submit)) > 0) {
+        Err_Set(&status, ERR_WAIT_TOO_LONG,
+                "its starts would wait %lld ms for this entry's link",
+                (long long)wait_ms);
+        Counter_Add(&self->counters, COUNTER_REFUSED_LINK, 1);
+        retry_ms = DispatcherLink_RetryMs(self, wait_ms);
     }
     if (status.kind != ERR_OK) {
         refuse(self, submit->request_id, submit->job.id, status.kind,
-               status.message);
+               status.message, retry_ms);
         LeasedJob_Clear(&submit->job);
         return;
     }
@@ -148,7 +181,7 @@
                      now_ms + submit->deadline_ms);
     job->handle = Handle_Add(self->jobs, job);
     g_hash_table_insert(self->by_id, &job->spec.id, job);
-    attach_request(self, job, submit->request_id);
+    Dispatcher_AttachRequest(self, job, submit->request_id);
     Reserve_Note(&self->reserve, now_ms, job->priority, job->task_count);
     self->unsettled = true;
 }
@@ -248,6 +281,12 @@
     self->end_ms = end_ms;
 }
 
+void
+Dispatcher_SetRoutesVersion(Dispatcher *self, int64_t version)
+{
+    self->routes_version = version;
+}
+
 void
 Dispatcher_Pause(Dispatcher *self)
 {
@@ -281,8 +320,11 @@
         else if (task->state == ACTIVE_ORPHANED) {
             host = DispatcherEnd_HostOf(self, task);
             Active_Move(job, task, ACTIVE_SENT);
-            DispatcherCall_Run(self, job, task,
-                               host == NULL ? 0 : host->valid_until_ms);
+            DispatcherCall_Run(
+                self, job, task,
+                host == NULL
+                    ? 0
+                    : DispatcherOrigin_Limit(job, host, host->valid_until_ms));
         }
     }
 }
@@ -347,7 +389,11 @@
     }
     else if (is_crowded_out(self, job, now_ms)) {
         DispatcherEnd_GiveUp(self, now_ms, job, ERR_WAIT_TOO_LONG,
-                             "it found no room in time for its objective");
+                             LinkBudget_IsShort(&self->link, now_ms)
+                                 ? "this entry's link carried no start of it "
+                                   "in time for its objective"
+                                 : "it found no room in time for its "
+                                   "objective");
     }
     else if (isolated) {
         refuse_waiting(self, now_ms, job);
@@ -360,6 +406,8 @@
     bool isolated = !self->paused && DispatcherHosts_Isolated(self, now_ms);
     uint32_t i;
 
+    DispatcherOrigin_Tick(self, now_ms);
+    DispatcherForward_Tick(self, now_ms);
     for (i = 0; i < Handle_Size(self->jobs); i++) {
         Active_Job *job = Handle_At(self->jobs, i);
         if (job == NULL) {
--- a/lease/dispatcher.h
+++ b/lease/dispatcher.h
@@ -65,6 +65,8 @@
      * unless the settings say so. */
     void (*runs)(void *context, Address to, const uint64_t *call_ids,
                  const lc_runs_args *runs);
+    /** Answers a call of another entry. */
+    void (*reply)(void *context, uint64_t reply_id, const Msg_Reply *reply);
 } Dispatcher_Ports;
 
 /** Settings. */
@@ -178,6 +180,24 @@
  * INT64_MAX: starts wait for the link. */
 int64_t Dispatcher_DueMs(const Dispatcher *self);
 
+/** Whether the entries that live should be offered now. */
+bool Dispatcher_WantsDelegates(const Dispatcher *self, int64_t now_ms);
+
+/** Names entries that could run jobs for this one. */
+void Dispatcher_OfferDelegates(Dispatcher *self, const Address *addresses,
+                               guint count);
+
+/** Version of the routes in force. */
+void Dispatcher_SetRoutesVersion(Dispatcher *self, int64_t version);
+
+/** Another entry hands a job on; @p route is its queue here, or NULL. */
+void Dispatcher_OnForward(Dispatcher *self, int64_t now_ms, uint64_t reply_id,
+                          const lc_forward_args *args, const Route *route);
+
+/** Another entry extends its lease on the jobs that it has handed on. */
+void Dispatcher_OnExtend(Dispatcher *self, int64_t now_ms, uint64_t reply_id,
+                         const lc_extend_args *args);
+
 /** Bytes other than starts that this entry has put on its link. */
 void Dispatcher_NoteSent(Dispatcher *self, int64_t bytes);
 
--- a/lease/dispatcher_calls.c
+++ b/lease/dispatcher_calls.c
@@ -3,8 +3,9 @@
 
 #include <string.h>
 
-static uint64_t
-send_call(Dispatcher *self, const Dispatcher_Call *about, const Msg_Call *call)
+uint64_t
+DispatcherCall_Send(Dispatcher *self, const Dispatcher_Call *about,
+                    const Msg_Call *call)
 {
     Dispatcher_Call *pending = g_memdup2(about, sizeof(*about));
     uint64_t call_id = Handle_Add(self->calls, pending);
@@ -25,7 +26,8 @@
     return about;
 }
 
-/* Kept jobs are run under an identity that others may take over. */
+/* Kept jobs are run under an identity that others may take over, jobs of other
+ * entries under one for each of those. */
 static lc_node
 owner_of(const Dispatcher *self, const Active_Job *job)
 {
@@ -34,6 +36,9 @@
     if (job->kept) {
         owner.incarnation = self->kept;
     }
+    else if (job->origin != NULL) {
+        owner.incarnation = job->origin->owner;
+    }
     return owner;
 }
 
@@ -64,7 +69,7 @@
     Msg_Call call = {.kind = MSG_RUN};
 
     call.u.run = run_args(self, job, task, valid_until_ms);
-    send_call(self, &about, &call);
+    DispatcherCall_Send(self, &about, &call);
 }
 
 /* What a call that starts tasks takes on the wire besides its rows and the
@@ -72,8 +77,9 @@
 #define START_BYTES 100
 
 static void
-note_start(Dispatcher *self, const Active_Job *job, guint rows)
+note_start(Dispatcher *self, int64_t now_ms, const Active_Job *job, guint rows)
 {
+    ForwardChoice_NoteStarts(&self->sends, now_ms, rows);
     LinkBudget_Spend(&self->link,
                      (int64_t)(START_BYTES + strlen(job->spec.spec) +
                                rows * sizeof(lc_runs_row)));
@@ -151,8 +157,9 @@
         guint count = self->config.join_runs ? count_same_host(tasks, from)
                                              : 1;
         Fleet_Host *host = Fleet_Find(&self->fleet, group[0]->host.address);
-        int64_t valid_until_ms = Fleet_Hold(host, &self->config.term, now_ms);
-        note_start(self, job, count);
+        int64_t valid_until_ms = DispatcherOrigin_Limit(
+            job, host, Fleet_Hold(host, &self->config.term, now_ms));
+        note_start(self, now_ms, job, count);
         if (count > 1) {
             send_joined(self, job, group, count, valid_until_ms);
         }
@@ -173,7 +180,7 @@
     call.u.halt.target = task->host.incarnation;
     call.u.halt.id = task->id;
     task->again_ms = INT64_MAX;
-    send_call(self, &about, &call);
+    DispatcherCall_Send(self, &about, &call);
 }
 
 void
@@ -187,5 +194,5 @@
     call.u.renew.target = host->node.incarnation;
     call.u.renew.valid_until_ms = Fleet_Hold(host, &self->config.term, now_ms);
     host->renew_ms = now_ms;
-    host->renewing = send_call(self, &about, &call);
+    host->renewing = DispatcherCall_Send(self, &about, &call);
 }
--- a/lease/dispatcher_ends.c
+++ b/lease/dispatcher_ends.c
@@ -58,6 +58,7 @@
 void
 DispatcherEnd_Forget(Dispatcher *self, Active_Job *job)
 {
+    DispatcherOrigin_Leave(self, job);
     if (g_hash_table_lookup(self->by_id, &job->spec.id) == job) {
         g_hash_table_remove(self->by_id, &job->spec.id);
     }
@@ -136,7 +137,9 @@
     for (i = 0; i < job->requests->len; i++) {
         uint64_t request = g_array_index(job->requests, uint64_t, i);
         g_hash_table_remove(self->by_request, &request);
-        self->ports->answer(self->context, request, answer);
+        if (!DispatcherOrigin_Answer(self, request, answer)) {
+            self->ports->answer(self->context, request, answer);
+        }
         self->unanswered--;
     }
     g_array_set_size(job->requests, 0);
@@ -149,6 +152,9 @@
     uint32_t i;
 
     job->closing = true;
+    if (job->delegate != 0) {
+        DispatcherForward_Drop(self, job);
+    }
     for (i = 0; i < job->task_count; i++) {
         Active_Task *task = &job->tasks[i];
         if (task->state == ACTIVE_SENT || task->state == ACTIVE_ORPHANED) {
--- /dev/null
+++ b/lease/dispatcher_forward.c
@@ -0,0 +1,269 @@
+/*
+ * Jobs that this entry hands to others: given while its link is short, watched
+ * by leases, answered when the other entry answers.
+ */
+#include "lease/dispatcher_state.h"
+#include "lease/job_wire.h"
+
+#include <string.h>
+
+/* Time that a job handed on needs beside its work: two ways between entries.
+ */
+#define HOP_MS 20
+
+static bool
+may_forward(const Dispatcher *self, int64_t now_ms, const Active_Job *job)
+{
+    return LinkBudget_IsShort(&self->link, now_ms) && !job->kept &&
+           job->origin == NULL && !job->forward_refused &&
+           job->first_sent_ms == 0 && job->spec.repeat_count == 0 &&
+           self->end_ms == INT64_MAX && job->deadline_ms - now_ms > HOP_MS;
+}
+
+/* The other entry has its waiting tasks, or has given them back. */
+static void
+move_tasks(Active_Job *job, Active_State from, Active_State to)
+{
+    uint32_t i;
+
+    for (i = 0; i < job->task_count; i++) {
+        if (job->tasks[i].state == from) {
+            Active_Move(job, &job->tasks[i], to);
+        }
+    }
+}
+
+static void
+log_forward(const Dispatcher *self, int64_t now_ms, const Active_Job *job,
+            const Delegate *delegate, int64_t kept, int64_t forward)
+{
+    char detail[160];
+
+    g_snprintf(detail, sizeof(detail),
+               "to %s, which could take %lld bytes %lld ms ago; %lld bytes "
+               "here, %lld so",
+               Address_Text(delegate->node.address),
+               (long long)delegate->credit_bytes,
+               (long long)(now_ms - delegate->received_ms), (long long)kept,
+               (long long)forward);
+    DispatcherLog_Job(self, EVENT_JOB_FORWARDED, now_ms, job, detail);
+}
+
+static void
+send_forward(Dispatcher *self, int64_t now_ms, Active_Job *job,
+             const Delegate *delegate)
+{
+    Dispatcher_Call about = {
+        .kind = MSG_FORWARD, .job = job->handle, .host = delegate->node};
+    Msg_Call call = {.kind = MSG_FORWARD};
+    lc_forward_args *args = &call.u.forward;
+
+    JobWire_Put(&job->spec, args);
+    args->from = self->config.node;
+    args->target = delegate->node.incarnation;
+    args->number = job->forward_number;
+    args->valid_until_ms = Delegates_ValidUntil(delegate, &self->config.term,
+                                                now_ms);
+    args->routes_version = self->routes_version;
+    args->waited_ms = (uint32_t)MAX(now_ms - job->arrived_ms, 0);
+    args->deadline_ms = (uint32_t)(job->deadline_ms - now_ms - HOP_MS);
+    args->queue = job->queue;
+    DispatcherCall_Send(self, &about, &call);
+    g_free(args->steps.steps_val);
+}
+
+bool
+DispatcherForward_Try(Dispatcher *self, int64_t now_ms, Active_Job *job,
+                      const lc_resources *largest)
+{
+    int64_t kept;
+    int64_t forward;
+    Delegate *delegate;
+
+    if (!may_forward(self, now_ms, job)) {
+        return false;
+    }
+    kept = ForwardChoice_KeptBytes(&self->sends, job, largest);
+    forward = ForwardChoice_ForwardBytes(job);
+    if (!ForwardChoice_IsBetter(kept, forward)) {
+        return false;
+    }
+    delegate = Delegates_Pick(&self->delegates, now_ms, kept);
+    if (delegate == NULL) {
+        return false;
+    }
+    log_forward(self, now_ms, job, delegate, kept, forward);
+    delegate->credit_bytes -= kept;
+    delegate->jobs++;
+    job->delegate = delegate->node.address;
+    job->forward_number = ++self->last_number;
+    job->starts++;
+    job->first_sent_ms = now_ms;
+    move_tasks(job, ACTIVE_WAITING, ACTIVE_AWAY);
+    JobTrace_Add(job->trace, now_ms, JOB_TRACE_FORWARDED, &job->tasks[0].id,
+                 job->delegate, (int32_t)kept);
+    Counter_Add(&self->counters, COUNTER_JOBS_FORWARDED, 1);
+    LinkBudget_Spend(&self->link, forward);
+    send_forward(self, now_ms, job, delegate);
+    return true;
+}
+
+/* The job is not at another entry any more. */
+static Delegate *
+end_forward(const Dispatcher *self, Active_Job *job)
+{
+    Delegate *delegate = Delegates_Find(&self->delegates, job->delegate);
+
+    job->delegate = 0;
+    if (delegate != NULL) {
+        delegate->jobs--;
+    }
+    return delegate;
+}
+
+void
+DispatcherForward_Drop(Dispatcher *self, Active_Job *job)
+{
+    Delegate *delegate = end_forward(self, job);
+
+    if (delegate != NULL) {
+        g_array_append_val(delegate->gone, job->forward_number);
+    }
+}
+
+/* The other entry took nothing: the job goes on here. */
+static void
+take_back(Dispatcher *self, int64_t now_ms, Active_Job *job)
+{
+    Delegate *delegate = end_forward(self, job);
+
+    if (delegate != NULL) {
+        Delegates_Close(delegate);
+    }
+    Counter_Add(&self->counters, COUNTER_FORWARDS_REFUSED, 1);
+    JobTrace_Add(job->trace, now_ms, JOB_TRACE_GIVEN_BACK, &job->tasks[0].id,
+                 0, 0);
+    job->starts--;
+    job->first_sent_ms = 0;
+    job->forward_refused = true;
+    move_tasks(job, ACTIVE_AWAY, ACTIVE_WAITING);
+}
+
+/* Nobody can say what became of it; the other entry stops it by itself when
+ * its lease ends, before the caller may come again. */
+static void
+lose_forward(Dispatcher *self, int64_t now_ms, Active_Job *job)
+{
+    Counter_Add(&self->counters, COUNTER_FORWARDS_LOST, 1);
+    DispatcherForward_Drop(self, job);
+    DispatcherEnd_GiveUp(self, now_ms, job, ERR_LOST,
+                         "the entry that ran it was lost");
+}
+
+static void
+pass_answer(Dispatcher *self, int64_t now_ms, Active_Job *job,
+            const lc_forward_res *result)
+{
+    Err_Kind kind = Err_FromText(result->error);
+    Dispatcher_Answer answer = {.outcome = (Dispatcher_Outcome)result->outcome,
+                                .kind = kind == ERR_COUNT ? ERR_LOST : kind,
+                                .message = result->message,
+                                .retry_ms = result->retry_ms};
+
+    end_forward(self, job);
+    if (result->outcome > DISPATCHER_CANCELLED) {
+        answer.outcome = DISPATCHER_GIVEN_UP;
+    }
+    if (answer.outcome == DISPATCHER_NOT_RUN) {
+        job->starts--;
+    }
+    DispatcherEnd_Job(self, now_ms, job, &answer);
+}
+
+void
+DispatcherForward_OnReply(Dispatcher *self, int64_t now_ms,
+                          const Dispatcher_Call *about,
+                          const lc_forward_res *result)
+{
+    Active_Job *job = Handle_Get(self->jobs, about->job);
+
+    if (job == NULL || job->delegate != about->host.address) {
+        return;
+    }
+    if (result == NULL) {
+        lose_forward(self, now_ms, job);
+    }
+    else if (!result->taken) {
+        take_back(self, now_ms, job);
+    }
+    else {
+        pass_answer(self, now_ms, job, result);
+    }
+}
+
+static void
+send_extend(Dispatcher *self, int64_t now_ms, Delegate *row)
+{
+    Dispatcher_Call about = {.kind = MSG_EXTEND, .host = row->node};
+    Msg_Call call = {.kind = MSG_EXTEND};
+    /* What cannot be told at once is not kept alive by the rest. */
+    bool extends = row->jobs > 0 && row->gone->len <= LC_MAX_PEERS;
+
+    call.u.extend.from = self->config.node;
+    call.u.extend.target = row->node.incarnation;
+    call.u.extend.valid_until_ms =
+        extends ? Delegates_ValidUntil(row, &self->config.term, now_ms) : 0;
+    call.u.extend.gone.gone_len = MIN(row->gone->len, LC_MAX_PEERS);
+    call.u.extend.gone.gone_val = (u_quad_t *)(void *)row->gone->data;
+    row->gone_told = call.u.extend.gone.gone_len;
+    row->asked_ms = now_ms;
+    row->asking = DispatcherCall_Send(self, &about, &call);
+}
+
+void
+DispatcherForward_Tick(Dispatcher *self, int64_t now_ms)
+{
+    bool wanted = LinkBudget_IsShort(&self->link, now_ms);
+    guint i;
+
+    for (i = 0; i < self->delegates.rows->len; i++) {
+        Delegate *row = g_ptr_array_index(self->delegates.rows, i);
+        if (Delegates_IsDue(row, now_ms, wanted)) {
+            send_extend(self, now_ms, row);
+        }
+    }
+}
+
+void
+DispatcherForward_OnExtended(Dispatcher *self, int64_t now_ms,
+                             const Dispatcher_Call *about, uint64_t call_id,
+                             const lc_extend_res *result)
+{
+    Delegate *row = Delegates_Find(&self->delegates, about->host.address);
+
+    if (row == NULL || row->asking != call_id) {
+        return;
+    }
+    row->asking = 0;
+    if (result == NULL) {
+        Delegates_Close(row);
+        return;
+    }
+    g_array_remove_range(row->gone, 0, row->gone_told);
+    row->gone_told = 0;
+    Delegates_TakeWord(row, now_ms, result);
+}
+
+bool
+Dispatcher_WantsDelegates(const Dispatcher *self, int64_t now_ms)
+{
+    return LinkBudget_IsShort(&self->link, now_ms) ||
+           self->delegates.rows->len > 0;
+}
+
+void
+Dispatcher_OfferDelegates(Dispatcher *self, const Address *addresses,
+                          guint count)
+{
+    Delegates_Offer(&self->delegates, addresses, count);
+}
--- a/lease/dispatcher_hosts.c
+++ b/lease/dispatcher_hosts.c
@@ -136,6 +136,9 @@
         now_ms - host->renew_ms >= RENEW_MS) {
         DispatcherCall_Renew(self, now_ms, host);
     }
+    if (host->running > 0 && !host->suspect) {
+        DispatcherOrigin_Renew(self, now_ms, host);
+    }
 }
 
 uint32_t
--- /dev/null
+++ b/lease/dispatcher_link.c
@@ -0,0 +1,65 @@
+/*
+ * Admission by what the entry's link carries: a job whose start would wait for
+ * the link until its objective cannot be met is refused as it arrives.
+ */
+#include "lease/dispatcher_state.h"
+
+#include "base/random.h"
+
+#define MS_PER_S 1000
+
+/* Whether the waiting starts of a job leave before those of one that arrives
+ * now: the order of the queue, but for ranks. */
+static bool
+goes_first(const Active_Job *job, const Dispatcher_Arrival *arrival,
+           int64_t now_ms)
+{
+    if (job->priority != arrival->priority) {
+        return job->priority < arrival->priority;
+    }
+    return Active_SlackMs(job, now_ms) <= arrival->slack_ms;
+}
+
+static int64_t
+bytes_of(const Dispatcher *self, const Active_Job *job,
+         const lc_resources *largest, int64_t now_ms)
+{
+    int64_t kept = ForwardChoice_KeptBytes(&self->sends, job, largest);
+    int64_t forward = ForwardChoice_ForwardBytes(job);
+
+    if (ForwardChoice_IsBetter(kept, forward) &&
+        Delegates_Pick(&self->delegates, now_ms, kept) != NULL) {
+        return forward;
+    }
+    return kept;
+}
+
+int64_t
+DispatcherLink_WaitMs(const Dispatcher *self, int64_t now_ms,
+                      const Dispatcher_Arrival *arrival)
+{
+    lc_resources largest = DispatcherQueue_LargestRoom(self, now_ms);
+    int64_t bytes = 0;
+    uint32_t i;
+
+    if (self->link.bytes_per_s == 0 ||
+        !LinkBudget_IsShort(&self->link, now_ms)) {
+        return 0;
+    }
+    for (i = 0; i < Handle_Size(self->jobs); i++) {
+        const Active_Job *job = Handle_At(self->jobs, i);
+        if (job != NULL && !job->closing && job->waiting > 0 &&
+            goes_first(job, arrival, now_ms)) {
+            bytes += bytes_of(self, job, &largest, now_ms);
+        }
+    }
+    return bytes * MS_PER_S / self->link.bytes_per_s;
+}
+
+uint32_t
+DispatcherLink_RetryMs(Dispatcher *self, int64_t wait_ms)
+{
+    /* Spread, as many are refused in the same moment. */
+    return (uint32_t)wait_ms + DISPATCHER_RETRY_MS +
+           (uint32_t)(Random_Next(&self->random) % DISPATCHER_RETRY_MS);
+}
--- a/lease/dispatcher_log.c
+++ b/lease/dispatcher_log.c
@@ -47,6 +47,19 @@
                   JobTrace_ToJson(job->trace)));
 }
 
+void
+DispatcherLog_Origin(const Dispatcher *self, Event_Id id,
+                     const Dispatcher_Origin *origin, const char *detail)
+{
+    if (Event_Admit(id)) {
+        self->ports->event(self->context, id,
+                           json_pack("{s:s, s:s, s:i}", "entry",
+                                     Address_Text(origin->node.address),
+                                     "detail", detail, "jobs",
+                                     (int)origin->jobs));
+    }
+}
+
 void
 DispatcherLog_Host(const Dispatcher *self, Event_Id id, int64_t now_ms,
                    const Fleet_Host *host, const char *detail)
--- /dev/null
+++ b/lease/dispatcher_origin.c
@@ -0,0 +1,320 @@
+/*
+ * Jobs that other entries hand to this one: run like its own, under an
+ * identity for each of those entries, whose leases at companions reach no
+ * further than what that entry grants.
+ */
+#include "lease/dispatcher_state.h"
+#include "lease/job_wire.h"
+
+/* Requests of other entries, beside those of callers. */
+#define ORIGIN_REQUEST (UINT64_C(1) << 62)
+/* An identity is this process's incarnation, which counts microseconds, and a
+ * number above it. */
+#define OWNER_SHIFT 52
+/* Leases are renewed so often, as the own ones. */
+#define RENEW_MS 100
+/* Clocks are read to whole ms at one place more than for own leases. */
+#define ROUNDING_MS 4
+
+static Dispatcher_Origin *
+find_origin(const Dispatcher *self, const lc_node *node)
+{
+    guint i;
+
+    for (i = 0; i < self->origins->len; i++) {
+        Dispatcher_Origin *row = g_ptr_array_index(self->origins, i);
+        if (!row->lapsed && Msg_SameNode(&row->node, node)) {
+            return row;
+        }
+    }
+    return NULL;
+}
+
+static Dispatcher_Origin *
+add_origin(Dispatcher *self, const lc_node *node)
+{
+    Dispatcher_Origin *row = g_new0(Dispatcher_Origin, 1);
+
+    row->node = *node;
+    row->owner = self->config.node.incarnation |
+                 (++self->last_owner << OWNER_SHIFT);
+    g_ptr_array_add(self->origins, row);
+    return row;
+}
+
+void
+DispatcherOrigin_Leave(Dispatcher *self, Active_Job *job)
+{
+    Dispatcher_Origin *row = job->origin;
+
+    if (row == NULL) {
+        return;
+    }
+    job->origin = NULL;
+    row->jobs--;
+    if (row->lapsed && row->jobs == 0) {
+        g_ptr_array_remove(self->origins, row);
+    }
+}
+
+/* The other entry is gone or cut off: its callers may come again elsewhere. */
+static void
+lapse(Dispatcher *self, int64_t now_ms, Dispatcher_Origin *row)
+{
+    uint32_t i;
+
+    row->lapsed = true;
+    DispatcherLog_Origin(self, EVENT_FORWARD_LAPSED, row,
+                         "the entry that forwarded them is silent");
+    row->jobs++; /* keeps the row while its jobs go */
+    for (i = 0; i < Handle_Size(self->jobs); i++) {
+        Active_Job *job = Handle_At(self->jobs, i);
+        if (job != NULL && job->origin == row && !job->closing) {
+            DispatcherEnd_GiveUp(self, now_ms, job, ERR_LOST,
+                                 "the entry that forwarded it is silent");
+        }
+    }
+    row->jobs--;
+    if (row->jobs == 0) {
+        g_ptr_array_remove(self->origins, row);
+    }
+}
+
+void
+DispatcherOrigin_Tick(Dispatcher *self, int64_t now_ms)
+{
+    guint i = self->origins->len;
+
+    while (i > 0) {
+        Dispatcher_Origin *row = g_ptr_array_index(self->origins, --i);
+        if (!row->lapsed && now_ms >= row->until_ms) {
+            lapse(self, now_ms, row);
+        }
+    }
+}
+
+int64_t
+DispatcherOrigin_Limit(const Active_Job *job, const Fleet_Host *host,
+                       int64_t valid_until_ms)
+{
+    const Dispatcher_Origin *row = job->origin;
+
+    if (row == NULL) {
+        return valid_until_ms;
+    }
+    return MIN(valid_until_ms, host->stamp_ms + row->until_ms -
+                                   host->received_ms - ROUNDING_MS);
+}
+
+static void
+renew_for(Dispatcher *self, int64_t now_ms, Fleet_Host *host,
+          const Dispatcher_Origin *row)
+{
+    Dispatcher_Call about = {.kind = MSG_RENEW, .host = host->node};
+    Msg_Call call = {.kind = MSG_RENEW};
+    int64_t hold_ms = Fleet_Hold(host, &self->config.term, now_ms);
+
+    call.u.renew.owner.address = self->config.node.address;
+    call.u.renew.owner.incarnation = row->owner;
+    call.u.renew.target = host->node.incarnation;
+    call.u.renew.valid_until_ms = MIN(hold_ms, host->stamp_ms + row->until_ms -
+                                                   host->received_ms -
+                                                   ROUNDING_MS);
+    DispatcherCall_Send(self, &about, &call);
+}
+
+void
+DispatcherOrigin_Renew(Dispatcher *self, int64_t now_ms, Fleet_Host *host)
+{
+    guint i;
+
+    if (now_ms - host->origins_renewed_ms < RENEW_MS) {
+        return;
+    }
+    host->origins_renewed_ms = now_ms;
+    for (i = 0; i < self->origins->len; i++) {
+        const Dispatcher_Origin *row = g_ptr_array_index(self->origins, i);
+        if (!row->lapsed && row->jobs > 0) {
+            renew_for(self, now_ms, host, row);
+        }
+    }
+}
+
+/* Why a job is not taken, or NULL. */
+static const char *
+reason_not_to(const Dispatcher *self, int64_t now_ms,
+              const lc_forward_args *args, const Route *route)
+{
+    int64_t id = (int64_t)args->job;
+
+    if (args->target != self->config.node.incarnation ||
+        args->valid_until_ms <= now_ms) {
+        return "its lease is over";
+    }
+    if (route == NULL || self->routes_version < args->routes_version) {
+        return "its routes are not known here";
+    }
+    if (self->paused || self->end_ms != INT64_MAX) {
+        return "this entry takes nothing";
+    }
+    if (LinkBudget_IsShort(&self->link, now_ms) ||
+        Handle_Count(self->jobs) >= self->config.max_jobs ||
+        DispatcherHosts_Isolated(self, now_ms)) {
+        return "this entry has no room for it";
+    }
+    if (g_hash_table_contains(self->by_id, &id)) {
+        return "the job is here already";
+    }
+    return NULL;
+}
+
+static void
+reply_not_taken(const Dispatcher *self, uint64_t reply_id, const char *reason)
+{
+    Msg_Reply reply = {.kind = MSG_FORWARD};
+
+    reply.u.forward.error = (char *)(uintptr_t)Err_Text(ERR_OK);
+    reply.u.forward.message = (char *)(uintptr_t)reason;
+    self->ports->reply(self->context, reply_id, &reply);
+}
+
+static void
+take_job(Dispatcher *self, int64_t now_ms, uint64_t reply_id,
+         const lc_forward_args *args, const Route *route, LeasedJob *spec)
+{
+    Dispatcher_Origin *row = find_origin(self, &args->from);
+    int64_t arrived_ms = now_ms - (int64_t)args->waited_ms;
+    Active_Job *job = Active_New(spec, route, arrived_ms,
+                                 now_ms + (int64_t)args->deadline_ms);
+    uint64_t request = ++self->last_request | ORIGIN_REQUEST;
+
+    if (row == NULL) {
+        row = add_origin(self, &args->from);
+    }
+    if (row->jobs == 0) {
+        /* Others are extended by EXTEND alone, which also tells of those that
+         * are not wanted any more. */
+        row->until_ms = MAX(row->until_ms, args->valid_until_ms);
+    }
+    row->jobs++;
+    job->origin = row;
+    job->forward_number = args->number;
+    job->handle = Handle_Add(self->jobs, job);
+    g_hash_table_insert(self->by_id, &job->spec.id, job);
+    g_hash_table_insert(self->origin_replies,
+                        g_memdup2(&request, sizeof(request)),
+                        g_memdup2(&reply_id, sizeof(reply_id)));
+    Dispatcher_AttachRequest(self, job, request);
+    Reserve_Note(&self->reserve, now_ms, job->priority, job->task_count);
+    Counter_Add(&self->counters, COUNTER_FORWARDS_TAKEN, 1);
+    DispatcherLog_Origin(self, EVENT_FORWARD_TAKEN, row, "");
+    self->unsettled = true;
+}
+
+void
+Dispatcher_OnForward(Dispatcher *self, int64_t now_ms, uint64_t reply_id,
+                     const lc_forward_args *args, const Route *route)
+{
+    Dispatcher_Origin *row = find_origin(self, &args->from);
+    const char *reason = reason_not_to(self, now_ms, args, route);
+    Status status = {ERR_OK, ""};
+    LeasedJob spec;
+
+    if (row != NULL && now_ms >= row->until_ms) {
+        lapse(self, now_ms, row);
+    }
+    if (reason == NULL && JobWire_Get(args, &spec, &status) != ERR_OK) {
+        reason = status.message;
+    }
+    else if (reason == NULL && Route_Check(route, &spec, &status) != ERR_OK) {
+        LeasedJob_Clear(&spec);
+        reason = status.message;
+    }
+    if (reason != NULL) {
+        reply_not_taken(self, reply_id, reason);
+        return;
+    }
+    take_job(self, now_ms, reply_id, args, route, &spec);
+}
+
+bool
+DispatcherOrigin_Answer(Dispatcher *self, uint64_t request,
+                        const Dispatcher_Answer *answer)
+{
+    const uint64_t *reply_id = g_hash_table_lookup(self->origin_replies,
+                                                   &request);
+    Msg_Reply reply = {.kind = MSG_FORWARD};
+
+    if ((request & ORIGIN_REQUEST) == 0) {
+        return false;
+    }
+    if (reply_id != NULL) {
+        reply.u.forward.taken = true;
+        reply.u.forward.outcome = (u_int)answer->outcome;
+        reply.u.forward.error = (char *)(uintptr_t)Err_Text(answer->kind);
+        reply.u.forward.message = (char *)(uintptr_t)answer->message;
+        reply.u.forward.retry_ms = answer->retry_ms;
+        self->ports->reply(self->context, *reply_id, &reply);
+        g_hash_table_remove(self->origin_replies, &request);
+    }
+    return true;
+}
+
+/* Other callers of a job may still wait for it. */
+static void
+let_go(Dispatcher *self, int64_t now_ms, const Dispatcher_Origin *row,
+       uint64_t number)
+{
+    uint32_t i;
+    guint j;
+
+    for (i = 0; i < Handle_Size(self->jobs); i++) {
+        const Active_Job *job = Handle_At(self->jobs, i);
+        if (job == NULL || job->origin != row || job->closing ||
+            job->forward_number != number) {
+            continue;
+        }
+        for (j = 0; j < job->requests->len; j++) {
+            uint64_t request = g_array_index(job->requests, uint64_t, j);
+            if ((request & ORIGIN_REQUEST) != 0) {
+                g_hash_table_remove(self->origin_replies, &request);
+                Dispatcher_OnCallerGone(self, now_ms, request);
+                return;
+            }
+        }
+    }
+}
+
+static uint64_t
+headroom(const Dispatcher *self, int64_t now_ms)
+{
+    if (self->paused || self->end_ms != INT64_MAX ||
+        DispatcherHosts_Isolated(self, now_ms)) {
+        return 0;
+    }
+    return (uint64_t)LinkBudget_Headroom(&self->link, now_ms);
+}
+
+void
+Dispatcher_OnExtend(Dispatcher *self, int64_t now_ms, uint64_t reply_id,
+                    const lc_extend_args *args)
+{
+    Dispatcher_Origin *row = find_origin(self, &args->from);
+    Msg_Reply reply = {.kind = MSG_EXTEND};
+    u_int i;
+
+    if (row != NULL && now_ms >= row->until_ms) {
+        lapse(self, now_ms, row);
+        row = NULL;
+    }
+    if (row != NULL && args->target == self->config.node.incarnation) {
+        row->until_ms = MAX(row->until_ms, args->valid_until_ms);
+        for (i = 0; i < args->gone.gone_len; i++) {
+            let_go(self, now_ms, row, args->gone.gone_val[i]);
+        }
+    }
+    reply.u.extend.node = self->config.node;
+    reply.u.extend.stamp_ms = now_ms;
+    reply.u.extend.headroom = headroom(self, now_ms);
+    self->ports->reply(self->context, reply_id, &reply);
+}
--- a/lease/dispatcher_queue.c
+++ b/lease/dispatcher_queue.c
@@ -99,9 +99,8 @@
     Counter_Add(&self->counters, COUNTER_TASKS_STARTED, 1);
 }
 
-/* The most of each resource that any open companion has left. */
-static lc_resources
-largest_room(const Dispatcher *self, int64_t now_ms)
+lc_resources
+DispatcherQueue_LargestRoom(const Dispatcher *self, int64_t now_ms)
 {
     lc_resources most = {0, 0, 0};
     guint i;
@@ -155,7 +154,7 @@
         }
         host = Choice_Host(&choice, job, task);
         if (host == NULL) {
-            *largest = largest_room(self, now_ms);
+            *largest = DispatcherQueue_LargestRoom(self, now_ms);
             return;
         }
         place_task(self, now_ms, job, task, host);
@@ -170,8 +169,12 @@
 dispatch_job(Dispatcher *self, int64_t now_ms, Active_Job *job,
              lc_resources *largest)
 {
-    GPtrArray *placed = g_ptr_array_new();
+    GPtrArray *placed;
 
+    if (DispatcherForward_Try(self, now_ms, job, largest)) {
+        return;
+    }
+    placed = g_ptr_array_new();
     place_job(self, now_ms, job, largest, placed);
     DispatcherCall_Starts(self, now_ms, job, placed);
     g_ptr_array_unref(placed);
@@ -230,7 +233,7 @@
 void
 DispatcherQueue_Pass(Dispatcher *self, int64_t now_ms)
 {
-    lc_resources largest = largest_room(self, now_ms);
+    lc_resources largest = DispatcherQueue_LargestRoom(self, now_ms);
     GArray *queue;
     guint i;
 
--- a/lease/dispatcher_replies.c
+++ b/lease/dispatcher_replies.c
@@ -56,6 +56,7 @@
     Counter_Add(&self->counters, COUNTER_WASTED_BUSY, 1);
     job->starts--;
     task->refused++;
+    ForwardChoice_NoteRefused(&self->sends);
     if (host != NULL && status != LC_RUN_NO_ROOM) {
         host->avoid_until_ms = now_ms + (status == LC_RUN_CLOSED ? CLOSED_MS
                                                                  : REFUSED_MS);
@@ -227,6 +228,14 @@
         on_halt_reply(self, now_ms, about,
                       reply == NULL ? NULL : &reply->u.halt);
         break;
+    case MSG_FORWARD:
+        DispatcherForward_OnReply(self, now_ms, about,
+                                  reply == NULL ? NULL : &reply->u.forward);
+        break;
+    case MSG_EXTEND:
+        DispatcherForward_OnExtended(self, now_ms, about, call_id,
+                                     reply == NULL ? NULL : &reply->u.extend);
+        break;
     default:
         on_renew_reply(self, now_ms, about, call_id, reply);
         break;
--- a/lease/dispatcher_state.h
+++ b/lease/dispatcher_state.h
@@ -13,7 +13,9 @@
 #include "base/histogram.h"
 #include "lease/active.h"
 #include "lease/closures.h"
+#include "lease/delegates.h"
 #include "lease/dispatcher.h"
+#include "lease/forward_choice.h"
 #include "lease/link_budget.h"
 #include "lease/queue_stats.h"
 #include "lease/reserve.h"
@@ -27,6 +29,15 @@
     uint32_t run;
 } Dispatcher_Call;
 
+/* Another entry whose jobs this one runs. */
+typedef struct Dispatcher_Origin {
+    lc_node node;
+    int64_t until_ms; /* of the lease that it grants */
+    uint64_t owner;   /* incarnation under which companions run its jobs */
+    uint32_t jobs;    /* those that are not freed */
+    bool lapsed;      /* its lease ended; its jobs are being stopped */
+} Dispatcher_Origin;
+
 struct Dispatcher {
     Dispatcher_Config config;
     const Dispatcher_Ports *ports;
@@ -37,7 +48,15 @@
     Closures closures;
     Reserve reserve;
     LinkBudget link;
-    bool link_full;       /* starts wait for the link */
+    bool link_full; /* starts wait for the link */
+    ForwardChoice_Sends sends;
+    Delegates delegates;
+    uint64_t last_number;       /* of jobs given to them */
+    GPtrArray *origins;         /* Dispatcher_Origin */
+    GHashTable *origin_replies; /* request id -> reply id */
+    uint64_t last_request;      /* of other entries */
+    uint64_t last_owner;
+    int64_t routes_version;
     Histogram belief_age; /* of a companion's room as a task is sent there */
     Handle_Table *jobs;
     Handle_Table *calls;    /* Dispatcher_Call */
@@ -64,12 +83,20 @@
 void DispatcherLog_Job(const Dispatcher *self, Event_Id id, int64_t now_ms,
                        const Active_Job *job, const char *detail);
 
+/** Writes a line about jobs of another entry. */
+void DispatcherLog_Origin(const Dispatcher *self, Event_Id id,
+                          const Dispatcher_Origin *origin, const char *detail);
+
 /** Writes a line about a companion. */
 void DispatcherLog_Host(const Dispatcher *self, Event_Id id, int64_t now_ms,
                         const Fleet_Host *host, const char *detail);
 
 /* Calls: dispatcher_calls.c. */
 
+/** Sends a call about which a reply is awaited; returns its id. */
+uint64_t DispatcherCall_Send(Dispatcher *self, const Dispatcher_Call *about,
+                             const Msg_Call *call);
+
 /** Asks the task's host to run it, or to tell how that run goes. */
 void DispatcherCall_Run(Dispatcher *self, const Active_Job *job,
                         const Active_Task *task, int64_t valid_until_ms);
@@ -86,6 +113,56 @@
 /** Lengthens the lease on all runs at a host. */
 void DispatcherCall_Renew(Dispatcher *self, int64_t now_ms, Fleet_Host *host);
 
+/* Jobs given to other entries: dispatcher_forward.c. */
+
+/** Gives a job that has not begun to another entry if that is better, and
+ * says whether. */
+bool DispatcherForward_Try(Dispatcher *self, int64_t now_ms, Active_Job *job,
+                           const lc_resources *largest);
+
+/** The job needs no other entry any more, which is told at the next tick. */
+void DispatcherForward_Drop(Dispatcher *self, Active_Job *job);
+
+/** The other entry has answered; @p result is NULL if it was lost. May free
+ * the job. */
+void DispatcherForward_OnReply(Dispatcher *self, int64_t now_ms,
+                               const Dispatcher_Call *about,
+                               const lc_forward_res *result);
+
+/** Extends leases of what others run, and asks who could run more. */
+void DispatcherForward_Tick(Dispatcher *self, int64_t now_ms);
+
+/** An EXTEND was answered; @p result is NULL if it was lost. */
+void DispatcherForward_OnExtended(Dispatcher *self, int64_t now_ms,
+                                  const Dispatcher_Call *about,
+                                  uint64_t call_id,
+                                  const lc_extend_res *result);
+
+/* Jobs of other entries: dispatcher_origin.c. */
+
+/** Stops the jobs of entries whose leases have ended. */
+void DispatcherOrigin_Tick(Dispatcher *self, int64_t now_ms);
+
+/** Until when a start or renewal for the job at a host may be valid: no longer
+ * than the entry grants that forwarded it. */
+int64_t DispatcherOrigin_Limit(const Active_Job *job, const Fleet_Host *host,
+                               int64_t valid_until_ms);
+
+/** Renews the leases of other entries' jobs at a host. */
+void DispatcherOrigin_Renew(Dispatcher *self, int64_t now_ms,
+                            Fleet_Host *host);
+
+/** Answers a request of another entry; false if it is a caller's. */
+bool DispatcherOrigin_Answer(Dispatcher *self, uint64_t request,
+                             const Dispatcher_Answer *answer);
+
+/** The job is freed. */
+void DispatcherOrigin_Leave(Dispatcher *self, Active_Job *job);
+
+/** Notes that a request waits for the job. */
+void Dispatcher_AttachRequest(Dispatcher *self, Active_Job *job,
+                              uint64_t request);
+
 /* Ends: dispatcher_ends.c. */
 
 /** Frees a job and forgets its identity. */
@@ -146,8 +223,28 @@
 void DispatcherEnd_GiveUp(Dispatcher *self, int64_t now_ms, Active_Job *job,
                           Err_Kind kind, const char *message);
 
+/* Admission by the link: dispatcher_link.c. */
+
+/* What decides where a job that arrives would stand in the queue. */
+typedef struct {
+    int32_t priority;
+    int64_t slack_ms;
+} Dispatcher_Arrival;
+
+/** How long its starts would wait for the link, in ms; 0 while that is not
+ * short. */
+int64_t DispatcherLink_WaitMs(const Dispatcher *self, int64_t now_ms,
+                              const Dispatcher_Arrival *arrival);
+
+/** When a caller should come back that would have waited so long. */
+uint32_t DispatcherLink_RetryMs(Dispatcher *self, int64_t wait_ms);
+
 /* Waiting tasks: dispatcher_queue.c. */
 
+/** The most of each resource that any open companion has left. */
+lc_resources DispatcherQueue_LargestRoom(const Dispatcher *self,
+                                         int64_t now_ms);
+
 /** Sends every waiting task that fits somewhere, the most urgent first. */
 void DispatcherQueue_Pass(Dispatcher *self, int64_t now_ms);
 
--- /dev/null
+++ b/lease/forward_choice.c
@@ -0,0 +1,86 @@
+#include "lease/forward_choice.h"
+
+#include <string.h>
+
+#include "lease/resources.h"
+
+#define PERCENT 100
+/* Refusals are counted over periods so long. */
+#define PERIOD_MS 500
+/* At most so many sends of a start are reckoned with. */
+#define MOST_SENDS_PERCENT 400
+/* On the wire, as wire/levercove.x encodes them: a call that starts tasks and
+ * each of its rows; a job handed on and each of its steps. */
+#define START_BYTES 100
+#define ROW_BYTES 36
+#define FORWARD_BYTES 150
+#define STEP_BYTES 48
+/* Handing on adds a hop to the job's time and load to another entry: it has
+ * to save this part of what the job costs here. */
+#define LEAST_SAVED_PERCENT 20
+
+void
+ForwardChoice_NoteStarts(ForwardChoice_Sends *sends, int64_t now_ms,
+                         uint32_t starts)
+{
+    if (now_ms - sends->since_ms >= PERIOD_MS) {
+        uint32_t taken = sends->starts > sends->refused
+                             ? sends->starts - sends->refused
+                             : 1;
+        sends->sends_percent = CLAMP(sends->starts * PERCENT / taken, PERCENT,
+                                     MOST_SENDS_PERCENT);
+        sends->since_ms = now_ms;
+        sends->starts = 0;
+        sends->refused = 0;
+    }
+    sends->starts += starts;
+}
+
+void
+ForwardChoice_NoteRefused(ForwardChoice_Sends *sends)
+{
+    sends->refused++;
+}
+
+/* Of the first step that waits: its tasks and how many fit at once. */
+static uint32_t
+calls_of(const Active_Job *job, const lc_resources *largest)
+{
+    uint32_t i;
+
+    for (i = 0; i < job->task_count; i++) {
+        const Active_Task *task = &job->tasks[i];
+        uint32_t fits;
+        if (task->state != ACTIVE_WAITING) {
+            continue;
+        }
+        fits = MAX(Resources_Count(&Active_Step(job, task)->need, largest), 1);
+        return job->waiting / fits + (job->waiting % fits != 0);
+    }
+    return 0;
+}
+
+int64_t
+ForwardChoice_KeptBytes(const ForwardChoice_Sends *sends,
+                        const Active_Job *job, const lc_resources *largest)
+{
+    int64_t spec = (int64_t)strlen(job->spec.spec);
+    int64_t once = calls_of(job, largest) * (START_BYTES + spec) +
+                   (int64_t)ROW_BYTES * job->waiting;
+
+    return once * MAX(sends->sends_percent, PERCENT) / PERCENT;
+}
+
+int64_t
+ForwardChoice_ForwardBytes(const Active_Job *job)
+{
+    return FORWARD_BYTES + (int64_t)strlen(job->spec.spec) +
+           (int64_t)STEP_BYTES * job->spec.step_count;
+}
+
+bool
+ForwardChoice_IsBetter(int64_t kept_bytes, int64_t forward_bytes)
+{
+    return forward_bytes * PERCENT <=
+           kept_bytes * (PERCENT - LEAST_SAVED_PERCENT);
+}
--- a/lease/job_trace.h
+++ b/lease/job_trace.h
@@ -15,12 +15,14 @@
 
 /** X(NAME, text): what was decided or learned. */
 #define JOB_TRACE_LIST(X)                                                     \
-    X(SENT, "sent")         /* value: pace of the host in percent */          \
-    X(ENDED, "ended")       /* value: status of the run */                    \
-    X(ORPHANED, "orphaned") /* the connection broke */                        \
-    X(HALTED, "halted")     /* its stop was asked for */                      \
-    X(EXPIRED, "expired")   /* its lease is certainly over */                 \
-    X(REBORN, "reborn")     /* its companion began anew */
+    X(SENT, "sent")             /* value: pace of the host in percent */      \
+    X(ENDED, "ended")           /* value: status of the run */                \
+    X(ORPHANED, "orphaned")     /* the connection broke */                    \
+    X(HALTED, "halted")         /* its stop was asked for */                  \
+    X(EXPIRED, "expired")       /* its lease is certainly over */             \
+    X(REBORN, "reborn")         /* its companion began anew */                \
+    X(FORWARDED, "forwarded")   /* value: bytes it would have cost here */    \
+    X(GIVEN_BACK, "given back") /* the other entry did not take it */
 
 /** Kinds of item, in the order of JOB_TRACE_LIST. */
 typedef enum {
--- a/lease/route.c
+++ b/lease/route.c
@@ -108,6 +108,20 @@
     g_array_sort(table->lengths, compare_longest_first);
 }
 
+const Route *
+Route_Named(const Route_Table *table, const char *name)
+{
+    guint i;
+
+    for (i = 0; i < table->routes->len; i++) {
+        const Route *route = g_ptr_array_index(table->routes, i);
+        if (g_strcmp0(route->name, name) == 0) {
+            return route;
+        }
+    }
+    return NULL;
+}
+
 const Route *
 Route_Find(Route_Table *table, const char *authority, const char *path)
 {
--- a/lease/route.h
+++ b/lease/route.h
@@ -51,6 +51,9 @@
  * with the part that is not. */
 Err_Kind Route_Check(const Route *route, const LeasedJob *job, Status *status);
 
+/** Queue of that name, or NULL. */
+const Route *Route_Named(const Route_Table *table, const char *name);
+
 /** Queue with the longest prefix of @p path at @p authority (a port behind
  * it is passed over), or NULL. */
 const Route *Route_Find(Route_Table *table, const char *authority,
--- a/tests/entry_fixture.c
+++ b/tests/entry_fixture.c
@@ -47,6 +47,32 @@
     if (call->kind == MSG_RENEW) {
         row->renew = call->u.renew;
     }
+    if (call->kind == MSG_FORWARD) {
+        row->forward = call->u.forward;
+    }
+    if (call->kind == MSG_EXTEND) {
+        row->extend = call->u.extend;
+        row->gone = call->u.extend.gone.gone_len == 0
+                        ? 0
+                        : call->u.extend.gone.gone_val[0];
+    }
+}
+
+static void
+port_reply(void *context, uint64_t reply_id, const Msg_Reply *reply)
+{
+    EntryFix *fix = context;
+    EntryFix_Reply_Row *row = &fix->replies[fix->reply_count++];
+
+    g_assert_cmpint(fix->reply_count, <=, ENTRY_FIX_MOST);
+    row->reply_id = reply_id;
+    row->kind = reply->kind;
+    if (reply->kind == MSG_FORWARD) {
+        row->forward = reply->u.forward;
+    }
+    else {
+        row->extend = reply->u.extend;
+    }
 }
 
 static void
@@ -84,6 +110,7 @@
 static const Dispatcher_Ports ports = {
     .call = port_call,
     .runs = port_runs,
+    .reply = port_reply,
     .reset = port_reset,
     .answer = port_answer,
     .event = LeaseFix_DropEvent,
@@ -191,6 +218,31 @@
     Dispatcher_Settle(fix->dispatcher, fix->now_ms);
 }
 
+int
+EntryFix_Count(const EntryFix *fix, Msg_Kind kind)
+{
+    int count = 0;
+    int i;
+
+    for (i = 0; i < fix->call_count; i++) {
+        count += fix->calls[i].kind == kind;
+    }
+    return count;
+}
+
+const EntryFix_Call *
+EntryFix_Last(const EntryFix *fix, Msg_Kind kind)
+{
+    int i;
+
+    for (i = fix->call_count - 1; i >= 0; i--) {
+        if (fix->calls[i].kind == kind) {
+            return &fix->calls[i];
+        }
+    }
+    g_assert_not_reached();
+}
+
 void
 EntryFix_Pass(EntryFix *fix, int64_t ms)
 {
--- a/tests/entry_fixture.h
+++ b/tests/entry_fixture.h
@@ -8,7 +8,7 @@
 
 #include "lease/dispatcher.h"
 
-#define ENTRY_FIX_MOST 1024
+#define ENTRY_FIX_MOST 2048
 #define ENTRY_FIX_START_MS 1000000
 /** Bytes of a job's spec. */
 #define ENTRY_FIX_SPEC 1200
@@ -30,10 +30,21 @@
     Address to;
     uint64_t call_id;
     Msg_Kind kind;
-    lc_renew_args renew; /* of a RENEW */
+    lc_renew_args renew;     /**< of a RENEW */
+    lc_forward_args forward; /**< of a FORWARD, without what it borrows */
+    lc_extend_args extend;   /**< of an EXTEND, likewise */
+    uint64_t gone;           /**< the first number that an EXTEND tells */
     int64_t at_ms;
 } EntryFix_Call;
 
+/** A reply to another entry. */
+typedef struct {
+    uint64_t reply_id;
+    Msg_Kind kind;
+    lc_forward_res forward; /**< without its texts */
+    lc_extend_res extend;
+} EntryFix_Reply_Row;
+
 /** How a request was answered. */
 typedef struct {
     uint64_t request;
@@ -54,6 +65,8 @@
     int call_count;
     EntryFix_Answer answers[ENTRY_FIX_MOST];
     int answer_count;
+    EntryFix_Reply_Row replies[ENTRY_FIX_MOST];
+    int reply_count;
 } EntryFix;
 
 /** A dispatcher at @p address with a link of so many Mbit/s; 0: not known,
@@ -78,6 +91,10 @@
 /** Its connection broke. */
 void EntryFix_Lose(EntryFix *fix, const EntryFix_Start *start);
 
+/** Calls of a kind so far, and the last of them. */
+int EntryFix_Count(const EntryFix *fix, Msg_Kind kind);
+const EntryFix_Call *EntryFix_Last(const EntryFix *fix, Msg_Kind kind);
+
 /** Time passes, with a tick each 50 ms and a pass at each ms. */
 void EntryFix_Pass(EntryFix *fix, int64_t ms);
 
--- a/tests/fleet_world.c
+++ b/tests/fleet_world.c
@@ -869,8 +869,8 @@
 }
 
 static const Dispatcher_Ports dispatcher_ports = {
-    port_call,     port_reset,      port_answer,    drop_event,
-    port_kept_end, port_kept_crash, port_kept_over, port_runs};
+    port_call,       port_reset,     port_answer, drop_event, port_kept_end,
+    port_kept_crash, port_kept_over, port_runs,   NULL};
 
 typedef struct {
     uint32_t entry;
--- a/tests/kept_rules.c
+++ b/tests/kept_rules.c
@@ -186,8 +186,9 @@
     port_route, port_parse,  port_keeper_event,
 };
 static const Dispatcher_Ports dispatcher_ports = {
-    port_call, port_reset, port_answer, LeaseFix_DropEvent,
-    port_end,  port_crash, port_over,   NULL};
+    port_call,          port_reset, port_answer,
+    LeaseFix_DropEvent, port_end,   port_crash,
+    port_over,          NULL,       NULL};
 
 /* ---- a keeper ---- */
 
--- a/tests/lease_rules.c
+++ b/tests/lease_rules.c
@@ -120,8 +120,9 @@
 }
 
 static const Dispatcher_Ports dispatcher_ports = {
-    port_call,     port_reset,      port_answer,    LeaseFix_DropEvent,
-    port_kept_end, port_kept_crash, port_kept_over, NULL};
+    port_call,          port_reset,    port_answer,
+    LeaseFix_DropEvent, port_kept_end, port_kept_crash,
+    port_kept_over,     NULL,          NULL};
 
 static void
 report_all(dispatcher_fixture *fix, const lc_node *node,
--- a/tests/lease_world.cc
+++ b/tests/lease_world.cc
@@ -80,6 +80,7 @@
         break;
     case Fault::CutEntries:
         gossip_cut_until[entry] = until;
+        entry_cut_way[entry] = action.other % 3;
         break;
     case Fault::StoreDown:
         store.down_until = until;
@@ -168,6 +169,7 @@
     late_until.resize(plan.companions);
     store_cut_until.resize(plan.entries);
     gossip_cut_until.resize(plan.entries);
+    entry_cut_way.resize(plan.entries);
     for (uint32_t i = 0; i < plan.companions; i++) {
         double rate = 1.0 - 0.02 * (double)pick(100) / 100.0;
         upstreams.emplace_back("u" + std::to_string(i), rate);
--- a/tests/lease_world.h
+++ b/tests/lease_world.h
@@ -80,8 +80,10 @@
     int64_t job_every_ms =
         72; /* with the kept ones three quarters of the room */
     int64_t kept_every_ms = 500; /**< kept jobs; 0 for none */
-    bool halls_serve = false;    /**< checks that a hall that was opened serves
-                                    soon; all other faults spare the upstreams */
+    bool narrow = false; /**< the first entry's link carries a part of its jobs
+                            alone: it hands others on */
+    bool halls_serve = false; /**< checks that a hall that was opened serves
+                                 soon; all other faults spare the upstreams */
     std::vector<Action> actions;
 };
 
@@ -101,6 +103,8 @@
     uint64_t kept_accepted = 0;
     uint64_t kept_succeeded = 0;
     uint64_t claims = 0;
+    uint64_t forwards = 0;       /**< jobs that came to another entry */
+    uint64_t forwards_taken = 0; /**< and were taken there */
     int most_crashed = 0; /**< upstreams under one submission of a job */
 
     std::string text() const;
--- a/tests/lease_world_checks.cc
+++ b/tests/lease_world_checks.cc
@@ -26,7 +26,8 @@
 std::string
 spec_of(uint64_t job)
 {
-    return "spec of job " + std::to_string(job);
+    /* As long as it takes for a start to cost a narrow link something. */
+    return "spec of job " + std::to_string(job) + std::string(600, 'x');
 }
 
 /* A start brings what its own job's caller handed in. */
--- a/tests/lease_world_messages.cc
+++ b/tests/lease_world_messages.cc
@@ -115,6 +115,112 @@
     });
 }
 
+/* ---- between entries ---- */
+
+int64_t
+World::entries_cut_until(uint32_t from, uint32_t to) const
+{
+    int64_t until = 0;
+
+    if (entry_cut_way[from] != 2) {
+        until = std::max(until, gossip_cut_until[from]);
+    }
+    if (entry_cut_way[to] != 1) {
+        until = std::max(until, gossip_cut_until[to]);
+    }
+    return until;
+}
+
+void
+World::take_from_entry(EntryNode *at, uint64_t reply_id, const Msg_Call *call)
+{
+    if (call->kind == MSG_FORWARD) {
+        report.forwards++;
+        Dispatcher_OnForward(at->dispatcher, now, reply_id, &call->u.forward,
+                             route);
+    }
+    else {
+        Dispatcher_OnExtend(at->dispatcher, now, reply_id, &call->u.extend);
+    }
+}
+
+/* What a cut holds up arrives when it heals. */
+void
+World::to_entry(uint32_t from, uint32_t index, Call message)
+{
+    Link &link = links[{from, ENTRY_END + index}];
+    uint64_t generation = link.generation;
+    int64_t arrives = std::max(now + LINK_MS, link.free_ms);
+    auto shared = std::make_shared<Call>(std::move(message));
+    uint64_t call_id = shared->call_ids[0];
+
+    link.pending.insert(call_id);
+    if (!entries[index].alive) {
+        break_link(from, ENTRY_END + index);
+        return;
+    }
+    arrives = std::max(arrives, entries_cut_until(from, index));
+    link.free_ms = arrives;
+    at(arrives, [this, from, index, generation, shared, call_id] {
+        EntryNode *entry = &entries[index];
+        if (links[{from, ENTRY_END + index}].generation != generation) {
+            return;
+        }
+        when_awake(entry, [this, from, entry, generation, shared, call_id] {
+            Msg_Record record;
+            uint64_t reply_id = ++entry->next_reply;
+            Msg_Decode(shared->bytes.data() + MSG_MARK_SIZE,
+                       shared->bytes.size() - MSG_MARK_SIZE, &record);
+            entry->owed[reply_id] = {from, call_id, generation};
+            take_from_entry(entry, reply_id, &record.call);
+            Msg_FreeCall(&record.call);
+        });
+    });
+}
+
+void
+World::reply(EntryNode *from, uint64_t reply_id, const Msg_Reply *message)
+{
+    auto owed = from->owed.find(reply_id);
+
+    if (owed == from->owed.end()) {
+        return;
+    }
+    Owed to = owed->second;
+    from->owed.erase(owed);
+    Link &link = links[{to.entry, ENTRY_END + from->index}];
+    if (link.generation != to.generation ||
+        link.pending.erase(to.call_id) == 0) {
+        return;
+    }
+    report.forwards_taken += message->kind == MSG_FORWARD &&
+                             message->u.forward.taken;
+    GByteArray *bytes = g_byte_array_new();
+    Msg_EncodeReply(message, 1, bytes);
+    std::vector<uint8_t> copy(bytes->data + MSG_MARK_SIZE,
+                              bytes->data + bytes->len);
+    g_byte_array_unref(bytes);
+    int64_t arrives = std::max(now + LINK_MS,
+                               entries_cut_until(from->index, to.entry));
+    EntryNode *entry = &entries[to.entry];
+    uint64_t life = entry->life;
+    Msg_Kind kind = message->kind;
+    at(arrives, [this, entry, life, to, kind, copy] {
+        if (entry->life != life) {
+            return;
+        }
+        when_awake(entry, [this, entry, to, kind, copy] {
+            Msg_Record record;
+            Msg_Reply reply;
+            Msg_Decode(copy.data(), copy.size(), &record);
+            Msg_DecodeReply(kind, copy.data() + record.body,
+                            copy.size() - record.body, &reply);
+            take_reply(entry, now, to.call_id, &reply);
+            Msg_FreeReply(&reply);
+        });
+    });
+}
+
 void
 World::call(EntryNode *from, Address to, std::vector<uint64_t> call_ids,
             const Msg_Call *message)
@@ -126,6 +232,11 @@
     copy.call_ids = std::move(call_ids);
     copy.bytes.assign(bytes->data, bytes->data + bytes->len);
     g_byte_array_unref(bytes);
+    if (to < companion_address(0)) {
+        to_entry(from->index, (uint32_t)(to - entry_address(0)),
+                 std::move(copy));
+        return;
+    }
     to_companion(from->index, (uint32_t)(to - companion_address(0)),
                  std::move(copy));
 }
--- a/tests/lease_world_nodes.cc
+++ b/tests/lease_world_nodes.cc
@@ -122,6 +122,13 @@
     entry->world->call(entry, to, {ids, ids + runs->rows.rows_len}, &call);
 }
 
+void
+port_entry_reply(void *context, uint64_t id, const Msg_Reply *reply)
+{
+    EntryNode *entry = (EntryNode *)context;
+    entry->world->reply(entry, id, reply);
+}
+
 void
 port_reset(void *context, Address to)
 {
@@ -218,7 +225,8 @@
 
 const Dispatcher_Ports entry_ports = {
     port_call,     port_reset,      port_answer,    port_entry_event,
-    port_kept_end, port_kept_crash, port_kept_over, port_runs};
+    port_kept_end, port_kept_crash, port_kept_over, port_runs,
+    port_entry_reply};
 const Runner_Ports companion_ports = {port_start, port_stop, port_look,
                                       port_reply, port_companion_event};
 
@@ -254,6 +262,10 @@
     config.max_jobs = 10000;
     /* Both ways stand side by side, as while a new version is rolled out. */
     config.join_runs = index % 2 == 1;
+    if (plan.narrow && index == 0) {
+        config.link_mbps = NARROW_MBPS;
+        config.join_runs = true;
+    }
     entry->dispatcher = Dispatcher_New(&config, &entry_ports, entry, now);
     start_keeper(entry);
     uint64_t life = ++entry->life;
@@ -310,6 +322,13 @@
         link.generation++;
         link.pending.clear();
     }
+    entry->owed.clear();
+    for (uint32_t i = 0; i < plan.entries; i++) {
+        Link &link = links[{index, ENTRY_END + i}];
+        link.generation++;
+        link.pending.clear();
+        break_link(i, ENTRY_END + index);
+    }
     for (auto &pair : requests) {
         Request &request = pair.second;
         if (request.entry == index && !request.answered) {
@@ -359,6 +378,22 @@
     at(now + for_ms, [this, index] { start_companion(index); });
 }
 
+void
+World::offer_delegates(EntryNode *entry)
+{
+    std::vector<Address> others;
+
+    for (const EntryNode &other : entries) {
+        if (other.index != entry->index && other.alive) {
+            others.push_back(other.node.address);
+        }
+    }
+    if (Dispatcher_WantsDelegates(entry->dispatcher, now)) {
+        Dispatcher_OfferDelegates(entry->dispatcher, others.data(),
+                                  (guint)others.size());
+    }
+}
+
 void
 World::tick_entry(uint32_t index, uint64_t life)
 {
@@ -370,6 +405,7 @@
     when_awake(entry, [this, entry] {
         Keeper_Tick(entry->keeper, now);
         Dispatcher_SetWall(entry->dispatcher, WALL_AHEAD_MS);
+        offer_delegates(entry);
         Dispatcher_Tick(entry->dispatcher, now);
     });
     at(now + TICK_MS, [this, index, life] { tick_entry(index, life); });
--- a/tests/lease_world_state.h
+++ b/tests/lease_world_state.h
@@ -26,6 +26,11 @@
 const uint32_t MOST_ATTEMPTS = 3;
 /* The wall clock shows so much more than the time of the world. */
 const int64_t WALL_AHEAD_MS = 1700000000000;
+/* Of the first entry's link in a narrow plan: some ten jobs a second, if they
+ * are handed on. */
+const double NARROW_MBPS = 0.09;
+/* Entries among the ends of links, beside companions. */
+const uint32_t ENTRY_END = 1000;
 const lc_resources CAPACITY = {16000, 65536, 0};
 /* A machine that was suspended has stopped what it may not run by then: a
  * tick, a stop, and orders that are sent again. */
@@ -131,10 +136,19 @@
     std::vector<End> ends;
 };
 
+/* A reply that a node owes, on the connection that the call came by. */
+struct Owed {
+    uint32_t entry;
+    uint64_t call_id;
+    uint64_t generation;
+};
+
 struct EntryNode {
     World *world;
     uint32_t index;
     lc_node node;
+    std::map<uint64_t, Owed> owed; /* by the id of the reply */
+    uint64_t next_reply = 0;
     Dispatcher *dispatcher = nullptr;
     Keeper *keeper = nullptr;
     KeptPen pen;
@@ -144,13 +158,6 @@
     int64_t awake_ms = 0;
 };
 
-/* A reply that a companion owes, on the connection that the call came by. */
-struct Owed {
-    uint32_t entry;
-    uint64_t call_id;
-    uint64_t generation;
-};
-
 struct CompanionNode {
     World *world;
     uint32_t index;
@@ -264,6 +271,7 @@
     void answer(EntryNode *from, uint64_t request,
                 const Dispatcher_Answer *answer);
     void reply(CompanionNode *from, uint64_t reply_id, const Msg_Reply *reply);
+    void reply(EntryNode *from, uint64_t reply_id, const Msg_Reply *reply);
     void order_start(CompanionNode *from, uint64_t id,
                      const Runner_Start *start);
     void order_stop(CompanionNode *from, uint64_t id, const lc_run_id *run,
@@ -333,6 +341,11 @@
     void when_awake(CompanionNode *companion, std::function<void()> run);
     void arm(CompanionNode *companion);
     void to_companion(uint32_t entry, uint32_t companion, Call message);
+    void to_entry(uint32_t entry, uint32_t other, Call message);
+    void take_from_entry(EntryNode *at, uint64_t reply_id,
+                         const Msg_Call *call);
+    int64_t entries_cut_until(uint32_t from, uint32_t to) const;
+    void offer_delegates(EntryNode *entry);
     void lose(uint32_t entry, uint64_t life, uint64_t call_id);
     void when_up(const Upstream *upstream, std::function<void()> act);
     void order(CompanionNode *from, std::function<Runner_OrderEnd()> act,
@@ -420,6 +433,7 @@
         ordered;
     std::vector<int64_t> store_cut_until;
     std::vector<int64_t> gossip_cut_until;
+    std::vector<uint32_t> entry_cut_way; /* 0: both, 1: out, 2: in */
     int64_t hang_ups_until = 0;
     int64_t burst_until = 0;
 };
--- a/tests/link_rules.c
+++ b/tests/link_rules.c
@@ -248,6 +248,41 @@
     EntryFix_Close(&fix);
 }
 
+/* What would wait beyond its objective is refused as it comes; what is taken
+ * leaves in time for its own. */
+static void
+test_refused_on_arrival(void)
+{
+    EntryFix fix;
+    uint64_t job;
+    int refused;
+    int i;
+
+    EntryFix_Open(&fix, ENTRY, LINK_MBPS);
+    EntryFix_Report(&fix, 0, 2000);
+    for (job = 1; job <= 900; job++) {
+        EntryFix_Submit(&fix, job, 1, 1);
+    }
+    refused = fix.answer_count;
+    /* 560 ms of slack carry some 470 starts. */
+    g_assert_cmpint(refused, >, 350);
+    g_assert_cmpint(refused, <, 450);
+    for (i = 0; i < refused; i++) {
+        g_assert_cmpint(fix.answers[i].outcome, ==, DISPATCHER_NOT_RUN);
+        g_assert_cmpint(fix.answers[i].kind, ==, ERR_WAIT_TOO_LONG);
+    }
+    /* A more urgent one goes before them. */
+    EntryFix_Submit(&fix, 1000, 1, 0);
+    g_assert_cmpint(fix.answer_count, ==, refused);
+    for (i = 0; i < 7; i++) {
+        EntryFix_Pass(&fix, 100);
+        EntryFix_Report(&fix, 0, 2000);
+    }
+    g_assert_cmpint(fix.answer_count, ==, refused);
+    g_assert_cmpint(fix.start_count, ==, 901 - refused);
+    EntryFix_Close(&fix);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -264,6 +299,7 @@
          test_starts_wait_in_order},
         {"/link/other bytes count", test_other_bytes_count},
         {"/link/few calls while it is short", test_few_calls_while_short},
+        {"/link/refused on arrival", test_refused_on_arrival},
     };
 
     return RuleTable_Main(argc, argv, rules, G_N_ELEMENTS(rules));
--- a/tests/prop_lease.cc
+++ b/tests/prop_lease.cc
@@ -17,6 +17,8 @@
 
 /* Of the mean share, and the same part of it at least. */
 const uint64_t MOST_SHARE_PERCENT = 150;
+/* Of plans in which the first entry hands jobs on. */
+const int64_t NARROW_JOB_EVERY_MS = 60;
 
 uint64_t schedules;
 lease::Report total;
@@ -44,6 +46,8 @@
 {
     std::string text = plan.halls_serve ? "LEASE_HALLS=1 " : "";
 
+    text += plan.narrow ? "LEASE_NARROW=1 " : "";
+
     text += "LEASE_PLAN=\"" + std::to_string(plan.seed);
     for (const lease::Action &action : plan.actions) {
         text += " " + std::to_string((int)action.fault) + " " +
@@ -55,6 +59,17 @@
     return text + "\"";
 }
 
+/* Jobs come to three entries, one of which hands on what its link does not
+ * carry. */
+void
+make_narrow(lease::Plan *plan)
+{
+    plan->narrow = true;
+    plan->entries = 3;
+    plan->job_every_ms = NARROW_JOB_EVERY_MS;
+    plan->kept_every_ms = 0;
+}
+
 lease::Plan
 parse(const char *text)
 {
@@ -64,6 +79,9 @@
     int fault;
 
     plan.halls_serve = getenv("LEASE_HALLS") != nullptr;
+    if (getenv("LEASE_NARROW") != nullptr) {
+        make_narrow(&plan);
+    }
     in >> plan.seed;
     while (in >> fault >> action.at_ms >> action.length_ms >> action.target >>
            action.other) {
@@ -87,6 +105,8 @@
     total.kept_accepted += report.kept_accepted;
     total.kept_succeeded += report.kept_succeeded;
     total.claims += report.claims;
+    total.forwards += report.forwards;
+    total.forwards_taken += report.forwards_taken;
 }
 
 void
@@ -175,6 +195,37 @@
         most, false);
 }
 
+/* An entry hands jobs to others while it, they, the links between them and
+ * companions fail, and callers leave and come again elsewhere. */
+void
+check_forwards(int most)
+{
+    static const std::vector<lease::Fault> faults = {
+        lease::Fault::Burst,           lease::Fault::Burst,
+        lease::Fault::CutEntries,      lease::Fault::CutEntries,
+        lease::Fault::CutEntries,      lease::Fault::HangUps,
+        lease::Fault::HangUps,         lease::Fault::KillEntry,
+        lease::Fault::FreezeEntry,     lease::Fault::KillCompanion,
+        lease::Fault::FreezeCompanion, lease::Fault::CutPair,
+        lease::Fault::CutLossy,        lease::Fault::CrashUpstream,
+    };
+    lease::Plan plan;
+
+    plan.seed = *rc::gen::inRange<uint64_t>(1, 1ULL << 40);
+    make_narrow(&plan);
+    plan.actions = *rc::gen::resize(
+        most, rc::gen::container<std::vector<lease::Action>>(
+                  gen_action(plan.length_ms)));
+    for (lease::Action &action : plan.actions) {
+        action.fault = faults[(size_t)action.fault % faults.size()];
+    }
+    lease::Report report = lease::play(plan);
+    add(report);
+    if (!report.violations.empty()) {
+        RC_FAIL(report.text() + describe(plan));
+    }
+}
+
 /* On a day without other faults the second crash is the last. */
 bool
 check_crashers()
@@ -213,6 +264,40 @@
     }
 }
 
+/* Every pair of faults of a plan whose jobs are handed on. */
+bool
+check_forward_pairs()
+{
+    static const lease::Fault faults[] = {
+        lease::Fault::CutEntries,    lease::Fault::HangUps,
+        lease::Fault::KillEntry,     lease::Fault::FreezeEntry,
+        lease::Fault::KillCompanion, lease::Fault::FreezeCompanion,
+        lease::Fault::CutLossy,
+    };
+    bool good = true;
+    uint64_t seed = 1;
+
+    for (lease::Fault one : faults) {
+        for (lease::Fault two : faults) {
+            for (uint32_t at_entry = 0; at_entry < 3; at_entry++) {
+                lease::Plan plan;
+                make_narrow(&plan);
+                plan.seed = seed++;
+                plan.actions = {{one, 800, 1700, 0, at_entry},
+                                {two, 1100, 1500, at_entry, at_entry}};
+                lease::Report report = lease::play(plan);
+                add(report);
+                if (!report.violations.empty()) {
+                    fprintf(stderr, "%s%s\n", report.text().c_str(),
+                            describe(plan).c_str());
+                    good = false;
+                }
+            }
+        }
+    }
+    return good;
+}
+
 /* Every pair of faults, close together on the same nodes. */
 bool
 check_pairs()
@@ -295,6 +380,7 @@
         return report.violations.empty() ? 0 : 1;
     }
     good &= check_pairs();
+    good &= check_forward_pairs();
     good &= check_all_cut();
     good &= check_known_plans();
     good &= rc::check("no two runs, room, answers, few faults",
@@ -308,8 +394,15 @@
                       [] { check_lives(4); });
     good &= rc::check("lives of upstreams, many faults",
                       [] { check_lives(14); });
+    good &= rc::check("jobs handed on, few faults",
+                      [] { check_forwards(4); });
+    good &= rc::check("jobs handed on, many faults",
+                      [] { check_forwards(14); });
     good &= rc::check("equal upstreams share the work",
                       [] { check_shares(); });
+    printf("%lu jobs handed on, %lu taken\n", (unsigned long)total.forwards,
+           (unsigned long)total.forwards_taken);
+    good &= total.forwards_taken > 0;
     printf("%lu schedules, %lu jobs, %lu starts: %lu succeeded, %lu failed, "
            "%lu not run, %lu given up\n",
            (unsigned long)schedules, (unsigned long)total.jobs,
--- a/wire/levercove.h
+++ b/wire/levercove.h
@@ -535,6 +535,63 @@
 	} data;
 };
 typedef struct lc_routes_res lc_routes_res;
+#define LC_MAX_STEPS 64
+
+struct lc_step {
+	u_int count;
+	lc_resources need;
+	u_int estimate_ms;
+	u_quad_t depends_on;
+	u_int most_together;
+	char *requirement;
+	char *affinity;
+};
+typedef struct lc_step lc_step;
+
+struct lc_forward_args {
+	lc_node from;
+	u_quad_t target;
+	u_quad_t number;
+	quad_t valid_until_ms;
+	quad_t routes_version;
+	u_int waited_ms;
+	u_int deadline_ms;
+	u_quad_t job;
+	char *queue;
+	struct {
+		u_int steps_len;
+		lc_step *steps_val;
+	} steps;
+	char *spec;
+};
+typedef struct lc_forward_args lc_forward_args;
+
+struct lc_forward_res {
+	bool_t taken;
+	u_int outcome;
+	char *error;
+	char *message;
+	u_int retry_ms;
+};
+typedef struct lc_forward_res lc_forward_res;
+
+struct lc_extend_args {
+	lc_node from;
+	u_quad_t target;
+	quad_t valid_until_ms;
+	struct {
+		u_int gone_len;
+		u_quad_t *gone_val;
+	} gone;
+};
+typedef struct lc_extend_args lc_extend_args;
+
+struct lc_extend_res {
+	lc_node node;
+	quad_t stamp_ms;
+	u_quad_t headroom;
+};
+typedef struct lc_extend_res lc_extend_res;
 
 struct lc_withdraw_args {
 	lc_node from;
@@ -747,6 +804,12 @@
 #define LC_RUNS 20
 extern  lc_runs_res * lc_runs_1(lc_runs_args *, CLIENT *);
 extern  lc_runs_res * lc_runs_1_svc(lc_runs_args *, struct svc_req *);
+#define LC_FORWARD 21
+extern  lc_forward_res * lc_forward_1(lc_forward_args *, CLIENT *);
+extern  lc_forward_res * lc_forward_1_svc(lc_forward_args *, struct svc_req *);
+#define LC_EXTEND 22
+extern  lc_extend_res * lc_extend_1(lc_extend_args *, CLIENT *);
+extern  lc_extend_res * lc_extend_1_svc(lc_extend_args *, struct svc_req *);
 extern int lc_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -813,6 +876,12 @@
 #define LC_RUNS 20
 extern  lc_runs_res * lc_runs_1();
 extern  lc_runs_res * lc_runs_1_svc();
+#define LC_FORWARD 21
+extern  lc_forward_res * lc_forward_1();
+extern  lc_forward_res * lc_forward_1_svc();
+#define LC_EXTEND 22
+extern  lc_extend_res * lc_extend_1();
+extern  lc_extend_res * lc_extend_1_svc();
 extern int lc_program_1_freeresult ();
 #endif /* K&R C */
 
@@ -874,6 +943,11 @@
 extern  bool_t xdr_lc_gossip_res (XDR *, lc_gossip_res*);
 extern  bool_t xdr_lc_routes_args (XDR *, lc_routes_args*);
 extern  bool_t xdr_lc_routes_res (XDR *, lc_routes_res*);
+extern  bool_t xdr_lc_step (XDR *, lc_step*);
+extern  bool_t xdr_lc_forward_args (XDR *, lc_forward_args*);
+extern  bool_t xdr_lc_forward_res (XDR *, lc_forward_res*);
+extern  bool_t xdr_lc_extend_args (XDR *, lc_extend_args*);
+extern  bool_t xdr_lc_extend_res (XDR *, lc_extend_res*);
 extern  bool_t xdr_lc_withdraw_args (XDR *, lc_withdraw_args*);
 extern  bool_t xdr_lc_withdraw_res (XDR *, lc_withdraw_res*);
 extern  bool_t xdr_lc_release_args (XDR *, lc_release_args*);
@@ -948,6 +1022,11 @@
 extern bool_t xdr_lc_gossip_res ();
 extern bool_t xdr_lc_routes_args ();
 extern bool_t xdr_lc_routes_res ();
+extern bool_t xdr_lc_step ();
+extern bool_t xdr_lc_forward_args ();
+extern bool_t xdr_lc_forward_res ();
+extern bool_t xdr_lc_extend_args ();
+extern bool_t xdr_lc_extend_res ();
 extern bool_t xdr_lc_withdraw_args ();
 extern bool_t xdr_lc_withdraw_res ();
 extern bool_t xdr_lc_release_args ();
--- a/wire/levercove.x
+++ b/wire/levercove.x
@@ -443,6 +443,62 @@
     opaque data<LC_MAX_CHUNK>;
 };
 
+const LC_MAX_STEPS = 64;
+
+/* Tasks of a job that are alike. */
+struct lc_step {
+    unsigned int count;
+    lc_resources need;
+    unsigned int estimate_ms;
+    unsigned hyper depends_on; /* bit i: step i ends before this one starts */
+    unsigned int most_together; /* on one upstream; 0 for any number */
+    string requirement<LC_MAX_NAME>;
+    string affinity<LC_MAX_NAME>;
+};
+
+/*
+ * An entry hands a job of which no task was sent to another, which runs it
+ * under a lease of the first. The answer comes when the job is over.
+ */
+struct lc_forward_args {
+    lc_node from;
+    unsigned hyper target;    /* incarnation of the callee */
+    unsigned hyper number;    /* of the caller's, never used twice */
+    hyper valid_until_ms;     /* on the callee's monotonic clock */
+    hyper routes_version;     /* by which the caller took it */
+    unsigned int waited_ms;   /* since its own caller handed it in */
+    unsigned int deadline_ms; /* from now */
+    unsigned hyper job;
+    string queue<LC_MAX_NAME>;
+    lc_step steps<LC_MAX_STEPS>;
+    string spec<LC_MAX_SPEC>;
+};
+
+struct lc_forward_res {
+    bool taken; /* false: no task of it was or will be started */
+    unsigned int outcome; /* Dispatcher_Outcome */
+    string error<32>;
+    string message<240>;
+    unsigned int retry_ms;
+};
+
+/*
+ * Lengthens the lease of all jobs that were forwarded, but for those that are
+ * not wanted any more, and asks how much more would be taken.
+ */
+struct lc_extend_args {
+    lc_node from;
+    unsigned hyper target;
+    hyper valid_until_ms; /* on the callee's clock; 0: only asks */
+    unsigned hyper gone<LC_MAX_PEERS>; /* numbers */
+};
+
+struct lc_extend_res {
+    lc_node node;
+    hyper stamp_ms;           /* its monotonic clock */
+    unsigned hyper headroom;  /* bytes a second of its link; 0: takes none */
+};
+
 /* Cancels a job wherever it is. */
 struct lc_withdraw_args {
     lc_node from;
@@ -580,5 +636,7 @@
         lc_store_res LC_STORE(lc_store_args) = 18;
         lc_routes_res LC_ROUTES(lc_routes_args) = 19;
         lc_runs_res LC_RUNS(lc_runs_args) = 20;
+        lc_forward_res LC_FORWARD(lc_forward_args) = 21;
+        lc_extend_res LC_EXTEND(lc_extend_args) = 22;
     } = 1;
 } = 0x20004c43;
--- a/wire/levercove_xdr.c
+++ b/wire/levercove_xdr.c
@@ -1084,6 +1084,108 @@
 	return TRUE;
 }
 
+bool_t
+xdr_lc_step (XDR *xdrs, lc_step *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->count))
+		 return FALSE;
+	 if (!xdr_lc_resources (xdrs, &objp->need))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->estimate_ms))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->depends_on))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->most_together))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->requirement, LC_MAX_NAME))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->affinity, LC_MAX_NAME))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_lc_forward_args (XDR *xdrs, lc_forward_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_lc_node (xdrs, &objp->from))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->target))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->number))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->valid_until_ms))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->routes_version))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->waited_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->deadline_ms))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->job))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->queue, LC_MAX_NAME))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->steps.steps_val, (u_int *) &objp->steps.steps_len, LC_MAX_STEPS,
+		sizeof (lc_step), (xdrproc_t) xdr_lc_step))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->spec, LC_MAX_SPEC))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_lc_forward_res (XDR *xdrs, lc_forward_res *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bool (xdrs, &objp->taken))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->outcome))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->error, 32))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->message, 240))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->retry_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_lc_extend_args (XDR *xdrs, lc_extend_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_lc_node (xdrs, &objp->from))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->target))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->valid_until_ms))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->gone.gone_val, (u_int *) &objp->gone.gone_len, LC_MAX_PEERS,
+		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_lc_extend_res (XDR *xdrs, lc_extend_res *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_lc_node (xdrs, &objp->node))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->stamp_ms))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->headroom))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_lc_withdraw_args (XDR *xdrs, lc_withdraw_args *objp)
 {
--- a/wire/msg.h
+++ b/wire/msg.h
@@ -37,7 +37,9 @@
     X(FENCE, fence)                                                           \
     X(STORE, store)                                                           \
     X(ROUTES, routes)                                                         \
-    X(RUNS, runs)
+    X(RUNS, runs)                                                             \
+    X(FORWARD, forward)                                                       \
+    X(EXTEND, extend)
 
 /** Kinds of message, each equal to its procedure number less one. */
 typedef enum {
