One copy of the bytes of a start and of the renewals' pause; a bound on what a link owes

The sizes of a start on the wire stood twice, the pause of renewals and the end of an origin's lease on a companion's clock too.

--- a/base/event.h
+++ b/base/event.h
@@ -78,14 +78,14 @@
     X(RUN_CRASHED, 517, G_LOG_LEVEL_WARNING, "upstream crashed under a run")  \
     X(JOB_FORWARDED, 518, G_LOG_LEVEL_DEBUG, "job handed to another entry")   \
     X(FORWARD_TAKEN, 519, G_LOG_LEVEL_DEBUG, "job taken for another entry")   \
-    X(FORWARD_LAPSED, 526, G_LOG_LEVEL_WARNING,                               \
-      "jobs of a silent entry stopped")                                       \
     X(UPSTREAM_KNOWN, 520, G_LOG_LEVEL_MESSAGE, "upstream known")             \
     X(UPSTREAM_LOST, 521, G_LOG_LEVEL_WARNING, "upstream lost")               \
     X(UPSTREAM_DRAINING, 522, G_LOG_LEVEL_MESSAGE, "upstream drain changed")  \
     X(UPSTREAM_TRIAL, 523, G_LOG_LEVEL_WARNING, "upstream on trial")          \
     X(UPSTREAM_TRUSTED, 524, G_LOG_LEVEL_MESSAGE, "upstream trusted again")   \
     X(HEARTBEAT_LATE, 525, G_LOG_LEVEL_INFO, "late heartbeat passed over")    \
+    X(FORWARD_LAPSED, 526, G_LOG_LEVEL_WARNING,                               \
+      "jobs of a silent entry stopped")                                       \
     X(RPC_BAD, 600, G_LOG_LEVEL_WARNING, "RPC record refused")                \
     X(HTTP_BAD, 601, G_LOG_LEVEL_INFO, "HTTP request refused")                \
     X(CONNECTION_SILENT, 602, G_LOG_LEVEL_WARNING, "connection silent, closed")
--- a/lease/dispatcher_calls.c
+++ b/lease/dispatcher_calls.c
@@ -72,17 +72,14 @@
     DispatcherCall_Send(self, &about, &call);
 }
 
-/* What a call that starts tasks takes on the wire besides its rows and the
- * spec, as wire/levercove.x encodes it. */
-#define START_BYTES 100
-
 static void
 note_start(Dispatcher *self, int64_t now_ms, const Active_Job *job, guint rows)
 {
     ForwardChoice_NoteStarts(&self->sends, now_ms, rows);
     LinkBudget_Spend(&self->link,
-                     (int64_t)(START_BYTES + strlen(job->spec.spec) +
-                               rows * sizeof(lc_runs_row)));
+                     (int64_t)(FORWARD_CHOICE_START_BYTES +
+                               strlen(job->spec.spec) +
+                               (size_t)rows * FORWARD_CHOICE_ROW_BYTES));
 }
 
 /* Starts tasks that go to one host, two or more, in one call. */
--- a/lease/dispatcher_hosts.c
+++ b/lease/dispatcher_hosts.c
@@ -3,9 +3,7 @@
 #include "base/address.h"
 #include "lease/choice.h"
 
-/* An entry renews its leases so often, and suspects a companion that has
- * not answered for so long. */
-#define RENEW_MS 100
+/* A companion that has not answered a renewal for so long is suspected. */
 #define SUSPECT_MS 250
 /* Five hundred reports a second of all companions, within bounds. */
 #define REPORT_GAP_EACH_MS 2U
@@ -133,7 +131,7 @@
         return;
     }
     if (host->running > 0 && !host->suspect && host->renewing == 0 &&
-        now_ms - host->renew_ms >= RENEW_MS) {
+        now_ms - host->renew_ms >= DISPATCHER_RENEW_MS) {
         DispatcherCall_Renew(self, now_ms, host);
     }
     if (host->running > 0 && !host->suspect) {
--- a/lease/dispatcher_origin.c
+++ b/lease/dispatcher_origin.c
@@ -11,8 +11,6 @@
 /* An identity is this process's incarnation, which counts microseconds, and a
  * number above it. */
 #define OWNER_SHIFT 52
-/* Leases are renewed so often, as the own ones. */
-#define RENEW_MS 100
 /* Clocks are read to whole ms at one place more than for own leases. */
 #define ROUNDING_MS 4
 
@@ -93,17 +91,22 @@
     }
 }
 
+/* The end of an origin's lease on a companion's clock: as if the companion's
+ * last word had taken no time, so that it is earlier, never later. */
+static int64_t
+lease_end_at(const Dispatcher_Origin *row, const Fleet_Host *host)
+{
+    return host->stamp_ms + row->until_ms - host->received_ms - ROUNDING_MS;
+}
+
 int64_t
 DispatcherOrigin_Limit(const Active_Job *job, const Fleet_Host *host,
                        int64_t valid_until_ms)
 {
-    const Dispatcher_Origin *row = job->origin;
-
-    if (row == NULL) {
+    if (job->origin == NULL) {
         return valid_until_ms;
     }
-    return MIN(valid_until_ms, host->stamp_ms + row->until_ms -
-                                   host->received_ms - ROUNDING_MS);
+    return MIN(valid_until_ms, lease_end_at(job->origin, host));
 }
 
 static void
@@ -117,9 +120,7 @@
     call.u.renew.owner.address = self->config.node.address;
     call.u.renew.owner.incarnation = row->owner;
     call.u.renew.target = host->node.incarnation;
-    call.u.renew.valid_until_ms = MIN(hold_ms, host->stamp_ms + row->until_ms -
-                                                   host->received_ms -
-                                                   ROUNDING_MS);
+    call.u.renew.valid_until_ms = MIN(hold_ms, lease_end_at(row, host));
     DispatcherCall_Send(self, &about, &call);
 }
 
@@ -128,7 +129,7 @@
 {
     guint i;
 
-    if (now_ms - host->origins_renewed_ms < RENEW_MS) {
+    if (now_ms - host->origins_renewed_ms < DISPATCHER_RENEW_MS) {
         return;
     }
     host->origins_renewed_ms = now_ms;
--- a/lease/dispatcher_state.h
+++ b/lease/dispatcher_state.h
@@ -20,6 +20,9 @@
 #include "lease/queue_stats.h"
 #include "lease/reserve.h"
 
+/* Leases at companions are renewed so often. */
+#define DISPATCHER_RENEW_MS 100
+
 /* What a call on its way is about. */
 typedef struct {
     Msg_Kind kind;
@@ -91,6 +94,10 @@
 void DispatcherLog_Host(const Dispatcher *self, Event_Id id, int64_t now_ms,
                         const Fleet_Host *host, const char *detail);
 
+/** Notes that a request waits for the job. */
+void Dispatcher_AttachRequest(Dispatcher *self, Active_Job *job,
+                              uint64_t request);
+
 /* Calls: dispatcher_calls.c. */
 
 /** Sends a call about which a reply is awaited; returns its id. */
@@ -159,10 +166,6 @@
 /** The job is freed. */
 void DispatcherOrigin_Leave(Dispatcher *self, Active_Job *job);
 
-/** Notes that a request waits for the job. */
-void Dispatcher_AttachRequest(Dispatcher *self, Active_Job *job,
-                              uint64_t request);
-
 /* Ends: dispatcher_ends.c. */
 
 /** Frees a job and forgets its identity. */
--- a/lease/forward_choice.c
+++ b/lease/forward_choice.c
@@ -9,10 +9,7 @@
 #define PERIOD_MS 500
 /* At most so many sends of a start are reckoned with. */
 #define MOST_SENDS_PERCENT 400
-/* On the wire, as wire/levercove.x encodes them: a call that starts tasks and
- * each of its rows; a job handed on and each of its steps. */
-#define START_BYTES 100
-#define ROW_BYTES 36
+/* Likewise a job handed on without its spec, and each of its steps. */
 #define FORWARD_BYTES 150
 #define STEP_BYTES 48
 /* Handing on adds a hop to the job's time and load to another entry: it has
@@ -65,8 +62,9 @@
                         const Active_Job *job, const lc_resources *largest)
 {
     int64_t spec = (int64_t)strlen(job->spec.spec);
-    int64_t once = calls_of(job, largest) * (START_BYTES + spec) +
-                   (int64_t)ROW_BYTES * job->waiting;
+    int64_t once = calls_of(job, largest) *
+                       (FORWARD_CHOICE_START_BYTES + spec) +
+                   (int64_t)FORWARD_CHOICE_ROW_BYTES * job->waiting;
 
     return once * MAX(sends->sends_percent, PERCENT) / PERCENT;
 }
--- a/lease/forward_choice.h
+++ b/lease/forward_choice.h
@@ -16,6 +16,11 @@
 
 #include "lease/active.h"
 
+/** On the wire, as wire/levercove.x encodes them: a call that starts tasks
+ * without rows and spec, and each of its rows. */
+#define FORWARD_CHOICE_START_BYTES 100
+#define FORWARD_CHOICE_ROW_BYTES 36
+
 /** Starts and refusals of the last while. A plain value. */
 typedef struct {
     int64_t since_ms;
--- a/lease/link_budget.c
+++ b/lease/link_budget.c
@@ -11,6 +11,9 @@
  * task's objective has to spare, and more than the pause between two passes of
  * a loop that is busy. */
 #define BURST_MS 10
+/* More than this is never owed: bytes that others asked for do not keep starts
+ * from the link for longer. */
+#define MOST_OWED_MS 500
 /* A link stays short for so long after the last wait: jobs that arrive in
  * waves of a second are one burst. */
 #define SHORT_MS 1000
@@ -69,7 +72,9 @@
 {
     budget->used_bytes += bytes;
     if (budget->bytes_per_s > 0) {
-        budget->left_bytes -= bytes;
+        budget->left_bytes = MAX(budget->left_bytes - bytes,
+                                 -budget->bytes_per_s * MOST_OWED_MS /
+                                     MS_PER_S);
     }
 }
 
--- a/tests/entry_fixture.c
+++ b/tests/entry_fixture.c
@@ -218,6 +218,23 @@
     Dispatcher_Settle(fix->dispatcher, fix->now_ms);
 }
 
+/* Answers the renewals behind the first @p from calls. */
+static void
+answer_renewals(EntryFix *fix, int from)
+{
+    Msg_Reply reply = {.kind = MSG_RENEW};
+
+    for (; fix->renewed_tasks > 0 && from < fix->call_count; from++) {
+        const EntryFix_Call *call = &fix->calls[from];
+        if (call->kind == MSG_RENEW) {
+            fill_state(fix, (uint32_t)(call->to >> 16) - 1, fix->renewed_tasks,
+                       &reply.u.renew.host);
+            Dispatcher_OnReply(fix->dispatcher, fix->now_ms, call->call_id,
+                               &reply);
+        }
+    }
+}
+
 int
 EntryFix_Count(const EntryFix *fix, Msg_Kind kind)
 {
@@ -249,10 +266,12 @@
     int64_t until_ms = fix->now_ms + ms;
 
     while (fix->now_ms < until_ms) {
+        int calls = fix->call_count;
         fix->now_ms++;
         if (fix->now_ms % TICK_MS == 0) {
             Dispatcher_Tick(fix->dispatcher, fix->now_ms);
         }
+        answer_renewals(fix, calls);
         Dispatcher_Settle(fix->dispatcher, fix->now_ms);
     }
 }
--- a/tests/entry_fixture.h
+++ b/tests/entry_fixture.h
@@ -67,6 +67,8 @@
     int answer_count;
     EntryFix_Reply_Row replies[ENTRY_FIX_MOST];
     int reply_count;
+    uint32_t renewed_tasks; /**< room told in answers to renewals, which come
+                                 at once; 0: they are not answered */
 } EntryFix;
 
 /** A dispatcher at @p address with a link of so many Mbit/s; 0: not known,
