--- a/base/event.h
+++ b/base/event.h
@@ -86,6 +86,7 @@
     X(HEARTBEAT_LATE, 525, G_LOG_LEVEL_INFO, "late heartbeat passed over")    \
     X(FORWARD_LAPSED, 526, G_LOG_LEVEL_WARNING,                               \
       "jobs of a silent entry stopped")                                       \
+    X(LINK_SHORT, 318, G_LOG_LEVEL_MESSAGE, "link short or free again")       \
     X(RPC_BAD, 600, G_LOG_LEVEL_WARNING, "RPC record refused")                \
     X(HTTP_BAD, 601, G_LOG_LEVEL_INFO, "HTTP request refused")                \
     X(CONNECTION_SILENT, 602, G_LOG_LEVEL_WARNING, "connection silent, closed")
--- a/lease/dispatcher.c
+++ b/lease/dispatcher.c
@@ -406,6 +406,7 @@
     bool isolated = !self->paused && DispatcherHosts_Isolated(self, now_ms);
     uint32_t i;
 
+    DispatcherLink_Note(self, now_ms);
     DispatcherOrigin_Tick(self, now_ms);
     DispatcherForward_Tick(self, now_ms);
     for (i = 0; i < Handle_Size(self->jobs); i++) {
--- a/lease/dispatcher_link.c
+++ b/lease/dispatcher_link.c
@@ -8,6 +8,33 @@
 
 #define MS_PER_S 1000
 
+void
+DispatcherLink_Note(Dispatcher *self, int64_t now_ms)
+{
+    bool is_short = LinkBudget_IsShort(&self->link, now_ms);
+    uint32_t waiting = 0;
+    uint32_t i;
+
+    if (is_short == self->link_was_short) {
+        return;
+    }
+    self->link_was_short = is_short;
+    if (!Event_Admit(EVENT_LINK_SHORT)) {
+        return;
+    }
+    for (i = 0; i < Handle_Size(self->jobs); i++) {
+        const Active_Job *job = Handle_At(self->jobs, i);
+        waiting += job != NULL && !job->closing && job->waiting > 0;
+    }
+    self->ports->event(
+        self->context, EVENT_LINK_SHORT,
+        json_pack("{s:b, s:I, s:I, s:I, s:i, s:i}", "short", is_short,
+                  "bytes_per_second", (json_int_t)self->link.rate, "usable",
+                  (json_int_t)self->link.bytes_per_s, "waits",
+                  (json_int_t)self->link.waits, "jobs_waiting", (int)waiting,
+                  "sends_percent", (int)self->sends.sends_percent));
+}
+
 /* Whether the waiting starts of a job leave before those of one that arrives
  * now: the order of the queue, but for ranks. */
 static bool
--- a/lease/dispatcher_state.h
+++ b/lease/dispatcher_state.h
@@ -51,7 +51,8 @@
     Closures closures;
     Reserve reserve;
     LinkBudget link;
-    bool link_full; /* starts wait for the link */
+    bool link_full;      /* starts wait for the link */
+    bool link_was_short; /* as the log tells it */
     ForwardChoice_Sends sends;
     Delegates delegates;
     uint64_t last_number;       /* of jobs given to them */
@@ -234,6 +235,9 @@
     int64_t slack_ms;
 } Dispatcher_Arrival;
 
+/** Logs that the link is short now, or is not any more. */
+void DispatcherLink_Note(Dispatcher *self, int64_t now_ms);
+
 /** How long its starts would wait for the link, in ms; 0 while that is not
  * short. */
 int64_t DispatcherLink_WaitMs(const Dispatcher *self, int64_t now_ms,
