Leases of other entries' jobs are renewed where these run alone; a process test of jobs handed on

An entry that runs jobs of several others renewed for each of them at every companion with work: entries x companions x 10 calls a second, 3,780 with seven origins and 54 companions (worked out). Now at the companions that run tasks of that origin. The length of a spec is kept with its job, as it is asked for at each arrival while the link is short. An origin without jobs lapses in silence.

--- a/lease/active.c
+++ b/lease/active.c
@@ -39,6 +39,7 @@
 
     job->spec = *spec;
     memset(spec, 0, sizeof(*spec));
+    job->spec_bytes = strlen(job->spec.spec);
     job->queue = g_strdup(route->name);
     job->service = g_strdup(route->service);
     job->priority = route->priority;
--- a/lease/active.h
+++ b/lease/active.h
@@ -62,6 +62,7 @@
     int64_t arrived_ms;
     int64_t objective_ms; /**< answered by then it earns its whole worth */
     int64_t deadline_ms;
+    size_t spec_bytes;
     uint32_t task_count;
     Active_Task *tasks;
     uint32_t waiting;      /**< tasks in state WAITING */
--- a/lease/dispatcher_calls.c
+++ b/lease/dispatcher_calls.c
@@ -1,8 +1,6 @@
 #include "lease/dispatcher_state.h"
 #include "wire/runs.h"
 
-#include <string.h>
-
 uint64_t
 DispatcherCall_Send(Dispatcher *self, const Dispatcher_Call *about,
                     const Msg_Call *call)
@@ -77,8 +75,7 @@
 {
     ForwardChoice_NoteStarts(&self->sends, now_ms, rows);
     LinkBudget_Spend(&self->link,
-                     (int64_t)(FORWARD_CHOICE_START_BYTES +
-                               strlen(job->spec.spec) +
+                     (int64_t)(FORWARD_CHOICE_START_BYTES + job->spec_bytes +
                                (size_t)rows * FORWARD_CHOICE_ROW_BYTES));
 }
 
--- a/lease/dispatcher_hosts.c
+++ b/lease/dispatcher_hosts.c
@@ -134,9 +134,6 @@
         now_ms - host->renew_ms >= DISPATCHER_RENEW_MS) {
         DispatcherCall_Renew(self, now_ms, host);
     }
-    if (host->running > 0 && !host->suspect) {
-        DispatcherOrigin_Renew(self, now_ms, host);
-    }
 }
 
 uint32_t
--- a/lease/dispatcher_origin.c
+++ b/lease/dispatcher_origin.c
@@ -62,8 +62,10 @@
     uint32_t i;
 
     row->lapsed = true;
-    DispatcherLog_Origin(self, EVENT_FORWARD_LAPSED, row,
-                         "the entry that forwarded them is silent");
+    if (row->jobs > 0) {
+        DispatcherLog_Origin(self, EVENT_FORWARD_LAPSED, row,
+                             "the entry that forwarded them is silent");
+    }
     row->jobs++; /* keeps the row while its jobs go */
     for (i = 0; i < Handle_Size(self->jobs); i++) {
         Active_Job *job = Handle_At(self->jobs, i);
@@ -78,19 +80,6 @@
     }
 }
 
-void
-DispatcherOrigin_Tick(Dispatcher *self, int64_t now_ms)
-{
-    guint i = self->origins->len;
-
-    while (i > 0) {
-        Dispatcher_Origin *row = g_ptr_array_index(self->origins, --i);
-        if (!row->lapsed && now_ms >= row->until_ms) {
-            lapse(self, now_ms, row);
-        }
-    }
-}
-
 /* The end of an origin's lease on a companion's clock: as if the companion's
  * last word had taken no time, so that it is earlier, never later. */
 static int64_t
@@ -110,8 +99,8 @@
 }
 
 static void
-renew_for(Dispatcher *self, int64_t now_ms, Fleet_Host *host,
-          const Dispatcher_Origin *row)
+renew_at(Dispatcher *self, int64_t now_ms, const Dispatcher_Origin *row,
+         Fleet_Host *host)
 {
     Dispatcher_Call about = {.kind = MSG_RENEW, .host = host->node};
     Msg_Call call = {.kind = MSG_RENEW};
@@ -124,19 +113,63 @@
     DispatcherCall_Send(self, &about, &call);
 }
 
-void
-DispatcherOrigin_Renew(Dispatcher *self, int64_t now_ms, Fleet_Host *host)
+/* Companions that run tasks of an entry's jobs; free the set. */
+static GHashTable *
+hosts_of(const Dispatcher *self, const Dispatcher_Origin *row)
 {
-    guint i;
+    GHashTable *hosts = g_hash_table_new(NULL, NULL);
+    uint32_t i;
+    uint32_t j;
 
-    if (now_ms - host->origins_renewed_ms < DISPATCHER_RENEW_MS) {
-        return;
+    for (i = 0; i < Handle_Size(self->jobs); i++) {
+        const Active_Job *job = Handle_At(self->jobs, i);
+        if (job == NULL || job->origin != row || job->closing) {
+            continue;
+        }
+        for (j = 0; j < job->task_count; j++) {
+            Fleet_Host *host = DispatcherEnd_HostOf(self, &job->tasks[j]);
+            if (host != NULL && DispatcherEnd_IsOut(&job->tasks[j])) {
+                g_hash_table_add(hosts, host);
+            }
+        }
     }
-    host->origins_renewed_ms = now_ms;
-    for (i = 0; i < self->origins->len; i++) {
-        const Dispatcher_Origin *row = g_ptr_array_index(self->origins, i);
-        if (!row->lapsed && row->jobs > 0) {
-            renew_for(self, now_ms, host, row);
+    return hosts;
+}
+
+static void
+renew(Dispatcher *self, int64_t now_ms, Dispatcher_Origin *row)
+{
+    GHashTable *hosts = hosts_of(self, row);
+    GHashTableIter iter;
+    gpointer item;
+
+    row->renewed_ms = now_ms;
+    g_hash_table_iter_init(&iter, hosts);
+    while (g_hash_table_iter_next(&iter, &item, NULL)) {
+        Fleet_Host *host = item;
+        if (!host->suspect) {
+            renew_at(self, now_ms, row, host);
+        }
+    }
+    g_hash_table_unref(hosts);
+}
+
+void
+DispatcherOrigin_Tick(Dispatcher *self, int64_t now_ms)
+{
+    guint i = self->origins->len;
+
+    while (i > 0) {
+        Dispatcher_Origin *row = g_ptr_array_index(self->origins, --i);
+        if (row->lapsed) {
+            continue;
+        }
+        if (now_ms >= row->until_ms) {
+            lapse(self, now_ms, row);
+        }
+        else if (row->jobs > 0 &&
+                 now_ms - row->renewed_ms >= DISPATCHER_RENEW_MS) {
+            renew(self, now_ms, row);
         }
     }
 }
--- a/lease/dispatcher_state.h
+++ b/lease/dispatcher_state.h
@@ -35,10 +35,11 @@
 /* Another entry whose jobs this one runs. */
 typedef struct Dispatcher_Origin {
     lc_node node;
-    int64_t until_ms; /* of the lease that it grants */
-    uint64_t owner;   /* incarnation under which companions run its jobs */
-    uint32_t jobs;    /* those that are not freed */
-    bool lapsed;      /* its lease ended; its jobs are being stopped */
+    int64_t until_ms;   /* of the lease that it grants */
+    uint64_t owner;     /* incarnation under which companions run its jobs */
+    uint32_t jobs;      /* those that are not freed */
+    int64_t renewed_ms; /* when leases at companions were renewed last */
+    bool lapsed;        /* its lease ended; its jobs are being stopped */
 } Dispatcher_Origin;
 
 struct Dispatcher {
@@ -148,7 +149,8 @@
 
 /* Jobs of other entries: dispatcher_origin.c. */
 
-/** Stops the jobs of entries whose leases have ended. */
+/** Stops the jobs of entries whose leases have ended, and renews the leases
+ * of the others at companions. */
 void DispatcherOrigin_Tick(Dispatcher *self, int64_t now_ms);
 
 /** Until when a start or renewal for the job at a host may be valid: no longer
@@ -156,10 +158,6 @@
 int64_t DispatcherOrigin_Limit(const Active_Job *job, const Fleet_Host *host,
                                int64_t valid_until_ms);
 
-/** Renews the leases of other entries' jobs at a host. */
-void DispatcherOrigin_Renew(Dispatcher *self, int64_t now_ms,
-                            Fleet_Host *host);
-
 /** Answers a request of another entry; false if it is a caller's. */
 bool DispatcherOrigin_Answer(Dispatcher *self, uint64_t request,
                              const Dispatcher_Answer *answer);
--- a/lease/fleet.h
+++ b/lease/fleet.h
@@ -31,20 +31,19 @@
     uint32_t held;      /**< ends of kept jobs that are not released there */
     uint32_t held_long; /**< of them those that wait for long */
 
-    int64_t held_asked_ms;      /**< when this entry asked for them */
-    int64_t stamp_ms;           /**< its clock at its last word */
-    int64_t received_ms;        /**< when that arrived */
-    int64_t reported_ms;        /**< when its last report arrived */
-    uint32_t next_ms;           /**< after which the next was promised */
-    int64_t valid_until_ms;     /**< on its clock: the furthest hold sent */
-    int64_t held_ms;            /**< when that was sent; 0 for never */
-    uint32_t running;           /**< runs of this entry that are not over */
-    uint64_t renewing;          /**< RENEW on its way, or 0 */
-    int64_t renew_ms;           /**< when the last RENEW was sent */
-    int64_t origins_renewed_ms; /**< likewise for the jobs of other entries */
-    bool suspect;               /**< a RENEW had no answer in time */
-    bool closed;                /**< operators have closed its hall */
-    int64_t avoid_until_ms;     /**< after refusals that are no want of room */
+    int64_t held_asked_ms;  /**< when this entry asked for them */
+    int64_t stamp_ms;       /**< its clock at its last word */
+    int64_t received_ms;    /**< when that arrived */
+    int64_t reported_ms;    /**< when its last report arrived */
+    uint32_t next_ms;       /**< after which the next was promised */
+    int64_t valid_until_ms; /**< on its clock: the furthest hold sent */
+    int64_t held_ms;        /**< when that was sent; 0 for never */
+    uint32_t running;       /**< runs of this entry that are not over */
+    uint64_t renewing;      /**< RENEW on its way, or 0 */
+    int64_t renew_ms;       /**< when the last RENEW was sent */
+    bool suspect;           /**< a RENEW had no answer in time */
+    bool closed;            /**< operators have closed its hall */
+    int64_t avoid_until_ms; /**< after refusals that are no want of room */
 } Fleet_Host;
 
 /** All companions known. */
--- a/lease/forward_choice.c
+++ b/lease/forward_choice.c
@@ -1,7 +1,5 @@
 #include "lease/forward_choice.h"
 
-#include <string.h>
-
 #include "lease/resources.h"
 
 #define PERCENT 100
@@ -61,7 +59,7 @@
 ForwardChoice_KeptBytes(const ForwardChoice_Sends *sends,
                         const Active_Job *job, const lc_resources *largest)
 {
-    int64_t spec = (int64_t)strlen(job->spec.spec);
+    int64_t spec = (int64_t)job->spec_bytes;
     int64_t once = calls_of(job, largest) *
                        (FORWARD_CHOICE_START_BYTES + spec) +
                    (int64_t)FORWARD_CHOICE_ROW_BYTES * job->waiting;
@@ -72,7 +70,7 @@
 int64_t
 ForwardChoice_ForwardBytes(const Active_Job *job)
 {
-    return FORWARD_BYTES + (int64_t)strlen(job->spec.spec) +
+    return FORWARD_BYTES + (int64_t)job->spec_bytes +
            (int64_t)STEP_BYTES * job->spec.step_count;
 }
 
--- a/tests/soak/cluster.cc
+++ b/tests/soak/cluster.cc
@@ -195,6 +195,20 @@
            std::to_string(CLOSE_MS) + ",\"grace_ms\":3000},";
 }
 
+/* The first entry may have a narrow link, by its settings alone. */
+std::string
+Cluster::limits(int entry) const
+{
+    char text[64];
+
+    if (entry != 0 || shape.link_mbps == 0) {
+        return "";
+    }
+    snprintf(text, sizeof(text), ",\"limits\":{\"link_mbps\":%g}",
+             shape.link_mbps);
+    return text;
+}
+
 void
 Cluster::set_up()
 {
@@ -227,7 +241,7 @@
             common("entry", host) + "\"callers\":\"" +
                 place(host, PORT_FRONT) + "\",\"ready\":\"" +
                 place(host, PORT_READY) + "\",\"store\":\"" +
-                place(host, PORT_STORE) + "\"}"));
+                place(host, PORT_STORE) + "\"" + limits(i) + "}"));
     }
 }
 
@@ -458,7 +472,8 @@
 Cluster::submit(uint64_t id, bool leaves)
 {
     Job *job = checker.find(id);
-    int entry = (int)pick((uint32_t)shape.entries);
+    int entry = only_entry >= 0 ? only_entry
+                                : (int)pick((uint32_t)shape.entries);
     char path[64];
     std::string body = std::string("{\"spec\":\"soak\",") +
                        (job->kept ? "" : "\"best_effort\":true,") +
--- a/tests/soak/cluster.h
+++ b/tests/soak/cluster.h
@@ -32,6 +32,8 @@
     bool verbose = false;
     uint64_t seed = 1;
     bool seeds_gone = false; /**< nobody is at the seeds' addresses */
+    double link_mbps = 0;    /**< of the first entry, as its settings tell; 0:
+                                  they do not */
 };
 
 /** One cluster; lives as long as the process. */
@@ -115,12 +117,14 @@
 
     uint64_t jobs = 0;
     bool over = false;      /**< callers send nothing again */
+    int only_entry = -1;    /**< all callers come to this one; -1: to any */
     int64_t slowest_ms = 0; /**< of all attempts that were answered */
 
   private:
     std::string place(int host, int port) const;
     Address address(int host, int port) const;
     std::string common(const char *role, int host) const;
+    std::string limits(int entry) const;
     void set_up();
     void watch_upstreams();
     void check_hall(int companion);
--- a/tests/soak/scenario.cc
+++ b/tests/soak/scenario.cc
@@ -45,7 +45,12 @@
 const int64_t SILENT_APPLY_MS = 2000; /* the least config_apply_ms */
 const uint64_t KEPT_JOBS = 12;
 const int64_t KEPT_END_MS = 14000; /* a takeover may take nine seconds */
-const int64_t ANSWERS_MS = 3500;   /* until the last caller has its answer */
+const int64_t FORWARD_LOAD_MS = 5000;
+const int64_t FORWARD_EACH_MS = 25;
+const int64_t FORWARD_FREEZE_MS = 1800; /* longer than a lease and a hold */
+/* Some 20 jobs a second and what keeps them and their leases: half of all. */
+const double FORWARD_LINK_MBPS = 0.45;
+const int64_t ANSWERS_MS = 3500; /* until the last caller has its answer */
 
 soak::Cluster *cluster;
 uint64_t watched;
@@ -359,6 +364,45 @@
     });
 }
 
+/* All callers come to one entry, whose link carries a part of their jobs. */
+void
+one_sided_load(int64_t length_ms)
+{
+    cluster->only_entry = 0;
+    for (int64_t at = 0; at < length_ms; at += FORWARD_EACH_MS) {
+        cluster->after(at,
+                       [] { watched = cluster->hand_in(8, 500, 60, false); });
+    }
+}
+
+void
+play_handed_on()
+{
+    one_sided_load(FORWARD_LOAD_MS);
+}
+
+/* The entries that take them die while they run them. */
+void
+play_taker_dies()
+{
+    one_sided_load(FORWARD_LOAD_MS);
+    cluster->after(FORWARD_LOAD_MS / 2, [] {
+        cluster->entries[1]->kill(1500);
+        cluster->entries[2]->kill(1500);
+    });
+}
+
+/* The entry that hands them on stands still beyond all leases. */
+void
+play_origin_frozen()
+{
+    one_sided_load(FORWARD_LOAD_MS);
+    cluster->after(FORWARD_LOAD_MS / 2,
+                   [] { cluster->entries[0]->signal(SIGSTOP); });
+    cluster->after(FORWARD_LOAD_MS / 2 + FORWARD_FREEZE_MS,
+                   [] { cluster->entries[0]->signal(SIGCONT); });
+}
+
 /* Nothing fails, under load: for commands of operators. */
 void
 play_steady()
@@ -401,6 +445,7 @@
     int64_t length_ms;
     int entries;
     int companions = 2;
+    double link_mbps = 0;
 } scenarios[] = {
     {"calm", play_calm, END_MS, 1},
     {"refusal", play_refusal, END_MS, 1},
@@ -425,6 +470,12 @@
     {"steady", play_steady, STEADY_LOAD_MS + ANSWERS_MS, 3},
     {"closed_hall", play_closed_hall, HALL_LOAD_MS + ANSWERS_MS, 3},
     {"seeds_gone", play_seeds_gone, SEEDLESS_LOAD_MS + ANSWERS_MS, 3},
+    {"handed_on", play_handed_on, FORWARD_LOAD_MS + ANSWERS_MS, 3, 6,
+     FORWARD_LINK_MBPS},
+    {"taker_dies", play_taker_dies, FORWARD_LOAD_MS + ANSWERS_MS, 3, 6,
+     FORWARD_LINK_MBPS},
+    {"origin_frozen", play_origin_frozen, FORWARD_LOAD_MS + ANSWERS_MS, 3, 6,
+     FORWARD_LINK_MBPS},
     {"kept_owner_dies", play_kept_owner_dies, KEPT_END_MS, 2},
     {"kept_power_loss", play_kept_power_loss, KEPT_END_MS, 2},
     {"kept_store_away", play_kept_store_away, KEPT_END_MS, 2},
@@ -446,6 +497,7 @@
         if (strcmp(one.name, argv[1]) == 0) {
             shape.entries = one.entries;
             shape.companions = one.companions;
+            shape.link_mbps = one.link_mbps;
         }
     }
     shape.seeds_gone = strcmp(argv[1], "seeds_gone") == 0;
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -27,6 +27,7 @@
 gint entry_count = 3;
 gint companion_count = 6;
 gint per_second = 40;
+gdouble link_mbps = 0;
 gint base_port = 21000;
 gchar *program;
 gchar *folder;
@@ -47,6 +48,8 @@
     {"seconds", 0, 0, G_OPTION_ARG_INT, &seconds, "With faults", "N"},
     {"entries", 0, 0, G_OPTION_ARG_INT, &entry_count, "Processes", "N"},
     {"companions", 0, 0, G_OPTION_ARG_INT, &companion_count, "Processes", "N"},
+    {"link", 0, 0, G_OPTION_ARG_DOUBLE, &link_mbps,
+     "Of the first entry, in Mbit/s: it hands jobs on", "N"},
     {"rate", 0, 0, G_OPTION_ARG_INT, &per_second, "Jobs a second", "N"},
     {"port", 0, 0, G_OPTION_ARG_INT, &base_port, "First port", "N"},
     {"program", 0, 0, G_OPTION_ARG_FILENAME, &program, "levercoved", "FILE"},
@@ -386,6 +389,7 @@
     shape.folder = folder;
     shape.verbose = verbose;
     shape.seed = (uint64_t)seed;
+    shape.link_mbps = link_mbps;
     cluster = new soak::Cluster(shape);
     cluster->start();
     int64_t healed = START_MS + (int64_t)seconds * 1000 + 3000;
