--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Runs the soak: SEEDS="1 2 3" (fresh ones by default), SECONDS_EACH with faults,
-# WORKERS side by side. Keeps the logs of a seed that failed and prints where.
+# LINK of the first entry in Mbit/s, which then hands jobs on, WORKERS side by side. Keeps the logs of a seed that failed and prints where.
 # Usage: BUILD=build scripts/soak.sh
 set -u
 cd "$(dirname "$0")/.."
@@ -19,7 +19,7 @@
     local folder="$KEEP/seed-$1"
     mkdir -p "$folder"
     if timeout $((SECONDS_EACH + 60)) "$BUILD/tests/soak" --seed "$1" --seconds "$SECONDS_EACH" \
-        --program "$BUILD/daemon/levercoved" --folder "$folder" \
+        ${LINK:+--link "$LINK"} --program "$BUILD/daemon/levercoved" --folder "$folder" \
         --port $((20000 + $$ % 100 * 100 + $2 * 20)) --verbose >"$folder/out" 2>&1; then
         grep '^seed' "$folder/out"
         rm -rf "$folder"
--- a/tests/fleet_load.c
+++ b/tests/fleet_load.c
@@ -316,6 +316,11 @@
                report->first.in_time, report->first.late,
                report->first.refused, report->first.given_up,
                report->first.sent, (int)report->queued_most_ms);
+        printf(", bytes a job");
+        for (kind = 0; kind < FLEET_WORLD_KINDS; kind++) {
+            printf(" %.0f", (double)report->first_bytes[kind] /
+                                (double)MAX(report->first_jobs[kind], 1));
+        }
     }
     printf(" | %.0f B a start",
            (double)report->bytes / (double)MAX(report->starts, 1));
--- a/tests/fleet_world.c
+++ b/tests/fleet_world.c
@@ -731,6 +731,18 @@
        sizeof(message));
 }
 
+static void
+count_bytes(const entry_node *entry, uint64_t job, uint64_t bytes)
+{
+    world *w = entry->world;
+    int kind = g_array_index(w->jobs, job_row, job - 1).kind;
+
+    w->report.bytes += bytes;
+    if (entry->index == 0) {
+        w->report.first_bytes[kind] += bytes;
+    }
+}
+
 static void
 port_call(void *context, Address to, uint64_t call_id, const Msg_Call *call)
 {
@@ -739,7 +751,7 @@
 
     if (call->kind == MSG_RUN) {
         bytes = HEAD_BYTES + SPEC_BYTES + ROW_BYTES;
-        entry->world->report.bytes += bytes;
+        count_bytes(entry, call->u.run.id.job, bytes);
     }
     send_call(entry, to, call_id, call, queue_on_link(entry, bytes));
 }
@@ -754,7 +766,7 @@
     int64_t queued_ms = queue_on_link(entry, bytes);
     u_int i;
 
-    entry->world->report.bytes += bytes;
+    count_bytes(entry, runs->job, bytes);
     for (i = 0; i < runs->rows.rows_len; i++) {
         Msg_Call run;
         Runs_Get(runs, i, &run);
@@ -955,6 +967,7 @@
         job.crashing = chance(w) < w->load->crashing;
     }
     g_array_append_val(w->jobs, job);
+    w->report.first_jobs[kind] += index == 0;
     if (!job.crashing) {
         w->report.kinds[kind].sent++;
         w->rush_count[kind] += job.in_rush;
--- a/tests/fleet_world.h
+++ b/tests/fleet_world.h
@@ -79,6 +79,8 @@
     uint64_t bytes;         /**< of them on the wire */
     FleetWorld_Jobs first;  /**< of all kinds, at the first entry */
     int64_t queued_most_ms; /**< that bytes waited for its link */
+    uint64_t first_bytes[FLEET_WORLD_KINDS]; /**< of its starts */
+    uint32_t first_jobs[FLEET_WORLD_KINDS];  /**< that came to it */
     uint64_t refused_starts;
     uint64_t refused_free; /**< jobs refused while a tenth of all is free */
     uint32_t crashes;      /**< upstreams that crashed under a task */
