No waking for the link while no host has room; asked-again starts count; one formula of a job's objective

Found by reading: the mark of starts that wait for the link stayed when a pass ended early for want of room, and the loop was woken each millisecond. Starts that are asked for again were not taken off the link's budget. The objective's formula stood twice.

--- a/daemon/leased_entry.c
+++ b/daemon/leased_entry.c
@@ -22,8 +22,6 @@
 #define LAST_ANSWERS_MS 200
 #define OK_STATUS 200
 
-static Counters *role_counters(Process *process);
-
 static void
 on_resume(uv_timer_t *timer)
 {
@@ -56,9 +54,9 @@
 note_sent(Leased_Entry *self)
 {
     const Rpc_Traffic *traffic = Rpc_GetTraffic(self->process.rpc);
-    uint64_t all =
-        role_counters(&self->process)->value[COUNTER_RPC_BYTES_OUT] +
-        Http_BytesOut(self->callers);
+    const Counters *counters = Dispatcher_Counters(self->dispatcher);
+    uint64_t all = counters->value[COUNTER_RPC_BYTES_OUT] +
+                   Http_BytesOut(self->callers);
     uint64_t starts = traffic->call_bytes_out[MSG_RUN] +
                       traffic->call_bytes_out[MSG_RUNS];
     uint64_t others = all > starts ? all - starts : 0;
--- a/lease/active.c
+++ b/lease/active.c
@@ -2,7 +2,6 @@
 
 #include <string.h>
 
-#define PERCENT 100
 /* Late answers are worth something up to so many times the objective. */
 #define LATE_FACTOR 3
 
@@ -35,7 +34,6 @@
            int64_t deadline_ms)
 {
     Active_Job *job = g_new0(Active_Job, 1);
-    uint32_t chain_ms = LeasedJob_ChainMs(spec);
 
     job->spec = *spec;
     memset(spec, 0, sizeof(*spec));
@@ -46,8 +44,7 @@
     job->max_attempts = MAX(route->max_attempts, 1);
     job->requests = g_array_new(FALSE, FALSE, sizeof(uint64_t));
     job->arrived_ms = now_ms;
-    job->objective_ms = now_ms + route->target_ms +
-                        (int64_t)chain_ms * route->stretch_percent / PERCENT;
+    job->objective_ms = now_ms + Route_ObjectiveMs(route, &job->spec);
     job->deadline_ms = deadline_ms;
     job->task_count = LeasedJob_Tasks(&job->spec) *
                       LeasedJob_Times(&job->spec);
--- a/lease/dispatcher.c
+++ b/lease/dispatcher.c
@@ -120,13 +120,10 @@
 too_long_for_link(const Dispatcher *self, int64_t now_ms,
                   const Dispatcher_Submit *submit)
 {
-    uint32_t chain_ms = LeasedJob_ChainMs(&submit->job);
-    const Route *route = submit->route;
     Dispatcher_Arrival arrival = {
-        .priority = route->priority,
-        .slack_ms = route->target_ms +
-                    (int64_t)chain_ms * route->stretch_percent / PERCENT -
-                    chain_ms};
+        .priority = submit->route->priority,
+        .slack_ms = Route_ObjectiveMs(submit->route, &submit->job) -
+                    LeasedJob_ChainMs(&submit->job)};
     int64_t wait_ms = DispatcherLink_WaitMs(self, now_ms, &arrival);
 
     return wait_ms > arrival.slack_ms ? wait_ms : 0;
--- a/lease/dispatcher_calls.c
+++ b/lease/dispatcher_calls.c
@@ -59,6 +59,14 @@
     return run;
 }
 
+static void
+spend_start(Dispatcher *self, const Active_Job *job, guint rows)
+{
+    LinkBudget_Spend(&self->link,
+                     (int64_t)(FORWARD_CHOICE_START_BYTES + job->spec_bytes +
+                               (size_t)rows * FORWARD_CHOICE_ROW_BYTES));
+}
+
 void
 DispatcherCall_Run(Dispatcher *self, const Active_Job *job,
                    const Active_Task *task, int64_t valid_until_ms)
@@ -67,18 +75,10 @@
     Msg_Call call = {.kind = MSG_RUN};
 
     call.u.run = run_args(self, job, task, valid_until_ms);
+    spend_start(self, job, 1);
     DispatcherCall_Send(self, &about, &call);
 }
 
-static void
-note_start(Dispatcher *self, int64_t now_ms, const Active_Job *job, guint rows)
-{
-    ForwardChoice_NoteStarts(&self->sends, now_ms, rows);
-    LinkBudget_Spend(&self->link,
-                     (int64_t)(FORWARD_CHOICE_START_BYTES + job->spec_bytes +
-                               (size_t)rows * FORWARD_CHOICE_ROW_BYTES));
-}
-
 /* Starts tasks that go to one host, two or more, in one call. */
 static void
 send_joined(Dispatcher *self, const Active_Job *job, Active_Task *const *tasks,
@@ -104,6 +104,7 @@
                                  g_memdup2(&about, sizeof(about)));
     }
     Counter_Add(&self->counters, COUNTER_TASKS_JOINED, count);
+    spend_start(self, job, count);
     self->ports->runs(self->context, tasks[0]->host.address, call_ids, &runs);
     g_free(runs.rows.rows_val);
     g_free(call_ids);
@@ -153,7 +154,7 @@
         Fleet_Host *host = Fleet_Find(&self->fleet, group[0]->host.address);
         int64_t valid_until_ms = DispatcherOrigin_Limit(
             job, host, Fleet_Hold(host, &self->config.term, now_ms));
-        note_start(self, now_ms, job, count);
+        ForwardChoice_NoteStarts(&self->sends, now_ms, count);
         if (count > 1) {
             send_joined(self, job, group, count, valid_until_ms);
         }
--- a/lease/dispatcher_queue.c
+++ b/lease/dispatcher_queue.c
@@ -218,7 +218,6 @@
 static bool
 link_allows(Dispatcher *self, int64_t now_ms)
 {
-    self->link_full = false;
     if (LinkBudget_Allows(&self->link, now_ms)) {
         return true;
     }
@@ -237,6 +236,7 @@
     GArray *queue;
     guint i;
 
+    self->link_full = false;
     if (self->paused || Resources_IsNone(&largest) ||
         !link_allows(self, now_ms)) {
         return;
--- a/lease/route.c
+++ b/lease/route.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#define PERCENT 100
+
 static void
 free_route(gpointer item)
 {
@@ -108,6 +110,13 @@
     g_array_sort(table->lengths, compare_longest_first);
 }
 
+int64_t
+Route_ObjectiveMs(const Route *route, const LeasedJob *job)
+{
+    return route->target_ms +
+           (int64_t)LeasedJob_ChainMs(job) * route->stretch_percent / PERCENT;
+}
+
 const Route *
 Route_Named(const Route_Table *table, const char *name)
 {
--- a/lease/route.h
+++ b/lease/route.h
@@ -51,6 +51,10 @@
  * with the part that is not. */
 Err_Kind Route_Check(const Route *route, const LeasedJob *job, Status *status);
 
+/** Time from handing a job in within which its answer has its whole worth, in
+ * ms. */
+int64_t Route_ObjectiveMs(const Route *route, const LeasedJob *job);
+
 /** Queue of that name, or NULL. */
 const Route *Route_Named(const Route_Table *table, const char *name);
 
