--- a/tests/forward_rules.c
+++ b/tests/forward_rules.c
@@ -163,14 +163,39 @@
     open_short(&fix, HEADROOM);
     starts = fix.start_count;
     EntryFix_Submit(&fix, 100, 8, 0);
+    EntryFix_Report(&fix, 0, 0);
+    EntryFix_Report(&fix, 1, 0);
     reply_forward(&fix, false, DISPATCHER_SUCCEEDED, ERR_OK);
+    EntryFix_Pass(&fix, 300);
     answer_extend(&fix, HEADROOM);
+    EntryFix_Report(&fix, 0, 4);
+    EntryFix_Report(&fix, 1, 4);
     EntryFix_Pass(&fix, 20);
     g_assert_cmpint(EntryFix_Count(&fix, MSG_FORWARD), ==, 1);
     g_assert_cmpint(fix.start_count, ==, starts + 8);
     EntryFix_Close(&fix);
 }
 
+/* What is known of the other entry is fresh, as it still runs a job. */
+static void
+test_not_short_any_more(void)
+{
+    EntryFix fix;
+    int i;
+
+    open_short(&fix, HEADROOM);
+    EntryFix_Submit(&fix, 100, 8, 0);
+    for (i = 0; i < 11; i++) {
+        EntryFix_Pass(&fix, 100);
+        answer_extend(&fix, HEADROOM);
+    }
+    EntryFix_Report(&fix, 0, 4);
+    EntryFix_Report(&fix, 1, 4);
+    EntryFix_Submit(&fix, 101, 8, 0);
+    g_assert_cmpint(EntryFix_Count(&fix, MSG_FORWARD), ==, 1);
+    EntryFix_Close(&fix);
+}
+
 static void
 test_not_run_there(void)
 {
@@ -448,6 +473,8 @@
          test_no_headroom_there},
         {"/forward/nothing goes by an old word", test_old_word},
         {"/forward/what was not taken is started here", test_not_taken},
+        {"/forward/nothing goes when the link is not short any more",
+         test_not_short_any_more},
         {"/forward/not run there is not run", test_not_run_there},
         {"/forward/lost there may have run", test_lost},
         {"/forward/a caller that left is told of", test_caller_gone},
--- a/tests/link_rules.c
+++ b/tests/link_rules.c
@@ -13,6 +13,8 @@
 /* 11,250 usable bytes in 10 ms: the burst. */
 #define LINK_MBPS 10.0
 #define BURST_BYTES INT64_C(11250)
+/* Hosts that take two tasks beside one that takes many. */
+#define SMALL_HOSTS 40
 
 static void
 test_budget(void)
@@ -239,22 +241,23 @@
     int sent;
 
     EntryFix_Open(&fix, ENTRY, LINK_MBPS);
-    for (host = 0; host < 10; host++) {
+    for (host = 0; host < SMALL_HOSTS; host++) {
         EntryFix_Report(&fix, host, 2);
     }
-    EntryFix_Report(&fix, 10, 32);
+    EntryFix_Report(&fix, SMALL_HOSTS, 32);
     fill_link(&fix);
     EntryFix_Pass(&fix, 30);
-    for (host = 0; host < 10; host++) {
+    for (host = 0; host < SMALL_HOSTS; host++) {
         EntryFix_Report(&fix, host, 2);
     }
-    EntryFix_Report(&fix, 10, 32);
+    EntryFix_Report(&fix, SMALL_HOSTS, 32);
     sent = fix.start_count;
     EntryFix_Submit(&fix, 50, 4, 0);
     g_assert_cmpint(fix.start_count, ==, sent + 4);
     for (i = sent; i < fix.start_count; i++) {
         g_assert_cmpuint(fix.starts[i].joined, ==, 4);
-        g_assert_cmpuint(fix.starts[i].to, ==, EntryFix_Host(10).address);
+        g_assert_cmpuint(fix.starts[i].to, ==,
+                         EntryFix_Host(SMALL_HOSTS).address);
     }
     EntryFix_Close(&fix);
 }
--- a/tests/rpc_rules.c
+++ b/tests/rpc_rules.c
@@ -55,7 +55,9 @@
     pair *both = context;
 
     if (both->refuse) {
-        Rpc_Refuse(both->callee, reply_id);
+        if (both->calls++ == 0) {
+            Rpc_Refuse(both->callee, reply_id);
+        }
         return;
     }
     g_assert_cmpint(call->kind, ==, MSG_RUN);
