--- a/tests/prop_lease.cc
+++ b/tests/prop_lease.cc
@@ -125,15 +125,12 @@
     }
 }
 
-/* A schedule of faults drawn from some kinds alone. */
+/* A schedule of faults drawn from some kinds alone, on top of @p plan. */
 void
-check_among(const std::vector<lease::Fault> &faults, int most,
-            bool halls_serve)
+check_among(lease::Plan plan, const std::vector<lease::Fault> &faults,
+            int most)
 {
-    lease::Plan plan;
-
     plan.seed = *rc::gen::inRange<uint64_t>(1, 1ULL << 40);
-    plan.halls_serve = halls_serve;
     plan.actions = *rc::gen::resize(
         most, rc::gen::container<std::vector<lease::Action>>(
                   gen_action(plan.length_ms)));
@@ -153,22 +150,25 @@
 void
 check_halls(int most)
 {
-    check_among(
-        {
-            lease::Fault::CloseHall,
-            lease::Fault::CloseHall,
-            lease::Fault::CloseHall,
-            lease::Fault::CutEntries,
-            lease::Fault::StoreDown,
-            lease::Fault::StoreCut,
-            lease::Fault::StoreCompact,
-            lease::Fault::KillEntry,
-            lease::Fault::KillCompanion,
-            lease::Fault::CutPair,
-            lease::Fault::FreezeCompanion,
-            lease::Fault::FreezeEntry,
-        },
-        most, true);
+    lease::Plan plan;
+
+    plan.halls_serve = true;
+    check_among(plan,
+                {
+                    lease::Fault::CloseHall,
+                    lease::Fault::CloseHall,
+                    lease::Fault::CloseHall,
+                    lease::Fault::CutEntries,
+                    lease::Fault::StoreDown,
+                    lease::Fault::StoreCut,
+                    lease::Fault::StoreCompact,
+                    lease::Fault::KillEntry,
+                    lease::Fault::KillCompanion,
+                    lease::Fault::CutPair,
+                    lease::Fault::FreezeCompanion,
+                    lease::Fault::FreezeEntry,
+                },
+                most);
 }
 
 /* Upstreams that start again under their names, machines that are suspended,
@@ -177,22 +177,22 @@
 void
 check_lives(int most)
 {
-    check_among(
-        {
-            lease::Fault::RebornUpstream,
-            lease::Fault::RebornUpstream,
-            lease::Fault::RebornUpstream,
-            lease::Fault::Suspend,
-            lease::Fault::Suspend,
-            lease::Fault::Shrink,
-            lease::Fault::Crasher,
-            lease::Fault::LateOrders,
-            lease::Fault::KillCompanion,
-            lease::Fault::CrashUpstream,
-            lease::Fault::CutLossy,
-            lease::Fault::FreezeEntry,
-        },
-        most, false);
+    check_among(lease::Plan(),
+                {
+                    lease::Fault::RebornUpstream,
+                    lease::Fault::RebornUpstream,
+                    lease::Fault::RebornUpstream,
+                    lease::Fault::Suspend,
+                    lease::Fault::Suspend,
+                    lease::Fault::Shrink,
+                    lease::Fault::Crasher,
+                    lease::Fault::LateOrders,
+                    lease::Fault::KillCompanion,
+                    lease::Fault::CrashUpstream,
+                    lease::Fault::CutLossy,
+                    lease::Fault::FreezeEntry,
+                },
+                most);
 }
 
 /* An entry hands jobs to others while it, they, the links between them and
@@ -200,30 +200,27 @@
 void
 check_forwards(int most)
 {
-    static const std::vector<lease::Fault> faults = {
-        lease::Fault::Burst,           lease::Fault::Burst,
-        lease::Fault::CutEntries,      lease::Fault::CutEntries,
-        lease::Fault::CutEntries,      lease::Fault::HangUps,
-        lease::Fault::HangUps,         lease::Fault::KillEntry,
-        lease::Fault::FreezeEntry,     lease::Fault::KillCompanion,
-        lease::Fault::FreezeCompanion, lease::Fault::CutPair,
-        lease::Fault::CutLossy,        lease::Fault::CrashUpstream,
-    };
     lease::Plan plan;
 
-    plan.seed = *rc::gen::inRange<uint64_t>(1, 1ULL << 40);
     make_narrow(&plan);
-    plan.actions = *rc::gen::resize(
-        most, rc::gen::container<std::vector<lease::Action>>(
-                  gen_action(plan.length_ms)));
-    for (lease::Action &action : plan.actions) {
-        action.fault = faults[(size_t)action.fault % faults.size()];
-    }
-    lease::Report report = lease::play(plan);
-    add(report);
-    if (!report.violations.empty()) {
-        RC_FAIL(report.text() + describe(plan));
-    }
+    check_among(plan,
+                {
+                    lease::Fault::Burst,
+                    lease::Fault::Burst,
+                    lease::Fault::CutEntries,
+                    lease::Fault::CutEntries,
+                    lease::Fault::CutEntries,
+                    lease::Fault::HangUps,
+                    lease::Fault::HangUps,
+                    lease::Fault::KillEntry,
+                    lease::Fault::FreezeEntry,
+                    lease::Fault::KillCompanion,
+                    lease::Fault::FreezeCompanion,
+                    lease::Fault::CutPair,
+                    lease::Fault::CutLossy,
+                    lease::Fault::CrashUpstream,
+                },
+                most);
 }
 
 /* On a day without other faults the second crash is the last. */
