The room of all hosts is looked for only while the link is short

Found by reading: each job that arrived walked all hosts for an estimate that is needed only while starts wait for the link. The same values; no behaviour changes.

--- a/lease/dispatcher_forward.c
+++ b/lease/dispatcher_forward.c
@@ -5,8 +5,6 @@
 #include "lease/dispatcher_state.h"
 #include "lease/job_wire.h"
 
-#include <string.h>
-
 /* Time that a job handed on needs beside its work: two ways between entries.
  */
 #define HOP_MS 20
--- a/lease/dispatcher_link.c
+++ b/lease/dispatcher_link.c
@@ -65,7 +65,7 @@
 DispatcherLink_WaitMs(const Dispatcher *self, int64_t now_ms,
                       const Dispatcher_Arrival *arrival)
 {
-    lc_resources largest = DispatcherQueue_LargestRoom(self, now_ms);
+    lc_resources largest;
     int64_t bytes = 0;
     uint32_t i;
 
@@ -73,6 +73,7 @@
         !LinkBudget_IsShort(&self->link, now_ms)) {
         return 0;
     }
+    largest = DispatcherQueue_LargestRoom(self, now_ms);
     for (i = 0; i < Handle_Size(self->jobs); i++) {
         const Active_Job *job = Handle_At(self->jobs, i);
         if (job != NULL && !job->closing && job->waiting > 0 &&
