Do not restart a kept job's run when asking a companion's successor for it

Symptom: a task of a kept job was started twice under the same run number, and the end of the second start was recorded (soak: "an end taken note of after another start: 53.1 run 1025").

Cause: after a companion restarts, entries ask its successor how a run of a kept job ended by sending a RUN call with the same run number. The successor starts an unknown run if the hold in the call is still valid. The call carried the hold last sent to that host. This was 0, and the run was refused, unless another start or a renewal had reached the successor first; in that case the run was admitted and started again.

Fix: an entry that asks for a run which a companion may know from before sends LC_HOLD_NONE. A companion that has not yet found its upstream empty answers such a call with "not ready" and does not record the run as refused, since its end may still be listed. The entry asks again for at most 6 s (DISPATCHER_OUTCOME_TIMEOUT_MS, the existing limit for silent companions). A refused run counts as lost, and the task gets the next run number.

Tests: 3 rules in kept_rules, 1 in runner_rules, and process/kept_ends_lost.

--- a/lease/active.h
+++ b/lease/active.h
@@ -40,14 +40,17 @@
     lc_run_id id; /**< with the number of its last run */
     Active_State state;
     bool done;
-    uint32_t failures; /**< ends that count as attempts */
-    uint32_t crashes;  /**< upstreams that crashed under it */
-    Address crashed;   /**< where the last of them is */
-    lc_node host;      /**< of the last run */
-    Address avoid;     /**< where it went wrong last */
-    int64_t again_ms;  /**< nothing is sent for it before */
-    uint32_t refused;  /**< starts in a row that were refused */
-    uint32_t asks;     /**< in vain, for the run on its way */
+    uint32_t failures;      /**< ends that count as attempts */
+    uint32_t crashes;       /**< upstreams that crashed under it */
+    Address crashed;        /**< where the last of them is */
+    lc_node host;           /**< of the last run */
+    Address avoid;          /**< where it went wrong last */
+    int64_t again_ms;       /**< nothing is sent for it before */
+    uint32_t refused;       /**< starts in a row that were refused */
+    uint32_t asks;          /**< in vain, for the run on its way */
+    int64_t asked_since_ms; /**< when the outcome of the run was first asked
+                               for; the run may have ended and must not be
+                               started again. 0 if it may be started */
 } Active_Task;
 
 /** One job. */
--- a/lease/dispatcher.c
+++ b/lease/dispatcher.c
@@ -297,6 +297,20 @@
     self->unsettled = true;
 }
 
+/* Returns valid_until_ms for a repeated RUN call. LC_HOLD_NONE keeps the
+ * companion from starting a run unknown to it, which may have ended. */
+static int64_t
+ask_valid_until_ms(const Dispatcher *self, const Active_Job *job,
+                   const Active_Task *task)
+{
+    const Fleet_Host *host = DispatcherEnd_HostOf(self, task);
+
+    if (host == NULL || task->asked_since_ms != 0) {
+        return LC_HOLD_NONE;
+    }
+    return DispatcherOrigin_Limit(job, host, host->valid_until_ms);
+}
+
 /* Asks again for runs whose fate is open, holding them no longer. */
 static void
 ask_again(Dispatcher *self, int64_t now_ms, Active_Job *job)
@@ -305,7 +319,6 @@
 
     for (i = 0; i < job->task_count; i++) {
         Active_Task *task = &job->tasks[i];
-        const Fleet_Host *host;
         if (task->again_ms > now_ms) {
             continue;
         }
@@ -315,13 +328,9 @@
             DispatcherCall_Halt(self, job, task);
         }
         else if (task->state == ACTIVE_ORPHANED) {
-            host = DispatcherEnd_HostOf(self, task);
             Active_Move(job, task, ACTIVE_SENT);
-            DispatcherCall_Run(
-                self, job, task,
-                host == NULL
-                    ? 0
-                    : DispatcherOrigin_Limit(job, host, host->valid_until_ms));
+            DispatcherCall_Run(self, job, task,
+                               ask_valid_until_ms(self, job, task));
         }
     }
 }
--- a/lease/dispatcher_ends.c
+++ b/lease/dispatcher_ends.c
@@ -47,6 +47,9 @@
     DispatcherEnd_LeaveHost(self, task);
     task->host = host;
     task->asks = 0;
+    if (task->asked_since_ms == 0) {
+        task->asked_since_ms = now_ms;
+    }
     task->again_ms = now_ms;
     Active_Move(job, task, ACTIVE_ORPHANED);
     row = DispatcherEnd_HostOf(self, task);
--- a/lease/dispatcher_hosts.c
+++ b/lease/dispatcher_hosts.c
@@ -23,10 +23,6 @@
     return self->fleet.hosts->len > 0;
 }
 
-/* A kept task may have ended well where nobody can be asked: it is tried
- * elsewhere only after that companion was silent for so long. */
-#define KEPT_PATIENCE_MS 6000
-
 /* The run is over, but how it ended may be known to the companion or to its
  * successor: the task is left to be asked for. */
 static bool
@@ -40,7 +36,7 @@
         DispatcherEnd_AskFor(self, now_ms, job, task, host->node);
         return true;
     }
-    if (now_ms - host->received_ms >= KEPT_PATIENCE_MS) {
+    if (now_ms - host->received_ms >= DISPATCHER_OUTCOME_TIMEOUT_MS) {
         return false;
     }
     host->running++;
--- a/lease/dispatcher_queue.c
+++ b/lease/dispatcher_queue.c
@@ -84,6 +84,7 @@
     task->id.run++;
     task->host = host->node;
     task->asks = 0;
+    task->asked_since_ms = 0;
     Active_Move(job, task, ACTIVE_SENT);
     job->starts++;
     host->running++;
--- a/lease/dispatcher_replies.c
+++ b/lease/dispatcher_replies.c
@@ -41,6 +41,16 @@
            state->node.incarnation != about->host.incarnation;
 }
 
+/* Maps the refusal of a run that was only asked for to LC_RUN_LOST: the
+ * companion does not know it. */
+static lc_run_status
+effective_status(lc_run_status status, const Active_Task *task)
+{
+    bool refused = status == LC_RUN_EXPIRED || status == LC_RUN_NOT_READY;
+
+    return refused && task->asked_since_ms != 0 ? LC_RUN_LOST : status;
+}
+
 /* Each time twice as long, up to a limit. */
 static int64_t
 ask_pause_ms(const Active_Task *task)
@@ -138,6 +148,12 @@
         }
         return;
     }
+    if (task->asked_since_ms != 0 && result->status == LC_RUN_NOT_READY &&
+        now_ms - task->asked_since_ms < DISPATCHER_OUTCOME_TIMEOUT_MS) {
+        Active_Move(job, task, ACTIVE_ORPHANED);
+        task->again_ms = now_ms + ask_pause_ms(task);
+        return;
+    }
     if (settles_nothing(result->status, &result->host, about)) {
         task->again_ms = now_ms + ask_pause_ms(task);
         return;
@@ -147,7 +163,7 @@
         DispatcherEnd_AskFor(self, now_ms, job, task, result->host.node);
         return;
     }
-    run_ended(self, now_ms, job, task, result->status);
+    run_ended(self, now_ms, job, task, effective_status(result->status, task));
 }
 
 static void
--- a/lease/dispatcher_state.h
+++ b/lease/dispatcher_state.h
@@ -22,6 +22,10 @@
 
 /* Leases at companions are renewed so often. */
 #define DISPATCHER_RENEW_MS 100
+/** How long a kept task waits for the outcome of its run, which may have
+ * succeeded, while the companion is silent or not ready. After that the task
+ * is retried elsewhere. */
+#define DISPATCHER_OUTCOME_TIMEOUT_MS 6000
 
 /* What a call on its way is about. */
 typedef struct {
--- a/lease/runner.c
+++ b/lease/runner.c
@@ -128,6 +128,9 @@
     if (args->target != 0 && args->target != runner->config.node.incarnation) {
         return runner->up.inventoried ? LC_RUN_OTHER_NODE : LC_RUN_NOT_READY;
     }
+    if (args->valid_until_ms == LC_HOLD_NONE && !runner->up.inventoried) {
+        return LC_RUN_NOT_READY; /* the inventory may still list its end */
+    }
     if (now_ms > args->valid_until_ms ||
         RunnerKept_IsFenced(runner, &args->owner)) {
         return LC_RUN_EXPIRED;
@@ -200,7 +203,9 @@
             runner->version++; /* the report tells its owner of the halls */
         }
         RunnerTask_ReplyRun(runner, now_ms, reply_id, status, 0);
-        if (args->target == runner->config.node.incarnation) {
+        if (args->target == runner->config.node.incarnation &&
+            !(args->valid_until_ms == LC_HOLD_NONE &&
+              status == LC_RUN_NOT_READY)) {
             add_tombstone(runner, now_ms, &args->owner, &args->id, status);
         }
         return;
--- a/tests/kept_rules.c
+++ b/tests/kept_rules.c
@@ -33,6 +33,7 @@
     uint64_t id;
     Msg_Kind kind;
     lc_run_id run;
+    int64_t valid_until_ms; /* of a RUN */
 } sent_call;
 
 typedef struct {
@@ -53,6 +54,7 @@
     bool lasts;
     uint32_t times;
     lc_upstream_state state;
+    uint64_t incarnation_offset; /* added to the companion's incarnation */
     u_int held_long; /* ends that the companion says it holds for long */
 } fixture;
 
@@ -112,6 +114,7 @@
     (void)to;
     if (call->kind == MSG_RUN) {
         sent.run = call->u.run.id;
+        sent.valid_until_ms = call->u.run.valid_until_ms;
     }
     g_array_append_val(fix->calls, sent);
 }
@@ -199,6 +202,7 @@
 
     memset(&report, 0, sizeof(report));
     report.host.node = companion_node;
+    report.host.node.incarnation += fix->incarnation_offset;
     report.host.stamp_ms = fix->now_ms;
     report.host.state = fix->state;
     report.host.held_long = fix->held_long;
@@ -379,6 +383,7 @@
 
     reply.u.run.status = status;
     reply.u.run.host.node = companion_node;
+    reply.u.run.host.node.incarnation += fix->incarnation_offset;
     reply.u.run.host.stamp_ms = fix->now_ms;
     reply.u.run.host.state = fix->state;
     reply.u.run.host.room.cpu_milli = 4000;
@@ -634,6 +639,79 @@
     free_fixture(&fix);
 }
 
+/* Restarts the companion and starts another job on its successor, which gives
+ * the successor a valid hold. The first run must still be asked for with
+ * LC_HOLD_NONE, or it would be started twice under the same number. */
+static void
+ask_successor(fixture *fix)
+{
+    start_own(fix);
+    fix->incarnation_offset = 1;
+    report_host(fix);
+    submit(fix, 8);
+    read_put(fix, fix->puts->len);
+    read_log(fix);
+    g_assert_cmpint(last_call(fix, MSG_RUN)->valid_until_ms, >, fix->now_ms);
+    pass(fix, 50);
+    g_assert_cmpuint(last_call(fix, MSG_RUN)->run.job, ==, 7);
+    g_assert_cmpuint(last_call(fix, MSG_RUN)->run.run, ==, 1025);
+    g_assert_cmpint(last_call(fix, MSG_RUN)->valid_until_ms, ==, LC_HOLD_NONE);
+}
+
+static void
+test_run_unknown_to_successor(void)
+{
+    fixture fix;
+
+    ask_successor(&fix);
+    end_run(&fix, LC_RUN_EXPIRED);
+    g_assert_cmpuint(last_call(&fix, MSG_RUN)->run.job, ==, 7);
+    g_assert_cmpuint(last_call(&fix, MSG_RUN)->run.run, ==, 1026);
+    g_assert_cmpint(last_call(&fix, MSG_RUN)->valid_until_ms, >, fix.now_ms);
+    free_fixture(&fix);
+}
+
+static void
+test_successor_not_ready(void)
+{
+    fixture fix;
+    int runs;
+
+    ask_successor(&fix);
+    runs = count_calls(&fix, MSG_RUN);
+    end_run(&fix, LC_RUN_NOT_READY);
+    g_assert_cmpint(count_calls(&fix, MSG_RUN), ==, runs);
+    pass(&fix, 100);
+    g_assert_cmpint(count_calls(&fix, MSG_RUN), ==, runs + 1);
+    g_assert_cmpuint(last_call(&fix, MSG_RUN)->run.run, ==, 1025);
+    g_assert_cmpint(last_call(&fix, MSG_RUN)->valid_until_ms, ==,
+                    LC_HOLD_NONE);
+    end_run(&fix, LC_RUN_DONE);
+    Keeper_OnWritten(fix.keeper, fix.now_ms, fix.puts->len);
+    g_assert_cmpint(count_calls(&fix, MSG_RELEASE), ==, 1);
+    free_fixture(&fix);
+}
+
+/* A successor whose upstream does not come back must not block the task. */
+static void
+test_successor_never_ready(void)
+{
+    fixture fix;
+    int64_t deadline_ms;
+
+    ask_successor(&fix);
+    deadline_ms = fix.now_ms + 5900;
+    while (fix.now_ms < deadline_ms) {
+        end_run(&fix, LC_RUN_NOT_READY);
+        pass(&fix, 450);
+        g_assert_cmpuint(last_call(&fix, MSG_RUN)->run.run, ==, 1025);
+    }
+    end_run(&fix, LC_RUN_NOT_READY);
+    pass(&fix, 50);
+    g_assert_cmpuint(last_call(&fix, MSG_RUN)->run.run, ==, 1026);
+    free_fixture(&fix);
+}
+
 /* Failures at an upstream on trial count as others do. */
 static void
 test_attempts_on_trial(void)
@@ -1075,6 +1153,12 @@
     {"/keeper/counts attempts", test_attempts_are_written},
     {"/keeper/writes crashes down", test_crashes_are_written},
     {"/keeper/a successor counts crashes on", test_successor_counts_on},
+    {"/keeper/retries a run unknown to the companion's successor",
+     test_run_unknown_to_successor},
+    {"/keeper/asks the companion's successor again until it is ready",
+     test_successor_not_ready},
+    {"/keeper/retries a task when the companion's successor is never ready",
+     test_successor_never_ready},
     {"/keeper/counts attempts on trial", test_attempts_on_trial},
     {"/keeper/starts what lasts again", test_lasting},
     {"/keeper/starts each time when it is due", test_times},
--- a/tests/runner_fixture.c
+++ b/tests/runner_fixture.c
@@ -163,6 +163,12 @@
     Runner_OnCall(fix->runner, fix->now_ms, 1, &call);
 }
 
+void
+RunnerFix_AskRun(runner_fixture *fix, uint64_t job, uint32_t run)
+{
+    RunnerFix_CallRun(fix, job, run, 1000, LC_HOLD_NONE - fix->now_ms);
+}
+
 void
 RunnerFix_BeginTask(runner_fixture *fix)
 {
--- a/tests/runner_fixture.h
+++ b/tests/runner_fixture.h
@@ -80,6 +80,9 @@
 void RunnerFix_CallRun(runner_fixture *fix, uint64_t job, uint32_t run,
                        uint32_t cpu, int64_t valid_ms);
 
+/** Calls RUN with LC_HOLD_NONE, which asks for a run without starting it. */
+void RunnerFix_AskRun(runner_fixture *fix, uint64_t job, uint32_t run);
+
 /** The upstream runs a task of job 1; nothing has been told of it. */
 void RunnerFix_BeginTask(runner_fixture *fix);
 
--- a/tests/runner_rules.c
+++ b/tests/runner_rules.c
@@ -153,6 +153,30 @@
     Runner_Free(fix.runner);
 }
 
+/* The companion's previous incarnation may have started the run: it must not
+ * be started twice under the same number. */
+static void
+test_asked_run_is_not_started(void)
+{
+    lc_run_id run = RunnerFix_Run(1, RUN_ID_KEPT_BASE + 1);
+    Runner_EndRow ended = {5, run, RUNNER_END_DONE};
+    runner_fixture fix;
+
+    RunnerFix_New(&fix);
+    RunnerFix_Beat(&fix, RUNNER_UPSTREAM_READY);
+    RunnerFix_AskRun(&fix, 1, run.run);
+    RunnerFix_AskRun(&fix, 2, run.run);
+    g_assert_cmpint(fix.replies, ==, 2);
+    g_assert_cmpint(fix.status, ==, LC_RUN_NOT_READY);
+    RunnerFix_AnswerLook(&fix, NULL, 0, &ended, 1);
+    RunnerFix_AskRun(&fix, 1, run.run);
+    g_assert_cmpint(fix.status, ==, LC_RUN_DONE);
+    RunnerFix_AskRun(&fix, 2, run.run);
+    g_assert_cmpint(fix.status, ==, LC_RUN_EXPIRED);
+    g_assert_cmpint(fix.starts, ==, 0);
+    Runner_Free(fix.runner);
+}
+
 static void
 test_draining(void)
 {
@@ -311,6 +335,8 @@
     {"/runner/starts a run once", test_same_run_twice},
     {"/runner/a refused run stays refused", test_refused_run_stays_refused},
     {"/runner/looks for strangers first", test_inventory_first},
+    {"/runner/does not start a run called with LC_HOLD_NONE",
+     test_asked_run_is_not_started},
     {"/runner/starts nothing on an upstream that leaves", test_draining},
     {"/runner/takes note of ends", test_ends_are_noted},
     {"/runner/holds ends of kept jobs until they are released",
--- a/tests/soak/scenario.cc
+++ b/tests/soak/scenario.cc
@@ -50,6 +50,8 @@
 const int64_t FORWARD_FREEZE_MS = 1800; /* longer than a lease and a hold */
 /* Some 20 jobs a second and what keeps them and their leases: half of all. */
 const double FORWARD_LINK_MBPS = 0.45;
+const int64_t ENDS_LOST_EACH_MS = 100;
+const int64_t ENDS_LOST_LOAD_MS = 5000;
 const int64_t ANSWERS_MS = 3500; /* until the last caller has its answer */
 
 soak::Cluster *cluster;
@@ -185,6 +187,40 @@
     });
 }
 
+/* Submits kept jobs at a fixed interval. */
+void
+kept_load(int64_t duration_ms, int64_t interval_ms)
+{
+    for (int64_t at = 0; at < duration_ms; at += interval_ms) {
+        cluster->after(at,
+                       [] { watched = cluster->hand_in_kept(2, 100, 150); });
+    }
+}
+
+/* Kills all companions while tasks of kept jobs run. The tasks succeed, then
+ * the upstreams crash and restart under the same names before any companion is
+ * back. */
+void
+play_kept_ends_lost()
+{
+    kept_load(ENDS_LOST_LOAD_MS, ENDS_LOST_EACH_MS);
+    cluster->after(500, [] {
+        for (auto &companion : cluster->companions) {
+            companion->kill(2200);
+        }
+    });
+    cluster->after(1300, [] {
+        for (auto &upstream : cluster->upstreams) {
+            upstream->crash();
+        }
+    });
+    cluster->after(1700, [] {
+        for (auto &upstream : cluster->upstreams) {
+            upstream->come_up();
+        }
+    });
+}
+
 /* The store does not answer one of the entries. */
 void
 play_kept_store_away()
@@ -479,6 +515,7 @@
     {"kept_owner_dies", play_kept_owner_dies, KEPT_END_MS, 2},
     {"kept_power_loss", play_kept_power_loss, KEPT_END_MS, 2},
     {"kept_store_away", play_kept_store_away, KEPT_END_MS, 2},
+    {"kept_ends_lost", play_kept_ends_lost, KEPT_END_MS, 2},
 };
 
 } // namespace
--- a/wire/levercove.h
+++ b/wire/levercove.h
@@ -24,6 +24,7 @@
 #define LC_MAX_PATH 400
 #define LC_MAX_ANSWER 4194304
 #define LC_MAX_CHUNK 32768
+#define LC_HOLD_NONE 0
 
 struct lc_key {
 	char bytes[16];
--- a/wire/levercove.x
+++ b/wire/levercove.x
@@ -11,6 +11,7 @@
 const LC_MAX_PATH = 400;
 const LC_MAX_ANSWER = 4194304;
 const LC_MAX_CHUNK = 32768;
+const LC_HOLD_NONE = 0;
 
 struct lc_key {
     opaque bytes[16];
@@ -301,7 +302,8 @@
 struct lc_run_args {
     lc_node owner;
     unsigned hyper target;  /* incarnation of the companion, 0 for any */
-    hyper valid_until_ms;   /* on the companion's monotonic clock */
+    hyper valid_until_ms;   /* on the companion's monotonic clock, or
+                               LC_HOLD_NONE: do not start the run */
     hyper closures_as_of;   /* by which the owner takes the hall as open */
     lc_run_id id;
     lc_resources need;
