Do not acknowledge a kept run's end while a copy of its start may be executed

Cause: an unanswered start is sent again, and the first copy may be executed seconds later. The same incarnation of the upstream refuses the copy by its deadline and run number. An upstream that has crashed and restarted under the same name knows neither the run nor the token. It refuses the copy only after receiving a call with the raised token, and the companion learns of the new incarnation up to one heartbeat after it began, so it cannot send such a call earlier. The copy therefore has to be harmless: the end must not be acknowledged (last_seen) while a copy may arrive.

Fix: a companion counts the answers to the copies of a start. If a copy of a kept run's start is unanswered, the end is held back from last_seen until times.late_ms (13 s) after the last copy was sent. If the run was observed and no copy was answered as taken, one unanswered copy fewer counts. Copies of earlier runs of the same task at that upstream hold the end as well. A companion that finds ends when it starts does not know the copies sent by its predecessor, so it holds these ends for late_ms after its own start. The entry is still told the end at once and records it, so callers wait no longer.

last_seen does not pass a held end, so all later ends stay listed. At 300 listed ends, the oldest are released early so that the list (500) hides none. While ends are held, a look that reported nothing new is followed by the next one after 20 ms. New gauge: levercove_ends_held_for_starts.

Soak checker: it identified an end by task and run number. When the next incarnation executes a late copy, the run ends there again and this second end is acknowledged. The checker took it for the first end, which was lost in the crash and never acknowledged. The checker now also distinguishes ends by upstream and incarnation. Two cases in soak_checker cover this; one shows that a late copy after an acknowledged end is still reported.

Stand-in upstream: its clock became negative after three restarts under one name, and companions reject such a clock. In that case the clock now moves forward instead of back.

--- a/daemon/leased_companion.c
+++ b/daemon/leased_companion.c
@@ -573,7 +573,8 @@
     Runner_Config config = {.node = Process_NewNode(options),
                             .hall = options->hall,
                             .first_token = Process_Now().wall_ms,
-                            .beat_ms = options->beat_ms};
+                            .beat_ms = options->beat_ms,
+                            .late_ms = options->late_ms};
 
     if (!Term_Plan(&bounds, &config.term)) {
         return NULL;
--- a/daemon/options.c
+++ b/daemon/options.c
@@ -74,6 +74,7 @@
     INTEGER("times.", hold_max_ms, 100, 60000),
     INTEGER("times.", stop_ms, 0, 10000),
     INTEGER("times.", beat_ms, 10, 60000),
+    INTEGER("times.", late_ms, 0, 600000),
     INTEGER("times.", close_ms, 500, 600000),
     INTEGER("times.", grace_ms, 500, 600000),
     GROUP("limits"),
@@ -99,6 +100,7 @@
     options->hold_max_ms = 1000;
     options->stop_ms = 50;
     options->beat_ms = 1500;
+    options->late_ms = 13000;
     options->grace_ms = 6000;
     options->close_ms = 5000;
     options->slots = 8;
--- a/daemon/options.h
+++ b/daemon/options.h
@@ -48,6 +48,8 @@
     int64_t resubmit_ms; /**< least time before a caller sends again */
     int64_t keep_ms;     /**< outcomes of kept jobs are known for so long */
     int64_t hold_max_ms;
+    int64_t late_ms; /**< longest time from sending an unanswered order to its
+                          execution */
     int64_t stop_ms;
     int64_t beat_ms;
     int64_t close_ms; /**< no task starts in a hall so long after operators
--- a/lease/runner.c
+++ b/lease/runner.c
@@ -35,6 +35,7 @@
     runner->up.labels = g_new0(char *, 1);
     runner->look_again_ms = now_ms;
     runner->idle_ms = now_ms;
+    runner->created_ms = now_ms;
     return runner;
 }
 
@@ -319,6 +320,9 @@
             stop_lapsed(runner, now_ms, row);
             RunnerOrder_Retry(runner, now_ms, row);
         }
+        else if (row->held_for_start) {
+            RunnerKept_CheckStartHold(runner, now_ms, row);
+        }
         else if (RunnerKept_IsForgotten(row, now_ms)) {
             RunnerKept_LetGo(runner, row);
             RunnerTask_Forget(runner, row);
@@ -462,11 +466,12 @@
         "levercove_upstream_state %d\n"
         "levercove_upstream_answer_timeout_milliseconds %" PRId64 "\n"
         "levercove_upstream_unanswered_permille %u\n"
-        "levercove_upstream_heard_age_seconds %" PRId64 "\n",
+        "levercove_upstream_heard_age_seconds %" PRId64 "\n"
+        "levercove_ends_held_for_starts %u\n",
         runner->live, state.room.cpu_milli, state.room.memory_mb,
         state.pace_percent, (int)state.state,
         AnswerTime_TimeoutMs(&runner->answers), runner->answers.lost_permille,
-        (now_ms - runner->up.heard_ms) / 1000);
+        (now_ms - runner->up.heard_ms) / 1000, runner->held_for_starts);
 }
 
 Counters *
--- a/lease/runner.h
+++ b/lease/runner.h
@@ -132,6 +132,8 @@
     Term term;
     int64_t first_token; /**< higher than any used before, as far as known */
     int64_t beat_ms;     /**< an upstream says something so often */
+    int64_t late_ms;     /**< longest time from sending an unanswered start to
+                              its execution */
 } Runner_Config;
 
 /** Opaque runner. */
--- a/lease/runner_kept.c
+++ b/lease/runner_kept.c
@@ -27,6 +27,85 @@
     return end == RUNNER_END_DONE || end == RUNNER_END_FAILED;
 }
 
+/* Returns the time from which no unanswered copy of a run's start can be
+ * executed any more, or 0 if no copy is outstanding. If the run was observed
+ * but no copy was answered as taken, one unanswered copy is known to have
+ * started it. */
+static int64_t
+start_expiry(const Runner *runner, const Runner_Task *row)
+{
+    bool observed = row->end_number > 0 || row->progress_ms > 0;
+    uint32_t resolved = row->answered_copies + (observed && !row->start_taken);
+
+    return resolved >= row->start_copies
+               ? 0
+               : row->start_sent_ms + runner->config.late_ms;
+}
+
+static bool
+is_same_task(const lc_run_id *a, const lc_run_id *b)
+{
+    return a->job == b->job && a->occurrence == b->occurrence &&
+           a->step == b->step && a->index == b->index;
+}
+
+/* Returns the latest expiry of the starts of other runs of the same task,
+ * which can also be executed late. */
+static int64_t
+earlier_start_expiry(const Runner *runner, const Runner_Task *row)
+{
+    int64_t expiry_ms = 0;
+    GHashTableIter iter;
+    gpointer item;
+
+    g_hash_table_iter_init(&iter, runner->tasks);
+    while (g_hash_table_iter_next(&iter, NULL, &item)) {
+        const Runner_Task *other = item;
+        if (other != row && is_same_task(&other->id, &row->id)) {
+            expiry_ms = MAX(expiry_ms, start_expiry(runner, other));
+        }
+    }
+    return expiry_ms;
+}
+
+/* Prevents a second execution of an acknowledged run: an upstream that
+ * restarts under the same name does not know the run and would execute a late
+ * copy of its start. The end is not acknowledged while such a copy can arrive.
+ */
+static void
+hold_for_start(Runner *runner, int64_t now_ms, Runner_Task *row)
+{
+    row->earlier_expiry_ms = earlier_start_expiry(runner, row);
+    if (now_ms < MAX(row->earlier_expiry_ms, start_expiry(runner, row))) {
+        row->held_for_start = true;
+        runner->held_for_starts++;
+    }
+}
+
+static void
+clear_start_hold(Runner *runner, Runner_Task *row)
+{
+    if (row->held_for_start) {
+        row->held_for_start = false;
+        runner->held_for_starts--;
+    }
+}
+
+/* An upstream lists a limited number of ends per answer, so the oldest holds
+ * are cleared early to keep newer ends listed. */
+void
+RunnerKept_CheckStartHold(Runner *runner, int64_t now_ms, Runner_Task *row)
+{
+    int64_t expiry_ms = MAX(row->earlier_expiry_ms, start_expiry(runner, row));
+
+    if (now_ms >= expiry_ms ||
+        runner->up.last_seen - row->end_number >= RUNNER_MOST_HELD) {
+        clear_start_hold(runner, row);
+    }
+}
+
+/* A previous process of this companion may have sent several copies of the
+ * start, so one copy is assumed to be unanswered. */
 static Runner_Task *
 add_stranger(Runner *runner, int64_t now_ms, const Runner_EndRow *ended)
 {
@@ -36,6 +115,8 @@
     row->state = TASK_ENDED;
     row->status = ended->end == RUNNER_END_DONE ? LC_RUN_DONE : LC_RUN_FAILED;
     row->ended_ms = now_ms;
+    row->start_copies = 2;
+    row->start_sent_ms = runner->created_ms;
     return row;
 }
 
@@ -55,6 +136,7 @@
     row->end_number = ended->number;
     row->unreleased = true;
     runner->unreleased++;
+    hold_for_start(runner, now_ms, row);
 }
 
 void
@@ -75,6 +157,7 @@
     for (item = rows; item != NULL; item = item->next) {
         Runner_Task *row = item->data;
         RunnerKept_LetGo(runner, row);
+        clear_start_hold(runner, row);
         row->end_number = 0; /* it may be listed anew */
     }
     g_list_free(rows);
@@ -87,13 +170,13 @@
     GHashTableIter iter;
     gpointer item;
 
-    if (runner->unreleased == 0) {
+    if (runner->unreleased == 0 && runner->held_for_starts == 0) {
         return last;
     }
     g_hash_table_iter_init(&iter, runner->tasks);
     while (g_hash_table_iter_next(&iter, NULL, &item)) {
         const Runner_Task *row = item;
-        if (row->unreleased) {
+        if (row->unreleased || row->held_for_start) {
             last = MIN(last, row->end_number - 1);
         }
     }
@@ -109,8 +192,9 @@
 bool
 RunnerKept_IsForgotten(const Runner_Task *row, int64_t now_ms)
 {
-    return now_ms - row->ended_ms >
-           (row->unreleased ? FORGET_HELD_MS : FORGET_MS);
+    return !row->held_for_start &&
+           now_ms - row->ended_ms >
+               (row->unreleased ? FORGET_HELD_MS : FORGET_MS);
 }
 
 void
--- a/lease/runner_look.c
+++ b/lease/runner_look.c
@@ -10,6 +10,9 @@
  * told by the next look only. Chosen: twice the least timeout; docs/ROUNDS.md
  * has the ablation. */
 #define LOOK_WAIT_LOSSY_MS 20
+/* Delay between looks while ends are held for their starts. Looks are answered
+ * immediately then, as each answer lists the held ends again. */
+#define HELD_AGAIN_MS 20
 /* After a look to an upstream that does not answer, or to another
  * incarnation. */
 #define LOOK_AGAIN_MS 50
@@ -333,6 +336,7 @@
 take_listing(Runner *runner, int64_t now_ms, const Runner_OpenLook *look,
              const Runner_Listing *listing)
 {
+    uint64_t last_seen_before = runner->up.last_seen;
     uint32_t i;
 
     runner->up.doubtful = false;
@@ -352,6 +356,10 @@
     if (!runner->up.inventoried) {
         take_inventory(runner, listing->running_count == 0);
     }
+    if (runner->held_for_starts > 0 &&
+        runner->up.last_seen == last_seen_before) {
+        runner->look_again_ms = now_ms + HELD_AGAIN_MS;
+    }
 }
 
 static void
--- a/lease/runner_orders.c
+++ b/lease/runner_orders.c
@@ -70,6 +70,7 @@
                           .token = runner->token};
     Handle id = add_order(runner, now_ms, row, ++row->start_copies);
 
+    row->start_sent_ms = now_ms;
     runner->ports->start(runner->context, id, &start);
 }
 
@@ -183,6 +184,12 @@
     }
 }
 
+static bool
+is_answer(Runner_OrderEnd end)
+{
+    return end != RUNNER_ORDER_UNSENT && end != RUNNER_ORDER_UNANSWERED;
+}
+
 /* Notes how a copy was answered, and returns its task if that matters still.
  * A copy whose connection broke is missed at once. */
 static Runner_Task *
@@ -202,7 +209,7 @@
         !RunnerTask_IsOfEarlierLife(runner, row)) {
         RunnerUpstream_CheckClock(runner, now_ms, order->sent_ms, clock_ms);
     }
-    if (end != RUNNER_ORDER_UNSENT && end != RUNNER_ORDER_UNANSWERED) {
+    if (is_answer(end)) {
         AnswerTime_Take(&runner->answers, now_ms - order->sent_ms);
         RunnerOrder_NoteAnswer(runner, in_time);
     }
@@ -304,12 +311,29 @@
     }
 }
 
+/* A copy that was answered or never sent cannot be executed later. */
+static void
+count_answer(const Runner *runner, uint64_t order_id, Runner_OrderEnd end)
+{
+    const Runner_Order *order = Handle_Get(runner->orders, order_id);
+    Runner_Task *row = order == NULL
+                           ? NULL
+                           : Handle_Get(runner->by_handle, order->task);
+
+    if (row != NULL && end != RUNNER_ORDER_UNANSWERED) {
+        row->answered_copies++;
+        row->start_taken |= end == RUNNER_ORDER_TAKEN;
+    }
+}
+
 void
 Runner_OnStarted(Runner *runner, int64_t now_ms, uint64_t order_id,
                  Runner_OrderEnd end, int64_t clock_ms)
 {
-    Runner_Task *row = take_answer(runner, now_ms, order_id, end, clock_ms);
+    Runner_Task *row;
 
+    count_answer(runner, order_id, end);
+    row = take_answer(runner, now_ms, order_id, end, clock_ms);
     if (row == NULL) {
         return;
     }
--- a/lease/runner_state.h
+++ b/lease/runner_state.h
@@ -44,6 +44,9 @@
     int64_t deadline_clock_ms; /* of the start, on the upstream's clock */
     uint32_t start_copies;     /* of the start, as sent */
     uint32_t refused_copies;   /* of them those certainly not carried out */
+    uint32_t answered_copies;  /* of them those answered or not sent */
+    bool start_taken;          /* a copy was answered as taken */
+    int64_t start_sent_ms;     /* when the last copy was sent */
     uint32_t stop_copies;      /* of the stop, as sent */
     int64_t order_ms;          /* when the last copy of either was sent */
     bool stop_confirmed;
@@ -51,6 +54,8 @@
     int64_t ended_ms;
     uint64_t end_number; /* as the upstream listed it; 0 if it has not */
     bool unreleased;     /* a kept job's end that is not written down yet */
+    bool held_for_start; /* a late copy of its start may still arrive */
+    int64_t earlier_expiry_ms; /* of starts of the task's other runs */
     int64_t progress_ms; /* when the percentage last rose; 0 if not told */
     uint32_t percent;
     uint32_t ran_ms;
@@ -141,13 +146,15 @@
     Runner_OpenLook looks[RUNNER_LOOKS_MOST]; /* the oldest first */
     uint32_t look_count;
     uint64_t last_look_id;
-    int64_t look_again_ms; /* not before */
-    int64_t hold_until_ms; /* the upstream lets all go by then */
-    uint32_t live;         /* tasks that have not ended */
-    int64_t idle_ms;       /* when the last of them ended */
-    uint32_t unreleased;   /* ends that are not to be taken note of yet */
-    uint32_t held_long;    /* of them those held for long, at the last tick */
-    GArray *fenced;        /* lc_node, owners of kept jobs that are gone */
+    int64_t look_again_ms;    /* not before */
+    int64_t hold_until_ms;    /* the upstream lets all go by then */
+    uint32_t live;            /* tasks that have not ended */
+    int64_t idle_ms;          /* when the last of them ended */
+    uint32_t unreleased;      /* ends that are not to be taken note of yet */
+    uint32_t held_for_starts; /* ends held for late copies of starts */
+    int64_t created_ms;
+    uint32_t held_long; /* of them those held for long, at the last tick */
+    GArray *fenced;     /* lc_node, owners of kept jobs that are gone */
     bool draining;
     uint64_t version;
     lc_label label_row[LC_MAX_LABELS];
@@ -268,6 +275,11 @@
 /** Ends up to this number may be taken note of. */
 uint64_t RunnerKept_LastSeen(const Runner *runner);
 
+/** Stops holding an end once no late copy of its start can be executed, or
+ * when too many newer ends are listed. */
+void RunnerKept_CheckStartHold(Runner *runner, int64_t now_ms,
+                               Runner_Task *row);
+
 /** Whether an ended run is not needed any more. */
 bool RunnerKept_IsForgotten(const Runner_Task *row, int64_t now_ms);
 
--- a/tests/lease_upstream.cc
+++ b/tests/lease_upstream.cc
@@ -72,8 +72,12 @@
 void
 Upstream::come_again(int64_t now_ms)
 {
+    /* Companions ignore a clock that is not positive. */
+    bool clock_goes_back = incarnation % 2 == 1 &&
+                           clock(now_ms) > CLOCK_BACK_MS;
+
     incarnation++;
-    clock_offset_ms += incarnation % 2 == 0 ? -CLOCK_BACK_MS : CLOCK_ON_MS;
+    clock_offset_ms += clock_goes_back ? -CLOCK_BACK_MS : CLOCK_ON_MS;
     begin(now_ms);
     if (incarnation % 3 == 0) {
         born_ms -= WALL_BACK_MS;
--- a/tests/lease_world_messages.cc
+++ b/tests/lease_world_messages.cc
@@ -303,7 +303,7 @@
     Upstream *upstream = &upstreams[from->index];
     uint64_t life = from->life;
     bool late = late_until[from->index] > now && pick(3) == 0;
-    int64_t delay = late ? 1000 + pick(4000) : 0;
+    int64_t delay = late ? 1000 + pick(MAX_ORDER_DELAY_MS - 1000) : 0;
 
     if (!upstream->is_up()) {
         at(now + 1, [this, from, life, done_with] {
--- a/tests/lease_world_nodes.cc
+++ b/tests/lease_world_nodes.cc
@@ -296,6 +296,7 @@
     config.term = make_term();
     config.first_token = 1000000 + now;
     config.beat_ms = 500;
+    config.late_ms = MAX_ORDER_DELAY_MS;
     companion->runner = Runner_New(&config, &companion_ports, companion, now);
     uint64_t life = ++companion->life;
     at(now + pick(TICK_MS),
--- a/tests/lease_world_state.h
+++ b/tests/lease_world_state.h
@@ -23,6 +23,8 @@
 /* Identities of kept jobs begin here. */
 const uint64_t FIRST_KEPT = 1000000;
 const uint64_t KEEPER_CALL = 1ULL << 62;
+/* Upper bound on the delay of a late order. */
+const int64_t MAX_ORDER_DELAY_MS = 5000;
 const uint32_t MOST_ATTEMPTS = 3;
 /* The wall clock shows so much more than the time of the world. */
 const int64_t WALL_AHEAD_MS = 1700000000000;
--- a/tests/rebirth_rules.c
+++ b/tests/rebirth_rules.c
@@ -8,6 +8,7 @@
 #include <string.h>
 
 #include "base/clock.h"
+#include "lease/run_id.h"
 #include "tests/rule_table.h"
 #include "tests/runner_fixture.h"
 
@@ -148,6 +149,163 @@
     Runner_Free(fix.runner);
 }
 
+/* ---- unanswered starts ---- */
+
+/* Sets up a kept run that has ended and been released; the first copy of its
+ * start is unanswered and the second was taken. */
+static void
+set_up_unanswered_start(runner_fixture *fix, lc_run_id *run,
+                        uint64_t *first_copy)
+{
+    Runner_EndRow ended = {5, *run, RUNNER_END_DONE};
+
+    RunnerFix_NewReady(fix);
+    RunnerFix_CallRun(fix, run->job, run->run, 1000, 500);
+    *first_copy = fix->start_id;
+    fix->now_ms += 150;
+    Runner_Wake(fix->runner, fix->now_ms);
+    g_assert_cmpint(fix->starts, ==, 2);
+    Runner_OnStarted(fix->runner, fix->now_ms, fix->start_id,
+                     RUNNER_ORDER_TAKEN, CLOCK_MS);
+    RunnerFix_AnswerLook(fix, NULL, 0, &ended, 1);
+    g_assert_cmpint(fix->status, ==, LC_RUN_DONE);
+    RunnerFix_Release(fix, run);
+    RunnerFix_AnswerLook(fix, NULL, 0, &ended, 1);
+}
+
+/* Advances the clock, lets the runner send a look if it has an end to
+ * acknowledge, and returns the last_seen of the latest look. */
+static int64_t
+last_seen_after(runner_fixture *fix, int64_t ms)
+{
+    fix->now_ms += ms;
+    Runner_Tick(fix->runner, fix->now_ms);
+    return (int64_t)fix->look.last_seen;
+}
+
+/* Guards against a restarted upstream executing the unanswered copy after the
+ * end was acknowledged. */
+static void
+test_unanswered_start_holds_the_end(void)
+{
+    lc_run_id run = RunnerFix_Run(1, RUN_ID_KEPT_BASE + 1);
+    runner_fixture fix;
+    uint64_t first;
+
+    set_up_unanswered_start(&fix, &run, &first);
+    g_assert_cmpint(last_seen_after(&fix, RUNNER_FIX_LATE_MS - 200), ==, 4);
+    g_assert_cmpint(last_seen_after(&fix, 250), ==, 5);
+    Runner_Free(fix.runner);
+}
+
+static void
+test_answered_start_does_not_hold_the_end(void)
+{
+    lc_run_id run = RunnerFix_Run(1, RUN_ID_KEPT_BASE + 1);
+    runner_fixture fix;
+    uint64_t first;
+
+    set_up_unanswered_start(&fix, &run, &first);
+    g_assert_cmpint(last_seen_after(&fix, 50), ==, 4);
+    Runner_OnStarted(fix.runner, fix.now_ms, first, RUNNER_ORDER_OLD,
+                     CLOCK_MS);
+    g_assert_cmpint(last_seen_after(&fix, 50), ==, 5);
+    Runner_Free(fix.runner);
+}
+
+/* Guards against treating a broken connection as an answer: the copy may still
+ * be executed. */
+static void
+test_broken_connection_holds_the_end(void)
+{
+    lc_run_id run = RunnerFix_Run(1, RUN_ID_KEPT_BASE + 1);
+    runner_fixture fix;
+    uint64_t first;
+
+    set_up_unanswered_start(&fix, &run, &first);
+    Runner_OnStarted(fix.runner, fix.now_ms, first, RUNNER_ORDER_UNANSWERED,
+                     0);
+    g_assert_cmpint(last_seen_after(&fix, 50), ==, 4);
+    Runner_Free(fix.runner);
+}
+
+/* Guards against acknowledging an end while a copy of its start, sent by the
+ * previous process of the companion, may still arrive. */
+static void
+test_ends_found_after_restart_are_held(void)
+{
+    lc_run_id run = RunnerFix_Run(1, RUN_ID_KEPT_BASE + 1);
+    Runner_EndRow ended = {5, run, RUNNER_END_DONE};
+    runner_fixture fix;
+
+    RunnerFix_New(&fix);
+    RunnerFix_Beat(&fix, RUNNER_UPSTREAM_READY);
+    RunnerFix_AnswerLook(&fix, NULL, 0, &ended, 1);
+    RunnerFix_Release(&fix, &run);
+    RunnerFix_AnswerLook(&fix, NULL, 0, &ended, 1);
+    g_assert_cmpint(last_seen_after(&fix, RUNNER_FIX_LATE_MS - 50), ==, 4);
+    g_assert_cmpint(last_seen_after(&fix, 100), ==, 5);
+    Runner_Free(fix.runner);
+}
+
+/* Guards against a late start of a stopped, unanswered run after a later run
+ * of the same task was acknowledged. */
+static void
+test_earlier_start_holds_the_end(void)
+{
+    lc_run_id run = RunnerFix_Run(1, RUN_ID_KEPT_BASE + 2);
+    Runner_EndRow ended = {5, run, RUNNER_END_DONE};
+    runner_fixture fix;
+
+    RunnerFix_NewReady(&fix);
+    RunnerFix_CallRun(&fix, 1, run.run - 1, 1000, 500);
+    RunnerFix_CallHalt(&fix, 1, run.run - 1);
+    Runner_OnStopped(fix.runner, fix.now_ms, fix.stop_id, RUNNER_ORDER_TAKEN,
+                     CLOCK_MS);
+    fix.now_ms += 50;
+    RunnerFix_AnswerLook(&fix, NULL, 0, NULL, 0);
+    RunnerFix_AnswerLook(&fix, NULL, 0, NULL, 0);
+    g_assert_cmpint(fix.status, ==, LC_RUN_STOPPED);
+    RunnerFix_CallRun(&fix, 1, run.run, 1000, 500);
+    Runner_OnStarted(fix.runner, fix.now_ms, fix.start_id, RUNNER_ORDER_TAKEN,
+                     CLOCK_MS);
+    fix.now_ms += 50;
+    RunnerFix_AnswerLook(&fix, NULL, 0, &ended, 1);
+    RunnerFix_Release(&fix, &run);
+    RunnerFix_AnswerLook(&fix, NULL, 0, &ended, 1);
+    g_assert_cmpint(last_seen_after(&fix, 50), ==, 4);
+    g_assert_cmpint(last_seen_after(&fix, RUNNER_FIX_LATE_MS), ==, 5);
+    Runner_Free(fix.runner);
+}
+
+/* Guards against held ends filling the upstream's list, which would hide newer
+ * ends. */
+static void
+test_held_ends_do_not_hide_newer_ones(void)
+{
+    lc_run_id run = RunnerFix_Run(1, RUN_ID_KEPT_BASE + 1);
+    Runner_EndRow ended[RUNNER_MOST_HELD + 1];
+    runner_fixture fix;
+    uint64_t first;
+    uint32_t i;
+
+    set_up_unanswered_start(&fix, &run, &first);
+    for (i = 0; i <= RUNNER_MOST_HELD; i++) {
+        ended[i].number = 5 + i;
+        ended[i].id = i == 0 ? run : RunnerFix_Run(100 + i, 1);
+        ended[i].end = RUNNER_END_DONE;
+    }
+    fix.now_ms += 50;
+    RunnerFix_CallRun(&fix, 2, 1, 1000, 500);
+    RunnerFix_AnswerLook(&fix, NULL, 0, ended, RUNNER_MOST_HELD);
+    g_assert_cmpint(last_seen_after(&fix, 50), ==, 4);
+    RunnerFix_AnswerLook(&fix, NULL, 0, ended, RUNNER_MOST_HELD + 1);
+    g_assert_cmpint(last_seen_after(&fix, 50), ==, 4);
+    RunnerFix_AnswerLook(&fix, NULL, 0, ended, RUNNER_MOST_HELD + 1);
+    g_assert_cmpint(last_seen_after(&fix, 50), ==, 5 + RUNNER_MOST_HELD);
+    Runner_Free(fix.runner);
+}
+
 /* Its deadline means nothing on the later life's clock. */
 static void
 test_start_is_not_sent_again_to_a_later_life(void)
@@ -551,6 +709,18 @@
      test_start_taken_by_the_later_life},
     {"/rebirth/a start is not sent again to a later life",
      test_start_is_not_sent_again_to_a_later_life},
+    {"/rebirth/an unanswered start holds the end",
+     test_unanswered_start_holds_the_end},
+    {"/rebirth/an answered start does not hold the end",
+     test_answered_start_does_not_hold_the_end},
+    {"/rebirth/a start on a broken connection holds the end",
+     test_broken_connection_holds_the_end},
+    {"/rebirth/ends found after a companion's restart are held",
+     test_ends_found_after_restart_are_held},
+    {"/rebirth/the start of an earlier run holds the end",
+     test_earlier_start_holds_the_end},
+    {"/rebirth/held ends do not hide newer ones",
+     test_held_ends_do_not_hide_newer_ones},
     {"/rebirth/a clock that goes back", test_clock_that_goes_back},
     {"/rebirth/a late heartbeat of the earlier life",
      test_late_heartbeat_of_the_earlier_life},
--- a/tests/runner_fixture.c
+++ b/tests/runner_fixture.c
@@ -119,7 +119,8 @@
     Runner_Config config = {.node = companion_node,
                             .hall = RUNNER_FIX_HALL,
                             .first_token = 7,
-                            .beat_ms = 1500};
+                            .beat_ms = 1500,
+                            .late_ms = RUNNER_FIX_LATE_MS};
 
     memset(fix, 0, sizeof(*fix));
     fix->now_ms = START_MS;
@@ -207,6 +208,18 @@
     Runner_OnCall(fix->runner, fix->now_ms, 2, &call);
 }
 
+void
+RunnerFix_Release(runner_fixture *fix, const lc_run_id *run)
+{
+    Msg_Call call = {.kind = MSG_RELEASE};
+    lc_run_id copy = *run;
+
+    call.u.release.target = companion_node.incarnation;
+    call.u.release.runs.runs_val = &copy;
+    call.u.release.runs.runs_len = 1;
+    Runner_OnCall(fix->runner, fix->now_ms, 3, &call);
+}
+
 void
 RunnerFix_FenceEntry(runner_fixture *fix)
 {
--- a/tests/runner_fixture.h
+++ b/tests/runner_fixture.h
@@ -25,6 +25,9 @@
         0x7f0000011b59, 100                                                   \
     }
 
+/** Longest time from sending an unanswered start to its execution. */
+#define RUNNER_FIX_LATE_MS 5000
+
 /** Hall of the runner. */
 #define RUNNER_FIX_HALL "own"
 
@@ -95,6 +98,9 @@
 /** The entry calls for the stop of a run. */
 void RunnerFix_CallHalt(runner_fixture *fix, uint64_t job, uint32_t run);
 
+/** The entry releases the end of a kept job's run. */
+void RunnerFix_Release(runner_fixture *fix, const lc_run_id *run);
+
 /** The entry that calls is gone, another has taken its kept jobs over. */
 void RunnerFix_FenceEntry(runner_fixture *fix);
 
--- a/tests/runner_rules.c
+++ b/tests/runner_rules.c
@@ -9,8 +9,6 @@
 #include "tests/rule_table.h"
 #include "tests/runner_fixture.h"
 
-static const lc_node companion_node = RUNNER_FIX_COMPANION;
-
 static void
 test_expired_run(void)
 {
@@ -211,7 +209,6 @@
 test_kept_ends_are_held(void)
 {
     runner_fixture fix;
-    Msg_Call release = {.kind = MSG_RELEASE};
     lc_run_id run = RunnerFix_Run(1, RUN_ID_KEPT_BASE + 1);
     Runner_EndRow ended = {5, run, RUNNER_END_DONE};
 
@@ -221,10 +218,7 @@
     RunnerFix_AnswerLook(&fix, NULL, 0, &ended, 1);
     g_assert_cmpint(fix.status, ==, LC_RUN_DONE);
     g_assert_cmpuint(fix.look.last_seen, ==, 4);
-    release.u.release.target = companion_node.incarnation;
-    release.u.release.runs.runs_val = &run;
-    release.u.release.runs.runs_len = 1;
-    Runner_OnCall(fix.runner, fix.now_ms, 3, &release);
+    RunnerFix_Release(&fix, &run);
     RunnerFix_AnswerLook(&fix, NULL, 0, &ended, 1);
     g_assert_cmpuint(fix.look.last_seen, ==, 5);
     Runner_Free(fix.runner);
--- a/tests/soak/checker.cc
+++ b/tests/soak/checker.cc
@@ -83,8 +83,8 @@
 }
 
 void
-Checker::on_end(int64_t now_ms, const std::string &place, const lc_run_id &id,
-                Runner_End end)
+Checker::on_end(int64_t now_ms, const std::string &place, int64_t incarnation,
+                const lc_run_id &id, Runner_End end)
 {
     Job *job = find(id.job);
 
@@ -92,14 +92,18 @@
     at_work[lease::task_of(id)].erase(place);
     if (end == RUNNER_END_DONE) {
         ended_well[lease::task_of(id)] = true;
-        well_ends[lease::task_of(id)].push_back({id.run, false, false});
+        well_ends[lease::task_of(id)].push_back(
+            {place, incarnation, id.run, false, false});
     }
     if (job != nullptr) {
         used[place] -= job->cpu_milli;
     }
 }
 
-/* An end that is taken note of, before or later, is the last of its task. */
+/* No start may follow an acknowledged end of the same task, even if the end is
+ * acknowledged only after that start. Ends are distinguished by upstream and
+ * incarnation: a crash loses the unacknowledged ends, and a late copy of the
+ * start can run and end again in the next incarnation. */
 void
 Checker::check_kept_start(int64_t now_ms, const lc_run_id &id)
 {
@@ -113,7 +117,8 @@
 }
 
 void
-Checker::on_noted(int64_t now_ms, const lc_run_id &id, Runner_End end)
+Checker::on_noted(int64_t now_ms, const std::string &place,
+                  int64_t incarnation, const lc_run_id &id, Runner_End end)
 {
     const Job *job = find(id.job);
 
@@ -121,7 +126,8 @@
         return;
     }
     for (WellEnd &row : well_ends[lease::task_of(id)]) {
-        if (row.run != id.run) {
+        if (row.run != id.run || row.place != place ||
+            row.incarnation != incarnation) {
             continue;
         }
         row.noted = true;
--- a/tests/soak/checker.h
+++ b/tests/soak/checker.h
@@ -48,10 +48,12 @@
 
     void on_start(int64_t now_ms, const std::string &place,
                   const lc_run_id &id);
-    void on_end(int64_t now_ms, const std::string &place, const lc_run_id &id,
-                Runner_End end);
+    /** A run ended in the given incarnation of the upstream @p place. */
+    void on_end(int64_t now_ms, const std::string &place, int64_t incarnation,
+                const lc_run_id &id, Runner_End end);
     /** An end was taken note of, while the lease on it lasted. */
-    void on_noted(int64_t now_ms, const lc_run_id &id, Runner_End end);
+    void on_noted(int64_t now_ms, const std::string &place,
+                  int64_t incarnation, const lc_run_id &id, Runner_End end);
     void on_answer(int64_t now_ms, Job &job, const Answer &answer);
     /** Kept jobs that were accepted and not told as over. */
     uint64_t kept_open() const;
@@ -73,6 +75,8 @@
   private:
     /* A run of a kept task that ended well. */
     struct WellEnd {
+        std::string place;
+        int64_t incarnation;
         uint32_t run;
         bool noted;
         bool followed; /* by a start of another run */
--- a/tests/soak/cluster.cc
+++ b/tests/soak/cluster.cc
@@ -294,11 +294,13 @@
         };
         upstream->model.on_end = [this, upstream](const lc_run_id &id,
                                                   Runner_End end) {
-            checker.on_end(now(), upstream->name, id, end);
+            checker.on_end(now(), upstream->name, upstream->model.born(), id,
+                           end);
         };
-        upstream->model.on_noted = [this](const lc_run_id &id,
-                                          Runner_End end) {
-            checker.on_noted(now(), id, end);
+        upstream->model.on_noted = [this, upstream](const lc_run_id &id,
+                                                    Runner_End end) {
+            checker.on_noted(now(), upstream->name, upstream->model.born(), id,
+                             end);
         };
         upstream->model.work_of = [this](const lc_run_id &id) {
             const Job *job = checker.find(id.job);
--- a/tests/soak/scenario.cc
+++ b/tests/soak/scenario.cc
@@ -52,6 +52,11 @@
 const double FORWARD_LINK_MBPS = 0.45;
 const int64_t ENDS_LOST_EACH_MS = 100;
 const int64_t ENDS_LOST_LOAD_MS = 5000;
+const int64_t LATE_STARTS_INTERVAL_MS = 30;
+const int64_t LATE_STARTS_LOAD_MS = 12000;
+const int64_t LATE_STARTS_END_MS = 20000;
+const int64_t CRASH_INTERVAL_MS = 2000;
+const int64_t CRASH_DOWNTIME_MS = 300;
 const int64_t ANSWERS_MS = 3500; /* until the last caller has its answer */
 
 soak::Cluster *cluster;
@@ -221,6 +226,35 @@
     });
 }
 
+/* Delays orders by seconds at all upstreams and crashes these repeatedly, so
+ * that some starts are executed by a later incarnation. */
+void
+play_late_starts()
+{
+    kept_load(LATE_STARTS_LOAD_MS, LATE_STARTS_INTERVAL_MS);
+    for (auto &upstream : cluster->upstreams) {
+        upstream->late_orders = true;
+    }
+    for (int64_t at = CRASH_INTERVAL_MS; at < LATE_STARTS_LOAD_MS;
+         at += CRASH_INTERVAL_MS) {
+        cluster->after(at, [] {
+            for (auto &upstream : cluster->upstreams) {
+                upstream->crash();
+            }
+        });
+        cluster->after(at + CRASH_DOWNTIME_MS, [] {
+            for (auto &upstream : cluster->upstreams) {
+                upstream->come_up();
+            }
+        });
+    }
+    cluster->after(LATE_STARTS_LOAD_MS, [] {
+        for (auto &upstream : cluster->upstreams) {
+            upstream->late_orders = false;
+        }
+    });
+}
+
 /* The store does not answer one of the entries. */
 void
 play_kept_store_away()
@@ -516,6 +550,7 @@
     {"kept_power_loss", play_kept_power_loss, KEPT_END_MS, 2},
     {"kept_store_away", play_kept_store_away, KEPT_END_MS, 2},
     {"kept_ends_lost", play_kept_ends_lost, KEPT_END_MS, 2},
+    {"late_starts", play_late_starts, LATE_STARTS_END_MS, 2, 4},
 };
 
 } // namespace
--- a/tests/soak_checker.cc
+++ b/tests/soak_checker.cc
@@ -11,6 +11,8 @@
 
 const char *const PLACE = "upstream-0";
 const char *const OTHER = "upstream-1";
+const int64_t INCARNATION = 1700000000000;
+const int64_t NEXT_INCARNATION = 1700000005000;
 
 lc_run_id
 run_of(uint64_t job, uint32_t index, uint32_t run)
@@ -37,7 +39,7 @@
     soak::Job &job = checker.add_job(1, 1, 1000, 100, 0);
 
     checker.on_start(10, PLACE, run_of(1, 0, 1));
-    checker.on_end(110, PLACE, run_of(1, 0, 1), RUNNER_END_DONE);
+    checker.on_end(110, PLACE, INCARNATION, run_of(1, 0, 1), RUNNER_END_DONE);
     checker.on_answer(111, job, {true, 200, "{\"state\":\"succeeded\"}"});
     g_assert_cmpuint(count(checker), ==, 0);
 }
@@ -51,9 +53,10 @@
     job.kept = true;
     checker.on_answer(5, job, {true, 200, "{}"});
     checker.on_start(10, PLACE, run_of(1, 0, 1));
-    checker.on_end(110, PLACE, run_of(1, 0, 1), RUNNER_END_DONE);
+    checker.on_end(110, PLACE, INCARNATION, run_of(1, 0, 1), RUNNER_END_DONE);
     if (noted_before) {
-        checker.on_noted(120, run_of(1, 0, 1), RUNNER_END_DONE);
+        checker.on_noted(120, PLACE, INCARNATION, run_of(1, 0, 1),
+                         RUNNER_END_DONE);
     }
     return job;
 }
@@ -76,7 +79,7 @@
     soak::Job &job = play_kept(checker, true);
 
     checker.on_start(200, OTHER, run_of(1, 0, 2));
-    checker.on_end(300, OTHER, run_of(1, 0, 2), RUNNER_END_DONE);
+    checker.on_end(300, OTHER, INCARNATION, run_of(1, 0, 2), RUNNER_END_DONE);
     checker.on_look(310, job, {true, 200, "{\"state\":\"succeeded\"}"});
     g_assert_cmpuint(count(checker), ==, 1);
 }
@@ -88,12 +91,48 @@
     soak::Job &job = play_kept(checker, false);
 
     checker.on_start(200, OTHER, run_of(1, 0, 2));
-    checker.on_end(300, OTHER, run_of(1, 0, 2), RUNNER_END_DONE);
-    checker.on_noted(305, run_of(1, 0, 1), RUNNER_END_DONE);
+    checker.on_end(300, OTHER, INCARNATION, run_of(1, 0, 2), RUNNER_END_DONE);
+    checker.on_noted(305, PLACE, INCARNATION, run_of(1, 0, 1),
+                     RUNNER_END_DONE);
     checker.on_look(310, job, {true, 200, "{\"state\":\"succeeded\"}"});
     g_assert_cmpuint(count(checker), ==, 1);
 }
 
+/* Plays a late copy of the start that the next incarnation executes, and whose
+ * end is acknowledged. */
+void
+play_late_copy(soak::Checker &checker, bool noted_before)
+{
+    soak::Job &job = play_kept(checker, noted_before);
+
+    checker.on_start(200, PLACE, run_of(1, 0, 1));
+    checker.on_end(300, PLACE, NEXT_INCARNATION, run_of(1, 0, 1),
+                   RUNNER_END_DONE);
+    checker.on_noted(305, PLACE, NEXT_INCARNATION, run_of(1, 0, 1),
+                     RUNNER_END_DONE);
+    checker.on_look(310, job, {true, 200, "{\"state\":\"succeeded\"}"});
+}
+
+/* Guards against confusing the copy's end with the end lost in the crash. */
+void
+test_kept_end_lost_in_crash()
+{
+    soak::Checker checker;
+
+    play_late_copy(checker, false);
+    g_assert_cmpuint(count(checker), ==, 0);
+}
+
+/* Guards against missing a second execution after an acknowledged end. */
+void
+test_kept_late_copy_after_noted_end()
+{
+    soak::Checker checker;
+
+    play_late_copy(checker, true);
+    g_assert_cmpuint(count(checker), ==, 1);
+}
+
 void
 test_kept_lost()
 {
@@ -122,8 +161,8 @@
 
     checker.on_start(10, PLACE, run_of(1, 0, 1));
     checker.on_start(20, OTHER, run_of(1, 0, 2));
-    checker.on_end(30, PLACE, run_of(1, 0, 1), RUNNER_END_DONE);
-    checker.on_end(30, OTHER, run_of(1, 0, 2), RUNNER_END_DONE);
+    checker.on_end(30, PLACE, INCARNATION, run_of(1, 0, 1), RUNNER_END_DONE);
+    checker.on_end(30, OTHER, INCARNATION, run_of(1, 0, 2), RUNNER_END_DONE);
     checker.on_answer(40, job, {false, 0, ""});
     g_assert_cmpuint(count(checker), ==, 1);
 }
@@ -139,7 +178,8 @@
         checker.on_answer(40, job, {false, 0, ""});
     }
     for (uint64_t id = 1; id <= 2; id++) {
-        checker.on_end(50, PLACE, run_of(id, 0, 1), RUNNER_END_DONE);
+        checker.on_end(50, PLACE, INCARNATION, run_of(id, 0, 1),
+                       RUNNER_END_DONE);
     }
     g_assert_cmpuint(count(checker), ==, 1);
 }
@@ -151,7 +191,7 @@
     soak::Job &job = checker.add_job(1, 2, 1000, 100, 0);
 
     checker.on_start(10, PLACE, run_of(1, 0, 1));
-    checker.on_end(110, PLACE, run_of(1, 0, 1), RUNNER_END_DONE);
+    checker.on_end(110, PLACE, INCARNATION, run_of(1, 0, 1), RUNNER_END_DONE);
     checker.on_answer(111, job, {true, 200, "{\"state\":\"succeeded\"}"});
     g_assert_cmpuint(count(checker), ==, 1);
 }
@@ -163,7 +203,8 @@
     soak::Job &job = checker.add_job(1, 1, 1000, 100, 0);
 
     checker.on_start(10, PLACE, run_of(1, 0, 1));
-    checker.on_end(20, PLACE, run_of(1, 0, 1), RUNNER_END_STOPPED);
+    checker.on_end(20, PLACE, INCARNATION, run_of(1, 0, 1),
+                   RUNNER_END_STOPPED);
     checker.on_answer(111, job, {true, 503, "{}"});
     g_assert_cmpuint(count(checker), ==, 1);
 }
@@ -174,7 +215,8 @@
     soak::Checker checker;
 
     checker.on_start(10, PLACE, run_of(7, 0, 1));
-    checker.on_end(20, PLACE, run_of(7, 0, 1), RUNNER_END_STOPPED);
+    checker.on_end(20, PLACE, INCARNATION, run_of(7, 0, 1),
+                   RUNNER_END_STOPPED);
     g_assert_cmpuint(count(checker), ==, 1);
 }
 
@@ -207,6 +249,10 @@
     {"/checker/a kept job, nothing wrong", test_kept_well},
     {"/checker/a kept task again after its end", test_kept_again},
     {"/checker/a kept end noted after another start", test_kept_noted_late},
+    {"/checker/a kept end lost in an upstream's crash",
+     test_kept_end_lost_in_crash},
+    {"/checker/a late copy after a kept end was noted",
+     test_kept_late_copy_after_noted_end},
     {"/checker/a kept job not over", test_kept_lost},
     {"/checker/a kept job told as unknown", test_kept_unknown},
     {"/checker/two runs at once", test_two_runs},
