Acknowledge each end only once

A task of a kept job could be executed again after its end had been acknowledged without having been read.

Cause: every look repeated the highest acknowledged end number (last_seen). An upstream that crashes and restarts under the same name numbers its ends from 1 again. Until the companion detects the restart, up to one heartbeat later, it sends starts and looks to the new incarnation as if it were the former one. If a start is executed there and ends, a look with the former last_seen, executed on time or seconds late, makes the upstream discard that end. The companion then finds the run neither running nor ended and reports to the entry that the upstream crashed, and the task is executed elsewhere.

Fix: a look carries last_seen only while no look with that number has been answered; otherwise it carries 0, which acknowledges nothing.

Remaining: a look with new acknowledgements whose answer is missing when the upstream restarts can still acknowledge an unread end.

--- a/lease/runner_look.c
+++ b/lease/runner_look.c
@@ -84,12 +84,23 @@
     return due_ms;
 }
 
+/* Returns the last_seen to send, or 0 if an answer has already confirmed it.
+ * A restarted upstream numbers its ends from 1 again, so repeating a confirmed
+ * number could acknowledge unread ends of the new incarnation. */
+static uint64_t
+unacknowledged_last_seen(const Runner *runner)
+{
+    uint64_t last_seen = RunnerKept_LastSeen(runner);
+
+    return last_seen > runner->up.acknowledged ? last_seen : 0;
+}
+
 void
 RunnerLook_Send(Runner *runner, int64_t now_ms)
 {
     Runner_Look look = {.instance = runner->up.instance,
                         .token = runner->token,
-                        .last_seen = RunnerKept_LastSeen(runner)};
+                        .last_seen = unacknowledged_last_seen(runner)};
     int64_t ahead;
 
     if (RunnerLook_DueMs(runner) != INT64_MAX || !look_wanted(runner) ||
--- a/tests/soak/scenario.cc
+++ b/tests/soak/scenario.cc
@@ -56,6 +56,8 @@
 const int64_t LATE_STARTS_LOAD_MS = 12000;
 const int64_t LATE_STARTS_END_MS = 20000;
 const int64_t CRASH_INTERVAL_MS = 2000;
+const int64_t FAILING_INTERVAL_MS = 150;
+const int64_t LATE_RETRIES_END_MS = 40000;
 const int64_t CRASH_DOWNTIME_MS = 300;
 const int64_t ANSWERS_MS = 3500; /* until the last caller has its answer */
 
@@ -255,6 +257,27 @@
     });
 }
 
+/* Extends late_starts with upstreams that fail their tasks intermittently, so
+ * that tasks are retried elsewhere while earlier starts are unanswered. */
+void
+play_late_retries()
+{
+    play_late_starts();
+    for (int64_t at = FAILING_INTERVAL_MS; at < LATE_STARTS_LOAD_MS;
+         at += FAILING_INTERVAL_MS) {
+        cluster->after(at, [] {
+            for (auto &upstream : cluster->upstreams) {
+                upstream->model.manner.failing = cluster->pick(4) == 0;
+            }
+        });
+    }
+    cluster->after(LATE_STARTS_LOAD_MS, [] {
+        for (auto &upstream : cluster->upstreams) {
+            upstream->model.manner.failing = false;
+        }
+    });
+}
+
 /* The store does not answer one of the entries. */
 void
 play_kept_store_away()
@@ -551,6 +574,7 @@
     {"kept_store_away", play_kept_store_away, KEPT_END_MS, 2},
     {"kept_ends_lost", play_kept_ends_lost, KEPT_END_MS, 2},
     {"late_starts", play_late_starts, LATE_STARTS_END_MS, 2, 4},
+    {"late_retries", play_late_retries, LATE_RETRIES_END_MS, 2, 4},
 };
 
 } // namespace
