Look again after 5 ms in place of 20 ms while ends are held

Cause: while ends of kept runs are held for unanswered starts, each end of another task waits for the next look, which is sent after a pause.

Jobs that need not be kept never hold ends.

--- a/lease/runner_look.c
+++ b/lease/runner_look.c
@@ -12,7 +12,7 @@
 #define LOOK_WAIT_LOSSY_MS 20
 /* Delay between looks while ends are held for their starts. Looks are answered
  * immediately then, as each answer lists the held ends again. */
-#define HELD_AGAIN_MS 20
+#define HELD_AGAIN_MS 5
 /* After a look to an upstream that does not answer, or to another
  * incarnation. */
 #define LOOK_AGAIN_MS 50
