Remember unanswered starts of a kept task's earlier runs until they expire

Cause (found by reading): the end of a run is held for unanswered starts of the task's earlier runs, but a companion forgot an ended run after 4 s, while a copy of its start may be executed for times.late_ms (13 s).

Change: a kept run is remembered until its start has expired.

Tests: the rule of earlier starts waits for 4.2 s between the two runs; it fails on the code before (last_seen 5 in place of 4).

--- a/lease/runner.c
+++ b/lease/runner.c
@@ -323,7 +323,7 @@
         else if (row->held_for_start) {
             RunnerKept_CheckStartHold(runner, now_ms, row);
         }
-        else if (RunnerKept_IsForgotten(row, now_ms)) {
+        else if (RunnerKept_IsForgotten(runner, row, now_ms)) {
             RunnerKept_LetGo(runner, row);
             RunnerTask_Forget(runner, row);
         }
--- a/lease/runner_kept.c
+++ b/lease/runner_kept.c
@@ -190,9 +190,13 @@
 }
 
 bool
-RunnerKept_IsForgotten(const Runner_Task *row, int64_t now_ms)
+RunnerKept_IsForgotten(const Runner *runner, const Runner_Task *row,
+                       int64_t now_ms)
 {
-    return !row->held_for_start &&
+    bool start_expired = !RunId_IsKept(&row->id) ||
+                         now_ms >= start_expiry(runner, row);
+
+    return !row->held_for_start && start_expired &&
            now_ms - row->ended_ms >
                (row->unreleased ? FORGET_HELD_MS : FORGET_MS);
 }
--- a/lease/runner_state.h
+++ b/lease/runner_state.h
@@ -146,15 +146,15 @@
     Runner_OpenLook looks[RUNNER_LOOKS_MOST]; /* the oldest first */
     uint32_t look_count;
     uint64_t last_look_id;
-    int64_t look_again_ms;    /* not before */
-    int64_t hold_until_ms;    /* the upstream lets all go by then */
-    uint32_t live;            /* tasks that have not ended */
-    int64_t idle_ms;          /* when the last of them ended */
-    uint32_t unreleased;      /* ends that are not to be taken note of yet */
+    int64_t look_again_ms; /* not before */
+    int64_t hold_until_ms; /* the upstream lets all go by then */
+    uint32_t live;         /* tasks that have not ended */
+    int64_t idle_ms;       /* when the last of them ended */
+    uint32_t unreleased;   /* ends that are not to be taken note of yet */
+    uint32_t held_long;    /* of them those held for long, at the last tick */
     uint32_t held_for_starts; /* ends held for late copies of starts */
     int64_t created_ms;
-    uint32_t held_long; /* of them those held for long, at the last tick */
-    GArray *fenced;     /* lc_node, owners of kept jobs that are gone */
+    GArray *fenced; /* lc_node, owners of kept jobs that are gone */
     bool draining;
     uint64_t version;
     lc_label label_row[LC_MAX_LABELS];
@@ -281,7 +281,8 @@
                                Runner_Task *row);
 
 /** Whether an ended run is not needed any more. */
-bool RunnerKept_IsForgotten(const Runner_Task *row, int64_t now_ms);
+bool RunnerKept_IsForgotten(const Runner *runner, const Runner_Task *row,
+                            int64_t now_ms);
 
 /** Answers a RELEASE. */
 void RunnerKept_OnRelease(Runner *runner, int64_t now_ms, uint64_t reply_id,
--- a/tests/rebirth_rules.c
+++ b/tests/rebirth_rules.c
@@ -285,6 +285,9 @@
     RunnerFix_AnswerLook(&fix, NULL, 0, NULL, 0);
     RunnerFix_AnswerLook(&fix, NULL, 0, NULL, 0);
     g_assert_cmpint(fix.status, ==, LC_RUN_STOPPED);
+    fix.now_ms += 4200;
+    RunnerFix_Beat(&fix, RUNNER_UPSTREAM_READY);
+    Runner_Tick(fix.runner, fix.now_ms);
     RunnerFix_CallRun(&fix, 1, run.run, 1000, 500);
     Runner_OnStarted(fix.runner, fix.now_ms, fix.start_id, RUNNER_ORDER_TAKEN,
                      CLOCK_MS);
