Reuse RunId_SameTask, one expiry of a hold, no scan before a look is due

Read again, behaviour as it was: - runner_kept.c compared tasks by a copy of RunId_SameTask; it calls that now. The expiry of a hold stood twice; RunnerKept_IsForgotten asked for held_for_start, which its one caller has excluded. - RunnerLook_Send scanned the table of tasks for last_seen at every event, before it knew whether a look was due; the scan follows that check. look_wanted asks the same function for what is left to acknowledge. - runner.c told a run that is only asked for before the inventory in two ways; one predicate serves admission and the mark of a refusal. - is_answer of runner_orders.c had one caller and is gone. - Three rules of rebirth_rules share the steps of an end that is listed and released; their assertions are as they were.

--- a/lease/runner.c
+++ b/lease/runner.c
@@ -120,6 +120,13 @@
     return true;
 }
 
+/* The inventory may still list the end of a run that is only asked for. */
+static bool
+awaits_inventory(const Runner *runner, const lc_run_args *args)
+{
+    return args->valid_until_ms == LC_HOLD_NONE && !runner->up.inventoried;
+}
+
 /* LC_RUN_DONE if it may start. */
 static lc_run_status
 admit(const Runner *runner, int64_t now_ms, const lc_run_args *args)
@@ -129,8 +136,8 @@
     if (args->target != 0 && args->target != runner->config.node.incarnation) {
         return runner->up.inventoried ? LC_RUN_OTHER_NODE : LC_RUN_NOT_READY;
     }
-    if (args->valid_until_ms == LC_HOLD_NONE && !runner->up.inventoried) {
-        return LC_RUN_NOT_READY; /* the inventory may still list its end */
+    if (awaits_inventory(runner, args)) {
+        return LC_RUN_NOT_READY;
     }
     if (now_ms > args->valid_until_ms ||
         RunnerKept_IsFenced(runner, &args->owner)) {
@@ -205,8 +212,7 @@
         }
         RunnerTask_ReplyRun(runner, now_ms, reply_id, status, 0);
         if (args->target == runner->config.node.incarnation &&
-            !(args->valid_until_ms == LC_HOLD_NONE &&
-              status == LC_RUN_NOT_READY)) {
+            !awaits_inventory(runner, args)) {
             add_tombstone(runner, now_ms, &args->owner, &args->id, status);
         }
         return;
--- a/lease/runner_kept.c
+++ b/lease/runner_kept.c
@@ -42,13 +42,6 @@
                : row->start_sent_ms + runner->config.late_ms;
 }
 
-static bool
-is_same_task(const lc_run_id *a, const lc_run_id *b)
-{
-    return a->job == b->job && a->occurrence == b->occurrence &&
-           a->step == b->step && a->index == b->index;
-}
-
 /* Returns the latest expiry of the starts of other runs of the same task,
  * which can also be executed late. */
 static int64_t
@@ -61,13 +54,19 @@
     g_hash_table_iter_init(&iter, runner->tasks);
     while (g_hash_table_iter_next(&iter, NULL, &item)) {
         const Runner_Task *other = item;
-        if (other != row && is_same_task(&other->id, &row->id)) {
+        if (other != row && RunId_SameTask(&other->id, &row->id)) {
             expiry_ms = MAX(expiry_ms, start_expiry(runner, other));
         }
     }
     return expiry_ms;
 }
 
+static int64_t
+hold_expiry(const Runner *runner, const Runner_Task *row)
+{
+    return MAX(row->earlier_expiry_ms, start_expiry(runner, row));
+}
+
 /* Prevents a second execution of an acknowledged run: an upstream that
  * restarts under the same name does not know the run and would execute a late
  * copy of its start. The end is not acknowledged while such a copy can arrive.
@@ -76,7 +75,7 @@
 hold_for_start(Runner *runner, int64_t now_ms, Runner_Task *row)
 {
     row->earlier_expiry_ms = earlier_start_expiry(runner, row);
-    if (now_ms < MAX(row->earlier_expiry_ms, start_expiry(runner, row))) {
+    if (now_ms < hold_expiry(runner, row)) {
         row->held_for_start = true;
         runner->held_for_starts++;
     }
@@ -96,9 +95,7 @@
 void
 RunnerKept_CheckStartHold(Runner *runner, int64_t now_ms, Runner_Task *row)
 {
-    int64_t expiry_ms = MAX(row->earlier_expiry_ms, start_expiry(runner, row));
-
-    if (now_ms >= expiry_ms ||
+    if (now_ms >= hold_expiry(runner, row) ||
         runner->up.last_seen - row->end_number >= RUNNER_MOST_HELD) {
         clear_start_hold(runner, row);
     }
@@ -196,9 +193,8 @@
     bool start_expired = !RunId_IsKept(&row->id) ||
                          now_ms >= start_expiry(runner, row);
 
-    return !row->held_for_start && start_expired &&
-           now_ms - row->ended_ms >
-               (row->unreleased ? FORGET_HELD_MS : FORGET_MS);
+    return start_expired && now_ms - row->ended_ms >
+                                (row->unreleased ? FORGET_HELD_MS : FORGET_MS);
 }
 
 void
--- a/lease/runner_look.c
+++ b/lease/runner_look.c
@@ -18,12 +18,23 @@
 #define LOOK_AGAIN_MS 50
 #define OTHER_AGAIN_MS 150
 
+/* Returns the last_seen to send, or 0 if an answer has already confirmed it.
+ * A restarted upstream numbers its ends from 1 again, so repeating a confirmed
+ * number could acknowledge unread ends of the new incarnation. */
+static uint64_t
+unacknowledged_last_seen(const Runner *runner)
+{
+    uint64_t last_seen = RunnerKept_LastSeen(runner);
+
+    return last_seen > runner->up.acknowledged ? last_seen : 0;
+}
+
 static bool
 look_wanted(const Runner *runner)
 {
     return runner->live > 0 || !runner->up.inventoried ||
-           RunnerKept_LastSeen(runner) > runner->up.acknowledged ||
-           runner->up.doubtful || runner->successor.pending;
+           unacknowledged_last_seen(runner) > 0 || runner->up.doubtful ||
+           runner->successor.pending;
 }
 
 void
@@ -84,29 +95,18 @@
     return due_ms;
 }
 
-/* Returns the last_seen to send, or 0 if an answer has already confirmed it.
- * A restarted upstream numbers its ends from 1 again, so repeating a confirmed
- * number could acknowledge unread ends of the new incarnation. */
-static uint64_t
-unacknowledged_last_seen(const Runner *runner)
-{
-    uint64_t last_seen = RunnerKept_LastSeen(runner);
-
-    return last_seen > runner->up.acknowledged ? last_seen : 0;
-}
-
 void
 RunnerLook_Send(Runner *runner, int64_t now_ms)
 {
     Runner_Look look = {.instance = runner->up.instance,
-                        .token = runner->token,
-                        .last_seen = unacknowledged_last_seen(runner)};
+                        .token = runner->token};
     int64_t ahead;
 
     if (RunnerLook_DueMs(runner) != INT64_MAX || !look_wanted(runner) ||
         now_ms < runner->look_again_ms) {
         return;
     }
+    look.last_seen = unacknowledged_last_seen(runner);
     ahead = runner->up.inventoried ? RunnerOwner_HoldAhead(runner, now_ms) : 0;
     if (ahead > 0 && runner->up.clock_ms > 0) {
         look.deadline_ms = RunnerUpstream_Clock(runner, now_ms) + ahead;
--- a/lease/runner_orders.c
+++ b/lease/runner_orders.c
@@ -184,12 +184,6 @@
     }
 }
 
-static bool
-is_answer(Runner_OrderEnd end)
-{
-    return end != RUNNER_ORDER_UNSENT && end != RUNNER_ORDER_UNANSWERED;
-}
-
 /* Notes how a copy was answered, and returns its task if that matters still.
  * A copy whose connection broke is missed at once. */
 static Runner_Task *
@@ -209,7 +203,7 @@
         !RunnerTask_IsOfEarlierLife(runner, row)) {
         RunnerUpstream_CheckClock(runner, now_ms, order->sent_ms, clock_ms);
     }
-    if (is_answer(end)) {
+    if (end != RUNNER_ORDER_UNSENT && end != RUNNER_ORDER_UNANSWERED) {
         AnswerTime_Take(&runner->answers, now_ms - order->sent_ms);
         RunnerOrder_NoteAnswer(runner, in_time);
     }
--- a/tests/rebirth_rules.c
+++ b/tests/rebirth_rules.c
@@ -170,14 +170,23 @@
 
 /* ---- unanswered starts ---- */
 
+/* The upstream lists a run as ended, as its end 5; the entry releases it. */
+static void
+end_and_release(runner_fixture *fix, const lc_run_id *run)
+{
+    Runner_EndRow ended = {5, *run, RUNNER_END_DONE};
+
+    RunnerFix_AnswerLook(fix, NULL, 0, &ended, 1);
+    RunnerFix_Release(fix, run);
+    RunnerFix_AnswerLook(fix, NULL, 0, &ended, 1);
+}
+
 /* Sets up a kept run that has ended and been released; the first copy of its
  * start is unanswered and the second was taken. */
 static void
 set_up_unanswered_start(runner_fixture *fix, lc_run_id *run,
                         uint64_t *first_copy)
 {
-    Runner_EndRow ended = {5, *run, RUNNER_END_DONE};
-
     RunnerFix_NewReady(fix);
     RunnerFix_CallRun(fix, run->job, run->run, 1000, 500);
     *first_copy = fix->start_id;
@@ -186,10 +195,8 @@
     g_assert_cmpint(fix->starts, ==, 2);
     Runner_OnStarted(fix->runner, fix->now_ms, fix->start_id,
                      RUNNER_ORDER_TAKEN, CLOCK_MS);
-    RunnerFix_AnswerLook(fix, NULL, 0, &ended, 1);
+    end_and_release(fix, run);
     g_assert_cmpint(fix->status, ==, LC_RUN_DONE);
-    RunnerFix_Release(fix, run);
-    RunnerFix_AnswerLook(fix, NULL, 0, &ended, 1);
 }
 
 /* Advances the clock, lets the runner send a look if it has an end to
@@ -254,14 +261,11 @@
 test_ends_found_after_restart_are_held(void)
 {
     lc_run_id run = RunnerFix_Run(1, RUN_ID_KEPT_BASE + 1);
-    Runner_EndRow ended = {5, run, RUNNER_END_DONE};
     runner_fixture fix;
 
     RunnerFix_New(&fix);
     RunnerFix_Beat(&fix, RUNNER_UPSTREAM_READY);
-    RunnerFix_AnswerLook(&fix, NULL, 0, &ended, 1);
-    RunnerFix_Release(&fix, &run);
-    RunnerFix_AnswerLook(&fix, NULL, 0, &ended, 1);
+    end_and_release(&fix, &run);
     g_assert_cmpint(last_seen_after(&fix, RUNNER_FIX_LATE_MS - 50), ==, 4);
     g_assert_cmpint(last_seen_after(&fix, 100), ==, 5);
     Runner_Free(fix.runner);
@@ -273,7 +277,6 @@
 test_earlier_start_holds_the_end(void)
 {
     lc_run_id run = RunnerFix_Run(1, RUN_ID_KEPT_BASE + 2);
-    Runner_EndRow ended = {5, run, RUNNER_END_DONE};
     runner_fixture fix;
 
     RunnerFix_NewReady(&fix);
@@ -292,9 +295,7 @@
     Runner_OnStarted(fix.runner, fix.now_ms, fix.start_id, RUNNER_ORDER_TAKEN,
                      CLOCK_MS);
     fix.now_ms += 50;
-    RunnerFix_AnswerLook(&fix, NULL, 0, &ended, 1);
-    RunnerFix_Release(&fix, &run);
-    RunnerFix_AnswerLook(&fix, NULL, 0, &ended, 1);
+    end_and_release(&fix, &run);
     g_assert_cmpint(last_seen_after(&fix, 50), ==, 4);
     g_assert_cmpint(last_seen_after(&fix, RUNNER_FIX_LATE_MS), ==, 5);
     Runner_Free(fix.runner);
