Retry a durable task only where an unanswered start of it may be executed

Cause: a copy of the start of run 1025 stays unanswered at upstream 3, where the run fails by another copy. The owner is told "failed" and nothing of the copy, sends run 1026 to upstream 1, and its end is acknowledged: companion 1 holds it only for copies of its own upstream. Upstream 3 crashes and, under the same name, knows neither run nor token; it executes the copy.

Change: a companion tells with the end or refusal of a durable run, and to the successor of its owner (FENCE), for how long its upstream may still execute a start of the task: times.late_ms from the last copy unless all were answered, or the upstream has answered under another name. Until then the owner starts the task there alone, after a pause if it failed there, and not while that upstream is on trial; a task with such copies at two companions waits. A restarted companion assumes a copy of a run that it is asked for and does not know. The fields stand at the end of the replies: an older process skips them, and what is missing reads as zero.

Why this works: while a copy can arrive, all runs of the task are at one upstream. Its companion refuses or stops the copy in the incarnation that knows the later run; after a restart it starts nothing before the upstream was found empty under a higher token; and the end of the later run is held there (earlier_expiry_ms), or lost with the incarnation that listed it.

Ruled out: polling a silent upstream more often, fewer copies (rarer, not the cause); the owner releasing ends late alone (does not prevent two runs, and an end whose task is started late could never be acknowledged); holding each retry back until late_ms (13 s) though the upstream is up.

--- a/lease/active_job.c
+++ b/lease/active_job.c
@@ -134,6 +134,22 @@
     }
 }
 
+bool
+Active_IsBound(const Active_Task *task, int64_t now_ms)
+{
+    return now_ms < task->bound_until_ms;
+}
+
+void
+Active_Bind(Active_Task *task, int64_t now_ms, Address address,
+            int64_t until_ms)
+{
+    bool elsewhere = Active_IsBound(task, now_ms) && task->bound_to != address;
+
+    task->bound_to = elsewhere ? 0 : address;
+    task->bound_until_ms = MAX(task->bound_until_ms, until_ms);
+}
+
 bool
 Active_IsDone(const Active_Job *job)
 {
--- a/lease/active_job.h
+++ b/lease/active_job.h
@@ -41,14 +41,19 @@
     lc_run_id id; /**< includes the number of the latest run */
     Active_State state;
     bool done;
-    uint32_t failures;     /**< run ends that count as attempts */
-    uint32_t crashes;      /**< upstreams that crashed while running it */
-    Address crashed;       /**< address of the companion of the last one */
-    lc_node host;          /**< companion of the latest run */
-    Address avoid;         /**< companion where it last failed */
-    int64_t not_before_ms; /**< nothing is sent for it before this time */
-    uint32_t refused;      /**< consecutive refused starts */
-    uint32_t call_retries; /**< repeated calls about the current run */
+    uint32_t failures; /**< run ends that count as attempts */
+    uint32_t crashes;  /**< upstreams that crashed while running it */
+    Address crashed;   /**< address of the companion of the last one */
+    lc_node host;      /**< companion of the latest run */
+    Address avoid;     /**< companion where it last failed */
+    Address bound_to;  /**< companion whose upstream may execute an earlier
+                            start of the task until `bound_until_ms`: until
+                            then the task is started nowhere else. 0 if
+                            several may */
+    int64_t bound_until_ms;
+    int64_t not_before_ms;      /**< nothing is sent for it before this time */
+    uint32_t refused;           /**< consecutive refused starts */
+    uint32_t call_retries;      /**< repeated calls about the current run */
     int64_t outcome_queried_ms; /**< when the outcome of the run was first
                                      queried: the run may have ended, and must
                                      not be started again. 0 if it may be
@@ -106,6 +111,14 @@
  * start time has come; @p wall_ms is the wall clock in ms. */
 void Active_Unblock(Active_Job *job, int64_t wall_ms);
 
+/** Binds a task to a companion whose upstream may execute an earlier start of
+ * the task until @p until_ms. */
+void Active_Bind(Active_Task *task, int64_t now_ms, Address address,
+                 int64_t until_ms);
+
+/** Whether a task is bound to one companion, or may be started at none. */
+bool Active_IsBound(const Active_Task *task, int64_t now_ms);
+
 /** Whether all tasks are done. */
 bool Active_IsDone(const Active_Job *job);
 
--- a/lease/dispatcher.h
+++ b/lease/dispatcher.h
@@ -97,15 +97,25 @@
     lc_node host;
 } Dispatcher_ReportedRun;
 
+/** A start of a durable job's run that the upstream of a companion may still
+ * execute. */
+typedef struct {
+    lc_run_id id;
+    Address host;
+    int64_t until_ms;
+} Dispatcher_LateStart;
+
 /** A durable job to start or to resume. */
 typedef struct {
     const Route *route;
-    LeasedJob job;          /**< contents move to the dispatcher */
-    const GByteArray *done; /**< bitmap of the finished tasks */
-    const GArray *failures; /**< lc_kept_failures, see
-                                 DURABLE_LOG_CRASH_COUNT */
-    const GArray *runs;     /**< Dispatcher_ReportedRun */
-    uint32_t run_base;      /**< highest run number used before */
+    LeasedJob job;             /**< contents move to the dispatcher */
+    const GByteArray *done;    /**< bitmap of the finished tasks */
+    const GArray *failures;    /**< lc_kept_failures, see
+                                    DURABLE_LOG_CRASH_COUNT */
+    const GArray *runs;        /**< Dispatcher_ReportedRun */
+    const GArray *late_starts; /**< Dispatcher_LateStart, of any job; or NULL
+                                */
+    uint32_t run_base;         /**< highest run number used before */
 } Dispatcher_DurableJob;
 
 /** Opaque dispatcher. */
--- a/lease/dispatcher_completion.c
+++ b/lease/dispatcher_completion.c
@@ -10,6 +10,12 @@
 #define MAX_CRASHES 2
 #define MAX_CRASHES_LONG_RUNNING 3
 
+/* Delay before a task that failed is started again at the same host, as it is
+ * bound there; doubles with each failure of the task. An upstream that fails
+ * tasks intermittently would otherwise use up all its attempts at once. */
+#define BOUND_RETRY_MS 200
+#define BOUND_RETRY_MAX_DOUBLINGS 6
+
 Fleet_Host *
 DispatcherCompletion_HostOf(const Dispatcher *self, const Active_Task *task)
 {
@@ -290,6 +296,17 @@
     return DispatcherCompletion_CheckCrashLimit(self, now_ms, job, task);
 }
 
+static int64_t
+failed_retry_ms(const Active_Task *task, int64_t now_ms)
+{
+    uint32_t doublings = MIN(task->failures - 1, BOUND_RETRY_MAX_DOUBLINGS);
+
+    return Active_IsBound(task, now_ms)
+               ? MIN(now_ms + ((int64_t)BOUND_RETRY_MS << doublings),
+                     task->bound_until_ms)
+               : now_ms;
+}
+
 void
 DispatcherCompletion_OnRunFailed(Dispatcher *self, int64_t now_ms,
                                  Active_Job *job, Active_Task *task,
@@ -311,5 +328,6 @@
         DispatcherCompletion_EndJob(self, now_ms, job, &answer);
         return;
     }
-    DispatcherCompletion_Requeue(self, job, task, now_ms);
+    DispatcherCompletion_Requeue(self, job, task,
+                                 failed_retry_ms(task, now_ms));
 }
--- a/lease/dispatcher_queue.c
+++ b/lease/dispatcher_queue.c
@@ -128,7 +128,8 @@
 }
 
 /* Assigns hosts to the waiting tasks of a job, stopping at the first task that
- * finds none; appends the assigned tasks to @p placed. */
+ * finds none, unless only the task's own host would do; appends the assigned
+ * tasks to @p placed. */
 static void
 place_job(Dispatcher *self, int64_t now_ms, Active_Job *job,
           lc_resources *largest, GPtrArray *placed)
@@ -154,6 +155,9 @@
             return;
         }
         host = HostChoice_Pick(&choice, job, task);
+        if (host == NULL && Active_IsBound(task, now_ms)) {
+            continue;
+        }
         if (host == NULL) {
             *largest = DispatcherQueue_LargestRoom(self, now_ms);
             return;
--- a/lease/dispatcher_replies.c
+++ b/lease/dispatcher_replies.c
@@ -81,6 +81,21 @@
     DispatcherCompletion_Requeue(self, job, task, now_ms);
 }
 
+/* The upstream may execute a start of this run, or of an earlier one, once it
+ * has restarted under its name. A run elsewhere could then run beside that
+ * one, or its end could be acknowledged before. */
+static void
+bind_to_late_start(int64_t now_ms, Active_Job *job, Active_Task *task,
+                   uint32_t late_start_ms)
+{
+    if (!job->durable || late_start_ms == 0) {
+        return;
+    }
+    Active_Bind(task, now_ms, task->host.address, now_ms + late_start_ms);
+    JobTrace_Add(job->trace, now_ms, JOB_TRACE_BOUND, &task->id,
+                 task->host.address, (int32_t)late_start_ms);
+}
+
 static void
 on_run_ended(Dispatcher *self, int64_t now_ms, Active_Job *job,
              Active_Task *task, lc_run_status status)
@@ -170,6 +185,7 @@
                                       result->host.node);
         return;
     }
+    bind_to_late_start(now_ms, job, task, result->late_start_ms);
     on_run_ended(self, now_ms, job, task,
                  effective_status(result->status, task));
 }
--- a/lease/durable_jobs_owned.c
+++ b/lease/durable_jobs_owned.c
@@ -310,6 +310,7 @@
     row = add_own_job(self, job);
     adopt_found_runs(self, row, &start.job, recovery, runs);
     start.runs = runs;
+    start.late_starts = recovery == NULL ? NULL : recovery->late_starts;
     start.done = row->done;
     start.failures = row->failures;
     Dispatcher_AddDurable(self->dispatcher, now_ms, &start);
--- a/lease/durable_jobs_takeover.c
+++ b/lease/durable_jobs_takeover.c
@@ -243,6 +243,7 @@
 {
     g_array_unref(recovery->fenced);
     g_array_unref(recovery->runs);
+    g_array_unref(recovery->late_starts);
 }
 
 /* Another entry has claimed the jobs of this one. Their active runs continue
@@ -277,6 +278,8 @@
                        Address_Text(claimed_owner.address));
     recovery.fenced = g_array_new(FALSE, TRUE, sizeof(lc_node));
     recovery.runs = g_array_new(FALSE, TRUE, sizeof(DurableJobs_FoundRun));
+    recovery.late_starts = g_array_new(FALSE, TRUE,
+                                       sizeof(Dispatcher_LateStart));
     g_array_append_val(self->recoveries, recovery);
     self->has_unstarted = true;
     DurableTakeover_AdvanceRecoveries(self, now_ms);
@@ -503,13 +506,31 @@
     }
 }
 
+static void
+add_found_runs(DurableJobs_Recovery *recovery, int64_t now_ms, lc_node host,
+               const lc_fence_res *result)
+{
+    u_int i;
+
+    for (i = 0; i < result->runs.runs_len; i++) {
+        DurableJobs_FoundRun found = {result->runs.runs_val[i], host};
+        g_array_append_val(recovery->runs, found);
+    }
+    for (i = 0; i < result->late_starts.late_starts_len; i++) {
+        const lc_late_start *row = &result->late_starts.late_starts_val[i];
+        Dispatcher_LateStart late = {.id = row->id,
+                                     .host = host.address,
+                                     .until_ms = now_ms + row->late_start_ms};
+        g_array_append_val(recovery->late_starts, late);
+    }
+}
+
 void
 DurableTakeover_OnFenceReply(DurableJobs *self, int64_t now_ms,
                              const DurableJobs_Call *call,
                              const lc_fence_res *result)
 {
     guint i;
-    u_int j;
 
     release_unneeded(self, now_ms, call->host, result);
     for (i = 0; i < self->recoveries->len; i++) {
@@ -520,11 +541,7 @@
             continue;
         }
         g_array_append_val(recovery->fenced, call->host);
-        for (j = 0; j < result->runs.runs_len; j++) {
-            DurableJobs_FoundRun found = {result->runs.runs_val[j],
-                                          call->host};
-            g_array_append_val(recovery->runs, found);
-        }
+        add_found_runs(recovery, now_ms, call->host, result);
     }
     DurableTakeover_AdvanceRecoveries(self, now_ms);
     DurableOwned_SendReleases(self);
--- a/lease/host_choice.c
+++ b/lease/host_choice.c
@@ -84,6 +84,17 @@
            expected_ms > remaining_ms && step->estimate_ms < remaining_ms;
 }
 
+/* A task that is bound to a host waits while that host is on trial, as it has
+ * a limited number of attempts. */
+static bool
+is_bound_elsewhere(const HostChoice_Context *context, const Active_Task *task,
+                   const Fleet_Host *host)
+{
+    return Active_IsBound(task, context->now_ms) &&
+           (task->bound_to != host->node.address ||
+            host->state == LC_UPSTREAM_TRIAL);
+}
+
 static bool
 may_run(const HostChoice_Context *context, const Active_Job *job,
         const Active_Task *task, const Fleet_Host *host)
@@ -91,6 +102,7 @@
     const LeasedJob_Step *step = Active_Step(job, task);
 
     if (!HostChoice_IsSchedulable(host, context->now_ms) ||
+        is_bound_elsewhere(context, task, host) ||
         !Resources_Fit(&step->need, &host->room) ||
         g_strcmp0(host->service, job->service) != 0 ||
         !Fleet_HasLabel(host, step->requirement)) {
--- a/lease/job_trace.h
+++ b/lease/job_trace.h
@@ -21,6 +21,7 @@
     X(HALTED, "halted")       /* a stop of the run was requested */           \
     X(EXPIRED, "expired")     /* its lease has certainly expired */           \
     X(RESTARTED, "reborn")    /* its companion has a new incarnation */       \
+    X(BOUND, "bound")         /* value: for how many ms, see Active_Bind */   \
     X(FORWARDED, "forwarded") /* value: expected bytes if started here */     \
     X(FORWARD_REFUSED, "given back") /* the other entry refused it */
 
--- a/lease/runner.c
+++ b/lease/runner.c
@@ -196,6 +196,27 @@
     return row;
 }
 
+/* Replies to a RUN that is not carried out. A queried run without a record may
+ * have been started by the previous process of this companion. */
+static void
+refuse_run(Runner *runner, int64_t now_ms, uint64_t reply_id,
+           const lc_run_args *args, lc_run_status status)
+{
+    lc_run_res result = {.status = status};
+    Runner_Task *row;
+
+    if (args->target == runner->config.node.incarnation &&
+        !awaits_inventory(runner, args)) {
+        row = add_tombstone(runner, now_ms, &args->owner, &args->id, status);
+        if (args->valid_until_ms == LC_HOLD_NONE) {
+            RunnerDurable_AssumeCopies(runner, row, 1);
+        }
+    }
+    result.late_start_ms = RunnerDurable_LateStartMs(runner, now_ms,
+                                                     &args->id);
+    RunnerTask_ReplyRun(runner, now_ms, reply_id, &result);
+}
+
 static void
 on_run(Runner *runner, int64_t now_ms, uint64_t reply_id,
        const lc_run_args *args)
@@ -219,11 +240,7 @@
             runner->version++; /* the next report sends the closed halls to the
                                   entry */
         }
-        RunnerTask_ReplyRun(runner, now_ms, reply_id, status, 0);
-        if (args->target == runner->config.node.incarnation &&
-            !awaits_inventory(runner, args)) {
-            add_tombstone(runner, now_ms, &args->owner, &args->id, status);
-        }
+        refuse_run(runner, now_ms, reply_id, args, status);
         return;
     }
     owner = RunnerOwner_Extend(runner, &args->owner, lease_until(args));
--- a/lease/runner_durable.c
+++ b/lease/runner_durable.c
@@ -28,6 +28,15 @@
     return end == RUNNER_END_DONE || end == RUNNER_END_FAILED;
 }
 
+/* Orders name the instance that they are meant for, so an upstream that has
+ * answered under another name executes no copy. */
+static bool
+is_instance_replaced(const Runner *runner, const Runner_Task *row)
+{
+    return runner->upstream.inventoried &&
+           strcmp(row->instance, runner->upstream.instance) != 0;
+}
+
 /* Returns the time from which no unanswered copy of a run's start can be
  * executed any more, or 0 if no copy is outstanding. If the run was observed
  * but no copy was accepted, one unanswered copy is known to have
@@ -39,15 +48,17 @@
     uint32_t resolved = row->answered_copies +
                         (observed && !row->start_accepted);
 
-    return resolved >= row->start_copies
-               ? 0
-               : row->start_sent_ms + runner->config.late_ms;
+    if (resolved >= row->start_copies || is_instance_replaced(runner, row)) {
+        return 0;
+    }
+    return row->start_sent_ms + runner->config.late_ms;
 }
 
-/* Returns the latest expiry of the starts of other runs of the same task,
- * which can also be executed late. */
+/* Returns the latest expiry of the starts of all runs of a task but one, which
+ * can also be executed late; @p except may be NULL. */
 static int64_t
-earlier_start_expiry(const Runner *runner, const Runner_Task *row)
+task_start_expiry(const Runner *runner, const lc_run_id *id,
+                  const Runner_Task *except)
 {
     int64_t expiry_ms = 0;
     GHashTableIter iter;
@@ -55,14 +66,29 @@
 
     g_hash_table_iter_init(&iter, runner->tasks);
     while (g_hash_table_iter_next(&iter, NULL, &item)) {
-        const Runner_Task *other = item;
-        if (other != row && RunId_SameTask(&other->id, &row->id)) {
-            expiry_ms = MAX(expiry_ms, start_expiry(runner, other));
+        const Runner_Task *row = item;
+        if (row != except && RunId_SameTask(&row->id, id)) {
+            expiry_ms = MAX(expiry_ms, start_expiry(runner, row));
         }
     }
     return expiry_ms;
 }
 
+static uint32_t
+remaining_ms(int64_t now_ms, int64_t expiry_ms)
+{
+    return now_ms < expiry_ms ? (uint32_t)(expiry_ms - now_ms) : 0;
+}
+
+uint32_t
+RunnerDurable_LateStartMs(const Runner *runner, int64_t now_ms,
+                          const lc_run_id *id)
+{
+    return RunId_IsDurable(id)
+               ? remaining_ms(now_ms, task_start_expiry(runner, id, NULL))
+               : 0;
+}
+
 static int64_t
 hold_expiry(const Runner *runner, const Runner_Task *row)
 {
@@ -76,7 +102,7 @@
 static void
 hold_for_start(Runner *runner, int64_t now_ms, Runner_Task *row)
 {
-    row->earlier_expiry_ms = earlier_start_expiry(runner, row);
+    row->earlier_expiry_ms = task_start_expiry(runner, &row->id, row);
     if (now_ms < hold_expiry(runner, row)) {
         row->held_for_start = true;
         runner->held_for_starts++;
@@ -103,6 +129,14 @@
     }
 }
 
+void
+RunnerDurable_AssumeCopies(const Runner *runner, Runner_Task *row,
+                           uint32_t copies)
+{
+    row->start_copies = copies;
+    row->start_sent_ms = runner->created_ms;
+}
+
 /* A previous process of this companion may have sent several copies of the
  * start, so one copy is assumed to be unanswered. */
 static Runner_Task *
@@ -114,8 +148,7 @@
     row->state = TASK_ENDED;
     row->status = ended->end == RUNNER_END_DONE ? LC_RUN_DONE : LC_RUN_FAILED;
     row->ended_ms = now_ms;
-    row->start_copies = 2;
-    row->start_sent_ms = runner->created_ms;
+    RunnerDurable_AssumeCopies(runner, row, 2);
     return row;
 }
 
@@ -291,12 +324,35 @@
     }
 }
 
+/* Lists the ended runs of the owners that are gone whose starts the upstream
+ * may still execute. */
+static void
+list_late_starts(const Runner *runner, int64_t now_ms,
+                 const lc_fence_args *args, GArray *late_starts)
+{
+    GHashTableIter iter;
+    gpointer item;
+
+    g_hash_table_iter_init(&iter, runner->tasks);
+    while (g_hash_table_iter_next(&iter, NULL, &item)) {
+        const Runner_Task *row = item;
+        lc_late_start late = {.id = row->id};
+        late.late_start_ms = remaining_ms(now_ms, start_expiry(runner, row));
+        if (RunId_IsDurable(&row->id) && row->state == TASK_ENDED &&
+            late.late_start_ms > 0 && is_affected(row, args) &&
+            late_starts->len < LC_MAX_PAGE) {
+            g_array_append_val(late_starts, late);
+        }
+    }
+}
+
 void
 RunnerDurable_OnFence(Runner *runner, int64_t now_ms, uint64_t reply_id,
                       const lc_fence_args *args)
 {
     Msg_Reply reply = {.kind = MSG_FENCE};
     GArray *runs = g_array_new(FALSE, TRUE, sizeof(lc_held_run));
+    GArray *late_starts = g_array_new(FALSE, TRUE, sizeof(lc_late_start));
     u_int i;
 
     if (args->target == runner->config.node.incarnation &&
@@ -306,10 +362,15 @@
             add_fenced(runner, &args->gone.gone_val[i]);
         }
         list_runs(runner, now_ms, args, runs);
+        list_late_starts(runner, now_ms, args, late_starts);
     }
     reply.u.fence.runs.runs_len = runs->len;
     reply.u.fence.runs.runs_val = (lc_held_run *)(void *)runs->data;
+    reply.u.fence.late_starts.late_starts_len = late_starts->len;
+    reply.u.fence.late_starts.late_starts_val =
+        (lc_late_start *)(void *)late_starts->data;
     Runner_State(runner, now_ms, &reply.u.fence.host);
     runner->ports->reply(runner->context, reply_id, &reply);
     g_array_unref(runs);
+    g_array_unref(late_starts);
 }
--- a/lease/runner_state.h
+++ b/lease/runner_state.h
@@ -35,6 +35,7 @@
     uint32_t estimate_ms;
     uint32_t crashes;     /* earlier upstream crashes while it ran */
     uint32_t incarnation; /* of the upstream that the start was sent to */
+    char *instance;       /* instance name of that incarnation */
     Runner_TaskState state;
     lc_run_status status; /* valid while stopping and when ended */
     Handle handle;
@@ -186,7 +187,7 @@
 
 /** Replies to one RUN. */
 void RunnerTask_ReplyRun(Runner *runner, int64_t now_ms, uint64_t reply_id,
-                         lc_run_status status, uint32_t ran_ms);
+                         const lc_run_res *result);
 
 /** Replies to one HALT. */
 void RunnerTask_ReplyHalt(Runner *runner, int64_t now_ms, uint64_t reply_id,
@@ -295,6 +296,17 @@
 void RunnerDurable_CheckStartHold(Runner *runner, int64_t now_ms,
                                   Runner_Task *row);
 
+/** How long, in ms from now, the upstream may still execute a start of any run
+ * of a task: 0 if no copy of one is unanswered, or if the job is not durable.
+ */
+uint32_t RunnerDurable_LateStartMs(const Runner *runner, int64_t now_ms,
+                                   const lc_run_id *id);
+
+/** Assumes that the previous process of this companion has sent copies of a
+ * run's start until it ended. */
+void RunnerDurable_AssumeCopies(const Runner *runner, Runner_Task *row,
+                                uint32_t copies);
+
 /** Whether the record of an ended run may be removed. */
 bool RunnerDurable_IsDisposable(const Runner *runner, const Runner_Task *row,
                                 int64_t now_ms);
--- a/lease/runner_tasks.c
+++ b/lease/runner_tasks.c
@@ -23,6 +23,7 @@
     Runner_Task *row = item;
 
     g_array_unref(row->pending_replies);
+    g_free(row->instance);
     g_free(row->spec);
     g_free(row);
 }
@@ -52,12 +53,11 @@
 
 void
 RunnerTask_ReplyRun(Runner *runner, int64_t now_ms, uint64_t reply_id,
-                    lc_run_status status, uint32_t ran_ms)
+                    const lc_run_res *result)
 {
     Msg_Reply reply = {.kind = MSG_RUN};
 
-    reply.u.run.status = status;
-    reply.u.run.ran_ms = ran_ms;
+    reply.u.run = *result;
     Runner_State(runner, now_ms, &reply.u.run.host);
     runner->ports->reply(runner->context, reply_id, &reply);
 }
@@ -85,8 +85,10 @@
 RunnerTask_Answer(Runner *runner, int64_t now_ms, Runner_Task *row)
 {
     GArray *pending_replies = row->pending_replies;
+    lc_run_res result = {.status = row->status, .ran_ms = row->ran_ms};
     guint i;
 
+    result.late_start_ms = RunnerDurable_LateStartMs(runner, now_ms, &row->id);
     row->pending_replies = g_array_new(FALSE, FALSE, sizeof(uint64_t));
     for (i = 0; i < pending_replies->len; i++) {
         uint64_t pending = g_array_index(pending_replies, uint64_t, i);
@@ -94,8 +96,7 @@
             RunnerTask_ReplyHalt(runner, now_ms, pending >> 1, row->status);
         }
         else {
-            RunnerTask_ReplyRun(runner, now_ms, pending >> 1, row->status,
-                                row->ran_ms);
+            RunnerTask_ReplyRun(runner, now_ms, pending >> 1, &result);
         }
     }
     g_array_unref(pending_replies);
@@ -124,8 +125,10 @@
         &runner->counters,
         status == LC_RUN_DONE ? COUNTER_TASKS_DONE : COUNTER_TASKS_FAILED, 1);
     if (status != LC_RUN_DONE) {
-        RunnerTask_Log(runner, EVENT_RUN_ENDED, row, "%s after %u ms",
-                       RunStatus_Text(status), row->ran_ms);
+        RunnerTask_Log(runner, EVENT_RUN_ENDED, row,
+                       "%s after %u ms, %u of %u copies of the start answered",
+                       RunStatus_Text(status), row->ran_ms,
+                       row->answered_copies, row->start_copies);
     }
     RunnerTask_Answer(runner, now_ms, row);
 }
@@ -195,6 +198,7 @@
     row->estimate_ms = args->estimate_ms;
     row->crashes = args->crashes;
     row->incarnation = runner->upstream.incarnation;
+    row->instance = g_strdup(runner->upstream.instance);
     row->spec = g_strdup(args->spec);
     row->pending_replies = g_array_new(FALSE, FALSE, sizeof(uint64_t));
     row->ordered_ms = now_ms;
--- a/tests/entry_fixture.c
+++ b/tests/entry_fixture.c
@@ -108,6 +108,17 @@
     row->kind = answer->kind;
 }
 
+static void
+port_durable_run_end(void *context, const lc_run_id *id, uint32_t task,
+                     lc_node host, bool done)
+{
+    (void)context;
+    (void)id;
+    (void)task;
+    (void)host;
+    (void)done;
+}
+
 static const Dispatcher_Ports ports = {
     .call = port_call,
     .runs = port_runs,
@@ -115,6 +126,7 @@
     .reset = port_reset,
     .answer = port_answer,
     .event = LeaseFix_DropEvent,
+    .on_durable_run_end = port_durable_run_end,
 };
 
 void
@@ -157,7 +169,7 @@
 {
     state->node = EntryFix_Host(host);
     state->stamp_ms = fix->now_ms;
-    state->state = LC_UPSTREAM_READY;
+    state->state = fix->on_trial ? LC_UPSTREAM_TRIAL : LC_UPSTREAM_READY;
     state->room.cpu_milli = tasks * TASK_MILLI;
     state->room.memory_mb = MEMORY_MB;
     state->pace_percent = 100;
@@ -206,6 +218,7 @@
     Msg_Reply reply = {.kind = MSG_RUN};
 
     reply.u.run.status = status;
+    reply.u.run.late_start_ms = fix->late_start_ms;
     fill_state(fix, (uint32_t)(start->to >> 16) - 1, tasks_left,
                &reply.u.run.host);
     Dispatcher_OnReply(fix->dispatcher, fix->now_ms, start->call_id, &reply);
--- a/tests/entry_fixture.h
+++ b/tests/entry_fixture.h
@@ -70,6 +70,8 @@
     uint32_t renewed_tasks; /**< room, in tasks, reported in replies to
                                  renewals, which are immediate; 0: renewals
                                  are not answered */
+    uint32_t late_start_ms; /**< told in replies to starts */
+    bool on_trial; /**< the upstreams of all companions are on trial */
 } EntryFix;
 
 /** Creates a dispatcher at @p address with a link of @p link_mbps Mbit/s; 0:
--- a/tests/kept_rules.c
+++ b/tests/kept_rules.c
@@ -413,6 +413,23 @@
     flush(fix);
 }
 
+/* The companion answers the last FENCE with a start of job 7 that its upstream
+ * may execute late. */
+static void
+answer_fence_late_start(fixture *fix, u_int late_start_ms)
+{
+    lc_late_start late = {.id = {.job = 7, .run = 1025},
+                          .late_start_ms = late_start_ms};
+    Msg_Reply reply = {.kind = MSG_FENCE};
+
+    reply.u.fence.taken = true;
+    reply.u.fence.late_starts.late_starts_val = &late;
+    reply.u.fence.late_starts.late_starts_len = 1;
+    DurableJobs_OnReply(fix->durable_jobs, fix->now_ms,
+                        last_call(fix, MSG_FENCE)->id, &reply);
+    flush(fix);
+}
+
 static lc_node
 own_identity(const fixture *fix)
 {
@@ -959,6 +976,23 @@
     free_fixture(&fix);
 }
 
+/* The upstream of the only companion is on trial, where a task that may be
+ * started late is not retried. */
+static void
+test_successor_waits_for_late_start(void)
+{
+    fixture fix;
+
+    claim_other_owner(&fix);
+    fix.state = LC_UPSTREAM_TRIAL;
+    answer_fence_late_start(&fix, 2000);
+    advance(&fix, 1900);
+    g_assert_cmpint(count_calls(&fix, MSG_RUN), ==, 0);
+    advance(&fix, 200);
+    g_assert_cmpint(count_calls(&fix, MSG_RUN), ==, 1);
+    free_fixture(&fix);
+}
+
 static void
 test_successor_adopts_active_run(void)
 {
@@ -1198,6 +1232,8 @@
     {"/durable/reads the last records of the old owner",
      test_successor_reads_last_progress},
     {"/durable/adopts ends held by companions", test_successor_takes_held_end},
+    {"/durable/binds tasks to late starts found at companions",
+     test_successor_waits_for_late_start},
     {"/durable/adopts active runs", test_successor_adopts_active_run},
     {"/durable/waits for a silent companion",
      test_successor_waits_for_silent_companion},
--- a/tests/runner_fixture.c
+++ b/tests/runner_fixture.c
@@ -52,9 +52,14 @@
     fix->replies++;
     if (reply->kind == MSG_RUN) {
         fix->status = reply->u.run.status;
+        fix->late_start_ms = reply->u.run.late_start_ms;
     }
     else if (reply->kind == MSG_FENCE) {
         fix->held_runs = reply->u.fence.runs.runs_len;
+        fix->late_starts = reply->u.fence.late_starts.late_starts_len;
+        if (fix->late_starts > 0) {
+            fix->late = reply->u.fence.late_starts.late_starts_val[0];
+        }
     }
     else if (reply->kind == MSG_HALT) {
         fix->status = reply->u.halt.status;
--- a/tests/soak/checker.cc
+++ b/tests/soak/checker.cc
@@ -74,7 +74,7 @@
     }
     job->started = true;
     if (job->durable) {
-        check_durable_start(now_ms, id);
+        check_durable_start(now_ms, upstream, id);
     }
     used_cpu_milli[upstream] += job->cpu_milli;
     if (used_cpu_milli[upstream] > UPSTREAM_CAPACITY.cpu_milli) {
@@ -105,13 +105,17 @@
  * incarnation: a crash loses the unacknowledged ends, and a late copy of the
  * start can run and end again in the next incarnation. */
 void
-Checker::check_durable_start(int64_t now_ms, const lc_run_id &id)
+Checker::check_durable_start(int64_t now_ms, const std::string &upstream,
+                             const lc_run_id &id)
 {
     for (SuccessfulEnd &end : successful_ends[lease::task_of(id)]) {
         end.started_again = true;
         if (end.acknowledged) {
-            violation(now_ms,
-                      "start after an acknowledged end: " + run_text(id));
+            violation(now_ms, "start after an acknowledged end: " +
+                                  run_text(id) + " at " + upstream +
+                                  "; ended: run " + std::to_string(end.run) +
+                                  " at " + end.upstream + ", incarnation of " +
+                                  std::to_string(end.incarnation));
         }
     }
 }
@@ -134,7 +138,9 @@
         end_row.acknowledged = true;
         if (end_row.started_again) {
             violation(now_ms,
-                      "end acknowledged after another start: " + run_text(id));
+                      "end acknowledged after another start: " + run_text(id) +
+                          " at " + upstream + ", incarnation of " +
+                          std::to_string(incarnation));
         }
     }
 }
--- a/tests/soak/checker.h
+++ b/tests/soak/checker.h
@@ -88,7 +88,8 @@
         bool acknowledged;
         bool started_again; /* the task was started again after this end */
     };
-    void check_durable_start(int64_t now_ms, const lc_run_id &id);
+    void check_durable_start(int64_t now_ms, const std::string &upstream,
+                             const lc_run_id &id);
     void check_durable_ended(int64_t now_ms, const Job &job);
 
     std::map<lease::TaskKey, std::vector<SuccessfulEnd>> successful_ends;
--- a/wire/levercove.h
+++ b/wire/levercove.h
@@ -381,6 +381,7 @@
 	lc_run_status status;
 	u_int ran_ms;
 	lc_host_state host;
+	u_int late_start_ms;
 };
 typedef struct lc_run_res lc_run_res;
 
@@ -637,6 +638,12 @@
 };
 typedef struct lc_held_run lc_held_run;
 
+struct lc_late_start {
+	lc_run_id id;
+	u_int late_start_ms;
+};
+typedef struct lc_late_start lc_late_start;
+
 struct lc_fence_res {
 	bool_t taken;
 	struct {
@@ -644,6 +651,10 @@
 		lc_held_run *runs_val;
 	} runs;
 	lc_host_state host;
+	struct {
+		u_int late_starts_len;
+		lc_late_start *late_starts_val;
+	} late_starts;
 };
 typedef struct lc_fence_res lc_fence_res;
 
@@ -955,6 +966,7 @@
 extern  bool_t xdr_lc_release_res (XDR *, lc_release_res*);
 extern  bool_t xdr_lc_fence_args (XDR *, lc_fence_args*);
 extern  bool_t xdr_lc_held_run (XDR *, lc_held_run*);
+extern  bool_t xdr_lc_late_start (XDR *, lc_late_start*);
 extern  bool_t xdr_lc_fence_res (XDR *, lc_fence_res*);
 extern  bool_t xdr_lc_store_args (XDR *, lc_store_args*);
 extern  bool_t xdr_lc_store_res (XDR *, lc_store_res*);
@@ -1034,6 +1046,7 @@
 extern bool_t xdr_lc_release_res ();
 extern bool_t xdr_lc_fence_args ();
 extern bool_t xdr_lc_held_run ();
+extern bool_t xdr_lc_late_start ();
 extern bool_t xdr_lc_fence_res ();
 extern bool_t xdr_lc_store_args ();
 extern bool_t xdr_lc_store_res ();
--- a/wire/levercove.x
+++ b/wire/levercove.x
@@ -322,6 +322,8 @@
     lc_run_status status;
     unsigned int ran_ms;
     lc_host_state host;
+    unsigned int late_start_ms; /* for this long, the upstream may still
+                                   execute a start of the same task; 0: none */
 };
 
 /* The fields that differ between the starts in one RUNS call. */
@@ -551,10 +553,17 @@
     lc_run_status status; /* of an unreleased end */
 };
 
+/* An ended run whose start the upstream may still execute. */
+struct lc_late_start {
+    lc_run_id id;
+    unsigned int late_start_ms; /* as in lc_run_res */
+};
+
 struct lc_fence_res {
     bool taken; /* false: the companion does not know its upstream's runs */
     lc_held_run runs<LC_MAX_PAGE>;
     lc_host_state host;
+    lc_late_start late_starts<LC_MAX_PAGE>;
 };
 
 /* Asks another entry to relay a request to the store, which the caller cannot
--- a/wire/levercove_xdr.c
+++ b/wire/levercove_xdr.c
@@ -750,6 +750,8 @@
 		 return FALSE;
 	 if (!xdr_lc_host_state (xdrs, &objp->host))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->late_start_ms))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -1262,6 +1264,18 @@
 	return TRUE;
 }
 
+bool_t
+xdr_lc_late_start (XDR *xdrs, lc_late_start *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_lc_run_id (xdrs, &objp->id))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->late_start_ms))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_lc_fence_res (XDR *xdrs, lc_fence_res *objp)
 {
@@ -1274,6 +1288,9 @@
 		 return FALSE;
 	 if (!xdr_lc_host_state (xdrs, &objp->host))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->late_starts.late_starts_val, (u_int *) &objp->late_starts.late_starts_len, LC_MAX_PAGE,
+		sizeof (lc_late_start), (xdrproc_t) xdr_lc_late_start))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/wire/msg.c
+++ b/wire/msg.c
@@ -238,9 +238,25 @@
     xdr_destroy(&xdr);
 }
 
-bool
-Msg_DecodeReply(Msg_Kind kind, const uint8_t *data, size_t length,
-                Msg_Reply *reply)
+/* Encoded size of the empty value of the field that a later version has
+ * appended to a reply, or 0. Processes of both versions run together during a
+ * rolling restart: a reply without the field decodes as if it were empty. */
+static size_t
+appended_size(Msg_Kind kind)
+{
+    switch (kind) {
+    case MSG_RUN:   /* late_start_ms */
+    case MSG_RUNS:  /* the same */
+    case MSG_FENCE: /* late_starts */
+        return BYTES_PER_XDR_UNIT;
+    default:
+        return 0;
+    }
+}
+
+static bool
+decode_reply_body(Msg_Kind kind, const uint8_t *data, size_t length,
+                  Msg_Reply *reply)
 {
     XDR xdr;
     bool_t parsed;
@@ -256,6 +272,24 @@
     return parsed;
 }
 
+bool
+Msg_DecodeReply(Msg_Kind kind, const uint8_t *data, size_t length,
+                Msg_Reply *reply)
+{
+    size_t appended = appended_size(kind);
+    uint8_t *padded;
+    bool parsed = decode_reply_body(kind, data, length, reply);
+
+    if (parsed || appended == 0) {
+        return parsed;
+    }
+    padded = g_malloc0(length + appended);
+    memcpy(padded, data, length);
+    parsed = decode_reply_body(kind, padded, length + appended, reply);
+    g_free(padded);
+    return parsed;
+}
+
 void
 Msg_FreeCall(Msg_Call *call)
 {
