Poll a suspected upstream before another instance's heartbeat ends its runs

Cause: while the current incarnation is suspected, a heartbeat of another one was adopted without a poll. Under the same name that ends nothing, but another name ends all active runs at once.

Change: with active runs, the heartbeat of another name is kept as a candidate and the upstream's answer to a poll decides, as when it is not suspected. If nobody answers, the runs end when the hold has expired, as before, and then the heartbeat is adopted. Without active runs nothing changes.

Why this works: an answer that lists the runs is of the current incarnation and discards the candidate; one of another incarnation (421) proves that the current one is gone, and that its runs are.

--- a/lease/runner_upstream.c
+++ b/lease/runner_upstream.c
@@ -206,6 +206,16 @@
     apply_heartbeat(runner, now_ms, heartbeat);
 }
 
+/* Whether adopting the sender of a heartbeat unasked would end active runs,
+ * which the current incarnation may be executing although it does not answer.
+ * Only another instance name ends them, see restart_instance(). */
+static bool
+would_end_runs(const Runner *runner, const Runner_Heartbeat *heartbeat)
+{
+    return runner->active_tasks > 0 &&
+           strcmp(runner->upstream.instance, heartbeat->instance) != 0;
+}
+
 /* If the current incarnation may be alive, the upstream is polled first. Only
  * the upstream's own answer marks an incarnation as permanently gone, since
  * the heartbeat may be a late one of an incarnation that is dead. */
@@ -213,7 +223,8 @@
 handle_other_heartbeat(Runner *runner, int64_t now_ms,
                        const Runner_Heartbeat *heartbeat)
 {
-    if (runner->upstream.known && !runner->upstream.doubtful) {
+    if (runner->upstream.known &&
+        (!runner->upstream.doubtful || would_end_runs(runner, heartbeat))) {
         store_candidate(runner, now_ms, heartbeat);
         return;
     }
--- a/tests/rebirth_rules.c
+++ b/tests/rebirth_rules.c
@@ -387,6 +387,62 @@
     Runner_Free(fix.runner);
 }
 
+/* Leaves polls unanswered until the upstream is suspected. */
+static void
+suspect_upstream(runner_fixture *fix)
+{
+    int i;
+
+    for (i = 0; i < 6; i++) {
+        fix->now_ms += 250;
+        renew(fix, 500);
+        Runner_CheckOverdue(fix->runner, fix->now_ms);
+        Runner_Tick(fix->runner, fix->now_ms);
+    }
+}
+
+/* Guards against two runs at once: a late heartbeat of an instance that is
+ * gone arrives while the current one does not answer, but runs its tasks. */
+static void
+test_late_heartbeat_while_suspected(void)
+{
+    Runner_ActiveRun running = {RunnerFix_Run(1, 1), 50};
+    runner_fixture fix;
+
+    begin_task(&fix);
+    RunnerFix_AnswerRunning(&fix, 1);
+    suspect_upstream(&fix);
+    g_assert_false(RunnerFix_TakesTask(&fix, 2));
+    fix.replies = 0;
+    RunnerFix_HeartbeatOf(&fix, "i-0", 99, RUNNER_UPSTREAM_READY);
+    g_assert_cmpint(fix.replies, ==, 0);
+    RunnerFix_AnswerPoll(&fix, &running, 1, NULL, 0);
+    g_assert_cmpint(fix.replies, ==, 0);
+    g_assert_cmpint(fix.stops, ==, 0);
+    g_assert_true(RunnerFix_TakesTask(&fix, 3));
+    Runner_Free(fix.runner);
+}
+
+/* The same heartbeat is of the next instance: the first one's answer, or its
+ * silence until the hold has expired, ends the run. */
+static void
+test_next_instance_while_suspected(void)
+{
+    runner_fixture fix;
+
+    begin_task(&fix);
+    RunnerFix_AnswerRunning(&fix, 1);
+    suspect_upstream(&fix);
+    RunnerFix_HeartbeatOf(&fix, "i-2", 1, RUNNER_UPSTREAM_READY);
+    fix.replies = 0;
+    RunnerFix_AnswerPollOther(&fix);
+    g_assert_cmpint(fix.replies, ==, 1);
+    g_assert_cmpint(fix.status, ==, LC_RUN_CRASHED);
+    RunnerFix_AnswerPoll(&fix, NULL, 0, NULL, 0);
+    g_assert_true(RunnerFix_TakesTask(&fix, 2));
+    Runner_Free(fix.runner);
+}
+
 /* A restarted companion knows no earlier incarnation: the upstream itself
  * tells which of two is current. The time of day may have gone back. */
 static void
@@ -764,6 +820,10 @@
     {"/restart/a departure of the previous incarnation",
      test_departure_of_previous_incarnation},
     {"/restart/a heartbeat of another service", test_another_service},
+    {"/restart/a late heartbeat while the upstream is suspected",
+     test_late_heartbeat_while_suspected},
+    {"/restart/the next instance while the upstream is suspected",
+     test_next_instance_while_suspected},
     {"/suspension/a deadline is not extended",
      test_deadline_after_a_suspension},
     {"/suspension/leases have expired", test_lease_after_a_suspension},
