Red: a stalled companion sends a copy of a start after its deadline

The job's deadline passed and its caller sent it elsewhere. When the companion went on, its overdue timer sent a second copy (LC521, then LC514 "lease expired", then LC520 "started again under its name"), and the next incarnation under the same name executed it: neither the deadline nor the token of the earlier one mean anything to it.

tests/stalled_rules has the rule: no copy of a start once its deadline has passed on the companion's own clock. It fails on and on alike: "assertion failed (fix.starts == 1): (2 == 1)".

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -47,6 +47,7 @@
 check heartbeat_rules "$SANITIZED/tests/heartbeat_rules"
 check rebirth_rules "$SANITIZED/tests/rebirth_rules"
 check late_start_rules "$SANITIZED/tests/late_start_rules"
+check stalled_rules "$SANITIZED/tests/stalled_rules"
 check view_rules "$SANITIZED/tests/view_rules"
 check link_rules "$SANITIZED/tests/link_rules"
 check forward_rules "$SANITIZED/tests/forward_rules"
@@ -74,6 +75,7 @@
 check soak env BUILD="$BUILD" SEEDS="1 2 $(sed -n 's/^\([0-9]*\) .*/\1/p' tests/soak/seeds.txt | grep -v '^20261202014$' | tr '\n' ' ')" SECONDS_EACH=5 WORKERS=3 scripts/soak.sh
 check soak_late_copy env BUILD="$BUILD" SEEDS="1796285854" SECONDS_EACH=8 WORKERS=1 scripts/soak.sh
 check soak_kept_reborn env BUILD="$BUILD" SEEDS="20261202014" SECONDS_EACH=5 WORKERS=1 scripts/soak.sh
+check soak_stalled_companion env BUILD="$BUILD" SEEDS="1796315828" SECONDS_EACH=12 WORKERS=1 scripts/soak.sh
 check soak_handed_on env BUILD="$BUILD" LINK=0.3 SEEDS="3 4 5" SECONDS_EACH=5 WORKERS=3 scripts/soak.sh
 check demo env BUILD="$BUILD" scripts/demo.sh
 [ "$known" = 0 ] || echo "$known known red"
