--- a/lease/dispatcher_queue.c
+++ b/lease/dispatcher_queue.c
@@ -128,8 +128,8 @@
 }
 
 /* Assigns hosts to the waiting tasks of a job, stopping at the first task that
- * finds none, unless only the task's own host would do; appends the assigned
- * tasks to @p placed. */
+ * finds none; skips bound tasks whose host is not available. Appends the
+ * assigned tasks to @p placed. */
 static void
 place_job(Dispatcher *self, int64_t now_ms, Active_Job *job,
           lc_resources *largest, GPtrArray *placed)
--- a/lease/host_choice.c
+++ b/lease/host_choice.c
@@ -84,8 +84,8 @@
            expected_ms > remaining_ms && step->estimate_ms < remaining_ms;
 }
 
-/* A task that is bound to a host waits while that host is on trial, as it has
- * a limited number of attempts. */
+/* Whether a bound task must not be started at a host. It also waits while its
+ * own host is on trial, since a failure there would use up an attempt. */
 static bool
 is_bound_elsewhere(const HostChoice_Context *context, const Active_Task *task,
                    const Fleet_Host *host)
--- a/lease/runner_durable.c
+++ b/lease/runner_durable.c
@@ -54,8 +54,8 @@
     return row->start_sent_ms + runner->config.late_ms;
 }
 
-/* Returns the latest expiry of the starts of all runs of a task but one, which
- * can also be executed late; @p except may be NULL. */
+/* Returns the latest expiry of the starts of a task's runs, other than the run
+ * @p except, which may be NULL. */
 static int64_t
 task_start_expiry(const Runner *runner, const lc_run_id *id,
                   const Runner_Task *except)
