Write no start after its deadline on the companion's own clock

What callers saw: two runs of a task at once (soak: "332.3 run 1 at upstream-1, 332.3 run 6 at upstream-4"), a job that is not durable.

Cause: the deadline of a start is a time on the clock of one incarnation of the upstream. A companion that stands still for longer than lease and hold, while its upstream restarts under its name, writes a start that the next incarnation executes: it has seen no token, and the deadline means nothing on its clock. Nothing kept the end of the deadline on the companion's clock, and nothing read the time where a start is written.

Evidence: two traces, made apart from each other, agree. By forced order: the same chain, function by function, and first starts written late, with the process stopped inside HttpClient_Send, between timers and epoll, and while connections were busy.

Change: a start carries send_by_ms, the end of its deadline on the companion's clock, down to the HTTP client. That reads the clock once a connection is ready, before the first byte, and otherwise tells that nothing was sent. No copy is sent after it. A start of which no copy was sent ends its run as expired, so that the owner tries elsewhere at once; a copy that was not sent leaves the run to polls.

Why this works: whatever was checked when, the first byte is written at a time read after the last wait. What is left: a stop between that reading and write(2), and a start written in time to an incarnation of which nothing was heard, beside further failures (docs/design/lives-of-upstreams.md).

--- a/base/counter.h
+++ b/base/counter.h
@@ -38,6 +38,7 @@
     X(WASTED_GRANT, "wasted_grant_unused")                                    \
     X(CALLS_LOST, "calls_lost")                                               \
     X(ORDERS_RESENT, "orders_resent")                                         \
+    X(STARTS_ABANDONED, "starts_abandoned")                                   \
     X(RECORDS_APPLIED, "records_applied")                                     \
     X(RECORDS_SKIPPED, "records_skipped")                                     \
     X(VIEWS_APPLIED, "views_applied")                                         \
--- a/cli/http_exchange.c
+++ b/cli/http_exchange.c
@@ -35,6 +35,7 @@
     static const char *const outcome_texts[] = {
         [HTTP_CLIENT_ANSWERED] = "",
         [HTTP_CLIENT_UNSENT] = "could not connect",
+        [HTTP_CLIENT_EXPIRED] = "could not connect in time",
         [HTTP_CLIENT_DISCONNECTED] = "connection lost",
         [HTTP_CLIENT_TIMEOUT] = "request timed out",
     };
--- a/daemon/leased_companion.c
+++ b/daemon/leased_companion.c
@@ -119,7 +119,7 @@
 
 static void
 send_order(leased_companion *self, uint64_t id, UpstreamApi_Order *order,
-           uint32_t timeout_ms, HttpClient_Done done)
+           int64_t send_by_ms, uint32_t timeout_ms, HttpClient_Done done)
 {
     request_context *context = g_new0(request_context, 1);
     HttpClient_Request request = {.to = self->process.options->upstream,
@@ -128,7 +128,8 @@
                                   .headers = order->headers,
                                   .body = order->body,
                                   .length = order->length,
-                                  .timeout_ms = timeout_ms};
+                                  .timeout_ms = timeout_ms,
+                                  .send_by_ms = send_by_ms};
 
     context->owner = self;
     context->id = id;
@@ -183,7 +184,8 @@
     UpstreamApi_Order order;
 
     UpstreamApi_StartOrder(start, &order);
-    send_order(context, id, &order, ANSWER_TIMEOUT_MS, on_start_answer);
+    send_order(context, id, &order, start->send_by_ms, ANSWER_TIMEOUT_MS,
+               on_start_answer);
 }
 
 static void
@@ -193,7 +195,7 @@
     UpstreamApi_Order order;
 
     UpstreamApi_StopOrder(run, instance, token, &order);
-    send_order(context, id, &order, ANSWER_TIMEOUT_MS, on_stop_answer);
+    send_order(context, id, &order, 0, ANSWER_TIMEOUT_MS, on_stop_answer);
 }
 
 static void
@@ -202,7 +204,7 @@
     UpstreamApi_Order order;
 
     UpstreamApi_PollOrder(poll, &order);
-    send_order(context, id, &order, poll->wait_ms + ANSWER_TIMEOUT_MS,
+    send_order(context, id, &order, 0, poll->wait_ms + ANSWER_TIMEOUT_MS,
                on_poll_answer);
 }
 
--- a/lease/runner.h
+++ b/lease/runner.h
@@ -56,7 +56,8 @@
                                   order invalid */
     RUNNER_ORDER_OTHER_INCARNATION, /**< another incarnation answered */
     RUNNER_ORDER_UNSENT,            /**< not a byte was delivered */
-    RUNNER_ORDER_UNANSWERED         /**< may be executed, now or later */
+    RUNNER_ORDER_UNANSWERED,        /**< may be executed, now or later */
+    RUNNER_ORDER_ABANDONED /**< never sent: its `send_by_ms` had passed */
 } Runner_OrderResult;
 
 /** State that an upstream reports in its heartbeats. */
@@ -87,6 +88,8 @@
     const char *instance;
     int64_t deadline_ms; /**< on the upstream's clock, in ms */
     int64_t token;       /**< fencing token */
+    int64_t send_by_ms;  /**< latest time to send the order, on this
+                              process's clock in ms; see RunnerOrder_Start */
 } Runner_Start;
 
 /** A poll for running and ended runs, which may extend the hold. */
--- a/lease/runner_orders.c
+++ b/lease/runner_orders.c
@@ -70,7 +70,8 @@
                           .spec = row->spec,
                           .instance = runner->upstream.instance,
                           .deadline_ms = row->deadline_clock_ms,
-                          .token = runner->token};
+                          .token = runner->token,
+                          .send_by_ms = row->send_by_ms};
     Handle id = add_order(runner, now_ms, row, ++row->start_copies);
 
     row->start_sent_ms = now_ms;
@@ -85,6 +86,7 @@
                         runner->config.timing.hold_ms);
 
     row->deadline_clock_ms = RunnerUpstream_Clock(runner, now_ms) + ahead;
+    row->send_by_ms = now_ms + ahead;
     RunnerPoll_RecordHold(runner, now_ms, ahead);
     send_start(runner, now_ms, row);
 }
@@ -111,8 +113,10 @@
     return row->state == TASK_ORDERED && row->confirmed_ms == 0;
 }
 
-/* Copies are safe: the upstream executes only one copy of a start, and none
- * that arrives after its deadline or after the run has ended there. */
+/* Copies are safe: the incarnation that a start is meant for executes only one
+ * copy of it, and none that arrives after its deadline or after the run has
+ * ended there. Its successor knows neither, so that no copy is sent after the
+ * deadline; polls tell how the run ended. */
 static void
 resend(Runner *runner, int64_t now_ms, Runner_Task *row)
 {
@@ -122,6 +126,9 @@
     if (row->state == TASK_STOPPING && !row->stop_confirmed) {
         RunnerOrder_Stop(runner, now_ms, row);
     }
+    else if (awaits_start(row) && now_ms > row->send_by_ms) {
+        return;
+    }
     else if (awaits_start(row) && row->start_copies >= MAX_COPIES) {
         RunnerTask_Log(runner, EVENT_ORDER_UNANSWERED, row, "start, %u copies",
                        row->start_copies);
@@ -189,6 +196,13 @@
     }
 }
 
+static bool
+is_answer(Runner_OrderResult result)
+{
+    return result != RUNNER_ORDER_UNSENT && result != RUNNER_ORDER_ABANDONED &&
+           result != RUNNER_ORDER_UNANSWERED;
+}
+
 /* Records the result of one copy and returns its task, or NULL if the task has
  * ended or is unknown. A broken connection counts as a miss at once. */
 static Runner_Task *
@@ -208,17 +222,31 @@
         !RunnerTask_IsOfEarlierIncarnation(runner, row)) {
         RunnerUpstream_CheckClock(runner, now_ms, order->sent_ms, clock_ms);
     }
-    if (result != RUNNER_ORDER_UNSENT && result != RUNNER_ORDER_UNANSWERED) {
+    if (is_answer(result)) {
         RtoEstimator_AddSample(&runner->rto, now_ms - order->sent_ms);
         RunnerOrder_RecordAnswer(runner, in_time);
     }
-    else if (in_time) {
+    else if (in_time && result != RUNNER_ORDER_ABANDONED) {
         RunnerOrder_RecordMiss(runner, now_ms, order->sent_ms);
     }
     g_free(order);
     return row == NULL || row->state == TASK_ENDED ? NULL : row;
 }
 
+/* Ends a run if no copy of its start was or can be executed. */
+static bool
+end_if_unstarted(Runner *runner, int64_t now_ms, Runner_Task *row,
+                 lc_run_status status)
+{
+    if (row->refused_copies < row->start_copies) {
+        return false;
+    }
+    row->ran_ms = 0;
+    RunnerTask_End(runner, now_ms, row,
+                   row->state == TASK_STOPPING ? row->status : status);
+    return true;
+}
+
 /* Handles a copy of the start that was certainly not executed. Other copies
  * may have been executed, or may be later; then the run is stopped, and its
  * resources stay reserved until it has certainly ended. */
@@ -227,13 +255,19 @@
             lc_run_status status)
 {
     row->refused_copies++;
-    if (row->refused_copies < row->start_copies) {
+    if (!end_if_unstarted(runner, now_ms, row, status)) {
         RunnerTask_Stop(runner, now_ms, row, status);
-        return;
     }
-    row->ran_ms = 0;
-    RunnerTask_End(runner, now_ms, row,
-                   row->state == TASK_STOPPING ? row->status : status);
+}
+
+/* Handles a copy that was not sent before the deadline of the start. A run
+ * that the upstream executes by an earlier copy goes on. */
+static void
+abandon_copy(Runner *runner, int64_t now_ms, Runner_Task *row)
+{
+    Counter_Add(&runner->counters, COUNTER_STARTS_ABANDONED, 1);
+    row->refused_copies++;
+    end_if_unstarted(runner, now_ms, row, LC_RUN_EXPIRED);
 }
 
 static void
@@ -271,6 +305,9 @@
     case RUNNER_ORDER_UNANSWERED:
         RunnerOrder_Retry(runner, now_ms, row);
         break;
+    case RUNNER_ORDER_ABANDONED:
+        abandon_copy(runner, now_ms, row);
+        break;
     case RUNNER_ORDER_OTHER_INCARNATION:
         RunnerUpstream_OnOtherIncarnation(runner, now_ms);
         break;
--- a/lease/runner_state.h
+++ b/lease/runner_state.h
@@ -44,13 +44,14 @@
     int64_t confirmed_ms; /* when it was known to have started or to have been
                              refused; 0 before */
     int64_t deadline_clock_ms; /* of the start, on the upstream's clock */
-    uint32_t start_copies;     /* copies of the start sent */
-    uint32_t refused_copies;   /* copies certainly not executed */
-    uint32_t answered_copies;  /* copies answered, or never delivered */
-    bool start_accepted;       /* the upstream accepted a copy */
-    int64_t start_sent_ms;     /* when the last copy was sent */
-    uint32_t stop_copies;      /* copies of the stop sent */
-    int64_t order_ms;          /* when the last start or stop was sent */
+    int64_t send_by_ms;    /* no copy is sent later; on this process's clock */
+    uint32_t start_copies; /* copies of the start sent */
+    uint32_t refused_copies;  /* copies refused or never sent */
+    uint32_t answered_copies; /* copies answered, or never delivered */
+    bool start_accepted;      /* the upstream accepted a copy */
+    int64_t start_sent_ms;    /* when the last copy was sent */
+    uint32_t stop_copies;     /* copies of the stop sent */
+    int64_t order_ms;         /* when the last start or stop was sent */
     bool stop_confirmed;
     int64_t stop_confirmed_ms;
     int64_t ended_ms;
@@ -227,7 +228,9 @@
 /* Orders: runner_orders.c. */
 
 /** Sends the start of a task. Its deadline on the upstream is at
- * @p lease_until_ms at the latest. */
+ * @p lease_until_ms at the latest. No copy is sent after the deadline: an
+ * incarnation that has restarted under the same name would execute it, as the
+ * deadline means nothing on its clock. */
 void RunnerOrder_Start(Runner *runner, int64_t now_ms, Runner_Task *row,
                        int64_t lease_until_ms);
 
--- /dev/null
+++ b/tests/http_client_rules.c
@@ -0,0 +1,222 @@
+/*
+ * Rules of the HTTP client on the latest time at which a request may be sent,
+ * over loopback sockets.
+ */
+
+#include <glib.h>
+#include <string.h>
+#include <uv.h>
+
+#include "base/clock.h"
+#include "platform/http_client.h"
+#include "tests/test_table.h"
+
+#define TIMEOUT_MS 5000
+#define SEND_BY_MS 20
+/* Longer than SEND_BY_MS, to stop the process between the request and its
+ * connection. */
+#define STALL_MS 60
+#define MAX_OPEN 4
+
+/* A server that answers each request, and the outcome of the last request. The
+ * client and its loop are shared by all tests, as a client cannot be freed. */
+typedef struct {
+    HttpClient *client;
+    uv_tcp_t *server;
+    Address address;
+    char input[512];
+    size_t input_length; /* of the bytes received since the last answer */
+    size_t received;
+    bool done;
+    HttpClient_Outcome outcome;
+} client_fixture;
+
+static client_fixture fix;
+
+static void
+close_handle(uv_handle_t *handle)
+{
+    g_free(handle);
+}
+
+static void
+on_written(uv_write_t *request, int status)
+{
+    g_assert_cmpint(status, ==, 0);
+    g_free(request);
+}
+
+static void
+on_allocate(uv_handle_t *handle, size_t size, uv_buf_t *buffer)
+{
+    (void)handle;
+    (void)size;
+    *buffer = uv_buf_init(
+        fix.input + fix.input_length,
+        (unsigned)(sizeof(fix.input) - 1 - fix.input_length));
+}
+
+static void
+on_input(uv_stream_t *stream, ssize_t count, const uv_buf_t *buffer)
+{
+    static char answer[] = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    uv_buf_t out = uv_buf_init(answer, sizeof(answer) - 1);
+
+    (void)buffer;
+    if (count <= 0) {
+        uv_close((uv_handle_t *)stream, close_handle);
+        return;
+    }
+    fix.received += (size_t)count;
+    fix.input_length += (size_t)count;
+    fix.input[fix.input_length] = '\0';
+    if (strstr(fix.input, "\r\n\r\n") != NULL) {
+        fix.input_length = 0;
+        uv_write(g_new0(uv_write_t, 1), stream, &out, 1, on_written);
+    }
+}
+
+static void
+on_connection(uv_stream_t *server, int status)
+{
+    uv_tcp_t *connection = g_new0(uv_tcp_t, 1);
+
+    g_assert_cmpint(status, ==, 0);
+    uv_tcp_init(uv_default_loop(), connection);
+    g_assert_cmpint(uv_accept(server, (uv_stream_t *)connection), ==, 0);
+    uv_read_start((uv_stream_t *)connection, on_allocate, on_input);
+}
+
+static void
+open_fixture(void)
+{
+    struct sockaddr_in name = Address_ToSocket((Address)INADDR_LOOPBACK << 16);
+    int length = sizeof(name);
+    HttpClient *client = fix.client;
+
+    memset(&fix, 0, sizeof(fix));
+    fix.client = client != NULL ? client : HttpClient_New(uv_default_loop());
+    fix.server = g_new0(uv_tcp_t, 1);
+    uv_tcp_init(uv_default_loop(), fix.server);
+    g_assert_cmpint(uv_tcp_bind(fix.server, (const struct sockaddr *)&name, 0),
+                    ==, 0);
+    g_assert_cmpint(
+        uv_listen((uv_stream_t *)fix.server, MAX_OPEN, on_connection), ==, 0);
+    uv_tcp_getsockname(fix.server, (struct sockaddr *)&name, &length);
+    fix.address = (Address)INADDR_LOOPBACK << 16 | g_ntohs(name.sin_port);
+}
+
+static void
+close_fixture(void)
+{
+    uv_close((uv_handle_t *)fix.server, close_handle);
+    uv_run(uv_default_loop(), UV_RUN_NOWAIT);
+}
+
+static void
+on_done(void *context, const HttpClient_Answer *answer)
+{
+    (void)context;
+    fix.done = true;
+    fix.outcome = answer->end;
+}
+
+/* Sends a request, stops the process for @p stall_ms, and runs the loop until
+ * the outcome is reported. */
+static HttpClient_Outcome
+send_with_timeout(int64_t send_by_ms, uint32_t stall_ms, uint32_t timeout_ms)
+{
+    HttpClient_Request request = {.to = fix.address,
+                                  .method = "POST",
+                                  .path = "/",
+                                  .timeout_ms = timeout_ms,
+                                  .send_by_ms = send_by_ms};
+
+    fix.done = false;
+    HttpClient_Send(fix.client, &request, on_done, NULL);
+    g_assert_false(fix.done);
+    g_usleep((gulong)stall_ms * 1000);
+    while (!fix.done) {
+        uv_run(uv_default_loop(), UV_RUN_ONCE);
+    }
+    return fix.outcome;
+}
+
+static HttpClient_Outcome
+send_request(int64_t send_by_ms, uint32_t stall_ms)
+{
+    return send_with_timeout(send_by_ms, stall_ms, TIMEOUT_MS);
+}
+
+/* Guards against a request that the server must not get after a time, written
+ * by a process that was stopped while the connection was opened. */
+static void
+test_expires_while_connecting(void)
+{
+    open_fixture();
+    g_assert_cmpint(send_request(Clock_NowMs() + SEND_BY_MS, STALL_MS), ==,
+                    HTTP_CLIENT_EXPIRED);
+    uv_run(uv_default_loop(), UV_RUN_NOWAIT);
+    g_assert_cmpint(fix.received, ==, 0);
+    close_fixture();
+}
+
+/* The same over an idle connection, which is ready within HttpClient_Send. */
+static void
+test_expires_on_an_idle_connection(void)
+{
+    int64_t send_by_ms;
+    size_t received;
+
+    open_fixture();
+    HttpClient_KeepAlive(fix.client, fix.address, MAX_OPEN, false);
+    g_assert_cmpint(send_request(0, 0), ==, HTTP_CLIENT_ANSWERED);
+    received = fix.received;
+    send_by_ms = Clock_NowMs() + SEND_BY_MS;
+    g_usleep(STALL_MS * 1000);
+    g_assert_cmpint(send_request(send_by_ms, 0), ==, HTTP_CLIENT_EXPIRED);
+    uv_run(uv_default_loop(), UV_RUN_NOWAIT);
+    g_assert_cmpint(fix.received, ==, received);
+    g_assert_cmpint(HttpClient_PendingCount(fix.client), ==, 0);
+    g_assert_cmpint(send_request(0, 0), ==, HTTP_CLIENT_ANSWERED);
+    close_fixture();
+}
+
+/* Guards against an untrue outcome: nothing refused a connection, the process
+ * was stopped for longer than the timeout while it opened one. */
+static void
+test_expires_beside_its_timeout(void)
+{
+    open_fixture();
+    g_assert_cmpint(
+        send_with_timeout(Clock_NowMs() + SEND_BY_MS, STALL_MS, STALL_MS / 2),
+        ==, HTTP_CLIENT_EXPIRED);
+    g_assert_cmpint(fix.received, ==, 0);
+    close_fixture();
+}
+
+static void
+test_sent_in_time(void)
+{
+    open_fixture();
+    g_assert_cmpint(send_request(Clock_NowMs() + TIMEOUT_MS, STALL_MS), ==,
+                    HTTP_CLIENT_ANSWERED);
+    g_assert_cmpint(send_request(0, STALL_MS), ==, HTTP_CLIENT_ANSWERED);
+    close_fixture();
+}
+
+static const TestTable_Row rules[] = {
+    {"/http_client/not sent after its time, over a new connection",
+     test_expires_while_connecting},
+    {"/http_client/not sent after its time, over an idle connection",
+     test_expires_on_an_idle_connection},
+    {"/http_client/not sent after its time, which passed before the timeout",
+     test_expires_beside_its_timeout},
+    {"/http_client/sent within its time, or without one", test_sent_in_time},
+};
+
+int
+main(int argc, char **argv)
+{
+    return TestTable_Main(argc, argv, rules, G_N_ELEMENTS(rules));
+}
--- a/tests/soak/scenario.cc
+++ b/tests/soak/scenario.cc
@@ -12,6 +12,7 @@
 #include <cinttypes>
 #include <cstdio>
 #include <cstring>
+#include <utility>
 
 #include "tests/soak/cluster.h"
 
@@ -63,6 +64,18 @@
 const int64_t FAILING_INTERVAL_MS = 150;
 const int64_t LATE_RETRIES_END_MS = 40000;
 const int64_t CRASH_DOWNTIME_MS = 300;
+const size_t STALLED_TASKS = 4;
+const uint32_t STALLED_CPU = 9000; /* one task fits into an upstream */
+const int64_t STALLED_WORK_MS = 1000;
+const int64_t STALLED_END_MS = 6000;
+const int64_t STALLED_INTERVAL_MS = 20;
+const int STALLED_BURST_JOBS = 12;
+const int64_t STALLED_WAVE_MS = 3500;
+const size_t STALLED_WAVES = 4;
+const int STALLED_ENTRIES = 4;
+const size_t STALLED_PER_WAVE = 3;
+const size_t STALLED_COMPANIONS = STALLED_WAVES * STALLED_PER_WAVE;
+const int64_t STALLED_LOAD_MS = STALLED_WAVES * STALLED_WAVE_MS;
 const int64_t ANSWERS_MS = 3500; /* until the last caller has its answer */
 
 soak::Cluster *cluster;
@@ -286,6 +299,87 @@
     });
 }
 
+/* A moment between two times. */
+int64_t
+moment(int64_t from_ms, int64_t to_ms)
+{
+    return from_ms + cluster->random_below((uint32_t)(to_ms - from_ms));
+}
+
+void
+submit_long_job()
+{
+    last_job = cluster->submit_job(2, 200, moment(500, 900), false);
+}
+
+/* Crashes an upstream, and stops its companion while starts are unanswered.
+ * The upstream is back under its name, and the tasks run again elsewhere, by
+ * the time the companion goes on. */
+void
+crash_and_stall(size_t index)
+{
+    std::string number = std::to_string(index);
+
+    cluster->log_event("crash upstream-" + number);
+    cluster->upstreams[index]->crash();
+    for (int i = 0; i < STALLED_BURST_JOBS; i++) {
+        submit_long_job();
+    }
+    cluster->run_after(moment(5, 30), [index, number] {
+        cluster->log_event("stop companion-" + number);
+        cluster->companions[index]->signal(SIGSTOP);
+    });
+    cluster->run_after(moment(300, 1300), [index, number] {
+        cluster->log_event("start upstream-" + number + " under its name");
+        cluster->upstreams[index]->start_incarnation();
+    });
+    cluster->run_after(moment(1550, 1900), [index, number] {
+        cluster->log_event("continue companion-" + number);
+        cluster->companions[index]->signal(SIGCONT);
+    });
+}
+
+/* Most entries are killed as well, so that their callers resubmit elsewhere.
+ */
+void
+stall_wave(const std::vector<size_t> &indices)
+{
+    int first = (int)cluster->random_below(STALLED_ENTRIES);
+
+    for (size_t index : indices) {
+        cluster->run_after(moment(0, 60), [index] { crash_and_stall(index); });
+    }
+    for (int i = 0; i < STALLED_ENTRIES - 1; i++) {
+        int entry = (first + i) % STALLED_ENTRIES;
+        cluster->run_after(moment(90, 180), [entry] {
+            cluster->log_event("kill entry-" + std::to_string(entry));
+            cluster->entries[(size_t)entry]->kill(300);
+        });
+    }
+}
+
+/* Stalls each companion once, as the second incarnation of an upstream is the
+ * one that keeps the name and whose clock is back. */
+void
+play_stalled_companions()
+{
+    std::vector<size_t> order;
+
+    for (size_t i = 0; i < STALLED_COMPANIONS; i++) {
+        order.push_back(i);
+        std::swap(order[i], order[cluster->random_below((uint32_t)i + 1)]);
+    }
+    for (size_t wave = 0; wave < STALLED_WAVES; wave++) {
+        auto begin = order.begin() + (long)(wave * STALLED_PER_WAVE);
+        std::vector<size_t> indices(begin, begin + (long)STALLED_PER_WAVE);
+        cluster->run_after((int64_t)wave * STALLED_WAVE_MS + moment(500, 800),
+                           [indices] { stall_wave(indices); });
+    }
+    for (int64_t at = 0; at < STALLED_LOAD_MS; at += STALLED_INTERVAL_MS) {
+        cluster->run_after(at, submit_long_job);
+    }
+}
+
 /* The store does not answer one entry, on half of its connections. */
 void
 play_kept_store_away()
@@ -547,6 +641,92 @@
     });
 }
 
+/* Companions whose upstream has lost a start, by index. */
+std::vector<size_t> stalled;
+
+void
+log_step(const char *text)
+{
+    fprintf(stderr, "step %" PRId64 ": %s\n", cluster->now(), text);
+}
+
+size_t
+running_tasks()
+{
+    size_t count = 0;
+
+    for (auto &upstream : cluster->upstreams) {
+        count += upstream->model.is_up() ? upstream->model.tasks().size() : 0;
+    }
+    return count;
+}
+
+void
+continue_stalled()
+{
+    if (running_tasks() < STALLED_TASKS) {
+        cluster->run_after(2, continue_stalled);
+        return;
+    }
+    log_step("the job runs again");
+    for (size_t index : stalled) {
+        cluster->companions[index]->signal(SIGCONT);
+    }
+    log_step("the companions go on");
+}
+
+/* The caller has lost its entry. */
+void
+restart_stalled_upstreams()
+{
+    if (cluster->entries[0]->is_up()) {
+        cluster->run_after(2, restart_stalled_upstreams);
+        return;
+    }
+    log_step("the entry is gone");
+    for (size_t index : stalled) {
+        cluster->upstreams[index]->start_incarnation();
+    }
+    log_step("the upstreams have restarted");
+    continue_stalled();
+}
+
+/* Crashes the upstream as its first start arrives, and stalls its companion
+ * before the answer is overdue. */
+bool
+lose_start(size_t index)
+{
+    if (stalled.size() == STALLED_TASKS) {
+        return false;
+    }
+    cluster->companions[index]->signal(SIGSTOP);
+    cluster->upstreams[index]->crash();
+    stalled.push_back(index);
+    if (stalled.size() == STALLED_TASKS) {
+        log_step("all starts are lost");
+        cluster->target_entry = 1;
+        cluster->entries[0]->kill_without_restart();
+        restart_stalled_upstreams();
+    }
+    return true;
+}
+
+/* Stalls the companions of a job's tasks while their starts are unanswered.
+ * Meanwhile the job's entry dies, its caller submits it again, and the
+ * upstreams of these companions restart under their names; then the companions
+ * go on while the job runs at the other upstreams. A companion whose next tick
+ * precedes its next copy stops the run first; hence several companions. */
+void
+play_stalled_start()
+{
+    cluster->target_entry = 0;
+    for (size_t i = 0; i < cluster->upstreams.size(); i++) {
+        cluster->upstreams[i]->loses_start = [i] { return lose_start(i); };
+    }
+    last_job = cluster->submit_job((uint32_t)STALLED_TASKS, STALLED_CPU,
+                                   STALLED_WORK_MS, false);
+}
+
 const struct {
     const char *name;
     void (*play)();
@@ -590,6 +770,10 @@
     {"kept_ends_lost", play_kept_ends_lost, DURABLE_END_MS, 2},
     {"late_starts", play_late_starts, LATE_STARTS_END_MS, 2, 4},
     {"late_retries", play_late_retries, LATE_RETRIES_END_MS, 2, 4},
+    {"stalled_start", play_stalled_start, STALLED_END_MS, 2,
+     2 * (int)STALLED_TASKS},
+    {"stalled_companions", play_stalled_companions,
+     STALLED_LOAD_MS + ANSWERS_MS, STALLED_ENTRIES, (int)STALLED_COMPANIONS},
 };
 
 } // namespace
@@ -615,6 +799,13 @@
     settings.program = argv[2];
     settings.folder = argv[3];
     settings.base_port = atoi(argv[4]);
+    if (strcmp(argv[1], "stalled_companions") == 0) {
+        const char *seed = getenv("SEED");
+        settings.seed = seed != nullptr ? strtoull(seed, nullptr, 10)
+                                        : (uint64_t)g_get_real_time() / 1000;
+        settings.verbose = true;
+        fprintf(stderr, "seed %" PRIu64 "\n", settings.seed);
+    }
     cluster = new soak::Cluster(settings);
     if (strcmp(argv[1], "stalled_reader") == 0) {
         cluster->entries[0]->stall_log();
--- a/tests/soak/upstream.cc
+++ b/tests/soak/upstream.cc
@@ -242,6 +242,10 @@
     if (!self->model.is_up()) {
         return; /* not answered, as after a power loss */
     }
+    if (self->loses_start && strcmp(request->path, "/run-start") == 0 &&
+        self->loses_start()) {
+        return;
+    }
     if (self->delay_orders && rand() % 3 == 0) {
         DelayedOrder *delayed = new DelayedOrder{
             {}, self, request->path, body, instance};
--- a/tests/soak/upstream.h
+++ b/tests/soak/upstream.h
@@ -8,6 +8,7 @@
 
 #include <uv.h>
 
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -35,6 +36,9 @@
     void crash();
     void start_incarnation();
 
+    /** Called for each start that arrives, before it is handled; returns
+     * whether it is lost instead. */
+    std::function<bool()> loses_start;
     bool delay_orders = false; /**< one order in three is executed 1 to 4 s
                                   late and not answered */
     int64_t last_delayed_ms =
--- a/tests/stalled_rules.c
+++ b/tests/stalled_rules.c
@@ -5,6 +5,8 @@
 
 #include <glib.h>
 
+#include "lease/run_id.h"
+#include "tests/lease_fixture.h"
 #include "tests/runner_fixture.h"
 #include "tests/test_table.h"
 
@@ -34,9 +36,150 @@
     Runner_Free(fix.runner);
 }
 
+static void
+abandon_start(runner_fixture *fix)
+{
+    Runner_OnStarted(fix->runner, fix->now_ms, fix->start_id,
+                     RUNNER_ORDER_ABANDONED, 0);
+}
+
+/* Guards against a start that waits for a connection, and is written after
+ * its deadline: the deadline goes along to where it is written. */
+static void
+test_every_copy_carries_the_deadline(void)
+{
+    runner_fixture fix;
+    int64_t until_ms;
+
+    RunnerFix_NewReady(&fix);
+    until_ms = fix.now_ms + VALID_MS;
+    RunnerFix_CallRun(&fix, 1, 1, 1000, VALID_MS);
+    g_assert_cmpint(fix.start.send_by_ms, ==, until_ms);
+    fix.now_ms += VALID_MS / 2;
+    Runner_CheckOverdue(fix.runner, fix.now_ms);
+    g_assert_cmpint(fix.starts, ==, 2);
+    g_assert_cmpint(fix.start.send_by_ms, ==, until_ms);
+    Runner_Free(fix.runner);
+}
+
+/* A lease that lasts longer than the hold does not prolong the deadline. */
+static void
+test_deadline_is_within_the_hold(void)
+{
+    int64_t hold_ms = LeaseFix_Timing().hold_ms;
+    runner_fixture fix;
+
+    RunnerFix_NewReady(&fix);
+    RunnerFix_CallRun(&fix, 1, 1, 1000, 2 * hold_ms);
+    g_assert_cmpint(fix.start.send_by_ms, ==, fix.now_ms + hold_ms);
+    Runner_Free(fix.runner);
+}
+
+/* Nothing of the run was sent, so its owner may start it elsewhere at once. */
+static void
+test_abandoned_start_ends_the_run(void)
+{
+    runner_fixture fix;
+
+    RunnerFix_NewReady(&fix);
+    RunnerFix_CallRun(&fix, 1, 1, 1000, VALID_MS);
+    fix.replies = 0;
+    abandon_start(&fix);
+    g_assert_cmpint(fix.replies, ==, 1);
+    g_assert_cmpint(fix.status, ==, LC_RUN_EXPIRED);
+    g_assert_cmpint(fix.stops, ==, 0);
+    Runner_Free(fix.runner);
+}
+
+/* The same while the run is being stopped: the entry is told what it asked
+ * for. */
+static void
+test_abandoned_start_of_a_stopped_run(void)
+{
+    runner_fixture fix;
+
+    RunnerFix_NewReady(&fix);
+    RunnerFix_CallRun(&fix, 1, 1, 1000, VALID_MS);
+    RunnerFix_CallHalt(&fix, 1, 1);
+    abandon_start(&fix);
+    g_assert_cmpint(fix.status, ==, LC_RUN_STOPPED);
+    Runner_Free(fix.runner);
+}
+
+/* No copy of such a start is unanswered, so that its durable task may be
+ * retried anywhere. */
+static void
+test_abandoned_start_is_not_late(void)
+{
+    runner_fixture fix;
+
+    RunnerFix_NewReady(&fix);
+    RunnerFix_CallRun(&fix, 1, RUN_ID_DURABLE_BASE + 1, 1000, VALID_MS);
+    abandon_start(&fix);
+    g_assert_cmpint(fix.status, ==, LC_RUN_EXPIRED);
+    g_assert_cmpuint(fix.late_start_ms, ==, 0);
+    Runner_Free(fix.runner);
+}
+
+/* The upstream may execute the run by its first copy: it is neither stopped
+ * nor told as over before a poll shows it. */
+static void
+test_abandoned_copy_leaves_the_run(void)
+{
+    runner_fixture fix;
+
+    RunnerFix_NewReady(&fix);
+    RunnerFix_CallRun(&fix, 1, 1, 1000, VALID_MS);
+    fix.now_ms += VALID_MS / 2;
+    Runner_CheckOverdue(fix.runner, fix.now_ms);
+    g_assert_cmpint(fix.starts, ==, 2);
+    fix.replies = 0;
+    abandon_start(&fix);
+    g_assert_cmpint(fix.replies, ==, 0);
+    g_assert_cmpint(fix.stops, ==, 0);
+    fix.now_ms += STALL_MS;
+    RunnerFix_AnswerPoll(&fix, NULL, 0, NULL, 0);
+    g_assert_cmpint(fix.replies, ==, 1);
+    g_assert_cmpint(fix.status, ==, LC_RUN_LOST);
+    Runner_Free(fix.runner);
+}
+
+/* An abandoned start tells nothing of the upstream. */
+static void
+test_abandoned_start_is_no_answer(void)
+{
+    lc_host_state state;
+    runner_fixture fix;
+    uint64_t job;
+
+    RunnerFix_NewReady(&fix);
+    for (job = 1; job <= 8; job++) {
+        fix.now_ms += 10;
+        RunnerFix_CallRun(&fix, job, 1, 100, VALID_MS);
+        abandon_start(&fix);
+    }
+    Runner_State(fix.runner, fix.now_ms, &state);
+    g_assert_cmpint(state.state, ==, LC_UPSTREAM_READY);
+    Runner_Free(fix.runner);
+}
+
 static const TestTable_Row rules[] = {
     {"/stalled/no copy of a start is sent after its deadline",
      test_no_copy_after_the_deadline},
+    {"/stalled/every copy carries the deadline",
+     test_every_copy_carries_the_deadline},
+    {"/stalled/the deadline is within the hold",
+     test_deadline_is_within_the_hold},
+    {"/stalled/a start that was never sent ends its run",
+     test_abandoned_start_ends_the_run},
+    {"/stalled/a start that was never sent, of a run being stopped",
+     test_abandoned_start_of_a_stopped_run},
+    {"/stalled/a start that was never sent is not executed late",
+     test_abandoned_start_is_not_late},
+    {"/stalled/a copy that was not sent leaves its run",
+     test_abandoned_copy_leaves_the_run},
+    {"/stalled/a start that was never sent tells nothing of the upstream",
+     test_abandoned_start_is_no_answer},
 };
 
 int
