Do not extend a hold that has expired

What callers could see: two runs of a task at once for longer: a run that a late start began in the next incarnation of an upstream is held on by polls.

The deadline by which a poll extends the hold is a time on the clock of the incarnation that the companion knows. After a stall beyond the hold, with an owner whose lease goes on (a durable job's lasts 2.5 s longer), the first poll carries such a deadline to an incarnation that has restarted under the same name, which holds on what runs there by up to hold_max_ms.

Evidence: the forced order, in a play with prints: a poll made before the stop and written after it extended the hold at all four new incarnations by 1,000 ms; by the runner fixture, the poll after the stall carries the old deadline where a durable run's lease goes on.

Change: a poll extends the hold only while an earlier hold can be in force, and is not written after that; one that was not written has extended nothing.

Why this works: once the hold has expired, the incarnation that was meant runs nothing that could be held on. The answer to a poll without a deadline tells which incarnation answers. Without a stall nothing changes, as polls are sent every 100 ms at least while tasks run.

Tests: three rules in stalled_rules; "a hold that has expired is not extended" fails without the change (mutation lease-stalled-poll).

--- a/daemon/leased_companion.c
+++ b/daemon/leased_companion.c
@@ -204,8 +204,8 @@
     UpstreamApi_Order order;
 
     UpstreamApi_PollOrder(poll, &order);
-    send_order(context, id, &order, 0, poll->wait_ms + ANSWER_TIMEOUT_MS,
-               on_poll_answer);
+    send_order(context, id, &order, poll->send_by_ms,
+               poll->wait_ms + ANSWER_TIMEOUT_MS, on_poll_answer);
 }
 
 static const Runner_Ports runner_ports = {
--- a/lease/runner.h
+++ b/lease/runner.h
@@ -101,6 +101,8 @@
     uint64_t last_seen;   /**< acknowledges ends up to this number */
     uint32_t wait_ms;     /**< longest time in ms that the upstream may wait
                                for an end before it answers */
+    int64_t send_by_ms;   /**< as in Runner_Start, if it extends the hold;
+                               0: unlimited */
 } Runner_Poll;
 
 /** A run in progress. */
--- a/lease/runner_poll.c
+++ b/lease/runner_poll.c
@@ -67,11 +67,14 @@
 }
 
 static uint64_t
-add_poll(Runner *runner, int64_t now_ms, const Runner_Poll *poll)
+add_poll(Runner *runner, int64_t now_ms, const Runner_Poll *poll,
+         int64_t earlier_hold_ms)
 {
     Runner_PendingPoll pending = {.id = ++runner->last_poll_id,
                                   .sent_ms = now_ms,
                                   .last_seen = poll->last_seen,
+                                  .earlier_hold_ms = earlier_hold_ms,
+                                  .hold_until_ms = runner->hold_until_ms,
                                   .waits = poll->wait_ms > 0};
 
     pending.due_ms = now_ms + poll->wait_ms +
@@ -95,27 +98,40 @@
     return due_ms;
 }
 
+/* The hold is extended only while it may be in force. Once it has expired, the
+ * runs that it kept are over; a run that goes on is one of another
+ * incarnation, on whose clock the deadline means nothing. */
+static void
+extend_hold(Runner *runner, int64_t now_ms, Runner_Poll *poll)
+{
+    int64_t ahead = runner->upstream.inventoried
+                        ? RunnerOwner_MaxHoldMs(runner, now_ms)
+                        : 0;
+
+    if (ahead > 0 && runner->upstream.clock_ms > 0 &&
+        now_ms <= runner->hold_until_ms) {
+        poll->deadline_ms = RunnerUpstream_Clock(runner, now_ms) + ahead;
+        poll->send_by_ms = runner->hold_until_ms;
+        RunnerPoll_RecordHold(runner, now_ms, ahead);
+    }
+}
+
 void
 RunnerPoll_Send(Runner *runner, int64_t now_ms)
 {
     Runner_Poll poll = {.instance = runner->upstream.instance,
                         .token = runner->token};
-    int64_t ahead;
+    int64_t earlier_hold_ms = runner->hold_until_ms;
 
     if (RunnerPoll_DueMs(runner) != INT64_MAX || !needs_poll(runner) ||
         now_ms < runner->next_poll_ms) {
         return;
     }
     poll.last_seen = unacknowledged_last_seen(runner);
-    ahead = runner->upstream.inventoried
-                ? RunnerOwner_MaxHoldMs(runner, now_ms)
-                : 0;
-    if (ahead > 0 && runner->upstream.clock_ms > 0) {
-        poll.deadline_ms = RunnerUpstream_Clock(runner, now_ms) + ahead;
-        RunnerPoll_RecordHold(runner, now_ms, ahead);
-    }
+    extend_hold(runner, now_ms, &poll);
     poll.wait_ms = wait_ms(runner);
-    runner->ports->poll(runner->context, add_poll(runner, now_ms, &poll),
+    runner->ports->poll(runner->context,
+                        add_poll(runner, now_ms, &poll, earlier_hold_ms),
                         &poll);
 }
 
@@ -434,6 +450,17 @@
     }
 }
 
+/* A poll that was not sent has not extended the hold. */
+static void
+handle_abandoned_poll(Runner *runner, int64_t now_ms,
+                      const Runner_PendingPoll *poll)
+{
+    if (runner->hold_until_ms == poll->hold_until_ms) {
+        runner->hold_until_ms = poll->earlier_hold_ms;
+    }
+    runner->next_poll_ms = now_ms;
+}
+
 static bool
 remove_poll(Runner *runner, uint64_t poll_id, Runner_PendingPoll *poll)
 {
@@ -471,6 +498,9 @@
         handle_poll_answer(runner, now_ms, &poll);
         RunnerUpstream_RaiseToken(runner);
         break;
+    case RUNNER_ORDER_ABANDONED:
+        handle_abandoned_poll(runner, now_ms, &poll);
+        break;
     case RUNNER_ORDER_OTHER_INCARNATION:
         RunnerUpstream_OnOtherIncarnation(runner, now_ms);
         if (!runner->upstream.known) {
--- a/lease/runner_state.h
+++ b/lease/runner_state.h
@@ -119,6 +119,8 @@
     int64_t sent_ms;
     int64_t due_ms; /* as in Runner_Order */
     uint64_t last_seen;
+    int64_t earlier_hold_ms; /* hold_until_ms without this poll */
+    int64_t hold_until_ms;   /* and with it */
     bool waits; /* the upstream may delay the answer until a run ends */
 } Runner_PendingPoll;
 
--- a/tests/stalled_rules.c
+++ b/tests/stalled_rules.c
@@ -163,6 +163,99 @@
     Runner_Free(fix.runner);
 }
 
+static void
+begin_durable_run(runner_fixture *fix)
+{
+    RunnerFix_NewReady(fix);
+    RunnerFix_CallRun(fix, 1, RUN_ID_DURABLE_BASE + 1, 1000, VALID_MS);
+    Runner_OnStarted(fix->runner, fix->now_ms, fix->start_id,
+                     RUNNER_ORDER_ACCEPTED, CLOCK_MS);
+    g_assert_cmpint(fix->poll.deadline_ms, >, 0);
+}
+
+/* Guards against a late start that the next incarnation executes and a poll
+ * then holds on, as the poll's deadline means nothing on its clock. The lease
+ * of a durable run lasts longer than the hold. */
+static void
+test_expired_hold_is_not_extended(void)
+{
+    runner_fixture fix;
+    int polls;
+
+    begin_durable_run(&fix);
+    polls = fix.polls;
+    fix.now_ms += STALL_MS;
+    Runner_CheckOverdue(fix.runner, fix.now_ms);
+    g_assert_cmpint(fix.polls, ==, polls + 1);
+    g_assert_cmpint(fix.poll.deadline_ms, ==, 0);
+    g_assert_cmpint(fix.poll.send_by_ms, ==, 0);
+    Runner_Free(fix.runner);
+}
+
+/* A poll that extends the hold is not written once the hold has expired. */
+static void
+test_abandoned_poll_is_sent_again(void)
+{
+    Runner_PollAnswer abandoned = {.end = RUNNER_ORDER_ABANDONED};
+    runner_fixture fix;
+    int polls;
+
+    begin_durable_run(&fix);
+    g_assert_cmpint(fix.poll.send_by_ms, >=, fix.now_ms + VALID_MS);
+    g_assert_cmpint(fix.poll.send_by_ms, <, fix.now_ms + STALL_MS);
+    polls = fix.polls;
+    fix.now_ms += STALL_MS;
+    Runner_OnPollAnswer(fix.runner, fix.now_ms, fix.poll_id, &abandoned);
+    g_assert_cmpint(fix.polls, ==, polls + 1);
+    g_assert_cmpint(fix.poll.deadline_ms, ==, 0);
+    Runner_Free(fix.runner);
+}
+
+static void
+renew(runner_fixture *fix, int64_t valid_ms)
+{
+    lc_node entry = RUNNER_FIX_ENTRY;
+    lc_node companion = RUNNER_FIX_COMPANION;
+    Msg_Call call = {.kind = MSG_RENEW};
+
+    call.u.renew.owner = entry;
+    call.u.renew.target = companion.incarnation;
+    call.u.renew.valid_until_ms = fix->now_ms + valid_ms;
+    Runner_OnCall(fix->runner, fix->now_ms, 5, &call);
+}
+
+/* Starts a task whose hold the upstream keeps until START_MS + 511 at the
+ * latest, and renews its lease at START_MS + 400; the poll of then waits for a
+ * connection. */
+static void
+wait_with_poll(runner_fixture *fix)
+{
+    Runner_ActiveRun row = {RunnerFix_Run(1, 1), 10};
+
+    RunnerFix_NewReady(fix);
+    RunnerFix_BeginTask(fix);
+    fix->now_ms += 400;
+    renew(fix, 500);
+    RunnerFix_AnswerPoll(fix, &row, 1, NULL, 0);
+    g_assert_cmpint(fix->poll.deadline_ms, >, 0);
+    g_assert_cmpint(fix->poll.send_by_ms, <, START_MS + 520);
+}
+
+/* Guards against a hold at the next incarnation: a poll that was never sent
+ * has not extended the hold, so the next one must not extend it either. */
+static void
+test_abandoned_poll_extends_nothing(void)
+{
+    Runner_PollAnswer none = {.end = RUNNER_ORDER_ABANDONED};
+    runner_fixture fix;
+
+    wait_with_poll(&fix);
+    fix.now_ms = START_MS + 600;
+    Runner_OnPollAnswer(fix.runner, fix.now_ms, fix.poll_id, &none);
+    g_assert_cmpint(fix.poll.deadline_ms, ==, 0);
+    Runner_Free(fix.runner);
+}
+
 static const TestTable_Row rules[] = {
     {"/stalled/no copy of a start is sent after its deadline",
      test_no_copy_after_the_deadline},
@@ -176,6 +269,12 @@
      test_abandoned_start_of_a_stopped_run},
     {"/stalled/a start that was never sent is not executed late",
      test_abandoned_start_is_not_late},
+    {"/stalled/a hold that has expired is not extended",
+     test_expired_hold_is_not_extended},
+    {"/stalled/a poll that was not sent is sent again without a deadline",
+     test_abandoned_poll_is_sent_again},
+    {"/stalled/a poll that was not sent extends no hold",
+     test_abandoned_poll_extends_nothing},
     {"/stalled/a copy that was not sent leaves its run",
      test_abandoned_copy_leaves_the_run},
     {"/stalled/a start that was never sent tells nothing of the upstream",
