Start nothing while another incarnation under the upstream's name is heard

What callers could see: two runs of a task at once, beside further failures.

Cause: the heartbeat of another incarnation under the same name is a candidate until the answer to a poll decides. Meanwhile first starts and copies went out with the deadline and token of the incarnation known before, which the other one accepts, for up to hold_max_ms.

Change: until a poll was answered, a RUN is refused as not ready, so that its owner tries elsewhere, and copies wait. Another name needs none of this, as its upstream refuses orders that name the known one.

What is left: a restart of which no heartbeat was read yet.

--- a/lease/runner.c
+++ b/lease/runner.c
@@ -151,6 +151,9 @@
                                   args->closures_as_of)) {
         return LC_RUN_CLOSED;
     }
+    if (RunnerUpstream_MayHaveRestarted(runner)) {
+        return LC_RUN_NOT_READY;
+    }
     switch (current_state(runner, now_ms)) {
     case LC_UPSTREAM_ABSENT:
         return LC_RUN_NOT_READY;
--- a/lease/runner_durable.c
+++ b/lease/runner_durable.c
@@ -51,7 +51,7 @@
     if (resolved >= row->start_copies || is_instance_replaced(runner, row)) {
         return 0;
     }
-    return row->start_sent_ms + runner->config.late_ms;
+    return MAX(row->start_sent_ms, row->send_by_ms) + runner->config.late_ms;
 }
 
 /* Returns the latest expiry of the starts of a task's runs, other than the run
--- a/lease/runner_orders.c
+++ b/lease/runner_orders.c
@@ -104,6 +104,7 @@
 may_resend(const Runner *runner)
 {
     return !runner->upstream.doubtful &&
+           !RunnerUpstream_MayHaveRestarted(runner) &&
            Handle_ItemCount(runner->orders) < MAX_PENDING_ORDERS;
 }
 
--- a/lease/runner_state.h
+++ b/lease/runner_state.h
@@ -357,6 +357,10 @@
  * if the poll was sent after its heartbeat. */
 void RunnerUpstream_Confirm(Runner *runner, uint64_t poll_id);
 
+/** Whether another incarnation under the same name is heard and not confirmed
+ * yet: it would execute the orders for the current one. */
+bool RunnerUpstream_MayHaveRestarted(const Runner *runner);
+
 /** Frees the state of the upstream. */
 void RunnerUpstream_Clear(Runner *runner);
 
--- a/lease/runner_upstream.c
+++ b/lease/runner_upstream.c
@@ -404,6 +404,13 @@
     clear_candidate(runner);
 }
 
+bool
+RunnerUpstream_MayHaveRestarted(const Runner *runner)
+{
+    return runner->candidate.pending &&
+           strcmp(runner->candidate.instance, runner->upstream.instance) == 0;
+}
+
 void
 RunnerUpstream_RaiseToken(Runner *runner)
 {
--- a/tests/stalled_rules.c
+++ b/tests/stalled_rules.c
@@ -256,6 +256,49 @@
     Runner_Free(fix.runner);
 }
 
+/* Guards against two runs at once: while the answer to a poll decides whether
+ * the heartbeat of another incarnation counts, that one would execute a start,
+ * with a deadline that means nothing on its clock. */
+static void
+test_no_start_while_another_incarnation_is_heard(void)
+{
+    runner_fixture fix;
+
+    RunnerFix_New(&fix);
+    fix.born_ms = FIRST_BORN_MS;
+    RunnerFix_Heartbeat(&fix, RUNNER_UPSTREAM_READY);
+    RunnerFix_AnswerPoll(&fix, NULL, 0, NULL, 0);
+    fix.now_ms += STALL_MS;
+    fix.born_ms = FIRST_BORN_MS + 1000;
+    RunnerFix_HeartbeatOf(&fix, "i-1", 1, RUNNER_UPSTREAM_READY);
+    RunnerFix_CallRun(&fix, 1, 1, 1000, VALID_MS);
+    g_assert_cmpint(fix.starts, ==, 0);
+    g_assert_cmpint(fix.status, ==, LC_RUN_NOT_READY);
+    fix.born_ms = FIRST_BORN_MS;
+    RunnerFix_AnswerPoll(&fix, NULL, 0, NULL, 0);
+    g_assert_true(RunnerFix_TakesTask(&fix, 2));
+    Runner_Free(fix.runner);
+}
+
+/* The same for a copy, within the deadline of the start. */
+static void
+test_no_copy_while_another_incarnation_is_heard(void)
+{
+    runner_fixture fix;
+
+    RunnerFix_New(&fix);
+    fix.born_ms = FIRST_BORN_MS;
+    RunnerFix_Heartbeat(&fix, RUNNER_UPSTREAM_READY);
+    RunnerFix_AnswerPoll(&fix, NULL, 0, NULL, 0);
+    RunnerFix_CallRun(&fix, 1, 1, 1000, VALID_MS);
+    fix.born_ms = FIRST_BORN_MS + 1000;
+    RunnerFix_HeartbeatOf(&fix, "i-1", 1, RUNNER_UPSTREAM_READY);
+    fix.now_ms += VALID_MS / 2;
+    Runner_CheckOverdue(fix.runner, fix.now_ms);
+    g_assert_cmpint(fix.starts, ==, 1);
+    Runner_Free(fix.runner);
+}
+
 static const TestTable_Row rules[] = {
     {"/stalled/no copy of a start is sent after its deadline",
      test_no_copy_after_the_deadline},
@@ -275,6 +318,10 @@
      test_abandoned_poll_is_sent_again},
     {"/stalled/a poll that was not sent extends no hold",
      test_abandoned_poll_extends_nothing},
+    {"/stalled/no start while another incarnation is heard",
+     test_no_start_while_another_incarnation_is_heard},
+    {"/stalled/no copy while another incarnation is heard",
+     test_no_copy_while_another_incarnation_is_heard},
     {"/stalled/a copy that was not sent leaves its run",
      test_abandoned_copy_leaves_the_run},
     {"/stalled/a start that was never sent tells nothing of the upstream",
