--- a/lease/runner_durable.c
+++ b/lease/runner_durable.c
@@ -40,7 +40,8 @@
 /* Returns the time from which no unanswered copy of a run's start can be
  * executed any more, or 0 if no copy is outstanding. If the run was observed
  * but no copy was accepted, one unanswered copy is known to have
- * started it. */
+ * started it. A copy may be written later than it was sent, until
+ * `send_by_ms`. */
 static int64_t
 start_expiry(const Runner *runner, const Runner_Task *row)
 {
--- a/tests/late_start_rules.c
+++ b/tests/late_start_rules.c
@@ -19,6 +19,11 @@
 /* Longer than the delay before the first retry at the same companion. */
 #define RETRY_MS 300
 #define OWNER_INCARNATION 88
+/* Starts in these tests are valid for VALID_MS; the last copy is sent at
+ * COPY_MS. It may be written until it is no longer valid. */
+#define VALID_MS 500
+#define COPY_MS 150
+#define COPY_LATE_MS (VALID_MS - COPY_MS + RUNNER_FIX_LATE_MS)
 
 /* ---- companions ---- */
 
@@ -30,9 +35,9 @@
     uint64_t first;
 
     RunnerFix_NewReady(fix);
-    RunnerFix_CallRun(fix, JOB, RUN, 1000, 500);
+    RunnerFix_CallRun(fix, JOB, RUN, 1000, VALID_MS);
     first = fix->start_id;
-    fix->now_ms += 150;
+    fix->now_ms += COPY_MS;
     Runner_CheckOverdue(fix->runner, fix->now_ms);
     g_assert_cmpint(fix->starts, ==, 2);
     Runner_OnStarted(fix->runner, fix->now_ms, fix->start_id,
@@ -57,7 +62,7 @@
     send_two_copies(&fix);
     fix.now_ms += 50;
     fail_run(&fix);
-    g_assert_cmpuint(fix.late_start_ms, ==, RUNNER_FIX_LATE_MS - 50);
+    g_assert_cmpuint(fix.late_start_ms, ==, COPY_LATE_MS - 50);
     Runner_Free(fix.runner);
 }
 
@@ -84,7 +89,7 @@
     fail_run(&fix);
     RunnerFix_CallRun(&fix, JOB, RUN + 1, 99000, 500);
     g_assert_cmpint(fix.status, ==, LC_RUN_NO_ROOM);
-    g_assert_cmpuint(fix.late_start_ms, ==, RUNNER_FIX_LATE_MS);
+    g_assert_cmpuint(fix.late_start_ms, ==, COPY_LATE_MS);
     Runner_Free(fix.runner);
 }
 
@@ -100,7 +105,7 @@
     RunnerFix_AnswerPollOther(&fix);
     RunnerFix_HeartbeatOf(&fix, "i-2", 1, RUNNER_UPSTREAM_READY);
     RunnerFix_CallRun(&fix, JOB, RUN + 1, 99000, 500);
-    g_assert_cmpuint(fix.late_start_ms, ==, RUNNER_FIX_LATE_MS);
+    g_assert_cmpuint(fix.late_start_ms, ==, COPY_LATE_MS);
     RunnerFix_AnswerPoll(&fix, NULL, 0, NULL, 0);
     RunnerFix_CallRun(&fix, JOB, RUN + 2, 99000, 500);
     g_assert_cmpuint(fix.late_start_ms, ==, 0);
@@ -135,8 +140,8 @@
     RunnerFix_FenceEntry(&fix);
     g_assert_cmpuint(fix.late_starts, ==, 1);
     g_assert_cmpuint(fix.late.id.job, ==, JOB);
-    g_assert_cmpuint(fix.late.late_start_ms, ==, RUNNER_FIX_LATE_MS - 1000);
-    fix.now_ms += RUNNER_FIX_LATE_MS - 1000;
+    g_assert_cmpuint(fix.late.late_start_ms, ==, COPY_LATE_MS - 1000);
+    fix.now_ms += COPY_LATE_MS - 1000;
     RunnerFix_FenceEntry(&fix);
     g_assert_cmpuint(fix.late_starts, ==, 0);
     Runner_Free(fix.runner);
--- a/tests/rebirth_rules.c
+++ b/tests/rebirth_rules.c
@@ -220,7 +220,9 @@
     uint64_t first;
 
     set_up_unanswered_start(&fix, &run, &first);
-    g_assert_cmpint(last_seen_after(&fix, RUNNER_FIX_LATE_MS - 200), ==, 4);
+    /* Sent 350 ms before its deadline, until which it may be written. */
+    g_assert_cmpint(last_seen_after(&fix, 350 + RUNNER_FIX_LATE_MS - 200), ==,
+                    4);
     g_assert_cmpint(last_seen_after(&fix, 250), ==, 5);
     Runner_Free(fix.runner);
 }
--- a/tests/stalled_rules.c
+++ b/tests/stalled_rules.c
@@ -299,6 +299,28 @@
     Runner_Free(fix.runner);
 }
 
+/* Guards against the retry of a durable task elsewhere while a copy of its
+ * start may still be executed: the copy may have been written as late as its
+ * send_by_ms, and is executed up to late_ms after that. */
+static void
+test_late_start_counts_from_the_write(void)
+{
+    runner_fixture fix;
+    int64_t send_by_ms;
+
+    RunnerFix_NewReady(&fix);
+    RunnerFix_CallRun(&fix, 1, RUN_ID_DURABLE_BASE + 1, 1000, VALID_MS);
+    send_by_ms = fix.start.send_by_ms;
+    fix.now_ms += VALID_MS + 100;
+    Runner_OnStarted(fix.runner, fix.now_ms, fix.start_id,
+                     RUNNER_ORDER_UNANSWERED, 0);
+    RunnerFix_AnswerPoll(&fix, NULL, 0, NULL, 0);
+    g_assert_cmpint(fix.status, ==, LC_RUN_LOST);
+    g_assert_cmpint(fix.now_ms + fix.late_start_ms, >=,
+                    send_by_ms + RUNNER_FIX_LATE_MS);
+    Runner_Free(fix.runner);
+}
+
 static const TestTable_Row rules[] = {
     {"/stalled/no copy of a start is sent after its deadline",
      test_no_copy_after_the_deadline},
@@ -322,6 +344,8 @@
      test_no_start_while_another_incarnation_is_heard},
     {"/stalled/no copy while another incarnation is heard",
      test_no_copy_while_another_incarnation_is_heard},
+    {"/stalled/late starts count from the latest write",
+     test_late_start_counts_from_the_write},
     {"/stalled/a copy that was not sent leaves its run",
      test_abandoned_copy_leaves_the_run},
     {"/stalled/a start that was never sent tells nothing of the upstream",
