--- a/tests/http_client_rules.c
+++ b/tests/http_client_rules.c
@@ -173,7 +173,7 @@
     g_assert_cmpint(send_request(0, 0), ==, HTTP_CLIENT_ANSWERED);
     received = fix.received;
     send_by_ms = Clock_NowMs() + SEND_BY_MS;
-    g_usleep(STALL_MS * 1000);
+    g_usleep((gulong)STALL_MS * 1000);
     g_assert_cmpint(send_request(send_by_ms, 0), ==, HTTP_CLIENT_EXPIRED);
     uv_run(uv_default_loop(), UV_RUN_NOWAIT);
     g_assert_cmpint(fix.received, ==, received);
