--- a/tests/http_client_rules.c
+++ b/tests/http_client_rules.c
@@ -1,6 +1,6 @@
 /*
  * Rules of the HTTP client on the latest time at which a request may be sent,
- * over loopback sockets.
+ * over loopback sockets, and what companions make of its outcomes.
  */
 
 #include <glib.h>
@@ -9,6 +9,7 @@
 
 #include "base/clock.h"
 #include "platform/http_client.h"
+#include "platform/upstream_api.h"
 #include "tests/test_table.h"
 
 #define TIMEOUT_MS 5000
@@ -205,6 +206,30 @@
     close_fixture();
 }
 
+/* Guards against a start that was never written counting as a refused
+ * connection, or as one that may be executed. */
+static void
+test_outcomes_as_order_results(void)
+{
+    static const struct {
+        HttpClient_Outcome outcome;
+        Runner_OrderResult result;
+    } rows[] = {
+        {HTTP_CLIENT_UNSENT, RUNNER_ORDER_UNSENT},
+        {HTTP_CLIENT_EXPIRED, RUNNER_ORDER_ABANDONED},
+        {HTTP_CLIENT_DISCONNECTED, RUNNER_ORDER_UNANSWERED},
+        {HTTP_CLIENT_TIMEOUT, RUNNER_ORDER_UNANSWERED},
+    };
+    size_t i;
+
+    for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+        HttpClient_Answer answer = {.end = rows[i].outcome};
+        int64_t clock_ms;
+        g_assert_cmpint(UpstreamApi_OrderResult(&answer, &clock_ms), ==,
+                        rows[i].result);
+    }
+}
+
 static const TestTable_Row rules[] = {
     {"/http_client/not sent after its time, over a new connection",
      test_expires_while_connecting},
@@ -212,6 +237,8 @@
      test_expires_on_an_idle_connection},
     {"/http_client/not sent after its time, which passed before the timeout",
      test_expires_beside_its_timeout},
+    {"/http_client/outcomes as results of an order",
+     test_outcomes_as_order_results},
     {"/http_client/sent within its time, or without one", test_sent_in_time},
 };
 
