Test that forces a late copy of a start into the next incarnation

The scenario late_copy keeps a start unanswered, crashes the upstream, kills the job's entry and, once the task runs elsewhere, executes the kept start as the upstream restarts under its name, before it sends a heartbeat.

--- a/tests/soak/scenario.cc
+++ b/tests/soak/scenario.cc
@@ -68,6 +68,9 @@
 const uint32_t STALLED_CPU = 9000; /* one task fits into an upstream */
 const int64_t STALLED_WORK_MS = 1000;
 const int64_t STALLED_END_MS = 6000;
+const int64_t LATE_COPY_WORK_MS = 1000;
+const int64_t LATE_COPY_END_MS = 6000;
+const int64_t HELD_BACK_MS = 2000;
 const int64_t STALLED_INTERVAL_MS = 20;
 const int STALLED_BURST_JOBS = 12;
 const int64_t STALLED_WAVE_MS = 3500;
@@ -727,6 +730,92 @@
                                    STALLED_WORK_MS, false);
 }
 
+bool start_kept;
+
+void
+await_late_end(size_t index)
+{
+    if (!cluster->upstreams[index]->model.tasks().empty()) {
+        cluster->run_after(2, [index] { await_late_end(index); });
+        return;
+    }
+    log_step("the late run has ended");
+}
+
+/* The task runs at another upstream, or no entry starts it meanwhile. */
+void
+execute_late(size_t index)
+{
+    soak::Upstream &upstream = *cluster->upstreams[index];
+
+    upstream.start_incarnation();
+    log_step("the upstream has restarted");
+    upstream.execute_kept_start();
+    if (upstream.model.tasks().empty()) {
+        return;
+    }
+    log_step("the late start is executed");
+    await_late_end(index);
+}
+
+void
+await_second_run(size_t index, int64_t resubmitted_ms)
+{
+    if (running_tasks() > 0) {
+        log_step("the job runs again");
+        execute_late(index);
+        return;
+    }
+    if (cluster->now() > resubmitted_ms + HELD_BACK_MS) {
+        log_step("the job is held back");
+        execute_late(index);
+        return;
+    }
+    cluster->run_after(2, [=] { await_second_run(index, resubmitted_ms); });
+}
+
+void
+await_resubmission(size_t index)
+{
+    if (cluster->entries[0]->is_up() ||
+        cluster->checker.find(last_job)->attempts < 2) {
+        cluster->run_after(2, [index] { await_resubmission(index); });
+        return;
+    }
+    log_step("the job is submitted again");
+    await_second_run(index, cluster->now());
+}
+
+/* Crashes the upstream as the first start arrives, and kills the job's entry.
+ */
+bool
+keep_start(size_t index)
+{
+    if (start_kept) {
+        return false;
+    }
+    start_kept = true;
+    log_step("the start is kept");
+    cluster->upstreams[index]->crash();
+    cluster->target_entry = 1;
+    cluster->entries[0]->kill_without_restart();
+    await_resubmission(index);
+    return true;
+}
+
+/* An upstream executes an unanswered start late, as it restarts under its name
+ * and before it sends a heartbeat. Meanwhile the job's entry has died, and its
+ * caller has submitted it again. */
+void
+play_late_copy()
+{
+    cluster->target_entry = 0;
+    for (size_t i = 0; i < cluster->upstreams.size(); i++) {
+        cluster->upstreams[i]->keeps_start = [i] { return keep_start(i); };
+    }
+    last_job = cluster->submit_job(1, 1000, LATE_COPY_WORK_MS, false);
+}
+
 const struct {
     const char *name;
     void (*play)();
@@ -772,6 +861,7 @@
     {"late_retries", play_late_retries, LATE_RETRIES_END_MS, 2, 4},
     {"stalled_start", play_stalled_start, STALLED_END_MS, 2,
      2 * (int)STALLED_TASKS},
+    {"late_copy", play_late_copy, LATE_COPY_END_MS, 2},
     {"stalled_companions", play_stalled_companions,
      STALLED_LOAD_MS + ANSWERS_MS, STALLED_ENTRIES, (int)STALLED_COMPANIONS},
 };
--- a/tests/soak/upstream.cc
+++ b/tests/soak/upstream.cc
@@ -230,6 +230,12 @@
     uv_close((uv_handle_t *)timer, on_delayed_order_closed);
 }
 
+void
+Upstream::execute_kept_start()
+{
+    handle(0, "/run-start", kept_start.body, kept_start.expected);
+}
+
 void
 Upstream::serve(void *context, const HttpServer_Request *request)
 {
@@ -246,6 +252,11 @@
         self->loses_start()) {
         return;
     }
+    if (self->keeps_start && strcmp(request->path, "/run-start") == 0 &&
+        self->keeps_start()) {
+        self->kept_start = {body, instance};
+        return;
+    }
     if (self->delay_orders && rand() % 3 == 0) {
         DelayedOrder *delayed = new DelayedOrder{
             {}, self, request->path, body, instance};
--- a/tests/soak/upstream.h
+++ b/tests/soak/upstream.h
@@ -39,6 +39,11 @@
     /** Called for each start that arrives, before it is handled; returns
      * whether it is lost instead. */
     std::function<bool()> loses_start;
+    /** Called for each start that arrives, before it is handled; returns
+     * whether it is kept for execute_kept_start() instead. */
+    std::function<bool()> keeps_start;
+    /** Executes the start that was kept last, late and without an answer. */
+    void execute_kept_start();
     bool delay_orders = false; /**< one order in three is executed 1 to 4 s
                                   late and not answered */
     int64_t last_delayed_ms =
@@ -53,6 +58,11 @@
         std::string instance;
     };
 
+    struct KeptStart {
+        std::string body;
+        std::string expected;
+    };
+
     static void serve(void *context, const HttpServer_Request *request);
     static void on_tick(uv_timer_t *timer);
     static void on_heartbeat(uv_timer_t *timer);
@@ -87,6 +97,7 @@
     int heartbeats_since_crash = 0;
     uint32_t incarnations = 0;
     std::vector<PendingPoll> pending_polls;
+    KeptStart kept_start;
 };
 
 } // namespace soak
