--- a/tests/process/late_copy.sh
+++ b/tests/process/late_copy.sh
@@ -9,11 +9,19 @@
 DIR=$(mktemp -d)
 trap 'rm -rf "$DIR"' EXIT
 
-"$BUILD/tests/scenario" late_copy "$PWD/$BUILD/daemon/levercoved" "$DIR" $((20000 + $$ % 100 * 100)) >"$DIR/out" 2>&1
-if grep '^violation' "$DIR/out"; then exit 1; fi
-for step in "the start is kept" "the job is submitted again" "the job \(runs again\|is held back\)" \
-    "the upstream has restarted" "the late start is executed" "the late run has ended"; do
-    grep -q "^step .*: $step$" "$DIR/out" || { cat "$DIR/out"; exit 1; }
-done
-restarted=$(cat "$DIR"/companion-*.log | grep -c "started again under its name")
-[ "$restarted" -ge 1 ] || { cat "$DIR/out"; echo "no upstream restarted under its name"; exit 1; }
+play() {
+    mkdir "$DIR/$1"
+    "$BUILD/tests/scenario" "$1" "$PWD/$BUILD/daemon/levercoved" "$DIR/$1" $((20000 + $$ % 100 * 100)) >"$DIR/out" 2>&1
+    if grep '^violation' "$DIR/out"; then return 1; fi
+    for step in "the start is kept" "the job is submitted again" "the job \($2\|is held back\)" \
+        "the upstream has restarted" "the late start is executed" "the late run has ended"; do
+        grep -q "^step .*: $step$" "$DIR/out" || { cat "$DIR/out"; return 1; }
+    done
+    restarted=$(cat "$DIR/$1"/companion-*.log | grep -c "started again under its name")
+    [ "$restarted" -ge 1 ] || { cat "$DIR/out"; echo "no upstream restarted under its name"; return 1; }
+}
+
+failed=0
+play late_copy "runs again" || failed=1
+play late_copy_first "starts again" || failed=1
+exit $failed
--- a/tests/soak/scenario.cc
+++ b/tests/soak/scenario.cc
@@ -731,6 +731,9 @@
 }
 
 bool start_kept;
+size_t kept_index;
+bool late_first; /* the late start is executed before the job's second one */
+bool late_executed;
 
 void
 await_late_end(size_t index)
@@ -748,6 +751,7 @@
 {
     soak::Upstream &upstream = *cluster->upstreams[index];
 
+    late_executed = true;
     upstream.start_incarnation();
     log_step("the upstream has restarted");
     upstream.execute_kept_start();
@@ -761,7 +765,10 @@
 void
 await_second_run(size_t index, int64_t resubmitted_ms)
 {
-    if (running_tasks() > 0) {
+    if (late_executed) {
+        return;
+    }
+    if (running_tasks() > 0 && !late_first) {
         log_step("the job runs again");
         execute_late(index);
         return;
@@ -792,9 +799,14 @@
 keep_start(size_t index)
 {
     if (start_kept) {
+        if (late_first && !late_executed && index != kept_index) {
+            log_step("the job starts again");
+            execute_late(kept_index);
+        }
         return false;
     }
     start_kept = true;
+    kept_index = index;
     log_step("the start is kept");
     cluster->upstreams[index]->crash();
     cluster->target_entry = 1;
@@ -816,6 +828,14 @@
     last_job = cluster->submit_job(1, 1000, LATE_COPY_WORK_MS, false);
 }
 
+/* The same, but the upstream is back as the job's second start arrives. */
+void
+play_late_copy_first()
+{
+    late_first = true;
+    play_late_copy();
+}
+
 const struct {
     const char *name;
     void (*play)();
@@ -862,6 +882,7 @@
     {"stalled_start", play_stalled_start, STALLED_END_MS, 2,
      2 * (int)STALLED_TASKS},
     {"late_copy", play_late_copy, LATE_COPY_END_MS, 2},
+    {"late_copy_first", play_late_copy_first, LATE_COPY_END_MS, 2},
     {"stalled_companions", play_stalled_companions,
      STALLED_LOAD_MS + ANSWERS_MS, STALLED_ENTRIES, (int)STALLED_COMPANIONS},
 };
