--- a/tests/stalled_rules.c
+++ b/tests/stalled_rules.c
@@ -225,10 +225,10 @@
 }
 
 /* Starts a task whose hold the upstream keeps until START_MS + 511 at the
- * latest, and renews its lease at START_MS + 400; the poll of then waits for a
- * connection. */
+ * latest, and renews its lease at START_MS + 400. The last poll, which extends
+ * the hold, is sent at that time and not answered. */
 static void
-wait_with_poll(runner_fixture *fix)
+extend_hold_by_poll(runner_fixture *fix)
 {
     Runner_ActiveRun row = {RunnerFix_Run(1, 1), 10};
 
@@ -246,16 +246,26 @@
 static void
 test_abandoned_poll_extends_nothing(void)
 {
-    Runner_PollAnswer none = {.end = RUNNER_ORDER_ABANDONED};
+    Runner_PollAnswer abandoned = {.end = RUNNER_ORDER_ABANDONED};
     runner_fixture fix;
 
-    wait_with_poll(&fix);
+    extend_hold_by_poll(&fix);
     fix.now_ms = START_MS + 600;
-    Runner_OnPollAnswer(fix.runner, fix.now_ms, fix.poll_id, &none);
+    Runner_OnPollAnswer(fix.runner, fix.now_ms, fix.poll_id, &abandoned);
     g_assert_cmpint(fix.poll.deadline_ms, ==, 0);
     Runner_Free(fix.runner);
 }
 
+/* Sets up an upstream that reports its start time. */
+static void
+set_up_incarnation(runner_fixture *fix)
+{
+    RunnerFix_New(fix);
+    fix->born_ms = FIRST_BORN_MS;
+    RunnerFix_Heartbeat(fix, RUNNER_UPSTREAM_READY);
+    RunnerFix_AnswerPoll(fix, NULL, 0, NULL, 0);
+}
+
 /* Guards against two runs at once: while the answer to a poll decides whether
  * the heartbeat of another incarnation counts, that one would execute a start,
  * with a deadline that means nothing on its clock. */
@@ -264,10 +274,7 @@
 {
     runner_fixture fix;
 
-    RunnerFix_New(&fix);
-    fix.born_ms = FIRST_BORN_MS;
-    RunnerFix_Heartbeat(&fix, RUNNER_UPSTREAM_READY);
-    RunnerFix_AnswerPoll(&fix, NULL, 0, NULL, 0);
+    set_up_incarnation(&fix);
     fix.now_ms += STALL_MS;
     fix.born_ms = FIRST_BORN_MS + 1000;
     RunnerFix_HeartbeatOf(&fix, "i-1", 1, RUNNER_UPSTREAM_READY);
@@ -286,10 +293,7 @@
 {
     runner_fixture fix;
 
-    RunnerFix_New(&fix);
-    fix.born_ms = FIRST_BORN_MS;
-    RunnerFix_Heartbeat(&fix, RUNNER_UPSTREAM_READY);
-    RunnerFix_AnswerPoll(&fix, NULL, 0, NULL, 0);
+    set_up_incarnation(&fix);
     RunnerFix_CallRun(&fix, 1, 1, 1000, VALID_MS);
     fix.born_ms = FIRST_BORN_MS + 1000;
     RunnerFix_HeartbeatOf(&fix, "i-1", 1, RUNNER_UPSTREAM_READY);
