Log runs that outlive their lease and runs that nothing stands for; count orders by outcome

A listed run past the time by which it must be over is LC527, one without an active task LC528; starts, stops and polls are counted by outcome. No decision changes.

--- a/base/counter.h
+++ b/base/counter.h
@@ -39,6 +39,8 @@
     X(CALLS_LOST, "calls_lost")                                               \
     X(ORDERS_RESENT, "orders_resent")                                         \
     X(STARTS_ABANDONED, "starts_abandoned")                                   \
+    X(RUNS_PAST_LEASE, "runs_past_lease")                                     \
+    X(RUNS_UNKNOWN, "runs_unknown")                                           \
     X(RECORDS_APPLIED, "records_applied")                                     \
     X(RECORDS_SKIPPED, "records_skipped")                                     \
     X(VIEWS_APPLIED, "views_applied")                                         \
--- a/base/event.h
+++ b/base/event.h
@@ -90,6 +90,8 @@
     X(HEARTBEAT_LATE, 525, G_LOG_LEVEL_INFO, "late heartbeat ignored")        \
     X(FORWARD_LAPSED, 526, G_LOG_LEVEL_WARNING,                               \
       "jobs of a silent entry stopped")                                       \
+    X(RUN_PAST_LEASE, 527, G_LOG_LEVEL_WARNING, "run outlives its lease")     \
+    X(RUN_UNKNOWN, 528, G_LOG_LEVEL_INFO, "unknown run, stopped")             \
     X(LINK_SHORT, 318, G_LOG_LEVEL_MESSAGE, "link congested or free again")   \
     X(RPC_BAD, 600, G_LOG_LEVEL_WARNING, "RPC record refused")                \
     X(HTTP_BAD, 601, G_LOG_LEVEL_INFO, "HTTP request refused")                \
--- a/lease/runner.c
+++ b/lease/runner.c
@@ -489,6 +489,7 @@
     HallClosures_Metrics(&runner->closures, now_ms, out);
     Histogram_Print(&runner->start_latency, "order", "", out);
     Histogram_Print(&runner->run_times, "task_run", "", out);
+    RunnerAudit_Metrics(runner, out);
     for (i = 0; i < RUN_STATUS_COUNT; i++) {
         if (statuses[i] != NULL) {
             g_string_append_printf(
--- /dev/null
+++ b/lease/runner_audit.c
@@ -0,0 +1,109 @@
+#include "lease/runner_state.h"
+
+#include <inttypes.h>
+
+#include "base/address.h"
+#include "lease/run_id.h"
+
+static const char *const order_names[RUNNER_ORDER_KINDS] = {
+    [RUNNER_ORDER_START] = "start",
+    [RUNNER_ORDER_STOP] = "stop",
+    [RUNNER_ORDER_POLL] = "poll",
+};
+
+static const char *const outcome_names[RUNNER_OUTCOMES] = {
+    [RUNNER_OUTCOME_ANSWERED] = "answered",
+    [RUNNER_OUTCOME_UNANSWERED] = "unanswered",
+    [RUNNER_OUTCOME_NOT_SENT] = "not_sent",
+};
+
+static Runner_OrderOutcome
+outcome_of(Runner_OrderResult result)
+{
+    switch (result) {
+    case RUNNER_ORDER_UNANSWERED:
+        return RUNNER_OUTCOME_UNANSWERED;
+    case RUNNER_ORDER_UNSENT:
+    case RUNNER_ORDER_ABANDONED:
+        return RUNNER_OUTCOME_NOT_SENT;
+    default:
+        return RUNNER_OUTCOME_ANSWERED;
+    }
+}
+
+void
+RunnerAudit_CountOrder(Runner *runner, Runner_OrderKind kind,
+                       Runner_OrderResult result)
+{
+    runner->order_outcomes[kind][outcome_of(result)]++;
+}
+
+/* Time by which a run must be over, however long its stop was unanswered. */
+static int64_t
+certain_end(const Runner *runner, const Runner_Owner *owner)
+{
+    const LeaseTiming *timing = &runner->config.timing;
+
+    return owner->until_ms + LeaseTiming_MaxHoldMs(timing->hold_ms) +
+           timing->stop_ms + timing->tick_ms;
+}
+
+void
+RunnerAudit_CheckLease(Runner *runner, int64_t now_ms, Runner_Task *row)
+{
+    const Runner_Owner *owner = RunnerOwner_Find(runner, &row->owner);
+
+    if (owner == NULL || row->outlived_lease ||
+        now_ms <= certain_end(runner, owner)) {
+        return;
+    }
+    row->outlived_lease = true;
+    Counter_Add(&runner->counters, COUNTER_RUNS_PAST_LEASE, 1);
+    RunnerTask_Log(runner, EVENT_RUN_PAST_LEASE, row,
+                   "lease ended %" PRId64 " ms ago, %u stops sent%s, hold "
+                   "ends in %" PRId64 " ms, %u owners",
+                   now_ms - owner->until_ms, row->stop_copies,
+                   row->stop_confirmed ? ", one answered" : "",
+                   runner->hold_until_ms - now_ms, runner->owners->len);
+}
+
+void
+RunnerAudit_OnUnknownRun(Runner *runner, int64_t now_ms, const lc_run_id *id,
+                         const Runner_Task *row)
+{
+    char job[RUN_ID_JOB_SIZE];
+
+    Counter_Add(&runner->counters, COUNTER_RUNS_UNKNOWN, 1);
+    if (!Event_Admit(EVENT_RUN_UNKNOWN)) {
+        return;
+    }
+    RunId_FormatJob(id->job, job);
+    runner->ports->event(
+        runner->context, EVENT_RUN_UNKNOWN,
+        json_pack("{s:s, s:i, s:i, s:i, s:s, s:b, s:I, s:b, s:I, s:I}", "job",
+                  job, "step", (int)id->step, "index", (int)id->index, "run",
+                  (int)id->run, "upstream", runner->upstream.instance,
+                  "ended_here", row != NULL, "ended_ms_ago",
+                  (json_int_t)(row == NULL ? 0 : now_ms - row->ended_ms),
+                  "inventoried", runner->upstream.inventoried, "up_ms",
+                  (json_int_t)(now_ms - runner->created_ms), "hold_left_ms",
+                  (json_int_t)(runner->hold_until_ms - now_ms)));
+}
+
+void
+RunnerAudit_Metrics(const Runner *runner, GString *out)
+{
+    int kind;
+    int outcome;
+
+    for (kind = 0; kind < RUNNER_ORDER_KINDS; kind++) {
+        for (outcome = 0; outcome < RUNNER_OUTCOMES; outcome++) {
+            g_string_append_printf(
+                out,
+                "levercove_upstream_orders_total{order=\"%s\",outcome="
+                "\"%s\"} %" PRIu64 "\n",
+                order_names[kind], outcome_names[outcome],
+                runner->order_outcomes[kind][outcome]);
+        }
+    }
+}
--- a/lease/runner_orders.c
+++ b/lease/runner_orders.c
@@ -371,6 +371,7 @@
 {
     Runner_Task *row;
 
+    RunnerAudit_CountOrder(runner, RUNNER_ORDER_START, result);
     count_answer(runner, order_id, result);
     row = complete_order(runner, now_ms, order_id, result, clock_ms);
     if (row == NULL) {
@@ -389,6 +390,7 @@
     Runner_Task *row = complete_order(runner, now_ms, order_id, result,
                                       clock_ms);
 
+    RunnerAudit_CountOrder(runner, RUNNER_ORDER_STOP, result);
     if (result == RUNNER_ORDER_FENCED) {
         RunnerUpstream_RaiseToken(runner);
     }
--- a/lease/runner_poll.c
+++ b/lease/runner_poll.c
@@ -232,9 +232,11 @@
         return; /* this answer was overtaken by a later one */
     }
     if (row == NULL || row->state == TASK_ENDED) {
+        RunnerAudit_OnUnknownRun(runner, now_ms, &running->id, row);
         stop_unknown_run(runner, &running->id);
         return;
     }
+    RunnerAudit_CheckLease(runner, now_ms, row);
     if (RunnerTask_IsOfEarlierIncarnation(runner, row)) {
         /* A late start, with a deadline on another incarnation's clock. */
         RunnerTask_Stop(runner, now_ms, row, LC_RUN_LOST);
@@ -482,6 +484,7 @@
 {
     Runner_PendingPoll poll;
 
+    RunnerAudit_CountOrder(runner, RUNNER_ORDER_POLL, listing->end);
     if (!remove_poll(runner, poll_id, &poll)) {
         return;
     }
--- a/lease/runner_state.h
+++ b/lease/runner_state.h
@@ -58,6 +58,7 @@
     uint64_t end_number; /* as listed by the upstream; 0 if not listed */
     bool unreleased;     /* end of a durable job's run, not released yet */
     bool held_for_start; /* a late copy of its start may still arrive */
+    bool outlived_lease; /* logged by RunnerAudit_CheckLease */
     int64_t earlier_expiry_ms; /* of the starts of the task's other runs */
     int64_t progress_ms; /* when the percentage last rose; 0 before any report
                           */
@@ -113,6 +114,21 @@
     int64_t due_ms; /* when its answer is overdue; INT64_MAX after that */
 } Runner_Order;
 
+/* Orders to the upstream and what became of them, for metrics. */
+typedef enum {
+    RUNNER_ORDER_START,
+    RUNNER_ORDER_STOP,
+    RUNNER_ORDER_POLL,
+    RUNNER_ORDER_KINDS
+} Runner_OrderKind;
+
+typedef enum {
+    RUNNER_OUTCOME_ANSWERED,
+    RUNNER_OUTCOME_UNANSWERED,
+    RUNNER_OUTCOME_NOT_SENT,
+    RUNNER_OUTCOMES
+} Runner_OrderOutcome;
+
 /* A poll whose answer is awaited. */
 typedef struct {
     uint64_t id;
@@ -137,6 +153,7 @@
     Histogram start_latency; /* first copy of a start to each answer, in ms */
     Histogram run_times;     /* run times of successful tasks */
     uint64_t refusals[RUN_STATUS_COUNT]; /* refused runs by status */
+    uint64_t order_outcomes[RUNNER_ORDER_KINDS][RUNNER_OUTCOMES];
     Health health;
     Runner_UpstreamInfo upstream;
     Runner_Candidate candidate;
@@ -256,6 +273,24 @@
 /** Time at which the next answer to an order becomes overdue, or INT64_MAX. */
 int64_t RunnerOrder_DueMs(const Runner *runner);
 
+/* Logs and metrics about orders and leases: runner_audit.c. */
+
+/** Counts the result of an order. */
+void RunnerAudit_CountOrder(Runner *runner, Runner_OrderKind kind,
+                            Runner_OrderResult result);
+
+/** Logs, once, a run that the upstream lists after the time by which it must
+ * have ended, counted from the end of its owner's lease. */
+void RunnerAudit_CheckLease(Runner *runner, int64_t now_ms, Runner_Task *row);
+
+/** Logs a listed run that no active task stands for. @p row is its ended task,
+ * or NULL. */
+void RunnerAudit_OnUnknownRun(Runner *runner, int64_t now_ms,
+                              const lc_run_id *id, const Runner_Task *row);
+
+/** Appends the counts of orders. */
+void RunnerAudit_Metrics(const Runner *runner, GString *out);
+
 /* Owners: runner_owners.c. */
 
 /** The owner record of an entry, or NULL. */
