Red: a run outlives its lease while the upstream is held for other owners

A hold keeps all runs at an upstream and is extended for the longest lease of any owner; only its stop ends the run of an owner that is gone. Forced here at the companion: polls and starts are answered, stops are not. Callers submit again after 1,300 ms.

--- /dev/null
+++ b/tests/run_past_lease_rules.c
@@ -0,0 +1,163 @@
+/*
+ * Rules of a companion whose upstream leaves the stops of a run unanswered. A
+ * hold keeps all runs at an upstream, so that the leases of other owners must
+ * not keep a run that its caller may take for over.
+ */
+
+#include <glib.h>
+
+#include "lease/lease_timing.h"
+#include "lease/run_id.h"
+#include "tests/lease_fixture.h"
+#include "tests/runner_fixture.h"
+#include "tests/test_table.h"
+
+#define FIRST_JOB 1
+#define OTHER_JOB 100
+#define STEP_MS 10
+#define OTHER_START_MS 100
+#define PLAY_MS 3000
+#define MAX_RUNS 40
+
+static const lc_node other_owner = {0x7f0000011b5b, 107};
+
+/* An upstream that answers polls and starts, and no stop. */
+typedef struct {
+    runner_fixture fix;
+    Runner_ActiveRun runs[MAX_RUNS];
+    uint32_t run_count;
+    uint64_t answered_poll;
+    uint64_t answered_start;
+    int64_t held_until_ms; /* on the companion's clock */
+} upstream_play;
+
+static void
+extend(upstream_play *play, int64_t deadline_ms)
+{
+    play->held_until_ms = MAX(play->held_until_ms,
+                              deadline_ms - CLOCK_MS + START_MS);
+}
+
+static void
+answer_start(upstream_play *play)
+{
+    runner_fixture *fix = &play->fix;
+
+    if (fix->start_id == play->answered_start) {
+        return;
+    }
+    play->answered_start = fix->start_id;
+    extend(play, fix->start.deadline_ms);
+    g_assert_cmpuint(play->run_count, <, MAX_RUNS);
+    play->runs[play->run_count++] = (Runner_ActiveRun){.id = fix->start.id};
+    Runner_OnStarted(fix->runner, fix->now_ms, fix->start_id,
+                     RUNNER_ORDER_ACCEPTED, CLOCK_MS + fix->now_ms - START_MS);
+}
+
+static void
+answer_poll(upstream_play *play)
+{
+    runner_fixture *fix = &play->fix;
+
+    if (fix->poll_id == play->answered_poll) {
+        return;
+    }
+    play->answered_poll = fix->poll_id;
+    if (fix->poll.deadline_ms > 0) {
+        extend(play, fix->poll.deadline_ms);
+    }
+    RunnerFix_AnswerPoll(fix, play->runs, play->run_count, NULL, 0);
+}
+
+static void
+begin_play(upstream_play *play)
+{
+    *play = (upstream_play){.run_count = 0};
+    RunnerFix_NewReady(&play->fix);
+    play->answered_poll = play->fix.poll_id;
+    play->answered_start = play->fix.start_id;
+}
+
+static void
+start_run(upstream_play *play, lc_node owner, uint64_t job)
+{
+    lc_node before = play->fix.owner;
+
+    play->fix.owner = owner;
+    RunnerFix_CallRun(&play->fix, job, 1, 100, LeaseFix_Timing().lease_ms);
+    play->fix.owner = before;
+    answer_start(play);
+}
+
+/* Another owner starts a task every OTHER_START_MS, as long as the upstream is
+ * held. */
+static void
+play_other_owner(upstream_play *play)
+{
+    runner_fixture *fix = &play->fix;
+    int64_t end_ms = fix->now_ms + PLAY_MS;
+    uint64_t job = OTHER_JOB;
+
+    while (fix->now_ms < end_ms && fix->now_ms <= play->held_until_ms) {
+        if ((end_ms - fix->now_ms) % OTHER_START_MS == 0) {
+            start_run(play, other_owner, job++);
+        }
+        fix->now_ms += STEP_MS;
+        Runner_CheckOverdue(fix->runner, fix->now_ms);
+        Runner_Tick(fix->runner, fix->now_ms);
+        answer_poll(play);
+    }
+    g_assert_cmpuint(job, >, OTHER_JOB + 1);
+}
+
+/* Guards against two runs at once: the caller of an owner that is gone submits
+ * its job elsewhere, while the hold that another owner needs keeps the run. */
+static void
+test_other_lease_keeps_no_run(void)
+{
+    LeaseTiming timing = LeaseFix_Timing();
+    upstream_play play;
+    int64_t last_message_ms;
+
+    begin_play(&play);
+    last_message_ms = play.fix.now_ms;
+    start_run(&play, play.fix.owner, FIRST_JOB);
+    play_other_owner(&play);
+    g_assert_cmpint(play.fix.stops, >, 1);
+    g_assert_cmpint(play.held_until_ms, <=,
+                    last_message_ms + timing.lease_ms + timing.hold_ms);
+    Runner_Free(play.fix.runner);
+}
+
+/* Guards against two runs at once: the caller has gone, and submits its job
+ * elsewhere while its owner, which is well, renews its lease. */
+static void
+test_no_lease_keeps_a_halted_run(void)
+{
+    LeaseTiming timing = LeaseFix_Timing();
+    upstream_play play;
+    int64_t halted_ms;
+
+    begin_play(&play);
+    start_run(&play, other_owner, FIRST_JOB);
+    halted_ms = play.fix.now_ms;
+    play.fix.owner = other_owner;
+    RunnerFix_CallHalt(&play.fix, FIRST_JOB, 1);
+    play_other_owner(&play);
+    g_assert_cmpint(play.fix.stops, >, 1);
+    g_assert_cmpint(play.held_until_ms, <=, halted_ms + timing.hold_ms);
+    Runner_Free(play.fix.runner);
+}
+
+static const TestTable_Row tests[] = {
+    {"/run_past_lease/other_lease_keeps_no_run",
+     test_other_lease_keeps_no_run},
+    {"/run_past_lease/no_lease_keeps_a_halted_run",
+     test_no_lease_keeps_a_halted_run},
+};
+
+int
+main(int argc, char **argv)
+{
+    return TestTable_Main(argc, argv, tests, G_N_ELEMENTS(tests));
+}
--- a/tests/runner_fixture.c
+++ b/tests/runner_fixture.c
@@ -131,6 +131,7 @@
     fix->now_ms = START_MS;
     fix->clock_ms = CLOCK_MS;
     fix->cpu_milli = 4000;
+    fix->owner = entry_node;
     config.timing = LeaseFix_Timing();
     fix->runner = Runner_New(&config, &runner_ports, fix, fix->now_ms);
 }
@@ -157,7 +158,7 @@
 {
     Msg_Call call = {.kind = MSG_RUN};
 
-    call.u.run.owner = entry_node;
+    call.u.run.owner = fix->owner;
     call.u.run.target = companion_node.incarnation;
     call.u.run.valid_until_ms = fix->now_ms + valid_ms;
     call.u.run.id = RunnerFix_Run(job, run);
@@ -207,7 +208,7 @@
 {
     Msg_Call call = {.kind = MSG_HALT};
 
-    call.u.halt.owner = entry_node;
+    call.u.halt.owner = fix->owner;
     call.u.halt.target = companion_node.incarnation;
     call.u.halt.id = RunnerFix_Run(job, run);
     Runner_OnCall(fix->runner, fix->now_ms, 2, &call);
--- a/tests/runner_fixture.h
+++ b/tests/runner_fixture.h
@@ -41,6 +41,7 @@
     int64_t clock_ms;     /* the upstream's clock at START_MS */
     u_int cpu_milli;      /* the upstream's capacity */
     u_int crashes;        /* sent with RUN calls */
+    lc_node owner;        /* makes the RUN and HALT calls */
     int64_t caller_as_of; /* closures_as_of of RUN calls */
     int starts;
     int stops;
