--- a/lease/runner_audit.c
+++ b/lease/runner_audit.c
@@ -49,12 +49,13 @@
 }
 
 void
-RunnerAudit_CheckLease(Runner *runner, int64_t now_ms, Runner_Task *row)
+RunnerAudit_CheckLease(Runner *runner, int64_t now_ms, int64_t polled_ms,
+                       Runner_Task *row)
 {
     const Runner_Owner *owner = RunnerOwner_Find(runner, &row->owner);
 
     if (owner == NULL || row->outlived_lease ||
-        now_ms <= certain_end(runner, owner)) {
+        polled_ms <= certain_end(runner, owner)) {
         return;
     }
     row->outlived_lease = true;
--- a/lease/runner_poll.c
+++ b/lease/runner_poll.c
@@ -236,7 +236,7 @@
         stop_unknown_run(runner, &running->id);
         return;
     }
-    RunnerAudit_CheckLease(runner, now_ms, row);
+    RunnerAudit_CheckLease(runner, now_ms, poll->sent_ms, row);
     if (RunnerTask_IsOfEarlierIncarnation(runner, row)) {
         /* A late start, with a deadline on another incarnation's clock. */
         RunnerTask_Stop(runner, now_ms, row, LC_RUN_LOST);
--- a/lease/runner_state.h
+++ b/lease/runner_state.h
@@ -280,8 +280,10 @@
                             Runner_OrderResult result);
 
 /** Logs, once, a run that the upstream lists after the time by which it must
- * have ended, counted from the end of its owner's lease. */
-void RunnerAudit_CheckLease(Runner *runner, int64_t now_ms, Runner_Task *row);
+ * have ended, counted from the end of its owner's lease. @p polled_ms: when
+ * the poll was sent; its answer may have been read much later. */
+void RunnerAudit_CheckLease(Runner *runner, int64_t now_ms, int64_t polled_ms,
+                            Runner_Task *row);
 
 /** Logs a listed run that no active task stands for. @p row is its ended task,
  * or NULL. */
