Do not hold an upstream for others beyond the end of a run that must be over

A hold keeps all runs at an upstream, and was extended for the longest lease of any owner with tasks there. A run whose lease had ended, or whose caller had left, was ended by its stop alone; while stops stayed unanswered it ran on for as long as another owner had work, past the time at which its caller submits the job elsewhere.

Now such a run limits the hold: from the end of its lease, or its HALT, the hold reaches one hold further, for polls and starts. If its stop is still unanswered then, the upstream ends all its runs (LC529), and those of live owners are tried elsewhere; until a poll shows the run over, nothing is started there. So the time in lease_timing.h holds without any message arriving. A renewal keeps no run whose lease has ended before it.

rebirth_rules: after a suspension longer than lease and hold, a new start beside a run that must be over was expected to be sent; it would extend that run's hold if the upstream was suspended as well. The deadline is checked without such a run as before, for all durations, and beside one the refusal is checked.

--- a/base/counter.h
+++ b/base/counter.h
@@ -40,6 +40,7 @@
     X(ORDERS_RESENT, "orders_resent")                                         \
     X(STARTS_ABANDONED, "starts_abandoned")                                   \
     X(RUNS_PAST_LEASE, "runs_past_lease")                                     \
+    X(HOLDS_LIMITED, "holds_limited")                                         \
     X(RUNS_UNKNOWN, "runs_unknown")                                           \
     X(RECORDS_APPLIED, "records_applied")                                     \
     X(RECORDS_SKIPPED, "records_skipped")                                     \
--- a/lease/runner.c
+++ b/lease/runner.c
@@ -151,7 +151,8 @@
                                   args->closures_as_of)) {
         return LC_RUN_CLOSED;
     }
-    if (RunnerUpstream_MayHaveRestarted(runner)) {
+    if (RunnerUpstream_MayHaveRestarted(runner) ||
+        RunnerOwner_HoldLimitMs(runner, now_ms) <= 0) {
         return LC_RUN_NOT_READY;
     }
     switch (current_state(runner, now_ms)) {
@@ -246,7 +247,8 @@
         refuse_run(runner, now_ms, reply_id, args, status);
         return;
     }
-    owner = RunnerOwner_Extend(runner, &args->owner, lease_until(args));
+    owner = RunnerOwner_Extend(runner, now_ms, &args->owner,
+                               lease_until(args));
     owner->running++;
     row = RunnerTask_Add(runner, now_ms, args);
     RunnerTask_QueueReply(row, reply_id, MSG_RUN);
@@ -279,6 +281,7 @@
         RunnerTask_Answer(runner, now_ms, row);
         return;
     }
+    RunnerTask_MarkUnwanted(runner, row, now_ms);
     RunnerTask_Stop(runner, now_ms, row, LC_RUN_STOPPED);
 }
 
@@ -291,10 +294,10 @@
 
     if (args->target == runner->config.node.incarnation &&
         args->valid_until_ms >= now_ms) {
-        RunnerOwner_Extend(runner, &args->owner, args->valid_until_ms);
+        RunnerOwner_Extend(runner, now_ms, &args->owner, args->valid_until_ms);
         if (args->kept != 0 &&
             !RunnerDurable_IsFenced(runner, &durable_owner)) {
-            RunnerOwner_Extend(runner, &durable_owner,
+            RunnerOwner_Extend(runner, now_ms, &durable_owner,
                                args->valid_until_ms +
                                    LEASE_TIMING_DURABLE_GRACE_MS);
         }
@@ -330,32 +333,19 @@
     return true;
 }
 
-static void
-stop_if_lease_expired(Runner *runner, int64_t now_ms, Runner_Task *row)
-{
-    const Runner_Owner *owner = RunnerOwner_Find(runner, &row->owner);
-
-    if (row->state != TASK_STOPPING && owner != NULL &&
-        now_ms >= owner->until_ms) {
-        RunnerTask_Log(runner, EVENT_LEASE_LAPSED, row,
-                       "no lease renewal from owner %s",
-                       Address_Text(row->owner.address));
-        RunnerTask_Stop(runner, now_ms, row, LC_RUN_STOPPED);
-    }
-}
-
 void
 Runner_Tick(Runner *runner, int64_t now_ms)
 {
-    GList *rows = RunnerTask_All(runner);
+    GList *rows;
     GList *item;
 
+    RunnerTask_StopExpired(runner, now_ms);
+    rows = RunnerTask_All(runner);
     runner->held_long = 0;
     for (item = rows; item != NULL; item = item->next) {
         Runner_Task *row = item->data;
         runner->held_long += RunnerDurable_IsHeldLong(row, now_ms);
         if (row->state != TASK_ENDED) {
-            stop_if_lease_expired(runner, now_ms, row);
             RunnerOrder_Retry(runner, now_ms, row);
         }
         else if (row->held_for_start) {
--- a/lease/runner_audit.c
+++ b/lease/runner_audit.c
@@ -68,6 +68,23 @@
                    runner->hold_until_ms - now_ms, runner->owners->len);
 }
 
+void
+RunnerAudit_CheckHoldLimit(Runner *runner, int64_t now_ms)
+{
+    bool limited = RunnerOwner_HoldLimitMs(runner, now_ms) <= 0;
+    char text[80];
+
+    if (limited && !runner->hold_limited) {
+        Counter_Add(&runner->counters, COUNTER_HOLDS_LIMITED, 1);
+        g_snprintf(text, sizeof(text),
+                   "stops unanswered for %" PRId64
+                   " ms, of %u halted or expired runs",
+                   runner->config.timing.hold_ms, runner->unwanted_tasks);
+        RunnerUpstream_Log(runner, EVENT_HOLD_LIMITED, text);
+    }
+    runner->hold_limited = limited;
+}
+
 void
 RunnerAudit_OnUnknownRun(Runner *runner, int64_t now_ms, const lc_run_id *id,
                          const Runner_Task *row)
--- a/lease/runner_durable.c
+++ b/lease/runner_durable.c
@@ -278,7 +278,7 @@
         former->running--;
     }
     row->owner = *successor;
-    RunnerOwner_Extend(runner, successor,
+    RunnerOwner_Extend(runner, now_ms, successor,
                        now_ms + runner->config.timing.lease_ms +
                            LEASE_TIMING_DURABLE_GRACE_MS)
         ->running++;
--- a/lease/runner_orders.c
+++ b/lease/runner_orders.c
@@ -83,7 +83,7 @@
                   int64_t lease_until_ms)
 {
     int64_t ahead = MIN(lease_until_ms - now_ms,
-                        runner->config.timing.hold_ms);
+                        RunnerOwner_HoldLimitMs(runner, now_ms));
 
     row->deadline_clock_ms = RunnerUpstream_Clock(runner, now_ms) + ahead;
     row->send_by_ms = now_ms + ahead;
--- a/lease/runner_owners.c
+++ b/lease/runner_owners.c
@@ -15,11 +15,16 @@
 }
 
 Runner_Owner *
-RunnerOwner_Extend(Runner *runner, const lc_node *node, int64_t until_ms)
+RunnerOwner_Extend(Runner *runner, int64_t now_ms, const lc_node *node,
+                   int64_t until_ms)
 {
     Runner_Owner *row = RunnerOwner_Find(runner, node);
     Runner_Owner fresh = {.node = *node};
 
+    if (row != NULL && row->running > 0 && now_ms >= row->until_ms) {
+        RunnerTask_StopExpired(runner, now_ms);
+    }
+
     if (row == NULL) {
         g_array_append_val(runner->owners, fresh);
         row = &g_array_index(runner->owners, Runner_Owner,
@@ -29,6 +34,45 @@
     return row;
 }
 
+/* Start of the oldest time from which on a run has been unwanted, or
+ * INT64_MAX. A lease may have ended since the last tick. */
+static int64_t
+unwanted_since_ms(const Runner *runner, int64_t now_ms)
+{
+    int64_t since_ms = INT64_MAX;
+    GHashTableIter iter;
+    gpointer item;
+    guint i;
+
+    for (i = 0; i < runner->owners->len; i++) {
+        const Runner_Owner *row = &g_array_index(runner->owners, Runner_Owner,
+                                                 i);
+        if (row->running > 0 && now_ms >= row->until_ms) {
+            since_ms = MIN(since_ms, row->until_ms);
+        }
+    }
+    if (runner->unwanted_tasks == 0) {
+        return since_ms;
+    }
+    g_hash_table_iter_init(&iter, runner->tasks);
+    while (g_hash_table_iter_next(&iter, NULL, &item)) {
+        const Runner_Task *row = item;
+        if (row->state != TASK_ENDED && row->unwanted_ms != 0) {
+            since_ms = MIN(since_ms, row->unwanted_ms);
+        }
+    }
+    return since_ms;
+}
+
+int64_t
+RunnerOwner_HoldLimitMs(const Runner *runner, int64_t now_ms)
+{
+    int64_t hold_ms = runner->config.timing.hold_ms;
+    int64_t since_ms = unwanted_since_ms(runner, now_ms);
+
+    return since_ms == INT64_MAX ? hold_ms : since_ms + hold_ms - now_ms;
+}
+
 int64_t
 RunnerOwner_MaxHoldMs(const Runner *runner, int64_t now_ms)
 {
@@ -42,7 +86,7 @@
             ahead = MAX(ahead, row->until_ms - now_ms);
         }
     }
-    return MIN(ahead, runner->config.timing.hold_ms);
+    return MIN(ahead, RunnerOwner_HoldLimitMs(runner, now_ms));
 }
 
 void
--- a/lease/runner_poll.c
+++ b/lease/runner_poll.c
@@ -108,6 +108,7 @@
                         ? RunnerOwner_MaxHoldMs(runner, now_ms)
                         : 0;
 
+    RunnerAudit_CheckHoldLimit(runner, now_ms);
     if (ahead > 0 && runner->upstream.clock_ms > 0 &&
         now_ms <= runner->hold_until_ms) {
         poll->deadline_ms = RunnerUpstream_Clock(runner, now_ms) + ahead;
--- a/lease/runner_state.h
+++ b/lease/runner_state.h
@@ -58,6 +58,9 @@
     uint64_t end_number; /* as listed by the upstream; 0 if not listed */
     bool unreleased;     /* end of a durable job's run, not released yet */
     bool held_for_start; /* a late copy of its start may still arrive */
+    int64_t unwanted_ms; /* when its lease ended or it was halted, so that its
+                            owner's caller may submit the job elsewhere some
+                            time after; 0 before */
     bool outlived_lease; /* logged by RunnerAudit_CheckLease */
     int64_t earlier_expiry_ms; /* of the starts of the task's other runs */
     int64_t progress_ms; /* when the percentage last rose; 0 before any report
@@ -171,14 +174,16 @@
     Runner_PendingPoll polls[RUNNER_MAX_PENDING_POLLS]; /* oldest first */
     uint32_t poll_count;
     uint64_t last_poll_id;
-    int64_t next_poll_ms;  /* earliest time of the next poll */
-    int64_t hold_until_ms; /* by then the upstream's hold has expired, and it
-                              stops all runs */
-    uint32_t active_tasks; /* tasks that have not ended */
-    int64_t idle_ms;       /* when the last task ended */
-    uint32_t unreleased;   /* ends not released, hence not acknowledged */
-    uint32_t held_long;    /* of these, the ones held for long at the last
-                              tick */
+    int64_t next_poll_ms;    /* earliest time of the next poll */
+    int64_t hold_until_ms;   /* by then the upstream's hold has expired, and it
+                                stops all runs */
+    uint32_t active_tasks;   /* tasks that have not ended */
+    uint32_t unwanted_tasks; /* of these, the ones with `unwanted_ms` */
+    bool hold_limited;   /* the hold has not been extended because of them */
+    int64_t idle_ms;     /* when the last task ended */
+    uint32_t unreleased; /* ends not released, hence not acknowledged */
+    uint32_t held_long;  /* of these, the ones held for long at the last
+                            tick */
     uint32_t held_for_starts; /* ends held because of late copies of starts */
     int64_t created_ms;
     GArray *fenced; /* lc_node; claimed owners of durable jobs */
@@ -231,6 +236,15 @@
 bool RunnerTask_IsOfEarlierIncarnation(const Runner *runner,
                                        const Runner_Task *row);
 
+/** Records that a run must end soon, whatever becomes of its stop: it limits
+ * the hold of its upstream, see RunnerOwner_HoldLimitMs. @p since_ms: when its
+ * lease ended or it was halted. */
+void RunnerTask_MarkUnwanted(Runner *runner, Runner_Task *row,
+                             int64_t since_ms);
+
+/** Stops the tasks whose leases have ended. */
+void RunnerTask_StopExpired(Runner *runner, int64_t now_ms);
+
 /** Begins to stop a task; it will end with @p status. */
 void RunnerTask_Stop(Runner *runner, int64_t now_ms, Runner_Task *row,
                      lc_run_status status);
@@ -247,7 +261,8 @@
 /* Orders: runner_orders.c. */
 
 /** Sends the start of a task. Its deadline on the upstream is at
- * @p lease_until_ms at the latest. No copy is sent after the deadline: an
+ * @p lease_until_ms at the latest, and within RunnerOwner_HoldLimitMs, as it
+ * extends the hold. No copy is sent after the deadline: an
  * incarnation that has restarted under the same name would execute it, as the
  * deadline means nothing on its clock. */
 void RunnerOrder_Start(Runner *runner, int64_t now_ms, Runner_Task *row,
@@ -285,6 +300,10 @@
 void RunnerAudit_CheckLease(Runner *runner, int64_t now_ms, int64_t polled_ms,
                             Runner_Task *row);
 
+/** Logs, once, that the hold is not extended any more because of runs whose
+ * stops are unanswered. */
+void RunnerAudit_CheckHoldLimit(Runner *runner, int64_t now_ms);
+
 /** Logs a listed run that no active task stands for. @p row is its ended task,
  * or NULL. */
 void RunnerAudit_OnUnknownRun(Runner *runner, int64_t now_ms,
@@ -298,12 +317,20 @@
 /** The owner record of an entry, or NULL. */
 Runner_Owner *RunnerOwner_Find(const Runner *runner, const lc_node *node);
 
-/** Extends the lease of an entry; never shortens it. */
-Runner_Owner *RunnerOwner_Extend(Runner *runner, const lc_node *node,
-                                 int64_t until_ms);
+/** Extends the lease of an entry; never shortens it. Runs whose lease has
+ * ended before are stopped, not kept by the new one. */
+Runner_Owner *RunnerOwner_Extend(Runner *runner, int64_t now_ms,
+                                 const lc_node *node, int64_t until_ms);
+
+/** Longest hold in ms from now that keeps no run beyond the time by which it
+ * must be over. A hold keeps all runs at the upstream, and a stop may remain
+ * unanswered: a run whose lease has ended, or that was halted, must not be
+ * kept by the leases of others for longer than the hold that it had itself.
+ * 0 or less: the hold must not be extended. */
+int64_t RunnerOwner_HoldLimitMs(const Runner *runner, int64_t now_ms);
 
 /** Longest hold in ms from now: does not exceed the longest lease of an owner
- * with active tasks, nor `LeaseTiming.hold_ms`. */
+ * with active tasks, nor RunnerOwner_HoldLimitMs. */
 int64_t RunnerOwner_MaxHoldMs(const Runner *runner, int64_t now_ms);
 
 /** Removes owners without active tasks whose leases have expired. */
--- a/lease/runner_tasks.c
+++ b/lease/runner_tasks.c
@@ -116,6 +116,7 @@
     row->ended_ms = now_ms;
     Resources_Subtract(&runner->used, &row->need);
     runner->active_tasks--;
+    runner->unwanted_tasks -= row->unwanted_ms != 0;
     runner->idle_ms = now_ms;
     runner->version++;
     if (owner != NULL) {
@@ -133,6 +134,47 @@
     RunnerTask_Answer(runner, now_ms, row);
 }
 
+void
+RunnerTask_MarkUnwanted(Runner *runner, Runner_Task *row, int64_t since_ms)
+{
+    if (row->unwanted_ms == 0) {
+        row->unwanted_ms = since_ms;
+        runner->unwanted_tasks++;
+    }
+}
+
+static void
+stop_if_lease_expired(Runner *runner, int64_t now_ms, Runner_Task *row)
+{
+    const Runner_Owner *owner = RunnerOwner_Find(runner, &row->owner);
+
+    if (owner == NULL || now_ms < owner->until_ms) {
+        return;
+    }
+    RunnerTask_MarkUnwanted(runner, row, owner->until_ms);
+    if (row->state != TASK_STOPPING) {
+        RunnerTask_Log(runner, EVENT_LEASE_LAPSED, row,
+                       "no lease renewal from owner %s",
+                       Address_Text(row->owner.address));
+        RunnerTask_Stop(runner, now_ms, row, LC_RUN_STOPPED);
+    }
+}
+
+void
+RunnerTask_StopExpired(Runner *runner, int64_t now_ms)
+{
+    GList *rows = RunnerTask_All(runner);
+    GList *item;
+
+    for (item = rows; item != NULL; item = item->next) {
+        Runner_Task *row = item->data;
+        if (row->state != TASK_ENDED) {
+            stop_if_lease_expired(runner, now_ms, row);
+        }
+    }
+    g_list_free(rows);
+}
+
 void
 RunnerTask_Stop(Runner *runner, int64_t now_ms, Runner_Task *row,
                 lc_run_status status)
--- a/tests/rebirth_rules.c
+++ b/tests/rebirth_rules.c
@@ -9,6 +9,7 @@
 
 #include "base/clock.h"
 #include "lease/run_id.h"
+#include "tests/lease_fixture.h"
 #include "tests/runner_fixture.h"
 #include "tests/test_table.h"
 
@@ -18,14 +19,24 @@
 static const lc_node entry_node = RUNNER_FIX_ENTRY;
 static const lc_node companion_node = RUNNER_FIX_COMPANION;
 
-/* The first incarnation of the upstream is given a task of job 1. */
+/* Lease of the task that RunnerFix_BeginTask starts, in ms. */
+#define BEGUN_LEASE_MS 500
+
+/* The first incarnation of the upstream runs nothing. */
 static void
-begin_task(runner_fixture *fix)
+begin_idle(runner_fixture *fix)
 {
     RunnerFix_New(fix);
     fix->born_ms = FIRST_BORN_MS;
     RunnerFix_Heartbeat(fix, RUNNER_UPSTREAM_READY);
     RunnerFix_AnswerPoll(fix, NULL, 0, NULL, 0);
+}
+
+/* The first incarnation of the upstream is given a task of job 1. */
+static void
+begin_task(runner_fixture *fix)
+{
+    begin_idle(fix);
     RunnerFix_BeginTask(fix);
 }
 
@@ -542,7 +553,7 @@
 {
     runner_fixture fix;
 
-    begin_task(&fix);
+    begin_idle(&fix);
     fix.now_ms += 3000;
     Runner_OnSuspended(fix.runner, fix.now_ms, 3000);
     g_assert_true(RunnerFix_TakesTask(&fix, 2));
@@ -550,6 +561,24 @@
     Runner_Free(fix.runner);
 }
 
+/* The hold of a run whose lease has ended meanwhile may still be in force, and
+ * a start would extend it. */
+static void
+test_no_start_beside_an_expired_run(void)
+{
+    runner_fixture fix;
+
+    begin_task(&fix);
+    fix.now_ms += 3000;
+    Runner_OnSuspended(fix.runner, fix.now_ms, 3000);
+    g_assert_false(RunnerFix_TakesTask(&fix, 2));
+    g_assert_cmpint(fix.status, ==, LC_RUN_NOT_READY);
+    Runner_Tick(fix.runner, fix.now_ms);
+    RunnerFix_AnswerPoll(&fix, NULL, 0, NULL, 0);
+    g_assert_true(RunnerFix_TakesTask(&fix, 3));
+    Runner_Free(fix.runner);
+}
+
 /* For the owner of the run the time has passed: the run is stopped first, and
  * its capacity stays reserved as long as the upstream may continue by itself.
  */
@@ -588,26 +617,33 @@
     Runner_Free(fix.runner);
 }
 
-/* However long the machine was suspended, and with or without its upstream:
- * buffered calls start nothing, and a new start gets no longer deadline than
- * usual. */
+/* However long the machine was suspended, with or without its upstream, with
+ * or without a run: buffered calls start nothing, and a new start gets no
+ * longer deadline than usual. Beside a run whose lease has ended for a whole
+ * hold nothing is started. */
 static void
 test_any_suspension(void)
 {
     static const int64_t durations_ms[] = {100,  300,  589,  601,
                                            1300, 4000, 20000};
+    int64_t hold_ms = LeaseFix_Timing().hold_ms;
     size_t i;
-    int with;
 
-    for (i = 0; i < 2 * G_N_ELEMENTS(durations_ms); i++) {
-        int64_t duration_ms = durations_ms[i / 2];
+    for (i = 0; i < 4 * G_N_ELEMENTS(durations_ms); i++) {
+        int64_t duration_ms = durations_ms[i / 4];
+        bool with = i % 2 == 0;
+        bool running = i / 2 % 2 == 0;
         runner_fixture fix;
         Msg_Call late = {.kind = MSG_RUN};
         int starts;
 
-        with = i % 2 == 0;
-        begin_task(&fix);
-        RunnerFix_AnswerRunning(&fix, 1);
+        if (running) {
+            begin_task(&fix);
+            RunnerFix_AnswerRunning(&fix, 1);
+        }
+        else {
+            begin_idle(&fix);
+        }
         starts = fix.starts;
         late.u.run.owner = entry_node;
         late.u.run.target = companion_node.incarnation;
@@ -621,9 +657,14 @@
         g_assert_cmpint(fix.starts, ==, starts);
         g_assert_cmpint(fix.status, ==, LC_RUN_EXPIRED);
         RunnerFix_Heartbeat(&fix, RUNNER_UPSTREAM_READY);
-        g_assert_true(RunnerFix_TakesTask(&fix, 8));
-        g_assert_cmpint(fix.start.deadline_ms, <=,
-                        fix.clock_ms + fix.now_ms - START_MS + 600);
+        if (running && duration_ms >= BEGUN_LEASE_MS + hold_ms) {
+            g_assert_false(RunnerFix_TakesTask(&fix, 8));
+        }
+        else {
+            g_assert_true(RunnerFix_TakesTask(&fix, 8));
+            g_assert_cmpint(fix.start.deadline_ms, <=,
+                            fix.clock_ms + fix.now_ms - START_MS + 600);
+        }
         Runner_Free(fix.runner);
     }
 }
@@ -828,6 +869,8 @@
      test_next_instance_while_suspected},
     {"/suspension/a deadline is not extended",
      test_deadline_after_a_suspension},
+    {"/suspension/no_start_beside_an_expired_run",
+     test_no_start_beside_an_expired_run},
     {"/suspension/leases have expired", test_lease_after_a_suspension},
     {"/suspension/a buffered renewal is too old",
      test_renewal_after_a_suspension},
--- a/tests/run_past_lease_rules.c
+++ b/tests/run_past_lease_rules.c
@@ -149,11 +149,100 @@
     Runner_Free(play.fix.runner);
 }
 
+/* An owner that was stalled longer than its lease: its renewal keeps no run
+ * that its caller may have submitted elsewhere meanwhile. */
+static void
+test_renewal_revives_no_run(void)
+{
+    LeaseTiming timing = LeaseFix_Timing();
+    lc_node companion = RUNNER_FIX_COMPANION;
+    Msg_Call renew = {.kind = MSG_RENEW};
+    upstream_play play;
+    runner_fixture *fix = &play.fix;
+    int64_t last_message_ms;
+
+    begin_play(&play);
+    last_message_ms = fix->now_ms;
+    start_run(&play, fix->owner, FIRST_JOB);
+    fix->now_ms += timing.lease_ms;
+    renew.u.renew.owner = fix->owner;
+    renew.u.renew.target = companion.incarnation;
+    renew.u.renew.valid_until_ms = fix->now_ms + timing.lease_ms;
+    Runner_OnCall(fix->runner, fix->now_ms, 3, &renew);
+    g_assert_cmpint(fix->stops, ==, 1);
+    play_other_owner(&play);
+    g_assert_cmpint(play.held_until_ms, <=,
+                    last_message_ms + timing.lease_ms + timing.hold_ms);
+    Runner_Free(fix->runner);
+}
+
+/* A run is halted that its companion stops already, for another reason. */
+static void
+test_halt_of_a_stopping_run(void)
+{
+    LeaseTiming timing = LeaseFix_Timing();
+    upstream_play play;
+    runner_fixture *fix = &play.fix;
+    int64_t halted_ms;
+
+    begin_play(&play);
+    fix->owner = other_owner;
+    RunnerFix_CallRun(fix, FIRST_JOB, 1, 100, timing.lease_ms);
+    play.answered_start = fix->start_id;
+    play.runs[play.run_count++] = (Runner_ActiveRun){.id = fix->start.id};
+    extend(&play, fix->start.deadline_ms);
+    Runner_OnStarted(fix->runner, fix->now_ms, fix->start_id,
+                     RUNNER_ORDER_UNANSWERED, 0);
+    Runner_OnStarted(fix->runner, fix->now_ms, fix->start_id,
+                     RUNNER_ORDER_UNHEALTHY, 0);
+    halted_ms = fix->now_ms;
+    RunnerFix_CallHalt(fix, FIRST_JOB, 1);
+    play_other_owner(&play);
+    g_assert_cmpint(play.held_until_ms, <=, halted_ms + timing.hold_ms);
+    Runner_Free(fix->runner);
+}
+
+/* Nothing is started that could not be held, and everything goes on as soon as
+ * the run is over. */
+static void
+test_other_owner_goes_on_afterwards(void)
+{
+    LeaseTiming timing = LeaseFix_Timing();
+    upstream_play play;
+    runner_fixture *fix = &play.fix;
+
+    begin_play(&play);
+    start_run(&play, fix->owner, FIRST_JOB);
+    RunnerFix_CallHalt(fix, FIRST_JOB, 1);
+    fix->now_ms += timing.hold_ms;
+    g_assert_false(RunnerFix_TakesTask(fix, OTHER_JOB));
+    g_assert_cmpint(fix->status, ==, LC_RUN_NOT_READY);
+    play.run_count = 0;
+    Runner_OnStopped(fix->runner, fix->now_ms, fix->stop_id,
+                     RUNNER_ORDER_ACCEPTED, CLOCK_MS + fix->now_ms - START_MS);
+    fix->now_ms += 2 * STEP_MS;
+    Runner_CheckOverdue(fix->runner, fix->now_ms);
+    Runner_Tick(fix->runner, fix->now_ms);
+    answer_poll(&play);
+    fix->now_ms += STEP_MS;
+    Runner_CheckOverdue(fix->runner, fix->now_ms);
+    Runner_Tick(fix->runner, fix->now_ms);
+    answer_poll(&play);
+    g_assert_true(RunnerFix_TakesTask(fix, OTHER_JOB + 1));
+    g_assert_cmpint(fix->start.deadline_ms - CLOCK_MS + START_MS, >,
+                    fix->now_ms + timing.lease_ms / 2);
+    Runner_Free(fix->runner);
+}
+
 static const TestTable_Row tests[] = {
     {"/run_past_lease/other_lease_keeps_no_run",
      test_other_lease_keeps_no_run},
     {"/run_past_lease/no_lease_keeps_a_halted_run",
      test_no_lease_keeps_a_halted_run},
+    {"/run_past_lease/renewal_revives_no_run", test_renewal_revives_no_run},
+    {"/run_past_lease/halt_of_a_stopping_run", test_halt_of_a_stopping_run},
+    {"/run_past_lease/other_owner_goes_on_afterwards",
+     test_other_owner_goes_on_afterwards},
 };
 
 int
