--- a/tests/run_past_lease_rules.c
+++ b/tests/run_past_lease_rules.c
@@ -220,7 +220,8 @@
     play.run_count = 0;
     Runner_OnStopped(fix->runner, fix->now_ms, fix->stop_id,
                      RUNNER_ORDER_ACCEPTED, CLOCK_MS + fix->now_ms - START_MS);
-    fix->now_ms += 2 * STEP_MS;
+    fix->now_ms += STEP_MS;
+    fix->now_ms += STEP_MS;
     Runner_CheckOverdue(fix->runner, fix->now_ms);
     Runner_Tick(fix->runner, fix->now_ms);
     answer_poll(&play);
