--- a/tests/run_past_lease_rules.c
+++ b/tests/run_past_lease_rules.c
@@ -235,7 +235,184 @@
     Runner_Free(fix->runner);
 }
 
+/* A companion wakes from a stall after the end of a lease, and reads a HALT
+ * and a renewal before its next tick: the run is unwanted since the end of the
+ * lease, not only since the HALT was read. */
+static void
+test_halt_read_after_the_lease(void)
+{
+    LeaseTiming timing = LeaseFix_Timing();
+    lc_node companion = RUNNER_FIX_COMPANION;
+    Msg_Call renew = {.kind = MSG_RENEW};
+    upstream_play play;
+    runner_fixture *fix = &play.fix;
+    int64_t last_message_ms;
+
+    begin_play(&play);
+    last_message_ms = fix->now_ms;
+    start_run(&play, fix->owner, FIRST_JOB);
+    fix->now_ms += 400;
+    start_run(&play, other_owner, OTHER_JOB - 1);
+    fix->now_ms += 489;
+    RunnerFix_CallHalt(fix, FIRST_JOB, 1);
+    renew.u.renew.owner = fix->owner;
+    renew.u.renew.target = companion.incarnation;
+    renew.u.renew.valid_until_ms = fix->now_ms + timing.lease_ms;
+    Runner_OnCall(fix->runner, fix->now_ms, 3, &renew);
+    play_other_owner(&play);
+    g_assert_cmpint(play.held_until_ms, <=,
+                    last_message_ms + timing.lease_ms + timing.hold_ms);
+    Runner_Free(fix->runner);
+}
+
+/* A poll that was not written in time takes back only its own extension: a
+ * later one that was executed reaches as far, and the runs that it keeps must
+ * not be told as over while it is in force. */
+static void
+test_unwritten_poll_beside_an_executed_one(void)
+{
+    LeaseTiming timing = LeaseFix_Timing();
+    lc_node companion = RUNNER_FIX_COMPANION;
+    Msg_Call renew = {.kind = MSG_RENEW};
+    upstream_play play;
+    runner_fixture *fix = &play.fix;
+    Runner_PollAnswer unwritten = {.end = RUNNER_ORDER_ABANDONED};
+    uint64_t first_poll;
+    int64_t send_by_ms;
+
+    begin_play(&play);
+    start_run(&play, fix->owner, FIRST_JOB);
+    answer_poll(&play);
+    fix->now_ms += 290;
+    answer_poll(&play);
+    fix->now_ms += STEP_MS;
+    /* The renewal comes late; the next poll raises the hold. */
+    renew.u.renew.owner = fix->owner;
+    renew.u.renew.target = companion.incarnation;
+    renew.u.renew.valid_until_ms = fix->now_ms + timing.lease_ms;
+    Runner_OnCall(fix->runner, fix->now_ms, 3, &renew);
+    answer_poll(&play);
+    first_poll = fix->poll_id;
+    send_by_ms = fix->poll.send_by_ms;
+    /* It waits for a connection. The later ones get one and are executed, but
+     * their answers are lost. */
+    while (fix->now_ms <= send_by_ms) {
+        fix->now_ms += STEP_MS;
+        Runner_CheckOverdue(fix->runner, fix->now_ms);
+        Runner_Tick(fix->runner, fix->now_ms);
+        if (fix->poll_id != first_poll && fix->poll.deadline_ms > 0) {
+            extend(&play, fix->poll.deadline_ms);
+        }
+    }
+    g_assert_cmpuint(fix->poll_id, >, first_poll);
+    g_assert_cmpint(play.held_until_ms, >, fix->now_ms + 200);
+    fix->replies = 0;
+    Runner_OnPollAnswer(fix->runner, fix->now_ms, first_poll, &unwritten);
+    while (fix->now_ms < play.held_until_ms) {
+        Runner_Tick(fix->runner, fix->now_ms);
+        /* The reply to RUN is sent when the run is taken for over. */
+        g_assert_cmpint(fix->replies, ==, 0);
+        fix->now_ms += STEP_MS;
+        Runner_CheckOverdue(fix->runner, fix->now_ms);
+    }
+    Runner_Free(fix->runner);
+}
+
+/* A durable run goes to the successor of its owner: it is not stopped because
+ * of the successor's own lease, which has ended meanwhile. */
+static void
+test_transferred_run_goes_on(void)
+{
+    LeaseTiming timing = LeaseFix_Timing();
+    lc_node gone = RUNNER_FIX_ENTRY;
+    lc_node companion = RUNNER_FIX_COMPANION;
+    Msg_Call fence = {.kind = MSG_FENCE};
+    upstream_play play;
+    runner_fixture *fix = &play.fix;
+
+    begin_play(&play);
+    fix->owner = other_owner;
+    RunnerFix_CallRun(fix, OTHER_JOB, 1, 100, timing.lease_ms);
+    answer_start(&play);
+    fix->owner = gone;
+    RunnerFix_CallRun(fix, FIRST_JOB, RUN_ID_DURABLE_BASE + 1, 100,
+                      timing.lease_ms);
+    answer_start(&play);
+    answer_poll(&play);
+    fix->now_ms += timing.lease_ms;
+    fence.u.fence.target = companion.incarnation;
+    fence.u.fence.gone.gone_val = &gone;
+    fence.u.fence.gone.gone_len = 1;
+    fence.u.fence.successor = other_owner;
+    Runner_OnCall(fix->runner, fix->now_ms, 4, &fence);
+    g_assert_cmpuint(fix->held_runs, ==, 1);
+    g_assert_cmpint(fix->stops, ==, 1);
+    g_assert_cmpuint(fix->stopped.job, ==, OTHER_JOB);
+    Runner_Free(fix->runner);
+}
+
+/* A listed run that no task stands for is stopped; while that is unanswered,
+ * no lease of an owner keeps it. */
+static void
+test_no_lease_keeps_an_unknown_run(void)
+{
+    LeaseTiming timing = LeaseFix_Timing();
+    upstream_play play;
+    runner_fixture *fix = &play.fix;
+    int64_t listed_ms;
+
+    begin_play(&play);
+    start_run(&play, other_owner, OTHER_JOB - 1);
+    play.runs[play.run_count++] = (Runner_ActiveRun){
+        .id = RunnerFix_Run(FIRST_JOB, 1)};
+    listed_ms = fix->now_ms;
+    answer_poll(&play);
+    g_assert_cmpint(fix->stops, ==, 1);
+    play_other_owner(&play);
+    g_assert_cmpint(play.held_until_ms, <=, listed_ms + timing.hold_ms);
+    Runner_Free(fix->runner);
+}
+
+/* Messages of the owner arrive after the run's lease has ended: that the run
+ * is listed past its end is still noticed (LC527). */
+static void
+test_run_past_lease_is_counted(void)
+{
+    LeaseTiming timing = LeaseFix_Timing();
+    lc_node companion = RUNNER_FIX_COMPANION;
+    Msg_Call renew = {.kind = MSG_RENEW};
+    upstream_play play;
+    runner_fixture *fix = &play.fix;
+
+    begin_play(&play);
+    start_run(&play, fix->owner, FIRST_JOB);
+    answer_poll(&play);
+    fix->now_ms += timing.lease_ms;
+    renew.u.renew.owner = fix->owner;
+    renew.u.renew.target = companion.incarnation;
+    while (fix->now_ms < START_MS + PLAY_MS) {
+        renew.u.renew.valid_until_ms = fix->now_ms + timing.lease_ms;
+        Runner_OnCall(fix->runner, fix->now_ms, 3, &renew);
+        Runner_CheckOverdue(fix->runner, fix->now_ms);
+        Runner_Tick(fix->runner, fix->now_ms);
+        answer_poll(&play);
+        fix->now_ms += STEP_MS;
+    }
+    g_assert_cmpuint(
+        Runner_Counters(fix->runner)->value[COUNTER_RUNS_PAST_LEASE], ==, 1);
+    Runner_Free(fix->runner);
+}
+
 static const TestTable_Row tests[] = {
+    {"/run_past_lease/transferred_run_goes_on", test_transferred_run_goes_on},
+    {"/run_past_lease/no_lease_keeps_an_unknown_run",
+     test_no_lease_keeps_an_unknown_run},
+    {"/run_past_lease/run_past_lease_is_counted",
+     test_run_past_lease_is_counted},
+    {"/run_past_lease/halt_read_after_the_lease",
+     test_halt_read_after_the_lease},
+    {"/run_past_lease/unwritten_poll_beside_an_executed_one",
+     test_unwritten_poll_beside_an_executed_one},
     {"/run_past_lease/other_lease_keeps_no_run",
      test_other_lease_keeps_no_run},
     {"/run_past_lease/no_lease_keeps_a_halted_run",
