--- a/tests/run_past_lease_rules.c
+++ b/tests/run_past_lease_rules.c
@@ -403,7 +403,47 @@
     Runner_Free(fix->runner);
 }
 
+/* An end of a durable job is held, so that the upstream lists as many ends as
+ * one answer takes. A run whose stop was answered, and that is not listed any
+ * more, is over all the same: other owners' tasks are started again. */
+static void
+test_long_listing_does_not_close_the_upstream(void)
+{
+    LeaseTiming timing = LeaseFix_Timing();
+    Runner_EndedRun *ends = g_new0(Runner_EndedRun, RUNNER_MAX_LISTED_ENDS);
+    upstream_play play;
+    runner_fixture *fix = &play.fix;
+    uint32_t i;
+
+    begin_play(&play);
+    start_run(&play, fix->owner, FIRST_JOB);
+    for (i = 0; i < RUNNER_MAX_LISTED_ENDS; i++) {
+        ends[i].number = i + 1;
+        ends[i].id = RunnerFix_Run(OTHER_JOB + 1000 + i, 1);
+        ends[i].end = RUNNER_END_DONE;
+    }
+    ends[0].id.run = RUN_ID_DURABLE_BASE + 1;
+    RunnerFix_CallHalt(fix, FIRST_JOB, 1);
+    Runner_OnStopped(fix->runner, fix->now_ms, fix->stop_id,
+                     RUNNER_ORDER_ACCEPTED, CLOCK_MS + fix->now_ms - START_MS);
+    for (i = 0; i < (uint32_t)timing.hold_ms / STEP_MS + 2; i++) {
+        fix->now_ms += STEP_MS;
+        Runner_CheckOverdue(fix->runner, fix->now_ms);
+        Runner_Tick(fix->runner, fix->now_ms);
+        if (fix->poll_id != play.answered_poll) {
+            play.answered_poll = fix->poll_id;
+            RunnerFix_AnswerPoll(fix, NULL, 0, ends, RUNNER_MAX_LISTED_ENDS);
+        }
+    }
+    RunnerFix_Heartbeat(fix, RUNNER_UPSTREAM_READY);
+    g_assert_true(RunnerFix_TakesTask(fix, OTHER_JOB));
+    g_free(ends);
+    Runner_Free(fix->runner);
+}
+
 static const TestTable_Row tests[] = {
+    {"/run_past_lease/long_listing_does_not_close_the_upstream",
+     test_long_listing_does_not_close_the_upstream},
     {"/run_past_lease/transferred_run_goes_on", test_transferred_run_goes_on},
     {"/run_past_lease/no_lease_keeps_an_unknown_run",
      test_no_lease_keeps_an_unknown_run},
