Take back only the extension of the poll that was not written

Callers could see two runs at once: a companion told a run as over while its upstream still held it. A poll that expires before it is written took the hold back to what it was before it, if the end of the hold was the same; later polls that were written leave it the same while a lease or a limit bounds them, so equality does not show that nothing else extended it. Each pending poll now has its own extension, and the hold is the latest of what was or may have been sent.

--- a/lease/runner.c
+++ b/lease/runner.c
@@ -373,9 +373,7 @@
 {
     runner->upstream.clock_read_ms = MIN(
         runner->upstream.clock_read_ms + suspended_ms, now_ms);
-    if (runner->hold_until_ms > 0) {
-        runner->hold_until_ms += suspended_ms;
-    }
+    RunnerPoll_ShiftHold(runner, suspended_ms);
 }
 
 int64_t
--- a/lease/runner_poll.c
+++ b/lease/runner_poll.c
@@ -37,12 +37,58 @@
            runner->candidate.pending;
 }
 
+static void
+update_hold(Runner *runner)
+{
+    uint32_t i;
+
+    runner->hold_until_ms = runner->sent_hold_ms;
+    for (i = 0; i < runner->poll_count; i++) {
+        runner->hold_until_ms = MAX(runner->hold_until_ms,
+                                    runner->polls[i].hold_until_ms);
+    }
+}
+
 void
 RunnerPoll_RecordHold(Runner *runner, int64_t now_ms, int64_t ahead_ms)
 {
     int64_t until = now_ms + LeaseTiming_MaxHoldMs(ahead_ms);
 
-    runner->hold_until_ms = MAX(runner->hold_until_ms, until);
+    runner->sent_hold_ms = MAX(runner->sent_hold_ms, until);
+    update_hold(runner);
+}
+
+void
+RunnerPoll_DropAll(Runner *runner)
+{
+    runner->sent_hold_ms = runner->hold_until_ms;
+    runner->poll_count = 0;
+}
+
+void
+RunnerPoll_ClearHold(Runner *runner)
+{
+    uint32_t i;
+
+    for (i = 0; i < runner->poll_count; i++) {
+        runner->polls[i].hold_until_ms = 0;
+    }
+    runner->sent_hold_ms = 0;
+    runner->hold_until_ms = 0;
+}
+
+void
+RunnerPoll_ShiftHold(Runner *runner, int64_t ms)
+{
+    uint32_t i;
+
+    for (i = 0; i < runner->poll_count; i++) {
+        runner->polls[i].hold_until_ms += runner->polls[i].hold_until_ms > 0
+                                              ? ms
+                                              : 0;
+    }
+    runner->sent_hold_ms += runner->sent_hold_ms > 0 ? ms : 0;
+    update_hold(runner);
 }
 
 /* After a missing answer, the upstream is asked to answer immediately. */
@@ -57,32 +103,38 @@
                                               : POLL_WAIT_MS;
 }
 
+/* @p sent: whether the poll may have reached the upstream. */
 static void
-drop_poll(Runner *runner, uint32_t index)
+drop_poll(Runner *runner, uint32_t index, bool sent)
 {
     uint32_t after = --runner->poll_count - index;
 
+    if (sent) {
+        runner->sent_hold_ms = MAX(runner->sent_hold_ms,
+                                   runner->polls[index].hold_until_ms);
+    }
     memmove(&runner->polls[index], &runner->polls[index + 1],
             after * sizeof(runner->polls[0]));
+    update_hold(runner);
 }
 
 static uint64_t
 add_poll(Runner *runner, int64_t now_ms, const Runner_Poll *poll,
-         int64_t earlier_hold_ms)
+         int64_t hold_until_ms)
 {
     Runner_PendingPoll pending = {.id = ++runner->last_poll_id,
                                   .sent_ms = now_ms,
                                   .last_seen = poll->last_seen,
-                                  .earlier_hold_ms = earlier_hold_ms,
-                                  .hold_until_ms = runner->hold_until_ms,
+                                  .hold_until_ms = hold_until_ms,
                                   .waits = poll->wait_ms > 0};
 
     pending.due_ms = now_ms + poll->wait_ms +
                      RtoEstimator_TimeoutMs(&runner->rto);
     if (runner->poll_count == RUNNER_MAX_PENDING_POLLS) {
-        drop_poll(runner, 0);
+        drop_poll(runner, 0, true);
     }
     runner->polls[runner->poll_count++] = pending;
+    update_hold(runner);
     return pending.id;
 }
 
@@ -100,8 +152,9 @@
 
 /* The hold is extended only while it may be in force. Once it has expired, the
  * runs that it kept are over; a run that goes on is one of another
- * incarnation, on whose clock the deadline means nothing. */
-static void
+ * incarnation, on whose clock the deadline means nothing. Returns the time to
+ * which the poll extends the hold, or 0. */
+static int64_t
 extend_hold(Runner *runner, int64_t now_ms, Runner_Poll *poll)
 {
     int64_t ahead = runner->upstream.inventoried
@@ -109,12 +162,13 @@
                         : 0;
 
     RunnerAudit_CheckHoldLimit(runner, now_ms);
-    if (ahead > 0 && runner->upstream.clock_ms > 0 &&
-        now_ms <= runner->hold_until_ms) {
-        poll->deadline_ms = RunnerUpstream_Clock(runner, now_ms) + ahead;
-        poll->send_by_ms = runner->hold_until_ms;
-        RunnerPoll_RecordHold(runner, now_ms, ahead);
+    if (ahead <= 0 || runner->upstream.clock_ms <= 0 ||
+        now_ms > runner->hold_until_ms) {
+        return 0;
     }
+    poll->deadline_ms = RunnerUpstream_Clock(runner, now_ms) + ahead;
+    poll->send_by_ms = runner->hold_until_ms;
+    return now_ms + LeaseTiming_MaxHoldMs(ahead);
 }
 
 void
@@ -122,18 +176,17 @@
 {
     Runner_Poll poll = {.instance = runner->upstream.instance,
                         .token = runner->token};
-    int64_t earlier_hold_ms = runner->hold_until_ms;
+    int64_t hold_until_ms;
 
     if (RunnerPoll_DueMs(runner) != INT64_MAX || !needs_poll(runner) ||
         now_ms < runner->next_poll_ms) {
         return;
     }
     poll.last_seen = unacknowledged_last_seen(runner);
-    extend_hold(runner, now_ms, &poll);
+    hold_until_ms = extend_hold(runner, now_ms, &poll);
     poll.wait_ms = wait_ms(runner);
     runner->ports->poll(runner->context,
-                        add_poll(runner, now_ms, &poll, earlier_hold_ms),
-                        &poll);
+                        add_poll(runner, now_ms, &poll, hold_until_ms), &poll);
 }
 
 static lc_run_status
@@ -367,7 +420,7 @@
     runner->upstream.inventoried = empty;
     runner->version++;
     if (empty) {
-        runner->hold_until_ms = 0;
+        RunnerPoll_ClearHold(runner);
     }
 }
 
@@ -453,26 +506,18 @@
     }
 }
 
-/* A poll that was not sent has not extended the hold. */
-static void
-handle_abandoned_poll(Runner *runner, int64_t now_ms,
-                      const Runner_PendingPoll *poll)
-{
-    if (runner->hold_until_ms == poll->hold_until_ms) {
-        runner->hold_until_ms = poll->earlier_hold_ms;
-    }
-    runner->next_poll_ms = now_ms;
-}
-
+/* Removes a poll from the pending ones. One that was abandoned has not
+ * extended the hold. */
 static bool
-remove_poll(Runner *runner, uint64_t poll_id, Runner_PendingPoll *poll)
+remove_poll(Runner *runner, uint64_t poll_id, bool abandoned,
+            Runner_PendingPoll *poll)
 {
     uint32_t i;
 
     for (i = 0; i < runner->poll_count; i++) {
         if (runner->polls[i].id == poll_id) {
             *poll = runner->polls[i];
-            drop_poll(runner, i);
+            drop_poll(runner, i, !abandoned);
             return true;
         }
     }
@@ -486,7 +531,8 @@
     Runner_PendingPoll poll;
 
     RunnerAudit_CountOrder(runner, RUNNER_ORDER_POLL, listing->end);
-    if (!remove_poll(runner, poll_id, &poll)) {
+    if (!remove_poll(runner, poll_id, listing->end == RUNNER_ORDER_ABANDONED,
+                     &poll)) {
         return;
     }
     switch (listing->end) {
@@ -503,7 +549,7 @@
         RunnerUpstream_RaiseToken(runner);
         break;
     case RUNNER_ORDER_ABANDONED:
-        handle_abandoned_poll(runner, now_ms, &poll);
+        runner->next_poll_ms = now_ms;
         break;
     case RUNNER_ORDER_OTHER_INCARNATION:
         RunnerUpstream_OnOtherIncarnation(runner, now_ms);
--- a/lease/runner_state.h
+++ b/lease/runner_state.h
@@ -138,8 +138,7 @@
     int64_t sent_ms;
     int64_t due_ms; /* as in Runner_Order */
     uint64_t last_seen;
-    int64_t earlier_hold_ms; /* hold_until_ms without this poll */
-    int64_t hold_until_ms;   /* and with it */
+    int64_t hold_until_ms; /* to which it extends the hold; 0: it does not */
     bool waits; /* the upstream may delay the answer until a run ends */
 } Runner_PendingPoll;
 
@@ -177,6 +176,8 @@
     int64_t next_poll_ms;    /* earliest time of the next poll */
     int64_t hold_until_ms;   /* by then the upstream's hold has expired, and it
                                 stops all runs */
+    int64_t sent_hold_ms;    /* the same without the pending polls, which may
+                                turn out not to have been sent */
     uint32_t active_tasks;   /* tasks that have not ended */
     uint32_t unwanted_tasks; /* of these, the ones with `unwanted_ms` */
     bool hold_limited;   /* the hold has not been extended because of them */
@@ -447,6 +448,15 @@
 /** Time at which the next answer to a poll becomes overdue, or INT64_MAX. */
 int64_t RunnerPoll_DueMs(const Runner *runner);
 
+/** Forgets all pending polls, which may have been sent. */
+void RunnerPoll_DropAll(Runner *runner);
+
+/** Records that no hold is in force. */
+void RunnerPoll_ClearHold(Runner *runner);
+
+/** Records that the hold may last @p ms longer. */
+void RunnerPoll_ShiftHold(Runner *runner, int64_t ms);
+
 /** Records that the upstream may go on for @p ahead_ms from now without
  * another hold. */
 void RunnerPoll_RecordHold(Runner *runner, int64_t now_ms, int64_t ahead_ms);
--- a/lease/runner_upstream.c
+++ b/lease/runner_upstream.c
@@ -56,7 +56,7 @@
     runner->upstream.doubtful = false;
     runner->upstream.refused = false;
     runner->consecutive_misses = 0;
-    runner->poll_count = 0;
+    RunnerPoll_DropAll(runner);
     memset(&runner->rto, 0, sizeof(runner->rto));
     runner->next_poll_ms = now_ms;
     runner->health = Health_New();
@@ -74,7 +74,7 @@
 
     RunnerTask_EndAllLost(runner, now_ms, !runner->upstream.draining);
     reset_for_incarnation(runner, now_ms, heartbeat->born_ms);
-    runner->hold_until_ms = 0;
+    RunnerPoll_ClearHold(runner);
     g_free(runner->upstream.instance);
     runner->upstream.instance = g_strdup(heartbeat->instance);
     RunnerUpstream_Log(runner, EVENT_UPSTREAM_KNOWN,
