Count a run as unwanted since the end of its lease, also if a HALT is read first

Callers could see two runs at once: after a stall a companion may read a HALT before the tick that finds the lease ended, and the limit of the hold counted from the HALT; a renewal read next hid the end of the lease for good (held until 1,478 ms after the owner's last message, where 1,178 is promised). A HALT now looks for ended leases first, and the earliest time counts. Leases that have ended are found once each, not by a scan of all runs at every renewal.

--- a/lease/runner.c
+++ b/lease/runner.c
@@ -266,6 +266,7 @@
 {
     Runner_Task *row = g_hash_table_lookup(runner->tasks, &args->id);
 
+    RunnerTask_StopExpired(runner, now_ms);
     if (args->target != runner->config.node.incarnation) {
         RunnerTask_ReplyHalt(runner, now_ms, reply_id,
                              runner->upstream.inventoried ? LC_RUN_OTHER_NODE
--- a/lease/runner_owners.c
+++ b/lease/runner_owners.c
@@ -14,6 +14,28 @@
     return NULL;
 }
 
+static bool
+has_expired_runs(const Runner_Owner *row, int64_t now_ms)
+{
+    return row->running > 0 && !row->runs_stopped && now_ms >= row->until_ms;
+}
+
+bool
+RunnerOwner_TakeExpired(Runner *runner, int64_t now_ms)
+{
+    bool any = false;
+    guint i;
+
+    for (i = 0; i < runner->owners->len; i++) {
+        Runner_Owner *row = &g_array_index(runner->owners, Runner_Owner, i);
+        if (has_expired_runs(row, now_ms)) {
+            row->runs_stopped = true;
+            any = true;
+        }
+    }
+    return any;
+}
+
 Runner_Owner *
 RunnerOwner_Extend(Runner *runner, int64_t now_ms, const lc_node *node,
                    int64_t until_ms)
@@ -21,9 +43,7 @@
     Runner_Owner *row = RunnerOwner_Find(runner, node);
     Runner_Owner fresh = {.node = *node};
 
-    if (row != NULL && row->running > 0 && now_ms >= row->until_ms) {
-        RunnerTask_StopExpired(runner, now_ms);
-    }
+    RunnerTask_StopExpired(runner, now_ms);
 
     if (row == NULL) {
         g_array_append_val(runner->owners, fresh);
@@ -31,6 +51,7 @@
                              runner->owners->len - 1);
     }
     row->until_ms = MAX(row->until_ms, until_ms);
+    row->runs_stopped = false;
     return row;
 }
 
@@ -47,7 +68,7 @@
     for (i = 0; i < runner->owners->len; i++) {
         const Runner_Owner *row = &g_array_index(runner->owners, Runner_Owner,
                                                  i);
-        if (row->running > 0 && now_ms >= row->until_ms) {
+        if (has_expired_runs(row, now_ms)) {
             since_ms = MIN(since_ms, row->until_ms);
         }
     }
--- a/lease/runner_state.h
+++ b/lease/runner_state.h
@@ -73,6 +73,8 @@
     lc_node node;
     int64_t until_ms;
     uint32_t running;
+    bool runs_stopped; /* its lease has ended, and its runs are being stopped
+                        */
 } Runner_Owner;
 
 /* State of the upstream of this companion, as far as known. */
@@ -323,6 +325,10 @@
 Runner_Owner *RunnerOwner_Extend(Runner *runner, int64_t now_ms,
                                  const lc_node *node, int64_t until_ms);
 
+/** Marks the owners with active tasks whose leases have ended since the last
+ * call; returns false if there are none. */
+bool RunnerOwner_TakeExpired(Runner *runner, int64_t now_ms);
+
 /** Longest hold in ms from now that keeps no run beyond the time by which it
  * must be over. A hold keeps all runs at the upstream, and a stop may remain
  * unanswered: a run whose lease has ended, or that was halted, must not be
--- a/lease/runner_tasks.c
+++ b/lease/runner_tasks.c
@@ -141,6 +141,7 @@
         row->unwanted_ms = since_ms;
         runner->unwanted_tasks++;
     }
+    row->unwanted_ms = MIN(row->unwanted_ms, since_ms);
 }
 
 static void
@@ -163,9 +164,13 @@
 void
 RunnerTask_StopExpired(Runner *runner, int64_t now_ms)
 {
-    GList *rows = RunnerTask_All(runner);
+    GList *rows;
     GList *item;
 
+    if (!RunnerOwner_TakeExpired(runner, now_ms)) {
+        return;
+    }
+    rows = RunnerTask_All(runner);
     for (item = rows; item != NULL; item = item->next) {
         Runner_Task *row = item->data;
         if (row->state != TASK_ENDED) {
