--- a/lease/runner_durable.c
+++ b/lease/runner_durable.c
@@ -272,16 +272,17 @@
 transfer_run(Runner *runner, int64_t now_ms, Runner_Task *row,
              const lc_node *successor)
 {
+    Runner_Owner *next = RunnerOwner_Extend(
+        runner, now_ms, successor,
+        now_ms + runner->config.timing.lease_ms +
+            LEASE_TIMING_DURABLE_GRACE_MS);
     Runner_Owner *former = RunnerOwner_Find(runner, &row->owner);
 
     if (former != NULL) {
         former->running--;
     }
     row->owner = *successor;
-    RunnerOwner_Extend(runner, now_ms, successor,
-                       now_ms + runner->config.timing.lease_ms +
-                           LEASE_TIMING_DURABLE_GRACE_MS)
-        ->running++;
+    next->running++;
 }
 
 static bool
