Let an unknown run limit the hold as well

Callers could see two runs at once: a listed run that no active task stands for was stopped at each listing, and kept on by the leases of others while the stops stayed unanswered (held 3,489 ms after it was listed). It now limits the hold from its first listing on, and is polled until it is over also where nothing else runs.

--- a/lease/runner_owners.c
+++ b/lease/runner_owners.c
@@ -60,7 +60,8 @@
 static int64_t
 unwanted_since_ms(const Runner *runner, int64_t now_ms)
 {
-    int64_t since_ms = INT64_MAX;
+    int64_t since_ms = runner->unknown_since_ms != 0 ? runner->unknown_since_ms
+                                                     : INT64_MAX;
     GHashTableIter iter;
     gpointer item;
     guint i;
--- a/lease/runner_poll.c
+++ b/lease/runner_poll.c
@@ -34,7 +34,7 @@
 {
     return runner->active_tasks > 0 || !runner->upstream.inventoried ||
            unacknowledged_last_seen(runner) > 0 || runner->upstream.doubtful ||
-           runner->candidate.pending;
+           runner->candidate.pending || runner->unknown_since_ms != 0;
 }
 
 static void
@@ -274,7 +274,8 @@
     RunnerTask_Stop(runner, now_ms, row, LC_RUN_STALLED);
 }
 
-static void
+/* Returns false for a run that no active task stands for. */
+static bool
 apply_active_run(Runner *runner, int64_t now_ms,
                  const Runner_PendingPoll *poll,
                  const Runner_ActiveRun *running)
@@ -283,18 +284,18 @@
 
     if (row != NULL && row->state == TASK_ENDED &&
         row->ended_ms >= poll->sent_ms) {
-        return; /* this answer was overtaken by a later one */
+        return true; /* this answer was overtaken by a later one */
     }
     if (row == NULL || row->state == TASK_ENDED) {
         RunnerAudit_OnUnknownRun(runner, now_ms, &running->id, row);
         stop_unknown_run(runner, &running->id);
-        return;
+        return false;
     }
     RunnerAudit_CheckLease(runner, now_ms, poll->sent_ms, row);
     if (RunnerTask_IsOfEarlierIncarnation(runner, row)) {
         /* A late start, with a deadline on another incarnation's clock. */
         RunnerTask_Stop(runner, now_ms, row, LC_RUN_LOST);
-        return;
+        return true;
     }
     if (row->state == TASK_ORDERED) {
         row->state = TASK_RUNNING;
@@ -311,6 +312,7 @@
         }
         stop_stalled(runner, now_ms, row, "it hangs");
     }
+    return true;
 }
 
 static Health_Progress
@@ -429,6 +431,7 @@
               const Runner_PollAnswer *listing)
 {
     uint64_t last_seen_before = runner->upstream.last_seen;
+    bool all_known = true;
     uint32_t i;
 
     runner->upstream.doubtful = false;
@@ -440,7 +443,14 @@
         apply_ended_run(runner, now_ms, &listing->ended[i]);
     }
     for (i = 0; i < listing->running_count; i++) {
-        apply_active_run(runner, now_ms, poll, &listing->running[i]);
+        all_known &= apply_active_run(runner, now_ms, poll,
+                                      &listing->running[i]);
+    }
+    if (all_known) {
+        runner->unknown_since_ms = 0;
+    }
+    else if (runner->unknown_since_ms == 0) {
+        runner->unknown_since_ms = now_ms;
     }
     if (listing->ended_count < RUNNER_MAX_LISTED_ENDS) {
         end_unlisted(runner, now_ms, poll, listing);
--- a/lease/runner_state.h
+++ b/lease/runner_state.h
@@ -175,13 +175,15 @@
     Runner_PendingPoll polls[RUNNER_MAX_PENDING_POLLS]; /* oldest first */
     uint32_t poll_count;
     uint64_t last_poll_id;
-    int64_t next_poll_ms;    /* earliest time of the next poll */
-    int64_t hold_until_ms;   /* by then the upstream's hold has expired, and it
-                                stops all runs */
-    int64_t sent_hold_ms;    /* the same without the pending polls, which may
-                                turn out not to have been sent */
-    uint32_t active_tasks;   /* tasks that have not ended */
-    uint32_t unwanted_tasks; /* of these, the ones with `unwanted_ms` */
+    int64_t next_poll_ms;  /* earliest time of the next poll */
+    int64_t hold_until_ms; /* by then the upstream's hold has expired, and it
+                              stops all runs */
+    int64_t sent_hold_ms;  /* the same without the pending polls, which may
+                              turn out not to have been sent */
+    uint32_t active_tasks; /* tasks that have not ended */
+    int64_t unknown_since_ms; /* when a run that no active task stands for was
+                                 first listed, as it still is; 0: none is */
+    uint32_t unwanted_tasks;  /* of these, the ones with `unwanted_ms` */
     bool hold_limited;   /* the hold has not been extended because of them */
     int64_t idle_ms;     /* when the last task ended */
     uint32_t unreleased; /* ends not released, hence not acknowledged */
@@ -333,6 +335,7 @@
  * must be over. A hold keeps all runs at the upstream, and a stop may remain
  * unanswered: a run whose lease has ended, or that was halted, must not be
  * kept by the leases of others for longer than the hold that it had itself.
+ * The same holds for a listed run that no task stands for.
  * 0 or less: the hold must not be extended. */
 int64_t RunnerOwner_HoldLimitMs(const Runner *runner, int64_t now_ms);
 
--- a/lease/runner_upstream.c
+++ b/lease/runner_upstream.c
@@ -57,6 +57,7 @@
     runner->upstream.refused = false;
     runner->consecutive_misses = 0;
     RunnerPoll_DropAll(runner);
+    runner->unknown_since_ms = 0;
     memset(&runner->rto, 0, sizeof(runner->rto));
     runner->next_poll_ms = now_ms;
     runner->health = Health_New();
--- a/tests/run_past_lease_rules.c
+++ b/tests/run_past_lease_rules.c
@@ -373,6 +373,33 @@
     Runner_Free(fix->runner);
 }
 
+/* An unknown run is the only one: the upstream is polled until it is over, and
+ * takes tasks again. */
+static void
+test_unknown_run_is_polled_until_over(void)
+{
+    upstream_play play;
+    runner_fixture *fix = &play.fix;
+
+    begin_play(&play);
+    start_run(&play, fix->owner, OTHER_JOB);
+    play.runs[0].id = RunnerFix_Run(FIRST_JOB, 1);
+    while (fix->now_ms < START_MS + PLAY_MS) {
+        fix->now_ms += STEP_MS;
+        Runner_CheckOverdue(fix->runner, fix->now_ms);
+        Runner_Tick(fix->runner, fix->now_ms);
+        answer_poll(&play);
+    }
+    g_assert_cmpint(fix->replies, ==, 1); /* no task is active any more */
+    g_assert_false(RunnerFix_TakesTask(fix, OTHER_JOB + 1));
+    play.run_count = 0;
+    fix->now_ms += STEP_MS;
+    answer_poll(&play);
+    RunnerFix_Heartbeat(fix, RUNNER_UPSTREAM_READY);
+    g_assert_true(RunnerFix_TakesTask(fix, OTHER_JOB + 2));
+    Runner_Free(fix->runner);
+}
+
 /* Messages of the owner arrive after the run's lease has ended: that the run
  * is listed past its end is still noticed (LC527). */
 static void
@@ -447,6 +474,8 @@
     {"/run_past_lease/transferred_run_goes_on", test_transferred_run_goes_on},
     {"/run_past_lease/no_lease_keeps_an_unknown_run",
      test_no_lease_keeps_an_unknown_run},
+    {"/run_past_lease/unknown_run_is_polled_until_over",
+     test_unknown_run_is_polled_until_over},
     {"/run_past_lease/run_past_lease_is_counted",
      test_run_past_lease_is_counted},
     {"/run_past_lease/halt_read_after_the_lease",
