A run that is over does not limit the hold while its end is not listed yet

Runs that are certainly over are now marked so in long listings too, and end when their result is listed, as before.

--- a/lease/runner_poll.c
+++ b/lease/runner_poll.c
@@ -394,22 +394,31 @@
     return clock_ms > row->deadline_clock_ms;
 }
 
+/* Handles tasks that the upstream does not execute any more. If the answer
+ * holds as many ends as it can, theirs may not be among them yet. */
 static void
 end_unlisted(Runner *runner, int64_t now_ms, const Runner_PendingPoll *poll,
              const Runner_PollAnswer *listing)
 {
+    bool all_ends = listing->ended_count < RUNNER_MAX_LISTED_ENDS;
     GList *rows = RunnerTask_All(runner);
     GList *item;
 
     for (item = rows; item != NULL; item = item->next) {
         Runner_Task *row = item->data;
-        if (row->state != TASK_ENDED && !is_listed(listing, &row->id) &&
-            is_certainly_over(runner, poll, row, listing->clock_ms)) {
+        if (row->state == TASK_ENDED || is_listed(listing, &row->id) ||
+            !is_certainly_over(runner, poll, row, listing->clock_ms)) {
+            continue;
+        }
+        if (all_ends) {
             RunnerTask_EndLost(
                 runner, now_ms, row,
                 RunnerTask_IsOfEarlierIncarnation(runner, row) &&
                     !runner->upstream.earlier_drained);
         }
+        else {
+            RunnerTask_MarkOver(runner, row);
+        }
     }
     g_list_free(rows);
 }
@@ -452,9 +461,7 @@
     else if (runner->unknown_since_ms == 0) {
         runner->unknown_since_ms = now_ms;
     }
-    if (listing->ended_count < RUNNER_MAX_LISTED_ENDS) {
-        end_unlisted(runner, now_ms, poll, listing);
-    }
+    end_unlisted(runner, now_ms, poll, listing);
     update_pace(runner, now_ms);
     if (!runner->upstream.inventoried) {
         apply_inventory(runner, listing->running_count == 0);
--- a/lease/runner_state.h
+++ b/lease/runner_state.h
@@ -61,7 +61,8 @@
     int64_t unwanted_ms; /* when its lease ended or it was halted, so that its
                             owner's caller may submit the job elsewhere some
                             time after; 0 before */
-    bool outlived_lease; /* logged by RunnerAudit_CheckLease */
+    bool over; /* it runs no longer; how it ended is not listed yet */
+    bool outlived_lease;       /* logged by RunnerAudit_CheckLease */
     int64_t earlier_expiry_ms; /* of the starts of the task's other runs */
     int64_t progress_ms; /* when the percentage last rose; 0 before any report
                           */
@@ -247,6 +248,10 @@
 void RunnerTask_MarkUnwanted(Runner *runner, Runner_Task *row,
                              int64_t since_ms);
 
+/** Records that the upstream does not execute a run any more, which ends once
+ * its result is listed. */
+void RunnerTask_MarkOver(Runner *runner, Runner_Task *row);
+
 /** Stops the tasks whose leases have ended. */
 void RunnerTask_StopExpired(Runner *runner, int64_t now_ms);
 
--- a/lease/runner_tasks.c
+++ b/lease/runner_tasks.c
@@ -137,6 +137,9 @@
 void
 RunnerTask_MarkUnwanted(Runner *runner, Runner_Task *row, int64_t since_ms)
 {
+    if (row->over) {
+        return;
+    }
     if (row->unwanted_ms == 0) {
         row->unwanted_ms = since_ms;
         runner->unwanted_tasks++;
@@ -144,6 +147,14 @@
     row->unwanted_ms = MIN(row->unwanted_ms, since_ms);
 }
 
+void
+RunnerTask_MarkOver(Runner *runner, Runner_Task *row)
+{
+    row->over = true;
+    runner->unwanted_tasks -= row->unwanted_ms != 0;
+    row->unwanted_ms = 0;
+}
+
 static void
 stop_if_lease_expired(Runner *runner, int64_t now_ms, Runner_Task *row)
 {
