LC527 counts from the end of the run's own lease, or its HALT

It counted from the end of the owner's lease, which later renewals move: a halted run of a live owner, or one whose lease had ended before a renewal, was never told.

--- a/lease/runner.c
+++ b/lease/runner.c
@@ -3,7 +3,6 @@
 #include <inttypes.h>
 #include <string.h>
 
-#include "base/address.h"
 #include "lease/resources.h"
 #include "lease/run_id.h"
 #include "lease/runner_state.h"
--- a/lease/runner_audit.c
+++ b/lease/runner_audit.c
@@ -2,7 +2,6 @@
 
 #include <inttypes.h>
 
-#include "base/address.h"
 #include "lease/run_id.h"
 
 static const char *const order_names[RUNNER_ORDER_KINDS] = {
@@ -38,13 +37,14 @@
     runner->order_outcomes[kind][outcome_of(result)]++;
 }
 
-/* Time by which a run must be over, however long its stop was unanswered. */
+/* Time by which an unwanted run must be over, however long its stop was
+ * unanswered. */
 static int64_t
-certain_end(const Runner *runner, const Runner_Owner *owner)
+certain_end(const Runner *runner, const Runner_Task *row)
 {
     const LeaseTiming *timing = &runner->config.timing;
 
-    return owner->until_ms + LeaseTiming_MaxHoldMs(timing->hold_ms) +
+    return row->unwanted_ms + LeaseTiming_MaxHoldMs(timing->hold_ms) +
            timing->stop_ms + timing->tick_ms;
 }
 
@@ -52,18 +52,17 @@
 RunnerAudit_CheckLease(Runner *runner, int64_t now_ms, int64_t polled_ms,
                        Runner_Task *row)
 {
-    const Runner_Owner *owner = RunnerOwner_Find(runner, &row->owner);
-
-    if (owner == NULL || row->outlived_lease ||
-        polled_ms <= certain_end(runner, owner)) {
+    if (row->unwanted_ms == 0 || row->outlived_lease ||
+        polled_ms <= certain_end(runner, row)) {
         return;
     }
     row->outlived_lease = true;
     Counter_Add(&runner->counters, COUNTER_RUNS_PAST_LEASE, 1);
     RunnerTask_Log(runner, EVENT_RUN_PAST_LEASE, row,
-                   "lease ended %" PRId64 " ms ago, %u stops sent%s, hold "
-                   "ends in %" PRId64 " ms, %u owners",
-                   now_ms - owner->until_ms, row->stop_copies,
+                   "lease ended, or halted, %" PRId64
+                   " ms ago, %u stops sent%s, hold ends in %" PRId64
+                   " ms, %u owners",
+                   now_ms - row->unwanted_ms, row->stop_copies,
                    row->stop_confirmed ? ", one answered" : "",
                    runner->hold_until_ms - now_ms, runner->owners->len);
 }
--- a/lease/runner_state.h
+++ b/lease/runner_state.h
@@ -305,8 +305,8 @@
                             Runner_OrderResult result);
 
 /** Logs, once, a run that the upstream lists after the time by which it must
- * have ended, counted from the end of its owner's lease. @p polled_ms: when
- * the poll was sent; its answer may have been read much later. */
+ * have ended, counted from the end of its lease or its HALT. @p polled_ms:
+ * when the poll was sent; its answer may have been read much later. */
 void RunnerAudit_CheckLease(Runner *runner, int64_t now_ms, int64_t polled_ms,
                             Runner_Task *row);
 
