--- a/lease/dispatcher.h
+++ b/lease/dispatcher.h
@@ -229,8 +229,9 @@
  * connection. */
 void Dispatcher_SetShutdownTime(Dispatcher *self, int64_t shutdown_ms);
 
-/** Starts no task until Dispatcher_Resume: after the process was suspended,
- * the input that arrived meanwhile must be read first. */
+/** Starts no task and extends no lease until Dispatcher_Resume: after the
+ * process was suspended, the input that arrived meanwhile must be read first,
+ * as callers may have left. */
 void Dispatcher_Pause(Dispatcher *self);
 void Dispatcher_Resume(Dispatcher *self);
 
--- a/lease/dispatcher_forward.c
+++ b/lease/dispatcher_forward.c
@@ -230,7 +230,7 @@
 
     for (i = 0; i < self->delegates.rows->len; i++) {
         Delegate *row = g_ptr_array_index(self->delegates.rows, i);
-        if (Delegates_IsExtendDue(row, now_ms, wanted)) {
+        if (!self->paused && Delegates_IsExtendDue(row, now_ms, wanted)) {
             send_extend(self, now_ms, row);
         }
     }
--- a/lease/dispatcher_hosts.c
+++ b/lease/dispatcher_hosts.c
@@ -131,7 +131,8 @@
         end_runs_at(self, now_ms, host, 0);
         return;
     }
-    if (host->running > 0 && !host->suspect && host->renew_call_id == 0 &&
+    if (!self->paused && host->running > 0 && !host->suspect &&
+        host->renew_call_id == 0 &&
         now_ms - host->renew_sent_ms >= DISPATCHER_RENEW_MS) {
         DispatcherCall_Renew(self, now_ms, host);
     }
--- a/lease/dispatcher_origin.c
+++ b/lease/dispatcher_origin.c
@@ -176,7 +176,7 @@
         if (now_ms >= row->lease_end_ms) {
             expire_origin(self, now_ms, row);
         }
-        else if (row->jobs > 0 &&
+        else if (!self->paused && row->jobs > 0 &&
                  now_ms - row->renewed_ms >= DISPATCHER_RENEW_MS) {
             renew(self, now_ms, row);
         }
