Repeat a HALT that a broken connection lost before any message that extends its lease

Callers could see two runs at once: after a break an entry waited 50 to 400 ms before it sent a HALT again, and renewed the lease of that companion's runs, or extended it by a start, meanwhile; by arithmetic the run ended up to 1,340 ms after its caller had left, and each further break added 100 to 400. The HALTs that may be lost go out on the new connection first, in order.

--- a/lease/dispatcher_calls.c
+++ b/lease/dispatcher_calls.c
@@ -79,6 +79,37 @@
     DispatcherCall_Send(self, &about, &call);
 }
 
+/* Repeats the HALTs to a host whose connections broke. */
+static void
+repeat_failed_halts(Dispatcher *self, Fleet_Host *host)
+{
+    uint32_t i;
+    uint32_t j;
+
+    host->halt_failed = false;
+    for (i = 0; i < Handle_RowCount(self->jobs); i++) {
+        const Active_Job *job = Handle_ItemAt(self->jobs, i);
+        for (j = 0; job != NULL && j < job->task_count; j++) {
+            Active_Task *task = &job->tasks[j];
+            if (task->state == ACTIVE_HALTING &&
+                task->not_before_ms != INT64_MAX &&
+                DispatcherCompletion_HostOf(self, task) == host) {
+                task->call_retries++;
+                DispatcherCall_Halt(self, job, task);
+            }
+        }
+    }
+}
+
+int64_t
+DispatcherCall_ExtendHold(Dispatcher *self, int64_t now_ms, Fleet_Host *host)
+{
+    if (host->halt_failed) {
+        repeat_failed_halts(self, host);
+    }
+    return Fleet_ExtendHold(host, &self->config.timing, now_ms);
+}
+
 /* Starts two or more tasks at one host in one call. */
 static void
 send_joined(Dispatcher *self, const Active_Job *job, Active_Task *const *tasks,
@@ -153,7 +184,7 @@
                                              : 1;
         Fleet_Host *host = Fleet_Find(&self->fleet, group[0]->host.address);
         int64_t valid_until_ms = DispatcherOrigin_LimitLease(
-            job, host, Fleet_ExtendHold(host, &self->config.timing, now_ms));
+            job, host, DispatcherCall_ExtendHold(self, now_ms, host));
         ForwardChoice_CountStarts(&self->sends, now_ms, count);
         if (count > 1) {
             send_joined(self, job, group, count, valid_until_ms);
@@ -187,8 +218,8 @@
     call.u.renew.owner = self->config.node;
     call.u.renew.kept = self->durable_enabled ? self->durable_owner : 0;
     call.u.renew.target = host->node.incarnation;
-    call.u.renew.valid_until_ms = Fleet_ExtendHold(host, &self->config.timing,
-                                                   now_ms);
+    call.u.renew.valid_until_ms = DispatcherCall_ExtendHold(self, now_ms,
+                                                            host);
     host->renew_sent_ms = now_ms;
     host->renew_call_id = DispatcherCall_Send(self, &about, &call);
 }
--- a/lease/dispatcher_origin.c
+++ b/lease/dispatcher_origin.c
@@ -110,7 +110,7 @@
 {
     Dispatcher_Call about = {.kind = MSG_RENEW, .host = host->node};
     Msg_Call call = {.kind = MSG_RENEW};
-    int64_t hold_ms = Fleet_ExtendHold(host, &self->config.timing, now_ms);
+    int64_t hold_ms = DispatcherCall_ExtendHold(self, now_ms, host);
 
     call.u.renew.owner.address = self->config.node.address;
     call.u.renew.owner.incarnation = row->owner;
--- a/lease/dispatcher_state.h
+++ b/lease/dispatcher_state.h
@@ -121,6 +121,12 @@
 void DispatcherCall_Starts(Dispatcher *self, int64_t now_ms,
                            const Active_Job *job, GPtrArray *tasks);
 
+/** Returns the end of the lease that a message to a host may extend now, see
+ * Fleet_ExtendHold. HALTs that a broken connection may have lost are repeated
+ * before that message, as it would keep their runs. */
+int64_t DispatcherCall_ExtendHold(Dispatcher *self, int64_t now_ms,
+                                  Fleet_Host *host);
+
 /** Asks the task's host to stop its run. */
 void DispatcherCall_Halt(Dispatcher *self, const Active_Job *job,
                          Active_Task *task);
--- a/lease/fleet.c
+++ b/lease/fleet.c
@@ -78,6 +78,7 @@
     host->renew_call_id = 0;
     host->renew_sent_ms = 0;
     host->suspect = false;
+    host->halt_failed = false;
     host->avoid_until_ms = 0;
 }
 
--- a/lease/fleet.h
+++ b/lease/fleet.h
@@ -44,6 +44,7 @@
     uint64_t renew_call_id; /**< call id of the pending RENEW, or 0 */
     int64_t renew_sent_ms;  /**< when the last RENEW was sent */
     bool suspect;           /**< a RENEW was not answered in time */
+    bool halt_failed;       /**< the connection of a HALT broke */
     bool closed;            /**< operators have closed its hall */
     int64_t avoid_until_ms; /**< set by refusals other than for lack of room */
 } Fleet_Host;
