--- a/lease/dispatcher_origin.c
+++ b/lease/dispatcher_origin.c
@@ -110,7 +110,7 @@
 {
     Dispatcher_Call about = {.kind = MSG_RENEW, .host = host->node};
     Msg_Call call = {.kind = MSG_RENEW};
-    int64_t hold_ms = Fleet_ExtendHold(host, &self->config.timing, now_ms);
+    int64_t hold_ms = DispatcherCall_ExtendHold(self, now_ms, host);
 
     call.u.renew.owner.address = self->config.node.address;
     call.u.renew.owner.incarnation = row->owner;
@@ -176,7 +176,7 @@
         if (now_ms >= row->lease_end_ms) {
             expire_origin(self, now_ms, row);
         }
-        else if (row->jobs > 0 &&
+        else if (!self->paused && row->jobs > 0 &&
                  now_ms - row->renewed_ms >= DISPATCHER_RENEW_MS) {
             renew(self, now_ms, row);
         }
--- a/lease/runner.c
+++ b/lease/runner.c
@@ -3,7 +3,6 @@
 #include <inttypes.h>
 #include <string.h>
 
-#include "base/address.h"
 #include "lease/resources.h"
 #include "lease/run_id.h"
 #include "lease/runner_state.h"
@@ -266,6 +265,7 @@
 {
     Runner_Task *row = g_hash_table_lookup(runner->tasks, &args->id);
 
+    RunnerTask_StopExpired(runner, now_ms);
     if (args->target != runner->config.node.incarnation) {
         RunnerTask_ReplyHalt(runner, now_ms, reply_id,
                              runner->upstream.inventoried ? LC_RUN_OTHER_NODE
@@ -373,9 +373,7 @@
 {
     runner->upstream.clock_read_ms = MIN(
         runner->upstream.clock_read_ms + suspended_ms, now_ms);
-    if (runner->hold_until_ms > 0) {
-        runner->hold_until_ms += suspended_ms;
-    }
+    RunnerPoll_ShiftHold(runner, suspended_ms);
 }
 
 int64_t
--- a/lease/runner_state.h
+++ b/lease/runner_state.h
@@ -61,7 +61,8 @@
     int64_t unwanted_ms; /* when its lease ended or it was halted, so that its
                             owner's caller may submit the job elsewhere some
                             time after; 0 before */
-    bool outlived_lease; /* logged by RunnerAudit_CheckLease */
+    bool over; /* it runs no longer; how it ended is not listed yet */
+    bool outlived_lease;       /* logged by RunnerAudit_CheckLease */
     int64_t earlier_expiry_ms; /* of the starts of the task's other runs */
     int64_t progress_ms; /* when the percentage last rose; 0 before any report
                           */
@@ -73,6 +74,8 @@
     lc_node node;
     int64_t until_ms;
     uint32_t running;
+    bool runs_stopped; /* its lease has ended, and its runs are being stopped
+                        */
 } Runner_Owner;
 
 /* State of the upstream of this companion, as far as known. */
@@ -138,8 +141,7 @@
     int64_t sent_ms;
     int64_t due_ms; /* as in Runner_Order */
     uint64_t last_seen;
-    int64_t earlier_hold_ms; /* hold_until_ms without this poll */
-    int64_t hold_until_ms;   /* and with it */
+    int64_t hold_until_ms; /* to which it extends the hold; 0: it does not */
     bool waits; /* the upstream may delay the answer until a run ends */
 } Runner_PendingPoll;
 
@@ -174,11 +176,15 @@
     Runner_PendingPoll polls[RUNNER_MAX_PENDING_POLLS]; /* oldest first */
     uint32_t poll_count;
     uint64_t last_poll_id;
-    int64_t next_poll_ms;    /* earliest time of the next poll */
-    int64_t hold_until_ms;   /* by then the upstream's hold has expired, and it
-                                stops all runs */
-    uint32_t active_tasks;   /* tasks that have not ended */
-    uint32_t unwanted_tasks; /* of these, the ones with `unwanted_ms` */
+    int64_t next_poll_ms;  /* earliest time of the next poll */
+    int64_t hold_until_ms; /* by then the upstream's hold has expired, and it
+                              stops all runs */
+    int64_t sent_hold_ms;  /* the same without the pending polls, which may
+                              turn out not to have been sent */
+    uint32_t active_tasks; /* tasks that have not ended */
+    int64_t unknown_since_ms; /* when a run that no active task stands for was
+                                 first listed, as it still is; 0: none is */
+    uint32_t unwanted_tasks;  /* of these, the ones with `unwanted_ms` */
     bool hold_limited;   /* the hold has not been extended because of them */
     int64_t idle_ms;     /* when the last task ended */
     uint32_t unreleased; /* ends not released, hence not acknowledged */
@@ -242,6 +248,10 @@
 void RunnerTask_MarkUnwanted(Runner *runner, Runner_Task *row,
                              int64_t since_ms);
 
+/** Records that the upstream does not execute a run any more, which ends once
+ * its result is listed. */
+void RunnerTask_MarkOver(Runner *runner, Runner_Task *row);
+
 /** Stops the tasks whose leases have ended. */
 void RunnerTask_StopExpired(Runner *runner, int64_t now_ms);
 
@@ -295,8 +305,8 @@
                             Runner_OrderResult result);
 
 /** Logs, once, a run that the upstream lists after the time by which it must
- * have ended, counted from the end of its owner's lease. @p polled_ms: when
- * the poll was sent; its answer may have been read much later. */
+ * have ended, counted from the end of its lease or its HALT. @p polled_ms:
+ * when the poll was sent; its answer may have been read much later. */
 void RunnerAudit_CheckLease(Runner *runner, int64_t now_ms, int64_t polled_ms,
                             Runner_Task *row);
 
@@ -322,10 +332,15 @@
 Runner_Owner *RunnerOwner_Extend(Runner *runner, int64_t now_ms,
                                  const lc_node *node, int64_t until_ms);
 
+/** Marks the owners with active tasks whose leases have ended since the last
+ * call; returns false if there are none. */
+bool RunnerOwner_TakeExpired(Runner *runner, int64_t now_ms);
+
 /** Longest hold in ms from now that keeps no run beyond the time by which it
  * must be over. A hold keeps all runs at the upstream, and a stop may remain
  * unanswered: a run whose lease has ended, or that was halted, must not be
  * kept by the leases of others for longer than the hold that it had itself.
+ * The same holds for a listed run that no task stands for.
  * 0 or less: the hold must not be extended. */
 int64_t RunnerOwner_HoldLimitMs(const Runner *runner, int64_t now_ms);
 
@@ -447,6 +462,15 @@
 /** Time at which the next answer to a poll becomes overdue, or INT64_MAX. */
 int64_t RunnerPoll_DueMs(const Runner *runner);
 
+/** Forgets all pending polls, which may have been sent. */
+void RunnerPoll_DropAll(Runner *runner);
+
+/** Records that no hold is in force. */
+void RunnerPoll_ClearHold(Runner *runner);
+
+/** Records that the hold may last @p ms longer. */
+void RunnerPoll_ShiftHold(Runner *runner, int64_t ms);
+
 /** Records that the upstream may go on for @p ahead_ms from now without
  * another hold. */
 void RunnerPoll_RecordHold(Runner *runner, int64_t now_ms, int64_t ahead_ms);
