--- a/tests/caller_gone_rules.c
+++ b/tests/caller_gone_rules.c
@@ -69,7 +69,57 @@
     g_free(fix);
 }
 
+/* The connection breaks with a HALT and with a start that was sent after it.
+ * The start, which carries a later end of the lease than the companion has
+ * heard of, is not repeated before the HALT either. */
+static void
+test_halt_again_before_a_start(void)
+{
+    EntryFix *fix = g_new0(EntryFix, 1);
+    const EntryFix_Call *halt;
+    int64_t halted_ms = 0;
+    int64_t heard_ms; /* end of the lease that the companion has heard of */
+    int starts;
+    int halts;
+    int i;
+
+    begin(fix);
+    heard_ms = EntryFix_LastCall(fix, MSG_RENEW)->renew.valid_until_ms;
+    EntryFix_Report(fix, 0, 4);
+    Dispatcher_OnCallerDisconnect(fix->dispatcher, fix->now_ms, JOB);
+    fix->renewed_tasks = 0;
+    for (i = 0; i < 3; i++) { /* the HALT has been lost before */
+        halt = EntryFix_LastCall(fix, MSG_HALT);
+        halts = EntryFix_CountCalls(fix, MSG_HALT);
+        Dispatcher_OnReply(fix->dispatcher, fix->now_ms, halt->call_id, NULL);
+        while (EntryFix_CountCalls(fix, MSG_HALT) == halts) {
+            EntryFix_Advance(fix, 10);
+        }
+    }
+    EntryFix_Report(fix, 0, 4);
+    EntryFix_Submit(fix, JOB + 1, 1, 0);
+    EntryFix_Advance(fix, 1);
+    starts = fix->start_count;
+    g_assert_cmpint(starts, ==, 2);
+    halts = EntryFix_CountCalls(fix, MSG_HALT);
+    halt = EntryFix_LastCall(fix, MSG_HALT);
+    Dispatcher_OnReply(fix->dispatcher, fix->now_ms, halt->call_id, NULL);
+    EntryFix_BreakConnection(fix, &fix->starts[starts - 1]);
+    while (fix->start_count == starts) {
+        EntryFix_Advance(fix, 10);
+        if (halted_ms == 0 && EntryFix_CountCalls(fix, MSG_HALT) > halts) {
+            halted_ms = fix->now_ms;
+        }
+    }
+    g_assert_cmpint(fix->starts[starts].valid_until_ms, >, heard_ms);
+    g_assert_cmpint(halted_ms, >, 0);
+    EntryFix_Close(fix);
+    g_free(fix);
+}
+
 static const TestTable_Row tests[] = {
+    {"/caller_gone/halt_again_before_a_start",
+     test_halt_again_before_a_start},
     {"/caller_gone/halt_again_before_a_renewal",
      test_halt_again_before_a_renewal},
     {"/caller_gone/no_renewal_before_the_input_is_read",
