A poll that was certainly not delivered has not extended the hold

Callers waited, and could see two runs at once: while an upstream that had crashed refused connections and owners renewed, each poll that could not be sent moved the recorded end of the hold on. Its runs were not told as over (not in 2,990 ms where the hold had ended at some 600), and a poll could extend the hold of the next incarnation as if the last one's were in force.

--- a/lease/runner_poll.c
+++ b/lease/runner_poll.c
@@ -523,10 +523,9 @@
     }
 }
 
-/* Removes a poll from the pending ones. One that was abandoned has not
- * extended the hold. */
+/* Removes a poll from the pending ones; @p sent as in drop_poll. */
 static bool
-remove_poll(Runner *runner, uint64_t poll_id, bool abandoned,
+remove_poll(Runner *runner, uint64_t poll_id, bool sent,
             Runner_PendingPoll *poll)
 {
     uint32_t i;
@@ -534,7 +533,7 @@
     for (i = 0; i < runner->poll_count; i++) {
         if (runner->polls[i].id == poll_id) {
             *poll = runner->polls[i];
-            drop_poll(runner, i, !abandoned);
+            drop_poll(runner, i, sent);
             return true;
         }
     }
@@ -545,11 +544,12 @@
 Runner_OnPollAnswer(Runner *runner, int64_t now_ms, uint64_t poll_id,
                     const Runner_PollAnswer *listing)
 {
+    bool sent = listing->end != RUNNER_ORDER_ABANDONED &&
+                listing->end != RUNNER_ORDER_UNSENT;
     Runner_PendingPoll poll;
 
     RunnerAudit_CountOrder(runner, RUNNER_ORDER_POLL, listing->end);
-    if (!remove_poll(runner, poll_id, listing->end == RUNNER_ORDER_ABANDONED,
-                     &poll)) {
+    if (!remove_poll(runner, poll_id, sent, &poll)) {
         return;
     }
     switch (listing->end) {
--- a/tests/caller_gone_rules.c
+++ b/tests/caller_gone_rules.c
@@ -118,8 +118,7 @@
 }
 
 static const TestTable_Row tests[] = {
-    {"/caller_gone/halt_again_before_a_start",
-     test_halt_again_before_a_start},
+    {"/caller_gone/halt_again_before_a_start", test_halt_again_before_a_start},
     {"/caller_gone/halt_again_before_a_renewal",
      test_halt_again_before_a_renewal},
     {"/caller_gone/no_renewal_before_the_input_is_read",
--- a/tests/run_past_lease_rules.c
+++ b/tests/run_past_lease_rules.c
@@ -550,7 +550,8 @@
     begin_play(&play);
     start_run(&play, fix->owner, FIRST_JOB);
     answer_poll(&play);
-    certain_ms = fix->now_ms + LeaseTiming_MaxHoldMs(LeaseFix_Timing().hold_ms);
+    certain_ms = fix->now_ms +
+                 LeaseTiming_MaxHoldMs(LeaseFix_Timing().hold_ms);
     while (fix->now_ms < START_MS + PLAY_MS) {
         step_unsent(&play);
         g_assert_true(fix->poll.deadline_ms == 0 ||
