--- a/lease/runner_poll.c
+++ b/lease/runner_poll.c
@@ -95,8 +95,9 @@
 static uint32_t
 wait_ms(const Runner *runner)
 {
-    if (runner->active_tasks == 0 || runner->consecutive_misses > 0 ||
-        runner->candidate.pending) {
+    bool runs = runner->active_tasks > 0 || runner->unknown_since_ms != 0;
+
+    if (!runs || runner->consecutive_misses > 0 || runner->candidate.pending) {
         return 0;
     }
     return RtoEstimator_IsLossy(&runner->rto) ? POLL_WAIT_LOSSY_MS
