Repeat a lost HALT before a start is sent again, too

A start whose connection broke is sent again after 50 ms, a HALT after up to 400; its first copy may have been lost with the break, and the lease that it carries is then new to the companion and keeps the halted run.

--- a/lease/dispatcher.c
+++ b/lease/dispatcher.c
@@ -324,6 +324,7 @@
 
     for (i = 0; i < job->task_count; i++) {
         Active_Task *task = &job->tasks[i];
+        Fleet_Host *host;
         if (task->not_before_ms > now_ms) {
             continue;
         }
@@ -333,6 +334,12 @@
             DispatcherCall_Halt(self, job, task);
         }
         else if (task->state == ACTIVE_ORPHANED) {
+            host = DispatcherCompletion_HostOf(self, task);
+            if (host != NULL) {
+                /* The first copy may have been lost, and with it the lease
+                 * that it carried. */
+                DispatcherCall_RepeatHalts(self, host);
+            }
             Active_SetState(job, task, ACTIVE_SENT);
             DispatcherCall_Run(self, job, task,
                                retry_valid_until_ms(self, job, task));
--- a/lease/dispatcher_calls.c
+++ b/lease/dispatcher_calls.c
@@ -79,13 +79,15 @@
     DispatcherCall_Send(self, &about, &call);
 }
 
-/* Repeats the HALTs to a host whose connections broke. */
-static void
-repeat_failed_halts(Dispatcher *self, Fleet_Host *host)
+void
+DispatcherCall_RepeatHalts(Dispatcher *self, Fleet_Host *host)
 {
     uint32_t i;
     uint32_t j;
 
+    if (!host->halt_failed) {
+        return;
+    }
     host->halt_failed = false;
     for (i = 0; i < Handle_RowCount(self->jobs); i++) {
         const Active_Job *job = Handle_ItemAt(self->jobs, i);
@@ -104,9 +106,7 @@
 int64_t
 DispatcherCall_ExtendHold(Dispatcher *self, int64_t now_ms, Fleet_Host *host)
 {
-    if (host->halt_failed) {
-        repeat_failed_halts(self, host);
-    }
+    DispatcherCall_RepeatHalts(self, host);
     return Fleet_ExtendHold(host, &self->config.timing, now_ms);
 }
 
--- a/lease/dispatcher_replies.c
+++ b/lease/dispatcher_replies.c
@@ -204,8 +204,8 @@
         is_inconclusive(result->status, &result->host, about)) {
         Fleet_Host *host = DispatcherCompletion_HostOf(self, task);
         task->not_before_ms = now_ms + retry_delay_ms(task);
-        if (host != NULL && result == NULL) {
-            host->halt_failed = true;
+        if (host != NULL) {
+            host->halt_failed |= result == NULL;
         }
         return;
     }
--- a/lease/dispatcher_state.h
+++ b/lease/dispatcher_state.h
@@ -121,9 +121,12 @@
 void DispatcherCall_Starts(Dispatcher *self, int64_t now_ms,
                            const Active_Job *job, GPtrArray *tasks);
 
+/** Repeats the HALTs to a host that a broken connection may have lost. To be
+ * called before any message that may extend the lease of their runs. */
+void DispatcherCall_RepeatHalts(Dispatcher *self, Fleet_Host *host);
+
 /** Returns the end of the lease that a message to a host may extend now, see
- * Fleet_ExtendHold. HALTs that a broken connection may have lost are repeated
- * before that message, as it would keep their runs. */
+ * Fleet_ExtendHold, and calls DispatcherCall_RepeatHalts before. */
 int64_t DispatcherCall_ExtendHold(Dispatcher *self, int64_t now_ms,
                                   Fleet_Host *host);
 
