Let the stand-in upstream ignore stops, and callers hang up early

A stop that is neither executed nor answered, while polls and starts are: the switch for a test of runs that outlive their lease. The time after which callers hang up becomes a setting of the cluster, of the same value; nothing uses either yet.

--- a/tests/soak/cluster.cc
+++ b/tests/soak/cluster.cc
@@ -17,7 +17,6 @@
 namespace {
 
 const int64_t RESUBMIT_MS = 1300;
-const int64_t CALLER_TIMEOUT_MS = 2500;
 const int64_t STATE_QUERY_TIMEOUT_MS = 1000;
 const int64_t STATE_QUERY_INTERVAL_MS = 250;
 const int MAX_ATTEMPTS = 3;
@@ -512,7 +511,7 @@
     request.length = body.size();
     request.timeout_ms = may_hang_up && random_below(20) == 0
                              ? 30 + random_below(300)
-                             : CALLER_TIMEOUT_MS;
+                             : caller_timeout_ms;
     HttpClient_Send(client, &request, on_answer,
                     new Attempt{this, id, may_hang_up, now()});
 }
@@ -585,6 +584,7 @@
     for (auto &member : upstreams) {
         member->model.fault_mode = {false, false, 1};
         member->delay_orders = false;
+        member->ignores_stops = false;
         if (!member->model.is_up()) {
             member->start_incarnation();
         }
--- a/tests/soak/cluster.h
+++ b/tests/soak/cluster.h
@@ -124,7 +124,9 @@
     uint64_t jobs = 0;
     bool submissions_stopped = false; /**< callers send no further attempts */
     int target_entry = -1; /**< all callers submit here; -1: at a random one */
-    int64_t max_response_ms = 0; /**< longest time to an answer */
+    int64_t caller_timeout_ms = 2500; /**< callers hang up after this time
+                                           without an answer */
+    int64_t max_response_ms = 0;      /**< longest time to an answer */
 
   private:
     std::string address_text(int host, int port) const;
--- a/tests/soak/upstream.cc
+++ b/tests/soak/upstream.cc
@@ -197,6 +197,9 @@
             json_object_get(body, "deadline_ms"));
         respond(request, model.start(now(), start), "");
     }
+    else if (path == "/run-stop" && ignores_stops) {
+        ignored_stops.insert(id.job);
+    }
     else if (path == "/run-stop") {
         respond(request, model.stop(now(), id, expected, token), "");
     }
--- a/tests/soak/upstream.h
+++ b/tests/soak/upstream.h
@@ -9,6 +9,7 @@
 #include <uv.h>
 
 #include <functional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -44,8 +45,10 @@
     std::function<bool()> keeps_start;
     /** Executes the start that was kept last, late and without an answer. */
     void execute_kept_start();
-    bool delay_orders = false; /**< one order in three is executed 1 to 4 s
-                                  late and not answered */
+    bool delay_orders = false;  /**< one order in three is executed 1 to 4 s
+                                   late and not answered */
+    bool ignores_stops = false; /**< stops are neither executed nor answered */
+    std::set<uint64_t> ignored_stops; /**< jobs whose stops were ignored */
     int64_t last_delayed_ms =
         0; /**< loop time at which delay_orders was last set */
     const std::string name;
