Force two runs at once by a run that outlives its lease, with real processes

Two scenarios: the entry that owns a run is killed, or the caller hangs up and the live entry halts the run. The upstream ignores the stop and answers polls and starts, and two other entries keep starting tasks there; the caller submits the job elsewhere. The steps are checked, and that the run has ended with its hold, neither by the stop nor by itself.

--- a/tests/soak/scenario.cc
+++ b/tests/soak/scenario.cc
@@ -79,6 +79,15 @@
 const size_t STALLED_PER_WAVE = 3;
 const size_t STALLED_COMPANIONS = STALLED_WAVES * STALLED_PER_WAVE;
 const int64_t STALLED_LOAD_MS = STALLED_WAVES * STALLED_WAVE_MS;
+/* Longer than callers wait before they submit a job again. */
+const int64_t PAST_LEASE_WORK_MS = 3000;
+/* A second run does not fit beside the first. */
+const uint32_t PAST_LEASE_CPU = 9000;
+const int64_t PAST_LEASE_HANG_UP_MS = 500;
+const int64_t PAST_LEASE_END_MS = 6500;
+const int OTHER_OWNERS = 2; /* the entries after the first */
+const int64_t OTHERS_INTERVAL_MS = 20;
+const int64_t OTHERS_LEAD_MS = 500;
 const int64_t ANSWERS_MS = 3500; /* until the last caller has its answer */
 
 soak::Cluster *cluster;
@@ -836,6 +845,171 @@
     play_late_copy();
 }
 
+uint64_t long_job;
+bool first_ended;          /* the first run of the long job */
+uint64_t last_before_stop; /* last job submitted before its stop is ignored */
+
+/* Keeps tasks of all entries but the first at every upstream. */
+void
+load_of_others()
+{
+    if (cluster->submissions_stopped) {
+        return;
+    }
+    cluster->target_entry = 1 + (int)cluster->random_below(OTHER_OWNERS);
+    last_job = cluster->submit_job(2, 100, 100, false);
+    cluster->run_after(OTHERS_INTERVAL_MS, load_of_others);
+}
+
+bool
+runs_long_job(const soak::Upstream &upstream)
+{
+    for (auto &pair : upstream.model.tasks()) {
+        if (pair.second.id.job == long_job) {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool
+has_later_task(const soak::Upstream &upstream)
+{
+    for (auto &pair : upstream.model.tasks()) {
+        if (pair.second.id.job > last_before_stop) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Waits for a run of the long job other than its first. */
+void
+await_next_run(size_t first)
+{
+    for (size_t i = 0; i < cluster->upstreams.size(); i++) {
+        if (runs_long_job(*cluster->upstreams[i]) &&
+            (i != first || first_ended)) {
+            log_step("the job runs again");
+            cluster->submissions_stopped = true;
+            cluster->heal();
+            return;
+        }
+    }
+    cluster->run_after(2, [first] { await_next_run(first); });
+}
+
+void
+await_next_attempt(size_t index)
+{
+    if (cluster->checker.find(long_job)->attempts < 2) {
+        cluster->run_after(2, [index] { await_next_attempt(index); });
+        return;
+    }
+    log_step("the job is submitted again");
+    if (!first_ended) {
+        log_step("the first run goes on");
+    }
+    await_next_run(index);
+}
+
+void
+await_other_start(size_t index)
+{
+    const soak::Upstream &upstream = *cluster->upstreams[index];
+
+    if (!runs_long_job(upstream)) {
+        return;
+    }
+    if (!has_later_task(upstream)) {
+        cluster->run_after(2, [index] { await_other_start(index); });
+        return;
+    }
+    log_step("another entry has started a task beside it");
+    await_next_attempt(index);
+}
+
+void
+await_stop(size_t index)
+{
+    if (cluster->upstreams[index]->ignored_stops.count(long_job) == 0) {
+        cluster->run_after(2, [index] { await_stop(index); });
+        return;
+    }
+    log_step(cluster->entries[0]->is_up() ? "its owner is up"
+                                          : "its owner is gone");
+    log_step("its stop is ignored");
+    last_before_stop = last_job;
+    await_other_start(index);
+}
+
+/* Logs how the first run at an upstream ends. */
+void
+watch_end(soak::Upstream &upstream)
+{
+    auto on_end = upstream.model.on_end;
+
+    upstream.model.on_end = [on_end](const lc_run_id &id, Runner_End end) {
+        on_end(id, end);
+        if (id.job == long_job && !first_ended) {
+            first_ended = true;
+            log_step(end == RUNNER_END_HOLD_EXPIRED
+                         ? "the hold of the run has ended"
+                         : "the run has ended");
+        }
+    };
+}
+
+void
+await_first_run(void (*lose_owner)())
+{
+    for (size_t i = 0; i < cluster->upstreams.size(); i++) {
+        if (runs_long_job(*cluster->upstreams[i]) &&
+            cluster->checker.find(long_job)->attempts == 1) {
+            log_step("the job runs");
+            cluster->upstreams[i]->ignores_stops = true;
+            watch_end(*cluster->upstreams[i]);
+            lose_owner();
+            await_stop(i);
+            return;
+        }
+    }
+    cluster->run_after(2, [lose_owner] { await_first_run(lose_owner); });
+}
+
+void
+submit_at_first_entry(int64_t timeout_ms, void (*lose_owner)())
+{
+    load_of_others();
+    cluster->run_after(OTHERS_LEAD_MS, [timeout_ms, lose_owner] {
+        int target = std::exchange(cluster->target_entry, 0);
+        int64_t others_ms = std::exchange(cluster->caller_timeout_ms,
+                                          timeout_ms);
+        long_job = cluster->submit_job(1, PAST_LEASE_CPU, PAST_LEASE_WORK_MS,
+                                       false);
+        cluster->target_entry = target;
+        cluster->caller_timeout_ms = others_ms;
+        await_first_run(lose_owner);
+    });
+}
+
+/* The entry that owns a run dies, and the upstream ignores the stop of the
+ * run, while other entries start tasks there. The caller submits the job
+ * elsewhere meanwhile. */
+void
+play_run_past_lease()
+{
+    submit_at_first_entry(cluster->caller_timeout_ms,
+                          [] { cluster->entries[0]->kill_without_restart(); });
+}
+
+/* The same, but the caller hangs up, and the owner has the run stopped. */
+void
+play_run_past_halt()
+{
+    submit_at_first_entry(PAST_LEASE_HANG_UP_MS, [] {});
+}
+
 const struct {
     const char *name;
     void (*play)();
@@ -883,6 +1057,9 @@
      2 * (int)STALLED_TASKS},
     {"late_copy", play_late_copy, LATE_COPY_END_MS, 2},
     {"late_copy_first", play_late_copy_first, LATE_COPY_END_MS, 2},
+    {"run_past_lease", play_run_past_lease, PAST_LEASE_END_MS,
+     1 + OTHER_OWNERS},
+    {"run_past_halt", play_run_past_halt, PAST_LEASE_END_MS, 1 + OTHER_OWNERS},
     {"stalled_companions", play_stalled_companions,
      STALLED_LOAD_MS + ANSWERS_MS, STALLED_ENTRIES, (int)STALLED_COMPANIONS},
 };
