Start the pause after a stall from the present time

libuv starts timers from the time of the loop's last turn: after a stall in a callback the end of the pause was due at once, before the input was read, and a tick in the same turn extended leases.

--- a/daemon/leased_entry.c
+++ b/daemon/leased_entry.c
@@ -47,6 +47,9 @@
                   (int)(now - self->last_input_ms));
         Dispatcher_Pause(self->dispatcher);
         self->stalled = true;
+        /* The loop's time is from before the stall: the timer would be due
+         * before the input is read. */
+        uv_update_time(self->process.loop);
         uv_timer_start(&self->resume_timer, on_resume, RESUME_DELAY_MS, 0);
     }
     self->last_input_ms = now;
