--- a/lease/runner_audit.c
+++ b/lease/runner_audit.c
@@ -67,21 +67,42 @@
                    runner->hold_until_ms - now_ms, runner->owners->len);
 }
 
+static void
+report_hold_limited(Runner *runner)
+{
+    char text[100];
+
+    if (runner->hold_limited) {
+        return;
+    }
+    runner->hold_limited = true;
+    Counter_Add(&runner->counters, COUNTER_HOLDS_LIMITED, 1);
+    g_snprintf(text, sizeof(text),
+               "%u halted or expired runs%s, stops unanswered for %" PRId64
+               " ms",
+               runner->unwanted_tasks,
+               runner->unknown_since_ms != 0 ? " and unknown ones" : "",
+               runner->config.timing.hold_ms);
+    RunnerUpstream_Log(runner, EVENT_HOLD_LIMITED, text);
+}
+
 void
 RunnerAudit_CheckHoldLimit(Runner *runner, int64_t now_ms)
 {
-    bool limited = RunnerOwner_HoldLimitMs(runner, now_ms) <= 0;
-    char text[80];
-
-    if (limited && !runner->hold_limited) {
-        Counter_Add(&runner->counters, COUNTER_HOLDS_LIMITED, 1);
-        g_snprintf(text, sizeof(text),
-                   "stops unanswered for %" PRId64
-                   " ms, of %u halted or expired runs",
-                   runner->config.timing.hold_ms, runner->unwanted_tasks);
-        RunnerUpstream_Log(runner, EVENT_HOLD_LIMITED, text);
+    if (RunnerOwner_HoldLimitMs(runner, now_ms) > 0) {
+        runner->hold_limited = false;
+    }
+    else if (runner->upstream.inventoried) {
+        report_hold_limited(runner);
+    }
+}
+
+void
+RunnerAudit_OnHoldExpired(Runner *runner, const Runner_Task *row)
+{
+    if (row->unwanted_ms != 0) {
+        report_hold_limited(runner);
     }
-    runner->hold_limited = limited;
 }
 
 void
--- a/lease/runner_owners.c
+++ b/lease/runner_owners.c
@@ -40,10 +40,11 @@
 RunnerOwner_Extend(Runner *runner, int64_t now_ms, const lc_node *node,
                    int64_t until_ms)
 {
-    Runner_Owner *row = RunnerOwner_Find(runner, node);
     Runner_Owner fresh = {.node = *node};
+    Runner_Owner *row;
 
     RunnerTask_StopExpired(runner, now_ms);
+    row = RunnerOwner_Find(runner, node);
 
     if (row == NULL) {
         g_array_append_val(runner->owners, fresh);
--- a/lease/runner_poll.c
+++ b/lease/runner_poll.c
@@ -77,17 +77,23 @@
     runner->hold_until_ms = 0;
 }
 
+static void
+shift_time(int64_t *time_ms, int64_t by_ms)
+{
+    if (*time_ms > 0) {
+        *time_ms += by_ms;
+    }
+}
+
 void
 RunnerPoll_ShiftHold(Runner *runner, int64_t ms)
 {
     uint32_t i;
 
     for (i = 0; i < runner->poll_count; i++) {
-        runner->polls[i].hold_until_ms += runner->polls[i].hold_until_ms > 0
-                                              ? ms
-                                              : 0;
+        shift_time(&runner->polls[i].hold_until_ms, ms);
     }
-    runner->sent_hold_ms += runner->sent_hold_ms > 0 ? ms : 0;
+    shift_time(&runner->sent_hold_ms, ms);
     update_hold(runner);
 }
 
@@ -252,6 +258,9 @@
     if (row == NULL || row->state == TASK_ENDED) {
         return;
     }
+    if (ended->end == RUNNER_END_HOLD_EXPIRED) {
+        RunnerAudit_OnHoldExpired(runner, row);
+    }
     row->ran_ms = (uint32_t)(now_ms - row->ordered_ms);
     record_outcome(runner, now_ms, row, ended->end);
     RunnerTask_End(runner, now_ms, row, status_of_end(row, ended->end));
--- a/lease/runner_state.h
+++ b/lease/runner_state.h
@@ -74,8 +74,7 @@
     lc_node node;
     int64_t until_ms;
     uint32_t running;
-    bool runs_stopped; /* its lease has ended, and its runs are being stopped
-                        */
+    bool runs_stopped; /* since its lease has ended */
 } Runner_Owner;
 
 /* State of the upstream of this companion, as far as known. */
@@ -314,6 +313,9 @@
  * stops are unanswered. */
 void RunnerAudit_CheckHoldLimit(Runner *runner, int64_t now_ms);
 
+/** Logs the same for a run that has ended with the hold. */
+void RunnerAudit_OnHoldExpired(Runner *runner, const Runner_Task *row);
+
 /** Logs a listed run that no active task stands for. @p row is its ended task,
  * or NULL. */
 void RunnerAudit_OnUnknownRun(Runner *runner, int64_t now_ms,
--- a/lease/runner_tasks.c
+++ b/lease/runner_tasks.c
@@ -144,7 +144,9 @@
         row->unwanted_ms = since_ms;
         runner->unwanted_tasks++;
     }
-    row->unwanted_ms = MIN(row->unwanted_ms, since_ms);
+    else {
+        row->unwanted_ms = MIN(row->unwanted_ms, since_ms);
+    }
 }
 
 void
--- a/tests/run_past_lease_rules.c
+++ b/tests/run_past_lease_rules.c
@@ -202,6 +202,36 @@
     Runner_Free(fix->runner);
 }
 
+/* The upstream ends all its runs as the hold ends: operators are told why,
+ * also if the poll in flight tells of it. */
+static void
+test_hold_that_ends_is_told(void)
+{
+    Runner_EndedRun ends[] = {
+        {.number = 1,
+         .id = RunnerFix_Run(OTHER_JOB, 1),
+         .end = RUNNER_END_HOLD_EXPIRED},
+        {.number = 2,
+         .id = RunnerFix_Run(FIRST_JOB, 1),
+         .end = RUNNER_END_HOLD_EXPIRED},
+    };
+    upstream_play play;
+    runner_fixture *fix = &play.fix;
+    const uint64_t *counts;
+
+    begin_play(&play);
+    counts = Runner_Counters(fix->runner)->value;
+    start_run(&play, other_owner, OTHER_JOB);
+    start_run(&play, fix->owner, FIRST_JOB);
+    answer_poll(&play);
+    RunnerFix_CallHalt(fix, FIRST_JOB, 1);
+    fix->now_ms += LeaseFix_Timing().hold_ms;
+    g_assert_cmpuint(counts[COUNTER_HOLDS_LIMITED], ==, 0);
+    RunnerFix_AnswerPoll(fix, NULL, 0, ends, G_N_ELEMENTS(ends));
+    g_assert_cmpuint(counts[COUNTER_HOLDS_LIMITED], ==, 1);
+    Runner_Free(fix->runner);
+}
+
 /* Nothing is started that could not be held, and everything goes on as soon as
  * the run is over. */
 static void
@@ -621,8 +651,6 @@
      test_unsent_polls_extend_no_hold},
     {"/run_past_lease/run_ends_with_the_delivered_hold",
      test_run_ends_with_the_delivered_hold},
-    {"/run_past_lease/waiting_polls_are_written_in_the_hold",
-     test_waiting_polls_are_written_in_the_hold},
     {"/run_past_lease/long_listing_does_not_close_the_upstream",
      test_long_listing_does_not_close_the_upstream},
     {"/run_past_lease/transferred_run_goes_on", test_transferred_run_goes_on},
@@ -642,6 +670,9 @@
      test_no_lease_keeps_a_halted_run},
     {"/run_past_lease/renewal_revives_no_run", test_renewal_revives_no_run},
     {"/run_past_lease/halt_of_a_stopping_run", test_halt_of_a_stopping_run},
+    {"/run_past_lease/waiting_polls_are_written_in_the_hold",
+     test_waiting_polls_are_written_in_the_hold},
+    {"/run_past_lease/hold_that_ends_is_told", test_hold_that_ends_is_told},
     {"/run_past_lease/other_owner_goes_on_afterwards",
      test_other_owner_goes_on_afterwards},
 };
