--- a/lease/runner_poll.c
+++ b/lease/runner_poll.c
@@ -77,17 +77,23 @@
     runner->hold_until_ms = 0;
 }
 
+static void
+shift_time(int64_t *time_ms, int64_t by_ms)
+{
+    if (*time_ms > 0) {
+        *time_ms += by_ms;
+    }
+}
+
 void
 RunnerPoll_ShiftHold(Runner *runner, int64_t ms)
 {
     uint32_t i;
 
     for (i = 0; i < runner->poll_count; i++) {
-        runner->polls[i].hold_until_ms += runner->polls[i].hold_until_ms > 0
-                                              ? ms
-                                              : 0;
+        shift_time(&runner->polls[i].hold_until_ms, ms);
     }
-    runner->sent_hold_ms += runner->sent_hold_ms > 0 ? ms : 0;
+    shift_time(&runner->sent_hold_ms, ms);
     update_hold(runner);
 }
 
@@ -95,8 +101,9 @@
 static uint32_t
 wait_ms(const Runner *runner)
 {
-    if (runner->active_tasks == 0 || runner->consecutive_misses > 0 ||
-        runner->candidate.pending) {
+    bool runs = runner->active_tasks > 0 || runner->unknown_since_ms != 0;
+
+    if (!runs || runner->consecutive_misses > 0 || runner->candidate.pending) {
         return 0;
     }
     return RtoEstimator_IsLossy(&runner->rto) ? POLL_WAIT_LOSSY_MS
@@ -150,10 +157,10 @@
     return due_ms;
 }
 
-/* The hold is extended only while it may be in force. Once it has expired, the
- * runs that it kept are over; a run that goes on is one of another
- * incarnation, on whose clock the deadline means nothing. Returns the time to
- * which the poll extends the hold, or 0. */
+/* The hold is extended only while it may be in force, whatever becomes of the
+ * pending polls. Once it has expired, the runs that it kept are over; a run
+ * that goes on is one of another incarnation, on whose clock the deadline
+ * means nothing. Returns the time to which the poll extends the hold, or 0. */
 static int64_t
 extend_hold(Runner *runner, int64_t now_ms, Runner_Poll *poll)
 {
@@ -163,11 +170,11 @@
 
     RunnerAudit_CheckHoldLimit(runner, now_ms);
     if (ahead <= 0 || runner->upstream.clock_ms <= 0 ||
-        now_ms > runner->hold_until_ms) {
+        now_ms > runner->sent_hold_ms) {
         return 0;
     }
     poll->deadline_ms = RunnerUpstream_Clock(runner, now_ms) + ahead;
-    poll->send_by_ms = runner->hold_until_ms;
+    poll->send_by_ms = runner->sent_hold_ms;
     return now_ms + LeaseTiming_MaxHoldMs(ahead);
 }
 
@@ -251,6 +258,9 @@
     if (row == NULL || row->state == TASK_ENDED) {
         return;
     }
+    if (ended->end == RUNNER_END_HOLD_EXPIRED) {
+        RunnerAudit_OnHoldExpired(runner, row);
+    }
     row->ran_ms = (uint32_t)(now_ms - row->ordered_ms);
     record_outcome(runner, now_ms, row, ended->end);
     RunnerTask_End(runner, now_ms, row, status_of_end(row, ended->end));
@@ -523,10 +533,9 @@
     }
 }
 
-/* Removes a poll from the pending ones. One that was abandoned has not
- * extended the hold. */
+/* Removes a poll from the pending ones; @p sent as in drop_poll. */
 static bool
-remove_poll(Runner *runner, uint64_t poll_id, bool abandoned,
+remove_poll(Runner *runner, uint64_t poll_id, bool sent,
             Runner_PendingPoll *poll)
 {
     uint32_t i;
@@ -534,7 +543,7 @@
     for (i = 0; i < runner->poll_count; i++) {
         if (runner->polls[i].id == poll_id) {
             *poll = runner->polls[i];
-            drop_poll(runner, i, !abandoned);
+            drop_poll(runner, i, sent);
             return true;
         }
     }
@@ -545,11 +554,12 @@
 Runner_OnPollAnswer(Runner *runner, int64_t now_ms, uint64_t poll_id,
                     const Runner_PollAnswer *listing)
 {
+    bool sent = listing->end != RUNNER_ORDER_ABANDONED &&
+                listing->end != RUNNER_ORDER_UNSENT;
     Runner_PendingPoll poll;
 
     RunnerAudit_CountOrder(runner, RUNNER_ORDER_POLL, listing->end);
-    if (!remove_poll(runner, poll_id, listing->end == RUNNER_ORDER_ABANDONED,
-                     &poll)) {
+    if (!remove_poll(runner, poll_id, sent, &poll)) {
         return;
     }
     switch (listing->end) {
