Simulation: a frozen node handles its input in the order of its arrival

Each message of a frozen node waited by itself until the end of the freeze that was known when it arrived. With two overlapping freezes of one entry, a caller's disconnect was handled before its earlier submission; the entry then started a job whose caller had left and submitted it elsewhere. One connection cannot deliver them so.

Now the input of a frozen node is one queue, and a freeze does not shorten one in force. The checks are unchanged.

--- a/tests/lease_sim.cc
+++ b/tests/lease_sim.cc
@@ -33,10 +33,10 @@
         kill_companion(companion, length / 4);
         break;
     case Fault::FreezeEntry:
-        entries[entry].frozen_until = until;
+        freeze(&entries[entry], until);
         break;
     case Fault::FreezeCompanion:
-        companions[companion].frozen_until = until;
+        freeze(&companions[companion], until);
         break;
     case Fault::CutPair:
         link.cut_until = until;
--- a/tests/lease_sim_nodes.cc
+++ b/tests/lease_sim_nodes.cc
@@ -14,24 +14,76 @@
 
 /* ---- scheduling of nodes ---- */
 
-/* Runs @p run on the entry, after its freeze if it is frozen; drops it if the
- * entry is down or restarts before. */
 void
-Simulation::when_thawed(EntryNode *entry, std::function<void()> run)
+Simulation::freeze(EntryNode *entry, int64_t until)
 {
-    uint64_t boot_id = entry->boot_id;
+    entry->frozen_until = std::max(entry->frozen_until, until);
+}
 
-    if (!entry->alive) {
+void
+Simulation::freeze(CompanionNode *companion, int64_t until)
+{
+    companion->frozen_until = std::max(companion->frozen_until, until);
+}
+
+/* Input of a frozen node is handled in the order of its arrival, as a
+ * connection delivers it. */
+template <typename Node>
+void
+Simulation::handle_in_order(Node *node, std::function<void()> run)
+{
+    if (!node->alive) {
         return;
     }
-    if (entry->frozen_until > now) {
-        schedule(entry->frozen_until, [this, entry, boot_id, run] {
-            if (entry->boot_id == boot_id) {
-                when_thawed(entry, run);
-            }
-        });
+    if (node->frozen_until <= now && node->input.empty()) {
+        handle(node, run);
         return;
     }
+    if (node->input.empty()) {
+        schedule_thaw(node);
+    }
+    node->input.push_back(std::move(run));
+}
+
+template <typename Node>
+void
+Simulation::schedule_thaw(Node *node)
+{
+    uint64_t boot_id = node->boot_id;
+
+    schedule(node->frozen_until, [this, node, boot_id] {
+        if (node->boot_id != boot_id) {
+            return;
+        }
+        if (node->frozen_until > now) {
+            schedule_thaw(node);
+            return;
+        }
+        while (!node->input.empty()) {
+            std::function<void()> run = std::move(node->input.front());
+            node->input.pop_front();
+            handle(node, run);
+        }
+    });
+}
+
+/* Runs @p run on the entry, after its freeze if it is frozen; drops it if the
+ * entry is down or restarts before. */
+void
+Simulation::when_thawed(EntryNode *entry, std::function<void()> run)
+{
+    handle_in_order(entry, std::move(run));
+}
+
+void
+Simulation::when_thawed(CompanionNode *companion, std::function<void()> run)
+{
+    handle_in_order(companion, std::move(run));
+}
+
+void
+Simulation::handle(EntryNode *entry, const std::function<void()> &run)
+{
     pause_after_stall(entry);
     run();
     Dispatcher_DispatchWaiting(entry->dispatcher, now);
@@ -58,21 +110,8 @@
 }
 
 void
-Simulation::when_thawed(CompanionNode *companion, std::function<void()> run)
+Simulation::handle(CompanionNode *companion, const std::function<void()> &run)
 {
-    uint64_t boot_id = companion->boot_id;
-
-    if (!companion->alive) {
-        return;
-    }
-    if (companion->frozen_until > now) {
-        schedule(companion->frozen_until, [this, companion, boot_id, run] {
-            if (companion->boot_id == boot_id) {
-                when_thawed(companion, run);
-            }
-        });
-        return;
-    }
     if (companion->suspended_ms > 0) {
         Runner_OnSuspended(companion->runner, now, companion->suspended_ms);
         companion->suspended_ms = 0;
@@ -328,6 +367,7 @@
     }
     entry->alive = false;
     entry->boot_id++;
+    entry->input.clear();
     DurableJobs_Free(entry->durable_jobs);
     entry->durable_jobs = nullptr;
     Dispatcher_Free(entry->dispatcher);
@@ -388,6 +428,7 @@
     }
     companion->alive = false;
     companion->boot_id++;
+    companion->input.clear();
     Runner_Free(companion->runner);
     companion->runner = nullptr;
     for (uint32_t i = 0; i < plan.entries; i++) {
--- a/tests/lease_sim_state.h
+++ b/tests/lease_sim_state.h
@@ -8,6 +8,7 @@
 #ifndef LC_TESTS_LEASE_SIM_STATE_H
 #define LC_TESTS_LEASE_SIM_STATE_H
 
+#include <deque>
 #include <tuple>
 
 #include "tests/lease_sim.h"
@@ -160,6 +161,7 @@
     DurableJobs *durable_jobs = nullptr;
     LogClient log_client;
     int64_t frozen_until = 0;
+    std::deque<std::function<void()>> input; /* while it is frozen */
     bool alive = false;
     uint64_t boot_id = 0;  /* events of an earlier boot are dropped */
     int64_t active_ms = 0; /* when it last ran */
@@ -171,6 +173,7 @@
     lc_node node;
     Runner *runner = nullptr;
     int64_t frozen_until = 0;
+    std::deque<std::function<void()>> input; /* while it is frozen */
     int64_t suspended_ms = 0; /* not yet reported to its runner */
     int64_t started_ms = 0;
     std::string hall;
@@ -346,8 +349,15 @@
     void tick_entry(uint32_t index, uint64_t boot_id);
     void tick_companion(uint32_t index, uint64_t boot_id);
     void pause_after_stall(EntryNode *entry);
+    void freeze(EntryNode *entry, int64_t until);
+    void freeze(CompanionNode *companion, int64_t until);
+    template <typename Node>
+    void handle_in_order(Node *node, std::function<void()> run);
+    template <typename Node> void schedule_thaw(Node *node);
     void when_thawed(EntryNode *entry, std::function<void()> run);
     void when_thawed(CompanionNode *companion, std::function<void()> run);
+    void handle(EntryNode *entry, const std::function<void()> &run);
+    void handle(CompanionNode *companion, const std::function<void()> &run);
     void schedule_overdue_check(CompanionNode *companion);
     void send_to_companion(uint32_t entry, uint32_t companion,
                            EncodedCall message);
