Simulation: stops unanswered while polls and starts are answered

The simulation never found that other owners' holds keep a run past its lease. From its code: LateOrders hits each order with one chance in three by itself, so that all of some seven copies of a stop are hardly ever late; it hits the polls that extend the hold as well; and tasks take 60 to 900 ms, so that a run whose stop is lost ends by itself before its caller submits the job again (1,300 ms), unless its upstream is slow or stuck at that time.

StopsUnanswered, the last fault, lets the stops of one companion time out: half are executed seconds later, the others never. A property of its own plays it with killed, frozen and cut entries and callers that disconnect; every third job of the time of faults has tasks that outlast the deadline of its caller.

Recorded plans keep their meaning.

--- a/tests/lease_sim.cc
+++ b/tests/lease_sim.cc
@@ -122,6 +122,9 @@
     case Fault::CrashingJob:
         make_crashing_job();
         break;
+    case Fault::StopsUnanswered:
+        stops_unanswered_until[companion] = until;
+        break;
     case Fault::Count:
         break;
     }
@@ -169,6 +172,7 @@
     entries.resize(plan.entries);
     companions.resize(plan.companions);
     orders_late_until.resize(plan.companions);
+    stops_unanswered_until.resize(plan.companions);
     store_cut_until.resize(plan.entries);
     gossip_cut_until.resize(plan.entries);
     entry_cut_direction.resize(plan.entries);
--- a/tests/lease_sim.h
+++ b/tests/lease_sim.h
@@ -56,8 +56,10 @@
     CloseHall,       /**< operators close a hall and reopen it */
     RestartUpstream, /**< it crashes and restarts under the same name */
     Suspend, /**< suspends the machine of a companion and its upstream */
-    ReduceCapacity, /**< an upstream has less capacity for a while */
-    CrashingJob,    /**< submits a job whose task crashes each upstream */
+    ReduceCapacity,  /**< an upstream has less capacity for a while */
+    CrashingJob,     /**< submits a job whose task crashes each upstream */
+    StopsUnanswered, /**< stops time out, half are executed seconds later, the
+                          others never; polls and starts are answered */
     Count
 };
 
@@ -80,6 +82,9 @@
     /** With the durable jobs this takes three quarters of the capacity. */
     int64_t job_every_ms = 72;
     int64_t durable_every_ms = 500; /**< durable jobs; 0 for none */
+    /** Some jobs submitted until length_ms outlast their callers' deadline,
+     * so that their runs end by a stop or with the hold. */
+    bool long_tasks = false;
     /** The first entry's link carries only a part of its jobs: it forwards
      * the others. */
     bool slow_link = false;
--- a/tests/lease_sim_callers.cc
+++ b/tests/lease_sim_callers.cc
@@ -4,6 +4,15 @@
 
 namespace lease {
 
+namespace {
+
+/* Duration of the tasks of every LONG_JOB_EVERY-th job in a plan with
+ * long_tasks: beyond DEADLINE_MS + RESUBMIT_MS. */
+const int64_t LONG_WORK_MS = 4000;
+const uint64_t LONG_JOB_EVERY = 3;
+
+} // namespace
+
 /* ---- callers ---- */
 
 void
@@ -16,6 +25,10 @@
     job.id = ++next_job;
     job.tasks = 1 + random_below(6);
     job.work_ms = works[random_below(5)];
+    if (plan.long_tasks && now < plan.length_ms &&
+        job.id % LONG_JOB_EVERY == 0) {
+        job.work_ms = LONG_WORK_MS;
+    }
     job.first_submit_ms = now;
     jobs[job.id] = job;
     report.jobs++;
--- a/tests/lease_sim_messages.cc
+++ b/tests/lease_sim_messages.cc
@@ -300,14 +300,17 @@
     act();
 }
 
+/* An order that is @p unanswered, or late, is executed after its timeout. */
 void
 Simulation::send_order(
-    CompanionNode *from, std::function<Runner_OrderResult()> act,
+    CompanionNode *from, bool unanswered,
+    std::function<Runner_OrderResult()> act,
     std::function<void(Runner_OrderResult, int64_t)> done_with)
 {
     Upstream *upstream = &upstreams[from->index];
     uint64_t boot_id = from->boot_id;
-    bool late = orders_late_until[from->index] > now && random_below(3) == 0;
+    bool late = unanswered ||
+                (orders_late_until[from->index] > now && random_below(3) == 0);
     int64_t delay = late ? 1000 + random_below(MAX_ORDER_DELAY_MS - 1000) : 0;
 
     if (!upstream->is_up()) {
@@ -366,7 +369,7 @@
     copy.spec = "";
     check_hall(index, copy.id);
     send_order(
-        from,
+        from, false,
         [this, upstream, index, copy, instance]() mutable {
             copy.instance = instance->c_str();
             Runner_OrderResult end = upstream->start(now, copy);
@@ -385,11 +388,14 @@
     Upstream *upstream = &upstreams[from->index];
     lc_run_id copy = *run;
     std::string instance = expected;
+    bool unanswered = stops_unanswered_until[from->index] > now;
+    bool lost = unanswered && random_below(2) == 0;
 
     send_order(
-        from,
-        [this, upstream, copy, instance, token] {
-            return upstream->stop(now, copy, instance, token);
+        from, unanswered,
+        [this, upstream, copy, instance, token, lost] {
+            return lost ? RUNNER_ORDER_UNANSWERED
+                        : upstream->stop(now, copy, instance, token);
         },
         [this, from, id](Runner_OrderResult end, int64_t clock) {
             Runner_OnStopped(from->runner, now, id, end, clock);
@@ -411,7 +417,7 @@
      * later. */
     copy.wait_ms = 0;
     send_order(
-        from,
+        from, false,
         [this, upstream, copy, instance, running, ended, born_ms]() mutable {
             copy.instance = instance->c_str();
             *born_ms = upstream->born();
--- a/tests/lease_sim_state.h
+++ b/tests/lease_sim_state.h
@@ -368,7 +368,7 @@
     void offer_delegates(EntryNode *entry);
     void fail_call(uint32_t entry, uint64_t boot_id, uint64_t call_id);
     void when_resumed(const Upstream *upstream, std::function<void()> act);
-    void send_order(CompanionNode *from,
+    void send_order(CompanionNode *from, bool unanswered,
                     std::function<Runner_OrderResult()> act,
                     std::function<void(Runner_OrderResult, int64_t)> done);
     void inject(const Action &action);
@@ -433,6 +433,7 @@
     std::vector<Upstream> upstreams;
     std::map<std::pair<uint32_t, uint32_t>, Link> links;
     std::vector<int64_t> orders_late_until;
+    std::vector<int64_t> stops_unanswered_until;
     std::map<uint64_t, CallerJob> jobs;
     std::map<uint64_t, Request> requests;
     /* By upstream. */
--- a/tests/prop_lease.cc
+++ b/tests/prop_lease.cc
@@ -1,8 +1,9 @@
 /*
  * Property tests of leased jobs over random schedules of faults. The seed
  * comes from RC_PARAMS (scripts/test.sh fixes it). LEASE_PLAN replays the plan
- * that a failed property printed; LEASE_HALLS=1 and LEASE_NARROW=1, if printed
- * with it, select its variant. LEASE_TRACE prints all events.
+ * that a failed property printed; LEASE_HALLS=1, LEASE_NARROW=1 and
+ * LEASE_LONG=1, if printed with it, select its variant. LEASE_TRACE prints all
+ * events.
  */
 
 #include <rapidcheck.h>
@@ -20,6 +21,11 @@
 const uint64_t MAX_SHARE_PERCENT = 150;
 /* In plans in which the first entry forwards jobs. */
 const int64_t SLOW_LINK_JOB_EVERY_MS = 60;
+/* In plans with long tasks, which keep upstreams busy for as long as their
+ * callers wait. */
+const int64_t LONG_TASKS_JOB_EVERY_MS = 200;
+/* The long jobs have had their last submission by the middle of this time. */
+const int64_t LONG_TASKS_QUIET_MS = 17000;
 
 uint64_t schedules;
 lease::Report total;
@@ -48,6 +54,7 @@
     std::string text = plan.expect_reopened_halls ? "LEASE_HALLS=1 " : "";
 
     text += plan.slow_link ? "LEASE_NARROW=1 " : "";
+    text += plan.long_tasks ? "LEASE_LONG=1 " : "";
 
     text += "LEASE_PLAN=\"" + std::to_string(plan.seed);
     for (const lease::Action &action : plan.actions) {
@@ -71,6 +78,15 @@
     plan->durable_every_ms = 0;
 }
 
+/* Jobs that outlast their callers' deadline, and fewer of them. */
+void
+use_long_tasks(lease::Plan *plan)
+{
+    plan->long_tasks = true;
+    plan->job_every_ms = LONG_TASKS_JOB_EVERY_MS;
+    plan->quiet_ms = LONG_TASKS_QUIET_MS;
+}
+
 lease::Plan
 parse(const char *text)
 {
@@ -83,6 +99,9 @@
     if (getenv("LEASE_NARROW") != nullptr) {
         use_slow_link(&plan);
     }
+    if (getenv("LEASE_LONG") != nullptr) {
+        use_long_tasks(&plan);
+    }
     in >> plan.seed;
     while (in >> fault >> action.at_ms >> action.length_ms >> action.target >>
            action.other) {
@@ -224,6 +243,34 @@
                  size);
 }
 
+/* Stops are unanswered while entries are killed, frozen or cut off and callers
+ * leave: runs that nobody keeps must end before their callers submit the job
+ * elsewhere, although other owners hold the same upstream. */
+void
+check_unanswered_stops(int size)
+{
+    lease::Plan plan;
+
+    use_long_tasks(&plan);
+    check_faults(plan,
+                 {
+                     lease::Fault::StopsUnanswered,
+                     lease::Fault::StopsUnanswered,
+                     lease::Fault::StopsUnanswered,
+                     lease::Fault::StopsUnanswered,
+                     lease::Fault::KillEntry,
+                     lease::Fault::KillEntry,
+                     lease::Fault::FreezeEntry,
+                     lease::Fault::CutPair,
+                     lease::Fault::CutLossy,
+                     lease::Fault::ResetPair,
+                     lease::Fault::CallerDisconnects,
+                     lease::Fault::CallerDisconnects,
+                     lease::Fault::Slow,
+                 },
+                 size);
+}
+
 /* Without other faults a job crashes two upstreams at most. */
 bool
 check_crashing_jobs()
@@ -398,6 +445,10 @@
     good &= rc::check("forwarded jobs, few faults", [] { check_forwards(4); });
     good &= rc::check("forwarded jobs, many faults",
                       [] { check_forwards(14); });
+    good &= rc::check("unanswered stops, few faults",
+                      [] { check_unanswered_stops(4); });
+    good &= rc::check("unanswered stops, many faults",
+                      [] { check_unanswered_stops(14); });
     good &= rc::check("equal upstreams share the work",
                       [] { check_shares(); });
     printf("%lu jobs forwarded, %lu accepted\n", (unsigned long)total.forwards,
