Simulation: do not count the runs of a machine that is suspended again

Runs at a suspended machine are not counted until some time after it resumes, but the count due after one suspension took place during the next. Each resumption still counts.

--- a/tests/lease_sim.cc
+++ b/tests/lease_sim.cc
@@ -155,9 +155,13 @@
     });
 }
 
+/* A machine that is suspended again is recounted when it has resumed. */
 void
 Simulation::recount_runs(uint32_t index)
 {
+    if (upstreams[index].suspended_until() > 0) {
+        return;
+    }
     for (auto &pair : upstreams[index].tasks()) {
         count_run(index, pair.second.id);
     }
