--- a/lease/runner_poll.c
+++ b/lease/runner_poll.c
@@ -157,10 +157,10 @@
     return due_ms;
 }
 
-/* The hold is extended only while it may be in force, whatever becomes of the
- * pending polls. Once it has expired, the runs that it kept are over; a run
- * that goes on is one of another incarnation, on whose clock the deadline
- * means nothing. Returns the time to which the poll extends the hold, or 0. */
+/* The hold is extended only while it may be in force. Once it has expired, the
+ * runs that it kept are over; a run that goes on is one of another
+ * incarnation, on whose clock the deadline means nothing. Returns the time to
+ * which the poll extends the hold, or 0. */
 static int64_t
 extend_hold(Runner *runner, int64_t now_ms, Runner_Poll *poll)
 {
@@ -170,11 +170,11 @@
 
     RunnerAudit_CheckHoldLimit(runner, now_ms);
     if (ahead <= 0 || runner->upstream.clock_ms <= 0 ||
-        now_ms > runner->sent_hold_ms) {
+        now_ms > runner->hold_until_ms) {
         return 0;
     }
     poll->deadline_ms = RunnerUpstream_Clock(runner, now_ms) + ahead;
-    poll->send_by_ms = runner->sent_hold_ms;
+    poll->send_by_ms = runner->hold_until_ms;
     return now_ms + LeaseTiming_MaxHoldMs(ahead);
 }
 
