--- a/tests/lease_sim.cc
+++ b/tests/lease_sim.cc
@@ -33,10 +33,10 @@
         kill_companion(companion, length / 4);
         break;
     case Fault::FreezeEntry:
-        entries[entry].frozen_until = until;
+        freeze(&entries[entry], until);
         break;
     case Fault::FreezeCompanion:
-        companions[companion].frozen_until = until;
+        freeze(&companions[companion], until);
         break;
     case Fault::CutPair:
         link.cut_until = until;
@@ -122,6 +122,9 @@
     case Fault::CrashingJob:
         make_crashing_job();
         break;
+    case Fault::StopsUnanswered:
+        stops_unanswered_until[companion] = until;
+        break;
     case Fault::Count:
         break;
     }
@@ -152,9 +155,13 @@
     });
 }
 
+/* A machine that is suspended again is recounted when it has resumed. */
 void
 Simulation::recount_runs(uint32_t index)
 {
+    if (upstreams[index].suspended_until() > 0) {
+        return;
+    }
     for (auto &pair : upstreams[index].tasks()) {
         count_run(index, pair.second.id);
     }
@@ -169,6 +176,7 @@
     entries.resize(plan.entries);
     companions.resize(plan.companions);
     orders_late_until.resize(plan.companions);
+    stops_unanswered_until.resize(plan.companions);
     store_cut_until.resize(plan.entries);
     gossip_cut_until.resize(plan.entries);
     entry_cut_direction.resize(plan.entries);
