--- a/lease/runner_audit.c
+++ b/lease/runner_audit.c
@@ -78,10 +78,9 @@
     runner->hold_limited = true;
     Counter_Add(&runner->counters, COUNTER_HOLDS_LIMITED, 1);
     g_snprintf(text, sizeof(text),
-               "%u halted or expired runs%s, stops unanswered for %" PRId64
-               " ms",
-               runner->unwanted_tasks,
-               runner->unknown_since_ms != 0 ? " and unknown ones" : "",
+               "%s not known to be over %" PRId64 " ms after they should end",
+               runner->unknown_since_ms != 0 ? "unknown runs"
+                                             : "halted or expired runs",
                runner->config.timing.hold_ms);
     RunnerUpstream_Log(runner, EVENT_HOLD_LIMITED, text);
 }
