--- a/lease/runner_owners.c
+++ b/lease/runner_owners.c
@@ -56,8 +56,8 @@
     return row;
 }
 
-/* Start of the oldest time from which on a run has been unwanted, or
- * INT64_MAX. A lease may have ended since the last tick. */
+/* Earliest time since which a run has been unwanted, or INT64_MAX. A lease may
+ * have ended since the last tick. */
 static int64_t
 unwanted_since_ms(const Runner *runner, int64_t now_ms)
 {
