--- a/lease/runner_state.h
+++ b/lease/runner_state.h
@@ -271,9 +271,9 @@
 
 /** Sends the start of a task. Its deadline on the upstream is at
  * @p lease_until_ms at the latest, and within RunnerOwner_HoldLimitMs, as it
- * extends the hold. No copy is sent after the deadline: an
- * incarnation that has restarted under the same name would execute it, as the
- * deadline means nothing on its clock. */
+ * extends the hold. No copy is sent after the deadline: an incarnation that
+ * has restarted under the same name would execute it, as the deadline means
+ * nothing on its clock. */
 void RunnerOrder_Start(Runner *runner, int64_t now_ms, Runner_Task *row,
                        int64_t lease_until_ms);
 
--- a/tests/upstream_model.cc
+++ b/tests/upstream_model.cc
@@ -106,9 +106,6 @@
     std::map<TaskKey, RunningTask> lost = running;
 
     for (auto &pair : lost) {
-        if (on_run_crashed) {
-            on_run_crashed(pair.second.id);
-        }
         on_end(pair.second.id, RUNNER_END_HOLD_EXPIRED);
     }
     running.clear();
