--- a/base/counter.h
+++ b/base/counter.h
@@ -42,6 +42,9 @@
     X(RUNS_PAST_LEASE, "runs_past_lease")                                     \
     X(HOLDS_LIMITED, "holds_limited")                                         \
     X(RUNS_UNKNOWN, "runs_unknown")                                           \
+    X(LATE_STARTS, "late_starts")                                             \
+    X(TASKS_BOUND, "tasks_bound")                                             \
+    X(JOBS_BLOCKED, "jobs_blocked")                                           \
     X(RECORDS_APPLIED, "records_applied")                                     \
     X(RECORDS_SKIPPED, "records_skipped")                                     \
     X(VIEWS_APPLIED, "views_applied")                                         \
--- a/daemon/leased_companion.c
+++ b/daemon/leased_companion.c
@@ -226,6 +226,16 @@
                                 REPORT_IDLE_MIN_MS, REPORT_IDLE_MAX_MS);
 }
 
+/* Whether an entry has yet to confirm the list of late starts. */
+static bool
+needs_late_starts(const leased_companion *self, int64_t now,
+                  const Peers_Row *peer)
+{
+    uint32_t version = Runner_LateStartsVersion(self->runner, now);
+
+    return version != 0 && peer->late_starts_version != version;
+}
+
 static void
 send_report(leased_companion *self, int64_t now, Peers_Row *peer)
 {
@@ -237,6 +247,10 @@
     call.u.report.hall = (char *)(uintptr_t)self->process.options->hall;
     call.u.report.next_ms = (u_int)idle_interval_ms(self);
     call.u.report.known = self->peers.list_digest;
+    if (!needs_late_starts(self, now, peer)) {
+        call.u.report.late_starts_version = 0;
+        call.u.report.late_starts.late_starts_len = 0;
+    }
     peer->call_id = ++self->last_call_id;
     peer->call_sent_ms = now;
     peer->version_in_flight = Runner_Version(self->runner);
@@ -262,6 +276,15 @@
                : peer->report_interval_ms;
 }
 
+/* While late starts are listed, all entries get reports, as callers may submit
+ * the jobs at any of them; those outside the view only the list, and reports
+ * at the interval without changes. */
+static bool
+gets_reports(const leased_companion *self, int64_t now, const Peers_Row *peer)
+{
+    return peer->chosen || Runner_LateStartsVersion(self->runner, now) != 0;
+}
+
 /* Time in ms until the next report to a peer: 0 for now, -1 if no timer is
  * needed, as a tick or the answer of an open call triggers it. */
 static int64_t
@@ -271,13 +294,17 @@
     int64_t interval = report_interval_ms(self, peer);
     int64_t since = now - peer->call_sent_ms;
 
-    if (peer->call_id != 0 || !peer->chosen) {
+    if (peer->call_id != 0 || !gets_reports(self, now, peer)) {
         return -1;
     }
     if (!Peers_IsLive(peer, now)) {
         return since >= Peers_CallTimeoutMs(peer, now) ? 0 : -1;
     }
-    if (peer->confirmed_version == Runner_Version(self->runner)) {
+    if (needs_late_starts(self, now, peer)) {
+        return MAX((int64_t)peer->report_interval_ms - since, 0);
+    }
+    if (!peer->chosen ||
+        peer->confirmed_version == Runner_Version(self->runner)) {
         return since >= idle_interval_ms(self) ? 0 : -1;
     }
     return since >= interval ? 0 : interval - since;
@@ -286,13 +313,14 @@
 /* Closes the connections to entries that get no reports any more, so that an
  * entry holds only connections of companions that report to it. */
 static void
-close_unselected(const leased_companion *self)
+close_unselected(const leased_companion *self, int64_t now)
 {
     guint i;
 
     for (i = 0; i < self->peers.rows->len; i++) {
         Peers_Row *peer = g_ptr_array_index(self->peers.rows, i);
-        if (!peer->chosen && peer->connected && peer->call_id == 0) {
+        if (!gets_reports(self, now, peer) && peer->connected &&
+            peer->call_id == 0) {
             peer->connected = false;
             Rpc_Disconnect(self->process.rpc, peer->address);
         }
@@ -306,7 +334,7 @@
     self->left_out = PartialView_Choose(
         &self->peers, now, self->process.options->rpc,
         self->process.options->hall, now < self->report_all_until_ms);
-    close_unselected(self);
+    close_unselected(self, now);
 }
 
 static void
@@ -367,6 +395,7 @@
                          &result->closures, Address_Text(peer->address));
     peer->confirmed_version = peer->version_in_flight;
     peer->report_interval_ms = result->gap_ms;
+    peer->late_starts_version = result->late_starts_version;
     if (Peers_MarkAlive(&self->peers, peer->address, now)) {
         Event_Log(EVENT_PEER_FOUND, "%s", Address_Text(peer->address));
     }
--- a/daemon/leased_entry.c
+++ b/daemon/leased_entry.c
@@ -222,6 +222,7 @@
     Msg_Reply reply = {.kind = MSG_REPORT};
     GArray *live = LeasedGossip_LiveEntries(self);
 
+    apply_report(self, now, args);
     reply.u.report.entry = Dispatcher_Node(self->dispatcher);
     reply.u.report.gap_ms = Dispatcher_ReportIntervalMs(self->dispatcher);
     reply.u.report.hall = (char *)(uintptr_t)self->process.options->hall;
@@ -232,9 +233,10 @@
     }
     HallClosures_FillMessage(Dispatcher_Closures(self->dispatcher), now,
                              &reply.u.report.closures);
+    reply.u.report.late_starts_version = Dispatcher_LateStartsVersion(
+        self->dispatcher, &args->host.node);
     Process_PortReply(&self->process, reply_id, &reply);
     g_array_unref(live);
-    apply_report(self, now, args);
 }
 
 /* ---- the role ---- */
--- a/lease/active_job.c
+++ b/lease/active_job.c
@@ -140,6 +140,19 @@
     return now_ms < task->bound_until_ms;
 }
 
+bool
+Active_HasBound(const Active_Job *job, int64_t now_ms)
+{
+    uint32_t i;
+
+    for (i = 0; i < job->task_count; i++) {
+        if (Active_IsBound(&job->tasks[i], now_ms)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 void
 Active_Bind(Active_Task *task, int64_t now_ms, Address address,
             int64_t until_ms)
--- a/lease/active_job.h
+++ b/lease/active_job.h
@@ -119,6 +119,9 @@
 /** Whether a task is bound to one companion, or may be started at none. */
 bool Active_IsBound(const Active_Task *task, int64_t now_ms);
 
+/** Whether a task of the job is bound. */
+bool Active_HasBound(const Active_Job *job, int64_t now_ms);
+
 /** Whether all tasks are done. */
 bool Active_IsDone(const Active_Job *job);
 
--- a/lease/dispatcher.c
+++ b/lease/dispatcher.c
@@ -24,6 +24,7 @@
     self->origin_replies = g_hash_table_new_full(g_int64_hash, g_int64_equal,
                                                  g_free, g_free);
     HallClosures_Init(&self->closures, now_ms);
+    self->late_starts = LateStarts_New();
     LinkBudget_Init(&self->link, now_ms, config->link_mbps);
     QueueStats_Init(&self->stats);
     self->jobs = Handle_NewTable();
@@ -58,6 +59,7 @@
     g_ptr_array_unref(self->origins);
     g_hash_table_unref(self->origin_replies);
     HallClosures_Clear(&self->closures);
+    LateStarts_Free(self->late_starts);
     QueueStats_Clear(&self->stats);
     g_free(self);
 }
@@ -180,6 +182,10 @@
     job->handle = Handle_Add(self->jobs, job);
     g_hash_table_insert(self->by_id, &job->spec.id, job);
     Dispatcher_AttachRequest(self, job, submit->request_id);
+    DispatcherLateStart_BindJob(self, now_ms, job);
+    if (DispatcherLateStart_EndIfBlocked(self, now_ms, job)) {
+        return;
+    }
     Reserve_RecordJob(&self->reserve, now_ms, job->priority, job->task_count);
     self->dispatch_pending = true;
 }
@@ -391,6 +397,9 @@
         DispatcherCompletion_GiveUp(self, now_ms, job, ERR_STOPPING,
                                     "this entry is being stopped");
     }
+    else if (DispatcherLateStart_EndIfBlocked(self, now_ms, job)) {
+        return;
+    }
     else if (cannot_finish_in_time(job, now_ms)) {
         DispatcherCompletion_GiveUp(
             self, now_ms, job, ERR_DEADLINE,
@@ -432,6 +441,7 @@
     uint32_t i;
 
     DispatcherLink_LogChange(self, now_ms);
+    LateStarts_RemoveExpired(self->late_starts, now_ms);
     DispatcherOrigin_Tick(self, now_ms);
     DispatcherForward_Tick(self, now_ms);
     for (i = 0; i < Handle_RowCount(self->jobs); i++) {
@@ -473,6 +483,7 @@
         "levercove_companions_open %u\n"
         "levercove_companions_well %u\n"
         "levercove_reserve_tasks %u\n"
+        "levercove_late_start_lists %u\n"
         "levercove_link_bytes_per_second %lld\n"
         "levercove_link_usable_bytes_per_second %lld\n"
         "levercove_link_short %d\n"
@@ -480,7 +491,8 @@
         Handle_ItemCount(self->jobs), self->fleet.hosts->len,
         Dispatcher_SchedulableHosts(self, now_ms),
         Dispatcher_HealthyHosts(self, now_ms),
-        Reserve_TaskCount(&self->reserve, now_ms), (long long)self->link.rate,
+        Reserve_TaskCount(&self->reserve, now_ms),
+        LateStarts_ListCount(self->late_starts), (long long)self->link.rate,
         (long long)self->link.bytes_per_s,
         LinkBudget_IsCongested(&self->link, now_ms),
         (unsigned long long)self->link.waits);
--- a/lease/dispatcher.h
+++ b/lease/dispatcher.h
@@ -177,6 +177,10 @@
 void Dispatcher_OnReport(Dispatcher *self, int64_t now_ms,
                          const lc_report_args *report);
 
+/** Version of the list of late starts known from a companion; 0 if none. */
+uint32_t Dispatcher_LateStartsVersion(const Dispatcher *self,
+                                      const lc_node *companion);
+
 /** Merges the list of halls closed by operators as received from @p source;
  * see HallClosures_Merge for @p requested_ms. */
 void Dispatcher_MergeClosures(Dispatcher *self, int64_t now_ms,
--- a/lease/dispatcher_hosts.c
+++ b/lease/dispatcher_hosts.c
@@ -92,6 +92,7 @@
     Dispatcher_MergeClosures(self, now_ms, HALL_CLOSURES_UNSOLICITED,
                              &report->closures,
                              Address_Text(report->host.node.address));
+    DispatcherLateStart_OnReport(self, now_ms, report);
     if (change == FLEET_STALE) {
         return;
     }
--- /dev/null
+++ b/lease/dispatcher_late_starts.c
@@ -0,0 +1,125 @@
+/*
+ * Late starts of leased jobs. A caller whose entry is gone, or that has hung
+ * up, submits its job again at any entry, while an upstream that restarts
+ * under its name may still execute a start of the first submission. Companions
+ * list such starts in their reports. The task is then started at that
+ * companion alone: there the upstream executes one of its runs at most, and a
+ * restarted upstream is found empty before it gets new starts.
+ */
+#include "base/address.h"
+#include "lease/dispatcher_state.h"
+#include "lease/host_choice.h"
+#include "lease/run_id.h"
+
+/* A task started at the companion needs a higher run number than the start
+ * that may be late, which the upstream then refuses. */
+static void
+bind_task(Dispatcher *self, int64_t now_ms, const Active_Job *job,
+          Active_Task *task, const LateStart *late)
+{
+    if (task->done || now_ms >= late->until_ms) {
+        return;
+    }
+    Active_Bind(task, now_ms, late->companion.address, late->until_ms);
+    if (!DispatcherCompletion_IsInFlight(task)) {
+        task->id.run = MAX(task->id.run, late->id.run);
+    }
+    JobTrace_Add(job->trace, now_ms, JOB_TRACE_BOUND, &late->id,
+                 late->companion.address, (int32_t)(late->until_ms - now_ms));
+    Counter_Add(&self->counters, COUNTER_TASKS_BOUND, 1);
+}
+
+void
+DispatcherLateStart_BindJob(Dispatcher *self, int64_t now_ms, Active_Job *job)
+{
+    const GArray *rows = LateStarts_OfJob(self->late_starts, job->spec.id);
+    guint i;
+    uint32_t j;
+
+    for (i = 0; rows != NULL && i < rows->len; i++) {
+        const LateStart *late = &g_array_index(rows, LateStart, i);
+        for (j = 0; j < job->task_count; j++) {
+            if (RunId_SameTask(&job->tasks[j].id, &late->id)) {
+                bind_task(self, now_ms, job, &job->tasks[j], late);
+            }
+        }
+    }
+}
+
+void
+DispatcherLateStart_OnReport(Dispatcher *self, int64_t now_ms,
+                             const lc_report_args *report)
+{
+    u_int i;
+
+    if (report->late_starts_version == 0 ||
+        !LateStarts_Replace(self->late_starts, now_ms, &report->host.node,
+                            report->late_starts_version,
+                            report->late_starts.late_starts_val,
+                            report->late_starts.late_starts_len)) {
+        return;
+    }
+    for (i = 0; i < report->late_starts.late_starts_len; i++) {
+        uint64_t id = report->late_starts.late_starts_val[i].id.job;
+        Active_Job *job = g_hash_table_lookup(self->by_id, &id);
+        if (job != NULL && !job->durable) {
+            DispatcherLateStart_BindJob(self, now_ms, job);
+        }
+    }
+}
+
+uint32_t
+Dispatcher_LateStartsVersion(const Dispatcher *self, const lc_node *companion)
+{
+    return LateStarts_Version(self->late_starts, companion);
+}
+
+/* Whether the companion's upstream is known to take no task now. One that is
+ * full or on trial takes it later. */
+static bool
+is_away(const Dispatcher *self, int64_t now_ms, Address address)
+{
+    const Fleet_Host *host = Fleet_Find(&self->fleet, address);
+
+    return host == NULL || host->closed || host->state == LC_UPSTREAM_ABSENT ||
+           host->state == LC_UPSTREAM_DRAINING ||
+           !HostChoice_IsLive(host, now_ms);
+}
+
+/* Returns a waiting task that can be started nowhere now, or NULL. */
+static const Active_Task *
+blocked_task(const Dispatcher *self, int64_t now_ms, const Active_Job *job)
+{
+    uint32_t i;
+
+    for (i = 0; i < job->task_count; i++) {
+        const Active_Task *task = &job->tasks[i];
+        if (task->state == ACTIVE_WAITING && Active_IsBound(task, now_ms) &&
+            is_away(self, now_ms, task->bound_to)) {
+            return task;
+        }
+    }
+    return NULL;
+}
+
+bool
+DispatcherLateStart_EndIfBlocked(Dispatcher *self, int64_t now_ms,
+                                 Active_Job *job)
+{
+    const Active_Task *task = blocked_task(self, now_ms, job);
+    Dispatcher_Answer answer = {
+        .outcome = Active_HasStarted(job) ? DISPATCHER_GIVEN_UP
+                                          : DISPATCHER_NOT_RUN,
+        .kind = ERR_UNSETTLED,
+        .message = "an upstream that takes no tasks now may still execute an "
+                   "earlier start of the job"};
+
+    if (task == NULL) {
+        return false;
+    }
+    answer.retry_ms = (uint32_t)MIN(task->bound_until_ms - now_ms,
+                                    DISPATCHER_RETRY_MS);
+    Counter_Add(&self->counters, COUNTER_JOBS_BLOCKED, 1);
+    DispatcherCompletion_EndJob(self, now_ms, job, &answer);
+    return true;
+}
--- a/lease/dispatcher_origin.c
+++ b/lease/dispatcher_origin.c
@@ -252,6 +252,8 @@
     Counter_Add(&self->counters, COUNTER_FORWARDS_TAKEN, 1);
     DispatcherLog_Origin(self, EVENT_FORWARD_TAKEN, row, "");
     self->dispatch_pending = true;
+    DispatcherLateStart_BindJob(self, now_ms, job);
+    DispatcherLateStart_EndIfBlocked(self, now_ms, job);
 }
 
 void
--- a/lease/dispatcher_replies.c
+++ b/lease/dispatcher_replies.c
@@ -88,7 +88,7 @@
 bind_to_late_start(int64_t now_ms, Active_Job *job, Active_Task *task,
                    uint32_t late_start_ms)
 {
-    if (!job->durable || late_start_ms == 0) {
+    if (late_start_ms == 0) {
         return;
     }
     Active_Bind(task, now_ms, task->host.address, now_ms + late_start_ms);
--- a/lease/dispatcher_state.h
+++ b/lease/dispatcher_state.h
@@ -17,6 +17,7 @@
 #include "lease/dispatcher.h"
 #include "lease/forward_choice.h"
 #include "lease/hall_closures.h"
+#include "lease/late_starts.h"
 #include "lease/link_budget.h"
 #include "lease/priority_reserve.h"
 #include "lease/queue_stats.h"
@@ -55,6 +56,7 @@
     QueueStats_Table stats;
     Fleet fleet;
     HallClosures closures;
+    LateStarts *late_starts;
     Reserve reserve;
     LinkBudget link;
     bool starts_wait_for_link; /* starts wait for the link */
@@ -310,6 +312,23 @@
 bool DispatcherCapacity_ExceedsAll(const Dispatcher *self, int64_t now_ms,
                                    const LeasedJob *job, const char *service);
 
+/* Late starts of leased jobs: dispatcher_late_starts.c. */
+
+/** Binds the tasks of a job to the companions whose upstreams may execute
+ * earlier starts of them. */
+void DispatcherLateStart_BindJob(Dispatcher *self, int64_t now_ms,
+                                 Active_Job *job);
+
+/** Applies a companion's list, also to open jobs. */
+void DispatcherLateStart_OnReport(Dispatcher *self, int64_t now_ms,
+                                  const lc_report_args *report);
+
+/** Ends a job if one of its waiting tasks is bound to a companion whose
+ * upstream takes no tasks, so that it can be started nowhere; returns whether
+ * it did. May free the job. */
+bool DispatcherLateStart_EndIfBlocked(Dispatcher *self, int64_t now_ms,
+                                      Active_Job *job);
+
 /* Closed halls: dispatcher_halls.c. */
 
 /** Updates whether a companion's hall is closed. */
--- a/lease/host_choice.c
+++ b/lease/host_choice.c
@@ -84,15 +84,16 @@
            expected_ms > remaining_ms && step->estimate_ms < remaining_ms;
 }
 
-/* Whether a bound task must not be started at a host. It also waits while its
- * own host is on trial, since a failure there would use up an attempt. */
+/* Whether a bound task must not be started at a host. A task of a durable job
+ * also waits while its own host is on trial, since a failure there would use
+ * up an attempt. */
 static bool
-is_bound_elsewhere(const HostChoice_Context *context, const Active_Task *task,
-                   const Fleet_Host *host)
+is_bound_elsewhere(const HostChoice_Context *context, const Active_Job *job,
+                   const Active_Task *task, const Fleet_Host *host)
 {
     return Active_IsBound(task, context->now_ms) &&
            (task->bound_to != host->node.address ||
-            host->state == LC_UPSTREAM_TRIAL);
+            (job->durable && host->state == LC_UPSTREAM_TRIAL));
 }
 
 static bool
@@ -102,7 +103,7 @@
     const LeasedJob_Step *step = Active_Step(job, task);
 
     if (!HostChoice_IsSchedulable(host, context->now_ms) ||
-        is_bound_elsewhere(context, task, host) ||
+        is_bound_elsewhere(context, job, task, host) ||
         !Resources_Fit(&step->need, &host->room) ||
         g_strcmp0(host->service, job->service) != 0 ||
         !Fleet_HasLabel(host, step->requirement)) {
--- a/lease/peers.h
+++ b/lease/peers.h
@@ -30,11 +30,12 @@
     int64_t last_sent_ms;   /**< when our state was last sent to it, by a call
                           or reply */
     uint64_t call_id;       /**< pending call, or 0 */
-    uint64_t confirmed_version;  /**< of our state that it confirmed */
-    uint64_t version_in_flight;  /**< version of our state in the pending
-                                    call */
-    uint32_t report_interval_ms; /**< least time between two reports to it, as
-                                  it asks, in ms */
+    uint64_t confirmed_version;   /**< of our state that it confirmed */
+    uint64_t version_in_flight;   /**< version of our state in the pending
+                                     call */
+    uint32_t late_starts_version; /**< of our late starts that it confirmed */
+    uint32_t report_interval_ms;  /**< least time between two reports to it, as
+                                   it asks, in ms */
     uint64_t digest;        /**< of the entries that it knows, from its last
                                message */
     bool last_sent_waiting; /**< the last message to it said that jobs wait
--- a/lease/runner.c
+++ b/lease/runner.c
@@ -26,6 +26,7 @@
     runner->orders = Handle_NewTable();
     runner->owners = g_array_new(FALSE, TRUE, sizeof(Runner_Owner));
     runner->fenced = g_array_new(FALSE, TRUE, sizeof(lc_node));
+    runner->late_starts = g_array_new(FALSE, TRUE, sizeof(lc_late_start));
     runner->token = config->first_token;
     runner->upstream.instance = g_strdup("");
     DeadIncarnations_Init(&runner->dead_incarnations);
@@ -51,6 +52,7 @@
     Handle_FreeTable(runner->by_handle);
     g_array_unref(runner->owners);
     g_array_unref(runner->fenced);
+    g_array_unref(runner->late_starts);
     RunnerUpstream_Clear(runner);
     HallClosures_Clear(&runner->closures);
     g_free(runner);
@@ -212,11 +214,10 @@
         !awaits_inventory(runner, args)) {
         row = add_tombstone(runner, now_ms, &args->owner, &args->id, status);
         if (args->valid_until_ms == LC_HOLD_NONE) {
-            RunnerDurable_AssumeCopies(runner, row, 1);
+            RunnerLateStart_AssumeCopies(runner, row, 1);
         }
     }
-    result.late_start_ms = RunnerDurable_LateStartMs(runner, now_ms,
-                                                     &args->id);
+    result.late_start_ms = RunnerLateStart_TaskMs(runner, now_ms, &args->id);
     RunnerTask_ReplyRun(runner, now_ms, reply_id, &result);
 }
 
@@ -340,6 +341,7 @@
     GList *item;
 
     RunnerTask_StopExpired(runner, now_ms);
+    RunnerLateStart_Update(runner, now_ms);
     rows = RunnerTask_All(runner);
     runner->held_long = 0;
     for (item = rows; item != NULL; item = item->next) {
@@ -422,7 +424,8 @@
     report->labels.labels_len = i;
     report->labels.labels_val = mutable_runner->label_row;
     HallClosures_FillMessage(&runner->closures, now_ms, &report->closures);
-    return runner->upstream.known;
+    RunnerLateStart_FillReport(runner, now_ms, report);
+    return runner->upstream.known || report->late_starts_version != 0;
 }
 
 void
--- a/lease/runner.h
+++ b/lease/runner.h
@@ -215,8 +215,9 @@
 /** Fills in the state of this companion that every message carries. */
 void Runner_State(const Runner *runner, int64_t now_ms, lc_host_state *state);
 
-/** Fills in a report; its strings are borrowed from the runner until the next
- * call. Returns false while no upstream is known. */
+/** Fills in a report; its strings and lists are borrowed from the runner until
+ * the next call. Returns false while no upstream is known and no late start is
+ * listed. */
 bool Runner_Report(const Runner *runner, int64_t now_ms,
                    lc_report_args *report);
 
@@ -228,6 +229,10 @@
 /** The closed halls as known to this companion. */
 const HallClosures *Runner_Closures(const Runner *runner);
 
+/** Version of the list of late starts in the reports, which entries confirm; 0
+ * while there is nothing that an entry has to know. */
+uint32_t Runner_LateStartsVersion(const Runner *runner, int64_t now_ms);
+
 /** Incremented whenever the free resources or the state that entries see
  * change. */
 uint64_t Runner_Version(const Runner *runner);
--- a/lease/runner_durable.c
+++ b/lease/runner_durable.c
@@ -28,72 +28,10 @@
     return end == RUNNER_END_DONE || end == RUNNER_END_FAILED;
 }
 
-/* Orders name the instance that they are meant for, so an upstream that has
- * answered under another name executes no copy. */
-static bool
-is_instance_replaced(const Runner *runner, const Runner_Task *row)
-{
-    return runner->upstream.inventoried &&
-           strcmp(row->instance, runner->upstream.instance) != 0;
-}
-
-/* Returns the time from which no unanswered copy of a run's start can be
- * executed any more, or 0 if no copy is outstanding. If the run was observed
- * but no copy was accepted, one unanswered copy is known to have
- * started it. A copy may be written later than it was sent, until
- * `send_by_ms`. */
-static int64_t
-start_expiry(const Runner *runner, const Runner_Task *row)
-{
-    bool observed = row->end_number > 0 || row->progress_ms > 0;
-    uint32_t resolved = row->answered_copies +
-                        (observed && !row->start_accepted);
-
-    if (resolved >= row->start_copies || is_instance_replaced(runner, row)) {
-        return 0;
-    }
-    return MAX(row->start_sent_ms, row->send_by_ms) + runner->config.late_ms;
-}
-
-/* Returns the latest expiry of the starts of a task's runs, other than the run
- * @p except, which may be NULL. */
-static int64_t
-task_start_expiry(const Runner *runner, const lc_run_id *id,
-                  const Runner_Task *except)
-{
-    int64_t expiry_ms = 0;
-    GHashTableIter iter;
-    gpointer item;
-
-    g_hash_table_iter_init(&iter, runner->tasks);
-    while (g_hash_table_iter_next(&iter, NULL, &item)) {
-        const Runner_Task *row = item;
-        if (row != except && RunId_SameTask(&row->id, id)) {
-            expiry_ms = MAX(expiry_ms, start_expiry(runner, row));
-        }
-    }
-    return expiry_ms;
-}
-
-static uint32_t
-remaining_ms(int64_t now_ms, int64_t expiry_ms)
-{
-    return now_ms < expiry_ms ? (uint32_t)(expiry_ms - now_ms) : 0;
-}
-
-uint32_t
-RunnerDurable_LateStartMs(const Runner *runner, int64_t now_ms,
-                          const lc_run_id *id)
-{
-    return RunId_IsDurable(id)
-               ? remaining_ms(now_ms, task_start_expiry(runner, id, NULL))
-               : 0;
-}
-
 static int64_t
 hold_expiry(const Runner *runner, const Runner_Task *row)
 {
-    return MAX(row->earlier_expiry_ms, start_expiry(runner, row));
+    return MAX(row->earlier_expiry_ms, RunnerLateStart_ExpiryMs(runner, row));
 }
 
 /* Prevents a second execution of an acknowledged run: an upstream that
@@ -103,7 +41,8 @@
 static void
 hold_for_start(Runner *runner, int64_t now_ms, Runner_Task *row)
 {
-    row->earlier_expiry_ms = task_start_expiry(runner, &row->id, row);
+    row->earlier_expiry_ms = RunnerLateStart_TaskExpiryMs(runner, &row->id,
+                                                          row);
     if (now_ms < hold_expiry(runner, row)) {
         row->held_for_start = true;
         runner->held_for_starts++;
@@ -130,14 +69,6 @@
     }
 }
 
-void
-RunnerDurable_AssumeCopies(const Runner *runner, Runner_Task *row,
-                           uint32_t copies)
-{
-    row->start_copies = copies;
-    row->start_sent_ms = runner->created_ms;
-}
-
 /* A previous process of this companion may have sent several copies of the
  * start, so one copy is assumed to be unanswered. */
 static Runner_Task *
@@ -149,7 +80,7 @@
     row->state = TASK_ENDED;
     row->status = ended->end == RUNNER_END_DONE ? LC_RUN_DONE : LC_RUN_FAILED;
     row->ended_ms = now_ms;
-    RunnerDurable_AssumeCopies(runner, row, 2);
+    RunnerLateStart_AssumeCopies(runner, row, 2);
     return row;
 }
 
@@ -226,8 +157,9 @@
 RunnerDurable_IsDisposable(const Runner *runner, const Runner_Task *row,
                            int64_t now_ms)
 {
-    bool start_expired = !RunId_IsDurable(&row->id) ||
-                         now_ms >= start_expiry(runner, row);
+    bool start_expired = RunId_IsDurable(&row->id)
+                             ? now_ms >= RunnerLateStart_ExpiryMs(runner, row)
+                             : now_ms >= row->late_listed_until_ms;
 
     return start_expired &&
            now_ms - row->ended_ms >
@@ -339,7 +271,7 @@
     while (g_hash_table_iter_next(&iter, NULL, &item)) {
         const Runner_Task *row = item;
         lc_late_start late = {.id = row->id};
-        late.late_start_ms = remaining_ms(now_ms, start_expiry(runner, row));
+        late.late_start_ms = RunnerLateStart_RunMs(runner, now_ms, row);
         if (RunId_IsDurable(&row->id) && row->state == TASK_ENDED &&
             late.late_start_ms > 0 && is_affected(row, args) &&
             late_starts->len < LC_MAX_PAGE) {
--- a/lease/runner_state.h
+++ b/lease/runner_state.h
@@ -62,8 +62,10 @@
                             owner's caller may submit the job elsewhere some
                             time after; 0 before */
     bool over; /* it runs no longer; how it ended is not listed yet */
-    bool outlived_lease;       /* logged by RunnerAudit_CheckLease */
-    int64_t earlier_expiry_ms; /* of the starts of the task's other runs */
+    bool outlived_lease;          /* logged by RunnerAudit_CheckLease */
+    int64_t earlier_expiry_ms;    /* of the starts of the task's other runs */
+    int64_t late_listed_until_ms; /* in the list of late starts until then; 0:
+                                     it is not */
     int64_t progress_ms; /* when the percentage last rose; 0 before any report
                           */
     uint32_t percent;
@@ -195,6 +197,10 @@
     bool draining;
     uint64_t version;
     lc_label label_row[LC_MAX_LABELS];
+    uint32_t late_starts_version; /* of the list of late starts */
+    int64_t late_starts_until_ms; /* by then all that was ever listed has
+                                     expired */
+    GArray *late_starts; /* lc_late_start, the list in the last report */
 };
 
 /* Tasks: runner_tasks.c. Runner.tasks owns its tasks. */
@@ -382,17 +388,6 @@
 void RunnerDurable_CheckStartHold(Runner *runner, int64_t now_ms,
                                   Runner_Task *row);
 
-/** How long, in ms from now, the upstream may still execute a start of any run
- * of a task: 0 if no copy of one is unanswered, or if the job is not durable.
- */
-uint32_t RunnerDurable_LateStartMs(const Runner *runner, int64_t now_ms,
-                                   const lc_run_id *id);
-
-/** Assumes that the previous process of this companion has sent copies of a
- * run's start until it ended. */
-void RunnerDurable_AssumeCopies(const Runner *runner, Runner_Task *row,
-                                uint32_t copies);
-
 /** Whether the record of an ended run may be removed. */
 bool RunnerDurable_IsDisposable(const Runner *runner, const Runner_Task *row,
                                 int64_t now_ms);
@@ -405,6 +400,44 @@
 void RunnerDurable_OnFence(Runner *runner, int64_t now_ms, uint64_t reply_id,
                            const lc_fence_args *args);
 
+/* Starts that may be executed late: runner_late_starts.c. An upstream that
+ * restarts under its name knows neither the runs nor the token of its previous
+ * incarnation, and executes every copy of a start that arrives afterwards. */
+
+/** Time from which no unanswered copy of a run's start can be executed any
+ * more, or 0 if no copy is outstanding. */
+int64_t RunnerLateStart_ExpiryMs(const Runner *runner, const Runner_Task *row);
+
+/** Latest such time of a task's runs other than @p except, which may be NULL.
+ */
+int64_t RunnerLateStart_TaskExpiryMs(const Runner *runner, const lc_run_id *id,
+                                     const Runner_Task *except);
+
+/** How long, in ms from now, a copy of a run's start may be executed; 0 if
+ * none is outstanding. */
+uint32_t RunnerLateStart_RunMs(const Runner *runner, int64_t now_ms,
+                               const Runner_Task *row);
+
+/** How long, in ms from now, a start of any run of a task may be executed by
+ * an incarnation other than the one it was sent to; 0 if no copy is
+ * outstanding or, for a leased job, if each incarnation has a name of its own.
+ */
+uint32_t RunnerLateStart_TaskMs(const Runner *runner, int64_t now_ms,
+                                const lc_run_id *id);
+
+/** Assumes that the previous process of this companion has sent copies of a
+ * run's start until it ended. */
+void RunnerLateStart_AssumeCopies(const Runner *runner, Runner_Task *row,
+                                  uint32_t copies);
+
+/** Updates the list of leased runs whose tasks may be started again by any
+ * entry while their starts may be executed here. */
+void RunnerLateStart_Update(Runner *runner, int64_t now_ms);
+
+/** Adds that list to a report; it is borrowed until the next call. */
+void RunnerLateStart_FillReport(const Runner *runner, int64_t now_ms,
+                                lc_report_args *report);
+
 /* The upstream: runner_upstream.c. */
 
 /** Lower bound of the upstream's clock now, in ms. */
--- a/lease/runner_tasks.c
+++ b/lease/runner_tasks.c
@@ -88,7 +88,7 @@
     lc_run_res result = {.status = row->status, .ran_ms = row->ran_ms};
     guint i;
 
-    result.late_start_ms = RunnerDurable_LateStartMs(runner, now_ms, &row->id);
+    result.late_start_ms = RunnerLateStart_TaskMs(runner, now_ms, &row->id);
     row->pending_replies = g_array_new(FALSE, FALSE, sizeof(uint64_t));
     for (i = 0; i < pending_replies->len; i++) {
         uint64_t pending = g_array_index(pending_replies, uint64_t, i);
--- a/tests/entry_fixture.c
+++ b/tests/entry_fixture.c
@@ -106,6 +106,7 @@
     row->request = request;
     row->outcome = answer->outcome;
     row->kind = answer->kind;
+    row->retry_ms = answer->retry_ms;
 }
 
 static void
@@ -175,20 +176,27 @@
     state->pace_percent = 100;
 }
 
+void
+EntryFix_FillReport(const EntryFix *fix, uint32_t host, uint32_t tasks,
+                    lc_report_args *report)
+{
+    memset(report, 0, sizeof(*report));
+    fill_state(fix, host, tasks, &report->host);
+    report->capacity.cpu_milli = 16 * TASK_MILLI;
+    report->capacity.memory_mb = MEMORY_MB;
+    report->hall = (char *)(uintptr_t) "hall";
+    report->service = (char *)(uintptr_t) "service";
+    report->instance = (char *)(uintptr_t) "i-1";
+    report->next_ms = 60000;
+    report->closures.as_of = -1;
+}
+
 void
 EntryFix_Report(EntryFix *fix, uint32_t host, uint32_t tasks)
 {
     lc_report_args report;
 
-    memset(&report, 0, sizeof(report));
-    fill_state(fix, host, tasks, &report.host);
-    report.capacity.cpu_milli = 16 * TASK_MILLI;
-    report.capacity.memory_mb = MEMORY_MB;
-    report.hall = (char *)(uintptr_t) "hall";
-    report.service = (char *)(uintptr_t) "service";
-    report.instance = (char *)(uintptr_t) "i-1";
-    report.next_ms = 60000;
-    report.closures.as_of = -1;
+    EntryFix_FillReport(fix, host, tasks, &report);
     Dispatcher_OnReport(fix->dispatcher, fix->now_ms, &report);
     Dispatcher_DispatchWaiting(fix->dispatcher, fix->now_ms);
 }
--- a/tests/entry_fixture.h
+++ b/tests/entry_fixture.h
@@ -50,6 +50,7 @@
     uint64_t request;
     Dispatcher_Outcome outcome;
     Err_Kind kind;
+    uint32_t retry_ms;
 } EntryFix_Answer;
 
 /** The fixture. */
@@ -82,6 +83,11 @@
 /** Returns the identity of companion number @p host, from 0. */
 lc_node EntryFix_Host(uint32_t host);
 
+/** Fills in the report of companion number @p host with room for @p tasks
+ * tasks of 1000 millicores; its strings are static. */
+void EntryFix_FillReport(const EntryFix *fix, uint32_t host, uint32_t tasks,
+                         lc_report_args *report);
+
 /** Reports room at a companion for @p tasks tasks of 1000 millicores. */
 void EntryFix_Report(EntryFix *fix, uint32_t host, uint32_t tasks);
 
--- a/tests/fleet_sim.c
+++ b/tests/fleet_sim.c
@@ -556,6 +556,7 @@
         Dispatcher_OnReport(entry->dispatcher, sim->now_ms, &message->args);
         dispatch_waiting(entry);
     }
+    g_free(message->args.late_starts.late_starts_val);
 }
 
 /* As a companion's process does: reports a changed state at the interval that
@@ -581,6 +582,9 @@
     message.args.next_ms = IDLE_REPORT_MS;
     message.args.closures.as_of = -1; /* only announce_closures sends them */
     message.args.closures.halls.halls_len = 0;
+    message.args.late_starts.late_starts_val = g_memdup2(
+        message.args.late_starts.late_starts_val,
+        message.args.late_starts.late_starts_len * sizeof(lc_late_start));
     report->sent_version = version;
     report->sent_ms = sim->now_ms;
     report->interval_ms = Dispatcher_ReportIntervalMs(entry->dispatcher);
--- a/tests/forward_rules.c
+++ b/tests/forward_rules.c
@@ -258,6 +258,36 @@
     EntryFix_Close(&fix);
 }
 
+/* Reports that the upstream of a companion may execute a start of the job
+ * late. */
+static void
+list_late_start(EntryFix *fix, uint32_t host, lc_upstream_state state,
+                uint64_t job)
+{
+    lc_late_start late = {.id = {.job = job, .run = 1}, .late_start_ms = 4000};
+    lc_report_args report;
+
+    EntryFix_FillReport(fix, host, 4, &report);
+    report.host.state = state;
+    report.late_starts_version = 1;
+    report.late_starts.late_starts_len = 1;
+    report.late_starts.late_starts_val = &late;
+    Dispatcher_OnReport(fix->dispatcher, fix->now_ms, &report);
+}
+
+/* The other entry may not know of the late start. */
+static void
+test_bound_job_is_not_forwarded(void)
+{
+    EntryFix fix;
+
+    open_congested(&fix, HEADROOM);
+    list_late_start(&fix, 0, LC_UPSTREAM_READY, 100);
+    EntryFix_Submit(&fix, 100, 8, 0);
+    g_assert_cmpint(EntryFix_CountCalls(&fix, MSG_FORWARD), ==, 0);
+    EntryFix_Close(&fix);
+}
+
 /* ---- the entry that runs forwarded jobs (delegate) ---- */
 
 static lc_step forward_step = {.count = 3,
@@ -312,6 +342,21 @@
     EntryFix_Report(fix, 0, 8);
 }
 
+static void
+test_blocked_job(void)
+{
+    EntryFix fix;
+
+    open_delegate(&fix);
+    list_late_start(&fix, 1, LC_UPSTREAM_ABSENT, 1);
+    receive_forward(&fix, 1, 300);
+    g_assert_cmpint(fix.start_count, ==, 0);
+    g_assert_cmpint(fix.reply_count, ==, 1);
+    g_assert_true(fix.replies[0].forward.taken);
+    g_assert_cmpint(fix.replies[0].forward.outcome, ==, DISPATCHER_NOT_RUN);
+    EntryFix_Close(&fix);
+}
+
 static void
 test_origin_lease(void)
 {
@@ -485,6 +530,10 @@
         {"/forward/a job whose reply is lost may have run", test_reply_lost},
         {"/forward/the delegate is told of a caller that left",
          test_caller_gone},
+        {"/forward/a job bound to a companion is not forwarded",
+         test_bound_job_is_not_forwarded},
+        {"/forward/a forwarded job that can start nowhere is refused",
+         test_blocked_job},
         {"/forward/runs are bound to the lease of the origin",
          test_origin_lease},
         {"/forward/renewals do not exceed the lease of the origin",
--- a/tests/lease_sim_nodes.cc
+++ b/tests/lease_sim_nodes.cc
@@ -500,6 +500,10 @@
     }
     ClosureSnapshot snapshot = ClosureSnapshot::of(
         Runner_Closures(companion->runner), now);
+    std::vector<lc_late_start> late_starts(
+        args.late_starts.late_starts_val,
+        args.late_starts.late_starts_val + args.late_starts.late_starts_len);
+    u_int late_starts_version = args.late_starts_version;
     for (uint32_t i = 0; i < plan.entries; i++) {
         EntryNode *entry = &entries[i];
         const Link &link = links[{i, index}];
@@ -530,6 +534,9 @@
                 copy.service = (char *)service.c_str();
                 copy.capacity = capacity;
                 copy.next_ms = 500;
+                copy.late_starts_version = late_starts_version;
+                copy.late_starts.late_starts_len = (u_int)late_starts.size();
+                copy.late_starts.late_starts_val = late_starts.data();
                 const Fleet_Host *known = Dispatcher_Host(entry->dispatcher,
                                                           host.node.address);
                 uint64_t before = known == nullptr ? 0
--- a/tests/soak/cluster.h
+++ b/tests/soak/cluster.h
@@ -71,6 +71,13 @@
     uint64_t submit_job(uint32_t tasks, uint32_t cpu_milli, int64_t work_ms,
                         bool may_hang_up);
 
+    /** Submits a job again, at target_entry. */
+    void
+    resubmit_job(uint64_t id)
+    {
+        send_attempt(id, false);
+    }
+
     /** Submits a new durable job in the same way and queries its state
      * periodically until it has ended. */
     uint64_t submit_durable_job(uint32_t tasks, uint32_t cpu_milli,
--- a/tests/soak/scenario.cc
+++ b/tests/soak/scenario.cc
@@ -71,6 +71,15 @@
 const int64_t LATE_COPY_WORK_MS = 1000;
 const int64_t LATE_COPY_END_MS = 6000;
 const int64_t HELD_BACK_MS = 2000;
+const int64_t LATE_COPY_HANG_UP_MS = 500;
+const int64_t LATE_COPY_CUT_MS = 1500; /* longer than a lease and a hold */
+const int64_t LATE_COPY_DOWN_MS = 300;
+const int LATE_COPY_COMPANIONS = 6;
+const int64_t LATE_COPY_MANY_START_MS = 6000; /* all entries are known */
+const int64_t LATE_COPY_RESUBMIT_MS = 1250;   /* before the caller itself does
+                                               */
+/* Callers that are answered or hang up submit the job again before this. */
+const int64_t LATE_COPY_HELD_MS = 4000;
 const int64_t STALLED_INTERVAL_MS = 20;
 const int STALLED_BURST_JOBS = 12;
 const int64_t STALLED_WAVE_MS = 3500;
@@ -845,6 +854,226 @@
     play_late_copy();
 }
 
+/* Executes the start once the job runs elsewhere, or is held back. */
+void
+await_retry(size_t index, int64_t since_ms)
+{
+    if (running_tasks() > 0) {
+        log_step("the job runs again");
+    }
+    else if (cluster->now() > since_ms + LATE_COPY_HELD_MS) {
+        log_step("the job is held back");
+    }
+    else {
+        cluster->run_after(2, [=] { await_retry(index, since_ms); });
+        return;
+    }
+    execute_late(index);
+}
+
+/* Crashes the upstream as the first start arrives; the job's entry lives. */
+void
+keep_first_start(size_t index)
+{
+    start_kept = true;
+    log_step("the start is kept");
+    cluster->upstreams[index]->crash();
+    await_retry(index, cluster->now());
+}
+
+/* Plays @p keep with the first start that arrives, which its upstream keeps.
+ */
+void
+play_kept_start(std::function<void(size_t)> keep)
+{
+    cluster->target_entry = 0;
+    for (size_t i = 0; i < cluster->upstreams.size(); i++) {
+        cluster->upstreams[i]->keeps_start = [i, keep] {
+            bool first = !start_kept;
+            if (first) {
+                keep(i);
+            }
+            return first;
+        };
+    }
+    last_job = cluster->submit_job(1, 1000, LATE_COPY_WORK_MS, false);
+}
+
+/* The caller hangs up, and its entry has the run stopped. The caller submits
+ * the job at another entry. */
+void
+play_late_copy_hang_up()
+{
+    cluster->caller_timeout_ms = LATE_COPY_HANG_UP_MS;
+    play_kept_start([](size_t index) {
+        cluster->target_entry = 1;
+        keep_first_start(index);
+    });
+}
+
+/* The entry answers at the deadline, and its caller submits the job again. */
+void
+play_late_copy_deadline()
+{
+    play_kept_start(keep_first_start);
+}
+
+/* The entry is cut off from all companions until the lease and the hold of the
+ * run have ended, then retries the task itself. */
+void
+play_late_copy_cut()
+{
+    soak::LinkFault fault;
+
+    fault.block_in = true;
+    fault.block_out = true;
+    fault.drop_blocked = true;
+    play_kept_start([fault](size_t index) {
+        for (const char *kind : {"entries", "companions"}) {
+            for (soak::Proxy *proxy : cluster->proxies_of(kind)) {
+                proxy->inject(fault, false);
+            }
+        }
+        cluster->run_after(LATE_COPY_CUT_MS, [] {
+            for (soak::Proxy *proxy : cluster->proxies()) {
+                proxy->heal();
+            }
+            log_step("the entry is no longer cut off");
+        });
+        keep_first_start(index);
+    });
+}
+
+/* The companion stands still meanwhile, and the entry retries the task itself.
+ */
+void
+play_late_copy_silent()
+{
+    play_kept_start([](size_t index) {
+        cluster->companions[index]->signal(SIGSTOP);
+        cluster->run_after(LATE_COPY_HELD_MS + 2 * LATE_COPY_CUT_MS, [index] {
+            cluster->companions[index]->signal(SIGCONT);
+        });
+        keep_first_start(index);
+    });
+}
+
+/* The companion dies with its upstream and the job's entry, and is back before
+ * the upstream is. */
+void
+play_late_copy_gone()
+{
+    play_kept_start([](size_t index) {
+        start_kept = true;
+        kept_index = index;
+        log_step("the start is kept");
+        cluster->upstreams[index]->crash();
+        cluster->companions[index]->kill(LATE_COPY_DOWN_MS);
+        cluster->target_entry = 1;
+        cluster->entries[0]->kill_without_restart();
+        await_resubmission(index);
+    });
+}
+
+/* Waits for the job's second run, at any upstream. */
+void
+await_run_and_crash(size_t index)
+{
+    if (running_tasks() == 0) {
+        cluster->run_after(2, [index] { await_run_and_crash(index); });
+        return;
+    }
+    log_step("the job runs again");
+    cluster->upstreams[index]->crash();
+    log_step("the upstream crashes");
+    cluster->run_after(LATE_COPY_DOWN_MS, [index] { execute_late(index); });
+}
+
+/* Fails the run of the second copy of the start, for which the entry retries
+ * the task itself. */
+void
+play_late_copy_retry()
+{
+    play_kept_start([](size_t index) {
+        soak::Upstream &upstream = *cluster->upstreams[index];
+        auto on_end = upstream.model.on_end;
+        start_kept = true;
+        log_step("the start is kept");
+        upstream.model.fault_mode.failing = true;
+        upstream.model.on_end = [index, on_end](const lc_run_id &id,
+                                                Runner_End end) {
+            on_end(id, end);
+            if (cluster->upstreams[index]->model.fault_mode.failing) {
+                cluster->upstreams[index]->model.fault_mode.failing = false;
+                log_step("a copy of the start is executed, and fails");
+                cluster->run_after(2, [index] { await_run_and_crash(index); });
+            }
+        };
+    });
+}
+
+/* Keeps all starts of the first run while its upstream is up; it crashes once
+ * the job runs again. */
+bool
+keep_while_first(size_t index)
+{
+    if (start_kept) {
+        return index == kept_index &&
+               cluster->checker.find(last_job)->attempts < 2;
+    }
+    start_kept = true;
+    kept_index = index;
+    log_step("the start is kept");
+    cluster->target_entry = 1;
+    cluster->entries[0]->kill_without_restart();
+    await_run_and_crash(index);
+    return true;
+}
+
+/* The upstream of the unanswered start is up when the job is submitted again,
+ * and crashes after the second run has begun. */
+void
+play_late_copy_crash()
+{
+    cluster->target_entry = 0;
+    for (size_t i = 0; i < cluster->upstreams.size(); i++) {
+        cluster->upstreams[i]->keeps_start = [i] {
+            return keep_while_first(i);
+        };
+    }
+    last_job = cluster->submit_job(1, 1000, LATE_COPY_WORK_MS, false);
+}
+
+/* The job's caller comes to every entry, also to those that the companion does
+ * not usually report to. */
+void
+submit_everywhere()
+{
+    for (size_t i = 1; i < cluster->entries.size(); i++) {
+        cluster->target_entry = (int)i;
+        cluster->resubmit_job(last_job);
+    }
+    log_step("the job is submitted at all entries");
+}
+
+void
+play_late_copy_everywhere()
+{
+    cluster->run_after(LATE_COPY_MANY_START_MS, [] {
+        play_kept_start([](size_t index) {
+            start_kept = true;
+            log_step("the start is kept");
+            cluster->upstreams[index]->crash();
+            cluster->entries[0]->kill_without_restart();
+            cluster->target_entry = 1;
+            cluster->run_after(LATE_COPY_RESUBMIT_MS, [index] {
+                submit_everywhere();
+                await_retry(index, cluster->now());
+            });
+        });
+    });
+}
+
 uint64_t long_job;
 bool first_ended;          /* the first run of the long job */
 uint64_t last_before_stop; /* last job submitted before its stop is ignored */
@@ -1057,6 +1286,18 @@
      2 * (int)STALLED_TASKS},
     {"late_copy", play_late_copy, LATE_COPY_END_MS, 2},
     {"late_copy_first", play_late_copy_first, LATE_COPY_END_MS, 2},
+    {"late_copy_hang_up", play_late_copy_hang_up, LATE_COPY_END_MS, 2},
+    {"late_copy_deadline", play_late_copy_deadline, LATE_COPY_END_MS, 1},
+    {"late_copy_retry", play_late_copy_retry, LATE_COPY_END_MS, 1,
+     LATE_COPY_COMPANIONS},
+    {"late_copy_cut", play_late_copy_cut, LATE_COPY_END_MS, 1,
+     LATE_COPY_COMPANIONS},
+    {"late_copy_silent", play_late_copy_silent, LATE_COPY_END_MS, 1},
+    {"late_copy_gone", play_late_copy_gone, LATE_COPY_END_MS, 2},
+    {"late_copy_everywhere", play_late_copy_everywhere,
+     LATE_COPY_MANY_START_MS + 2 * LATE_COPY_END_MS, 46, 12},
+    {"late_copy_crash", play_late_copy_crash, LATE_COPY_END_MS, 2,
+     LATE_COPY_COMPANIONS},
     {"run_past_lease", play_run_past_lease, PAST_LEASE_END_MS,
      1 + OTHER_OWNERS},
     {"run_past_halt", play_run_past_halt, PAST_LEASE_END_MS, 1 + OTHER_OWNERS},
--- a/wire/levercove.h
+++ b/wire/levercove.h
@@ -309,6 +309,7 @@
 #define LC_MAX_PEERS 1024
 #define LC_MAX_QUEUES 1024
 #define LC_MAX_HALLS 64
+#define LC_MAX_LATE_STARTS 256
 
 struct lc_resources {
 	u_int cpu_milli;
@@ -452,6 +453,12 @@
 };
 typedef struct lc_closures lc_closures;
 
+struct lc_late_start {
+	lc_run_id id;
+	u_int late_start_ms;
+};
+typedef struct lc_late_start lc_late_start;
+
 struct lc_report_args {
 	lc_host_state host;
 	char *hall;
@@ -465,6 +472,11 @@
 	u_int next_ms;
 	u_quad_t known;
 	lc_closures closures;
+	u_int late_starts_version;
+	struct {
+		u_int late_starts_len;
+		lc_late_start *late_starts_val;
+	} late_starts;
 };
 typedef struct lc_report_args lc_report_args;
 
@@ -478,6 +490,7 @@
 	char *hall;
 	bool_t all;
 	lc_closures closures;
+	u_int late_starts_version;
 };
 typedef struct lc_report_res lc_report_res;
 
@@ -638,12 +651,6 @@
 };
 typedef struct lc_held_run lc_held_run;
 
-struct lc_late_start {
-	lc_run_id id;
-	u_int late_start_ms;
-};
-typedef struct lc_late_start lc_late_start;
-
 struct lc_fence_res {
 	bool_t taken;
 	struct {
@@ -948,6 +955,7 @@
 extern  bool_t xdr_lc_label (XDR *, lc_label*);
 extern  bool_t xdr_lc_hall (XDR *, lc_hall*);
 extern  bool_t xdr_lc_closures (XDR *, lc_closures*);
+extern  bool_t xdr_lc_late_start (XDR *, lc_late_start*);
 extern  bool_t xdr_lc_report_args (XDR *, lc_report_args*);
 extern  bool_t xdr_lc_report_res (XDR *, lc_report_res*);
 extern  bool_t xdr_lc_queue_count (XDR *, lc_queue_count*);
@@ -966,7 +974,6 @@
 extern  bool_t xdr_lc_release_res (XDR *, lc_release_res*);
 extern  bool_t xdr_lc_fence_args (XDR *, lc_fence_args*);
 extern  bool_t xdr_lc_held_run (XDR *, lc_held_run*);
-extern  bool_t xdr_lc_late_start (XDR *, lc_late_start*);
 extern  bool_t xdr_lc_fence_res (XDR *, lc_fence_res*);
 extern  bool_t xdr_lc_store_args (XDR *, lc_store_args*);
 extern  bool_t xdr_lc_store_res (XDR *, lc_store_res*);
@@ -1028,6 +1035,7 @@
 extern bool_t xdr_lc_label ();
 extern bool_t xdr_lc_hall ();
 extern bool_t xdr_lc_closures ();
+extern bool_t xdr_lc_late_start ();
 extern bool_t xdr_lc_report_args ();
 extern bool_t xdr_lc_report_res ();
 extern bool_t xdr_lc_queue_count ();
@@ -1046,7 +1054,6 @@
 extern bool_t xdr_lc_release_res ();
 extern bool_t xdr_lc_fence_args ();
 extern bool_t xdr_lc_held_run ();
-extern bool_t xdr_lc_late_start ();
 extern bool_t xdr_lc_fence_res ();
 extern bool_t xdr_lc_store_args ();
 extern bool_t xdr_lc_store_res ();
--- a/wire/levercove.x
+++ b/wire/levercove.x
@@ -249,6 +249,7 @@
 const LC_MAX_PEERS = 1024;
 const LC_MAX_QUEUES = 1024;
 const LC_MAX_HALLS = 64;
+const LC_MAX_LATE_STARTS = 256;
 
 struct lc_resources {
     unsigned int cpu_milli;
@@ -391,6 +392,13 @@
     lc_hall halls<LC_MAX_HALLS>;
 };
 
+/* A run that is over or unwanted, and whose start the upstream may still
+ * execute. */
+struct lc_late_start {
+    lc_run_id id;
+    unsigned int late_start_ms; /* as in lc_run_res */
+};
+
 /* A companion reports its own state and its upstream's to an entry. */
 struct lc_report_args {
     lc_host_state host;
@@ -403,6 +411,9 @@
                               without a change */
     unsigned hyper known;  /* digest of the entries that the companion knows */
     lc_closures closures;
+    unsigned int late_starts_version; /* of the list below; 0: it is not sent,
+                                         as the entry has confirmed it */
+    lc_late_start late_starts<LC_MAX_LATE_STARTS>; /* of leased jobs */
 };
 
 struct lc_report_res {
@@ -412,6 +423,8 @@
     string hall<LC_MAX_NAME>; /* the entry's hall */
     bool all; /* the entry has to know every companion */
     lc_closures closures;
+    unsigned int late_starts_version; /* of the companion's latest list; 0:
+                                         none is known */
 };
 
 /* Number of a queue's jobs of which no task has started. */
@@ -553,12 +566,6 @@
     lc_run_status status; /* of an unreleased end */
 };
 
-/* An ended run whose start the upstream may still execute. */
-struct lc_late_start {
-    lc_run_id id;
-    unsigned int late_start_ms; /* as in lc_run_res */
-};
-
 struct lc_fence_res {
     bool taken; /* false: the companion does not know its upstream's runs */
     lc_held_run runs<LC_MAX_PAGE>;
--- a/wire/levercove_xdr.c
+++ b/wire/levercove_xdr.c
@@ -950,6 +950,18 @@
 	return TRUE;
 }
 
+bool_t
+xdr_lc_late_start (XDR *xdrs, lc_late_start *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_lc_run_id (xdrs, &objp->id))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->late_start_ms))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_lc_report_args (XDR *xdrs, lc_report_args *objp)
 {
@@ -974,6 +986,11 @@
 		 return FALSE;
 	 if (!xdr_lc_closures (xdrs, &objp->closures))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->late_starts_version))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->late_starts.late_starts_val, (u_int *) &objp->late_starts.late_starts_len, LC_MAX_LATE_STARTS,
+		sizeof (lc_late_start), (xdrproc_t) xdr_lc_late_start))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -995,6 +1012,8 @@
 		 return FALSE;
 	 if (!xdr_lc_closures (xdrs, &objp->closures))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->late_starts_version))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -1264,18 +1283,6 @@
 	return TRUE;
 }
 
-bool_t
-xdr_lc_late_start (XDR *xdrs, lc_late_start *objp)
-{
-	register int32_t *buf;
-
-	 if (!xdr_lc_run_id (xdrs, &objp->id))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->late_start_ms))
-		 return FALSE;
-	return TRUE;
-}
-
 bool_t
 xdr_lc_fence_res (XDR *xdrs, lc_fence_res *objp)
 {
--- a/wire/msg.c
+++ b/wire/msg.c
@@ -160,9 +160,71 @@
     record->refusal = reason;
 }
 
+/* Encoded sizes of the empty values of the fields that a later version has
+ * appended to a message, or 0. Processes of both versions run together during
+ * a rolling restart: a message without the fields decodes as if they were
+ * empty. */
+typedef struct {
+    size_t args;
+    size_t results;
+} appended_sizes;
+
+static appended_sizes
+appended_to(Msg_Kind kind)
+{
+    static const appended_sizes sizes[MSG_COUNT] = {
+        [MSG_RUN] = {.results = BYTES_PER_XDR_UNIT},    /* late_start_ms */
+        [MSG_RUNS] = {.results = BYTES_PER_XDR_UNIT},   /* the same */
+        [MSG_FENCE] = {.results = BYTES_PER_XDR_UNIT},  /* late_starts */
+        [MSG_REPORT] = {.args = 2 * BYTES_PER_XDR_UNIT, /* version, list */
+                        .results = BYTES_PER_XDR_UNIT}, /* version */
+    };
+
+    return sizes[kind];
+}
+
+/* Decodes a body into a zeroed object; on failure the object is zeroed. */
+static bool
+decode_body(xdrproc_t proc, const uint8_t *data, size_t length, void *object,
+            size_t object_size)
+{
+    XDR xdr;
+    bool_t parsed;
+
+    xdrmem_create(&xdr, (char *)(uintptr_t)data, (u_int)length, XDR_DECODE);
+    parsed = proc(&xdr, object);
+    xdr_destroy(&xdr);
+    if (!parsed) {
+        xdr_free(proc, object);
+        memset(object, 0, object_size);
+    }
+    return parsed;
+}
+
+/* As decode_body(), also for a body of an earlier version. */
+static bool
+decode_any_version(xdrproc_t proc, const uint8_t *data, size_t length,
+                   size_t appended, void *object, size_t object_size)
+{
+    uint8_t *padded;
+    bool parsed = decode_body(proc, data, length, object, object_size);
+
+    if (parsed || appended == 0) {
+        return parsed;
+    }
+    padded = g_malloc0(length + appended);
+    memcpy(padded, data, length);
+    parsed = decode_body(proc, padded, length + appended, object, object_size);
+    g_free(padded);
+    return parsed;
+}
+
 static void
-decode_call(XDR *xdr, const struct call_body *header, Msg_Record *record)
+decode_call(const uint8_t *body, size_t length, const struct call_body *header,
+            Msg_Record *record)
 {
+    Msg_Call *call = &record->call;
+
     record->type = MSG_IS_CALL;
     if (header->cb_prog != LC_PROGRAM) {
         refuse(record, PROG_UNAVAIL);
@@ -180,9 +242,10 @@
         refuse(record, PROC_UNAVAIL);
         return;
     }
-    record->call.kind = (Msg_Kind)(header->cb_proc - 1);
-    if (!msg_rows[record->call.kind].args(xdr, &record->call.u)) {
-        Msg_FreeCall(&record->call);
+    call->kind = (Msg_Kind)(header->cb_proc - 1);
+    if (!decode_any_version(msg_rows[call->kind].args, body, length,
+                            appended_to(call->kind).args, &call->u,
+                            sizeof(call->u))) {
         refuse(record, GARBAGE_ARGS);
     }
 }
@@ -230,7 +293,8 @@
     }
     record->xid = header.rm_xid;
     if (parsed && direction == CALL) {
-        decode_call(&xdr, &header.rm_call, record);
+        decode_call(data + xdr_getpos(&xdr), length - xdr_getpos(&xdr),
+                    &header.rm_call, record);
     }
     else if (parsed) {
         decode_reply(&xdr, &header, record);
@@ -238,56 +302,15 @@
     xdr_destroy(&xdr);
 }
 
-/* Encoded size of the empty value of the field that a later version has
- * appended to a reply, or 0. Processes of both versions run together during a
- * rolling restart: a reply without the field decodes as if it were empty. */
-static size_t
-appended_size(Msg_Kind kind)
-{
-    switch (kind) {
-    case MSG_RUN:   /* late_start_ms */
-    case MSG_RUNS:  /* the same */
-    case MSG_FENCE: /* late_starts */
-        return BYTES_PER_XDR_UNIT;
-    default:
-        return 0;
-    }
-}
-
-static bool
-decode_reply_body(Msg_Kind kind, const uint8_t *data, size_t length,
-                  Msg_Reply *reply)
-{
-    XDR xdr;
-    bool_t parsed;
-
-    memset(reply, 0, sizeof(*reply));
-    reply->kind = kind;
-    xdrmem_create(&xdr, (char *)(uintptr_t)data, (u_int)length, XDR_DECODE);
-    parsed = msg_rows[kind].results(&xdr, &reply->u);
-    xdr_destroy(&xdr);
-    if (!parsed) {
-        Msg_FreeReply(reply);
-    }
-    return parsed;
-}
-
 bool
 Msg_DecodeReply(Msg_Kind kind, const uint8_t *data, size_t length,
                 Msg_Reply *reply)
 {
-    size_t appended = appended_size(kind);
-    uint8_t *padded;
-    bool parsed = decode_reply_body(kind, data, length, reply);
-
-    if (parsed || appended == 0) {
-        return parsed;
-    }
-    padded = g_malloc0(length + appended);
-    memcpy(padded, data, length);
-    parsed = decode_reply_body(kind, padded, length + appended, reply);
-    g_free(padded);
-    return parsed;
+    memset(reply, 0, sizeof(*reply));
+    reply->kind = kind;
+    return decode_any_version(msg_rows[kind].results, data, length,
+                              appended_to(kind).results, &reply->u,
+                              sizeof(reply->u));
 }
 
 void
