Keep a bound job waiting while its upstream is merely suspected

Change: the upstream of a bound task counts as away once its companion has reported it as absent for 300 ms, in which six polls are sent. A crashed one has been absent for longer when a caller comes again, so that its job is still refused at once. Draining, closed, unknown and silent companions count as before.

--- a/lease/dispatcher_late_starts.c
+++ b/lease/dispatcher_late_starts.c
@@ -11,6 +11,10 @@
 #include "lease/host_choice.h"
 #include "lease/run_id.h"
 
+/* An upstream that is up answers a poll within this time, also while half of
+ * its answers are lost: it is polled every 50 ms while it is suspected. */
+#define ABSENT_MS 300
+
 /* A task started at the companion needs a higher run number than the start
  * that may be late, which the upstream then refuses. */
 static void
@@ -74,15 +78,17 @@
     return LateStarts_Version(self->late_starts, companion);
 }
 
-/* Whether the companion's upstream is known to take no task now. One that is
- * full or on trial takes it later. */
+/* Whether the companion's upstream is known to take no task for a while. One
+ * that is full, on trial or merely suspected takes it later. */
 static bool
 is_away(const Dispatcher *self, int64_t now_ms, Address address)
 {
     const Fleet_Host *host = Fleet_Find(&self->fleet, address);
 
-    return host == NULL || host->closed || host->state == LC_UPSTREAM_ABSENT ||
+    return host == NULL || host->closed ||
            host->state == LC_UPSTREAM_DRAINING ||
+           (host->state == LC_UPSTREAM_ABSENT &&
+            now_ms - host->absent_since_ms >= ABSENT_MS) ||
            !HostChoice_IsLive(host, now_ms);
 }
 
--- a/lease/fleet.c
+++ b/lease/fleet.c
@@ -135,6 +135,9 @@
     if (state->stamp_ms < host->stamp_ms) {
         return true; /* arrived after a newer one */
     }
+    if (host->state != LC_UPSTREAM_ABSENT || host->received_ms == 0) {
+        host->absent_since_ms = now_ms;
+    }
     host->stamp_ms = state->stamp_ms;
     host->received_ms = now_ms;
     host->state = state->state;
--- a/lease/fleet.h
+++ b/lease/fleet.h
@@ -26,6 +26,7 @@
     char *instance;
     char **labels;
     lc_upstream_state state;
+    int64_t absent_since_ms; /**< valid in state ABSENT */
     lc_resources capacity;
     lc_resources room; /**< last reported, less what was sent since */
     uint32_t pace_percent;
