Count a start as executed once the end of its run is listed

What callers saw: nothing wrong, but more answers of 504 than needed. A leased run whose only copy of the start was unanswered, and that ended before a poll had listed it as running, counted as one whose start may be executed late, so that its owner retried it at the same upstream alone.

Cause: only runs of durable jobs kept the number of their listed end, by which such a copy counts as resolved. Ends by a stop still do not count, as a stop may have come before the start.

--- a/lease/runner_late_starts.c
+++ b/lease/runner_late_starts.c
@@ -19,7 +19,8 @@
 int64_t
 RunnerLateStart_ExpiryMs(const Runner *runner, const Runner_Task *row)
 {
-    bool observed = row->end_number > 0 || row->progress_ms > 0;
+    bool observed = row->executed || row->end_number > 0 ||
+                    row->progress_ms > 0;
     uint32_t resolved = row->answered_copies +
                         (observed && !row->start_accepted);
 
--- a/lease/runner_poll.c
+++ b/lease/runner_poll.c
@@ -255,6 +255,9 @@
     if (RunId_IsDurable(&ended->id) && (row == NULL || row->end_number == 0)) {
         RunnerDurable_HoldEnd(runner, now_ms, row, ended);
     }
+    if (row != NULL && ended->end != RUNNER_END_STOPPED) {
+        row->executed = true;
+    }
     if (row == NULL || row->state == TASK_ENDED) {
         return;
     }
--- a/lease/runner_state.h
+++ b/lease/runner_state.h
@@ -49,9 +49,11 @@
     uint32_t refused_copies;  /* copies refused or never sent */
     uint32_t answered_copies; /* copies answered, or never delivered */
     bool start_accepted;      /* the upstream accepted a copy */
-    int64_t start_sent_ms;    /* when the last copy was sent */
-    uint32_t stop_copies;     /* copies of the stop sent */
-    int64_t order_ms;         /* when the last start or stop was sent */
+    bool executed; /* the upstream listed an end other than by a stop, which
+                      may have come before the start */
+    int64_t start_sent_ms; /* when the last copy was sent */
+    uint32_t stop_copies;  /* copies of the stop sent */
+    int64_t order_ms;      /* when the last start or stop was sent */
     bool stop_confirmed;
     int64_t stop_confirmed_ms;
     int64_t ended_ms;
--- a/tests/late_copy_rules.c
+++ b/tests/late_copy_rules.c
@@ -127,6 +127,24 @@
     Runner_Free(fix.runner);
 }
 
+/* The upstream lists the end of the run, so that it has executed the only copy
+ * of the start. */
+static void
+test_observed_start_is_not_listed(void)
+{
+    Runner_EndedRun ended = {5, RunnerFix_Run(JOB, RUN), RUNNER_END_FAILED};
+    runner_fixture fix;
+
+    open_runner(&fix, BORN_MS);
+    RunnerFix_CallRun(&fix, JOB, RUN, 1000, VALID_MS);
+    RunnerFix_AnswerPoll(&fix, NULL, 0, &ended, 1);
+    g_assert_cmpint(fix.status, ==, LC_RUN_FAILED);
+    g_assert_cmpuint(fix.late_start_ms, ==, 0);
+    lose_owner(&fix);
+    g_assert_cmpuint(listed(&fix), ==, 0);
+    Runner_Free(fix.runner);
+}
+
 static void
 test_answered_start_is_not_listed(void)
 {
@@ -567,6 +585,8 @@
         {"/late copy/a halted start is listed", test_halted_start_is_listed},
         {"/late copy/a failed run is listed, and told to its owner",
          test_failed_run_is_listed},
+        {"/late copy/a start whose run is known is not listed",
+         test_observed_start_is_not_listed},
         {"/late copy/an answered start is not listed",
          test_answered_start_is_not_listed},
         {"/late copy/an upstream without a start time",
