--- a/wire/msg.c
+++ b/wire/msg.c
@@ -173,11 +173,11 @@
 appended_to(Msg_Kind kind)
 {
     static const appended_sizes sizes[MSG_COUNT] = {
-        [MSG_RUN] = {.results = BYTES_PER_XDR_UNIT},    /* late_start_ms */
-        [MSG_RUNS] = {.results = BYTES_PER_XDR_UNIT},   /* the same */
-        [MSG_FENCE] = {.results = BYTES_PER_XDR_UNIT},  /* late_starts */
-        [MSG_REPORT] = {.args = 2 * BYTES_PER_XDR_UNIT, /* version, list */
-                        .results = BYTES_PER_XDR_UNIT}, /* version */
+        [MSG_RUN] = {.results = BYTES_PER_XDR_UNIT},   /* late_start_ms */
+        [MSG_RUNS] = {.results = BYTES_PER_XDR_UNIT},  /* the same */
+        [MSG_FENCE] = {.results = BYTES_PER_XDR_UNIT}, /* late_starts */
+        [MSG_REPORT] = {.args = (size_t)2 * BYTES_PER_XDR_UNIT, /* list */
+                        .results = BYTES_PER_XDR_UNIT},         /* version */
     };
 
     return sizes[kind];
