--- a/tests/soak/scenario.cc
+++ b/tests/soak/scenario.cc
@@ -74,6 +74,8 @@
 const int64_t LATE_COPY_HANG_UP_MS = 500;
 const int64_t LATE_COPY_CUT_MS = 1500; /* longer than a lease and a hold */
 const int64_t LATE_COPY_DOWN_MS = 300;
+/* Can be done after a cut and before the deadline. */
+const int64_t LATE_COPY_SHORT_WORK_MS = 200;
 const int LATE_COPY_COMPANIONS = 6;
 const int64_t LATE_COPY_MANY_START_MS = 6000; /* all entries are known */
 const int64_t LATE_COPY_RESUBMIT_MS = 1250;   /* before the caller itself does
@@ -884,7 +886,8 @@
 /* Plays @p keep with the first start that arrives, which its upstream keeps.
  */
 void
-play_kept_start(std::function<void(size_t)> keep)
+play_kept_start(std::function<void(size_t)> keep,
+                int64_t work_ms = LATE_COPY_WORK_MS)
 {
     cluster->target_entry = 0;
     for (size_t i = 0; i < cluster->upstreams.size(); i++) {
@@ -896,7 +899,7 @@
             return first;
         };
     }
-    last_job = cluster->submit_job(1, 1000, LATE_COPY_WORK_MS, false);
+    last_job = cluster->submit_job(1, 1000, work_ms, false);
 }
 
 /* The caller hangs up, and its entry has the run stopped. The caller submits
@@ -918,30 +921,43 @@
     play_kept_start(keep_first_start);
 }
 
-/* The entry is cut off from all companions until the lease and the hold of the
- * run have ended, then retries the task itself. */
+/* Cuts the only entry off from all companions until the lease and the hold of
+ * the run have ended. */
 void
-play_late_copy_cut()
+cut_entry_off(size_t index)
 {
     soak::LinkFault fault;
 
     fault.block_in = true;
     fault.block_out = true;
     fault.drop_blocked = true;
-    play_kept_start([fault](size_t index) {
-        for (const char *kind : {"entries", "companions"}) {
-            for (soak::Proxy *proxy : cluster->proxies_of(kind)) {
-                proxy->inject(fault, false);
-            }
+    for (const char *kind : {"entries", "companions"}) {
+        for (soak::Proxy *proxy : cluster->proxies_of(kind)) {
+            proxy->inject(fault, false);
         }
-        cluster->run_after(LATE_COPY_CUT_MS, [] {
-            for (soak::Proxy *proxy : cluster->proxies()) {
-                proxy->heal();
-            }
-            log_step("the entry is no longer cut off");
-        });
-        keep_first_start(index);
+    }
+    cluster->run_after(LATE_COPY_CUT_MS, [] {
+        for (soak::Proxy *proxy : cluster->proxies()) {
+            proxy->heal();
+        }
+        log_step("the entry is no longer cut off");
     });
+    keep_first_start(index);
+}
+
+/* The entry is cut off when it answers at the deadline, and its caller submits
+ * the job again. */
+void
+play_late_copy_cut()
+{
+    play_kept_start(cut_entry_off);
+}
+
+/* The entry is no longer cut off when it retries the task itself. */
+void
+play_late_copy_cut_retry()
+{
+    play_kept_start(cut_entry_off, LATE_COPY_SHORT_WORK_MS);
 }
 
 /* The companion stands still meanwhile, and the entry retries the task itself.
@@ -1292,6 +1308,8 @@
      LATE_COPY_COMPANIONS},
     {"late_copy_cut", play_late_copy_cut, LATE_COPY_END_MS, 1,
      LATE_COPY_COMPANIONS},
+    {"late_copy_cut_retry", play_late_copy_cut_retry, LATE_COPY_END_MS, 1,
+     LATE_COPY_COMPANIONS},
     {"late_copy_silent", play_late_copy_silent, LATE_COPY_END_MS, 1},
     {"late_copy_gone", play_late_copy_gone, LATE_COPY_END_MS, 2},
     {"late_copy_everywhere", play_late_copy_everywhere,
