One type and one way to bind a task to a late start

Found on reading the diff: Dispatcher_LateStart and LateStart said the same, and durable jobs, replies and companions' lists each bound tasks by code of their own; "blocked" meant two things (a task state, and a job that can start nowhere now: "unstartable" now, levercove_jobs_unstartable). Repeated steps of run_past_lease_rules and caller_gone_rules are functions now; their calls, checks and bounds are the same.

--- a/base/counter.h
+++ b/base/counter.h
@@ -44,7 +44,7 @@
     X(RUNS_UNKNOWN, "runs_unknown")                                           \
     X(LATE_STARTS, "late_starts")                                             \
     X(TASKS_BOUND, "tasks_bound")                                             \
-    X(JOBS_BLOCKED, "jobs_blocked")                                           \
+    X(JOBS_UNSTARTABLE, "jobs_unstartable")                                   \
     X(RECORDS_APPLIED, "records_applied")                                     \
     X(RECORDS_SKIPPED, "records_skipped")                                     \
     X(VIEWS_APPLIED, "views_applied")                                         \
--- a/lease/active_job.c
+++ b/lease/active_job.c
@@ -141,7 +141,7 @@
 }
 
 bool
-Active_HasBound(const Active_Job *job, int64_t now_ms)
+Active_HasBoundTask(const Active_Job *job, int64_t now_ms)
 {
     uint32_t i;
 
--- a/lease/active_job.h
+++ b/lease/active_job.h
@@ -120,7 +120,7 @@
 bool Active_IsBound(const Active_Task *task, int64_t now_ms);
 
 /** Whether a task of the job is bound. */
-bool Active_HasBound(const Active_Job *job, int64_t now_ms);
+bool Active_HasBoundTask(const Active_Job *job, int64_t now_ms);
 
 /** Whether all tasks are done. */
 bool Active_IsDone(const Active_Job *job);
--- a/lease/dispatcher.c
+++ b/lease/dispatcher.c
@@ -183,7 +183,7 @@
     g_hash_table_insert(self->by_id, &job->spec.id, job);
     Dispatcher_AttachRequest(self, job, submit->request_id);
     DispatcherLateStart_BindJob(self, now_ms, job);
-    if (DispatcherLateStart_EndIfBlocked(self, now_ms, job)) {
+    if (DispatcherLateStart_EndIfUnstartable(self, now_ms, job)) {
         return;
     }
     Reserve_RecordJob(&self->reserve, now_ms, job->priority, job->task_count);
@@ -397,7 +397,7 @@
         DispatcherCompletion_GiveUp(self, now_ms, job, ERR_STOPPING,
                                     "this entry is being stopped");
     }
-    else if (DispatcherLateStart_EndIfBlocked(self, now_ms, job)) {
+    else if (DispatcherLateStart_EndIfUnstartable(self, now_ms, job)) {
         return;
     }
     else if (cannot_finish_in_time(job, now_ms)) {
--- a/lease/dispatcher.h
+++ b/lease/dispatcher.h
@@ -21,6 +21,7 @@
 #include "lease/fleet.h"
 #include "lease/hall_closures.h"
 #include "lease/job.h"
+#include "lease/late_starts.h"
 #include "lease/lease_timing.h"
 #include "lease/queue_counts.h"
 #include "lease/route_table.h"
@@ -97,14 +98,6 @@
     lc_node host;
 } Dispatcher_ReportedRun;
 
-/** A start of a durable job's run that the upstream of a companion may still
- * execute. */
-typedef struct {
-    lc_run_id id;
-    Address host;
-    int64_t until_ms;
-} Dispatcher_LateStart;
-
 /** A durable job to start or to resume. */
 typedef struct {
     const Route *route;
@@ -113,7 +106,7 @@
     const GArray *failures;    /**< lc_kept_failures, see
                                     DURABLE_LOG_CRASH_COUNT */
     const GArray *runs;        /**< Dispatcher_ReportedRun */
-    const GArray *late_starts; /**< Dispatcher_LateStart, of any job; or NULL
+    const GArray *late_starts; /**< LateStart, of any job; or NULL
                                 */
     uint32_t run_base;         /**< highest run number used before */
 } Dispatcher_DurableJob;
--- a/lease/dispatcher_durable.c
+++ b/lease/dispatcher_durable.c
@@ -1,6 +1,5 @@
 #include "lease/dispatcher_state.h"
 #include "lease/durable_log.h"
-#include "lease/run_id.h"
 
 /* Deadline of durable jobs, which have none. */
 #define NO_DEADLINE_MS (INT64_MAX / 4)
@@ -98,24 +97,6 @@
     }
 }
 
-static void
-restore_late_starts(Active_Job *job, int64_t now_ms, const GArray *late_starts)
-{
-    guint i;
-    uint32_t j;
-
-    for (i = 0; late_starts != NULL && i < late_starts->len; i++) {
-        const Dispatcher_LateStart *late = &g_array_index(
-            late_starts, Dispatcher_LateStart, i);
-        for (j = 0; j < job->task_count; j++) {
-            if (RunId_SameTask(&job->tasks[j].id, &late->id)) {
-                Active_Bind(&job->tasks[j], now_ms, late->host,
-                            late->until_ms);
-            }
-        }
-    }
-}
-
 /* Ends the job if its recorded progress already decides its outcome. */
 static void
 end_if_decided(Dispatcher *self, int64_t now_ms, Active_Job *job)
@@ -156,7 +137,7 @@
     g_hash_table_replace(self->by_id, &job->spec.id, job);
     restore_done(job, start, now_ms + self->wall_offset_ms);
     restore_failures(job, start->failures);
-    restore_late_starts(job, now_ms, start->late_starts);
+    DispatcherLateStart_BindTasks(self, now_ms, job, start->late_starts);
     for (i = 0; i < start->runs->len; i++) {
         restore_run(self, now_ms, job,
                     &g_array_index(start->runs, Dispatcher_ReportedRun, i));
--- a/lease/dispatcher_forward.c
+++ b/lease/dispatcher_forward.c
@@ -14,7 +14,8 @@
     return LinkBudget_IsCongested(&self->link, now_ms) && !job->durable &&
            job->origin == NULL && !job->forward_refused &&
            job->first_sent_ms == 0 && job->spec.repeat_count == 0 &&
-           self->shutdown_ms == INT64_MAX && !Active_HasBound(job, now_ms) &&
+           self->shutdown_ms == INT64_MAX &&
+           !Active_HasBoundTask(job, now_ms) &&
            job->deadline_ms - now_ms > FORWARD_OVERHEAD_MS;
 }
 
--- a/lease/dispatcher_late_starts.c
+++ b/lease/dispatcher_late_starts.c
@@ -17,39 +17,54 @@
 
 /* A task started at the companion needs a higher run number than the start
  * that may be late, which the upstream then refuses. */
-static void
-bind_task(Dispatcher *self, int64_t now_ms, const Active_Job *job,
-          Active_Task *task, const LateStart *late)
+void
+DispatcherLateStart_BindTask(Dispatcher *self, int64_t now_ms,
+                             const Active_Job *job, Active_Task *task,
+                             const LateStart *late)
 {
+    Address address = late->companion.address;
+    bool bound = Active_IsBound(task, now_ms) &&
+                 (task->bound_to == address || task->bound_to == 0);
+
     if (task->done || now_ms >= late->until_ms) {
         return;
     }
-    Active_Bind(task, now_ms, late->companion.address, late->until_ms);
+    Active_Bind(task, now_ms, address, late->until_ms);
     if (!DispatcherCompletion_IsInFlight(task)) {
         task->id.run = MAX(task->id.run, late->id.run);
     }
-    JobTrace_Add(job->trace, now_ms, JOB_TRACE_BOUND, &late->id,
-                 late->companion.address, (int32_t)(late->until_ms - now_ms));
-    Counter_Add(&self->counters, COUNTER_TASKS_BOUND, 1);
+    if (!bound) {
+        JobTrace_Add(job->trace, now_ms, JOB_TRACE_BOUND, &late->id, address,
+                     (int32_t)(late->until_ms - now_ms));
+        Counter_Add(&self->counters, COUNTER_TASKS_BOUND, 1);
+    }
 }
 
 void
-DispatcherLateStart_BindJob(Dispatcher *self, int64_t now_ms, Active_Job *job)
+DispatcherLateStart_BindTasks(Dispatcher *self, int64_t now_ms,
+                              Active_Job *job, const GArray *starts)
 {
-    const GArray *rows = LateStarts_OfJob(self->late_starts, job->spec.id);
     guint i;
     uint32_t j;
 
-    for (i = 0; rows != NULL && i < rows->len; i++) {
-        const LateStart *late = &g_array_index(rows, LateStart, i);
+    for (i = 0; starts != NULL && i < starts->len; i++) {
+        const LateStart *late = &g_array_index(starts, LateStart, i);
         for (j = 0; j < job->task_count; j++) {
             if (RunId_SameTask(&job->tasks[j].id, &late->id)) {
-                bind_task(self, now_ms, job, &job->tasks[j], late);
+                DispatcherLateStart_BindTask(self, now_ms, job, &job->tasks[j],
+                                             late);
             }
         }
     }
 }
 
+void
+DispatcherLateStart_BindJob(Dispatcher *self, int64_t now_ms, Active_Job *job)
+{
+    DispatcherLateStart_BindTasks(
+        self, now_ms, job, LateStarts_OfJob(self->late_starts, job->spec.id));
+}
+
 void
 DispatcherLateStart_OnReport(Dispatcher *self, int64_t now_ms,
                              const lc_report_args *report)
@@ -94,7 +109,7 @@
 
 /* Returns a waiting task that can be started nowhere now, or NULL. */
 static const Active_Task *
-blocked_task(const Dispatcher *self, int64_t now_ms, const Active_Job *job)
+unstartable_task(const Dispatcher *self, int64_t now_ms, const Active_Job *job)
 {
     uint32_t i;
 
@@ -109,10 +124,10 @@
 }
 
 bool
-DispatcherLateStart_EndIfBlocked(Dispatcher *self, int64_t now_ms,
-                                 Active_Job *job)
+DispatcherLateStart_EndIfUnstartable(Dispatcher *self, int64_t now_ms,
+                                     Active_Job *job)
 {
-    const Active_Task *task = blocked_task(self, now_ms, job);
+    const Active_Task *task = unstartable_task(self, now_ms, job);
     Dispatcher_Answer answer = {
         .outcome = Active_HasStarted(job) ? DISPATCHER_GIVEN_UP
                                           : DISPATCHER_NOT_RUN,
@@ -125,7 +140,7 @@
     }
     answer.retry_ms = (uint32_t)MIN(task->bound_until_ms - now_ms,
                                     DISPATCHER_RETRY_MS);
-    Counter_Add(&self->counters, COUNTER_JOBS_BLOCKED, 1);
+    Counter_Add(&self->counters, COUNTER_JOBS_UNSTARTABLE, 1);
     DispatcherCompletion_EndJob(self, now_ms, job, &answer);
     return true;
 }
--- a/lease/dispatcher_origin.c
+++ b/lease/dispatcher_origin.c
@@ -253,7 +253,7 @@
     DispatcherLog_Origin(self, EVENT_FORWARD_TAKEN, row, "");
     self->dispatch_pending = true;
     DispatcherLateStart_BindJob(self, now_ms, job);
-    DispatcherLateStart_EndIfBlocked(self, now_ms, job);
+    DispatcherLateStart_EndIfUnstartable(self, now_ms, job);
 }
 
 void
--- a/lease/dispatcher_replies.c
+++ b/lease/dispatcher_replies.c
@@ -85,15 +85,16 @@
  * has restarted under its name. A run elsewhere could then run beside that
  * one, or its end could be acknowledged before. */
 static void
-bind_to_late_start(int64_t now_ms, Active_Job *job, Active_Task *task,
-                   uint32_t late_start_ms)
+bind_to_late_start(Dispatcher *self, int64_t now_ms, const Active_Job *job,
+                   Active_Task *task, uint32_t late_start_ms)
 {
-    if (late_start_ms == 0) {
-        return;
+    LateStart late = {.id = task->id,
+                      .companion = task->host,
+                      .until_ms = now_ms + late_start_ms};
+
+    if (late_start_ms > 0) {
+        DispatcherLateStart_BindTask(self, now_ms, job, task, &late);
     }
-    Active_Bind(task, now_ms, task->host.address, now_ms + late_start_ms);
-    JobTrace_Add(job->trace, now_ms, JOB_TRACE_BOUND, &task->id,
-                 task->host.address, (int32_t)late_start_ms);
 }
 
 static void
@@ -185,7 +186,7 @@
                                       result->host.node);
         return;
     }
-    bind_to_late_start(now_ms, job, task, result->late_start_ms);
+    bind_to_late_start(self, now_ms, job, task, result->late_start_ms);
     on_run_ended(self, now_ms, job, task,
                  effective_status(result->status, task));
 }
--- a/lease/dispatcher_state.h
+++ b/lease/dispatcher_state.h
@@ -17,7 +17,6 @@
 #include "lease/dispatcher.h"
 #include "lease/forward_choice.h"
 #include "lease/hall_closures.h"
-#include "lease/late_starts.h"
 #include "lease/link_budget.h"
 #include "lease/priority_reserve.h"
 #include "lease/queue_stats.h"
@@ -314,8 +313,17 @@
 
 /* Late starts of leased jobs: dispatcher_late_starts.c. */
 
-/** Binds the tasks of a job to the companions whose upstreams may execute
- * earlier starts of them. */
+/** Binds a task to the companion whose upstream may execute an earlier start
+ * of it. */
+void DispatcherLateStart_BindTask(Dispatcher *self, int64_t now_ms,
+                                  const Active_Job *job, Active_Task *task,
+                                  const LateStart *late);
+
+/** Binds the tasks of a job by @p starts, LateStart of any job; NULL: none. */
+void DispatcherLateStart_BindTasks(Dispatcher *self, int64_t now_ms,
+                                   Active_Job *job, const GArray *starts);
+
+/** Binds the tasks of a job by the companions' lists. */
 void DispatcherLateStart_BindJob(Dispatcher *self, int64_t now_ms,
                                  Active_Job *job);
 
@@ -326,8 +334,8 @@
 /** Ends a job if one of its waiting tasks is bound to a companion whose
  * upstream takes no tasks, so that it can be started nowhere; returns whether
  * it did. May free the job. */
-bool DispatcherLateStart_EndIfBlocked(Dispatcher *self, int64_t now_ms,
-                                      Active_Job *job);
+bool DispatcherLateStart_EndIfUnstartable(Dispatcher *self, int64_t now_ms,
+                                          Active_Job *job);
 
 /* Closed halls: dispatcher_halls.c. */
 
--- a/lease/durable_jobs_state.h
+++ b/lease/durable_jobs_state.h
@@ -69,7 +69,7 @@
                             more of these runs; 0 before */
     GArray *fenced;      /* lc_node, companions that have answered the FENCE */
     GArray *runs;        /* DurableJobs_FoundRun */
-    GArray *late_starts; /* Dispatcher_LateStart */
+    GArray *late_starts; /* LateStart */
 } DurableJobs_Recovery;
 
 /* A run that a companion holds. */
--- a/lease/durable_jobs_takeover.c
+++ b/lease/durable_jobs_takeover.c
@@ -278,8 +278,7 @@
                        Address_Text(claimed_owner.address));
     recovery.fenced = g_array_new(FALSE, TRUE, sizeof(lc_node));
     recovery.runs = g_array_new(FALSE, TRUE, sizeof(DurableJobs_FoundRun));
-    recovery.late_starts = g_array_new(FALSE, TRUE,
-                                       sizeof(Dispatcher_LateStart));
+    recovery.late_starts = g_array_new(FALSE, TRUE, sizeof(LateStart));
     g_array_append_val(self->recoveries, recovery);
     self->has_unstarted = true;
     DurableTakeover_AdvanceRecoveries(self, now_ms);
@@ -518,9 +517,9 @@
     }
     for (i = 0; i < result->late_starts.late_starts_len; i++) {
         const lc_late_start *row = &result->late_starts.late_starts_val[i];
-        Dispatcher_LateStart late = {.id = row->id,
-                                     .host = host.address,
-                                     .until_ms = now_ms + row->late_start_ms};
+        LateStart late = {.id = row->id,
+                          .companion = host,
+                          .until_ms = now_ms + row->late_start_ms};
         g_array_append_val(recovery->late_starts, late);
     }
 }
--- a/lease/late_starts.h
+++ b/lease/late_starts.h
@@ -1,7 +1,7 @@
 /**
  * @file late_starts.h
- * @brief An entry's table of starts of leased jobs that an upstream may still
- * execute although their tasks may be started again, as companions list them.
+ * @brief Starts that an upstream may execute late, and an entry's table of
+ * those of leased jobs, as companions list them.
  *
  * Each companion lists at most LC_MAX_LATE_STARTS. Lists are kept by the
  * companion's incarnation: its next one does not know what was sent before.
@@ -16,10 +16,10 @@
 
 #include "wire/msg.h"
 
-/** One start. */
+/** A start that the upstream of a companion may still execute. */
 typedef struct {
     lc_run_id id;
-    lc_node companion; /**< beside the upstream that may execute it */
+    lc_node companion;
     int64_t until_ms;
 } LateStart;
 
--- a/tests/caller_gone_rules.c
+++ b/tests/caller_gone_rules.c
@@ -13,10 +13,7 @@
 static void
 begin(EntryFix *fix)
 {
-    EntryFix_Open(fix, 0x7f0000011b59, 0);
-    EntryFix_Report(fix, 0, 4);
-    EntryFix_Submit(fix, JOB, 1, 0);
-    g_assert_cmpint(fix->start_count, ==, 1);
+    EntryFix_OpenStarted(fix, 0x7f0000011b59, JOB);
     fix->renewed_tasks = 3;
     EntryFix_Advance(fix, 200);
     g_assert_cmpint(EntryFix_CountCalls(fix, MSG_RENEW), >, 0);
--- a/tests/entry_fixture.c
+++ b/tests/entry_fixture.c
@@ -156,6 +156,15 @@
     Route_FreeTable(fix->routes);
 }
 
+void
+EntryFix_OpenStarted(EntryFix *fix, Address address, uint64_t job)
+{
+    EntryFix_Open(fix, address, 0);
+    EntryFix_Report(fix, 0, 4);
+    EntryFix_Submit(fix, job, 1, 0);
+    g_assert_cmpint(fix->start_count, ==, 1);
+}
+
 lc_node
 EntryFix_Host(uint32_t host)
 {
--- a/tests/entry_fixture.h
+++ b/tests/entry_fixture.h
@@ -80,6 +80,10 @@
 void EntryFix_Open(EntryFix *fix, Address address, double link_mbps);
 void EntryFix_Close(EntryFix *fix);
 
+/** Creates a dispatcher without a known link, with room for four tasks at
+ * companion 0, where it has started the one task of @p job. */
+void EntryFix_OpenStarted(EntryFix *fix, Address address, uint64_t job);
+
 /** Returns the identity of companion number @p host, from 0. */
 lc_node EntryFix_Host(uint32_t host);
 
--- a/tests/late_copy_rules.c
+++ b/tests/late_copy_rules.c
@@ -462,6 +462,23 @@
     EntryFix_Close(&fix);
 }
 
+/* The companion's list changes for other jobs while the job waits. */
+static void
+test_task_is_bound_once(void)
+{
+    lc_late_start late = late_start(JOB, RUN);
+    const Counters *counters;
+    EntryFix fix;
+
+    open_entry(&fix, LC_UPSTREAM_READY);
+    counters = Dispatcher_Counters(fix.dispatcher);
+    EntryFix_Report(&fix, 0, 0);
+    EntryFix_Submit(&fix, JOB, 1, 0);
+    send_list(&fix, 0, LC_UPSTREAM_ABSENT, 2, &late);
+    g_assert_cmpuint(counters->value[COUNTER_TASKS_BOUND], ==, 1);
+    EntryFix_Close(&fix);
+}
+
 static void
 test_starts_at_two_companions(void)
 {
@@ -499,10 +516,7 @@
 static void
 open_started(EntryFix *fix)
 {
-    EntryFix_Open(fix, 1, 0);
-    EntryFix_Report(fix, 0, 4);
-    EntryFix_Submit(fix, JOB, 1, 0);
-    g_assert_cmpint(fix->start_count, ==, 1);
+    EntryFix_OpenStarted(fix, 1, JOB);
     EntryFix_Report(fix, 1, 4);
     fix->renewed_tasks = 4;
     fix->late_start_ms = LISTED_MS;
@@ -617,6 +631,7 @@
          test_report_without_list_changes_nothing},
         {"/late copy/lists of other companions",
          test_lists_of_other_companions},
+        {"/late copy/a task is bound once", test_task_is_bound_once},
         {"/late copy/starts at two companions", test_starts_at_two_companions},
         {"/late copy/a waiting job", test_waiting_job},
         {"/late copy/the owner retries beside the late start",
--- a/tests/late_start_rules.c
+++ b/tests/late_start_rules.c
@@ -298,14 +298,13 @@
 static GArray *
 found_at(const EntryFix *fix, uint32_t hosts)
 {
-    GArray *late_starts = g_array_new(FALSE, TRUE,
-                                      sizeof(Dispatcher_LateStart));
+    GArray *late_starts = g_array_new(FALSE, TRUE, sizeof(LateStart));
     uint32_t i;
 
     for (i = 0; i < hosts; i++) {
-        Dispatcher_LateStart late = {.id = RunnerFix_Run(JOB, RUN + i),
-                                     .host = EntryFix_Host(i).address,
-                                     .until_ms = fix->now_ms + LATE_MS};
+        LateStart late = {.id = RunnerFix_Run(JOB, RUN + i),
+                          .companion = EntryFix_Host(i),
+                          .until_ms = fix->now_ms + LATE_MS};
         g_array_append_val(late_starts, late);
     }
     return late_starts;
--- a/tests/run_past_lease_rules.c
+++ b/tests/run_past_lease_rules.c
@@ -69,6 +69,31 @@
     RunnerFix_AnswerPoll(fix, play->runs, play->run_count, NULL, 0);
 }
 
+/* Advances the time by one step, with a tick and an answer to its poll. */
+static void
+advance_step(upstream_play *play)
+{
+    runner_fixture *fix = &play->fix;
+
+    fix->now_ms += STEP_MS;
+    Runner_CheckOverdue(fix->runner, fix->now_ms);
+    Runner_Tick(fix->runner, fix->now_ms);
+    answer_poll(play);
+}
+
+/* Calls RENEW as the owner of the fixture. */
+static void
+renew_lease(runner_fixture *fix)
+{
+    lc_node companion = RUNNER_FIX_COMPANION;
+    Msg_Call renew = {.kind = MSG_RENEW};
+
+    renew.u.renew.owner = fix->owner;
+    renew.u.renew.target = companion.incarnation;
+    renew.u.renew.valid_until_ms = fix->now_ms + LeaseFix_Timing().lease_ms;
+    Runner_OnCall(fix->runner, fix->now_ms, 3, &renew);
+}
+
 static void
 begin_play(upstream_play *play)
 {
@@ -102,10 +127,7 @@
         if ((end_ms - fix->now_ms) % OTHER_START_MS == 0) {
             start_run(play, other_owner, job++);
         }
-        fix->now_ms += STEP_MS;
-        Runner_CheckOverdue(fix->runner, fix->now_ms);
-        Runner_Tick(fix->runner, fix->now_ms);
-        answer_poll(play);
+        advance_step(play);
     }
     g_assert_cmpuint(job, >, OTHER_JOB + 1);
 }
@@ -155,8 +177,6 @@
 test_renewal_revives_no_run(void)
 {
     LeaseTiming timing = LeaseFix_Timing();
-    lc_node companion = RUNNER_FIX_COMPANION;
-    Msg_Call renew = {.kind = MSG_RENEW};
     upstream_play play;
     runner_fixture *fix = &play.fix;
     int64_t last_message_ms;
@@ -165,10 +185,7 @@
     last_message_ms = fix->now_ms;
     start_run(&play, fix->owner, FIRST_JOB);
     fix->now_ms += timing.lease_ms;
-    renew.u.renew.owner = fix->owner;
-    renew.u.renew.target = companion.incarnation;
-    renew.u.renew.valid_until_ms = fix->now_ms + timing.lease_ms;
-    Runner_OnCall(fix->runner, fix->now_ms, 3, &renew);
+    renew_lease(fix);
     g_assert_cmpint(fix->stops, ==, 1);
     play_other_owner(&play);
     g_assert_cmpint(play.held_until_ms, <=,
@@ -251,14 +268,8 @@
     Runner_OnStopped(fix->runner, fix->now_ms, fix->stop_id,
                      RUNNER_ORDER_ACCEPTED, CLOCK_MS + fix->now_ms - START_MS);
     fix->now_ms += STEP_MS;
-    fix->now_ms += STEP_MS;
-    Runner_CheckOverdue(fix->runner, fix->now_ms);
-    Runner_Tick(fix->runner, fix->now_ms);
-    answer_poll(&play);
-    fix->now_ms += STEP_MS;
-    Runner_CheckOverdue(fix->runner, fix->now_ms);
-    Runner_Tick(fix->runner, fix->now_ms);
-    answer_poll(&play);
+    advance_step(&play);
+    advance_step(&play);
     g_assert_true(RunnerFix_TakesTask(fix, OTHER_JOB + 1));
     g_assert_cmpint(fix->start.deadline_ms - CLOCK_MS + START_MS, >,
                     fix->now_ms + timing.lease_ms / 2);
@@ -272,8 +283,6 @@
 test_halt_read_after_the_lease(void)
 {
     LeaseTiming timing = LeaseFix_Timing();
-    lc_node companion = RUNNER_FIX_COMPANION;
-    Msg_Call renew = {.kind = MSG_RENEW};
     upstream_play play;
     runner_fixture *fix = &play.fix;
     int64_t last_message_ms;
@@ -285,10 +294,7 @@
     start_run(&play, other_owner, OTHER_JOB - 1);
     fix->now_ms += 489;
     RunnerFix_CallHalt(fix, FIRST_JOB, 1);
-    renew.u.renew.owner = fix->owner;
-    renew.u.renew.target = companion.incarnation;
-    renew.u.renew.valid_until_ms = fix->now_ms + timing.lease_ms;
-    Runner_OnCall(fix->runner, fix->now_ms, 3, &renew);
+    renew_lease(fix);
     play_other_owner(&play);
     g_assert_cmpint(play.held_until_ms, <=,
                     last_message_ms + timing.lease_ms + timing.hold_ms);
@@ -301,9 +307,6 @@
 static void
 test_unwritten_poll_beside_an_executed_one(void)
 {
-    LeaseTiming timing = LeaseFix_Timing();
-    lc_node companion = RUNNER_FIX_COMPANION;
-    Msg_Call renew = {.kind = MSG_RENEW};
     upstream_play play;
     runner_fixture *fix = &play.fix;
     Runner_PollAnswer unwritten = {.end = RUNNER_ORDER_ABANDONED};
@@ -317,10 +320,7 @@
     answer_poll(&play);
     fix->now_ms += STEP_MS;
     /* The renewal comes late; the next poll raises the hold. */
-    renew.u.renew.owner = fix->owner;
-    renew.u.renew.target = companion.incarnation;
-    renew.u.renew.valid_until_ms = fix->now_ms + timing.lease_ms;
-    Runner_OnCall(fix->runner, fix->now_ms, 3, &renew);
+    renew_lease(fix);
     answer_poll(&play);
     first_poll = fix->poll_id;
     send_by_ms = fix->poll.send_by_ms;
@@ -415,10 +415,7 @@
     start_run(&play, fix->owner, OTHER_JOB);
     play.runs[0].id = RunnerFix_Run(FIRST_JOB, 1);
     while (fix->now_ms < START_MS + PLAY_MS) {
-        fix->now_ms += STEP_MS;
-        Runner_CheckOverdue(fix->runner, fix->now_ms);
-        Runner_Tick(fix->runner, fix->now_ms);
-        answer_poll(&play);
+        advance_step(&play);
     }
     g_assert_cmpint(fix->replies, ==, 1); /* no task is active any more */
     g_assert_false(RunnerFix_TakesTask(fix, OTHER_JOB + 1));
@@ -436,8 +433,6 @@
 test_run_past_lease_is_counted(void)
 {
     LeaseTiming timing = LeaseFix_Timing();
-    lc_node companion = RUNNER_FIX_COMPANION;
-    Msg_Call renew = {.kind = MSG_RENEW};
     upstream_play play;
     runner_fixture *fix = &play.fix;
 
@@ -445,11 +440,8 @@
     start_run(&play, fix->owner, FIRST_JOB);
     answer_poll(&play);
     fix->now_ms += timing.lease_ms;
-    renew.u.renew.owner = fix->owner;
-    renew.u.renew.target = companion.incarnation;
     while (fix->now_ms < START_MS + PLAY_MS) {
-        renew.u.renew.valid_until_ms = fix->now_ms + timing.lease_ms;
-        Runner_OnCall(fix->runner, fix->now_ms, 3, &renew);
+        renew_lease(fix);
         Runner_CheckOverdue(fix->runner, fix->now_ms);
         Runner_Tick(fix->runner, fix->now_ms);
         answer_poll(&play);
@@ -514,10 +506,7 @@
     start_run(&play, fix->owner, OTHER_JOB);
     play.runs[0].id = RunnerFix_Run(FIRST_JOB, 1);
     while (fix->replies == 0) {
-        fix->now_ms += STEP_MS;
-        Runner_CheckOverdue(fix->runner, fix->now_ms);
-        Runner_Tick(fix->runner, fix->now_ms);
-        answer_poll(&play);
+        advance_step(&play);
     }
     polls = fix->polls;
     stops = fix->stops;
