--- a/lease/dispatcher_late_starts.c
+++ b/lease/dispatcher_late_starts.c
@@ -11,8 +11,8 @@
 #include "lease/host_choice.h"
 #include "lease/run_id.h"
 
-/* An upstream that is up answers a poll within this time, also while half of
- * its answers are lost: it is polled every 50 ms while it is suspected. */
+/* A suspected upstream is polled every 50 ms: one that is up mostly answers
+ * within this time, also while half of its answers are lost. */
 #define ABSENT_MS 300
 
 /* A task started at the companion needs a higher run number than the start
