Log how late input is read, why a start was refused, and no hold that was never set

For the hypotheses of the incident: an entry with little processor time may renew leases before it has read that a caller has left (LC319, levercove_input_pass_seconds); LC516 gave the number of an order's result, now its text; LC528 gave a hold of -9,838,062 ms and an empty upstream at a companion that had just begun, now null and a text. No change of behaviour.

--- a/base/event.h
+++ b/base/event.h
@@ -51,6 +51,7 @@
     X(COMPANION_FOUND, 307, G_LOG_LEVEL_MESSAGE, "companion found")           \
     X(PEER_FOUND, 308, G_LOG_LEVEL_MESSAGE, "entry found")                    \
     X(STOOD_STILL, 309, G_LOG_LEVEL_WARNING, "process stalled")               \
+    X(INPUT_LAGS, 319, G_LOG_LEVEL_WARNING, "input read late")                \
     X(READY, 310, G_LOG_LEVEL_MESSAGE, "readiness changed")                   \
     X(KEPT_CLAIMED, 311, G_LOG_LEVEL_MESSAGE, "durable jobs taken over")      \
     X(KEPT_LOST, 312, G_LOG_LEVEL_WARNING,                                    \
--- a/daemon/leased_entry.c
+++ b/daemon/leased_entry.c
@@ -26,6 +26,10 @@
  * their answers are sent in time. */
 #define FINAL_ANSWERS_MS 200
 #define STATUS_OK 200
+#define NS_PER_MS 1000000
+/* A pass over the input that takes this long is logged. Leases are renewed at
+ * this interval, so that one may be renewed for a caller that has left. */
+#define SLOW_PASS_MS 100
 
 static void
 on_resume(uv_timer_t *timer)
@@ -94,12 +98,27 @@
     }
 }
 
+/* Records how long it has taken to read the input that the last poll found:
+ * input that has come since then is still unread. */
+static void
+record_input_pass(Leased_Entry *self)
+{
+    int64_t pass_ms = (int64_t)(uv_hrtime() / NS_PER_MS -
+                                uv_now(self->process.loop));
+
+    Histogram_Add(&self->input_passes, pass_ms);
+    if (pass_ms >= SLOW_PASS_MS) {
+        Event_Log(EVENT_INPUT_LAGS, "after %d ms", (int)pass_ms);
+    }
+}
+
 /* All input at hand has been read. The process may have been stalled since. */
 static void
 on_after_poll(uv_check_t *check)
 {
     Leased_Entry *self = check->data;
 
+    record_input_pass(self);
     Dispatcher_DispatchWaiting(self->dispatcher, LeasedEntry_OnInput(self));
     arm_link_timer(self);
     DurableJobs_Flush(self->durable_jobs, self->last_input_ms);
@@ -349,6 +368,7 @@
     int64_t now = Process_Now().mono_ms;
 
     Dispatcher_Metrics(self->dispatcher, now, out);
+    Histogram_Print(&self->input_passes, "input_pass", "", out);
     DurableJobs_Metrics(self->durable_jobs, now, out);
     g_string_append_printf(out,
                            "levercove_ready %d\n"
--- a/daemon/leased_entry_state.h
+++ b/daemon/leased_entry_state.h
@@ -11,6 +11,7 @@
 
 #include <glib.h>
 
+#include "base/histogram.h"
 #include "daemon/process.h"
 #include "daemon/registry_sync.h"
 #include "daemon/seeds.h"
@@ -55,6 +56,7 @@
     uv_timer_t resume_timer;
     uv_timer_t link_timer;       /* expires when waiting starts may be sent */
     uv_check_t after_poll;       /* runs after each poll for input */
+    Histogram input_passes;      /* time taken to read the input of a poll */
     GHashTable *pending_cancels; /* call id -> pending_cancel */
     uint64_t last_call_id;
     uint64_t non_start_bytes; /* sent besides starts, as reported to the
--- a/lease/runner.h
+++ b/lease/runner.h
@@ -44,20 +44,26 @@
         RUNNER_END_COUNT
 } Runner_End;
 
-/** Results of an order (start, stop or poll) sent to the upstream. */
+/** Results of an order (start, stop or poll) sent to the upstream:
+ * X(NAME, text). */
+#define RUNNER_ORDER_RESULT_LIST(X)                                           \
+    X(ACCEPTED, "accepted")                                                   \
+    X(NO_ROOM, "no room")                                                     \
+    X(SUPERSEDED, "the upstream knows a later run, or the end of this one")   \
+    X(EXPIRED, "its deadline had passed")                                     \
+    X(FENCED, "the upstream has seen a higher fencing token")                 \
+    X(UNHEALTHY, "not executed, the upstream is unhealthy")                   \
+    X(REFUSED, "not executed, the upstream considers it invalid")             \
+    X(OTHER_INCARNATION, "another incarnation answered")                      \
+    X(UNSENT, "not a byte was delivered")                                     \
+    X(UNANSWERED, "may be executed, now or later")                            \
+    X(ABANDONED, "never sent, its time to be sent had passed")
+
 typedef enum {
-    RUNNER_ORDER_ACCEPTED,
-    RUNNER_ORDER_NO_ROOM,
-    RUNNER_ORDER_SUPERSEDED, /**< it knows a later run, or the end of this */
-    RUNNER_ORDER_EXPIRED,    /**< the deadline of the order had passed */
-    RUNNER_ORDER_FENCED,     /**< it has seen a higher fencing token */
-    RUNNER_ORDER_UNHEALTHY,  /**< not executed: the upstream is unhealthy */
-    RUNNER_ORDER_REFUSED,    /**< not executed: the upstream considers the
-                                  order invalid */
-    RUNNER_ORDER_OTHER_INCARNATION, /**< another incarnation answered */
-    RUNNER_ORDER_UNSENT,            /**< not a byte was delivered */
-    RUNNER_ORDER_UNANSWERED,        /**< may be executed, now or later */
-    RUNNER_ORDER_ABANDONED /**< never sent: its `send_by_ms` had passed */
+#define X(name, text) RUNNER_ORDER_##name,
+    RUNNER_ORDER_RESULT_LIST(X)
+#undef X
+        RUNNER_ORDER_RESULT_COUNT
 } Runner_OrderResult;
 
 /** State that an upstream reports in its heartbeats. */
--- a/lease/runner_audit.c
+++ b/lease/runner_audit.c
@@ -16,6 +16,18 @@
     [RUNNER_OUTCOME_NOT_SENT] = "not_sent",
 };
 
+static const char *const result_texts[RUNNER_ORDER_RESULT_COUNT] = {
+#define X(name, text) [RUNNER_ORDER_##name] = (text),
+    RUNNER_ORDER_RESULT_LIST(X)
+#undef X
+};
+
+const char *
+RunnerAudit_ResultText(Runner_OrderResult result)
+{
+    return result_texts[result];
+}
+
 static Runner_OrderOutcome
 outcome_of(Runner_OrderResult result)
 {
@@ -104,6 +116,22 @@
     }
 }
 
+static const char *
+upstream_name(const Runner *runner)
+{
+    return runner->upstream.instance[0] == '\0' ? "not heard from yet"
+                                                : runner->upstream.instance;
+}
+
+/* Null if this process has extended no hold that may be in force. */
+static json_t *
+hold_left(const Runner *runner, int64_t now_ms)
+{
+    return runner->hold_until_ms == 0
+               ? json_null()
+               : json_integer(runner->hold_until_ms - now_ms);
+}
+
 void
 RunnerAudit_OnUnknownRun(Runner *runner, int64_t now_ms, const lc_run_id *id,
                          const Runner_Task *row)
@@ -117,14 +145,14 @@
     RunId_FormatJob(id->job, job);
     runner->ports->event(
         runner->context, EVENT_RUN_UNKNOWN,
-        json_pack("{s:s, s:i, s:i, s:i, s:s, s:b, s:I, s:b, s:I, s:I}", "job",
+        json_pack("{s:s, s:i, s:i, s:i, s:s, s:b, s:I, s:b, s:I, s:o}", "job",
                   job, "step", (int)id->step, "index", (int)id->index, "run",
-                  (int)id->run, "upstream", runner->upstream.instance,
+                  (int)id->run, "upstream", upstream_name(runner),
                   "ended_here", row != NULL, "ended_ms_ago",
                   (json_int_t)(row == NULL ? 0 : now_ms - row->ended_ms),
                   "inventoried", runner->upstream.inventoried, "up_ms",
                   (json_int_t)(now_ms - runner->created_ms), "hold_left_ms",
-                  (json_int_t)(runner->hold_until_ms - now_ms)));
+                  hold_left(runner, now_ms)));
 }
 
 void
--- a/lease/runner_orders.c
+++ b/lease/runner_orders.c
@@ -330,8 +330,8 @@
         refuse_copy(runner, now_ms, row, LC_RUN_REJECTED);
         break;
     default:
-        RunnerTask_Log(runner, EVENT_ORDER_REFUSED, row,
-                       "start, order result %d", (int)result);
+        RunnerTask_Log(runner, EVENT_ORDER_REFUSED, row, "start: %s",
+                       RunnerAudit_ResultText(result));
         refuse_copy(runner, now_ms, row, LC_RUN_REJECTED);
         break;
     }
--- a/lease/runner_state.h
+++ b/lease/runner_state.h
@@ -307,6 +307,9 @@
 
 /* Logs and metrics about orders and leases: runner_audit.c. */
 
+/** Text of an order's result for logs. */
+const char *RunnerAudit_ResultText(Runner_OrderResult result);
+
 /** Counts the result of an order. */
 void RunnerAudit_CountOrder(Runner *runner, Runner_OrderKind kind,
                             Runner_OrderResult result);
