Refuse a job that its origin withdrew before it arrived

Cause: an entry hands a job on (FORWARD) over a connection that is then held up, gives the job up as lost, answers its caller, and withdraws the job with the next EXTEND, over a new connection. The other entry did not know the job, so the withdrawal left no trace. Where the FORWARD arrived after it and was still valid (589 ms after it was sent), the job was taken, and every later EXTEND for other jobs kept it, while its caller had submitted it elsewhere. A HALT that overtakes its RUN has left a mark at companions all along; this is the same class: a revocation that overtakes what it revokes.

Change: a withdrawn job that is not known is marked for as long as its FORWARD may be valid, and refused (LC531, levercove_forwards_withdrawn).

Before: tests/forward_rules fails at check_refused, start_count 6 == 3, the withdrawn job was started beside the other. After: 21 of 21 pass.

--- a/base/counter.h
+++ b/base/counter.h
@@ -22,6 +22,7 @@
     X(FORWARDS_TAKEN, "forwards_taken")                                       \
     X(FORWARDS_REFUSED, "forwards_refused")                                   \
     X(FORWARDS_LOST, "forwards_lost")                                         \
+    X(FORWARDS_WITHDRAWN, "forwards_withdrawn")                               \
     X(REFUSED_LINK, "refused_link")                                           \
     X(TASKS_JOINED, "tasks_joined")                                           \
     X(TASKS_DONE, "tasks_done")                                               \
--- a/lease/dispatcher.c
+++ b/lease/dispatcher.c
@@ -21,6 +21,8 @@
     Fleet_Init(&self->fleet);
     Delegates_Init(&self->delegates, config->node.incarnation);
     self->origins = g_ptr_array_new_with_free_func(g_free);
+    self->withdrawals = g_array_new(FALSE, FALSE,
+                                    sizeof(Dispatcher_Withdrawal));
     self->origin_replies = g_hash_table_new_full(g_int64_hash, g_int64_equal,
                                                  g_free, g_free);
     HallClosures_Init(&self->closures, now_ms);
@@ -57,6 +59,7 @@
     Fleet_Clear(&self->fleet);
     Delegates_Clear(&self->delegates);
     g_ptr_array_unref(self->origins);
+    g_array_unref(self->withdrawals);
     g_hash_table_unref(self->origin_replies);
     HallClosures_Clear(&self->closures);
     LateStarts_Free(self->late_starts);
--- a/lease/dispatcher_origin.c
+++ b/lease/dispatcher_origin.c
@@ -3,6 +3,7 @@
  * under a separate identity for each origin, whose leases at companions never
  * last longer than the lease granted by that origin.
  */
+#include "base/address.h"
 #include "lease/dispatcher_state.h"
 #include "lease/job_wire.h"
 
@@ -163,11 +164,61 @@
     g_hash_table_unref(hosts);
 }
 
+static bool
+is_withdrawn(const Dispatcher *self, int64_t now_ms, const lc_node *origin,
+             uint64_t number)
+{
+    guint i;
+
+    for (i = 0; i < self->withdrawals->len; i++) {
+        const Dispatcher_Withdrawal *mark = &g_array_index(
+            self->withdrawals, Dispatcher_Withdrawal, i);
+        if (mark->number == number && now_ms <= mark->until_ms &&
+            Msg_SameNode(&mark->origin, origin)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Marks a withdrawn job that is not known here: its FORWARD may still arrive,
+ * over another connection, as long as it is valid. */
+static void
+mark_withdrawn(Dispatcher *self, int64_t now_ms, const lc_node *origin,
+               uint64_t number)
+{
+    Dispatcher_Withdrawal mark = {.origin = *origin,
+                                  .number = number,
+                                  .until_ms = now_ms +
+                                              self->config.timing.lease_ms};
+
+    if (!is_withdrawn(self, now_ms, origin, number)) {
+        g_array_append_val(self->withdrawals, mark);
+    }
+}
+
+static void
+remove_expired_withdrawals(const Dispatcher *self, int64_t now_ms)
+{
+    guint i = 0;
+
+    while (i < self->withdrawals->len) {
+        if (now_ms > g_array_index(self->withdrawals, Dispatcher_Withdrawal, i)
+                         .until_ms) {
+            g_array_remove_index_fast(self->withdrawals, i);
+        }
+        else {
+            i++;
+        }
+    }
+}
+
 void
 DispatcherOrigin_Tick(Dispatcher *self, int64_t now_ms)
 {
     guint i = self->origins->len;
 
+    remove_expired_withdrawals(self, now_ms);
     while (i > 0) {
         Dispatcher_Origin *row = g_ptr_array_index(self->origins, --i);
         if (row->expired) {
@@ -221,6 +272,22 @@
     self->ports->reply(self->context, reply_id, &reply);
 }
 
+/* Refuses a job that was withdrawn before it arrived; returns false for any
+ * other. */
+static bool
+refuse_withdrawn(Dispatcher *self, int64_t now_ms, uint64_t reply_id,
+                 const lc_forward_args *args)
+{
+    if (!is_withdrawn(self, now_ms, &args->from, args->number)) {
+        return false;
+    }
+    Counter_Add(&self->counters, COUNTER_FORWARDS_WITHDRAWN, 1);
+    DispatcherLog_Identity(self, EVENT_FORWARD_WITHDRAWN, args->job,
+                           Address_Text(args->from.address));
+    reply_refused(self, reply_id, "its origin has withdrawn it");
+    return true;
+}
+
 static void
 accept_job(Dispatcher *self, int64_t now_ms, uint64_t reply_id,
            const lc_forward_args *args, const Route *route, LeasedJob *spec)
@@ -268,6 +335,9 @@
     if (row != NULL && now_ms >= row->lease_end_ms) {
         expire_origin(self, now_ms, row);
     }
+    if (refuse_withdrawn(self, now_ms, reply_id, args)) {
+        return;
+    }
     if (reason == NULL && JobWire_Decode(args, &spec, &status) != ERR_OK) {
         reason = status.message;
     }
@@ -306,8 +376,9 @@
     return true;
 }
 
-/* Drops an origin's request for a job; other callers may still wait for it. */
-static void
+/* Drops an origin's request for a job; other callers may still wait for it.
+ * Returns false if the job is not known. */
+static bool
 drop_request(Dispatcher *self, int64_t now_ms, const Dispatcher_Origin *row,
              uint64_t number)
 {
@@ -325,10 +396,11 @@
             if ((request & ORIGIN_REQUEST) != 0) {
                 g_hash_table_remove(self->origin_replies, &request);
                 Dispatcher_OnCallerDisconnect(self, now_ms, request);
-                return;
+                return true;
             }
         }
     }
+    return false;
 }
 
 static uint64_t
@@ -346,6 +418,7 @@
                     const lc_extend_args *args)
 {
     Dispatcher_Origin *row = find_origin(self, &args->from);
+    bool is_target = args->target == self->config.node.incarnation;
     Msg_Reply reply = {.kind = MSG_EXTEND};
     u_int i;
 
@@ -353,10 +426,13 @@
         expire_origin(self, now_ms, row);
         row = NULL;
     }
-    if (row != NULL && args->target == self->config.node.incarnation) {
+    if (row != NULL && is_target) {
         row->lease_end_ms = MAX(row->lease_end_ms, args->valid_until_ms);
-        for (i = 0; i < args->gone.gone_len; i++) {
-            drop_request(self, now_ms, row, args->gone.gone_val[i]);
+    }
+    for (i = 0; is_target && i < args->gone.gone_len; i++) {
+        uint64_t number = args->gone.gone_val[i];
+        if (row == NULL || !drop_request(self, now_ms, row, number)) {
+            mark_withdrawn(self, now_ms, &args->from, number);
         }
     }
     reply.u.extend.node = self->config.node;
--- a/lease/dispatcher_state.h
+++ b/lease/dispatcher_state.h
@@ -47,6 +47,13 @@
     bool expired;       /* its lease has ended; its jobs are being stopped */
 } Dispatcher_Origin;
 
+/* A job that its origin has withdrawn before its FORWARD has arrived. */
+typedef struct {
+    lc_node origin;
+    uint64_t number;
+    int64_t until_ms; /* until then the FORWARD may still be valid */
+} Dispatcher_Withdrawal;
+
 struct Dispatcher {
     Dispatcher_Config config;
     const Dispatcher_Ports *ports;
@@ -64,6 +71,7 @@
     Delegates delegates;
     uint64_t last_forward_number; /* of jobs forwarded to delegates */
     GPtrArray *origins;           /* Dispatcher_Origin */
+    GArray *withdrawals;          /* Dispatcher_Withdrawal */
     GHashTable *origin_replies;   /* request id -> reply id */
     uint64_t last_origin_request; /* id given to a forwarded job */
     uint64_t last_owner;
--- a/tests/forward_rules.c
+++ b/tests/forward_rules.c
@@ -511,6 +511,40 @@
     EntryFix_Close(&fix);
 }
 
+/* An EXTEND that withdraws a job may arrive over another connection before the
+ * job: its FORWARD was held up, and the origin has told the caller that the
+ * job is lost. Other jobs would keep extending its lease. */
+static void
+test_withdrawal_overtakes_job(void)
+{
+    lc_forward_args args;
+    EntryFix fix;
+
+    open_delegate(&fix);
+    receive_forward(&fix, 1, 300);
+    receive_extend(&fix, 500, 2);
+    EntryFix_Advance(&fix, 100);
+    args = forward_of(&fix, 2, 300);
+    check_refused(&fix, &args);
+    receive_forward(&fix, 3, 300);
+    g_assert_cmpint(fix.start_count, ==, 6);
+    EntryFix_Close(&fix);
+}
+
+static void
+test_withdrawal_overtakes_only_job(void)
+{
+    lc_forward_args args;
+    EntryFix fix;
+
+    open_delegate(&fix);
+    receive_extend(&fix, 0, 2);
+    EntryFix_Advance(&fix, 100);
+    args = forward_of(&fix, 2, 300);
+    check_refused(&fix, &args);
+    EntryFix_Close(&fix);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -546,6 +580,10 @@
         {"/forward/a dropped job is stopped, others continue",
          test_dropped_job},
         {"/forward/invalid and stale forwards are refused", test_refusals},
+        {"/forward/a withdrawal that overtakes its job is kept",
+         test_withdrawal_overtakes_job},
+        {"/forward/a withdrawal that overtakes the only job is kept",
+         test_withdrawal_overtakes_only_job},
     };
 
     return TestTable_Main(argc, argv, tests, G_N_ELEMENTS(tests));
