Look for callers that have left before tasks are started or leases extended

Cause: an entry reads input, then starts tasks, and renews leases in the next pass of its loop before it reads again. With little processor time a pass takes long, and a caller that has left meanwhile is read one or two passes late, while its runs are still renewed; the promise that a run ends before its caller may submit the job elsewhere counts from the caller's leaving. A stall is noticed only where it lies between two inputs.

Change: if the input is more than 5 ms old, the entry asks the kernel which callers have disconnected (one poll(2) over the connections of open requests) before it starts tasks or renews leases, and always when it resumes after a stall.

tests/http_server_rules: the disconnect is told without a pass of the loop; it could not be before, as only a pass read it.

--- a/daemon/http_server.c
+++ b/daemon/http_server.c
@@ -2,6 +2,7 @@
 
 #include <glib.h>
 #include <jansson.h>
+#include <poll.h>
 #include <string.h>
 
 /* Must be defined before h2o's headers are included. */
@@ -78,6 +79,16 @@
                                    offsetof(Http_Server, context));
 }
 
+/* Ends a request whose client has disconnected. */
+static void
+end_abandoned(Http_Server *server, uint64_t id)
+{
+    HttpServer_Response empty = {.status = STATUS_CLIENT_CLOSED, .body = ""};
+
+    server->on_disconnect(server->handler_context, id);
+    HttpServer_Respond(server, id, &empty);
+}
+
 /*
  * The connection of a request that is being served has become readable: the
  * client has disconnected, or has sent its next request, which h2o later
@@ -88,7 +99,6 @@
 {
     Http_Server *server = server_of_socket(socket);
     open_request *open = g_hash_table_lookup(server->watched, socket);
-    HttpServer_Response empty = {.status = STATUS_CLIENT_CLOSED, .body = ""};
     uint64_t id;
 
     if (open == NULL) {
@@ -97,8 +107,7 @@
     id = open->id;
     stop_watching(open);
     if (error != NULL) {
-        server->on_disconnect(server->handler_context, id);
-        HttpServer_Respond(server, id, &empty);
+        end_abandoned(server, id);
     }
 }
 
@@ -117,6 +126,34 @@
     h2o_socket_read_start(open->watched, on_watched_readable);
 }
 
+void
+HttpServer_CheckClients(Http_Server *server)
+{
+    GArray *ids = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    GArray *polls = g_array_new(FALSE, FALSE, sizeof(struct pollfd));
+    GHashTableIter iter;
+    gpointer item;
+    guint i;
+
+    g_hash_table_iter_init(&iter, server->watched);
+    while (g_hash_table_iter_next(&iter, NULL, &item)) {
+        const open_request *open = item;
+        struct pollfd row = {.fd = h2o_socket_get_fd(open->watched),
+                             .events = POLLRDHUP};
+        g_array_append_val(ids, open->id);
+        g_array_append_val(polls, row);
+    }
+    if (poll((struct pollfd *)(void *)polls->data, polls->len, 0) > 0) {
+        for (i = 0; i < polls->len; i++) {
+            if (g_array_index(polls, struct pollfd, i).revents != 0) {
+                end_abandoned(server, g_array_index(ids, uint64_t, i));
+            }
+        }
+    }
+    g_array_unref(polls);
+    g_array_unref(ids);
+}
+
 static char *
 pool_copy(h2o_req_t *request, const char *base, size_t length)
 {
--- a/daemon/http_server.h
+++ b/daemon/http_server.h
@@ -78,6 +78,10 @@
                                      void (*on_disconnect)(void *context,
                                                            uint64_t id));
 
+/** Calls that handler now for all clients that have disconnected, also those
+ * whose disconnect the event loop has not read yet. */
+void HttpServer_CheckClients(Http_Server *server);
+
 /** From now on closes each connection after its next response; new
  * connections are still accepted. */
 void HttpServer_CloseAfterResponses(Http_Server *server);
--- a/daemon/leased_entry.c
+++ b/daemon/leased_entry.c
@@ -27,9 +27,11 @@
 #define FINAL_ANSWERS_MS 200
 #define STATUS_OK 200
 #define NS_PER_MS 1000000
-/* A pass over the input that takes this long is logged. Leases are renewed at
- * this interval, so that one may be renewed for a caller that has left. */
+/* A pass over the input that takes this long is logged. */
 #define SLOW_PASS_MS 100
+/* A lease may be extended for this long after its caller has left: less than
+ * the rounding that LeaseTiming_Derive allows for. */
+#define MAX_INPUT_AGE_MS 5
 
 static void
 on_resume(uv_timer_t *timer)
@@ -38,6 +40,7 @@
 
     self->stalled = false;
     self->last_input_ms = Process_Now().mono_ms;
+    HttpServer_CheckClients(self->callers);
     Dispatcher_Resume(self->dispatcher);
 }
 
@@ -98,20 +101,38 @@
     }
 }
 
-/* Records how long it has taken to read the input that the last poll found:
- * input that has come since then is still unread. */
+/* Time since the last poll for input has returned: input that has come since
+ * then is still unread. */
+static int64_t
+input_age_ms(const Leased_Entry *self)
+{
+    return (int64_t)(uv_hrtime() / NS_PER_MS) - self->polled_ms;
+}
+
+/* Records how long it has taken to read the input that the last poll found. */
 static void
 record_input_pass(Leased_Entry *self)
 {
-    int64_t pass_ms = (int64_t)(uv_hrtime() / NS_PER_MS -
-                                uv_now(self->process.loop));
+    int64_t pass_ms;
 
+    self->polled_ms = (int64_t)uv_now(self->process.loop);
+    pass_ms = input_age_ms(self);
     Histogram_Add(&self->input_passes, pass_ms);
     if (pass_ms >= SLOW_PASS_MS) {
         Event_Log(EVENT_INPUT_LAGS, "after %d ms", (int)pass_ms);
     }
 }
 
+/* To be called before anything that starts tasks or extends leases, which rest
+ * on the callers' being there. */
+static void
+check_callers(Leased_Entry *self)
+{
+    if (input_age_ms(self) > MAX_INPUT_AGE_MS) {
+        HttpServer_CheckClients(self->callers);
+    }
+}
+
 /* All input at hand has been read. The process may have been stalled since. */
 static void
 on_after_poll(uv_check_t *check)
@@ -119,6 +140,7 @@
     Leased_Entry *self = check->data;
 
     record_input_pass(self);
+    check_callers(self);
     Dispatcher_DispatchWaiting(self->dispatcher, LeasedEntry_OnInput(self));
     arm_link_timer(self);
     DurableJobs_Flush(self->durable_jobs, self->last_input_ms);
@@ -307,6 +329,7 @@
     report_sent_bytes(self);
     set_delegate_candidates(self, now);
     Dispatcher_SetWallOffset(self->dispatcher, Process_Now().wall_ms - now);
+    check_callers(self);
     Dispatcher_Tick(self->dispatcher, now);
     log_readiness(self);
 }
--- a/daemon/leased_entry_state.h
+++ b/daemon/leased_entry_state.h
@@ -56,6 +56,7 @@
     uv_timer_t resume_timer;
     uv_timer_t link_timer;       /* expires when waiting starts may be sent */
     uv_check_t after_poll;       /* runs after each poll for input */
+    int64_t polled_ms;           /* when that poll returned (uv_hrtime) */
     Histogram input_passes;      /* time taken to read the input of a poll */
     GHashTable *pending_cancels; /* call id -> pending_cancel */
     uint64_t last_call_id;
