Notice that a client disconnects after it has sent its next request

Cause: the server watches the connection of an open request for a disconnect, and stopped watching once anything came, taken for the client's next request.

Change: reading goes on until 64 KiB of later requests are buffered; requests behind an abandoned one are not read.

--- a/daemon/http_server.c
+++ b/daemon/http_server.c
@@ -14,6 +14,8 @@
 
 #define LISTEN_BACKLOG 1024
 #define MS_PER_S 1000
+/* Most bytes of later requests that are read before a response. */
+#define MAX_EARLY_BYTES 65536
 /* Ends a request whose client has disconnected; never reaches the client. */
 #define STATUS_CLIENT_CLOSED 499
 /* Estimated size of a response's status line and headers. */
@@ -79,12 +81,17 @@
                                    offsetof(Http_Server, context));
 }
 
-/* Ends a request whose client has disconnected. */
+/* Ends a request whose client has disconnected; h2o closes the connection
+ * without reading later requests. */
 static void
 end_abandoned(Http_Server *server, uint64_t id)
 {
     HttpServer_Response empty = {.status = STATUS_CLIENT_CLOSED, .body = ""};
+    open_request *open = Handle_Get(server->open, id);
 
+    if (open != NULL) {
+        open->request->http1_is_persistent = 0;
+    }
     server->on_disconnect(server->handler_context, id);
     HttpServer_Respond(server, id, &empty);
 }
@@ -92,7 +99,8 @@
 /*
  * The connection of a request that is being served has become readable: the
  * client has disconnected, or has sent its next request, which h2o later
- * finds in its buffer.
+ * finds in its buffer. It may disconnect after that, so that reading goes on
+ * until the buffer holds too much.
  */
 static void
 on_watched_readable(h2o_socket_t *socket, const char *error)
@@ -101,7 +109,8 @@
     open_request *open = g_hash_table_lookup(server->watched, socket);
     uint64_t id;
 
-    if (open == NULL) {
+    if (open == NULL ||
+        (error == NULL && socket->input->size <= MAX_EARLY_BYTES)) {
         return;
     }
     id = open->id;
--- a/tests/http_server_rules.c
+++ b/tests/http_server_rules.c
@@ -123,6 +123,22 @@
     g_assert_cmpint(fix.disconnects, ==, 1);
 }
 
+/* A client that sends its next request before the response has not said that
+ * it stays. */
+static void
+test_disconnect_after_next_request(void)
+{
+    int client = open_client();
+
+    send_request(client);
+    run_passes();
+    g_assert_cmpint(fix.requests, ==, 1);
+    g_assert_cmpint(fix.disconnects, ==, 0);
+    close(client);
+    run_passes();
+    g_assert_cmpint(fix.disconnects, ==, 1);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -131,6 +147,8 @@
          test_disconnect_is_found_before_it_is_read},
         {"/http server/a reset is found before it is read",
          test_reset_is_found_before_it_is_read},
+        {"/http server/a disconnect after the next request is noticed",
+         test_disconnect_after_next_request},
     };
 
     signal(SIGPIPE, SIG_IGN); /* as the daemon does */
