Tell a run as refused only if no copy of its start was executed

Cause: of three copies of a start one was executed late, and its run lapsed after 2 ms. Another copy was answered "late", so that the companion stopped the run with that refusal as its status. When the upstream listed the end (lapsed), the companion told the status of the stop: "rejected after 553 ms, 2 of 3 copies of the start answered" (LC512). The entry took the run for not started, counted the start back and refused the job. The same happened where the stopped run was not listed any more, and where its upstream was gone: all three told the status with which the stop began.

Change: a refused copy beside others stops the run as lost, so no end of a stopping run tells a refusal. Only end_if_unstarted, where every copy is known not to have been executed, tells one. A run that was halted ends as stopped in both cases, as before. A run stopped after six unanswered copies that are all refused later is now told as refused, not as lost.

--- a/lease/runner_orders.c
+++ b/lease/runner_orders.c
@@ -239,25 +239,28 @@
 end_if_unstarted(Runner *runner, int64_t now_ms, Runner_Task *row,
                  lc_run_status status)
 {
+    bool halted = row->state == TASK_STOPPING && row->status != LC_RUN_LOST;
+
     if (row->refused_copies < row->start_copies) {
         return false;
     }
     row->ran_ms = 0;
-    RunnerTask_End(runner, now_ms, row,
-                   row->state == TASK_STOPPING ? row->status : status);
+    RunnerTask_End(runner, now_ms, row, halted ? row->status : status);
     return true;
 }
 
 /* Handles a copy of the start that was certainly not executed. Other copies
  * may have been executed, or may be later; then the run is stopped, and its
- * resources stay reserved until it has certainly ended. */
+ * resources stay reserved until it has certainly ended. However it ends, it
+ * is lost: after @p status, the entry could tell its caller that the task was
+ * not started. */
 static void
 refuse_copy(Runner *runner, int64_t now_ms, Runner_Task *row,
             lc_run_status status)
 {
     row->refused_copies++;
     if (!end_if_unstarted(runner, now_ms, row, status)) {
-        RunnerTask_Stop(runner, now_ms, row, status);
+        RunnerTask_Stop(runner, now_ms, row, LC_RUN_LOST);
     }
 }
 
--- a/lease/runner_state.h
+++ b/lease/runner_state.h
@@ -23,7 +23,8 @@
 typedef enum {
     TASK_ORDERED,  /* the start was sent, but is not confirmed */
     TASK_RUNNING,  /* the upstream has confirmed the start */
-    TASK_STOPPING, /* being stopped; ends with `status` */
+    TASK_STOPPING, /* being stopped; ends with `status`, which never tells that
+                      the run was not started */
     TASK_ENDED
 } Runner_TaskState;
 
@@ -262,7 +263,10 @@
 /** Stops the tasks whose leases have ended. */
 void RunnerTask_StopExpired(Runner *runner, int64_t now_ms);
 
-/** Begins to stop a task; it will end with @p status. */
+/** Begins to stop a task; it will end with @p status, unless the upstream
+ * lists it as done, or has refused every copy of its start. Other copies than
+ * the refused ones may have been executed, so @p status must not be that of a
+ * run that was not started. */
 void RunnerTask_Stop(Runner *runner, int64_t now_ms, Runner_Task *row,
                      lc_run_status status);
 
--- a/tests/order_rules.c
+++ b/tests/order_rules.c
@@ -155,6 +155,92 @@
     }
 }
 
+/* Sends two copies of the start of run 1 and returns the first one's id. */
+static uint64_t
+send_two_copies(runner_fixture *fix)
+{
+    uint64_t first;
+
+    RunnerFix_NewReady(fix);
+    RunnerFix_CallRun(fix, 1, 1, 3000, 500);
+    first = fix->start_id;
+    withhold_answers(fix, STEP_MS);
+    g_assert_cmpint(fix->starts, ==, 2);
+    fix->replies = 0;
+    fix->status = LC_RUN_DONE;
+    return first;
+}
+
+/* The first copy may have been executed, so the refusal of the second must not
+ * be told: the entry would answer its caller that nothing was started. */
+static void
+test_refused_copy_then_listed_end(void)
+{
+    static const Runner_End ends[] = {
+        RUNNER_END_FAILED,
+        RUNNER_END_STOPPED,
+        RUNNER_END_HOLD_EXPIRED,
+    };
+    size_t i;
+
+    for (i = 0; i < G_N_ELEMENTS(ends); i++) {
+        runner_fixture fix;
+        Runner_EndedRun ended = {1, RunnerFix_Run(1, 1), ends[i]};
+        send_two_copies(&fix);
+        answer_start(&fix, RUNNER_ORDER_EXPIRED);
+        fix.now_ms += STEP_MS;
+        RunnerFix_AnswerPoll(&fix, NULL, 0, &ended, 1);
+        g_assert_cmpint(fix.replies, ==, 1);
+        g_assert_cmpint(fix.status, ==, LC_RUN_LOST);
+        Runner_Free(fix.runner);
+    }
+}
+
+static void
+test_refused_copy_then_unlisted(void)
+{
+    runner_fixture fix;
+
+    send_two_copies(&fix);
+    answer_start(&fix, RUNNER_ORDER_NO_ROOM);
+    Runner_OnStopped(fix.runner, fix.now_ms, fix.stop_id,
+                     RUNNER_ORDER_ACCEPTED, 0);
+    fix.now_ms += STEP_MS;
+    RunnerFix_AnswerPoll(&fix, NULL, 0, NULL, 0);
+    g_assert_cmpint(fix.replies, ==, 0);
+    RunnerFix_AnswerPoll(&fix, NULL, 0, NULL, 0);
+    g_assert_cmpint(fix.replies, ==, 1);
+    g_assert_cmpint(fix.status, ==, LC_RUN_LOST);
+    Runner_Free(fix.runner);
+}
+
+static void
+test_refused_copy_then_upstream_gone(void)
+{
+    runner_fixture fix;
+
+    send_two_copies(&fix);
+    answer_start(&fix, RUNNER_ORDER_UNHEALTHY);
+    RunnerFix_AnswerPollOther(&fix);
+    g_assert_cmpint(fix.replies, ==, 1);
+    g_assert_cmpint(fix.status, ==, LC_RUN_LOST);
+    Runner_Free(fix.runner);
+}
+
+static void
+test_all_copies_refused(void)
+{
+    runner_fixture fix;
+    uint64_t first = send_two_copies(&fix);
+
+    answer_start(&fix, RUNNER_ORDER_NO_ROOM);
+    g_assert_cmpint(fix.replies, ==, 0);
+    Runner_OnStarted(fix.runner, fix.now_ms, first, RUNNER_ORDER_UNHEALTHY, 0);
+    g_assert_cmpint(fix.replies, ==, 1);
+    g_assert_cmpint(fix.status, ==, LC_RUN_REJECTED);
+    Runner_Free(fix.runner);
+}
+
 /* A start whose only copy was refused has certainly not been executed. */
 static void
 test_refused_at_once(void)
@@ -331,6 +417,14 @@
      test_broken_connection},
     {"/orders/a refused copy does not free the room of another",
      test_refused_copy_keeps_room},
+    {"/orders/a refused copy is not the end of a run that another began",
+     test_refused_copy_then_listed_end},
+    {"/orders/a refused copy does not tell that another was not executed",
+     test_refused_copy_then_unlisted},
+    {"/orders/a run with a refused copy is lost with its upstream",
+     test_refused_copy_then_upstream_gone},
+    {"/orders/a run of which all copies were refused is refused",
+     test_all_copies_refused},
     {"/orders/a start refused at once was not executed", test_refused_at_once},
     {"/orders/a run that ended before its second copy came is not refused",
      test_old_after_copy},
