Blame a crash only on runs that were confirmed or listed

Cause: a job is given up once two upstreams have crashed under one of its tasks, and a companion blamed a crash on every run that it had ordered lately, whatever it knew of it. In each of the two jobs, one of the two crashes was told of a run without an answered copy of its start ("crashed after 0 ms, 0 of 4 copies of the start answered", "0 of 3"), which may never have begun: most likely, the upstream was gone already.

Change: a run is blamed only after its start was confirmed or a poll has listed it (progress_ms). Others end as lost.

--- a/tests/rebirth_rules.c
+++ b/tests/rebirth_rules.c
@@ -728,6 +728,45 @@
     Runner_Free(fix.runner);
 }
 
+/* The upstream executed the start that it has confirmed, or the run that it
+ * has listed. */
+static void
+test_crash_is_reported_on_evidence(void)
+{
+    runner_fixture fix;
+
+    begin_task(&fix);
+    g_assert_cmpint(crash(&fix), ==, LC_RUN_CRASHED);
+    Runner_Free(fix.runner);
+    begin_idle(&fix);
+    RunnerFix_CallRun(&fix, 1, 1, 1000, BEGUN_LEASE_MS);
+    RunnerFix_AnswerRunning(&fix, 1);
+    g_assert_cmpint(crash(&fix), ==, LC_RUN_CRASHED);
+    Runner_Free(fix.runner);
+}
+
+/* Two such crashes fail the job, so a run that may never have begun is not
+ * blamed for one. */
+static void
+test_unanswered_start_is_not_blamed(void)
+{
+    runner_fixture fix;
+    Runner_PollAnswer none = {.end = RUNNER_ORDER_UNSENT};
+
+    begin_idle(&fix);
+    RunnerFix_CallRun(&fix, 1, 1, 1000, BEGUN_LEASE_MS);
+    g_assert_cmpint(crash(&fix), ==, LC_RUN_LOST);
+    Runner_Free(fix.runner);
+    begin_idle(&fix);
+    RunnerFix_CallRun(&fix, 1, 1, 1000, BEGUN_LEASE_MS);
+    Runner_OnPollAnswer(fix.runner, fix.now_ms, fix.poll_id, &none);
+    renew(&fix, 2500);
+    fix.now_ms += 2000;
+    Runner_Tick(fix.runner, fix.now_ms);
+    g_assert_cmpint(fix.status, ==, LC_RUN_LOST);
+    Runner_Free(fix.runner);
+}
+
 /* A draining upstream may exit without notice. */
 static void
 test_exit_while_draining_is_not_a_crash(void)
@@ -881,6 +920,10 @@
     {"/crashes/old runs are not blamed", test_old_runs_are_not_blamed},
     {"/crashes/an exit while draining is no crash",
      test_exit_while_draining_is_not_a_crash},
+    {"/crashes/blamed on runs that were confirmed or listed",
+     test_crash_is_reported_on_evidence},
+    {"/crashes/not blamed on a start that was never answered",
+     test_unanswered_start_is_not_blamed},
     {"/crashes/without a restart", test_crash_without_restart},
     {"/crashes/suspected tasks run separately",
      test_crashing_tasks_run_separately},
