--- a/daemon/leased_companion.c
+++ b/daemon/leased_companion.c
@@ -137,6 +137,19 @@
     UpstreamApi_ClearOrder(order);
 }
 
+static void
+log_unclear_answer(const char *order, const HttpClient_Answer *answer,
+                   Runner_OrderResult result)
+{
+    if (answer->end == HTTP_CLIENT_ANSWERED &&
+        result == RUNNER_ORDER_UNANSWERED) {
+        Event_Log(EVENT_ORDER_UNANSWERED,
+                  "%s: status %d, with %zu bytes, does not tell whether it "
+                  "was executed",
+                  order, answer->status, answer->length);
+    }
+}
+
 static void
 on_start_answer(void *item, const HttpClient_Answer *answer)
 {
@@ -145,6 +158,7 @@
     int64_t clock_ms;
     Runner_OrderResult end = UpstreamApi_OrderResult(answer, &clock_ms);
 
+    log_unclear_answer("start", answer, end);
     Runner_OnStarted(self->runner, now_ms(self), context->id, end, clock_ms);
     g_free(context);
     after_input(self);
@@ -158,6 +172,7 @@
     int64_t clock_ms;
     Runner_OrderResult end = UpstreamApi_OrderResult(answer, &clock_ms);
 
+    log_unclear_answer("stop", answer, end);
     Runner_OnStopped(self->runner, now_ms(self), context->id, end, clock_ms);
     g_free(context);
     after_input(self);
@@ -171,6 +186,7 @@
     UpstreamApi_Listing listing;
 
     UpstreamApi_ParseListing(answer, &listing);
+    log_unclear_answer("poll", answer, listing.listing.end);
     Runner_OnPollAnswer(self->runner, now_ms(self), context->id,
                         &listing.listing);
     UpstreamApi_FreeListing(&listing);
--- a/tests/http_client_rules.c
+++ b/tests/http_client_rules.c
@@ -230,6 +230,57 @@
     }
 }
 
+/* An answer that the upstream's interface does not name, such as that of a
+ * proxy or of a handler that failed half-way, does not tell whether the order
+ * was executed. */
+static void
+test_statuses_as_order_results(void)
+{
+    static const struct {
+        int status;
+        const char *body;
+        Runner_OrderResult result;
+    } rows[] = {
+        {200, "{\"clock_ms\":1}", RUNNER_ORDER_ACCEPTED},
+        {400, "{}", RUNNER_ORDER_REFUSED},
+        {409, "{\"reason\":\"fence\"}", RUNNER_ORDER_FENCED},
+        {409, "{\"reason\":\"old\"}", RUNNER_ORDER_SUPERSEDED},
+        {409, "{\"reason\":\"late\"}", RUNNER_ORDER_EXPIRED},
+        {409, "{\"reason\":\"room\"}", RUNNER_ORDER_NO_ROOM},
+        {409, "{\"reason\":\"ticket\"}", RUNNER_ORDER_REFUSED},
+        {409, "{\"reason\":7}", RUNNER_ORDER_UNANSWERED},
+        {409, "{}", RUNNER_ORDER_UNANSWERED},
+        {409, "not JSON", RUNNER_ORDER_UNANSWERED},
+        {421, "{}", RUNNER_ORDER_OTHER_INCARNATION},
+        {429, "{}", RUNNER_ORDER_UNHEALTHY},
+        {503, "", RUNNER_ORDER_UNHEALTHY},
+        {100, "", RUNNER_ORDER_UNANSWERED},
+        {202, "{}", RUNNER_ORDER_UNANSWERED},
+        {204, "", RUNNER_ORDER_UNANSWERED},
+        {302, "", RUNNER_ORDER_UNANSWERED},
+        {401, "{}", RUNNER_ORDER_UNANSWERED},
+        {404, "{}", RUNNER_ORDER_UNANSWERED},
+        {408, "", RUNNER_ORDER_UNANSWERED},
+        {500, "{\"clock_ms\":1}", RUNNER_ORDER_UNANSWERED},
+        {502, "", RUNNER_ORDER_UNANSWERED},
+        {504, "", RUNNER_ORDER_UNANSWERED},
+    };
+    size_t i;
+
+    for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+        HttpClient_Answer answer = {.end = HTTP_CLIENT_ANSWERED,
+                                    .status = rows[i].status,
+                                    .body = rows[i].body,
+                                    .length = strlen(rows[i].body)};
+        int64_t clock_ms;
+        g_test_message("%d %s", rows[i].status, rows[i].body);
+        g_assert_cmpint(UpstreamApi_OrderResult(&answer, &clock_ms), ==,
+                        rows[i].result);
+        g_assert_cmpint(clock_ms == 0, ==,
+                        rows[i].result != RUNNER_ORDER_ACCEPTED);
+    }
+}
+
 static const TestTable_Row rules[] = {
     {"/http_client/not sent after its time, over a new connection",
      test_expires_while_connecting},
@@ -239,6 +290,8 @@
      test_expires_beside_its_timeout},
     {"/http_client/outcomes as results of an order",
      test_outcomes_as_order_results},
+    {"/http_client/statuses as results of an order",
+     test_statuses_as_order_results},
     {"/http_client/sent within its time, or without one", test_sent_in_time},
 };
 
