--- a/daemon/leased_companion.c
+++ b/daemon/leased_companion.c
@@ -137,6 +137,7 @@
     UpstreamApi_ClearOrder(order);
 }
 
+/* An answer that does not tell what became of the order. */
 static void
 log_unclear_answer(const char *order, const HttpClient_Answer *answer,
                    Runner_OrderResult result)
@@ -144,9 +145,8 @@
     if (answer->end == HTTP_CLIENT_ANSWERED &&
         result == RUNNER_ORDER_UNANSWERED) {
         Event_Log(EVENT_ORDER_UNANSWERED,
-                  "%s: status %d, with %zu bytes, does not tell whether it "
-                  "was executed",
-                  order, answer->status, answer->length);
+                  "%s: unusable answer of %zu bytes, status %d", order,
+                  answer->length, answer->status);
     }
 }
 
