Await the end of an upstream's runs after it has announced its end

When the upstream's leave message (deregister) arrived, the companion told all its runs as lost at once, and their entries started the tasks elsewhere. The time at risk was the hold last given (600 ms), or less where the answer arrives. Found by reading.

Change: the companion starts nothing more there, polls without extending the hold, and tells a run as over when the upstream lists it so, another incarnation answers, or the hold has expired. Then, and at once if it runs nothing, the upstream is forgotten as before and polled no more.

Ruled out: to extend the hold while it answers.

Price: runs that die with such an upstream are tried again up to 650 ms later than before.

--- a/lease/runner.c
+++ b/lease/runner.c
@@ -365,6 +365,7 @@
                               runner->upstream.refused &&
                                   !runner->upstream.draining);
     }
+    RunnerUpstream_CheckLeft(runner, now_ms);
     RunnerOwner_RemoveExpired(runner, now_ms);
     Health_Decay(&runner->health, now_ms);
     RunnerPoll_Send(runner, now_ms);
--- a/lease/runner_poll.c
+++ b/lease/runner_poll.c
@@ -170,7 +170,7 @@
 
     RunnerAudit_CheckHoldLimit(runner, now_ms);
     if (ahead <= 0 || runner->upstream.clock_ms <= 0 ||
-        now_ms > runner->hold_until_ms) {
+        now_ms > runner->hold_until_ms || runner->upstream.left) {
         return 0;
     }
     poll->deadline_ms = RunnerUpstream_Clock(runner, now_ms) + ahead;
--- a/lease/runner_state.h
+++ b/lease/runner_state.h
@@ -86,6 +86,7 @@
 typedef struct {
     bool known; /* a heartbeat of the current incarnation was accepted */
     bool draining;
+    bool left;        /* has announced its end, but may still execute runs */
     bool inventoried; /* no run of an earlier companion process is left */
     char *instance;
     int64_t born_ms;      /* 0 until the upstream reports its start time */
@@ -487,6 +488,9 @@
 /** Frees the state of the upstream. */
 void RunnerUpstream_Clear(Runner *runner);
 
+/** Forgets an upstream that has announced its end once it has no runs left. */
+void RunnerUpstream_CheckLeft(Runner *runner, int64_t now_ms);
+
 /** Raises the fencing token after the upstream has seen a higher one. */
 void RunnerUpstream_RaiseToken(Runner *runner);
 
--- a/lease/runner_upstream.c
+++ b/lease/runner_upstream.c
@@ -47,6 +47,7 @@
     runner->upstream.incarnation++;
     runner->upstream.born_ms = born_ms;
     runner->upstream.earlier_drained = runner->upstream.draining;
+    runner->upstream.left = false;
     runner->upstream.sequence = 0;
     runner->upstream.inventoried = false;
     runner->upstream.last_seen = 0;
@@ -296,6 +297,32 @@
     runner->version++;
 }
 
+void
+RunnerUpstream_CheckLeft(Runner *runner, int64_t now_ms)
+{
+    if (!runner->upstream.left || runner->active_tasks > 0) {
+        return;
+    }
+    runner->upstream.left = false;
+    runner->upstream.doubtful = false;
+    on_upstream_lost(runner, now_ms, "the upstream has left", false);
+}
+
+/* The upstream goes on until the answer to its announcement reaches it, or for
+ * some seconds. Its runs are over once it has answered so, another incarnation
+ * answers, or the hold has expired, which is not extended any more. */
+static void
+begin_departure(Runner *runner, int64_t now_ms)
+{
+    runner->upstream.left = true;
+    RunnerUpstream_CheckLeft(runner, now_ms);
+    if (runner->upstream.left) {
+        runner->upstream.draining = true;
+        RunnerUpstream_Suspect(runner, "the upstream leaves");
+        RunnerPoll_Send(runner, now_ms);
+    }
+}
+
 /* A leave message without a start time may be a late one of an earlier
  * incarnation. Unless the upstream has reported that it drains, it is polled
  * to find out. */
@@ -324,7 +351,7 @@
     DeadIncarnations_Add(&runner->dead_incarnations, instance, born_ms);
     if (runner->upstream.known && same &&
         born_ms == runner->upstream.born_ms) {
-        on_upstream_lost(runner, now_ms, "the upstream has left", false);
+        begin_departure(runner, now_ms);
     }
 }
 
--- a/tests/heartbeat_rules.c
+++ b/tests/heartbeat_rules.c
@@ -9,6 +9,8 @@
 #include "tests/runner_fixture.h"
 #include "tests/test_table.h"
 
+static const lc_node companion_node = RUNNER_FIX_COMPANION;
+
 /* Creates a runner whose upstream i-1 runs a task of the entry. */
 static void
 new_with_task(runner_fixture *fix)
@@ -136,6 +138,100 @@
     Runner_Free(fix.runner);
 }
 
+/* Until the answer to its announcement has reached it, or some seconds after,
+ * an upstream that terminates goes on with its runs. */
+static void
+begin_departure(runner_fixture *fix)
+{
+    new_with_task(fix);
+    RunnerFix_AnswerRunning(fix, 1);
+    Runner_OnUpstreamExit(fix->runner, fix->now_ms, "i-1", 0);
+    g_assert_cmpint(fix->replies, ==, 0);
+    g_assert_false(RunnerFix_TakesTask(fix, 2));
+    fix->replies = 0;
+}
+
+static void
+test_departing_upstream_works_on(void)
+{
+    Runner_EndedRun ended = {1, RunnerFix_Run(1, 1), RUNNER_END_DONE};
+    runner_fixture fix;
+
+    begin_departure(&fix);
+    RunnerFix_AnswerRunning(&fix, 1);
+    g_assert_cmpint(fix.replies, ==, 0);
+    g_assert_cmpint(fix.poll.deadline_ms, ==, 0);
+    g_assert_false(RunnerFix_TakesTask(&fix, 3));
+    g_assert_cmpint(fix.status, ==, LC_RUN_DRAINING);
+    fix.replies = 0;
+    RunnerFix_AnswerPoll(&fix, NULL, 0, &ended, 1);
+    g_assert_cmpint(fix.replies, ==, 1);
+    g_assert_cmpint(fix.status, ==, LC_RUN_DONE);
+    Runner_Free(fix.runner);
+}
+
+/* The entry renews its lease for two seconds. */
+static void
+renew(runner_fixture *fix)
+{
+    Msg_Call call = {.kind = MSG_RENEW};
+
+    call.u.renew.owner = fix->owner;
+    call.u.renew.target = companion_node.incarnation;
+    call.u.renew.valid_until_ms = fix->now_ms + 2000;
+    Runner_OnCall(fix->runner, fix->now_ms, 3, &call);
+    fix->replies = 0;
+}
+
+/* Its runs are over once the hold has expired, 600 ms later at most, although
+ * their owner renews its lease. It is not polled any more then. */
+static void
+test_departed_upstream(void)
+{
+    Runner_PollAnswer none = {.end = RUNNER_ORDER_UNSENT};
+    runner_fixture fix;
+    int polls;
+
+    begin_departure(&fix);
+    renew(&fix);
+    Runner_OnPollAnswer(fix.runner, fix.now_ms, fix.poll_id, &none);
+    fix.now_ms += 100;
+    Runner_Tick(fix.runner, fix.now_ms);
+    g_assert_cmpint(fix.replies, ==, 0);
+    Runner_OnPollAnswer(fix.runner, fix.now_ms, fix.poll_id, &none);
+    fix.now_ms += 700;
+    Runner_Tick(fix.runner, fix.now_ms);
+    g_assert_cmpint(fix.replies, ==, 1);
+    g_assert_cmpint(fix.status, ==, LC_RUN_LOST);
+    polls = fix.polls;
+    Runner_OnPollAnswer(fix.runner, fix.now_ms, fix.poll_id, &none);
+    fix.now_ms += 1000;
+    Runner_Tick(fix.runner, fix.now_ms);
+    Runner_CheckOverdue(fix.runner, fix.now_ms);
+    g_assert_cmpint(fix.polls, ==, polls);
+    RunnerFix_HeartbeatOf(&fix, "i-1", 9, RUNNER_UPSTREAM_READY);
+    g_assert_false(RunnerFix_TakesTask(&fix, 3));
+    RunnerFix_HeartbeatOf(&fix, "i-2", 1, RUNNER_UPSTREAM_READY);
+    RunnerFix_AnswerPoll(&fix, NULL, 0, NULL, 0);
+    g_assert_true(RunnerFix_TakesTask(&fix, 4));
+    Runner_Free(fix.runner);
+}
+
+static void
+test_departed_upstream_replaced(void)
+{
+    runner_fixture fix;
+
+    begin_departure(&fix);
+    RunnerFix_HeartbeatOf(&fix, "i-2", 1, RUNNER_UPSTREAM_READY);
+    g_assert_cmpint(fix.replies, ==, 0);
+    RunnerFix_AnswerPollOther(&fix);
+    g_assert_cmpint(fix.status, ==, LC_RUN_LOST);
+    RunnerFix_AnswerPoll(&fix, NULL, 0, NULL, 0);
+    g_assert_true(RunnerFix_TakesTask(&fix, 3));
+    Runner_Free(fix.runner);
+}
+
 /* If the current incarnation does not answer, the second heartbeat of another
  * is enough to replace it. */
 static void
@@ -230,6 +326,12 @@
     {"/heartbeats/a sequence number counts once", test_duplicate_sequence},
     {"/heartbeats/an incarnation that left stays gone",
      test_left_incarnation_stays_gone},
+    {"/heartbeats/an upstream that announces its end goes on with its runs",
+     test_departing_upstream_works_on},
+    {"/heartbeats/runs of an upstream that has left are lost after the hold",
+     test_departed_upstream},
+    {"/heartbeats/runs of an upstream that has left and was replaced are lost",
+     test_departed_upstream_replaced},
     {"/heartbeats/an unresponsive incarnation is replaced",
      test_current_incarnation_silent},
     {"/heartbeats/the clock of a dead incarnation is ignored",
