Give up a task whose upstreams crash before they answer its start

Change: the companion tells such a run as crashed again, and that it may not have begun (ran_ms). The entry fails the job after two crashes of runs that had begun, as before, or after four in all.

--- a/lease/active_job.h
+++ b/lease/active_job.h
@@ -43,13 +43,14 @@
     bool done;
     uint32_t failures; /**< run ends that count as attempts */
     uint32_t crashes;  /**< upstreams that crashed while running it */
-    Address crashed;   /**< address of the companion of the last one */
-    lc_node host;      /**< companion of the latest run */
-    Address avoid;     /**< companion where it last failed */
-    Address bound_to;  /**< companion whose upstream may execute an earlier
-                            start of the task until `bound_until_ms`: until
-                            then the task is started nowhere else. 0 if
-                            several may */
+    uint32_t unconfirmed_crashes; /**< those of runs that may not have begun */
+    Address crashed;  /**< address of the companion of the last one */
+    lc_node host;     /**< companion of the latest run */
+    Address avoid;    /**< companion where it last failed */
+    Address bound_to; /**< companion whose upstream may execute an earlier
+                           start of the task until `bound_until_ms`: until
+                           then the task is started nowhere else. 0 if
+                           several may */
     int64_t bound_until_ms;
     int64_t not_before_ms;      /**< nothing is sent for it before this time */
     uint32_t refused;           /**< consecutive refused starts */
--- a/lease/dispatcher_completion.c
+++ b/lease/dispatcher_completion.c
@@ -9,6 +9,10 @@
  * two unrelated crashes in its lifetime, so they are allowed one more. */
 #define MAX_CRASHES 2
 #define MAX_CRASHES_LONG_RUNNING 3
+/* Further crashes after which a task is given up if some are of runs that may
+ * not have begun: a task that crashes its upstream at once never confirms its
+ * start, while one whose start was merely unanswered is not to blame. */
+#define EXTRA_UNCONFIRMED_CRASHES 2
 
 /* Delay before a task that failed is started again at the same host, as it is
  * bound there; doubles with each failure of the task. An upstream that fails
@@ -271,7 +275,8 @@
                          ? MAX_CRASHES_LONG_RUNNING
                          : MAX_CRASHES;
 
-    if (job->closing || task->crashes < limit) {
+    if (job->closing || (task->crashes - task->unconfirmed_crashes < limit &&
+                         task->crashes < limit + EXTRA_UNCONFIRMED_CRASHES)) {
         return false;
     }
     Counter_Add(&self->counters, COUNTER_JOBS_CRASHING, 1);
@@ -281,13 +286,15 @@
 
 bool
 DispatcherCompletion_OnRunCrashed(Dispatcher *self, int64_t now_ms,
-                                  Active_Job *job, Active_Task *task)
+                                  Active_Job *job, Active_Task *task,
+                                  bool confirmed)
 {
     task->crashes++;
+    task->unconfirmed_crashes += !confirmed;
     Counter_Add(&self->counters, COUNTER_TASKS_CRASHED, 1);
     log_crash(self, now_ms, job, task);
     task->crashed = task->host.address;
-    if (job->durable) {
+    if (job->durable && confirmed) {
         self->ports->on_durable_run_crash(
             self->context, &task->id,
             LeasedJob_TaskNumber(&job->spec, &task->id));
--- a/lease/dispatcher_replies.c
+++ b/lease/dispatcher_replies.c
@@ -1,4 +1,5 @@
 #include "lease/dispatcher_state.h"
+#include "lease/run_status.h"
 
 /* Exponential backoff for repeating a call after a broken connection or an
  * inconclusive reply. */
@@ -97,9 +98,10 @@
     }
 }
 
+/* @p confirmed: the run is known to have begun. */
 static void
 on_run_ended(Dispatcher *self, int64_t now_ms, Active_Job *job,
-             Active_Task *task, lc_run_status status)
+             Active_Task *task, lc_run_status status, bool confirmed)
 {
     Fleet_Host *host = DispatcherCompletion_HostOf(self, task);
 
@@ -112,8 +114,8 @@
     }
     JobTrace_Add(job->trace, now_ms, JOB_TRACE_ENDED, &task->id,
                  task->host.address, (int32_t)status);
-    if (status == LC_RUN_CRASHED &&
-        DispatcherCompletion_OnRunCrashed(self, now_ms, job, task)) {
+    if (status == LC_RUN_CRASHED && DispatcherCompletion_OnRunCrashed(
+                                        self, now_ms, job, task, confirmed)) {
         return;
     }
     if (Active_Step(job, task)->long_running &&
@@ -188,7 +190,8 @@
     }
     bind_to_late_start(self, now_ms, job, task, result->late_start_ms);
     on_run_ended(self, now_ms, job, task,
-                 effective_status(result->status, task));
+                 effective_status(result->status, task),
+                 result->ran_ms != RUN_MAY_NOT_HAVE_BEGUN);
 }
 
 static void
@@ -210,7 +213,7 @@
         }
         return;
     }
-    on_run_ended(self, now_ms, job, task, result->status);
+    on_run_ended(self, now_ms, job, task, result->status, true);
 }
 
 static void
--- a/lease/dispatcher_state.h
+++ b/lease/dispatcher_state.h
@@ -232,10 +232,11 @@
                                       Active_Job *job, Active_Task *task,
                                       const Fleet_Host *host);
 
-/** Counts a crash of an upstream during the task's run. Returns true if this
- * ended the job, which may then be freed. */
+/** Counts a crash of an upstream during the task's run; @p confirmed: the run
+ * had begun. Returns true if this ended the job, which may then be freed. */
 bool DispatcherCompletion_OnRunCrashed(Dispatcher *self, int64_t now_ms,
-                                       Active_Job *job, Active_Task *task);
+                                       Active_Job *job, Active_Task *task,
+                                       bool confirmed);
 
 /** Ends a job if the task has reached the limit of upstream crashes; returns
  * whether it did. May free the job. */
--- a/lease/run_status.h
+++ b/lease/run_status.h
@@ -10,6 +10,10 @@
 /** Number of statuses. */
 #define RUN_STATUS_COUNT (LC_RUN_CRASHED + 1)
 
+/** `ran_ms` of a crashed run whose start was never confirmed: it may not have
+ * begun. */
+#define RUN_MAY_NOT_HAVE_BEGUN UINT32_MAX
+
 /** Text of an lc_run_status; "unknown" for any other number. */
 const char *RunStatus_Text(int status);
 
--- a/lease/runner_tasks.c
+++ b/lease/runner_tasks.c
@@ -7,12 +7,11 @@
 #include "lease/run_id.h"
 #include "lease/run_status.h"
 
-/* A task is blamed for a crash of its upstream only if its run was confirmed
- * or listed, and it was started within this time, or within twice its
- * estimate, as a task that crashes its upstream does so soon after its start
- * or by the end of its work. Far longer than the detection of a crash (a hold
- * of 600 ms, a heartbeat), and far shorter than the run time of long-running
- * tasks. */
+/* A task is blamed for a crash of its upstream only if it was started within
+ * this time, or within twice its estimate, as a task that crashes its upstream
+ * does so soon after its start or by the end of its work. Far longer than the
+ * detection of a crash (a hold of 600 ms, a heartbeat), and far shorter than
+ * the run time of long-running tasks. */
 #define CRASH_ATTRIBUTION_MS 3000
 /* Queued replies carry their kind in the lowest bit: set for HALT, clear for
  * RUN. */
@@ -129,7 +128,8 @@
     if (status != LC_RUN_DONE) {
         RunnerTask_Log(runner, EVENT_RUN_ENDED, row,
                        "%s after %u ms, %u of %u copies of the start answered",
-                       RunStatus_Text(status), row->ran_ms,
+                       RunStatus_Text(status),
+                       row->ran_ms == RUN_MAY_NOT_HAVE_BEGUN ? 0 : row->ran_ms,
                        row->answered_copies, row->start_copies);
     }
     RunnerTask_Answer(runner, now_ms, row);
@@ -218,24 +218,20 @@
     return row->incarnation != runner->upstream.incarnation;
 }
 
-/* A start without an answer may never have begun its run. */
-static bool
-may_have_crashed_upstream(const Runner_Task *row, int64_t now_ms)
-{
-    int64_t attribution_ms = MAX(CRASH_ATTRIBUTION_MS,
-                                 2 * (int64_t)row->estimate_ms);
-
-    return row->progress_ms > 0 && now_ms - row->ordered_ms <= attribution_ms;
-}
-
 void
 RunnerTask_EndLost(Runner *runner, int64_t now_ms, Runner_Task *row,
                    bool crashed)
 {
+    int64_t attribution_ms = MAX(CRASH_ATTRIBUTION_MS,
+                                 2 * (int64_t)row->estimate_ms);
+
     if (row->state == TASK_STOPPING) {
         RunnerTask_End(runner, now_ms, row, row->status);
     }
-    else if (crashed && may_have_crashed_upstream(row, now_ms)) {
+    else if (crashed && now_ms - row->ordered_ms <= attribution_ms) {
+        if (row->progress_ms == 0) {
+            row->ran_ms = RUN_MAY_NOT_HAVE_BEGUN;
+        }
         RunnerTask_End(runner, now_ms, row, LC_RUN_CRASHED);
     }
     else {
--- a/tests/lease_rules.c
+++ b/tests/lease_rules.c
@@ -9,6 +9,7 @@
 
 #include "lease/dispatcher.h"
 #include "lease/run_id.h"
+#include "lease/run_status.h"
 #include "tests/lease_fixture.h"
 #include "tests/test_table.h"
 
@@ -238,11 +239,13 @@
 }
 
 static void
-reply_run(dispatcher_fixture *fix, const sent_call *call, lc_run_status status)
+reply_run_after(dispatcher_fixture *fix, const sent_call *call,
+                lc_run_status status, u_int ran_ms)
 {
     Msg_Reply reply = {.kind = MSG_RUN};
 
     reply.u.run.status = status;
+    reply.u.run.ran_ms = ran_ms;
     reply.u.run.host.node = companion_node;
     reply.u.run.host.stamp_ms = fix->now_ms;
     reply.u.run.host.state = status == LC_RUN_NOT_READY ? LC_UPSTREAM_ABSENT
@@ -254,6 +257,12 @@
     Dispatcher_DispatchWaiting(fix->dispatcher, fix->now_ms);
 }
 
+static void
+reply_run(dispatcher_fixture *fix, const sent_call *call, lc_run_status status)
+{
+    reply_run_after(fix, call, status, 0);
+}
+
 static void
 tick_until(dispatcher_fixture *fix, int64_t until_ms)
 {
@@ -444,6 +453,53 @@
     free_dispatcher(&fix);
 }
 
+static void
+reply_unconfirmed_crash(dispatcher_fixture *fix)
+{
+    reply_run_after(fix, last_call(fix, MSG_RUN), LC_RUN_CRASHED,
+                    RUN_MAY_NOT_HAVE_BEGUN);
+}
+
+/* A run whose start was merely unanswered is not to blame. */
+static void
+test_crash_of_unconfirmed_run(void)
+{
+    dispatcher_fixture fix;
+
+    new_dispatcher(&fix);
+    report_node(&fix, &other_companion);
+    submit_job(&fix, 1, 1);
+    reply_unconfirmed_crash(&fix);
+    reply_run(&fix, last_call(&fix, MSG_RUN), LC_RUN_CRASHED);
+    g_assert_cmpint(fix.answers, ==, 0);
+    reply_run(&fix, last_call(&fix, MSG_RUN), LC_RUN_CRASHED);
+    g_assert_cmpint(fix.answers, ==, 1);
+    g_assert_cmpint(fix.outcome, ==, DISPATCHER_FAILED);
+    free_dispatcher(&fix);
+}
+
+/* A task that crashes its upstream before the start is answered is given up
+ * after one more crash than the three after which it may be. */
+static void
+test_crashes_of_unconfirmed_runs(void)
+{
+    dispatcher_fixture fix;
+    int i;
+
+    new_dispatcher(&fix);
+    report_node(&fix, &other_companion);
+    submit_job(&fix, 1, 1);
+    for (i = 0; i < 3; i++) {
+        reply_unconfirmed_crash(&fix);
+        g_assert_cmpint(fix.answers, ==, 0);
+    }
+    reply_unconfirmed_crash(&fix);
+    g_assert_cmpint(fix.answers, ==, 1);
+    g_assert_cmpint(fix.outcome, ==, DISPATCHER_FAILED);
+    g_assert_cmpint(count_calls(&fix, MSG_RUN), ==, 4);
+    free_dispatcher(&fix);
+}
+
 /* Such a job is refused at once, as not run, but only after the time in which
  * all companions have reported. */
 static void
@@ -758,6 +814,10 @@
     {"/dispatcher/counts failed attempts", test_attempts},
     {"/dispatcher/gives up a task after two upstream crashes",
      test_two_crashes},
+    {"/attempts/a crash of a run that may not have begun",
+     test_crash_of_unconfirmed_run},
+    {"/attempts/crashes of runs that may not have begun",
+     test_crashes_of_unconfirmed_runs},
     {"/dispatcher/refuses a task larger than any upstream",
      test_task_exceeds_all_upstreams},
     {"/dispatcher/refuses a waiting job once upstreams shrink",
--- a/tests/runner_fixture.c
+++ b/tests/runner_fixture.c
@@ -52,6 +52,7 @@
     fix->replies++;
     if (reply->kind == MSG_RUN) {
         fix->status = reply->u.run.status;
+        fix->ran_ms = reply->u.run.ran_ms;
         fix->late_start_ms = reply->u.run.late_start_ms;
     }
     else if (reply->kind == MSG_FENCE) {
--- a/tests/runner_fixture.h
+++ b/tests/runner_fixture.h
@@ -58,6 +58,7 @@
     lc_late_start late;  /* the first of them */
     u_int late_start_ms; /* in the last reply to RUN */
     lc_run_status status;
+    u_int ran_ms; /* in the last reply to RUN */
 } runner_fixture;
 
 /** Creates a runner that has received no heartbeat. */
