Extend no hold while another incarnation under the name is heard

What callers saw: two runs at once were possible. An upstream that restarts under its name has a new clock. While its heartbeat waited for the answer to a poll, polls still carried a deadline on the clock of the incarnation before. That lies far ahead on the new clock, so that the upstream holds what it runs (a late start) for hold_max_ms from each such poll; starts were refused then, polls were not.

Cause: extend_hold() asked whether the hold was in force, not on whose clock. Evidence: by reading, and by the rule below; no log of the incident names a restart under a name.

Now polls extend no hold from that heartbeat on, until an answer tells which incarnation is current: the new one has its own clock from then on, and a late heartbeat is dropped by the next answer, after which polls extend again. The recorded end of the hold is that of the last poll that extended it, so that a run is told as over neither sooner nor later than it is.

Failed before: rebirth_rules.c:495: (held_by_poll_ms(&fix) == 0): (1000 == 0) rebirth_rules.c:517: (fix.poll.deadline_ms == 0): (500600 == 0) rebirth_rules.c:548: (fix.now_ms <= end_ms + 10): (10680 <= 10671)

Left: a poll that was sent before the heartbeat came, and waits for a connection, may still be written.

--- a/lease/runner_poll.c
+++ b/lease/runner_poll.c
@@ -159,8 +159,9 @@
 
 /* The hold is extended only while it may be in force. Once it has expired, the
  * runs that it kept are over; a run that goes on is one of another
- * incarnation, on whose clock the deadline means nothing. Returns the time to
- * which the poll extends the hold, or 0. */
+ * incarnation, on whose clock the deadline means nothing. Neither is it
+ * extended while such an incarnation is heard. Returns the time to which the
+ * poll extends the hold, or 0. */
 static int64_t
 extend_hold(Runner *runner, int64_t now_ms, Runner_Poll *poll)
 {
@@ -170,7 +171,8 @@
 
     RunnerAudit_CheckHoldLimit(runner, now_ms);
     if (ahead <= 0 || runner->upstream.clock_ms <= 0 ||
-        now_ms > runner->hold_until_ms) {
+        now_ms > runner->hold_until_ms ||
+        RunnerUpstream_MayHaveRestarted(runner)) {
         return 0;
     }
     poll->deadline_ms = RunnerUpstream_Clock(runner, now_ms) + ahead;
--- a/tests/rebirth_rules.c
+++ b/tests/rebirth_rules.c
@@ -456,6 +456,100 @@
     Runner_Free(fix.runner);
 }
 
+/* How long the restarted upstream, whose clock began anew, would hold its runs
+ * by the last poll: it cuts each hold to the longest that it grants. */
+static int64_t
+held_by_poll_ms(const runner_fixture *fix)
+{
+    int64_t clock_ms = fix->clock_ms + fix->now_ms - START_MS;
+
+    return CLAMP(fix->poll.deadline_ms - clock_ms, 0,
+                 LeaseFix_Timing().hold_limit_ms);
+}
+
+/* Lets the answer to the pending poll become overdue, so that another one is
+ * sent. */
+static void
+send_next_poll(runner_fixture *fix)
+{
+    fix->now_ms = Runner_DueMs(fix->runner);
+    Runner_CheckOverdue(fix->runner, fix->now_ms);
+}
+
+/* Guards against two runs at once: the restarted upstream is heard and may
+ * have executed a late start. The deadline of a poll, on the clock of the
+ * incarnation before, would keep that run for the longest hold. */
+static void
+test_heard_incarnation_is_not_held(void)
+{
+    runner_fixture fix;
+    int polls;
+
+    begin_task(&fix);
+    RunnerFix_AnswerRunning(&fix, 1);
+    restart_upstream(&fix);
+    RunnerFix_Heartbeat(&fix, RUNNER_UPSTREAM_READY);
+    for (polls = fix.polls; fix.polls < polls + 3;) {
+        send_next_poll(&fix);
+        renew(&fix, BEGUN_LEASE_MS);
+        g_assert_cmpint(held_by_poll_ms(&fix), ==, 0);
+    }
+    Runner_Free(fix.runner);
+}
+
+/* The heartbeat was a late one: the next answer of the current incarnation
+ * tells so, and the hold goes on. */
+static void
+test_hold_after_a_late_heartbeat(void)
+{
+    runner_fixture fix;
+    int64_t born_ms;
+
+    begin_task(&fix);
+    RunnerFix_AnswerRunning(&fix, 1);
+    born_ms = fix.born_ms;
+    fix.born_ms -= 1;
+    RunnerFix_HeartbeatOf(&fix, "i-1", 99, RUNNER_UPSTREAM_READY);
+    fix.born_ms = born_ms;
+    fix.now_ms += 100;
+    renew(&fix, BEGUN_LEASE_MS);
+    RunnerFix_AnswerRunning(&fix, 1); /* sent before the heartbeat */
+    g_assert_cmpint(fix.poll.deadline_ms, ==, 0);
+    RunnerFix_AnswerRunning(&fix, 1);
+    g_assert_cmpint(fix.poll.deadline_ms, >, CLOCK_MS + BEGUN_LEASE_MS);
+    g_assert_cmpint(fix.replies, ==, 1); /* to RENEW */
+    g_assert_cmpint(fix.stops, ==, 0);
+    Runner_Free(fix.runner);
+}
+
+/* Nothing answers after such a heartbeat: the run has ended with the hold of
+ * the last poll that extended it, neither sooner nor later. */
+static void
+test_end_of_hold_while_another_is_heard(void)
+{
+    LeaseTiming timing = LeaseFix_Timing();
+    runner_fixture fix;
+    int64_t end_ms;
+
+    begin_task(&fix);
+    fix.now_ms += 100;
+    renew(&fix, BEGUN_LEASE_MS);
+    RunnerFix_AnswerRunning(&fix, 1);
+    end_ms = fix.now_ms + LeaseTiming_MaxHoldMs(BEGUN_LEASE_MS) +
+             timing.stop_ms;
+    restart_upstream(&fix);
+    RunnerFix_Heartbeat(&fix, RUNNER_UPSTREAM_READY);
+    for (fix.replies = 0; fix.replies == 0; fix.now_ms += 10) {
+        renew(&fix, BEGUN_LEASE_MS);
+        fix.replies--; /* that to RENEW */
+        Runner_CheckOverdue(fix.runner, fix.now_ms);
+        Runner_Tick(fix.runner, fix.now_ms);
+        g_assert_true(fix.replies == 0 || fix.now_ms > end_ms);
+        g_assert_cmpint(fix.now_ms, <=, end_ms + 10);
+    }
+    Runner_Free(fix.runner);
+}
+
 /* A restarted companion knows no earlier incarnation: the upstream itself
  * tells which of two is current. The time of day may have gone back. */
 static void
@@ -856,6 +950,12 @@
     {"/restart/a clock that goes back", test_clock_that_goes_back},
     {"/restart/a late heartbeat of the previous incarnation",
      test_late_heartbeat_of_previous_incarnation},
+    {"/restart/an incarnation that is heard is not held",
+     test_heard_incarnation_is_not_held},
+    {"/restart/the hold goes on after a late heartbeat",
+     test_hold_after_a_late_heartbeat},
+    {"/restart/the hold ends while another incarnation is heard",
+     test_end_of_hold_while_another_is_heard},
     {"/restart/the upstream is polled for its incarnation",
      test_unknown_incarnation_is_queried},
     {"/restart/a heartbeat without a start time",
