Tell entries at once when the suspicion of an idle upstream ends

What callers saw: an upstream without runs that refused a connection and answers again got no work until its next heartbeat or the next report that was due anyway. The companion took it as ready, its entries did not know.

Cause: the end of a suspicion did not raise the version of the state, on which reports go out at once; its beginning does. Unseen so far, as the answer that ends a suspicion usually ends runs as well, which raises it.

Failed before: runner_rules.c:345: (Runner_Version(fix.runner) > version): (6 > 6)

--- a/lease/runner_poll.c
+++ b/lease/runner_poll.c
@@ -458,8 +458,7 @@
     bool all_known = true;
     uint32_t i;
 
-    runner->upstream.doubtful = false;
-    runner->upstream.refused = false;
+    RunnerUpstream_Trust(runner);
     runner->upstream.acknowledged = MAX(runner->upstream.acknowledged,
                                         poll->last_seen);
     RunnerUpstream_RecordClock(runner, now_ms, listing->clock_ms);
--- a/lease/runner_state.h
+++ b/lease/runner_state.h
@@ -456,6 +456,9 @@
  * polls. */
 void RunnerUpstream_Suspect(Runner *runner, const char *reason);
 
+/** Ends the suspicion, as the upstream has answered a poll. */
+void RunnerUpstream_Trust(Runner *runner);
+
 /** Records that no connection to the upstream can be opened. */
 void RunnerUpstream_RecordRefused(Runner *runner);
 
--- a/lease/runner_upstream.c
+++ b/lease/runner_upstream.c
@@ -341,6 +341,14 @@
     runner->version++;
 }
 
+void
+RunnerUpstream_Trust(Runner *runner)
+{
+    runner->version += runner->upstream.doubtful;
+    runner->upstream.doubtful = false;
+    runner->upstream.refused = false;
+}
+
 void
 RunnerUpstream_RecordRefused(Runner *runner)
 {
--- a/tests/runner_rules.c
+++ b/tests/runner_rules.c
@@ -322,6 +322,30 @@
     Runner_Free(fix.runner);
 }
 
+/* The entries are told at once that an upstream without runs, which refused a
+ * connection, can be used again: a report is due when the version rises. */
+static void
+test_end_of_suspicion_is_reported(void)
+{
+    runner_fixture fix;
+    lc_host_state state;
+    uint64_t version;
+
+    RunnerFix_NewReady(&fix);
+    RunnerFix_CallRun(&fix, 1, 1, 1000, 500);
+    Runner_OnStarted(fix.runner, fix.now_ms, fix.start_id, RUNNER_ORDER_UNSENT,
+                     0);
+    Runner_State(fix.runner, fix.now_ms, &state);
+    g_assert_cmpint(state.state, ==, LC_UPSTREAM_ABSENT);
+    g_assert_cmpuint(state.tasks, ==, 0);
+    version = Runner_Version(fix.runner);
+    RunnerFix_AnswerPoll(&fix, NULL, 0, NULL, 0);
+    Runner_State(fix.runner, fix.now_ms, &state);
+    g_assert_cmpint(state.state, ==, LC_UPSTREAM_READY);
+    g_assert_cmpuint(Runner_Version(fix.runner), >, version);
+    Runner_Free(fix.runner);
+}
+
 static const TestTable_Row rules[] = {
     {"/runner/refuses an expired run", test_expired_run},
     {"/runner/stops the runs of a silent entry", test_lease_expires},
@@ -346,6 +370,8 @@
     {"/runner/transfers runs to the successor", test_fence_hands_over},
     {"/runner/admits one task on trial", test_trial_admits_one},
     {"/runner/loses runs to another incarnation", test_other_incarnation},
+    {"/runner/reports the end of a suspicion",
+     test_end_of_suspicion_is_reported},
 };
 
 int
