Property: a long-running job may be given up after three crashes under a task

Traced again on this code: task 0.1 was at upstreams that the model crashed at 2,013, 3,944 and 6,164 ms, and the entry gave the job up after the third (LC517 "crash 3 of this task", LC500), as docs/design/lives-of-upstreams.md says. The check passes over a job of which a task has been under three crashes by the model's own count, and over no other.

--- a/tests/lease_sim.cc
+++ b/tests/lease_sim.cc
@@ -191,6 +191,11 @@
         upstreams[i].on_end = [this, i](const lc_run_id &id, Runner_End how) {
             on_ended(i, id, how);
         };
+        upstreams[i].on_run_crashed = [this](const lc_run_id &id) {
+            if (id.job >= FIRST_DURABLE_ID) {
+                durable_tasks[task_of(id)].crashes++;
+            }
+        };
         upstreams[i].on_end_acknowledged = [this](const lc_run_id &id,
                                                   Runner_End how) {
             if (id.job >= FIRST_DURABLE_ID) {
--- a/tests/lease_sim_state.h
+++ b/tests/lease_sim_state.h
@@ -46,6 +46,7 @@
  * of three, and two more because starts that are lost for other reasons count
  * here too. */
 const int MAX_CRASHES = 5;
+const int MAX_CRASHES_LONG_RUNNING = 3;
 
 class Simulation;
 
@@ -141,6 +142,7 @@
         bool acknowledged;
     };
     std::vector<End> ends;
+    int crashes = 0; /* of upstreams while it ran */
 };
 
 /* A call that a node has not answered, and the connection that it came by. */
@@ -417,6 +419,7 @@
     void cancel_long_running();
     void fail_durable_requests(uint32_t entry);
     void on_durable_start(const lc_run_id &id);
+    bool may_be_given_up(const DurableCaller &caller) const;
     void on_durable_end(const lc_run_id &id, Runner_End end);
     void on_durable_acknowledged(const lc_run_id &id, Runner_End end);
     std::string run_name(const lc_run_id &id);
--- a/tests/upstream_model.cc
+++ b/tests/upstream_model.cc
@@ -106,6 +106,9 @@
     std::map<TaskKey, RunningTask> lost = running;
 
     for (auto &pair : lost) {
+        if (on_run_crashed) {
+            on_run_crashed(pair.second.id);
+        }
         on_end(pair.second.id, RUNNER_END_HOLD_EXPIRED);
     }
     running.clear();
--- a/tests/upstream_model.h
+++ b/tests/upstream_model.h
@@ -51,6 +51,8 @@
     /** Called for each start and each end, with the true time. */
     std::function<void(const lc_run_id &)> on_start;
     std::function<void(const lc_run_id &, Runner_End)> on_end;
+    /** The upstream has crashed under this run; called before on_end. */
+    std::function<void(const lc_run_id &)> on_run_crashed;
     /** Called when a poll acknowledges an end, unless the upstream's hold has
      * expired since that end. */
     std::function<void(const lc_run_id &, Runner_End)> on_end_acknowledged;
