A poll that was certainly not delivered has not extended the hold

What callers saw: while an upstream that had crashed refused connections and owners renewed, each poll that could not be sent moved the recorded end of the hold on. Its runs were not told as over (not in 2,990 ms where the hold had ended at some 600), and a poll could extend the hold of the next incarnation as if the last one's were in force.

Failed before, pass now: waiting_polls/unsent_polls_extend_no_hold and run_ends_with_the_delivered_hold. written_in_the_hold fails as before and stays listed.

--- a/lease/runner_poll.c
+++ b/lease/runner_poll.c
@@ -558,7 +558,8 @@
 Runner_OnPollAnswer(Runner *runner, int64_t now_ms, uint64_t poll_id,
                     const Runner_PollAnswer *listing)
 {
-    bool sent = listing->end != RUNNER_ORDER_ABANDONED;
+    bool sent = listing->end != RUNNER_ORDER_ABANDONED &&
+                listing->end != RUNNER_ORDER_UNSENT;
     Runner_PendingPoll poll;
 
     RunnerAudit_CountOrder(runner, RUNNER_ORDER_POLL, listing->end);
