Rule: an upstream that is merely unreachable makes no second run by waiting polls

No run was told as over while it went on, none went on past what its owner counts with (LeaseTiming_CertainEnd). One run at a time; late starts are not part of it.

--- a/tests/run_past_lease_rules.c
+++ b/tests/run_past_lease_rules.c
@@ -523,7 +523,217 @@
     Runner_Free(fix->runner);
 }
 
+/* ---- an upstream that cannot be reached for some time ---- */
+
+#define MAX_WAITING 8
+#define OUTAGE_STEP_MS 100
+#define BEGIN_STEP_MS 20
+#define OUTAGE_BEGIN_MS 700
+#define OUTAGE_MAX_MS 1500
+#define OWNER_STEP_MS 300
+
+/* What becomes of polls in the outage. */
+typedef enum {
+    OUTAGE_WAITS, /* they wait for a connection until it ends */
+    OUTAGE_REFUSES,
+    OUTAGE_UNANSWERED, /* they are executed, their answers lost */
+    OUTAGE_KINDS
+} outage_kind;
+
+/* An upstream with a slow clock that executes one run, and the polls that wait
+ * for a connection to it. */
+typedef struct {
+    runner_fixture fix;
+    outage_kind kind;
+    int64_t outage_ms;
+    int64_t outage_end_ms;
+    int64_t owner_end_ms;   /* the owner renews until then */
+    int64_t certain_end_ms; /* for the owner, by its last renewal */
+    int64_t hold_until_ms;  /* on the upstream's clock */
+    bool runs;
+    bool late; /* a poll was written after the end of the hold */
+    uint64_t last_poll;
+    uint64_t waiting_ids[MAX_WAITING];
+    Runner_Poll waiting[MAX_WAITING];
+    uint32_t waiting_count;
+} outage_play;
+
+static int64_t
+slow_clock_ms(const outage_play *play)
+{
+    return CLOCK_MS +
+           LeaseTiming_MinUpstreamElapsedMs(play->fix.now_ms - START_MS);
+}
+
+static bool
+is_unreachable(const outage_play *play)
+{
+    return play->fix.now_ms >= play->outage_ms &&
+           play->fix.now_ms < play->outage_end_ms;
+}
+
+static void
+execute_poll(outage_play *play, const Runner_Poll *poll)
+{
+    play->late |= !play->runs && poll->deadline_ms > 0;
+    if (play->runs) {
+        play->hold_until_ms = MAX(play->hold_until_ms, poll->deadline_ms);
+    }
+}
+
+static void
+answer_executed(outage_play *play, uint64_t id)
+{
+    Runner_ActiveRun running = {RunnerFix_Run(FIRST_JOB, 1), 10};
+    Runner_EndedRun ended = {1, running.id, RUNNER_END_HOLD_EXPIRED};
+    Runner_PollAnswer listing = {.end = RUNNER_ORDER_ACCEPTED,
+                                 .clock_ms = slow_clock_ms(play),
+                                 .running = &running,
+                                 .running_count = play->runs,
+                                 .ended = &ended,
+                                 .ended_count = !play->runs};
+
+    Runner_OnPollAnswer(play->fix.runner, play->fix.now_ms, id, &listing);
+}
+
+static void
+fail_poll(outage_play *play, uint64_t id, Runner_OrderResult result)
+{
+    Runner_PollAnswer listing = {.end = result};
+
+    Runner_OnPollAnswer(play->fix.runner, play->fix.now_ms, id, &listing);
+}
+
+/* Carries out the polls sent since the last call. */
+static void
+carry_polls(outage_play *play)
+{
+    while (play->fix.poll_id != play->last_poll) {
+        Runner_Poll poll = play->fix.poll;
+        play->last_poll = play->fix.poll_id;
+        if (!is_unreachable(play)) {
+            execute_poll(play, &poll);
+            answer_executed(play, play->last_poll);
+            return; /* the next one is carried out in the next step */
+        }
+        if (play->kind == OUTAGE_REFUSES) {
+            fail_poll(play, play->last_poll, RUNNER_ORDER_UNSENT);
+        }
+        else if (play->kind == OUTAGE_UNANSWERED) {
+            execute_poll(play, &poll);
+        }
+        else if (play->waiting_count < MAX_WAITING) {
+            play->waiting_ids[play->waiting_count] = play->last_poll;
+            play->waiting[play->waiting_count++] = poll;
+        }
+    }
+}
+
+/* The outage has ended: the polls that wait are written if they still may be.
+ */
+static void
+write_waiting(outage_play *play)
+{
+    uint32_t i;
+
+    for (i = 0; i < play->waiting_count; i++) {
+        const Runner_Poll *poll = &play->waiting[i];
+        if (poll->send_by_ms != 0 && play->fix.now_ms > poll->send_by_ms) {
+            fail_poll(play, play->waiting_ids[i], RUNNER_ORDER_ABANDONED);
+        }
+        else {
+            execute_poll(play, poll);
+            answer_executed(play, play->waiting_ids[i]);
+        }
+    }
+    play->waiting_count = 0;
+}
+
+static void
+advance_outage(outage_play *play)
+{
+    LeaseTiming timing = LeaseFix_Timing();
+    runner_fixture *fix = &play->fix;
+
+    fix->now_ms += STEP_MS;
+    play->runs &= slow_clock_ms(play) <= play->hold_until_ms;
+    if (fix->now_ms <= play->owner_end_ms &&
+        (fix->now_ms - START_MS) % 100 == 0) {
+        renew_lease(fix);
+        fix->replies--; /* that to RENEW */
+        play->certain_end_ms = LeaseTiming_CertainEnd(&timing, fix->now_ms);
+    }
+    if (!is_unreachable(play)) {
+        write_waiting(play);
+    }
+    Runner_CheckOverdue(fix->runner, fix->now_ms);
+    Runner_Tick(fix->runner, fix->now_ms);
+    carry_polls(play);
+}
+
+/* Returns whether a poll was written after the end of the hold. */
+static bool
+play_outage(outage_kind kind, int64_t begin_ms, int64_t length_ms,
+            int64_t owner_ms)
+{
+    outage_play play = {.kind = kind,
+                        .outage_ms = START_MS + begin_ms,
+                        .outage_end_ms = START_MS + begin_ms + length_ms,
+                        .owner_end_ms = START_MS + owner_ms,
+                        .runs = true};
+    LeaseTiming timing = LeaseFix_Timing();
+    runner_fixture *fix = &play.fix;
+
+    RunnerFix_NewReady(fix);
+    play.certain_end_ms = LeaseTiming_CertainEnd(&timing, fix->now_ms);
+    play.last_poll = fix->poll_id;
+    RunnerFix_CallRun(fix, FIRST_JOB, 1, 100, LeaseFix_Timing().lease_ms);
+    play.hold_until_ms = fix->start.deadline_ms;
+    Runner_OnStarted(fix->runner, fix->now_ms, fix->start_id,
+                     RUNNER_ORDER_ACCEPTED, CLOCK_MS);
+    carry_polls(&play);
+    for (fix->replies = 0; fix->now_ms < START_MS + PLAY_MS;) {
+        advance_outage(&play);
+        g_assert_true(fix->replies == 0 || !play.runs);
+        g_assert_true(fix->now_ms <= play.certain_end_ms || !play.runs);
+    }
+    Runner_Free(fix->runner);
+    return play.late;
+}
+
+/* The upstream goes on as the same incarnation. Polls that waited for a
+ * connection may be written after the end of the hold, but find no run there:
+ * none is told as over while it runs, and none outlives its owner's lease by
+ * more than a hold. */
+static void
+test_outage_makes_no_second_run(void)
+{
+    uint32_t late = 0;
+    int64_t begin_ms;
+    int64_t length_ms;
+    int64_t owner_ms;
+    int kind;
+
+    for (kind = 0; kind < OUTAGE_KINDS; kind++) {
+        for (begin_ms = 0; begin_ms < OUTAGE_BEGIN_MS;
+             begin_ms += BEGIN_STEP_MS) {
+            for (length_ms = 0; length_ms < OUTAGE_MAX_MS;
+                 length_ms += OUTAGE_STEP_MS) {
+                for (owner_ms = 0; owner_ms <= PLAY_MS;
+                     owner_ms += OWNER_STEP_MS) {
+                    late += play_outage((outage_kind)kind, begin_ms, length_ms,
+                                        owner_ms);
+                }
+            }
+        }
+    }
+    g_assert_cmpuint(late, >, 0);
+    g_test_message("%u plays with a poll written after the hold", late);
+}
+
 static const TestTable_Row tests[] = {
+    {"/run_past_lease/outage_makes_no_second_run",
+     test_outage_makes_no_second_run},
     {"/run_past_lease/unknown_run_is_not_polled_in_a_loop",
      test_unknown_run_is_not_polled_in_a_loop},
     {"/run_past_lease/long_listing_does_not_close_the_upstream",
