Start no task elsewhere whose unanswered start a silent companion may still have

Cause: only the companion knew that copies of the start were unanswered, and a companion that is silent tells nothing.

Fix: the companion tells while all is well. Answers to RENEW list the entry's leased runs whose start is unsettled, reports tell for how long such a start may be executed (0 where the next incarnation gets another name). Once the lease of a silent companion has certainly ended, its entry binds the tasks of unsettled starts to it, and remembers them for jobs that come again; settled tasks are repeated elsewhere as before. Both fields are appended: a message without them reads as nothing told, and without the time nothing is bound.

--- a/lease/active_job.h
+++ b/lease/active_job.h
@@ -51,6 +51,9 @@
                             then the task is started nowhere else. 0 if
                             several may */
     int64_t bound_until_ms;
+    int64_t sent_ms; /**< when the latest run was sent first over a connection
+                          that has not broken, or that broke after its start
+                          was settled; INT64_MAX: not sent again yet */
     int64_t not_before_ms;      /**< nothing is sent for it before this time */
     uint32_t refused;           /**< consecutive refused starts */
     uint32_t call_retries;      /**< repeated calls about the current run */
--- a/lease/dispatcher.c
+++ b/lease/dispatcher.c
@@ -27,6 +27,7 @@
                                                  g_free, g_free);
     HallClosures_Init(&self->closures, now_ms);
     self->late_starts = LateStarts_New();
+    self->assumed_starts = LateStarts_New();
     LinkBudget_Init(&self->link, now_ms, config->link_mbps);
     QueueStats_Init(&self->stats);
     self->jobs = Handle_NewTable();
@@ -63,6 +64,7 @@
     g_hash_table_unref(self->origin_replies);
     HallClosures_Clear(&self->closures);
     LateStarts_Free(self->late_starts);
+    LateStarts_Free(self->assumed_starts);
     QueueStats_Clear(&self->stats);
     g_free(self);
 }
@@ -350,6 +352,7 @@
                 DispatcherCall_RepeatHalts(self, host);
             }
             Active_SetState(job, task, ACTIVE_SENT);
+            task->sent_ms = MIN(task->sent_ms, now_ms);
             DispatcherCall_Run(self, job, task,
                                retry_valid_until_ms(self, job, task));
         }
@@ -445,6 +448,7 @@
 
     DispatcherLink_LogChange(self, now_ms);
     LateStarts_RemoveExpired(self->late_starts, now_ms);
+    LateStarts_RemoveExpired(self->assumed_starts, now_ms);
     DispatcherOrigin_Tick(self, now_ms);
     DispatcherForward_Tick(self, now_ms);
     for (i = 0; i < Handle_RowCount(self->jobs); i++) {
--- a/lease/dispatcher_hosts.c
+++ b/lease/dispatcher_hosts.c
@@ -74,6 +74,9 @@
                                                  : JOB_TRACE_RESTARTED,
                          &task->id, address, 0);
             task->avoid = address;
+            if (except_incarnation == 0) {
+                DispatcherLateStart_OnSilent(self, now_ms, job, task, host);
+            }
             DispatcherCompletion_Requeue(self, job, task, now_ms);
             /* A job that was closing may have been freed. */
             job = Handle_ItemAt(self->jobs, i);
--- a/lease/dispatcher_late_starts.c
+++ b/lease/dispatcher_late_starts.c
@@ -5,6 +5,9 @@
  * list such starts in their reports. The task is then started at that
  * companion alone: there the upstream executes one of its runs at most, and a
  * restarted upstream is found empty before it gets new starts.
+ *
+ * Answers to renewals list the unsettled starts of an entry's own runs, so
+ * that it knows them when a companion falls silent.
  */
 #include "base/address.h"
 #include "lease/dispatcher_state.h"
@@ -63,6 +66,68 @@
 {
     DispatcherLateStart_BindTasks(
         self, now_ms, job, LateStarts_OfJob(self->late_starts, job->spec.id));
+    DispatcherLateStart_BindTasks(
+        self, now_ms, job,
+        LateStarts_OfJob(self->assumed_starts, job->spec.id));
+}
+
+void
+DispatcherLateStart_OnRenewed(Fleet_Host *host, const lc_renew_res *renewed)
+{
+    if (!renewed->starts_told) {
+        return;
+    }
+    host->unsettled_as_of_ms = host->renew_sent_ms;
+    g_array_set_size(host->unsettled, 0);
+    g_array_append_vals(host->unsettled, renewed->unsettled.unsettled_val,
+                        renewed->unsettled.unsettled_len);
+}
+
+/* Whether a copy of a run's start may be unanswered. A settled start remains
+ * so: copies are sent only while none is answered. */
+static bool
+is_unsettled(const Fleet_Host *host, const Active_Task *task)
+{
+    guint i;
+
+    if (task->sent_ms >= host->unsettled_as_of_ms) {
+        return true;
+    }
+    for (i = 0; i < host->unsettled->len; i++) {
+        if (RunId_Equal(&g_array_index(host->unsettled, lc_run_id, i),
+                        &task->id)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+void
+DispatcherLateStart_OnConnectionLost(const Dispatcher *self, Active_Task *task)
+{
+    const Fleet_Host *host = DispatcherCompletion_HostOf(self, task);
+
+    if (host != NULL && is_unsettled(host, task)) {
+        task->sent_ms = INT64_MAX;
+    }
+}
+
+void
+DispatcherLateStart_OnSilent(Dispatcher *self, int64_t now_ms,
+                             const Active_Job *job, Active_Task *task,
+                             const Fleet_Host *host)
+{
+    LateStart late = {
+        .id = task->id,
+        .companion = host->node,
+        .until_ms = Fleet_CertainEnd(host, &self->config.timing) +
+                    host->late_ms};
+
+    if (job->durable || host->late_ms == 0 || !is_unsettled(host, task)) {
+        return;
+    }
+    LateStarts_Add(self->assumed_starts, now_ms, &late);
+    DispatcherLateStart_BindTask(self, now_ms, job, task, &late);
 }
 
 void
--- a/lease/dispatcher_queue.c
+++ b/lease/dispatcher_queue.c
@@ -84,6 +84,7 @@
     task->id.run++;
     task->host = host->node;
     task->call_retries = 0;
+    task->sent_ms = now_ms;
     task->outcome_queried_ms = 0;
     Active_SetState(job, task, ACTIVE_SENT);
     job->starts++;
--- a/lease/dispatcher_replies.c
+++ b/lease/dispatcher_replies.c
@@ -162,6 +162,7 @@
     if (result == NULL) {
         if (task->state == ACTIVE_SENT) {
             Active_SetState(job, task, ACTIVE_ORPHANED);
+            DispatcherLateStart_OnConnectionLost(self, task);
             if (task->call_retries == 0) {
                 JobTrace_Add(job->trace, now_ms, JOB_TRACE_ORPHANED, &task->id,
                              task->host.address, 0);
@@ -249,7 +250,9 @@
     host->renew_call_id = 0;
     if (reply == NULL) {
         DispatcherHosts_Suspect(self, now_ms, host);
+        return;
     }
+    DispatcherLateStart_OnRenewed(host, &reply->u.renew);
 }
 
 void
--- a/lease/dispatcher_state.h
+++ b/lease/dispatcher_state.h
@@ -63,6 +63,7 @@
     Fleet fleet;
     HallClosures closures;
     LateStarts *late_starts;
+    LateStarts *assumed_starts; /* of runs whose companions fell silent */
     Reserve reserve;
     LinkBudget link;
     bool starts_wait_for_link; /* starts wait for the link */
@@ -335,6 +336,22 @@
 void DispatcherLateStart_BindJob(Dispatcher *self, int64_t now_ms,
                                  Active_Job *job);
 
+/** Applies the list of unsettled starts in the answer to the last RENEW. */
+void DispatcherLateStart_OnRenewed(Fleet_Host *host,
+                                   const lc_renew_res *renewed);
+
+/** Records that the connection of a RUN broke: unless its start was settled,
+ * the companion may not know the run yet when it answers the next RENEW. */
+void DispatcherLateStart_OnConnectionLost(const Dispatcher *self,
+                                          Active_Task *task);
+
+/** Binds a task, and later submissions of its job, to a companion that fell
+ * silent, if its upstream may still execute the task's last start. To be
+ * called when the run is certainly over. */
+void DispatcherLateStart_OnSilent(Dispatcher *self, int64_t now_ms,
+                                  const Active_Job *job, Active_Task *task,
+                                  const Fleet_Host *host);
+
 /** Applies a companion's list, also to open jobs. */
 void DispatcherLateStart_OnReport(Dispatcher *self, int64_t now_ms,
                                   const lc_report_args *report);
--- a/lease/fleet.c
+++ b/lease/fleet.c
@@ -11,6 +11,7 @@
     g_free(host->service);
     g_free(host->instance);
     g_strfreev(host->labels);
+    g_array_unref(host->unsettled);
     g_free(host);
 }
 
@@ -41,6 +42,7 @@
 
     host->node = *node;
     host->pace_percent = 100;
+    host->unsettled = g_array_new(FALSE, FALSE, sizeof(lc_run_id));
     g_ptr_array_add(fleet->hosts, host);
     g_hash_table_insert(fleet->by_address, &host->node.address, host);
     return host;
@@ -121,6 +123,7 @@
     update_labels(host, report);
     host->capacity = report->capacity;
     host->next_ms = report->next_ms;
+    host->late_ms = report->late_ms;
     host->reported_ms = now_ms;
     Fleet_ApplyState(host, now_ms, &report->host);
     return change;
--- a/lease/fleet.h
+++ b/lease/fleet.h
@@ -46,7 +46,11 @@
     int64_t renew_sent_ms;  /**< when the last RENEW was sent */
     bool suspect;           /**< a RENEW was not answered in time */
     bool halt_failed;       /**< the connection of a HALT broke */
-    bool closed;            /**< operators have closed its hall */
+    uint32_t late_ms;       /**< as in lc_report_args */
+    GArray *unsettled;      /**< lc_run_id, as listed in the answer to a RENEW,
+                                 of the runs sent before it */
+    int64_t unsettled_as_of_ms; /**< when that RENEW was sent */
+    bool closed;                /**< operators have closed its hall */
     int64_t avoid_until_ms; /**< set by refusals other than for lack of room */
 } Fleet_Host;
 
--- a/lease/late_starts.c
+++ b/lease/late_starts.c
@@ -144,6 +144,17 @@
     return true;
 }
 
+void
+LateStarts_Add(LateStarts *self, int64_t now_ms, const LateStart *late)
+{
+    lc_late_start row = {.id = late->id,
+                         .late_start_ms = (u_int)(late->until_ms - now_ms)};
+
+    if (now_ms < late->until_ms) {
+        add_row(self, now_ms, find_or_add(self, &late->companion), &row);
+    }
+}
+
 uint32_t
 LateStarts_Version(const LateStarts *self, const lc_node *companion)
 {
--- a/lease/late_starts.h
+++ b/lease/late_starts.h
@@ -35,6 +35,9 @@
                         const lc_node *companion, uint32_t version,
                         const lc_late_start *rows, uint32_t count);
 
+/** Adds a start that no companion has listed. */
+void LateStarts_Add(LateStarts *self, int64_t now_ms, const LateStart *late);
+
 /** Version of a companion's list; 0 if none is known. */
 uint32_t LateStarts_Version(const LateStarts *self, const lc_node *companion);
 
--- a/lease/runner.c
+++ b/lease/runner.c
@@ -291,6 +291,7 @@
          const lc_renew_args *args)
 {
     Msg_Reply reply = {.kind = MSG_RENEW};
+    GArray *unsettled = g_array_new(FALSE, FALSE, sizeof(lc_run_id));
     lc_node durable_owner = {args->owner.address, args->kept};
 
     if (args->target == runner->config.node.incarnation &&
@@ -304,7 +305,12 @@
         }
     }
     Runner_State(runner, now_ms, &reply.u.renew.host);
+    if (args->target == runner->config.node.incarnation) {
+        RunnerLateStart_FillRenewed(runner, now_ms, &args->owner, unsettled,
+                                    &reply.u.renew);
+    }
     runner->ports->reply(runner->context, reply_id, &reply);
+    g_array_unref(unsettled);
 }
 
 bool
--- a/lease/runner_late_starts.c
+++ b/lease/runner_late_starts.c
@@ -160,6 +160,35 @@
                                                  : 0;
 }
 
+/* The runs of an owner of which a copy of the start is unanswered, whether
+ * they may be repeated or not. Nothing is told where they are too many. */
+void
+RunnerLateStart_FillRenewed(const Runner *runner, int64_t now_ms,
+                            const lc_node *owner, GArray *rows,
+                            lc_renew_res *renewed)
+{
+    GHashTableIter iter;
+    gpointer item;
+
+    if (!may_keep_name(runner)) {
+        return;
+    }
+    g_hash_table_iter_init(&iter, runner->tasks);
+    while (g_hash_table_iter_next(&iter, NULL, &item)) {
+        const Runner_Task *row = item;
+        if (row->owner.address == owner->address &&
+            !RunId_IsDurable(&row->id) &&
+            now_ms < RunnerLateStart_ExpiryMs(runner, row)) {
+            g_array_append_val(rows, row->id);
+        }
+    }
+    if (rows->len <= LC_MAX_LATE_STARTS) {
+        renewed->starts_told = TRUE;
+        renewed->unsettled.unsettled_len = rows->len;
+        renewed->unsettled.unsettled_val = (lc_run_id *)(void *)rows->data;
+    }
+}
+
 static gint
 compare_latest_first(gconstpointer a, gconstpointer b)
 {
@@ -181,6 +210,8 @@
     GHashTableIter iter;
     gpointer item;
 
+    report->late_ms = may_keep_name(runner) ? (u_int)runner->config.late_ms
+                                            : 0;
     report->late_starts_version = Runner_LateStartsVersion(runner, now_ms);
     if (report->late_starts_version == 0) {
         return;
--- a/lease/runner_state.h
+++ b/lease/runner_state.h
@@ -439,6 +439,12 @@
  * entry while their starts may be executed here. */
 void RunnerLateStart_Update(Runner *runner, int64_t now_ms);
 
+/** Adds to the answer to a RENEW which starts of the owner's address are
+ * unsettled, in @p rows, an empty array of lc_run_id. */
+void RunnerLateStart_FillRenewed(const Runner *runner, int64_t now_ms,
+                                 const lc_node *owner, GArray *rows,
+                                 lc_renew_res *renewed);
+
 /** Adds that list to a report; it is borrowed until the next call. */
 void RunnerLateStart_FillReport(const Runner *runner, int64_t now_ms,
                                 lc_report_args *report);
--- a/tests/entry_fixture.c
+++ b/tests/entry_fixture.c
@@ -198,6 +198,7 @@
     report->instance = (char *)(uintptr_t) "i-1";
     report->next_ms = 60000;
     report->closures.as_of = -1;
+    report->late_ms = fix->late_ms;
 }
 
 void
@@ -255,6 +256,9 @@
 {
     Msg_Reply reply = {.kind = MSG_RENEW};
 
+    reply.u.renew.starts_told = fix->starts_told;
+    reply.u.renew.unsettled.unsettled_len = fix->unsettled.run != 0;
+    reply.u.renew.unsettled.unsettled_val = &fix->unsettled;
     for (; fix->renewed_tasks > 0 && from < fix->call_count; from++) {
         const EntryFix_Call *call = &fix->calls[from];
         if (call->kind == MSG_RENEW) {
--- a/tests/entry_fixture.h
+++ b/tests/entry_fixture.h
@@ -72,6 +72,9 @@
                                  renewals, which are immediate; 0: renewals
                                  are not answered */
     uint32_t late_start_ms; /**< told in replies to starts */
+    uint32_t late_ms;       /**< told in reports */
+    bool starts_told;       /**< in replies to renewals, with the next field */
+    lc_run_id unsettled;    /**< run 0: none */
     bool on_trial; /**< the upstreams of all companions are on trial */
 } EntryFix;
 
--- a/tests/runner_fixture.c
+++ b/tests/runner_fixture.c
@@ -61,6 +61,13 @@
             fix->late = reply->u.fence.late_starts.late_starts_val[0];
         }
     }
+    else if (reply->kind == MSG_RENEW) {
+        fix->starts_told = reply->u.renew.starts_told;
+        fix->unsettled = reply->u.renew.unsettled.unsettled_len;
+        if (fix->unsettled > 0) {
+            fix->unsettled_run = reply->u.renew.unsettled.unsettled_val[0];
+        }
+    }
     else if (reply->kind == MSG_HALT) {
         fix->status = reply->u.halt.status;
     }
--- a/tests/runner_fixture.h
+++ b/tests/runner_fixture.h
@@ -53,10 +53,13 @@
     uint64_t stop_id;
     lc_run_id stopped;
     int replies;
-    u_int held_runs;     /* in the last reply to FENCE */
-    u_int late_starts;   /* in the last reply to FENCE */
-    lc_late_start late;  /* the first of them */
-    u_int late_start_ms; /* in the last reply to RUN */
+    u_int held_runs;         /* in the last reply to FENCE */
+    u_int late_starts;       /* in the last reply to FENCE */
+    lc_late_start late;      /* the first of them */
+    u_int late_start_ms;     /* in the last reply to RUN */
+    bool starts_told;        /* in the last reply to RENEW */
+    u_int unsettled;         /* in the last reply to RENEW */
+    lc_run_id unsettled_run; /* the first of them */
     lc_run_status status;
 } runner_fixture;
 
--- a/wire/levercove.h
+++ b/wire/levercove.h
@@ -423,6 +423,11 @@
 
 struct lc_renew_res {
 	lc_host_state host;
+	bool_t starts_told;
+	struct {
+		u_int unsettled_len;
+		lc_run_id *unsettled_val;
+	} unsettled;
 };
 typedef struct lc_renew_res lc_renew_res;
 
@@ -477,6 +482,7 @@
 		u_int late_starts_len;
 		lc_late_start *late_starts_val;
 	} late_starts;
+	u_int late_ms;
 };
 typedef struct lc_report_args lc_report_args;
 
--- a/wire/levercove.x
+++ b/wire/levercove.x
@@ -366,6 +366,10 @@
 
 struct lc_renew_res {
     lc_host_state host;
+    bool starts_told; /* the list below is complete */
+    lc_run_id unsettled<LC_MAX_LATE_STARTS>; /* leased runs of the entry, of
+                                                whose starts a copy is
+                                                unanswered */
 };
 
 /* Stops one run; the answer confirms that it has ended. */
@@ -414,6 +418,9 @@
     unsigned int late_starts_version; /* of the list below; 0: it is not sent,
                                          as the entry has confirmed it */
     lc_late_start late_starts<LC_MAX_LATE_STARTS>; /* of leased jobs */
+    unsigned int late_ms; /* for this long after it was sent, an unanswered
+                             start may be executed, also by the upstream's next
+                             incarnation; 0: that one gets another name */
 };
 
 struct lc_report_res {
--- a/wire/levercove_xdr.c
+++ b/wire/levercove_xdr.c
@@ -886,6 +886,11 @@
 
 	 if (!xdr_lc_host_state (xdrs, &objp->host))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->starts_told))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->unsettled.unsettled_val, (u_int *) &objp->unsettled.unsettled_len, LC_MAX_LATE_STARTS,
+		sizeof (lc_run_id), (xdrproc_t) xdr_lc_run_id))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -991,6 +996,8 @@
 	 if (!xdr_array (xdrs, (char **)&objp->late_starts.late_starts_val, (u_int *) &objp->late_starts.late_starts_len, LC_MAX_LATE_STARTS,
 		sizeof (lc_late_start), (xdrproc_t) xdr_lc_late_start))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->late_ms))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/wire/msg.c
+++ b/wire/msg.c
@@ -176,8 +176,9 @@
         [MSG_RUN] = {.results = BYTES_PER_XDR_UNIT},   /* late_start_ms */
         [MSG_RUNS] = {.results = BYTES_PER_XDR_UNIT},  /* the same */
         [MSG_FENCE] = {.results = BYTES_PER_XDR_UNIT}, /* late_starts */
-        [MSG_REPORT] = {.args = (size_t)2 * BYTES_PER_XDR_UNIT, /* list */
-                        .results = BYTES_PER_XDR_UNIT},         /* version */
+        [MSG_RENEW] = {.results = (size_t)2 * BYTES_PER_XDR_UNIT}, /* list */
+        [MSG_REPORT] = {.args = (size_t)3 * BYTES_PER_XDR_UNIT,    /* late_* */
+                        .results = BYTES_PER_XDR_UNIT}, /* version */
     };
 
     return sizes[kind];
