End the request of a client whose later requests are not read

Cause: once 64 KiB of later requests were buffered, the connection was watched no longer, neither by reading nor by HttpServer_CheckClients. A client that then disconnected was not noticed until its job's deadline: the job's runs were kept, while it may have been submitted elsewhere 1.3 s later.

Change: as many bytes are read as one request may have (8 MiB, which a body takes as well). A client that sends more counts as disconnected: its job is stopped, and it is answered 502, which tells nothing of the outcome, so that the job may come again as after a broken connection. Reading on without a limit has no bound; poll(2) alone does not tell of a disconnect behind bytes that the client could not send yet.

http_server_rules before the change: http_server_rules.c:176 test_disconnect_behind_many_requests: (0 == 1) and test_client_that_sends_too_much was ended after 20 s. With it all 6 pass.

--- a/daemon/http_server.c
+++ b/daemon/http_server.c
@@ -14,10 +14,12 @@
 
 #define LISTEN_BACKLOG 1024
 #define MS_PER_S 1000
-/* Most bytes of later requests that are read before a response. */
-#define MAX_EARLY_BYTES 65536
+/* Most bytes of later requests that are read before a response: as many as one
+ * request may have. */
+#define MAX_EARLY_BYTES HTTP_MAX_BODY_BYTES
 /* Ends a request whose client has disconnected; never reaches the client. */
 #define STATUS_CLIENT_CLOSED 499
+#define STATUS_BAD_GATEWAY 502
 /* Estimated size of a response's status line and headers. */
 #define RESPONSE_HEAD_BYTES 160
 
@@ -81,12 +83,12 @@
                                    offsetof(Http_Server, context));
 }
 
-/* Ends a request whose client has disconnected; h2o closes the connection
- * without reading later requests. */
+/* Ends a request whose client has disconnected, or counts as disconnected; h2o
+ * closes the connection without reading later requests. */
 static void
-end_abandoned(Http_Server *server, uint64_t id)
+end_abandoned(Http_Server *server, uint64_t id, int status)
 {
-    HttpServer_Response empty = {.status = STATUS_CLIENT_CLOSED, .body = ""};
+    HttpServer_Response empty = {.status = status, .body = ""};
     open_request *open = Handle_Get(server->open, id);
 
     if (open != NULL) {
@@ -99,8 +101,9 @@
 /*
  * The connection of a request that is being served has become readable: the
  * client has disconnected, or has sent its next request, which h2o later
- * finds in its buffer. It may disconnect after that, so that reading goes on
- * until the buffer holds too much.
+ * finds in its buffer. It may disconnect after that, so that reading goes on.
+ * Once the buffer holds too much, a disconnect could not be noticed any more,
+ * so that the request ends with unknown outcome.
  */
 static void
 on_watched_readable(h2o_socket_t *socket, const char *error)
@@ -115,9 +118,8 @@
     }
     id = open->id;
     stop_watching(open);
-    if (error != NULL) {
-        end_abandoned(server, id);
-    }
+    end_abandoned(server, id,
+                  error == NULL ? STATUS_BAD_GATEWAY : STATUS_CLIENT_CLOSED);
 }
 
 static void
@@ -155,7 +157,8 @@
     if (poll((struct pollfd *)(void *)polls->data, polls->len, 0) > 0) {
         for (i = 0; i < polls->len; i++) {
             if (g_array_index(polls, struct pollfd, i).revents != 0) {
-                end_abandoned(server, g_array_index(ids, uint64_t, i));
+                end_abandoned(server, g_array_index(ids, uint64_t, i),
+                              STATUS_CLIENT_CLOSED);
             }
         }
     }
--- a/tests/http_server_rules.c
+++ b/tests/http_server_rules.c
@@ -2,6 +2,7 @@
  * Rules of the HTTP server on clients that disconnect before their response,
  * over loopback sockets.
  */
+#include <errno.h>
 #include <glib.h>
 #include <signal.h>
 #include <string.h>
@@ -13,6 +14,9 @@
 #define REQUEST "POST /job HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n"
 /* Passes of the loop within which what a client has sent is certainly read. */
 #define PASSES 20
+/* Requests of more than 64 KiB together. */
+#define MANY_REQUESTS 2500
+#define CHUNK_BYTES 65536
 
 /* A server whose handler answers nothing; shared by all tests, as its memory
  * stays allocated. */
@@ -139,6 +143,78 @@
     g_assert_cmpint(fix.disconnects, ==, 1);
 }
 
+/* The next request of a client that has left is not served. */
+static void
+test_later_request_is_not_read(void)
+{
+    int client = open_client();
+
+    send_request(client);
+    run_passes();
+    close(client);
+    HttpServer_CheckClients(fix.server);
+    g_assert_cmpint(fix.disconnects, ==, 1);
+    run_passes();
+    g_assert_cmpint(fix.requests, ==, 1);
+    g_assert_cmpint(fix.disconnects, ==, 1);
+}
+
+static void
+test_disconnect_behind_many_requests(void)
+{
+    int client = open_client();
+    int i;
+
+    for (i = 0; i < MANY_REQUESTS; i++) {
+        send_request(client);
+    }
+    run_passes();
+    g_assert_cmpint(fix.disconnects, ==, 0);
+    close(client);
+    HttpServer_CheckClients(fix.server);
+    run_passes();
+    g_assert_cmpint(fix.disconnects, ==, 1);
+    g_assert_cmpint(fix.requests, ==, 1);
+}
+
+/* Sends later requests until the server has ended the open one or has read
+ * more than one request may have. */
+static void
+send_too_much(int client)
+{
+    static char bytes[CHUNK_BYTES];
+    size_t sent = 0;
+
+    memset(bytes, 'x', sizeof(bytes));
+    while (fix.disconnects == 0 && sent <= 2 * (size_t)HTTP_MAX_BODY_BYTES) {
+        ssize_t count = send(client, bytes, sizeof(bytes), MSG_DONTWAIT);
+        sent += count > 0 ? (size_t)count : 0;
+        uv_run(fix.loop, UV_RUN_NOWAIT);
+        if (count < 0) {
+            g_usleep(100);
+            g_assert_cmpint(errno, ==, EAGAIN);
+        }
+    }
+}
+
+/* Its disconnect could not be noticed behind bytes that are not read. */
+static void
+test_client_that_sends_too_much(void)
+{
+    int client = open_client();
+    char status[sizeof("HTTP/1.1 502") - 1];
+
+    send_too_much(client);
+    g_assert_cmpint(fix.disconnects, ==, 1);
+    run_passes();
+    g_assert_cmpint(recv(client, status, sizeof(status), MSG_DONTWAIT), ==,
+                    sizeof(status));
+    g_assert_cmpmem(status, sizeof(status), "HTTP/1.1 502", sizeof(status));
+    g_assert_cmpint(fix.requests, ==, 1);
+    close(client);
+    run_passes();
+}
+
 int
 main(int argc, char **argv)
 {
@@ -149,6 +225,12 @@
          test_reset_is_found_before_it_is_read},
         {"/http server/a disconnect after the next request is noticed",
          test_disconnect_after_next_request},
+        {"/http server/the next request of a client that has left is not read",
+         test_later_request_is_not_read},
+        {"/http server/a disconnect behind many requests is noticed",
+         test_disconnect_behind_many_requests},
+        {"/http server/a client that sends too much before its response",
+         test_client_that_sends_too_much},
     };
 
     signal(SIGPIPE, SIG_IGN); /* as the daemon does */
