Rule: a withdrawal is kept for as long as its job may be valid

Review of the refusal of jobs that their origin withdrew before they arrived: its mark has to outlast the FORWARD, also after the origin's own lease has expired here.

--- a/tests/forward_rules.c
+++ b/tests/forward_rules.c
@@ -545,6 +545,28 @@
     EntryFix_Close(&fix);
 }
 
+/* The FORWARD was sent before the withdrawal, so that it is valid for less
+ * than a lease from now. The origin's own lease may have expired by then. */
+static void
+test_withdrawal_is_kept_for_a_lease(void)
+{
+    lc_forward_args args;
+    EntryFix fix;
+    int starts;
+
+    open_delegate(&fix);
+    receive_forward(&fix, 1, 300);
+    receive_extend(&fix, 0, 2);
+    EntryFix_Advance(&fix, fix.timing.lease_ms - 1);
+    EntryFix_Report(&fix, 0, 8);
+    args = forward_of(&fix, 2, 1);
+    check_refused(&fix, &args);
+    starts = fix.start_count;
+    receive_forward(&fix, 3, 300);
+    g_assert_cmpint(fix.start_count, >, starts);
+    EntryFix_Close(&fix);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -584,6 +606,8 @@
          test_withdrawal_overtakes_job},
         {"/forward/a withdrawal that overtakes the only job is kept",
          test_withdrawal_overtakes_only_job},
+        {"/forward/a withdrawal is kept for as long as its job may be valid",
+         test_withdrawal_is_kept_for_a_lease},
     };
 
     return TestTable_Main(argc, argv, tests, G_N_ELEMENTS(tests));
