Read the time before looking for callers that have left; look in every tick

By review: leases count from a time that was read after the look, so that a pause between the two, of less than 200 ms, lengthened them for a caller that had left in it; and the time of the last poll is set by libuv some microseconds after that poll.

--- a/daemon/leased_entry.c
+++ b/daemon/leased_entry.c
@@ -123,8 +123,8 @@
     }
 }
 
-/* To be called before anything that starts tasks or extends leases, which rest
- * on the callers' being there. */
+/* To be called before tasks are started, which rests on the callers' being
+ * there, after the time has been read from which their leases count. */
 static void
 check_callers(Leased_Entry *self)
 {
@@ -138,10 +138,12 @@
 on_after_poll(uv_check_t *check)
 {
     Leased_Entry *self = check->data;
+    int64_t now;
 
     record_input_pass(self);
+    now = LeasedEntry_OnInput(self);
     check_callers(self);
-    Dispatcher_DispatchWaiting(self->dispatcher, LeasedEntry_OnInput(self));
+    Dispatcher_DispatchWaiting(self->dispatcher, now);
     arm_link_timer(self);
     DurableJobs_Flush(self->durable_jobs, self->last_input_ms);
 }
@@ -329,7 +331,7 @@
     report_sent_bytes(self);
     set_delegate_candidates(self, now);
     Dispatcher_SetWallOffset(self->dispatcher, Process_Now().wall_ms - now);
-    check_callers(self);
+    HttpServer_CheckClients(self->callers);
     Dispatcher_Tick(self->dispatcher, now);
     log_readiness(self);
 }
