Scenario: forwarded jobs arrive after their withdrawal

A whole run with real processes of the fault that mended: a cut holds up the one connection over which an entry forwards jobs; after 600 ms of silence the entry gives it up, answers 502 and withdraws the jobs over a new one; another job is forwarded, whose lease EXTENDs keep; then the held FORWARDs arrive. The callers come again 1.3 s after the 502, at a third entry.

The proxies can now hold up the connections over which one RPC procedure was called while new ones pass.

--- a/tests/soak/proxy.cc
+++ b/tests/soak/proxy.cc
@@ -7,6 +7,10 @@
 #include <deque>
 #include <string>
 
+extern "C" {
+#include "wire/levercove.h"
+}
+
 namespace soak {
 
 namespace {
@@ -20,6 +24,34 @@
     std::string bytes;
 };
 
+std::string
+encode_word(uint32_t word)
+{
+    std::string bytes;
+
+    for (int shift = 24; shift >= 0; shift -= 8) {
+        bytes.push_back((char)(word >> shift & 0xff));
+    }
+    return bytes;
+}
+
+/* The procedures of the RPC calls whose headers are in a chunk as a whole. */
+std::set<uint32_t>
+procedures_in(const std::string &chunk)
+{
+    static const std::string header = encode_word(LC_PROGRAM) +
+                                      encode_word(LC_VERSION);
+    std::set<uint32_t> found;
+    size_t at = chunk.find(header);
+
+    while (at != std::string::npos && at + header.size() + 4 <= chunk.size()) {
+        at += header.size();
+        found.insert((uint32_t)(unsigned char)chunk[at + 3]);
+        at = chunk.find(header, at);
+    }
+    return found;
+}
+
 void
 on_written(uv_write_t *request, int)
 {
@@ -63,6 +95,8 @@
     bool closing = false;
     bool black_hole_in = false;
     bool black_hole_out = false;
+    bool held = false;
+    std::set<uint32_t> called; /* RPC procedures */
     int handles = 3;
 
     bool
@@ -74,8 +108,9 @@
     bool
     is_blocked(const Endpoint &to) const
     {
-        return is_affected() && (to.is_target ? proxy->active_fault.block_in
-                                              : proxy->active_fault.block_out);
+        return held || (is_affected() &&
+                        (to.is_target ? proxy->active_fault.block_in
+                                      : proxy->active_fault.block_out));
     }
 
     void
@@ -202,6 +237,17 @@
         }
     }
 
+    void
+    note_calls(const std::string &chunk)
+    {
+        for (uint32_t procedure : procedures_in(chunk)) {
+            called.insert(procedure);
+            if (!held) {
+                proxy->calls[procedure] = (int64_t)uv_now(proxy->loop);
+            }
+        }
+    }
+
     static void
     on_read(uv_stream_t *stream, ssize_t count, const uv_buf_t *buffer)
     {
@@ -225,6 +271,9 @@
             self->discard(stream, *endpoint, count);
             return;
         }
+        if (count > 0 && !endpoint->is_target) {
+            self->note_calls(std::string(buffer->base, (size_t)count));
+        }
         if (count == UV_ECONNRESET && !self->is_blocked(other)) {
             self->close(true);
             return;
@@ -339,6 +388,7 @@
     odd_only = false;
     all = connections;
     for (Connection *connection : all) {
+        connection->held = false;
         connection->flush(connection->client);
         if (!connection->closing) {
             connection->flush(connection->target);
@@ -362,6 +412,29 @@
     }
 }
 
+size_t
+Proxy::hold_callers(uint32_t procedure)
+{
+    size_t count = 0;
+
+    last_fault_ms = (int64_t)uv_now(loop);
+    for (Connection *connection : connections) {
+        if (connection->called.count(procedure) > 0) {
+            connection->held = true;
+            count++;
+        }
+    }
+    return count;
+}
+
+int64_t
+Proxy::last_call_ms(uint32_t procedure) const
+{
+    auto found = calls.find(procedure);
+
+    return found == calls.end() ? 0 : found->second;
+}
+
 void
 Proxy::reset(bool odd_connections)
 {
--- a/tests/soak/proxy.h
+++ b/tests/soak/proxy.h
@@ -8,6 +8,7 @@
 #include <uv.h>
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <set>
 #include <vector>
@@ -62,6 +63,13 @@
     /** Drops all further bytes of the connections that are open now, in the
      * given directions, without closing them; new connections work. */
     void black_hole(bool in, bool out);
+    /** Holds all further bytes of the connections that are open now and over
+     * which an RPC procedure was called, in both directions, until healed; new
+     * connections work. Returns the number of connections. */
+    size_t hold_callers(uint32_t procedure);
+    /** Loop time of the last call of an RPC procedure over a connection that
+     * is not held; 0 for none. */
+    int64_t last_call_ms(uint32_t procedure) const;
     /** Ends the fault; black-holed connections stay so. */
     void heal();
     /** Resets all connections, or those with odd numbers. */
@@ -80,6 +88,8 @@
     Address target;
     uv_tcp_t listener;
     std::set<Connection *> connections;
+    std::map<uint32_t, int64_t>
+        calls; /* loop time of the last, by procedure */
     uint64_t next_number = 0;
     LinkFault active_fault;
     std::shared_ptr<SharedLink> link;
--- a/tests/soak/scenario.cc
+++ b/tests/soak/scenario.cc
@@ -16,6 +16,10 @@
 
 #include "tests/soak/cluster.h"
 
+extern "C" {
+#include "wire/levercove.h"
+}
+
 namespace {
 
 const int64_t START_MS = 2500;
@@ -55,6 +59,18 @@
 const int64_t FORWARD_FREEZE_MS = 1800; /* longer than a lease and a hold */
 /* Enough for some 20 jobs per second with their leases, half of the load. */
 const double FORWARD_LINK_MBPS = 0.45;
+const int OVERTAKEN_DELEGATE = 1;
+const int OVERTAKEN_SECOND = 2; /* callers come again here */
+const int64_t OVERTAKEN_LEAD_MS = 1500;
+const int64_t OVERTAKEN_OTHERS_WORK_MS = 300;
+/* Forwards of this time after the cut began are valid when the connection has
+ * been given up. */
+const int64_t OVERTAKEN_FROM_MS = 250;
+const int64_t OVERTAKEN_TO_MS = 500;
+const int64_t OVERTAKEN_WORK_MS = 3000;   /* longer than callers wait */
+const int64_t OVERTAKEN_DELIVERY_MS = 20; /* of a message, on a busy machine */
+const int64_t OVERTAKEN_LOAD_MS = 3500;   /* after the cut began */
+const int64_t OVERTAKEN_END_MS = 7500;
 const int64_t ENDS_LOST_INTERVAL_MS = 100;
 const int64_t ENDS_LOST_LOAD_MS = 5000;
 const int64_t LATE_STARTS_INTERVAL_MS = 30;
@@ -1255,6 +1271,100 @@
     submit_at_first_entry(PAST_LEASE_HANG_UP_MS, [] {});
 }
 
+/* Submits a job at the first entry that is worth forwarding. */
+uint64_t
+submit_at_origin(int64_t work_ms)
+{
+    int target = std::exchange(cluster->target_entry, 0);
+    uint64_t id = cluster->submit_job(8, 100, work_ms, false);
+
+    cluster->target_entry = target;
+    return id;
+}
+
+/* Other jobs at the delegate, which keep the origin's lease extended. */
+void
+load_of_origin()
+{
+    if (!cluster->submissions_stopped) {
+        last_job = submit_at_origin(OVERTAKEN_OTHERS_WORK_MS);
+        cluster->run_after(FORWARD_INTERVAL_MS, load_of_origin);
+    }
+}
+
+soak::Proxy *
+delegate_proxy()
+{
+    return cluster->proxies_of("entries")[OVERTAKEN_DELEGATE];
+}
+
+/* Delivers the held forwards after another one, whose lease they share. */
+void
+await_other_forward(int64_t held_ms)
+{
+    if (delegate_proxy()->last_call_ms(LC_FORWARD) <= held_ms) {
+        cluster->run_after(2, [held_ms] { await_other_forward(held_ms); });
+        return;
+    }
+    log_step("another job is forwarded");
+    cluster->run_after(OVERTAKEN_DELIVERY_MS, [] {
+        delegate_proxy()->heal();
+        log_step("the held connection delivers its bytes");
+    });
+}
+
+void
+await_withdrawal(int64_t held_ms)
+{
+    if (delegate_proxy()->last_call_ms(LC_EXTEND) <= held_ms) {
+        cluster->run_after(2, [held_ms] { await_withdrawal(held_ms); });
+        return;
+    }
+    log_step("the jobs are withdrawn over another connection");
+    await_other_forward(held_ms);
+}
+
+void
+await_attempt(uint64_t job)
+{
+    if (cluster->checker.find(job)->attempts < 2) {
+        cluster->run_after(2, [job] { await_attempt(job); });
+        return;
+    }
+    log_step("a job is submitted again");
+}
+
+void
+hold_forwards()
+{
+    int64_t held_ms = (int64_t)uv_now(cluster->loop);
+
+    if (delegate_proxy()->hold_callers(LC_EXTEND) == 0) {
+        cluster->run_after(2, hold_forwards);
+        return;
+    }
+    log_step("the connection between the entries is held up");
+    for (int64_t at = OVERTAKEN_FROM_MS; at < OVERTAKEN_TO_MS;
+         at += FORWARD_INTERVAL_MS) {
+        cluster->run_after(
+            at, [] { await_attempt(submit_at_origin(OVERTAKEN_WORK_MS)); });
+    }
+    await_withdrawal(held_ms);
+    cluster->run_after(OVERTAKEN_LOAD_MS,
+                       [] { cluster->submissions_stopped = true; });
+}
+
+/* A cut holds up the connection over which an entry forwards jobs. The entry
+ * gives it up and withdraws the jobs over another one; then the forwards
+ * arrive. The callers submit the jobs again at another entry. */
+void
+play_forward_overtaken()
+{
+    cluster->target_entry = OVERTAKEN_SECOND;
+    load_of_origin();
+    cluster->run_after(OVERTAKEN_LEAD_MS, hold_forwards);
+}
+
 const struct {
     const char *name;
     void (*play)();
@@ -1292,6 +1402,8 @@
      FORWARD_LINK_MBPS},
     {"origin_frozen", play_origin_frozen, FORWARD_LOAD_MS + ANSWERS_MS, 3, 6,
      FORWARD_LINK_MBPS},
+    {"forward_overtaken", play_forward_overtaken, OVERTAKEN_END_MS, 3, 6,
+     FORWARD_LINK_MBPS},
     {"kept_owner_dies", play_kept_owner_dies, DURABLE_END_MS, 2},
     {"kept_power_loss", play_kept_power_loss, DURABLE_END_MS, 2},
     {"kept_store_away", play_kept_store_away, DURABLE_END_MS, 2},
