Simulation: calls that arrive after their connection was given up

The simulation has one link between two entries: messages sent during a cut arrive in order when it ends, and those of a broken link are lost. So a withdrawal could never arrive before the FORWARD that it withdraws.

New fault, HoldForwards: the connection from the first entry to another is held up; after 600 ms the entry gives it up and opens another; the held calls arrive later. It is not among the random kinds, so that no seed changes its meaning.

--- a/tests/lease_sim.cc
+++ b/tests/lease_sim.cc
@@ -6,6 +6,9 @@
 
 const int64_t LATE_HEARTBEAT_MS = 700;
 const uint32_t REDUCED_CPU_MILLI = 4000;
+/* A held connection delivers its calls up to some 0.3 s after it was given up.
+ */
+const int64_t HELD_DIVISOR = 8;
 
 } // namespace
 
@@ -125,6 +128,10 @@
     case Fault::StopsUnanswered:
         stops_unanswered_until[companion] = until;
         break;
+    case Fault::HoldForwards:
+        hold_forwards(1 + action.target % (plan.entries - 1),
+                      now + SILENT_MS + action.length_ms / HELD_DIVISOR);
+        break;
     case Fault::Count:
         break;
     }
--- a/tests/lease_sim.h
+++ b/tests/lease_sim.h
@@ -60,7 +60,11 @@
     CrashingJob,     /**< submits a job whose task crashes each upstream */
     StopsUnanswered, /**< stops time out, half are executed seconds later, the
                           others never; polls and starts are answered */
-    Count
+    Count,
+    /* Not among the faults of any kind: */
+    HoldForwards /**< holds up the connection from the first entry to another
+                      until the entry has given it up and opened another; then
+                      the held calls arrive */
 };
 
 /** One fault of a plan. Times are ms since the start of the simulation. */
--- a/tests/lease_sim_messages.cc
+++ b/tests/lease_sim_messages.cc
@@ -67,6 +67,7 @@
     link.generation++;
     link.pending.clear();
     link.next_arrival_ms = 0;
+    link.held_until = 0;
     for (uint64_t call_id : pending) {
         fail_call(entry, entries[entry].boot_id, call_id);
     }
@@ -147,6 +148,20 @@
     }
 }
 
+void
+Simulation::hold_forwards(uint32_t to, int64_t until)
+{
+    Link &link = links[{0, ENTRY_LINK_BASE + to}];
+    uint64_t generation = link.generation;
+
+    link.held_until = until;
+    schedule(now + SILENT_MS, [this, to, generation] {
+        if (links[{0, ENTRY_LINK_BASE + to}].generation == generation) {
+            break_link(0, ENTRY_LINK_BASE + to);
+        }
+    });
+}
+
 /* Messages sent during a cut arrive when it ends. */
 void
 Simulation::send_to_entry(uint32_t from, uint32_t index, EncodedCall message)
@@ -163,10 +178,15 @@
         return;
     }
     arrives = std::max(arrives, entry_link_cut_until(from, index));
+    bool held = link.held_until > now;
+    if (held) {
+        arrives = std::max(arrives, link.held_until);
+    }
     link.next_arrival_ms = arrives;
-    schedule(arrives, [this, from, index, generation, shared, call_id] {
+    schedule(arrives, [this, from, index, generation, held, shared, call_id] {
         EntryNode *entry = &entries[index];
-        if (links[{from, ENTRY_LINK_BASE + index}].generation != generation) {
+        if (!held &&
+            links[{from, ENTRY_LINK_BASE + index}].generation != generation) {
             return;
         }
         when_thawed(entry, [this, from, entry, generation, shared, call_id] {
@@ -192,7 +212,7 @@
     PendingReply to = pending->second;
     from->pending_replies.erase(pending);
     Link &link = links[{to.entry, ENTRY_LINK_BASE + from->index}];
-    if (link.generation != to.generation ||
+    if (link.generation != to.generation || link.held_until > now ||
         link.pending.erase(to.call_id) == 0) {
         return;
     }
--- a/tests/lease_sim_state.h
+++ b/tests/lease_sim_state.h
@@ -47,6 +47,10 @@
  * here too. */
 const int MAX_CRASHES = 5;
 
+/* An entry gives up a connection to another entry from which it has heard
+ * nothing for this time. */
+const int64_t SILENT_MS = 600;
+
 class Simulation;
 
 /* The spec that a job's caller submits for its upstreams. */
@@ -65,6 +69,8 @@
     int64_t next_arrival_ms = 0; /* messages arrive in order */
     int64_t cut_until = 0;
     bool lossy = false;
+    int64_t held_until = 0;     /* calls arrive then, though the connection was
+                                   given up */
     std::set<uint64_t> pending; /* calls without a reply */
 };
 
@@ -364,6 +370,7 @@
     void send_to_entry(uint32_t entry, uint32_t other, EncodedCall message);
     void handle_entry_call(EntryNode *at, uint64_t reply_id,
                            const Msg_Call *call);
+    void hold_forwards(uint32_t to, int64_t until);
     int64_t entry_link_cut_until(uint32_t from, uint32_t to) const;
     void offer_delegates(EntryNode *entry);
     void fail_call(uint32_t entry, uint64_t boot_id, uint64_t call_id);
--- a/tests/prop_lease.cc
+++ b/tests/prop_lease.cc
@@ -347,6 +347,28 @@
     return good;
 }
 
+/* Forwards are held up until they have been withdrawn over another connection,
+ * while upstreams are slow; then their callers submit the jobs again. */
+bool
+check_held_forwards()
+{
+    lease::Plan plan;
+
+    use_slow_link(&plan);
+    use_long_tasks(&plan);
+    plan.seed = 26;
+    plan.actions = {{lease::Fault::Burst, 300, 2500, 0, 0},
+                    {lease::Fault::Burst, 2000, 2500, 0, 0},
+                    {lease::Fault::Slow, 900, 2500, 0, 0},
+                    {lease::Fault::Slow, 900, 2500, 0, 1},
+                    {lease::Fault::HoldForwards, 1420, 962, 0, 0},
+                    {lease::Fault::HoldForwards, 1420, 962, 1, 0}};
+    lease::Report report = lease::simulate(plan);
+    add_to_total(report);
+    fprintf(stderr, "%s", report.text().c_str());
+    return report.violations.empty();
+}
+
 /* Every pair of faults, overlapping on the same nodes. */
 bool
 check_pairs()
@@ -431,6 +453,7 @@
     }
     good &= check_pairs();
     good &= check_forward_pairs();
+    good &= check_held_forwards();
     good &= check_store_cut_off();
     good &= check_regression_plans();
     good &= rc::check("no two runs, capacity, answers, few faults",
