Withdraw lost jobs before the next one is forwarded

Cause: a connection to a delegate breaks while no EXTEND is under way. The job in flight is given up as lost, and the next one may go out over a new connection before the EXTEND that withdraws the first, which is sent up to 100 ms later. Where the first FORWARD arrives after the second, it is kept by the lease that the second began, which the time allowed for until its caller may come again doesn't count. HALTs go out before anything that extends a lease all along.

Change: withdrawals not under way go out before a FORWARD.

Before: forward_rules, test_withdraws_before_next_job: assertion failed (EntryFix_CountCalls(&fix, MSG_EXTEND) == 2): (1 == 2); also with the mutation lease-forward-before-withdrawal.

--- a/lease/dispatcher_forward.c
+++ b/lease/dispatcher_forward.c
@@ -50,6 +50,26 @@
     DispatcherLog_Job(self, EVENT_JOB_FORWARDED, now_ms, job, detail);
 }
 
+static void
+send_extend(Dispatcher *self, int64_t now_ms, Delegate *row)
+{
+    Dispatcher_Call about = {.kind = MSG_EXTEND, .host = row->node};
+    Msg_Call call = {.kind = MSG_EXTEND};
+    /* If the numbers of withdrawn jobs exceed one message, the lease is not
+     * extended, as it would also keep alive those left out. */
+    bool extends = row->jobs > 0 && row->withdrawn->len <= LC_MAX_PEERS;
+
+    call.u.extend.from = self->config.node;
+    call.u.extend.target = row->node.incarnation;
+    call.u.extend.valid_until_ms =
+        extends ? Delegates_ValidUntil(row, &self->config.timing, now_ms) : 0;
+    call.u.extend.gone.gone_len = MIN(row->withdrawn->len, LC_MAX_PEERS);
+    call.u.extend.gone.gone_val = (u_quad_t *)(void *)row->withdrawn->data;
+    row->withdrawn_in_flight = call.u.extend.gone.gone_len;
+    row->extend_sent_ms = now_ms;
+    row->extend_call_id = DispatcherCall_Send(self, &about, &call);
+}
+
 static void
 send_forward(Dispatcher *self, int64_t now_ms, Active_Job *job,
              const Delegate *delegate)
@@ -106,6 +126,11 @@
                  job->delegate, (int32_t)local_bytes);
     Counter_Add(&self->counters, COUNTER_JOBS_FORWARDED, 1);
     LinkBudget_Spend(&self->link, forward_bytes);
+    if (delegate->withdrawn->len > 0 && delegate->extend_call_id == 0) {
+        /* The FORWARD may begin a lease, which must not keep alive a withdrawn
+         * job that is still on its way over a broken connection. */
+        send_extend(self, now_ms, delegate);
+    }
     send_forward(self, now_ms, job, delegate);
     return true;
 }
@@ -203,26 +228,6 @@
     }
 }
 
-static void
-send_extend(Dispatcher *self, int64_t now_ms, Delegate *row)
-{
-    Dispatcher_Call about = {.kind = MSG_EXTEND, .host = row->node};
-    Msg_Call call = {.kind = MSG_EXTEND};
-    /* If the numbers of withdrawn jobs exceed one message, the lease is not
-     * extended, as it would also keep alive those left out. */
-    bool extends = row->jobs > 0 && row->withdrawn->len <= LC_MAX_PEERS;
-
-    call.u.extend.from = self->config.node;
-    call.u.extend.target = row->node.incarnation;
-    call.u.extend.valid_until_ms =
-        extends ? Delegates_ValidUntil(row, &self->config.timing, now_ms) : 0;
-    call.u.extend.gone.gone_len = MIN(row->withdrawn->len, LC_MAX_PEERS);
-    call.u.extend.gone.gone_val = (u_quad_t *)(void *)row->withdrawn->data;
-    row->withdrawn_in_flight = call.u.extend.gone.gone_len;
-    row->extend_sent_ms = now_ms;
-    row->extend_call_id = DispatcherCall_Send(self, &about, &call);
-}
-
 void
 DispatcherForward_Tick(Dispatcher *self, int64_t now_ms)
 {
--- a/tests/forward_rules.c
+++ b/tests/forward_rules.c
@@ -545,6 +545,30 @@
     EntryFix_Close(&fix);
 }
 
+/* A FORWARD may begin a lease at the other entry, where a lost job may still
+ * arrive. */
+static void
+test_withdraws_before_next_job(void)
+{
+    const EntryFix_Call *call;
+    uint64_t number;
+    EntryFix fix;
+
+    open_congested(&fix, HEADROOM);
+    EntryFix_Submit(&fix, 100, 8, 0);
+    call = EntryFix_LastCall(&fix, MSG_FORWARD);
+    number = call->forward.number;
+    Dispatcher_OnReply(fix.dispatcher, fix.now_ms, call->call_id, NULL);
+    EntryFix_Submit(&fix, 101, 8, 0);
+    g_assert_cmpint(EntryFix_CountCalls(&fix, MSG_FORWARD), ==, 2);
+    g_assert_cmpint(EntryFix_CountCalls(&fix, MSG_EXTEND), ==, 2);
+    call = EntryFix_LastCall(&fix, MSG_EXTEND);
+    g_assert_cmpuint(call->extend.gone.gone_len, ==, 1);
+    g_assert_cmpuint(call->gone, ==, number);
+    g_assert_true(call < EntryFix_LastCall(&fix, MSG_FORWARD));
+    EntryFix_Close(&fix);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -580,6 +604,8 @@
         {"/forward/a dropped job is stopped, others continue",
          test_dropped_job},
         {"/forward/invalid and stale forwards are refused", test_refusals},
+        {"/forward/a lost job is withdrawn before the next one goes out",
+         test_withdraws_before_next_job},
         {"/forward/a withdrawal that overtakes its job is kept",
          test_withdrawal_overtakes_job},
         {"/forward/a withdrawal that overtakes the only job is kept",
