Tell of lost calls before tasks are started or leases extended

Cause: calls lost with a connection were told by a timer, in the next pass of the loop. A RENEW, RUN or FORWARD of the pass in which the connection broke went over a new connection before the HALTs and withdrawals that were lost with the old one, and extended the lease of runs whose caller had left.

Change: an entry tells its dispatcher of lost calls before it starts tasks and before each tick; HALTs are repeated and withdrawals sent first from then on.

rpc_rules, lost calls are told at once: not possible before, they were told by uv_run alone.

--- a/daemon/leased_entry.c
+++ b/daemon/leased_entry.c
@@ -143,6 +143,7 @@
     record_input_pass(self);
     now = LeasedEntry_OnInput(self);
     check_callers(self);
+    Rpc_ReportLostCalls(self->process.rpc);
     Dispatcher_DispatchWaiting(self->dispatcher, now);
     arm_link_timer(self);
     DurableJobs_Flush(self->durable_jobs, self->last_input_ms);
@@ -332,6 +333,7 @@
     set_delegate_candidates(self, now);
     Dispatcher_SetWallOffset(self->dispatcher, Process_Now().wall_ms - now);
     HttpServer_CheckClients(self->callers);
+    Rpc_ReportLostCalls(self->process.rpc);
     Dispatcher_Tick(self->dispatcher, now);
     log_readiness(self);
 }
--- a/tests/rpc_rules.c
+++ b/tests/rpc_rules.c
@@ -220,12 +220,35 @@
     close_fixture(&fixture);
 }
 
+/* Calls that a broken connection has lost are told before the next call is
+ * made, without a pass of the loop. */
+static void
+test_lost_calls_are_told_at_once(void)
+{
+    Address address = loopback(7873);
+    Msg_Call call = {.kind = MSG_RENEW};
+    rpc_fixture fixture;
+
+    open_fixture(&fixture, address);
+    Rpc_Call(fixture.caller, address, 1, &call);
+    Rpc_Disconnect(fixture.caller, address);
+    g_assert_cmpint(fixture.replies, ==, 0);
+    Rpc_ReportLostCalls(fixture.caller);
+    g_assert_cmpint(fixture.replies, ==, 1);
+    g_assert_cmpuint(fixture.ran_ms[0], ==, UINT32_MAX);
+    Rpc_ReportLostCalls(fixture.caller);
+    uv_run(&fixture.loop, UV_RUN_NOWAIT);
+    g_assert_cmpint(fixture.replies, ==, 1);
+    close_fixture(&fixture);
+}
+
 int
 main(int argc, char **argv)
 {
     static const TestTable_Row rules[] = {
         {"/rpc/each row is a call of its own", test_rows},
         {"/rpc/a refused call has done none of its rows", test_refused},
+        {"/rpc/lost calls are told at once", test_lost_calls_are_told_at_once},
     };
 
     return TestTable_Main(argc, argv, rules, G_N_ELEMENTS(rules));
--- a/wire/rpc.c
+++ b/wire/rpc.c
@@ -106,13 +106,15 @@
     free_when_closed(rpc);
 }
 
-static void
-report_lost_calls(uv_timer_t *timer)
+void
+Rpc_ReportLostCalls(Rpc *rpc)
 {
-    Rpc *rpc = timer->data;
     GArray *lost_calls = rpc->lost_calls;
     guint i;
 
+    if (lost_calls->len == 0) {
+        return;
+    }
     rpc->lost_calls = g_array_new(FALSE, FALSE, sizeof(uint64_t));
     for (i = 0; i < lost_calls->len; i++) {
         rpc->handlers.reply(rpc->context,
@@ -121,6 +123,12 @@
     g_array_unref(lost_calls);
 }
 
+static void
+on_lost_calls_timer(uv_timer_t *timer)
+{
+    Rpc_ReportLostCalls(timer->data);
+}
+
 static void
 add_lost_call(Rpc *rpc, uint64_t call_id)
 {
@@ -129,7 +137,7 @@
     }
     g_array_append_val(rpc->lost_calls, call_id);
     Counter_Add(rpc->counters, COUNTER_CALLS_LOST, 1);
-    uv_timer_start(&rpc->lost_calls_timer, report_lost_calls, 0, 0);
+    uv_timer_start(&rpc->lost_calls_timer, on_lost_calls_timer, 0, 0);
 }
 
 static void
--- a/wire/rpc.h
+++ b/wire/rpc.h
@@ -61,6 +61,11 @@
 /** Refuses an incoming call, as this process does not serve its procedure. */
 void Rpc_Refuse(Rpc *rpc, uint64_t reply_id);
 
+/** Tells now of the calls that were lost since the loop last did: the next
+ * call to the same peer goes over a new connection, and may not go out before
+ * what a lost one revoked is repeated. */
+void Rpc_ReportLostCalls(Rpc *rpc);
+
 /** Closes the outgoing connection to a peer; its pending calls are lost. */
 void Rpc_Disconnect(Rpc *rpc, Address to);
 
