--- a/tests/lease_sim_messages.cc
+++ b/tests/lease_sim_messages.cc
@@ -22,11 +22,17 @@
 void
 free_reply(Msg_Reply *reply)
 {
-    g_free(reply->kind == MSG_FENCE ? reply->u.fence.runs.runs_val : nullptr);
+    if (reply->kind == MSG_FENCE) {
+        g_free(reply->u.fence.runs.runs_val);
+    }
+    else if (reply->kind == MSG_RENEW) {
+        g_free(reply->u.renew.unsettled.unsettled_val);
+    }
     delete reply;
 }
 
-/* A deep copy. Of the replies sent here only the one to FENCE owns memory. */
+/* A deep copy. Of the replies sent here only those to FENCE and RENEW own
+ * memory. */
 std::shared_ptr<Msg_Reply>
 copy_of(const Msg_Reply *message)
 {
@@ -38,6 +44,12 @@
         runs.runs_val = (lc_held_run *)g_memdup2(
             runs.runs_val, runs.runs_len * sizeof(lc_held_run));
     }
+    else if (copy->kind == MSG_RENEW) {
+        auto &unsettled = copy->u.renew.unsettled;
+        unsettled.unsettled_val = (lc_run_id *)g_memdup2(
+            unsettled.unsettled_val,
+            unsettled.unsettled_len * sizeof(lc_run_id));
+    }
     return copy;
 }
 
