--- a/tests/late_copy_rules.c
+++ b/tests/late_copy_rules.c
@@ -29,16 +29,6 @@
 
 /* ---- companions ---- */
 
-static void
-open_runner(runner_fixture *fix, int64_t born_ms)
-{
-    RunnerFix_New(fix);
-    fix->born_ms = born_ms;
-    fix->cpu_milli = 400000;
-    RunnerFix_Heartbeat(fix, RUNNER_UPSTREAM_READY);
-    RunnerFix_AnswerPoll(fix, NULL, 0, NULL, 0);
-}
-
 static void
 tick(runner_fixture *fix, int64_t ms)
 {
@@ -76,7 +66,7 @@
     lc_report_args report;
     runner_fixture fix;
 
-    open_runner(&fix, BORN_MS);
+    RunnerFix_NewBorn(&fix, BORN_MS);
     RunnerFix_CallRun(&fix, JOB, RUN, 1000, VALID_MS);
     tick(&fix, TICK_MS);
     g_assert_cmpuint(listed(&fix), ==, 0);
@@ -97,7 +87,7 @@
 {
     runner_fixture fix;
 
-    open_runner(&fix, BORN_MS);
+    RunnerFix_NewBorn(&fix, BORN_MS);
     RunnerFix_CallRun(&fix, JOB, RUN, 1000, VALID_MS);
     RunnerFix_CallHalt(&fix, JOB, RUN);
     tick(&fix, TICK_MS);
@@ -112,7 +102,7 @@
     Runner_EndedRun ended = {5, RunnerFix_Run(JOB, RUN), RUNNER_END_FAILED};
     runner_fixture fix;
 
-    open_runner(&fix, BORN_MS);
+    RunnerFix_NewBorn(&fix, BORN_MS);
     RunnerFix_CallRun(&fix, JOB, RUN, 1000, VALID_MS);
     fix.now_ms += 150;
     Runner_CheckOverdue(fix.runner, fix.now_ms);
@@ -135,7 +125,7 @@
     Runner_EndedRun ended = {5, RunnerFix_Run(JOB, RUN), RUNNER_END_FAILED};
     runner_fixture fix;
 
-    open_runner(&fix, BORN_MS);
+    RunnerFix_NewBorn(&fix, BORN_MS);
     RunnerFix_CallRun(&fix, JOB, RUN, 1000, VALID_MS);
     RunnerFix_AnswerPoll(&fix, NULL, 0, &ended, 1);
     g_assert_cmpint(fix.status, ==, LC_RUN_FAILED);
@@ -150,7 +140,7 @@
 {
     runner_fixture fix;
 
-    open_runner(&fix, BORN_MS);
+    RunnerFix_NewBorn(&fix, BORN_MS);
     RunnerFix_BeginTask(&fix);
     lose_owner(&fix);
     g_assert_cmpuint(listed(&fix), ==, 0);
@@ -165,7 +155,7 @@
     Runner_EndedRun ended = {5, RunnerFix_Run(JOB, RUN), RUNNER_END_FAILED};
     runner_fixture fix;
 
-    open_runner(&fix, 0);
+    RunnerFix_NewBorn(&fix, 0);
     RunnerFix_CallRun(&fix, JOB, RUN, 1000, VALID_MS);
     RunnerFix_CallRun(&fix, JOB + 1, RUN, 1000, VALID_MS);
     RunnerFix_AnswerPoll(&fix, NULL, 0, &ended, 1);
@@ -181,7 +171,7 @@
 {
     runner_fixture fix;
 
-    open_runner(&fix, BORN_MS);
+    RunnerFix_NewBorn(&fix, BORN_MS);
     RunnerFix_CallRun(&fix, JOB, RUN_ID_DURABLE_BASE + 1, 1000, VALID_MS);
     RunnerFix_CallHalt(&fix, JOB, RUN_ID_DURABLE_BASE + 1);
     tick(&fix, TICK_MS);
@@ -195,7 +185,7 @@
     lc_report_args report;
     runner_fixture fix;
 
-    open_runner(&fix, BORN_MS);
+    RunnerFix_NewBorn(&fix, BORN_MS);
     RunnerFix_CallRun(&fix, JOB, RUN, 1000, VALID_MS);
     lose_owner(&fix);
     g_assert_cmpuint(listed(&fix), ==, 1);
@@ -217,7 +207,7 @@
 {
     runner_fixture fix;
 
-    open_runner(&fix, BORN_MS);
+    RunnerFix_NewBorn(&fix, BORN_MS);
     RunnerFix_CallRun(&fix, JOB, RUN, 1000, VALID_MS);
     lose_owner(&fix);
     fix.born_ms = BORN_MS + 1000;
@@ -234,7 +224,7 @@
 {
     runner_fixture fix;
 
-    open_runner(&fix, BORN_MS);
+    RunnerFix_NewBorn(&fix, BORN_MS);
     RunnerFix_CallRun(&fix, JOB, RUN, 1000, VALID_MS);
     lose_owner(&fix);
     Runner_OnUpstreamExit(fix.runner, fix.now_ms, "i-1", BORN_MS);
@@ -254,7 +244,7 @@
     runner_fixture fix;
     uint64_t job;
 
-    open_runner(&fix, BORN_MS);
+    RunnerFix_NewBorn(&fix, BORN_MS);
     for (job = 1; job <= LC_MAX_LATE_STARTS + 10; job++) {
         RunnerFix_CallRun(&fix, job, RUN, 1000, VALID_MS);
     }
--- a/tests/runner_fixture.c
+++ b/tests/runner_fixture.c
@@ -144,6 +144,16 @@
     fix->runner = Runner_New(&config, &runner_ports, fix, fix->now_ms);
 }
 
+void
+RunnerFix_NewBorn(runner_fixture *fix, int64_t born_ms)
+{
+    RunnerFix_New(fix);
+    fix->born_ms = born_ms;
+    fix->cpu_milli = 400000;
+    RunnerFix_Heartbeat(fix, RUNNER_UPSTREAM_READY);
+    RunnerFix_AnswerPoll(fix, NULL, 0, NULL, 0);
+}
+
 void
 RunnerFix_NewReady(runner_fixture *fix)
 {
--- a/tests/runner_fixture.h
+++ b/tests/runner_fixture.h
@@ -67,6 +67,10 @@
 /** Creates a runner that has received no heartbeat. */
 void RunnerFix_New(runner_fixture *fix);
 
+/** Creates a runner whose upstream has room for many tasks, reports the start
+ * time @p born_ms (0: none), and is found empty. */
+void RunnerFix_NewBorn(runner_fixture *fix, int64_t born_ms);
+
 /** Creates a runner whose upstream is known, empty and inventoried. */
 void RunnerFix_NewReady(runner_fixture *fix);
 
--- a/tests/silent_companion_rules.c
+++ b/tests/silent_companion_rules.c
@@ -23,16 +23,6 @@
 
 /* ---- companions ---- */
 
-static void
-open_runner(runner_fixture *fix, int64_t born_ms)
-{
-    RunnerFix_New(fix);
-    fix->born_ms = born_ms;
-    fix->cpu_milli = 400000;
-    RunnerFix_Heartbeat(fix, RUNNER_UPSTREAM_READY);
-    RunnerFix_AnswerPoll(fix, NULL, 0, NULL, 0);
-}
-
 static void
 renew(runner_fixture *fix, uint64_t target)
 {
@@ -58,7 +48,7 @@
     lc_run_id run = RunnerFix_Run(JOB, RUN);
     runner_fixture fix;
 
-    open_runner(&fix, BORN_MS);
+    RunnerFix_NewBorn(&fix, BORN_MS);
     RunnerFix_CallRun(&fix, JOB, RUN, 1000, VALID_MS);
     renew_here(&fix);
     g_assert_true(fix.starts_told);
@@ -72,7 +62,7 @@
 {
     runner_fixture fix;
 
-    open_runner(&fix, BORN_MS);
+    RunnerFix_NewBorn(&fix, BORN_MS);
     RunnerFix_CallRun(&fix, JOB, RUN, 1000, VALID_MS);
     Runner_OnStarted(fix.runner, fix.now_ms, fix.start_id,
                      RUNNER_ORDER_ACCEPTED, CLOCK_MS);
@@ -88,7 +78,7 @@
 {
     runner_fixture fix;
 
-    open_runner(&fix, BORN_MS);
+    RunnerFix_NewBorn(&fix, BORN_MS);
     RunnerFix_CallRun(&fix, JOB, RUN, 1000, VALID_MS);
     fix.now_ms += 150;
     Runner_CheckOverdue(fix.runner, fix.now_ms);
@@ -107,7 +97,7 @@
     lc_node other = {1, 1};
     runner_fixture fix;
 
-    open_runner(&fix, BORN_MS);
+    RunnerFix_NewBorn(&fix, BORN_MS);
     RunnerFix_CallRun(&fix, JOB, RUN, 1000, VALID_MS);
     fix.owner.incarnation++;
     renew_here(&fix);
@@ -124,7 +114,7 @@
 {
     runner_fixture fix;
 
-    open_runner(&fix, BORN_MS);
+    RunnerFix_NewBorn(&fix, BORN_MS);
     renew(&fix, 1);
     g_assert_false(fix.starts_told);
     Runner_Free(fix.runner);
@@ -136,7 +126,7 @@
     runner_fixture fix;
     uint64_t job;
 
-    open_runner(&fix, BORN_MS);
+    RunnerFix_NewBorn(&fix, BORN_MS);
     for (job = 1; job <= LC_MAX_LATE_STARTS; job++) {
         RunnerFix_CallRun(&fix, job, RUN, 1000, VALID_MS);
     }
@@ -156,11 +146,11 @@
     lc_report_args report;
     runner_fixture fix;
 
-    open_runner(&fix, BORN_MS);
+    RunnerFix_NewBorn(&fix, BORN_MS);
     Runner_Report(fix.runner, fix.now_ms, &report);
     g_assert_cmpuint(report.late_ms, ==, RUNNER_FIX_LATE_MS);
     Runner_Free(fix.runner);
-    open_runner(&fix, 0);
+    RunnerFix_NewBorn(&fix, 0);
     RunnerFix_CallRun(&fix, JOB, RUN, 1000, VALID_MS);
     renew_here(&fix);
     g_assert_false(fix.starts_told);
