Scenario: the owner of durable jobs restarts and hears no companion

The owner is killed and back after 100 ms, and reports to it are lost for 3.6 s. It claims the jobs of its earlier life, has no companion to send FENCE to, and takes that for an answer of all.

--- a/tests/kept_rules.c
+++ b/tests/kept_rules.c
@@ -230,15 +230,19 @@
     flush(fix);
 }
 
-/* Advances the time while the log and the companion stay reachable. */
+/* Advances the time while the log stays reachable, and the companion if
+ * @p reports. */
 static void
-advance(fixture *fix, int64_t ms)
+advance_with(fixture *fix, int64_t ms, bool reports)
 {
     int64_t until = fix->now_ms + ms;
 
     while (fix->now_ms < until) {
         fix->now_ms += 50;
-        report_host(fix);
+        if (reports) {
+            report_host(fix);
+            DurableJobs_OnHost(fix->durable_jobs, fix->now_ms);
+        }
         read_log(fix);
         DurableJobs_Tick(fix->durable_jobs, fix->now_ms);
         Dispatcher_Tick(fix->dispatcher, fix->now_ms);
@@ -247,7 +251,14 @@
 }
 
 static void
-new_fixture(fixture *fix)
+advance(fixture *fix, int64_t ms)
+{
+    advance_with(fix, ms, true);
+}
+
+/* An entry that has heard no companion. */
+static void
+new_unheard_fixture(fixture *fix)
 {
     Dispatcher_Config config = {.node = own_node, .max_jobs = 100};
     DurableJobs_Config durable = {.node = own_node,
@@ -268,10 +279,17 @@
     fix->route = LeaseFix_AddRoute(fix->routes);
     fix->durable_jobs = DurableJobs_New(&durable, &durable_ports, fix,
                                         fix->dispatcher, fix->now_ms);
-    report_host(fix);
     read_log(fix);
 }
 
+static void
+new_fixture(fixture *fix)
+{
+    new_unheard_fixture(fix);
+    report_host(fix);
+    flush(fix);
+}
+
 static void
 free_fixture(fixture *fix)
 {
@@ -1019,6 +1037,46 @@
     free_fixture(&fix);
 }
 
+/* Which companions have runs of the old owner is known only some time after
+ * reports have begun to arrive. */
+static void
+check_waits_for_reports(fixture *fix)
+{
+    advance(fix, 100);
+    answer_fence(fix, NULL);
+    advance(fix, 1500);
+    g_assert_cmpint(count_calls(fix, MSG_RUN), ==, 0);
+    advance(fix, 1500);
+    g_assert_cmpint(count_calls(fix, MSG_RUN), ==, 1);
+}
+
+static void
+test_successor_has_heard_no_companion(void)
+{
+    lc_node successor;
+    fixture fix;
+
+    new_unheard_fixture(&fix);
+    read_submit(&fix, 7, &other_owner);
+    successor = own_identity(&fix);
+    read_claim(&fix, &other_owner, &successor);
+    advance_with(&fix, 3600, false);
+    check_waits_for_reports(&fix);
+    free_fixture(&fix);
+}
+
+static void
+test_successor_is_cut_off(void)
+{
+    fixture fix;
+
+    claim_other_owner(&fix);
+    advance_with(&fix, HOLD_MS + RESUBMIT_MS + LEASE_TIMING_DURABLE_GRACE_MS,
+                 false);
+    check_waits_for_reports(&fix);
+    free_fixture(&fix);
+}
+
 static void
 test_claimed_owner_stops(void)
 {
@@ -1237,6 +1295,10 @@
     {"/durable/adopts active runs", test_successor_adopts_active_run},
     {"/durable/waits for a silent companion",
      test_successor_waits_for_silent_companion},
+    {"/durable/a successor that has heard no companion waits for reports",
+     test_successor_has_heard_no_companion},
+    {"/durable/a successor that is cut off waits for reports",
+     test_successor_is_cut_off},
     {"/durable/stops when it is claimed", test_claimed_owner_stops},
     {"/durable/the first job waits for all companions' reports",
      test_first_job_needs_all_reports},
--- a/tests/soak/scenario.cc
+++ b/tests/soak/scenario.cc
@@ -70,6 +70,15 @@
 const int64_t OVERTAKEN_WORK_MS = 3000;   /* longer than callers wait */
 const int64_t OVERTAKEN_DELIVERY_MS = 20; /* of a message, on a busy machine */
 const int64_t OVERTAKEN_LOAD_MS = 3500;   /* after the cut began */
+/* Longer than a restarted owner waits for reports, and shorter than it waits
+ * for the leases of its previous incarnation to end. */
+const int64_t UNHEARD_CUT_MS = 3600;
+const int64_t UNHEARD_LEAD_MS = 1500;
+const int64_t UNHEARD_INTERVAL_MS = 20;
+const int64_t UNHEARD_LOAD_MS = 6000;
+/* The other jobs need most of the room, so that all upstreams are in use. */
+const uint32_t UNHEARD_CPU = 2500;
+const int64_t UNHEARD_END_MS = 20000;
 const int64_t ENDS_LOST_INTERVAL_MS = 100;
 const int64_t ENDS_LOST_LOAD_MS = 5000;
 const int64_t LATE_STARTS_INTERVAL_MS = 30;
@@ -292,6 +301,34 @@
     });
 }
 
+/* The owner of durable jobs is restarted and hears nothing of the companions
+ * that run and hold its tasks, while jobs of another entry keep the holds of
+ * all upstreams in force. */
+void
+play_kept_owner_unheard()
+{
+    cluster->target_entry = 0;
+    for (int64_t at = 0; at < UNHEARD_LEAD_MS; at += UNHEARD_INTERVAL_MS) {
+        cluster->run_after(
+            at, [] { last_job = cluster->submit_durable_job(2, 100, 300); });
+    }
+    cluster->run_after(UNHEARD_LEAD_MS, [] {
+        soak::Proxy *proxy = cluster->proxies_of("entries")[0];
+        soak::LinkFault fault;
+        fault.block_in = true;
+        fault.drop_blocked = true;
+        cluster->entries[0]->kill(100);
+        proxy->inject(fault, false);
+        cluster->run_after(UNHEARD_CUT_MS, [proxy] { proxy->heal(); });
+        cluster->target_entry = 1;
+    });
+    for (int64_t at = 0; at < UNHEARD_LOAD_MS; at += UNHEARD_INTERVAL_MS) {
+        cluster->run_after(UNHEARD_LEAD_MS + at, [] {
+            cluster->submit_job(2, UNHEARD_CPU, 300, false);
+        });
+    }
+}
+
 /* Delays orders by seconds at all upstreams and crashes these repeatedly, so
  * that some starts are executed by a later incarnation. */
 void
@@ -1413,6 +1450,7 @@
     {"kept_power_loss", play_kept_power_loss, DURABLE_END_MS, 2},
     {"kept_store_away", play_kept_store_away, DURABLE_END_MS, 2},
     {"kept_ends_lost", play_kept_ends_lost, DURABLE_END_MS, 2},
+    {"kept_owner_unheard", play_kept_owner_unheard, UNHEARD_END_MS, 2, 6},
     {"late_starts", play_late_starts, LATE_STARTS_END_MS, 2, 4},
     {"late_retries", play_late_retries, LATE_RETRIES_END_MS, 2, 4},
     {"stalled_start", play_stalled_start, STALLED_END_MS, 2,
