Start tasks of a gone owner only once companions have been heard for a while

Callers could have a task of a kept job executed again after it had ended well, its first end being acknowledged later (TWICE for a kept job).

Cause: an owner that restarts claims the jobs of its earlier life and asks all companions it knows what they have (FENCE). 2.5 s after its start it took all live companions for known, whether a single report had reached it or not. One that hears none asked nobody, took its jobs up without runs and ends, and started their tasks as soon as reports came. A successor that is cut off did the same 9.8 s after its claim.

Change: the 2.5 s count from when reports began to arrive without a break, and the jobs are not taken up before, not even after 9.8 s. While no companion is heard nothing can be started anyway, so the wait costs one 2.5 s after an isolation, and nothing where reports arrive from the start.

Not covered: one companion alone that the successor does not hear.

--- a/lease/durable_jobs_state.h
+++ b/lease/durable_jobs_state.h
@@ -128,6 +128,8 @@
     int64_t last_quiet_ms;        /* when nothing last depended on the log */
     int64_t all_reports_since_ms; /* since when all companions are asked to
                                      report */
+    int64_t reports_since_ms;     /* since when companions have been heard
+                                     without a break; 0: none is heard */
     bool leaving;
     bool has_unstarted; /* owned jobs may be waiting to be started */
 };
--- a/lease/durable_jobs_takeover.c
+++ b/lease/durable_jobs_takeover.c
@@ -342,6 +342,44 @@
     return false;
 }
 
+static bool
+hears_companions(const DurableJobs *self, int64_t now_ms)
+{
+    const Fleet *fleet = Dispatcher_Fleet(self->dispatcher);
+    guint i;
+
+    for (i = 0; i < fleet->hosts->len; i++) {
+        if (HostChoice_IsLive(g_ptr_array_index(fleet->hosts, i), now_ms)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+update_reports_since(DurableJobs *self, int64_t now_ms)
+{
+    if (!hears_companions(self, now_ms)) {
+        self->reports_since_ms = 0;
+    }
+    else if (self->reports_since_ms == 0) {
+        self->reports_since_ms = now_ms;
+    }
+}
+
+/* Whether every live companion has reported to this entry. One that hears no
+ * companion, as it has just started or is cut off, does not know which of them
+ * have runs of a gone owner. */
+static bool
+knows_companions(const DurableJobs *self, int64_t now_ms)
+{
+    int64_t since_ms = MAX(MAX(self->started_ms, self->all_reports_since_ms),
+                           self->reports_since_ms);
+
+    return self->reports_since_ms != 0 &&
+           now_ms - since_ms >= COMPANIONS_REPORTED_MS;
+}
+
 /* Sends a FENCE to companions that have not answered; returns whether all
  * have. */
 static bool
@@ -349,8 +387,7 @@
                  const DurableJobs_Recovery *recovery)
 {
     const Fleet *fleet = Dispatcher_Fleet(self->dispatcher);
-    int64_t since_ms = MAX(self->started_ms, self->all_reports_since_ms);
-    bool all = now_ms - since_ms >= COMPANIONS_REPORTED_MS;
+    bool all = true;
     guint i;
 
     for (i = 0; i < fleet->hosts->len; i++) {
@@ -394,13 +431,17 @@
     int64_t certain_ms = DURABLE_JOBS_LOG_TIMEOUT_MS +
                          self->config.resubmit_ms +
                          LEASE_TIMING_DURABLE_GRACE_MS;
+    bool all_known;
     guint i = 0;
 
+    update_reports_since(self, now_ms);
+    all_known = knows_companions(self, now_ms);
     while (i < self->recoveries->len) {
         DurableJobs_Recovery *recovery = &g_array_index(
             self->recoveries, DurableJobs_Recovery, i);
         bool all_answered = fence_companions(self, now_ms, recovery) ||
                             now_ms - recovery->claimed_ms >= certain_ms;
+        all_answered = all_answered && all_known;
         if (all_answered && recovery->answered_ms == 0) {
             recovery->answered_ms = now_ms;
         }
