Read the log again after the last companion has answered a successor

A task of a kept job could be executed again after its end was acknowledged.

Cause: a successor takes jobs up once all companions have answered its FENCE and the log was read after that, as the old owner may be alive and may have recorded and released ends until then. The time of the answers was set when all had answered for the first time. Where a companion restarted, or was heard for the first time, before that read, its own answer came later than the read that was taken for enough.

Evidence: the rule "reads the log after the last companion's answer" failed before (a RUN was sent with the answer to the second FENCE: 1 == 0).

Change: the time is set anew whenever all have answered again. The rule passes and its mutation is caught.

--- a/lease/durable_jobs_takeover.c
+++ b/lease/durable_jobs_takeover.c
@@ -442,7 +442,10 @@
         bool all_answered = fence_companions(self, now_ms, recovery) ||
                             now_ms - recovery->claimed_ms >= certain_ms;
         all_answered = all_answered && all_known;
-        if (all_answered && recovery->answered_ms == 0) {
+        if (!all_answered) {
+            recovery->answered_ms = 0;
+        }
+        else if (recovery->answered_ms == 0) {
             recovery->answered_ms = now_ms;
         }
         /* The old owner released ends only once they were recorded, so a log
--- a/tests/kept_rules.c
+++ b/tests/kept_rules.c
@@ -923,6 +923,32 @@
     free_fixture(&fix);
 }
 
+/* A companion that restarts once all have answered has to answer again, and
+ * the log is read after that answer. */
+static void
+test_successor_reads_log_after_last_answer(void)
+{
+    fixture fix;
+
+    claim_other_owner(&fix);
+    answer_fence(&fix, NULL);
+    fix.incarnation_offset++;
+    fix.now_ms += 5;
+    report_host(&fix);
+    DurableJobs_OnHost(fix.durable_jobs, fix.now_ms);
+    g_assert_cmpint(count_calls(&fix, MSG_FENCE), ==, 2);
+    fix.now_ms += 5;
+    read_log(&fix);
+    fix.now_ms += 5;
+    answer_fence(&fix, NULL);
+    flush(&fix);
+    g_assert_cmpint(count_calls(&fix, MSG_RUN), ==, 0);
+    fix.now_ms += 5;
+    read_log(&fix);
+    g_assert_cmpint(count_calls(&fix, MSG_RUN), ==, 1);
+    free_fixture(&fix);
+}
+
 /* Reads the last progress record of the old owner for job 7. */
 static void
 read_progress(fixture *fix, const lc_kept_progress *progress)
@@ -1287,6 +1313,8 @@
      test_writing_owner_is_not_claimed},
     {"/durable/queries companions and the log before resuming",
      test_successor_fences_first},
+    {"/durable/reads the log after the last companion's answer",
+     test_successor_reads_log_after_last_answer},
     {"/durable/reads the last records of the old owner",
      test_successor_reads_last_progress},
     {"/durable/adopts ends held by companions", test_successor_takes_held_end},
