Let polls rely only on polls known to be written

Callers could see two runs of a task at once if an upstream had restarted under its name, nothing of it was heard yet, and it had executed a late start: a poll could be written there after the end of the hold and hold that run.

Cause: a poll may be written until the end of the hold that is known when it is made, and that counted earlier polls that were still waiting for a connection and might never be written.

Only starts, such polls and answered ones let a later poll extend the hold, and limit when it may be written. Polls that wait still count for when runs are certainly over, as they may yet be written. A merely slow upstream loses nothing: a poll that was written counts before it is answered.

Tests changed: outage_makes_no_second_run asserted that such late polls occur (late > 0), which was this fault. It now asserts that none does, and that waiting polls are both written and abandoned. rebirth_rules (suspect_upstream), run_past_lease_rules and the simulations tell that the polls which their upstreams get are written, as the HTTP client does; the rule written_in_the_hold is unchanged. New: written_poll_extends_the_hold; http_client_rules checks that the write is told before a byte arrives, and never for an expired request.

--- a/daemon/leased_companion.c
+++ b/daemon/leased_companion.c
@@ -119,7 +119,8 @@
 
 static void
 send_order(leased_companion *self, uint64_t id, UpstreamApi_Order *order,
-           int64_t send_by_ms, uint32_t timeout_ms, HttpClient_Done done)
+           int64_t send_by_ms, uint32_t timeout_ms, HttpClient_Written written,
+           HttpClient_Done done)
 {
     request_context *context = g_new0(request_context, 1);
     HttpClient_Request request = {.to = self->process.options->upstream,
@@ -129,7 +130,8 @@
                                   .body = order->body,
                                   .length = order->length,
                                   .timeout_ms = timeout_ms,
-                                  .send_by_ms = send_by_ms};
+                                  .send_by_ms = send_by_ms,
+                                  .written = written};
 
     context->owner = self;
     context->id = id;
@@ -178,6 +180,14 @@
     after_input(self);
 }
 
+static void
+on_poll_written(void *item)
+{
+    const request_context *context = item;
+
+    Runner_OnPollWritten(context->owner->runner, context->id);
+}
+
 static void
 on_poll_answer(void *item, const HttpClient_Answer *answer)
 {
@@ -200,7 +210,7 @@
     UpstreamApi_Order order;
 
     UpstreamApi_StartOrder(start, &order);
-    send_order(context, id, &order, start->send_by_ms, ANSWER_TIMEOUT_MS,
+    send_order(context, id, &order, start->send_by_ms, ANSWER_TIMEOUT_MS, NULL,
                on_start_answer);
 }
 
@@ -211,7 +221,8 @@
     UpstreamApi_Order order;
 
     UpstreamApi_StopOrder(run, instance, token, &order);
-    send_order(context, id, &order, 0, ANSWER_TIMEOUT_MS, on_stop_answer);
+    send_order(context, id, &order, 0, ANSWER_TIMEOUT_MS, NULL,
+               on_stop_answer);
 }
 
 static void
@@ -221,7 +232,8 @@
 
     UpstreamApi_PollOrder(poll, &order);
     send_order(context, id, &order, poll->send_by_ms,
-               poll->wait_ms + ANSWER_TIMEOUT_MS, on_poll_answer);
+               poll->wait_ms + ANSWER_TIMEOUT_MS, on_poll_written,
+               on_poll_answer);
 }
 
 static const Runner_Ports runner_ports = {
--- a/lease/runner.h
+++ b/lease/runner.h
@@ -136,7 +136,8 @@
     uint32_t ended_count;
 } Runner_PollAnswer;
 
-/** Output functions of a runner; none may call it back. */
+/** Output functions of a runner; none may call it back, but that `poll` may
+ * call Runner_OnPollWritten. */
 typedef struct {
     void (*start)(void *context, uint64_t order_id, const Runner_Start *start);
     void (*stop)(void *context, uint64_t order_id, const lc_run_id *id,
@@ -198,6 +199,11 @@
 void Runner_OnStopped(Runner *runner, int64_t now_ms, uint64_t order_id,
                       Runner_OrderResult result, int64_t clock_ms);
 
+/** Handles that a poll has got a connection and is written to it, after which
+ * the upstream may execute it. Until this or an answer, no later poll relies
+ * on the hold to which it extends. */
+void Runner_OnPollWritten(Runner *runner, uint64_t poll_id);
+
 /** Handles the result of a poll. */
 void Runner_OnPollAnswer(Runner *runner, int64_t now_ms, uint64_t poll_id,
                          const Runner_PollAnswer *listing);
--- a/lease/runner_poll.c
+++ b/lease/runner_poll.c
@@ -55,6 +55,7 @@
     int64_t until = now_ms + LeaseTiming_MaxHoldMs(ahead_ms);
 
     runner->sent_hold_ms = MAX(runner->sent_hold_ms, until);
+    runner->written_hold_ms = MAX(runner->written_hold_ms, until);
     update_hold(runner);
 }
 
@@ -74,6 +75,7 @@
         runner->polls[i].hold_until_ms = 0;
     }
     runner->sent_hold_ms = 0;
+    runner->written_hold_ms = 0;
     runner->hold_until_ms = 0;
 }
 
@@ -94,6 +96,7 @@
         shift_time(&runner->polls[i].hold_until_ms, ms);
     }
     shift_time(&runner->sent_hold_ms, ms);
+    shift_time(&runner->written_hold_ms, ms);
     update_hold(runner);
 }
 
@@ -160,8 +163,10 @@
 /* The hold is extended only while it may be in force. Once it has expired, the
  * runs that it kept are over; a run that goes on is one of another
  * incarnation, on whose clock the deadline means nothing. Neither is it
- * extended while such an incarnation is heard. Returns the time to which the
- * poll extends the hold, or 0. */
+ * extended while such an incarnation is heard. A poll that waits for a
+ * connection may never be written, so the hold to which it would extend does
+ * not count here. Returns the time to which the poll extends the hold, or 0.
+ */
 static int64_t
 extend_hold(Runner *runner, int64_t now_ms, Runner_Poll *poll)
 {
@@ -171,12 +176,12 @@
 
     RunnerAudit_CheckHoldLimit(runner, now_ms);
     if (ahead <= 0 || runner->upstream.clock_ms <= 0 ||
-        now_ms > runner->hold_until_ms || runner->upstream.left ||
+        now_ms > runner->written_hold_ms || runner->upstream.left ||
         RunnerUpstream_MayHaveRestarted(runner)) {
         return 0;
     }
     poll->deadline_ms = RunnerUpstream_Clock(runner, now_ms) + ahead;
-    poll->send_by_ms = runner->hold_until_ms;
+    poll->send_by_ms = runner->written_hold_ms;
     return now_ms + LeaseTiming_MaxHoldMs(ahead);
 }
 
@@ -554,6 +559,25 @@
     return false;
 }
 
+static void
+record_written(Runner *runner, const Runner_PendingPoll *poll)
+{
+    runner->written_hold_ms = MAX(runner->written_hold_ms,
+                                  poll->hold_until_ms);
+}
+
+void
+Runner_OnPollWritten(Runner *runner, uint64_t poll_id)
+{
+    uint32_t i;
+
+    for (i = 0; i < runner->poll_count; i++) {
+        if (runner->polls[i].id == poll_id) {
+            record_written(runner, &runner->polls[i]);
+        }
+    }
+}
+
 void
 Runner_OnPollAnswer(Runner *runner, int64_t now_ms, uint64_t poll_id,
                     const Runner_PollAnswer *listing)
@@ -566,6 +590,9 @@
     if (!remove_poll(runner, poll_id, sent, &poll)) {
         return;
     }
+    if (sent) {
+        record_written(runner, &poll);
+    }
     switch (listing->end) {
     case RUNNER_ORDER_ACCEPTED:
         handle_poll_answer(runner, now_ms, &poll);
--- a/lease/runner_state.h
+++ b/lease/runner_state.h
@@ -181,12 +181,14 @@
     Runner_PendingPoll polls[RUNNER_MAX_PENDING_POLLS]; /* oldest first */
     uint32_t poll_count;
     uint64_t last_poll_id;
-    int64_t next_poll_ms;  /* earliest time of the next poll */
-    int64_t hold_until_ms; /* by then the upstream's hold has expired, and it
-                              stops all runs */
-    int64_t sent_hold_ms;  /* the same without the pending polls, which may
-                              turn out not to have been sent */
-    uint32_t active_tasks; /* tasks that have not ended */
+    int64_t next_poll_ms;    /* earliest time of the next poll */
+    int64_t hold_until_ms;   /* by then the upstream's hold has expired, and it
+                                stops all runs */
+    int64_t sent_hold_ms;    /* the same without the pending polls, which may
+                                turn out not to have been sent */
+    int64_t written_hold_ms; /* the same by starts and by polls known to have
+                                been written */
+    uint32_t active_tasks;   /* tasks that have not ended */
     int64_t unknown_since_ms; /* when a run that no active task stands for was
                                  first listed, as it still is; 0: none is */
     uint32_t unwanted_tasks;  /* of these, the ones with `unwanted_ms` */
--- a/tests/fleet_sim.c
+++ b/tests/fleet_sim.c
@@ -438,6 +438,7 @@
     poll_answer answer = {node->index, poll_id};
     guint seen = 0;
 
+    Runner_OnPollWritten(node->runner, poll_id);
     while (seen < node->ended->len &&
            g_array_index(node->ended, Runner_EndedRun, seen).number <=
                poll->last_seen) {
--- a/tests/http_client_rules.c
+++ b/tests/http_client_rules.c
@@ -28,7 +28,9 @@
     char input[512];
     size_t input_length; /* of the bytes received since the last answer */
     size_t received;
+    size_t received_before; /* the last request */
     bool done;
+    bool written; /* told that it is */
     HttpClient_Outcome outcome;
 } client_fixture;
 
@@ -114,6 +116,16 @@
     uv_run(uv_default_loop(), UV_RUN_NOWAIT);
 }
 
+/* Nothing has arrived yet. */
+static void
+on_request_written(void *context)
+{
+    g_assert_true(context == &fix);
+    g_assert_false(fix.written || fix.done);
+    g_assert_cmpint(fix.received, ==, fix.received_before);
+    fix.written = true;
+}
+
 static void
 on_done(void *context, const HttpClient_Answer *answer)
 {
@@ -131,15 +143,19 @@
                                   .method = "POST",
                                   .path = "/",
                                   .timeout_ms = timeout_ms,
-                                  .send_by_ms = send_by_ms};
+                                  .send_by_ms = send_by_ms,
+                                  .written = on_request_written};
 
     fix.done = false;
-    HttpClient_Send(fix.client, &request, on_done, NULL);
+    fix.written = false;
+    fix.received_before = fix.received;
+    HttpClient_Send(fix.client, &request, on_done, &fix);
     g_assert_false(fix.done);
     g_usleep((gulong)stall_ms * 1000);
     while (!fix.done) {
         uv_run(uv_default_loop(), UV_RUN_ONCE);
     }
+    g_assert_cmpint(fix.written, ==, fix.outcome == HTTP_CLIENT_ANSWERED);
     return fix.outcome;
 }
 
--- a/tests/lease_sim_messages.cc
+++ b/tests/lease_sim_messages.cc
@@ -448,6 +448,9 @@
     /* The wait of a long poll is simulated by delivering the same lists
      * later. */
     copy.wait_ms = 0;
+    if (upstream->is_up()) {
+        Runner_OnPollWritten(from->runner, id);
+    }
     send_order(
         from, false,
         [this, upstream, copy, instance, running, ended, born_ms]() mutable {
--- a/tests/rebirth_rules.c
+++ b/tests/rebirth_rules.c
@@ -408,6 +408,7 @@
     int i;
 
     for (i = 0; i < 6; i++) {
+        Runner_OnPollWritten(fix->runner, fix->poll_id);
         fix->now_ms += 250;
         renew(fix, 500);
         Runner_CheckOverdue(fix->runner, fix->now_ms);
--- a/tests/run_past_lease_rules.c
+++ b/tests/run_past_lease_rules.c
@@ -331,6 +331,7 @@
         Runner_CheckOverdue(fix->runner, fix->now_ms);
         Runner_Tick(fix->runner, fix->now_ms);
         if (fix->poll_id != first_poll && fix->poll.deadline_ms > 0) {
+            Runner_OnPollWritten(fix->runner, fix->poll_id);
             extend(&play, fix->poll.deadline_ms);
         }
     }
@@ -551,13 +552,22 @@
     int64_t certain_end_ms; /* for the owner, by its last renewal */
     int64_t hold_until_ms;  /* on the upstream's clock */
     bool runs;
-    bool late; /* a poll was written after the end of the hold */
+    bool late;      /* a poll was written after the end of the hold */
+    bool waited;    /* one that waited was written */
+    bool unwritten; /* one that waited may not be written any more */
     uint64_t last_poll;
     uint64_t waiting_ids[MAX_WAITING];
     Runner_Poll waiting[MAX_WAITING];
     uint32_t waiting_count;
 } outage_play;
 
+/* Plays of outages in which this happened, as in outage_play. */
+typedef struct {
+    uint32_t late;
+    uint32_t waited;
+    uint32_t unwritten;
+} outage_counts;
+
 static int64_t
 slow_clock_ms(const outage_play *play)
 {
@@ -573,8 +583,9 @@
 }
 
 static void
-execute_poll(outage_play *play, const Runner_Poll *poll)
+execute_poll(outage_play *play, uint64_t id, const Runner_Poll *poll)
 {
+    Runner_OnPollWritten(play->fix.runner, id);
     play->late |= !play->runs && poll->deadline_ms > 0;
     if (play->runs) {
         play->hold_until_ms = MAX(play->hold_until_ms, poll->deadline_ms);
@@ -612,7 +623,7 @@
         Runner_Poll poll = play->fix.poll;
         play->last_poll = play->fix.poll_id;
         if (!is_unreachable(play)) {
-            execute_poll(play, &poll);
+            execute_poll(play, play->last_poll, &poll);
             answer_executed(play, play->last_poll);
             return; /* the next one is carried out in the next step */
         }
@@ -620,7 +631,7 @@
             fail_poll(play, play->last_poll, RUNNER_ORDER_UNSENT);
         }
         else if (play->kind == OUTAGE_UNANSWERED) {
-            execute_poll(play, &poll);
+            execute_poll(play, play->last_poll, &poll);
         }
         else if (play->waiting_count < MAX_WAITING) {
             play->waiting_ids[play->waiting_count] = play->last_poll;
@@ -639,10 +650,12 @@
     for (i = 0; i < play->waiting_count; i++) {
         const Runner_Poll *poll = &play->waiting[i];
         if (poll->send_by_ms != 0 && play->fix.now_ms > poll->send_by_ms) {
+            play->unwritten = true;
             fail_poll(play, play->waiting_ids[i], RUNNER_ORDER_ABANDONED);
         }
         else {
-            execute_poll(play, poll);
+            play->waited = true;
+            execute_poll(play, play->waiting_ids[i], poll);
             answer_executed(play, play->waiting_ids[i]);
         }
     }
@@ -671,10 +684,10 @@
     carry_polls(play);
 }
 
-/* Returns whether a poll was written after the end of the hold. */
-static bool
+/* Counts the plays of each kind of waiting poll. */
+static void
 play_outage(outage_kind kind, int64_t begin_ms, int64_t length_ms,
-            int64_t owner_ms)
+            int64_t owner_ms, outage_counts *counts)
 {
     outage_play play = {.kind = kind,
                         .outage_ms = START_MS + begin_ms,
@@ -698,17 +711,19 @@
         g_assert_true(fix->now_ms <= play.certain_end_ms || !play.runs);
     }
     Runner_Free(fix->runner);
-    return play.late;
+    counts->late += play.late;
+    counts->waited += play.waited;
+    counts->unwritten += play.unwritten;
 }
 
 /* The upstream goes on as the same incarnation. Polls that waited for a
- * connection may be written after the end of the hold, but find no run there:
- * none is told as over while it runs, and none outlives its owner's lease by
+ * connection are written within the hold that was in force, or not at all: no
+ * run is told as over while it runs, and none outlives its owner's lease by
  * more than a hold. */
 static void
 test_outage_makes_no_second_run(void)
 {
-    uint32_t late = 0;
+    outage_counts counts = {0};
     int64_t begin_ms;
     int64_t length_ms;
     int64_t owner_ms;
@@ -721,14 +736,18 @@
                  length_ms += OUTAGE_STEP_MS) {
                 for (owner_ms = 0; owner_ms <= PLAY_MS;
                      owner_ms += OWNER_STEP_MS) {
-                    late += play_outage((outage_kind)kind, begin_ms, length_ms,
-                                        owner_ms);
+                    play_outage((outage_kind)kind, begin_ms, length_ms,
+                                owner_ms, &counts);
                 }
             }
         }
     }
-    g_assert_cmpuint(late, >, 0);
-    g_test_message("%u plays with a poll written after the hold", late);
+    g_test_message("%u plays with a poll written after the hold, %u with one "
+                   "that waited and was written, %u with one that was not",
+                   counts.late, counts.waited, counts.unwritten);
+    g_assert_cmpuint(counts.late, ==, 0);
+    g_assert_cmpuint(counts.waited, >, 0);
+    g_assert_cmpuint(counts.unwritten, >, 0);
 }
 
 static const TestTable_Row tests[] = {
--- a/tests/waiting_polls_rules.c
+++ b/tests/waiting_polls_rules.c
@@ -69,6 +69,69 @@
     fix->replies = 0;
 }
 
+/* Advances the time until the next poll is sent, with a renewed lease. */
+static void
+await_next_poll(runner_fixture *fix)
+{
+    uint64_t poll_id = fix->poll_id;
+
+    while (fix->poll_id == poll_id) {
+        fix->now_ms += STEP_MS;
+        renew(fix);
+        Runner_CheckOverdue(fix->runner, fix->now_ms);
+    }
+}
+
+/* Sends three polls, none of which is answered, and returns until when the
+ * third may be written. The first one is told as written before the second is
+ * sent, or after it; the second one waits. */
+static int64_t
+third_poll_limit(bool late, int64_t *first_limit_ms, int64_t *second_limit_ms)
+{
+    runner_fixture fix;
+    uint64_t first_poll;
+    int64_t limit_ms;
+
+    begin_run(&fix);
+    fix.now_ms += 100;
+    renew(&fix);
+    RunnerFix_AnswerRunning(&fix, 1);
+    first_poll = fix.poll_id;
+    *first_limit_ms = fix.poll.send_by_ms;
+    if (!late) {
+        Runner_OnPollWritten(fix.runner, first_poll);
+    }
+    await_next_poll(&fix);
+    g_assert_cmpint(fix.poll.deadline_ms, >, 0);
+    *second_limit_ms = fix.poll.send_by_ms;
+    if (late) {
+        Runner_OnPollWritten(fix.runner, first_poll);
+    }
+    await_next_poll(&fix);
+    g_assert_cmpint(fix.poll.deadline_ms, >, 0);
+    limit_ms = fix.poll.send_by_ms;
+    Runner_Free(fix.runner);
+    return limit_ms;
+}
+
+/* Guards against runs that end although their upstream is merely slow: a poll
+ * that is written has extended the hold before it is answered. The one that
+ * waits beside it has not. */
+static void
+test_written_poll_extends_the_hold(void)
+{
+    int64_t first_ms;
+    int64_t second_ms;
+    int64_t written_ms;
+
+    written_ms = third_poll_limit(false, &first_ms, &second_ms);
+    g_assert_cmpint(second_ms, >, first_ms);
+    g_assert_cmpint(written_ms, ==, second_ms);
+    g_assert_cmpint(third_poll_limit(true, &first_ms, &second_ms), ==,
+                    written_ms);
+    g_assert_cmpint(second_ms, ==, first_ms);
+}
+
 /* Advances the time by one step, in which not a byte of a poll is delivered,
  * as the upstream has crashed; its owner renews the lease. @p answered: the
  * last poll that has a result. */
@@ -137,6 +200,8 @@
      test_run_ends_with_the_delivered_hold},
     {"/waiting_polls/written_in_the_hold",
      test_waiting_polls_are_written_in_the_hold},
+    {"/waiting_polls/written_poll_extends_the_hold",
+     test_written_poll_extends_the_hold},
 };
 
 int
