Rule: an end of a kept job that nobody has recorded is not acknowledged

Callers could have a task of a kept job executed again after its end was acknowledged, as for the other faults of this kind.

Cause, by reading: a companion takes the silence of all owners for 30 s (HELD_RETENTION_MS) for their release. Nobody can record an end while the store is away, and the upstream is kept by other jobs meanwhile; if the owner dies before the store is back, no one knows the end any more.

--- a/tests/runner_rules.c
+++ b/tests/runner_rules.c
@@ -226,6 +226,33 @@
     Runner_Free(fix.runner);
 }
 
+/* The store may be away for long, and an end that nobody has recorded is known
+ * to its companion alone. */
+static void
+test_unreleased_end_is_kept(void)
+{
+    runner_fixture fix;
+    lc_run_id run = RunnerFix_Run(1, RUN_ID_DURABLE_BASE + 1);
+    Runner_EndedRun ended = {5, run, RUNNER_END_DONE};
+    int second;
+
+    RunnerFix_NewReady(&fix);
+    RunnerFix_CallRun(&fix, 1, run.run, 1000, 500);
+    fix.now_ms += 50;
+    RunnerFix_AnswerPoll(&fix, NULL, 0, &ended, 1);
+    for (second = 0; second < 60; second++) {
+        fix.now_ms += 1000;
+        RunnerFix_Heartbeat(&fix, RUNNER_UPSTREAM_READY);
+        Runner_Tick(fix.runner, fix.now_ms);
+        RunnerFix_AnswerPoll(&fix, NULL, 0, &ended, 1);
+        g_assert_cmpuint(fix.poll.last_seen, <, 5);
+    }
+    RunnerFix_Release(&fix, &run);
+    RunnerFix_AnswerPoll(&fix, NULL, 0, &ended, 1);
+    g_assert_cmpuint(fix.poll.last_seen, ==, 5);
+    Runner_Free(fix.runner);
+}
+
 /* If an upstream has more ends than it lists in one answer, the end of a run
  * may be missing, so an unlisted run must not be taken as lost. */
 static void
@@ -364,6 +391,8 @@
     {"/runner/acknowledges ends", test_ends_are_acknowledged},
     {"/runner/holds ends of durable jobs until they are released",
      test_durable_ends_are_held},
+    {"/runner/an end that is not released is not acknowledged",
+     test_unreleased_end_is_kept},
     {"/runner/does not lose a run whose end may be unlisted",
      test_full_listing},
     {"/runner/refuses runs of a fenced owner", test_fenced_owner},
