Rule: a successor that stood still has not heard companions meanwhile

Cause, by reading: update_reports_since sees a break only if it is called during one. An entry that is stopped for 2.6 s, just after one companion has answered its FENCE, and reads that companion's next report first, counts the stop as time in which all have reported.

--- a/tests/kept_rules.c
+++ b/tests/kept_rules.c
@@ -949,6 +949,30 @@
     free_fixture(&fix);
 }
 
+/* An entry that stands still hears nothing meanwhile: reports before and after
+ * are not reports without a break. */
+static void
+test_successor_that_stood_still_waits(void)
+{
+    lc_node successor;
+    fixture fix;
+
+    new_fixture(&fix);
+    read_submit(&fix, 7, &other_owner);
+    successor = own_identity(&fix);
+    read_claim(&fix, &other_owner, &successor);
+    advance(&fix, 50);
+    answer_fence(&fix, NULL);
+    fix.now_ms += 2600;
+    report_host(&fix);
+    DurableJobs_OnHost(fix.durable_jobs, fix.now_ms);
+    advance(&fix, 2400);
+    g_assert_cmpint(count_calls(&fix, MSG_RUN), ==, 0);
+    advance(&fix, 200);
+    g_assert_cmpint(count_calls(&fix, MSG_RUN), ==, 1);
+    free_fixture(&fix);
+}
+
 /* Reads the last progress record of the old owner for job 7. */
 static void
 read_progress(fixture *fix, const lc_kept_progress *progress)
@@ -1315,6 +1339,8 @@
      test_successor_fences_first},
     {"/durable/reads the log after the last companion's answer",
      test_successor_reads_log_after_last_answer},
+    {"/durable/a successor that stood still waits for reports",
+     test_successor_that_stood_still_waits},
     {"/durable/reads the last records of the old owner",
      test_successor_reads_last_progress},
     {"/durable/adopts ends held by companions", test_successor_takes_held_end},
