Hold an end that is not released for as long as there is room

A task of a kept job could be executed again after its end was acknowledged.

Cause: a companion took 30 s of silence (HELD_RETENTION_MS) for a release. While the store is away nobody can record the end, so that after that time only the owner's memory had it; other jobs may keep the upstream meanwhile.

Change: an end that is not released is given up only after 30 s and where 300 are held, so that otherwise no task of a kept job could be started. All others are released by whoever a companion reports to: their job is gone, or the end or an outcome is in the log.

Evidence: "an end that is not released is not acknowledged" failed before (5 < 5) and passes; "gives up held ends where no more can be held", new, keeps the old limit where it is needed. runner_rules 20 of 20, rebirth_rules 38 of 38, late_start_rules 14 of 14.

Not covered: an end of a job whose queue was removed, beyond 300 (docs/KEPT.md).

--- a/lease/runner_durable.c
+++ b/lease/runner_durable.c
@@ -6,7 +6,7 @@
 
 /* Ended runs are retained for this long, for entries that ask again. */
 #define RETENTION_MS 4000
-/* Longest time that an end is held if it is not released. Exceeds the time
+/* Shortest time that an end is held if it is not released. Exceeds the time
  * until another entry has claimed the jobs of an owner that is gone. */
 #define HELD_RETENTION_MS 30000
 /* Owners have usually stored an end within this time. */
@@ -153,6 +153,20 @@
     return row->unreleased && now_ms - row->ended_ms > HELD_LONG_MS;
 }
 
+/* An owner that is silent has not recorded the end: the store may be away for
+ * long. So unreleased ends are given up only to let new tasks start. */
+static bool
+is_retained(const Runner *runner, const Runner_Task *row, int64_t now_ms)
+{
+    int64_t age_ms = now_ms - row->ended_ms;
+
+    if (!row->unreleased) {
+        return age_ms <= RETENTION_MS;
+    }
+    return age_ms <= HELD_RETENTION_MS ||
+           runner->unreleased < RUNNER_MAX_HELD_ENDS;
+}
+
 bool
 RunnerDurable_IsDisposable(const Runner *runner, const Runner_Task *row,
                            int64_t now_ms)
@@ -161,9 +175,7 @@
                              ? now_ms >= RunnerLateStart_ExpiryMs(runner, row)
                              : now_ms >= row->late_listed_until_ms;
 
-    return start_expired &&
-           now_ms - row->ended_ms >
-               (row->unreleased ? HELD_RETENTION_MS : RETENTION_MS);
+    return start_expired && !is_retained(runner, row, now_ms);
 }
 
 void
--- a/tests/runner_rules.c
+++ b/tests/runner_rules.c
@@ -253,6 +253,36 @@
     Runner_Free(fix.runner);
 }
 
+/* Ends that nobody ever releases must not keep an upstream from all new tasks
+ * of durable jobs. */
+static void
+test_full_of_held_ends(void)
+{
+    runner_fixture fix;
+    Runner_EndedRun ended[RUNNER_MAX_HELD_ENDS];
+    uint32_t i;
+
+    for (i = 0; i < RUNNER_MAX_HELD_ENDS; i++) {
+        ended[i].number = i + 1;
+        ended[i].id = RunnerFix_Run(1000 + i, RUN_ID_DURABLE_BASE + 1);
+        ended[i].end = RUNNER_END_DONE;
+    }
+    RunnerFix_New(&fix);
+    RunnerFix_Heartbeat(&fix, RUNNER_UPSTREAM_READY);
+    RunnerFix_AnswerPoll(&fix, NULL, 0, ended, RUNNER_MAX_HELD_ENDS);
+    fix.now_ms += 29000;
+    RunnerFix_Heartbeat(&fix, RUNNER_UPSTREAM_READY);
+    Runner_Tick(fix.runner, fix.now_ms);
+    RunnerFix_CallRun(&fix, 1, RUN_ID_DURABLE_BASE + 1, 1000, 500);
+    g_assert_cmpint(fix.status, ==, LC_RUN_NO_ROOM);
+    fix.now_ms += 2000;
+    RunnerFix_Heartbeat(&fix, RUNNER_UPSTREAM_READY);
+    Runner_Tick(fix.runner, fix.now_ms);
+    RunnerFix_CallRun(&fix, 2, RUN_ID_DURABLE_BASE + 1, 1000, 500);
+    g_assert_cmpint(fix.starts, ==, 1);
+    Runner_Free(fix.runner);
+}
+
 /* If an upstream has more ends than it lists in one answer, the end of a run
  * may be missing, so an unlisted run must not be taken as lost. */
 static void
@@ -393,6 +423,8 @@
      test_durable_ends_are_held},
     {"/runner/an end that is not released is not acknowledged",
      test_unreleased_end_is_kept},
+    {"/runner/gives up held ends where no more can be held",
+     test_full_of_held_ends},
     {"/runner/does not lose a run whose end may be unlisted",
      test_full_listing},
     {"/runner/refuses runs of a fenced owner", test_fenced_owner},
