Count no stop of the process as time in which companions were heard

A task of a kept job could be executed again after its end was acknowledged, by a successor that was stopped shortly after its start or its claim.

Cause: the 2.5 s for which companions must have been heard without a break were broken only where the successor looked during the break. A process that is stopped for 2.6 s does not look; where the report of one companion is read first afterwards, the stop counted as time in which all had reported.

Change: a look more than 1 s after the one before starts the 2.5 s anew. The tick looks every 50 ms in undisturbed operation, so nothing else waits.

As before, not covered: one companion alone that the successor does not hear.

--- a/lease/durable_jobs_state.h
+++ b/lease/durable_jobs_state.h
@@ -130,6 +130,7 @@
                                      report */
     int64_t reports_since_ms;     /* since when companions have been heard
                                      without a break; 0: none is heard */
+    int64_t reports_checked_ms;   /* when this was last updated */
     bool leaving;
     bool has_unstarted; /* owned jobs may be waiting to be started */
 };
--- a/lease/durable_jobs_takeover.c
+++ b/lease/durable_jobs_takeover.c
@@ -23,6 +23,9 @@
 #define MAX_SEEN_OWNERS 256
 /* An owner that has written nothing for this long puts a heartbeat record. */
 #define OWNER_HEARTBEAT_MS 700
+/* An entry that has not looked for this long, as it stood still, has missed
+ * reports. */
+#define REPORTS_GAP_MS 1000
 /* A companion silent for this long has no active runs. */
 #define COMPANION_DEAD_MS 30000
 
@@ -359,7 +362,10 @@
 static void
 update_reports_since(DurableJobs *self, int64_t now_ms)
 {
-    if (!hears_companions(self, now_ms)) {
+    bool missed = now_ms - self->reports_checked_ms > REPORTS_GAP_MS;
+
+    self->reports_checked_ms = now_ms;
+    if (missed || !hears_companions(self, now_ms)) {
         self->reports_since_ms = 0;
     }
     else if (self->reports_since_ms == 0) {
