Rule: ends found before the upstream's name are held for late starts

A companion that starts holds the ends of kept runs that it finds for times.late_ms, as a copy of their start, sent by its earlier process, may be executed by an upstream that restarts under its name. It polls before it hears a heartbeat; then the hold is cleared with the first heartbeat. Callers could have a task executed again after its end was acknowledged.

--- a/tests/rebirth_rules.c
+++ b/tests/rebirth_rules.c
@@ -286,6 +286,26 @@
     Runner_Free(fix.runner);
 }
 
+/* Guards against clearing that hold once a heartbeat has named the upstream,
+ * which a restarted companion polls before. */
+static void
+test_ends_found_before_the_name_are_held(void)
+{
+    lc_run_id run = RunnerFix_Run(1, RUN_ID_DURABLE_BASE + 1);
+    Runner_EndedRun ended = {5, run, RUNNER_END_DONE};
+    runner_fixture fix;
+
+    RunnerFix_New(&fix);
+    Runner_Tick(fix.runner, fix.now_ms);
+    RunnerFix_AnswerPoll(&fix, NULL, 0, &ended, 1);
+    RunnerFix_Heartbeat(&fix, RUNNER_UPSTREAM_READY);
+    end_and_release(&fix, &run);
+    g_assert_cmpint(last_seen_after(&fix, 50), ==, 4);
+    g_assert_cmpint(last_seen_after(&fix, RUNNER_FIX_LATE_MS - 100), ==, 4);
+    g_assert_cmpint(last_seen_after(&fix, 100), ==, 5);
+    Runner_Free(fix.runner);
+}
+
 /* Guards against a late start of a stopped, unanswered run after a later run
  * of the same task was acknowledged. */
 static void
@@ -987,6 +1007,8 @@
      test_broken_connection_holds_the_end},
     {"/restart/ends found after a companion's restart are held",
      test_ends_found_after_restart_are_held},
+    {"/restart/ends found before the upstream's name are held",
+     test_ends_found_before_the_name_are_held},
     {"/restart/the start of an earlier run holds the end",
      test_earlier_start_holds_the_end},
     {"/restart/held ends do not hide newer ones",
