Hold ends found before the upstream's name is known for late starts

Callers could have a task of a kept job executed again after its end was acknowledged: a companion restarts, acknowledges an end that it found, and then the upstream restarts under its name and executes a late copy of the start that the companion's earlier process had sent.

Cause: a restarted companion polls before the first heartbeat, so the runs it finds have no instance name. With the first heartbeat they counted as meant for another name, under which no copy is executed: the hold was cleared at the next tick, and late starts of such runs were not told to successors.

Evidence: the rule "ends found before the upstream's name are held" failed before (last_seen 5 instead of 4 after 50 ms). Found by reading; no play of processes has shown it.

Change: a run without a name counts as one of the current name. At worst its end is held for times.late_ms, as those found after the heartbeat are.

--- a/lease/runner_late_starts.c
+++ b/lease/runner_late_starts.c
@@ -5,11 +5,12 @@
 #include "lease/run_id.h"
 
 /* Orders name the instance that they are meant for, so an upstream that has
- * answered under another name executes no copy. */
+ * answered under another name executes no copy. The name is unknown if the run
+ * was found before the first heartbeat: it may be the current one. */
 static bool
 is_instance_replaced(const Runner *runner, const Runner_Task *row)
 {
-    return runner->upstream.inventoried &&
+    return runner->upstream.inventoried && row->instance[0] != '\0' &&
            strcmp(row->instance, runner->upstream.instance) != 0;
 }
 
