Rule: a good end that is read late is told to a successor

Callers could have a task of a kept job executed again after it had ended well, the first end being acknowledged afterwards. The rule fails: FENCE tells status 2 instead of 0 (done) for a run that its companion had given up before it read the good end.

--- a/tests/rebirth_rules.c
+++ b/tests/rebirth_rules.c
@@ -306,6 +306,33 @@
     Runner_Free(fix.runner);
 }
 
+/* Guards against a successor that executes a task again whose end was read
+ * after its run had been given up, as the upstream was silent. */
+static void
+test_end_read_late_is_told(void)
+{
+    lc_run_id run = RunnerFix_Run(1, RUN_ID_DURABLE_BASE + 1);
+    Runner_EndedRun ended = {5, run, RUNNER_END_DONE};
+    runner_fixture fix;
+
+    RunnerFix_NewReady(&fix);
+    RunnerFix_CallRun(&fix, run.job, run.run, 1000, 500);
+    Runner_OnStarted(fix.runner, fix.now_ms, fix.start_id,
+                     RUNNER_ORDER_ACCEPTED, CLOCK_MS);
+    while (fix.now_ms < START_MS + 4000) {
+        fix.now_ms += 50;
+        Runner_CheckOverdue(fix.runner, fix.now_ms);
+        Runner_Tick(fix.runner, fix.now_ms);
+    }
+    g_assert_cmpint(fix.status, !=, LC_RUN_DONE);
+    RunnerFix_AnswerPoll(&fix, NULL, 0, &ended, 1);
+    RunnerFix_FenceEntry(&fix);
+    g_assert_cmpuint(fix.held_runs, ==, 1);
+    g_assert_false(fix.held.running);
+    g_assert_cmpint(fix.held.status, ==, LC_RUN_DONE);
+    Runner_Free(fix.runner);
+}
+
 /* Guards against a late start of a stopped, unanswered run after a later run
  * of the same task was acknowledged. */
 static void
@@ -1009,6 +1036,7 @@
      test_ends_found_after_restart_are_held},
     {"/restart/ends found before the upstream's name are held",
      test_ends_found_before_the_name_are_held},
+    {"/restart/an end that is read late is told", test_end_read_late_is_told},
     {"/restart/the start of an earlier run holds the end",
      test_earlier_start_holds_the_end},
     {"/restart/held ends do not hide newer ones",
--- a/tests/runner_fixture.c
+++ b/tests/runner_fixture.c
@@ -57,6 +57,9 @@
     }
     else if (reply->kind == MSG_FENCE) {
         fix->held_runs = reply->u.fence.runs.runs_len;
+        if (fix->held_runs > 0) {
+            fix->held = reply->u.fence.runs.runs_val[0];
+        }
         fix->late_starts = reply->u.fence.late_starts.late_starts_len;
         if (fix->late_starts > 0) {
             fix->late = reply->u.fence.late_starts.late_starts_val[0];
--- a/tests/runner_fixture.h
+++ b/tests/runner_fixture.h
@@ -54,6 +54,7 @@
     lc_run_id stopped;
     int replies;
     u_int held_runs;         /* in the last reply to FENCE */
+    lc_held_run held;        /* the first of them */
     u_int late_starts;       /* in the last reply to FENCE */
     lc_late_start late;      /* the first of them */
     u_int late_start_ms;     /* in the last reply to RUN */
