Tell a successor of a good end that was read late

Callers could have a task of a kept job executed again after it had ended well, and the first end acknowledged afterwards.

Cause: a companion gives a run up, as its lease is over or its upstream is silent beyond the hold. If the upstream then lists its good end, the end was held, but the run kept its earlier status. A successor that asks (FENCE) took it for a failure, started the task again and released the end.

Evidence: the rule "an end that is read late is told" failed before (status 2 instead of 0). Found by reading; no play of processes has shown it.

Change: a good end that is listed replaces the status of the run. An entry that asks again for the run is told the same.

The mutation lease-kept-end-read-late, applied by hand, fails the rule.

Left: where the living owner has already started another run, a successor now counts the task as done and lets that run go on to its end.

--- a/lease/runner_durable.c
+++ b/lease/runner_durable.c
@@ -97,6 +97,9 @@
     if (row == NULL) {
         row = add_unknown_end(runner, now_ms, ended);
     }
+    if (row->state == TASK_ENDED && ended->end == RUNNER_END_DONE) {
+        row->status = LC_RUN_DONE; /* may have been given up before */
+    }
     row->end_number = ended->number;
     row->unreleased = true;
     runner->unreleased++;
