--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -16,6 +16,14 @@
 KEEP=${KEEP:-$(mktemp -d)}
 mkdir -p "$KEEP"
 
+# print_first_job FOLDER: the log lines on the job of the first violation
+print_first_job() {
+    local number
+    number=$(sed -n 's/^ *at [0-9]* ms: .*[ :]\([0-9][0-9]*\)\.[0-9]* run .*/\1/p' "$1/out" | head -n 1)
+    [ -n "$number" ] || return 0
+    grep -h "\"$(printf '%016x' "$number")" "$1"/*.log | sort | cut -c 1-400 | head -n 16
+}
+
 # run_seed SEED WORKER
 run_seed() {
     local folder="$KEEP/seed-$1"
@@ -27,6 +35,8 @@
         rm -rf "$folder"
     else
         echo "FAILED seed $1, logs in $folder"
+        grep '^ *[0-9][0-9]* [a-z]' "$folder/out" | paste -s -d ';'
+        print_first_job "$folder"
         grep -A 20 '^seed' "$folder/out" || tail -n 5 "$folder/out"
     fi
 }
