Tests: read all entries at one moment in many_entries

Nothing changes for callers; the fault was the test's. Beside load it failed with "entries have 512 schedulable companions together, expected 12 times 40".

Cause, by a play whose entries and companions were sampled every 250 ms (load of 15 to 16): at the start each companion learns the halls of the entries by reporting to all but a few, so that the sum is 550; entries count a companion as schedulable until its announced next report and the liveness timeout are over, so that the sum falls from 550 at 4.0 s to 480 at 4.5 s. It stays at exactly 480 until 10.4 s, when the durable jobs begin, and is 552 from 11.0 s on. Each companion's own count of entries left out is 6 from 0.5 s to 10.4 s and 0 from the first look after that. The script read the 46 entries one after the other with a jq, a curl and an awk each, from 4.0 s on. With its looks timed: at a load of 14 the first took 2.0 s and gave 498, the second 2.0 s and 480, it passed; with 6 busy loops more one look took from 4.1 to 12.2 s, gave 507 and was the only one, and it failed. A look that slow adds up entries before, in and after the limited time. No entry was seen to keep a companion longer than it should.

Change: one curl process reads all entries, and an entry that does not answer makes the look void (it counted as 0 companions, which could hide one too many elsewhere). The bounds, 468 to 480, and the times are the same; the sum must now be within them in three looks in a row, half a second apart, as quicker looks could meet it in passing.

--- a/tests/process/many_entries.sh
+++ b/tests/process/many_entries.sh
@@ -6,28 +6,44 @@
 cd "$(dirname "$0")/../.."
 # Some 60 processes: too many for the sanitized build.
 BUILD=${PLAIN_BUILD:-build}
+ENTRIES=46
 COMPANIONS=12
 MAX_ENTRIES=40
 DIR=$(mktemp -d)
 trap 'rm -rf "$DIR"' EXIT
 
-# open_at FILE: number of schedulable companions at the entry with these
-# settings
-open_at() {
-    curl -s "http://$(jq -r .admin "$1")/metrics" |
-        awk '$1 == "levercove_companions_open" { open = $2 } END { print open + 0 }'
+# read_open: for each entry, its number of schedulable companions, or "none" if
+# it does not answer. All entries are read at nearly one moment, by a single
+# process, as the reports change meanwhile.
+read_open() {
+    jq -r '"http://\(.admin)/metrics"' "$DIR"/entry-*.json |
+        xargs curl -s -m 5 -w '\nread %{http_code}\n' |
+        awk '$1 == "levercove_companions_open" { open = $2 }
+            $1 == "read" { print $2 == 200 ? open + 0 : "none"; open = 0 }'
+}
+
+# total_open: number of schedulable companions at all entries together, or
+# "none" if an entry does not answer
+total_open() {
+    read_open | awk -v entries=$ENTRIES '{ sum += $1 } $1 == "none" { silent = 1 }
+        END { print NR != entries || silent ? "none" : sum }'
 }
 
 # wait_limited_reports SECONDS: waits until all entries together have 40 times
-# the companions schedulable, or one less per companion
+# the companions schedulable, or one less per companion, three times in a row:
+# once could be in passing
 wait_limited_reports() {
-    local until=$(($(date +%s) + $1)) sum=0 file
+    local until=$(($(date +%s) + $1)) sum=none kept=0
     while [ "$(date +%s)" -lt "$until" ]; do
-        sum=0
-        for file in "$DIR"/entry-*.json; do
-            sum=$((sum + $(open_at "$file")))
-        done
-        [ "$sum" -ge $((COMPANIONS * (MAX_ENTRIES - 1))) ] && [ "$sum" -le $((COMPANIONS * MAX_ENTRIES)) ] && return 0
+        sum=$(total_open)
+        if [ "$sum" != none ] && [ "$sum" -ge $((COMPANIONS * (MAX_ENTRIES - 1))) ] &&
+            [ "$sum" -le $((COMPANIONS * MAX_ENTRIES)) ]; then
+            kept=$((kept + 1))
+        else
+            kept=0
+        fi
+        [ "$kept" = 3 ] && return 0
+        sleep 0.5
     done
     echo "entries have $sum schedulable companions together, expected $COMPANIONS times $MAX_ENTRIES"
     return 1
@@ -36,15 +52,16 @@
 # wait_all_reports SECONDS: waits until each entry has had every companion
 # schedulable
 wait_all_reports() {
-    local until=$(($(date +%s) + $1)) file left=("$DIR"/entry-*.json) still
-    while [ "$(date +%s)" -lt "$until" ] && [ "${#left[@]}" -gt 0 ]; do
-        still=()
-        for file in "${left[@]}"; do
-            [ "$(open_at "$file")" = "$COMPANIONS" ] || still+=("$file")
+    local until=$(($(date +%s) + $1)) left=$ENTRIES had=() open i
+    while [ "$(date +%s)" -lt "$until" ] && [ "$left" -gt 0 ]; do
+        mapfile -t open < <(read_open)
+        left=$ENTRIES
+        for ((i = 0; i < ENTRIES; i++)); do
+            [ "${open[i]-}" = "$COMPANIONS" ] && had[i]=1
+            left=$((left - ${had[i]-0}))
         done
-        left=("${still[@]}")
     done
-    [ "${#left[@]}" = 0 ] || { echo "${#left[@]} entries never had all companions schedulable"; return 1; }
+    [ "$left" = 0 ] || { echo "$left entries never had all companions schedulable"; return 1; }
 }
 
 "$BUILD/tests/scenario" many_entries "$PWD/$BUILD/daemon/levercoved" "$DIR" $((20000 + $$ % 100 * 100)) >"$DIR/out" 2>&1 &
