Do not measure the upstream's pace over a suspension

What callers see: for one to two seconds after a companion's machine was suspended, jobs were refused with 503 (LC510, "no companion had room in time for the job's objective") although the companion was back, its upstream idle and all of its capacity free.

Cause, from process/suspended played by hand beside 6 busy loops with /state read every 150 ms: on its return the companion reports all of its room and a pace of 984 % (838 % the second companion), which falls to 100 % only 2.2 s later under load and is above 200 % for 5 s without. The runs at work when the machine was suspended are listed as done after it, and the time from their orders on, with the suspension in it, counted as the run time: each adds a sample of the greatest pace. With it no task of 100 ms fits an objective of 300 ms at this companion; with the other companion suspended next there was none left.

Change: tasks that were there when the runner is told of a suspension give no sample of the pace, neither at their end nor by their progress, and are not stopped as slower than elsewhere. How long they took is not known. The other rules for them (leases, hold, hanging runs) are as they were.

Evidence: the rule "/suspension/pace is not measured" failed before, 337 % instead of 100 %, and passes. rebirth_rules 39 of 39, runner_rules 18 of 18.

--- a/lease/runner.c
+++ b/lease/runner.c
@@ -380,6 +380,13 @@
 void
 Runner_OnSuspended(Runner *runner, int64_t now_ms, int64_t suspended_ms)
 {
+    GList *rows = RunnerTask_All(runner);
+    GList *item;
+
+    for (item = rows; item != NULL; item = item->next) {
+        ((Runner_Task *)item->data)->suspended = true;
+    }
+    g_list_free(rows);
     runner->upstream.clock_read_ms = MIN(
         runner->upstream.clock_read_ms + suspended_ms, now_ms);
     RunnerPoll_ShiftHold(runner, suspended_ms);
--- a/lease/runner_poll.c
+++ b/lease/runner_poll.c
@@ -235,7 +235,7 @@
     if (end == RUNNER_END_DONE) {
         Histogram_Add(&runner->run_times, row->ran_ms);
         if (Health_RecordSuccess(&runner->health, row->ran_ms,
-                                 row->estimate_ms)) {
+                                 row->suspended ? 0 : row->estimate_ms)) {
             log_trial(runner, false);
         }
     }
@@ -343,6 +343,13 @@
     return progress;
 }
 
+static bool
+tells_pace(const Runner_Task *row)
+{
+    return row->state == TASK_RUNNING && row->progress_ms > 0 &&
+           row->estimate_ms > 0 && !row->suspended;
+}
+
 /* Updates the upstream's pace from the progress of all runs, and stops runs
  * that would end sooner on another upstream. */
 static void
@@ -355,8 +362,7 @@
 
     for (item = rows; item != NULL; item = item->next) {
         const Runner_Task *row = item->data;
-        if (row->state == TASK_RUNNING && row->progress_ms > 0 &&
-            row->estimate_ms > 0) {
+        if (tells_pace(row)) {
             Health_Progress progress = progress_of(row, now_ms);
             g_array_append_val(runs, progress);
         }
@@ -366,9 +372,7 @@
     for (item = rows; slow > 0 && item != NULL; item = item->next) {
         Runner_Task *row = item->data;
         Health_Progress progress = progress_of(row, now_ms);
-        if (row->state == TASK_RUNNING && row->progress_ms > 0 &&
-            row->estimate_ms > 0 &&
-            Health_IsFasterElsewhere(&progress, slow)) {
+        if (tells_pace(row) && Health_IsFasterElsewhere(&progress, slow)) {
             stop_stalled(runner, now_ms, row, "slow upstream");
         }
     }
--- a/lease/runner_state.h
+++ b/lease/runner_state.h
@@ -73,6 +73,7 @@
                           */
     uint32_t percent;
     uint32_t ran_ms;
+    bool suspended; /* the machine was meanwhile: its times tell no pace */
 } Runner_Task;
 
 typedef struct {
--- a/tests/rebirth_rules.c
+++ b/tests/rebirth_rules.c
@@ -697,6 +697,25 @@
     Runner_Free(fix.runner);
 }
 
+/* How long a run took is not known if the companion stood still beside it: it
+ * is no sign of a slow upstream. */
+static void
+test_pace_after_a_suspension(void)
+{
+    Runner_EndedRun ended = {1, RunnerFix_Run(1, 1), RUNNER_END_DONE};
+    lc_report_args report;
+    runner_fixture fix;
+
+    begin_task(&fix);
+    RunnerFix_AnswerRunning(&fix, 1);
+    fix.now_ms += 2500;
+    Runner_OnSuspended(fix.runner, fix.now_ms, 2500);
+    RunnerFix_AnswerPoll(&fix, NULL, 0, &ended, 1);
+    g_assert_true(Runner_Report(fix.runner, fix.now_ms, &report));
+    g_assert_cmpint(report.host.pace_percent, ==, 100);
+    Runner_Free(fix.runner);
+}
+
 /* A renewal that was buffered meanwhile is older than the lease. */
 static void
 test_renewal_after_a_suspension(void)
@@ -1016,6 +1035,7 @@
     {"/suspension/no_start_beside_an_expired_run",
      test_no_start_beside_an_expired_run},
     {"/suspension/leases have expired", test_lease_after_a_suspension},
+    {"/suspension/pace is not measured", test_pace_after_a_suspension},
     {"/suspension/a buffered renewal is too old",
      test_renewal_after_a_suspension},
     {"/suspension/of any length, with the upstream or without",
