Simulation: copy the list of late starts in an answer to FENCE

The simulation kept the answer without that list, which the runner frees after the call, as for RENEW before; the product's transport encodes it at once.

--- a/tests/lease_sim_messages.cc
+++ b/tests/lease_sim_messages.cc
@@ -24,6 +24,7 @@
 {
     if (reply->kind == MSG_FENCE) {
         g_free(reply->u.fence.runs.runs_val);
+        g_free(reply->u.fence.late_starts.late_starts_val);
     }
     else if (reply->kind == MSG_RENEW) {
         g_free(reply->u.renew.unsettled.unsettled_val);
@@ -43,6 +44,10 @@
         auto &runs = copy->u.fence.runs;
         runs.runs_val = (lc_held_run *)g_memdup2(
             runs.runs_val, runs.runs_len * sizeof(lc_held_run));
+        auto &late_starts = copy->u.fence.late_starts;
+        late_starts.late_starts_val = (lc_late_start *)g_memdup2(
+            late_starts.late_starts_val,
+            late_starts.late_starts_len * sizeof(lc_late_start));
     }
     else if (copy->kind == MSG_RENEW) {
         auto &unsettled = copy->u.renew.unsettled;
