--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -35,10 +35,10 @@
 
 int main(int argc, char **argv)
 {
-    const char *choice = getenv("TROUBLE"); // 0, config, restart, or both
+    const char *choice = getenv("TROUBLE"); // 0, config, restart, ack, or both
     string kind = choice == nullptr ? "both" : choice;
     bool drops = kind != "0" && kind != "restart";
-    bool restarts = kind != "0" && kind != "config";
+    bool restarts = kind != "0" && kind != "config" && kind != "ack";
     string path = string("/a/") + JOB;
 
     open_record(argc > 1 ? argv[1] : nullptr, &cluster, 100000);
@@ -79,9 +79,16 @@
         record("the job was not accepted, or not started");
         cluster.finish(2);
     }
+    int first = owner();
     if (drops) {
         cluster.configure(3, {b});
     }
+    if (kind == "ack" && first >= 0) { // after_ack_kill: it loses power right after the change
+        Process &p = *cluster.entries[(size_t)first];
+        p.kill();
+        sleep_ms(3000);
+        p.start();
+    }
     sleep_ms(2100); // config_apply_ms is 2,000
     if (restarts) {
         int i = owner();
--- a/review/stand/stand.h
+++ b/review/stand/stand.h
@@ -30,6 +30,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -216,19 +217,39 @@
         if (bind(fd, (sockaddr *)&a, sizeof(a)) != 0 || listen(fd, 256) != 0) {
             return false;
         }
-        std::thread([this] { accept_all(); }).detach();
+        std::thread([this, listener = fd] { accept_all(listener); }).detach();
         return true;
     }
 
+    // Connections are refused and reset from now on, until it is opened again.
+    void stop()
+    {
+        std::lock_guard<std::mutex> hold(lock);
+        shutdown(fd, SHUT_RDWR);
+        close(fd);
+        for (int c : connections) {
+            linger reset = {1, 0};
+            setsockopt(c, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+            shutdown(c, SHUT_RDWR);
+        }
+    }
+
   private:
-    void accept_all()
+    void accept_all(int listener)
     {
         for (;;) {
-            int c = accept4(fd, nullptr, nullptr, SOCK_CLOEXEC);
+            int c = accept4(listener, nullptr, nullptr, SOCK_CLOEXEC);
             if (c < 0) {
+                if (errno == EINVAL || errno == EBADF) {
+                    return;
+                }
                 usleep(1000);
                 continue;
             }
+            {
+                std::lock_guard<std::mutex> hold(lock);
+                connections.insert(c);
+            }
             int one = 1;
             setsockopt(c, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
             std::thread([this, c] { serve(c); }).detach();
@@ -264,10 +285,14 @@
                 break;
             }
         }
+        std::lock_guard<std::mutex> hold(lock);
+        connections.erase(c);
         close(c);
     }
 
     int fd = -1;
+    std::mutex lock;
+    std::set<int> connections;
 };
 
 struct Reply {
@@ -644,7 +669,7 @@
     {
         std::lock_guard<std::mutex> hold(lock);
         up = false;
-        record("minion %s is lost for good", id.c_str());
+        record("minion %s is lost", id.c_str());
         for (auto &pair : running) {
             history->end(pair.second.index, "crashed");
         }
@@ -654,11 +679,18 @@
 
     // Crashes; a new life comes after `down_ms`, under a new id, or under the
     // same one with another `born`.
-    void crash(int64_t down_ms, bool same_id)
+    void crash(int64_t down_ms, bool same_id, bool refuses = false)
     {
         go();
-        std::thread([this, down_ms, same_id] {
+        if (refuses) {
+            server.stop();
+        }
+        std::thread([this, down_ms, same_id, refuses] {
             sleep_ms(down_ms);
+            if (refuses && !server.open(ip, port)) {
+                record("minion %s cannot listen again", id.c_str());
+                return;
+            }
             std::lock_guard<std::mutex> hold(lock);
             lives++;
             if (!same_id) {
