--- a/review/stand/stand.h
+++ b/review/stand/stand.h
@@ -700,13 +700,34 @@
             token = deadline = last_end = beats = 0;
             ended_up_to.clear();
             ends.clear();
-            clock_offset -= 1000 * lives;
+            clock_offset = same_id ? 1000 - now() : clock_offset - 1000 * lives;
             up = true;
             record("minion %s is up again", id.c_str());
             std::thread([this] { beat_all(); }).detach();
         }).detach();
     }
 
+    // Asked for each start that comes; if true, it gets no answer and is kept,
+    // to be carried out late by execute_kept().
+    std::function<bool(const string &task)> keeps;
+
+    // Carries out the first start that was kept, unless the life refuses it.
+    bool execute_kept()
+    {
+        std::lock_guard<std::mutex> hold(lock);
+        json_t *body = json_loads(kept_body.c_str(), 0, nullptr);
+        int64_t sent = json_integer_value(json_object_get(body, "fencing_token"));
+        bool refused = body == nullptr || !up || kept_instance != id || sent < token;
+        if (!refused) {
+            token = sent;
+            const char *task = json_string_value(json_object_get(body, "task"));
+            refused = start(body, task, (int)json_integer_value(json_object_get(body, "run"))).status != 200;
+        }
+        json_decref(body);
+        record("minion %s carries out a start late: %s", id.c_str(), refused ? "refused" : "started");
+        return !refused;
+    }
+
     // Fails a task at work now.
     bool fail(const string &task)
     {
@@ -839,7 +860,14 @@
         const char *text = json_string_value(json_object_get(body, "task"));
         string task = text == nullptr ? "" : text;
         int run = (int)json_integer_value(json_object_get(body, "run"));
-        if (r.path == "/run-start") {
+        if (r.path == "/run-start" && keeps && keeps(task)) {
+            if (kept_body.empty()) {
+                kept_body = r.body;
+                kept_instance = expected;
+            }
+            response.silent = true;
+        }
+        else if (r.path == "/run-start") {
             response = start(body, task, run);
         }
         else if (r.path == "/run-stop") {
@@ -985,6 +1013,7 @@
     std::map<string, Active> running;
     std::map<string, int> ended_up_to;
     std::deque<End> ends;
+    string kept_body, kept_instance;
 };
 
 // ---- processes of the project ----
