--- a/review/2/case.cc
+++ b/review/2/case.cc
@@ -37,6 +37,7 @@
                        "{\"spec\":\"short\",\"best_effort\":true,\"steps\":[{\"count\":4,\"cpu\":500,"
                        "\"mem_mb\":64,\"estimate_ms\":60}]}",
                        2500, "X-Deadline-Ms: 1500\r\n");
+        record("client: POST %s at entry %d -> %d", path, 1 + client % 2, r.status);
         count.sent++;
         (r.status == 200 ? count.served : r.status == 503 || r.status == 429 ? count.refused : count.other)++;
         sleep_ms(60);
