Manage a durable job whose queue is removed like any other

Runs still at work were not renewed by the successor and were stopped 3 s later.

Cause: DurableOwned_Start returned, or wrote an outcome, before it adopted what the recovery had found, if the job lacked its queue (or could not be read), and the recovery was cleared all the same. Nothing else had the runs and ends.

Why it works: the settings of a queue are needed to start a task, and for nothing else. The job gets its state, records and leases without them; runs are asked for and renewed, ends recorded and released, a cancel stops its runs. Attempts are judged when the settings are known. A job that cannot be read fails, its ends are released with that record, its runs are halted.

--- a/lease/active_job.c
+++ b/lease/active_job.c
@@ -29,6 +29,17 @@
     }
 }
 
+void
+Active_SetRoute(Active_Job *job, const Route *route)
+{
+    g_free(job->service);
+    job->service = g_strdup(route->service);
+    job->priority = route->priority;
+    job->max_attempts = MAX(route->max_attempts, 1);
+    job->objective_ms = job->arrived_ms + Route_ObjectiveMs(route, &job->spec);
+    job->awaits_queue = false;
+}
+
 Active_Job *
 Active_New(LeasedJob *spec, const Route *route, int64_t now_ms,
            int64_t deadline_ms)
@@ -39,12 +50,9 @@
     memset(spec, 0, sizeof(*spec));
     job->spec_bytes = strlen(job->spec.spec);
     job->queue = g_strdup(route->name);
-    job->service = g_strdup(route->service);
-    job->priority = route->priority;
-    job->max_attempts = MAX(route->max_attempts, 1);
     job->requests = g_array_new(FALSE, FALSE, sizeof(uint64_t));
     job->arrived_ms = now_ms;
-    job->objective_ms = now_ms + Route_ObjectiveMs(route, &job->spec);
+    Active_SetRoute(job, route);
     job->deadline_ms = deadline_ms;
     job->task_count = LeasedJob_TaskCount(&job->spec) *
                       LeasedJob_OccurrenceCount(&job->spec);
--- a/lease/active_job.h
+++ b/lease/active_job.h
@@ -87,6 +87,8 @@
     bool has_long_running; /**< some of its tasks are restarted however they
                                 end */
     bool durable;          /**< it has no caller and no deadline */
+    bool awaits_queue;     /**< the settings of its queue are not known: active
+                                runs go on, and no task is started */
     Address delegate;      /**< entry that this job was forwarded to, or 0 */
     struct Dispatcher_Origin *origin; /**< entry that forwarded the job to this
                                            one, or NULL */
@@ -104,6 +106,9 @@
                        int64_t deadline_ms);
 void Active_Free(Active_Job *job);
 
+/** Takes the settings of the job's queue. */
+void Active_SetRoute(Active_Job *job, const Route *route);
+
 /** Returns the step that a task belongs to. */
 const LeasedJob_Step *Active_Step(const Active_Job *job,
                                   const Active_Task *task);
--- a/lease/dispatcher.h
+++ b/lease/dispatcher.h
@@ -100,7 +100,10 @@
 
 /** A durable job to start or to resume. */
 typedef struct {
-    const Route *route;
+    const char *queue;
+    const Route *route;        /**< of the queue; NULL if it is not known: no
+                                    task is started before
+                                    Dispatcher_SetDurableRoute */
     LeasedJob job;             /**< contents move to the dispatcher */
     const GByteArray *done;    /**< bitmap of the finished tasks */
     const GArray *failures;    /**< lc_kept_failures, see
@@ -160,6 +163,10 @@
 void Dispatcher_AddDurable(Dispatcher *self, int64_t now_ms,
                            Dispatcher_DurableJob *start);
 
+/** The queue of a durable job that was added without a route is known. */
+void Dispatcher_SetDurableRoute(Dispatcher *self, int64_t now_ms, uint64_t id,
+                                const Route *route);
+
 /** Returns all known companions. */
 const Fleet *Dispatcher_Fleet(const Dispatcher *self);
 
--- a/lease/dispatcher_durable.c
+++ b/lease/dispatcher_durable.c
@@ -124,15 +124,28 @@
     }
 }
 
+static Active_Job *
+new_job(Dispatcher_DurableJob *start, int64_t now_ms)
+{
+    Route unknown = {.name = (char *)(uintptr_t)start->queue,
+                     .service = (char *)(uintptr_t) "",
+                     .max_attempts = UINT32_MAX};
+    Active_Job *job = Active_New(
+        &start->job, start->route != NULL ? start->route : &unknown, now_ms,
+        NO_DEADLINE_MS);
+
+    job->awaits_queue = start->route == NULL;
+    job->durable = true;
+    return job;
+}
+
 void
 Dispatcher_AddDurable(Dispatcher *self, int64_t now_ms,
                       Dispatcher_DurableJob *start)
 {
-    Active_Job *job = Active_New(&start->job, start->route, now_ms,
-                                 NO_DEADLINE_MS);
+    Active_Job *job = new_job(start, now_ms);
     guint i;
 
-    job->durable = true;
     job->handle = Handle_Add(self->jobs, job);
     g_hash_table_replace(self->by_id, &job->spec.id, job);
     restore_done(job, start, now_ms + self->wall_offset_ms);
@@ -147,6 +160,20 @@
     end_if_decided(self, now_ms, job);
 }
 
+void
+Dispatcher_SetDurableRoute(Dispatcher *self, int64_t now_ms, uint64_t id,
+                           const Route *route)
+{
+    Active_Job *job = g_hash_table_lookup(self->by_id, &id);
+
+    if (job == NULL || !job->awaits_queue || job->closing) {
+        return;
+    }
+    Active_SetRoute(job, route);
+    self->dispatch_pending = true;
+    end_if_decided(self, now_ms, job);
+}
+
 const Fleet *
 Dispatcher_Fleet(const Dispatcher *self)
 {
--- a/lease/dispatcher_queue.c
+++ b/lease/dispatcher_queue.c
@@ -186,6 +186,13 @@
     g_ptr_array_unref(placed);
 }
 
+static bool
+has_startable_tasks(const Active_Job *job)
+{
+    return job != NULL && !job->closing && !job->awaits_queue &&
+           job->waiting > 0;
+}
+
 /* Returns the jobs with waiting tasks, the most urgent first; the caller frees
  * the array. */
 static GArray *
@@ -196,7 +203,7 @@
 
     for (i = 0; i < Handle_RowCount(self->jobs); i++) {
         Active_Job *job = Handle_ItemAt(self->jobs, i);
-        if (job != NULL && !job->closing && job->waiting > 0 &&
+        if (has_startable_tasks(job) &&
             (self->durable_enabled || !job->durable)) {
             queue_entry entry = entry_of(job, now_ms);
             g_array_append_val(queue, entry);
@@ -212,8 +219,7 @@
     uint32_t i;
 
     for (i = 0; i < Handle_RowCount(self->jobs); i++) {
-        const Active_Job *job = Handle_ItemAt(self->jobs, i);
-        if (job != NULL && !job->closing && job->waiting > 0) {
+        if (has_startable_tasks(Handle_ItemAt(self->jobs, i))) {
             return true;
         }
     }
--- a/lease/durable_jobs.c
+++ b/lease/durable_jobs.c
@@ -330,19 +330,34 @@
            g_hash_table_size(self->jobs) == 0;
 }
 
+static uint32_t
+count_without_queue(const DurableJobs *self)
+{
+    GHashTableIter iter;
+    gpointer item;
+    uint32_t count = 0;
+
+    g_hash_table_iter_init(&iter, self->jobs);
+    while (g_hash_table_iter_next(&iter, NULL, &item)) {
+        count += ((const DurableJobs_OwnJob *)item)->awaits_queue;
+    }
+    return count;
+}
+
 void
 DurableJobs_Metrics(const DurableJobs *self, int64_t now_ms, GString *out)
 {
-    g_string_append_printf(out,
-                           "levercove_kept_jobs_open %u\n"
-                           "levercove_kept_jobs_owned %u\n"
-                           "levercove_kept_log_age_seconds %" PRId64 "\n"
-                           "levercove_kept_recoveries %u\n"
-                           "levercove_kept_ends_unwritten %u\n",
-                           DurableLog_OpenCount(self->log),
-                           g_hash_table_size(self->jobs),
-                           (now_ms - self->log_read_ms) / 1000,
-                           self->recoveries->len, self->ends->len);
+    g_string_append_printf(
+        out,
+        "levercove_kept_jobs_open %u\n"
+        "levercove_kept_jobs_owned %u\n"
+        "levercove_kept_jobs_without_queue %u\n"
+        "levercove_kept_log_age_seconds %" PRId64 "\n"
+        "levercove_kept_recoveries %u\n"
+        "levercove_kept_ends_unwritten %u\n",
+        DurableLog_OpenCount(self->log), g_hash_table_size(self->jobs),
+        count_without_queue(self), (now_ms - self->log_read_ms) / 1000,
+        self->recoveries->len, self->ends->len);
 }
 
 json_t *
--- a/lease/durable_jobs_owned.c
+++ b/lease/durable_jobs_owned.c
@@ -1,3 +1,4 @@
+#include <inttypes.h>
 #include <string.h>
 
 #include "lease/durable_jobs_state.h"
@@ -269,7 +270,7 @@
     }
 }
 
-static void
+static DurableJobs_OwnJob *
 write_outcome(DurableJobs *self, const DurableLog_Job *job,
               lc_kept_outcome outcome)
 {
@@ -277,37 +278,93 @@
 
     row->outcome = outcome;
     mark_changed(self, row);
+    return row;
+}
+
+static void
+send_halt(DurableJobs *self, const DurableJobs_FoundRun *found)
+{
+    DurableJobs_Call *pending = g_new0(DurableJobs_Call, 1);
+    Msg_Call call = {.kind = MSG_HALT};
+
+    call.u.halt.owner = self->node;
+    call.u.halt.target = found->host.incarnation;
+    call.u.halt.id = found->run.id;
+    pending->kind = MSG_HALT;
+    pending->host = found->host;
+    self->ports->call(self->context, found->host.address,
+                      Handle_Add(self->calls, pending), &call);
+}
+
+/* Stops the runs of a job that cannot be managed any further, and has its ends
+ * released once its outcome is written. */
+static void
+drop_found_runs(DurableJobs *self, DurableJobs_OwnJob *row,
+                const DurableJobs_Recovery *recovery)
+{
+    guint i;
+
+    for (i = 0; recovery != NULL && i < recovery->runs->len; i++) {
+        const DurableJobs_FoundRun *found = &g_array_index(
+            recovery->runs, DurableJobs_FoundRun, i);
+        DurableJobs_RunEnd end = {.host = found->host, .run = found->run.id};
+        if (found->run.id.job != row->id) {
+            continue;
+        }
+        if (found->run.running) {
+            send_halt(self, found);
+        }
+        else {
+            g_array_append_val(row->ends, end);
+        }
+    }
+}
+
+/* The job is managed like any other, so that runs and ends found by a recovery
+ * are not lost, but its tasks cannot be started before the queue is known. */
+static void
+await_queue(DurableJobs *self, DurableJobs_OwnJob *row,
+            const DurableLog_Job *job)
+{
+    char detail[80 + LC_MAX_NAME];
+
+    row->awaits_queue = true;
+    self->has_unstarted = true;
+    g_snprintf(detail, sizeof(detail),
+               "job %016" PRIx64 ": queue %s is not known, no task is started",
+               job->id, job->queue);
+    self->ports->event(self->context, EVENT_KEPT_NO_QUEUE, detail);
 }
 
 void
 DurableOwned_Start(DurableJobs *self, int64_t now_ms, DurableLog_Job *job,
                    const DurableJobs_Recovery *recovery)
 {
-    const Route *route = self->ports->route(self->context, job->queue);
     uint32_t generation = DurableLog_TakeoverCount(self->log, job);
-    Dispatcher_DurableJob start = {.route = route,
-                                   .run_base = RUN_ID_DURABLE_BASE +
-                                               generation * RUN_ID_OWNER_STEP};
+    Dispatcher_DurableJob start = {
+        .queue = job->queue,
+        .route = self->ports->route(self->context, job->queue),
+        .run_base = RUN_ID_DURABLE_BASE + generation * RUN_ID_OWNER_STEP};
     Status status = {ERR_OK, ""};
     DurableJobs_OwnJob *row;
     GArray *runs;
 
-    if (job->cancelled && (recovery == NULL || route == NULL)) {
+    if (job->cancelled && recovery == NULL) {
         write_outcome(self, job, LC_KEPT_CANCELLED);
         return;
     }
-    if (route == NULL) {
-        self->has_unstarted = true; /* until the queue exists again */
-        return;
-    }
     if (self->ports->parse(self->context, job->id, job->body, &start.job,
                            &status) != ERR_OK) {
         self->ports->event(self->context, EVENT_KEPT_BAD, status.message);
-        write_outcome(self, job, LC_KEPT_FAILED);
+        row = write_outcome(self, job, LC_KEPT_FAILED);
+        drop_found_runs(self, row, recovery);
         return;
     }
     runs = g_array_new(FALSE, TRUE, sizeof(Dispatcher_ReportedRun));
     row = add_own_job(self, job);
+    if (start.route == NULL) {
+        await_queue(self, row, job);
+    }
     adopt_found_runs(self, row, &start.job, recovery, runs);
     start.runs = runs;
     start.late_starts = recovery == NULL ? NULL : recovery->late_starts;
@@ -321,6 +378,21 @@
     }
 }
 
+/* Starts the tasks of a job if its queue has become known. */
+static void
+resume_if_queue_known(DurableJobs *self, int64_t now_ms,
+                      DurableJobs_OwnJob *row, const DurableLog_Job *job)
+{
+    const Route *route = self->ports->route(self->context, job->queue);
+
+    if (route == NULL) {
+        self->has_unstarted = true;
+        return;
+    }
+    row->awaits_queue = false;
+    Dispatcher_SetDurableRoute(self->dispatcher, now_ms, job->id, route);
+}
+
 void
 DurableOwned_StartAll(DurableJobs *self, int64_t now_ms)
 {
@@ -334,12 +406,17 @@
     open = DurableLog_OpenJobs(self->log);
     for (i = 0; i < open->len; i++) {
         DurableLog_Job *job = g_ptr_array_index(open, i);
+        DurableJobs_OwnJob *row = g_hash_table_lookup(self->jobs, &job->id);
         lc_node owner = DurableLog_OwnerOf(self->log, job);
-        if (!Msg_SameNode(&owner, &self->node) ||
-            g_hash_table_contains(self->jobs, &job->id)) {
+        if (!Msg_SameNode(&owner, &self->node)) {
             continue;
         }
-        if (DurableTakeover_RecoveryOf(self, job) == NULL) {
+        if (row != NULL) {
+            if (row->awaits_queue) {
+                resume_if_queue_known(self, now_ms, row, job);
+            }
+        }
+        else if (DurableTakeover_RecoveryOf(self, job) == NULL) {
             DurableOwned_Start(self, now_ms, job, NULL);
         }
     }
--- a/lease/durable_jobs_state.h
+++ b/lease/durable_jobs_state.h
@@ -43,7 +43,8 @@
     GArray *failures; /* lc_kept_failures */
     GArray *ends;     /* DurableJobs_RunEnd, not put yet */
     lc_kept_outcome outcome;
-    bool written; /* its outcome is in the log */
+    bool written;      /* its outcome is in the log */
+    bool awaits_queue; /* its queue is not known: no task is started */
 } DurableJobs_OwnJob;
 
 /* The end of a run, which its companion holds until it is recorded. */
@@ -163,7 +164,8 @@
 void DurableOwned_Start(DurableJobs *self, int64_t now_ms, DurableLog_Job *job,
                         const DurableJobs_Recovery *recovery);
 
-/** Starts owned jobs that are not waiting for a recovery. */
+/** Starts owned jobs that are not waiting for a recovery, and the tasks of
+ * those whose queue has become known. */
 void DurableOwned_StartAll(DurableJobs *self, int64_t now_ms);
 
 /** Queues an end for release at its companion. */
--- a/tests/kept_rules.c
+++ b/tests/kept_rules.c
@@ -50,7 +50,9 @@
     Err_Kind kind;
     int states_answered;
     DurableJobs_State last_state;
-    uint32_t tasks; /* of each job */
+    bool queue_removed;
+    bool unreadable; /* no body of a job can be parsed */
+    uint32_t tasks;  /* of each job */
     bool long_running;
     uint32_t repeat_count;
     lc_upstream_state state;
@@ -122,8 +124,10 @@
 static const Route *
 port_route(void *context, const char *queue)
 {
+    const fixture *fix = context;
+
     (void)queue;
-    return ((fixture *)context)->route;
+    return fix->queue_removed ? NULL : fix->route;
 }
 
 static Err_Kind
@@ -133,8 +137,10 @@
     fixture *fix = context;
 
     (void)body;
-    (void)status;
     memset(job, 0, sizeof(*job));
+    if (fix->unreadable) {
+        return Err_Set(status, ERR_BAD_REQUEST, "not a job");
+    }
     job->id = id;
     job->spec = g_strdup("");
     job->step_count = 1;
@@ -330,6 +336,16 @@
     read_bytes(fix, put->key, put->value->data, put->value->len);
 }
 
+static void
+read_puts(fixture *fix)
+{
+    guint number;
+
+    for (number = 1; number <= fix->puts->len; number++) {
+        read_put(fix, number);
+    }
+}
+
 static void
 read_record(fixture *fix, const char *key, const lc_kept_record *record)
 {
@@ -1074,6 +1090,220 @@
     free_fixture(&fix);
 }
 
+/* This entry has claimed the job of another owner and knows no queue of the
+ * job's name: operators have removed it, or no routes are known yet. */
+static void
+claim_without_queue(fixture *fix)
+{
+    claim_other_owner(fix);
+    fix->queue_removed = true;
+}
+
+static void
+check_state(fixture *fix, DurableJobs_State state)
+{
+    g_assert_cmpint(
+        DurableJobs_StateOf(fix->durable_jobs, fix->now_ms, 7, "queue"), ==,
+        state);
+}
+
+/* Guards against a second run of a task whose end was found while the job's
+ * queue was removed. */
+static void
+test_found_end_outlasts_removed_queue(void)
+{
+    lc_held_run held = {.id = {.job = 7, .run = 1025},
+                        .running = false,
+                        .status = LC_RUN_DONE};
+    fixture fix;
+
+    claim_without_queue(&fix);
+    answer_fence(&fix, &held);
+    advance(&fix, 100);
+    read_put(&fix, fix.puts->len);
+    fix.queue_removed = false;
+    advance(&fix, 100);
+    g_assert_cmpint(count_calls(&fix, MSG_RUN), ==, 0);
+    check_state(&fix, DURABLE_JOB_SUCCEEDED);
+    free_fixture(&fix);
+}
+
+/* Guards against an end that stays unreleased, and so blocks its upstream,
+ * for as long as the job's queue is removed. */
+static void
+test_found_end_is_released_without_queue(void)
+{
+    lc_held_run held = {.id = {.job = 7, .run = 1025},
+                        .running = false,
+                        .status = LC_RUN_DONE};
+    fixture fix;
+
+    claim_without_queue(&fix);
+    answer_fence(&fix, &held);
+    advance(&fix, 100);
+    g_assert_cmpint(count_calls(&fix, MSG_RELEASE), ==, 0);
+    DurableJobs_OnWritten(fix.durable_jobs, fix.now_ms, fix.puts->len);
+    advance(&fix, 100);
+    g_assert_cmpint(count_calls(&fix, MSG_RELEASE), ==, 1);
+    free_fixture(&fix);
+}
+
+/* Guards against losing an active run that was found while the job's queue was
+ * removed. */
+static void
+test_active_run_outlasts_removed_queue(void)
+{
+    lc_held_run held = {.id = {.job = 7, .run = 1025}, .running = true};
+    fixture fix;
+
+    claim_without_queue(&fix);
+    answer_fence(&fix, &held);
+    advance(&fix, 100);
+    g_assert_cmpuint(last_call(&fix, MSG_RUN)->run.run, ==, 1025);
+    g_assert_cmpint(last_call(&fix, MSG_RUN)->valid_until_ms, ==,
+                    LC_HOLD_NONE);
+    end_run(&fix, LC_RUN_DONE);
+    read_put(&fix, fix.puts->len);
+    check_state(&fix, DURABLE_JOB_SUCCEEDED);
+    free_fixture(&fix);
+}
+
+/* Nothing is started before the queue's settings are known. */
+static void
+test_removed_queue_starts_nothing(void)
+{
+    fixture fix;
+
+    claim_without_queue(&fix);
+    answer_fence(&fix, NULL);
+    advance(&fix, 1000);
+    g_assert_cmpint(count_calls(&fix, MSG_RUN), ==, 0);
+    fix.queue_removed = false;
+    advance(&fix, 100);
+    g_assert_cmpint(count_calls(&fix, MSG_RUN), ==, 1);
+    g_assert_cmpuint(last_call(&fix, MSG_RUN)->run.run, ==, 2049);
+    free_fixture(&fix);
+}
+
+/* The number of attempts is a setting of the queue: how often a task failed
+ * meanwhile counts once the queue is back. */
+static void
+test_failures_outlast_removed_queue(void)
+{
+    lc_held_run held = {.id = {.job = 7, .run = 1025}, .running = true};
+    lc_kept_failures failure = {0, 1, 1024};
+    lc_kept_progress progress = {
+        .queue = (char *)(uintptr_t) "queue",
+        .failures = {.failures_len = 1, .failures_val = &failure}};
+    fixture fix;
+
+    claim_without_queue(&fix);
+    read_progress(&fix, &progress);
+    answer_fence(&fix, &held);
+    advance(&fix, 100);
+    end_run(&fix, LC_RUN_FAILED);
+    advance(&fix, 500);
+    g_assert_cmpint(count_calls(&fix, MSG_RUN), ==, 1);
+    check_state(&fix, DURABLE_JOB_RUNNING);
+    fix.queue_removed = false;
+    advance(&fix, 100);
+    read_puts(&fix);
+    g_assert_cmpint(count_calls(&fix, MSG_RUN), ==, 1);
+    check_state(&fix, DURABLE_JOB_FAILED);
+    free_fixture(&fix);
+}
+
+/* Guards against a run that goes on as its job is cancelled while the queue is
+ * removed. */
+static void
+test_cancel_without_queue_stops_runs(void)
+{
+    lc_held_run held = {.id = {.job = 7, .run = 1025}, .running = true};
+    lc_kept_record cancel = {.job = 7};
+    char key[DURABLE_LOG_KEY_SIZE];
+    fixture fix;
+
+    claim_without_queue(&fix);
+    cancel.body.kind = LC_KEPT_CANCEL;
+    cancel.body.lc_kept_body_u.queue = (char *)(uintptr_t) "queue";
+    DurableLog_CancelKey(7, key);
+    read_record(&fix, key, &cancel);
+    answer_fence(&fix, &held);
+    advance(&fix, 100);
+    g_assert_cmpint(count_calls(&fix, MSG_HALT), >=, 1);
+    read_put(&fix, fix.puts->len);
+    check_state(&fix, DURABLE_JOB_CANCELLED);
+    free_fixture(&fix);
+}
+
+/* A long-running task that ends while its queue is removed is restarted once
+ * the queue is back. */
+static void
+test_long_running_outlasts_removed_queue(void)
+{
+    lc_held_run held = {.id = {.job = 7, .run = 1025}, .running = true};
+    fixture fix;
+
+    claim_without_queue(&fix);
+    fix.long_running = true;
+    answer_fence(&fix, &held);
+    advance(&fix, 100);
+    end_run(&fix, LC_RUN_FAILED);
+    advance(&fix, 500);
+    g_assert_cmpint(count_calls(&fix, MSG_RUN), ==, 1);
+    fix.queue_removed = false;
+    advance(&fix, 100);
+    g_assert_cmpint(count_calls(&fix, MSG_RUN), ==, 2);
+    free_fixture(&fix);
+}
+
+/* The owner itself goes on as before: it has the settings of the queue. */
+static void
+test_owner_outlasts_removed_queue(void)
+{
+    fixture fix;
+
+    new_fixture(&fix);
+    submit(&fix, 7);
+    DurableJobs_OnWritten(fix.durable_jobs, fix.now_ms, 1);
+    read_put(&fix, 1);
+    read_log(&fix);
+    fix.queue_removed = true;
+    advance(&fix, 100);
+    end_run(&fix, LC_RUN_FAILED);
+    advance(&fix, 500);
+    g_assert_cmpint(count_calls(&fix, MSG_RUN), ==, 2);
+    free_fixture(&fix);
+}
+
+/* Guards against a run, or an end that blocks its upstream, that is left
+ * behind by a job whose body cannot be read. */
+static void
+test_unreadable_job_leaves_nothing(void)
+{
+    static const struct {
+        bool running;
+        Msg_Kind sent;
+    } cases[] = {{true, MSG_HALT}, {false, MSG_RELEASE}};
+    guint i;
+
+    for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+        lc_held_run held = {.id = {.job = 7, .run = 1025},
+                            .running = cases[i].running,
+                            .status = LC_RUN_DONE};
+        fixture fix;
+        claim_other_owner(&fix);
+        fix.unreadable = true;
+        answer_fence(&fix, &held);
+        advance(&fix, 100);
+        DurableJobs_OnWritten(fix.durable_jobs, fix.now_ms, fix.puts->len);
+        read_put(&fix, fix.puts->len);
+        check_state(&fix, DURABLE_JOB_FAILED);
+        g_assert_cmpint(count_calls(&fix, cases[i].sent), ==, 1);
+        free_fixture(&fix);
+    }
+}
+
 static void
 test_successor_waits_for_silent_companion(void)
 {
@@ -1347,6 +1577,24 @@
     {"/durable/binds tasks to late starts found at companions",
      test_successor_waits_for_late_start},
     {"/durable/adopts active runs", test_successor_adopts_active_run},
+    {"/durable/a found end is not forgotten while the queue is removed",
+     test_found_end_outlasts_removed_queue},
+    {"/durable/a found end is released while the queue is removed",
+     test_found_end_is_released_without_queue},
+    {"/durable/adopts active runs while the queue is removed",
+     test_active_run_outlasts_removed_queue},
+    {"/durable/starts nothing while the queue is removed",
+     test_removed_queue_starts_nothing},
+    {"/durable/counts failures while the queue is removed",
+     test_failures_outlast_removed_queue},
+    {"/durable/a cancel while the queue is removed stops active runs",
+     test_cancel_without_queue_stops_runs},
+    {"/durable/restarts long-running tasks once the queue is back",
+     test_long_running_outlasts_removed_queue},
+    {"/durable/an owner runs its jobs while the queue is removed",
+     test_owner_outlasts_removed_queue},
+    {"/durable/a job that cannot be read leaves no runs and no ends",
+     test_unreadable_job_leaves_nothing},
     {"/durable/waits for a silent companion",
      test_successor_waits_for_silent_companion},
     {"/durable/a successor that has heard no companion waits for reports",
--- a/tests/lease_sim.cc
+++ b/tests/lease_sim.cc
@@ -128,6 +128,9 @@
     case Fault::StopsUnanswered:
         stops_unanswered_until[companion] = until;
         break;
+    case Fault::RemoveQueue:
+        queue_removed_until = std::max(queue_removed_until, until);
+        break;
     case Fault::HoldForwards:
         hold_forwards(1 + action.target % (plan.entries - 1),
                       now + SILENT_MS + action.length_ms / HELD_DIVISOR);
--- a/tests/lease_sim.h
+++ b/tests/lease_sim.h
@@ -60,6 +60,8 @@
     CrashingJob,     /**< submits a job whose task crashes each upstream */
     StopsUnanswered, /**< stops time out, half are executed seconds later, the
                           others never; polls and starts are answered */
+    RemoveQueue, /**< operators remove the durable jobs' queue and put it back
+                  */
     Count,
     /* Not among the faults of any kind: */
     HoldForwards /**< holds up the connection from the first entry to another
--- a/tests/lease_sim_durable.cc
+++ b/tests/lease_sim_durable.cc
@@ -394,7 +394,7 @@
     uint64_t boot_id = entry->boot_id;
 
     caller.submissions++;
-    if (!entry->alive) {
+    if (!entry->alive || durable_route() == nullptr) {
         if (caller.submissions < MAX_DURABLE_SUBMISSIONS) {
             schedule(now + RESUBMIT_MS, [this, id] { submit_durable(id); });
         }
@@ -441,6 +441,9 @@
     uint64_t request = ++next_request;
     uint64_t boot_id = entry->boot_id;
 
+    if (durable_route() == nullptr) {
+        return; /* the cancel is not accepted */
+    }
     durable_callers[id].cancel_sent = true;
     cancel_requests[request] = id;
     schedule(now + 3, [this, entry, boot_id, id, request] {
--- a/tests/lease_sim_state.h
+++ b/tests/lease_sim_state.h
@@ -301,10 +301,11 @@
                  size_t length);
     void answer_durable(EntryNode *from, uint64_t request,
                         const Dispatcher_Answer *answer);
+    /* NULL while operators have removed the queue. */
     const Route *
     durable_route() const
     {
-        return route;
+        return queue_removed_until > now ? nullptr : route;
     }
     void fill_durable_job(uint64_t id, LeasedJob *job);
     void count_claim();
@@ -466,6 +467,7 @@
         std::tuple<uint32_t, uint64_t, uint32_t, uint32_t, uint32_t, uint32_t>>
         checked_orders;
     std::vector<int64_t> store_cut_until;
+    int64_t queue_removed_until = 0;
     std::vector<int64_t> gossip_cut_until;
     /* 0: both, 1: outgoing, 2: incoming. */
     std::vector<uint32_t> entry_cut_direction;
--- a/tests/prop_lease.cc
+++ b/tests/prop_lease.cc
@@ -273,6 +273,33 @@
                  size, rc::kNominalSize);
 }
 
+/* The durable jobs' queue is removed and put back while their owners are
+ * replaced, and replaced again. */
+void
+check_removed_queues(int size)
+{
+    lease::Plan plan;
+
+    plan.entries = 3;
+    check_faults(plan,
+                 {
+                     lease::Fault::RemoveQueue,
+                     lease::Fault::RemoveQueue,
+                     lease::Fault::RemoveQueue,
+                     lease::Fault::StopEntry,
+                     lease::Fault::StopEntry,
+                     lease::Fault::KillEntry,
+                     lease::Fault::KillEntry,
+                     lease::Fault::FreezeEntry,
+                     lease::Fault::KillCompanion,
+                     lease::Fault::CutEntries,
+                     lease::Fault::StoreDown,
+                     lease::Fault::StoreLossy,
+                     lease::Fault::Slow,
+                 },
+                 size, rc::kNominalSize);
+}
+
 /* Without other faults a job crashes two upstreams at most. */
 bool
 check_crashing_jobs()
@@ -474,6 +501,10 @@
                       [] { check_unanswered_stops(4); });
     good &= rc::check("unanswered stops, many faults",
                       [] { check_unanswered_stops(14); });
+    good &= rc::check("removed queues, few faults",
+                      [] { check_removed_queues(4); });
+    good &= rc::check("removed queues, many faults",
+                      [] { check_removed_queues(14); });
     good &= rc::check("equal upstreams share the work",
                       [] { check_shares(); });
     printf("%lu jobs forwarded, %lu accepted\n", (unsigned long)total.forwards,
