Acknowledge an unreleased end before it closes its upstream

Cause: the number up to which ends are acknowledged stood below the lowest end that no owner had released, and an upstream lists 500 ends at most. From the 501st on, ends of any job were not listed, their room stayed taken, and the companion had none to offer.

Evidence: tests/runner_rules, new rule: last_seen stays 4 with 500 ends listed on, 504 now.

Why it works: the bound is on what closes the upstream. A bound in time was ruled out: the store may be away for longer, and jobs that need not be kept would stand still with it.

LC532, levercove_ends_unreleased, levercove_ends_acknowledged_early_total.

--- a/lease/runner.c
+++ b/lease/runner.c
@@ -355,11 +355,11 @@
         runner->held_long += RunnerDurable_IsHeldLong(row, now_ms);
         if (row->state != TASK_ENDED) {
             RunnerOrder_Retry(runner, now_ms, row);
+            continue;
         }
-        else if (row->held_for_start) {
-            RunnerDurable_CheckStartHold(runner, now_ms, row);
-        }
-        else if (RunnerDurable_IsDisposable(runner, row, now_ms)) {
+        RunnerDurable_CheckHolds(runner, now_ms, row);
+        if (!row->held_for_start &&
+            RunnerDurable_IsDisposable(runner, row, now_ms)) {
             RunnerDurable_Release(runner, row);
             RunnerTask_Remove(runner, row);
         }
@@ -513,11 +513,14 @@
         "levercove_upstream_answer_timeout_milliseconds %" PRId64 "\n"
         "levercove_upstream_unanswered_permille %u\n"
         "levercove_upstream_heard_age_seconds %" PRId64 "\n"
-        "levercove_ends_held_for_starts %u\n",
+        "levercove_ends_held_for_starts %u\n"
+        "levercove_ends_unreleased %u\n"
+        "levercove_ends_acknowledged_early_total %" PRIu64 "\n",
         runner->active_tasks, state.room.cpu_milli, state.room.memory_mb,
         state.pace_percent, (int)state.state,
         RtoEstimator_TimeoutMs(&runner->rto), runner->rto.lost_permille,
-        (now_ms - runner->upstream.heard_ms) / 1000, runner->held_for_starts);
+        (now_ms - runner->upstream.heard_ms) / 1000, runner->held_for_starts,
+        runner->unreleased, runner->acknowledged_early);
 }
 
 Counters *
--- a/lease/runner_durable.c
+++ b/lease/runner_durable.c
@@ -59,14 +59,26 @@
 }
 
 /* An upstream lists a limited number of ends per answer, so the oldest holds
- * are cleared early to keep newer ends listed. */
+ * are cleared early to keep newer ends listed. An end that is not released yet
+ * is still reported to owners. */
 void
-RunnerDurable_CheckStartHold(Runner *runner, int64_t now_ms, Runner_Task *row)
+RunnerDurable_CheckHolds(Runner *runner, int64_t now_ms, Runner_Task *row)
 {
-    if (now_ms >= hold_expiry(runner, row) ||
-        runner->upstream.last_seen - row->end_number >= RUNNER_MAX_HELD_ENDS) {
+    uint64_t newer = runner->upstream.last_seen - row->end_number;
+
+    if (row->held_for_start && (now_ms >= hold_expiry(runner, row) ||
+                                newer >= RUNNER_MAX_HELD_ENDS)) {
         clear_start_hold(runner, row);
     }
+    if (row->unreleased && !row->acknowledged_early &&
+        newer >= RUNNER_MAX_NEWER_ENDS) {
+        row->acknowledged_early = true;
+        runner->acknowledged_early++;
+        RunnerTask_Log(runner, EVENT_END_UNRELEASED, row,
+                       "not released for %lld ms, and %llu newer ends",
+                       (long long)(now_ms - row->ended_ms),
+                       (unsigned long long)newer);
+    }
 }
 
 /* A previous process of this companion may have sent several copies of the
@@ -111,6 +123,7 @@
 {
     if (row->unreleased) {
         row->unreleased = false;
+        row->acknowledged_early = false;
         runner->unreleased--;
     }
 }
@@ -143,7 +156,8 @@
     g_hash_table_iter_init(&iter, runner->tasks);
     while (g_hash_table_iter_next(&iter, NULL, &item)) {
         const Runner_Task *row = item;
-        if (row->unreleased || row->held_for_start) {
+        if ((row->unreleased && !row->acknowledged_early) ||
+            row->held_for_start) {
             last = MIN(last, row->end_number - 1);
         }
     }
--- a/lease/runner_state.h
+++ b/lease/runner_state.h
@@ -58,9 +58,11 @@
     bool stop_confirmed;
     int64_t stop_confirmed_ms;
     int64_t ended_ms;
-    uint64_t end_number; /* as listed by the upstream; 0 if not listed */
-    bool unreleased;     /* end of a durable job's run, not released yet */
-    bool held_for_start; /* a late copy of its start may still arrive */
+    uint64_t end_number;     /* as listed by the upstream; 0 if not listed */
+    bool unreleased;         /* end of a durable job's run, not released yet */
+    bool acknowledged_early; /* while unreleased, so that the upstream can list
+                                newer ends: known here alone */
+    bool held_for_start;     /* a late copy of its start may still arrive */
     int64_t unwanted_ms; /* when its lease ended or it was halted, so that its
                             owner's caller may submit the job elsewhere some
                             time after; 0 before */
@@ -195,9 +197,10 @@
     uint32_t unwanted_tasks;  /* of these, the ones with `unwanted_ms` */
     bool hold_limited;   /* the hold has not been extended because of them */
     int64_t idle_ms;     /* when the last task ended */
-    uint32_t unreleased; /* ends not released, hence not acknowledged */
-    uint32_t held_long;  /* of these, the ones held for long at the last
-                            tick */
+    uint32_t unreleased; /* ends not released */
+    uint64_t acknowledged_early; /* of them, since the start */
+    uint32_t held_long;       /* of these, the ones held for long at the last
+                                 tick */
     uint32_t held_for_starts; /* ends held because of late copies of starts */
     int64_t created_ms;
     GArray *fenced; /* lc_node; claimed owners of durable jobs */
@@ -396,10 +399,10 @@
 /** Highest end number that may be acknowledged. */
 uint64_t RunnerDurable_LastSeen(const Runner *runner);
 
-/** Stops holding an end once no late copy of its start can be executed, or
- * when too many newer ends are listed. */
-void RunnerDurable_CheckStartHold(Runner *runner, int64_t now_ms,
-                                  Runner_Task *row);
+/** Stops holding back the acknowledgement of an end once no late copy of its
+ * start can be executed, or when too many newer ends are listed. */
+void RunnerDurable_CheckHolds(Runner *runner, int64_t now_ms,
+                              Runner_Task *row);
 
 /** Whether the record of an ended run may be removed. */
 bool RunnerDurable_IsDisposable(const Runner *runner, const Runner_Task *row,
--- a/tests/runner_rules.c
+++ b/tests/runner_rules.c
@@ -283,6 +283,38 @@
     Runner_Free(fix.runner);
 }
 
+/* Guards against an end that nobody releases, which kept later ends from being
+ * acknowledged until the upstream could list no more and took no work. */
+static void
+test_held_end_does_not_close_upstream(void)
+{
+    runner_fixture fix;
+    lc_run_id run = RunnerFix_Run(1, RUN_ID_DURABLE_BASE + 1);
+    Runner_EndedRun ended[RUNNER_MAX_LISTED_ENDS];
+    uint32_t i;
+
+    RunnerFix_NewReady(&fix);
+    RunnerFix_CallRun(&fix, 1, run.run, 1000, 500);
+    for (i = 0; i < RUNNER_MAX_LISTED_ENDS; i++) {
+        ended[i].number = 5 + i;
+        ended[i].id = i == 0 ? run : RunnerFix_Run(1000 + i, 1);
+        ended[i].end = RUNNER_END_DONE;
+    }
+    fix.now_ms += 50;
+    RunnerFix_AnswerPoll(&fix, NULL, 0, ended, RUNNER_MAX_HELD_ENDS);
+    Runner_Tick(fix.runner, fix.now_ms);
+    g_assert_cmpuint(fix.poll.last_seen, ==, 4);
+    RunnerFix_AnswerPoll(&fix, NULL, 0, ended, RUNNER_MAX_LISTED_ENDS);
+    Runner_Tick(fix.runner, fix.now_ms);
+    RunnerFix_AnswerPoll(&fix, NULL, 0, ended, RUNNER_MAX_LISTED_ENDS);
+    g_assert_cmpuint(fix.poll.last_seen, ==, 4 + RUNNER_MAX_LISTED_ENDS);
+    /* An owner that asks is still told. */
+    RunnerFix_FenceEntry(&fix);
+    g_assert_cmpuint(fix.held_runs, ==, 1);
+    g_assert_cmpint(fix.held.status, ==, LC_RUN_DONE);
+    Runner_Free(fix.runner);
+}
+
 /* If an upstream has more ends than it lists in one answer, the end of a run
  * may be missing, so an unlisted run must not be taken as lost. */
 static void
@@ -429,6 +461,8 @@
      test_full_listing},
     {"/runner/refuses runs of a fenced owner", test_fenced_owner},
     {"/runner/transfers runs to the successor", test_fence_hands_over},
+    {"/runner/an end that nobody releases does not close the upstream",
+     test_held_end_does_not_close_upstream},
     {"/runner/admits one task on trial", test_trial_admits_one},
     {"/runner/loses runs to another incarnation", test_other_incarnation},
     {"/runner/reports the end of a suspicion",
