Count a durable run that fails while it is being stopped

What callers saw: nothing yet; a task of a kept job may be started after its max_attempts failures were taken note of (BUDGET).

Why it works: the end that the upstream lists decides, not the wish to stop. A failure of a durable run is told as such and held until its owner has written it down, as any other failure; jobs that need not be kept have no such limit and stay as they are.

tests/runner_rules, new rule: fails before (status STOPPED), passes now.

--- a/lease/runner_durable.c
+++ b/lease/runner_durable.c
@@ -100,11 +100,8 @@
 RunnerDurable_HoldEnd(Runner *runner, int64_t now_ms, Runner_Task *row,
                       const Runner_EndedRun *ended)
 {
-    bool stopped = row != NULL && row->state == TASK_STOPPING &&
-                   ended->end != RUNNER_END_DONE;
-
-    if (!needs_release(ended->end) || stopped) {
-        return; /* reported to the owner as stopped */
+    if (!needs_release(ended->end)) {
+        return;
     }
     if (row == NULL) {
         row = add_unknown_end(runner, now_ms, ended);
--- a/lease/runner_poll.c
+++ b/lease/runner_poll.c
@@ -213,7 +213,9 @@
         [RUNNER_END_HOLD_EXPIRED] = LC_RUN_LOST,
     };
 
-    if (row->state == TASK_STOPPING && end != RUNNER_END_DONE) {
+    /* A failure of a durable run counts as an attempt in any case. */
+    if (row->state == TASK_STOPPING && end != RUNNER_END_DONE &&
+        !(end == RUNNER_END_FAILED && RunId_IsDurable(&row->id))) {
         return row->status;
     }
     return statuses[end];
--- a/tests/runner_rules.c
+++ b/tests/runner_rules.c
@@ -226,6 +226,29 @@
     Runner_Free(fix.runner);
 }
 
+/* Guards against more attempts than a task has: a run may fail while it is
+ * being stopped, and that counts, whoever wanted the stop. */
+static void
+test_failure_while_stopping_counts(void)
+{
+    runner_fixture fix;
+    lc_run_id run = RunnerFix_Run(1, RUN_ID_DURABLE_BASE + 1);
+    Runner_EndedRun ended = {5, run, RUNNER_END_FAILED};
+
+    RunnerFix_NewReady(&fix);
+    RunnerFix_CallRun(&fix, 1, run.run, 1000, 500);
+    RunnerFix_CallHalt(&fix, 1, run.run);
+    g_assert_cmpint(fix.stops, ==, 1);
+    fix.now_ms += 20;
+    RunnerFix_AnswerPoll(&fix, NULL, 0, &ended, 1);
+    g_assert_cmpint(fix.status, ==, LC_RUN_FAILED);
+    g_assert_cmpuint(fix.poll.last_seen, ==, 4);
+    RunnerFix_Release(&fix, &run);
+    RunnerFix_AnswerPoll(&fix, NULL, 0, &ended, 1);
+    g_assert_cmpuint(fix.poll.last_seen, ==, 5);
+    Runner_Free(fix.runner);
+}
+
 /* The store may be away for long, and an end that nobody has recorded is known
  * to its companion alone. */
 static void
@@ -453,6 +476,8 @@
     {"/runner/acknowledges ends", test_ends_are_acknowledged},
     {"/runner/holds ends of durable jobs until they are released",
      test_durable_ends_are_held},
+    {"/runner/a failure of a durable run that is being stopped counts",
+     test_failure_while_stopping_counts},
     {"/runner/an end that is not released is not acknowledged",
      test_unreleased_end_is_kept},
     {"/runner/gives up held ends where no more can be held",
