Bound what a trial of an upstream waits for

Cause: on trial a task was admitted only while none was at work, and a trial ended only with two tasks that ended well. A task that lasts never ends.

Why it works: on trial a task keeps others off for 1 s from its start at most, so that a sick upstream still gets one at a time. A long-running task that has been at work for 1 s counts as one that ended well, once; its later failure says nothing of the upstream. Listed without progress it counts as nothing.

--- a/lease/health.c
+++ b/lease/health.c
@@ -100,9 +100,9 @@
 }
 
 bool
-Health_Admits(const Health *health, int64_t now_ms, uint32_t running)
+Health_Admits(const Health *health, int64_t now_ms, uint32_t recent)
 {
-    return !health->trial || (running == 0 && now_ms >= health->next_trial_ms);
+    return !health->trial || (recent == 0 && now_ms >= health->next_trial_ms);
 }
 
 void
--- a/lease/health.h
+++ b/lease/health.h
@@ -16,6 +16,11 @@
 /** Pace of an upstream whose tasks take exactly as long as estimated. */
 #define HEALTH_PACE_PERCENT 100
 
+/** While on trial, a task keeps others from starting for this long at most, in
+ * ms: one that lasts would keep them off for good. A long-running task that is
+ * at work for as long counts as a success. */
+#define HEALTH_TRIAL_TASK_MS 1000
+
 /** Health of one upstream. A plain value; owns no memory. */
 typedef struct {
     uint32_t pace_percent; /**< moving mean of run time over estimate */
@@ -50,8 +55,9 @@
  */
 bool Health_RecordStall(Health *health, int64_t now_ms);
 
-/** Whether one more task may start beside @p running others. */
-bool Health_Admits(const Health *health, int64_t now_ms, uint32_t running);
+/** Whether one more task may start beside @p recent others, which were started
+ * within HEALTH_TRIAL_TASK_MS and have not ended. */
+bool Health_Admits(const Health *health, int64_t now_ms, uint32_t recent);
 
 /** Records the start of a task; while on trial, delays the next one. */
 void Health_RecordStart(Health *health, int64_t now_ms);
--- a/lease/runner.c
+++ b/lease/runner.c
@@ -83,6 +83,23 @@
     return runner->health.trial ? LC_UPSTREAM_TRIAL : LC_UPSTREAM_READY;
 }
 
+static bool
+admits_by_health(const Runner *runner, int64_t now_ms)
+{
+    uint32_t recent = 0;
+    GHashTableIter iter;
+    gpointer item;
+
+    g_hash_table_iter_init(&iter, runner->tasks);
+    while (runner->health.trial &&
+           g_hash_table_iter_next(&iter, NULL, &item)) {
+        const Runner_Task *row = item;
+        recent += row->state != TASK_ENDED &&
+                  now_ms - row->ordered_ms < HEALTH_TRIAL_TASK_MS;
+    }
+    return Health_Admits(&runner->health, now_ms, recent);
+}
+
 void
 Runner_State(const Runner *runner, int64_t now_ms, lc_host_state *state)
 {
@@ -92,7 +109,7 @@
     state->state = current_state(runner, now_ms);
     if ((state->state == LC_UPSTREAM_READY ||
          state->state == LC_UPSTREAM_TRIAL) &&
-        Health_Admits(&runner->health, now_ms, runner->active_tasks)) {
+        admits_by_health(runner, now_ms)) {
         state->room = available_room(runner);
     }
     state->pace_percent = runner->health.pace_percent;
@@ -170,7 +187,7 @@
     }
     if (!Resources_Fit(&args->need, &room) ||
         !is_only_crash_suspect(runner, args) ||
-        !Health_Admits(&runner->health, now_ms, runner->active_tasks)) {
+        !admits_by_health(runner, now_ms)) {
         return LC_RUN_NO_ROOM;
     }
     return LC_RUN_DONE;
--- a/lease/runner_poll.c
+++ b/lease/runner_poll.c
@@ -13,6 +13,8 @@
 /* Delay between polls while ends are held for their starts. Polls are answered
  * immediately then, as each answer lists the held ends again. */
 #define HELD_POLL_DELAY_MS 5
+/* Progress that an upstream reports of a long-running task that is at work. */
+#define AT_WORK_PERCENT 100
 /* Delay after a poll that a suspected upstream has not answered, and after one
  * that another incarnation has answered. */
 #define SUSPECT_POLL_DELAY_MS 50
@@ -246,7 +248,8 @@
             log_trial(runner, false);
         }
     }
-    else if (end == RUNNER_END_FAILED && row->state != TASK_STOPPING) {
+    else if (end == RUNNER_END_FAILED && row->state != TASK_STOPPING &&
+             !row->lasted) {
         begins = Health_RecordFailure(&runner->health, now_ms, row->id.job);
     }
     if (begins) {
@@ -296,6 +299,24 @@
     RunnerTask_Stop(runner, now_ms, row, LC_RUN_STALLED);
 }
 
+/* No end is expected of a long-running task, which has no estimate. That it is
+ * at work shows that its upstream executes what it starts; that it fails later
+ * shows nothing, as it may at any time. */
+static void
+check_lasted(Runner *runner, int64_t now_ms, Runner_Task *row)
+{
+    if (row->lasted || row->estimate_ms > 0 ||
+        row->percent < AT_WORK_PERCENT || row->state != TASK_RUNNING ||
+        now_ms - row->confirmed_ms < HEALTH_TRIAL_TASK_MS) {
+        return;
+    }
+    row->lasted = true;
+    if (Health_RecordSuccess(&runner->health, 0, 0)) {
+        runner->version++;
+        log_trial(runner, false);
+    }
+}
+
 /* Returns false for a run that no active task stands for. */
 static bool
 apply_active_run(Runner *runner, int64_t now_ms,
@@ -334,6 +355,7 @@
         }
         stop_stalled(runner, now_ms, row, "it hangs");
     }
+    check_lasted(runner, now_ms, row);
     return true;
 }
 
--- a/lease/runner_state.h
+++ b/lease/runner_state.h
@@ -75,6 +75,8 @@
                           */
     uint32_t percent;
     uint32_t ran_ms;
+    bool lasted;    /* a long-running task that was at work for
+                       HEALTH_TRIAL_TASK_MS */
     bool suspended; /* the machine was meanwhile: its times tell no pace */
 } Runner_Task;
 
--- a/tests/heartbeat_rules.c
+++ b/tests/heartbeat_rules.c
@@ -9,8 +9,6 @@
 #include "tests/runner_fixture.h"
 #include "tests/test_table.h"
 
-static const lc_node companion_node = RUNNER_FIX_COMPANION;
-
 /* Creates a runner whose upstream i-1 runs a task of the entry. */
 static void
 new_with_task(runner_fixture *fix)
@@ -170,19 +168,6 @@
     Runner_Free(fix.runner);
 }
 
-/* The entry renews its lease for two seconds. */
-static void
-renew(runner_fixture *fix)
-{
-    Msg_Call call = {.kind = MSG_RENEW};
-
-    call.u.renew.owner = fix->owner;
-    call.u.renew.target = companion_node.incarnation;
-    call.u.renew.valid_until_ms = fix->now_ms + 2000;
-    Runner_OnCall(fix->runner, fix->now_ms, 3, &call);
-    fix->replies = 0;
-}
-
 /* Its runs are over once the hold has expired, 600 ms later at most, although
  * their owner renews its lease. It is not polled any more then. */
 static void
@@ -193,7 +178,8 @@
     int polls;
 
     begin_departure(&fix);
-    renew(&fix);
+    RunnerFix_Renew(&fix, 2000);
+    fix.replies = 0;
     Runner_OnPollAnswer(fix.runner, fix.now_ms, fix.poll_id, &none);
     fix.now_ms += 100;
     Runner_Tick(fix.runner, fix.now_ms);
--- a/tests/lease_sim.cc
+++ b/tests/lease_sim.cc
@@ -70,6 +70,7 @@
         break;
     case Fault::Failing:
         upstream->fault_mode.failing = true;
+        upstream->fault_mode.failing_since_ms = now;
         schedule(until, [upstream] { upstream->fault_mode.failing = false; });
         break;
     case Fault::Slow:
@@ -188,6 +189,7 @@
     orders_late_until.resize(plan.companions);
     stops_unanswered_until.resize(plan.companions);
     store_cut_until.resize(plan.entries);
+    last_start_ms.resize(plan.companions);
     gossip_cut_until.resize(plan.entries);
     entry_cut_direction.resize(plan.entries);
     for (uint32_t i = 0; i < plan.companions; i++) {
@@ -243,6 +245,10 @@
          when += plan.durable_every_ms) {
         schedule(when, [this] { make_durable_job(); });
     }
+    if (plan.has_service) {
+        schedule(200, [this] { make_service(); });
+        schedule(jobs_end_ms - 1, [this] { check_every_upstream_works(); });
+    }
     schedule(jobs_end_ms, [this] { cancel_long_running(); });
     if (plan.expect_reopened_halls) {
         schedule(reopened_halls_due_ms(), [this] { check_reopened_halls(); });
--- a/tests/lease_sim.h
+++ b/tests/lease_sim.h
@@ -91,6 +91,10 @@
     /** Some jobs submitted until length_ms outlast their callers' deadline,
      * so that their runs end by a stop or with the hold. */
     bool long_tasks = false;
+    /** A durable job has a task on each upstream that never ends, and at the
+     * end of quiet_ms each upstream must be getting other tasks. Such a plan
+     * must have no crashes of upstreams. */
+    bool has_service = false;
     /** The first entry's link carries only a part of its jobs: it forwards
      * the others. */
     bool slow_link = false;
--- a/tests/lease_sim_checks.cc
+++ b/tests/lease_sim_checks.cc
@@ -89,6 +89,9 @@
     report.starts++;
     report.starts_at.resize(plan.companions);
     report.starts_at[index]++;
+    if (upstreams[index].work_of(id) != LASTS_MS) {
+        last_start_ms[index] = now;
+    }
     if (id.job >= FIRST_DURABLE_ID) {
         on_durable_start(id);
     }
--- a/tests/lease_sim_durable.cc
+++ b/tests/lease_sim_durable.cc
@@ -17,6 +17,10 @@
 const int64_t CANCEL_BOUND_MS = 3000;
 const int64_t ANSWER_TIMEOUT_MS = 2500;
 const int MAX_DURABLE_SUBMISSIONS = 6;
+const int64_t LONGEST_ESTIMATE_MS = 1000;
+/* In a plan with a service, each upstream gets a task that ends within this
+ * time: many of them start in it. */
+const int64_t MAX_IDLE_MS = 2000;
 /* A long-running task ends after 400 ms at most and must be restarted within
  * this time. */
 const int64_t MAX_RESTART_GAP_MS = 2000;
@@ -349,7 +353,9 @@
     for (uint32_t i = 0; i < caller.steps; i++) {
         job->steps[i].count = caller.tasks;
         job->steps[i].need = {cpu_need_of(id), TASK_MEMORY_MB, 0};
-        job->steps[i].estimate_ms = (uint32_t)caller.work_ms;
+        job->steps[i].estimate_ms = (uint32_t)std::min(caller.work_ms,
+                                                       LONGEST_ESTIMATE_MS);
+        job->steps[i].most_together = caller.work_ms == LASTS_MS;
         job->steps[i].depends_on = i;
         job->steps[i].long_running = caller.long_running;
     }
@@ -384,6 +390,21 @@
     }
 }
 
+/* A job with one task on each upstream, which never ends. */
+void
+Simulation::make_service()
+{
+    DurableCaller caller = {};
+
+    caller.id = FIRST_DURABLE_ID + ++report.durable_jobs_sent;
+    caller.tasks = plan.companions;
+    caller.steps = 1;
+    caller.work_ms = LASTS_MS;
+    caller.long_running = true;
+    durable_callers[caller.id] = caller;
+    submit_durable(caller.id);
+}
+
 void
 Simulation::submit_durable(uint64_t id)
 {
@@ -471,6 +492,32 @@
     return false;
 }
 
+bool
+Simulation::is_at_work(const DurableCaller &caller)
+{
+    if (caller.work_ms != LASTS_MS) {
+        return now - caller.last_start_ms <= MAX_RESTART_GAP_MS;
+    }
+    for (uint32_t i = 0; i < caller.tasks; i++) {
+        if (active_runs[TaskKey(caller.id, 0, i)].empty()) {
+            return false;
+        }
+    }
+    return true;
+}
+
+void
+Simulation::check_every_upstream_works()
+{
+    for (uint32_t i = 0; i < plan.companions; i++) {
+        if (now - last_start_ms[i] > MAX_IDLE_MS) {
+            violation("upstream " + std::to_string(i) +
+                      " has had no start since " +
+                      std::to_string(last_start_ms[i]) + " ms");
+        }
+    }
+}
+
 /* Long-running jobs must be running until they are cancelled. */
 void
 Simulation::cancel_long_running()
@@ -481,8 +528,7 @@
             caller.cancelled_ms != 0) {
             continue;
         }
-        if (now - caller.last_start_ms > MAX_RESTART_GAP_MS &&
-            !may_be_given_up(caller)) {
+        if (!is_at_work(caller) && !may_be_given_up(caller)) {
             violation("long-running tasks are not running, of durable job " +
                       std::to_string(caller.id));
         }
--- a/tests/lease_sim_state.h
+++ b/tests/lease_sim_state.h
@@ -424,6 +424,9 @@
     void make_durable_job();
     void submit_durable(uint64_t id);
     void cancel_durable(uint64_t id);
+    void make_service();
+    bool is_at_work(const DurableCaller &caller);
+    void check_every_upstream_works();
     void cancel_long_running();
     void fail_durable_requests(uint32_t entry);
     void on_durable_start(const lc_run_id &id);
@@ -468,6 +471,7 @@
         checked_orders;
     std::vector<int64_t> store_cut_until;
     int64_t queue_removed_until = 0;
+    std::vector<int64_t> last_start_ms; /* of a task that ends, by upstream */
     std::vector<int64_t> gossip_cut_until;
     /* 0: both, 1: outgoing, 2: incoming. */
     std::vector<uint32_t> entry_cut_direction;
--- a/tests/prop_lease.cc
+++ b/tests/prop_lease.cc
@@ -1,9 +1,9 @@
 /*
  * Property tests of leased jobs over random schedules of faults. The seed
  * comes from RC_PARAMS (scripts/test.sh fixes it). LEASE_PLAN replays the plan
- * that a failed property printed; LEASE_HALLS=1, LEASE_NARROW=1 and
- * LEASE_LONG=1, if printed with it, select its variant. LEASE_TRACE prints all
- * events.
+ * that a failed property printed; LEASE_HALLS=1, LEASE_NARROW=1, LEASE_LONG=1,
+ * LEASE_SERVICE=1 and LEASE_QUEUES=1, if printed with it, select its variant.
+ * LEASE_TRACE prints all events.
  */
 
 #include <rapidcheck.h>
@@ -24,6 +24,8 @@
 /* In plans with long tasks, which keep upstreams busy for as long as their
  * callers wait. */
 const int64_t LONG_TASKS_JOB_EVERY_MS = 200;
+/* In plans with a service, which takes a part of each upstream. */
+const int64_t SERVICE_JOB_EVERY_MS = 100;
 /* The long jobs have had their last submission by the middle of this time. */
 const int64_t LONG_TASKS_QUIET_MS = 17000;
 
@@ -55,6 +57,8 @@
 
     text += plan.slow_link ? "LEASE_NARROW=1 " : "";
     text += plan.long_tasks ? "LEASE_LONG=1 " : "";
+    text += plan.has_service ? "LEASE_SERVICE=1 " : "";
+    text += plan.entries == 3 && !plan.slow_link ? "LEASE_QUEUES=1 " : "";
 
     text += "LEASE_PLAN=\"" + std::to_string(plan.seed);
     for (const lease::Action &action : plan.actions) {
@@ -87,6 +91,14 @@
     plan->quiet_ms = LONG_TASKS_QUIET_MS;
 }
 
+/* A job whose tasks never end, and fewer other ones. */
+void
+use_service(lease::Plan *plan)
+{
+    plan->has_service = true;
+    plan->job_every_ms = SERVICE_JOB_EVERY_MS;
+}
+
 lease::Plan
 parse(const char *text)
 {
@@ -102,6 +114,12 @@
     if (getenv("LEASE_LONG") != nullptr) {
         use_long_tasks(&plan);
     }
+    if (getenv("LEASE_SERVICE") != nullptr) {
+        use_service(&plan);
+    }
+    if (getenv("LEASE_QUEUES") != nullptr) {
+        plan.entries = 3;
+    }
     in >> plan.seed;
     while (in >> fault >> action.at_ms >> action.length_ms >> action.target >>
            action.other) {
@@ -300,6 +318,32 @@
                  size, rc::kNominalSize);
 }
 
+/* Upstreams fail for a while beside a task that never ends: afterwards they
+ * must be used again. */
+void
+check_services(int size)
+{
+    lease::Plan plan;
+
+    use_service(&plan);
+    check_faults(plan,
+                 {
+                     lease::Fault::Failing,
+                     lease::Fault::Failing,
+                     lease::Fault::Failing,
+                     lease::Fault::Failing,
+                     lease::Fault::Stuck,
+                     lease::Fault::Slow,
+                     lease::Fault::KillEntry,
+                     lease::Fault::StopEntry,
+                     lease::Fault::KillCompanion,
+                     lease::Fault::FreezeCompanion,
+                     lease::Fault::CutPair,
+                     lease::Fault::StoreDown,
+                 },
+                 size, rc::kNominalSize);
+}
+
 /* Without other faults a job crashes two upstreams at most. */
 bool
 check_crashing_jobs()
@@ -505,6 +549,10 @@
                       [] { check_removed_queues(4); });
     good &= rc::check("removed queues, many faults",
                       [] { check_removed_queues(14); });
+    good &= rc::check("failing upstreams with a service, few faults",
+                      [] { check_services(4); });
+    good &= rc::check("failing upstreams with a service, many faults",
+                      [] { check_services(14); });
     good &= rc::check("equal upstreams share the work",
                       [] { check_shares(); });
     printf("%lu jobs forwarded, %lu accepted\n", (unsigned long)total.forwards,
--- a/tests/runner_fixture.c
+++ b/tests/runner_fixture.c
@@ -143,6 +143,7 @@
     fix->clock_ms = CLOCK_MS;
     fix->cpu_milli = 4000;
     fix->owner = entry_node;
+    fix->estimate_ms = 100;
     config.timing = LeaseFix_Timing();
     fix->runner = Runner_New(&config, &runner_ports, fix, fix->now_ms);
 }
@@ -184,7 +185,7 @@
     call.u.run.valid_until_ms = fix->now_ms + valid_ms;
     call.u.run.id = RunnerFix_Run(job, run);
     call.u.run.need.cpu_milli = cpu;
-    call.u.run.estimate_ms = 100;
+    call.u.run.estimate_ms = fix->estimate_ms;
     call.u.run.spec = (char *)(uintptr_t) "";
     call.u.run.closures_as_of = fix->caller_as_of;
     call.u.run.crashes = fix->crashes;
@@ -224,6 +225,17 @@
     return fix->starts == before + 1;
 }
 
+void
+RunnerFix_Renew(runner_fixture *fix, int64_t valid_ms)
+{
+    Msg_Call call = {.kind = MSG_RENEW};
+
+    call.u.renew.owner = fix->owner;
+    call.u.renew.target = companion_node.incarnation;
+    call.u.renew.valid_until_ms = fix->now_ms + valid_ms;
+    Runner_OnCall(fix->runner, fix->now_ms, 3, &call);
+}
+
 void
 RunnerFix_CallHalt(runner_fixture *fix, uint64_t job, uint32_t run)
 {
--- a/tests/runner_fixture.h
+++ b/tests/runner_fixture.h
@@ -41,6 +41,7 @@
     int64_t clock_ms;     /* the upstream's clock at START_MS */
     u_int cpu_milli;      /* the upstream's capacity */
     u_int crashes;        /* sent with RUN calls */
+    u_int estimate_ms;    /* likewise; 0 for a long-running task */
     lc_node owner;        /* makes the RUN and HALT calls */
     int64_t caller_as_of; /* closures_as_of of RUN calls */
     int starts;
@@ -113,6 +114,9 @@
  */
 bool RunnerFix_TakesTask(runner_fixture *fix, uint64_t job);
 
+/** Calls RENEW as the entry, for @p valid_ms from now. */
+void RunnerFix_Renew(runner_fixture *fix, int64_t valid_ms);
+
 /** Calls HALT as the entry. */
 void RunnerFix_CallHalt(runner_fixture *fix, uint64_t job, uint32_t run);
 
--- a/tests/runner_rules.c
+++ b/tests/runner_rules.c
@@ -399,20 +399,56 @@
     Runner_Free(fix.runner);
 }
 
+static lc_upstream_state
+reported_state(const runner_fixture *fix)
+{
+    lc_host_state state;
+
+    Runner_State(fix->runner, fix->now_ms, &state);
+    return state.state;
+}
+
+/* Lets the time pass while the upstream lists these runs, whose owner keeps
+ * them. */
 static void
-test_trial_admits_one(void)
+advance_running(runner_fixture *fix, int64_t ms,
+                const Runner_ActiveRun *running, uint32_t count)
+{
+    int64_t until_ms = fix->now_ms + ms;
+
+    while (fix->now_ms < until_ms) {
+        fix->now_ms += 50;
+        RunnerFix_Heartbeat(fix, RUNNER_UPSTREAM_READY);
+        RunnerFix_Renew(fix, 500);
+        Runner_Tick(fix->runner, fix->now_ms);
+        RunnerFix_AnswerPoll(fix, running, count, NULL, 0);
+    }
+}
+
+/* Tasks of three jobs fail, which puts the upstream on trial. */
+static void
+begin_trial(runner_fixture *fix, const Runner_ActiveRun *running,
+            uint32_t count)
 {
-    runner_fixture fix;
     uint64_t job;
 
-    RunnerFix_NewReady(&fix);
     for (job = 1; job <= 3; job++) {
         Runner_EndedRun ended = {job, RunnerFix_Run(job, 1),
                                  RUNNER_END_FAILED};
-        RunnerFix_CallRun(&fix, job, 1, 1000, 500);
-        fix.now_ms += 10;
-        RunnerFix_AnswerPoll(&fix, NULL, 0, &ended, 1);
+        RunnerFix_CallRun(fix, job, 1, 1000, 500);
+        fix->now_ms += 10;
+        RunnerFix_AnswerPoll(fix, running, count, &ended, 1);
     }
+    g_assert_cmpint(reported_state(fix), ==, LC_UPSTREAM_TRIAL);
+}
+
+static void
+test_trial_admits_one(void)
+{
+    runner_fixture fix;
+
+    RunnerFix_NewReady(&fix);
+    begin_trial(&fix, NULL, 0);
     fix.now_ms += 300;
     RunnerFix_CallRun(&fix, 10, 1, 1000, 500);
     RunnerFix_CallRun(&fix, 11, 1, 1000, 500);
@@ -421,6 +457,103 @@
     Runner_Free(fix.runner);
 }
 
+/* Guards against a trial that never ends, because it waited for a task that
+ * lasts. */
+static void
+test_trial_beside_task_that_lasts(void)
+{
+    Runner_ActiveRun lasting = {RunnerFix_Run(9, 1), 100};
+    runner_fixture fix;
+    uint64_t job;
+
+    RunnerFix_NewReady(&fix);
+    fix.estimate_ms = 0;
+    RunnerFix_CallRun(&fix, 9, 1, 1000, 500);
+    fix.estimate_ms = 100;
+    advance_running(&fix, 2000, &lasting, 1);
+    begin_trial(&fix, &lasting, 1);
+    advance_running(&fix, 300, &lasting, 1);
+    for (job = 11; job <= 12; job++) {
+        Runner_EndedRun ended = {job, RunnerFix_Run(job, 1), RUNNER_END_DONE};
+        g_assert_true(RunnerFix_TakesTask(&fix, job));
+        fix.now_ms += 10;
+        RunnerFix_AnswerPoll(&fix, &lasting, 1, &ended, 1);
+    }
+    g_assert_cmpint(reported_state(&fix), ==, LC_UPSTREAM_READY);
+    Runner_Free(fix.runner);
+}
+
+/* Guards against a trial that never ends, because a task that lasts was
+ * started as a trial. */
+static void
+test_trial_of_tasks_that_last(void)
+{
+    Runner_ActiveRun lasting[] = {{RunnerFix_Run(11, 1), 100},
+                                  {RunnerFix_Run(12, 1), 100}};
+    runner_fixture fix;
+
+    RunnerFix_NewReady(&fix);
+    begin_trial(&fix, NULL, 0);
+    advance_running(&fix, 300, NULL, 0);
+    fix.estimate_ms = 0;
+    g_assert_true(RunnerFix_TakesTask(&fix, 11));
+    advance_running(&fix, 500, lasting, 1);
+    g_assert_false(RunnerFix_TakesTask(&fix, 20));
+    advance_running(&fix, 700, lasting, 1);
+    g_assert_true(RunnerFix_TakesTask(&fix, 12));
+    g_assert_cmpint(reported_state(&fix), ==, LC_UPSTREAM_TRIAL);
+    advance_running(&fix, 1200, lasting, 2);
+    g_assert_cmpint(reported_state(&fix), ==, LC_UPSTREAM_READY);
+    Runner_Free(fix.runner);
+}
+
+/* A task that is listed but not at work tells nothing of its upstream, and
+ * must not keep others from starting either. */
+static void
+test_trial_task_without_progress(void)
+{
+    Runner_ActiveRun stuck[] = {{RunnerFix_Run(11, 1), 0},
+                                {RunnerFix_Run(12, 1), 0}};
+    runner_fixture fix;
+
+    RunnerFix_NewReady(&fix);
+    begin_trial(&fix, NULL, 0);
+    advance_running(&fix, 300, NULL, 0);
+    fix.estimate_ms = 0;
+    g_assert_true(RunnerFix_TakesTask(&fix, 11));
+    advance_running(&fix, 1200, stuck, 1);
+    g_assert_true(RunnerFix_TakesTask(&fix, 12));
+    advance_running(&fix, 1200, stuck, 2);
+    g_assert_cmpint(reported_state(&fix), ==, LC_UPSTREAM_TRIAL);
+    g_assert_true(RunnerFix_TakesTask(&fix, 13));
+    Runner_Free(fix.runner);
+}
+
+/* Guards against a trial after failures of tasks that had been at work for
+ * long, as long-running tasks may fail at any time. */
+static void
+test_failures_of_tasks_that_lasted(void)
+{
+    Runner_ActiveRun lasting[] = {{RunnerFix_Run(11, 1), 100},
+                                  {RunnerFix_Run(12, 1), 100},
+                                  {RunnerFix_Run(13, 1), 100}};
+    Runner_EndedRun ended[] = {{1, RunnerFix_Run(11, 1), RUNNER_END_FAILED},
+                               {2, RunnerFix_Run(12, 1), RUNNER_END_FAILED},
+                               {3, RunnerFix_Run(13, 1), RUNNER_END_FAILED}};
+    runner_fixture fix;
+    uint64_t job;
+
+    RunnerFix_NewReady(&fix);
+    fix.estimate_ms = 0;
+    for (job = 11; job <= 13; job++) {
+        g_assert_true(RunnerFix_TakesTask(&fix, job));
+    }
+    advance_running(&fix, 1500, lasting, 3);
+    RunnerFix_AnswerPoll(&fix, NULL, 0, ended, 3);
+    g_assert_cmpint(reported_state(&fix), ==, LC_UPSTREAM_READY);
+    Runner_Free(fix.runner);
+}
+
 static void
 test_other_incarnation(void)
 {
@@ -489,6 +622,13 @@
     {"/runner/an end that nobody releases does not close the upstream",
      test_held_end_does_not_close_upstream},
     {"/runner/admits one task on trial", test_trial_admits_one},
+    {"/runner/a trial does not wait for a task that lasts",
+     test_trial_beside_task_that_lasts},
+    {"/runner/tasks that last end a trial", test_trial_of_tasks_that_last},
+    {"/runner/a task without progress does not end a trial",
+     test_trial_task_without_progress},
+    {"/runner/tasks that lasted begin no trial as they fail",
+     test_failures_of_tasks_that_lasted},
     {"/runner/loses runs to another incarnation", test_other_incarnation},
     {"/runner/reports the end of a suspicion",
      test_end_of_suspicion_is_reported},
--- a/tests/upstream_model.cc
+++ b/tests/upstream_model.cc
@@ -130,6 +130,29 @@
     on_end(id, how);
 }
 
+bool
+Upstream::fails(const RunningTask &task) const
+{
+    bool started_before = task.started_ms < fault_mode.failing_since_ms;
+
+    return fault_mode.failing && !(task.work_ms == LASTS_MS && started_before);
+}
+
+/* Progress in percent. */
+int64_t
+Upstream::progress_of(const RunningTask &task, int64_t now_ms) const
+{
+    if (fault_mode.stuck) {
+        return 0;
+    }
+    if (task.work_ms == LASTS_MS) {
+        return 100;
+    }
+    return std::min<int64_t>((now_ms - task.started_ms) * 100 /
+                                 (task.work_ms * fault_mode.slow),
+                             99);
+}
+
 void
 Upstream::advance(int64_t now_ms)
 {
@@ -151,7 +174,7 @@
         else if (task.stop_at_ms != 0 && now_ms >= task.stop_at_ms) {
             end(task.id, RUNNER_END_STOPPED);
         }
-        else if (fault_mode.failing) {
+        else if (fails(task)) {
             end(task.id, RUNNER_END_FAILED);
         }
         else if (!fault_mode.stuck &&
@@ -249,10 +272,7 @@
     }
     for (auto &pair : running) {
         const RunningTask &task = pair.second;
-        int64_t part = fault_mode.stuck ? 0
-                                        : (now_ms - task.started_ms) * 100 /
-                                              (task.work_ms * fault_mode.slow);
-        rows->push_back({task.id, (uint32_t)std::min<int64_t>(part, 99)});
+        rows->push_back({task.id, (uint32_t)progress_of(task, now_ms)});
     }
     *list = ends;
     return RUNNER_ORDER_ACCEPTED;
--- a/tests/upstream_model.h
+++ b/tests/upstream_model.h
@@ -29,6 +29,9 @@
 /** The task that a run belongs to. */
 TaskKey task_of(const lc_run_id &id);
 
+/** Duration of a task that never ends by itself, in ms. */
+const int64_t LASTS_MS = 1LL << 40;
+
 /** A run that is executing. Times are true ms. */
 struct RunningTask {
     lc_run_id id;
@@ -40,8 +43,10 @@
 /** Injected faults of an upstream. */
 struct FaultMode {
     bool stuck;   /**< no task makes progress */
-    bool failing; /**< every task fails as soon as it has started */
+    bool failing; /**< every task fails as soon as it has started; tasks that
+                       last go on if they were started before */
     int64_t slow; /**< factor on the duration of work, 1 for normal */
+    int64_t failing_since_ms = 0;
 };
 
 /** One upstream over successive incarnations. Times are true ms, unlike the
@@ -132,6 +137,8 @@
     void reset(int64_t now_ms);
     void extend(int64_t now_ms, int64_t deadline_clock_ms);
     void end(const lc_run_id &id, Runner_End how);
+    bool fails(const RunningTask &task) const;
+    int64_t progress_of(const RunningTask &task, int64_t now_ms) const;
 
     std::string name;
     std::string instance_name;
