Do not keep crash suspects apart for longer than one would be blamed

Cause: of the tasks under which an upstream has crashed one at a time runs at an upstream, and the next waited until it ended. One that lasts does not end: the same kind of wait as on a trial.

Why it works: a crash is put down to a task only within 3 s of its start, or twice its estimate. A suspect older than that would not be blamed, and keeps no other off; younger ones run apart as before.

--- a/lease/runner.c
+++ b/lease/runner.c
@@ -119,9 +119,11 @@
 }
 
 /* Of the tasks that were running during an upstream crash, only one may run
- * here at a time, so that another crash can be attributed to it. */
+ * here at a time, so that another crash can be attributed to it. One that has
+ * run for so long that it would not be blamed keeps no other off. */
 static bool
-is_only_crash_suspect(const Runner *runner, const lc_run_args *args)
+is_only_crash_suspect(const Runner *runner, int64_t now_ms,
+                      const lc_run_args *args)
 {
     GHashTableIter iter;
     gpointer item;
@@ -132,7 +134,8 @@
     g_hash_table_iter_init(&iter, runner->tasks);
     while (g_hash_table_iter_next(&iter, NULL, &item)) {
         const Runner_Task *row = item;
-        if (row->state != TASK_ENDED && row->crashes > 0) {
+        if (row->state != TASK_ENDED && row->crashes > 0 &&
+            RunnerTask_IsBlamedForCrash(row, now_ms)) {
             return false;
         }
     }
@@ -186,7 +189,7 @@
         return LC_RUN_NO_ROOM;
     }
     if (!Resources_Fit(&args->need, &room) ||
-        !is_only_crash_suspect(runner, args) ||
+        !is_only_crash_suspect(runner, now_ms, args) ||
         !admits_by_health(runner, now_ms)) {
         return LC_RUN_NO_ROOM;
     }
--- a/lease/runner_state.h
+++ b/lease/runner_state.h
@@ -246,6 +246,9 @@
 void RunnerTask_End(Runner *runner, int64_t now_ms, Runner_Task *row,
                     lc_run_status status);
 
+/** Whether the task is blamed if its upstream crashes now. */
+bool RunnerTask_IsBlamedForCrash(const Runner_Task *row, int64_t now_ms);
+
 /** Ends a task whose upstream is gone or was restarted, so that the task
  * neither runs nor can start any more. @p crashed: the upstream terminated
  * without announcing it. */
--- a/lease/runner_tasks.c
+++ b/lease/runner_tasks.c
@@ -218,17 +218,21 @@
     return row->incarnation != runner->upstream.incarnation;
 }
 
+bool
+RunnerTask_IsBlamedForCrash(const Runner_Task *row, int64_t now_ms)
+{
+    return now_ms - row->ordered_ms <=
+           MAX(CRASH_ATTRIBUTION_MS, 2 * (int64_t)row->estimate_ms);
+}
+
 void
 RunnerTask_EndLost(Runner *runner, int64_t now_ms, Runner_Task *row,
                    bool crashed)
 {
-    int64_t attribution_ms = MAX(CRASH_ATTRIBUTION_MS,
-                                 2 * (int64_t)row->estimate_ms);
-
     if (row->state == TASK_STOPPING) {
         RunnerTask_End(runner, now_ms, row, row->status);
     }
-    else if (crashed && now_ms - row->ordered_ms <= attribution_ms) {
+    else if (crashed && RunnerTask_IsBlamedForCrash(row, now_ms)) {
         if (row->progress_ms == 0) {
             row->ran_ms = RUN_MAY_NOT_HAVE_BEGUN;
         }
--- a/tests/runner_rules.c
+++ b/tests/runner_rules.c
@@ -554,6 +554,26 @@
     Runner_Free(fix.runner);
 }
 
+/* Guards against tasks that wait for good because another that an upstream
+ * crashed under lasts. */
+static void
+test_crash_suspect_that_lasts(void)
+{
+    Runner_ActiveRun lasting = {RunnerFix_Run(11, 1), 100};
+    runner_fixture fix;
+
+    RunnerFix_NewReady(&fix);
+    fix.estimate_ms = 0;
+    fix.crashes = 1;
+    g_assert_true(RunnerFix_TakesTask(&fix, 11));
+    advance_running(&fix, 2500, &lasting, 1);
+    g_assert_false(RunnerFix_TakesTask(&fix, 12));
+    advance_running(&fix, 1000, &lasting, 1);
+    g_assert_true(RunnerFix_TakesTask(&fix, 13));
+    g_assert_false(RunnerFix_TakesTask(&fix, 14));
+    Runner_Free(fix.runner);
+}
+
 static void
 test_other_incarnation(void)
 {
@@ -625,6 +645,8 @@
     {"/runner/a trial does not wait for a task that lasts",
      test_trial_beside_task_that_lasts},
     {"/runner/tasks that last end a trial", test_trial_of_tasks_that_last},
+    {"/runner/a crash suspect that lasts keeps others off for a while only",
+     test_crash_suspect_that_lasts},
     {"/runner/a task without progress does not end a trial",
      test_trial_task_without_progress},
     {"/runner/tasks that lasted begin no trial as they fail",
