--- a/tests/prop_lease.cc
+++ b/tests/prop_lease.cc
@@ -91,6 +91,13 @@
     plan->quiet_ms = LONG_TASKS_QUIET_MS;
 }
 
+/* More entries, which take jobs over from each other. */
+void
+use_removed_queues(lease::Plan *plan)
+{
+    plan->entries = 3;
+}
+
 /* A job whose tasks never end, and fewer other ones. */
 void
 use_service(lease::Plan *plan)
@@ -118,7 +125,7 @@
         use_service(&plan);
     }
     if (getenv("LEASE_QUEUES") != nullptr) {
-        plan.entries = 3;
+        use_removed_queues(&plan);
     }
     in >> plan.seed;
     while (in >> fault >> action.at_ms >> action.length_ms >> action.target >>
@@ -298,7 +305,7 @@
 {
     lease::Plan plan;
 
-    plan.entries = 3;
+    use_removed_queues(&plan);
     check_faults(plan,
                  {
                      lease::Fault::RemoveQueue,
@@ -464,16 +471,33 @@
     return good;
 }
 
-/* Plans that once failed, each with the cause. */
-const char *const regression_plans[] = {
+/* Plans that once failed, each with the cause and its variant, if any. */
+const struct {
+    const char *plan;
+    void (*use_variant)(lease::Plan *);
+} regression_plans[] = {
     /* A late heartbeat was accepted without polling the upstream, and its live
      * incarnation was taken for dead. */
-    "68 21 0 50 0 0 21 13 50 0 0 21 0 50 0 2",
-    "38 21 0 50 0 0 21 13 50 0 0 21 0 50 0 2",
+    {"68 21 0 50 0 0 21 13 50 0 0 21 0 50 0 2", nullptr},
+    {"38 21 0 50 0 0 21 13 50 0 0 21 0 50 0 2", nullptr},
     /* Two entries at different addresses with the same incarnation number
      * wrote a job under the same key. The store kept the later record, so
      * nobody asked for the ends of the entry that had started the job. */
-    "339939079932 2 5 211 0 0 0 224 50 3 0 0 226 50 0 0",
+    {"339939079932 2 5 211 0 0 0 224 50 3 0 0 226 50 0 0", nullptr},
+    /* A takeover dropped the ends that it had found of a job whose queue was
+     * removed. */
+    {"131025954675 1 2430 128 39 2 17 1813 971 63 25 11 1135 725 61 49 19 "
+     "3935 490 15 34 19 2115 2207 33 2 14 636 1625 41 18 26 2693 530 32 52 26 "
+     "2289 175 20 55 11 1387 617 11 44 26 1829 2207 24 60 11 2506 2489 36 57 "
+     "15 3530 2399 61 53",
+     use_removed_queues},
+    /* A trial waited for a task that never ends. */
+    {"1 11 3300 1010 45 32 10 3361 1903 24 43 10 3024 1889 39 27 19 1675 1597 "
+     "29 47 15 1323 1243 61 53 0 903 1685 30 7 4 3298 754 38 47",
+     use_service},
+    /* A run that failed while it was being stopped did not count as an
+     * attempt. */
+    {"92374574 10 788 50 0 0 9 628 160 0 0", use_service},
 };
 
 bool
@@ -481,11 +505,15 @@
 {
     bool good = true;
 
-    for (const char *plan : regression_plans) {
-        lease::Report report = lease::simulate(parse(plan));
+    for (auto &row : regression_plans) {
+        lease::Plan plan = parse(row.plan);
+        if (row.use_variant != nullptr) {
+            row.use_variant(&plan);
+        }
+        lease::Report report = lease::simulate(plan);
         add_to_total(report);
         if (!report.violations.empty()) {
-            fprintf(stderr, "%s%s\n", report.text().c_str(), plan);
+            fprintf(stderr, "%s%s\n", report.text().c_str(), row.plan);
             good = false;
         }
     }
