Soak: remove the durable jobs' queue and put it back

REMOVE_QUEUE=1 gives durable jobs a queue of their own, which is removed for 0.6 to 3 s and put back, again and again, beside all other faults.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -84,6 +84,7 @@
 check soak_kept_reborn env BUILD="$BUILD" SEEDS="20261202014" SECONDS_EACH=5 WORKERS=1 scripts/soak.sh
 check soak_stalled_companion env BUILD="$BUILD" SEEDS="1796315828" SECONDS_EACH=12 WORKERS=1 scripts/soak.sh
 check soak_handed_on env BUILD="$BUILD" LINK=0.3 SEEDS="3 4 5" SECONDS_EACH=5 WORKERS=3 scripts/soak.sh
+check soak_removed_queue env BUILD="$BUILD" REMOVE_QUEUE=1 SEEDS="6 7 8" SECONDS_EACH=8 WORKERS=3 scripts/soak.sh
 check demo env BUILD="$BUILD" scripts/demo.sh
 [ "$known" = 0 ] || echo "$known known red"
 echo "$passed passed, $failed failed"
--- a/tests/soak/cluster.cc
+++ b/tests/soak/cluster.cc
@@ -367,6 +367,15 @@
     }
 }
 
+void
+Cluster::set_durable_queue(bool exists)
+{
+    log_event(exists ? "the durable jobs' queue is back"
+                     : "the durable jobs' queue is removed");
+    durable_queue_exists = exists;
+    publish_routes();
+}
+
 void
 Cluster::publish_routes()
 {
@@ -386,6 +395,15 @@
                 std::to_string(routes_version) +
                 "/\",\"service\":\"service\"}";
     }
+    for (int i = 0; settings.durable_queue && durable_queue_exists &&
+                    i < settings.entries;
+         i++) {
+        rows += ",{\"name\":\"durable\",\"host\":\"127.7.0." +
+                std::to_string(entry_host(i)) +
+                "\",\"path_prefix\":\"/k/\",\"service\":\"service\","
+                "\"max_attempts\":3,\"stretch\":1.6,"
+                "\"target_latency_ms\":60}";
+    }
     for (int i = 0; i < idle_queues; i++) {
         rows += idle_queue(i);
     }
@@ -483,6 +501,12 @@
     }
 }
 
+char
+Cluster::queue_of(const Job &job) const
+{
+    return settings.durable_queue && job.durable ? 'k' : 'q';
+}
+
 void
 Cluster::send_attempt(uint64_t id, bool may_hang_up)
 {
@@ -501,7 +525,7 @@
 
     job->attempts++;
     seconds[now() / 1000].sent++;
-    snprintf(path, sizeof(path), "/q/%016" PRIx64, id);
+    snprintf(path, sizeof(path), "/%c/%016" PRIx64, queue_of(*job), id);
     request.to = address(entry_host(entry), PORT_CALLERS);
     request.method = "POST";
     request.path = path;
@@ -545,7 +569,8 @@
     HttpClient_Request request = {};
     char path[64];
 
-    snprintf(path, sizeof(path), "/q/%016" PRIx64, id);
+    snprintf(path, sizeof(path), "/%c/%016" PRIx64,
+             queue_of(*checker.find(id)), id);
     request.to = address(entry_host(entry), PORT_CALLERS);
     request.method = "GET";
     request.path = path;
@@ -566,7 +591,12 @@
     if (answer.received) {
         answer.body.assign(http->body, http->length);
     }
-    self->checker.on_state_answer(self->now(), *job, answer);
+    /* An entry that does not know the queue tells nothing of its jobs. */
+    bool no_queue = self->settings.durable_queue && answer.received &&
+                    answer.status == 404;
+    if (!no_queue) {
+        self->checker.on_state_answer(self->now(), *job, answer);
+    }
     if (job->end_told_ms == 0) {
         self->run_after(STATE_QUERY_INTERVAL_MS,
                         [self, id] { self->query_state(id); });
@@ -578,6 +608,9 @@
 {
     log_event("heal");
     store->mode = StoreFaultMode::Healthy;
+    if (!durable_queue_exists) {
+        set_durable_queue(true);
+    }
     for (Proxy *proxy : proxies()) {
         proxy->heal();
     }
--- a/tests/soak/cluster.h
+++ b/tests/soak/cluster.h
@@ -34,6 +34,8 @@
     uint64_t seed = 1;
     /** Nothing listens at the seeds' addresses. */
     bool seeds_unreachable = false;
+    /** Durable jobs have a queue of their own, which can be removed. */
+    bool durable_queue = false;
     double link_mbps = 0; /**< Mbit/s, in the settings of the first entry;
                                0 leaves it out */
 };
@@ -53,6 +55,8 @@
     void set_hall_closed(int hall, bool closed);
     /** Publishes the next version of the routes, as operators do. */
     void publish_routes();
+    /** Removes the queue of the durable jobs, or puts it back. */
+    void set_durable_queue(bool exists);
     /** Adds @p count unused queues to all versions of the routes from the next
      * one on. */
     void
@@ -143,6 +147,7 @@
     void create_processes();
     void connect_checker();
     void check_closed_hall(int companion);
+    char queue_of(const Job &job) const;
     void send_attempt(uint64_t id, bool may_hang_up);
     void finish_on_signal(uv_signal_t *handle, int number);
 
@@ -162,6 +167,7 @@
     std::vector<std::unique_ptr<Proxy>> store_proxies;
     int64_t routes_version = 0;
     int idle_queues = 0;
+    bool durable_queue_exists = true;
     std::map<int, int64_t> closed_since; /* loop time in ms, by closed hall */
     uv_signal_t terminate;
     uv_signal_t interrupt;
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -28,6 +28,7 @@
 gint companion_count = 6;
 gint jobs_per_second = 40;
 gdouble link_mbps = 0;
+gboolean remove_queue;
 gint base_port = 21000;
 gchar *program;
 gchar *folder;
@@ -38,6 +39,9 @@
 const int64_t BLACK_HOLE_MIN_MS = 2000; /* least time between two */
 const int64_t CLOSED_MIN_MS = 300;      /* least time that a hall is closed */
 const int64_t CLOSED_RANGE_MS = 6000;
+const int64_t QUEUE_MIN_MS = 600; /* least time between two changes of the
+                                     durable jobs' queue */
+const int64_t QUEUE_RANGE_MS = 2400;
 const int64_t EXEC_MS = 50;           /* upper bound from fork to main */
 const int64_t AFTER_FAULTS_MS = 6000; /* load after the faults have ended */
 const int64_t RECOVERY_MS = 3000;     /* of AFTER_FAULTS_MS: until service must
@@ -53,6 +57,8 @@
     {"companions", 0, 0, G_OPTION_ARG_INT, &companion_count, "Processes", "N"},
     {"link", 0, 0, G_OPTION_ARG_DOUBLE, &link_mbps,
      "Bandwidth of the first entry, in Mbit/s: it then forwards jobs", "N"},
+    {"remove-queue", 0, 0, G_OPTION_ARG_NONE, &remove_queue,
+     "Remove the durable jobs' queue at times, and put it back", nullptr},
     {"rate", 0, 0, G_OPTION_ARG_INT, &jobs_per_second, "Jobs per second", "N"},
     {"port", 0, 0, G_OPTION_ARG_INT, &base_port, "First port", "N"},
     {"program", 0, 0, G_OPTION_ARG_FILENAME, &program, "levercoved", "FILE"},
@@ -318,6 +324,25 @@
                        next_hall_closing);
 }
 
+/* Removes the queue of the durable jobs and puts it back, again and again. It
+ * has its own random state, too. */
+void
+next_queue_change()
+{
+    static uint64_t state = Random_Seed((uint64_t)seed + 2);
+    static bool exists = true;
+    uint64_t draw = Random_Next(&state) >> 20;
+
+    if (cluster->now() > START_MS + (int64_t)seconds * 1000) {
+        return;
+    }
+    faults++;
+    exists = !exists;
+    cluster->set_durable_queue(exists);
+    cluster->run_after(QUEUE_MIN_MS + (int64_t)(draw % QUEUE_RANGE_MS),
+                       next_queue_change);
+}
+
 void
 next_fault()
 {
@@ -410,6 +435,7 @@
     settings.verbose = verbose;
     settings.seed = (uint64_t)seed;
     settings.link_mbps = link_mbps;
+    settings.durable_queue = remove_queue;
     cluster = new soak::Cluster(settings);
     cluster->start();
     int64_t heal_ms = START_MS + (int64_t)seconds * 1000 + 3000;
@@ -417,6 +443,9 @@
     cluster->run_after(START_MS + 500, next_fault);
     cluster->run_after(START_MS + 900, next_black_hole);
     cluster->run_after(START_MS + 1200, next_hall_closing);
+    if (remove_queue) {
+        cluster->run_after(START_MS + 1500, next_queue_change);
+    }
     cluster->run_after(heal_ms, [] {
         cluster->heal();
         cluster->checker.recovery_deadline_ms = cluster->now() + RECOVERY_MS;
