--- a/tests/soak/scenario.cc
+++ b/tests/soak/scenario.cc
@@ -70,6 +70,12 @@
 const int64_t OVERTAKEN_WORK_MS = 3000;   /* longer than callers wait */
 const int64_t OVERTAKEN_DELIVERY_MS = 20; /* of a message, on a busy machine */
 const int64_t OVERTAKEN_LOAD_MS = 3500;   /* after the cut began */
+const int64_t REMOVED_LEAD_MS = 500;
+const int64_t REMOVED_APPLY_MS = 500;
+const int64_t REMOVED_WORK_MS = 2000; /* ends while the queue is removed */
+const int64_t REMOVED_BACK_MS = 5000;
+const int64_t REMOVED_END_MS = 11000; /* late enough to see what is
+                                         acknowledged after the jobs' end */
 /* Longer than a restarted owner waits for reports, and shorter than it waits
  * for the leases of its previous incarnation to end. */
 const int64_t UNHEARD_CUT_MS = 3600;
@@ -329,6 +335,31 @@
     }
 }
 
+/* The queue of running durable jobs is removed, their owner is replaced, and
+ * the queue is put back after their tasks have ended. Jobs of the other entry
+ * keep the holds of all upstreams in force. */
+void
+play_kept_queue_removed()
+{
+    cluster->target_entry = 0;
+    for (uint64_t i = 0; i < DURABLE_JOBS; i++) {
+        last_job = cluster->submit_durable_job(2, 100, REMOVED_WORK_MS);
+    }
+    cluster->run_after(REMOVED_LEAD_MS, [] {
+        cluster->set_durable_queue(false);
+        cluster->target_entry = 1;
+    });
+    cluster->run_after(REMOVED_LEAD_MS + REMOVED_APPLY_MS,
+                       [] { cluster->entries[0]->signal(SIGTERM); });
+    cluster->run_after(REMOVED_BACK_MS,
+                       [] { cluster->set_durable_queue(true); });
+    for (int64_t at = REMOVED_LEAD_MS; at < REMOVED_END_MS - ANSWERS_MS;
+         at += UNHEARD_INTERVAL_MS) {
+        cluster->run_after(
+            at, [] { cluster->submit_job(2, UNHEARD_CPU, 300, false); });
+    }
+}
+
 /* Delays orders by seconds at all upstreams and crashes these repeatedly, so
  * that some starts are executed by a later incarnation. */
 void
@@ -1451,6 +1482,7 @@
     {"kept_store_away", play_kept_store_away, DURABLE_END_MS, 2},
     {"kept_ends_lost", play_kept_ends_lost, DURABLE_END_MS, 2},
     {"kept_owner_unheard", play_kept_owner_unheard, UNHEARD_END_MS, 2, 6},
+    {"kept_queue_removed", play_kept_queue_removed, REMOVED_END_MS, 2, 4},
     {"late_starts", play_late_starts, LATE_STARTS_END_MS, 2, 4},
     {"late_retries", play_late_retries, LATE_RETRIES_END_MS, 2, 4},
     {"stalled_start", play_stalled_start, STALLED_END_MS, 2,
@@ -1497,6 +1529,7 @@
             settings.link_mbps = scenario.link_mbps;
         }
     }
+    settings.durable_queue = strcmp(argv[1], "kept_queue_removed") == 0;
     settings.seeds_unreachable = strcmp(argv[1], "seeds_gone") == 0;
     settings.program = argv[2];
     settings.folder = argv[3];
