Test of the list of late starts: the run ends before its record ages

The mutation lease-late-copy-forgotten was missed: in test_list_expires the run ended in the same tick that was to remove its record, so that the record was young.

--- a/tests/late_copy_rules.c
+++ b/tests/late_copy_rules.c
@@ -23,6 +23,8 @@
 #define TICK_MS 50
 /* Tombstones of leased runs are removed after this. */
 #define RETENTION_MS 4000
+/* Time after which a run is over whose upstream is gone. */
+#define LOST_MS 200
 #define LISTED_MS 4000
 /* An upstream that is absent for this long is away. */
 #define ABSENT_MS 300
@@ -228,9 +230,10 @@
     RunnerFix_CallRun(&fix, JOB, RUN, 1000, VALID_MS);
     lose_owner(&fix);
     Runner_OnUpstreamExit(fix.runner, fix.now_ms, "i-1", BORN_MS);
+    tick(&fix, LOST_MS); /* the run ends */
     tick(&fix, RETENTION_MS + TICK_MS);
     g_assert_cmpuint(listed(&fix), ==, 1);
-    tick(&fix, LATE_MS - VALID_MS - RETENTION_MS - TICK_MS - 1);
+    tick(&fix, LATE_MS - VALID_MS - LOST_MS - RETENTION_MS - TICK_MS - 1);
     g_assert_cmpuint(listed(&fix), ==, 1);
     tick(&fix, 1);
     g_assert_cmpuint(listed(&fix), ==, 0);
