--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -18,7 +18,7 @@
 done
 LIBS="target/daemon/libdaemon.a target/platform/libplatform.a target/lease/liblease.a
     target/core/libcore.a target/wire/libwire.a target/base/libbase.a"
-for source in review/[4-8]/case.cc review/spare-2/*/case.cc; do
+for source in review/[4-8]/play.cc review/spare-2/*/play.cc; do
     [ -e "$source" ] || continue
     number=$(basename "$(dirname "$source")")
     # shellcheck disable=SC2046,SC2086
--- a/review/stand-2/world.h
+++ b/review/stand-2/world.h
@@ -29,6 +29,7 @@
     int entries = 3;
     int companions = 4;
     int64_t cpu_milli = 16000;
+    std::string queue = "lohu930"; /* its name in the configuration */
     std::string program = "target/daemon/levercoved";
     std::string folder; /* for settings and logs */
     std::string record; /* path of record.txt */
@@ -101,7 +102,7 @@
         std::string rows;
 
         for (int i = 0; i < setup.entries; i++) {
-            rows += std::string(i == 0 ? "" : ",") + "{\"name\":\"lohu930\"," +
+            rows += std::string(i == 0 ? "" : ",") + "{\"name\":\"" + setup.queue + "\"," +
                     "\"host\":\"" + ip(10 + i) + "\"," +
                     "\"path_prefix\":\"/lohu930/\",\"service\":\"verdict\"," +
                     routes_fields + "}";
