--- a/review/stand-2/world.h
+++ b/review/stand-2/world.h
@@ -43,7 +43,8 @@
     explicit World(const Setup &world_setup)
         : setup(world_setup), loop(uv_default_loop()),
           client(HttpClient_New(loop)), first_octet(1 + (int)getpid() % 250),
-          second_octet((int)(getpid() / 250) % 250)
+          second_octet((int)(getpid() / 250) % 250),
+          first_port(21000 + (int)getpid() % 900 * 10)
     {
         begin = (int64_t)uv_now(loop);
         out = fopen(setup.record.c_str(), "w");
@@ -235,16 +236,17 @@
     std::vector<std::unique_ptr<Minion>> minions;
 
   private:
+    /* Every process has an IP address of its own; the ports are the same. */
     enum {
-        RPC = 7720,
-        RPC_LISTEN = 7721,
-        ADMIN = 7735,
-        CALLERS = 8161,
-        READY = 8167,
-        CONTROL = 8166,
-        APP = 8080,
-        APP_GATE = 8081,
-        STORE = 8169
+        RPC,
+        RPC_LISTEN,
+        ADMIN,
+        CALLERS,
+        READY,
+        CONTROL,
+        APP,
+        APP_GATE,
+        STORE
     };
 
     std::string
@@ -257,7 +259,7 @@
     std::string
     text(int host, int port) const
     {
-        return ip(host) + ":" + std::to_string(port);
+        return ip(host) + ":" + std::to_string(first_port + port);
     }
 
     Address
@@ -362,6 +364,7 @@
     HttpClient *client;
     int first_octet;
     int second_octet;
+    int first_port;
     int64_t begin;
     FILE *out;
     std::vector<std::unique_ptr<Gate>> app_gates;
