--- a/review/stand-2/minion.h
+++ b/review/stand-2/minion.h
@@ -96,7 +96,8 @@
                        (uint64_t)(100 + (name.back() * 370) % 1300), 1500);
     }
 
-    /** All that it knows is gone; it answers nothing until it begins again. */
+    /** All that it knows is gone; it answers nothing until it begins again;
+     * negative: never. */
     void
     crash(int64_t away_ms)
     {
@@ -106,7 +107,7 @@
             on_crash(this);
         }
         running.clear();
-        begin_again_at = (int64_t)uv_now(loop) + away_ms;
+        begin_again_at = away_ms < 0 ? 0 : (int64_t)uv_now(loop) + away_ms;
     }
 
     bool
@@ -119,6 +120,7 @@
     uint32_t lives = 0;
     bool up = false;
     bool cut_off = false; /**< its heartbeats do not arrive */
+    std::string label = "a";
 
   private:
     struct Run {
@@ -404,9 +406,10 @@
                  "\"zone\":\"z\",\"version\":\"v1\",\"slots\":8,"
                  "\"state\":\"ready\",\"cold_remaining_ms\":0,"
                  "\"capacity\":{\"cpu\":%" PRId64
-                 ",\"mem_mb\":65536,\"gpu\":0},\"labels\":[\"a\"],"
+                 ",\"mem_mb\":65536,\"gpu\":0},\"labels\":[\"%s\"],"
                  "\"clock_ms\":%" PRId64 ",\"seq\":%" PRIu64 "}",
-                 self->cpu, self->clock(), ++self->beats);
+                 self->cpu, self->label.c_str(), self->clock(),
+                 ++self->beats);
         request.to = self->control;
         request.method = "POST";
         request.path = path.c_str();
