Keep owners fenced by time, not by number

Callers could see a task of a durable job executed again after its end was acknowledged. By a rule only, no play of processes has shown it.

Cause: a companion kept the newest 64 fenced owners. A successor names all predecessors of an owner, so two takeovers of jobs with some forty former owners each push out the one that may still give orders (it relies for 6 s on what it has read of the log).

Fenced owners are kept for 60 s, however many they are.

tests/runner_rules, 'keeps an owner fenced when many others are', fails on (the run is started) and passes now.

--- a/lease/runner.c
+++ b/lease/runner.c
@@ -25,7 +25,7 @@
     runner->by_handle = Handle_NewTable();
     runner->orders = Handle_NewTable();
     runner->owners = g_array_new(FALSE, TRUE, sizeof(Runner_Owner));
-    runner->fenced = g_array_new(FALSE, TRUE, sizeof(lc_node));
+    runner->fenced = g_array_new(FALSE, TRUE, sizeof(Runner_FencedOwner));
     runner->late_starts = g_array_new(FALSE, TRUE, sizeof(lc_late_start));
     runner->token = config->first_token;
     runner->upstream.instance = g_strdup("");
--- a/lease/runner_durable.c
+++ b/lease/runner_durable.c
@@ -11,14 +11,28 @@
 #define HELD_RETENTION_MS 30000
 /* Owners have usually stored an end within this time. */
 #define HELD_LONG_MS 1500
-/* Beyond this number, the oldest fenced owner is dropped. A claimed owner
- * does not come back after so many others were claimed. */
-#define MAX_FENCED 64
+/* A fenced owner is remembered for this long: longer than it may rely on what
+ * it read of the log before the claim (DURABLE_JOBS_LOG_TIMEOUT_MS), and its
+ * last calls may be on their way. */
+#define FENCED_RETENTION_MS 60000
+
+static Runner_FencedOwner *
+fenced_at(const Runner *runner, guint i)
+{
+    return &g_array_index(runner->fenced, Runner_FencedOwner, i);
+}
 
 bool
 RunnerDurable_IsFenced(const Runner *runner, const lc_node *owner)
 {
-    return Msg_HasNode(runner->fenced, owner);
+    guint i;
+
+    for (i = 0; i < runner->fenced->len; i++) {
+        if (Msg_SameNode(&fenced_at(runner, i)->owner, owner)) {
+            return true;
+        }
+    }
+    return false;
 }
 
 /* Only final results are held until released. */
@@ -213,15 +227,17 @@
 }
 
 static void
-add_fenced(Runner *runner, const lc_node *owner)
+add_fenced(Runner *runner, int64_t now_ms, const lc_node *owner)
 {
-    if (RunnerDurable_IsFenced(runner, owner)) {
-        return;
-    }
-    if (runner->fenced->len >= MAX_FENCED) {
+    Runner_FencedOwner row = {*owner, now_ms};
+
+    while (runner->fenced->len > 0 &&
+           now_ms - fenced_at(runner, 0)->fenced_ms > FENCED_RETENTION_MS) {
         g_array_remove_index(runner->fenced, 0);
     }
-    g_array_append_val(runner->fenced, *owner);
+    if (!RunnerDurable_IsFenced(runner, owner)) {
+        g_array_append_val(runner->fenced, row);
+    }
 }
 
 /* Transfers a run to the successor of its owner, with a new lease plus
@@ -319,7 +335,7 @@
         runner->upstream.inventoried) {
         reply.u.fence.taken = true;
         for (i = 0; i < args->gone.gone_len; i++) {
-            add_fenced(runner, &args->gone.gone_val[i]);
+            add_fenced(runner, now_ms, &args->gone.gone_val[i]);
         }
         list_runs(runner, now_ms, args, runs);
         list_late_starts(runner, now_ms, args, late_starts);
--- a/lease/runner_state.h
+++ b/lease/runner_state.h
@@ -87,6 +87,12 @@
     bool runs_stopped; /* since its lease has ended */
 } Runner_Owner;
 
+/* An owner of durable jobs that another entry has claimed. */
+typedef struct {
+    lc_node owner;
+    int64_t fenced_ms;
+} Runner_FencedOwner;
+
 /* State of the upstream of this companion, as far as known. */
 typedef struct {
     bool known; /* a heartbeat of the current incarnation was accepted */
@@ -205,7 +211,7 @@
                                  tick */
     uint32_t held_for_starts; /* ends held because of late copies of starts */
     int64_t created_ms;
-    GArray *fenced; /* lc_node; claimed owners of durable jobs */
+    GArray *fenced; /* Runner_FencedOwner, oldest first */
     bool draining;
     uint64_t version;
     lc_label label_row[LC_MAX_LABELS];
--- a/tests/runner_fixture.c
+++ b/tests/runner_fixture.c
@@ -262,9 +262,17 @@
 void
 RunnerFix_FenceEntry(runner_fixture *fix)
 {
-    Msg_Call call = {.kind = MSG_FENCE};
     lc_node gone = entry_node;
 
+    RunnerFix_Fence(fix, &gone);
+}
+
+void
+RunnerFix_Fence(runner_fixture *fix, const lc_node *owner)
+{
+    Msg_Call call = {.kind = MSG_FENCE};
+    lc_node gone = *owner;
+
     call.u.fence.target = companion_node.incarnation;
     call.u.fence.gone.gone_val = &gone;
     call.u.fence.gone.gone_len = 1;
--- a/tests/runner_fixture.h
+++ b/tests/runner_fixture.h
@@ -127,4 +127,7 @@
  * entry, which is gone. */
 void RunnerFix_FenceEntry(runner_fixture *fix);
 
+/** The same with another owner. */
+void RunnerFix_Fence(runner_fixture *fix, const lc_node *owner);
+
 #endif
--- a/tests/runner_rules.c
+++ b/tests/runner_rules.c
@@ -380,6 +380,26 @@
     Runner_Free(fix.runner);
 }
 
+/* Guards against a fenced owner that is forgotten while it may still give
+ * orders, as many others are fenced within seconds. */
+static void
+test_many_fenced_owners(void)
+{
+    runner_fixture fix;
+    lc_node other = {0x7f0000011b5a, 1};
+
+    RunnerFix_NewReady(&fix);
+    RunnerFix_FenceEntry(&fix);
+    for (; other.incarnation <= 200; other.incarnation++) {
+        fix.now_ms += 1;
+        RunnerFix_Fence(&fix, &other);
+    }
+    RunnerFix_CallRun(&fix, 1, RUN_ID_DURABLE_BASE + 1, 1000, 500);
+    g_assert_cmpint(fix.status, ==, LC_RUN_EXPIRED);
+    g_assert_cmpint(fix.starts, ==, 0);
+    Runner_Free(fix.runner);
+}
+
 /* A run in progress is transferred to the successor and bound to its lease. */
 static void
 test_fence_hands_over(void)
@@ -638,6 +658,8 @@
     {"/runner/does not lose a run whose end may be unlisted",
      test_full_listing},
     {"/runner/refuses runs of a fenced owner", test_fenced_owner},
+    {"/runner/keeps an owner fenced when many others are",
+     test_many_fenced_owners},
     {"/runner/transfers runs to the successor", test_fence_hands_over},
     {"/runner/an end that nobody releases does not close the upstream",
      test_held_end_does_not_close_upstream},
