Give no orders about durable jobs to a companion that may have started after a claim

Cause: an owner relies on the log for 6 s after it last read it, and is claimed after 2 s of silence. Companions refuse a claimed owner since they were told (FENCE), and keep that in memory: one that is restarted after the takeover takes orders of both owners. An owner that stands still and wakes does the same without any cut, 50 ms after it woke, before it has read anything.

Ruled out: the length of the timeout (an owner that stood still for 3.5 s needs none of it), the successor's recovery being too short (a companion may start any time after it).

Change: an owner starts, repeats and renews durable runs only at incarnations of companions that it had heard of before it asked for its last read of the log. A claim that was there by then is known to it; a later one finds that incarnation, and the successor fences it. Whether the owner may act at all is asked by the time of the order, not by a flag that a tick sets, and a start is not repeated after 6 s without the log.

--- a/lease/dispatcher.c
+++ b/lease/dispatcher.c
@@ -315,12 +315,13 @@
 /* Returns valid_until_ms for a repeated RUN call. LC_HOLD_NONE prevents the
  * companion from starting a run that is unknown to it and may have ended. */
 static int64_t
-retry_valid_until_ms(const Dispatcher *self, const Active_Job *job,
-                     const Active_Task *task)
+retry_valid_until_ms(const Dispatcher *self, int64_t now_ms,
+                     const Active_Job *job, const Active_Task *task)
 {
     const Fleet_Host *host = DispatcherCompletion_HostOf(self, task);
 
-    if (host == NULL || task->outcome_queried_ms != 0) {
+    if (host == NULL || task->outcome_queried_ms != 0 ||
+        (job->durable && !DispatcherDurable_IsAllowed(self, now_ms))) {
         return LC_HOLD_NONE;
     }
     return DispatcherOrigin_LimitLease(job, host, host->valid_until_ms);
@@ -354,7 +355,7 @@
             Active_SetState(job, task, ACTIVE_SENT);
             task->sent_ms = MIN(task->sent_ms, now_ms);
             DispatcherCall_Run(self, job, task,
-                               retry_valid_until_ms(self, job, task));
+                               retry_valid_until_ms(self, now_ms, job, task));
         }
     }
 }
--- a/lease/dispatcher.h
+++ b/lease/dispatcher.h
@@ -152,8 +152,12 @@
  * them over. */
 void Dispatcher_SetDurableOwner(Dispatcher *self, uint64_t incarnation);
 
-/** Sets whether durable jobs may be started and their leases renewed. */
-void Dispatcher_EnableDurable(Dispatcher *self, bool enabled);
+/** Allows runs of durable jobs to be started and renewed until @p until_ms, at
+ * the companions whose current incarnation was heard of before @p log_read_ms:
+ * the log has been read as it stood then, and another entry had not claimed
+ * these jobs. */
+void Dispatcher_AllowDurable(Dispatcher *self, int64_t log_read_ms,
+                             int64_t until_ms);
 
 /** Sets the offset of the wall clock from the monotonic clock, in ms; to be
  * called before each tick, as the wall clock may step. */
--- a/lease/dispatcher_calls.c
+++ b/lease/dispatcher_calls.c
@@ -216,7 +216,9 @@
     Msg_Call call = {.kind = MSG_RENEW};
 
     call.u.renew.owner = self->config.node;
-    call.u.renew.kept = self->durable_enabled ? self->durable_owner : 0;
+    call.u.renew.kept = DispatcherDurable_IsAllowedAt(self, now_ms, host)
+                            ? self->durable_owner
+                            : 0;
     call.u.renew.target = host->node.incarnation;
     call.u.renew.valid_until_ms = DispatcherCall_ExtendHold(self, now_ms,
                                                             host);
--- a/lease/dispatcher_durable.c
+++ b/lease/dispatcher_durable.c
@@ -30,10 +30,26 @@
 }
 
 void
-Dispatcher_EnableDurable(Dispatcher *self, bool enabled)
+Dispatcher_AllowDurable(Dispatcher *self, int64_t log_read_ms,
+                        int64_t until_ms)
 {
-    self->durable_enabled = enabled;
-    self->dispatch_pending |= enabled;
+    self->durable_log_read_ms = log_read_ms;
+    self->durable_until_ms = until_ms;
+    self->dispatch_pending = true;
+}
+
+bool
+DispatcherDurable_IsAllowed(const Dispatcher *self, int64_t now_ms)
+{
+    return now_ms < self->durable_until_ms;
+}
+
+bool
+DispatcherDurable_IsAllowedAt(const Dispatcher *self, int64_t now_ms,
+                              const Fleet_Host *host)
+{
+    return DispatcherDurable_IsAllowed(self, now_ms) &&
+           host->found_ms < self->durable_log_read_ms;
 }
 
 static void
--- a/lease/dispatcher_queue.c
+++ b/lease/dispatcher_queue.c
@@ -138,6 +138,7 @@
     HostChoice_Context choice = {.fleet = &self->fleet,
                                  .hall = self->config.hall,
                                  .now_ms = now_ms,
+                                 .log_read_ms = self->durable_log_read_ms,
                                  .random = &self->random};
     bool few_calls = self->config.join_runs &&
                      LinkBudget_IsCongested(&self->link, now_ms);
@@ -204,7 +205,7 @@
     for (i = 0; i < Handle_RowCount(self->jobs); i++) {
         Active_Job *job = Handle_ItemAt(self->jobs, i);
         if (has_startable_tasks(job) &&
-            (self->durable_enabled || !job->durable)) {
+            (!job->durable || DispatcherDurable_IsAllowed(self, now_ms))) {
             queue_entry entry = entry_of(job, now_ms);
             g_array_append_val(queue, entry);
         }
--- a/lease/dispatcher_state.h
+++ b/lease/dispatcher_state.h
@@ -86,9 +86,10 @@
     uint64_t random;
     int64_t started_ms;
     uint32_t unanswered;
-    int64_t wall_offset_ms; /* wall clock minus monotonic clock */
-    uint64_t durable_owner; /* incarnation as owner of durable jobs */
-    bool durable_enabled;   /* durable jobs may be started and renewed */
+    int64_t wall_offset_ms;      /* wall clock minus monotonic clock */
+    uint64_t durable_owner;      /* incarnation as owner of durable jobs */
+    int64_t durable_log_read_ms; /* see Dispatcher_AllowDurable */
+    int64_t durable_until_ms;
     int64_t shutdown_ms; /* when open jobs are given up; INT64_MAX: not set */
     bool paused;
     bool dispatch_pending; /* input has come that may allow tasks to start */
@@ -286,6 +287,19 @@
  * have waited @p wait_ms for the link. */
 uint32_t DispatcherLink_RetryMs(Dispatcher *self, int64_t wait_ms);
 
+/* Durable jobs: dispatcher_durable.c. */
+
+/** Whether this entry may start and renew runs of its durable jobs at all:
+ * another entry may have claimed them since it last read the log. */
+bool DispatcherDurable_IsAllowed(const Dispatcher *self, int64_t now_ms);
+
+/** Whether it may at @p host. A claim that is not read yet is newer than the
+ * last read, and so than the host's incarnation, if that was heard of before
+ * the read: the successor fences it. An incarnation heard of later may have
+ * started after such a claim, and is not fenced. */
+bool DispatcherDurable_IsAllowedAt(const Dispatcher *self, int64_t now_ms,
+                                   const Fleet_Host *host);
+
 /* Waiting tasks: dispatcher_queue.c. */
 
 /** Returns, per resource, the largest free amount at any schedulable
--- a/lease/durable_jobs.c
+++ b/lease/durable_jobs.c
@@ -163,9 +163,8 @@
 DurableJobs_OnLogRead(DurableJobs *self, int64_t now_ms, int64_t requested_ms)
 {
     self->log_read_ms = MAX(self->log_read_ms, requested_ms);
-    Dispatcher_EnableDurable(self->dispatcher,
-                             now_ms - self->log_read_ms <
-                                 DURABLE_JOBS_LOG_TIMEOUT_MS);
+    Dispatcher_AllowDurable(self->dispatcher, self->log_read_ms,
+                            self->log_read_ms + DURABLE_JOBS_LOG_TIMEOUT_MS);
     DurableTakeover_OnLogRead(self);
     DurableTakeover_AdvanceRecoveries(self, now_ms);
     DurableOwned_StartAll(self, now_ms);
@@ -266,10 +265,6 @@
     if (DurableJobs_IsLogUnused(self)) {
         self->last_quiet_ms = now_ms;
     }
-    Dispatcher_EnableDurable(self->dispatcher,
-                             self->log_read_ms != 0 &&
-                                 now_ms - self->log_read_ms <
-                                     DURABLE_JOBS_LOG_TIMEOUT_MS);
     DurableCaller_ExpireWaiters(self, now_ms);
     DurableCaller_AnswerStateQueries(self, now_ms);
     DurableOwned_SendReleases(self);
--- a/lease/fleet.c
+++ b/lease/fleet.c
@@ -36,11 +36,12 @@
 }
 
 static Fleet_Host *
-add_host(Fleet *fleet, const lc_node *node)
+add_host(Fleet *fleet, int64_t now_ms, const lc_node *node)
 {
     Fleet_Host *host = g_new0(Fleet_Host, 1);
 
     host->node = *node;
+    host->found_ms = now_ms;
     host->pace_percent = 100;
     host->unsettled = g_array_new(FALSE, FALSE, sizeof(lc_run_id));
     g_ptr_array_add(fleet->hosts, host);
@@ -71,9 +72,10 @@
 }
 
 static void
-begin_incarnation(Fleet_Host *host, const lc_node *node)
+begin_incarnation(Fleet_Host *host, int64_t now_ms, const lc_node *node)
 {
     host->node = *node;
+    host->found_ms = now_ms;
     host->stamp_ms = 0;
     host->valid_until_ms = 0;
     host->hold_sent_ms = 0;
@@ -105,7 +107,7 @@
     Fleet_Change change = FLEET_NEW;
 
     if (host == NULL) {
-        host = add_host(fleet, &report->host.node);
+        host = add_host(fleet, now_ms, &report->host.node);
     }
     else {
         change = compare_incarnation(host, report);
@@ -115,7 +117,7 @@
         return change;
     }
     if (change == FLEET_RESTARTED) {
-        begin_incarnation(host, &report->host.node);
+        begin_incarnation(host, now_ms, &report->host.node);
     }
     replace_text(&host->hall, report->hall);
     replace_text(&host->service, report->service);
--- a/lease/fleet.h
+++ b/lease/fleet.h
@@ -35,7 +35,8 @@
     uint32_t held_long; /**< those of them that have waited for long */
 
     int64_t held_queried_ms; /**< when this entry last asked for them */
-    int64_t stamp_ms;    /**< on its clock: when its last message was sent */
+    int64_t found_ms; /**< when its current incarnation was first heard of */
+    int64_t stamp_ms; /**< on its clock: when its last message was sent */
     int64_t received_ms; /**< when that message arrived */
     int64_t reported_ms; /**< when its last report arrived */
     uint32_t next_ms; /**< interval within which it promised the next report */
--- a/lease/host_choice.h
+++ b/lease/host_choice.h
@@ -13,7 +13,9 @@
     const Fleet *fleet;
     const char *hall; /**< of the entry that chooses */
     int64_t now_ms;
-    uint64_t *random; /**< generator state */
+    int64_t log_read_ms; /**< tasks of durable jobs are started only at
+                              companions found before this time */
+    uint64_t *random;    /**< generator state */
     /** Tasks of the job, including this one, that are to be placed on as few
      * hosts as possible; 0 if each is placed independently. */
     uint32_t packed_tasks;
--- a/tests/kept_rules.c
+++ b/tests/kept_rules.c
@@ -19,6 +19,8 @@
 #define WALL_MS 1700000000000
 
 static const lc_node own_node = {0x7f0000011b59, 1000};
+/* Its first owner identity. */
+static const lc_node own_owner = {0x7f0000011b59, 1001};
 static const lc_node companion_node = {0x7f0000011b63, 900};
 /* Owner identity of another entry. */
 static const lc_node other_owner = {0x7f0000011b5a, 2001};
@@ -34,6 +36,7 @@
     Msg_Kind kind;
     lc_run_id run;
     int64_t valid_until_ms; /* of a RUN */
+    uint64_t kept;          /* owner renewed by a RENEW, or 0 */
 } sent_call;
 
 typedef struct {
@@ -118,6 +121,9 @@
         sent.run = call->u.run.id;
         sent.valid_until_ms = call->u.run.valid_until_ms;
     }
+    else if (call->kind == MSG_RENEW) {
+        sent.kept = call->u.renew.kept;
+    }
     g_array_append_val(fix->calls, sent);
 }
 
@@ -292,7 +298,9 @@
 new_fixture(fixture *fix)
 {
     new_unheard_fixture(fix);
+    fix->now_ms--; /* the companion is heard of before the log is read */
     report_host(fix);
+    fix->now_ms++;
     flush(fix);
 }
 
@@ -714,6 +722,7 @@
     start_own(fix);
     fix->incarnation_offset = 1;
     report_host(fix);
+    fix->now_ms += 1;
     submit(fix, 8);
     read_put(fix, fix->puts->len);
     read_log(fix);
@@ -871,6 +880,129 @@
     free_fixture(&fix);
 }
 
+/* ---- companions that may have started after a claim ---- */
+
+/* Opens an owner with a job that has started four tasks at the companion,
+ * which has no room for the fifth. */
+static void
+start_four_of_five(fixture *fix)
+{
+    new_fixture(fix);
+    fix->tasks = 5;
+    submit(fix, 7);
+    read_put(fix, 1);
+    read_log(fix);
+    g_assert_cmpint(count_calls(fix, MSG_RUN), ==, 4);
+}
+
+/* The companion has restarted; @p stopped_ms: the owner stood still before it
+ * learned of that. */
+static void
+restart_companion(fixture *fix, int64_t stopped_ms)
+{
+    fix->now_ms += stopped_ms;
+    fix->incarnation_offset++;
+    report_host(fix);
+    DurableJobs_OnHost(fix->durable_jobs, fix->now_ms);
+    flush(fix);
+}
+
+/* Guards against tasks that are started again by an owner which was claimed
+ * before the companion started, so that it is not fenced there. */
+static void
+test_new_companion_waits_for_log(void)
+{
+    fixture fix;
+
+    start_four_of_five(&fix);
+    restart_companion(&fix, 10);
+    g_assert_cmpint(count_calls(&fix, MSG_RUN), ==, 4);
+    DurableJobs_OnLogRead(fix.durable_jobs, fix.now_ms, fix.now_ms);
+    flush(&fix);
+    g_assert_cmpint(count_calls(&fix, MSG_RUN), ==, 4);
+    DurableJobs_OnLogRead(fix.durable_jobs, fix.now_ms + 5, fix.now_ms + 1);
+    flush(&fix);
+    g_assert_cmpint(count_calls(&fix, MSG_RUN), ==, 5);
+    g_assert_cmpint(last_call(&fix, MSG_RUN)->valid_until_ms, >, fix.now_ms);
+    free_fixture(&fix);
+}
+
+/* Guards against the same by an owner that stood still, and has read nothing
+ * of the log since. */
+static void
+test_woken_owner_starts_nothing(void)
+{
+    fixture fix;
+
+    start_four_of_five(&fix);
+    restart_companion(&fix, 3500);
+    g_assert_cmpint(count_calls(&fix, MSG_RUN), ==, 4);
+    fix.now_ms += 5;
+    read_claim(&fix, &own_owner, &other_owner);
+    read_log(&fix);
+    g_assert_cmpint(count_calls(&fix, MSG_RUN), ==, 4);
+    free_fixture(&fix);
+}
+
+/* Guards against runs started between waking and the next tick by an owner
+ * that stood still for longer than it may rely on what it has read. */
+static void
+test_owner_that_slept_long_starts_nothing(void)
+{
+    fixture fix;
+
+    start_four_of_five(&fix);
+    fix.now_ms += HOLD_MS;
+    report_host(&fix);
+    flush(&fix);
+    g_assert_cmpint(count_calls(&fix, MSG_RUN), ==, 4);
+    free_fixture(&fix);
+}
+
+/* Guards against a renewal of runs whose owner is fenced, but not at this
+ * companion. */
+static void
+test_new_companion_gets_no_renewal(void)
+{
+    fixture fix;
+
+    start_four_of_five(&fix);
+    restart_companion(&fix, 10);
+    Dispatcher_Tick(fix.dispatcher, fix.now_ms);
+    g_assert_cmpuint(last_call(&fix, MSG_RENEW)->kept, ==, 0);
+    free_fixture(&fix);
+
+    start_four_of_five(&fix);
+    restart_companion(&fix, 10);
+    fix.now_ms += 1;
+    read_log(&fix);
+    Dispatcher_Tick(fix.dispatcher, fix.now_ms);
+    g_assert_cmpuint(last_call(&fix, MSG_RENEW)->kept, ==,
+                     own_owner.incarnation);
+    free_fixture(&fix);
+}
+
+/* Guards against a repeated start that takes effect after the owner may have
+ * been claimed: other jobs extend the hold that it would carry. */
+static void
+test_start_is_not_repeated_without_log(void)
+{
+    fixture fix;
+
+    start_own(&fix);
+    fix.now_ms += HOLD_MS;
+    report_host(&fix);
+    Dispatcher_OnReply(fix.dispatcher, fix.now_ms,
+                       last_call(&fix, MSG_RUN)->id, NULL);
+    fix.now_ms += 100;
+    report_host(&fix);
+    Dispatcher_Tick(fix.dispatcher, fix.now_ms);
+    g_assert_cmpint(count_calls(&fix, MSG_RUN), ==, 2);
+    g_assert_cmpint(last_call(&fix, MSG_RUN)->valid_until_ms, ==,
+                    LC_HOLD_NONE);
+    free_fixture(&fix);
+}
+
 /* ---- owners ---- */
 
 static void
@@ -1562,6 +1694,16 @@
     {"/durable/starts each occurrence when it is due", test_repeats},
     {"/durable/starts nothing when the log was not read for long",
      test_no_starts_without_log},
+    {"/durable/starts nothing at a companion found after the log was read",
+     test_new_companion_waits_for_log},
+    {"/durable/an owner that stood still starts nothing at a new companion",
+     test_woken_owner_starts_nothing},
+    {"/durable/starts nothing after standing still for long",
+     test_owner_that_slept_long_starts_nothing},
+    {"/durable/renews nothing at a companion found after the log was read",
+     test_new_companion_gets_no_renewal},
+    {"/durable/does not repeat a start when the log was not read for long",
+     test_start_is_not_repeated_without_log},
     {"/durable/claims a silent owner", test_claims_silent_owner},
     {"/durable/does not claim an owner that writes",
      test_writing_owner_is_not_claimed},
--- a/tests/late_start_rules.c
+++ b/tests/late_start_rules.c
@@ -163,7 +163,7 @@
                                    .run_base = RUN_ID_DURABLE_BASE};
 
     Dispatcher_SetDurableOwner(fix->dispatcher, OWNER_INCARNATION);
-    Dispatcher_EnableDurable(fix->dispatcher, true);
+    Dispatcher_AllowDurable(fix->dispatcher, INT64_MAX, INT64_MAX);
     start.job.id = JOB;
     start.job.spec = g_strdup("");
     start.job.step_count = 1;
--- a/tests/prop_lease.cc
+++ b/tests/prop_lease.cc
@@ -50,6 +50,11 @@
                      rc::gen::inRange<uint32_t>(0, 64)));
 }
 
+/* Durable jobs that a successor takes over. */
+const int64_t CLAIMED_LENGTH_MS = 7000;
+const int64_t CLAIMED_DURABLE_EVERY_MS = 250;
+const int64_t CLAIMED_JOB_EVERY_MS = 100;
+
 std::string
 describe(const lease::Plan &plan)
 {
@@ -58,6 +63,7 @@
     text += plan.slow_link ? "LEASE_NARROW=1 " : "";
     text += plan.long_tasks ? "LEASE_LONG=1 " : "";
     text += plan.has_service ? "LEASE_SERVICE=1 " : "";
+    text += plan.length_ms == CLAIMED_LENGTH_MS ? "LEASE_CLAIMED=1 " : "";
     text += plan.entries == 3 && !plan.slow_link ? "LEASE_QUEUES=1 " : "";
 
     text += "LEASE_PLAN=\"" + std::to_string(plan.seed);
@@ -98,6 +104,15 @@
     plan->entries = 3;
 }
 
+/* Durable jobs whose owner is replaced. */
+void
+use_claimed_owners(lease::Plan *plan)
+{
+    plan->length_ms = CLAIMED_LENGTH_MS;
+    plan->durable_every_ms = CLAIMED_DURABLE_EVERY_MS;
+    plan->job_every_ms = CLAIMED_JOB_EVERY_MS;
+}
+
 /* A job whose tasks never end, and fewer other ones. */
 void
 use_service(lease::Plan *plan)
@@ -124,6 +139,9 @@
     if (getenv("LEASE_SERVICE") != nullptr) {
         use_service(&plan);
     }
+    if (getenv("LEASE_CLAIMED") != nullptr) {
+        use_claimed_owners(&plan);
+    }
     if (getenv("LEASE_QUEUES") != nullptr) {
         use_removed_queues(&plan);
     }
@@ -520,6 +538,41 @@
     return good;
 }
 
+/* An owner of durable jobs stands still, or is cut off from the store and the
+ * other entries, until it has been claimed, and goes on while companions start
+ * that were not told of the claim. */
+bool
+check_claimed_owners()
+{
+    const std::vector<lease::Action> ways[] = {
+        {{lease::Fault::FreezeEntry, 800, 3200, 0, 0}},
+        {{lease::Fault::StoreCut, 800, 5500, 0, 0},
+         {lease::Fault::CutEntries, 800, 5500, 0, 2}},
+    };
+    bool good = true;
+
+    for (const std::vector<lease::Action> &way : ways) {
+        for (uint64_t seed = 1; seed <= 20; seed++) {
+            lease::Plan plan;
+            plan.seed = seed;
+            use_claimed_owners(&plan);
+            plan.actions = way;
+            for (uint32_t i = 0; i < plan.companions; i++) {
+                plan.actions.push_back({lease::Fault::KillCompanion,
+                                        3300 + 250 * (int64_t)i, 600, i, i});
+            }
+            lease::Report report = lease::simulate(plan);
+            add_to_total(report);
+            if (!report.violations.empty()) {
+                fprintf(stderr, "%s%s\n", report.text().c_str(),
+                        describe(plan).c_str());
+                good = false;
+            }
+        }
+    }
+    return good;
+}
+
 /* No entry reaches the store while a hall is closed, reopened and closed
  * again: companions must read the store themselves. */
 bool
@@ -554,6 +607,7 @@
     good &= check_forward_pairs();
     good &= check_held_forwards();
     good &= check_store_cut_off();
+    good &= check_claimed_owners();
     good &= check_regression_plans();
     good &= rc::check("no two runs, capacity, answers, few faults",
                       [] { check_any_faults(3); });
--- a/tests/soak/scenario.cc
+++ b/tests/soak/scenario.cc
@@ -85,6 +85,16 @@
 /* The other jobs need most of the room, so that all upstreams are in use. */
 const uint32_t UNHEARD_CPU = 2500;
 const int64_t UNHEARD_END_MS = 20000;
+/* The successor has ended them when the owner wakes, which believes that many
+ * wait. */
+const uint32_t WOKEN_TASKS = 150;
+const int64_t WOKEN_WORK_MS = 200;
+const int64_t WOKEN_LEAD_MS = 600;
+/* The owner is claimed after 2 s, and goes on within the 6 s for which it may
+ * rely on what it has read of the log. */
+const int64_t WOKEN_FREEZE_MS = 3500;
+const int64_t WOKEN_RESTART_MS = 2600; /* after the claim */
+const int64_t WOKEN_END_MS = 16000;
 const int64_t ENDS_LOST_INTERVAL_MS = 100;
 const int64_t ENDS_LOST_LOAD_MS = 5000;
 const int64_t LATE_STARTS_INTERVAL_MS = 30;
@@ -335,6 +345,24 @@
     }
 }
 
+/* The owner of a durable job stands still and is claimed. Companions that are
+ * restarted then, as planned, have not been told so when it goes on. */
+void
+play_kept_owner_woken()
+{
+    cluster->target_entry = 0;
+    last_job = cluster->submit_durable_job(WOKEN_TASKS, UNHEARD_CPU,
+                                           WOKEN_WORK_MS);
+    cluster->run_after(WOKEN_LEAD_MS,
+                       [] { cluster->entries[0]->signal(SIGSTOP); });
+    for (size_t i = 0; i < 2; i++) {
+        cluster->run_after(WOKEN_LEAD_MS + WOKEN_RESTART_MS,
+                           [i] { cluster->companions[i]->signal(SIGTERM); });
+    }
+    cluster->run_after(WOKEN_LEAD_MS + WOKEN_FREEZE_MS,
+                       [] { cluster->entries[0]->signal(SIGCONT); });
+}
+
 /* The queue of running durable jobs is removed, their owner is replaced, and
  * the queue is put back after their tasks have ended. Jobs of the other entry
  * keep the holds of all upstreams in force. */
@@ -1482,6 +1510,7 @@
     {"kept_store_away", play_kept_store_away, DURABLE_END_MS, 2},
     {"kept_ends_lost", play_kept_ends_lost, DURABLE_END_MS, 2},
     {"kept_owner_unheard", play_kept_owner_unheard, UNHEARD_END_MS, 2, 6},
+    {"kept_owner_woken", play_kept_owner_woken, WOKEN_END_MS, 3, 6},
     {"kept_queue_removed", play_kept_queue_removed, REMOVED_END_MS, 2, 4},
     {"late_starts", play_late_starts, LATE_STARTS_END_MS, 2, 4},
     {"late_retries", play_late_retries, LATE_RETRIES_END_MS, 2, 4},
