--- a/tests/runner_rules.c
+++ b/tests/runner_rules.c
@@ -320,53 +320,80 @@
     Runner_Free(fix.runner);
 }
 
-/* Guards against an end that was acknowledged before it was recorded, as many
- * newer ones were listed: it was lost with all processes, and its task started
- * again. Its upstream takes no runs while their ends could not be listed. */
-static void
-test_unreleased_end_is_not_acknowledged(void)
+/* Starts a run of a durable job and lists @p count ends from number 5 on, the
+ * first of which is of that run. */
+static lc_run_id
+list_end_and_newer(runner_fixture *fix, Runner_EndedRun *ended, uint32_t count)
 {
-    runner_fixture fix;
     lc_run_id run = RunnerFix_Run(1, RUN_ID_DURABLE_BASE + 1);
-    Runner_EndedRun ended[RUNNER_MAX_LISTED_ENDS];
     uint32_t i;
 
-    RunnerFix_NewReady(&fix);
-    RunnerFix_CallRun(&fix, 1, run.run, 1000, 500);
+    RunnerFix_NewReady(fix);
+    RunnerFix_CallRun(fix, 1, run.run, 1000, 500);
     for (i = 0; i < RUNNER_MAX_LISTED_ENDS; i++) {
         ended[i].number = 5 + i;
         ended[i].id = i == 0 ? run : RunnerFix_Run(1000 + i, 1);
         ended[i].end = RUNNER_END_DONE;
     }
-    fix.now_ms += 50;
-    RunnerFix_AnswerPoll(&fix, NULL, 0, ended, RUNNER_MAX_HELD_ENDS);
-    fix.now_ms += 50;
-    Runner_Tick(fix.runner, fix.now_ms);
+    fix->now_ms += 50;
+    RunnerFix_AnswerPoll(fix, NULL, 0, ended, count);
+    return run;
+}
+
+/* Advances the time and lets the runner poll. */
+static void
+poll_after(runner_fixture *fix, int64_t ms)
+{
+    fix->now_ms += ms;
+    Runner_Tick(fix->runner, fix->now_ms);
+}
+
+/* Guards against an end that was acknowledged before it was recorded, as many
+ * newer ones were listed: it was lost with all processes, and its task started
+ * again. */
+static void
+test_unreleased_end_is_not_acknowledged(void)
+{
+    runner_fixture fix;
+    Runner_EndedRun ended[RUNNER_MAX_LISTED_ENDS];
+    uint32_t i;
+
+    list_end_and_newer(&fix, ended, RUNNER_MAX_HELD_ENDS);
+    poll_after(&fix, 50);
     g_assert_cmpuint(fix.poll.last_seen, ==, 4);
-    g_assert_true(RunnerFix_TakesTask(&fix, 2));
-    fix.now_ms += 50;
-    RunnerFix_AnswerPoll(&fix, NULL, 0, ended,
-                         RUNNER_MAX_LISTED_ENDS - RUNNER_LIST_MARGIN);
-    for (i = 0; i < 3; i++) {
-        fix.now_ms += 100;
-        Runner_Tick(fix.runner, fix.now_ms);
-        RunnerFix_AnswerPoll(&fix, NULL, 0, ended,
-                             RUNNER_MAX_LISTED_ENDS - RUNNER_LIST_MARGIN);
+    for (i = 0; i < 4; i++) {
+        RunnerFix_AnswerPoll(&fix, NULL, 0, ended, RUNNER_MAX_LISTED_ENDS);
+        poll_after(&fix, 100);
         g_assert_cmpuint(fix.poll.last_seen, <=, 4);
     }
-    g_assert_false(RunnerFix_TakesTask(&fix, 3));
-    g_assert_cmpint(fix.status, ==, LC_RUN_NO_ROOM);
     RunnerFix_FenceEntry(&fix);
     g_assert_cmpuint(fix.held_runs, ==, 1);
     g_assert_cmpint(fix.held.status, ==, LC_RUN_DONE);
-    /* Once it is released, all are acknowledged and runs are started. */
+    Runner_Free(fix.runner);
+}
+
+/* Guards against runs whose ends are not listed, as an end that is held keeps
+ * the newer ones listed: they would count as running for good. */
+static void
+test_full_list_takes_no_runs(void)
+{
+    const uint32_t full = RUNNER_MAX_LISTED_ENDS - RUNNER_LIST_MARGIN;
+    runner_fixture fix;
+    Runner_EndedRun ended[RUNNER_MAX_LISTED_ENDS];
+    lc_run_id run = list_end_and_newer(&fix, ended, RUNNER_MAX_HELD_ENDS);
+
+    g_assert_true(RunnerFix_TakesTask(&fix, 2));
+    poll_after(&fix, 50);
+    RunnerFix_AnswerPoll(&fix, NULL, 0, ended, full);
+    poll_after(&fix, 100);
+    g_assert_false(RunnerFix_TakesTask(&fix, 3));
+    g_assert_cmpint(fix.status, ==, LC_RUN_NO_ROOM);
+    RunnerFix_AnswerPoll(&fix, NULL, 0, ended, full);
+    /* Once the end is released, all are acknowledged and runs are started. */
     RunnerFix_Release(&fix, &run);
-    fix.now_ms += 100;
-    Runner_Tick(fix.runner, fix.now_ms);
-    g_assert_cmpuint(fix.poll.last_seen, ==,
-                     4 + RUNNER_MAX_LISTED_ENDS - RUNNER_LIST_MARGIN);
+    poll_after(&fix, 100);
+    g_assert_cmpuint(fix.poll.last_seen, ==, 4 + full);
     RunnerFix_AnswerPoll(&fix, NULL, 0, NULL, 0);
-    fix.owner.incarnation++; /* that one is fenced */
     g_assert_true(RunnerFix_TakesTask(&fix, 4));
     Runner_Free(fix.runner);
 }
@@ -696,6 +723,8 @@
     {"/runner/transfers runs to the successor", test_fence_hands_over},
     {"/runner/an end is not acknowledged before its release",
      test_unreleased_end_is_not_acknowledged},
+    {"/runner/a full list of ends takes no runs",
+     test_full_list_takes_no_runs},
     {"/runner/admits one task on trial", test_trial_admits_one},
     {"/runner/a trial does not wait for a task that lasts",
      test_trial_beside_task_that_lasts},
