--- a/lease/dispatcher.h
+++ b/lease/dispatcher.h
@@ -171,7 +171,6 @@
 void Dispatcher_SetDurableRoute(Dispatcher *self, int64_t now_ms, uint64_t id,
                                 const Route *route);
 
-/** Returns all known companions. */
 /** Whether a run of a durable job may be in progress as far as is known: its
  * end will be told by its companion. */
 bool Dispatcher_IsRunActive(const Dispatcher *self, const lc_run_id *id);
@@ -182,6 +181,7 @@
 void Dispatcher_OnFoundEnd(Dispatcher *self, int64_t now_ms,
                            const lc_run_id *id, bool done);
 
+/** Returns all known companions. */
 const Fleet *Dispatcher_Fleet(const Dispatcher *self);
 
 /** Returns the companion at an address, or NULL. */
