--- a/tests/prop_lease.cc
+++ b/tests/prop_lease.cc
@@ -50,7 +50,7 @@
                      rc::gen::inRange<uint32_t>(0, 64)));
 }
 
-/* Durable jobs that a successor takes over. */
+/* Plans in which the owner of durable jobs is replaced. */
 const int64_t CLAIMED_LENGTH_MS = 7000;
 const int64_t CLAIMED_DURABLE_EVERY_MS = 250;
 const int64_t CLAIMED_JOB_EVERY_MS = 100;
@@ -104,7 +104,7 @@
     plan->entries = 3;
 }
 
-/* Durable jobs whose owner is replaced. */
+/* More durable jobs, and time for their owner to be replaced. */
 void
 use_claimed_owners(lease::Plan *plan)
 {
@@ -408,6 +408,20 @@
     }
 }
 
+/* Plays one plan; prints it if there is a violation. */
+bool
+play(const lease::Plan &plan)
+{
+    lease::Report report = lease::simulate(plan);
+
+    add_to_total(report);
+    if (!report.violations.empty()) {
+        fprintf(stderr, "%s%s\n", report.text().c_str(),
+                describe(plan).c_str());
+    }
+    return report.violations.empty();
+}
+
 /* Every pair of faults that matter to forwarding, with jobs being forwarded.
  */
 bool
@@ -430,13 +444,7 @@
                 plan.seed = seed++;
                 plan.actions = {{one, 800, 1700, 0, at_entry},
                                 {two, 1100, 1500, at_entry, at_entry}};
-                lease::Report report = lease::simulate(plan);
-                add_to_total(report);
-                if (!report.violations.empty()) {
-                    fprintf(stderr, "%s%s\n", report.text().c_str(),
-                            describe(plan).c_str());
-                    good = false;
-                }
+                good &= play(plan);
             }
         }
     }
@@ -477,13 +485,7 @@
             plan.seed = (uint64_t)(1 + one * 100 + two);
             plan.actions = {{(lease::Fault)one, 800, 1200, 0, 0},
                             {(lease::Fault)two, 1100, 1500, 0, 0}};
-            lease::Report report = lease::simulate(plan);
-            add_to_total(report);
-            if (!report.violations.empty()) {
-                fprintf(stderr, "%s%s\n", report.text().c_str(),
-                        describe(plan).c_str());
-                good = false;
-            }
+            good &= play(plan);
         }
     }
     return good;
@@ -561,13 +563,7 @@
                 plan.actions.push_back({lease::Fault::KillCompanion,
                                         3300 + 250 * (int64_t)i, 600, i, i});
             }
-            lease::Report report = lease::simulate(plan);
-            add_to_total(report);
-            if (!report.violations.empty()) {
-                fprintf(stderr, "%s%s\n", report.text().c_str(),
-                        describe(plan).c_str());
-                good = false;
-            }
+            good &= play(plan);
         }
     }
     return good;
@@ -592,13 +588,7 @@
             plan.actions.push_back(
                 {lease::Fault::KillCompanion, 4500, 600, i, i});
         }
-        lease::Report report = lease::simulate(plan);
-        add_to_total(report);
-        if (!report.violations.empty()) {
-            fprintf(stderr, "%s%s\n", report.text().c_str(),
-                    describe(plan).c_str());
-            good = false;
-        }
+        good &= play(plan);
     }
     return good;
 }
