Durable jobs: one question for an incarnation known before a read, one word for a held end

HostChoice and the renewal asked the same in two ways; both ask Fleet_IsHeardBefore now. 'Found' and 'held' end were two words for one thing. Some comments say more plainly what they meant. No change of behaviour.

--- a/lease/dispatcher.h
+++ b/lease/dispatcher.h
@@ -175,11 +175,11 @@
  * end will be told by its companion. */
 bool Dispatcher_IsRunActive(const Dispatcher *self, const lc_run_id *id);
 
-/** An earlier run of a durable job's task has ended unheard; its end is
- * recorded. Counts it, unless a later run is still in progress and it has
- * ended well. */
-void Dispatcher_OnFoundEnd(Dispatcher *self, int64_t now_ms,
-                           const lc_run_id *id, bool done);
+/** A companion holds the end of an earlier run of a durable job's task, which
+ * is recorded now. The task is done if it waits; a failure counts as an
+ * attempt. May end the job. */
+void Dispatcher_OnHeldEnd(Dispatcher *self, int64_t now_ms,
+                          const lc_run_id *id, bool done);
 
 /** Returns all known companions. */
 const Fleet *Dispatcher_Fleet(const Dispatcher *self);
--- a/lease/dispatcher_durable.c
+++ b/lease/dispatcher_durable.c
@@ -50,7 +50,7 @@
                               const Fleet_Host *host)
 {
     return DispatcherDurable_IsAllowed(self, now_ms) &&
-           host->found_ms < self->durable_log_read_ms;
+           Fleet_IsHeardBefore(host, self->durable_log_read_ms);
 }
 
 static void
@@ -144,8 +144,8 @@
 }
 
 void
-Dispatcher_OnFoundEnd(Dispatcher *self, int64_t now_ms, const lc_run_id *id,
-                      bool done)
+Dispatcher_OnHeldEnd(Dispatcher *self, int64_t now_ms, const lc_run_id *id,
+                     bool done)
 {
     Active_Job *job;
     Active_Task *task = find_open_task(self, id, &job);
--- a/lease/dispatcher_state.h
+++ b/lease/dispatcher_state.h
@@ -88,7 +88,7 @@
     uint32_t unanswered;
     int64_t wall_offset_ms;      /* wall clock minus monotonic clock */
     uint64_t durable_owner;      /* incarnation as owner of durable jobs */
-    int64_t durable_log_read_ms; /* see Dispatcher_AllowDurable */
+    int64_t durable_log_read_ms; /* arguments of Dispatcher_AllowDurable */
     int64_t durable_until_ms;
     int64_t shutdown_ms; /* when open jobs are given up; INT64_MAX: not set */
     bool paused;
--- a/lease/durable_jobs_owned.c
+++ b/lease/durable_jobs_owned.c
@@ -160,7 +160,7 @@
         counts = add_failure(row, task, end->run.run);
     }
     if (counts) {
-        Dispatcher_OnFoundEnd(self->dispatcher, now_ms, &end->run, done);
+        Dispatcher_OnHeldEnd(self->dispatcher, now_ms, &end->run, done);
     }
 }
 
--- a/lease/durable_jobs_state.h
+++ b/lease/durable_jobs_state.h
@@ -172,9 +172,10 @@
 void DurableOwned_QueueRelease(DurableJobs *self,
                                const DurableJobs_RunEnd *end);
 
-/** Records the end of a run that a companion holds and the job's dispatcher
- * does not know of, so that it can be released: the task with this number has
- * been tried elsewhere since. Without effect if the job is not owned. */
+/** Records the end of a run that a companion holds and the dispatcher took for
+ * lost, so that it can be released. @p task: number of its task. Without
+ * effect if the job is not owned, or the companion is about to tell the end.
+ */
 void DurableOwned_RecordHeldEnd(DurableJobs *self, int64_t now_ms,
                                 const DurableJobs_RunEnd *end, uint32_t task,
                                 bool done);
--- a/lease/fleet.c
+++ b/lease/fleet.c
@@ -41,7 +41,7 @@
     Fleet_Host *host = g_new0(Fleet_Host, 1);
 
     host->node = *node;
-    host->found_ms = now_ms;
+    host->first_heard_ms = now_ms;
     host->pace_percent = 100;
     host->unsettled = g_array_new(FALSE, FALSE, sizeof(lc_run_id));
     g_ptr_array_add(fleet->hosts, host);
@@ -75,7 +75,7 @@
 begin_incarnation(Fleet_Host *host, int64_t now_ms, const lc_node *node)
 {
     host->node = *node;
-    host->found_ms = now_ms;
+    host->first_heard_ms = now_ms;
     host->stamp_ms = 0;
     host->valid_until_ms = 0;
     host->hold_sent_ms = 0;
@@ -173,6 +173,12 @@
                : LeaseTiming_CertainEnd(timing, host->hold_sent_ms);
 }
 
+bool
+Fleet_IsHeardBefore(const Fleet_Host *host, int64_t time_ms)
+{
+    return host->first_heard_ms < time_ms;
+}
+
 bool
 Fleet_HasLabel(const Fleet_Host *host, const char *label)
 {
--- a/lease/fleet.h
+++ b/lease/fleet.h
@@ -35,8 +35,9 @@
     uint32_t held_long; /**< those of them that have waited for long */
 
     int64_t held_queried_ms; /**< when this entry last asked for them */
-    int64_t found_ms; /**< when its current incarnation was first heard of */
-    int64_t stamp_ms; /**< on its clock: when its last message was sent */
+    int64_t first_heard_ms;  /**< when its current incarnation was first heard
+                                  of */
+    int64_t stamp_ms;    /**< on its clock: when its last message was sent */
     int64_t received_ms; /**< when that message arrived */
     int64_t reported_ms; /**< when its last report arrived */
     uint32_t next_ms; /**< interval within which it promised the next report */
@@ -97,6 +98,9 @@
  * held. */
 int64_t Fleet_CertainEnd(const Fleet_Host *host, const LeaseTiming *timing);
 
+/** Whether the companion's current incarnation was heard of before a time. */
+bool Fleet_IsHeardBefore(const Fleet_Host *host, int64_t time_ms);
+
 /** Whether the upstream has @p label; the empty label always matches. */
 bool Fleet_HasLabel(const Fleet_Host *host, const char *label);
 
--- a/lease/host_choice.c
+++ b/lease/host_choice.c
@@ -109,10 +109,11 @@
         !Fleet_HasLabel(host, step->requirement)) {
         return false;
     }
-    if (job->durable && (host->found_ms >= context->log_read_ms ||
-                         host->held >= RUNNER_MAX_HELD_ENDS)) {
-        return false; /* it may not know that this owner is fenced, or it could
-                         not hold the end */
+    if (job->durable && !Fleet_IsHeardBefore(host, context->log_read_ms)) {
+        return false; /* see DispatcherDurable_IsAllowedAt */
+    }
+    if (job->durable && host->held >= RUNNER_MAX_HELD_ENDS) {
+        return false; /* it could not hold their ends */
     }
     if (is_too_slow(context, job, step, host)) {
         return false;
--- a/lease/host_choice.h
+++ b/lease/host_choice.h
@@ -14,7 +14,7 @@
     const char *hall; /**< of the entry that chooses */
     int64_t now_ms;
     int64_t log_read_ms; /**< tasks of durable jobs are started only at
-                              companions found before this time */
+                              companions heard of before this time */
     uint64_t *random;    /**< generator state */
     /** Tasks of the job, including this one, that are to be placed on as few
      * hosts as possible; 0 if each is placed independently. */
--- a/lease/runner.h
+++ b/lease/runner.h
@@ -28,8 +28,8 @@
 /** Maximum number of ends of durable jobs that a companion holds until their
  * owners have stored and released them. */
 #define RUNNER_MAX_HELD_ENDS 300
-/** Beyond this number of listed ends, no run is started whose end might not be
- * listed any more. */
+/** With fewer listed ends the list counts as empty: in undisturbed operation
+ * they are acknowledged within one poll. */
 #define RUNNER_MANY_LISTED_ENDS 100
 /** Places in the list that are left free, for ends of runs that the companion
  * does not know. */
--- a/lease/runner_durable.c
+++ b/lease/runner_durable.c
@@ -8,9 +8,9 @@
 #define RETENTION_MS 4000
 /* Owners have usually stored an end within this time. */
 #define HELD_LONG_MS 1500
-/* A fenced owner is remembered for this long: longer than it may rely on what
- * it read of the log before the claim (DURABLE_JOBS_LOG_TIMEOUT_MS), and its
- * last calls may be on their way. */
+/* A fenced owner is remembered for this long. It gives no orders once it has
+ * not read the log for DURABLE_JOBS_LOG_TIMEOUT_MS; the rest is for calls on
+ * their way. */
 #define FENCED_RETENTION_MS 60000
 
 static Runner_FencedOwner *
--- a/lease/runner_poll.c
+++ b/lease/runner_poll.c
@@ -13,7 +13,8 @@
 /* Delay between polls while ends are held. Polls are answered immediately
  * then, as each answer lists the held ends again. */
 #define HELD_POLL_DELAY_MS 5
-/* One more ms for this many listed ends, since each answer has to be read. */
+/* The delay grows by one ms for each of this many listed ends, as reading the
+ * answers takes processor time. */
 #define LISTED_ENDS_PER_MS 10
 /* Progress that an upstream reports of a long-running task that is at work. */
 #define AT_WORK_PERCENT 100
--- a/tests/soak/scenario.cc
+++ b/tests/soak/scenario.cc
@@ -85,15 +85,16 @@
 /* The other jobs need most of the room, so that all upstreams are in use. */
 const uint32_t UNHEARD_CPU = 2500;
 const int64_t UNHEARD_END_MS = 20000;
-/* The successor has ended them when the owner wakes, which believes that many
- * wait. */
+/* The successor has ended all tasks when the owner wakes, but the owner still
+ * takes many of them to be waiting. */
 const uint32_t WOKEN_TASKS = 150;
 const int64_t WOKEN_WORK_MS = 200;
 const int64_t WOKEN_LEAD_MS = 600;
 /* The owner is claimed after 2 s, and goes on within the 6 s for which it may
  * rely on what it has read of the log. */
 const int64_t WOKEN_FREEZE_MS = 3500;
-const int64_t WOKEN_RESTART_MS = 2600; /* after the claim */
+/* After the claim, and early enough to have restarted by then. */
+const int64_t WOKEN_RESTART_MS = 2600;
 const int64_t WOKEN_END_MS = 16000;
 const int64_t ENDS_LOST_INTERVAL_MS = 100;
 const int64_t ENDS_LOST_LOAD_MS = 5000;
