--- a/lease/durable_jobs.c
+++ b/lease/durable_jobs.c
@@ -226,8 +226,7 @@
 }
 
 /* All companions are asked to report until this long after the last job has
- * ended: longer than they are certain to hold its ends
- * (lease/runner_durable.c). */
+ * ended, so that the ends they still hold of it are found and released. */
 #define ALL_REPORTS_AFTER_END_MS 30000
 
 static void
