Follow owners of durable jobs past any number of changes, and name the ones that matter

Cause: claims were assumed to be few. A chain of successors was followed for 64 steps "as only a cyclic chain can be this long", in four places: the owner, the count of takeovers (base of the run numbers), whether an owner was one of a job's (its recovery), and the predecessors named to companions, which were cut at 1,024 too, the oldest first. Each claim made all be judged anew, each by a search through all: the cube of the history's length.

Change: lease/claims.c keeps the effective claims as a forest whose paths are shortened as they are followed, so owner, predecessor and number of changes take amortized logarithmic time; claims read out of order are judged once, when next asked about. There can be no cycle: in one, each claim would be older than the next (and an owner that claims itself is void now). The recovery of a job is that of the owner from which it came, the last one on the way. Companions are told of the predecessors from which no takeover is known to be complete, in as many calls as that takes; a successor records a complete takeover (LC_KEPT_COMPLETE, ignored by earlier versions), so the list does not grow with the history. So that nothing hangs on a name, companions tell any successor of all ends that nobody has released and of all late starts.

--- a/lease/durable_jobs_owned.c
+++ b/lease/durable_jobs_owned.c
@@ -385,7 +385,7 @@
 DurableOwned_Start(DurableJobs *self, int64_t now_ms, DurableLog_Job *job,
                    const DurableJobs_Recovery *recovery)
 {
-    uint32_t generation = DurableLog_TakeoverCount(self->log, job);
+    uint32_t generation = DurableLog_Ownership(self->log, job).claims_count;
     Dispatcher_DurableJob start = {
         .queue = job->queue,
         .route = self->ports->route(self->context, job->queue),
--- a/lease/durable_jobs_state.h
+++ b/lease/durable_jobs_state.h
@@ -65,12 +65,15 @@
 typedef struct {
     lc_node claimed_owner;
     int64_t claimed_ms;
-    int64_t answered_ms; /* when all companions had answered, or waiting for
-                            them ended; from then on only the log can tell
-                            more of these runs; 0 before */
-    GArray *fenced;      /* lc_node, companions that have answered the FENCE */
-    GArray *runs;        /* DurableJobs_FoundRun */
-    GArray *late_starts; /* LateStart */
+    int64_t answered_ms;  /* when all companions had answered, or waiting for
+                             them ended; from then on only the log can tell
+                             more of these runs; 0 before */
+    GArray *predecessors; /* lc_node, `claimed_owner` and those before it whose
+                             takeover is not known to be complete */
+    GArray *fenced;       /* lc_node, companions that have answered for all
+                             predecessors */
+    GArray *runs;         /* DurableJobs_FoundRun */
+    GArray *late_starts;  /* LateStart */
 } DurableJobs_Recovery;
 
 /* A run that a companion holds. */
@@ -97,7 +100,9 @@
     Msg_Kind kind;
     lc_node host;
     lc_node claimed_owner;
-    GArray *ends; /* DurableJobs_RunEnd, of a RELEASE */
+    guint next_predecessor; /* of a FENCE: the first one that it does not name
+                             */
+    GArray *ends;           /* DurableJobs_RunEnd, of a RELEASE */
 } DurableJobs_Call;
 
 struct DurableJobs {
@@ -241,11 +246,6 @@
 const DurableJobs_Recovery *
 DurableTakeover_RecoveryOf(const DurableJobs *self, const DurableLog_Job *job);
 
-/** Sends a FENCE call for the runs of an owner; zeros in @p claimed_owner ask
- * for all held ends. */
-void DurableTakeover_SendFence(DurableJobs *self, lc_node host,
-                               lc_node claimed_owner);
-
 /** Frees the members of a recovery. */
 void DurableTakeover_ClearRecovery(DurableJobs_Recovery *recovery);
 
--- a/lease/durable_jobs_takeover.c
+++ b/lease/durable_jobs_takeover.c
@@ -244,6 +244,7 @@
 void
 DurableTakeover_ClearRecovery(DurableJobs_Recovery *recovery)
 {
+    g_array_unref(recovery->predecessors);
     g_array_unref(recovery->fenced);
     g_array_unref(recovery->runs);
     g_array_unref(recovery->late_starts);
@@ -279,6 +280,8 @@
     }
     self->ports->event(self->context, EVENT_KEPT_CLAIMED,
                        Address_Text(claimed_owner.address));
+    recovery.predecessors = Claims_Predecessors(DurableLog_Claims(self->log),
+                                                &claimed_owner);
     recovery.fenced = g_array_new(FALSE, TRUE, sizeof(lc_node));
     recovery.runs = g_array_new(FALSE, TRUE, sizeof(DurableJobs_FoundRun));
     recovery.late_starts = g_array_new(FALSE, TRUE, sizeof(LateStart));
@@ -287,45 +290,66 @@
     DurableTakeover_AdvanceRecoveries(self, now_ms);
 }
 
-const DurableJobs_Recovery *
-DurableTakeover_RecoveryOf(const DurableJobs *self, const DurableLog_Job *job)
+static DurableJobs_Recovery *
+find_recovery(const DurableJobs *self, const lc_node *claimed_owner)
 {
     guint i;
 
-    if (Msg_SameNode(&job->owner, &self->node)) {
-        return NULL;
-    }
-    for (i = self->recoveries->len; i > 0; i--) {
-        const DurableJobs_Recovery *recovery = &g_array_index(
-            self->recoveries, DurableJobs_Recovery, i - 1);
-        if (DurableLog_HasOwned(self->log, job, &recovery->claimed_owner)) {
+    for (i = 0; i < self->recoveries->len; i++) {
+        DurableJobs_Recovery *recovery = &g_array_index(
+            self->recoveries, DurableJobs_Recovery, i);
+        if (Msg_SameNode(&recovery->claimed_owner, claimed_owner)) {
             return recovery;
         }
     }
     return NULL;
 }
 
-void
-DurableTakeover_SendFence(DurableJobs *self, lc_node host,
-                          lc_node claimed_owner)
+const DurableJobs_Recovery *
+DurableTakeover_RecoveryOf(const DurableJobs *self, const DurableLog_Job *job)
+{
+    Claims_Ownership ownership = DurableLog_Ownership(self->log, job);
+
+    return ownership.claims_count == 0
+               ? NULL
+               : find_recovery(self, &ownership.predecessor);
+}
+
+/* Names the predecessors from @p first on, as many as one call can. */
+static void
+send_fence(DurableJobs *self, lc_node host,
+           const DurableJobs_Recovery *recovery, guint first)
+{
+    DurableJobs_Call *pending = g_new0(DurableJobs_Call, 1);
+    Msg_Call call = {.kind = MSG_FENCE};
+    guint count = MIN(recovery->predecessors->len - first, LC_MAX_PEERS);
+
+    pending->kind = MSG_FENCE;
+    pending->host = host;
+    pending->claimed_owner = recovery->claimed_owner;
+    pending->next_predecessor = first + count;
+    call.u.fence.target = host.incarnation;
+    call.u.fence.gone.gone_len = count;
+    call.u.fence.gone.gone_val = &g_array_index(recovery->predecessors,
+                                                lc_node, first);
+    call.u.fence.successor = self->node;
+    self->ports->call(self->context, host.address,
+                      Handle_Add(self->calls, pending), &call);
+}
+
+/* Asks a companion for all ends that it holds. */
+static void
+query_held_ends(DurableJobs *self, lc_node host)
 {
     DurableJobs_Call *pending = g_new0(DurableJobs_Call, 1);
     Msg_Call call = {.kind = MSG_FENCE};
-    GArray *predecessors;
 
     pending->kind = MSG_FENCE;
     pending->host = host;
-    pending->claimed_owner = claimed_owner;
-    predecessors = claimed_owner.incarnation == 0
-                       ? g_array_new(FALSE, TRUE, sizeof(lc_node))
-                       : DurableLog_Predecessors(self->log, &claimed_owner);
     call.u.fence.target = host.incarnation;
-    call.u.fence.gone.gone_len = predecessors->len;
-    call.u.fence.gone.gone_val = (lc_node *)(void *)predecessors->data;
     call.u.fence.successor = self->node;
     self->ports->call(self->context, host.address,
                       Handle_Add(self->calls, pending), &call);
-    g_array_unref(predecessors);
 }
 
 static bool
@@ -405,13 +429,26 @@
         all = false;
         if (HostChoice_IsLive(host, now_ms) &&
             !is_fence_pending(self, &host->node, &recovery->claimed_owner)) {
-            DurableTakeover_SendFence(self, host->node,
-                                      recovery->claimed_owner);
+            send_fence(self, host->node, recovery, 0);
         }
     }
     return all;
 }
 
+/* Later successors need not ask for the runs of this owner and those before it
+ * any more. */
+static void
+put_complete(DurableJobs *self, const lc_node *claimed_owner)
+{
+    lc_kept_record record = {.job = 0};
+    char key[DURABLE_LOG_KEY_SIZE];
+
+    record.body.kind = LC_KEPT_COMPLETE;
+    record.body.lc_kept_body_u.complete = *claimed_owner;
+    DurableLog_CompleteKey(claimed_owner, self->node, key);
+    DurableJobs_Put(self, key, &record);
+}
+
 static void
 start_recovered(DurableJobs *self, int64_t now_ms,
                 const DurableJobs_Recovery *recovery)
@@ -461,6 +498,7 @@
             continue;
         }
         start_recovered(self, now_ms, recovery);
+        put_complete(self, &recovery->claimed_owner);
         DurableTakeover_ClearRecovery(recovery);
         g_array_remove_index(self->recoveries, i);
         self->has_unstarted = true;
@@ -600,18 +638,17 @@
                              const DurableJobs_Call *call,
                              const lc_fence_res *result)
 {
-    guint i;
+    DurableJobs_Recovery *recovery = find_recovery(self, &call->claimed_owner);
 
     settle_held_ends(self, now_ms, call->host, result);
-    for (i = 0; i < self->recoveries->len; i++) {
-        DurableJobs_Recovery *recovery = &g_array_index(
-            self->recoveries, DurableJobs_Recovery, i);
-        if (!Msg_SameNode(&recovery->claimed_owner, &call->claimed_owner) ||
-            Msg_HasNode(recovery->fenced, &call->host)) {
-            continue;
-        }
-        g_array_append_val(recovery->fenced, call->host);
+    if (recovery != NULL && !Msg_HasNode(recovery->fenced, &call->host)) {
         add_found_runs(recovery, now_ms, call->host, result);
+        if (call->next_predecessor < recovery->predecessors->len) {
+            send_fence(self, call->host, recovery, call->next_predecessor);
+        }
+        else {
+            g_array_append_val(recovery->fenced, call->host);
+        }
     }
     DurableTakeover_AdvanceRecoveries(self, now_ms);
     DurableOwned_SendReleases(self);
@@ -623,7 +660,6 @@
 DurableTakeover_FetchHeldEnds(DurableJobs *self, int64_t now_ms)
 {
     const Fleet *fleet = Dispatcher_Fleet(self->dispatcher);
-    lc_node any_owner = {0, 0};
     guint i;
 
     for (i = 0; i < fleet->hosts->len; i++) {
@@ -632,7 +668,7 @@
             now_ms - host->held_queried_ms > FETCH_HELD_INTERVAL_MS &&
             HostChoice_IsLive(host, now_ms)) {
             host->held_queried_ms = now_ms;
-            DurableTakeover_SendFence(self, host->node, any_owner);
+            query_held_ends(self, host->node);
         }
     }
 }
--- a/lease/durable_log.c
+++ b/lease/durable_log.c
@@ -4,23 +4,14 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* Limit on a chain of successors; only a cyclic chain can be this long. */
-#define MAX_CLAIM_CHAIN 64
 #define BITS_PER_BYTE 8
 #define PROGRESS_LETTER 'p'
 #define HEX_DIGITS 16
 
-typedef struct {
-    uint64_t offset;
-    lc_node claimed_owner;
-    lc_node successor;
-    bool effective;
-} claim_record;
-
 struct DurableLog {
     GHashTable *jobs; /* id -> DurableLog_Job */
     GHashTable *open; /* ids of submitted jobs that have not ended */
-    GArray *claims;   /* claim_record, by offset */
+    Claims *claims;
 };
 
 static void
@@ -45,7 +36,7 @@
     log->jobs = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
                                       free_job);
     log->open = g_hash_table_new(g_int64_hash, g_int64_equal);
-    log->claims = g_array_new(FALSE, TRUE, sizeof(claim_record));
+    log->claims = Claims_New();
     return log;
 }
 
@@ -54,7 +45,7 @@
 {
     g_hash_table_unref(log->open);
     g_hash_table_unref(log->jobs);
-    g_array_unref(log->claims);
+    Claims_Free(log->claims);
     g_free(log);
 }
 
@@ -92,18 +83,32 @@
     g_snprintf(key, DURABLE_LOG_KEY_SIZE, "x%016" PRIx64, job);
 }
 
-void
-DurableLog_ClaimKey(const lc_node *claimed_owner, lc_node writer,
-                    char key[DURABLE_LOG_KEY_SIZE])
+static void
+format_owner_key(char letter, const lc_node *claimed_owner, lc_node writer,
+                 char key[DURABLE_LOG_KEY_SIZE])
 {
     gsize length;
 
-    format_key('c', claimed_owner->incarnation, writer, key);
+    format_key(letter, claimed_owner->incarnation, writer, key);
     length = strlen(key);
     g_snprintf(key + length, DURABLE_LOG_KEY_SIZE - length, ".%" PRIx64,
                (uint64_t)claimed_owner->address);
 }
 
+void
+DurableLog_ClaimKey(const lc_node *claimed_owner, lc_node writer,
+                    char key[DURABLE_LOG_KEY_SIZE])
+{
+    format_owner_key('c', claimed_owner, writer, key);
+}
+
+void
+DurableLog_CompleteKey(const lc_node *claimed_owner, lc_node writer,
+                       char key[DURABLE_LOG_KEY_SIZE])
+{
+    format_owner_key('f', claimed_owner, writer, key);
+}
+
 /* One key for each address, whatever the incarnation. */
 void
 DurableLog_HeartbeatKey(const lc_node *owner, char key[DURABLE_LOG_KEY_SIZE])
@@ -267,79 +272,19 @@
     return change;
 }
 
-static claim_record *
-find_claim(const DurableLog *log, const lc_node *claimed_owner)
-{
-    guint i;
-
-    for (i = 0; i < log->claims->len; i++) {
-        claim_record *claim = &g_array_index(log->claims, claim_record, i);
-        if (claim->effective &&
-            Msg_SameNode(&claim->claimed_owner, claimed_owner)) {
-            return claim;
-        }
-    }
-    return NULL;
-}
-
-static gint
-compare_claims(gconstpointer a, gconstpointer b)
-{
-    const claim_record *left = a;
-    const claim_record *right = b;
-
-    return left->offset < right->offset ? -1 : left->offset > right->offset;
-}
-
-/* The first claim of an owner is effective, unless its successor was claimed
- * earlier, so that of two owners that claim each other one remains. */
-static void
-select_effective_claims(DurableLog *log)
-{
-    guint i;
-
-    g_array_sort(log->claims, compare_claims);
-    for (i = 0; i < log->claims->len; i++) {
-        g_array_index(log->claims, claim_record, i).effective = false;
-    }
-    for (i = 0; i < log->claims->len; i++) {
-        claim_record *claim = &g_array_index(log->claims, claim_record, i);
-        claim->effective = find_claim(log, &claim->claimed_owner) == NULL &&
-                           find_claim(log, &claim->successor) == NULL;
-    }
-}
-
-static bool
-is_claim_known(const DurableLog *log, uint64_t offset)
-{
-    guint i;
-
-    for (i = 0; i < log->claims->len; i++) {
-        if (g_array_index(log->claims, claim_record, i).offset == offset) {
-            return true;
-        }
-    }
-    return false;
-}
-
 static DurableLog_Change
 apply_claim(DurableLog *log, uint64_t offset, const lc_kept_claim *claim)
 {
     DurableLog_Change change = {.kind = DURABLE_LOG_UNCHANGED};
-    claim_record fresh = {offset, claim->gone, claim->successor, false};
-    const claim_record *effective;
 
-    if (is_claim_known(log, offset)) {
-        return change;
-    }
-    g_array_append_val(log->claims, fresh);
-    select_effective_claims(log);
-    effective = find_claim(log, &claim->gone);
-    if (effective != NULL && effective->offset == offset) {
+    if (Claims_Add(log->claims, offset, &claim->gone, &claim->successor)) {
         change.kind = DURABLE_LOG_CLAIMED;
         change.claimed_owner = claim->gone;
         change.successor = claim->successor;
     }
+    else if (!Claims_IsInOrder(log->claims)) {
+        change.kind = DURABLE_LOG_REORDERED;
+    }
     return change;
 }
 
@@ -400,85 +345,30 @@
         change = apply_claim(log, record->offset,
                              &read.body.lc_kept_body_u.claim);
         break;
+    case LC_KEPT_COMPLETE:
+        Claims_SetComplete(log->claims, &read.body.lc_kept_body_u.complete);
+        break;
     }
     Msg_FreeDurableRecord(&read);
     return change;
 }
 
-/* Advances @p node along effective claims; returns their number. */
-static uint32_t
-follow_claims(const DurableLog *log, lc_node *node)
-{
-    uint32_t count = 0;
-    const claim_record *claim = find_claim(log, node);
-
-    while (claim != NULL && count < MAX_CLAIM_CHAIN) {
-        *node = claim->successor;
-        count++;
-        claim = find_claim(log, node);
-    }
-    return count;
-}
-
 lc_node
 DurableLog_OwnerOf(const DurableLog *log, const DurableLog_Job *job)
 {
-    lc_node node = job->owner;
-
-    follow_claims(log, &node);
-    return node;
-}
-
-uint32_t
-DurableLog_TakeoverCount(const DurableLog *log, const DurableLog_Job *job)
-{
-    lc_node node = job->owner;
-
-    return follow_claims(log, &node);
+    return DurableLog_Ownership(log, job).owner;
 }
 
-static bool
-claims_lead_to(const DurableLog *log, lc_node from, const lc_node *node)
+Claims_Ownership
+DurableLog_Ownership(const DurableLog *log, const DurableLog_Job *job)
 {
-    uint32_t count;
-
-    for (count = 0; count < MAX_CLAIM_CHAIN; count++) {
-        const claim_record *claim = find_claim(log, &from);
-        if (Msg_SameNode(&from, node)) {
-            return true;
-        }
-        if (claim == NULL) {
-            return false;
-        }
-        from = claim->successor;
-    }
-    return false;
+    return Claims_Follow(log->claims, &job->owner);
 }
 
-bool
-DurableLog_HasOwned(const DurableLog *log, const DurableLog_Job *job,
-                    const lc_node *node)
-{
-    return claims_lead_to(log, job->owner, node);
-}
-
-GArray *
-DurableLog_Predecessors(const DurableLog *log, const lc_node *node)
+Claims *
+DurableLog_Claims(const DurableLog *log)
 {
-    GArray *predecessors = g_array_new(FALSE, TRUE, sizeof(lc_node));
-    guint i;
-
-    g_array_append_val(predecessors, *node);
-    for (i = 0; i < log->claims->len && predecessors->len < LC_MAX_PEERS;
-         i++) {
-        lc_node claimed_owner =
-            g_array_index(log->claims, claim_record, i).claimed_owner;
-        if (!Msg_SameNode(&claimed_owner, node) &&
-            claims_lead_to(log, claimed_owner, node)) {
-            g_array_append_val(predecessors, claimed_owner);
-        }
-    }
-    return predecessors;
+    return log->claims;
 }
 
 GPtrArray *
--- a/lease/durable_log.h
+++ b/lease/durable_log.h
@@ -17,6 +17,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "lease/claims.h"
 #include "wire/msg.h"
 
 /** Flag in the task number of a failures row: the row counts upstream crashes
@@ -53,6 +54,8 @@
     DURABLE_LOG_CANCELLED,
     DURABLE_LOG_CLAIMED,     /**< the jobs of an owner were claimed */
     DURABLE_LOG_OWNER_ALIVE, /**< heartbeat of an owner */
+    DURABLE_LOG_REORDERED,   /**< a claim was read after a later one: any claim
+                                may have lost or gained its effect */
     DURABLE_LOG_DELETED      /**< a job was removed; its pointer is NULL */
 } DurableLog_ChangeKind;
 
@@ -89,17 +92,13 @@
 /** Current owner of a job: its first owner or the last successor. */
 lc_node DurableLog_OwnerOf(const DurableLog *log, const DurableLog_Job *job);
 
-/** How many takeovers a job has been through. */
-uint32_t DurableLog_TakeoverCount(const DurableLog *log,
-                                  const DurableLog_Job *job);
+/** Current owner of a job, whom it has claimed, and how many takeovers the job
+ * has been through. */
+Claims_Ownership DurableLog_Ownership(const DurableLog *log,
+                                      const DurableLog_Job *job);
 
-/** Whether a node is the first owner of a job or among its successors. */
-bool DurableLog_HasOwned(const DurableLog *log, const DurableLog_Job *job,
-                         const lc_node *node);
-
-/** An owner and all owners whose jobs it had taken over, LC_MAX_PEERS at most,
- * as an array of lc_node; the caller frees it. */
-GArray *DurableLog_Predecessors(const DurableLog *log, const lc_node *node);
+/** Claims of all owners; owned by the table. */
+Claims *DurableLog_Claims(const DurableLog *log);
 
 /** Jobs that have not ended, as DurableLog_Job pointers owned by the table;
  * the caller frees the array. */
@@ -127,6 +126,8 @@
                              char key[DURABLE_LOG_KEY_SIZE]);
 void DurableLog_ClaimKey(const lc_node *claimed_owner, lc_node writer,
                          char key[DURABLE_LOG_KEY_SIZE]);
+void DurableLog_CompleteKey(const lc_node *claimed_owner, lc_node writer,
+                            char key[DURABLE_LOG_KEY_SIZE]);
 
 /** Whether a task is marked in a bitmap of completed tasks. */
 bool DurableLog_IsDone(const GByteArray *done, uint32_t task);
--- a/lease/runner_durable.c
+++ b/lease/runner_durable.c
@@ -273,19 +273,20 @@
 }
 
 static bool
-is_affected(const Runner_Task *row, const lc_fence_args *args)
+is_named(const lc_fence_args *args, const lc_node *owner)
 {
     u_int i;
 
     for (i = 0; i < args->gone.gone_len; i++) {
-        if (Msg_SameNode(&row->owner, &args->gone.gone_val[i])) {
+        if (Msg_SameNode(owner, &args->gone.gone_val[i])) {
             return true;
         }
     }
-    return row->unreleased &&
-           (row->owner.incarnation == 0 || args->gone.gone_len == 0);
+    return false;
 }
 
+/* Lists the active runs of the owners that are gone, and the ends that no
+ * owner has released, whose run may have been of any earlier owner. */
 static void
 list_runs(Runner *runner, int64_t now_ms, const lc_fence_args *args,
           GArray *runs)
@@ -296,28 +297,24 @@
     g_hash_table_iter_init(&iter, runner->tasks);
     while (g_hash_table_iter_next(&iter, NULL, &item)) {
         Runner_Task *row = item;
-        lc_held_run held = {.id = row->id,
-                            .running = row->state != TASK_ENDED,
-                            .status = row->status};
-        if (!RunId_IsDurable(&row->id) || !is_affected(row, args) ||
-            runs->len >= LC_MAX_PAGE) {
+        bool running = row->state != TASK_ENDED;
+        lc_held_run held = {
+            .id = row->id, .running = running, .status = row->status};
+        if (!RunId_IsDurable(&row->id) || runs->len >= LC_MAX_PAGE ||
+            (running ? !is_named(args, &row->owner) : !row->unreleased)) {
             continue;
         }
-        if (row->state != TASK_ENDED) {
+        if (running) {
             transfer_run(runner, now_ms, row, &args->successor);
         }
-        else if (!row->unreleased) {
-            continue;
-        }
         g_array_append_val(runs, held);
     }
 }
 
-/* Lists the ended runs of the owners that are gone whose starts the upstream
- * may still execute. */
+/* Lists the ended runs, of whichever owner, whose starts the upstream may
+ * still execute. */
 static void
-list_late_starts(const Runner *runner, int64_t now_ms,
-                 const lc_fence_args *args, GArray *late_starts)
+list_late_starts(const Runner *runner, int64_t now_ms, GArray *late_starts)
 {
     GHashTableIter iter;
     gpointer item;
@@ -328,8 +325,7 @@
         lc_late_start late = {.id = row->id};
         late.late_start_ms = RunnerLateStart_RunMs(runner, now_ms, row);
         if (RunId_IsDurable(&row->id) && row->state == TASK_ENDED &&
-            late.late_start_ms > 0 && is_affected(row, args) &&
-            late_starts->len < LC_MAX_PAGE) {
+            late.late_start_ms > 0 && late_starts->len < LC_MAX_PAGE) {
             g_array_append_val(late_starts, late);
         }
     }
@@ -351,7 +347,7 @@
             add_fenced(runner, now_ms, &args->gone.gone_val[i]);
         }
         list_runs(runner, now_ms, args, runs);
-        list_late_starts(runner, now_ms, args, late_starts);
+        list_late_starts(runner, now_ms, late_starts);
     }
     reply.u.fence.runs.runs_len = runs->len;
     reply.u.fence.runs.runs_val = (lc_held_run *)(void *)runs->data;
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -63,6 +63,7 @@
 check registry_rules "$SANITIZED/tests/registry_rules"
 check choice_rules "$SANITIZED/tests/choice_rules"
 check halls_rules "$SANITIZED/tests/halls_rules"
+check claims_rules "$SANITIZED/tests/claims_rules"
 check kept_rules "$SANITIZED/tests/kept_rules"
 check rules "$SANITIZED/tests/rules"
 check fuzz "$SANITIZED/tests/fuzz" tests/corpus 300
--- a/tests/kept_rules.c
+++ b/tests/kept_rules.c
@@ -37,6 +37,8 @@
     lc_run_id run;
     int64_t valid_until_ms; /* of a RUN */
     uint64_t kept;          /* owner renewed by a RENEW, or 0 */
+    u_int named;            /* owners named by a FENCE */
+    lc_node last_named;
 } sent_call;
 
 typedef struct {
@@ -124,6 +126,10 @@
     else if (call->kind == MSG_RENEW) {
         sent.kept = call->u.renew.kept;
     }
+    else if (call->kind == MSG_FENCE && call->u.fence.gone.gone_len > 0) {
+        sent.named = call->u.fence.gone.gone_len;
+        sent.last_named = call->u.fence.gone.gone_val[sent.named - 1];
+    }
     g_array_append_val(fix->calls, sent);
 }
 
@@ -1192,6 +1198,108 @@
     free_fixture(&fix);
 }
 
+/* Owner number @p number of a job that passes from owner to owner. */
+static lc_node
+chain_owner(uint32_t number)
+{
+    lc_node node = {0x7f0000011c00 + number % 13, 3000 + number};
+
+    return node;
+}
+
+/* This entry is the last of @p changes successors of the first owner of job 7.
+ */
+static void
+claim_after(fixture *fix, uint32_t changes)
+{
+    lc_node owner = chain_owner(0);
+    uint32_t i;
+
+    new_fixture(fix);
+    read_submit(fix, 7, &owner);
+    advance(fix, 3000);
+    for (i = 1; i <= changes; i++) {
+        lc_node successor = i == changes ? own_identity(fix) : chain_owner(i);
+        read_claim(fix, &owner, &successor);
+        owner = successor;
+    }
+    advance(fix, 50);
+}
+
+/* Guards against a job that nobody owns, or whose tasks are started beside
+ * those at work, once its owner has changed often. */
+static void
+test_owner_after_many_changes(void)
+{
+    static const uint32_t changes[] = {2, 63, 64, 65, 66, 130, 1000};
+    guint i;
+
+    for (i = 0; i < G_N_ELEMENTS(changes); i++) {
+        fixture fix;
+        claim_after(&fix, changes[i]);
+        g_assert_cmpint(count_calls(&fix, MSG_FENCE), ==, 1);
+        g_assert_cmpuint(last_call(&fix, MSG_FENCE)->named, ==, changes[i]);
+        g_assert_cmpint(count_calls(&fix, MSG_RUN), ==, 0);
+        answer_fence(&fix, NULL);
+        fix.now_ms += 5;
+        read_log(&fix);
+        g_assert_cmpint(count_calls(&fix, MSG_RUN), ==, 1);
+        g_assert_cmpuint(last_call(&fix, MSG_RUN)->run.run, ==,
+                         1024 + changes[i] * 1024 + 1);
+        free_fixture(&fix);
+    }
+}
+
+/* Guards against a run that goes on beside a second one, as its companion is
+ * not told of an owner that may still give orders. */
+static void
+test_all_predecessors_are_named(void)
+{
+    lc_held_run held = {.id = {.job = 7, .run = 1025}, .running = true};
+    lc_node first = chain_owner(0);
+    fixture fix;
+
+    claim_after(&fix, 2500);
+    g_assert_cmpuint(last_call(&fix, MSG_FENCE)->named, ==, 1024);
+    answer_fence(&fix, NULL);
+    g_assert_cmpuint(last_call(&fix, MSG_FENCE)->named, ==, 1024);
+    answer_fence(&fix, NULL);
+    g_assert_cmpint(count_calls(&fix, MSG_FENCE), ==, 3);
+    g_assert_cmpuint(last_call(&fix, MSG_FENCE)->named, ==, 452);
+    g_assert_true(
+        Msg_SameNode(&last_call(&fix, MSG_FENCE)->last_named, &first));
+    advance(&fix, 100);
+    g_assert_cmpint(count_calls(&fix, MSG_RUN), ==, 0);
+    answer_fence(&fix, &held);
+    advance(&fix, 100);
+    g_assert_cmpuint(last_call(&fix, MSG_RUN)->run.run, ==, 1025);
+    free_fixture(&fix);
+}
+
+/* A takeover that is complete is recorded, and later successors do not ask for
+ * the runs of the owners before it. */
+static void
+test_complete_takeover_is_recorded(void)
+{
+    lc_node successor;
+    fixture fix;
+
+    claim_other_owner(&fix);
+    g_assert_cmpuint(fix.puts->len, ==, 1);
+    answer_fence(&fix, NULL);
+    fix.now_ms += 5;
+    read_log(&fix);
+    g_assert_cmpuint(fix.puts->len, ==, 2);
+    read_put(&fix, 2);
+    successor = own_identity(&fix);
+    read_claim(&fix, &successor, &third_owner);
+    successor = own_identity(&fix);
+    read_claim(&fix, &third_owner, &successor);
+    advance(&fix, 50);
+    g_assert_cmpuint(last_call(&fix, MSG_FENCE)->named, ==, 2);
+    free_fixture(&fix);
+}
+
 /* The upstream of the only companion is on trial, where a task that may be
  * started late is not retried. */
 static void
@@ -1849,6 +1957,12 @@
     {"/durable/reads the last records of the old owner",
      test_successor_reads_last_progress},
     {"/durable/adopts ends held by companions", test_successor_takes_held_end},
+    {"/durable/the last of many successors owns the job",
+     test_owner_after_many_changes},
+    {"/durable/names all predecessors to companions",
+     test_all_predecessors_are_named},
+    {"/durable/names predecessors until a takeover is complete",
+     test_complete_takeover_is_recorded},
     {"/durable/binds tasks to late starts found at companions",
      test_successor_waits_for_late_start},
     {"/durable/adopts active runs", test_successor_adopts_active_run},
--- a/tests/lease_sim.cc
+++ b/tests/lease_sim.cc
@@ -136,6 +136,9 @@
         hold_forwards(1 + action.target % (plan.entries - 1),
                       now + SILENT_MS + action.length_ms / HELD_DIVISOR);
         break;
+    case Fault::ReplaceOwners:
+        replace_owner(until);
+        break;
     case Fault::Count:
         break;
     }
--- a/tests/lease_sim.h
+++ b/tests/lease_sim.h
@@ -64,9 +64,11 @@
                   */
     Count,
     /* Not among the faults of any kind: */
-    HoldForwards /**< holds up the connection from the first entry to another
+    HoldForwards, /**< holds up the connection from the first entry to another
                       until the entry has given it up and opened another; then
                       the held calls arrive */
+    ReplaceOwners /**< again and again an entry that owns a durable job is
+                       stopped as planned, or killed */
 };
 
 /** One fault of a plan. Times are ms since the start of the simulation. */
@@ -121,6 +123,7 @@
     uint64_t durable_accepted = 0;
     uint64_t durable_succeeded = 0;
     uint64_t claims = 0;
+    uint64_t owners_replaced = 0;
     uint64_t forwards = 0; /**< forwarded jobs that reached an entry */
     uint64_t forwards_accepted = 0; /**< of those, accepted by it */
     int max_crashes = 0; /**< most crashes of upstreams under one submission */
--- a/tests/lease_sim_nodes.cc
+++ b/tests/lease_sim_nodes.cc
@@ -9,6 +9,9 @@
 const int64_t HEARTBEAT_MS = 500;
 const uint64_t DELAYED_EVERY = 5;
 const int64_t HEARTBEAT_DELAY_MS = 1200;
+/* An owner that is replaced owned jobs for about this long. */
+const int64_t OWNER_LASTS_MS = 500;
+const int64_t OWNER_AWAY_MS = 400;
 
 } // namespace
 
@@ -418,6 +421,39 @@
     });
 }
 
+static bool
+owns_durable_job(const EntryNode *entry, int64_t now)
+{
+    json_t *dump = DurableJobs_Dump(entry->durable_jobs, now);
+    bool owns = json_integer_value(json_object_get(dump, "owned")) > 0 &&
+                !json_is_true(json_object_get(dump, "leaving"));
+
+    json_decref(dump);
+    return owns;
+}
+
+/* One owner in three is killed, the others hand their jobs over. */
+void
+Simulation::replace_owner(int64_t until)
+{
+    if (now >= until) {
+        return;
+    }
+    for (uint32_t i = 0; i < plan.entries; i++) {
+        if (!entries[i].alive || !owns_durable_job(&entries[i], now)) {
+            continue;
+        }
+        if (report.owners_replaced++ % 3 == 2) {
+            kill_entry(i, OWNER_AWAY_MS);
+        }
+        else {
+            stop_entry(i, OWNER_AWAY_MS);
+        }
+        break;
+    }
+    schedule(now + OWNER_LASTS_MS, [this, until] { replace_owner(until); });
+}
+
 void
 Simulation::kill_companion(uint32_t index, int64_t for_ms)
 {
--- a/tests/lease_sim_state.h
+++ b/tests/lease_sim_state.h
@@ -350,6 +350,7 @@
     void start_companion(uint32_t index);
     void kill_entry(uint32_t index, int64_t for_ms);
     void stop_entry(uint32_t index, int64_t length_ms);
+    void replace_owner(int64_t until);
     void kill_companion(uint32_t index, int64_t for_ms);
     void break_link(uint32_t entry, uint32_t companion);
     void run_heartbeats(uint32_t index);
--- a/tests/prop_lease.cc
+++ b/tests/prop_lease.cc
@@ -593,6 +593,30 @@
     return good;
 }
 
+/* The owner of a job that lasts is replaced more often than any number of
+ * owners that may be kept, then all entries are killed at once: the job is
+ * neither lost nor started beside itself. */
+bool
+check_many_owners()
+{
+    const uint64_t replaced = 80;
+    lease::Plan plan;
+
+    use_service(&plan);
+    plan.entries = 13;
+    plan.length_ms = 156000;
+    plan.durable_every_ms = 0;
+    plan.actions = {{lease::Fault::ReplaceOwners, 4000, 150000, 0, 0}};
+    for (uint32_t i = 0; i < plan.entries; i++) {
+        plan.actions.push_back({lease::Fault::KillEntry, 155000, 500, i, i});
+    }
+    lease::Report report = lease::simulate(plan);
+    add_to_total(report);
+    fprintf(stderr, "%s%lu owners replaced\n", report.text().c_str(),
+            (unsigned long)report.owners_replaced);
+    return report.violations.empty() && report.owners_replaced >= replaced;
+}
+
 /* No entry reaches the store while a hall is closed, reopened and closed
  * again: companions must read the store themselves. */
 bool
@@ -623,8 +647,8 @@
 
 } // namespace
 
-/* Without an argument all properties are checked; "services" and "others"
- * check one part each. */
+/* Without an argument all properties are checked; "services", "owners" and
+ * "others" check one part each. */
 int
 main(int argc, char **argv)
 {
@@ -637,6 +661,9 @@
         fprintf(stderr, "%s", report.text().c_str());
         return report.violations.empty() ? 0 : 1;
     }
+    if (part == "owners") {
+        return check_many_owners() ? 0 : 1;
+    }
     if (part == "services") {
         return check_all_services() ? 0 : 1;
     }
@@ -646,6 +673,7 @@
     good &= check_store_cut_off();
     good &= check_claimed_owners();
     good &= check_power_loss_without_store();
+    good &= check_many_owners();
     good &= check_regression_plans();
     good &= rc::check("no two runs, capacity, answers, few faults",
                       [] { check_any_faults(3); });
--- a/tests/runner_rules.c
+++ b/tests/runner_rules.c
@@ -479,6 +479,29 @@
     Runner_Free(fix.runner);
 }
 
+/* Guards against a second start of a task whose end is held here of an owner
+ * that its successor does not name any more. */
+static void
+test_held_end_of_earlier_owner_is_told(void)
+{
+    const Runner_EndedRun ended = {
+        1, RunnerFix_Run(1, RUN_ID_DURABLE_BASE + 1), RUNNER_END_DONE};
+    lc_node other = {0x7f0000011b5a, 1};
+    runner_fixture fix;
+
+    RunnerFix_NewReady(&fix);
+    RunnerFix_CallRun(&fix, 1, RUN_ID_DURABLE_BASE + 1, 1000, 1000);
+    Runner_OnStarted(fix.runner, fix.now_ms, fix.start_id,
+                     RUNNER_ORDER_ACCEPTED, CLOCK_MS);
+    RunnerFix_Fence(&fix, &other);
+    g_assert_cmpuint(fix.held_runs, ==, 0);
+    RunnerFix_AnswerPoll(&fix, NULL, 0, &ended, 1);
+    RunnerFix_Fence(&fix, &other);
+    g_assert_cmpuint(fix.held_runs, ==, 1);
+    g_assert_cmpuint(fix.held.id.job, ==, 1);
+    Runner_Free(fix.runner);
+}
+
 static lc_upstream_state
 reported_state(const runner_fixture *fix)
 {
@@ -721,6 +744,8 @@
     {"/runner/keeps an owner fenced when many others are",
      test_many_fenced_owners},
     {"/runner/transfers runs to the successor", test_fence_hands_over},
+    {"/runner/tells any successor of a held end",
+     test_held_end_of_earlier_owner_is_told},
     {"/runner/an end is not acknowledged before its release",
      test_unreleased_end_is_not_acknowledged},
     {"/runner/a full list of ends takes no runs",
--- a/wire/levercove.h
+++ b/wire/levercove.h
@@ -699,6 +699,7 @@
 	LC_KEPT_CANCEL = 2,
 	LC_KEPT_CLAIM = 3,
 	LC_KEPT_ALIVE = 4,
+	LC_KEPT_COMPLETE = 5,
 };
 typedef enum lc_kept_kind lc_kept_kind;
 
@@ -752,6 +753,7 @@
 		char *queue;
 		lc_kept_claim claim;
 		lc_node alive;
+		lc_node complete;
 	} lc_kept_body_u;
 };
 typedef struct lc_kept_body lc_kept_body;
--- a/wire/levercove.x
+++ b/wire/levercove.x
@@ -602,7 +602,8 @@
     LC_KEPT_PROGRESS = 1,
     LC_KEPT_CANCEL = 2,
     LC_KEPT_CLAIM = 3,
-    LC_KEPT_ALIVE = 4
+    LC_KEPT_ALIVE = 4,
+    LC_KEPT_COMPLETE = 5
 };
 
 enum lc_kept_outcome {
@@ -647,6 +648,8 @@
     lc_kept_claim claim;
 case LC_KEPT_ALIVE:
     lc_node alive;
+case LC_KEPT_COMPLETE:
+    lc_node complete; /* the claimed owner whose takeover is complete */
 };
 
 struct lc_kept_record {
--- a/wire/levercove_xdr.c
+++ b/wire/levercove_xdr.c
@@ -1445,6 +1445,10 @@
 		 if (!xdr_lc_node (xdrs, &objp->lc_kept_body_u.alive))
 			 return FALSE;
 		break;
+	case LC_KEPT_COMPLETE:
+		 if (!xdr_lc_node (xdrs, &objp->lc_kept_body_u.complete))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
