Claim an owner once under each identity

What callers could see: two entries that run one job. Shown at the entry and the table, not with processes.

Cause: a claim that was not read back was put again every 3 s under its own key, of which the store keeps the newest record. "A by X @10, A by Y @11, A by X @12" has owner X for an entry that read all records, and owner Y for one that starts later. The same by another way: an entry that is asked to stop twice hands its jobs over twice, to two successors, under one key.

Change: an identity claims an owner at most once. Nothing is lost by it: an append is repeated under its number until the store has it; a claim that had no effect, as this entry was claimed before, is made again under the next identity, which has a key of its own.

--- a/lease/durable_jobs.c
+++ b/lease/durable_jobs.c
@@ -304,7 +304,7 @@
 
     self->leaving = true;
     if (successor.incarnation != 0) {
-        DurableTakeover_PutClaim(self, now_ms, &self->node, &successor);
+        DurableTakeover_PutClaim(self, &self->node, &successor);
     }
 }
 
--- a/lease/durable_jobs_state.h
+++ b/lease/durable_jobs_state.h
@@ -124,11 +124,10 @@
     GArray *recoveries;    /* DurableJobs_Recovery */
     GArray *peers;         /* DurableJobs_Peer */
     GArray *seen_owners;   /* DurableJobs_SeenOwner */
-    GArray *claims;        /* lc_node, owners claimed by recent puts */
+    GArray *claims;        /* lc_node, owners claimed under this identity */
     Handle_Table *calls;   /* DurableJobs_Call */
     int64_t own_record_ms; /* when an own record was last read back */
     int64_t heartbeat_ms;  /* when the last heartbeat record was put */
-    int64_t claimed_ms;    /* when the last claim was put */
     int64_t expiry_checked_ms;
     int64_t last_open_ms;         /* when a job was last open; 0 for never */
     int64_t last_quiet_ms;        /* when nothing last depended on the log */
@@ -204,9 +203,11 @@
 /** Claims the jobs of owners that have been silent for too long. */
 void DurableTakeover_ClaimSilentOwners(DurableJobs *self, int64_t now_ms);
 
-/** Puts a claim that hands the jobs of @p claimed_owner to @p successor. */
-void DurableTakeover_PutClaim(DurableJobs *self, int64_t now_ms,
-                              const lc_node *claimed_owner,
+/** Puts a claim that hands the jobs of @p claimed_owner to @p successor, once
+ * for each identity of this entry: a second record would replace the first
+ * under its key, and an entry that starts later would read it in the place of
+ * a claim by another entry between both. */
+void DurableTakeover_PutClaim(DurableJobs *self, const lc_node *claimed_owner,
                               const lc_node *successor);
 
 /** Another entry that can take over jobs; zeros if there is none. */
--- a/lease/durable_jobs_takeover.c
+++ b/lease/durable_jobs_takeover.c
@@ -10,8 +10,6 @@
 #define CLAIM_STAGGER_MS 400
 /* Claims are made only if the log was read within this time. */
 #define CLAIM_MAX_LOG_AGE_MS 1000
-/* Time before a claim is put again. */
-#define CLAIM_RETRY_MS 3000
 /* All live companions have reported to an entry by this time after its start,
  * or after they were asked to. */
 #define COMPANIONS_REPORTED_MS 2500
@@ -198,21 +196,22 @@
 }
 
 void
-DurableTakeover_PutClaim(DurableJobs *self, int64_t now_ms,
-                         const lc_node *claimed_owner,
+DurableTakeover_PutClaim(DurableJobs *self, const lc_node *claimed_owner,
                          const lc_node *successor)
 {
     lc_kept_record record = {.job = 0};
     lc_kept_claim *claim = &record.body.lc_kept_body_u.claim;
     char key[DURABLE_LOG_KEY_SIZE];
 
+    if (Msg_HasNode(self->claims, claimed_owner)) {
+        return;
+    }
     record.body.kind = LC_KEPT_CLAIM;
     claim->gone = *claimed_owner;
     claim->successor = *successor;
     DurableLog_ClaimKey(claimed_owner, self->node, key);
     DurableJobs_Put(self, key, &record);
     g_array_append_val(self->claims, *claimed_owner);
-    self->claimed_ms = now_ms;
 }
 
 void
@@ -221,9 +220,6 @@
     GPtrArray *open;
     guint i;
 
-    if (now_ms - self->claimed_ms >= CLAIM_RETRY_MS) {
-        g_array_set_size(self->claims, 0);
-    }
     if (DurableJobs_OwnerIncarnation(self, now_ms) == 0 ||
         now_ms - self->log_read_ms > CLAIM_MAX_LOG_AGE_MS) {
         return; /* this entry itself may have been claimed */
@@ -233,9 +229,8 @@
         lc_node owner = DurableLog_OwnerOf(self->log,
                                            g_ptr_array_index(open, i));
         if (!Msg_SameNode(&owner, &self->node) &&
-            !Msg_HasNode(self->claims, &owner) &&
             may_be_claimed(self, now_ms, &owner)) {
-            DurableTakeover_PutClaim(self, now_ms, &owner, &self->node);
+            DurableTakeover_PutClaim(self, &owner, &self->node);
         }
     }
     g_ptr_array_unref(open);
@@ -260,6 +255,7 @@
                        "one");
     g_hash_table_remove_all(self->changed);
     g_hash_table_remove_all(self->jobs);
+    g_array_set_size(self->claims, 0);
     self->node.incarnation++;
     Dispatcher_SetDurableOwner(self->dispatcher, self->node.incarnation);
 }
--- a/tests/kept_rules.c
+++ b/tests/kept_rules.c
@@ -1198,6 +1198,72 @@
     free_fixture(&fix);
 }
 
+static u_int
+count_claims_put(const fixture *fix)
+{
+    u_int count = 0;
+    guint i;
+
+    for (i = 0; i < fix->puts->len; i++) {
+        count += ((const written_record *)g_ptr_array_index(fix->puts, i))
+                     ->key[0] == 'c';
+    }
+    return count;
+}
+
+/* Guards against two owners of a job: a claim that is put again replaces the
+ * first record under its key, so that entries that start later read another
+ * entry's claim as the first one. */
+static void
+test_claim_is_put_once(void)
+{
+    fixture fix;
+
+    new_fixture(&fix);
+    read_submit(&fix, 7, &other_owner);
+    advance(&fix, 20000);
+    g_assert_cmpuint(count_claims_put(&fix), ==, 1);
+    free_fixture(&fix);
+}
+
+/* Guards against two owners of a job: as above, by an entry that is asked to
+ * stop twice and knows another successor the second time. */
+static void
+test_hands_over_once(void)
+{
+    fixture fix;
+
+    new_fixture(&fix);
+    DurableJobs_OnPeer(fix.durable_jobs, fix.now_ms, other_owner.address,
+                       other_owner.incarnation);
+    DurableJobs_HandOver(fix.durable_jobs, fix.now_ms);
+    fix.now_ms += 2000;
+    DurableJobs_OnPeer(fix.durable_jobs, fix.now_ms, third_owner.address,
+                       third_owner.incarnation);
+    DurableJobs_HandOver(fix.durable_jobs, fix.now_ms);
+    g_assert_cmpuint(count_claims_put(&fix), ==, 1);
+    free_fixture(&fix);
+}
+
+/* An entry that was claimed itself may claim an owner again, under its new
+ * identity: its first claim had no effect if it was claimed before. */
+static void
+test_new_identity_claims_again(void)
+{
+    lc_node identity;
+    fixture fix;
+
+    new_fixture(&fix);
+    read_submit(&fix, 7, &other_owner);
+    advance(&fix, 3000);
+    identity = own_identity(&fix);
+    read_claim(&fix, &identity, &third_owner);
+    read_put(&fix, 1);
+    advance(&fix, 3000);
+    g_assert_cmpuint(count_claims_put(&fix), ==, 2);
+    free_fixture(&fix);
+}
+
 /* Owner number @p number of a job that passes from owner to owner. */
 static lc_node
 chain_owner(uint32_t number)
@@ -1957,6 +2023,10 @@
     {"/durable/reads the last records of the old owner",
      test_successor_reads_last_progress},
     {"/durable/adopts ends held by companions", test_successor_takes_held_end},
+    {"/durable/claims an owner once", test_claim_is_put_once},
+    {"/durable/hands its jobs over once", test_hands_over_once},
+    {"/durable/claims again under a new identity",
+     test_new_identity_claims_again},
     {"/durable/the last of many successors owns the job",
      test_owner_after_many_changes},
     {"/durable/names all predecessors to companions",
