Put a submission once until it is read back

What callers could see: two entries that run one job. Shown at the entry, not with processes.

Between the confirmation of a write and its read, an entry knew nothing of a submission; when its caller sent the job again, it was put again under its key. With a submission by another entry in between, "S by X @10, by Y @11, X @12", entries that start later read Y as the first owner, name Y to callers, and claim Y's jobs when Y goes, beside X.

Change: a submission that was written is remembered until the log is read as it stood after that, and answered from it meanwhile.

--- a/lease/durable_jobs_callers.c
+++ b/lease/durable_jobs_callers.c
@@ -85,6 +85,10 @@
         }
         return true;
     }
+    if (waiter != NULL && waiter->written_ms != 0) {
+        answer(self, submit->request_id, DISPATCHER_RECORDED, ERR_OK, "");
+        return true;
+    }
     if (waiter != NULL) {
         add_waiter(self, now_ms, waiter->number, submit->request_id,
                    submit->job->id, submit->route->name, false);
@@ -342,6 +346,23 @@
     g_array_remove_index(self->waiters, index);
 }
 
+/* Carries out the cancellation of a job that was unknown, now that the log was
+ * read. */
+static void
+cancel_if_known(DurableJobs *self, int64_t now_ms,
+                const DurableJobs_Waiter *waiter)
+{
+    if (waiter->request != 0 &&
+        !DurableJobs_OnCancel(self, now_ms, waiter->request, waiter->job,
+                              waiter->queue)) {
+        self->ports->answer_state(self->context, waiter->request,
+                                  DURABLE_JOB_UNKNOWN);
+    }
+}
+
+/* A submission that was written is remembered until it is read back: were it
+ * put again meanwhile, its record would be replaced by a later one under its
+ * key, behind a submission by another entry. */
 void
 DurableCaller_OnLogRead(DurableJobs *self, int64_t now_ms)
 {
@@ -350,17 +371,15 @@
     while (i < self->waiters->len) {
         DurableJobs_Waiter waiter = g_array_index(self->waiters,
                                                   DurableJobs_Waiter, i);
-        if (waiter.number != UINT64_MAX ||
-            self->log_read_ms <= waiter.asked_ms) {
+        bool awaits_read = waiter.number == UINT64_MAX;
+        int64_t since_ms = awaits_read ? waiter.asked_ms : waiter.written_ms;
+        if ((!awaits_read && since_ms == 0) || self->log_read_ms <= since_ms) {
             i++;
             continue;
         }
         g_array_remove_index(self->waiters, i);
-        if (waiter.request != 0 &&
-            !DurableJobs_OnCancel(self, now_ms, waiter.request, waiter.job,
-                                  waiter.queue)) {
-            self->ports->answer_state(self->context, waiter.request,
-                                      DURABLE_JOB_UNKNOWN);
+        if (awaits_read) {
+            cancel_if_known(self, now_ms, &waiter);
         }
         g_free(waiter.queue);
     }
@@ -371,12 +390,11 @@
 {
     guint i = 0;
 
-    (void)now_ms;
     self->written = MAX(self->written, number);
     while (i < self->waiters->len) {
         DurableJobs_Waiter *waiter = &g_array_index(self->waiters,
                                                     DurableJobs_Waiter, i);
-        if (waiter->number > number) {
+        if (waiter->number > number || waiter->written_ms != 0) {
             i++;
             continue;
         }
@@ -386,7 +404,14 @@
                                    : DISPATCHER_RECORDED,
                    ERR_OK, "");
         }
-        remove_waiter(self, i);
+        if (waiter->cancels) {
+            remove_waiter(self, i);
+        }
+        else {
+            waiter->request = 0;
+            waiter->written_ms = now_ms;
+            i++;
+        }
     }
     DurableOwned_SendReleases(self);
 }
--- a/lease/durable_jobs_state.h
+++ b/lease/durable_jobs_state.h
@@ -21,6 +21,8 @@
     uint64_t number; /* of the awaited write; UINT64_MAX: waits until all that
                         the log held at `asked_ms` is read */
     int64_t asked_ms;
+    int64_t written_ms; /* of a submission: when its write was confirmed; 0:
+                           not yet */
     uint64_t request;
     uint64_t job;
     char *queue;
--- a/tests/kept_rules.c
+++ b/tests/kept_rules.c
@@ -542,6 +542,30 @@
     free_fixture(&fix);
 }
 
+/* Guards against two owners of a job: a submission that is put again before it
+ * is read back replaces the first record under its key, so that entries that
+ * start later read another entry's submission as the first one. */
+static void
+test_submission_is_put_once(void)
+{
+    fixture fix;
+
+    new_fixture(&fix);
+    submit(&fix, 7);
+    DurableJobs_OnWritten(fix.durable_jobs, fix.now_ms, 1);
+    fix.now_ms += 500; /* reads stand still */
+    submit(&fix, 7);
+    g_assert_cmpint(fix.answers, ==, 2);
+    g_assert_cmpint(fix.outcome, ==, DISPATCHER_RECORDED);
+    g_assert_cmpuint(fix.puts->len, ==, 1);
+    read_put(&fix, 1);
+    fix.now_ms += 5;
+    read_log(&fix);
+    submit(&fix, 7);
+    g_assert_cmpuint(fix.puts->len, ==, 1);
+    free_fixture(&fix);
+}
+
 static void
 test_first_submission_counts(void)
 {
@@ -1977,6 +2001,8 @@
      test_answered_when_written},
     {"/durable/starts a job once its record is read", test_started_when_read},
     {"/durable/an id identifies one job", test_same_id_is_one_job},
+    {"/durable/puts a submission once until it is read",
+     test_submission_is_put_once},
     {"/durable/the first submission counts", test_first_submission_counts},
     {"/durable/refuses jobs while the log is down", test_refused_without_log},
     {"/durable/times out if the write is not confirmed",
