Ask for no runs of a claimed owner after having been claimed

What callers could see: a task that runs twice. Shown at the entry, not with processes.

Cause: an entry that lost its identity to a claim kept the takeovers that it had not completed, and went on asking companions for their runs, in the name of its next identity. A run that a companion transfers to that one is of no owner that its true successor names, so the successor does not hear of it and starts the task again. The longer a chain of owners that change quickly, the likelier is a takeover that was not complete.

Change: they go with the identity. Whoever claimed it names their owners, as no takeover of them is recorded as complete.

Failed before: kept_rules "a claimed successor asks for no runs".

--- a/lease/durable_jobs_takeover.c
+++ b/lease/durable_jobs_takeover.c
@@ -245,7 +245,20 @@
     g_array_unref(recovery->late_starts);
 }
 
-/* Another entry has claimed the jobs of this one. Their active runs continue
+static void
+clear_recoveries(DurableJobs *self)
+{
+    guint i;
+
+    for (i = 0; i < self->recoveries->len; i++) {
+        DurableTakeover_ClearRecovery(
+            &g_array_index(self->recoveries, DurableJobs_Recovery, i));
+    }
+    g_array_set_size(self->recoveries, 0);
+}
+
+/* Another entry has claimed the jobs of this one, with those whose takeover is
+ * not complete: it asks for their runs too. Their active runs continue
  * under the new owner; this entry continues under a new identity. */
 static void
 reset_identity(DurableJobs *self)
@@ -256,6 +269,7 @@
     g_hash_table_remove_all(self->changed);
     g_hash_table_remove_all(self->jobs);
     g_array_set_size(self->claims, 0);
+    clear_recoveries(self);
     self->node.incarnation++;
     Dispatcher_SetDurableOwner(self->dispatcher, self->node.incarnation);
 }
--- a/tests/kept_rules.c
+++ b/tests/kept_rules.c
@@ -1222,6 +1222,30 @@
     free_fixture(&fix);
 }
 
+/* Guards against runs that are transferred to an entry that does not own their
+ * jobs any more, so that its successor does not hear of them. */
+static void
+test_claimed_successor_asks_no_more(void)
+{
+    lc_node identity;
+    fixture fix;
+
+    new_fixture(&fix);
+    read_submit(&fix, 7, &other_owner);
+    advance(&fix, 3000);
+    identity = own_identity(&fix);
+    read_claim(&fix, &other_owner, &identity);
+    advance(&fix, 50);
+    g_assert_cmpint(count_calls(&fix, MSG_FENCE), ==, 1);
+    read_claim(&fix, &identity, &third_owner);
+    /* The call is lost. */
+    DurableJobs_OnReply(fix.durable_jobs, fix.now_ms,
+                        last_call(&fix, MSG_FENCE)->id, NULL);
+    advance(&fix, 1000);
+    g_assert_cmpint(count_calls(&fix, MSG_FENCE), ==, 1);
+    free_fixture(&fix);
+}
+
 static u_int
 count_claims_put(const fixture *fix)
 {
@@ -2049,6 +2073,8 @@
     {"/durable/reads the last records of the old owner",
      test_successor_reads_last_progress},
     {"/durable/adopts ends held by companions", test_successor_takes_held_end},
+    {"/durable/a claimed successor asks for no runs",
+     test_claimed_successor_asks_no_more},
     {"/durable/claims an owner once", test_claim_is_put_once},
     {"/durable/hands its jobs over once", test_hands_over_once},
     {"/durable/claims again under a new identity",
