Act upon claims only once all records up to the end of a read are known

What callers could see: a task that runs twice. Shown at the entry, not with processes.

Cause: an entry that reads the newest record of each key gets them by key, not in the order of the log. A claim in its favour that is read before an earlier one of the same owner seemed to take effect: the entry asked companions for the runs of that owner, which they transferred to it, and the true successor did not hear of them.

Change: while the newest records are read, claims only go into the table; the entry acts upon them, and starts jobs that it may own, at the end of the read, when they are judged in the order of the log.

Failed before: kept_rules "a claim is judged once all newest records are read". Without the check in DurableOwned_StartAll it fails too: a job would be started without its takeover.

--- a/daemon/leased_durable.c
+++ b/daemon/leased_durable.c
@@ -23,6 +23,12 @@
                          &record);
 }
 
+static void
+on_begin(void *context)
+{
+    DurableJobs_OnNewest(((Leased_Entry *)context)->durable_jobs);
+}
+
 static void
 on_read(void *context, int64_t requested_ms, uint64_t end)
 {
@@ -51,7 +57,10 @@
 }
 
 static const KeyedLog_Ports log_ports = {
-    .reader = {.send = LeasedStore_Send, .record = on_record, .read = on_read},
+    .reader = {.send = LeasedStore_Send,
+               .record = on_record,
+               .begin = on_begin,
+               .read = on_read},
     .written = on_written,
     .refused = on_refused,
 };
--- a/lease/durable_jobs.c
+++ b/lease/durable_jobs.c
@@ -42,6 +42,7 @@
     self->seen_owners = g_array_new(FALSE, TRUE,
                                     sizeof(DurableJobs_SeenOwner));
     self->claims = g_array_new(FALSE, TRUE, sizeof(lc_node));
+    self->taken_over = g_array_new(FALSE, TRUE, sizeof(lc_node));
     self->calls = Handle_NewTable();
     Dispatcher_SetDurableOwner(dispatcher, self->node.incarnation);
     return self;
@@ -89,6 +90,7 @@
     g_array_unref(self->peers);
     g_array_unref(self->seen_owners);
     g_array_unref(self->claims);
+    g_array_unref(self->taken_over);
     DurableLog_Free(self->log);
     g_free(self);
 }
@@ -130,6 +132,12 @@
     DurableOwned_Remove(self, row);
 }
 
+void
+DurableJobs_OnNewest(DurableJobs *self)
+{
+    self->claims_unread = true;
+}
+
 void
 DurableJobs_OnRecord(DurableJobs *self, int64_t now_ms,
                      const DurableLog_Record *record)
@@ -151,8 +159,13 @@
         DurableTakeover_OnOwnerRecord(self, now_ms, change.claimed_owner);
         break;
     case DURABLE_LOG_CLAIMED:
-        DurableTakeover_OnClaim(self, now_ms, change.claimed_owner,
-                                change.successor);
+        if (!self->claims_unread) {
+            DurableTakeover_OnClaim(self, now_ms, change.claimed_owner,
+                                    change.successor);
+        }
+        break;
+    case DURABLE_LOG_REORDERED:
+        self->claims_unread = true;
         break;
     default:
         break;
@@ -165,6 +178,10 @@
     self->log_read_ms = MAX(self->log_read_ms, requested_ms);
     Dispatcher_AllowDurable(self->dispatcher, self->log_read_ms,
                             self->log_read_ms + DURABLE_JOBS_LOG_TIMEOUT_MS);
+    if (self->claims_unread) {
+        self->claims_unread = false;
+        DurableTakeover_OnAllClaims(self, now_ms);
+    }
     DurableTakeover_OnLogRead(self);
     DurableTakeover_AdvanceRecoveries(self, now_ms);
     DurableOwned_StartAll(self, now_ms);
--- a/lease/durable_jobs.h
+++ b/lease/durable_jobs.h
@@ -117,6 +117,10 @@
  * queue. Queue names are borrowed. */
 void DurableJobs_CountWaiting(const DurableJobs *self, QueueCounts *counts);
 
+/** The newest record of each key is about to be read, in any order: claims
+ * take no effect before DurableJobs_OnLogRead. */
+void DurableJobs_OnNewest(DurableJobs *self);
+
 /** Applies a record read from the log. */
 void DurableJobs_OnRecord(DurableJobs *self, int64_t now_ms,
                           const DurableLog_Record *record);
--- a/lease/durable_jobs_owned.c
+++ b/lease/durable_jobs_owned.c
@@ -444,7 +444,9 @@
     GPtrArray *open;
     guint i;
 
-    if (!self->has_unstarted) {
+    /* A claim that is not acted upon yet may give jobs to this entry that are
+     * at work elsewhere. */
+    if (!self->has_unstarted || self->claims_unread) {
         return;
     }
     self->has_unstarted = false;
--- a/lease/durable_jobs_state.h
+++ b/lease/durable_jobs_state.h
@@ -127,6 +127,8 @@
     GArray *peers;         /* DurableJobs_Peer */
     GArray *seen_owners;   /* DurableJobs_SeenOwner */
     GArray *claims;        /* lc_node, owners claimed under this identity */
+    GArray *taken_over;    /* lc_node, owners whose takeover was begun under
+                              this identity */
     Handle_Table *calls;   /* DurableJobs_Call */
     int64_t own_record_ms; /* when an own record was last read back */
     int64_t heartbeat_ms;  /* when the last heartbeat record was put */
@@ -139,6 +141,7 @@
                                      without a break; 0: none is heard */
     int64_t reports_checked_ms;   /* when this was last updated */
     bool leaving;
+    bool claims_unread; /* later records may undo claims that were read */
     bool has_unstarted; /* owned jobs may be waiting to be started */
 };
 
@@ -228,6 +231,10 @@
 void DurableTakeover_OnClaim(DurableJobs *self, int64_t now_ms,
                              lc_node claimed_owner, lc_node successor);
 
+/** All claims up to the last read of the log are known, and any of them may be
+ * new. */
+void DurableTakeover_OnAllClaims(DurableJobs *self, int64_t now_ms);
+
 /** Sends FENCE calls to companions; starts the jobs of a recovery once all
  * companions have answered. */
 void DurableTakeover_AdvanceRecoveries(DurableJobs *self, int64_t now_ms);
--- a/lease/durable_jobs_takeover.c
+++ b/lease/durable_jobs_takeover.c
@@ -269,25 +269,22 @@
     g_hash_table_remove_all(self->changed);
     g_hash_table_remove_all(self->jobs);
     g_array_set_size(self->claims, 0);
+    g_array_set_size(self->taken_over, 0);
     clear_recoveries(self);
     self->node.incarnation++;
     Dispatcher_SetDurableOwner(self->dispatcher, self->node.incarnation);
 }
 
-void
-DurableTakeover_OnClaim(DurableJobs *self, int64_t now_ms,
-                        lc_node claimed_owner, lc_node successor)
+static void
+begin_recovery(DurableJobs *self, int64_t now_ms, lc_node claimed_owner)
 {
     DurableJobs_Recovery recovery = {.claimed_owner = claimed_owner,
                                      .claimed_ms = now_ms};
 
-    if (Msg_SameNode(&claimed_owner, &self->node)) {
-        reset_identity(self);
-        return;
-    }
-    if (!Msg_SameNode(&successor, &self->node)) {
+    if (Msg_HasNode(self->taken_over, &claimed_owner)) {
         return;
     }
+    g_array_append_val(self->taken_over, claimed_owner);
     self->ports->event(self->context, EVENT_KEPT_CLAIMED,
                        Address_Text(claimed_owner.address));
     recovery.predecessors = Claims_Predecessors(DurableLog_Claims(self->log),
@@ -297,9 +294,41 @@
     recovery.late_starts = g_array_new(FALSE, TRUE, sizeof(LateStart));
     g_array_append_val(self->recoveries, recovery);
     self->has_unstarted = true;
+}
+
+void
+DurableTakeover_OnClaim(DurableJobs *self, int64_t now_ms,
+                        lc_node claimed_owner, lc_node successor)
+{
+    if (Msg_SameNode(&claimed_owner, &self->node)) {
+        reset_identity(self);
+        return;
+    }
+    if (!Msg_SameNode(&successor, &self->node)) {
+        return;
+    }
+    begin_recovery(self, now_ms, claimed_owner);
     DurableTakeover_AdvanceRecoveries(self, now_ms);
 }
 
+void
+DurableTakeover_OnAllClaims(DurableJobs *self, int64_t now_ms)
+{
+    Claims *claims = DurableLog_Claims(self->log);
+    GArray *claimed;
+    guint i;
+
+    if (Claims_SuccessorOf(claims, &self->node).incarnation != 0) {
+        reset_identity(self);
+        return;
+    }
+    claimed = Claims_ClaimedBy(claims, &self->node);
+    for (i = 0; i < claimed->len; i++) {
+        begin_recovery(self, now_ms, g_array_index(claimed, lc_node, i));
+    }
+    g_array_unref(claimed);
+}
+
 static DurableJobs_Recovery *
 find_recovery(const DurableJobs *self, const lc_node *claimed_owner)
 {
--- a/tests/kept_rules.c
+++ b/tests/kept_rules.c
@@ -1246,6 +1246,63 @@
     free_fixture(&fix);
 }
 
+/* Guards against runs that are transferred to an entry whose claim has no
+ * effect: it reads its claim before an earlier one, as the newest record of
+ * each key comes by key. */
+static void
+test_void_claim_among_newest(void)
+{
+    lc_node identity;
+    fixture fix;
+
+    new_fixture(&fix);
+    advance(&fix, 1000);
+    identity = own_identity(&fix);
+    DurableJobs_OnNewest(fix.durable_jobs);
+    fix.offset = 20;
+    read_claim(&fix, &other_owner, &identity);
+    fix.offset = 10;
+    read_submit(&fix, 7, &other_owner);
+    DurableJobs_Tick(fix.durable_jobs, fix.now_ms);
+    flush(&fix);
+    g_assert_cmpint(count_calls(&fix, MSG_RUN), ==, 0);
+    fix.offset = 15;
+    read_claim(&fix, &other_owner, &third_owner);
+    read_log(&fix);
+    g_assert_cmpint(count_calls(&fix, MSG_FENCE), ==, 0);
+    g_assert_cmpint(count_calls(&fix, MSG_RUN), ==, 0);
+    free_fixture(&fix);
+}
+
+/* Guards against a claim that is known and not acted upon, as it was read
+ * among the newest records. */
+static void
+test_claim_among_newest(void)
+{
+    lc_node identity;
+    fixture fix;
+
+    new_fixture(&fix);
+    read_submit(&fix, 7, &other_owner);
+    advance(&fix, 3000);
+    identity = own_identity(&fix);
+    DurableJobs_OnNewest(fix.durable_jobs);
+    fix.offset = 20;
+    read_claim(&fix, &third_owner, &identity);
+    fix.offset = 15;
+    read_claim(&fix, &other_owner, &third_owner);
+    advance(&fix, 50);
+    answer_fence(&fix, NULL);
+    advance(&fix, 50);
+    g_assert_cmpint(count_calls(&fix, MSG_RUN), ==, 1);
+    DurableJobs_OnNewest(fix.durable_jobs);
+    fix.offset = 15;
+    read_claim(&fix, &other_owner, &third_owner);
+    advance(&fix, 50);
+    g_assert_cmpint(count_calls(&fix, MSG_FENCE), ==, 1);
+    free_fixture(&fix);
+}
+
 static u_int
 count_claims_put(const fixture *fix)
 {
@@ -2075,6 +2132,10 @@
     {"/durable/adopts ends held by companions", test_successor_takes_held_end},
     {"/durable/a claimed successor asks for no runs",
      test_claimed_successor_asks_no_more},
+    {"/durable/a claim is judged once all newest records are read",
+     test_void_claim_among_newest},
+    {"/durable/acts upon claims among the newest records",
+     test_claim_among_newest},
     {"/durable/claims an owner once", test_claim_is_put_once},
     {"/durable/hands its jobs over once", test_hands_over_once},
     {"/durable/claims again under a new identity",
--- a/tests/lease_sim_durable.cc
+++ b/tests/lease_sim_durable.cc
@@ -143,6 +143,7 @@
         last[store.log[i].key] = i;
     }
     if (newest) {
+        DurableJobs_OnNewest(entry->durable_jobs);
         /* Ordered by key, like the store's pages. */
         for (auto &pair : last) {
             const SimStore::Record &row = store.log[pair.second];
