Claim any number of silent owners

What callers could see: accepted jobs that stay `pending`. Shown at the entry, not with processes.

An entry remembered when it had seen the owners of open jobs, 256 at most, and dropped the oldest.

Change: a table by owner, from which those without an open job are removed at each look, so its size is bounded by what is open.

Failed before: kept_rules "claims any number of silent owners".

--- a/lease/claims.c
+++ b/lease/claims.c
@@ -19,34 +19,18 @@
 } owner_row;
 
 struct Claims {
-    GHashTable *owners; /* set of owner_row, by node */
+    GHashTable *owners; /* lc_node -> owner_row */
     GArray *records;    /* claim_record, by offset if `judged` */
     bool judged;
 };
 
-static guint
-hash_owner(gconstpointer item)
-{
-    const owner_row *row = item;
-    uint64_t both = row->node.address * 31 + row->node.incarnation;
-
-    return g_int64_hash(&both);
-}
-
-static gboolean
-same_owner(gconstpointer a, gconstpointer b)
-{
-    return Msg_SameNode(&((const owner_row *)a)->node,
-                        &((const owner_row *)b)->node);
-}
-
 Claims *
 Claims_New(void)
 {
     Claims *claims = g_new0(Claims, 1);
 
-    claims->owners = g_hash_table_new_full(hash_owner, same_owner, g_free,
-                                           NULL);
+    claims->owners = g_hash_table_new_full(Msg_HashNode, Msg_EqualNodes, NULL,
+                                           g_free);
     claims->records = g_array_new(FALSE, FALSE, sizeof(claim_record));
     claims->judged = true;
     return claims;
@@ -63,9 +47,7 @@
 static owner_row *
 find_owner(const Claims *claims, const lc_node *node)
 {
-    owner_row key = {.node = *node};
-
-    return g_hash_table_lookup(claims->owners, &key);
+    return g_hash_table_lookup(claims->owners, node);
 }
 
 static owner_row *
@@ -76,7 +58,7 @@
     if (row == NULL) {
         row = g_new0(owner_row, 1);
         row->node = *node;
-        g_hash_table_add(claims->owners, row);
+        g_hash_table_insert(claims->owners, &row->node, row);
     }
     return row;
 }
@@ -136,7 +118,7 @@
     }
     claims->judged = true;
     g_hash_table_iter_init(&iter, claims->owners);
-    while (g_hash_table_iter_next(&iter, &item, NULL)) {
+    while (g_hash_table_iter_next(&iter, NULL, &item)) {
         owner_row *row = item;
         row->successor = NULL;
         row->first_claimed = NULL;
--- a/lease/durable_jobs.c
+++ b/lease/durable_jobs.c
@@ -39,8 +39,8 @@
     self->ends = g_array_new(FALSE, TRUE, sizeof(DurableJobs_RunEnd));
     self->recoveries = g_array_new(FALSE, TRUE, sizeof(DurableJobs_Recovery));
     self->peers = g_array_new(FALSE, TRUE, sizeof(DurableJobs_Peer));
-    self->seen_owners = g_array_new(FALSE, TRUE,
-                                    sizeof(DurableJobs_SeenOwner));
+    self->seen_owners = g_hash_table_new_full(Msg_HashNode, Msg_EqualNodes,
+                                              NULL, g_free);
     self->claims = g_array_new(FALSE, TRUE, sizeof(lc_node));
     self->taken_over = g_array_new(FALSE, TRUE, sizeof(lc_node));
     self->calls = Handle_NewTable();
@@ -88,7 +88,7 @@
     g_array_unref(self->ends);
     g_array_unref(self->recoveries);
     g_array_unref(self->peers);
-    g_array_unref(self->seen_owners);
+    g_hash_table_unref(self->seen_owners);
     g_array_unref(self->claims);
     g_array_unref(self->taken_over);
     DurableLog_Free(self->log);
--- a/lease/durable_jobs_state.h
+++ b/lease/durable_jobs_state.h
@@ -95,6 +95,7 @@
 typedef struct {
     lc_node owner;
     int64_t since_ms; /* when it was first seen, or its last record was read */
+    int64_t looked_up_ms;
 } DurableJobs_SeenOwner;
 
 /* A pending call to a companion. */
@@ -125,13 +126,13 @@
     GArray *unknown_ends;  /* DurableJobs_UnknownEnd */
     GArray *recoveries;    /* DurableJobs_Recovery */
     GArray *peers;         /* DurableJobs_Peer */
-    GArray *seen_owners;   /* DurableJobs_SeenOwner */
-    GArray *claims;        /* lc_node, owners claimed under this identity */
-    GArray *taken_over;    /* lc_node, owners whose takeover was begun under
-                              this identity */
-    Handle_Table *calls;   /* DurableJobs_Call */
-    int64_t own_record_ms; /* when an own record was last read back */
-    int64_t heartbeat_ms;  /* when the last heartbeat record was put */
+    GHashTable *seen_owners; /* lc_node -> DurableJobs_SeenOwner */
+    GArray *claims;          /* lc_node, owners claimed under this identity */
+    GArray *taken_over;      /* lc_node, owners whose takeover was begun under
+                                this identity */
+    Handle_Table *calls;     /* DurableJobs_Call */
+    int64_t own_record_ms;   /* when an own record was last read back */
+    int64_t heartbeat_ms;    /* when the last heartbeat record was put */
     int64_t expiry_checked_ms;
     int64_t last_open_ms;         /* when a job was last open; 0 for never */
     int64_t last_quiet_ms;        /* when nothing last depended on the log */
--- a/lease/durable_jobs_takeover.c
+++ b/lease/durable_jobs_takeover.c
@@ -18,7 +18,6 @@
  * about 0.1 s later in undisturbed operation; those beyond are fetched again.
  */
 #define MAX_UNKNOWN_ENDS 1024
-#define MAX_SEEN_OWNERS 256
 /* An owner that has written nothing for this long puts a heartbeat record. */
 #define OWNER_HEARTBEAT_MS 700
 /* An entry that has not looked for this long, as it stood still, has missed
@@ -115,21 +114,31 @@
 static int64_t
 owner_seen_ms(DurableJobs *self, int64_t now_ms, const lc_node *owner)
 {
-    DurableJobs_SeenOwner fresh = {*owner, now_ms};
-    guint i;
+    DurableJobs_SeenOwner *row = g_hash_table_lookup(self->seen_owners, owner);
 
-    for (i = 0; i < self->seen_owners->len; i++) {
-        const DurableJobs_SeenOwner *row = &g_array_index(
-            self->seen_owners, DurableJobs_SeenOwner, i);
-        if (Msg_SameNode(&row->owner, owner)) {
-            return row->since_ms;
-        }
+    if (row == NULL) {
+        row = g_new0(DurableJobs_SeenOwner, 1);
+        row->owner = *owner;
+        row->since_ms = now_ms;
+        g_hash_table_insert(self->seen_owners, &row->owner, row);
     }
-    if (self->seen_owners->len >= MAX_SEEN_OWNERS) {
-        g_array_remove_index(self->seen_owners, 0);
+    row->looked_up_ms = now_ms;
+    return row->since_ms;
+}
+
+/* Forgets owners that had no open job in the last look at all of them. */
+static void
+forget_owners(DurableJobs *self, int64_t now_ms)
+{
+    GHashTableIter iter;
+    gpointer item;
+
+    g_hash_table_iter_init(&iter, self->seen_owners);
+    while (g_hash_table_iter_next(&iter, NULL, &item)) {
+        if (((const DurableJobs_SeenOwner *)item)->looked_up_ms != now_ms) {
+            g_hash_table_iter_remove(&iter);
+        }
     }
-    g_array_append_val(self->seen_owners, fresh);
-    return now_ms;
 }
 
 /* Whether @p writer, from the key of a record, is @p node; some keys hold the
@@ -145,15 +154,24 @@
 DurableTakeover_OnOwnerRecord(DurableJobs *self, int64_t now_ms,
                               lc_node writer)
 {
-    guint i;
+    DurableJobs_SeenOwner *row;
+    GHashTableIter iter;
+    gpointer item;
 
     if (is_writer(&self->node, &writer)) {
         self->own_record_ms = now_ms;
         return;
     }
-    for (i = 0; i < self->seen_owners->len; i++) {
-        DurableJobs_SeenOwner *row = &g_array_index(self->seen_owners,
-                                                    DurableJobs_SeenOwner, i);
+    if (writer.address != 0) {
+        row = g_hash_table_lookup(self->seen_owners, &writer);
+        if (row != NULL) {
+            row->since_ms = now_ms;
+        }
+        return;
+    }
+    g_hash_table_iter_init(&iter, self->seen_owners);
+    while (g_hash_table_iter_next(&iter, NULL, &item)) {
+        row = item;
         if (is_writer(&row->owner, &writer)) {
             row->since_ms = now_ms;
         }
@@ -233,6 +251,7 @@
             DurableTakeover_PutClaim(self, &owner, &self->node);
         }
     }
+    forget_owners(self, now_ms);
     g_ptr_array_unref(open);
 }
 
--- a/tests/kept_rules.c
+++ b/tests/kept_rules.c
@@ -1303,6 +1303,15 @@
     free_fixture(&fix);
 }
 
+/* Owner number @p number of a job that passes from owner to owner. */
+static lc_node
+chain_owner(uint32_t number)
+{
+    lc_node node = {0x7f0000011c00 + number % 13, 3000 + number};
+
+    return node;
+}
+
 static u_int
 count_claims_put(const fixture *fix)
 {
@@ -1316,6 +1325,25 @@
     return count;
 }
 
+/* Guards against jobs that nobody claims, as more owners have gone than are
+ * remembered: all power was lost twice. */
+static void
+test_many_silent_owners(void)
+{
+    const uint32_t owners = 700;
+    fixture fix;
+    uint32_t i;
+
+    new_fixture(&fix);
+    for (i = 0; i < owners; i++) {
+        lc_node owner = chain_owner(i);
+        read_submit(&fix, 100 + i, &owner);
+    }
+    advance(&fix, 5000);
+    g_assert_cmpuint(count_claims_put(&fix), ==, owners);
+    free_fixture(&fix);
+}
+
 /* Guards against two owners of a job: a claim that is put again replaces the
  * first record under its key, so that entries that start later read another
  * entry's claim as the first one. */
@@ -1369,15 +1397,6 @@
     free_fixture(&fix);
 }
 
-/* Owner number @p number of a job that passes from owner to owner. */
-static lc_node
-chain_owner(uint32_t number)
-{
-    lc_node node = {0x7f0000011c00 + number % 13, 3000 + number};
-
-    return node;
-}
-
 /* This entry is the last of @p changes successors of the first owner of job 7.
  */
 static void
@@ -2136,6 +2155,7 @@
      test_void_claim_among_newest},
     {"/durable/acts upon claims among the newest records",
      test_claim_among_newest},
+    {"/durable/claims any number of silent owners", test_many_silent_owners},
     {"/durable/claims an owner once", test_claim_is_put_once},
     {"/durable/hands its jobs over once", test_hands_over_once},
     {"/durable/claims again under a new identity",
--- a/wire/msg.c
+++ b/wire/msg.c
@@ -25,6 +25,21 @@
     return a->address == b->address && a->incarnation == b->incarnation;
 }
 
+guint
+Msg_HashNode(gconstpointer node)
+{
+    const lc_node *key = node;
+    uint64_t both = key->address * 31 + key->incarnation;
+
+    return g_int64_hash(&both);
+}
+
+gboolean
+Msg_EqualNodes(gconstpointer a, gconstpointer b)
+{
+    return Msg_SameNode(a, b);
+}
+
 bool
 Msg_HasNode(const GArray *nodes, const lc_node *node)
 {
--- a/wire/msg.h
+++ b/wire/msg.h
@@ -98,6 +98,10 @@
 /** Whether both nodes have the same address and the same incarnation. */
 bool Msg_SameNode(const lc_node *a, const lc_node *b);
 
+/** Hash and equality of lc_node keys, for GLib's tables. */
+guint Msg_HashNode(gconstpointer node);
+gboolean Msg_EqualNodes(gconstpointer a, gconstpointer b);
+
 /** Whether an array of lc_node contains @p node. */
 bool Msg_HasNode(const GArray *nodes, const lc_node *node);
 
