Tell operators of open durable jobs without a live owner

Gauges levercove_kept_jobs_unowned and levercove_kept_unowned_seconds, and LC321 after 10 s and when it is over. kept_rules "tells of jobs without a live owner".

--- a/base/event.h
+++ b/base/event.h
@@ -59,6 +59,8 @@
     X(KEPT_BAD, 313, G_LOG_LEVEL_WARNING, "durable job is unreadable")        \
     X(KEPT_NO_QUEUE, 320, G_LOG_LEVEL_WARNING,                                \
       "durable job waits for its queue")                                      \
+    X(KEPT_UNOWNED, 321, G_LOG_LEVEL_WARNING,                                 \
+      "durable jobs without a live owner")                                    \
     X(KEPT_REFUSED, 314, G_LOG_LEVEL_WARNING, "store refused a record")       \
     X(PEER_SILENT, 315, G_LOG_LEVEL_WARNING, "entry gave no answer in time")  \
     X(SUSPENDED, 317, G_LOG_LEVEL_WARNING, "machine was suspended")           \
--- a/lease/durable_jobs.c
+++ b/lease/durable_jobs.c
@@ -363,12 +363,16 @@
         "levercove_kept_jobs_open %u\n"
         "levercove_kept_jobs_owned %u\n"
         "levercove_kept_jobs_without_queue %u\n"
+        "levercove_kept_jobs_unowned %u\n"
+        "levercove_kept_unowned_seconds %" PRId64 "\n"
         "levercove_kept_log_age_seconds %" PRId64 "\n"
         "levercove_kept_recoveries %u\n"
         "levercove_kept_ends_unwritten %u\n",
         DurableLog_OpenCount(self->log), g_hash_table_size(self->jobs),
-        count_without_queue(self), (now_ms - self->log_read_ms) / 1000,
-        self->recoveries->len, self->ends->len);
+        count_without_queue(self), self->unowned,
+        self->unowned == 0 ? 0 : (now_ms - self->unowned_since_ms) / 1000,
+        (now_ms - self->log_read_ms) / 1000, self->recoveries->len,
+        self->ends->len);
 }
 
 json_t *
--- a/lease/durable_jobs_state.h
+++ b/lease/durable_jobs_state.h
@@ -141,6 +141,9 @@
     int64_t reports_since_ms;     /* since when companions have been heard
                                      without a break; 0: none is heard */
     int64_t reports_checked_ms;   /* when this was last updated */
+    uint32_t unowned;             /* open jobs whose owner is silent */
+    int64_t unowned_since_ms;     /* the earliest last word of such an owner */
+    bool logged_unowned;
     bool leaving;
     bool claims_unread; /* later records may undo claims that were read */
     bool has_unstarted; /* owned jobs may be waiting to be started */
--- a/lease/durable_jobs_takeover.c
+++ b/lease/durable_jobs_takeover.c
@@ -1,3 +1,4 @@
+#include <inttypes.h>
 #include <string.h>
 
 #include "lease/durable_jobs_state.h"
@@ -23,6 +24,8 @@
 /* An entry that has not looked for this long, as it stood still, has missed
  * reports. */
 #define REPORTS_GAP_MS 1000
+/* Open jobs without a live owner are logged after this long. */
+#define UNOWNED_LOG_MS 10000
 /* A companion silent for this long has no active runs. */
 #define COMPANION_DEAD_MS 30000
 
@@ -196,23 +199,61 @@
     DurableJobs_Put(self, key, &record);
 }
 
-static bool
-may_be_claimed(DurableJobs *self, int64_t now_ms, const lc_node *owner)
+/* When an owner last gave a sign of life, in the log or by a message. */
+static int64_t
+owner_heard_ms(DurableJobs *self, int64_t now_ms, const lc_node *owner)
 {
     const DurableJobs_Peer *peer = find_peer(self, owner->address);
     int64_t heard_ms = owner_seen_ms(self, now_ms, owner);
 
-    if (owner->address == self->node.address) {
-        return true; /* an earlier identity at this address */
+    if (Msg_SameNode(owner, &self->node)) {
+        return now_ms;
     }
     if (peer != NULL && peer->owner_incarnation == owner->incarnation) {
         heard_ms = MAX(heard_ms, peer->heard_ms);
     }
+    return heard_ms;
+}
+
+static bool
+may_be_claimed(const DurableJobs *self, int64_t now_ms, const lc_node *owner,
+               int64_t heard_ms)
+{
+    if (owner->address == self->node.address) {
+        return true; /* an earlier identity at this address */
+    }
     return now_ms - heard_ms >=
            OWNER_TIMEOUT_MS +
                (int64_t)claim_rank(self, now_ms) * CLAIM_STAGGER_MS;
 }
 
+static void
+count_unowned(DurableJobs *self, int64_t now_ms, int64_t heard_ms)
+{
+    if (now_ms - heard_ms >= OWNER_TIMEOUT_MS) {
+        self->unowned++;
+        self->unowned_since_ms = MIN(self->unowned_since_ms, heard_ms);
+    }
+}
+
+/* A takeover in undisturbed operation is over long before. */
+static void
+log_unowned(DurableJobs *self, int64_t now_ms)
+{
+    bool lasts = self->unowned > 0 &&
+                 now_ms - self->unowned_since_ms >= UNOWNED_LOG_MS;
+    char detail[80];
+
+    if (lasts == self->logged_unowned) {
+        return;
+    }
+    self->logged_unowned = lasts;
+    g_snprintf(detail, sizeof(detail),
+               lasts ? "%u jobs, for %" PRId64 " ms" : "none any more",
+               self->unowned, now_ms - self->unowned_since_ms);
+    self->ports->event(self->context, EVENT_KEPT_UNOWNED, detail);
+}
+
 void
 DurableTakeover_PutClaim(DurableJobs *self, const lc_node *claimed_owner,
                          const lc_node *successor)
@@ -235,23 +276,26 @@
 void
 DurableTakeover_ClaimSilentOwners(DurableJobs *self, int64_t now_ms)
 {
-    GPtrArray *open;
+    GPtrArray *open = DurableLog_OpenJobs(self->log);
+    /* Otherwise this entry itself may have been claimed. */
+    bool may_claim = DurableJobs_OwnerIncarnation(self, now_ms) != 0 &&
+                     now_ms - self->log_read_ms <= CLAIM_MAX_LOG_AGE_MS;
     guint i;
 
-    if (DurableJobs_OwnerIncarnation(self, now_ms) == 0 ||
-        now_ms - self->log_read_ms > CLAIM_MAX_LOG_AGE_MS) {
-        return; /* this entry itself may have been claimed */
-    }
-    open = DurableLog_OpenJobs(self->log);
+    self->unowned = 0;
+    self->unowned_since_ms = now_ms;
     for (i = 0; i < open->len; i++) {
         lc_node owner = DurableLog_OwnerOf(self->log,
                                            g_ptr_array_index(open, i));
-        if (!Msg_SameNode(&owner, &self->node) &&
-            may_be_claimed(self, now_ms, &owner)) {
+        int64_t heard_ms = owner_heard_ms(self, now_ms, &owner);
+        count_unowned(self, now_ms, heard_ms);
+        if (may_claim && !Msg_SameNode(&owner, &self->node) &&
+            may_be_claimed(self, now_ms, &owner, heard_ms)) {
             DurableTakeover_PutClaim(self, &owner, &self->node);
         }
     }
     forget_owners(self, now_ms);
+    log_unowned(self, now_ms);
     g_ptr_array_unref(open);
 }
 
--- a/tests/kept_rules.c
+++ b/tests/kept_rules.c
@@ -62,6 +62,7 @@
     uint32_t repeat_count;
     lc_upstream_state state;
     uint64_t incarnation_offset; /* added to the companion's incarnation */
+    int unowned_logged;          /* LC321 events */
     u_int held_long; /* ends that the companion reports as held for long */
 } fixture;
 
@@ -171,9 +172,10 @@
 static void
 port_durable_event(void *context, Event_Id id, const char *detail)
 {
-    (void)context;
-    (void)id;
+    fixture *fix = context;
+
     (void)detail;
+    fix->unowned_logged += id == EVENT_KEPT_UNOWNED;
 }
 
 static void
@@ -1344,6 +1346,32 @@
     free_fixture(&fix);
 }
 
+/* Operators are told of an open job whose owner stays silent, once, and of the
+ * end of it. */
+static void
+test_unowned_job_is_told(void)
+{
+    lc_node identity;
+    GString *metrics;
+    fixture fix;
+
+    new_fixture(&fix);
+    read_submit(&fix, 7, &other_owner);
+    advance(&fix, 9000);
+    g_assert_cmpint(fix.unowned_logged, ==, 0);
+    advance(&fix, 3000);
+    g_assert_cmpint(fix.unowned_logged, ==, 1);
+    metrics = g_string_new("");
+    DurableJobs_Metrics(fix.durable_jobs, fix.now_ms, metrics);
+    g_assert_nonnull(strstr(metrics->str, "levercove_kept_jobs_unowned 1\n"));
+    g_string_free(metrics, TRUE);
+    identity = own_identity(&fix);
+    read_claim(&fix, &other_owner, &identity);
+    advance(&fix, 100);
+    g_assert_cmpint(fix.unowned_logged, ==, 2);
+    free_fixture(&fix);
+}
+
 /* Guards against two owners of a job: a claim that is put again replaces the
  * first record under its key, so that entries that start later read another
  * entry's claim as the first one. */
@@ -2156,6 +2184,7 @@
     {"/durable/acts upon claims among the newest records",
      test_claim_among_newest},
     {"/durable/claims any number of silent owners", test_many_silent_owners},
+    {"/durable/tells of jobs without a live owner", test_unowned_job_is_told},
     {"/durable/claims an owner once", test_claim_is_put_once},
     {"/durable/hands its jobs over once", test_hands_over_once},
     {"/durable/claims again under a new identity",
