--- a/lease/runner.c
+++ b/lease/runner.c
@@ -25,7 +25,8 @@
     runner->by_handle = Handle_NewTable();
     runner->orders = Handle_NewTable();
     runner->owners = g_array_new(FALSE, TRUE, sizeof(Runner_Owner));
-    runner->fenced = g_array_new(FALSE, TRUE, sizeof(Runner_FencedOwner));
+    runner->fenced = g_hash_table_new_full(Msg_HashNode, Msg_EqualNodes, NULL,
+                                           g_free);
     runner->late_starts = g_array_new(FALSE, TRUE, sizeof(lc_late_start));
     runner->token = config->first_token;
     runner->upstream.instance = g_strdup("");
@@ -51,7 +52,7 @@
     g_hash_table_unref(runner->tasks);
     Handle_FreeTable(runner->by_handle);
     g_array_unref(runner->owners);
-    g_array_unref(runner->fenced);
+    g_hash_table_unref(runner->fenced);
     g_array_unref(runner->late_starts);
     RunnerUpstream_Clear(runner);
     HallClosures_Clear(&runner->closures);
--- a/lease/runner_durable.c
+++ b/lease/runner_durable.c
@@ -13,23 +13,10 @@
  * their way. */
 #define FENCED_RETENTION_MS 60000
 
-static Runner_FencedOwner *
-fenced_at(const Runner *runner, guint i)
-{
-    return &g_array_index(runner->fenced, Runner_FencedOwner, i);
-}
-
 bool
 RunnerDurable_IsFenced(const Runner *runner, const lc_node *owner)
 {
-    guint i;
-
-    for (i = 0; i < runner->fenced->len; i++) {
-        if (Msg_SameNode(&fenced_at(runner, i)->owner, owner)) {
-            return true;
-        }
-    }
-    return false;
+    return g_hash_table_contains(runner->fenced, owner);
 }
 
 /* Only final results are held until released. */
@@ -239,18 +226,27 @@
     runner->ports->reply(runner->context, reply_id, &reply);
 }
 
+static gboolean
+is_forgotten(gpointer key, gpointer item, gpointer now_ms)
+{
+    const Runner_FencedOwner *row = item;
+
+    (void)key;
+    return *(const int64_t *)now_ms - row->fenced_ms > FENCED_RETENTION_MS;
+}
+
 static void
 add_fenced(Runner *runner, int64_t now_ms, const lc_node *owner)
 {
-    Runner_FencedOwner row = {*owner, now_ms};
+    Runner_FencedOwner *row;
 
-    while (runner->fenced->len > 0 &&
-           now_ms - fenced_at(runner, 0)->fenced_ms > FENCED_RETENTION_MS) {
-        g_array_remove_index(runner->fenced, 0);
-    }
-    if (!RunnerDurable_IsFenced(runner, owner)) {
-        g_array_append_val(runner->fenced, row);
+    if (RunnerDurable_IsFenced(runner, owner)) {
+        return;
     }
+    row = g_new0(Runner_FencedOwner, 1);
+    row->owner = *owner;
+    row->fenced_ms = now_ms;
+    g_hash_table_insert(runner->fenced, &row->owner, row);
 }
 
 /* Transfers a run to the successor of its owner, with a new lease plus
@@ -343,6 +339,7 @@
     if (args->target == runner->config.node.incarnation &&
         runner->upstream.inventoried) {
         reply.u.fence.taken = true;
+        g_hash_table_foreach_remove(runner->fenced, is_forgotten, &now_ms);
         for (i = 0; i < args->gone.gone_len; i++) {
             add_fenced(runner, now_ms, &args->gone.gone_val[i]);
         }
--- a/lease/runner_state.h
+++ b/lease/runner_state.h
@@ -209,7 +209,7 @@
                               tick */
     uint32_t held_for_starts; /* ends held because of late copies of starts */
     int64_t created_ms;
-    GArray *fenced; /* Runner_FencedOwner, oldest first */
+    GHashTable *fenced; /* lc_node -> Runner_FencedOwner */
     bool draining;
     uint64_t version;
     lc_label label_row[LC_MAX_LABELS];
