Test a job whose owner changes a hundred times, with real processes

The owner of a running job is killed, and a hundred claims that nobody acts upon are appended before an entry reads any of them; then all entries are killed at once.

--- a/tests/soak/scenario.cc
+++ b/tests/soak/scenario.cc
@@ -17,6 +17,7 @@
 #include "tests/soak/cluster.h"
 
 extern "C" {
+#include "lease/durable_log.h"
 #include "wire/levercove.h"
 }
 
@@ -87,6 +88,13 @@
 const int64_t UNHEARD_END_MS = 20000;
 /* The successor has ended all tasks when the owner wakes, but the owner still
  * takes many of them to be waiting. */
+const uint64_t OWNERS_CHANGES = 100;
+const uint32_t OWNERS_TASKS = 12;
+const int64_t OWNERS_WORK_MS = 6000;
+const int64_t OWNERS_LEAD_MS = 1000;
+const int64_t OWNERS_DOWN_MS = 100;
+const int64_t OWNERS_KILL_MS = 4000;
+const int64_t OWNERS_END_MS = 24000;
 const uint32_t WOKEN_TASKS = 150;
 const int64_t WOKEN_WORK_MS = 200;
 const int64_t WOKEN_LEAD_MS = 600;
@@ -346,6 +354,71 @@
     }
 }
 
+/* Who owned a job first, by the store. */
+lc_node
+first_owner_of(uint64_t job)
+{
+    lc_node owner = {0, 0};
+    lc_kept_record record;
+    char key[32];
+
+    snprintf(key, sizeof(key), "s%016" PRIx64, job);
+    std::string value = cluster->store->find(key);
+    if (Msg_DecodeDurableRecord((const uint8_t *)value.data(), value.size(),
+                                &record)) {
+        owner = record.body.lc_kept_body_u.submit.owner;
+        Msg_FreeDurableRecord(&record);
+    }
+    return owner;
+}
+
+void
+append_claim(const lc_node &claimed_owner, const lc_node &successor)
+{
+    GByteArray *bytes = g_byte_array_new();
+    lc_kept_record record = {};
+    char key[DURABLE_LOG_KEY_SIZE];
+
+    record.body.kind = LC_KEPT_CLAIM;
+    record.body.lc_kept_body_u.claim.gone = claimed_owner;
+    record.body.lc_kept_body_u.claim.successor = successor;
+    Msg_EncodeDurableRecord(&record, bytes);
+    DurableLog_ClaimKey(&claimed_owner, successor, key);
+    cluster->store->append_beside(
+        "s", key, std::string((const char *)bytes->data, bytes->len));
+    g_byte_array_unref(bytes);
+}
+
+/* An entry with a durable job dies, and its owner changes many times before
+ * any successor has asked for the runs: the last of them is an earlier life of
+ * the other entry's address. Then all entries are killed at once. */
+void
+play_kept_many_owners()
+{
+    cluster->target_entry = 1;
+    uint64_t other_job = cluster->submit_durable_job(1, UNHEARD_CPU, 100);
+    cluster->target_entry = 0;
+    last_job = cluster->submit_durable_job(OWNERS_TASKS, UNHEARD_CPU,
+                                           OWNERS_WORK_MS);
+    cluster->run_after(OWNERS_LEAD_MS, [other_job] {
+        lc_node owner = first_owner_of(last_job);
+        lc_node last = {first_owner_of(other_job).address, 1};
+        cluster->entries[0]->kill(OWNERS_DOWN_MS);
+        for (uint64_t i = 1; i <= OWNERS_CHANGES; i++) {
+            lc_node successor = {owner.address, i};
+            successor = i == OWNERS_CHANGES ? last : successor;
+            append_claim(owner, successor);
+            owner = successor;
+        }
+        cluster->target_entry = 1;
+    });
+    cluster->run_after(OWNERS_KILL_MS, [] {
+        for (auto &entry : cluster->entries) {
+            entry->kill(OWNERS_DOWN_MS);
+        }
+    });
+}
+
 /* The owner of a durable job stands still and is claimed. Companions that are
  * restarted then, as planned, have not been told so when it goes on. */
 void
@@ -1511,6 +1584,7 @@
     {"kept_store_away", play_kept_store_away, DURABLE_END_MS, 2},
     {"kept_ends_lost", play_kept_ends_lost, DURABLE_END_MS, 2},
     {"kept_owner_unheard", play_kept_owner_unheard, UNHEARD_END_MS, 2, 6},
+    {"kept_many_owners", play_kept_many_owners, OWNERS_END_MS, 2, 4},
     {"kept_owner_woken", play_kept_owner_woken, WOKEN_END_MS, 3, 6},
     {"kept_queue_removed", play_kept_queue_removed, REMOVED_END_MS, 2, 4},
     {"late_starts", play_late_starts, LATE_STARTS_END_MS, 2, 4},
--- a/tests/soak/store.cc
+++ b/tests/soak/store.cc
@@ -126,6 +126,45 @@
     answer_pending_reads();
 }
 
+const Store::Topic *
+Store::topic_with(const std::string &key_prefix, const Record **newest) const
+{
+    const Topic *found = nullptr;
+
+    for (const auto &pair : topics) {
+        for (const Record &record : pair.second.records) {
+            if (record.key.compare(0, key_prefix.size(), key_prefix) == 0) {
+                found = &pair.second;
+                *newest = &record;
+            }
+        }
+    }
+    return found;
+}
+
+std::string
+Store::find(const std::string &key_prefix) const
+{
+    const Record *newest;
+
+    return topic_with(key_prefix, &newest) == nullptr ? "" : newest->value;
+}
+
+void
+Store::append_beside(const std::string &key_prefix, const std::string &key,
+                     const std::string &value)
+{
+    const Record *newest;
+    const Topic *found = topic_with(key_prefix, &newest);
+
+    for (auto &pair : topics) {
+        if (&pair.second == found) {
+            pair.second.records.push_back({key, value});
+        }
+    }
+    answer_pending_reads();
+}
+
 void
 Store::compact()
 {
--- a/tests/soak/store.h
+++ b/tests/soak/store.h
@@ -34,6 +34,12 @@
 
     /** Appends a record to the operators' topic. */
     void put(const std::string &key, const std::string &value);
+    /** Value of the newest record whose key begins so; empty if there is none.
+     */
+    std::string find(const std::string &key_prefix) const;
+    /** Appends a record to the topic that has one whose key begins so. */
+    void append_beside(const std::string &key_prefix, const std::string &key,
+                       const std::string &value);
     /** Expires the history of all topics: readers of older offsets get 410 and
      * must read a snapshot. */
     void compact();
@@ -62,6 +68,8 @@
         int64_t until_ms;
     };
 
+    const Topic *topic_with(const std::string &key_prefix,
+                            const Record **newest) const;
     static void serve(void *context, const HttpServer_Request *request);
     static void on_tick(uv_timer_t *timer);
     void serve_newest(const HttpServer_Request *request);
