--- a/daemon/leased_durable.c
+++ b/daemon/leased_durable.c
@@ -57,10 +57,10 @@
 }
 
 static const KeyedLog_Ports log_ports = {
-    .reader = {.send = LeasedStore_Send,
-               .record = on_record,
-               .begin = on_begin,
-               .read = on_read},
+    .send = LeasedStore_Send,
+    .record = on_record,
+    .begin = on_begin,
+    .read = on_read,
     .written = on_written,
     .refused = on_refused,
 };
