--- a/tests/lease_sim.cc
+++ b/tests/lease_sim.cc
@@ -139,6 +139,9 @@
     case Fault::ReplaceOwners:
         replace_owner(until);
         break;
+    case Fault::StallAppends:
+        store.appends_stalled_until = until;
+        break;
     case Fault::Count:
         break;
     }
--- a/tests/lease_sim_state.h
+++ b/tests/lease_sim_state.h
@@ -102,6 +102,7 @@
     std::map<std::string, uint64_t> sequences; /* by writer */
     int64_t down_until = 0;
     int64_t lossy_until = 0;
+    int64_t appends_stalled_until = 0;
 };
 
 /* The closed halls as one node or the store knows them. */
@@ -398,6 +399,7 @@
     void check_capacity(uint32_t index);
     void check_end();
     void check_durable();
+    void check_owners();
     void start_durable_jobs(EntryNode *entry);
     void poll_store(uint32_t index, uint64_t boot_id);
     void read_store(EntryNode *entry);
@@ -432,6 +434,7 @@
     void fail_durable_requests(uint32_t entry);
     void on_durable_start(const lc_run_id &id);
     bool may_be_given_up(const DurableCaller &caller) const;
+    bool is_cancelled_late(const DurableCaller &caller) const;
     void on_durable_end(const lc_run_id &id, Runner_End end);
     void on_durable_acknowledged(const lc_run_id &id, Runner_End end);
     std::string run_name(const lc_run_id &id);
