--- a/tests/soak/scenario.cc
+++ b/tests/soak/scenario.cc
@@ -86,8 +86,6 @@
 /* The other jobs need most of the room, so that all upstreams are in use. */
 const uint32_t UNHEARD_CPU = 2500;
 const int64_t UNHEARD_END_MS = 20000;
-/* The successor has ended all tasks when the owner wakes, but the owner still
- * takes many of them to be waiting. */
 const uint64_t OWNERS_CHANGES = 100;
 const uint32_t OWNERS_TASKS = 12;
 const int64_t OWNERS_WORK_MS = 6000;
@@ -95,6 +93,8 @@
 const int64_t OWNERS_DOWN_MS = 100;
 const int64_t OWNERS_KILL_MS = 4000;
 const int64_t OWNERS_END_MS = 24000;
+/* The successor has ended all tasks when the owner wakes, but the owner still
+ * takes many of them to be waiting. */
 const uint32_t WOKEN_TASKS = 150;
 const int64_t WOKEN_WORK_MS = 200;
 const int64_t WOKEN_LEAD_MS = 600;
