--- a/lease/durable_jobs_state.h
+++ b/lease/durable_jobs_state.h
@@ -103,8 +103,7 @@
     Msg_Kind kind;
     lc_node host;
     lc_node claimed_owner;
-    guint next_predecessor; /* of a FENCE: the first one that it does not name
-                             */
+    guint next_predecessor; /* of a FENCE: the first one not named in it */
     GArray *ends;           /* DurableJobs_RunEnd, of a RELEASE */
 } DurableJobs_Call;
 
--- a/tests/prop_lease.cc
+++ b/tests/prop_lease.cc
@@ -593,9 +593,9 @@
     return good;
 }
 
-/* The owner of a job that lasts is replaced more often than any number of
- * owners that may be kept, then all entries are killed at once: the job is
- * neither lost nor started beside itself. */
+/* The owner of a job that lasts is replaced many times, by planned stops and
+ * kills, then all entries are killed at once: the job is neither lost nor
+ * started beside itself. */
 bool
 check_many_owners()
 {
