Tell a successor again of runs that were transferred to it

What callers could see: a durable task that runs twice, after its owner was replaced while a connection to a companion was silent in one direction.

Cause: a companion that gets a FENCE transfers the active runs of the owners that are gone to the successor, and lists them. The answer may be lost; the successor asks again, and the runs are of no owner that it names but its own, so they were not listed.

Evidence: runner_rules "tells a transferred run again" failed before (0 runs in the second answer, not 1).

Change: a FENCE lists the successor's own active runs too, without transferring them again. What a companion told last replaces what it told before: kept_rules "adopts a run once that is told twice" failed without that (run 1025 was asked for although it had ended).

--- a/lease/durable_jobs_takeover.c
+++ b/lease/durable_jobs_takeover.c
@@ -716,12 +716,35 @@
     }
 }
 
+/* Each answer of a companion tells all that its earlier ones did. */
+static void
+forget_found_runs(DurableJobs_Recovery *recovery, const lc_node *host)
+{
+    guint i = recovery->runs->len;
+
+    while (i-- > 0) {
+        if (Msg_SameNode(
+                &g_array_index(recovery->runs, DurableJobs_FoundRun, i).host,
+                host)) {
+            g_array_remove_index_fast(recovery->runs, i);
+        }
+    }
+    for (i = recovery->late_starts->len; i-- > 0;) {
+        if (Msg_SameNode(
+                &g_array_index(recovery->late_starts, LateStart, i).companion,
+                host)) {
+            g_array_remove_index_fast(recovery->late_starts, i);
+        }
+    }
+}
+
 static void
 add_found_runs(DurableJobs_Recovery *recovery, int64_t now_ms, lc_node host,
                const lc_fence_res *result)
 {
     u_int i;
 
+    forget_found_runs(recovery, &host);
     for (i = 0; i < result->runs.runs_len; i++) {
         DurableJobs_FoundRun found = {result->runs.runs_val[i], host};
         g_array_append_val(recovery->runs, found);
--- a/lease/runner_durable.c
+++ b/lease/runner_durable.c
@@ -281,8 +281,19 @@
     return false;
 }
 
-/* Lists the active runs of the owners that are gone, and the ends that no
- * owner has released, whose run may have been of any earlier owner. */
+/* Whether an active run is told: those of the owners that are gone, which are
+ * transferred, and those that were transferred before, as the answer that told
+ * of them may have been lost. */
+static bool
+is_active_run_told(const lc_fence_args *args, const Runner_Task *row)
+{
+    return is_named(args, &row->owner) ||
+           (args->gone.gone_len > 0 &&
+            Msg_SameNode(&row->owner, &args->successor));
+}
+
+/* Lists active runs, and the ends that no owner has released, whose run may
+ * have been of any earlier owner. */
 static void
 list_runs(Runner *runner, int64_t now_ms, const lc_fence_args *args,
           GArray *runs)
@@ -297,10 +308,10 @@
         lc_held_run held = {
             .id = row->id, .running = running, .status = row->status};
         if (!RunId_IsDurable(&row->id) || runs->len >= LC_MAX_PAGE ||
-            (running ? !is_named(args, &row->owner) : !row->unreleased)) {
+            (running ? !is_active_run_told(args, row) : !row->unreleased)) {
             continue;
         }
-        if (running) {
+        if (running && is_named(args, &row->owner)) {
             transfer_run(runner, now_ms, row, &args->successor);
         }
         g_array_append_val(runs, held);
--- a/tests/kept_rules.c
+++ b/tests/kept_rules.c
@@ -1494,6 +1494,26 @@
     free_fixture(&fix);
 }
 
+/* Guards against a run that is adopted as active and as ended: a companion
+ * that is asked several times tells of it each time. */
+static void
+test_run_told_twice_is_adopted_once(void)
+{
+    lc_held_run held = {.id = {.job = 7, .run = 1025}, .running = true};
+    fixture fix;
+
+    claim_after(&fix, 2500);
+    answer_fence(&fix, &held);
+    answer_fence(&fix, &held);
+    held.running = false;
+    held.status = LC_RUN_FAILED;
+    answer_fence(&fix, &held);
+    advance(&fix, 5);
+    g_assert_cmpint(count_calls(&fix, MSG_RUN), ==, 1);
+    g_assert_cmpuint(last_call(&fix, MSG_RUN)->run.run, !=, 1025);
+    free_fixture(&fix);
+}
+
 /* A takeover that is complete is recorded, and later successors do not ask for
  * the runs of the owners before it. */
 static void
@@ -2193,6 +2213,8 @@
      test_owner_after_many_changes},
     {"/durable/names all predecessors to companions",
      test_all_predecessors_are_named},
+    {"/durable/adopts a run once that is told twice",
+     test_run_told_twice_is_adopted_once},
     {"/durable/names predecessors until a takeover is complete",
      test_complete_takeover_is_recorded},
     {"/durable/binds tasks to late starts found at companions",
--- a/tests/runner_rules.c
+++ b/tests/runner_rules.c
@@ -479,6 +479,23 @@
     Runner_Free(fix.runner);
 }
 
+/* Guards against a second start of a task at work here: the answer that told
+ * its successor of it is lost, and the successor asks again. */
+static void
+test_transferred_run_is_told_again(void)
+{
+    runner_fixture fix;
+
+    RunnerFix_NewReady(&fix);
+    RunnerFix_CallRun(&fix, 1, RUN_ID_DURABLE_BASE + 1, 1000, 100);
+    RunnerFix_FenceEntry(&fix);
+    g_assert_cmpuint(fix.held_runs, ==, 1);
+    fix.held_runs = 0;
+    RunnerFix_FenceEntry(&fix);
+    g_assert_cmpuint(fix.held_runs, ==, 1);
+    Runner_Free(fix.runner);
+}
+
 /* Guards against a second start of a task whose end is held here of an owner
  * that its successor does not name any more. */
 static void
@@ -744,6 +761,8 @@
     {"/runner/keeps an owner fenced when many others are",
      test_many_fenced_owners},
     {"/runner/transfers runs to the successor", test_fence_hands_over},
+    {"/runner/tells a transferred run again",
+     test_transferred_run_is_told_again},
     {"/runner/tells any successor of a held end",
      test_held_end_of_earlier_owner_is_told},
     {"/runner/an end is not acknowledged before its release",
