Show a durable job at work as running at every entry

What callers saw: a kept job whose tasks are at work is `pending` at every entry but its owner, without any disruption, and at all entries while it changes its owner. A job that began is also counted as waiting while it is taken over.

Cause: an entry judges whether a job has started by its own dispatcher and by progress records. Only the owner has the job in its dispatcher, and a first record was put with the first end of a task: never for tasks that last.

Change: the owner puts a progress record for a job that is at work in two looks 250 ms apart and has none. It tells nothing but that, goes under the key that its later progress has, and outlives the owner. A job that ends sooner is recorded by its end alone, as before. While the store is away, entries show what they have read.

`levercove owners ADDRESS...` prints who owns the open durable jobs as each entry sees it, from a list of 100 in /state.

Evidence: process/kept_shown (real processes, 5 entries) failed before: "entry 1, after 0 changes of the owner: pending"; now every entry shows `running` after 0 to 5 planned stops of the owner. Two new rules and one changed one in kept_rules failed before. The changed one, "restarts long-running tasks", asked that no record at all is put; it asks now that the only one is that of the start, and what it holds. The simulation checks every entry's state of a job at work.

--- a/cli/commands.c
+++ b/cli/commands.c
@@ -9,6 +9,7 @@
 #include "cli/explain.h"
 #include "cli/hall_commands.h"
 #include "cli/http_exchange.h"
+#include "cli/owner_commands.h"
 #include "cli/table_csv.h"
 #include "daemon/options.h"
 
@@ -369,6 +370,10 @@
      "print the state of the process at this "
      "admin address",
      1, 1, false, false, run_state},
+    {"owners", "ADDRESS...",
+     "print which entry owns the open durable jobs, as the entries at these "
+     "admin addresses see it",
+     1, 4096, false, false, OwnerCommands_Show},
     {"check-settings", "FILE", "check a settings file", 1, 1, false, false,
      run_check},
     {"submit", "FILE", "submit a job and print its answer", 1, 1, true, false,
--- a/cli/hall_commands.c
+++ b/cli/hall_commands.c
@@ -204,19 +204,17 @@
 static int
 show_process(const char *text)
 {
-    HttpExchange_Request request = {.method = "GET", .path = "/state"};
     HttpExchange_Answer answer = {0};
     Status status = {ERR_OK, ""};
     json_t *state = NULL;
     int code = 0;
 
-    if (!Address_Parse(text, &request.to)) {
-        Err_Set(&status, ERR_BAD_REQUEST, "%s: expected IP:port", text);
-        return HttpExchange_PrintError(&status);
-    }
-    if (HttpExchange_Perform(&request, &answer, &status) == ERR_OK) {
+    if (HttpExchange_ReadState(text, &answer, &status) == ERR_OK) {
         state = json_loadb(answer.body, answer.length, 0, NULL);
     }
+    else if (status.kind == ERR_BAD_REQUEST) {
+        return HttpExchange_PrintError(&status);
+    }
     if (!json_is_object(json_object_get(state, "closed"))) {
         printf("%-22s %s\n", text,
                state == NULL ? "no answer" : "not a process of leased jobs");
--- a/cli/http_exchange.c
+++ b/cli/http_exchange.c
@@ -89,6 +89,19 @@
     return kind;
 }
 
+Err_Kind
+HttpExchange_ReadState(const char *admin_address, HttpExchange_Answer *answer,
+                       Status *status)
+{
+    HttpExchange_Request request = {.method = "GET", .path = "/state"};
+
+    if (!Address_Parse(admin_address, &request.to)) {
+        return Err_Set(status, ERR_BAD_REQUEST, "%s: expected IP:port",
+                       admin_address);
+    }
+    return HttpExchange_Perform(&request, answer, status);
+}
+
 int
 HttpExchange_PrintError(const Status *status)
 {
--- a/cli/http_exchange.h
+++ b/cli/http_exchange.h
@@ -39,6 +39,11 @@
  * the status code is below 400. */
 Err_Kind HttpExchange_Check(const HttpExchange_Answer *answer, Status *status);
 
+/** Reads the state of the process at an admin address. Errors: BAD_REQUEST
+ * (not an address), and those of HttpExchange_Perform. */
+Err_Kind HttpExchange_ReadState(const char *admin_address,
+                                HttpExchange_Answer *answer, Status *status);
+
 /** Prints an error to stderr; returns its exit code. */
 int HttpExchange_PrintError(const Status *status);
 
--- a/lease/durable_jobs.c
+++ b/lease/durable_jobs.c
@@ -10,6 +10,7 @@
  * owner identity, so that others take its jobs over. */
 #define OWNER_LOG_TIMEOUT_MS 2500
 #define EXPIRY_INTERVAL_MS 1000
+#define MAX_DUMPED_JOBS 100U
 
 DurableJobs *
 DurableJobs_New(const DurableJobs_Config *config,
@@ -289,6 +290,7 @@
     DurableTakeover_AdvanceRecoveries(self, now_ms);
     DurableTakeover_FetchHeldEnds(self, now_ms);
     DurableOwned_StartAll(self, now_ms);
+    DurableOwned_RecordStarts(self, now_ms);
     if (now_ms - self->expiry_checked_ms >= EXPIRY_INTERVAL_MS &&
         !DurableCaller_IsLogDown(self, now_ms)) {
         self->expiry_checked_ms = now_ms;
@@ -375,13 +377,50 @@
         self->ends->len);
 }
 
+/* A job as this entry sees it; the same at all entries that have read the log
+ * up to the same record. */
+static json_t *
+dump_job(const DurableJobs *self, const DurableLog_Job *job)
+{
+    Claims_Ownership ownership = DurableLog_Ownership(self->log, job);
+    char id[24];
+    json_t *row;
+
+    g_snprintf(id, sizeof(id), "%016" PRIx64, job->id);
+    row = json_pack("{s:s, s:s, s:I, s:I, s:b, s:b}", "job", id, "owner",
+                    Address_Text(ownership.owner.address), "identity",
+                    (json_int_t)ownership.owner.incarnation, "changes",
+                    (json_int_t)ownership.claims_count, "started",
+                    DurableCaller_HasStarted(self, job), "here",
+                    g_hash_table_contains(self->jobs, &job->id));
+    /* Left out if another writer's record has a name that is not UTF-8. */
+    json_object_set_new(row, "queue", json_string(job->queue));
+    return row;
+}
+
+static json_t *
+dump_jobs(const DurableJobs *self)
+{
+    GPtrArray *open = DurableLog_OpenJobs(self->log);
+    json_t *jobs = json_array();
+    guint i;
+
+    for (i = 0; i < MIN(open->len, MAX_DUMPED_JOBS); i++) {
+        json_array_append_new(jobs,
+                              dump_job(self, g_ptr_array_index(open, i)));
+    }
+    g_ptr_array_unref(open);
+    return jobs;
+}
+
 json_t *
 DurableJobs_Dump(const DurableJobs *self, int64_t now_ms)
 {
-    return json_pack(
-        "{s:i, s:i, s:i, s:i, s:I, s:b}", "open",
-        (int)DurableLog_OpenCount(self->log), "owned",
-        (int)g_hash_table_size(self->jobs), "waiters", (int)self->waiters->len,
-        "recoveries", (int)self->recoveries->len, "log_age_ms",
-        (json_int_t)(now_ms - self->log_read_ms), "leaving", self->leaving);
+    return json_pack("{s:i, s:i, s:i, s:i, s:I, s:b, s:o}", "open",
+                     (int)DurableLog_OpenCount(self->log), "owned",
+                     (int)g_hash_table_size(self->jobs), "waiters",
+                     (int)self->waiters->len, "recoveries",
+                     (int)self->recoveries->len, "log_age_ms",
+                     (json_int_t)(now_ms - self->log_read_ms), "leaving",
+                     self->leaving, "jobs", dump_jobs(self));
 }
--- a/lease/durable_jobs_callers.c
+++ b/lease/durable_jobs_callers.c
@@ -224,8 +224,8 @@
 }
 
 /* Judged by progress records and by the local dispatcher. */
-static bool
-has_started(const DurableJobs *self, const DurableLog_Job *job)
+bool
+DurableCaller_HasStarted(const DurableJobs *self, const DurableLog_Job *job)
 {
     bool started = true; /* for an owned job that the dispatcher has ended */
 
@@ -251,7 +251,7 @@
     if (job->outcome == LC_KEPT_OPEN && job->cancelled) {
         return DURABLE_JOB_CANCELLED;
     }
-    if (job->outcome == LC_KEPT_OPEN && has_started(self, job)) {
+    if (job->outcome == LC_KEPT_OPEN && DurableCaller_HasStarted(self, job)) {
         return DURABLE_JOB_RUNNING;
     }
     return states[job->outcome];
--- a/lease/durable_jobs_owned.c
+++ b/lease/durable_jobs_owned.c
@@ -4,6 +4,9 @@
 #include "lease/durable_jobs_state.h"
 #include "lease/run_id.h"
 
+/* A job that is at work in two looks this far apart is recorded as started. */
+#define STARTS_INTERVAL_MS 250
+
 void
 DurableOwned_Free(gpointer item)
 {
@@ -49,7 +52,7 @@
 }
 
 void
-DurableOwned_PutProgress(DurableJobs *self, const DurableJobs_OwnJob *row)
+DurableOwned_PutProgress(DurableJobs *self, DurableJobs_OwnJob *row)
 {
     const DurableLog_Job *job = DurableLog_Find(self->log, row->id);
     lc_kept_record record = {.job = row->id};
@@ -68,6 +71,7 @@
     progress->failures.failures_len = row->failures->len;
     DurableLog_ProgressKey(row->id, self->node, key);
     number = DurableJobs_Put(self, key, &record);
+    row->progress_put = true;
     for (i = 0; i < row->ends->len; i++) {
         DurableJobs_RunEnd end = g_array_index(row->ends, DurableJobs_RunEnd,
                                                i);
@@ -77,6 +81,39 @@
     g_array_set_size(row->ends, 0);
 }
 
+static void
+record_start(DurableJobs *self, DurableJobs_OwnJob *row)
+{
+    const DurableLog_Job *job = DurableLog_Find(self->log, row->id);
+    bool started = false;
+
+    if (row->progress_put || job->writers->len > 0 ||
+        !Dispatcher_HasOpenJob(self->dispatcher, row->id, job->queue,
+                               &started)) {
+        return;
+    }
+    if (started && row->at_work) {
+        mark_changed(self, row);
+    }
+    row->at_work = started;
+}
+
+void
+DurableOwned_RecordStarts(DurableJobs *self, int64_t now_ms)
+{
+    GHashTableIter iter;
+    gpointer item;
+
+    if (now_ms - self->starts_checked_ms < STARTS_INTERVAL_MS) {
+        return;
+    }
+    self->starts_checked_ms = now_ms;
+    g_hash_table_iter_init(&iter, self->jobs);
+    while (g_hash_table_iter_next(&iter, NULL, &item)) {
+        record_start(self, item);
+    }
+}
+
 /* Returns whether the failure was not counted before. */
 static bool
 add_failure(DurableJobs_OwnJob *row, uint32_t task, uint32_t run)
--- a/lease/durable_jobs_state.h
+++ b/lease/durable_jobs_state.h
@@ -46,6 +46,8 @@
     GArray *ends;     /* DurableJobs_RunEnd, not put yet */
     lc_kept_outcome outcome;
     bool written;      /* its outcome is in the log */
+    bool progress_put; /* a record that it has started was put */
+    bool at_work;      /* a task was started by the last look at starts */
     bool awaits_queue; /* its queue is not known: no task is started */
 } DurableJobs_OwnJob;
 
@@ -133,8 +135,9 @@
     int64_t own_record_ms;   /* when an own record was last read back */
     int64_t heartbeat_ms;    /* when the last heartbeat record was put */
     int64_t expiry_checked_ms;
-    int64_t last_open_ms;         /* when a job was last open; 0 for never */
-    int64_t last_quiet_ms;        /* when nothing last depended on the log */
+    int64_t starts_checked_ms; /* last look at starts that are not recorded */
+    int64_t last_open_ms;      /* when a job was last open; 0 for never */
+    int64_t last_quiet_ms;     /* when nothing last depended on the log */
     int64_t all_reports_since_ms; /* since when all companions are asked to
                                      report */
     int64_t reports_since_ms;     /* since when companions have been heard
@@ -157,6 +160,10 @@
 /** Whether the log has not answered within its timeout. */
 bool DurableCaller_IsLogDown(const DurableJobs *self, int64_t now_ms);
 
+/** Whether a task of the job has been started, as far as this entry knows. */
+bool DurableCaller_HasStarted(const DurableJobs *self,
+                              const DurableLog_Job *job);
+
 /** Answers queries whose job has ended or whose wait is over. */
 void DurableCaller_AnswerStateQueries(DurableJobs *self, int64_t now_ms);
 
@@ -200,8 +207,12 @@
                                  const DurableJobs_Call *call, bool answered);
 
 /** Puts the progress record of a job. */
-void DurableOwned_PutProgress(DurableJobs *self,
-                              const DurableJobs_OwnJob *row);
+void DurableOwned_PutProgress(DurableJobs *self, DurableJobs_OwnJob *row);
+
+/** Records that owned jobs are at work, so that every entry shows them as
+ * running, whatever becomes of their owner. Jobs that end soon are recorded by
+ * their end alone. */
+void DurableOwned_RecordStarts(DurableJobs *self, int64_t now_ms);
 
 /** Removes a job whose outcome is in the log; queues its ends for release. */
 void DurableOwned_Remove(DurableJobs *self, DurableJobs_OwnJob *row);
--- a/tests/kept_rules.c
+++ b/tests/kept_rules.c
@@ -665,6 +665,96 @@
     read_log(fix);
 }
 
+static const written_record *
+last_progress(const fixture *fix, int *count)
+{
+    const written_record *last = NULL;
+    guint i;
+
+    *count = 0;
+    for (i = 0; i < fix->puts->len; i++) {
+        const written_record *put = g_ptr_array_index(fix->puts, i);
+        if (put->key[0] == 'p') {
+            last = put;
+            ++*count;
+        }
+    }
+    return last;
+}
+
+/* The only record of progress tells nothing but that a task of job 7 was
+ * started. */
+static void
+check_start_record(const fixture *fix)
+{
+    const lc_kept_progress *progress;
+    const written_record *put;
+    lc_kept_record record;
+    int count;
+
+    put = last_progress(fix, &count);
+    g_assert_cmpint(count, ==, 1);
+    g_assert_true(
+        Msg_DecodeDurableRecord(put->value->data, put->value->len, &record));
+    progress = &record.body.lc_kept_body_u.progress;
+    g_assert_cmpint(record.body.kind, ==, LC_KEPT_PROGRESS);
+    g_assert_cmpuint(record.job, ==, 7);
+    g_assert_cmpint(progress->outcome, ==, LC_KEPT_OPEN);
+    g_assert_cmpuint(progress->done.done_len, ==, 0);
+    g_assert_cmpuint(progress->failures.failures_len, ==, 0);
+    Msg_FreeDurableRecord(&record);
+}
+
+/* Guards against a job at work that every entry but its owner shows as
+ * pending. The record is put once, also while it cannot be read back. */
+static void
+test_start_is_recorded(void)
+{
+    fixture fix;
+
+    start_own(&fix);
+    advance(&fix, 500);
+    check_start_record(&fix);
+    advance(&fix, 3000);
+    check_start_record(&fix);
+    read_puts(&fix);
+    advance(&fix, 3000);
+    check_start_record(&fix);
+    free_fixture(&fix);
+}
+
+/* The record of its end tells as much. */
+static void
+test_short_job_start_is_not_recorded(void)
+{
+    fixture fix;
+    int count;
+
+    start_own(&fix);
+    advance(&fix, 200);
+    end_run(&fix, LC_RUN_DONE);
+    advance(&fix, 1000);
+    last_progress(&fix, &count);
+    g_assert_cmpint(count, ==, 1);
+    free_fixture(&fix);
+}
+
+/* A job of which no task was started. */
+static void
+test_waiting_job_start_is_not_recorded(void)
+{
+    fixture fix;
+    int count;
+
+    new_unheard_fixture(&fix);
+    submit(&fix, 7);
+    read_put(&fix, 1);
+    advance_with(&fix, 1000, false);
+    last_progress(&fix, &count);
+    g_assert_cmpint(count, ==, 0);
+    free_fixture(&fix);
+}
+
 static void
 test_released_when_written(void)
 {
@@ -845,7 +935,6 @@
     static const lc_run_status ends[] = {LC_RUN_DONE, LC_RUN_FAILED,
                                          LC_RUN_FAILED, LC_RUN_LOST};
     fixture fix;
-    guint puts;
     size_t i;
 
     new_fixture(&fix);
@@ -853,13 +942,14 @@
     submit(&fix, 7);
     read_put(&fix, 1);
     read_log(&fix);
-    puts = fix.puts->len;
     for (i = 0; i < G_N_ELEMENTS(ends); i++) {
         end_run(&fix, ends[i]);
         advance(&fix, 150);
         g_assert_cmpint(count_calls(&fix, MSG_RUN), ==, 2 + (int)i);
     }
-    g_assert_cmpuint(fix.puts->len, ==, puts);
+    /* The submission, and that a task was started. */
+    g_assert_cmpuint(fix.puts->len, ==, 2);
+    check_start_record(&fix);
     g_assert_cmpint(count_calls(&fix, MSG_RELEASE), ==, 3);
     g_assert_cmpint(
         DurableJobs_StateOf(fix.durable_jobs, fix.now_ms, 7, "queue"), ==,
@@ -1659,6 +1749,45 @@
     free_fixture(&fix);
 }
 
+/* Guards against a job at work that is shown as pending, or counted as
+ * waiting, by an entry that does not own it or has just taken it over. */
+static void
+test_started_job_runs_at_any_entry(void)
+{
+    lc_kept_progress progress = {.queue = (char *)(uintptr_t) "queue"};
+    QueueCounts *counts = QueueCounts_New();
+    lc_node successor;
+    fixture fix;
+
+    new_fixture(&fix);
+    read_submit(&fix, 7, &other_owner);
+    check_state(&fix, DURABLE_JOB_PENDING);
+    read_progress(&fix, &progress);
+    check_state(&fix, DURABLE_JOB_RUNNING);
+    advance(&fix, 3000);
+    successor = own_identity(&fix);
+    read_claim(&fix, &other_owner, &successor);
+    check_state(&fix, DURABLE_JOB_RUNNING);
+    DurableJobs_CountWaiting(fix.durable_jobs, counts);
+    g_assert_cmpuint(QueueCounts_Get(counts, "queue"), ==, 0);
+    g_hash_table_unref(counts);
+    free_fixture(&fix);
+}
+
+/* The owner was replaced before it recorded that the job is at work. */
+static void
+test_successor_records_start(void)
+{
+    lc_held_run held = {.id = {.job = 7, .run = 1025}, .running = true};
+    fixture fix;
+
+    claim_other_owner(&fix);
+    answer_fence(&fix, &held);
+    advance(&fix, 1000);
+    check_start_record(&fix);
+    free_fixture(&fix);
+}
+
 /* The number of attempts is a setting of the queue: how often a task failed
  * meanwhile counts once the queue is back. */
 static void
@@ -2168,6 +2297,15 @@
      test_successor_never_ready},
     {"/durable/counts attempts on trial", test_attempts_on_trial},
     {"/durable/restarts long-running tasks", test_long_running},
+    {"/durable/records that a job is at work", test_start_is_recorded},
+    {"/durable/records a short job by its end alone",
+     test_short_job_start_is_not_recorded},
+    {"/durable/records no start of a job that waits",
+     test_waiting_job_start_is_not_recorded},
+    {"/durable/a started job is running at any entry",
+     test_started_job_runs_at_any_entry},
+    {"/durable/a successor records the start of a run that it adopts",
+     test_successor_records_start},
     {"/durable/starts each occurrence when it is due", test_repeats},
     {"/durable/starts nothing when the log was not read for long",
      test_no_starts_without_log},
--- a/tests/lease_sim_durable.cc
+++ b/tests/lease_sim_durable.cc
@@ -553,6 +553,23 @@
     return cancelled;
 }
 
+/* Every entry shows a job at work as running, whoever owns it. */
+void
+Simulation::check_shown_as_running(const DurableCaller &caller)
+{
+    for (const EntryNode &entry : entries) {
+        DurableJobs_State state = DurableJobs_StateOf(entry.durable_jobs, now,
+                                                      caller.id, "queue");
+        if (entry.alive && state != DURABLE_JOB_RUNNING &&
+            state != DURABLE_JOB_CANCELLED && state != DURABLE_JOB_FAILED) {
+            violation("entry " + std::to_string(entry.index) +
+                      " shows durable job " + std::to_string(caller.id) +
+                      ", which is at work, in state " +
+                      std::to_string((int)state));
+        }
+    }
+}
+
 /* Long-running jobs must be running until they are cancelled. */
 void
 Simulation::cancel_long_running()
@@ -568,6 +585,9 @@
             violation("long-running tasks are not running, of durable job " +
                       std::to_string(caller.id));
         }
+        if (is_at_work(caller)) {
+            check_shown_as_running(caller);
+        }
         cancel_durable(caller.id);
     }
 }
--- a/tests/lease_sim_state.h
+++ b/tests/lease_sim_state.h
@@ -434,6 +434,7 @@
     void fail_durable_requests(uint32_t entry);
     void on_durable_start(const lc_run_id &id);
     bool may_be_given_up(const DurableCaller &caller) const;
+    void check_shown_as_running(const DurableCaller &caller);
     bool is_cancelled_late(const DurableCaller &caller) const;
     void on_durable_end(const lc_run_id &id, Runner_End end);
     void on_durable_acknowledged(const lc_run_id &id, Runner_End end);
--- a/tests/soak/scenario.cc
+++ b/tests/soak/scenario.cc
@@ -104,6 +104,9 @@
 /* After the claim, and early enough to have restarted by then. */
 const int64_t WOKEN_RESTART_MS = 2600;
 const int64_t WOKEN_END_MS = 16000;
+const uint32_t SHOWN_TASKS = 4;
+const int64_t SHOWN_WORK_MS = 24000;
+const int64_t SHOWN_END_MS = 32000;
 const int64_t ENDS_LOST_INTERVAL_MS = 100;
 const int64_t ENDS_LOST_LOAD_MS = 5000;
 const int64_t LATE_STARTS_INTERVAL_MS = 30;
@@ -419,6 +422,15 @@
     });
 }
 
+/* A durable job that is at work while tests/process/kept_shown.sh stops its
+ * owners. */
+void
+play_kept_shown()
+{
+    cluster->target_entry = 0;
+    last_job = cluster->submit_durable_job(SHOWN_TASKS, 500, SHOWN_WORK_MS);
+}
+
 /* The owner of a durable job stands still and is claimed. Companions that are
  * restarted then, as planned, have not been told so when it goes on. */
 void
@@ -1586,6 +1598,7 @@
     {"kept_owner_unheard", play_kept_owner_unheard, UNHEARD_END_MS, 2, 6},
     {"kept_many_owners", play_kept_many_owners, OWNERS_END_MS, 2, 4},
     {"kept_owner_woken", play_kept_owner_woken, WOKEN_END_MS, 3, 6},
+    {"kept_shown", play_kept_shown, SHOWN_END_MS, 5, 4},
     {"kept_queue_removed", play_kept_queue_removed, REMOVED_END_MS, 2, 4},
     {"late_starts", play_late_starts, LATE_STARTS_END_MS, 2, 4},
     {"late_retries", play_late_retries, LATE_RETRIES_END_MS, 2, 4},
