Let an upstream's own heartbeats count again after one of another writer

What callers saw: after one heartbeat of another writer under an upstream's id, with a number far too large, the upstream gets no more tasks for the rest of its life: its own heartbeats are late against that number. With 14 upstreams and one such heartbeat each (process/odd_heartbeats) 7 of them got no tasks: seq (2^63-1 and 100,000 above), clock_ms (2^63-1 and 2^40 ahead), a capacity of 2^32-1, a port out of range and an empty name, each with a seq 100,000 ahead. A kept job for which the others have no room is LOST.

Cause: a heartbeat was believed for its number alone. A number that rises is newer, and nothing could show that another writer had told it; so with the clock, which is only taken if it is higher, and with a start time where the upstream reports none.

A heartbeat whose clock is further ahead than the time since such an answer, or with a start time that the answers lack, is ignored; a clock or a start time that heartbeats alone have told gives way to the first answer; - a sequence number that rises faster than the nanoseconds of a clock is ignored; - a lower number than that in force counts all the same if the heartbeat was sent later, by the upstream's clock, than the one in force. A late one never was, so none is taken, however long the silence. Without a clock in heartbeats a series of them must go on while nothing follows the one in force for three intervals.

--- a/daemon/leased_companion.c
+++ b/daemon/leased_companion.c
@@ -492,6 +492,7 @@
     if (UpstreamApi_ParseHeartbeat(instance, request->body, request->length,
                                    &heartbeat, &status) != ERR_OK) {
         Counter_Add(role_counters(&self->process), COUNTER_HEARTBEATS_BAD, 1);
+        Event_Log(EVENT_HEARTBEAT_BAD, "of %s: %s", instance, status.message);
         HttpServer_RespondError(self->heartbeats, request->id, status.kind,
                                 status.message, 0);
     }
--- a/lease/runner.c
+++ b/lease/runner.c
@@ -410,8 +410,7 @@
         ((Runner_Task *)item->data)->suspended = true;
     }
     g_list_free(rows);
-    runner->upstream.clock_read_ms = MIN(
-        runner->upstream.clock_read_ms + suspended_ms, now_ms);
+    RunnerUpstream_OnSuspended(runner, now_ms, suspended_ms);
     RunnerPoll_ShiftHold(runner, suspended_ms);
 }
 
--- a/lease/runner_poll.c
+++ b/lease/runner_poll.c
@@ -497,7 +497,8 @@
     RunnerUpstream_Trust(runner);
     runner->upstream.acknowledged = MAX(runner->upstream.acknowledged,
                                         poll->last_seen);
-    RunnerUpstream_RecordClock(runner, now_ms, listing->clock_ms);
+    RunnerUpstream_RecordAnswer(runner, now_ms, poll->sent_ms,
+                                listing->clock_ms);
     for (i = 0; i < listing->ended_count; i++) {
         apply_ended_run(runner, now_ms, &listing->ended[i]);
     }
--- a/lease/runner_state.h
+++ b/lease/runner_state.h
@@ -98,11 +98,16 @@
     bool left;        /* has announced its end, but may still execute runs */
     bool inventoried; /* no run of an earlier companion process is left */
     char *instance;
-    int64_t born_ms;      /* 0 until the upstream reports its start time */
-    uint32_t incarnation; /* incremented when another becomes current */
-    bool earlier_drained; /* the previous incarnation was draining at its end
-                           */
-    uint64_t sequence;    /* of the last accepted heartbeat */
+    int64_t born_ms;        /* 0 until the upstream reports its start time */
+    uint32_t incarnation;   /* incremented when another becomes current */
+    bool earlier_drained;   /* the previous incarnation was draining at its end
+                             */
+    uint64_t sequence;      /* of the last accepted heartbeat */
+    int64_t beat_clock_ms;  /* its clock in that heartbeat; 0: not reported */
+    uint64_t late_sequence; /* of the last heartbeat ignored as late since */
+    bool answered;          /* the current incarnation has answered a poll */
+    int64_t answer_clock_ms; /* its clock in an answer; 0: not known */
+    int64_t answer_sent_ms;  /* when that poll was sent */
     char *service;
     char **labels;
     lc_resources capacity;
@@ -489,6 +494,15 @@
 void RunnerUpstream_RecordClock(Runner *runner, int64_t now_ms,
                                 int64_t clock_ms);
 
+/** Records the clock in the answer to a poll that was sent at @p sent_ms. It
+ * goes before what heartbeats told, as nobody else answers polls. */
+void RunnerUpstream_RecordAnswer(Runner *runner, int64_t now_ms,
+                                 int64_t sent_ms, int64_t clock_ms);
+
+/** The machine was suspended: the upstream's clock may have gone on or not. */
+void RunnerUpstream_OnSuspended(Runner *runner, int64_t now_ms,
+                                int64_t suspended_ms);
+
 /** Marks the upstream as suspected: until it answers a poll, it is sent only
  * polls. */
 void RunnerUpstream_Suspect(Runner *runner, const char *reason);
--- a/lease/runner_upstream.c
+++ b/lease/runner_upstream.c
@@ -6,6 +6,17 @@
 /* A clock this far below its expected lower bound was reset. Above the drift
  * of at most 2% over the longest wait for an answer. */
 #define CLOCK_BACK_MS 100
+/* A clock further ahead of the upstream's own answers than this, and this part
+ * of the time since, is not the upstream's. */
+#define CLOCK_AHEAD_MS 100
+#define CLOCK_AHEAD_DIVISOR 50
+/* The sequence numbers of an upstream rise no faster than the nanoseconds of a
+ * clock that was read up to this long before. */
+#define SEQUENCE_PER_MS 1000000
+#define SEQUENCE_SLACK_MS 10000
+/* A heartbeat that none has followed for so many intervals does not keep
+ * others out any more. */
+#define SILENT_BEATS 3
 
 void
 RunnerUpstream_Log(const Runner *runner, Event_Id id, const char *reason)
@@ -37,6 +48,36 @@
     }
 }
 
+void
+RunnerUpstream_RecordAnswer(Runner *runner, int64_t now_ms, int64_t sent_ms,
+                            int64_t clock_ms)
+{
+    Runner_UpstreamInfo *upstream = &runner->upstream;
+
+    if (clock_ms <= 0) {
+        return;
+    }
+    if (upstream->answer_clock_ms == 0 && clock_ms < upstream->clock_ms) {
+        /* So far known from heartbeats, which may be another writer's. */
+        upstream->clock_ms = 0;
+        upstream->clock_read_ms = now_ms;
+    }
+    RunnerUpstream_RecordClock(runner, now_ms, clock_ms);
+    if (clock_ms >= upstream->answer_clock_ms) {
+        upstream->answer_clock_ms = clock_ms;
+        upstream->answer_sent_ms = sent_ms;
+    }
+}
+
+void
+RunnerUpstream_OnSuspended(Runner *runner, int64_t now_ms,
+                           int64_t suspended_ms)
+{
+    runner->upstream.clock_read_ms = MIN(
+        runner->upstream.clock_read_ms + suspended_ms, now_ms);
+    runner->upstream.answer_clock_ms = 0;
+}
+
 /* ---- incarnations ---- */
 
 /* Resets all counters and observations of the earlier incarnation. */
@@ -49,6 +90,10 @@
     runner->upstream.earlier_drained = runner->upstream.draining;
     runner->upstream.left = false;
     runner->upstream.sequence = 0;
+    runner->upstream.beat_clock_ms = 0;
+    runner->upstream.late_sequence = 0;
+    runner->upstream.answered = false;
+    runner->upstream.answer_clock_ms = 0;
     runner->upstream.inventoried = false;
     runner->upstream.last_seen = 0;
     runner->upstream.acknowledged = 0;
@@ -159,6 +204,7 @@
 {
     Runner_Candidate *candidate = &runner->candidate;
 
+    runner->upstream.answered = true;
     if (candidate->pending && poll_id > candidate->after_poll) {
         ignore_heartbeat(runner, &candidate->heartbeat,
                          "another incarnation answers at this address");
@@ -185,6 +231,8 @@
     runner->upstream.known = true;
     runner->upstream.draining = draining;
     runner->upstream.sequence = heartbeat->sequence;
+    runner->upstream.beat_clock_ms = heartbeat->clock_ms;
+    runner->upstream.late_sequence = 0;
     runner->upstream.heard_ms = now_ms;
     runner->upstream.capacity = heartbeat->capacity;
     g_free(runner->upstream.service);
@@ -242,11 +290,97 @@
             runner->upstream.born_ms == 0);
 }
 
+/* Whether the clock is further ahead than the upstream's can be. */
+static bool
+is_clock_ahead(const Runner *runner, int64_t now_ms, int64_t clock_ms)
+{
+    const Runner_UpstreamInfo *upstream = &runner->upstream;
+    int64_t elapsed_ms = now_ms - upstream->answer_sent_ms;
+
+    return upstream->answer_clock_ms > 0 &&
+           clock_ms > upstream->answer_clock_ms + elapsed_ms +
+                          elapsed_ms / CLOCK_AHEAD_DIVISOR + CLOCK_AHEAD_MS;
+}
+
+static bool
+is_sequence_ahead(const Runner *runner, int64_t now_ms, uint64_t sequence)
+{
+    const Runner_UpstreamInfo *upstream = &runner->upstream;
+    uint64_t most = (uint64_t)(now_ms - upstream->heard_ms +
+                               SEQUENCE_SLACK_MS) *
+                    SEQUENCE_PER_MS;
+
+    return upstream->sequence > 0 && sequence > upstream->sequence &&
+           sequence - upstream->sequence > most;
+}
+
+/* No heartbeat has followed the one in force for some intervals. */
+static bool
+is_silent(const Runner *runner, int64_t now_ms)
+{
+    return runner->config.beat_ms > 0 &&
+           now_ms - runner->upstream.heard_ms >=
+               SILENT_BEATS * runner->config.beat_ms;
+}
+
+/* Whether a heartbeat with a lower sequence number than the one in force shows
+ * that the latter was another writer's: it was sent later, by the upstream's
+ * clock, which only rises. If it does not tell its clock, it must be one of a
+ * series that goes on while nothing follows the one in force. */
+static bool
+overrules(const Runner *runner, int64_t now_ms,
+          const Runner_Heartbeat *heartbeat)
+{
+    const Runner_UpstreamInfo *upstream = &runner->upstream;
+
+    if (heartbeat->clock_ms > 0 && upstream->answer_clock_ms > 0) {
+        return (heartbeat->clock_ms > upstream->beat_clock_ms ||
+                is_clock_ahead(runner, now_ms, upstream->beat_clock_ms)) &&
+               heartbeat->clock_ms >
+                   upstream->answer_clock_ms - runner->config.beat_ms;
+    }
+    return heartbeat->clock_ms == 0 && upstream->late_sequence > 0 &&
+           heartbeat->sequence > upstream->late_sequence &&
+           is_silent(runner, now_ms);
+}
+
+/* Returns the reason to ignore a heartbeat of the current incarnation, or
+ * NULL.
+ */
+static const char *
+reason_to_ignore_current(const Runner *runner, int64_t now_ms,
+                         const Runner_Heartbeat *heartbeat)
+{
+    const Runner_UpstreamInfo *upstream = &runner->upstream;
+
+    if (heartbeat->born_ms != 0 && upstream->born_ms == 0 &&
+        upstream->answered) {
+        return "has a start time, unlike the upstream's answers";
+    }
+    if (is_clock_ahead(runner, now_ms, heartbeat->clock_ms)) {
+        return "its clock is ahead of the upstream's";
+    }
+    if (is_sequence_ahead(runner, now_ms, heartbeat->sequence)) {
+        return "its sequence number is too far above the last one";
+    }
+    if (heartbeat->sequence <= upstream->sequence) {
+        return overrules(runner, now_ms, heartbeat)
+                   ? NULL
+                   : "its sequence number is not above the last one";
+    }
+    if (upstream->known && !is_silent(runner, now_ms) &&
+        strcmp(upstream->service, heartbeat->service) != 0) {
+        return "names another service than the current incarnation";
+    }
+    return NULL;
+}
+
 /* Returns the reason to ignore a heartbeat, or NULL. An upstream that has
  * reported its start time continues to do so, and never changes its service
  * within one incarnation. */
 static const char *
-reason_to_ignore(const Runner *runner, const Runner_Heartbeat *heartbeat)
+reason_to_ignore(const Runner *runner, int64_t now_ms,
+                 const Runner_Heartbeat *heartbeat)
 {
     if (DeadIncarnations_Contains(&runner->dead_incarnations,
                                   heartbeat->instance, heartbeat->born_ms)) {
@@ -256,27 +390,23 @@
         heartbeat->born_ms == 0 && runner->upstream.born_ms != 0) {
         return "has no start time, unlike the current incarnation";
     }
-    if (!is_current(runner, heartbeat)) {
-        return NULL;
-    }
-    if (heartbeat->sequence <= runner->upstream.sequence) {
-        return "its sequence number is not above the last one";
-    }
-    if (runner->upstream.known &&
-        strcmp(runner->upstream.service, heartbeat->service) != 0) {
-        return "names another service than the current incarnation";
-    }
-    return NULL;
+    return is_current(runner, heartbeat)
+               ? reason_to_ignore_current(runner, now_ms, heartbeat)
+               : NULL;
 }
 
 void
 Runner_OnHeartbeat(Runner *runner, int64_t now_ms,
                    const Runner_Heartbeat *heartbeat)
 {
-    const char *reason = reason_to_ignore(runner, heartbeat);
+    const char *reason = reason_to_ignore(runner, now_ms, heartbeat);
 
     if (reason != NULL) {
         ignore_heartbeat(runner, heartbeat, reason);
+        if (is_current(runner, heartbeat) &&
+            heartbeat->sequence <= runner->upstream.sequence) {
+            runner->upstream.late_sequence = heartbeat->sequence;
+        }
     }
     else if (!is_current(runner, heartbeat)) {
         handle_other_heartbeat(runner, now_ms, heartbeat);
@@ -400,7 +530,13 @@
 {
     Runner_Candidate *next = &runner->candidate;
 
-    if (born_ms == 0 || born_ms == runner->upstream.born_ms) {
+    if (born_ms == runner->upstream.born_ms) {
+        return false;
+    }
+    if (born_ms == 0) {
+        /* An upstream reports it always or never: a heartbeat of another
+         * writer has told it. */
+        runner->upstream.born_ms = 0;
         return false;
     }
     if (runner->upstream.born_ms == 0) {
--- a/tests/lease_sim.cc
+++ b/tests/lease_sim.cc
@@ -142,6 +142,9 @@
     case Fault::StallAppends:
         store.appends_stalled_until = until;
         break;
+    case Fault::OddHeartbeat:
+        send_odd_heartbeat(companion, action.other);
+        break;
     case Fault::Count:
         break;
     }
--- a/tests/lease_sim.h
+++ b/tests/lease_sim.h
@@ -69,8 +69,10 @@
                        the held calls arrive */
     ReplaceOwners, /**< again and again an entry that owns a durable job is
                        stopped as planned, or killed */
-    StallAppends   /**< appends stand still while reads are served, and are
+    StallAppends,  /**< appends stand still while reads are served, and are
                         executed afterwards */
+    OddHeartbeat /**< another writer sends a heartbeat under an upstream's id,
+                    with a number that the upstream never reports */
 };
 
 /** One fault of a plan. Times are ms since the start of the simulation. */
--- a/tests/lease_sim_nodes.cc
+++ b/tests/lease_sim_nodes.cc
@@ -615,6 +615,46 @@
     });
 }
 
+void
+Simulation::send_odd_heartbeat(uint32_t index, uint32_t kind)
+{
+    const int64_t large = (int64_t)1 << 53;
+    static const char *const labels[] = {nullptr};
+    CompanionNode *companion = &companions[index];
+    Upstream *upstream = &upstreams[index];
+    std::string instance = upstream->instance();
+    Runner_Heartbeat odd = {
+        nullptr,   upstream->born(),      upstream->heartbeats_sent + 1000,
+        "service", RUNNER_UPSTREAM_READY, CAPACITY,
+        labels,    upstream->clock(now)};
+
+    switch (kind % 6) {
+    case 0:
+        odd.sequence = (uint64_t)large;
+        break;
+    case 1:
+        odd.clock_ms = large;
+        break;
+    case 2:
+        odd.clock_ms += 3600000;
+        break;
+    case 3:
+        odd.born_ms = large;
+        break;
+    case 4:
+        odd.born_ms = 0;
+        break;
+    default:
+        odd.clock_ms = 0;
+        break;
+    }
+    when_thawed(companion, [this, companion, instance, odd] {
+        Runner_Heartbeat heartbeat = odd;
+        heartbeat.instance = instance.c_str();
+        Runner_OnHeartbeat(companion->runner, now, &heartbeat);
+    });
+}
+
 /* Every fifth heartbeat is delayed until later ones have arrived. */
 void
 Simulation::run_heartbeats(uint32_t index)
--- a/tests/lease_sim_state.h
+++ b/tests/lease_sim_state.h
@@ -356,6 +356,7 @@
     void break_link(uint32_t entry, uint32_t companion);
     void run_heartbeats(uint32_t index);
     void send_heartbeat(uint32_t index, int64_t delay_ms);
+    void send_odd_heartbeat(uint32_t index, uint32_t kind);
     void report_to_entries(uint32_t index);
     void tick_entry(uint32_t index, uint64_t boot_id);
     void tick_companion(uint32_t index, uint64_t boot_id);
--- a/tests/prop_lease.cc
+++ b/tests/prop_lease.cc
@@ -316,6 +316,29 @@
                  size, rc::kNominalSize);
 }
 
+/* Other writers send heartbeats under the ids of upstreams that crash, restart
+ * and are suspended. */
+void
+check_odd_heartbeats(int size)
+{
+    check_faults(lease::Plan(),
+                 {
+                     lease::Fault::OddHeartbeat,
+                     lease::Fault::OddHeartbeat,
+                     lease::Fault::OddHeartbeat,
+                     lease::Fault::OddHeartbeat,
+                     lease::Fault::CrashUpstream,
+                     lease::Fault::RestartUpstream,
+                     lease::Fault::KillCompanion,
+                     lease::Fault::FreezeCompanion,
+                     lease::Fault::Suspend,
+                     lease::Fault::LateOrders,
+                     lease::Fault::KillEntry,
+                     lease::Fault::CutPair,
+                 },
+                 size, rc::kNominalSize);
+}
+
 /* The durable jobs' queue is removed and put back while their owners are
  * replaced, and replaced again. */
 void
@@ -670,8 +693,8 @@
 
 } // namespace
 
-/* Without an argument all properties are checked; "services", "owners" and
- * "others" check one part each. */
+/* Without an argument all properties are checked; "services", "owners",
+ * "heartbeats" and "others" check one part each. */
 int
 main(int argc, char **argv)
 {
@@ -689,6 +712,12 @@
         good &= check_many_owners();
         return good ? 0 : 1;
     }
+    if (part == "heartbeats") {
+        return rc::check("odd heartbeats, many faults",
+                         [] { check_odd_heartbeats(14); })
+                   ? 0
+                   : 1;
+    }
     if (part == "services") {
         return check_all_services() ? 0 : 1;
     }
@@ -726,6 +755,10 @@
     if (part != "others") {
         good &= check_all_services();
     }
+    good &= rc::check("odd heartbeats, few faults",
+                      [] { check_odd_heartbeats(4); });
+    good &= rc::check("odd heartbeats, many faults",
+                      [] { check_odd_heartbeats(14); });
     good &= rc::check("equal upstreams share the work",
                       [] { check_shares(); });
     printf("%lu jobs forwarded, %lu accepted\n", (unsigned long)total.forwards,
--- a/tests/soak/scenario.cc
+++ b/tests/soak/scenario.cc
@@ -107,6 +107,12 @@
 const uint32_t SHOWN_TASKS = 4;
 const int64_t SHOWN_WORK_MS = 24000;
 const int64_t SHOWN_END_MS = 32000;
+const int64_t ODD_LEAD_MS = 6000;
+const int64_t ODD_WORK_MS = 800;
+const int64_t ODD_HEARTBEATS_END_MS = 14000;
+const int64_t ODD_KILL_MS = 600;
+const int64_t ODD_RECORDS_CHECK_MS = 4500;
+const int64_t ODD_RECORDS_END_MS = 18000;
 const int64_t ENDS_LOST_INTERVAL_MS = 100;
 const int64_t ENDS_LOST_LOAD_MS = 5000;
 const int64_t LATE_STARTS_INTERVAL_MS = 30;
@@ -431,6 +437,141 @@
     last_job = cluster->submit_durable_job(SHOWN_TASKS, 500, SHOWN_WORK_MS);
 }
 
+/* Numbers that no upstream reports, and texts that are hard to decode. */
+std::vector<soak::OddHeartbeat>
+odd_heartbeats()
+{
+    const int64_t large = INT64_MAX - 1000000;
+    const int64_t plain = (int64_t)1 << 40;
+
+    return {
+        {"seq", (uint64_t)large, 0, 0, 0, ""},
+        {"seq, less large", 100000, 0, 0, 0, ""},
+        {"clock_ms", 100000, large, 0, 0, ""},
+        {"clock_ms, less large", 100000, plain, 0, 0, ""},
+        {"born", 100000, 0, large, 0, ""},
+        {"born, less large", 100000, 0, plain, 0, ""},
+        {"capacity", 100000, 0, 0, UINT32_MAX, ""},
+        {"a number that no double holds", 100000, 0, 0, 0, ",\"slots\":1e999"},
+        {"a number of 30 digits", 100000, 0, 0, 0,
+         ",\"slots\":" + std::string(30, '9')},
+        {"nested deeply", 100000, 0, 0, 0,
+         ",\"slots\":" + std::string(100000, '[') + std::string(100000, ']')},
+        {"a port out of range", 100000, 0, 0, 0,
+         ",\"address\":\"127.0.0.1:70000\""},
+        {"not UTF-8", 100000, 0, 0, 0, ",\"zone\":\"\xff\xfe\""},
+        {"a member twice", 100000, 0, 0, 0, ",\"seq\":1,\"seq\":2"},
+        {"an empty name", 100000, 0, 0, 0, ",\"\":0"},
+    };
+}
+
+/* Each companion hears one heartbeat of another writer under its upstream's
+ * id, and one under another id. Later every upstream has to get tasks. */
+void
+play_odd_heartbeats()
+{
+    static std::vector<bool> has_started(cluster->upstreams.size());
+    std::vector<soak::OddHeartbeat> odd = odd_heartbeats();
+
+    for (size_t i = 0; i < cluster->upstreams.size(); i++) {
+        soak::Upstream *upstream = cluster->upstreams[i].get();
+        upstream->send_odd_heartbeat(odd[i % odd.size()], "");
+        upstream->send_odd_heartbeat(odd[(i + 1) % odd.size()], "odd");
+    }
+    cluster->run_after(ODD_LEAD_MS, [] {
+        for (size_t i = 0; i < cluster->upstreams.size(); i++) {
+            cluster->upstreams[i]->loses_start = [i] {
+                has_started[i] = true;
+                return false;
+            };
+        }
+        last_job = cluster->submit_durable_job(
+            (uint32_t)cluster->upstreams.size() * 2,
+            soak::UPSTREAM_CAPACITY.cpu_milli / 2, ODD_WORK_MS);
+    });
+    cluster->run_after(ODD_HEARTBEATS_END_MS - 1, [odd] {
+        for (size_t i = 0; i < has_started.size(); i++) {
+            if (!has_started[i]) {
+                cluster->checker.violation(
+                    cluster->now(),
+                    std::string("an upstream gets no tasks after a heartbeat "
+                                "with an odd value: ") +
+                        odd[i % odd.size()].name);
+            }
+        }
+    });
+}
+
+/* Other writers leave records in all topics, and the store shows items that
+ * are hard to decode in each page; then all processes start again and read
+ * them. */
+void
+play_odd_records()
+{
+    static const char *const topics[] = {"keyed.op", "keyed.levercove.jobs",
+                                         "keyed.levercove.members"};
+    const std::string keys[] = {
+        "",
+        std::string("\0nul", 4),
+        "\xff\xfe",
+        "a b&c=d#e%f+g",
+        "config/\x01",
+        "evacuate/",
+        "evacuate/\xff",
+        "127.0.0.1:70000",
+        "127.0.0.1:0",
+        "s0000000000000007",
+        "c" + std::string(200, '0'),
+        "zzz\"quoted\"",
+        "~\xff",
+    };
+    const std::string deep(100000, '[');
+
+    cluster->target_entry = 0;
+    for (int i = 0; i < 4; i++) {
+        cluster->submit_durable_job(2, 500, ODD_WORK_MS);
+    }
+    for (const char *topic : topics) {
+        for (const std::string &key : keys) {
+            cluster->store->append(topic, key, "{\"version\":1e999}");
+            cluster->store->append(topic, key, deep);
+            cluster->store->append(topic, key, std::string("\xff\0\x01", 3));
+        }
+    }
+    cluster->store->page_records = 3;
+    cluster->store->odd_items = {
+        "{\"key\":\"\\u0000\",\"value\":\"\",\"offset\":0}",
+        "{\"key\":\"a\",\"value\":\"AA==\",\"offset\":99999999999999999999}",
+        "{\"key\":\"a\",\"value\":\"AA==\",\"offset\":-1}",
+        "{\"key\":\"a\",\"value\":\"AA==\",\"offset\":1e300}",
+        "{\"key\":\"a\",\"value\":\"?\",\"offset\":0}",
+        "{\"key\":7,\"value\":\"AA==\",\"offset\":0}",
+        "{\"key\":\"a\",\"key\":\"b\",\"value\":\"AA==\",\"offset\":0}",
+    };
+    cluster->store->odd_last_items = {
+        "{\"value\":\"\xff\",\"offset\":0}",
+        "{\"value\":" + deep + std::string(deep.size(), ']') + "}",
+        "1e999",
+        "null",
+    };
+    for (int i = 0; i < 2; i++) {
+        cluster->run_after(ODD_KILL_MS + i * ODD_KILL_MS, [] {
+            cluster->store->compact();
+            for (auto &process : cluster->entries) {
+                process->kill(100);
+            }
+            cluster->companions[0]->kill(100);
+        });
+    }
+    cluster->run_after(ODD_RECORDS_CHECK_MS, [] {
+        cluster->target_entry = -1;
+        for (int i = 0; i < 20; i++) {
+            cluster->submit_job(2, 500, 100, false);
+            last_job = cluster->submit_durable_job(2, 500, 100);
+        }
+    });
+}
+
 /* The owner of a durable job stands still and is claimed. Companions that are
  * restarted then, as planned, have not been told so when it goes on. */
 void
@@ -1599,6 +1740,8 @@
     {"kept_many_owners", play_kept_many_owners, OWNERS_END_MS, 2, 4},
     {"kept_owner_woken", play_kept_owner_woken, WOKEN_END_MS, 3, 6},
     {"kept_shown", play_kept_shown, SHOWN_END_MS, 5, 4},
+    {"odd_heartbeats", play_odd_heartbeats, ODD_HEARTBEATS_END_MS, 2, 14},
+    {"odd_records", play_odd_records, ODD_RECORDS_END_MS, 3, 4},
     {"kept_queue_removed", play_kept_queue_removed, REMOVED_END_MS, 2, 4},
     {"late_starts", play_late_starts, LATE_STARTS_END_MS, 2, 4},
     {"late_retries", play_late_retries, LATE_RETRIES_END_MS, 2, 4},
--- a/tests/soak/store.cc
+++ b/tests/soak/store.cc
@@ -12,7 +12,6 @@
 namespace {
 
 const int64_t TICK_MS = 5;
-const size_t PAGE_RECORDS = 500;
 const char *const OPERATORS_TOPIC = "keyed.op";
 const int64_t SLOW_MS = 400;
 
@@ -35,7 +34,17 @@
         return "";
     }
     found += strlen(name);
-    return std::string(found, strcspn(found, "&"));
+    std::string text;
+    for (size_t left = strcspn(found, "&"); left > 0; found++, left--) {
+        unsigned byte = (unsigned char)*found;
+        if (*found == '%' && left > 2 &&
+            sscanf(found + 1, "%2x", &byte) == 1) {
+            found += 2;
+            left -= 2;
+        }
+        text.push_back((char)byte);
+    }
+    return text;
 }
 
 uint64_t
@@ -57,6 +66,25 @@
     }
 }
 
+/* An item of a page of newest records. Bytes of the key that JSON does not
+ * allow in a string as they are stand there all the same. */
+std::string
+item_text(const std::string &key, const std::string &value, uint64_t offset)
+{
+    gchar *encoded = g_base64_encode((const guchar *)value.data(),
+                                     value.size());
+    std::string text = "{\"key\":\"";
+
+    for (char byte : key) {
+        text += byte == '"' || byte == '\\' ? "\\" : "";
+        text.push_back(byte);
+    }
+    text += std::string("\",\"value\":\"") + encoded +
+            "\",\"offset\":" + std::to_string(offset) + "}";
+    g_free(encoded);
+    return text;
+}
+
 struct DelayedResponse {
     uv_timer_t timer;
     Http_Server *server;
@@ -126,6 +154,14 @@
     answer_pending_reads();
 }
 
+void
+Store::append(const std::string &topic, const std::string &key,
+              const std::string &value)
+{
+    topics[topic].records.push_back({key, value});
+    answer_pending_reads();
+}
+
 const Store::Topic *
 Store::topic_with(const std::string &key_prefix, const Record **newest) const
 {
@@ -196,10 +232,10 @@
     const Topic &topic = topics[query_text(request->query, "topic=")];
     std::string after = query_text(request->query, "depends_on=");
     std::map<std::string, uint64_t> last;
-    json_t *items = json_array();
+    std::vector<std::string> items = odd_items;
+    size_t records = 0;
     bool more = false;
-    json_t *body;
-    char *text;
+    std::string text;
 
     for (uint64_t i = 0; i < topic.records.size(); i++) {
         last[topic.records[i].key] = i;
@@ -209,24 +245,19 @@
         if (record.key <= after || record.value.empty()) {
             continue;
         }
-        if (json_array_size(items) == PAGE_RECORDS) {
+        if (records++ == page_records) {
             more = true;
             break;
         }
-        gchar *value = g_base64_encode((const guchar *)record.value.data(),
-                                       record.value.size());
-        json_array_append_new(items,
-                              json_pack("{s:s, s:s, s:I}", "key",
-                                        record.key.c_str(), "value", value,
-                                        "offset", (json_int_t)pair.second));
-        g_free(value);
+        items.push_back(item_text(record.key, record.value, pair.second));
+    }
+    items.insert(items.end(), odd_last_items.begin(), odd_last_items.end());
+    for (const std::string &item : items) {
+        text += (text.empty() ? "" : ",") + item;
     }
-    body = json_pack("{s:o, s:b, s:I}", "items", items, "more", (int)more,
-                     "end", (json_int_t)topic.records.size());
-    text = json_dumps(body, JSON_COMPACT);
-    respond(request->id, 200, text);
-    free(text);
-    json_decref(body);
+    respond(request->id, 200,
+            "{\"items\":[" + text + "],\"more\":" + (more ? "true" : "false") +
+                ",\"end\":" + std::to_string(topic.records.size()) + "}");
 }
 
 bool
--- a/tests/soak/store.h
+++ b/tests/soak/store.h
@@ -44,6 +44,16 @@
      * must read a snapshot. */
     void compact();
 
+    /** Appends a record to a topic. */
+    void append(const std::string &topic, const std::string &key,
+                const std::string &value);
+
+    /** JSON texts of items that stand before the records of each page of
+     * newest records, whatever they are. */
+    std::vector<std::string> odd_items;
+    /** The same behind the records; they have no keys. */
+    std::vector<std::string> odd_last_items;
+    size_t page_records = 500; /**< most records of a page */
     StoreFaultMode mode = StoreFaultMode::Healthy;
     int64_t last_fault_ms =
         0; /**< loop time at which it was last not healthy */
--- a/tests/soak/upstream.cc
+++ b/tests/soak/upstream.cc
@@ -298,30 +298,61 @@
 {
 }
 
-void
-Upstream::send_heartbeat(const std::string &instance, uint64_t number,
-                         int64_t clock_ms, int64_t born_ms)
+namespace {
+
+std::string
+heartbeat_body(uint32_t cpu_milli, uint64_t number, int64_t clock_ms,
+               int64_t born_ms, const std::string &more)
 {
-    HttpClient_Request request = {};
     char body[400];
-    std::string path = "/instances/" + instance + "/heartbeat";
 
     snprintf(body, sizeof(body),
              "{\"service\":\"service\",\"state\":\"ready\",\"capacity\":"
              "{\"cpu\":%u,\"mem_mb\":%u,\"gpu\":0},\"labels\":[],"
-             "\"clock_ms\":%" PRId64 ",\"seq\":%" PRIu64 ",\"born\":%" PRId64
-             "}",
-             UPSTREAM_CAPACITY.cpu_milli, UPSTREAM_CAPACITY.memory_mb,
-             clock_ms, number, born_ms);
+             "\"clock_ms\":%" PRId64 ",\"seq\":%" PRIu64 ",\"born\":%" PRId64,
+             cpu_milli, UPSTREAM_CAPACITY.memory_mb, clock_ms, number,
+             born_ms);
+    return body + more + "}";
+}
+
+} // namespace
+
+void
+Upstream::send_body(const std::string &instance, const std::string &body)
+{
+    HttpClient_Request request = {};
+    std::string path = "/instances/" + instance + "/heartbeat";
+
     request.to = companion;
     request.method = "POST";
     request.path = path.c_str();
-    request.body = body;
-    request.length = strlen(body);
+    request.body = body.data();
+    request.length = body.size();
     request.timeout_ms = 1000;
     HttpClient_Send(client, &request, on_heartbeat_answer, this);
 }
 
+void
+Upstream::send_heartbeat(const std::string &instance, uint64_t number,
+                         int64_t clock_ms, int64_t born_ms)
+{
+    send_body(instance, heartbeat_body(UPSTREAM_CAPACITY.cpu_milli, number,
+                                       clock_ms, born_ms, ""));
+}
+
+void
+Upstream::send_odd_heartbeat(const OddHeartbeat &odd,
+                             const std::string &instance)
+{
+    send_body(instance.empty() ? model.instance() : instance,
+              heartbeat_body(odd.cpu_milli == 0 ? UPSTREAM_CAPACITY.cpu_milli
+                                                : odd.cpu_milli,
+                             heartbeats + odd.sequence_ahead,
+                             model.clock(now()) + odd.clock_ahead_ms,
+                             odd.born_ms == 0 ? model.born() : odd.born_ms,
+                             odd.more));
+}
+
 /* Also sends the last heartbeat of a crashed incarnation late, after the
  * second one of its successor. */
 void
--- a/tests/soak/upstream.h
+++ b/tests/soak/upstream.h
@@ -25,6 +25,17 @@
 /** Capacity of each stand-in. */
 extern const lc_resources UPSTREAM_CAPACITY;
 
+/** What a heartbeat of another writer reports in place of the upstream's own
+ * values. */
+struct OddHeartbeat {
+    const char *name;
+    uint64_t sequence_ahead; /**< of the upstream's last one */
+    int64_t clock_ahead_ms;  /**< of the upstream's clock */
+    int64_t born_ms;         /**< 0: as the upstream */
+    uint32_t cpu_milli;      /**< 0: as the upstream */
+    std::string more;        /**< JSON text of further members, or "" */
+};
+
 /** The upstream of one companion. */
 class Upstream {
   public:
@@ -36,6 +47,10 @@
 
     void crash();
     void start_incarnation();
+    /** Sends a heartbeat of another writer to the upstream's companion, under
+     * the upstream's id or, if not empty, under @p instance. */
+    void send_odd_heartbeat(const OddHeartbeat &odd,
+                            const std::string &instance);
 
     /** Called for each start that arrives, before it is handled; returns
      * whether it is lost instead. */
@@ -74,6 +89,7 @@
     static void on_delayed_order(uv_timer_t *timer);
     void send_heartbeat(const std::string &instance, uint64_t number,
                         int64_t clock_ms, int64_t born_ms);
+    void send_body(const std::string &instance, const std::string &body);
     void handle(uint64_t request, const std::string &path,
                 const std::string &body, const std::string &expected);
     bool answer_poll(PendingPoll &pending);
