Leave out rows that cannot be decoded, and read on with the others

What callers saw: with one item in the store's pages of newest records that no JSON decoder takes (bytes that are not UTF-8, a number of 20 digits, a member twice, nesting of 100,000), entries that start stop at that page for good.

Cause: a page was decoded as a whole. Where it was decoded, an item that could not be used gave no key, so that the next page began too early, or the topic was taken as read to its end; an offset of -1 or 1e300 and a value that is not base64 were taken for something else without a word. A key went into the next request as it was, whatever bytes it had. One row of the list of hosts that could not be read refused the list for as long as it stood there.

Change: platform/json_rows decodes a page or a list row by row if it cannot be decoded whole; rows that cannot are named in LC204 and left out.

--- a/cli/hall_commands.c
+++ b/cli/hall_commands.c
@@ -104,11 +104,13 @@
     HttpExchange_Answer answer = {0};
     Err_Kind kind = call_store(&request, &answer, status);
 
-    g_clear_pointer(after, g_free);
     if (kind == ERR_OK) {
         kind = HallRecords_ParsePage(answer.body, answer.length, print_row,
                                      rows, after, status);
     }
+    else {
+        g_clear_pointer(after, g_free);
+    }
     HttpExchange_Clear(&answer);
     g_free(path);
     return kind;
--- a/tests/fuzz.c
+++ b/tests/fuzz.c
@@ -19,6 +19,7 @@
 #include "lease/durable_log.h"
 #include "platform/caller_api.h"
 #include "platform/hall_records.h"
+#include "platform/hosts_client.h"
 #include "platform/keyed_records.h"
 #include "platform/routes_record.h"
 #include "platform/upstream_api.h"
@@ -116,20 +117,34 @@
 decode_records(const char *bytes, size_t length)
 {
     HallRecords *halls = HallRecords_New();
-    json_t *page = json_loadb(bytes, length, 0, NULL);
+    KeyedRecords_Page page;
     lc_closures closures;
 
     HallRecords_Reset(halls);
-    KeyedRecords_DecodePage(page, apply_record, halls);
+    if (KeyedRecords_DecodePage("keyed.op", NULL, bytes, length, apply_record,
+                                halls, &page)) {
+        g_free(page.after);
+    }
     if (length >= KEYED_RECORDS_HEADER_SIZE) {
         KeyedRecords_DecodeRead((const uint8_t *)bytes, length, 1,
                                 apply_record, halls);
     }
     HallRecords_FillMessage(halls, 1, &closures);
-    json_decref(page);
     HallRecords_Free(halls);
 }
 
+static void
+decode_hosts(const char *bytes, size_t length)
+{
+    GArray *none = g_array_new(FALSE, FALSE, sizeof(Hosts_Row));
+    GArray *rows = Hosts_ParseList(bytes, length, none);
+
+    if (rows != NULL) {
+        g_array_unref(rows);
+    }
+    g_array_unref(none);
+}
+
 static void
 sum_lengths(void *context, const HallRecords_Row *row)
 {
@@ -199,7 +214,7 @@
 static const decoder_fn decoders[] = {
     decode_job,     decode_request,     decode_routes,        decode_heartbeat,
     decode_listing, decode_durable_log, decode_rpc,           decode_settings,
-    decode_records, decode_halls,       decode_upstream_call,
+    decode_records, decode_halls,       decode_upstream_call, decode_hosts,
 };
 
 /* Appends or removes a byte, flips a bit, copies a piece to the end, or
