Name the sources that a program was built from, and build them all

Cause: the version is a constant. And make goes by times: in a build folder that was carried over, a source that was replaced by an older file, as a copy of another commit may be, leaves its old object in the program. So the build of deploy/system.toml could give the old product without a word.

--- a/cli/main.c
+++ b/cli/main.c
@@ -152,7 +152,8 @@
         return code;
     }
     if (show_version) {
-        printf("levercove %s\n", LC_VERSION_TEXT);
+        printf("levercove %s, build %s\n", LC_VERSION_TEXT,
+               version_build_id);
         return 0;
     }
     return run(argc, argv);
--- /dev/null
+++ b/cmake/WriteBuildId.cmake
@@ -0,0 +1,11 @@
+# Writes the hash of the product's sources to HEADER, if it has changed.
+include(${CMAKE_CURRENT_LIST_DIR}/SourceHash.cmake)
+lc_hash_product(${ROOT} hash)
+set(text "#define LC_BUILD_ID \"${hash}\"\n")
+set(before "")
+if(EXISTS ${HEADER})
+  file(READ ${HEADER} before)
+endif()
+if(NOT before STREQUAL text)
+  file(WRITE ${HEADER} "${text}")
+endif()
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -103,7 +103,8 @@
         return code;
     }
     if (show_version) {
-        printf("levercoved %s\n", LC_VERSION_TEXT);
+        printf("levercoved %s, build %s\n", LC_VERSION_TEXT,
+               version_build_id);
         return 0;
     }
     if (argc != 2) {
--- a/daemon/process.c
+++ b/daemon/process.c
@@ -7,6 +7,7 @@
 #include <time.h>
 
 #include "base/clock.h"
+#include "base/version.h"
 
 /* A drained process keeps running this long, so that answers that have been
  * written still reach their callers. */
@@ -107,6 +108,7 @@
     HttpServer_Response response = {.status = 200};
 
     json_object_set_new(state, "hall", json_string(process->options->hall));
+    json_object_set_new(state, "build", json_string(version_build_id));
     text = json_dumps(state, JSON_INDENT(2));
     response.body = text;
     response.length = strlen(text);
@@ -267,8 +269,8 @@
     uv_signal_init(loop, &process->hangup);
     process->hangup.data = process;
     uv_signal_start(&process->hangup, on_hangup, SIGHUP);
-    Event_Log(EVENT_STARTED, "%s %s in hall %s", options->role,
-              Address_Text(options->rpc), options->hall);
+    Event_Log(EVENT_STARTED, "%s %s in hall %s, build %s", options->role,
+              Address_Text(options->rpc), options->hall, version_build_id);
     return ERR_OK;
 }
 
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -54,7 +54,7 @@
 run_worker() {
     local folder=$SCRATCH/$1 at=0 name
     mkdir "$folder"
-    cp -r base core lease wire platform daemon cli tests CMakeLists.txt "$folder"
+    cp -r base core lease wire platform daemon cli cmake tests CMakeLists.txt "$folder"
     cmake -S "$folder" -B "$folder/build" >/dev/null
     for name in "${@:2}"; do
         [ $((at % WORKERS)) = "$1" ] && test_mutation "$folder" "$name"
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -72,6 +72,7 @@
 check fuzz "$SANITIZED/tests/fuzz" tests/corpus 300
 check platform_names scripts/check_platform_names.sh
 check events scripts/check_events.sh "$BUILD"
+check build_folder tests/build_folder.sh
 check properties env RC_PARAMS="seed=20261202 max_success=100" "$BUILD/tests/prop_cluster" others
 check properties_rates env RC_PARAMS="seed=20261202 max_success=100 noshrink=1" "$BUILD/tests/prop_cluster" rates
 check properties-sanitized env RC_PARAMS="seed=5 max_success=8" "$SANITIZED/tests/prop_cluster"
