Tell a play that could not run from one that broke a rule

What we saw: the stand-ins of the store and of processes ended a play with exit code 1 if a process could not be started or an address was taken. review/ links them, and there 1 means that the rule was broken, 2 that the case could not run.

Change: such a play ends with exit code 2, names the error of the system, and kills the processes that it had started, which stayed behind before. process/cannot_start failed before: "exit code 1, expected 2".

--- a/tests/soak/process.cc
+++ b/tests/soak/process.cc
@@ -6,12 +6,29 @@
 
 #include <cstdio>
 #include <cstdlib>
+#include <set>
 
 namespace soak {
 
 namespace {
 
 const int64_t RESTART_MS = 150;
+/* Tells a play that could not run from one that broke a rule. */
+const int EXIT_COULD_NOT_RUN = 2;
+
+std::set<int> running; /* pids */
+
+/* Nothing is left behind that would disturb a later play. */
+[[noreturn]] void
+give_up(const std::string &program, int error)
+{
+    fprintf(stderr, "cannot start %s: %s\n", program.c_str(),
+            uv_strerror(error));
+    for (int pid : running) {
+        uv_kill(pid, SIGKILL);
+    }
+    exit(EXIT_COULD_NOT_RUN);
+}
 
 void
 on_closed(uv_handle_t *handle)
@@ -62,10 +79,11 @@
     options.exit_cb = on_exit;
     handle = new uv_process_t;
     handle->data = this;
-    if (uv_spawn(loop, handle, &options) != 0) {
-        fprintf(stderr, "cannot start %s\n", program.c_str());
-        exit(1);
+    int error = uv_spawn(loop, handle, &options);
+    if (error != 0) {
+        give_up(program, error);
     }
+    running.insert(handle->pid);
     close(log);
     starts++;
     started_ms = (int64_t)uv_now(loop);
@@ -80,6 +98,7 @@
 {
     Process *self = (Process *)process->data;
 
+    running.erase(process->pid);
     uv_close((uv_handle_t *)process, on_closed);
     self->handle = nullptr;
     self->up = false;
--- a/tests/soak/proxy.cc
+++ b/tests/soak/proxy.cc
@@ -331,7 +331,7 @@
     if (uv_tcp_bind(&listener, (const struct sockaddr *)&local, 0) != 0 ||
         uv_listen((uv_stream_t *)&listener, 512, on_incoming) != 0) {
         fprintf(stderr, "proxy cannot listen on %s\n", Address_Text(from));
-        exit(1);
+        exit(2); /* could not run */
     }
 }
 
--- a/tests/soak/store.cc
+++ b/tests/soak/store.cc
@@ -140,7 +140,7 @@
     server = HttpServer_New(loop, address, routes, this, &status);
     if (server == nullptr) {
         fprintf(stderr, "store: %s\n", status.message);
-        exit(1);
+        exit(2); /* could not run */
     }
     uv_timer_init(loop, &tick);
     tick.data = this;
--- a/tests/soak/upstream.cc
+++ b/tests/soak/upstream.cc
@@ -72,7 +72,7 @@
     server = HttpServer_New(loop, address, routes, this, &status);
     if (server == nullptr) {
         fprintf(stderr, "%s: %s\n", name.c_str(), status.message);
-        exit(1);
+        exit(2); /* could not run */
     }
     uv_timer_init(loop, &tick);
     tick.data = this;
