Keep messages of errors UTF-8, however long a name in them is

What callers saw: an entry of owned jobs ends by itself (SIGSEGV) as it answers a job with an unknown member whose name is long and not plain ASCII; all callers of that entry lose their connections. The same request ends each entry in turn.

A name that does not fit is cut, within a character by chance, and the JSON encoder refuses the whole answer, which is then read as a text.

The line of a refused heartbeat (LC601) names its id.

Looked for in other readers by reading: messages with foreign text of leased jobs name fixed fields only.

Tests of several runs on one machine took ports by their process number and met by chance; scripts/ports.sh takes a range that nobody else holds.

--- a/base/err.c
+++ b/base/err.c
@@ -1,5 +1,6 @@
 #include "base/err.h"
 
+#include <glib.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
@@ -19,6 +20,18 @@
 #undef X
 };
 
+/* Messages hold foreign bytes and may be cut within a character; JSON takes
+ * neither. */
+static void
+make_valid(char *text)
+{
+    const char *invalid;
+
+    while (!g_utf8_validate(text, -1, &invalid)) {
+        text[invalid - text] = '?';
+    }
+}
+
 Err_Kind
 Err_Set(Status *status, Err_Kind kind, const char *format, ...)
 {
@@ -31,6 +44,7 @@
     va_start(args, format);
     vsnprintf(status->message, sizeof(status->message), format, args);
     va_end(args);
+    make_valid(status->message);
     return kind;
 }
 
--- a/base/event.h
+++ b/base/event.h
@@ -100,7 +100,6 @@
     X(HOLD_LIMITED, 529, G_LOG_LEVEL_WARNING, "upstream held no longer")      \
     X(LATE_START, 530, G_LOG_LEVEL_INFO, "start may be executed late")        \
     X(END_LIST, 532, G_LOG_LEVEL_WARNING, "list of ends full or free again")  \
-    X(HEARTBEAT_BAD, 533, G_LOG_LEVEL_WARNING, "heartbeat refused")           \
     X(FORWARD_WITHDRAWN, 531, G_LOG_LEVEL_INFO, "withdrawn job refused")      \
     X(LINK_SHORT, 318, G_LOG_LEVEL_MESSAGE, "link congested or free again")   \
     X(RPC_BAD, 600, G_LOG_LEVEL_WARNING, "RPC record refused")                \
--- a/base/version.h
+++ b/base/version.h
@@ -1,7 +1,7 @@
 /**
  * @file version.h
- * @brief Version of levercoved and levercove, and which sources they were built
- * from.
+ * @brief Version of levercoved and levercove, and which sources they were
+ * built from.
  */
 #ifndef LC_BASE_VERSION_H
 #define LC_BASE_VERSION_H
--- a/cli/main.c
+++ b/cli/main.c
@@ -152,8 +152,7 @@
         return code;
     }
     if (show_version) {
-        printf("levercove %s, build %s\n", LC_VERSION_TEXT,
-               version_build_id);
+        printf("levercove %s, build %s\n", LC_VERSION_TEXT, version_build_id);
         return 0;
     }
     return run(argc, argv);
--- a/daemon/leased_companion.c
+++ b/daemon/leased_companion.c
@@ -488,13 +488,15 @@
 {
     UpstreamApi_Heartbeat heartbeat;
     Status status = {ERR_OK, ""};
+    char text[sizeof(status.message) + LC_MAX_NAME];
 
     if (UpstreamApi_ParseHeartbeat(instance, request->body, request->length,
                                    &heartbeat, &status) != ERR_OK) {
         Counter_Add(role_counters(&self->process), COUNTER_HEARTBEATS_BAD, 1);
-        Event_Log(EVENT_HEARTBEAT_BAD, "of %s: %s", instance, status.message);
+        g_snprintf(text, sizeof(text), "heartbeat of %s: %s", instance,
+                   status.message);
         HttpServer_RespondError(self->heartbeats, request->id, status.kind,
-                                status.message, 0);
+                                text, 0);
     }
     else {
         Runner_OnHeartbeat(self->runner, now_ms(self), &heartbeat.upstream);
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -103,8 +103,7 @@
         return code;
     }
     if (show_version) {
-        printf("levercoved %s, build %s\n", LC_VERSION_TEXT,
-               version_build_id);
+        printf("levercoved %s, build %s\n", LC_VERSION_TEXT, version_build_id);
         return 0;
     }
     if (argc != 2) {
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -3,6 +3,7 @@
 # several tasks, shows the results and stops everything it started.
 set -u
 cd "$(dirname "$0")/.."
+. scripts/ports.sh
 BUILD=${BUILD:-build}
 DIR=$(mktemp -d)
 . scripts/cluster.sh
@@ -44,7 +45,7 @@
 
 echo "== a leased job on stand-ins of the users' platform, explained from its logs"
 mkdir "$DIR/leased"
-JOB=$("$BUILD/tests/scenario" calm "$PWD/$BUILD/daemon/levercoved" "$DIR/leased" $((20000 + $$ % 100 * 100)) 2>/dev/null) ||
+JOB=$("$BUILD/tests/scenario" calm "$PWD/$BUILD/daemon/levercoved" "$DIR/leased" $PORT_BASE 2>/dev/null) ||
     fail "the leased job was not submitted"
 "$CLI" explain "$JOB" "$DIR"/leased/*.log >"$DIR/trace" || fail "explain"
 grep -E 'LC50[89]|sent|ended' "$DIR/trace"
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -7,6 +7,7 @@
 # Usage: BUILD=build scripts/soak.sh
 set -u
 cd "$(dirname "$0")/.."
+. scripts/ports.sh
 BUILD=${BUILD:-build}
 SECONDS_EACH=${SECONDS_EACH:-12}
 WORKERS=${WORKERS:-4}
@@ -31,7 +32,7 @@
     mkdir -p "$folder"
     if timeout $((SECONDS_EACH + 60)) "$BUILD/tests/soak" --seed "$1" --seconds "$SECONDS_EACH" \
         ${LINK:+--link "$LINK"} ${REMOVE_QUEUE:+--remove-queue} --program "$BUILD/daemon/levercoved" --folder "$folder" \
-        --port $((20000 + $$ % 100 * 100 + $2 * 20)) --verbose >"$folder/out" 2>&1; then
+        --port $((PORT_BASE + $2 * 20)) --verbose >"$folder/out" 2>&1; then
         grep '^seed' "$folder/out"
         rm -rf "$folder"
     else
--- a/tests/odd_heartbeat_rules.c
+++ b/tests/odd_heartbeat_rules.c
@@ -10,7 +10,7 @@
 #include "tests/runner_fixture.h"
 #include "tests/test_table.h"
 
-#define BEAT_MS 1500
+#define BEAT_MS ((int64_t)1500)
 #define BORN_MS 1700000000000
 /* The largest number that a heartbeat may hold, see platform/upstream_api.c.
  */
--- a/tests/odd_rows_rules.c
+++ b/tests/odd_rows_rules.c
@@ -384,6 +384,33 @@
     }
 }
 
+/* Guards against a process that ends as it answers with a message that holds
+ * foreign bytes, or is cut within a character. */
+static void
+test_messages(void)
+{
+    static const char *const parts[] = {"\xc3\xa9", "\xe2\x82\xac",
+                                        "\xf0\x9f\x98\x80", "\xff"};
+    size_t i;
+    int before;
+
+    for (i = 0; i < G_N_ELEMENTS(parts); i++) {
+        for (before = 0; before < 4; before++) {
+            GString *text = g_string_new(NULL);
+            Status status = {ERR_OK, ""};
+            while (text->len < 2 * sizeof(status.message)) {
+                g_string_append(text, parts[i]);
+            }
+            Err_Set(&status, ERR_BAD_REQUEST, "%.*s%s", before, "abc",
+                    text->str);
+            g_assert_true(g_utf8_validate(status.message, -1, NULL));
+            g_assert_cmpuint(strlen(status.message), ==,
+                             sizeof(status.message) - 1);
+            g_string_free(text, TRUE);
+        }
+    }
+}
+
 static const TestTable_Row rules[] = {
     {"/odd-rows/records beside one that cannot be read",
      test_neighbours_are_read},
@@ -395,6 +422,7 @@
     {"/odd-rows/hosts beside a row that cannot be read", test_odd_host},
     {"/odd-rows/numbers of upstreams", test_numbers_of_upstreams},
     {"/odd-rows/numbers of tasks", test_numbers_of_tasks},
+    {"/odd-rows/messages of errors", test_messages},
 };
 
 int
--- a/tests/process/cannot_start.sh
+++ b/tests/process/cannot_start.sh
@@ -3,9 +3,10 @@
 # behind, as a process could not be started.
 set -u
 cd "$(dirname "$0")/../.."
+. scripts/ports.sh
 BUILD=${PLAIN_BUILD:-build}
 DIR=$(mktemp -d)
-PORT=$((20000 + $$ % 100 * 100))
+PORT=$PORT_BASE
 trap 'rm -rf "$DIR"' EXIT
 
 cp "$BUILD/daemon/levercoved" "$DIR/levercoved"
--- a/tests/process/closed_hall.sh
+++ b/tests/process/closed_hall.sh
@@ -5,12 +5,13 @@
 # history: all processes must know within a second.
 set -u
 cd "$(dirname "$0")/../.."
+. scripts/ports.sh
 BUILD=${BUILD:-build}
 DIR=$(mktemp -d)
 trap 'rm -rf "$DIR"' EXIT
 OPENED_S=12 # second of the scenario in which the hall is opened
 
-"$BUILD/tests/scenario" closed_hall "$PWD/$BUILD/daemon/levercoved" "$DIR" $((20000 + $$ % 1000 * 12)) >"$DIR/out" 2>&1
+"$BUILD/tests/scenario" closed_hall "$PWD/$BUILD/daemon/levercoved" "$DIR" $PORT_BASE >"$DIR/out" 2>&1
 grep '^violation' "$DIR/out" && exit 1
 grep -h LC405 "$DIR"/companion-*.log | grep -q '"source":"the store","own_hall_closed":true' ||
     { echo "no companion learned of its closed hall from the store"; exit 1; }
--- a/tests/process/explain.sh
+++ b/tests/process/explain.sh
@@ -3,10 +3,11 @@
 # from the job's id and the logs alone.
 set -u
 cd "$(dirname "$0")/../.."
+. scripts/ports.sh
 BUILD=${BUILD:-build}
 DIR=$(mktemp -d)
 trap 'rm -rf "$DIR"' EXIT
-PORT=$((20000 + $$ % 100 * 100)) # each run has its own port range
+PORT=$PORT_BASE
 
 # explain_scenario NAME: plays it; sets REPLY to the explanation of its job
 explain_scenario() {
--- a/tests/process/hall_command.sh
+++ b/tests/process/hall_command.sh
@@ -4,9 +4,10 @@
 # state.
 set -u
 cd "$(dirname "$0")/../.."
+. scripts/ports.sh
 BUILD=${BUILD:-build}
 DIR=$(mktemp -d)
-PORT=$((20000 + $$ % 1000 * 12))
+PORT=$PORT_BASE
 COMPANION=127.7.0.51:$((PORT + 2)) # in hall-0
 ALL="127.7.0.10:$((PORT + 2)) 127.7.0.11:$((PORT + 2)) 127.7.0.12:$((PORT + 2)) 127.7.0.50:$((PORT + 2)) $COMPANION"
 export LEVERCOVE_STORE=127.7.0.200:$((PORT + 8))
--- a/tests/process/handed_on.sh
+++ b/tests/process/handed_on.sh
@@ -5,6 +5,7 @@
 # until all leases have expired, 40%. No task may ever run twice.
 set -u
 cd "$(dirname "$0")/../.."
+. scripts/ports.sh
 BUILD=${PLAIN_BUILD:-build}
 DIR=$(mktemp -d)
 trap 'rm -rf "$DIR"' EXIT
@@ -26,7 +27,7 @@
         { cat "$DIR/$1/out"; exit 1; }
 }
 
-PORTS=$((20000 + $$ % 100 * 100))
+PORTS=$PORT_BASE
 play_scenario handed_on "$PORTS"
 expect_done handed_on 98
 play_scenario taker_dies "$PORTS"
--- a/tests/process/kept.sh
+++ b/tests/process/kept.sh
@@ -4,10 +4,11 @@
 # and each job must be done.
 set -u
 cd "$(dirname "$0")/../.."
+. scripts/ports.sh
 BUILD=${BUILD:-build}
 DIR=$(mktemp -d)
 trap 'rm -rf "$DIR"' EXIT
-port=$((20000 + $$ % 100 * 100))
+port=$PORT_BASE
 
 # play_scenario NAME: all 12 jobs must be accepted and done without a violation
 play_scenario() {
--- a/tests/process/kept_shown.sh
+++ b/tests/process/kept_shown.sh
@@ -3,9 +3,10 @@
 # as pending, before and after changes of its owner.
 set -u
 cd "$(dirname "$0")/../.."
+. scripts/ports.sh
 BUILD=${PLAIN_BUILD:-build}
 DIR=$(mktemp -d)
-PORT=$((20000 + $$ % 100 * 100))
+PORT=$PORT_BASE
 ENTRIES="0 1 2 3 4"
 CHANGES=5
 
--- a/tests/process/large_configuration.sh
+++ b/tests/process/large_configuration.sh
@@ -4,10 +4,11 @@
 # entries offer it, too.
 set -u
 cd "$(dirname "$0")/../.."
+. scripts/ports.sh
 BUILD=${BUILD:-build}
 DIR=$(mktemp -d)
 trap 'rm -rf "$DIR"' EXIT
-"$BUILD/tests/scenario" large_configuration "$PWD/$BUILD/daemon/levercoved" "$DIR" $((20000 + $$ % 100 * 100)) >"$DIR/out" 2>&1 ||
+"$BUILD/tests/scenario" large_configuration "$PWD/$BUILD/daemon/levercoved" "$DIR" $PORT_BASE >"$DIR/out" 2>&1 ||
     { cat "$DIR/out"; exit 1; }
 if grep '^violation' "$DIR/out"; then
     grep -hE '"LC(207|315|402)"' "$DIR/entry-0.log" | tail -n 30
--- a/tests/process/late_copy.sh
+++ b/tests/process/late_copy.sh
@@ -5,13 +5,14 @@
 # elsewhere.
 set -u
 cd "$(dirname "$0")/../.."
+. scripts/ports.sh
 BUILD=${PLAIN_BUILD:-build}
 DIR=$(mktemp -d)
 trap 'rm -rf "$DIR"' EXIT
 
 play() {
     mkdir "$DIR/$1"
-    "$BUILD/tests/scenario" "$1" "$PWD/$BUILD/daemon/levercoved" "$DIR/$1" $((20000 + $$ % 100 * 100)) >"$DIR/out" 2>&1
+    "$BUILD/tests/scenario" "$1" "$PWD/$BUILD/daemon/levercoved" "$DIR/$1" $PORT_BASE >"$DIR/out" 2>&1
     if grep '^violation' "$DIR/out"; then return 1; fi
     for step in "the start is kept" "the job is submitted again" "the job \($2\|is held back\)" \
         "the upstream has restarted" "the late start is executed" "the late run has ended"; do
--- a/tests/process/leased_stop.sh
+++ b/tests/process/leased_stop.sh
@@ -4,10 +4,11 @@
 # itself.
 set -u
 cd "$(dirname "$0")/../.."
+. scripts/ports.sh
 BUILD=${BUILD:-build}
 DIR=$(mktemp -d)
 trap 'rm -rf "$DIR"' EXIT
-"$BUILD/tests/scenario" planned_stop "$PWD/$BUILD/daemon/levercoved" "$DIR" $((20000 + $$ % 100 * 100)) >"$DIR/out" 2>&1 ||
+"$BUILD/tests/scenario" planned_stop "$PWD/$BUILD/daemon/levercoved" "$DIR" $PORT_BASE >"$DIR/out" 2>&1 ||
     { cat "$DIR/out"; exit 1; }
 grep -qE 'answers: 2xx [0-9]+, 5xx 0, none 0' "$DIR/out" ||
     { echo "aborted or refused: $(cat "$DIR/out")"; exit 1; }
--- a/tests/process/many_entries.sh
+++ b/tests/process/many_entries.sh
@@ -4,6 +4,7 @@
 # 98% of the others.
 set -u
 cd "$(dirname "$0")/../.."
+. scripts/ports.sh
 # Some 60 processes: too many for the sanitized build.
 BUILD=${PLAIN_BUILD:-build}
 ENTRIES=46
@@ -64,7 +65,7 @@
     [ "$left" = 0 ] || { echo "$left entries never had all companions schedulable"; return 1; }
 }
 
-"$BUILD/tests/scenario" many_entries "$PWD/$BUILD/daemon/levercoved" "$DIR" $((20000 + $$ % 100 * 100)) >"$DIR/out" 2>&1 &
+"$BUILD/tests/scenario" many_entries "$PWD/$BUILD/daemon/levercoved" "$DIR" $PORT_BASE >"$DIR/out" 2>&1 &
 SCENARIO=$!
 sleep 4
 status=0
--- a/tests/process/odd_heartbeats.sh
+++ b/tests/process/odd_heartbeats.sh
@@ -8,4 +8,4 @@
 play odd_heartbeats || exit 1
 grep -q '^kept 1 of 1$' "$DIR/out" || { cat "$DIR/out"; exit 1; }
 grep -q '"LC525".*ahead' "$DIR"/odd_heartbeats/companion-*.log || { echo "no heartbeat was ignored for what it says"; exit 1; }
-grep -q '"LC533"' "$DIR"/odd_heartbeats/companion-*.log || { echo "no heartbeat was refused"; exit 1; }
+grep -q '"LC601".*heartbeat of ' "$DIR"/odd_heartbeats/companion-*.log || { echo "no heartbeat was refused"; exit 1; }
--- a/tests/process/seeds_gone.sh
+++ b/tests/process/seeds_gone.sh
@@ -4,11 +4,12 @@
 # a power loss of all processes.
 set -u
 cd "$(dirname "$0")/../.."
+. scripts/ports.sh
 BUILD=${BUILD:-build}
 DIR=$(mktemp -d)
 trap 'rm -rf "$DIR"' EXIT
 
-"$BUILD/tests/scenario" seeds_gone "$PWD/$BUILD/daemon/levercoved" "$DIR" $((20000 + $$ % 1000 * 12)) >"$DIR/out" 2>&1
+"$BUILD/tests/scenario" seeds_gone "$PWD/$BUILD/daemon/levercoved" "$DIR" $PORT_BASE >"$DIR/out" 2>&1
 grep '^violation' "$DIR/out" && exit 1
 # All processes lose power at 3.5 s for 100 ms, and heartbeats of the upstreams
 # arrive within 500 ms more: all jobs sent from 5 s on must be done.
--- a/tests/process/silent_connections.sh
+++ b/tests/process/silent_connections.sh
@@ -5,10 +5,11 @@
 # must be in force.
 set -u
 cd "$(dirname "$0")/../.."
+. scripts/ports.sh
 BUILD=${BUILD:-build}
 DIR=$(mktemp -d)
 trap 'rm -rf "$DIR"' EXIT
-PORT=$((20000 + $$ % 100 * 100))
+PORT=$PORT_BASE
 SILENT_S=4 # second of the scenario in which connections are black-holed
 
 # play_scenario NAME NUMBER
--- a/tests/process/stalled_companions.sh
+++ b/tests/process/stalled_companions.sh
@@ -6,12 +6,13 @@
 # resubmit their jobs, which are not durable. SEED draws other moments.
 set -u
 cd "$(dirname "$0")/../.."
+. scripts/ports.sh
 BUILD=${PLAIN_BUILD:-build}
 DIR=$(mktemp -d)
 trap 'rm -rf "$DIR"' EXIT
 export SEED=${SEED:-1}
 
-"$BUILD/tests/scenario" stalled_companions "$PWD/$BUILD/daemon/levercoved" "$DIR" $((20000 + $$ % 100 * 100)) >"$DIR/out" 2>&1
+"$BUILD/tests/scenario" stalled_companions "$PWD/$BUILD/daemon/levercoved" "$DIR" $PORT_BASE >"$DIR/out" 2>&1
 if grep '^violation' "$DIR/out"; then
     grep '^seed' "$DIR/out"
     exit 1
--- a/tests/process/stalled_start.sh
+++ b/tests/process/stalled_start.sh
@@ -5,11 +5,12 @@
 # while the job's caller has submitted it elsewhere.
 set -u
 cd "$(dirname "$0")/../.."
+. scripts/ports.sh
 BUILD=${PLAIN_BUILD:-build}
 DIR=$(mktemp -d)
 trap 'rm -rf "$DIR"' EXIT
 
-"$BUILD/tests/scenario" stalled_start "$PWD/$BUILD/daemon/levercoved" "$DIR" $((20000 + $$ % 100 * 100)) >"$DIR/out" 2>&1
+"$BUILD/tests/scenario" stalled_start "$PWD/$BUILD/daemon/levercoved" "$DIR" $PORT_BASE >"$DIR/out" 2>&1
 if grep '^violation' "$DIR/out"; then exit 1; fi
 for step in "all starts are lost" "the job runs again" "the companions go on"; do
     grep -q "^step .*: $step$" "$DIR/out" || { cat "$DIR/out"; exit 1; }
--- a/tests/process/stop_store_silent.sh
+++ b/tests/process/stop_store_silent.sh
@@ -3,11 +3,12 @@
 # store does not answer and durable jobs are open.
 set -u
 cd "$(dirname "$0")/../.."
+. scripts/ports.sh
 BUILD=${BUILD:-build}
 GRACE_MS=3000
 DIR=$(mktemp -d)
 trap 'rm -rf "$DIR"' EXIT
-"$BUILD/tests/scenario" stop_store_silent "$PWD/$BUILD/daemon/levercoved" "$DIR" $((20000 + $$ % 100 * 100)) >"$DIR/out" 2>&1
+"$BUILD/tests/scenario" stop_store_silent "$PWD/$BUILD/daemon/levercoved" "$DIR" $PORT_BASE >"$DIR/out" 2>&1
 
 # time_of EVENT: time in ms of the first log line with that event
 time_of() {
--- a/tests/process/suspended.sh
+++ b/tests/process/suspended.sh
@@ -5,13 +5,14 @@
 # on.
 set -u
 cd "$(dirname "$0")/../.."
+. scripts/ports.sh
 # Preloads a library, which the sanitizers do not support.
 BUILD=${PLAIN_BUILD:-build}
 DIR=$(mktemp -d)
 trap 'rm -rf "$DIR"' EXIT
 mkdir "$DIR/suspended"
 SUSPENDED="$DIR/suspended" LD_PRELOAD="$PWD/$BUILD/tests/libsuspended_clock.so" \
-    "$BUILD/tests/scenario" suspended "$PWD/$BUILD/daemon/levercoved" "$DIR" $((20000 + $$ % 100 * 100)) >"$DIR/out" 2>&1
+    "$BUILD/tests/scenario" suspended "$PWD/$BUILD/daemon/levercoved" "$DIR" $PORT_BASE >"$DIR/out" 2>&1
 if grep '^violation' "$DIR/out"; then exit 1; fi
 for companion in 0 1; do
     grep -q '"event":"LC317"' "$DIR/companion-$companion.log" || { echo "companion $companion did not notice its suspension"; exit 1; }
--- a/tests/soak/play_scenario.sh
+++ b/tests/soak/play_scenario.sh
@@ -1,5 +1,6 @@
 # Plays scenarios on real processes; sourced by the tests in tests/process, from
 # the repository's root.
+. scripts/ports.sh
 BUILD=${PLAIN_BUILD:-build}
 DIR=$(mktemp -d)
 trap 'rm -rf "$DIR"' EXIT
@@ -10,7 +11,7 @@
     local name=$1 step
     shift
     mkdir "$DIR/$name"
-    "$BUILD/tests/scenario" "$name" "$PWD/$BUILD/daemon/levercoved" "$DIR/$name" $((20000 + $$ % 100 * 100)) >"$DIR/out" 2>&1
+    "$BUILD/tests/scenario" "$name" "$PWD/$BUILD/daemon/levercoved" "$DIR/$name" $PORT_BASE >"$DIR/out" 2>&1
     if grep '^violation' "$DIR/out"; then return 1; fi
     for step in "$@"; do
         grep -q "^step .*: $step$" "$DIR/out" || { cat "$DIR/out"; echo "not reached: $step"; return 1; }
