--- a/daemon/process.c
+++ b/daemon/process.c
@@ -110,8 +110,7 @@
     json_object_set_new(state, "hall", json_string(process->options->hall));
     json_object_set_new(state, "build", json_string(version_build_id));
     text = json_dumps(state, JSON_INDENT(2));
-    /* Without a text a member of another process has told a name that is not
-     * UTF-8. */
+    /* NULL if a name that another process has told is not UTF-8. */
     response.body = text == NULL ? "{}" : text;
     response.length = strlen(response.body);
     HttpServer_Respond(process->admin, request->id, &response);
--- a/lease/runner_upstream.c
+++ b/lease/runner_upstream.c
@@ -344,9 +344,7 @@
            is_silent(runner, now_ms);
 }
 
-/* Returns the reason to ignore a heartbeat of the current incarnation, or
- * NULL.
- */
+/* As reason_to_ignore(), of a heartbeat of the current incarnation. */
 static const char *
 reason_to_ignore_current(const Runner *runner, int64_t now_ms,
                          const Runner_Heartbeat *heartbeat)
--- a/tests/prop_lease.cc
+++ b/tests/prop_lease.cc
@@ -527,6 +527,11 @@
      * wrote a job under the same key. The store kept the later record, so
      * nobody asked for the ends of the entry that had started the job. */
     {"339939079932 2 5 211 0 0 0 224 50 3 0 0 226 50 0 0", nullptr},
+    /* A heartbeat of another writer kept an upstream's own ones out for good.
+     */
+    {"11675869015 31 3530 2205 39 7 31 2842 1506 41 22 4 3312 980 59 62 21 "
+     "2455 477 59 40 31 3782 1013 37 44 1 650 1522 48 63",
+     nullptr},
     /* A takeover dropped the ends that it had found of a job whose queue was
      * removed. */
     {"131025954675 1 2430 128 39 2 17 1813 971 63 25 11 1135 725 61 49 19 "
