--- a/scripts/ports.sh
+++ b/scripts/ports.sh
@@ -1,6 +1,6 @@
 # Sourced: sets PORT_BASE to the first of 100 ports that no other test on this
-# machine has taken, for as long as this shell and what it starts are running.
-# Tests of two CI runs side by side used to share ports by chance.
+# machine has taken, for as long as this shell and what it starts are running,
+# so that two CI runs side by side do not meet.
 PORT_LOCKS=/tmp/levercove-ports-$(id -u)
 mkdir -p "$PORT_LOCKS"
 PORT_BASE=""
