Log the start of each run (LC533)

Cause: runs appear in the log only when they end without a result, when their lease ends or when they outlive it.

Change: a companion logs each start once, not its copies: task, run, owner, incarnation of the upstream, token, and for how long the run may go on.

No logic is changed.

--- a/base/event.h
+++ b/base/event.h
@@ -101,6 +101,7 @@
     X(LATE_START, 530, G_LOG_LEVEL_INFO, "start may be executed late")        \
     X(END_LIST, 532, G_LOG_LEVEL_WARNING, "list of ends full or free again")  \
     X(FORWARD_WITHDRAWN, 531, G_LOG_LEVEL_INFO, "withdrawn job refused")      \
+    X(START_SENT, 533, G_LOG_LEVEL_INFO, "start of a run sent")               \
     X(LINK_SHORT, 318, G_LOG_LEVEL_MESSAGE, "link congested or free again")   \
     X(RPC_BAD, 600, G_LOG_LEVEL_WARNING, "RPC record refused")                \
     X(HTTP_BAD, 601, G_LOG_LEVEL_INFO, "HTTP request refused")                \
--- a/lease/runner_orders.c
+++ b/lease/runner_orders.c
@@ -1,5 +1,7 @@
 #include "lease/runner_state.h"
 
+#include <inttypes.h>
+
 /* After this many unanswered copies of a start, its run is stopped. If half of
  * all answers are lost, this affects one start in 64. */
 #define MAX_COPIES 6
@@ -88,6 +90,9 @@
     row->deadline_clock_ms = RunnerUpstream_Clock(runner, now_ms) + ahead;
     row->send_by_ms = now_ms + ahead;
     RunnerPoll_RecordHold(runner, now_ms, ahead);
+    RunnerTask_Log(runner, EVENT_START_SENT, row,
+                   "token %" PRId64 ", may run for %" PRId64 " ms",
+                   runner->token, ahead);
     send_start(runner, now_ms, row);
 }
 
--- a/tests/runner_fixture.c
+++ b/tests/runner_fixture.c
@@ -77,8 +77,24 @@
     }
 }
 
+static void
+port_event(void *context, Event_Id id, json_t *fields)
+{
+    runner_fixture *fix = context;
+
+    if (id == EVENT_START_SENT) {
+        fix->logged_starts++;
+        fix->logged_run = (int)json_integer_value(
+            json_object_get(fields, "run"));
+        g_strlcpy(fix->logged_owner,
+                  json_string_value(json_object_get(fields, "owner")),
+                  sizeof(fix->logged_owner));
+    }
+    LeaseFix_DropEvent(context, id, fields);
+}
+
 static const Runner_Ports runner_ports = {port_start, port_stop, port_poll,
-                                          port_reply, LeaseFix_DropEvent};
+                                          port_reply, port_event};
 
 void
 RunnerFix_HeartbeatOf(runner_fixture *fix, const char *instance,
--- a/tests/runner_fixture.h
+++ b/tests/runner_fixture.h
@@ -6,6 +6,7 @@
 #ifndef LC_TESTS_RUNNER_FIXTURE_H
 #define LC_TESTS_RUNNER_FIXTURE_H
 
+#include "base/address.h"
 #include "lease/runner.h"
 
 /** Monotonic time at the start of a test, in ms. */
@@ -63,7 +64,10 @@
     u_int unsettled;         /* in the last reply to RENEW */
     lc_run_id unsettled_run; /* the first of them */
     lc_run_status status;
-    u_int ran_ms; /* in the last reply to RUN */
+    u_int ran_ms;                         /* in the last reply to RUN */
+    int logged_starts;                    /* LC533 */
+    char logged_owner[ADDRESS_TEXT_SIZE]; /* in the last of them */
+    int logged_run;                       /* likewise */
 } runner_fixture;
 
 /** Creates a runner that has received no heartbeat. */
--- a/tests/runner_rules.c
+++ b/tests/runner_rules.c
@@ -731,7 +731,28 @@
     Runner_Free(fix.runner);
 }
 
+/* Which entry started a run where and when must be in the log, also of runs
+ * that end well: two runs of one task cannot be traced otherwise. */
+static void
+test_start_is_logged(void)
+{
+    const lc_node entry = RUNNER_FIX_ENTRY;
+    runner_fixture fix;
+
+    RunnerFix_NewReady(&fix);
+    RunnerFix_CallRun(&fix, 1, RUN_ID_DURABLE_BASE + 1, 1000, 500);
+    g_assert_cmpint(fix.logged_starts, ==, 1);
+    g_assert_cmpint(fix.logged_run, ==, RUN_ID_DURABLE_BASE + 1);
+    g_assert_cmpstr(fix.logged_owner, ==, Address_Text(entry.address));
+    Runner_OnStarted(fix.runner, fix.now_ms, fix.start_id,
+                     RUNNER_ORDER_UNANSWERED, 0);
+    RunnerFix_CallRun(&fix, 2, 1, 1000, 500);
+    g_assert_cmpint(fix.logged_starts, ==, 2);
+    Runner_Free(fix.runner);
+}
+
 static const TestTable_Row rules[] = {
+    {"/runner/logs the start of a run", test_start_is_logged},
     {"/runner/refuses an expired run", test_expired_run},
     {"/runner/stops the runs of a silent entry", test_lease_expires},
     {"/runner/holds the upstream no longer than the lease",
