Crowds of clients that do not behave, as tests on the code as it stands

What callers saw: clients that the users do not control ended a process by its memory.

tests/soak/crowd.cc plays one crowd against one address of a small cluster: bodies far too long, announced or in chunks, many of legal size, bytes of later requests, answers and replies that nobody reads, RPC records that never end, and connections that use up all descriptors. The crowd stays open while an ordinary job is sent. It checks that the process is the same one, that its memory stays under that of its machine (entry 260 MB, companion 128 MB), that it keeps 16 descriptors free of its clients, and that the job is answered. Descriptors are limited in the test, 128 for the process; those crowds meet the sanitized program.

The bounds are those of the machines, not of these runs.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -85,6 +85,9 @@
     name=$(basename "$file" .sh)
     [ "$name" = lib ] || process_test "$name"
 done
+for name in $("$BUILD/tests/crowd" --list); do
+    check "crowd/$name" env BUILD="$BUILD" SANITIZED="$SANITIZED" tests/crowd.sh "$name"
+done
 check soak_checker "$BUILD/tests/soak_checker"
 check soak env BUILD="$BUILD" SEEDS="1 2 $(sed -n 's/^\([0-9]*\) .*/\1/p' tests/soak/seeds.txt | grep -v '^20261202014$' | tr '\n' ' ')" SECONDS_EACH=5 WORKERS=3 scripts/soak.sh
 check soak_late_copy env BUILD="$BUILD" SEEDS="1796285854" SECONDS_EACH=8 WORKERS=1 scripts/soak.sh
--- a/tests/soak/cluster.cc
+++ b/tests/soak/cluster.cc
@@ -32,19 +32,6 @@
 const int HALLS = 3;
 const int UNUSED_HOST = 230;
 
-/* Port offsets of a host; every process has its own IP address. */
-enum {
-    PORT_RPC,
-    PORT_RPC_LISTEN,
-    PORT_ADMIN,
-    PORT_CALLERS,
-    PORT_READY,
-    PORT_HEARTBEATS,
-    PORT_UPSTREAM,
-    PORT_UPSTREAM_PROXY,
-    PORT_STORE
-};
-
 struct Timer {
     uv_timer_t handle;
     std::function<void()> run;
@@ -163,14 +150,14 @@
 }
 
 std::string
-Cluster::address_text(int host, int port) const
+Cluster::address_text(int host, Port port) const
 {
     return "127.7.0." + std::to_string(host) + ":" +
-           std::to_string(settings.base_port + port);
+           std::to_string(settings.base_port + (int)port);
 }
 
 Address
-Cluster::address(int host, int port) const
+Cluster::address(int host, Port port) const
 {
     Address parsed = 0;
 
@@ -178,6 +165,18 @@
     return parsed;
 }
 
+Address
+Cluster::entry_address(int index, Port port) const
+{
+    return address(entry_host(index), port);
+}
+
+Address
+Cluster::companion_address(int index, Port port) const
+{
+    return address(companion_host(index), port);
+}
+
 std::string
 Cluster::common_settings(const char *role, int host) const
 {
@@ -186,14 +185,15 @@
     for (int i = 0; i < settings.entries; i++) {
         int seed = settings.seeds_unreachable ? UNUSED_HOST + i
                                               : entry_host(i);
-        seeds += (i == 0 ? "\"" : ",\"") + address_text(seed, PORT_RPC) + "\"";
+        seeds += (i == 0 ? "\"" : ",\"") + address_text(seed, Port::Rpc) +
+                 "\"";
     }
     return std::string("{\"role\":\"") + role +
            "\",\"jobs\":\"leased\",\"hall\":\"hall-" +
            std::to_string(host % HALLS) + "\",\"rpc\":\"" +
-           address_text(host, PORT_RPC) + "\",\"rpc_listen\":\"" +
-           address_text(host, PORT_RPC_LISTEN) + "\",\"admin\":\"" +
-           address_text(host, PORT_ADMIN) + "\",\"seeds\":[" + seeds +
+           address_text(host, Port::Rpc) + "\",\"rpc_listen\":\"" +
+           address_text(host, Port::RpcListen) + "\",\"admin\":\"" +
+           address_text(host, Port::Admin) + "\",\"seeds\":[" + seeds +
            "],\"times\":{\"resubmit_ms\":1300,\"beat_ms\":500,\"close_ms\":" +
            std::to_string(CLOSE_MS) + ",\"grace_ms\":3000},";
 }
@@ -216,38 +216,39 @@
 void
 Cluster::create_processes()
 {
-    store.reset(new Store(loop, address(STORE_HOST, PORT_STORE)));
+    store.reset(new Store(loop, address(STORE_HOST, Port::Store)));
     for (int i = 0; i < settings.companions; i++) {
         int host = companion_host(i);
         upstreams.emplace_back(new Upstream(
             loop, client, "upstream-" + std::to_string(i),
-            address(host, PORT_UPSTREAM), address(host, PORT_HEARTBEATS)));
+            address(host, Port::Upstream), address(host, Port::Heartbeats)));
         upstream_proxies.emplace_back(
-            new Proxy(loop, address(host, PORT_UPSTREAM_PROXY),
-                      address(host, PORT_UPSTREAM)));
+            new Proxy(loop, address(host, Port::UpstreamProxy),
+                      address(host, Port::Upstream)));
         companion_proxies.emplace_back(new Proxy(
-            loop, address(host, PORT_RPC), address(host, PORT_RPC_LISTEN)));
+            loop, address(host, Port::Rpc), address(host, Port::RpcListen)));
         companions.emplace_back(new Process(
             loop, "companion-" + std::to_string(i), settings.program,
             settings.folder,
             common_settings("companion", host) + "\"upstream\":\"" +
-                address_text(host, PORT_UPSTREAM_PROXY) + "\",\"beats\":\"" +
-                address_text(host, PORT_HEARTBEATS) + "\",\"store\":\"" +
-                address_text(STORE_HOST, PORT_STORE) + "\"}"));
+                address_text(host, Port::UpstreamProxy) + "\",\"beats\":\"" +
+                address_text(host, Port::Heartbeats) + "\",\"store\":\"" +
+                address_text(STORE_HOST, Port::Store) + "\"}"));
     }
     for (int i = 0; i < settings.entries; i++) {
         int host = entry_host(i);
-        entry_proxies.emplace_back(new Proxy(loop, address(host, PORT_RPC),
-                                             address(host, PORT_RPC_LISTEN)));
-        store_proxies.emplace_back(new Proxy(loop, address(host, PORT_STORE),
-                                             address(STORE_HOST, PORT_STORE)));
+        entry_proxies.emplace_back(new Proxy(loop, address(host, Port::Rpc),
+                                             address(host, Port::RpcListen)));
+        store_proxies.emplace_back(
+            new Proxy(loop, address(host, Port::Store),
+                      address(STORE_HOST, Port::Store)));
         entries.emplace_back(new Process(
             loop, "entry-" + std::to_string(i), settings.program,
             settings.folder,
             common_settings("entry", host) + "\"callers\":\"" +
-                address_text(host, PORT_CALLERS) + "\",\"ready\":\"" +
-                address_text(host, PORT_READY) + "\",\"store\":\"" +
-                address_text(host, PORT_STORE) + "\"" + limits_settings(i) +
+                address_text(host, Port::Callers) + "\",\"ready\":\"" +
+                address_text(host, Port::Ready) + "\",\"store\":\"" +
+                address_text(host, Port::Store) + "\"" + limits_settings(i) +
                 "}"));
     }
 }
@@ -526,7 +527,7 @@
     job->attempts++;
     seconds[now() / 1000].sent++;
     snprintf(path, sizeof(path), "/%c/%016" PRIx64, queue_of(*job), id);
-    request.to = address(entry_host(entry), PORT_CALLERS);
+    request.to = address(entry_host(entry), Port::Callers);
     request.method = "POST";
     request.path = path;
     request.headers = "X-Deadline-Ms: 2000\r\n"
@@ -571,7 +572,7 @@
 
     snprintf(path, sizeof(path), "/%c/%016" PRIx64,
              queue_of(*checker.find(id)), id);
-    request.to = address(entry_host(entry), PORT_CALLERS);
+    request.to = address(entry_host(entry), Port::Callers);
     request.method = "GET";
     request.path = path;
     request.timeout_ms = STATE_QUERY_TIMEOUT_MS;
@@ -634,7 +635,7 @@
         HttpClient_Request request = {};
         std::string path = "/v" + std::to_string(routes_version) + "/";
 
-        request.to = address(entry_host(i), PORT_CALLERS);
+        request.to = address(entry_host(i), Port::Callers);
         request.method = "GET";
         request.path = path.c_str();
         request.timeout_ms = 1000;
--- a/tests/soak/cluster.h
+++ b/tests/soak/cluster.h
@@ -23,6 +23,20 @@
 
 namespace soak {
 
+/** Addresses at which the processes listen; values are port offsets. Every
+ * process has its own IP address. */
+enum class Port {
+    Rpc,
+    RpcListen,
+    Admin,
+    Callers,
+    Ready,
+    Heartbeats,
+    Upstream,
+    UpstreamProxy,
+    Store
+};
+
 /** Settings of a cluster. */
 struct ClusterSettings {
     int entries = 3;
@@ -108,6 +122,9 @@
         return store_proxies[(size_t)entry].get();
     }
     std::vector<Process *> processes();
+    /** Where a process itself listens, behind its proxy. */
+    Address entry_address(int index, Port port) const;
+    Address companion_address(int index, Port port) const;
 
     ClusterSettings settings;
     uv_loop_t *loop;
@@ -140,8 +157,8 @@
     int64_t max_response_ms = 0;      /**< longest time to an answer */
 
   private:
-    std::string address_text(int host, int port) const;
-    Address address(int host, int port) const;
+    std::string address_text(int host, Port port) const;
+    Address address(int host, Port port) const;
     std::string common_settings(const char *role, int host) const;
     std::string limits_settings(int entry) const;
     void create_processes();
--- a/tests/soak/process.cc
+++ b/tests/soak/process.cc
@@ -2,11 +2,13 @@
 
 #include <fcntl.h>
 #include <signal.h>
+#include <sys/resource.h>
 #include <unistd.h>
 
 #include <cstdio>
 #include <cstdlib>
 #include <set>
+#include <utility>
 
 namespace soak {
 
@@ -36,6 +38,19 @@
     delete (uv_process_t *)handle;
 }
 
+/* Sets the limit of open files, which processes started from now on inherit;
+ * returns the one before. */
+rlim_t
+set_max_open_files(rlim_t count)
+{
+    struct rlimit limit;
+
+    getrlimit(RLIMIT_NOFILE, &limit);
+    std::swap(limit.rlim_cur, count);
+    setrlimit(RLIMIT_NOFILE, &limit);
+    return count;
+}
+
 } // namespace
 
 Process::Process(uv_loop_t *event_loop, std::string process_name,
@@ -79,7 +94,14 @@
     options.exit_cb = on_exit;
     handle = new uv_process_t;
     handle->data = this;
+    rlim_t own_limit = 0;
+    if (max_open_files != 0) {
+        own_limit = set_max_open_files((rlim_t)max_open_files);
+    }
     int error = uv_spawn(loop, handle, &options);
+    if (max_open_files != 0) {
+        set_max_open_files(own_limit);
+    }
     if (error != 0) {
         give_up(program, error);
     }
