--- a/tests/http_client_rules.c
+++ b/tests/http_client_rules.c
@@ -3,8 +3,11 @@
  * over loopback sockets, and what companions make of its outcomes.
  */
 
+#include <fcntl.h>
 #include <glib.h>
 #include <string.h>
+#include <sys/resource.h>
+#include <unistd.h>
 #include <uv.h>
 
 #include "base/clock.h"
@@ -24,11 +27,13 @@
 typedef struct {
     HttpClient *client;
     uv_tcp_t *server;
+    int connections; /* that the client has not closed */
     Address address;
     char input[512];
     size_t input_length; /* of the bytes received since the last answer */
     size_t received;
     size_t received_before; /* the last request */
+    bool connection_ended;  /* by the client */
     bool done;
     bool written; /* told that it is */
     HttpClient_Outcome outcome;
@@ -67,6 +72,7 @@
 
     (void)buffer;
     if (count <= 0) {
+        fix.connections--;
         uv_close((uv_handle_t *)stream, close_handle);
         return;
     }
@@ -87,6 +93,7 @@
     g_assert_cmpint(status, ==, 0);
     uv_tcp_init(uv_default_loop(), connection);
     g_assert_cmpint(uv_accept(server, (uv_stream_t *)connection), ==, 0);
+    fix.connections++;
     uv_read_start((uv_stream_t *)connection, on_allocate, on_input);
 }
 
@@ -134,10 +141,8 @@
     fix.outcome = answer->end;
 }
 
-/* Sends a request, stops the process for @p stall_ms, and runs the loop until
- * the outcome is reported. */
-static HttpClient_Outcome
-send_with_timeout(int64_t send_by_ms, uint32_t stall_ms, uint32_t timeout_ms)
+static void
+begin_request(int64_t send_by_ms, uint32_t timeout_ms)
 {
     HttpClient_Request request = {.to = fix.address,
                                   .method = "POST",
@@ -151,6 +156,14 @@
     fix.received_before = fix.received;
     HttpClient_Send(fix.client, &request, on_done, &fix);
     g_assert_false(fix.done);
+}
+
+/* Sends a request, stops the process for @p stall_ms, and runs the loop until
+ * the outcome is reported. */
+static HttpClient_Outcome
+send_with_timeout(int64_t send_by_ms, uint32_t stall_ms, uint32_t timeout_ms)
+{
+    begin_request(send_by_ms, timeout_ms);
     g_usleep((gulong)stall_ms * 1000);
     while (!fix.done) {
         uv_run(uv_default_loop(), UV_RUN_ONCE);
@@ -222,6 +235,58 @@
     close_fixture();
 }
 
+/* Takes all free descriptors; returns the limit before. */
+static rlim_t
+take_descriptors(void)
+{
+    struct rlimit limit;
+    int lowest_free = fcntl(STDOUT_FILENO, F_DUPFD, 0);
+    rlim_t before;
+
+    g_assert_cmpint(lowest_free, >=, 0);
+    close(lowest_free);
+    getrlimit(RLIMIT_NOFILE, &limit);
+    before = limit.rlim_cur;
+    limit.rlim_cur = (rlim_t)lowest_free;
+    setrlimit(RLIMIT_NOFILE, &limit);
+    return before;
+}
+
+static void
+give_descriptors(rlim_t count)
+{
+    struct rlimit limit;
+
+    getrlimit(RLIMIT_NOFILE, &limit);
+    limit.rlim_cur = count;
+    setrlimit(RLIMIT_NOFILE, &limit);
+}
+
+/* Guards against a connection that stays open with its freed request: the
+ * process crashed once the server closed it. */
+static void
+test_no_descriptor_to_keep_a_connection(void)
+{
+    rlim_t limit;
+
+    open_fixture();
+    HttpClient_KeepAlive(fix.client, fix.address, MAX_OPEN, false);
+    g_assert_cmpint(send_request(0, 0), ==, HTTP_CLIENT_ANSWERED);
+    begin_request(0, TIMEOUT_MS);
+    limit = take_descriptors();
+    while (!fix.done) {
+        uv_run(uv_default_loop(), UV_RUN_ONCE);
+    }
+    give_descriptors(limit);
+    g_assert_cmpint(fix.outcome, ==, HTTP_CLIENT_ANSWERED);
+    /* It was not kept, so the client has closed it. */
+    uv_run(uv_default_loop(), UV_RUN_NOWAIT);
+    uv_run(uv_default_loop(), UV_RUN_NOWAIT);
+    g_assert_cmpint(fix.connections, ==, 0);
+    g_assert_cmpint(send_request(0, 0), ==, HTTP_CLIENT_ANSWERED);
+    close_fixture();
+}
+
 /* Guards against a start that was never written counting as a refused
  * connection, or as one that may be executed. */
 static void
@@ -304,6 +369,8 @@
      test_expires_on_an_idle_connection},
     {"/http_client/not sent after its time, which passed before the timeout",
      test_expires_beside_its_timeout},
+    {"/http_client/no descriptor to keep a connection",
+     test_no_descriptor_to_keep_a_connection},
     {"/http_client/outcomes as results of an order",
      test_outcomes_as_order_results},
     {"/http_client/statuses as results of an order",
