--- a/tests/http_client_rules.c
+++ b/tests/http_client_rules.c
@@ -287,6 +287,31 @@
     close_fixture();
 }
 
+/* Guards against outcomes from within HttpClient_Send, whose callers have not
+ * recorded the request yet. */
+static void
+test_no_descriptor_to_connect(void)
+{
+    rlim_t limit;
+
+    open_fixture();
+    limit = take_descriptors();
+    begin_request(0, TIMEOUT_MS);
+    while (!fix.done) {
+        uv_run(uv_default_loop(), UV_RUN_ONCE);
+    }
+    g_assert_cmpint(fix.outcome, ==, HTTP_CLIENT_UNSENT);
+    HttpClient_KeepAlive(fix.client, fix.address, MAX_OPEN, false);
+    begin_request(0, TIMEOUT_MS);
+    while (!fix.done) {
+        uv_run(uv_default_loop(), UV_RUN_ONCE);
+    }
+    g_assert_cmpint(fix.outcome, ==, HTTP_CLIENT_UNSENT);
+    give_descriptors(limit);
+    g_assert_cmpint(send_request(0, 0), ==, HTTP_CLIENT_ANSWERED);
+    close_fixture();
+}
+
 /* Guards against a start that was never written counting as a refused
  * connection, or as one that may be executed. */
 static void
@@ -371,6 +396,7 @@
      test_expires_beside_its_timeout},
     {"/http_client/no descriptor to keep a connection",
      test_no_descriptor_to_keep_a_connection},
+    {"/http_client/no descriptor to connect", test_no_descriptor_to_connect},
     {"/http_client/outcomes as results of an order",
      test_outcomes_as_order_results},
     {"/http_client/statuses as results of an order",
