Refuse bodies by what each address needs

What callers saw: clients with bodies far over the limit, announced or just sent, ended a process by its memory.

Cause: one limit of 8 MiB, and twice that before h2o refuses, for every HTTP server: callers of leased jobs (262,144 bytes by the routes), heartbeats (some hundred), readiness and operators (none); and as many early bytes.

Why the fix works: each server knows the longest body that its requests need, that of callers by the routes in force, and h2o refuses by the head or as a body in chunks passes it. What a refused client still sends is read and dropped for a second, so that it can read its answer.

--- a/daemon/http_server.c
+++ b/daemon/http_server.c
@@ -1,9 +1,12 @@
 #include "daemon/http_server.h"
 
+#include <fcntl.h>
 #include <glib.h>
 #include <jansson.h>
 #include <poll.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 /* Must be defined before h2o's headers are included. */
 #define H2O_USE_LIBUV 1
@@ -14,9 +17,14 @@
 
 #define LISTEN_BACKLOG 1024
 #define MS_PER_S 1000
-/* Most bytes of later requests that are read before a response: as many as one
- * request may have. */
-#define MAX_EARLY_BYTES HTTP_MAX_BODY_BYTES
+/* Longest head of a request that h2o reads. */
+#define MAX_HEAD_BYTES 65536
+/* Most bytes that are read from a connection at once. */
+#define READ_BYTES 65536
+/* A connection that is closed with unread bytes is reset, and its client may
+ * lose the answer that refused them. So such bytes are read for this long. */
+#define LINGER_MS 1000
+#define MAX_LINGERING 16
 /* Ends a request whose client has disconnected; never reaches the client. */
 #define STATUS_CLIENT_CLOSED 499
 #define STATUS_BAD_GATEWAY 502
@@ -28,9 +36,28 @@
     Http_Server *server;
 } route_handler;
 
-/* A request without a response yet; allocated from the request's pool. */
+/* A connection of a client; freed when its handle is closed. */
 typedef struct {
+    uv_tcp_t tcp; /* first: h2o knows the connection by it */
     Http_Server *server;
+    h2o_socket_t *socket;
+    uint32_t requests; /* that are handled or answered */
+    int duplicate;     /* of its descriptor, see keep_duplicate; or -1 */
+    bool ended;        /* by the client */
+    bool changed;      /* in `changed` of the server */
+} connection;
+
+/* A connection that is closed once its client has sent the rest. */
+typedef struct {
+    uv_tcp_t tcp;
+    uv_timer_t timer;
+    Http_Server *server;
+} lingering;
+
+/* A request whose answer is not sent yet; allocated from its pool. */
+typedef struct {
+    Http_Server *server;
+    connection *conn;
     h2o_req_t *request;
     Handle id;
     h2o_socket_t *watched; /* for a disconnect, or NULL */
@@ -40,6 +67,12 @@
     uv_loop_t *loop;
     uv_tcp_t listener;
     bool listening;
+    size_t max_body_bytes;
+    GPtrArray *changed; /* connections whose request has ended */
+    uv_prepare_t before_poll;
+    uv_alloc_cb h2o_allocate; /* what h2o reads connections by */
+    uv_read_cb h2o_read;
+    uint32_t lingering;
     bool closing; /* connections close after their next response */
     h2o_globalconf_t config;
     h2o_context_t context;
@@ -52,6 +85,128 @@
     uint64_t bytes_out;
 };
 
+/* ---- what h2o reads ---- */
+
+/* h2o's side of a connection that is being closed is gone. */
+static bool
+is_open(const connection *conn)
+{
+    return !uv_is_closing((const uv_handle_t *)&conn->tcp);
+}
+
+/* h2o has refused an unfinished request, and closes the connection as soon as
+ * its answer is written: another descriptor keeps the connection open. */
+static void
+keep_duplicate(connection *conn)
+{
+    uv_os_fd_t file;
+
+    if (conn->server->lingering >= MAX_LINGERING || conn->duplicate >= 0 ||
+        uv_fileno((uv_handle_t *)&conn->tcp, &file) != 0) {
+        return;
+    }
+    conn->duplicate = fcntl(file, F_DUPFD_CLOEXEC, 0);
+    conn->server->lingering += conn->duplicate >= 0;
+}
+
+static void
+drop_duplicate(connection *conn)
+{
+    close(conn->duplicate);
+    conn->duplicate = -1;
+    conn->server->lingering--;
+}
+
+static void
+on_allocate(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer)
+{
+    connection *conn = (connection *)handle;
+
+    if (conn->duplicate >= 0) {
+        drop_duplicate(conn); /* h2o goes on reading */
+    }
+    conn->server->h2o_allocate(handle, suggested, buffer);
+    buffer->len = MIN(buffer->len, READ_BYTES);
+}
+
+static void
+mark_changed(connection *conn)
+{
+    if (!conn->changed) {
+        conn->changed = true;
+        g_ptr_array_add(conn->server->changed, conn);
+    }
+}
+
+/* Whether h2o has stopped reading without having passed a request on: it
+ * refuses one, or tells the client to send the body. */
+static bool
+has_paused(const connection *conn)
+{
+    return is_open(conn) && !conn->ended && conn->requests == 0 &&
+           conn->tcp.read_cb == NULL;
+}
+
+static void
+on_read(uv_stream_t *stream, ssize_t count, const uv_buf_t *buffer)
+{
+    connection *conn = (connection *)stream;
+
+    if (count < 0) {
+        conn->ended = true;
+    }
+    conn->server->h2o_read(stream, count, buffer);
+    if (has_paused(conn)) {
+        keep_duplicate(conn);
+        mark_changed(conn);
+    }
+}
+
+/* h2o sets its own callbacks whenever it begins to read, and has no hook for
+ * what it does with them. */
+static void
+watch_reads(connection *conn)
+{
+    if (conn->tcp.alloc_cb == conn->server->h2o_allocate) {
+        conn->tcp.alloc_cb = on_allocate;
+        conn->tcp.read_cb = on_read;
+    }
+}
+
+/* The last request of the connection has ended, and h2o reads the next one, or
+ * goes on after a pause. */
+static void
+follow_change(connection *conn)
+{
+    conn->changed = false;
+    if (has_paused(conn)) {
+        mark_changed(conn); /* until it reads again or is closed */
+        return;
+    }
+    if (is_open(conn)) {
+        watch_reads(conn);
+    }
+}
+
+static void
+on_before_poll(uv_prepare_t *prepare)
+{
+    Http_Server *server = prepare->data;
+    GPtrArray *changed = server->changed;
+    guint i;
+
+    if (changed->len == 0) {
+        return;
+    }
+    server->changed = g_ptr_array_new();
+    for (i = 0; i < changed->len; i++) {
+        follow_change(g_ptr_array_index(changed, i));
+    }
+    g_ptr_array_unref(changed);
+}
+
+/* ---- requests ---- */
+
 /* h2o calls this when it disposes of the request, answered or not. */
 static void
 on_request_disposed(void *item)
@@ -62,6 +217,8 @@
     if (open->watched != NULL) {
         g_hash_table_remove(open->server->watched, open->watched);
     }
+    open->conn->requests--;
+    mark_changed(open->conn);
 }
 
 static void
@@ -98,6 +255,14 @@
     HttpServer_Respond(server, id, &empty);
 }
 
+/* Most bytes of one request, and so of later ones that are read before an
+ * answer. */
+static size_t
+max_request_bytes(const Http_Server *server)
+{
+    return MAX_HEAD_BYTES + server->max_body_bytes;
+}
+
 /*
  * The connection of a request that is being served has become readable: the
  * client has disconnected, or has sent its next request, which h2o later
@@ -113,7 +278,7 @@
     uint64_t id;
 
     if (open == NULL ||
-        (error == NULL && socket->input->size <= MAX_EARLY_BYTES)) {
+        (error == NULL && socket->input->size <= max_request_bytes(server))) {
         return;
     }
     id = open->id;
@@ -135,6 +300,7 @@
     open->watched = conn->callbacks->get_socket(conn);
     g_hash_table_insert(server->watched, open->watched, open);
     h2o_socket_read_start(open->watched, on_watched_readable);
+    watch_reads(open->conn);
 }
 
 void
@@ -229,6 +395,12 @@
     out->levercove_group = header_text(request, "levercove-group");
 }
 
+static connection *
+connection_of(const h2o_req_t *request)
+{
+    return request->conn->callbacks->get_socket(request->conn)->on_close.data;
+}
+
 static int
 on_request(h2o_handler_t *self, h2o_req_t *request)
 {
@@ -237,9 +409,12 @@
                                               on_request_disposed);
     const HttpServer_Route *route;
     HttpServer_Request in;
+    char message[64];
 
     memset(&in, 0, sizeof(in));
     open->server = server;
+    open->conn = connection_of(request);
+    open->conn->requests++;
     open->request = request;
     open->watched = NULL;
     open->id = Handle_Add(server->open, open);
@@ -250,9 +425,11 @@
         HttpServer_RespondError(server, in.id, ERR_NOT_FOUND, "no such path",
                                 0);
     }
-    else if (in.length > HTTP_MAX_BODY_BYTES) {
-        HttpServer_RespondError(server, in.id, ERR_TOO_LARGE,
-                                "the body is longer than 8 MiB", 0);
+    else if (in.length > server->max_body_bytes) {
+        g_snprintf(message, sizeof(message),
+                   "the body is longer than %zu bytes",
+                   server->max_body_bytes);
+        HttpServer_RespondError(server, in.id, ERR_TOO_LARGE, message, 0);
     }
     else {
         route->handler(server->handler_context, &in);
@@ -261,8 +438,95 @@
     return 0;
 }
 
+/* ---- connections ---- */
+
+static void
+on_lingered(uv_handle_t *handle)
+{
+    Http_Server *server = ((lingering *)handle->data)->server;
+
+    server->lingering--;
+    g_free(handle->data);
+}
+
 static void
-on_socket_closed(uv_handle_t *handle)
+close_timer(uv_handle_t *handle)
+{
+    lingering *linger = handle->data;
+
+    uv_close((uv_handle_t *)&linger->timer, on_lingered);
+}
+
+static void
+end_lingering(uv_timer_t *timer)
+{
+    lingering *linger = timer->data;
+
+    uv_close((uv_handle_t *)&linger->tcp, close_timer);
+}
+
+static void
+on_linger_allocate(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer)
+{
+    static char unused[READ_BYTES];
+
+    (void)handle;
+    (void)suggested;
+    *buffer = uv_buf_init(unused, sizeof(unused));
+}
+
+static void
+on_linger_read(uv_stream_t *stream, ssize_t count, const uv_buf_t *buffer)
+{
+    lingering *linger = stream->data;
+
+    (void)buffer;
+    if (count < 0) {
+        uv_read_stop(stream);
+        uv_timer_start(&linger->timer, end_lingering, 0, 0);
+    }
+}
+
+/* Goes on reading from a connection that h2o has closed after it refused an
+ * unfinished request. */
+static void
+begin_lingering(connection *conn)
+{
+    lingering *linger = g_new0(lingering, 1);
+    uv_loop_t *loop = conn->server->loop;
+
+    shutdown(conn->duplicate, SHUT_WR);
+    linger->server = conn->server;
+    uv_tcp_init(loop, &linger->tcp);
+    uv_tcp_open(&linger->tcp, conn->duplicate);
+    linger->tcp.data = linger;
+    uv_timer_init(loop, &linger->timer);
+    linger->timer.data = linger;
+    uv_timer_start(&linger->timer, end_lingering, LINGER_MS, 0);
+    uv_read_start((uv_stream_t *)&linger->tcp, on_linger_allocate,
+                  on_linger_read);
+}
+
+static void
+on_connection_closed(uv_handle_t *handle)
+{
+    connection *conn = (connection *)handle;
+    Http_Server *server = conn->server;
+
+    if (conn->changed) {
+        g_ptr_array_remove(server->changed, conn);
+    }
+    if (conn->duplicate >= 0 && conn->ended) {
+        drop_duplicate(conn);
+    }
+    else if (conn->duplicate >= 0) {
+        begin_lingering(conn);
+    }
+    g_free(conn);
+}
+
+static void
+on_accept_failed(uv_handle_t *handle)
 {
     g_free(handle);
 }
@@ -271,20 +535,27 @@
 on_incoming(uv_stream_t *listener, int result)
 {
     Http_Server *server = listener->data;
-    uv_tcp_t *tcp;
+    connection *conn;
 
     if (result != 0) {
         return;
     }
-    tcp = g_new0(uv_tcp_t, 1);
-    uv_tcp_init(server->loop, tcp);
-    if (uv_accept(listener, (uv_stream_t *)tcp) != 0) {
-        uv_close((uv_handle_t *)tcp, on_socket_closed);
+    conn = g_new0(connection, 1);
+    uv_tcp_init(server->loop, &conn->tcp);
+    if (uv_accept(listener, (uv_stream_t *)&conn->tcp) != 0) {
+        uv_close((uv_handle_t *)&conn->tcp, on_accept_failed);
         return;
     }
-    uv_tcp_nodelay(tcp, 1);
-    h2o_accept(&server->accept,
-               h2o_uv_socket_create((uv_stream_t *)tcp, on_socket_closed));
+    uv_tcp_nodelay(&conn->tcp, 1);
+    conn->server = server;
+    conn->duplicate = -1;
+    conn->socket = h2o_uv_socket_create((uv_stream_t *)&conn->tcp,
+                                        on_connection_closed);
+    conn->socket->on_close.data = conn; /* for connection_of */
+    h2o_accept(&server->accept, conn->socket);
+    server->h2o_allocate = conn->tcp.alloc_cb;
+    server->h2o_read = conn->tcp.read_cb;
+    watch_reads(conn);
 }
 
 static int
@@ -305,9 +576,20 @@
                      on_incoming);
 }
 
+void
+HttpServer_SetMaxBody(Http_Server *server, size_t bytes)
+{
+    server->max_body_bytes = bytes;
+    /* Twice as much, so that most bodies that are too long get our own error.
+     */
+    server->config.max_request_entity_size = 2 * bytes;
+}
+
 Http_Server *
-HttpServer_New(uv_loop_t *loop, Address address,
-               const HttpServer_Route *routes, void *context, Status *status)
+HttpServer_NewLimited(uv_loop_t *loop, Address address,
+                      const HttpServer_Limits *limits,
+                      const HttpServer_Route *routes, void *context,
+                      Status *status)
 {
     Http_Server *server = g_new0(Http_Server, 1);
     h2o_hostconf_t *host;
@@ -320,11 +602,10 @@
     server->handler_context = context;
     server->open = Handle_NewTable();
     server->watched = g_hash_table_new(NULL, NULL);
+    server->changed = g_ptr_array_new();
     h2o_config_init(&server->config);
     server->config.server_name = h2o_iovec_init(H2O_STRLIT("levercove"));
-    /* Twice HTTP_MAX_BODY_BYTES, so that most bodies that are too long get our
-     * own error. */
-    server->config.max_request_entity_size = 2 * HTTP_MAX_BODY_BYTES;
+    HttpServer_SetMaxBody(server, limits->max_body_bytes);
     host = h2o_config_register_host(
         &server->config, h2o_iovec_init(H2O_STRLIT("default")), 65535);
     path = h2o_config_register_path(host, "/", 0);
@@ -334,6 +615,9 @@
     h2o_context_init(&server->context, loop, &server->config);
     server->accept.ctx = &server->context;
     server->accept.hosts = server->config.hosts;
+    uv_prepare_init(loop, &server->before_poll);
+    server->before_poll.data = server;
+    uv_prepare_start(&server->before_poll, on_before_poll);
     result = listen_on(server, address);
     if (result != 0) {
         Err_Set(status, ERR_IO, "cannot listen on %s: %s",
@@ -344,6 +628,16 @@
     return server;
 }
 
+Http_Server *
+HttpServer_New(uv_loop_t *loop, Address address,
+               const HttpServer_Route *routes, void *context, Status *status)
+{
+    HttpServer_Limits limits = {.max_body_bytes = HTTP_MAX_BODY_BYTES};
+
+    return HttpServer_NewLimited(loop, address, &limits, routes, context,
+                                 status);
+}
+
 static void
 add_header(h2o_req_t *request, const char *name, const char *value)
 {
--- a/daemon/http_server.h
+++ b/daemon/http_server.h
@@ -14,8 +14,10 @@
 #include "base/address.h"
 #include "base/err.h"
 
-/** Longest request body, in bytes. */
+/** Longest request body of any server, in bytes. */
 #define HTTP_MAX_BODY_BYTES ((size_t)8 * 1024 * 1024)
+/** Longest request body where requests need none, in bytes. */
+#define HTTP_NO_BODY_BYTES ((size_t)4096)
 
 /** A request. Borrowed: valid during the handler's call. */
 typedef struct {
@@ -60,13 +62,27 @@
 /** An HTTP server. */
 typedef struct Http_Server Http_Server;
 
+/** Limits of a server. */
+typedef struct {
+    size_t max_body_bytes; /**< a longer body is refused */
+} HttpServer_Limits;
+
 /** Listens on @p address and serves @p routes, which end with an entry whose
  * path is NULL; @p context is passed to the handlers. Returns NULL on error.
  * Errors: IO. */
+Http_Server *HttpServer_NewLimited(uv_loop_t *loop, Address address,
+                                   const HttpServer_Limits *limits,
+                                   const HttpServer_Route *routes,
+                                   void *context, Status *status);
+
+/** The same for any number of clients and bodies of HTTP_MAX_BODY_BYTES. */
 Http_Server *HttpServer_New(uv_loop_t *loop, Address address,
                             const HttpServer_Route *routes, void *context,
                             Status *status);
 
+/** Changes the length above which a body is refused, in bytes. */
+void HttpServer_SetMaxBody(Http_Server *server, size_t bytes);
+
 /** Value of a header (lower-case name) of a request that has not been
  * answered, or NULL. Valid until the response is sent. */
 const char *HttpServer_Header(const Http_Server *server, uint64_t id,
--- a/daemon/leased_companion.c
+++ b/daemon/leased_companion.c
@@ -38,6 +38,8 @@
 /* A graceful shutdown ends this long before the kill. */
 #define STOP_MARGIN_MS 700
 #define STATUS_OK 200
+/* Heartbeats have some hundred bytes, and more with many labels. */
+#define MAX_HEARTBEAT_BYTES ((size_t)65536)
 /* The closed halls are read from the store when no entry has confirmed them
  * for this part of times.close_ms; the rest of that time is left for the read.
  * Entries confirm what they read up to 2 s ago, as the store holds a read for
@@ -660,6 +662,7 @@
 {
     leased_companion *self = g_new0(leased_companion, 1);
     uv_loop_t *loop = uv_default_loop();
+    HttpServer_Limits limits = {.max_body_bytes = MAX_HEARTBEAT_BYTES};
     Status status = {ERR_OK, ""};
     int code = Err_ExitCode(ERR_IO);
 
@@ -684,8 +687,8 @@
     uv_timer_init(loop, &self->overdue_timer);
     self->overdue_timer.data = self;
     self->overdue_check_ms = INT64_MAX;
-    self->heartbeats = HttpServer_New(loop, options->beats, heartbeat_routes,
-                                      self, &status);
+    self->heartbeats = HttpServer_NewLimited(loop, options->beats, &limits,
+                                             heartbeat_routes, self, &status);
     if (self->heartbeats == NULL ||
         Process_Open(&self->process, loop, options, &leased_companion_role,
                      &status) != ERR_OK) {
--- a/daemon/leased_entry.c
+++ b/daemon/leased_entry.c
@@ -505,15 +505,18 @@
 open_servers(Leased_Entry *self, uv_loop_t *loop, const Options *options,
              Status *status)
 {
-    self->callers = HttpServer_New(loop, options->callers, caller_routes, self,
-                                   status);
+    HttpServer_Limits limits = {.max_body_bytes = ROUTE_DEFAULT_BODY_BYTES};
+
+    self->callers = HttpServer_NewLimited(loop, options->callers, &limits,
+                                          caller_routes, self, status);
     if (self->callers == NULL) {
         return status->kind;
     }
     HttpServer_SetDisconnectHandler(self->callers,
                                     LeasedJobsApi_OnCallerDisconnect);
-    self->ready = HttpServer_New(loop, options->ready, ready_routes, self,
-                                 status);
+    limits.max_body_bytes = HTTP_NO_BODY_BYTES;
+    self->ready = HttpServer_NewLimited(loop, options->ready, &limits,
+                                        ready_routes, self, status);
     if (self->ready == NULL) {
         return status->kind;
     }
--- a/daemon/leased_routes.c
+++ b/daemon/leased_routes.c
@@ -26,6 +26,8 @@
     }
     Route_FreeTable(self->routes);
     self->routes = table;
+    HttpServer_SetMaxBody(self->callers,
+                          MIN(table->body_bytes, HTTP_MAX_BODY_BYTES));
     self->routes_applied_ms = self->last_input_ms;
     Event_Log(EVENT_ROUTES, "version %lld from %s, %u queues, %zu bytes",
               (long long)table->version, source, table->routes->len, length);
--- a/daemon/process.c
+++ b/daemon/process.c
@@ -246,6 +246,8 @@
 Process_Open(Process *process, uv_loop_t *loop, const Options *options,
              const Process_Role *role, Status *status)
 {
+    const HttpServer_Limits limits = {.max_body_bytes = HTTP_NO_BODY_BYTES};
+
     process->loop = loop;
     process->options = options;
     process->role = role;
@@ -253,8 +255,8 @@
     if (Process_ReopenRpc(process, status) != ERR_OK) {
         return ERR_IO;
     }
-    process->admin = HttpServer_New(loop, options->admin, admin_routes,
-                                    process, status);
+    process->admin = HttpServer_NewLimited(loop, options->admin, &limits,
+                                           admin_routes, process, status);
     if (process->admin == NULL) {
         return ERR_IO;
     }
--- a/lease/route_table.h
+++ b/lease/route_table.h
@@ -15,6 +15,9 @@
 
 #include "lease/job.h"
 
+/** Longest request body unless the operators set another length, in bytes. */
+#define ROUTE_DEFAULT_BODY_BYTES 262144
+
 /** One queue. Strings are owned by the table. */
 typedef struct {
     char *name;
