Limit the bytes that are held for all clients together

What callers saw: many bodies of legal size at once, most of them never finished, ended a process by its memory.

Cause: each limit held for one request; nothing counted over all connections, and h2o's buffers double as they grow.

Why the fix works: what each connection's buffer holds, and the answer that it has not read, count towards a quarter of the memory (limits.memory_mb, from the platform's settings; 128 MB without). Past it the connection that holds most is closed, so that requests of ordinary size are not closed for larger ones. The count is taken before h2o reads.

LC603, levercove_client_bytes, levercove_clients_closed.

--- a/base/event.h
+++ b/base/event.h
@@ -105,7 +105,10 @@
     X(LINK_SHORT, 318, G_LOG_LEVEL_MESSAGE, "link congested or free again")   \
     X(RPC_BAD, 600, G_LOG_LEVEL_WARNING, "RPC record refused")                \
     X(HTTP_BAD, 601, G_LOG_LEVEL_INFO, "HTTP request refused")                \
-    X(CONNECTION_SILENT, 602, G_LOG_LEVEL_WARNING, "connection silent, closed")
+    X(CONNECTION_SILENT, 602, G_LOG_LEVEL_WARNING,                            \
+      "connection silent, closed")                                            \
+    X(CLIENT_CLOSED, 603, G_LOG_LEVEL_INFO,                                   \
+      "client over a limit, connection closed")
 
 /** Event identifiers, in the order of EVENT_LIST. */
 typedef enum {
--- a/daemon/http_server.c
+++ b/daemon/http_server.c
@@ -41,10 +41,12 @@
     uv_tcp_t tcp; /* first: h2o knows the connection by it */
     Http_Server *server;
     h2o_socket_t *socket;
-    uint32_t requests; /* that are handled or answered */
-    int duplicate;     /* of its descriptor, see keep_duplicate; or -1 */
-    bool ended;        /* by the client */
-    bool changed;      /* in `changed` of the server */
+    ClientLimits_Client client;
+    size_t answer_bytes; /* sent, and not known to be read */
+    uint32_t requests;   /* that are handled or answered */
+    int duplicate;       /* of its descriptor, see keep_duplicate; or -1 */
+    bool ended;          /* by the client */
+    bool changed;        /* in `changed` of the server */
 } connection;
 
 /* A connection that is closed once its client has sent the rest. */
@@ -67,6 +69,7 @@
     uv_loop_t *loop;
     uv_tcp_t listener;
     bool listening;
+    ClientLimits *limits;
     size_t max_body_bytes;
     GPtrArray *changed; /* connections whose request has ended */
     uv_prepare_t before_poll;
@@ -85,7 +88,21 @@
     uint64_t bytes_out;
 };
 
-/* ---- what h2o reads ---- */
+/* ---- bytes held for a connection ---- */
+
+/* Ends the connection in a way that h2o notices by itself: it reads the end of
+ * the stream, or fails to write. */
+static void
+shut_connection(void *owner)
+{
+    connection *conn = owner;
+    uv_os_fd_t file;
+
+    conn->ended = true;
+    if (uv_fileno((uv_handle_t *)&conn->tcp, &file) == 0) {
+        shutdown(file, SHUT_RDWR);
+    }
+}
 
 /* h2o's side of a connection that is being closed is gone. */
 static bool
@@ -94,6 +111,21 @@
     return !uv_is_closing((const uv_handle_t *)&conn->tcp);
 }
 
+static size_t
+input_capacity(const connection *conn)
+{
+    const h2o_buffer_t *input = conn->socket->input;
+
+    return input->bytes == NULL ? 0 : input->capacity;
+}
+
+static void
+count_bytes(connection *conn)
+{
+    ClientLimits_SetBytes(&conn->client,
+                          input_capacity(conn) + conn->answer_bytes);
+}
+
 /* h2o has refused an unfinished request, and closes the connection as soon as
  * its answer is written: another descriptor keeps the connection open. */
 static void
@@ -127,6 +159,10 @@
     }
     conn->server->h2o_allocate(handle, suggested, buffer);
     buffer->len = MIN(buffer->len, READ_BYTES);
+    count_bytes(conn);
+    if (conn->client.closing) {
+        *buffer = uv_buf_init(NULL, 0); /* h2o closes the connection */
+    }
 }
 
 static void
@@ -163,9 +199,9 @@
 }
 
 /* h2o sets its own callbacks whenever it begins to read, and has no hook for
- * what it does with them. */
+ * the bytes that it takes in. */
 static void
-watch_reads(connection *conn)
+watch_bytes(connection *conn)
 {
     if (conn->tcp.alloc_cb == conn->server->h2o_allocate) {
         conn->tcp.alloc_cb = on_allocate;
@@ -184,7 +220,8 @@
         return;
     }
     if (is_open(conn)) {
-        watch_reads(conn);
+        watch_bytes(conn);
+        count_bytes(conn);
     }
 }
 
@@ -217,6 +254,7 @@
     if (open->watched != NULL) {
         g_hash_table_remove(open->server->watched, open->watched);
     }
+    open->conn->answer_bytes = 0;
     open->conn->requests--;
     mark_changed(open->conn);
 }
@@ -300,7 +338,7 @@
     open->watched = conn->callbacks->get_socket(conn);
     g_hash_table_insert(server->watched, open->watched, open);
     h2o_socket_read_start(open->watched, on_watched_readable);
-    watch_reads(open->conn);
+    watch_bytes(open->conn);
 }
 
 void
@@ -511,17 +549,16 @@
 on_connection_closed(uv_handle_t *handle)
 {
     connection *conn = (connection *)handle;
-    Http_Server *server = conn->server;
-
     if (conn->changed) {
-        g_ptr_array_remove(server->changed, conn);
+        g_ptr_array_remove(conn->server->changed, conn);
     }
-    if (conn->duplicate >= 0 && conn->ended) {
+    if (conn->duplicate >= 0 && (conn->ended || conn->client.closing)) {
         drop_duplicate(conn);
     }
     else if (conn->duplicate >= 0) {
         begin_lingering(conn);
     }
+    ClientLimits_Leave(&conn->client);
     g_free(conn);
 }
 
@@ -549,13 +586,16 @@
     uv_tcp_nodelay(&conn->tcp, 1);
     conn->server = server;
     conn->duplicate = -1;
+    conn->client.owner = conn;
+    conn->client.close = shut_connection;
     conn->socket = h2o_uv_socket_create((uv_stream_t *)&conn->tcp,
                                         on_connection_closed);
     conn->socket->on_close.data = conn; /* for connection_of */
+    ClientLimits_Join(server->limits, &conn->client);
     h2o_accept(&server->accept, conn->socket);
     server->h2o_allocate = conn->tcp.alloc_cb;
     server->h2o_read = conn->tcp.read_cb;
-    watch_reads(conn);
+    watch_bytes(conn);
 }
 
 static int
@@ -603,6 +643,7 @@
     server->open = Handle_NewTable();
     server->watched = g_hash_table_new(NULL, NULL);
     server->changed = g_ptr_array_new();
+    server->limits = limits->clients;
     h2o_config_init(&server->config);
     server->config.server_name = h2o_iovec_init(H2O_STRLIT("levercove"));
     HttpServer_SetMaxBody(server, limits->max_body_bytes);
@@ -632,7 +673,8 @@
 HttpServer_New(uv_loop_t *loop, Address address,
                const HttpServer_Route *routes, void *context, Status *status)
 {
-    HttpServer_Limits limits = {.max_body_bytes = HTTP_MAX_BODY_BYTES};
+    HttpServer_Limits limits = {.clients = ClientLimits_New(SIZE_MAX / 4),
+                                .max_body_bytes = HTTP_MAX_BODY_BYTES};
 
     return HttpServer_NewLimited(loop, address, &limits, routes, context,
                                  status);
@@ -676,6 +718,8 @@
         add_header(request, "retry-after", seconds);
     }
     request->res.content_length = response->length;
+    open->conn->answer_bytes = response->length;
+    count_bytes(open->conn);
     server->bytes_out += RESPONSE_HEAD_BYTES + response->length;
     h2o_send_inline(request, response->body, response->length);
 }
--- a/daemon/http_server.h
+++ b/daemon/http_server.h
@@ -12,6 +12,7 @@
 #include <uv.h>
 
 #include "base/address.h"
+#include "base/client_limits.h"
 #include "base/err.h"
 
 /** Longest request body of any server, in bytes. */
@@ -64,6 +65,7 @@
 
 /** Limits of a server. */
 typedef struct {
+    ClientLimits *clients; /**< its connections count towards them; borrowed */
     size_t max_body_bytes; /**< a longer body is refused */
 } HttpServer_Limits;
 
--- a/daemon/leased_companion.c
+++ b/daemon/leased_companion.c
@@ -687,6 +687,8 @@
     uv_timer_init(loop, &self->overdue_timer);
     self->overdue_timer.data = self;
     self->overdue_check_ms = INT64_MAX;
+    self->process.clients = Process_NewClientLimits(options);
+    limits.clients = self->process.clients;
     self->heartbeats = HttpServer_NewLimited(loop, options->beats, &limits,
                                              heartbeat_routes, self, &status);
     if (self->heartbeats == NULL ||
--- a/daemon/leased_entry.c
+++ b/daemon/leased_entry.c
@@ -505,7 +505,8 @@
 open_servers(Leased_Entry *self, uv_loop_t *loop, const Options *options,
              Status *status)
 {
-    HttpServer_Limits limits = {.max_body_bytes = ROUTE_DEFAULT_BODY_BYTES};
+    HttpServer_Limits limits = {.clients = self->process.clients,
+                                .max_body_bytes = ROUTE_DEFAULT_BODY_BYTES};
 
     self->callers = HttpServer_NewLimited(loop, options->callers, &limits,
                                           caller_routes, self, status);
@@ -537,6 +538,7 @@
     self->relayed_calls = g_hash_table_new_full(g_int64_hash, g_int64_equal,
                                                 g_free, g_free);
     self->store_recovered_ms = INT64_MIN / 2;
+    self->process.clients = Process_NewClientLimits(options);
     Peers_Init(&self->peers, options->rpc);
     Seeds_Init(&self->seeds, options);
     uv_timer_init(loop, &self->resume_timer);
--- a/daemon/options.h
+++ b/daemon/options.h
@@ -61,7 +61,8 @@
                          no task starts in it */
     int64_t grace_ms; /**< from the request of a shutdown to the kill */
     int64_t max_jobs;
-    double link_mbps; /**< capacity of the host's link, Mbit/s; 0: unknown */
+    int64_t memory_mb; /**< memory that the process may use, MB */
+    double link_mbps;  /**< capacity of the host's link, Mbit/s; 0: unknown */
     int64_t max_answer_bytes;
     int64_t max_records;
     int64_t max_result_bytes;
--- a/daemon/owned_companion.c
+++ b/daemon/owned_companion.c
@@ -163,6 +163,7 @@
 
     self->http = HttpClient_New(loop);
     self->companion = new_companion(self, options);
+    self->process.clients = Process_NewClientLimits(options);
     if (Process_Open(&self->process, loop, options, &companion_role,
                      &status) != ERR_OK) {
         Event_Log(EVENT_LISTEN_FAILED, "%s", status.message);
--- a/daemon/owned_entry.c
+++ b/daemon/owned_entry.c
@@ -323,6 +323,7 @@
 {
     owned_entry *self = g_new0(owned_entry, 1);
     uv_loop_t *loop = uv_default_loop();
+    HttpServer_Limits limits = {.max_body_bytes = HTTP_MAX_BODY_BYTES};
     Status status = {ERR_OK, ""};
     int code = Err_ExitCode(ERR_IO);
 
@@ -331,12 +332,14 @@
     self->hosts = Hosts_OverHttp(self->http, options->hosts,
                                  PLATFORM_TIMEOUT_MS);
     new_entry(self, options);
+    self->process.clients = Process_NewClientLimits(options);
     if (Process_Open(&self->process, loop, options, &entry_role, &status) !=
         ERR_OK) {
         goto done;
     }
-    self->callers = HttpServer_New(loop, options->callers, caller_routes, self,
-                                   &status);
+    limits.clients = self->process.clients;
+    self->callers = HttpServer_NewLimited(loop, options->callers, &limits,
+                                          caller_routes, self, &status);
     if (self->callers == NULL) {
         goto done;
     }
--- a/daemon/process.c
+++ b/daemon/process.c
@@ -12,6 +12,9 @@
 /* A drained process keeps running this long, so that answers that have been
  * written still reach their callers. */
 #define EXIT_DELAY_MS 300
+/* Clients hold at most one part in this many of the process's memory. */
+#define CLIENT_MEMORY_SHARE 4
+#define BYTES_PER_MB ((size_t)1024 * 1024)
 #define NS_PER_MS 1000000
 #define US_PER_S 1000000
 #define NS_PER_US 1000
@@ -142,6 +145,7 @@
     if (process->role->metrics != NULL) {
         process->role->metrics(process, out);
     }
+    ClientLimits_Print(process->clients, out);
     print_traffic(out, "calls_sent", traffic->calls_out);
     print_traffic(out, "calls_received", traffic->calls_in);
     print_traffic(out, "replies_sent", traffic->replies_out);
@@ -154,6 +158,13 @@
     g_string_free(out, TRUE);
 }
 
+ClientLimits *
+Process_NewClientLimits(const Options *options)
+{
+    return ClientLimits_New((size_t)options->memory_mb * BYTES_PER_MB /
+                            CLIENT_MEMORY_SHARE);
+}
+
 static const HttpServer_Route admin_routes[] = {
     {"/state", serve_state},
     {"/metrics", serve_metrics},
@@ -246,7 +257,7 @@
 Process_Open(Process *process, uv_loop_t *loop, const Options *options,
              const Process_Role *role, Status *status)
 {
-    const HttpServer_Limits limits = {.max_body_bytes = HTTP_NO_BODY_BYTES};
+    HttpServer_Limits limits = {.max_body_bytes = HTTP_NO_BODY_BYTES};
 
     process->loop = loop;
     process->options = options;
@@ -255,6 +266,7 @@
     if (Process_ReopenRpc(process, status) != ERR_OK) {
         return ERR_IO;
     }
+    limits.clients = process->clients;
     process->admin = HttpServer_NewLimited(loop, options->admin, &limits,
                                            admin_routes, process, status);
     if (process->admin == NULL) {
--- a/daemon/process.h
+++ b/daemon/process.h
@@ -45,6 +45,7 @@
     uv_loop_t *loop;
     const Options *options;
     const Process_Role *role;
+    ClientLimits *clients; /**< set before Process_Open */
     Rpc *rpc;
     Http_Server *admin;
     uv_timer_t tick;
@@ -68,6 +69,10 @@
  * microseconds. */
 lc_node Process_NewNode(const Options *options);
 
+/** Limits on the clients of all HTTP servers of this process, from its
+ * settings. */
+ClientLimits *Process_NewClientLimits(const Options *options);
+
 /** Opens RPC and the operators' interface, installs signal handlers and starts
  * the tick. Errors: IO. */
 Err_Kind Process_Open(Process *process, uv_loop_t *loop,
