Keep descriptors back from clients, and close those that wait longest

What callers saw: clients that connected and sent a byte used up all descriptors of a process, so that it could not connect to anyone and accepted no ordinary caller.

Cause: nothing limited the number of connections, nor the time from the first byte of a request to its last.

Why the fix works: clients get three quarters of the descriptors (limits.max_files, or the limit of open files) and 48 are left at least. At the limit a new connection takes the place of the one that has waited longest without a whole request, without reading its answer, or idle, in this order; one that is being served stays. A request has 10 s to arrive, an answer 30 s to be read, not counting a stall of the process.

--- a/base/client_limits.c
+++ b/base/client_limits.c
@@ -4,9 +4,12 @@
 
 struct ClientLimits {
     size_t max_bytes;
+    uint32_t max_connections;
     GPtrArray *clients;
+    GPtrArray *listeners;
     size_t bytes;         /* of all clients */
     size_t closing_bytes; /* of those that are being closed */
+    uint32_t closing;     /* their number */
     uint64_t closed[CLIENT_LIMIT_COUNT];
 };
 
@@ -17,15 +20,30 @@
 };
 
 ClientLimits *
-ClientLimits_New(size_t max_bytes)
+ClientLimits_New(size_t max_bytes, uint32_t max_connections)
 {
     ClientLimits *limits = g_new0(ClientLimits, 1);
 
     limits->max_bytes = max_bytes;
+    limits->max_connections = max_connections;
     limits->clients = g_ptr_array_new();
+    limits->listeners = g_ptr_array_new();
     return limits;
 }
 
+void
+ClientLimits_AddListener(ClientLimits *limits, ClientLimits_Listener *listener)
+{
+    g_ptr_array_add(limits->listeners, listener);
+}
+
+void
+ClientLimits_RemoveListener(ClientLimits *limits,
+                            ClientLimits_Listener *listener)
+{
+    g_ptr_array_remove(limits->listeners, listener);
+}
+
 static ClientLimits_Client *
 client_at(const ClientLimits *limits, guint index)
 {
@@ -41,6 +59,7 @@
         return;
     }
     client->closing = true;
+    limits->closing++;
     limits->closing_bytes += client->bytes;
     limits->closed[reason]++;
     Event_Log(EVENT_CLIENT_CLOSED,
@@ -90,16 +109,102 @@
 
 /* ---- connections ---- */
 
+static bool
+goes_before(const ClientLimits_Client *a, const ClientLimits_Client *b)
+{
+    return a->state != b->state ? a->state < b->state
+                                : a->since_ms < b->since_ms;
+}
+
+/* The connection that is needed least, or NULL if all are being served. */
+static ClientLimits_Client *
+find_least_needed(const ClientLimits *limits)
+{
+    ClientLimits_Client *found = NULL;
+    guint i;
+
+    for (i = 0; i < limits->clients->len; i++) {
+        ClientLimits_Client *client = client_at(limits, i);
+        if (!client->closing && client->state != CLIENT_SERVED &&
+            (found == NULL || goes_before(client, found))) {
+            found = client;
+        }
+    }
+    return found;
+}
+
+/* Closes the connection that is needed least, unless there is room or another
+ * one is being closed. */
+static void
+make_room(const ClientLimits *limits)
+{
+    ClientLimits_Client *least_needed;
+
+    if (limits->clients->len - limits->closing < limits->max_connections) {
+        return;
+    }
+    least_needed = find_least_needed(limits);
+    if (least_needed != NULL) {
+        ClientLimits_Close(least_needed, CLIENT_LIMIT_CONNECTIONS);
+    }
+}
+
+bool
+ClientLimits_HasRoom(ClientLimits *limits, ClientLimits_Listener *listener)
+{
+    if (limits->clients->len < limits->max_connections) {
+        return true;
+    }
+    listener->waiting = true;
+    make_room(limits);
+    return false;
+}
+
+static bool
+has_waiting_listener(const ClientLimits *limits)
+{
+    guint i;
+
+    for (i = 0; i < limits->listeners->len; i++) {
+        const ClientLimits_Listener *listener = g_ptr_array_index(
+            limits->listeners, i);
+        if (listener->waiting) {
+            return true;
+        }
+    }
+    return false;
+}
+
 void
-ClientLimits_Join(ClientLimits *limits, ClientLimits_Client *client)
+ClientLimits_Join(ClientLimits *limits, ClientLimits_Client *client,
+                  int64_t now_ms)
 {
     client->limits = limits;
     client->index = limits->clients->len;
     client->bytes = 0;
+    client->state = CLIENT_UNFINISHED;
+    client->since_ms = now_ms;
     client->closing = false;
     g_ptr_array_add(limits->clients, client);
 }
 
+/* Lets a listener that waits go on. */
+static void
+tell_listeners(const ClientLimits *limits)
+{
+    guint i;
+
+    for (i = 0; i < limits->listeners->len; i++) {
+        ClientLimits_Listener *listener = g_ptr_array_index(limits->listeners,
+                                                            i);
+        if (listener->waiting &&
+            limits->clients->len < limits->max_connections) {
+            listener->waiting = false;
+            listener->accept(listener->owner);
+        }
+    }
+}
+
 void
 ClientLimits_Leave(ClientLimits_Client *client)
 {
@@ -108,11 +213,24 @@
     limits->bytes -= client->bytes;
     if (client->closing) {
         limits->closing_bytes -= client->bytes;
+        limits->closing--;
     }
     g_ptr_array_remove_index_fast(limits->clients, client->index);
     if (client->index < limits->clients->len) {
         client_at(limits, client->index)->index = client->index;
     }
+    tell_listeners(limits);
+}
+
+void
+ClientLimits_SetState(ClientLimits_Client *client, ClientLimits_State state,
+                      int64_t now_ms)
+{
+    client->state = state;
+    client->since_ms = now_ms;
+    if (state != CLIENT_SERVED && has_waiting_listener(client->limits)) {
+        make_room(client->limits);
+    }
 }
 
 /* ---- metrics ---- */
@@ -125,9 +243,10 @@
     g_string_append_printf(out,
                            "levercove_client_bytes %zu\n"
                            "levercove_client_bytes_limit %zu\n"
-                           "levercove_client_connections %u\n",
+                           "levercove_client_connections %u\n"
+                           "levercove_client_connections_limit %u\n",
                            limits->bytes, limits->max_bytes,
-                           limits->clients->len);
+                           limits->clients->len, limits->max_connections);
     for (i = 0; i < CLIENT_LIMIT_COUNT; i++) {
         g_string_append_printf(
             out,
--- a/base/client_limits.h
+++ b/base/client_limits.h
@@ -1,10 +1,13 @@
 /**
  * @file client_limits.h
- * @brief Limit on the bytes that are held for all clients of a process
- * together: of unfinished requests and of answers that they have not read.
+ * @brief Limits on what all clients of a process hold together: connections,
+ * and bytes of unfinished requests and of answers that they have not read.
  *
- * At the limit the connection is closed that holds most, so that requests of
- * ordinary size are never given up for larger ones.
+ * At a limit the connection that is needed least is closed: for bytes the one
+ * that holds most, so that requests of ordinary size are never given up for
+ * larger ones; for connections the one that has waited longest with an
+ * unfinished request, then the one that has not read its answer, then the one
+ * that has been idle longest. One whose request is being served stays.
  *
  * Ownership: clients are parts of their connections; the table borrows them
  * from ClientLimits_Join to ClientLimits_Leave.
@@ -18,7 +21,11 @@
 #include <stdint.h>
 
 /** X(NAME, text): why the connection of a client was closed */
-#define CLIENT_LIMIT_LIST(X) X(BYTES, "bytes")
+#define CLIENT_LIMIT_LIST(X)                                                  \
+    X(BYTES, "bytes")                                                         \
+    X(CONNECTIONS, "connections")                                             \
+    X(REQUEST_TIME, "request_time")                                           \
+    X(ANSWER_TIME, "answer_time")
 
 typedef enum {
 #define X(name, text) CLIENT_LIMIT_##name,
@@ -27,6 +34,14 @@
         CLIENT_LIMIT_COUNT
 } ClientLimits_Reason;
 
+/** What a client is doing, the first to be closed first. */
+typedef enum {
+    CLIENT_UNFINISHED, /**< has sent no request yet, or part of one */
+    CLIENT_UNREAD,     /**< has an answer that it has not read */
+    CLIENT_IDLE,       /**< between requests */
+    CLIENT_SERVED      /**< waits for its answer */
+} ClientLimits_State;
+
 /** Opaque table of all clients of a process. */
 typedef struct ClientLimits ClientLimits;
 
@@ -40,22 +55,47 @@
     ClientLimits *limits;
     guint index;
     size_t bytes;
+    ClientLimits_State state;
+    int64_t since_ms; /**< of the state */
     bool closing;
 } ClientLimits_Client;
 
-/** @p max_bytes holds for all clients together. */
-ClientLimits *ClientLimits_New(size_t max_bytes);
+/** Something that accepts connections, and waits while there is no room. */
+typedef struct {
+    void (*accept)(void *owner);
+    void *owner;
+    bool waiting;
+} ClientLimits_Listener;
+
+/** @p max_bytes and @p max_connections hold for all clients together. */
+ClientLimits *ClientLimits_New(size_t max_bytes, uint32_t max_connections);
+
+void ClientLimits_AddListener(ClientLimits *limits,
+                              ClientLimits_Listener *listener);
+
+/** Removes a listener, which may have been added or not. */
+void ClientLimits_RemoveListener(ClientLimits *limits,
+                                 ClientLimits_Listener *listener);
+
+/** Whether a connection may be accepted now. If not, one is closed, and
+ * @p listener is called as soon as there is room. */
+bool ClientLimits_HasRoom(ClientLimits *limits,
+                          ClientLimits_Listener *listener);
 
 /** Adds a connection that was accepted. */
-void ClientLimits_Join(ClientLimits *limits, ClientLimits_Client *client);
+void ClientLimits_Join(ClientLimits *limits, ClientLimits_Client *client,
+                       int64_t now_ms);
 
-/** Removes a connection that is closed. */
+/** Removes a connection that is closed; its descriptor is free again. */
 void ClientLimits_Leave(ClientLimits_Client *client);
 
 /** Sets the bytes held for a client. Connections are closed if all together
  * hold too much, maybe this one: see its `closing`. */
 void ClientLimits_SetBytes(ClientLimits_Client *client, size_t bytes);
 
+void ClientLimits_SetState(ClientLimits_Client *client,
+                           ClientLimits_State state, int64_t now_ms);
+
 /** Closes a connection, unless it is being closed. */
 void ClientLimits_Close(ClientLimits_Client *client,
                         ClientLimits_Reason reason);
--- a/daemon/http_server.c
+++ b/daemon/http_server.c
@@ -21,6 +21,15 @@
 #define MAX_HEAD_BYTES 65536
 /* Most bytes that are read from a connection at once. */
 #define READ_BYTES 65536
+/* Time for a request to arrive whole, from its first byte or, for the first
+ * one, from the connection. */
+#define REQUEST_MS 10000
+/* Time for a client to read an answer. */
+#define ANSWER_MS 30000
+#define SWEEP_MS 500
+/* A sweep that comes this much late means that this process was stalled: what
+ * clients have sent meanwhile is still unread. */
+#define SWEEP_STALL_MS 200
 /* A connection that is closed with unread bytes is reset, and its client may
  * lose the answer that refused them. So such bytes are read for this long. */
 #define LINGER_MS 1000
@@ -70,9 +79,13 @@
     uv_tcp_t listener;
     bool listening;
     ClientLimits *limits;
+    ClientLimits_Listener room;
     size_t max_body_bytes;
-    GPtrArray *changed; /* connections whose request has ended */
+    GHashTable *connections; /* set of connection */
+    GPtrArray *changed;      /* connections whose request has ended */
     uv_prepare_t before_poll;
+    uv_timer_t sweep; /* runs while there are connections */
+    int64_t swept_ms;
     uv_alloc_cb h2o_allocate; /* what h2o reads connections by */
     uv_read_cb h2o_read;
     uint32_t lingering;
@@ -90,6 +103,12 @@
 
 /* ---- bytes held for a connection ---- */
 
+static int64_t
+now_ms(const Http_Server *server)
+{
+    return (int64_t)uv_now(server->loop);
+}
+
 /* Ends the connection in a way that h2o notices by itself: it reads the end of
  * the stream, or fails to write. */
 static void
@@ -191,6 +210,10 @@
     if (count < 0) {
         conn->ended = true;
     }
+    else if (count > 0 && conn->client.state == CLIENT_IDLE) {
+        ClientLimits_SetState(&conn->client, CLIENT_UNFINISHED,
+                              now_ms(conn->server));
+    }
     conn->server->h2o_read(stream, count, buffer);
     if (has_paused(conn)) {
         keep_duplicate(conn);
@@ -219,9 +242,16 @@
         mark_changed(conn); /* until it reads again or is closed */
         return;
     }
-    if (is_open(conn)) {
-        watch_bytes(conn);
-        count_bytes(conn);
+    if (!is_open(conn)) {
+        return;
+    }
+    watch_bytes(conn);
+    count_bytes(conn);
+    if (conn->requests == 0) {
+        ClientLimits_SetState(&conn->client,
+                              conn->socket->input->size > 0 ? CLIENT_UNFINISHED
+                                                            : CLIENT_IDLE,
+                              now_ms(conn->server));
     }
 }
 
@@ -242,6 +272,44 @@
     g_ptr_array_unref(changed);
 }
 
+static void
+check_time(connection *conn, int64_t now)
+{
+    int64_t waited_ms = now - conn->client.since_ms;
+
+    if (conn->client.state == CLIENT_UNFINISHED && waited_ms > REQUEST_MS) {
+        ClientLimits_Close(&conn->client, CLIENT_LIMIT_REQUEST_TIME);
+    }
+    else if (conn->client.state == CLIENT_UNREAD && waited_ms > ANSWER_MS) {
+        ClientLimits_Close(&conn->client, CLIENT_LIMIT_ANSWER_TIME);
+    }
+}
+
+static void
+on_sweep(uv_timer_t *timer)
+{
+    Http_Server *server = timer->data;
+    int64_t now = now_ms(server);
+    bool stalled = now - server->swept_ms >= SWEEP_MS + SWEEP_STALL_MS;
+    GHashTableIter iter;
+    gpointer item;
+
+    server->swept_ms = now;
+    g_hash_table_iter_init(&iter, server->connections);
+    while (g_hash_table_iter_next(&iter, &item, NULL)) {
+        connection *conn = item;
+        if (stalled) {
+            ClientLimits_SetState(&conn->client, conn->client.state, now);
+        }
+        else if (is_open(conn)) {
+            check_time(conn, now);
+        }
+    }
+    if (g_hash_table_size(server->connections) == 0) {
+        uv_timer_stop(timer);
+    }
+}
+
 /* ---- requests ---- */
 
 /* h2o calls this when it disposes of the request, answered or not. */
@@ -453,6 +521,7 @@
     open->server = server;
     open->conn = connection_of(request);
     open->conn->requests++;
+    ClientLimits_SetState(&open->conn->client, CLIENT_SERVED, now_ms(server));
     open->request = request;
     open->watched = NULL;
     open->id = Handle_Add(server->open, open);
@@ -549,8 +618,10 @@
 on_connection_closed(uv_handle_t *handle)
 {
     connection *conn = (connection *)handle;
+    Http_Server *server = conn->server;
+
     if (conn->changed) {
-        g_ptr_array_remove(conn->server->changed, conn);
+        g_ptr_array_remove(server->changed, conn);
     }
     if (conn->duplicate >= 0 && (conn->ended || conn->client.closing)) {
         drop_duplicate(conn);
@@ -558,6 +629,7 @@
     else if (conn->duplicate >= 0) {
         begin_lingering(conn);
     }
+    g_hash_table_remove(server->connections, conn);
     ClientLimits_Leave(&conn->client);
     g_free(conn);
 }
@@ -569,17 +641,19 @@
 }
 
 static void
-on_incoming(uv_stream_t *listener, int result)
+accept_connection(void *owner)
 {
-    Http_Server *server = listener->data;
+    Http_Server *server = owner;
     connection *conn;
 
-    if (result != 0) {
+    if (!server->listening ||
+        !ClientLimits_HasRoom(server->limits, &server->room)) {
         return;
     }
     conn = g_new0(connection, 1);
     uv_tcp_init(server->loop, &conn->tcp);
-    if (uv_accept(listener, (uv_stream_t *)&conn->tcp) != 0) {
+    if (uv_accept((uv_stream_t *)&server->listener,
+                  (uv_stream_t *)&conn->tcp) != 0) {
         uv_close((uv_handle_t *)&conn->tcp, on_accept_failed);
         return;
     }
@@ -591,13 +665,26 @@
     conn->socket = h2o_uv_socket_create((uv_stream_t *)&conn->tcp,
                                         on_connection_closed);
     conn->socket->on_close.data = conn; /* for connection_of */
-    ClientLimits_Join(server->limits, &conn->client);
+    g_hash_table_add(server->connections, conn);
+    if (!uv_is_active((uv_handle_t *)&server->sweep)) {
+        server->swept_ms = now_ms(server);
+        uv_timer_start(&server->sweep, on_sweep, SWEEP_MS, SWEEP_MS);
+    }
+    ClientLimits_Join(server->limits, &conn->client, now_ms(server));
     h2o_accept(&server->accept, conn->socket);
     server->h2o_allocate = conn->tcp.alloc_cb;
     server->h2o_read = conn->tcp.read_cb;
     watch_bytes(conn);
 }
 
+static void
+on_incoming(uv_stream_t *listener, int result)
+{
+    if (result == 0) {
+        accept_connection(listener->data);
+    }
+}
+
 static int
 listen_on(Http_Server *server, Address address)
 {
@@ -642,8 +729,12 @@
     server->handler_context = context;
     server->open = Handle_NewTable();
     server->watched = g_hash_table_new(NULL, NULL);
+    server->connections = g_hash_table_new(NULL, NULL);
     server->changed = g_ptr_array_new();
     server->limits = limits->clients;
+    server->room.accept = accept_connection;
+    server->room.owner = server;
+    ClientLimits_AddListener(server->limits, &server->room);
     h2o_config_init(&server->config);
     server->config.server_name = h2o_iovec_init(H2O_STRLIT("levercove"));
     HttpServer_SetMaxBody(server, limits->max_body_bytes);
@@ -659,6 +750,8 @@
     uv_prepare_init(loop, &server->before_poll);
     server->before_poll.data = server;
     uv_prepare_start(&server->before_poll, on_before_poll);
+    uv_timer_init(loop, &server->sweep);
+    server->sweep.data = server;
     result = listen_on(server, address);
     if (result != 0) {
         Err_Set(status, ERR_IO, "cannot listen on %s: %s",
@@ -673,8 +766,9 @@
 HttpServer_New(uv_loop_t *loop, Address address,
                const HttpServer_Route *routes, void *context, Status *status)
 {
-    HttpServer_Limits limits = {.clients = ClientLimits_New(SIZE_MAX / 4),
-                                .max_body_bytes = HTTP_MAX_BODY_BYTES};
+    HttpServer_Limits limits = {
+        .clients = ClientLimits_New(SIZE_MAX / 4, UINT32_MAX),
+        .max_body_bytes = HTTP_MAX_BODY_BYTES};
 
     return HttpServer_NewLimited(loop, address, &limits, routes, context,
                                  status);
@@ -719,6 +813,7 @@
     }
     request->res.content_length = response->length;
     open->conn->answer_bytes = response->length;
+    ClientLimits_SetState(&open->conn->client, CLIENT_UNREAD, now_ms(server));
     count_bytes(open->conn);
     server->bytes_out += RESPONSE_HEAD_BYTES + response->length;
     h2o_send_inline(request, response->body, response->length);
@@ -814,5 +909,6 @@
 HttpServer_Free(Http_Server *server)
 {
     HttpServer_StopListening(server);
+    ClientLimits_RemoveListener(server->limits, &server->room);
     h2o_context_request_shutdown(&server->context);
 }
--- a/daemon/options.c
+++ b/daemon/options.c
@@ -82,6 +82,7 @@
     /* One SETTLE message lists all keys that an entry holds. */
     INTEGER("limits.", max_jobs, 1, LC_MAX_KEYS),
     INTEGER("limits.", memory_mb, 16, 1048576),
+    INTEGER("limits.", max_files, 32, 1048576),
     NUMBER("limits.", link_mbps, 0, MAX_LINK_MBPS),
     INTEGER("limits.", max_answer_bytes, 0, MAX_LIMIT_BYTES),
     INTEGER("limits.", max_records, 1, 100000000),
@@ -122,6 +123,7 @@
     options->grant_ms = 250;
     options->max_jobs = 200000;
     options->memory_mb = 128;
+    options->max_files = 1048576;
     options->max_answer_bytes = 24LL * 1024 * 1024;
     options->max_records = 100000;
     options->max_result_bytes = 16LL * 1024 * 1024;
--- a/daemon/options.h
+++ b/daemon/options.h
@@ -62,6 +62,8 @@
     int64_t grace_ms; /**< from the request of a shutdown to the kill */
     int64_t max_jobs;
     int64_t memory_mb; /**< memory that the process may use, MB */
+    int64_t max_files; /**< descriptors that it may use, if its limit of open
+                          files is no lower */
     double link_mbps;  /**< capacity of the host's link, Mbit/s; 0: unknown */
     int64_t max_answer_bytes;
     int64_t max_records;
--- a/daemon/process.c
+++ b/daemon/process.c
@@ -4,6 +4,7 @@
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <time.h>
 
 #include "base/clock.h"
@@ -15,6 +16,11 @@
 /* Clients hold at most one part in this many of the process's memory. */
 #define CLIENT_MEMORY_SHARE 4
 #define BYTES_PER_MB ((size_t)1024 * 1024)
+/* One part in this many of the process's descriptors is kept for its own
+ * connections and files. */
+#define OWN_FILES_SHARE 4
+#define MIN_OWN_FILES 48
+#define MIN_CLIENTS 16
 #define NS_PER_MS 1000000
 #define US_PER_S 1000000
 #define NS_PER_US 1000
@@ -161,8 +167,18 @@
 ClientLimits *
 Process_NewClientLimits(const Options *options)
 {
+    int64_t files = options->max_files;
+    int64_t own_files;
+    struct rlimit limit;
+
+    if (getrlimit(RLIMIT_NOFILE, &limit) == 0 &&
+        limit.rlim_cur < (rlim_t)files) {
+        files = (int64_t)limit.rlim_cur;
+    }
+    own_files = MAX(files / OWN_FILES_SHARE, MIN_OWN_FILES);
     return ClientLimits_New((size_t)options->memory_mb * BYTES_PER_MB /
-                            CLIENT_MEMORY_SHARE);
+                                CLIENT_MEMORY_SHARE,
+                            (uint32_t)MAX(files - own_files, MIN_CLIENTS));
 }
 
 static const HttpServer_Route admin_routes[] = {
--- a/daemon/process.h
+++ b/daemon/process.h
@@ -69,8 +69,8 @@
  * microseconds. */
 lc_node Process_NewNode(const Options *options);
 
-/** Limits on the clients of all HTTP servers of this process, from its
- * settings. */
+/** Limits on the clients of all servers of this process, from its settings and
+ * its limit of open files. */
 ClientLimits *Process_NewClientLimits(const Options *options);
 
 /** Opens RPC and the operators' interface, installs signal handlers and starts
