Count connections of peers towards the limits on clients

What callers could see: whoever reaches the address for calls between processes filled its memory with records that never end, or with replies that nobody reads, or used up its descriptors; nothing closed such connections.

Cause: up to 16 MiB of an unfinished record a connection, for good; replies queued without a bound; no limit over all connections.

Why the fix works: these connections count as clients, with the buffer of an unfinished record and the replies that are not written, so that the largest is closed at a quarter of the memory, and the one needed least when descriptors are short; one with an unanswered call counts as being served. Records have 20 s to arrive, replies 30 s to be read, not counting a stall.

--- a/daemon/process.c
+++ b/daemon/process.c
@@ -262,6 +262,7 @@
     }
     process->rpc = Rpc_New(process->loop, process->role->counters(process),
                            &handlers, process);
+    Rpc_SetClientLimits(process->rpc, process->clients);
     return Rpc_Listen(process->rpc,
                       process->options->rpc_listen != 0
                           ? process->options->rpc_listen
--- a/wire/rpc.c
+++ b/wire/rpc.c
@@ -19,6 +19,15 @@
  * must have disappeared without closing it. Far longer than the longest
  * interval between reports (3 s). */
 #define IDLE_TIMEOUT_MS ((int64_t)60000)
+/* Time for a record to arrive whole, from its first byte. The longest one
+ * takes a third of it over a link of 25 Mbit/s. */
+#define RECORD_MS 20000
+/* Time for a peer to read replies. */
+#define REPLY_MS 30000
+/* An empty input buffer of more than this is freed. */
+#define KEPT_INPUT_BYTES 65536
+/* Memory that a write takes besides its bytes. */
+#define WRITE_OVERHEAD_BYTES 256
 
 /* One TCP connection, opened by us (`peer` set) or by a peer. */
 typedef struct {
@@ -36,6 +45,14 @@
     int64_t active_ms; /* last input, or start of the first pending call */
     uint32_t ping_xid; /* of the unanswered ping, or 0 */
     uint32_t writes;
+    /* The rest is used for connections of peers only. */
+    ClientLimits_Client client; /* if `limited` */
+    bool limited;
+    bool heard;            /* a whole record has arrived */
+    int64_t record_ms;     /* first byte of an unfinished record; 0: none */
+    size_t input_capacity; /* of `in`, at most */
+    size_t unwritten;      /* bytes of pending writes, with overhead */
+    uint32_t unanswered;   /* calls that this process has not answered */
 } connection;
 
 typedef struct {
@@ -66,6 +83,8 @@
     uint32_t keepalive_timeout_ms; /* 0: keepalive is disabled */
     bool listening;
     bool closing;
+    ClientLimits *limits; /* or NULL */
+    ClientLimits_Listener room;
     int open_handles;
     uint32_t writes;
     Counters *counters;
@@ -146,6 +165,9 @@
     connection *conn = handle->data;
     Rpc *rpc = conn->rpc;
 
+    if (conn->limited) {
+        ClientLimits_Leave(&conn->client);
+    }
     g_byte_array_unref(conn->in);
     g_byte_array_unref(conn->out);
     g_hash_table_unref(conn->pending);
@@ -177,6 +199,58 @@
     uv_close((uv_handle_t *)&conn->tcp, on_connection_closed);
 }
 
+/* ---- what is held for connections of peers ---- */
+
+static void
+close_client(void *owner)
+{
+    close_connection(owner);
+}
+
+static ClientLimits_State
+state_of(const connection *conn)
+{
+    if (conn->unanswered > 0) {
+        return CLIENT_SERVED;
+    }
+    if (!conn->heard || conn->in->len > 0) {
+        return CLIENT_UNFINISHED;
+    }
+    return conn->unwritten > 0 ? CLIENT_UNREAD : CLIENT_IDLE;
+}
+
+/* To be called after each change of what the connection holds; it may be
+ * closed then. */
+static void
+update_client(connection *conn)
+{
+    ClientLimits_State state = state_of(conn);
+
+    if (!conn->limited || conn->closing) {
+        return;
+    }
+    if (state != conn->client.state || state == CLIENT_IDLE) {
+        ClientLimits_SetState(&conn->client, state,
+                              (int64_t)uv_now(conn->rpc->loop));
+    }
+    ClientLimits_SetBytes(&conn->client,
+                          conn->input_capacity + conn->unwritten);
+}
+
+static void
+join_clients(connection *conn)
+{
+    Rpc *rpc = conn->rpc;
+
+    if (rpc->limits == NULL) {
+        return;
+    }
+    conn->limited = true;
+    conn->client.owner = conn;
+    conn->client.close = close_client;
+    ClientLimits_Join(rpc->limits, &conn->client, (int64_t)uv_now(rpc->loop));
+}
+
 static connection *
 new_connection(Rpc *rpc, Address peer)
 {
@@ -203,11 +277,13 @@
 
     conn->writes--;
     conn->rpc->writes--;
+    conn->unwritten -= write->bytes->len + WRITE_OVERHEAD_BYTES;
     g_byte_array_unref(write->bytes);
     g_free(write);
     if (result < 0) {
         close_connection(conn);
     }
+    update_client(conn);
 }
 
 /* Takes ownership of `bytes`. */
@@ -229,9 +305,23 @@
     buffer = uv_buf_init((char *)bytes->data, bytes->len);
     conn->writes++;
     conn->rpc->writes++;
+    conn->unwritten += bytes->len + WRITE_OVERHEAD_BYTES;
     if (uv_write(&write->request, (uv_stream_t *)&conn->tcp, &buffer, 1,
                  on_written) != 0) {
         on_written(&write->request, UV_EPIPE);
+        return;
+    }
+    update_client(conn);
+}
+
+static void
+count_answered(const Rpc *rpc, Handle from)
+{
+    connection *conn = Handle_Get(rpc->connections, from);
+
+    if (conn != NULL) {
+        conn->unanswered--;
+        update_client(conn);
     }
 }
 
@@ -239,8 +329,12 @@
 deliver_call(Rpc *rpc, Handle from, uint32_t xid, const Msg_Call *call)
 {
     incoming_call *incoming = g_new0(incoming_call, 1);
+    connection *conn = Handle_Get(rpc->connections, from);
     Handle reply_id;
 
+    if (conn != NULL) {
+        conn->unanswered++;
+    }
     incoming->connection = from;
     incoming->xid = xid;
     incoming->kind = call->kind;
@@ -407,8 +501,30 @@
         used += length;
     }
     if (used > 0) {
+        conn->heard = true;
+        conn->record_ms = 0;
         g_byte_array_remove_range(conn->in, 0, (guint)used);
     }
+    if (conn->in->len > 0 && conn->record_ms == 0) {
+        conn->record_ms = (int64_t)uv_now(conn->rpc->loop);
+    }
+}
+
+/* Appends what was read. The buffer doubles as it grows, and keeps its size
+ * while it holds anything. */
+static void
+append_input(connection *conn, const uv_buf_t *buffer, size_t count)
+{
+    if (conn->in->len == 0 && conn->input_capacity > KEPT_INPUT_BYTES) {
+        g_byte_array_unref(conn->in);
+        conn->in = g_byte_array_new();
+        conn->input_capacity = 0;
+    }
+    g_byte_array_append(conn->in, (const guint8 *)buffer->base, (guint)count);
+    while (conn->input_capacity < conn->in->len) {
+        conn->input_capacity = MAX(2 * conn->input_capacity,
+                                   READ_BUFFER_BYTES);
+    }
 }
 
 static void
@@ -434,8 +550,9 @@
     }
     conn->active_ms = (int64_t)uv_now(conn->rpc->loop);
     Counter_Add(conn->rpc->counters, COUNTER_RPC_BYTES_IN, (uint64_t)count);
-    g_byte_array_append(conn->in, (const guint8 *)buffer->base, (guint)count);
+    append_input(conn, buffer, (size_t)count);
     handle_input(conn);
+    update_client(conn);
 }
 
 static void
@@ -466,22 +583,33 @@
 }
 
 static void
-on_incoming(uv_stream_t *listener, int result)
+accept_connection(void *owner)
 {
-    Rpc *rpc = listener->data;
+    Rpc *rpc = owner;
     connection *conn;
 
-    if (result < 0) {
+    if (rpc->closing || (rpc->limits != NULL &&
+                         !ClientLimits_HasRoom(rpc->limits, &rpc->room))) {
         return;
     }
     conn = new_connection(rpc, 0);
-    if (uv_accept(listener, (uv_stream_t *)&conn->tcp) != 0) {
+    if (uv_accept((uv_stream_t *)&rpc->listener, (uv_stream_t *)&conn->tcp) !=
+        0) {
         close_connection(conn);
         return;
     }
+    join_clients(conn);
     start_reading(conn);
 }
 
+static void
+on_incoming(uv_stream_t *listener, int result)
+{
+    if (result == 0) {
+        accept_connection(listener->data);
+    }
+}
+
 static connection *
 connect_to(Rpc *rpc, Address to)
 {
@@ -528,6 +656,33 @@
     close_connection(conn);
 }
 
+/* Closes a connection whose peer has taken too long for a record or for
+ * reading replies, or has sent nothing yet. */
+static void
+check_client(connection *conn, int64_t now)
+{
+    int64_t waited_ms = now - conn->client.since_ms;
+
+    if ((conn->record_ms != 0 && now - conn->record_ms > RECORD_MS) ||
+        (!conn->heard && waited_ms > RECORD_MS)) {
+        ClientLimits_Close(&conn->client, CLIENT_LIMIT_REQUEST_TIME);
+    }
+    else if (conn->client.state == CLIENT_UNREAD && waited_ms > REPLY_MS) {
+        ClientLimits_Close(&conn->client, CLIENT_LIMIT_ANSWER_TIME);
+    }
+}
+
+/* The time for which this process was stalled does not count. */
+static void
+excuse_stall(connection *conn, int64_t now)
+{
+    conn->active_ms = now;
+    conn->record_ms = conn->record_ms == 0 ? 0 : now;
+    if (conn->limited) {
+        ClientLimits_SetState(&conn->client, conn->client.state, now);
+    }
+}
+
 static void
 check_connection(connection *conn, int64_t now)
 {
@@ -538,6 +693,9 @@
         if (since_ms >= 2 * IDLE_TIMEOUT_MS) {
             close_silent(conn, since_ms);
         }
+        else if (conn->limited) {
+            check_client(conn, now);
+        }
     }
     else if (!has_pending && since_ms >= IDLE_TIMEOUT_MS) {
         close_connection(conn);
@@ -564,7 +722,7 @@
     for (i = 0; i < Handle_RowCount(rpc->connections); i++) {
         connection *conn = Handle_ItemAt(rpc->connections, i);
         if (conn != NULL && stalled) {
-            conn->active_ms = now;
+            excuse_stall(conn, now);
         }
         else if (conn != NULL) {
             check_connection(conn, now);
@@ -627,6 +785,15 @@
     return ERR_OK;
 }
 
+void
+Rpc_SetClientLimits(Rpc *rpc, ClientLimits *limits)
+{
+    rpc->limits = limits;
+    rpc->room.accept = accept_connection;
+    rpc->room.owner = rpc;
+    ClientLimits_AddListener(limits, &rpc->room);
+}
+
 /* Registers a pending call; returns its xid. */
 static uint32_t
 add_pending(connection *conn, uint64_t call_id, Msg_Kind kind, u_int rows)
@@ -712,6 +879,7 @@
         rpc->traffic.reply_bytes_out[reply->kind] += bytes->len;
         write_bytes(conn, bytes);
     }
+    count_answered(rpc, incoming->connection);
     g_free(incoming);
 }
 
@@ -731,6 +899,7 @@
         Msg_EncodeRefusal(incoming->xid, PROC_UNAVAIL, bytes);
         write_bytes(conn, bytes);
     }
+    count_answered(rpc, incoming->connection);
     g_free(incoming);
 }
 
@@ -762,6 +931,9 @@
     uint32_t i;
 
     rpc->closing = true;
+    if (rpc->limits != NULL) {
+        ClientLimits_RemoveListener(rpc->limits, &rpc->room);
+    }
     for (i = 0; i < Handle_RowCount(rpc->connections); i++) {
         connection *conn = Handle_ItemAt(rpc->connections, i);
         if (conn != NULL) {
--- a/wire/rpc.h
+++ b/wire/rpc.h
@@ -14,6 +14,7 @@
 #include <uv.h>
 
 #include "base/address.h"
+#include "base/client_limits.h"
 #include "base/counter.h"
 #include "base/err.h"
 #include "wire/msg.h"
@@ -43,6 +44,11 @@
 Rpc *Rpc_New(uv_loop_t *loop, Counters *counters, const Rpc_Handlers *handlers,
              void *context);
 
+/** Counts connections that peers open, and what is held for them, towards
+ * @p limits, borrowed. To be called before Rpc_Listen; without it there are no
+ * limits. */
+void Rpc_SetClientLimits(Rpc *rpc, ClientLimits *limits);
+
 /** Listens for connections of peers; errors: IO. */
 Err_Kind Rpc_Listen(Rpc *rpc, Address address, Status *status);
 
@@ -73,7 +79,8 @@
  * nothing for @p timeout_ms is closed, and its calls are lost; after half of
  * that time the peer is sent a NULL call as a ping. Outgoing connections
  * without pending calls are closed after a minute, and incoming ones on which
- * nothing was received after two. */
+ * nothing was received after two, or whose peer sends a record or reads
+ * replies for longer than a working link takes. */
 void Rpc_EnableKeepAlive(Rpc *rpc, uint32_t timeout_ms);
 
 /** Whether writes to any connection are still pending. */
