--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -1,8 +1,10 @@
 #!/usr/bin/env bash
 # Runs the soak with SEEDS="1 2 3" (COUNT new ones by default) and SECONDS_EACH
 # with faults; LINK: bandwidth of the first entry in Mbit/s, which then
-# forwards jobs; REMOVE_QUEUE=1: the queue of the durable jobs is removed and
-# put back, again and again; WORKERS: parallel runs. Keeps the logs of failed seeds and
+# forwards jobs; FILES: files that each process may open; REMOVE_QUEUE=1: the
+# queue of the durable jobs is removed and put back, again and again; WORKERS:
+# parallel runs. Keeps the logs of failed seeds and prints their folder (in
+# KEEP).
 # prints their folder (in KEEP).
 # Usage: BUILD=build scripts/soak.sh
 set -u
@@ -31,7 +33,7 @@
     local folder="$KEEP/seed-$1"
     mkdir -p "$folder"
     if timeout $((SECONDS_EACH + 60)) "$BUILD/tests/soak" --seed "$1" --seconds "$SECONDS_EACH" \
-        ${LINK:+--link "$LINK"} ${REMOVE_QUEUE:+--remove-queue} --program "$BUILD/daemon/levercoved" --folder "$folder" \
+        ${LINK:+--link "$LINK"} ${REMOVE_QUEUE:+--remove-queue} ${FILES:+--files "$FILES"} --program "$BUILD/daemon/levercoved" --folder "$folder" \
         --port $((PORT_BASE + $2 * 20)) --verbose >"$folder/out" 2>&1; then
         grep '^seed' "$folder/out"
         rm -rf "$folder"
--- a/tests/http_client_rules.c
+++ b/tests/http_client_rules.c
@@ -35,7 +35,9 @@
     size_t received_before; /* the last request */
     bool connection_ended;  /* by the client */
     bool done;
-    bool written; /* told that it is */
+    bool takes_descriptors; /* the handler of the outcome does */
+    rlim_t limit;           /* of open files, before */
+    bool written;           /* told that it is */
     HttpClient_Outcome outcome;
 } client_fixture;
 
@@ -133,12 +135,42 @@
     fix.written = true;
 }
 
+/* Takes all free descriptors; returns the limit before. */
+static rlim_t
+take_descriptors(void)
+{
+    struct rlimit limit;
+    int lowest_free = fcntl(STDOUT_FILENO, F_DUPFD, 0);
+    rlim_t before;
+
+    g_assert_cmpint(lowest_free, >=, 0);
+    close(lowest_free);
+    getrlimit(RLIMIT_NOFILE, &limit);
+    before = limit.rlim_cur;
+    limit.rlim_cur = (rlim_t)lowest_free;
+    setrlimit(RLIMIT_NOFILE, &limit);
+    return before;
+}
+
+static void
+give_descriptors(rlim_t count)
+{
+    struct rlimit limit;
+
+    getrlimit(RLIMIT_NOFILE, &limit);
+    limit.rlim_cur = count;
+    setrlimit(RLIMIT_NOFILE, &limit);
+}
+
 static void
 on_done(void *context, const HttpClient_Answer *answer)
 {
     (void)context;
     fix.done = true;
     fix.outcome = answer->end;
+    if (fix.takes_descriptors) {
+        fix.limit = take_descriptors();
+    }
 }
 
 static void
@@ -235,49 +267,24 @@
     close_fixture();
 }
 
-/* Takes all free descriptors; returns the limit before. */
-static rlim_t
-take_descriptors(void)
-{
-    struct rlimit limit;
-    int lowest_free = fcntl(STDOUT_FILENO, F_DUPFD, 0);
-    rlim_t before;
-
-    g_assert_cmpint(lowest_free, >=, 0);
-    close(lowest_free);
-    getrlimit(RLIMIT_NOFILE, &limit);
-    before = limit.rlim_cur;
-    limit.rlim_cur = (rlim_t)lowest_free;
-    setrlimit(RLIMIT_NOFILE, &limit);
-    return before;
-}
-
-static void
-give_descriptors(rlim_t count)
-{
-    struct rlimit limit;
-
-    getrlimit(RLIMIT_NOFILE, &limit);
-    limit.rlim_cur = count;
-    setrlimit(RLIMIT_NOFILE, &limit);
-}
-
 /* Guards against a connection that stays open with its freed request: the
  * process crashed once the server closed it. */
 static void
-test_no_descriptor_to_keep_a_connection(void)
+check_connection_is_not_kept(bool handler_takes_descriptors)
 {
-    rlim_t limit;
-
     open_fixture();
     HttpClient_KeepAlive(fix.client, fix.address, MAX_OPEN, false);
     g_assert_cmpint(send_request(0, 0), ==, HTTP_CLIENT_ANSWERED);
     begin_request(0, TIMEOUT_MS);
-    limit = take_descriptors();
+    fix.takes_descriptors = handler_takes_descriptors;
+    if (!handler_takes_descriptors) {
+        fix.limit = take_descriptors();
+    }
     while (!fix.done) {
         uv_run(uv_default_loop(), UV_RUN_ONCE);
     }
-    give_descriptors(limit);
+    give_descriptors(fix.limit);
+    fix.takes_descriptors = false;
     g_assert_cmpint(fix.outcome, ==, HTTP_CLIENT_ANSWERED);
     /* It was not kept, so the client has closed it. */
     uv_run(uv_default_loop(), UV_RUN_NOWAIT);
@@ -287,6 +294,19 @@
     close_fixture();
 }
 
+static void
+test_no_descriptor_to_keep_a_connection(void)
+{
+    check_connection_is_not_kept(false);
+}
+
+/* The same where the handler of the outcome opens the last connection. */
+static void
+test_handler_takes_the_last_descriptor(void)
+{
+    check_connection_is_not_kept(true);
+}
+
 /* Guards against outcomes from within HttpClient_Send, whose callers have not
  * recorded the request yet. */
 static void
@@ -396,6 +416,8 @@
      test_expires_beside_its_timeout},
     {"/http_client/no descriptor to keep a connection",
      test_no_descriptor_to_keep_a_connection},
+    {"/http_client/the handler takes the last descriptor",
+     test_handler_takes_the_last_descriptor},
     {"/http_client/no descriptor to connect", test_no_descriptor_to_connect},
     {"/http_client/outcomes as results of an order",
      test_outcomes_as_order_results},
--- a/tests/soak/process.cc
+++ b/tests/soak/process.cc
@@ -105,6 +105,11 @@
     if (error != 0) {
         give_up(program, error);
     }
+    if (hidden_max_open_files != 0) {
+        struct rlimit limit = {(rlim_t)hidden_max_open_files,
+                               (rlim_t)hidden_max_open_files};
+        prlimit(handle->pid, RLIMIT_NOFILE, &limit, nullptr);
+    }
     running.insert(handle->pid);
     close(log);
     starts++;
--- a/tests/soak/process.h
+++ b/tests/soak/process.h
@@ -48,6 +48,8 @@
     }
     /** Limit of open files from the next start on; 0: as this process. */
     long max_open_files = 0;
+    /** The same, but set once the process has begun: it does not know. */
+    long hidden_max_open_files = 0;
     uint64_t starts = 0;
     uint64_t unexpected_exits = 0; /**< exits without SIGTERM or SIGKILL */
     int64_t started_ms = 0;        /**< loop time of the last start */
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -29,6 +29,7 @@
 gint jobs_per_second = 40;
 gdouble link_mbps = 0;
 gboolean remove_queue;
+gint max_files;
 gint base_port = 21000;
 gchar *program;
 gchar *folder;
@@ -59,6 +60,8 @@
      "Bandwidth of the first entry, in Mbit/s: it then forwards jobs", "N"},
     {"remove-queue", 0, 0, G_OPTION_ARG_NONE, &remove_queue,
      "Remove the durable jobs' queue at times, and put it back", nullptr},
+    {"files", 0, 0, G_OPTION_ARG_INT, &max_files,
+     "Files that each process may open, which it does not know", "N"},
     {"rate", 0, 0, G_OPTION_ARG_INT, &jobs_per_second, "Jobs per second", "N"},
     {"port", 0, 0, G_OPTION_ARG_INT, &base_port, "First port", "N"},
     {"program", 0, 0, G_OPTION_ARG_FILENAME, &program, "levercoved", "FILE"},
@@ -437,6 +440,9 @@
     settings.link_mbps = link_mbps;
     settings.durable_queue = remove_queue;
     cluster = new soak::Cluster(settings);
+    for (soak::Process *process : cluster->processes()) {
+        process->hidden_max_open_files = max_files;
+    }
     cluster->start();
     int64_t heal_ms = START_MS + (int64_t)seconds * 1000 + 3000;
     cluster->run_after(START_MS, make_job);
