--- a/tests/soak/crowd.cc
+++ b/tests/soak/crowd.cc
@@ -47,6 +47,7 @@
     ANNOUNCED, /* a body of the announced length, without its last byte */
     CHUNKED,   /* a body in chunks, without its end */
     SMALL_CHUNKS,
+    WHOLE,         /* a job with a body of that length */
     ONE_BYTE,      /* the first byte of a request */
     TRICKLE,       /* a body of which a byte comes each 200 ms */
     EARLY,         /* a job that lasts, then bytes of later requests */
@@ -69,6 +70,7 @@
     {"chunked_bodies", CALLERS, CHUNKED, 40, 15900000, 0},
     {"legal_bodies", CALLERS, ANNOUNCED, 1500, 262143, 0},
     {"legal_chunks", CALLERS, SMALL_CHUNKS, 1500, 262000, 0},
+    {"whole_bodies", CALLERS, WHOLE, 1500, 262000, 0},
     {"early_bytes", CALLERS, EARLY, 60, 8000000, 0},
     {"unread_answers", ADMIN, UNREAD, 100, 6000, 0},
     {"ready_bodies", READY, ANNOUNCED, 40, 15900000, 0},
@@ -240,6 +242,25 @@
            " HTTP/1.1\r\nHost: 127.7.0.10\r\n" + fields + "\r\n";
 }
 
+/* The request of a job of one task, whose body has at least @p length bytes.
+ */
+std::string
+job_request(size_t length)
+{
+    static uint64_t id = 0xffff0000;
+    char path[40];
+    std::string body = "{\"spec\":\"crowd\",\"best_effort\":true,"
+                       "\"steps\":[{\"count\":1,\"cpu\":100,\"mem_mb\":1,"
+                       "\"estimate_ms\":1000}],\"unused\":\"";
+
+    body.append(length - std::min(length, body.size()), 'x');
+    body += "\"}";
+    snprintf(path, sizeof(path), "/q/%016" PRIx64, id++);
+    return std::string("POST ") + path +
+           " HTTP/1.1\r\nHost: 127.7.0.10\r\nContent-Length: " +
+           std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
 /* A chunk of a body, with @p length bytes. */
 std::string
 chunk(size_t length)
@@ -305,6 +326,10 @@
                        body;
         break;
     }
+    case WHOLE:
+        member->head = job_request(bytes);
+        member->left = 0;
+        break;
     case UNREAD:
         member->head.clear();
         member->unit = http_head("GET", "");
