Bound the requests that are passed on to the store

What callers could see: an entry ended, by memory or by SIGSEGV without descriptors, as a peer had it pass requests on to the store.

Cause: their number, bodies and time were not bound; each takes a connection of the entry's own. Found by review.

Why the fix works: 64 at a time, 16 MiB of bodies, 30 s at most; others are answered as not answered, and their sender asks another entry.

--- a/daemon/leased_entry_state.h
+++ b/daemon/leased_entry_state.h
@@ -37,6 +37,8 @@
     DurableJobs *durable_jobs;
     KeyedLog *durable_log;
     GHashTable *relayed_calls; /* call id -> relayed_call */
+    uint32_t open_relays;      /* requests of other entries at the store */
+    size_t relayed_bytes;      /* of their bodies */
     bool store_unreachable;    /* a request of this entry failed, and no probe
                               succeeded since */
     int64_t last_probe_ms;
--- a/daemon/leased_store.c
+++ b/daemon/leased_store.c
@@ -18,6 +18,13 @@
  * allowed to a relayed request, as its progress cannot be seen here. A page
  * of 1 MB arrives in time over a link of 5 Mbit/s. */
 #define RELAY_TRANSFER_MAX_MS 1600
+/* Most requests of other entries that are open at the store, and bytes of
+ * their bodies: each takes a connection of this process. Others are not
+ * answered, and their senders try another entry. */
+#define MAX_OPEN_RELAYS 64
+#define MAX_RELAYED_BYTES ((size_t)16 * 1024 * 1024)
+/* Longest time for one; what entries themselves ask for is shorter. */
+#define MAX_RELAY_MS 30000U
 #define STATUS_UNAVAILABLE 503
 #define STATUS_TOO_MANY_REQUESTS 429
 
@@ -34,6 +41,7 @@
     HttpClient_Done done; /* NULL: it is relayed for another entry */
     void *done_context;
     uint64_t reply_id;
+    size_t length; /* of the body */
 } store_request;
 
 static bool
@@ -211,6 +219,8 @@
         reply.u.store.body.body_val = (char *)(uintptr_t)answer->body;
         reply.u.store.body.body_len = (u_int)answer->length;
     }
+    call->self->open_relays--;
+    call->self->relayed_bytes -= call->length;
     Process_PortReply(&call->self->process, call->reply_id, &reply);
     g_free(call);
 }
@@ -219,16 +229,27 @@
 LeasedStore_OnCall(Leased_Entry *self, uint64_t reply_id,
                    const lc_store_args *args)
 {
+    const Msg_Reply not_answered = {.kind = MSG_STORE};
     store_request *call = g_new0(store_request, 1);
-    HttpClient_Request request = {.to = self->process.options->store,
-                                  .method = args->method,
-                                  .path = args->path,
-                                  .body = args->body.body_val,
-                                  .length = args->body.body_len,
-                                  .timeout_ms = args->timeout_ms,
-                                  .transfer_ms = args->transfer_ms};
-
+    HttpClient_Request request = {
+        .to = self->process.options->store,
+        .method = args->method,
+        .path = args->path,
+        .body = args->body.body_val,
+        .length = args->body.body_len,
+        .timeout_ms = MIN(args->timeout_ms, MAX_RELAY_MS),
+        .transfer_ms = MIN(args->transfer_ms, MAX_RELAY_MS)};
+
+    if (self->open_relays >= MAX_OPEN_RELAYS ||
+        self->relayed_bytes + request.length > MAX_RELAYED_BYTES) {
+        Process_PortReply(&self->process, reply_id, &not_answered);
+        g_free(call);
+        return;
+    }
     call->self = self;
     call->reply_id = reply_id;
+    call->length = request.length;
+    self->open_relays++;
+    self->relayed_bytes += request.length;
     HttpClient_Send(self->http, &request, on_relayed, call);
 }
--- a/tests/soak/crowd.cc
+++ b/tests/soak/crowd.cc
@@ -47,12 +47,13 @@
     ANNOUNCED, /* a body of the announced length, without its last byte */
     CHUNKED,   /* a body in chunks, without its end */
     SMALL_CHUNKS,
-    WHOLE,         /* a job with a body of that length */
-    ONE_BYTE,      /* the first byte of a request */
-    TRICKLE,       /* a body of which a byte comes each 200 ms */
-    EARLY,         /* a job that lasts, then bytes of later requests */
-    UNREAD,        /* requests whose answers are not read */
-    RECORD,        /* an RPC record, without its last byte */
+    WHOLE,       /* a job with a body of that length */
+    ONE_BYTE,    /* the first byte of a request */
+    TRICKLE,     /* a body of which a byte comes each 200 ms */
+    EARLY,       /* a job that lasts, then bytes of later requests */
+    UNREAD,      /* requests whose answers are not read */
+    RECORD,      /* an RPC record, without its last byte */
+    STORE_CALLS, /* RPC calls that pass a read on, which waits at the store */
     UNREAD_REPLIES /* RPC calls whose replies are not read */
 };
 
@@ -81,6 +82,8 @@
     {"companion_records", COMPANION_RPC, RECORD, 20, 16000000, 0},
     {"unread_replies", RPC, UNREAD_REPLIES, 8, 300000, 0},
     {"companion_unread_replies", COMPANION_RPC, UNREAD_REPLIES, 8, 300000, 0},
+    {"store_bodies", RPC, STORE_CALLS, 10, 40, 0},
+    {"store_waits", RPC, STORE_CALLS, 1, 600, 512},
     {"no_descriptors", CALLERS, ONE_BYTE, 150, 1, 128},
     {"no_descriptors_slow_bodies", CALLERS, TRICKLE, 150, 2000, 128},
     {"no_descriptors_ready", READY, ONE_BYTE, 150, 1, 128},
@@ -286,6 +289,40 @@
     return text;
 }
 
+void
+put_word(std::string *text, uint32_t word)
+{
+    uint32_t big_endian = htonl(word);
+    text->append((const char *)&big_endian, sizeof(big_endian));
+}
+
+void
+put_bytes(std::string *text, const std::string &bytes)
+{
+    put_word(text, (uint32_t)bytes.size());
+    text->append(bytes);
+    text->append((4 - bytes.size() % 4) % 4, '\0');
+}
+
+/* A call to pass a read on to the store, with a body of @p length bytes. */
+std::string
+store_call(size_t length)
+{
+    std::string call;
+    std::string text;
+
+    for (uint32_t word : {1U, 0U, 2U, 0x20004c43U, 1U, 18U, 0U, 0U, 0U, 0U}) {
+        put_word(&call, word);
+    }
+    put_bytes(&call, "GET");
+    put_bytes(&call, "/log-read?topic=none&part=0&from=999999&wait_ms=9000");
+    put_bytes(&call, std::string(length, 'x'));
+    put_word(&call, 20000);
+    put_word(&call, 20000);
+    put_word(&text, 0x80000000U | (uint32_t)call.size());
+    return text + call;
+}
+
 void
 fill(Member *member)
 {
@@ -338,6 +375,11 @@
     case RECORD:
         member->head.assign((const char *)&mark, sizeof(mark));
         break;
+    case STORE_CALLS:
+        member->head.clear();
+        member->unit = store_call(played->max_open_files == 0 ? 1048000 : 4);
+        member->left = bytes * member->unit.size();
+        break;
     case UNREAD_REPLIES:
         member->head.clear();
         member->unit = null_call();
