Close a connection that has just begun last

Cause: an unfinished request went before an idle connection however young it was, and each new connection is one.

Change: a request that began to arrive, or an answer that was sent, less than a second ago goes last. Also of the review: as many connections are closed as listeners wait for, and these are told in turn (one was never told); a stall adds its length to the times instead of restarting them; a request whose connection is being closed is not run; two thirds of the descriptors are for clients, as the platform reserves some for files; 8 connections a server linger.

--- a/base/client_limits.c
+++ b/base/client_limits.c
@@ -2,6 +2,10 @@
 
 #include "base/event.h"
 
+/* A request that began to arrive, or an answer that was sent, this long ago is
+ * not held up yet. */
+#define FRESH_MS 1000
+
 struct ClientLimits {
     size_t max_bytes;
     uint32_t max_connections;
@@ -10,6 +14,8 @@
     size_t bytes;         /* of all clients */
     size_t closing_bytes; /* of those that are being closed */
     uint32_t closing;     /* their number */
+    int64_t now_ms;       /* when the table was last used */
+    guint next_listener;  /* the first to be told of room */
     uint64_t closed[CLIENT_LIMIT_COUNT];
 };
 
@@ -109,11 +115,24 @@
 
 /* ---- connections ---- */
 
+/* The higher the longer a connection stays. */
+static int
+rank(const ClientLimits *limits, const ClientLimits_Client *client)
+{
+    bool is_fresh = limits->now_ms - client->since_ms < FRESH_MS;
+
+    return client->state < CLIENT_IDLE && is_fresh ? CLIENT_SERVED
+                                                   : (int)client->state;
+}
+
 static bool
-goes_before(const ClientLimits_Client *a, const ClientLimits_Client *b)
+goes_before(const ClientLimits *limits, const ClientLimits_Client *a,
+            const ClientLimits_Client *b)
 {
-    return a->state != b->state ? a->state < b->state
-                                : a->since_ms < b->since_ms;
+    int rank_a = rank(limits, a);
+    int rank_b = rank(limits, b);
+
+    return rank_a != rank_b ? rank_a < rank_b : a->since_ms < b->since_ms;
 }
 
 /* The connection that is needed least, or NULL if all are being served. */
@@ -126,32 +145,49 @@
     for (i = 0; i < limits->clients->len; i++) {
         ClientLimits_Client *client = client_at(limits, i);
         if (!client->closing && client->state != CLIENT_SERVED &&
-            (found == NULL || goes_before(client, found))) {
+            (found == NULL || goes_before(limits, client, found))) {
             found = client;
         }
     }
     return found;
 }
 
-/* Closes the connection that is needed least, unless there is room or another
- * one is being closed. */
+static uint32_t
+count_waiting_listeners(const ClientLimits *limits)
+{
+    uint32_t count = 0;
+    guint i;
+
+    for (i = 0; i < limits->listeners->len; i++) {
+        const ClientLimits_Listener *listener = g_ptr_array_index(
+            limits->listeners, i);
+        count += listener->waiting;
+    }
+    return count;
+}
+
+/* Closes as many connections as listeners wait for, besides those that are
+ * being closed. */
 static void
 make_room(const ClientLimits *limits)
 {
-    ClientLimits_Client *least_needed;
+    uint32_t wanted = count_waiting_listeners(limits);
 
-    if (limits->clients->len - limits->closing < limits->max_connections) {
-        return;
-    }
-    least_needed = find_least_needed(limits);
-    if (least_needed != NULL) {
+    while (wanted > 0 && limits->clients->len - limits->closing + wanted >
+                             limits->max_connections) {
+        ClientLimits_Client *least_needed = find_least_needed(limits);
+        if (least_needed == NULL) {
+            return;
+        }
         ClientLimits_Close(least_needed, CLIENT_LIMIT_CONNECTIONS);
     }
 }
 
 bool
-ClientLimits_HasRoom(ClientLimits *limits, ClientLimits_Listener *listener)
+ClientLimits_HasRoom(ClientLimits *limits, ClientLimits_Listener *listener,
+                     int64_t now_ms)
 {
+    limits->now_ms = now_ms;
     if (limits->clients->len < limits->max_connections) {
         return true;
     }
@@ -160,21 +196,6 @@
     return false;
 }
 
-static bool
-has_waiting_listener(const ClientLimits *limits)
-{
-    guint i;
-
-    for (i = 0; i < limits->listeners->len; i++) {
-        const ClientLimits_Listener *listener = g_ptr_array_index(
-            limits->listeners, i);
-        if (listener->waiting) {
-            return true;
-        }
-    }
-    return false;
-}
-
 void
 ClientLimits_Join(ClientLimits *limits, ClientLimits_Client *client,
                   int64_t now_ms)
@@ -188,21 +209,26 @@
     g_ptr_array_add(limits->clients, client);
 }
 
-/* Lets a listener that waits go on. */
+/* Lets listeners that wait go on, in turn. */
 static void
-tell_listeners(const ClientLimits *limits)
+tell_listeners(ClientLimits *limits)
 {
+    guint count = limits->listeners->len;
+    guint first = limits->next_listener;
     guint i;
 
-    for (i = 0; i < limits->listeners->len; i++) {
+    for (i = 0; i < count; i++) {
+        guint at = (first + i) % count;
         ClientLimits_Listener *listener = g_ptr_array_index(limits->listeners,
-                                                            i);
+                                                            at);
         if (listener->waiting &&
             limits->clients->len < limits->max_connections) {
             listener->waiting = false;
+            limits->next_listener = at + 1;
             listener->accept(listener->owner);
         }
     }
+    make_room(limits);
 }
 
 void
@@ -228,11 +254,18 @@
 {
     client->state = state;
     client->since_ms = now_ms;
-    if (state != CLIENT_SERVED && has_waiting_listener(client->limits)) {
+    client->limits->now_ms = now_ms;
+    if (state != CLIENT_SERVED) {
         make_room(client->limits);
     }
 }
 
+void
+ClientLimits_ExcuseStall(ClientLimits_Client *client, int64_t stall_ms)
+{
+    client->since_ms += stall_ms;
+}
+
 /* ---- metrics ---- */
 
 void
--- a/base/client_limits.h
+++ b/base/client_limits.h
@@ -7,7 +7,8 @@
  * that holds most, so that requests of ordinary size are never given up for
  * larger ones; for connections the one that has waited longest with an
  * unfinished request, then the one that has not read its answer, then the one
- * that has been idle longest. One whose request is being served stays.
+ * that has been idle longest, and only then one that has just begun to send or
+ * to read. One whose request is being served stays.
  *
  * Ownership: clients are parts of their connections; the table borrows them
  * from ClientLimits_Join to ClientLimits_Leave.
@@ -80,7 +81,7 @@
 /** Whether a connection may be accepted now. If not, one is closed, and
  * @p listener is called as soon as there is room. */
 bool ClientLimits_HasRoom(ClientLimits *limits,
-                          ClientLimits_Listener *listener);
+                          ClientLimits_Listener *listener, int64_t now_ms);
 
 /** Adds a connection that was accepted. */
 void ClientLimits_Join(ClientLimits *limits, ClientLimits_Client *client,
@@ -96,6 +97,10 @@
 void ClientLimits_SetState(ClientLimits_Client *client,
                            ClientLimits_State state, int64_t now_ms);
 
+/** Does not count @p stall_ms, for which this process stood still, as time in
+ * the state. */
+void ClientLimits_ExcuseStall(ClientLimits_Client *client, int64_t stall_ms);
+
 /** Closes a connection, unless it is being closed. */
 void ClientLimits_Close(ClientLimits_Client *client,
                         ClientLimits_Reason reason);
--- a/daemon/http_server.c
+++ b/daemon/http_server.c
@@ -33,7 +33,7 @@
 /* A connection that is closed with unread bytes is reset, and its client may
  * lose the answer that refused them. So such bytes are read for this long. */
 #define LINGER_MS 1000
-#define MAX_LINGERING 16
+#define MAX_LINGERING 8
 /* Ends a request whose client has disconnected; never reaches the client. */
 #define STATUS_CLIENT_CLOSED 499
 #define STATUS_BAD_GATEWAY 502
@@ -290,7 +290,7 @@
 {
     Http_Server *server = timer->data;
     int64_t now = now_ms(server);
-    bool stalled = now - server->swept_ms >= SWEEP_MS + SWEEP_STALL_MS;
+    int64_t late_ms = now - server->swept_ms - SWEEP_MS;
     GHashTableIter iter;
     gpointer item;
 
@@ -298,8 +298,8 @@
     g_hash_table_iter_init(&iter, server->connections);
     while (g_hash_table_iter_next(&iter, &item, NULL)) {
         connection *conn = item;
-        if (stalled) {
-            ClientLimits_SetState(&conn->client, conn->client.state, now);
+        if (late_ms >= SWEEP_STALL_MS) {
+            ClientLimits_ExcuseStall(&conn->client, late_ms);
         }
         else if (is_open(conn)) {
             check_time(conn, now);
@@ -528,7 +528,12 @@
     in.id = open->id;
     fill_request(request, &in);
     route = find_route(server, in.path, &in.rest);
-    if (route == NULL) {
+    if (open->conn->client.closing) {
+        /* Its answer could not be delivered. */
+        HttpServer_RespondError(server, in.id, ERR_STOPPING,
+                                "the connection is being closed", 0);
+    }
+    else if (route == NULL) {
         HttpServer_RespondError(server, in.id, ERR_NOT_FOUND, "no such path",
                                 0);
     }
@@ -605,7 +610,9 @@
     shutdown(conn->duplicate, SHUT_WR);
     linger->server = conn->server;
     uv_tcp_init(loop, &linger->tcp);
-    uv_tcp_open(&linger->tcp, conn->duplicate);
+    if (uv_tcp_open(&linger->tcp, conn->duplicate) != 0) {
+        close(conn->duplicate);
+    }
     linger->tcp.data = linger;
     uv_timer_init(loop, &linger->timer);
     linger->timer.data = linger;
@@ -647,7 +654,7 @@
     connection *conn;
 
     if (!server->listening ||
-        !ClientLimits_HasRoom(server->limits, &server->room)) {
+        !ClientLimits_HasRoom(server->limits, &server->room, now_ms(server))) {
         return;
     }
     conn = g_new0(connection, 1);
--- a/daemon/process.c
+++ b/daemon/process.c
@@ -18,7 +18,7 @@
 #define BYTES_PER_MB ((size_t)1024 * 1024)
 /* One part in this many of the process's descriptors is kept for its own
  * connections and files. */
-#define OWN_FILES_SHARE 4
+#define OWN_FILES_SHARE 3
 #define MIN_OWN_FILES 48
 #define MIN_CLIENTS 16
 #define NS_PER_MS 1000000
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -5,7 +5,6 @@
 # queue of the durable jobs is removed and put back, again and again; WORKERS:
 # parallel runs. Keeps the logs of failed seeds and prints their folder (in
 # KEEP).
-# prints their folder (in KEEP).
 # Usage: BUILD=build scripts/soak.sh
 set -u
 cd "$(dirname "$0")/.."
--- a/wire/rpc.c
+++ b/wire/rpc.c
@@ -589,7 +589,8 @@
     connection *conn;
 
     if (rpc->closing || (rpc->limits != NULL &&
-                         !ClientLimits_HasRoom(rpc->limits, &rpc->room))) {
+                         !ClientLimits_HasRoom(rpc->limits, &rpc->room,
+                                               (int64_t)uv_now(rpc->loop)))) {
         return;
     }
     conn = new_connection(rpc, 0);
@@ -674,12 +675,12 @@
 
 /* The time for which this process was stalled does not count. */
 static void
-excuse_stall(connection *conn, int64_t now)
+excuse_stall(connection *conn, int64_t now, int64_t late_ms)
 {
     conn->active_ms = now;
-    conn->record_ms = conn->record_ms == 0 ? 0 : now;
+    conn->record_ms += conn->record_ms == 0 ? 0 : late_ms;
     if (conn->limited) {
-        ClientLimits_SetState(&conn->client, conn->client.state, now);
+        ClientLimits_ExcuseStall(&conn->client, late_ms);
     }
 }
 
@@ -714,15 +715,14 @@
 {
     Rpc *rpc = timer->data;
     int64_t now = (int64_t)uv_now(rpc->loop);
-    bool stalled = now - rpc->checked_ms >=
-                   KEEPALIVE_INTERVAL_MS + KEEPALIVE_STALL_MS;
+    int64_t late_ms = now - rpc->checked_ms - KEEPALIVE_INTERVAL_MS;
     uint32_t i;
 
     rpc->checked_ms = now;
     for (i = 0; i < Handle_RowCount(rpc->connections); i++) {
         connection *conn = Handle_ItemAt(rpc->connections, i);
-        if (conn != NULL && stalled) {
-            excuse_stall(conn, now);
+        if (conn != NULL && late_ms >= KEEPALIVE_STALL_MS) {
+            excuse_stall(conn, now, late_ms);
         }
         else if (conn != NULL) {
             check_connection(conn, now);
