Count what a peer's connection really holds

Cause: a connection counted 64 KiB from its first byte on, as much as may be read at once, and its buffer was kept up to that size.

Change: the buffer counts by its size, from 64 bytes on, and one of more than 4,096 bytes is freed once it is empty. Replies count as unread for as long as no write ends; before, a call now and then renewed their time.

--- a/wire/rpc.c
+++ b/wire/rpc.c
@@ -25,7 +25,8 @@
 /* Time for a peer to read replies. */
 #define REPLY_MS 30000
 /* An empty input buffer of more than this is freed. */
-#define KEPT_INPUT_BYTES 65536
+#define KEPT_INPUT_BYTES 4096
+#define MIN_INPUT_BYTES 64
 /* Memory that a write takes besides its bytes. */
 #define WRITE_OVERHEAD_BYTES 256
 
@@ -52,6 +53,7 @@
     int64_t record_ms;     /* first byte of an unfinished record; 0: none */
     size_t input_capacity; /* of `in`, at most */
     size_t unwritten;      /* bytes of pending writes, with overhead */
+    int64_t written_ms;    /* when a write last ended, or the first began */
     uint32_t unanswered;   /* calls that this process has not answered */
 } connection;
 
@@ -278,6 +280,7 @@
     conn->writes--;
     conn->rpc->writes--;
     conn->unwritten -= write->bytes->len + WRITE_OVERHEAD_BYTES;
+    conn->written_ms = (int64_t)uv_now(conn->rpc->loop);
     g_byte_array_unref(write->bytes);
     g_free(write);
     if (result < 0) {
@@ -305,6 +308,9 @@
     buffer = uv_buf_init((char *)bytes->data, bytes->len);
     conn->writes++;
     conn->rpc->writes++;
+    if (conn->unwritten == 0) {
+        conn->written_ms = (int64_t)uv_now(conn->rpc->loop);
+    }
     conn->unwritten += bytes->len + WRITE_OVERHEAD_BYTES;
     if (uv_write(&write->request, (uv_stream_t *)&conn->tcp, &buffer, 1,
                  on_written) != 0) {
@@ -510,21 +516,25 @@
     }
 }
 
-/* Appends what was read. The buffer doubles as it grows, and keeps its size
- * while it holds anything. */
+/* Appends what was read. The buffer doubles as it grows. */
 static void
 append_input(connection *conn, const uv_buf_t *buffer, size_t count)
+{
+    g_byte_array_append(conn->in, (const guint8 *)buffer->base, (guint)count);
+    while (conn->input_capacity < conn->in->len) {
+        conn->input_capacity = MAX(2 * conn->input_capacity, MIN_INPUT_BYTES);
+    }
+}
+
+/* The buffer keeps its size while it holds anything. */
+static void
+release_input(connection *conn)
 {
     if (conn->in->len == 0 && conn->input_capacity > KEPT_INPUT_BYTES) {
         g_byte_array_unref(conn->in);
         conn->in = g_byte_array_new();
         conn->input_capacity = 0;
     }
-    g_byte_array_append(conn->in, (const guint8 *)buffer->base, (guint)count);
-    while (conn->input_capacity < conn->in->len) {
-        conn->input_capacity = MAX(2 * conn->input_capacity,
-                                   READ_BUFFER_BYTES);
-    }
 }
 
 static void
@@ -552,6 +562,7 @@
     Counter_Add(conn->rpc->counters, COUNTER_RPC_BYTES_IN, (uint64_t)count);
     append_input(conn, buffer, (size_t)count);
     handle_input(conn);
+    release_input(conn);
     update_client(conn);
 }
 
@@ -668,7 +679,7 @@
         (!conn->heard && waited_ms > RECORD_MS)) {
         ClientLimits_Close(&conn->client, CLIENT_LIMIT_REQUEST_TIME);
     }
-    else if (conn->client.state == CLIENT_UNREAD && waited_ms > REPLY_MS) {
+    else if (conn->unwritten > 0 && now - conn->written_ms > REPLY_MS) {
         ClientLimits_Close(&conn->client, CLIENT_LIMIT_ANSWER_TIME);
     }
 }
@@ -679,6 +690,7 @@
 {
     conn->active_ms = now;
     conn->record_ms += conn->record_ms == 0 ? 0 : late_ms;
+    conn->written_ms += late_ms;
     if (conn->limited) {
         ClientLimits_ExcuseStall(&conn->client, late_ms);
     }
