Rules of the limits of the HTTP server

One fails: 'an answer is read though a connection waits'. HttpServer_Respond makes the connection unread before the answer is written; while a listener waits, ClientLimits_SetState closes it at once, and the client loses the answer.

--- a/tests/http_server_rules.c
+++ b/tests/http_server_rules.c
@@ -1,10 +1,12 @@
 /*
  * Rules of the HTTP server on clients that disconnect before their response,
- * over loopback sockets.
+ * and on its limits, over loopback sockets.
  */
 #include <errno.h>
 #include <glib.h>
+#include <poll.h>
 #include <signal.h>
+#include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
 
@@ -215,6 +217,607 @@
     run_passes();
 }
 
+/* ---- limits ---- */
+
+#define MAX_BODY 1000
+/* Far above the bytes of a test that is not about them. */
+#define MANY_BYTES 10000000
+#define MANY_CONNECTIONS 1000
+#define MAX_HELD 8
+/* Of a head of which a part is missing. */
+#define UNFINISHED_BYTES 30000
+/* Only ends a test that fails. */
+#define FAIL_MS 20000
+#define HEAD "POST /length HTTP/1.1\r\nHost: x\r\n"
+#define HOLD "POST /hold HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n"
+
+/* A server with limits; one for each test. */
+typedef struct {
+    Http_Server *server;
+    ClientLimits *limits;
+    Address address;
+    uint64_t held[MAX_HELD]; /* requests that have no answer yet */
+    int held_count;
+} limited_server;
+
+static limited_server limited;
+static int64_t clock_ahead_ms;
+
+/* Takes the place of libuv's function, so that time can pass at once. */
+uint64_t
+uv_now(const uv_loop_t *loop)
+{
+    return loop->time + (uint64_t)clock_ahead_ms;
+}
+
+static void
+answer_length(void *context, const HttpServer_Request *request)
+{
+    char text[32];
+
+    (void)context;
+    g_snprintf(text, sizeof(text), "length %zu", request->length);
+    HttpServer_RespondJson(limited.server, request->id, 200, 0, text);
+}
+
+static void
+hold_request(void *context, const HttpServer_Request *request)
+{
+    (void)context;
+    g_assert_cmpint(limited.held_count, <, MAX_HELD);
+    limited.held[limited.held_count++] = request->id;
+}
+
+static const HttpServer_Route limited_routes[] = {
+    {"/length", answer_length}, {"/hold", hold_request}, {NULL, NULL}};
+
+static void
+open_limited(size_t max_bytes, uint32_t max_connections)
+{
+    HttpServer_Limits limits = {.max_body_bytes = MAX_BODY};
+    Status status = {ERR_OK, ""};
+    char text[ADDRESS_TEXT_SIZE];
+    int port;
+
+    memset(&limited, 0, sizeof(limited));
+    limited.limits = ClientLimits_New(max_bytes, max_connections);
+    limits.clients = limited.limits;
+    for (port = 27000; limited.server == NULL && port < 27100; port++) {
+        g_snprintf(text, sizeof(text), "127.0.0.1:%d", port);
+        g_assert_true(Address_Parse(text, &limited.address));
+        limited.server = HttpServer_NewLimited(
+            fix.loop, limited.address, &limits, limited_routes, NULL, &status);
+    }
+    g_assert_nonnull(limited.server);
+}
+
+/* Value of a line of the metrics. */
+static uint64_t
+metric(const char *name)
+{
+    GString *text = g_string_new("\n");
+    char *start = g_strdup_printf("\n%s ", name);
+    const char *line;
+    uint64_t value;
+
+    ClientLimits_Print(limited.limits, text);
+    line = strstr(text->str, start);
+    g_assert_nonnull(line);
+    value = g_ascii_strtoull(line + strlen(start), NULL, 10);
+    g_free(start);
+    g_string_free(text, TRUE);
+    return value;
+}
+
+static uint64_t
+closed_for_bytes(void)
+{
+    return metric("levercove_clients_closed{limit=\"bytes\"}");
+}
+
+static uint64_t
+closed_for_connections(void)
+{
+    return metric("levercove_clients_closed{limit=\"connections\"}");
+}
+
+/* One pass of the loop; fails the test if it takes too long. */
+static void
+run_pass(gint64 started_us)
+{
+    g_assert_cmpint(g_get_monotonic_time() - started_us, <,
+                    (gint64)FAIL_MS * 1000);
+    uv_run(fix.loop, UV_RUN_NOWAIT);
+    g_usleep(100);
+}
+
+static void
+wait_for_metric(const char *name, uint64_t value)
+{
+    gint64 started_us = g_get_monotonic_time();
+
+    while (metric(name) != value) {
+        run_pass(started_us);
+    }
+}
+
+static void
+wait_for_bytes(uint64_t at_least)
+{
+    gint64 started_us = g_get_monotonic_time();
+
+    while (metric("levercove_client_bytes") < at_least) {
+        run_pass(started_us);
+    }
+}
+
+static void
+wait_for_held(int count)
+{
+    gint64 started_us = g_get_monotonic_time();
+
+    while (limited.held_count != count) {
+        run_pass(started_us);
+    }
+}
+
+static int
+connect_limited(void)
+{
+    struct sockaddr_in server = Address_ToSocket(limited.address);
+    int client = socket(AF_INET, SOCK_STREAM, 0);
+
+    g_assert_cmpint(
+        connect(client, (struct sockaddr *)&server, sizeof(server)), ==, 0);
+    return client;
+}
+
+/* Sends all bytes while the server reads. */
+static void
+send_bytes(int client, const char *bytes, size_t length)
+{
+    gint64 started_us = g_get_monotonic_time();
+    size_t sent = 0;
+
+    while (sent < length) {
+        ssize_t count = send(client, bytes + sent, length - sent,
+                             MSG_DONTWAIT);
+        g_assert_true(count > 0 || errno == EAGAIN);
+        sent += count > 0 ? (size_t)count : 0;
+        run_pass(started_us);
+    }
+}
+
+static void
+send_text(int client, const char *text)
+{
+    send_bytes(client, text, strlen(text));
+}
+
+static void
+send_body(int client, size_t length)
+{
+    char *request = g_strdup_printf("%sContent-Length: %zu\r\n\r\n%*s", HEAD,
+                                    length, (int)length, "");
+
+    send_text(client, request);
+    g_free(request);
+}
+
+/* Sends the first part of a head, of a given length. */
+static void
+send_unfinished(int client, size_t length)
+{
+    char *request = g_strnfill(length, 'x');
+
+    memcpy(request, HEAD "X: ", strlen(HEAD "X: "));
+    send_bytes(client, request, length);
+    g_free(request);
+}
+
+/* Whether all bytes of an answer are there. */
+static bool
+is_whole(const char *answer)
+{
+    const char *body = strstr(answer, "\r\n\r\n");
+    char *lower = g_ascii_strdown(answer, -1);
+    const char *length = strstr(lower, "content-length: ");
+    bool whole = body != NULL && length != NULL &&
+                 strlen(body + 4) >= (size_t)atol(length + 16);
+
+    g_free(lower);
+    return whole;
+}
+
+/* Reads one answer; it is left unfinished if the connection ends. */
+static char *
+read_answer(int client)
+{
+    GString *answer = g_string_new(NULL);
+    gint64 started_us = g_get_monotonic_time();
+    ssize_t count;
+    char byte;
+
+    while (!is_whole(answer->str)) {
+        count = recv(client, &byte, 1, MSG_DONTWAIT);
+        if (count == 1) {
+            g_string_append_c(answer, byte);
+        }
+        else if (count < 0 && errno == EAGAIN) {
+            run_pass(started_us);
+        }
+        else {
+            break;
+        }
+    }
+    return g_string_free(answer, FALSE);
+}
+
+static void
+check_answer(int client, const char *start, const char *part)
+{
+    char *answer = read_answer(client);
+
+    if (!g_str_has_prefix(answer, start) || strstr(answer, part) == NULL) {
+        g_error("no \"%s\" with \"%s\" but: %s", start, part, answer);
+    }
+    g_free(answer);
+}
+
+static void
+check_ordinary(int client)
+{
+    send_body(client, 10);
+    check_answer(client, "HTTP/1.1 200 ", "length 10");
+}
+
+/* Whether the server has closed the connection, or the client has been told
+ * that it may not send any more. */
+static bool
+is_closed(int client)
+{
+    struct pollfd row = {.fd = client, .events = POLLRDHUP};
+
+    return poll(&row, 1, 0) > 0;
+}
+
+static bool
+is_reset(int client)
+{
+    struct pollfd row = {.fd = client};
+
+    return poll(&row, 1, 0) > 0 && (row.revents & POLLERR) != 0;
+}
+
+static void
+wait_until_closed(int client)
+{
+    gint64 started_us = g_get_monotonic_time();
+
+    while (!is_closed(client)) {
+        run_pass(started_us);
+    }
+}
+
+/* ---- long bodies ---- */
+
+static char *
+announced_body(size_t length)
+{
+    return g_strdup_printf("%sContent-Length: 1000000\r\n\r\n%*s", HEAD,
+                           (int)length, "");
+}
+
+/* Its first chunk is whole and longer than the limit. */
+static char *
+chunked_body(size_t length)
+{
+    return g_strdup_printf("%sTransfer-Encoding: chunked\r\n\r\n%zx\r\n%*s",
+                           HEAD, length, (int)length, "");
+}
+
+static void
+wait_for_answer(int client)
+{
+    struct pollfd row = {.fd = client, .events = POLLIN};
+    gint64 started_us = g_get_monotonic_time();
+
+    while (poll(&row, 1, 0) == 0) {
+        run_pass(started_us);
+    }
+}
+
+/* Sends `first` at once, and more when the answer has arrived. */
+static void
+check_refused_while_sending(char *first)
+{
+    char *more = g_strnfill(CHUNK_BYTES, 'x');
+    int client;
+    int i;
+
+    open_limited(MANY_BYTES, MANY_CONNECTIONS);
+    client = connect_limited();
+    g_assert_cmpint(send(client, first, strlen(first), MSG_DONTWAIT), ==,
+                    strlen(first));
+    wait_for_answer(client);
+    for (i = 0; i < 3; i++) {
+        send_bytes(client, more, CHUNK_BYTES);
+        g_assert_false(is_reset(client));
+    }
+    check_answer(client, "HTTP/1.1 413 ", "");
+    close(client);
+    wait_for_metric("levercove_client_connections", 0);
+    g_free(first);
+    g_free(more);
+}
+
+static void
+test_answer_to_announced_body_can_be_read(void)
+{
+    check_refused_while_sending(announced_body(0));
+}
+
+static void
+test_answer_to_unread_body_can_be_read(void)
+{
+    check_refused_while_sending(announced_body(200000));
+}
+
+static void
+test_answer_to_chunked_body_can_be_read(void)
+{
+    check_refused_while_sending(chunked_body(3 * MAX_BODY));
+}
+
+static void
+test_answer_to_unread_chunks_can_be_read(void)
+{
+    check_refused_while_sending(chunked_body(200000));
+}
+
+typedef struct {
+    size_t length;
+    const char *start;
+    const char *part;
+} body_case;
+
+static const body_case body_cases[] = {
+    {0, "HTTP/1.1 200 ", "length 0"},
+    {MAX_BODY, "HTTP/1.1 200 ", "length 1000"},
+    {MAX_BODY + 1, "HTTP/1.1 413 ", "\"the body is longer than 1000 bytes\""},
+    {2 * MAX_BODY, "HTTP/1.1 413 ", "\"the body is longer than 1000 bytes\""},
+    {2 * MAX_BODY + 1, "HTTP/1.1 413 ", ""},
+};
+
+static void
+test_bodies_about_the_limit(void)
+{
+    guint i;
+
+    open_limited(MANY_BYTES, MANY_CONNECTIONS);
+    for (i = 0; i < G_N_ELEMENTS(body_cases); i++) {
+        const body_case *row = &body_cases[i];
+        int client = connect_limited();
+        send_body(client, row->length);
+        check_answer(client, row->start, row->part);
+        close(client);
+    }
+    wait_for_metric("levercove_client_connections", 0);
+}
+
+/* ---- bytes ---- */
+
+static void
+test_largest_unfinished_request_is_closed(void)
+{
+    int large;
+    int small[10];
+    int ordinary;
+    guint i;
+
+    open_limited(150000, MANY_CONNECTIONS);
+    large = connect_limited();
+    send_unfinished(large, 60000);
+    wait_for_bytes(60000);
+    g_assert_cmpuint(closed_for_bytes(), ==, 0);
+    for (i = 0; i < G_N_ELEMENTS(small) && closed_for_bytes() == 0; i++) {
+        small[i] = connect_limited();
+        send_unfinished(small[i], 20000);
+    }
+    wait_until_closed(large);
+    ordinary = connect_limited();
+    check_ordinary(ordinary);
+    g_assert_cmpuint(closed_for_bytes(), ==, 1);
+    while (i-- > 0) {
+        g_assert_false(is_closed(small[i]));
+        close(small[i]);
+    }
+    close(large);
+    close(ordinary);
+    wait_for_metric("levercove_client_connections", 0);
+    g_assert_cmpuint(metric("levercove_client_bytes"), ==, 0);
+}
+
+static void
+test_requests_of_a_kept_connection_count_alike(void)
+{
+    int client;
+    int i;
+
+    open_limited(MANY_BYTES, MANY_CONNECTIONS);
+    client = connect_limited();
+    for (i = 0; i < 3; i++) {
+        check_ordinary(client);
+        run_passes();
+        g_assert_cmpuint(metric("levercove_client_bytes"), <,
+                         UNFINISHED_BYTES);
+    }
+    send_unfinished(client, UNFINISHED_BYTES);
+    wait_for_bytes(UNFINISHED_BYTES);
+    close(client);
+    wait_for_metric("levercove_client_connections", 0);
+    g_assert_cmpuint(metric("levercove_client_bytes"), ==, 0);
+}
+
+static void
+test_first_request_counts(void)
+{
+    int client;
+
+    open_limited(MANY_BYTES, MANY_CONNECTIONS);
+    client = connect_limited();
+    send_unfinished(client, UNFINISHED_BYTES);
+    wait_for_bytes(UNFINISHED_BYTES);
+    close(client);
+    wait_for_metric("levercove_client_connections", 0);
+    g_assert_cmpuint(metric("levercove_client_bytes"), ==, 0);
+}
+
+static void
+test_second_request_of_a_kept_connection_is_closed(void)
+{
+    int client;
+    char *bytes = g_strnfill(60000, 'x');
+
+    open_limited(20000, MANY_CONNECTIONS);
+    client = connect_limited();
+    check_ordinary(client);
+    run_passes();
+    send_text(client, HEAD "X: ");
+    g_assert_cmpint(send(client, bytes, 60000, MSG_DONTWAIT), >, 0);
+    wait_until_closed(client);
+    g_assert_cmpuint(closed_for_bytes(), ==, 1);
+    close(client);
+    wait_for_metric("levercove_client_connections", 0);
+    g_free(bytes);
+}
+
+/* ---- times ---- */
+
+static void
+test_request_that_comes_byte_by_byte_is_closed(void)
+{
+    int client;
+    int i;
+
+    open_limited(MANY_BYTES, MANY_CONNECTIONS);
+    client = connect_limited();
+    send_text(client, HEAD "Content-Length: 100\r\n\r\n");
+    for (i = 0; i < 9; i++) {
+        clock_ahead_ms += 1000;
+        send_text(client, "x");
+    }
+    g_assert_false(is_closed(client));
+    clock_ahead_ms += 1500;
+    wait_until_closed(client);
+    g_assert_cmpuint(
+        metric("levercove_clients_closed{limit=\"request_time\"}"), ==, 1);
+    close(client);
+    wait_for_metric("levercove_client_connections", 0);
+}
+
+static void
+test_request_that_is_served_has_time(void)
+{
+    int client;
+
+    open_limited(MANY_BYTES, MANY_CONNECTIONS);
+    client = connect_limited();
+    send_text(client, HOLD);
+    wait_for_held(1);
+    clock_ahead_ms += 3600000;
+    g_usleep(110000);
+    run_passes();
+    g_assert_false(is_closed(client));
+    HttpServer_RespondJson(limited.server, limited.held[0], 200, 0, "held");
+    check_answer(client, "HTTP/1.1 200 ", "held");
+    close(client);
+    wait_for_metric("levercove_client_connections", 0);
+}
+
+/* ---- connections ---- */
+
+static void
+test_ordinary_request_beside_unfinished_ones(void)
+{
+    int others[20];
+    int ordinary;
+    guint i;
+
+    open_limited(MANY_BYTES, 5);
+    for (i = 0; i < G_N_ELEMENTS(others); i++) {
+        others[i] = connect_limited();
+        send_text(others[i], "P");
+    }
+    ordinary = connect_limited();
+    check_ordinary(ordinary);
+    g_assert_cmpuint(metric("levercove_client_connections"), <=, 5);
+    g_assert_cmpuint(closed_for_connections(), >, 0);
+    for (i = 0; i < G_N_ELEMENTS(others); i++) {
+        close(others[i]);
+    }
+    close(ordinary);
+    wait_for_metric("levercove_client_connections", 0);
+}
+
+/* Opens connections whose requests have no answer yet. */
+static void
+open_held(int *clients, int count)
+{
+    int i;
+
+    for (i = 0; i < count; i++) {
+        clients[i] = connect_limited();
+        send_text(clients[i], HOLD);
+    }
+    wait_for_held(count);
+}
+
+static void
+test_served_ones_stay_at_the_connection_limit(void)
+{
+    int held[4];
+    int later;
+    int i;
+
+    open_limited(MANY_BYTES, 4);
+    open_held(held, 4);
+    later = connect_limited();
+    send_text(later, HOLD);
+    run_passes();
+    g_assert_cmpint(limited.held_count, ==, 4);
+    for (i = 0; i < 4; i++) {
+        g_assert_false(is_closed(held[i]));
+    }
+    close(held[0]);
+    HttpServer_RespondJson(limited.server, limited.held[0], 200, 0, "held");
+    wait_for_held(5);
+    for (i = 1; i < 4; i++) {
+        close(held[i]);
+    }
+    close(later);
+}
+
+static void
+test_answer_is_read_though_a_connection_waits(void)
+{
+    int held[2];
+    int later;
+
+    open_limited(MANY_BYTES, 2);
+    open_held(held, 2);
+    later = connect_limited();
+    send_text(later, HOLD);
+    run_passes();
+    HttpServer_RespondJson(limited.server, limited.held[0], 200, 0, "held");
+    check_answer(held[0], "HTTP/1.1 200 ", "held");
+    wait_for_held(3);
+    g_assert_false(is_closed(held[1]));
+    close(held[0]);
+    close(held[1]);
+    close(later);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -231,6 +834,33 @@
          test_disconnect_behind_many_requests},
         {"/http server/a client that sends too much before its response",
          test_client_that_sends_too_much},
+        {"/http server/the answer to a long body that is announced is read",
+         test_answer_to_announced_body_can_be_read},
+        {"/http server/the answer to a long body that is unread is read",
+         test_answer_to_unread_body_can_be_read},
+        {"/http server/the answer to a long chunked body is read",
+         test_answer_to_chunked_body_can_be_read},
+        {"/http server/the answer to long chunks that are unread is read",
+         test_answer_to_unread_chunks_can_be_read},
+        {"/http server/bodies about the limit", test_bodies_about_the_limit},
+        {"/http server/the largest unfinished request is closed",
+         test_largest_unfinished_request_is_closed},
+        {"/http server/a first request counts while it is unfinished",
+         test_first_request_counts},
+        {"/http server/requests of a kept connection count alike",
+         test_requests_of_a_kept_connection_count_alike},
+        {"/http server/the second request of a connection is closed",
+         test_second_request_of_a_kept_connection_is_closed},
+        {"/http server/a request that comes byte by byte is closed",
+         test_request_that_comes_byte_by_byte_is_closed},
+        {"/http server/a request that is served has time",
+         test_request_that_is_served_has_time},
+        {"/http server/an ordinary request beside unfinished ones",
+         test_ordinary_request_beside_unfinished_ones},
+        {"/http server/served ones stay at the connection limit",
+         test_served_ones_stay_at_the_connection_limit},
+        {"/http server/an answer is read though a connection waits",
+         test_answer_is_read_though_a_connection_waits},
     };
 
     signal(SIGPIPE, SIG_IGN); /* as the daemon does */
