--- a/tests/client_limits_rules.c
+++ b/tests/client_limits_rules.c
@@ -72,13 +72,27 @@
     join(fix.accepted++);
 }
 
+/* Tables of limits last as long as the process. */
+static ClientLimits *
+new_limits(size_t max_bytes, uint32_t max_connections)
+{
+    static GPtrArray *all;
+    ClientLimits *limits = ClientLimits_New(max_bytes, max_connections);
+
+    if (all == NULL) {
+        all = g_ptr_array_new();
+    }
+    g_ptr_array_add(all, limits);
+    return limits;
+}
+
 static void
 open_fixture(void)
 {
     int i;
 
     memset(&fix, 0, sizeof(fix));
-    fix.limits = ClientLimits_New(MAX_BYTES, MAX_CONNECTIONS);
+    fix.limits = new_limits(MAX_BYTES, MAX_CONNECTIONS);
     fix.accepted = 'A';
     fix.events = g_string_new(NULL);
     for (i = 1; i < LISTENERS; i++) {
@@ -88,7 +102,6 @@
     }
 }
 
-/* The table of limits lasts as long as a process. */
 static void
 close_fixture(void)
 {
@@ -348,7 +361,7 @@
     int i;
 
     for (seed = 1; seed <= MODEL_SEEDS; seed++) {
-        ClientLimits *limits = ClientLimits_New(MAX_BYTES, MODEL_CLIENTS);
+        ClientLimits *limits = new_limits(MAX_BYTES, MODEL_CLIENTS);
         GRand *random = g_rand_new_with_seed(seed);
         model_client clients[MODEL_CLIENTS] = {0};
         g_test_message("seed %u", seed);
--- a/tests/http_server_rules.c
+++ b/tests/http_server_rules.c
@@ -224,11 +224,16 @@
 #define MANY_BYTES 10000000
 #define MANY_CONNECTIONS 1000
 #define MAX_HELD 8
+/* Time within which the server checks all connections. */
+#define SWEEP_US 110000
+/* More than the machine takes in for a client that reads nothing. */
+#define LONG_ANSWER_BYTES 20000000
 /* Of a head of which a part is missing. */
 #define UNFINISHED_BYTES 30000
 /* Only ends a test that fails. */
 #define FAIL_MS 20000
 #define HEAD "POST /length HTTP/1.1\r\nHost: x\r\n"
+#define LONG "GET /long HTTP/1.1\r\nHost: x\r\n\r\n"
 #define HOLD "POST /hold HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n"
 
 /* A server with limits; one for each test. */
@@ -268,8 +273,21 @@
     limited.held[limited.held_count++] = request->id;
 }
 
-static const HttpServer_Route limited_routes[] = {
-    {"/length", answer_length}, {"/hold", hold_request}, {NULL, NULL}};
+static void
+answer_long(void *context, const HttpServer_Request *request)
+{
+    static char body[LONG_ANSWER_BYTES];
+    HttpServer_Response response = {
+        .status = 200, .body = body, .length = sizeof(body)};
+
+    (void)context;
+    HttpServer_Respond(limited.server, request->id, &response);
+}
+
+static const HttpServer_Route limited_routes[] = {{"/length", answer_length},
+                                                  {"/hold", hold_request},
+                                                  {"/long", answer_long},
+                                                  {NULL, NULL}};
 
 static void
 open_limited(size_t max_bytes, uint32_t max_connections)
@@ -692,6 +710,38 @@
     g_free(bytes);
 }
 
+/* Opens a connection whose client does not read a long answer. */
+static int
+open_unread(void)
+{
+    int client = connect_limited();
+
+    send_text(client, LONG);
+    wait_for_bytes(LONG_ANSWER_BYTES);
+    return client;
+}
+
+static void
+test_unread_answer_counts_and_is_closed(void)
+{
+    int unread;
+    int ordinary;
+
+    open_limited(LONG_ANSWER_BYTES + UNFINISHED_BYTES, MANY_CONNECTIONS);
+    unread = open_unread();
+    ordinary = connect_limited();
+    check_ordinary(ordinary);
+    g_assert_cmpuint(closed_for_bytes(), ==, 0);
+    send_unfinished(ordinary, UNFINISHED_BYTES);
+    wait_for_metric("levercove_client_connections", 1);
+    g_assert_cmpuint(closed_for_bytes(), ==, 1);
+    g_assert_false(is_closed(ordinary));
+    close(unread);
+    close(ordinary);
+    wait_for_metric("levercove_client_connections", 0);
+    g_assert_cmpuint(metric("levercove_client_bytes"), ==, 0);
+}
+
 /* ---- times ---- */
 
 static void
@@ -716,6 +766,24 @@
     wait_for_metric("levercove_client_connections", 0);
 }
 
+static void
+test_answer_that_is_not_read_is_closed_in_time(void)
+{
+    int client;
+
+    open_limited((size_t)2 * LONG_ANSWER_BYTES, MANY_CONNECTIONS);
+    client = open_unread();
+    clock_ahead_ms += 25000;
+    g_usleep(SWEEP_US);
+    run_passes();
+    g_assert_cmpuint(metric("levercove_client_connections"), ==, 1);
+    clock_ahead_ms += 6000;
+    wait_for_metric("levercove_client_connections", 0);
+    g_assert_cmpuint(metric("levercove_clients_closed{limit=\"answer_time\"}"),
+                     ==, 1);
+    close(client);
+}
+
 static void
 test_request_that_is_served_has_time(void)
 {
@@ -726,7 +794,7 @@
     send_text(client, HOLD);
     wait_for_held(1);
     clock_ahead_ms += 3600000;
-    g_usleep(110000);
+    g_usleep(SWEEP_US);
     run_passes();
     g_assert_false(is_closed(client));
     HttpServer_RespondJson(limited.server, limited.held[0], 200, 0, "held");
@@ -851,6 +919,10 @@
          test_requests_of_a_kept_connection_count_alike},
         {"/http server/the second request of a connection is closed",
          test_second_request_of_a_kept_connection_is_closed},
+        {"/http server/an answer that is not read counts, and is closed",
+         test_unread_answer_counts_and_is_closed},
+        {"/http server/an answer that is not read is closed in time",
+         test_answer_that_is_not_read_is_closed_in_time},
         {"/http server/a request that comes byte by byte is closed",
          test_request_that_comes_byte_by_byte_is_closed},
         {"/http server/a request that is served has time",
--- a/tests/rpc_rules.c
+++ b/tests/rpc_rules.c
@@ -317,6 +317,20 @@
     Rpc_Reply(limited.rpc, reply_id, &reply);
 }
 
+/* Tables of limits last as long as the process. */
+static ClientLimits *
+new_limits(size_t max_bytes, uint32_t max_connections)
+{
+    static GPtrArray *all;
+    ClientLimits *limits = ClientLimits_New(max_bytes, max_connections);
+
+    if (all == NULL) {
+        all = g_ptr_array_new();
+    }
+    g_ptr_array_add(all, limits);
+    return limits;
+}
+
 static void
 open_limited(size_t max_bytes, uint32_t max_connections)
 {
@@ -325,7 +339,7 @@
 
     memset(&limited, 0, sizeof(limited));
     uv_loop_init(&limited.loop);
-    limited.limits = ClientLimits_New(max_bytes, max_connections);
+    limited.limits = new_limits(max_bytes, max_connections);
     limited.rpc = Rpc_New(&limited.loop, &limited.counters, &handlers, NULL);
     Rpc_SetClientLimits(limited.rpc, limited.limits);
     g_assert_cmpint(Rpc_Listen(limited.rpc, loopback(LIMITED_PORT), &status),
