Force the orders in which a call may be lost, refused and delivered

These orders were not forced by any test.

- forward: a job whose FORWARD is open is given up, never answered as not run, when its entry stops or its deadline passes, and is withdrawn;
- forward: one broken connection loses a FORWARD and an EXTEND, told in either order: the withdrawal goes out before the next FORWARD;
- runner: a RUN that was refused before the inventory, or in a closed hall, stays refused; a refusal and a HALT outlive the copies of their run, up to the last ms of a lease;

--- a/tests/forward_rules.c
+++ b/tests/forward_rules.c
@@ -258,6 +258,104 @@
     EntryFix_Close(&fix);
 }
 
+static Dispatcher_Outcome
+outcome_of(const EntryFix *fix, uint64_t request)
+{
+    int i;
+
+    for (i = 0; i < fix->answer_count; i++) {
+        if (fix->answers[i].request == request) {
+            return fix->answers[i].outcome;
+        }
+    }
+    g_assert_not_reached();
+}
+
+static int
+count_starts(const EntryFix *fix, uint64_t job)
+{
+    int count = 0;
+    int i;
+
+    for (i = 0; i < fix->start_count; i++) {
+        count += fix->starts[i].id.job == job;
+    }
+    return count;
+}
+
+/* The call is still on its way, so the job may yet run: a caller that is told
+ * otherwise may submit it elsewhere at once. */
+static void
+test_open_forward_is_not_answered_not_run(void)
+{
+    static const struct {
+        const char *name;
+        bool stops;
+        int64_t after_ms;
+    } cases[] = {
+        {"the entry stops", true, 100},
+        {"the deadline passes", false, 5100},
+    };
+    size_t i;
+
+    for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+        EntryFix fix;
+        uint64_t number;
+
+        g_test_message("%s", cases[i].name);
+        open_congested(&fix, HEADROOM);
+        EntryFix_Submit(&fix, 100, 8, 0);
+        number = EntryFix_LastCall(&fix, MSG_FORWARD)->forward.number;
+        if (cases[i].stops) {
+            Dispatcher_SetShutdownTime(fix.dispatcher, fix.now_ms);
+        }
+        EntryFix_Advance(&fix, cases[i].after_ms);
+        g_assert_cmpint(outcome_of(&fix, 100), ==, DISPATCHER_GIVEN_UP);
+        g_assert_cmpint(count_starts(&fix, 100), ==, 0);
+        /* An EXTEND that was sent before the end is still unanswered. */
+        Dispatcher_OnReply(fix.dispatcher, fix.now_ms,
+                           EntryFix_LastCall(&fix, MSG_EXTEND)->call_id, NULL);
+        EntryFix_Advance(&fix, 100);
+        g_assert_cmpuint(EntryFix_LastCall(&fix, MSG_EXTEND)->gone, ==,
+                         number);
+        EntryFix_Close(&fix);
+    }
+}
+
+/* One broken connection loses a FORWARD and the EXTEND after it; whichever is
+ * told first, the next job must not begin a lease before the withdrawal. */
+static void
+test_nothing_is_forwarded_before_the_withdrawal(void)
+{
+    int extend_first;
+
+    for (extend_first = 0; extend_first < 2; extend_first++) {
+        const EntryFix_Call *call;
+        uint64_t calls[2];
+        uint64_t number;
+        EntryFix fix;
+
+        open_congested(&fix, HEADROOM);
+        EntryFix_Submit(&fix, 100, 8, 0);
+        number = EntryFix_LastCall(&fix, MSG_FORWARD)->forward.number;
+        EntryFix_Advance(&fix, 100);
+        g_assert_cmpint(EntryFix_CountCalls(&fix, MSG_EXTEND), ==, 2);
+        calls[extend_first] = EntryFix_LastCall(&fix, MSG_FORWARD)->call_id;
+        calls[1 - extend_first] = EntryFix_LastCall(&fix, MSG_EXTEND)->call_id;
+        Dispatcher_OnReply(fix.dispatcher, fix.now_ms, calls[0], NULL);
+        Dispatcher_OnReply(fix.dispatcher, fix.now_ms, calls[1], NULL);
+        EntryFix_Submit(&fix, 101, 8, 0);
+        g_assert_cmpint(EntryFix_CountCalls(&fix, MSG_FORWARD), ==, 1);
+        EntryFix_Advance(&fix, 100);
+        call = EntryFix_LastCall(&fix, MSG_EXTEND);
+        g_assert_cmpuint(call->gone, ==, number);
+        if (EntryFix_CountCalls(&fix, MSG_FORWARD) > 1) {
+            g_assert_true(call < EntryFix_LastCall(&fix, MSG_FORWARD));
+        }
+        EntryFix_Close(&fix);
+    }
+}
+
 /* Reports that the upstream of a companion may execute a start of the job
  * late. */
 static void
@@ -608,6 +706,10 @@
         {"/forward/not run at the delegate is answered as not run",
          test_not_run},
         {"/forward/a job whose reply is lost may have run", test_reply_lost},
+        {"/forward/a job whose call is open is not answered as not run",
+         test_open_forward_is_not_answered_not_run},
+        {"/forward/a lost job is withdrawn whichever call is told first",
+         test_nothing_is_forwarded_before_the_withdrawal},
         {"/forward/the delegate is told of a caller that left",
          test_caller_gone},
         {"/forward/a job bound to a companion is not forwarded",
--- a/tests/runner_rules.c
+++ b/tests/runner_rules.c
@@ -7,6 +7,7 @@
 #include <glib.h>
 
 #include "lease/run_id.h"
+#include "tests/lease_fixture.h"
 #include "tests/runner_fixture.h"
 #include "tests/test_table.h"
 
@@ -94,6 +95,85 @@
     Runner_Free(fix.runner);
 }
 
+/* Sends another copy of the RUN that was refused; the next run starts. */
+static void
+check_copy_stays_refused(runner_fixture *fix, lc_run_status status)
+{
+    RunnerFix_CallRun(fix, 1, 1, 1000, 500);
+    g_assert_cmpint(fix->starts, ==, 0);
+    g_assert_cmpint(fix->status, ==, status);
+    RunnerFix_CallRun(fix, 1, 2, 1000, 500);
+    g_assert_cmpint(fix->starts, ==, 1);
+}
+
+/* The entry counts the run as never started, and may tell its caller so. */
+static void
+test_run_before_the_inventory_stays_refused(void)
+{
+    runner_fixture fix;
+
+    RunnerFix_New(&fix);
+    RunnerFix_CallRun(&fix, 1, 1, 1000, 500);
+    g_assert_cmpint(fix.status, ==, LC_RUN_NOT_READY);
+    RunnerFix_Heartbeat(&fix, RUNNER_UPSTREAM_READY);
+    RunnerFix_AnswerPoll(&fix, NULL, 0, NULL, 0);
+    check_copy_stays_refused(&fix, LC_RUN_NOT_READY);
+    Runner_Free(fix.runner);
+}
+
+static void
+merge_closures(runner_fixture *fix, int64_t as_of, u_int halls)
+{
+    lc_hall hall = (char *)(uintptr_t)RUNNER_FIX_HALL;
+    lc_closures closures = {.as_of = as_of};
+
+    closures.halls.halls_len = halls;
+    closures.halls.halls_val = &hall;
+    Runner_MergeClosures(fix->runner, fix->now_ms, fix->now_ms, &closures,
+                         "test");
+}
+
+static void
+test_run_in_a_closed_hall_stays_refused(void)
+{
+    runner_fixture fix;
+
+    RunnerFix_NewReady(&fix);
+    merge_closures(&fix, 3, 1);
+    fix.caller_as_of = 2;
+    RunnerFix_CallRun(&fix, 1, 1, 1000, 500);
+    g_assert_cmpint(fix.status, ==, LC_RUN_CLOSED);
+    merge_closures(&fix, 4, 0);
+    check_copy_stays_refused(&fix, LC_RUN_CLOSED);
+    Runner_Free(fix.runner);
+}
+
+/* A copy that was held up is valid for a lease at most, from a time before the
+ * refusal, or before the HALT. */
+static void
+test_refusal_outlives_the_copies(void)
+{
+    LeaseTiming timing = LeaseFix_Timing();
+    runner_fixture fix;
+    int64_t until_ms;
+
+    RunnerFix_NewReady(&fix);
+    RunnerFix_CallRun(&fix, 1, 1, 5000, timing.lease_ms);
+    g_assert_cmpint(fix.status, ==, LC_RUN_NO_ROOM);
+    RunnerFix_CallHalt(&fix, 2, 1);
+    until_ms = fix.now_ms + timing.lease_ms;
+    while (fix.now_ms < until_ms) {
+        fix.now_ms += MIN(timing.tick_ms, until_ms - fix.now_ms);
+        Runner_Tick(fix.runner, fix.now_ms);
+        RunnerFix_CallRun(&fix, 1, 1, 1000, until_ms - fix.now_ms);
+        RunnerFix_CallRun(&fix, 2, 1, 1000, until_ms - fix.now_ms);
+        g_assert_cmpint(fix.starts, ==, 0);
+    }
+    RunnerFix_CallRun(&fix, 3, 1, 1000, timing.lease_ms);
+    g_assert_cmpint(fix.starts, ==, 1);
+    Runner_Free(fix.runner);
+}
+
 /* A RUN call that was refused must not be executed when a copy of it arrives
  * later, over a delayed connection: the entry may have sent the task
  * elsewhere. */
@@ -762,6 +842,12 @@
      test_halt_before_run},
     {"/runner/starts a run once", test_same_run_twice},
     {"/runner/a refused run stays refused", test_refused_run_stays_refused},
+    {"/runner/a run refused before the inventory stays refused",
+     test_run_before_the_inventory_stays_refused},
+    {"/runner/a run refused in a closed hall stays refused",
+     test_run_in_a_closed_hall_stays_refused},
+    {"/runner/a refusal and a halt outlive the copies of their run",
+     test_refusal_outlives_the_copies},
     {"/runner/stops unknown runs before the first start",
      test_inventory_first},
     {"/runner/does not start a run called with LC_HOLD_NONE",
