--- a/tests/rpc_rules.c
+++ b/tests/rpc_rules.c
@@ -127,7 +127,9 @@
 {
     Status status = {ERR_OK, ""};
 
-    g_assert_cmpint(Rpc_Listen(fixture->callee, address, &status), ==, ERR_OK);
+    if (Rpc_Listen(fixture->callee, address, &status) != ERR_OK) {
+        g_error("%s", status.message);
+    }
 }
 
 static void
