A RUN refused from an old record is started by its first copy, as a failing test

Fails on the code as it stands, both cases: a companion answers a RUN from the record that an earlier submission of the job left under the same run number (add_tombstone, or a HALT that came first), and drops the record 4,000 ms after it was made (RETENTION_MS), not after that answer. The entry has meanwhile placed the task elsewhere; the first copy of the RUN, which a broken connection delayed, is still valid and is started: two runs at once, or one after an answer not run.

No product change.

--- a/tests/runner_rules.c
+++ b/tests/runner_rules.c
@@ -174,6 +174,62 @@
     Runner_Free(fix.runner);
 }
 
+/* Advances the time with ticks and heartbeats. */
+static void
+advance(runner_fixture *fix, int64_t ms)
+{
+    int64_t until_ms = fix->now_ms + ms;
+
+    while (fix->now_ms < until_ms) {
+        fix->now_ms += MIN(50, until_ms - fix->now_ms);
+        RunnerFix_Heartbeat(fix, RUNNER_UPSTREAM_READY);
+        Runner_Tick(fix->runner, fix->now_ms);
+    }
+}
+
+/* Runs are numbered from 1 under each submission of a job. The second RUN
+ * below is answered from the record that an earlier submission left; its entry
+ * then tries elsewhere, while the first copy, over a broken connection, may
+ * still arrive within the lease. */
+static void
+test_refusal_from_an_old_record_outlives_the_copies(void)
+{
+    static const struct {
+        const char *name;
+        lc_run_status status;
+    } cases[] = {
+        {"an earlier submission was refused", LC_RUN_NO_ROOM},
+        {"an earlier submission was halted", LC_RUN_STOPPED},
+    };
+    LeaseTiming timing = LeaseFix_Timing();
+    size_t i;
+
+    for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+        runner_fixture fix;
+        int64_t valid_until_ms;
+
+        RunnerFix_NewReady(&fix);
+        g_test_message("%s", cases[i].name);
+        if (cases[i].status == LC_RUN_NO_ROOM) {
+            RunnerFix_CallRun(&fix, 1, 1, 5000, 500);
+        }
+        else {
+            RunnerFix_CallHalt(&fix, 1, 1);
+        }
+        g_assert_cmpint(fix.status, ==, cases[i].status);
+        advance(&fix, 3800);
+        fix.owner.incarnation++;
+        valid_until_ms = fix.now_ms + timing.lease_ms;
+        RunnerFix_CallRun(&fix, 1, 1, 1000, timing.lease_ms);
+        g_assert_cmpint(fix.starts, ==, 0);
+        g_assert_cmpint(fix.status, ==, cases[i].status);
+        advance(&fix, 300);
+        RunnerFix_CallRun(&fix, 1, 1, 1000, valid_until_ms - fix.now_ms);
+        g_assert_cmpint(fix.starts, ==, 0);
+        Runner_Free(fix.runner);
+    }
+}
+
 /* A RUN call that was refused must not be executed when a copy of it arrives
  * later, over a delayed connection: the entry may have sent the task
  * elsewhere. */
@@ -848,6 +904,8 @@
      test_run_in_a_closed_hall_stays_refused},
     {"/runner/a refusal and a halt outlive the copies of their run",
      test_refusal_outlives_the_copies},
+    {"/runner/a refusal from an old record outlives the copies of its run",
+     test_refusal_from_an_old_record_outlives_the_copies},
     {"/runner/stops unknown runs before the first start",
      test_inventory_first},
     {"/runner/does not start a run called with LC_HOLD_NONE",
