Keep a record of a run for as long as its last answer may need it

What callers could see: two runs of a task at once.

Cause: runs are numbered from 1 under each submission. A companion refuses a run from the record of an earlier submission, and drops that record 4 s after it was made, which may be at once; the entry tries elsewhere, and a copy of the call that a broken connection held up is started. A HALT has the same gap.

Evidence: runner_rules, "a refusal from an old record outlives the copies of its run", failed: 1 start, expected 0.

Why the fix works: the record is kept for 4 s after it last answered a call, longer than any copy of that call is valid.

Result: runner_rules pass. That the users saw this is not shown.

--- a/lease/runner.c
+++ b/lease/runner.c
@@ -244,6 +244,16 @@
     RunnerTask_ReplyRun(runner, now_ms, reply_id, &result);
 }
 
+/* Answers a call from the record of a run that has ended, maybe under an
+ * earlier submission of its job. The caller may start the task elsewhere, so
+ * the record must outlive the other copies of this call. */
+static void
+answer_ended(Runner *runner, int64_t now_ms, Runner_Task *row)
+{
+    row->answered_ms = now_ms;
+    RunnerTask_Answer(runner, now_ms, row);
+}
+
 static void
 on_run(Runner *runner, int64_t now_ms, uint64_t reply_id,
        const lc_run_args *args)
@@ -256,7 +266,7 @@
                         args->target == runner->config.node.incarnation)) {
         RunnerTask_QueueReply(row, reply_id, MSG_RUN);
         if (row->state == TASK_ENDED) {
-            RunnerTask_Answer(runner, now_ms, row);
+            answer_ended(runner, now_ms, row);
         }
         return;
     }
@@ -302,7 +312,7 @@
     }
     RunnerTask_QueueReply(row, reply_id, MSG_HALT);
     if (row->state == TASK_ENDED) {
-        RunnerTask_Answer(runner, now_ms, row);
+        answer_ended(runner, now_ms, row);
         return;
     }
     RunnerTask_MarkUnwanted(runner, row, now_ms);
--- a/lease/runner_durable.c
+++ b/lease/runner_durable.c
@@ -192,7 +192,9 @@
 static bool
 is_retained(const Runner_Task *row, int64_t now_ms)
 {
-    return row->unreleased || now_ms - row->ended_ms <= RETENTION_MS;
+    int64_t used_ms = MAX(row->ended_ms, row->answered_ms);
+
+    return row->unreleased || now_ms - used_ms <= RETENTION_MS;
 }
 
 bool
--- a/lease/runner_state.h
+++ b/lease/runner_state.h
@@ -58,6 +58,8 @@
     bool stop_confirmed;
     int64_t stop_confirmed_ms;
     int64_t ended_ms;
+    int64_t answered_ms; /* when a RUN or HALT was last answered from it, once
+                            ended; 0: never */
     uint64_t end_number; /* as listed by the upstream; 0 if not listed */
     bool unreleased;     /* end of a durable job's run, not released yet */
     bool held_for_start; /* a late copy of its start may still arrive */
