Do not close a client whose answer is being sent

What callers could see: at the limit on connections, with another one waiting, a served client read nothing of its answer.

Cause: an answer counts as unread before it is sent, and room was made at once. Found by a rule (http_server_rules, "an answer is read though a connection waits": 0 bytes read). Also by rules: at twice the limit on bytes a connection that did not grow was closed; h2o's own time of 10 s closed slow requests first, uncounted.

Change: room is made when a connection becomes idle or begins a request, not when it is answered; one whose answer was sent less than a second ago stays. Only one that grows is closed at twice the limit. h2o's time is twice ours.

--- a/base/client_limits.c
+++ b/base/client_limits.c
@@ -97,6 +97,7 @@
 ClientLimits_SetBytes(ClientLimits_Client *client, size_t bytes)
 {
     ClientLimits *limits = client->limits;
+    bool grows = bytes > client->bytes;
 
     limits->bytes += bytes - client->bytes;
     if (client->closing) {
@@ -108,7 +109,7 @@
     }
     /* Connections that are being closed release their bytes a little later;
      * until then others may not add as much again. */
-    if (limits->bytes > 2 * limits->max_bytes) {
+    if (grows && limits->bytes > 2 * limits->max_bytes) {
         ClientLimits_Close(client, CLIENT_LIMIT_BYTES);
     }
 }
@@ -135,7 +136,16 @@
     return rank_a != rank_b ? rank_a < rank_b : a->since_ms < b->since_ms;
 }
 
-/* The connection that is needed least, or NULL if all are being served. */
+/* Whether its request is being served, or its answer is just being sent. */
+static bool
+is_in_use(const ClientLimits *limits, const ClientLimits_Client *client)
+{
+    return client->state == CLIENT_SERVED ||
+           (client->state == CLIENT_UNREAD &&
+            rank(limits, client) == CLIENT_SERVED);
+}
+
+/* The connection that is needed least, or NULL if all are in use. */
 static ClientLimits_Client *
 find_least_needed(const ClientLimits *limits)
 {
@@ -144,7 +154,7 @@
 
     for (i = 0; i < limits->clients->len; i++) {
         ClientLimits_Client *client = client_at(limits, i);
-        if (!client->closing && client->state != CLIENT_SERVED &&
+        if (!client->closing && !is_in_use(limits, client) &&
             (found == NULL || goes_before(limits, client, found))) {
             found = client;
         }
@@ -255,11 +265,18 @@
     client->state = state;
     client->since_ms = now_ms;
     client->limits->now_ms = now_ms;
-    if (state != CLIENT_SERVED) {
+    if (state == CLIENT_IDLE || state == CLIENT_UNFINISHED) {
         make_room(client->limits);
     }
 }
 
+void
+ClientLimits_Tick(ClientLimits *limits, int64_t now_ms)
+{
+    limits->now_ms = now_ms;
+    make_room(limits);
+}
+
 void
 ClientLimits_ExcuseStall(ClientLimits_Client *client, int64_t stall_ms)
 {
--- a/base/client_limits.h
+++ b/base/client_limits.h
@@ -97,6 +97,10 @@
 void ClientLimits_SetState(ClientLimits_Client *client,
                            ClientLimits_State state, int64_t now_ms);
 
+/** To be called now and then: lets connections that wait to be accepted take
+ * the place of those that have begun to hold one up. */
+void ClientLimits_Tick(ClientLimits *limits, int64_t now_ms);
+
 /** Does not count @p stall_ms, for which this process stood still, as time in
  * the state. */
 void ClientLimits_ExcuseStall(ClientLimits_Client *client, int64_t stall_ms);
--- a/daemon/http_server.c
+++ b/daemon/http_server.c
@@ -305,6 +305,7 @@
             check_time(conn, now);
         }
     }
+    ClientLimits_Tick(server->limits, now);
     if (g_hash_table_size(server->connections) == 0) {
         uv_timer_stop(timer);
     }
@@ -744,6 +745,8 @@
     ClientLimits_AddListener(server->limits, &server->room);
     h2o_config_init(&server->config);
     server->config.server_name = h2o_iovec_init(H2O_STRLIT("levercove"));
+    /* h2o's own time must not end before REQUEST_MS. */
+    server->config.http1.req_timeout = (uint64_t)2 * REQUEST_MS;
     HttpServer_SetMaxBody(server, limits->max_body_bytes);
     host = h2o_config_register_host(
         &server->config, h2o_iovec_init(H2O_STRLIT("default")), 65535);
