--- a/tests/soak/checker.h
+++ b/tests/soak/checker.h
@@ -26,7 +26,9 @@
     bool started = false;
     bool done = false;
     int64_t first_sent_ms = 0;
-    bool durable = false; /**< it must not get lost */
+    int64_t broken_ms = 0; /**< when its last attempt was broken off or not
+                                answered; 0: none */
+    bool durable = false;  /**< it must not get lost */
     /* The rest is set for durable jobs only. */
     bool accepted = false; /**< a submission was answered 200 */
     int64_t accepted_ms = 0;
--- a/tests/soak/cluster.cc
+++ b/tests/soak/cluster.cc
@@ -16,7 +16,6 @@
 
 namespace {
 
-const int64_t RESUBMIT_MS = 1300;
 const int64_t STATE_QUERY_TIMEOUT_MS = 1000;
 const int64_t STATE_QUERY_INTERVAL_MS = 250;
 const int MAX_ATTEMPTS = 3;
@@ -492,11 +491,20 @@
     }
     bool resubmit = !answer.received || answer.status == 502 ||
                     answer.status == 504;
+    int64_t again_ms = self->resubmit_ms;
+    if (resubmit) {
+        job->broken_ms = self->now();
+    }
+    if (!resubmit && self->again_after_refusal_ms != 0 && !job->durable &&
+        (answer.status == 429 || answer.status == 503)) {
+        resubmit = true;
+        again_ms = self->again_after_refusal_ms;
+    }
     if (resubmit && job->attempts < MAX_ATTEMPTS &&
         !self->submissions_stopped) {
         uint64_t id = job->id;
         bool may_hang_up = attempt->may_hang_up;
-        self->run_after(RESUBMIT_MS, [self, id, may_hang_up] {
+        self->run_after(again_ms, [self, id, may_hang_up] {
             self->send_attempt(id, may_hang_up);
         });
     }
--- a/tests/soak/cluster.h
+++ b/tests/soak/cluster.h
@@ -154,7 +154,10 @@
     int target_entry = -1; /**< all callers submit here; -1: at a random one */
     int64_t caller_timeout_ms = 2500; /**< callers hang up after this time
                                            without an answer */
-    int64_t max_response_ms = 0;      /**< longest time to an answer */
+    int64_t resubmit_ms = 1300; /**< callers come again after this time */
+    int64_t again_after_refusal_ms = 0; /**< callers submit a refused job again
+                                             after this time; 0: never */
+    int64_t max_response_ms = 0;        /**< longest time to an answer */
 
   private:
     std::string address_text(int host, Port port) const;
--- a/tests/soak/scenario.cc
+++ b/tests/soak/scenario.cc
@@ -9,9 +9,11 @@
 #include <glib.h>
 #include <signal.h>
 
+#include <algorithm>
 #include <cinttypes>
 #include <cstdio>
 #include <cstring>
+#include <map>
 #include <utility>
 
 #include "tests/soak/cluster.h"
@@ -1693,6 +1695,337 @@
     cluster->run_after(OVERTAKEN_LEAD_MS, hold_forwards);
 }
 
+/* ---- songlam-judge's shape, with entries that are killed again and again
+ * while processes stand still; for trials JUDGE_RESUBMIT_MS has callers come
+ * again earlier than they may, JUDGE_STOPS_HEEDED=1 has all upstreams heed
+ * stops, and STALLED_WRITES names libstalled_writes.so ---- */
+
+const int64_t JUDGE_LOAD_MS = 14000;
+const int64_t JUDGE_FAULTS_MS = 13000;
+const int64_t JUDGE_END_MS = JUDGE_LOAD_MS + 11000;
+const int64_t JUDGE_LIMIT_MS = 2 * JUDGE_END_MS;
+const int64_t JUDGE_INTERVAL_MS = 14; /* of jobs, in 11 companions' room */
+const int64_t JUDGE_AGAIN_MS = 20;    /* after a refusal */
+const size_t JUDGE_COMPANIONS = 11;
+/* After an entry's death: its leases end, and the last holds are sent. */
+const int64_t JUDGE_LEASE_END_FROM_MS = 350;
+const int64_t JUDGE_LEASE_END_TO_MS = 620;
+const int JUDGE_BURST = 10;
+const int64_t JUDGE_BURST_LEAD_MS = 300;
+const int64_t JUDGE_WAVE_MS = 2300;
+const char *judge_name;
+int64_t judge_begin_ms; /* late on a busy machine */
+int64_t judge_pace;     /* 1: an entry is killed every 0.2 s, 4: every 1.5 s */
+int64_t judge_last_stop_ms; /* of a process that has just sent a start */
+int64_t judge_max_lag_ms;   /* longest time that this process stood still */
+int64_t judge_last_tick_ms;
+int64_t judge_longest_ms; /* of a run after its caller's loss */
+uint64_t judge_over_1100; /* runs that went on for over 1,100 ms so */
+std::map<std::pair<lease::Upstream *, lease::TaskKey>, int64_t> judge_started;
+uint64_t judge_kills;
+uint64_t judge_stops;
+
+/* The mix of songlam-judge, and as many jobs again whose tasks last longer
+ * than callers wait before they come again, less a lease. */
+void
+judge_job()
+{
+    bool may_hang_up = cluster->random_below(2) == 0;
+    uint32_t kind = cluster->random_below(100);
+
+    if (kind < 24) {
+        last_job = cluster->submit_job(8, 1600, 60, may_hang_up);
+    }
+    else if (kind < 32) {
+        last_job = cluster->submit_job(4, 1600, 900, may_hang_up);
+    }
+    else if (kind < 45) {
+        last_job = cluster->submit_job(1 + cluster->random_below(3), 800,
+                                       moment(900, 2500), may_hang_up);
+    }
+    else {
+        last_job = cluster->submit_job(2, 1600, 200, may_hang_up);
+    }
+}
+
+/* Stops a process for a moment. */
+void
+judge_stop(soak::Process *process)
+{
+    int64_t stop_ms = moment(300, 1500);
+
+    judge_stops++;
+    cluster->log_event("stop " + process->name + " for " +
+                       std::to_string(stop_ms) + " ms");
+    process->signal(SIGSTOP);
+    cluster->run_after(stop_ms, [process] { process->signal(SIGCONT); });
+}
+
+soak::Process *
+judge_companion()
+{
+    size_t index = cluster->random_below((uint32_t)cluster->companions.size());
+
+    return cluster->companions[index].get();
+}
+
+/* One companion in four stands still from some moment on. */
+void
+judge_stop_some(int64_t from_ms, int64_t to_ms)
+{
+    for (auto &companion : cluster->companions) {
+        soak::Process *process = companion.get();
+        if (cluster->random_below(4) == 0) {
+            cluster->run_after(moment(from_ms, to_ms),
+                               [process] { judge_stop(process); });
+        }
+    }
+}
+
+void
+judge_kill(size_t index)
+{
+    int64_t down_ms = moment(50, 400);
+
+    judge_kills++;
+    cluster->log_event("kill entry-" + std::to_string(index) + " for " +
+                       std::to_string(down_ms) + " ms");
+    cluster->entries[index]->kill(down_ms);
+    judge_stop_some(JUDGE_LEASE_END_FROM_MS, JUDGE_LEASE_END_TO_MS);
+}
+
+/* Kills an entry; companions and another entry stand still from shortly before
+ * or after, and some upstreams execute orders late. */
+void
+judge_fault()
+{
+    size_t index = cluster->random_below((uint32_t)cluster->entries.size());
+    size_t other = (index + 1) % cluster->entries.size();
+    uint32_t stops = cluster->random_below(
+        1 + (uint32_t)cluster->companions.size() / 3);
+
+    if (cluster->now() > judge_begin_ms + JUDGE_FAULTS_MS) {
+        return;
+    }
+    for (uint32_t i = 0; i < stops; i++) {
+        cluster->run_after(moment(0, 80),
+                           [] { judge_stop(judge_companion()); });
+    }
+    if (cluster->random_below(3) == 0) {
+        cluster->run_after(moment(0, 80), [other] {
+            judge_stop(cluster->entries[other].get());
+        });
+    }
+    cluster->run_after(moment(0, 80), [index] { judge_kill(index); });
+    if (cluster->random_below(4) == 0) {
+        cluster->run_after(moment(100, 300), [other] { judge_kill(other); });
+    }
+    for (auto &upstream : cluster->upstreams) {
+        upstream->delay_orders = cluster->random_below(4) == 0;
+    }
+    cluster->run_after(judge_pace * moment(300, 1100), judge_fault);
+}
+
+/* Some processes stop as a start arrives: in the midst of sending others. */
+void
+judge_start_arrives(size_t companion)
+{
+    int64_t at = cluster->now();
+
+    if (at < judge_last_stop_ms + 150 * judge_pace ||
+        at > judge_begin_ms + JUDGE_FAULTS_MS ||
+        cluster->random_below(12) != 0) {
+        return;
+    }
+    judge_last_stop_ms = at;
+    judge_stop(cluster->companions[companion].get());
+    if (cluster->random_below(2) == 0) {
+        size_t index = cluster->random_below(
+            (uint32_t)cluster->entries.size());
+        cluster->run_after(moment(0, 30), [index] { judge_kill(index); });
+    }
+}
+
+/* Watches how long this process itself stood still. */
+void
+judge_watch()
+{
+    int64_t at = g_get_monotonic_time() / 1000;
+
+    if (judge_last_tick_ms != 0 &&
+        at - judge_last_tick_ms > judge_max_lag_ms) {
+        judge_max_lag_ms = at - judge_last_tick_ms;
+    }
+    judge_last_tick_ms = at;
+    cluster->run_after(2, judge_watch);
+}
+
+/* How long a run goes on after its caller has lost its answer: shorter than
+ * callers wait, however processes stand still. */
+void
+judge_note_end(lease::Upstream *upstream, const lc_run_id &id)
+{
+    const soak::Job *job = cluster->checker.find(id.job);
+    int64_t started_ms = judge_started[{upstream, lease::task_of(id)}];
+
+    if (job != nullptr && job->broken_ms != 0 &&
+        started_ms < job->broken_ms + cluster->resubmit_ms) {
+        int64_t after_ms = cluster->now() - job->broken_ms;
+        judge_longest_ms = std::max(judge_longest_ms, after_ms);
+        judge_over_1100 += after_ms > 1100;
+    }
+}
+
+/* Reads the clock before a start is checked, and ends the runs whose time is
+ * over: this process may have stood still as well. */
+void
+judge_check_on_time(size_t index)
+{
+    lease::Upstream *starting = &cluster->upstreams[index]->model;
+    auto on_start = starting->on_start;
+    auto on_end = starting->on_end;
+
+    starting->on_end = [starting, on_end](const lc_run_id &id,
+                                          Runner_End end) {
+        judge_note_end(starting, id);
+        on_end(id, end);
+    };
+    starting->on_start = [starting, on_start](const lc_run_id &id) {
+        uv_update_time(cluster->loop);
+        for (auto &upstream : cluster->upstreams) {
+            if (&upstream->model != starting && upstream->model.is_up()) {
+                upstream->advance();
+            }
+        }
+        judge_started[{starting, lease::task_of(id)}] = cluster->now();
+        on_start(id);
+    };
+}
+
+/* Callers of an entry that stands still hang up. It goes on for an instant, in
+ * which it renews its leases and reads that its callers have left, in an order
+ * of its own, and is killed; companions stand still when these leases end. */
+void
+judge_hang_up_wave()
+{
+    size_t index = cluster->random_below((uint32_t)cluster->entries.size());
+    int64_t wake_ms = JUDGE_BURST_LEAD_MS + moment(250, 900);
+    soak::Process *entry = cluster->entries[index].get();
+
+    if (cluster->now() > judge_begin_ms + JUDGE_FAULTS_MS) {
+        return;
+    }
+    cluster->target_entry = (int)index;
+    cluster->caller_timeout_ms = JUDGE_BURST_LEAD_MS + 20;
+    for (int i = 0; i < JUDGE_BURST; i++) {
+        cluster->submit_job(2, 800, moment(1500, 2500), false);
+    }
+    cluster->target_entry = -1;
+    cluster->caller_timeout_ms = 2500;
+    for (auto &upstream : cluster->upstreams) {
+        upstream->delay_orders = cluster->random_below(6) == 0;
+        upstream->ignores_stops = cluster->random_below(3) == 0 &&
+                                  getenv("JUDGE_STOPS_HEEDED") == nullptr;
+    }
+    cluster->run_after(JUDGE_BURST_LEAD_MS, [entry] {
+        cluster->log_event("stop " + entry->name);
+        entry->signal(SIGSTOP);
+    });
+    cluster->run_after(wake_ms, [entry] {
+        cluster->log_event("continue " + entry->name);
+        entry->signal(SIGCONT);
+    });
+    cluster->run_after(wake_ms + moment(0, 12),
+                       [index] { judge_kill(index); });
+    judge_stop_some(JUDGE_BURST_LEAD_MS + 1000, JUDGE_BURST_LEAD_MS + 1280);
+    cluster->run_after(JUDGE_WAVE_MS, judge_hang_up_wave);
+}
+
+/* Companions stand still as an entry is killed, with renewals of its leases in
+ * their input, and go on before their upstreams' holds end; they stand still
+ * again when leases counted from then would end. */
+void
+judge_renewal_wave()
+{
+    size_t index = cluster->random_below((uint32_t)cluster->entries.size());
+
+    if (cluster->now() > judge_begin_ms + JUDGE_FAULTS_MS) {
+        return;
+    }
+    cluster->target_entry = (int)index;
+    for (int i = 0; i < JUDGE_BURST; i++) {
+        cluster->submit_job(2, 800, moment(2000, 2500), false);
+    }
+    cluster->target_entry = -1;
+    for (auto &upstream : cluster->upstreams) {
+        upstream->ignores_stops = cluster->random_below(3) == 0 &&
+                                  getenv("JUDGE_STOPS_HEEDED") == nullptr;
+    }
+    for (auto &companion : cluster->companions) {
+        soak::Process *process = companion.get();
+        int64_t stop_ms = JUDGE_BURST_LEAD_MS - moment(0, 130);
+        if (cluster->random_below(3) == 0) {
+            continue;
+        }
+        judge_stops += 2;
+        cluster->run_after(stop_ms, [process] { process->signal(SIGSTOP); });
+        cluster->run_after(stop_ms + moment(300, 560),
+                           [process] { process->signal(SIGCONT); });
+        cluster->run_after(stop_ms + moment(850, 1150),
+                           [process] { process->signal(SIGSTOP); });
+        cluster->run_after(JUDGE_BURST_LEAD_MS + 1700,
+                           [process] { process->signal(SIGCONT); });
+    }
+    cluster->run_after(JUDGE_BURST_LEAD_MS, [index] {
+        judge_kills++;
+        cluster->log_event("kill entry-" + std::to_string(index));
+        cluster->entries[index]->kill(moment(50, 400));
+    });
+    cluster->run_after(JUDGE_WAVE_MS, judge_renewal_wave);
+}
+
+void
+play_judge_kills()
+{
+    bool has_stops_at_starts = strncmp(judge_name, "judge_kills", 11) == 0;
+
+    judge_begin_ms = cluster->now();
+    judge_pace = 1 + (int64_t)(cluster->settings.seed % 4);
+    cluster->again_after_refusal_ms = JUDGE_AGAIN_MS;
+    if (getenv("JUDGE_RESUBMIT_MS") != nullptr) {
+        cluster->resubmit_ms = atoi(getenv("JUDGE_RESUBMIT_MS"));
+    }
+    for (size_t i = 0; i < cluster->upstreams.size(); i++) {
+        judge_check_on_time(i);
+        cluster->upstreams[i]->loses_start = [i, has_stops_at_starts] {
+            if (has_stops_at_starts) {
+                judge_start_arrives(i);
+            }
+            return false;
+        };
+    }
+    judge_watch();
+    for (int64_t at = 0; at < JUDGE_LOAD_MS; at += JUDGE_INTERVAL_MS) {
+        cluster->run_after(at, judge_job);
+    }
+    cluster->run_after(500, has_stops_at_starts ? judge_fault
+                            : strcmp(judge_name, "judge_hang_up") == 0
+                                ? judge_hang_up_wave
+                                : judge_renewal_wave);
+    cluster->run_after(JUDGE_FAULTS_MS + 1500, [] { cluster->heal(); });
+    cluster->run_after(JUDGE_LOAD_MS + 7000, [] {
+        cluster->submissions_stopped = true;
+        fprintf(stderr,
+                "judge: kills %" PRIu64 ", stops %" PRIu64 ", starts %" PRIu64
+                ", longest stand-still of the test %" PRId64
+                " ms, longest run after a loss %" PRId64 " ms, over 1100: "
+                "%" PRIu64 "\n",
+                judge_kills, judge_stops, cluster->checker.starts,
+                judge_max_lag_ms, judge_longest_ms, judge_over_1100);
+    });
+    cluster->run_after(JUDGE_END_MS, [] { cluster->finish(); });
+}
+
 const struct {
     const char *name;
     void (*play)();
@@ -1768,6 +2101,15 @@
     {"run_past_halt", play_run_past_halt, PAST_LEASE_END_MS, 1 + OTHER_OWNERS},
     {"stalled_companions", play_stalled_companions,
      STALLED_LOAD_MS + ANSWERS_MS, STALLED_ENTRIES, (int)STALLED_COMPANIONS},
+    {"judge_kills", play_judge_kills, JUDGE_LIMIT_MS, 3,
+     (int)JUDGE_COMPANIONS},
+    {"judge_kills_link", play_judge_kills, JUDGE_LIMIT_MS, 3,
+     (int)JUDGE_COMPANIONS, FORWARD_LINK_MBPS},
+    {"judge_hang_up", play_judge_kills, JUDGE_LIMIT_MS, 3,
+     (int)JUDGE_COMPANIONS},
+    {"judge_renewals", play_judge_kills, JUDGE_LIMIT_MS, 3,
+     (int)JUDGE_COMPANIONS},
+    {"judge_kills_many", play_judge_kills, JUDGE_LIMIT_MS, 20, 100},
 };
 
 } // namespace
@@ -1794,7 +2136,12 @@
     settings.program = argv[2];
     settings.folder = argv[3];
     settings.base_port = atoi(argv[4]);
-    if (strcmp(argv[1], "stalled_companions") == 0) {
+    bool judge = strncmp(argv[1], "judge_", 6) == 0;
+    judge_name = argv[1];
+    if (judge && getenv("STALLED_WRITES") != nullptr) {
+        setenv("LD_PRELOAD", getenv("STALLED_WRITES"), 1);
+    }
+    if (strcmp(argv[1], "stalled_companions") == 0 || judge) {
         const char *seed = getenv("SEED");
         settings.seed = seed != nullptr ? strtoull(seed, nullptr, 10)
                                         : (uint64_t)g_get_real_time() / 1000;
--- a/tests/soak/upstream.h
+++ b/tests/soak/upstream.h
@@ -47,6 +47,12 @@
 
     void crash();
     void start_incarnation();
+    /** Ends what has ended by now. */
+    void
+    advance()
+    {
+        model.advance(now());
+    }
     /** Sends a heartbeat of another writer to the upstream's companion, under
      * the upstream's id or, if not empty, under @p instance. */
     void send_odd_heartbeat(const OddHeartbeat &odd,
