--- a/review/stand-3/play.cc
+++ b/review/stand-3/play.cc
@@ -27,6 +27,7 @@
 #include <string>
 #include <vector>
 
+#include "review/stand-3/link.h"
 #include "tests/soak/process.h"
 #include "tests/soak/store.h"
 #include "tests/soak/upstream.h"
@@ -37,7 +38,18 @@
 
 namespace {
 
-enum Port { RPC, ADMIN, CALLERS, READY, HEARTBEATS, UPSTREAM, STORE };
+enum Port {
+    RPC,
+    ADMIN,
+    CALLERS,
+    READY,
+    HEARTBEATS,
+    UPSTREAM,
+    STORE,
+    UPSTREAM_LINK,
+    HEARTBEATS_LINK,
+    PORTS
+};
 
 const int ENTRY_HOST = 10;
 const int COMPANION_HOST = 50;
@@ -58,6 +70,7 @@
 std::vector<std::unique_ptr<soak::Process>> entries;
 std::vector<std::unique_ptr<soak::Process>> companions;
 std::vector<std::unique_ptr<soak::Upstream>> upstreams;
+std::vector<std::unique_ptr<Link>> links, beat_links; /* by minion */
 std::vector<std::string> broken; /* what broke the rule */
 
 int64_t
@@ -186,7 +199,7 @@
                  std::to_string(pick / 200 % 250) + ".";
         base_port = 21000 + pick % 9000;
         bool free = true;
-        for (int port = 0; port <= STORE; port++) {
+        for (int port = 0; port < PORTS; port++) {
             free = free && is_free(subnet + "10", base_port + port) &&
                    is_free(subnet + "50", base_port + port) &&
                    is_free(subnet + "200", base_port + port);
@@ -199,6 +212,7 @@
 }
 
 struct Deployment {
+    bool links = false; /* between companions and minions */
     int entries = 3;
     int companions = 4;
     int memory_mb = 260;
@@ -243,7 +257,8 @@
 companion_settings(int host)
 {
     return settings("companion", host) + "\"upstream\":\"" +
-           address_text(host, UPSTREAM) + "\",\"beats\":\"" +
+           address_text(host, deployment.links ? UPSTREAM_LINK : UPSTREAM) +
+           "\",\"beats\":\"" +
            address_text(host, HEARTBEATS) +
            "\",\"times\":{\"resubmit_ms\":1300,\"hold_max_ms\":1000,"
            "\"stop_ms\":50,\"beat_ms\":" +
@@ -287,6 +302,7 @@
 std::map<uint64_t, int64_t> work_ms; /* by job */
 uint64_t starts;
 uint64_t done_ends;
+uint64_t failed_ends;
 uint64_t noted_ends;
 uint64_t started_again; /* starts after a noted end */
 uint64_t run_together;
@@ -321,6 +337,7 @@
     upstream->model.on_end = [upstream](const lc_run_id &id, Runner_End end) {
         tasks[lease::task_of(id)].running.erase(upstream->name);
         done_ends += end == RUNNER_END_DONE;
+        failed_ends += end == RUNNER_END_FAILED;
     };
     upstream->model.on_end_acknowledged = [](const lc_run_id &id,
                                              Runner_End end) {
@@ -351,7 +368,15 @@
         int host = COMPANION_HOST + i;
         upstreams.emplace_back(new soak::Upstream(
             loop, client, "minion-" + std::to_string(i),
-            address(host, UPSTREAM), address(host, HEARTBEATS)));
+            address(host, UPSTREAM),
+            address(host, deployment.links ? HEARTBEATS_LINK : HEARTBEATS)));
+        if (deployment.links) {
+            links.emplace_back(new Link(loop, address(host, UPSTREAM_LINK),
+                                        address(host, UPSTREAM)));
+            beat_links.emplace_back(new Link(loop,
+                                             address(host, HEARTBEATS_LINK),
+                                             address(host, HEARTBEATS)));
+        }
         watch_upstream(upstreams.back().get());
         companions.emplace_back(
             new soak::Process(loop, "companion-" + std::to_string(i), program,
