--- a/review/stand-3/link.h
+++ b/review/stand-3/link.h
@@ -164,10 +164,9 @@
             write->bytes.assign(buffer->base, buffer->base + count);
             uv_buf_t out = uv_buf_init(write->bytes.data(),
                                        (unsigned)write->bytes.size());
-            uv_write(&write->request, (uv_stream_t *)&end->other->tcp, &out, 1,
-                     [](uv_write_t *request, int) {
-                         delete (Write *)request;
-                     });
+            uv_write(
+                &write->request, (uv_stream_t *)&end->other->tcp, &out, 1,
+                [](uv_write_t *request, int) { delete (Write *)request; });
         }
     }
 
