--- a/review/stand-3/play.cc
+++ b/review/stand-3/play.cc
@@ -672,7 +672,8 @@
     }
     signal(SIGPIPE, SIG_IGN);
     record = fopen(argv[2], "w");
-    if (record == nullptr || mkdtemp(path) == nullptr) {
+    if (record == nullptr ||
+        (getenv("KEEP") == nullptr && mkdtemp(path) == nullptr)) {
         return 2;
     }
     folder = getenv("KEEP") != nullptr ? getenv("KEEP") : path;
