--- a/base/event.h
+++ b/base/event.h
@@ -59,6 +59,8 @@
     X(KEPT_BAD, 313, G_LOG_LEVEL_WARNING, "durable job is unreadable")        \
     X(KEPT_NO_QUEUE, 320, G_LOG_LEVEL_WARNING,                                \
       "durable job waits for its queue")                                      \
+    X(QUEUE_CHANGED, 322, G_LOG_LEVEL_MESSAGE,                                \
+      "jobs belong to another queue")                                         \
     X(KEPT_UNOWNED, 321, G_LOG_LEVEL_WARNING,                                 \
       "durable jobs without a live owner")                                    \
     X(KEPT_REFUSED, 314, G_LOG_LEVEL_WARNING, "store refused a record")       \
--- a/daemon/leased_durable.c
+++ b/daemon/leased_durable.c
@@ -112,21 +112,6 @@
     Rpc_Call(self->process.rpc, to, call_id | LEASED_DURABLE_CALL_FLAG, call);
 }
 
-static const Route *
-port_route(void *context, const char *queue)
-{
-    const Leased_Entry *self = context;
-    guint i;
-
-    for (i = 0; self->routes != NULL && i < self->routes->routes->len; i++) {
-        const Route *route = g_ptr_array_index(self->routes->routes, i);
-        if (strcmp(route->name, queue) == 0) {
-            return route;
-        }
-    }
-    return NULL;
-}
-
 static Err_Kind
 port_parse(void *context, uint64_t id, const char *body, LeasedJob *job,
            Status *status)
@@ -145,8 +130,7 @@
 }
 
 static const DurableJobs_Ports durable_ports = {
-    port_put,   port_answer, port_state, port_call,
-    port_route, port_parse,  port_event,
+    port_put, port_answer, port_state, port_call, port_parse, port_event,
 };
 
 void
@@ -202,6 +186,7 @@
 {
     DurableJobs_Submit durable = {.request_id = request->id,
                                   .route = submit->route,
+                                  .queue = submit->queue,
                                   .job = &submit->job};
     char *body;
 
--- a/daemon/leased_entry.c
+++ b/daemon/leased_entry.c
@@ -304,7 +304,6 @@
 {
     GArray *live;
 
-    Dispatcher_SetRoutesVersion(self->dispatcher, LeasedRoutes_Version(self));
     if (Dispatcher_WantsDelegates(self->dispatcher, now)) {
         live = Peers_ListLive(&self->peers, now, 0);
         Dispatcher_OfferDelegates(
@@ -429,11 +428,8 @@
         LeasedStore_OnCall(self, reply_id, &call->u.store);
         return true;
     case MSG_FORWARD:
-        Dispatcher_OnForward(
-            self->dispatcher, now, reply_id, &call->u.forward,
-            self->routes == NULL
-                ? NULL
-                : Route_FindByName(self->routes, call->u.forward.queue));
+        Dispatcher_OnForward(self->dispatcher, now, reply_id,
+                             &call->u.forward);
         return true;
     case MSG_EXTEND:
         Dispatcher_OnExtend(self->dispatcher, now, reply_id, &call->u.extend);
--- a/daemon/leased_entry_state.h
+++ b/daemon/leased_entry_state.h
@@ -75,8 +75,8 @@
 
 /* The process: daemon/leased_entry.c. */
 
-/** Number of jobs at this entry of which no task has started, by queue. The
- * names are borrowed from the jobs: free it before anything changes them. */
+/** Number of jobs at this entry of which no task has started. The names are
+ * borrowed from the jobs: free it before anything changes them. */
 QueueCounts *LeasedEntry_CountWaiting(const Leased_Entry *self);
 
 /** Must be called at every input; returns the current monotonic time in ms.
--- a/daemon/leased_gossip.c
+++ b/daemon/leased_gossip.c
@@ -27,22 +27,27 @@
 }
 
 /* Waiting jobs by queue, as lc_queue_count. The names are borrowed from the
- * jobs; the caller frees the array. */
+ * jobs; the caller frees the array. The queues' addresses are appended to
+ * @p addresses, unless that is NULL. */
 static GArray *
-own_waiting(const Leased_Entry *self)
+own_waiting(const Leased_Entry *self, GArray *addresses)
 {
     GArray *rows = g_array_new(FALSE, TRUE, sizeof(lc_queue_count));
     QueueCounts *counts = LeasedEntry_CountWaiting(self);
     GHashTableIter iter;
-    gpointer queue;
+    gpointer key;
     gpointer waiting;
 
     g_hash_table_iter_init(&iter, counts);
     while (rows->len < LC_MAX_QUEUES &&
-           g_hash_table_iter_next(&iter, &queue, &waiting)) {
-        lc_queue_count row = {.queue = queue,
+           g_hash_table_iter_next(&iter, &key, &waiting)) {
+        const QueueRef *queue = key;
+        lc_queue_count row = {.queue = (char *)(uintptr_t)queue->name,
                               .waiting = GPOINTER_TO_UINT(waiting)};
         g_array_append_val(rows, row);
+        if (addresses != NULL) {
+            g_array_append_val(addresses, queue->address);
+        }
     }
     g_hash_table_unref(counts);
     return rows;
@@ -61,7 +66,8 @@
 send_gossip(Leased_Entry *self, int64_t now, Peers_Row *peer)
 {
     GArray *live = LeasedGossip_LiveEntries(self);
-    GArray *counts = own_waiting(self);
+    GArray *addresses = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    GArray *counts = own_waiting(self, addresses);
     Msg_Call call = {.kind = MSG_GOSSIP};
 
     call.u.gossip.from = Dispatcher_Node(self->dispatcher);
@@ -74,6 +80,9 @@
     }
     call.u.gossip.waiting.waiting_len = counts->len;
     call.u.gossip.waiting.waiting_val = (lc_queue_count *)(void *)counts->data;
+    call.u.gossip.addresses.addresses_len = addresses->len;
+    call.u.gossip.addresses.addresses_val =
+        (u_quad_t *)(void *)addresses->data;
     HallClosures_FillMessage(Dispatcher_Closures(self->dispatcher), now,
                              &call.u.gossip.closures);
     peer->call_id = ++self->last_call_id | LEASED_ENTRY_CALL_FLAG;
@@ -82,6 +91,7 @@
     Rpc_Call(self->process.rpc, peer->address, peer->call_id, &call);
     g_array_unref(live);
     g_array_unref(counts);
+    g_array_unref(addresses);
 }
 
 static void
@@ -106,7 +116,7 @@
     if (DurableJobs_NeedsAllReports(self->durable_jobs)) {
         return true;
     }
-    counts = own_waiting(self);
+    counts = own_waiting(self, NULL);
     waiting = counts->len > 0;
     g_array_unref(counts);
     return waiting;
@@ -154,10 +164,10 @@
     }
 }
 
-static void
+/* Returns the row of the sender, or NULL. */
+static Peers_Row *
 apply_gossip(Leased_Entry *self, Address from, int64_t routes_version,
-             uint64_t digest, const u_quad_t *entries, u_int entry_count,
-             const lc_queue_count *counts, u_int count)
+             uint64_t digest, const u_quad_t *entries, u_int entry_count)
 {
     int64_t now = self->last_input_ms;
     Peers_Row *peer;
@@ -170,14 +180,28 @@
         Peers_Add(&self->peers, entries[i], now);
     }
     peer = Peers_Find(&self->peers, from);
+    if (peer != NULL) {
+        peer->routes_version = routes_version;
+        peer->digest = digest;
+    }
+    return peer;
+}
+
+/* A peer of an earlier version sends no addresses. */
+static void
+apply_waiting(Peers_Row *peer, const lc_queue_count *counts, u_int count,
+              const u_quad_t *addresses, u_int address_count)
+{
+    u_int i;
+
     if (peer == NULL) {
         return;
     }
-    peer->routes_version = routes_version;
-    peer->digest = digest;
     g_array_set_size(peer->waiting, 0);
     for (i = 0; i < count; i++) {
-        Peers_QueueCount row = {.waiting = counts[i].waiting};
+        Peers_QueueCount row = {.waiting = counts[i].waiting,
+                                .address = i < address_count ? addresses[i]
+                                                             : 0};
         g_strlcpy(row.queue, counts[i].queue, sizeof(row.queue));
         g_array_append_val(peer->waiting, row);
     }
@@ -191,16 +215,20 @@
     lc_gossip_res *result = &reply.u.gossip;
     Peers_Row *peer;
     GArray *live;
-    GArray *counts = own_waiting(self);
+    GArray *addresses = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    GArray *counts = own_waiting(self, addresses);
 
     DurableJobs_OnPeer(self->durable_jobs, self->last_input_ms,
                        args->from.address, args->kept);
     Dispatcher_MergeClosures(self->dispatcher, self->last_input_ms,
                              HALL_CLOSURES_UNSOLICITED, &args->closures,
                              Address_Text(args->from.address));
-    apply_gossip(self, args->from.address, args->routes_version, args->known,
-                 args->entries.entries_val, args->entries.entries_len,
-                 args->waiting.waiting_val, args->waiting.waiting_len);
+    peer = apply_gossip(self, args->from.address, args->routes_version,
+                        args->known, args->entries.entries_val,
+                        args->entries.entries_len);
+    apply_waiting(peer, args->waiting.waiting_val, args->waiting.waiting_len,
+                  args->addresses.addresses_val,
+                  args->addresses.addresses_len);
     live = LeasedGossip_LiveEntries(self);
     result->from = Dispatcher_Node(self->dispatcher);
     result->kept = DurableJobs_OwnerIncarnation(self->durable_jobs,
@@ -213,28 +241,34 @@
     }
     result->waiting.waiting_len = counts->len;
     result->waiting.waiting_val = (lc_queue_count *)(void *)counts->data;
+    result->addresses.addresses_len = addresses->len;
+    result->addresses.addresses_val = (u_quad_t *)(void *)addresses->data;
     HallClosures_FillMessage(Dispatcher_Closures(self->dispatcher),
                              self->last_input_ms, &result->closures);
-    peer = Peers_Find(&self->peers, args->from.address);
     if (peer != NULL) {
         record_sent(self, self->last_input_ms, peer, counts);
     }
     Process_PortReply(&self->process, reply_id, &reply);
     g_array_unref(live);
     g_array_unref(counts);
+    g_array_unref(addresses);
 }
 
 void
 LeasedGossip_OnReply(Leased_Entry *self, int64_t requested_ms,
                      const lc_gossip_res *result)
 {
+    Peers_Row *peer;
+
     DurableJobs_OnPeer(self->durable_jobs, self->last_input_ms,
                        result->from.address, result->kept);
     Dispatcher_MergeClosures(self->dispatcher, self->last_input_ms,
                              requested_ms, &result->closures,
                              Address_Text(result->from.address));
-    apply_gossip(self, result->from.address, result->routes_version,
-                 result->known, result->entries.entries_val,
-                 result->entries.entries_len, result->waiting.waiting_val,
-                 result->waiting.waiting_len);
+    peer = apply_gossip(self, result->from.address, result->routes_version,
+                        result->known, result->entries.entries_val,
+                        result->entries.entries_len);
+    apply_waiting(peer, result->waiting.waiting_val,
+                  result->waiting.waiting_len, result->addresses.addresses_val,
+                  result->addresses.addresses_len);
 }
--- a/daemon/leased_jobs_api.c
+++ b/daemon/leased_jobs_api.c
@@ -16,17 +16,17 @@
 typedef struct {
     uint64_t request;
     uint64_t job;
-    char queue[LC_MAX_NAME];
+    QueueRef queue;
     uint32_t open_calls; /* calls without a reply yet */
     bool known;
 } pending_cancel;
 
 static uint32_t
-count_waiting(const Leased_Entry *self, const char *queue)
+count_waiting(const Leased_Entry *self, const QueueRef *queue)
 {
     int64_t now = self->last_input_ms;
     QueueCounts *own = LeasedEntry_CountWaiting(self);
-    uint32_t count = QueueCounts_Get(own, queue);
+    uint32_t count = QueueCounts_Get(own, self->routes, queue);
     guint i;
     guint j;
 
@@ -36,7 +36,8 @@
         for (j = 0; Peers_IsLive(peer, now) && j < peer->waiting->len; j++) {
             const Peers_QueueCount *row = &g_array_index(peer->waiting,
                                                          Peers_QueueCount, j);
-            if (strcmp(row->queue, queue) == 0) {
+            QueueRef counted = {row->queue, row->address};
+            if (Route_IsSameQueue(self->routes, queue, &counted)) {
                 count += row->waiting;
             }
         }
@@ -46,9 +47,9 @@
 
 static void
 serve_count(Leased_Entry *self, const HttpServer_Request *request,
-            const Route *route)
+            const QueueRef *queue)
 {
-    char *body = CallerApi_CountBody(count_waiting(self, route->name));
+    char *body = CallerApi_CountBody(count_waiting(self, queue));
 
     HttpServer_RespondJson(self->callers, request->id, STATUS_OK, 0, body);
     g_free(body);
@@ -56,16 +57,16 @@
 
 static void
 serve_state(Leased_Entry *self, int64_t now, const HttpServer_Request *request,
-            const Route *route, uint64_t job)
+            const QueueRef *queue, uint64_t job)
 {
     bool started = false;
     char *body;
 
-    if (DurableJobs_StateOf(self->durable_jobs, now, job, route->name) >
+    if (DurableJobs_StateOf(self->durable_jobs, now, job, queue) >
             DURABLE_JOB_STALE ||
-        !Dispatcher_HasOpenJob(self->dispatcher, job, route->name, &started)) {
+        !Dispatcher_HasOpenJob(self->dispatcher, job, queue, &started)) {
         DurableJobs_OnStateQuery(self->durable_jobs, now, request->id, job,
-                                 route->name);
+                                 queue);
         return;
     }
     body = CallerApi_StateBody(started);
@@ -83,14 +84,15 @@
     else {
         DurableJobs_CancelUnknown(self->durable_jobs, self->last_input_ms,
                                   pending->request, pending->job,
-                                  pending->queue);
+                                  &pending->queue);
     }
+    QueueRef_Clear(&pending->queue);
     g_free(pending);
 }
 
 static void
 serve_cancel(Leased_Entry *self, int64_t now,
-             const HttpServer_Request *request, const Route *route,
+             const HttpServer_Request *request, const QueueRef *queue,
              uint64_t job)
 {
     Msg_Call call = {.kind = MSG_WITHDRAW};
@@ -98,17 +100,17 @@
     guint i;
 
     if (DurableJobs_OnCancel(self->durable_jobs, now, request->id, job,
-                             route->name)) {
+                             queue)) {
         return;
     }
     pending = g_new0(pending_cancel, 1);
     pending->request = request->id;
     pending->job = job;
-    g_strlcpy(pending->queue, route->name, sizeof(pending->queue));
-    pending->known = Dispatcher_OnCancel(self->dispatcher, now, job,
-                                         route->name);
+    pending->queue = QueueRef_Copy(queue);
+    pending->known = Dispatcher_OnCancel(self->dispatcher, now, job, queue);
     call.u.withdraw.job = job;
-    call.u.withdraw.queue = route->name;
+    call.u.withdraw.queue = (char *)(uintptr_t)queue->name;
+    call.u.withdraw.queue_address = queue->address;
     for (i = 0; i < self->peers.rows->len; i++) {
         const Peers_Row *peer = g_ptr_array_index(self->peers.rows, i);
         uint64_t call_id = ++self->last_call_id | LEASED_ENTRY_CALL_FLAG;
@@ -142,10 +144,11 @@
 static void
 serve_submit(Leased_Entry *self, int64_t now, const CallerApi_RawRequest *raw,
              const HttpServer_Request *request, const Route *route,
-             const CallerApi_Request *parsed)
+             const QueueRef *queue, const CallerApi_Request *parsed)
 {
     Dispatcher_Submit submit = {.request_id = request->id,
                                 .route = route,
+                                .queue = *queue,
                                 .deadline_ms = route->timeout_ms};
     Status status = {ERR_OK, ""};
 
@@ -179,6 +182,16 @@
     Dispatcher_OnSubmit(self->dispatcher, now, &submit);
 }
 
+/* The address that a request was sent to: its path without the job's ID. */
+static uint64_t
+address_of(const HttpServer_Request *request)
+{
+    const char *slash = strrchr(request->path, '/');
+    size_t length = slash == NULL ? 0 : (size_t)(slash - request->path) + 1;
+
+    return QueueRef_Digest(request->authority, request->path, length);
+}
+
 static void
 serve_route(Leased_Entry *self, int64_t now, const HttpServer_Request *request,
             const Route *route)
@@ -191,21 +204,22 @@
         .body = request->body,
         .length = request->length,
     };
+    QueueRef queue = {route->name, address_of(request)};
     CallerApi_Request parsed;
 
     CallerApi_ParseRequest(&raw, &parsed);
     switch (parsed.verb) {
     case CALLER_API_SUBMIT:
-        serve_submit(self, now, &raw, request, route, &parsed);
+        serve_submit(self, now, &raw, request, route, &queue, &parsed);
         break;
     case CALLER_API_GET_STATE:
-        serve_state(self, now, request, route, parsed.job);
+        serve_state(self, now, request, &queue, parsed.job);
         break;
     case CALLER_API_CANCEL:
-        serve_cancel(self, now, request, route, parsed.job);
+        serve_cancel(self, now, request, &queue, parsed.job);
         break;
     case CALLER_API_COUNT:
-        serve_count(self, request, route);
+        serve_count(self, request, &queue);
         break;
     case CALLER_API_UNKNOWN:
         HttpServer_RespondError(self->callers, request->id, ERR_BAD_REQUEST,
@@ -285,8 +299,9 @@
                          const lc_withdraw_args *args)
 {
     Msg_Reply reply = {.kind = MSG_WITHDRAW};
+    QueueRef queue = {args->queue, args->queue_address};
 
     reply.u.withdraw.known = Dispatcher_OnCancel(self->dispatcher, now,
-                                                 args->job, args->queue);
+                                                 args->job, &queue);
     Process_PortReply(&self->process, reply_id, &reply);
 }
--- a/daemon/leased_routes.c
+++ b/daemon/leased_routes.c
@@ -1,5 +1,7 @@
 #include "daemon/leased_entry_state.h"
 
+#include <string.h>
+
 #include "base/event.h"
 #include "base/random.h"
 #include "lease/store_poll.h"
@@ -7,6 +9,51 @@
 
 /* ---- applying ---- */
 
+/* Logs if the open jobs that refer to a queue belong to another one now. */
+static void
+log_changed_queue(Route_Table *former, Route_Table *current,
+                  const QueueRef *queue, uint32_t jobs)
+{
+    Route_Match match;
+    const Route *before = Route_FindQueue(former, queue, NULL);
+    const Route *after = Route_FindQueue(current, queue, &match);
+    const char *name_before = before == NULL ? "(none)" : before->name;
+    const char *name_after = after == NULL ? "(none)" : after->name;
+
+    if (before == after || (before != NULL && after != NULL &&
+                            before->address == after->address &&
+                            strcmp(before->name, after->name) == 0)) {
+        return;
+    }
+    Event_Log(EVENT_QUEUE_CHANGED,
+              "%u open jobs of queue %s: formerly of queue %s, now of queue "
+              "%s, matched by %s",
+              jobs, queue->name, name_before, name_after,
+              Route_MatchText(match));
+}
+
+static void
+log_changed_queues(const Leased_Entry *self, Route_Table *former,
+                   Route_Table *current)
+{
+    QueueCounts *open;
+    GHashTableIter iter;
+    gpointer queue;
+    gpointer jobs;
+
+    if (former == NULL) {
+        return;
+    }
+    open = QueueCounts_New();
+    Dispatcher_AddOpen(self->dispatcher, open);
+    DurableJobs_CountOpen(self->durable_jobs, open);
+    g_hash_table_iter_init(&iter, open);
+    while (g_hash_table_iter_next(&iter, &queue, &jobs)) {
+        log_changed_queue(former, current, queue, GPOINTER_TO_UINT(jobs));
+    }
+    g_hash_table_unref(open);
+}
+
 /* The version alone decides, whatever the source: routes that are not newer
  * than those in force are dropped. */
 static void
@@ -24,6 +71,9 @@
         Route_FreeTable(table);
         return;
     }
+    DurableJobs_OnRoutes(self->durable_jobs);
+    log_changed_queues(self, self->routes, table);
+    Dispatcher_SetRoutes(self->dispatcher, table);
     Route_FreeTable(self->routes);
     self->routes = table;
     HttpServer_SetMaxBody(self->callers,
--- a/lease/active_job.c
+++ b/lease/active_job.c
@@ -41,15 +41,15 @@
 }
 
 Active_Job *
-Active_New(LeasedJob *spec, const Route *route, int64_t now_ms,
-           int64_t deadline_ms)
+Active_New(LeasedJob *spec, const QueueRef *queue, const Route *route,
+           int64_t now_ms, int64_t deadline_ms)
 {
     Active_Job *job = g_new0(Active_Job, 1);
 
     job->spec = *spec;
     memset(spec, 0, sizeof(*spec));
     job->spec_bytes = strlen(job->spec.spec);
-    job->queue = g_strdup(route->name);
+    job->queue = QueueRef_Copy(queue);
     job->requests = g_array_new(FALSE, FALSE, sizeof(uint64_t));
     job->arrived_ms = now_ms;
     Active_SetRoute(job, route);
@@ -68,7 +68,7 @@
 Active_Free(Active_Job *job)
 {
     LeasedJob_Clear(&job->spec);
-    g_free(job->queue);
+    QueueRef_Clear(&job->queue);
     g_free(job->service);
     g_array_unref(job->requests);
     JobTrace_Free(job->trace);
--- a/lease/active_job.h
+++ b/lease/active_job.h
@@ -68,7 +68,7 @@
 typedef struct {
     Handle handle;
     LeasedJob spec;
-    char *queue;
+    QueueRef queue; /**< as its submission refers to it */
     char *service;
     int32_t priority;
     uint32_t max_attempts;
@@ -102,7 +102,8 @@
 /** Creates a job from @p spec and takes over the memory that @p spec owns,
  * which is zeroed. Unless the job runs at set times, the tasks of its first
  * steps are WAITING. Free with Active_Free. */
-Active_Job *Active_New(LeasedJob *spec, const Route *route, int64_t now_ms,
+Active_Job *Active_New(LeasedJob *spec, const QueueRef *queue,
+                       const Route *route, int64_t now_ms,
                        int64_t deadline_ms);
 void Active_Free(Active_Job *job);
 
--- a/lease/dispatcher.c
+++ b/lease/dispatcher.c
@@ -98,6 +98,14 @@
     self->unanswered++;
 }
 
+bool
+Dispatcher_IsSameQueue(const Dispatcher *self, const QueueRef *request,
+                       const Active_Job *job)
+{
+    return request == NULL ||
+           Route_IsSameQueue(self->routes, request, &job->queue);
+}
+
 static bool
 attach_to_existing(Dispatcher *self, int64_t now_ms, Dispatcher_Submit *submit)
 {
@@ -107,7 +115,7 @@
         return false;
     }
     if (job->closing || job->durable ||
-        g_strcmp0(job->queue, submit->route->name) != 0) {
+        !Dispatcher_IsSameQueue(self, &submit->queue, job)) {
         refuse(self, submit->request_id, submit->job.id, ERR_UNSETTLED,
                "an earlier run of this job is still being stopped",
                DISPATCHER_RETRY_MS);
@@ -182,7 +190,7 @@
         LeasedJob_Clear(&submit->job);
         return;
     }
-    job = Active_New(&submit->job, submit->route, now_ms,
+    job = Active_New(&submit->job, &submit->queue, submit->route, now_ms,
                      now_ms + submit->deadline_ms);
     job->handle = Handle_Add(self->jobs, job);
     g_hash_table_insert(self->by_id, &job->spec.id, job);
@@ -223,14 +231,14 @@
 
 bool
 Dispatcher_OnCancel(Dispatcher *self, int64_t now_ms, uint64_t id,
-                    const char *queue)
+                    const QueueRef *queue)
 {
     Dispatcher_Answer answer = {.outcome = DISPATCHER_CANCELLED,
                                 .kind = ERR_CANCELLED,
                                 .message = "cancelled by the caller"};
     Active_Job *job = g_hash_table_lookup(self->by_id, &id);
 
-    if (job == NULL || g_strcmp0(job->queue, queue) != 0) {
+    if (job == NULL || !Dispatcher_IsSameQueue(self, queue, job)) {
         return false;
     }
     if (!job->closing) {
@@ -240,18 +248,32 @@
 }
 
 bool
-Dispatcher_HasOpenJob(const Dispatcher *self, uint64_t id, const char *queue,
-                      bool *started)
+Dispatcher_HasOpenJob(const Dispatcher *self, uint64_t id,
+                      const QueueRef *queue, bool *started)
 {
     const Active_Job *job = g_hash_table_lookup(self->by_id, &id);
 
-    if (job == NULL || job->closing || g_strcmp0(job->queue, queue) != 0) {
+    if (job == NULL || job->closing ||
+        !Dispatcher_IsSameQueue(self, queue, job)) {
         return false;
     }
     *started = Active_HasStarted(job);
     return true;
 }
 
+void
+Dispatcher_AddOpen(const Dispatcher *self, QueueCounts *counts)
+{
+    uint32_t i;
+
+    for (i = 0; i < Handle_RowCount(self->jobs); i++) {
+        const Active_Job *job = Handle_ItemAt(self->jobs, i);
+        if (job != NULL && !job->closing && !job->durable) {
+            QueueCounts_Add(counts, &job->queue);
+        }
+    }
+}
+
 void
 Dispatcher_AddWaiting(const Dispatcher *self, QueueCounts *counts)
 {
@@ -260,7 +282,7 @@
     for (i = 0; i < Handle_RowCount(self->jobs); i++) {
         const Active_Job *job = Handle_ItemAt(self->jobs, i);
         if (job != NULL && !job->closing && !Active_HasStarted(job)) {
-            QueueCounts_Add(counts, job->queue);
+            QueueCounts_Add(counts, &job->queue);
         }
     }
 }
@@ -294,9 +316,15 @@
 }
 
 void
-Dispatcher_SetRoutesVersion(Dispatcher *self, int64_t version)
+Dispatcher_SetRoutes(Dispatcher *self, Route_Table *routes)
+{
+    self->routes = routes;
+}
+
+Route_Table *
+Dispatcher_Routes(const Dispatcher *self)
 {
-    self->routes_version = version;
+    return self->routes;
 }
 
 void
--- a/lease/dispatcher.h
+++ b/lease/dispatcher.h
@@ -88,6 +88,7 @@
 typedef struct {
     uint64_t request_id;
     const Route *route;
+    QueueRef queue;      /**< that the request refers to */
     int64_t deadline_ms; /**< from now; the caller stops waiting after it */
     LeasedJob job;       /**< contents move to the dispatcher */
 } Dispatcher_Submit;
@@ -100,7 +101,7 @@
 
 /** A durable job to start or to resume. */
 typedef struct {
-    const char *queue;
+    QueueRef queue;
     const Route *route;        /**< of the queue; NULL if it is not known: no
                                     task is started before
                                     Dispatcher_SetDurableRoute */
@@ -134,17 +135,23 @@
 void Dispatcher_OnCallerDisconnect(Dispatcher *self, int64_t now_ms,
                                    uint64_t request_id);
 
-/** Cancels a job; returns false if it is not known here. */
+/** Cancels a job of the queue that the request refers to, or of any if
+ * @p queue is NULL; returns false if it is not known here. */
 bool Dispatcher_OnCancel(Dispatcher *self, int64_t now_ms, uint64_t job,
-                         const char *queue);
+                         const QueueRef *queue);
 
-/** Whether a job is known here and still open; sets @p started to whether any
- * of its tasks has been started. */
+/** Whether a job of the queue, or of any if @p queue is NULL, is known here
+ * and still open; sets @p started to whether any of its tasks has been
+ * started. */
 bool Dispatcher_HasOpenJob(const Dispatcher *self, uint64_t job,
-                           const char *queue, bool *started);
+                           const QueueRef *queue, bool *started);
 
-/** Adds the jobs without a started task to @p counts, by queue. Queue names
- * are borrowed. */
+/** Adds the open jobs that are not durable to @p counts. Queue names are
+ * borrowed. */
+void Dispatcher_AddOpen(const Dispatcher *self, QueueCounts *counts);
+
+/** Adds the jobs without a started task to @p counts. Queue names are
+ * borrowed. */
 void Dispatcher_AddWaiting(const Dispatcher *self, QueueCounts *counts);
 
 /** Sets the incarnation under which durable jobs are run. Durable jobs of the
@@ -226,13 +233,16 @@
 void Dispatcher_OfferDelegates(Dispatcher *self, const Address *addresses,
                                guint count);
 
-/** Sets the version of the routes in force. */
-void Dispatcher_SetRoutesVersion(Dispatcher *self, int64_t version);
+/** Sets the routes in force, by which jobs belong to queues. Borrowed until
+ * the next ones are set. */
+void Dispatcher_SetRoutes(Dispatcher *self, Route_Table *routes);
+
+/** Returns the routes in force, or NULL. */
+Route_Table *Dispatcher_Routes(const Dispatcher *self);
 
-/** Handles a job forwarded by another entry; @p route is its queue here, or
- * NULL. */
+/** Handles a job forwarded by another entry. */
 void Dispatcher_OnForward(Dispatcher *self, int64_t now_ms, uint64_t reply_id,
-                          const lc_forward_args *args, const Route *route);
+                          const lc_forward_args *args);
 
 /** Handles an EXTEND: another entry renews its lease on the jobs that it has
  * forwarded here. */
--- a/lease/dispatcher_completion.c
+++ b/lease/dispatcher_completion.c
@@ -121,7 +121,7 @@
                                    QueueStats_Outcome outcome,
                                    const char *detail)
 {
-    QueueStats *stats = QueueStats_Get(&self->stats, job->queue);
+    QueueStats *stats = QueueStats_Get(&self->stats, job->queue.name);
 
     stats->outcomes[outcome]++;
     Histogram_Add(&stats->answer, now_ms - job->arrived_ms);
--- a/lease/dispatcher_durable.c
+++ b/lease/dispatcher_durable.c
@@ -188,12 +188,12 @@
 static Active_Job *
 new_job(Dispatcher_DurableJob *start, int64_t now_ms)
 {
-    Route unknown = {.name = (char *)(uintptr_t)start->queue,
-                     .service = (char *)(uintptr_t) "",
+    Route unknown = {.service = (char *)(uintptr_t) "",
                      .max_attempts = UINT32_MAX};
-    Active_Job *job = Active_New(
-        &start->job, start->route != NULL ? start->route : &unknown, now_ms,
-        NO_DEADLINE_MS);
+    Active_Job *job = Active_New(&start->job, &start->queue,
+                                 start->route != NULL ? start->route
+                                                      : &unknown,
+                                 now_ms, NO_DEADLINE_MS);
 
     job->awaits_queue = start->route == NULL;
     job->durable = true;
--- a/lease/dispatcher_forward.c
+++ b/lease/dispatcher_forward.c
@@ -85,11 +85,12 @@
     args->number = job->forward_number;
     args->valid_until_ms = Delegates_ValidUntil(delegate, &self->config.timing,
                                                 now_ms);
-    args->routes_version = self->routes_version;
+    args->routes_version = self->routes == NULL ? -1 : self->routes->version;
     args->waited_ms = (uint32_t)MAX(now_ms - job->arrived_ms, 0);
     args->deadline_ms = (uint32_t)(job->deadline_ms - now_ms -
                                    FORWARD_OVERHEAD_MS);
-    args->queue = job->queue;
+    args->queue = (char *)(uintptr_t)job->queue.name;
+    args->queue_address = job->queue.address;
     DispatcherCall_Send(self, &about, &call);
     g_free(args->steps.steps_val);
 }
--- a/lease/dispatcher_log.c
+++ b/lease/dispatcher_log.c
@@ -34,7 +34,7 @@
         self->context, id,
         json_pack("{s:s, s:s, s:s, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, "
                   "s:i, s:o}",
-                  "job", text, "queue", job->queue, "detail", detail,
+                  "job", text, "queue", job->queue.name, "detail", detail,
                   "took_ms", (int)(now_ms - job->arrived_ms), "waited_ms",
                   (int)waited_ms, "objective_ms",
                   (int)(job->objective_ms - job->arrived_ms), "deadline_ms",
--- a/lease/dispatcher_origin.c
+++ b/lease/dispatcher_origin.c
@@ -245,7 +245,7 @@
         args->valid_until_ms <= now_ms) {
         return "its lease has expired";
     }
-    if (route == NULL || self->routes_version < args->routes_version) {
+    if (route == NULL || self->routes->version < args->routes_version) {
         return "its routes are not known here";
     }
     if (self->paused || self->shutdown_ms != INT64_MAX) {
@@ -294,7 +294,8 @@
 {
     Dispatcher_Origin *row = find_origin(self, &args->from);
     int64_t arrived_ms = now_ms - (int64_t)args->waited_ms;
-    Active_Job *job = Active_New(spec, route, arrived_ms,
+    QueueRef queue = {args->queue, args->queue_address};
+    Active_Job *job = Active_New(spec, &queue, route, arrived_ms,
                                  now_ms + (int64_t)args->deadline_ms);
     uint64_t request = ++self->last_origin_request | ORIGIN_REQUEST;
 
@@ -325,9 +326,11 @@
 
 void
 Dispatcher_OnForward(Dispatcher *self, int64_t now_ms, uint64_t reply_id,
-                     const lc_forward_args *args, const Route *route)
+                     const lc_forward_args *args)
 {
     Dispatcher_Origin *row = find_origin(self, &args->from);
+    QueueRef queue = {args->queue, args->queue_address};
+    const Route *route = Route_FindQueue(self->routes, &queue, NULL);
     const char *reason = refusal_reason(self, now_ms, args, route);
     Status status = {ERR_OK, ""};
     LeasedJob spec;
--- a/lease/dispatcher_state.h
+++ b/lease/dispatcher_state.h
@@ -76,7 +76,7 @@
     GHashTable *origin_replies;   /* request id -> reply id */
     uint64_t last_origin_request; /* id given to a forwarded job */
     uint64_t last_owner;
-    int64_t routes_version;
+    Route_Table *routes;  /* in force; borrowed; or NULL */
     Histogram belief_age; /* age of the known room of a companion when a task
                              is sent there */
     Handle_Table *jobs;
@@ -113,6 +113,10 @@
 void DispatcherLog_Host(const Dispatcher *self, Event_Id id, int64_t now_ms,
                         const Fleet_Host *host, const char *detail);
 
+/** Whether a request is about a job; a @p request of NULL is about any. */
+bool Dispatcher_IsSameQueue(const Dispatcher *self, const QueueRef *request,
+                            const Active_Job *job);
+
 /** Adds a request to be answered when the job ends. */
 void Dispatcher_AttachRequest(Dispatcher *self, Active_Job *job,
                               uint64_t request);
--- a/lease/durable_jobs.c
+++ b/lease/durable_jobs.c
@@ -70,11 +70,13 @@
         }
     }
     for (i = 0; i < self->waiters->len; i++) {
-        g_free(g_array_index(self->waiters, DurableJobs_Waiter, i).queue);
+        QueueRef_Clear(
+            &g_array_index(self->waiters, DurableJobs_Waiter, i).queue);
     }
     for (i = 0; i < self->state_queries->len; i++) {
-        g_free(g_array_index(self->state_queries, DurableJobs_StateQuery, i)
-                   .queue);
+        QueueRef_Clear(
+            &g_array_index(self->state_queries, DurableJobs_StateQuery, i)
+                 .queue);
     }
     for (i = 0; i < self->recoveries->len; i++) {
         DurableTakeover_ClearRecovery(
@@ -114,7 +116,7 @@
 cancel_own_job(DurableJobs *self, int64_t now_ms, const DurableLog_Job *job)
 {
     if (g_hash_table_contains(self->jobs, &job->id)) {
-        Dispatcher_OnCancel(self->dispatcher, now_ms, job->id, job->queue);
+        Dispatcher_OnCancel(self->dispatcher, now_ms, job->id, NULL);
     }
 }
 
@@ -129,7 +131,7 @@
         return;
     }
     row->written = true;
-    Dispatcher_OnCancel(self->dispatcher, now_ms, job->id, job->queue);
+    Dispatcher_OnCancel(self->dispatcher, now_ms, job->id, NULL);
     DurableOwned_Remove(self, row);
 }
 
@@ -336,6 +338,25 @@
     return reliable && !self->leaving ? self->node.incarnation : 0;
 }
 
+void
+DurableJobs_OnRoutes(DurableJobs *self)
+{
+    DurableLog_AddAddresses(self->log, Dispatcher_Routes(self->dispatcher));
+}
+
+void
+DurableJobs_CountOpen(const DurableJobs *self, QueueCounts *counts)
+{
+    GPtrArray *open = DurableLog_OpenJobs(self->log);
+    guint i;
+
+    for (i = 0; i < open->len; i++) {
+        const DurableLog_Job *job = g_ptr_array_index(open, i);
+        QueueCounts_Add(counts, &job->queue);
+    }
+    g_ptr_array_unref(open);
+}
+
 bool
 DurableJobs_IsIdle(const DurableJobs *self)
 {
@@ -377,6 +398,16 @@
         self->ends->len);
 }
 
+/* Name of the queue that a job belongs to now, or NULL. */
+static const char *
+route_name(const DurableJobs *self, const DurableLog_Job *job)
+{
+    const Route *route = Route_FindQueue(Dispatcher_Routes(self->dispatcher),
+                                         &job->queue, NULL);
+
+    return route == NULL ? NULL : route->name;
+}
+
 /* A job as this entry sees it; the same at all entries that have read the log
  * up to the same record. */
 static json_t *
@@ -393,8 +424,9 @@
                     (json_int_t)ownership.claims_count, "started",
                     DurableCaller_HasStarted(self, job), "here",
                     g_hash_table_contains(self->jobs, &job->id));
-    /* Left out if another writer's record has a name that is not UTF-8. */
-    json_object_set_new(row, "queue", json_string(job->queue));
+    /* Left out if a name is not UTF-8, or the job belongs to no queue. */
+    json_object_set_new(row, "queue", json_string(job->queue.name));
+    json_object_set_new(row, "route", json_string(route_name(self, job)));
     return row;
 }
 
--- a/lease/durable_jobs.h
+++ b/lease/durable_jobs.h
@@ -47,8 +47,6 @@
     /** Sends an RPC call to a companion. */
     void (*call)(void *context, Address to, uint64_t call_id,
                  const Msg_Call *call);
-    /** Looks up a queue by name in the current routes; NULL if unknown. */
-    const Route *(*route)(void *context, const char *queue);
     /** Parses a job from the request body as submitted. */
     Err_Kind (*parse)(void *context, uint64_t id, const char *body,
                       LeasedJob *job, Status *status);
@@ -69,6 +67,7 @@
 typedef struct {
     uint64_t request_id;
     const Route *route;
+    QueueRef queue;   /**< that the request refers to */
     const char *body; /**< request body as submitted */
     const LeasedJob *job;
 } DurableJobs_Submit;
@@ -88,16 +87,17 @@
 void DurableJobs_OnSubmit(DurableJobs *self, int64_t now_ms,
                           const DurableJobs_Submit *submit);
 
-/** Cancels a job; returns false if it is not a durable job known here. */
+/** Cancels a job of the queue that the request refers to; returns false if
+ * there is no such durable job known here. */
 bool DurableJobs_OnCancel(DurableJobs *self, int64_t now_ms,
                           uint64_t request_id, uint64_t job,
-                          const char *queue);
+                          const QueueRef *queue);
 
 /** Cancels a job that is not known here. The log is read again first, because
  * another entry may have accepted the job a moment ago. */
 void DurableJobs_CancelUnknown(DurableJobs *self, int64_t now_ms,
                                uint64_t request, uint64_t id,
-                               const char *queue);
+                               const QueueRef *queue);
 
 /** A caller has disconnected: it gets no answer, but its job remains. */
 void DurableJobs_OnCallerDisconnect(DurableJobs *self, uint64_t request_id);
@@ -107,14 +107,21 @@
  * mostly ask when they expect the job to have ended. */
 void DurableJobs_OnStateQuery(DurableJobs *self, int64_t now_ms,
                               uint64_t request, uint64_t id,
-                              const char *queue);
+                              const QueueRef *queue);
 
 /** Returns the current state of a job. */
 DurableJobs_State DurableJobs_StateOf(const DurableJobs *self, int64_t now_ms,
-                                      uint64_t id, const char *queue);
+                                      uint64_t id, const QueueRef *queue);
 
-/** Adds this owner's jobs of which no task was started to @p counts, by
- * queue. Queue names are borrowed. */
+/** The table of routes is about to be replaced; the dispatcher still has the
+ * former one. */
+void DurableJobs_OnRoutes(DurableJobs *self);
+
+/** Adds all open jobs to @p counts. Queue names are borrowed. */
+void DurableJobs_CountOpen(const DurableJobs *self, QueueCounts *counts);
+
+/** Adds this owner's jobs of which no task was started to @p counts. Queue
+ * names are borrowed. */
 void DurableJobs_CountWaiting(const DurableJobs *self, QueueCounts *counts);
 
 /** The newest record of each key is about to be read, in any order: claims
--- a/lease/durable_jobs_callers.c
+++ b/lease/durable_jobs_callers.c
@@ -1,5 +1,3 @@
-#include <string.h>
-
 #include "lease/durable_jobs_state.h"
 
 /* Longest time a caller waits until its record is written. */
@@ -52,12 +50,12 @@
 
 static void
 add_waiter(DurableJobs *self, int64_t now_ms, uint64_t number,
-           uint64_t request, uint64_t job, const char *queue, bool cancels)
+           uint64_t request, uint64_t job, const QueueRef *queue, bool cancels)
 {
     DurableJobs_Waiter waiter = {.number = number,
                                  .request = request,
                                  .job = job,
-                                 .queue = g_strdup(queue),
+                                 .queue = QueueRef_Copy(queue),
                                  .asked_ms = now_ms,
                                  .until_ms = now_ms + WRITE_TIMEOUT_MS,
                                  .cancels = cancels};
@@ -65,6 +63,15 @@
     g_array_append_val(self->waiters, waiter);
 }
 
+/* Whether a request is about a job, by the queues that both refer to. */
+static bool
+is_same_queue(const DurableJobs *self, const QueueRef *request,
+              const QueueRef *job)
+{
+    return Route_IsSameQueue(Dispatcher_Routes(self->dispatcher), request,
+                             job);
+}
+
 /* An ID denotes one job, whoever submits it and however often. */
 static bool
 answer_if_known(DurableJobs *self, int64_t now_ms,
@@ -75,7 +82,7 @@
                                                           submit->job->id);
 
     if (known != NULL && known->submitted) {
-        if (strcmp(known->queue, submit->route->name) == 0) {
+        if (is_same_queue(self, &submit->queue, &known->queue)) {
             answer(self, submit->request_id, DISPATCHER_RECORDED, ERR_OK, "");
         }
         else {
@@ -91,7 +98,7 @@
     }
     if (waiter != NULL) {
         add_waiter(self, now_ms, waiter->number, submit->request_id,
-                   submit->job->id, submit->route->name, false);
+                   submit->job->id, &submit->queue, false);
         return true;
     }
     return false;
@@ -119,7 +126,8 @@
 
     record.body.kind = LC_KEPT_SUBMIT;
     body->owner = owner;
-    body->queue = submit->route->name;
+    body->queue = (char *)(uintptr_t)submit->queue.name;
+    record.queue_address = submit->queue.address;
     body->body = (char *)(uintptr_t)submit->body;
     DurableLog_SubmitKey(submit->job->id, self->node, key);
     return DurableJobs_Put(self, key, &record);
@@ -153,28 +161,30 @@
     }
     number = put_submit(self, submit, choose_owner(self, now_ms));
     add_waiter(self, now_ms, number, submit->request_id, submit->job->id,
-               submit->route->name, false);
+               &submit->queue, false);
 }
 
 static uint64_t
-put_cancel(DurableJobs *self, uint64_t job, const char *queue)
+put_cancel(DurableJobs *self, uint64_t job, const QueueRef *queue)
 {
     lc_kept_record record = {.job = job};
     char key[DURABLE_LOG_KEY_SIZE];
 
     record.body.kind = LC_KEPT_CANCEL;
-    record.body.lc_kept_body_u.queue = (char *)(uintptr_t)queue;
+    record.body.lc_kept_body_u.queue = (char *)(uintptr_t)queue->name;
+    record.queue_address = queue->address;
     DurableLog_CancelKey(job, key);
     return DurableJobs_Put(self, key, &record);
 }
 
 bool
 DurableJobs_OnCancel(DurableJobs *self, int64_t now_ms, uint64_t request,
-                     uint64_t id, const char *queue)
+                     uint64_t id, const QueueRef *queue)
 {
     const DurableLog_Job *job = DurableLog_Find(self->log, id);
+    uint64_t number;
 
-    if ((job == NULL || strcmp(job->queue, queue) != 0) &&
+    if ((job == NULL || !is_same_queue(self, queue, &job->queue)) &&
         find_submit_waiter(self, id) == NULL) {
         return false;
     }
@@ -182,14 +192,14 @@
         answer(self, request, DISPATCHER_CANCELLED, ERR_OK, "");
         return true;
     }
-    add_waiter(self, now_ms, put_cancel(self, id, queue), request, id, queue,
-               true);
+    number = put_cancel(self, id, job == NULL ? queue : &job->queue);
+    add_waiter(self, now_ms, number, request, id, queue, true);
     return true;
 }
 
 void
 DurableJobs_CancelUnknown(DurableJobs *self, int64_t now_ms, uint64_t request,
-                          uint64_t id, const char *queue)
+                          uint64_t id, const QueueRef *queue)
 {
     add_waiter(self, now_ms, UINT64_MAX, request, id, queue, true);
 }
@@ -197,8 +207,9 @@
 static void
 remove_state_query(DurableJobs *self, guint index)
 {
-    g_free(g_array_index(self->state_queries, DurableJobs_StateQuery, index)
-               .queue);
+    QueueRef_Clear(
+        &g_array_index(self->state_queries, DurableJobs_StateQuery, index)
+             .queue);
     g_array_remove_index_fast(self->state_queries, index);
 }
 
@@ -235,7 +246,7 @@
     if (!g_hash_table_contains(self->jobs, &job->id)) {
         return false;
     }
-    Dispatcher_HasOpenJob(self->dispatcher, job->id, job->queue, &started);
+    Dispatcher_HasOpenJob(self->dispatcher, job->id, NULL, &started);
     return started;
 }
 
@@ -259,11 +270,11 @@
 
 DurableJobs_State
 DurableJobs_StateOf(const DurableJobs *self, int64_t now_ms, uint64_t id,
-                    const char *queue)
+                    const QueueRef *queue)
 {
     const DurableLog_Job *job = DurableLog_Find(self->log, id);
 
-    if (job != NULL && strcmp(job->queue, queue) == 0 &&
+    if (job != NULL && is_same_queue(self, queue, &job->queue) &&
         (job->submitted || job->outcome != LC_KEPT_OPEN)) {
         return state_of(self, job);
     }
@@ -276,7 +287,7 @@
 
 void
 DurableJobs_OnStateQuery(DurableJobs *self, int64_t now_ms, uint64_t request,
-                         uint64_t id, const char *queue)
+                         uint64_t id, const QueueRef *queue)
 {
     DurableJobs_State state = DurableJobs_StateOf(self, now_ms, id, queue);
     DurableJobs_StateQuery query = {.request = request,
@@ -287,7 +298,7 @@
         self->ports->answer_state(self->context, request, state);
         return;
     }
-    query.queue = g_strdup(queue);
+    query.queue = QueueRef_Copy(queue);
     g_array_append_val(self->state_queries, query);
 }
 
@@ -300,7 +311,7 @@
         const DurableJobs_StateQuery *query = &g_array_index(
             self->state_queries, DurableJobs_StateQuery, i);
         DurableJobs_State state = DurableJobs_StateOf(self, now_ms, query->job,
-                                                      query->queue);
+                                                      &query->queue);
         if ((state == DURABLE_JOB_PENDING || state == DURABLE_JOB_RUNNING) &&
             now_ms < query->until_ms) {
             i++;
@@ -333,7 +344,7 @@
     for (i = 0; i < open->len; i++) {
         const DurableLog_Job *job = g_ptr_array_index(open, i);
         if (is_waiting(self, job)) {
-            QueueCounts_Add(counts, job->queue);
+            QueueCounts_Add(counts, &job->queue);
         }
     }
     g_ptr_array_unref(open);
@@ -342,7 +353,8 @@
 static void
 remove_waiter(DurableJobs *self, guint index)
 {
-    g_free(g_array_index(self->waiters, DurableJobs_Waiter, index).queue);
+    QueueRef_Clear(
+        &g_array_index(self->waiters, DurableJobs_Waiter, index).queue);
     g_array_remove_index(self->waiters, index);
 }
 
@@ -354,7 +366,7 @@
 {
     if (waiter->request != 0 &&
         !DurableJobs_OnCancel(self, now_ms, waiter->request, waiter->job,
-                              waiter->queue)) {
+                              &waiter->queue)) {
         self->ports->answer_state(self->context, waiter->request,
                                   DURABLE_JOB_UNKNOWN);
     }
@@ -381,7 +393,7 @@
         if (awaits_read) {
             cancel_if_known(self, now_ms, &waiter);
         }
-        g_free(waiter.queue);
+        QueueRef_Clear(&waiter.queue);
     }
 }
 
--- a/lease/durable_jobs_owned.c
+++ b/lease/durable_jobs_owned.c
@@ -62,7 +62,8 @@
     guint i;
 
     record.body.kind = LC_KEPT_PROGRESS;
-    progress->queue = job->queue;
+    progress->queue = (char *)(uintptr_t)job->queue.name;
+    record.queue_address = job->queue.address;
     progress->outcome = row->outcome;
     progress->done.done_val = (char *)row->done->data;
     progress->done.done_len = row->done->len;
@@ -88,8 +89,7 @@
     bool started = false;
 
     if (row->progress_put || job->writers->len > 0 ||
-        !Dispatcher_HasOpenJob(self->dispatcher, row->id, job->queue,
-                               &started)) {
+        !Dispatcher_HasOpenJob(self->dispatcher, row->id, NULL, &started)) {
         return;
     }
     if (started && row->at_work) {
@@ -402,6 +402,32 @@
     }
 }
 
+/* Finds the queue that a job belongs to now, and logs which, unless it is the
+ * one that the job was submitted to. */
+static const Route *
+find_route(const DurableJobs *self, const DurableLog_Job *job)
+{
+    Route_Match match;
+    const Route *route = Route_FindQueue(Dispatcher_Routes(self->dispatcher),
+                                         &job->queue, &match);
+    char detail[80 + 2 * LC_MAX_NAME];
+    QueueRef current;
+
+    if (route == NULL) {
+        return NULL;
+    }
+    current = Route_Reference(route);
+    if (!QueueRef_Equal(&current, &job->queue)) {
+        g_snprintf(detail, sizeof(detail),
+                   "job %016" PRIx64 " of queue %s: now of queue %s, "
+                   "matched by %s",
+                   job->id, job->queue.name, route->name,
+                   Route_MatchText(match));
+        self->ports->event(self->context, EVENT_QUEUE_CHANGED, detail);
+    }
+    return route;
+}
+
 /* The job is managed like any other, so that runs and ends found by a recovery
  * are not lost, but its tasks cannot be started before the queue is known. */
 static void
@@ -414,7 +440,7 @@
     self->has_unstarted = true;
     g_snprintf(detail, sizeof(detail),
                "job %016" PRIx64 ": queue %s is not known, no task is started",
-               job->id, job->queue);
+               job->id, job->queue.name);
     self->ports->event(self->context, EVENT_KEPT_NO_QUEUE, detail);
 }
 
@@ -423,14 +449,15 @@
                    const DurableJobs_Recovery *recovery)
 {
     uint32_t generation = DurableLog_Ownership(self->log, job).claims_count;
-    Dispatcher_DurableJob start = {
-        .queue = job->queue,
-        .route = self->ports->route(self->context, job->queue),
-        .run_base = RUN_ID_DURABLE_BASE + generation * RUN_ID_OWNER_STEP};
+    Dispatcher_DurableJob start = {.run_base = RUN_ID_DURABLE_BASE +
+                                               generation * RUN_ID_OWNER_STEP};
     Status status = {ERR_OK, ""};
     DurableJobs_OwnJob *row;
     GArray *runs;
 
+    DurableLog_AddAddress(job, Dispatcher_Routes(self->dispatcher));
+    start.queue = job->queue;
+    start.route = find_route(self, job);
     if (job->cancelled && recovery == NULL) {
         write_outcome(self, job, LC_KEPT_CANCELLED);
         return;
@@ -456,7 +483,7 @@
     g_array_unref(runs);
     if (job->cancelled) {
         /* Its active runs have to be stopped. */
-        Dispatcher_OnCancel(self->dispatcher, now_ms, job->id, job->queue);
+        Dispatcher_OnCancel(self->dispatcher, now_ms, job->id, NULL);
     }
 }
 
@@ -465,7 +492,7 @@
 resume_if_queue_known(DurableJobs *self, int64_t now_ms,
                       DurableJobs_OwnJob *row, const DurableLog_Job *job)
 {
-    const Route *route = self->ports->route(self->context, job->queue);
+    const Route *route = find_route(self, job);
 
     if (route == NULL) {
         self->has_unstarted = true;
--- a/lease/durable_jobs_state.h
+++ b/lease/durable_jobs_state.h
@@ -25,7 +25,7 @@
                            not yet */
     uint64_t request;
     uint64_t job;
-    char *queue;
+    QueueRef queue;
     int64_t until_ms;
     bool cancels;
 } DurableJobs_Waiter;
@@ -34,7 +34,7 @@
 typedef struct {
     uint64_t request;
     uint64_t job;
-    char *queue;
+    QueueRef queue;
     int64_t until_ms;
 } DurableJobs_StateQuery;
 
--- a/lease/durable_log.c
+++ b/lease/durable_log.c
@@ -19,7 +19,7 @@
 {
     DurableLog_Job *job = item;
 
-    g_free(job->queue);
+    QueueRef_Clear(&job->queue);
     g_free(job->body);
     g_byte_array_unref(job->done);
     g_array_unref(job->failures);
@@ -141,17 +141,39 @@
     return g_hash_table_lookup(log->jobs, &id);
 }
 
+static void
+set_queue(DurableLog_Job *job, const QueueRef *queue)
+{
+    QueueRef copy = QueueRef_Copy(queue);
+
+    QueueRef_Clear(&job->queue);
+    job->queue = copy;
+}
+
+/* Earlier versions record the queue's name alone. Another record of the job
+ * may tell the address as well. */
+static void
+add_address(DurableLog_Job *job, const QueueRef *queue)
+{
+    if (job->queue.address == 0 && strcmp(job->queue.name, queue->name) == 0) {
+        job->queue.address = queue->address;
+    }
+}
+
+/* A record may be read before the submission of its job: until that is read,
+ * the queue is the one that the record refers to. */
 static DurableLog_Job *
-find_or_add(DurableLog *log, uint64_t id, const char *queue)
+find_or_add(DurableLog *log, uint64_t id, const QueueRef *queue)
 {
     DurableLog_Job *job = DurableLog_Find(log, id);
 
     if (job != NULL) {
+        add_address(job, queue);
         return job;
     }
     job = g_new0(DurableLog_Job, 1);
     job->id = id;
-    job->queue = g_strdup(queue);
+    job->queue = QueueRef_Copy(queue);
     job->done = g_byte_array_new();
     job->failures = g_array_new(FALSE, TRUE, sizeof(lc_kept_failures));
     job->submitters = g_array_new(FALSE, TRUE, sizeof(lc_node));
@@ -188,11 +210,22 @@
     return writer;
 }
 
+/* The effective submission decides, whatever was read before it. */
+static void
+refer_as_submitted(DurableLog_Job *job, const QueueRef *queue)
+{
+    QueueRef before = QueueRef_Copy(&job->queue);
+
+    set_queue(job, queue);
+    add_address(job, &before);
+    QueueRef_Clear(&before);
+}
+
 static DurableLog_Change
 apply_submit(DurableLog *log, const DurableLog_Record *record, uint64_t id,
-             const lc_kept_submit *submit)
+             const QueueRef *queue, const lc_kept_submit *submit)
 {
-    DurableLog_Job *job = find_or_add(log, id, submit->queue);
+    DurableLog_Job *job = find_or_add(log, id, queue);
     DurableLog_Change change = {.kind = DURABLE_LOG_UNCHANGED, .job = job};
 
     add_writer(job->submitters, DurableLog_Writer(record));
@@ -203,6 +236,7 @@
     job->submitted = true;
     job->offset = record->offset;
     job->owner = submit->owner;
+    refer_as_submitted(job, queue);
     if (job->outcome == LC_KEPT_OPEN) {
         g_free(job->body);
         job->body = g_strdup(submit->body);
@@ -250,9 +284,9 @@
 static DurableLog_Change
 apply_progress(DurableLog *log, int64_t now_ms,
                const DurableLog_Record *record, uint64_t id,
-               const lc_kept_progress *progress)
+               const QueueRef *queue, const lc_kept_progress *progress)
 {
-    DurableLog_Job *job = find_or_add(log, id, progress->queue);
+    DurableLog_Job *job = find_or_add(log, id, queue);
     DurableLog_Change change = {.kind = DURABLE_LOG_PROGRESSED, .job = job};
 
     add_writer(job->writers, DurableLog_Writer(record));
@@ -309,12 +343,36 @@
     return change;
 }
 
+/* The queue that a record refers to; the name is borrowed. */
+static QueueRef
+queue_of(const lc_kept_record *record)
+{
+    const lc_kept_body *body = &record->body;
+    QueueRef queue = {"", record->queue_address};
+
+    switch (body->kind) {
+    case LC_KEPT_SUBMIT:
+        queue.name = body->lc_kept_body_u.submit.queue;
+        break;
+    case LC_KEPT_PROGRESS:
+        queue.name = body->lc_kept_body_u.progress.queue;
+        break;
+    case LC_KEPT_CANCEL:
+        queue.name = body->lc_kept_body_u.queue;
+        break;
+    default:
+        break;
+    }
+    return queue;
+}
+
 DurableLog_Change
 DurableLog_Apply(DurableLog *log, int64_t now_ms,
                  const DurableLog_Record *record)
 {
     DurableLog_Change change = {.kind = DURABLE_LOG_UNCHANGED};
     lc_kept_record read;
+    QueueRef queue;
 
     if (record->length == 0) {
         return apply_deletion(log, record);
@@ -322,19 +380,19 @@
     if (!Msg_DecodeDurableRecord(record->value, record->length, &read)) {
         return change;
     }
+    queue = queue_of(&read);
     switch (read.body.kind) {
     case LC_KEPT_SUBMIT:
-        change = apply_submit(log, record, read.job,
+        change = apply_submit(log, record, read.job, &queue,
                               &read.body.lc_kept_body_u.submit);
         break;
     case LC_KEPT_PROGRESS:
-        change = apply_progress(log, now_ms, record, read.job,
+        change = apply_progress(log, now_ms, record, read.job, &queue,
                                 &read.body.lc_kept_body_u.progress);
         break;
     case LC_KEPT_CANCEL:
         change.kind = DURABLE_LOG_CANCELLED;
-        change.job = find_or_add(log, read.job,
-                                 read.body.lc_kept_body_u.queue);
+        change.job = find_or_add(log, read.job, &queue);
         change.job->cancelled = true;
         break;
     case LC_KEPT_ALIVE:
@@ -402,6 +460,32 @@
     return list;
 }
 
+void
+DurableLog_AddAddress(DurableLog_Job *job, Route_Table *routes)
+{
+    const Route *route;
+
+    if (job->queue.address != 0) {
+        return;
+    }
+    route = Route_FindQueue(routes, &job->queue, NULL);
+    if (route != NULL) {
+        job->queue.address = Route_Reference(route).address;
+    }
+}
+
+void
+DurableLog_AddAddresses(DurableLog *log, Route_Table *routes)
+{
+    GHashTableIter iter;
+    gpointer item;
+
+    g_hash_table_iter_init(&iter, log->jobs);
+    while (g_hash_table_iter_next(&iter, NULL, &item)) {
+        DurableLog_AddAddress(item, routes);
+    }
+}
+
 uint32_t
 DurableLog_OpenCount(const DurableLog *log)
 {
--- a/lease/durable_log.h
+++ b/lease/durable_log.h
@@ -19,6 +19,8 @@
 #include <stdint.h>
 
 #include "lease/claims.h"
+#include "lease/queue_ref.h"
+#include "lease/route_table.h"
 #include "wire/msg.h"
 
 /** Flag in the task number of a failures row: the row counts upstream crashes
@@ -31,7 +33,7 @@
 /** One job. Owned by the table. */
 typedef struct {
     uint64_t id;
-    char *queue;
+    QueueRef queue;  /**< as its submission refers to it */
     bool submitted;  /**< its submission record was applied */
     char *body;      /**< as submitted; NULL once the job has ended */
     uint64_t offset; /**< of the effective submission */
@@ -108,6 +110,13 @@
 /** Jobs that ended at or before @p until_ms; the caller frees the array. */
 GPtrArray *DurableLog_EndedJobs(const DurableLog *log, int64_t until_ms);
 
+/** A job submitted by an earlier version names its queue only: adds the
+ * address that this has in @p routes. */
+void DurableLog_AddAddress(DurableLog_Job *job, Route_Table *routes);
+
+/** Does so for all jobs. */
+void DurableLog_AddAddresses(DurableLog *log, Route_Table *routes);
+
 /** Number of jobs that have not ended. */
 uint32_t DurableLog_OpenCount(const DurableLog *log);
 
--- a/lease/peers.h
+++ b/lease/peers.h
@@ -50,6 +50,7 @@
 /** Waiting jobs of one queue at a peer. */
 typedef struct {
     char queue[LC_MAX_NAME];
+    uint64_t address; /**< as in QueueRef */
     uint32_t waiting;
 } Peers_QueueCount;
 
--- a/lease/queue_counts.h
+++ b/lease/queue_counts.h
@@ -9,17 +9,22 @@
 #include <glib.h>
 #include <stdint.h>
 
-/** Queue name -> count. Names are borrowed from the caller of
- * QueueCounts_Add. */
+#include "lease/queue_ref.h"
+#include "lease/route_table.h"
+
+/** QueueRef -> count. Names are borrowed from the caller of QueueCounts_Add.
+ */
 typedef GHashTable QueueCounts;
 
 /** Creates an empty table; free with g_hash_table_unref. */
 QueueCounts *QueueCounts_New(void);
 
-/** Counts one job of a queue. */
-void QueueCounts_Add(QueueCounts *counts, const char *queue);
+/** Counts one job that refers to a queue. */
+void QueueCounts_Add(QueueCounts *counts, const QueueRef *queue);
 
-/** Returns the number of jobs of a queue; 0 if none was counted. */
-uint32_t QueueCounts_Get(QueueCounts *counts, const char *queue);
+/** Returns the number of jobs whose references are to the same queue as
+ * @p queue, by the routes in force. */
+uint32_t QueueCounts_Get(QueueCounts *counts, Route_Table *routes,
+                         const QueueRef *queue);
 
 #endif
--- a/lease/route_table.c
+++ b/lease/route_table.c
@@ -30,6 +30,8 @@
 drop_index(Route_Table *table)
 {
     g_clear_pointer(&table->by_prefix, g_hash_table_unref);
+    g_clear_pointer(&table->by_address, g_hash_table_unref);
+    g_clear_pointer(&table->by_name, g_hash_table_unref);
     g_clear_pointer(&table->prefix_lengths, g_array_unref);
 }
 
@@ -98,6 +100,8 @@
 
     table->by_prefix = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
                                              NULL);
+    table->by_address = g_hash_table_new(g_int64_hash, g_int64_equal);
+    table->by_name = g_hash_table_new(g_str_hash, g_str_equal);
     table->prefix_lengths = g_array_new(FALSE, FALSE, sizeof(size_t));
     for (i = 0; i < table->routes->len; i++) {
         Route *route = g_ptr_array_index(table->routes, i);
@@ -105,6 +109,9 @@
         g_hash_table_insert(table->by_prefix,
                             g_strconcat(host, route->path_prefix, NULL),
                             route);
+        route->address = Route_Reference(route).address;
+        g_hash_table_replace(table->by_address, &route->address, route);
+        g_hash_table_insert(table->by_name, route->name, route);
         add_length(table->prefix_lengths, strlen(route->path_prefix));
         g_free(host);
     }
@@ -118,18 +125,66 @@
                                   route->stretch_percent / PERCENT;
 }
 
+const char *
+Route_MatchText(Route_Match match)
+{
+    static const char *const texts[] = {
+        [ROUTE_MATCH_NONE] = "nothing",
+        [ROUTE_MATCH_ADDRESS] = "address",
+        [ROUTE_MATCH_NAME] = "name",
+    };
+
+    return texts[match];
+}
+
+QueueRef
+Route_Reference(const Route *route)
+{
+    QueueRef queue = {route->name,
+                      QueueRef_Digest(route->authority, route->path_prefix,
+                                      strlen(route->path_prefix))};
+
+    return queue;
+}
+
 const Route *
-Route_FindByName(const Route_Table *table, const char *name)
+Route_FindQueue(Route_Table *table, const QueueRef *queue, Route_Match *match)
 {
-    guint i;
+    const Route *found = NULL;
+    Route_Match by = ROUTE_MATCH_NONE;
 
-    for (i = 0; i < table->routes->len; i++) {
-        const Route *route = g_ptr_array_index(table->routes, i);
-        if (g_strcmp0(route->name, name) == 0) {
-            return route;
-        }
+    if (table != NULL && table->by_prefix == NULL) {
+        build_index(table);
+    }
+    if (table != NULL && queue->address != 0) {
+        found = g_hash_table_lookup(table->by_address, &queue->address);
+        by = found != NULL ? ROUTE_MATCH_ADDRESS : by;
+    }
+    if (table != NULL && found == NULL) {
+        found = g_hash_table_lookup(table->by_name, queue->name);
+        by = found != NULL ? ROUTE_MATCH_NAME : by;
+    }
+    if (match != NULL) {
+        *match = by;
+    }
+    return found;
+}
+
+bool
+Route_IsSameQueue(Route_Table *table, const QueueRef *a, const QueueRef *b)
+{
+    const Route *left;
+    const Route *right;
+
+    if (a->address != 0 && a->address == b->address) {
+        return true;
+    }
+    left = Route_FindQueue(table, a, NULL);
+    right = Route_FindQueue(table, b, NULL);
+    if (left == NULL || right == NULL) {
+        return left == right && strcmp(a->name, b->name) == 0;
     }
-    return NULL;
+    return strcmp(left->name, right->name) == 0;
 }
 
 const Route *
--- a/lease/route_table.h
+++ b/lease/route_table.h
@@ -14,6 +14,7 @@
 #include <stdint.h>
 
 #include "lease/job.h"
+#include "lease/queue_ref.h"
 
 /** Longest request body unless the operators set another length, in bytes. */
 #define ROUTE_DEFAULT_BODY_BYTES 262144
@@ -30,6 +31,8 @@
     uint32_t target_ms;       /**< added to the stretched critical path */
     uint32_t stretch_percent; /**< percentage of a job's critical path */
     bool needs_ticket;        /**< starts need an admission ticket */
+    uint64_t address;         /**< QueueRef_Digest of its host and prefix; set
+                                   by the first search */
 } Route;
 
 /** All queues of one version. */
@@ -38,6 +41,8 @@
     GPtrArray *routes;      /**< Route */
     GHashTable *by_prefix;  /**< lower-case host name followed by the prefix ->
                                Route; built by the first search */
+    GHashTable *by_address; /**< Route.address -> Route */
+    GHashTable *by_name;    /**< name -> Route */
     GArray *prefix_lengths; /**< distinct lengths of prefixes, descending */
     uint32_t body_bytes;    /**< maximum length of a request body */
     char *source;           /**< the record it was read from, for peers */
@@ -60,8 +65,32 @@
  * it has its full value. */
 int64_t Route_ObjectiveMs(const Route *route, const LeasedJob *job);
 
-/** Queue of that name, or NULL. */
-const Route *Route_FindByName(const Route_Table *table, const char *name);
+/** By what a reference to a queue was resolved. */
+typedef enum {
+    ROUTE_MATCH_NONE,
+    ROUTE_MATCH_ADDRESS, /**< a queue has the same host and prefix, whatever
+                              its name */
+    ROUTE_MATCH_NAME     /**< no queue has that address, but one has the name:
+                              its host or prefix has changed */
+} Route_Match;
+
+/** The match in words, for log lines. */
+const char *Route_MatchText(Route_Match match);
+
+/** Queue that the job or request belongs to which refers to @p queue, or NULL
+ * if none has its address or its name. The address goes first, as it is what
+ * the caller holds. @p match, unless NULL, is set. @p table may be NULL. */
+const Route *Route_FindQueue(Route_Table *table, const QueueRef *queue,
+                             Route_Match *match);
+
+/** Whether a request that refers to @p a is about a job that refers to @p b:
+ * both hold the same address, or belong to the same queue, which may have
+ * several hosts. If neither queue exists, their names are compared. */
+bool Route_IsSameQueue(Route_Table *table, const QueueRef *a,
+                       const QueueRef *b);
+
+/** Reference to a queue; the name is borrowed. */
+QueueRef Route_Reference(const Route *route);
 
 /** Queue with the longest prefix of @p path at @p authority (a port in it is
  * ignored), or NULL. */
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -69,6 +69,7 @@
 check halls_rules "$SANITIZED/tests/halls_rules"
 check claims_rules "$SANITIZED/tests/claims_rules"
 check kept_rules "$SANITIZED/tests/kept_rules"
+check queue_rules "$SANITIZED/tests/queue_rules"
 check rules "$SANITIZED/tests/rules"
 check fuzz "$SANITIZED/tests/fuzz" tests/corpus 300
 check platform_names scripts/check_platform_names.sh
--- a/tests/choice_rules.c
+++ b/tests/choice_rules.c
@@ -76,6 +76,7 @@
                    .target_ms = 60,
                    .stretch_percent = 160};
     LeasedJob spec = {.id = 1, .spec = g_strdup(""), .step_count = 1};
+    QueueRef queue = {route.name, 0};
     Active_Job *job;
 
     spec.steps = g_new0(LeasedJob_Step, 1);
@@ -88,7 +89,7 @@
     if (test->requirement != NULL) {
         g_strlcpy(spec.steps[0].requirement, test->requirement, LC_MAX_NAME);
     }
-    job = Active_New(&spec, &route, NOW_MS, NOW_MS + 1500);
+    job = Active_New(&spec, &queue, &route, NOW_MS, NOW_MS + 1500);
     job->tasks[0].refused = test->refused;
     job->tasks[0].avoid = test->avoid < 0 ? 0 : address_of(test->avoid);
     return job;
--- a/tests/entry_fixture.c
+++ b/tests/entry_fixture.c
@@ -147,6 +147,7 @@
     fix->route = LeaseFix_AddRoute(fix->routes);
     fix->route->stretch_percent = 160;
     fix->route->target_ms = 500;
+    Dispatcher_SetRoutes(fix->dispatcher, fix->routes);
 }
 
 void
@@ -214,8 +215,10 @@
 void
 EntryFix_Submit(EntryFix *fix, uint64_t job, uint32_t tasks, int32_t priority)
 {
-    Dispatcher_Submit submit = {
-        .request_id = job, .route = fix->route, .deadline_ms = DEADLINE_MS};
+    Dispatcher_Submit submit = {.request_id = job,
+                                .route = fix->route,
+                                .queue = Route_Reference(fix->route),
+                                .deadline_ms = DEADLINE_MS};
 
     fix->route->priority = priority;
     submit.job.id = job;
--- a/tests/fleet_sim.c
+++ b/tests/fleet_sim.c
@@ -976,6 +976,7 @@
     }
     entry->dispatcher = Dispatcher_New(&config, &dispatcher_ports, entry,
                                        sim->now_ms + index);
+    Dispatcher_SetRoutes(entry->dispatcher, sim->routes);
     entry->up = true;
     memset(entry->reports, 0,
            sim->load->deployment->companions * sizeof(report_state));
@@ -1004,6 +1005,7 @@
     const FleetSim_JobKind *of = &sim->load->deployment->kinds[kind];
     uint32_t index = pick_entry(sim);
     Dispatcher_Submit submit = {.route = sim->route_of[kind],
+                                .queue = Route_Reference(sim->route_of[kind]),
                                 .deadline_ms = DEADLINE_MS};
     job_record job = {.kind = kind, .sent_ms = sim->now_ms};
     uint32_t estimate_ms;
--- a/tests/forward_rules.c
+++ b/tests/forward_rules.c
@@ -416,8 +416,7 @@
 {
     lc_forward_args args = forward_of(fix, job, lease_ms);
 
-    Dispatcher_OnForward(fix->dispatcher, fix->now_ms, 1000 + job, &args,
-                         fix->route);
+    Dispatcher_OnForward(fix->dispatcher, fix->now_ms, 1000 + job, &args);
     Dispatcher_DispatchWaiting(fix->dispatcher, fix->now_ms);
 }
 
@@ -569,8 +568,7 @@
 {
     int starts = fix->start_count;
 
-    Dispatcher_OnForward(fix->dispatcher, fix->now_ms, 7, args,
-                         args->queue == NULL ? NULL : fix->route);
+    Dispatcher_OnForward(fix->dispatcher, fix->now_ms, 7, args);
     Dispatcher_DispatchWaiting(fix->dispatcher, fix->now_ms);
     g_assert_cmpint(fix->start_count, ==, starts);
     g_assert_cmpint(fix->replies[fix->reply_count - 1].kind, ==, MSG_FORWARD);
@@ -591,10 +589,10 @@
     args = forward_of(&fix, 1, 0);
     check_refused(&fix, &args);
     args = forward_of(&fix, 1, 300);
-    args.routes_version = 1;
+    args.routes_version = fix.routes->version + 1;
     check_refused(&fix, &args);
     args = forward_of(&fix, 1, 300);
-    args.queue = NULL;
+    args.queue = (char *)(uintptr_t) "another queue";
     check_refused(&fix, &args);
     args = forward_of(&fix, 1, 300);
     invalid_step.depends_on = 1;
--- a/tests/halls_rules.c
+++ b/tests/halls_rules.c
@@ -334,6 +334,7 @@
     fix->route = LeaseFix_AddRoute(fix->routes);
     fix->route->stretch_percent = 160;
     fix->route->target_ms = 60;
+    Dispatcher_SetRoutes(fix->dispatcher, fix->routes);
     report_all(fix);
 }
 
@@ -347,8 +348,10 @@
 static void
 submit_job(entry_fixture *fix, uint64_t job)
 {
-    Dispatcher_Submit submit = {
-        .request_id = job, .route = fix->route, .deadline_ms = 5000};
+    Dispatcher_Submit submit = {.request_id = job,
+                                .route = fix->route,
+                                .queue = Route_Reference(fix->route),
+                                .deadline_ms = 5000};
 
     submit.job.id = job;
     submit.job.spec = g_strdup("");
--- a/tests/kept_rules.c
+++ b/tests/kept_rules.c
@@ -55,9 +55,10 @@
     Err_Kind kind;
     int states_answered;
     DurableJobs_State last_state;
-    bool queue_removed;
-    bool unreadable; /* no body of a job can be parsed */
-    uint32_t tasks;  /* of each job */
+    Route_Table *no_routes;
+    Route_Table *other_routes; /* with the queue under another name, or NULL */
+    bool unreadable;           /* no body of a job can be parsed */
+    uint32_t tasks;            /* of each job */
     bool long_running;
     uint32_t repeat_count;
     lc_upstream_state state;
@@ -66,6 +67,9 @@
     u_int held_long; /* ends that the companion reports as held for long */
 } fixture;
 
+/* Of the fixture that was created last. */
+static QueueRef queue;
+
 /* ---- ports ---- */
 
 static void
@@ -134,15 +138,6 @@
     g_array_append_val(fix->calls, sent);
 }
 
-static const Route *
-port_route(void *context, const char *queue)
-{
-    const fixture *fix = context;
-
-    (void)queue;
-    return fix->queue_removed ? NULL : fix->route;
-}
-
 static Err_Kind
 port_parse(void *context, uint64_t id, const char *body, LeasedJob *job,
            Status *status)
@@ -206,8 +201,8 @@
 }
 
 static const DurableJobs_Ports durable_ports = {
-    port_put,   port_answer, port_answer_state,  port_call,
-    port_route, port_parse,  port_durable_event,
+    port_put,  port_answer, port_answer_state,
+    port_call, port_parse,  port_durable_event,
 };
 static const Dispatcher_Ports dispatcher_ports = {
     port_call,          port_reset, port_answer,
@@ -296,7 +291,10 @@
     fix->dispatcher = Dispatcher_New(&config, &dispatcher_ports, fix,
                                      fix->now_ms);
     fix->routes = Route_NewTable(1);
+    fix->no_routes = Route_NewTable(2);
     fix->route = LeaseFix_AddRoute(fix->routes);
+    queue = Route_Reference(fix->route);
+    Dispatcher_SetRoutes(fix->dispatcher, fix->routes);
     fix->durable_jobs = DurableJobs_New(&durable, &durable_ports, fix,
                                         fix->dispatcher, fix->now_ms);
     read_log(fix);
@@ -318,16 +316,48 @@
     DurableJobs_Free(fix->durable_jobs);
     Dispatcher_Free(fix->dispatcher);
     Route_FreeTable(fix->routes);
+    Route_FreeTable(fix->no_routes);
+    Route_FreeTable(fix->other_routes);
     g_ptr_array_unref(fix->puts);
     g_array_unref(fix->calls);
 }
 
+static void
+remove_queue(fixture *fix)
+{
+    Dispatcher_SetRoutes(fix->dispatcher, fix->no_routes);
+}
+
+static void
+put_back_queue(fixture *fix)
+{
+    Dispatcher_SetRoutes(fix->dispatcher, fix->routes);
+}
+
+/* Gives the queue another name; callers refer to it by that from now on. */
+static void
+rename_queue(fixture *fix)
+{
+    Route *route;
+
+    fix->other_routes = Route_NewTable(3);
+    route = LeaseFix_AddRoute(fix->other_routes);
+    g_free(route->name);
+    route->name = g_strdup("renamed");
+    queue = Route_Reference(route);
+    DurableJobs_OnRoutes(fix->durable_jobs);
+    Dispatcher_SetRoutes(fix->dispatcher, fix->other_routes);
+}
+
 static void
 submit(fixture *fix, uint64_t id)
 {
     LeasedJob job;
-    DurableJobs_Submit submit = {
-        .request_id = id, .route = fix->route, .body = "{}", .job = &job};
+    DurableJobs_Submit submit = {.request_id = id,
+                                 .route = fix->route,
+                                 .queue = queue,
+                                 .body = "{}",
+                                 .job = &job};
 
     port_parse(fix, id, "", &job, NULL);
     DurableJobs_OnSubmit(fix->durable_jobs, fix->now_ms, &submit);
@@ -609,7 +639,7 @@
     g_assert_cmpint(fix.answers, ==, 1);
     g_assert_cmpint(fix.outcome, ==, DISPATCHER_GIVEN_UP);
     g_assert_cmpint(
-        DurableJobs_StateOf(fix.durable_jobs, fix.now_ms, 7, "queue"), ==,
+        DurableJobs_StateOf(fix.durable_jobs, fix.now_ms, 7, &queue), ==,
         DURABLE_JOB_PENDING);
     free_fixture(&fix);
 }
@@ -621,11 +651,11 @@
 
     new_fixture(&fix);
     g_assert_cmpint(
-        DurableJobs_StateOf(fix.durable_jobs, fix.now_ms, 7, "queue"), ==,
+        DurableJobs_StateOf(fix.durable_jobs, fix.now_ms, 7, &queue), ==,
         DURABLE_JOB_UNKNOWN);
     fix.now_ms += 2000;
     g_assert_cmpint(
-        DurableJobs_StateOf(fix.durable_jobs, fix.now_ms, 7, "queue"), ==,
+        DurableJobs_StateOf(fix.durable_jobs, fix.now_ms, 7, &queue), ==,
         DURABLE_JOB_STALE);
     free_fixture(&fix);
 }
@@ -638,8 +668,8 @@
     fixture fix;
 
     new_fixture(&fix);
-    DurableJobs_CancelUnknown(fix.durable_jobs, fix.now_ms, 5, 7, "queue");
-    DurableJobs_CancelUnknown(fix.durable_jobs, fix.now_ms, 6, 8, "queue");
+    DurableJobs_CancelUnknown(fix.durable_jobs, fix.now_ms, 5, 7, &queue);
+    DurableJobs_CancelUnknown(fix.durable_jobs, fix.now_ms, 6, 8, &queue);
     read_log(&fix);
     g_assert_cmpint(fix.states_answered, ==, 0);
     read_submit(&fix, 7, &other_owner);
@@ -653,6 +683,99 @@
     free_fixture(&fix);
 }
 
+/* ---- a queue that gets another name ---- */
+
+/* Of another queue. */
+static const QueueRef stranger = {"other", 1};
+
+/* This entry has accepted job 7, and not started it. */
+static void
+accept_then_rename(fixture *fix)
+{
+    new_fixture(fix);
+    submit(fix, 7);
+    DurableJobs_OnWritten(fix->durable_jobs, fix->now_ms, 1);
+    read_put(fix, 1);
+    rename_queue(fix);
+}
+
+/* Guards against a second submission that is refused as one of another queue.
+ */
+static void
+test_renamed_same_id(void)
+{
+    fixture fix;
+
+    accept_then_rename(&fix);
+    submit(&fix, 7);
+    g_assert_cmpint(fix.answers, ==, 2);
+    g_assert_cmpint(fix.outcome, ==, DISPATCHER_RECORDED);
+    queue = stranger;
+    submit(&fix, 7);
+    g_assert_cmpint(fix.outcome, ==, DISPATCHER_NOT_RUN);
+    g_assert_cmpint(fix.kind, ==, ERR_KEY_REUSED);
+    free_fixture(&fix);
+}
+
+/* Guards against an accepted job that is shown as unknown and not counted. */
+static void
+test_renamed_is_shown(void)
+{
+    QueueCounts *counts = QueueCounts_New();
+    fixture fix;
+
+    accept_then_rename(&fix);
+    g_assert_cmpint(
+        DurableJobs_StateOf(fix.durable_jobs, fix.now_ms, 7, &queue), ==,
+        DURABLE_JOB_PENDING);
+    DurableJobs_CountWaiting(fix.durable_jobs, counts);
+    g_assert_cmpuint(QueueCounts_Get(counts, fix.other_routes, &queue), ==, 1);
+    g_hash_table_unref(counts);
+    free_fixture(&fix);
+}
+
+/* Guards against a cancel that is answered 410 while the job runs. */
+static void
+test_renamed_is_cancelled(void)
+{
+    fixture fix;
+
+    accept_then_rename(&fix);
+    fix.now_ms += 5;
+    read_log(&fix);
+    g_assert_cmpint(count_calls(&fix, MSG_RUN), ==, 1);
+    g_assert_cmpint(
+        DurableJobs_StateOf(fix.durable_jobs, fix.now_ms, 7, &stranger), ==,
+        DURABLE_JOB_UNKNOWN);
+    g_assert_false(
+        DurableJobs_OnCancel(fix.durable_jobs, fix.now_ms, 5, 7, &stranger));
+    g_assert_true(
+        DurableJobs_OnCancel(fix.durable_jobs, fix.now_ms, 5, 7, &queue));
+    read_put(&fix, fix.puts->len);
+    g_assert_cmpint(count_calls(&fix, MSG_HALT), ==, 1);
+    free_fixture(&fix);
+}
+
+/* Guards against callers that are answered by the names of a table that was
+ * replaced while they waited. */
+static void
+test_renamed_while_callers_wait(void)
+{
+    fixture fix;
+
+    new_fixture(&fix);
+    read_submit(&fix, 7, &other_owner);
+    DurableJobs_OnStateQuery(fix.durable_jobs, fix.now_ms, 5, 7, &queue);
+    DurableJobs_CancelUnknown(fix.durable_jobs, fix.now_ms, 6, 7, &queue);
+    rename_queue(&fix);
+    fix.now_ms += 60;
+    read_log(&fix);
+    g_assert_cmpint(fix.states_answered, ==, 1);
+    g_assert_cmpint(fix.last_state, ==, DURABLE_JOB_PENDING);
+    g_assert_cmpuint(fix.puts->len, ==, 1);
+    free_fixture(&fix);
+}
+
 /* ---- ends ---- */
 
 static void
@@ -766,13 +889,13 @@
     advance(&fix, 200);
     g_assert_cmpint(count_calls(&fix, MSG_RELEASE), ==, 0);
     g_assert_cmpint(
-        DurableJobs_StateOf(fix.durable_jobs, fix.now_ms, 7, "queue"), ==,
+        DurableJobs_StateOf(fix.durable_jobs, fix.now_ms, 7, &queue), ==,
         DURABLE_JOB_RUNNING);
     DurableJobs_OnWritten(fix.durable_jobs, fix.now_ms, 2);
     g_assert_cmpint(count_calls(&fix, MSG_RELEASE), ==, 1);
     read_put(&fix, 2);
     g_assert_cmpint(
-        DurableJobs_StateOf(fix.durable_jobs, fix.now_ms, 7, "queue"), ==,
+        DurableJobs_StateOf(fix.durable_jobs, fix.now_ms, 7, &queue), ==,
         DURABLE_JOB_SUCCEEDED);
     free_fixture(&fix);
 }
@@ -789,7 +912,7 @@
     g_assert_cmpint(count_calls(&fix, MSG_RUN), ==, 2);
     read_put(&fix, fix.puts->len);
     g_assert_cmpint(
-        DurableJobs_StateOf(fix.durable_jobs, fix.now_ms, 7, "queue"), ==,
+        DurableJobs_StateOf(fix.durable_jobs, fix.now_ms, 7, &queue), ==,
         DURABLE_JOB_FAILED);
     free_fixture(&fix);
 }
@@ -824,13 +947,13 @@
     check_crash_record(&fix);
     read_put(&fix, fix.puts->len);
     g_assert_cmpint(
-        DurableJobs_StateOf(fix.durable_jobs, fix.now_ms, 7, "queue"), ==,
+        DurableJobs_StateOf(fix.durable_jobs, fix.now_ms, 7, &queue), ==,
         DURABLE_JOB_RUNNING);
     end_run(&fix, LC_RUN_CRASHED);
     g_assert_cmpint(count_calls(&fix, MSG_RUN), ==, 2);
     read_put(&fix, fix.puts->len);
     g_assert_cmpint(
-        DurableJobs_StateOf(fix.durable_jobs, fix.now_ms, 7, "queue"), ==,
+        DurableJobs_StateOf(fix.durable_jobs, fix.now_ms, 7, &queue), ==,
         DURABLE_JOB_FAILED);
     free_fixture(&fix);
 }
@@ -922,7 +1045,7 @@
     end_run(&fix, LC_RUN_FAILED);
     read_put(&fix, fix.puts->len);
     g_assert_cmpint(
-        DurableJobs_StateOf(fix.durable_jobs, fix.now_ms, 7, "queue"), ==,
+        DurableJobs_StateOf(fix.durable_jobs, fix.now_ms, 7, &queue), ==,
         DURABLE_JOB_FAILED);
     free_fixture(&fix);
 }
@@ -952,7 +1075,7 @@
     check_start_record(&fix);
     g_assert_cmpint(count_calls(&fix, MSG_RELEASE), ==, 3);
     g_assert_cmpint(
-        DurableJobs_StateOf(fix.durable_jobs, fix.now_ms, 7, "queue"), ==,
+        DurableJobs_StateOf(fix.durable_jobs, fix.now_ms, 7, &queue), ==,
         DURABLE_JOB_RUNNING);
     free_fixture(&fix);
 }
@@ -981,7 +1104,7 @@
     end_run(&fix, LC_RUN_DONE);
     read_put(&fix, fix.puts->len);
     g_assert_cmpint(
-        DurableJobs_StateOf(fix.durable_jobs, fix.now_ms, 7, "queue"), ==,
+        DurableJobs_StateOf(fix.durable_jobs, fix.now_ms, 7, &queue), ==,
         DURABLE_JOB_RUNNING);
     free_fixture(&fix);
 }
@@ -1175,6 +1298,21 @@
     advance(fix, 50);
 }
 
+/* Guards against a job that is never started, as its queue got another name
+ * before its owner was replaced. Its record is of an earlier version. */
+static void
+test_successor_starts_renamed(void)
+{
+    fixture fix;
+
+    claim_other_owner(&fix);
+    rename_queue(&fix);
+    answer_fence(&fix, NULL);
+    advance(&fix, 100);
+    g_assert_cmpint(count_calls(&fix, MSG_RUN), ==, 1);
+    free_fixture(&fix);
+}
+
 static void
 test_successor_fences_first(void)
 {
@@ -1290,7 +1428,7 @@
     end_run(&fix, LC_RUN_CRASHED);
     read_put(&fix, fix.puts->len);
     g_assert_cmpint(
-        DurableJobs_StateOf(fix.durable_jobs, fix.now_ms, 7, "queue"), ==,
+        DurableJobs_StateOf(fix.durable_jobs, fix.now_ms, 7, &queue), ==,
         DURABLE_JOB_FAILED);
     free_fixture(&fix);
 }
@@ -1309,7 +1447,7 @@
     g_assert_cmpint(count_calls(&fix, MSG_RUN), ==, 0);
     read_put(&fix, fix.puts->len);
     g_assert_cmpint(
-        DurableJobs_StateOf(fix.durable_jobs, fix.now_ms, 7, "queue"), ==,
+        DurableJobs_StateOf(fix.durable_jobs, fix.now_ms, 7, &queue), ==,
         DURABLE_JOB_SUCCEEDED);
     free_fixture(&fix);
 }
@@ -1660,14 +1798,14 @@
 claim_without_queue(fixture *fix)
 {
     claim_other_owner(fix);
-    fix->queue_removed = true;
+    remove_queue(fix);
 }
 
 static void
 check_state(fixture *fix, DurableJobs_State state)
 {
     g_assert_cmpint(
-        DurableJobs_StateOf(fix->durable_jobs, fix->now_ms, 7, "queue"), ==,
+        DurableJobs_StateOf(fix->durable_jobs, fix->now_ms, 7, &queue), ==,
         state);
 }
 
@@ -1685,7 +1823,7 @@
     answer_fence(&fix, &held);
     advance(&fix, 100);
     read_put(&fix, fix.puts->len);
-    fix.queue_removed = false;
+    put_back_queue(&fix);
     advance(&fix, 100);
     g_assert_cmpint(count_calls(&fix, MSG_RUN), ==, 0);
     check_state(&fix, DURABLE_JOB_SUCCEEDED);
@@ -1742,7 +1880,7 @@
     answer_fence(&fix, NULL);
     advance(&fix, 1000);
     g_assert_cmpint(count_calls(&fix, MSG_RUN), ==, 0);
-    fix.queue_removed = false;
+    put_back_queue(&fix);
     advance(&fix, 100);
     g_assert_cmpint(count_calls(&fix, MSG_RUN), ==, 1);
     g_assert_cmpuint(last_call(&fix, MSG_RUN)->run.run, ==, 2049);
@@ -1769,7 +1907,7 @@
     read_claim(&fix, &other_owner, &successor);
     check_state(&fix, DURABLE_JOB_RUNNING);
     DurableJobs_CountWaiting(fix.durable_jobs, counts);
-    g_assert_cmpuint(QueueCounts_Get(counts, "queue"), ==, 0);
+    g_assert_cmpuint(QueueCounts_Get(counts, fix.routes, &queue), ==, 0);
     g_hash_table_unref(counts);
     free_fixture(&fix);
 }
@@ -1808,7 +1946,7 @@
     advance(&fix, 500);
     g_assert_cmpint(count_calls(&fix, MSG_RUN), ==, 1);
     check_state(&fix, DURABLE_JOB_RUNNING);
-    fix.queue_removed = false;
+    put_back_queue(&fix);
     advance(&fix, 100);
     read_puts(&fix);
     g_assert_cmpint(count_calls(&fix, MSG_RUN), ==, 1);
@@ -1854,7 +1992,7 @@
     end_run(&fix, LC_RUN_FAILED);
     advance(&fix, 500);
     g_assert_cmpint(count_calls(&fix, MSG_RUN), ==, 1);
-    fix.queue_removed = false;
+    put_back_queue(&fix);
     advance(&fix, 100);
     g_assert_cmpint(count_calls(&fix, MSG_RUN), ==, 2);
     free_fixture(&fix);
@@ -1871,7 +2009,7 @@
     DurableJobs_OnWritten(fix.durable_jobs, fix.now_ms, 1);
     read_put(&fix, 1);
     read_log(&fix);
-    fix.queue_removed = true;
+    remove_queue(&fix);
     advance(&fix, 100);
     end_run(&fix, LC_RUN_FAILED);
     advance(&fix, 500);
@@ -2189,7 +2327,7 @@
 {
     read_put(fix, fix->puts->len);
     g_assert_cmpint(
-        DurableJobs_StateOf(fix->durable_jobs, fix->now_ms, 7, "queue"), ==,
+        DurableJobs_StateOf(fix->durable_jobs, fix->now_ms, 7, &queue), ==,
         state);
 }
 
@@ -2240,7 +2378,7 @@
     report_held_end(&fix, &held);
     read_puts(&fix);
     g_assert_cmpint(
-        DurableJobs_StateOf(fix.durable_jobs, fix.now_ms, 7, "queue"), ==,
+        DurableJobs_StateOf(fix.durable_jobs, fix.now_ms, 7, &queue), ==,
         DURABLE_JOB_RUNNING);
     fix.state = LC_UPSTREAM_READY;
     report_host(&fix);
@@ -2283,6 +2421,16 @@
     {"/durable/a job is not unknown without the log", test_unknown_or_stale},
     {"/durable/reads the log before a cancelled job is unknown",
      test_cancel_rereads_log},
+    {"/durable/a job of a renamed queue is submitted again",
+     test_renamed_same_id},
+    {"/durable/a job of a renamed queue is shown and counted",
+     test_renamed_is_shown},
+    {"/durable/a job of a renamed queue is cancelled",
+     test_renamed_is_cancelled},
+    {"/durable/callers wait while their queue is renamed",
+     test_renamed_while_callers_wait},
+    {"/durable/a successor starts jobs of a renamed queue",
+     test_successor_starts_renamed},
     {"/durable/releases ends once they are written",
      test_released_when_written},
     {"/durable/counts attempts", test_attempts_are_written},
--- a/tests/late_start_rules.c
+++ b/tests/late_start_rules.c
@@ -155,7 +155,8 @@
     GByteArray *done = g_byte_array_new();
     GArray *failures = g_array_new(FALSE, TRUE, sizeof(lc_kept_failures));
     GArray *runs = g_array_new(FALSE, TRUE, sizeof(Dispatcher_ReportedRun));
-    Dispatcher_DurableJob start = {.route = fix->route,
+    Dispatcher_DurableJob start = {.queue = Route_Reference(fix->route),
+                                   .route = fix->route,
                                    .done = done,
                                    .failures = failures,
                                    .runs = runs,
--- a/tests/lease_rules.c
+++ b/tests/lease_rules.c
@@ -186,6 +186,7 @@
     fix->route = LeaseFix_AddRoute(fix->routes);
     fix->route->stretch_percent = 160;
     fix->route->target_ms = 60;
+    Dispatcher_SetRoutes(fix->dispatcher, fix->routes);
     report_node(fix, &companion_node);
 }
 
@@ -199,8 +200,10 @@
 static void
 submit_job(dispatcher_fixture *fix, uint64_t job, uint32_t tasks)
 {
-    Dispatcher_Submit submit = {
-        .request_id = job, .route = fix->route, .deadline_ms = 5000};
+    Dispatcher_Submit submit = {.request_id = job,
+                                .route = fix->route,
+                                .queue = Route_Reference(fix->route),
+                                .deadline_ms = 5000};
 
     submit.job.id = job;
     submit.job.spec = g_strdup("");
--- a/tests/lease_sim.cc
+++ b/tests/lease_sim.cc
@@ -130,7 +130,7 @@
         stops_unanswered_until[companion] = until;
         break;
     case Fault::RemoveQueue:
-        queue_removed_until = std::max(queue_removed_until, until);
+        remove_queue(until);
         break;
     case Fault::HoldForwards:
         hold_forwards(1 + action.target % (plan.entries - 1),
--- a/tests/lease_sim_callers.cc
+++ b/tests/lease_sim_callers.cc
@@ -80,6 +80,7 @@
             memset(&submit, 0, sizeof(submit));
             submit.request_id = request;
             submit.route = route;
+            submit.queue = Route_Reference(route);
             submit.deadline_ms = DEADLINE_MS;
             submit.job.id = id;
             submit.job.spec = g_strdup(spec_of(id).c_str());
--- a/tests/lease_sim_durable.cc
+++ b/tests/lease_sim_durable.cc
@@ -60,13 +60,6 @@
     entry->sim->call(entry, to, {id | DURABLE_CALL_BIT}, call);
 }
 
-const Route *
-port_route(void *context, const char *queue)
-{
-    (void)queue;
-    return ((EntryNode *)context)->sim->durable_route();
-}
-
 Err_Kind
 port_parse(void *context, uint64_t id, const char *body, LeasedJob *job,
            Status *status)
@@ -103,12 +96,58 @@
 }
 
 const DurableJobs_Ports durable_jobs_ports = {
-    port_put,   port_durable_answer, port_state_answer,  port_durable_call,
-    port_route, port_parse,          port_durable_event,
+    port_put,          port_durable_answer, port_state_answer,
+    port_durable_call, port_parse,          port_durable_event,
 };
 
 } // namespace
 
+/* ---- the queue ---- */
+
+const Route *
+Simulation::add_route(Route_Table *table, const char *name,
+                      const char *path_prefix)
+{
+    Route *added = Route_Add(table);
+
+    added->name = g_strdup(name);
+    added->authority = g_strdup("host");
+    added->path_prefix = g_strdup(path_prefix);
+    added->service = g_strdup("service");
+    added->max_attempts = 3;
+    added->timeout_ms = DEADLINE_MS;
+    added->target_ms = 60;
+    added->stretch_percent = 160;
+    return added;
+}
+
+void
+Simulation::apply_routes(EntryNode *entry)
+{
+    if (entry->durable_jobs != nullptr) {
+        DurableJobs_OnRoutes(entry->durable_jobs);
+    }
+    Dispatcher_SetRoutes(entry->dispatcher,
+                         tables[is_queue_removed() ? 2 : queue_renamed]);
+}
+
+/* The queue is put back under another name. */
+void
+Simulation::remove_queue(int64_t until)
+{
+    queue_removed_until = std::max(queue_removed_until, until);
+    queue_renamed = !queue_renamed;
+    for (int64_t at : {now, queue_removed_until}) {
+        schedule(at, [this] {
+            for (EntryNode &entry : entries) {
+                if (entry.alive) {
+                    apply_routes(&entry);
+                }
+            }
+        });
+    }
+}
+
 /* ---- the store ---- */
 
 void
@@ -436,7 +475,7 @@
     uint64_t boot_id = entry->boot_id;
 
     caller.submissions++;
-    if (!entry->alive || durable_route() == nullptr) {
+    if (!entry->alive || is_queue_removed()) {
         if (caller.submissions < MAX_DURABLE_SUBMISSIONS) {
             schedule(now + RESUBMIT_MS, [this, id] { submit_durable(id); });
         }
@@ -455,7 +494,8 @@
             fill_durable_job(id, &job);
             memset(&submit, 0, sizeof(submit));
             submit.request_id = request;
-            submit.route = route;
+            submit.route = durable_route;
+            submit.queue = durable_queue();
             submit.body = "{}";
             submit.job = &job;
             DurableJobs_OnSubmit(entry->durable_jobs, now, &submit);
@@ -483,7 +523,7 @@
     uint64_t request = ++next_request;
     uint64_t boot_id = entry->boot_id;
 
-    if (durable_route() == nullptr) {
+    if (is_queue_removed()) {
         return; /* the cancel is not accepted */
     }
     durable_callers[id].cancel_sent = true;
@@ -493,8 +533,9 @@
             return;
         }
         when_thawed(entry, [this, entry, id, request] {
+            QueueRef queue = durable_queue();
             DurableJobs_OnCancel(entry->durable_jobs, now, request, id,
-                                 route->name);
+                                 &queue);
         });
     });
 }
@@ -543,12 +584,13 @@
 bool
 Simulation::is_cancelled_late(const DurableCaller &caller) const
 {
+    QueueRef queue = durable_queue();
     bool cancelled = caller.cancel_sent;
 
     for (const EntryNode &entry : entries) {
         cancelled &= !entry.alive ||
                      DurableJobs_StateOf(entry.durable_jobs, now, caller.id,
-                                         "queue") == DURABLE_JOB_CANCELLED;
+                                         &queue) == DURABLE_JOB_CANCELLED;
     }
     return cancelled;
 }
@@ -557,9 +599,11 @@
 void
 Simulation::check_shown_as_running(const DurableCaller &caller)
 {
+    QueueRef queue = durable_queue();
+
     for (const EntryNode &entry : entries) {
         DurableJobs_State state = DurableJobs_StateOf(entry.durable_jobs, now,
-                                                      caller.id, "queue");
+                                                      caller.id, &queue);
         if (entry.alive && state != DURABLE_JOB_RUNNING &&
             state != DURABLE_JOB_CANCELLED && state != DURABLE_JOB_FAILED) {
             violation("entry " + std::to_string(entry.index) +
@@ -736,7 +780,7 @@
 void
 Simulation::check_durable()
 {
-    static const char *const queue = "queue";
+    QueueRef queue = durable_queue();
 
     check_owners();
     for (auto &pair : durable_tasks) {
@@ -771,7 +815,7 @@
         report.durable_accepted++;
         for (EntryNode &entry : entries) {
             DurableJobs_State state = DurableJobs_StateOf(
-                entry.durable_jobs, now, caller.id, queue);
+                entry.durable_jobs, now, caller.id, &queue);
             bool all = true;
             uint32_t slices = caller.steps * std::max(caller.occurrences, 1U);
             for (uint32_t slice = 0; slice < slices; slice++) {
--- a/tests/lease_sim_messages.cc
+++ b/tests/lease_sim_messages.cc
@@ -157,8 +157,7 @@
 {
     if (call->kind == MSG_FORWARD) {
         report.forwards++;
-        Dispatcher_OnForward(at->dispatcher, now, reply_id, &call->u.forward,
-                             route);
+        Dispatcher_OnForward(at->dispatcher, now, reply_id, &call->u.forward);
     }
     else {
         Dispatcher_OnExtend(at->dispatcher, now, reply_id, &call->u.extend);
--- a/tests/lease_sim_nodes.cc
+++ b/tests/lease_sim_nodes.cc
@@ -321,6 +321,7 @@
         config.join_runs = true;
     }
     entry->dispatcher = Dispatcher_New(&config, &entry_ports, entry, now);
+    apply_routes(entry);
     start_durable_jobs(entry);
     uint64_t boot_id = ++entry->boot_id;
     schedule(now + random_below(10),
--- a/tests/lease_sim_state.h
+++ b/tests/lease_sim_state.h
@@ -253,16 +253,13 @@
     explicit Simulation(const Plan &to_run)
         : plan(to_run), random(Random_Seed(to_run.seed))
     {
-        route_table = Route_NewTable(1);
-        route = Route_Add(route_table);
-        route->name = g_strdup("queue");
-        route->authority = g_strdup("host");
-        route->path_prefix = g_strdup("/q/");
-        route->service = g_strdup("service");
-        route->max_attempts = 3;
-        route->timeout_ms = DEADLINE_MS;
-        route->target_ms = 60;
-        route->stretch_percent = 160;
+        for (size_t i = 0; i < tables.size(); i++) {
+            tables[i] = Route_NewTable((int64_t)i + 1);
+            add_route(tables[i], "queue", "/q/");
+        }
+        route = (const Route *)g_ptr_array_index(tables[0]->routes, 0);
+        durable_route = add_route(tables[0], "durable", "/k/");
+        add_route(tables[1], "renamed", "/k/");
     }
 
     ~Simulation()
@@ -280,7 +277,9 @@
                 Runner_Free(companion.runner);
             }
         }
-        Route_FreeTable(route_table);
+        for (Route_Table *table : tables) {
+            Route_FreeTable(table);
+        }
     }
 
     Report run();
@@ -302,12 +301,22 @@
                  size_t length);
     void answer_durable(EntryNode *from, uint64_t request,
                         const Dispatcher_Answer *answer);
-    /* NULL while operators have removed the queue. */
-    const Route *
-    durable_route() const
+    /* Whether operators have removed the queue of durable jobs. */
+    bool
+    is_queue_removed() const
+    {
+        return queue_removed_until > now;
+    }
+    /* That queue as callers address it, whatever its name. */
+    QueueRef
+    durable_queue() const
     {
-        return queue_removed_until > now ? nullptr : route;
+        return Route_Reference(durable_route);
     }
+    static const Route *add_route(Route_Table *table, const char *name,
+                                  const char *path_prefix);
+    void apply_routes(EntryNode *entry);
+    void remove_queue(int64_t until);
     void fill_durable_job(uint64_t id, LeasedJob *job);
     void count_claim();
 
@@ -444,8 +453,11 @@
     Plan plan;
     uint64_t random;
     Report report;
-    Route_Table *route_table;
-    Route *route;
+    /* With the queue of durable jobs, with that queue under another name, and
+     * without it. */
+    std::array<Route_Table *, 3> tables;
+    const Route *route;
+    const Route *durable_route;
     std::priority_queue<Event> events;
     uint64_t event_order = 0;
     std::vector<EntryNode> entries;
@@ -477,6 +489,7 @@
         checked_orders;
     std::vector<int64_t> store_cut_until;
     int64_t queue_removed_until = 0;
+    bool queue_renamed = false;
     std::vector<int64_t> last_start_ms; /* of a task that ends, by upstream */
     std::vector<int64_t> gossip_cut_until;
     /* 0: both, 1: outgoing, 2: incoming. */
--- a/wire/levercove.h
+++ b/wire/levercove.h
@@ -520,6 +520,10 @@
 		lc_queue_count *waiting_val;
 	} waiting;
 	lc_closures closures;
+	struct {
+		u_int addresses_len;
+		u_quad_t *addresses_val;
+	} addresses;
 };
 typedef struct lc_gossip_args lc_gossip_args;
 
@@ -537,6 +541,10 @@
 		lc_queue_count *waiting_val;
 	} waiting;
 	lc_closures closures;
+	struct {
+		u_int addresses_len;
+		u_quad_t *addresses_val;
+	} addresses;
 };
 typedef struct lc_gossip_res lc_gossip_res;
 
@@ -584,6 +592,7 @@
 		lc_step *steps_val;
 	} steps;
 	char *spec;
+	u_quad_t queue_address;
 };
 typedef struct lc_forward_args lc_forward_args;
 
@@ -618,6 +627,7 @@
 	lc_node from;
 	u_quad_t job;
 	char *queue;
+	u_quad_t queue_address;
 };
 typedef struct lc_withdraw_args lc_withdraw_args;
 
@@ -761,6 +771,7 @@
 struct lc_kept_record {
 	u_quad_t job;
 	lc_kept_body body;
+	u_quad_t queue_address;
 };
 typedef struct lc_kept_record lc_kept_record;
 
--- a/wire/levercove.x
+++ b/wire/levercove.x
@@ -451,6 +451,8 @@
     unsigned hyper entries<LC_MAX_PEERS>; /* empty if the peer knows them */
     lc_queue_count waiting<LC_MAX_QUEUES>;
     lc_closures closures;
+    unsigned hyper addresses<LC_MAX_QUEUES>; /* of the queues in `waiting`, in
+                                                its order: QueueRef */
 };
 
 struct lc_gossip_res {
@@ -461,6 +463,7 @@
     unsigned hyper entries<LC_MAX_PEERS>;
     lc_queue_count waiting<LC_MAX_QUEUES>;
     lc_closures closures;
+    unsigned hyper addresses<LC_MAX_QUEUES>; /* as in lc_gossip_args */
 };
 
 /* Requests a chunk of an entry's routes. If the entry has another version by
@@ -508,6 +511,7 @@
     string queue<LC_MAX_NAME>;
     lc_step steps<LC_MAX_STEPS>;
     string spec<LC_MAX_SPEC>;
+    unsigned hyper queue_address; /* QueueRef; 0: not known */
 };
 
 struct lc_forward_res {
@@ -541,7 +545,8 @@
 struct lc_withdraw_args {
     lc_node from;
     unsigned hyper job;
-    string queue<LC_MAX_NAME>;
+    string queue<LC_MAX_NAME>; /* that its caller has called */
+    unsigned hyper queue_address; /* QueueRef; 0: not known */
 };
 
 struct lc_withdraw_res {
@@ -652,9 +657,13 @@
     lc_node complete; /* the claimed owner whose takeover is complete */
 };
 
+/* Earlier versions end after the body, and ignore what follows it. */
 struct lc_kept_record {
     unsigned hyper job; /* 0 for a claim */
     lc_kept_body body;
+    unsigned hyper queue_address; /* of a submission, progress or cancel, beside
+                                     the queue's name: QueueRef; 0: not known
+                                     */
 };
 
 program LC_PROGRAM {
--- a/wire/levercove_xdr.c
+++ b/wire/levercove_xdr.c
@@ -1057,6 +1057,9 @@
 		 return FALSE;
 	 if (!xdr_lc_closures (xdrs, &objp->closures))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->addresses.addresses_val, (u_int *) &objp->addresses.addresses_len, LC_MAX_QUEUES,
+		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -1081,6 +1084,9 @@
 		 return FALSE;
 	 if (!xdr_lc_closures (xdrs, &objp->closures))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->addresses.addresses_val, (u_int *) &objp->addresses.addresses_len, LC_MAX_QUEUES,
+		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -1162,6 +1168,8 @@
 		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->spec, LC_MAX_SPEC))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->queue_address))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -1225,6 +1233,8 @@
 		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->queue, LC_MAX_NAME))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->queue_address))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -1464,5 +1474,7 @@
 		 return FALSE;
 	 if (!xdr_lc_kept_body (xdrs, &objp->body))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->queue_address))
+		 return FALSE;
 	return TRUE;
 }
--- a/wire/msg.c
+++ b/wire/msg.c
@@ -175,6 +175,8 @@
     record->refusal = reason;
 }
 
+#define QUEUE_ADDRESS_SIZE ((size_t)2 * BYTES_PER_XDR_UNIT)
+
 /* Encoded sizes of the empty values of the fields that a later version has
  * appended to a message, or 0. Processes of both versions run together during
  * a rolling restart: a message without the fields decodes as if they were
@@ -192,8 +194,12 @@
         [MSG_RUNS] = {.results = BYTES_PER_XDR_UNIT},  /* the same */
         [MSG_FENCE] = {.results = BYTES_PER_XDR_UNIT}, /* late_starts */
         [MSG_RENEW] = {.results = (size_t)2 * BYTES_PER_XDR_UNIT}, /* list */
-        [MSG_REPORT] = {.args = (size_t)3 * BYTES_PER_XDR_UNIT,    /* late_* */
-                        .results = BYTES_PER_XDR_UNIT}, /* version */
+        [MSG_GOSSIP] = {.args = BYTES_PER_XDR_UNIT, /* addresses */
+                        .results = BYTES_PER_XDR_UNIT},
+        [MSG_WITHDRAW] = {.args = QUEUE_ADDRESS_SIZE},
+        [MSG_FORWARD] = {.args = QUEUE_ADDRESS_SIZE},
+        [MSG_REPORT] = {.args = (size_t)3 * BYTES_PER_XDR_UNIT, /* late_* */
+                        .results = BYTES_PER_XDR_UNIT},         /* version */
     };
 
     return sizes[kind];
@@ -358,17 +364,36 @@
     xdr_destroy(&xdr);
 }
 
+/* Decodes a record that has no queue_address. Bytes are left over if it was
+ * cut off within that field. */
+static bool
+decode_earlier_record(const uint8_t *data, size_t length,
+                      lc_kept_record *record)
+{
+    uint8_t *padded = g_malloc0(length + QUEUE_ADDRESS_SIZE);
+    bool read;
+    XDR xdr;
+
+    memcpy(padded, data, length);
+    xdrmem_create(&xdr, (char *)padded, (u_int)(length + QUEUE_ADDRESS_SIZE),
+                  XDR_DECODE);
+    read = xdr_lc_kept_record(&xdr, record) &&
+           xdr_getpos(&xdr) == length + QUEUE_ADDRESS_SIZE;
+    xdr_destroy(&xdr);
+    g_free(padded);
+    return read;
+}
+
 bool
 Msg_DecodeDurableRecord(const uint8_t *data, size_t length,
                         lc_kept_record *record)
 {
     bool read;
-    XDR xdr;
 
     memset(record, 0, sizeof(*record));
-    xdrmem_create(&xdr, (char *)(uintptr_t)data, (u_int)length, XDR_DECODE);
-    read = xdr_lc_kept_record(&xdr, record);
-    xdr_destroy(&xdr);
+    read = decode_body((xdrproc_t)xdr_lc_kept_record, data, length, record,
+                       sizeof(*record)) ||
+           decode_earlier_record(data, length, record);
     if (!read) {
         Msg_FreeDurableRecord(record);
     }
