A submission that is not read back yet is of its own queue

What callers saw: a DELETE of an ID at another queue's prefix, within the some 20 ms in which a submission is written and read back, is answered 200, and the accepted job under that ID is never run (LOST); a GET there tells pending.

Cause: such a submission was looked up by its ID alone, for the state, a cancel and a second submission.

Change: one function tells whether a request is about the job of an ID, by the submission that was read, or else by the one this entry has written.

--- a/lease/durable_jobs_callers.c
+++ b/lease/durable_jobs_callers.c
@@ -33,6 +33,15 @@
     return self->log_read_ms == 0 || now_ms - self->log_read_ms > limit_ms;
 }
 
+/* Whether a request is about a job, by the queues that both refer to. */
+static bool
+is_same_queue(const DurableJobs *self, const QueueRef *request,
+              const QueueRef *job)
+{
+    return Route_IsSameQueue(Dispatcher_Routes(self->dispatcher), request,
+                             job);
+}
+
 static DurableJobs_Waiter *
 find_submit_waiter(const DurableJobs *self, uint64_t job)
 {
@@ -48,6 +57,20 @@
     return NULL;
 }
 
+/* Whether a request is about the job with an ID. The submission that was read
+ * tells its queue; until then, the one that this entry has written. */
+static bool
+is_about_job(const DurableJobs *self, uint64_t id, const QueueRef *queue)
+{
+    const DurableLog_Job *job = DurableLog_Find(self->log, id);
+    const DurableJobs_Waiter *waiter = find_submit_waiter(self, id);
+
+    if (waiter != NULL && (job == NULL || !job->submitted)) {
+        return is_same_queue(self, queue, &waiter->queue);
+    }
+    return job != NULL && is_same_queue(self, queue, &job->queue);
+}
+
 static void
 add_waiter(DurableJobs *self, int64_t now_ms, uint64_t number,
            uint64_t request, uint64_t job, const QueueRef *queue, bool cancels)
@@ -63,15 +86,6 @@
     g_array_append_val(self->waiters, waiter);
 }
 
-/* Whether a request is about a job, by the queues that both refer to. */
-static bool
-is_same_queue(const DurableJobs *self, const QueueRef *request,
-              const QueueRef *job)
-{
-    return Route_IsSameQueue(Dispatcher_Routes(self->dispatcher), request,
-                             job);
-}
-
 /* An ID denotes one job, whoever submits it and however often. */
 static bool
 answer_if_known(DurableJobs *self, int64_t now_ms,
@@ -80,28 +94,23 @@
     const DurableLog_Job *known = DurableLog_Find(self->log, submit->job->id);
     const DurableJobs_Waiter *waiter = find_submit_waiter(self,
                                                           submit->job->id);
+    bool submitted = known != NULL && known->submitted;
 
-    if (known != NULL && known->submitted) {
-        if (is_same_queue(self, &submit->queue, &known->queue)) {
-            answer(self, submit->request_id, DISPATCHER_RECORDED, ERR_OK, "");
-        }
-        else {
-            answer(self, submit->request_id, DISPATCHER_NOT_RUN,
-                   ERR_KEY_REUSED,
-                   "this job ID is already in use in another queue");
-        }
-        return true;
+    if (!submitted && waiter == NULL) {
+        return false;
+    }
+    if (!is_about_job(self, submit->job->id, &submit->queue)) {
+        answer(self, submit->request_id, DISPATCHER_NOT_RUN, ERR_KEY_REUSED,
+               "this job ID is already in use in another queue");
     }
-    if (waiter != NULL && waiter->written_ms != 0) {
+    else if (submitted || waiter->written_ms != 0) {
         answer(self, submit->request_id, DISPATCHER_RECORDED, ERR_OK, "");
-        return true;
     }
-    if (waiter != NULL) {
+    else {
         add_waiter(self, now_ms, waiter->number, submit->request_id,
                    submit->job->id, &submit->queue, false);
-        return true;
     }
-    return false;
+    return true;
 }
 
 /* An entry that is shutting down assigns new jobs to another entry, if one can
@@ -184,8 +193,7 @@
     const DurableLog_Job *job = DurableLog_Find(self->log, id);
     uint64_t number;
 
-    if ((job == NULL || !is_same_queue(self, queue, &job->queue)) &&
-        find_submit_waiter(self, id) == NULL) {
+    if (!is_about_job(self, id, queue)) {
         return false;
     }
     if (job != NULL && (job->outcome != LC_KEPT_OPEN || job->cancelled)) {
@@ -273,12 +281,13 @@
                     const QueueRef *queue)
 {
     const DurableLog_Job *job = DurableLog_Find(self->log, id);
+    bool about = is_about_job(self, id, queue);
 
-    if (job != NULL && is_same_queue(self, queue, &job->queue) &&
+    if (about && job != NULL &&
         (job->submitted || job->outcome != LC_KEPT_OPEN)) {
         return state_of(self, job);
     }
-    if (find_submit_waiter(self, id) != NULL) {
+    if (about && find_submit_waiter(self, id) != NULL) {
         return DURABLE_JOB_PENDING;
     }
     return DurableCaller_IsLogDown(self, now_ms) ? DURABLE_JOB_STALE
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -97,6 +97,7 @@
 check soak_stalled_companion env BUILD="$BUILD" SEEDS="1796315828" SECONDS_EACH=12 WORKERS=1 scripts/soak.sh
 check soak_handed_on env BUILD="$BUILD" LINK=0.3 SEEDS="3 4 5" SECONDS_EACH=5 WORKERS=3 scripts/soak.sh
 check soak_removed_queue env BUILD="$BUILD" REMOVE_QUEUE=1 SEEDS="6 7 8" SECONDS_EACH=8 WORKERS=3 scripts/soak.sh
+check queue_changes env BUILD="$BUILD" SEEDS="1 2 3 4" scripts/queue_changes.sh
 check soak_few_files env BUILD="$BUILD" FILES=44 SEEDS="501 502 503" SECONDS_EACH=8 WORKERS=3 scripts/soak.sh
 check demo env BUILD="$BUILD" scripts/demo.sh
 [ "$known" = 0 ] || echo "$known known red"
--- a/tests/kept_rules.c
+++ b/tests/kept_rules.c
@@ -776,6 +776,38 @@
     free_fixture(&fix);
 }
 
+/* Guards against a job that is cancelled by a caller of another queue, whose
+ * job has the same ID, while its submission is being written or read back. */
+static void
+test_unread_submission_is_of_one_queue(void)
+{
+    QueueRef own;
+    fixture fix;
+
+    new_fixture(&fix);
+    own = queue;
+    submit(&fix, 7);
+    g_assert_cmpint(
+        DurableJobs_StateOf(fix.durable_jobs, fix.now_ms, 7, &stranger), ==,
+        DURABLE_JOB_UNKNOWN);
+    g_assert_false(
+        DurableJobs_OnCancel(fix.durable_jobs, fix.now_ms, 5, 7, &stranger));
+    queue = stranger;
+    submit(&fix, 7);
+    g_assert_cmpint(fix.outcome, ==, DISPATCHER_NOT_RUN);
+    g_assert_cmpint(fix.kind, ==, ERR_KEY_REUSED);
+    DurableJobs_OnWritten(fix.durable_jobs, fix.now_ms, 1);
+    g_assert_cmpint(fix.answers, ==, 2);
+    g_assert_cmpint(fix.outcome, ==, DISPATCHER_RECORDED);
+    submit(&fix, 7);
+    g_assert_cmpint(fix.kind, ==, ERR_KEY_REUSED);
+    g_assert_cmpint(DurableJobs_StateOf(fix.durable_jobs, fix.now_ms, 7, &own),
+                    ==, DURABLE_JOB_PENDING);
+    g_assert_true(
+        DurableJobs_OnCancel(fix.durable_jobs, fix.now_ms, 5, 7, &own));
+    free_fixture(&fix);
+}
+
 /* ---- ends ---- */
 
 static void
@@ -2429,6 +2461,8 @@
      test_renamed_is_cancelled},
     {"/durable/callers wait while their queue is renamed",
      test_renamed_while_callers_wait},
+    {"/durable/a submission that is not read back is of one queue",
+     test_unread_submission_is_of_one_queue},
     {"/durable/a successor starts jobs of a renamed queue",
      test_successor_starts_renamed},
     {"/durable/releases ends once they are written",
