Tests: rules of a job's address split, and told by FORWARD and progress records

New: an own submission behind another queue's in the log cancels nothing; progress records and FORWARD tell the address.

--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -18,7 +18,7 @@
 is_leased() { [ "${1#lease-}" != "$1" ]; }
 
 targets_of() {
-    if is_leased "$1"; then echo "lease_rules runner_rules order_rules heartbeat_rules odd_heartbeat_rules odd_rows_rules rebirth_rules late_start_rules late_copy_rules silent_companion_rules run_past_lease_rules waiting_polls_rules caller_gone_rules stalled_rules http_client_rules keyed_log_rules http_server_rules view_rules link_rules forward_rules rpc_rules client_limits_rules routes_rules registry_rules choice_rules halls_rules lease_cases claims_rules kept_rules prop_lease"; else echo "cases rules prop_cluster"; fi
+    if is_leased "$1"; then echo "lease_rules runner_rules order_rules heartbeat_rules odd_heartbeat_rules odd_rows_rules rebirth_rules late_start_rules late_copy_rules silent_companion_rules run_past_lease_rules waiting_polls_rules caller_gone_rules stalled_rules http_client_rules keyed_log_rules http_server_rules view_rules link_rules forward_rules rpc_rules client_limits_rules routes_rules registry_rules choice_rules halls_rules lease_cases claims_rules queue_rules kept_rules prop_lease"; else echo "cases rules prop_cluster"; fi
 }
 
 # run_tests FOLDER NAME: runs the tests, fastest first, until one fails
--- a/tests/forward_rules.c
+++ b/tests/forward_rules.c
@@ -105,6 +105,8 @@
     g_assert_cmpint(EntryFix_CountCalls(&fix, MSG_FORWARD), ==, 1);
     g_assert_cmpint(fix.start_count, ==, starts);
     call = EntryFix_LastCall(&fix, MSG_FORWARD);
+    g_assert_cmphex(call->forward.queue_address, ==,
+                    Route_Reference(fix.route).address);
     g_assert_cmpuint(call->to, ==, OTHER);
     g_assert_cmpuint(call->forward.target, ==, OTHER_INCARNATION);
     g_assert_cmpuint(call->forward.job, ==, 100);
--- a/tests/kept_rules.c
+++ b/tests/kept_rules.c
@@ -779,19 +779,33 @@
 /* Guards against a job that is cancelled by a caller of another queue, whose
  * job has the same ID, while its submission is being written or read back. */
 static void
-test_unread_submission_is_of_one_queue(void)
+test_unread_submission_is_cancelled_by_its_queue(void)
 {
-    QueueRef own;
     fixture fix;
 
     new_fixture(&fix);
-    own = queue;
     submit(&fix, 7);
     g_assert_cmpint(
         DurableJobs_StateOf(fix.durable_jobs, fix.now_ms, 7, &stranger), ==,
         DURABLE_JOB_UNKNOWN);
     g_assert_false(
         DurableJobs_OnCancel(fix.durable_jobs, fix.now_ms, 5, 7, &stranger));
+    g_assert_cmpint(
+        DurableJobs_StateOf(fix.durable_jobs, fix.now_ms, 7, &queue), ==,
+        DURABLE_JOB_PENDING);
+    g_assert_true(
+        DurableJobs_OnCancel(fix.durable_jobs, fix.now_ms, 5, 7, &queue));
+    free_fixture(&fix);
+}
+
+/* Guards against an ID that is accepted for two queues. */
+static void
+test_unread_submission_is_of_one_queue(void)
+{
+    fixture fix;
+
+    new_fixture(&fix);
+    submit(&fix, 7);
     queue = stranger;
     submit(&fix, 7);
     g_assert_cmpint(fix.outcome, ==, DISPATCHER_NOT_RUN);
@@ -801,8 +815,24 @@
     g_assert_cmpint(fix.outcome, ==, DISPATCHER_RECORDED);
     submit(&fix, 7);
     g_assert_cmpint(fix.kind, ==, ERR_KEY_REUSED);
-    g_assert_cmpint(DurableJobs_StateOf(fix.durable_jobs, fix.now_ms, 7, &own),
-                    ==, DURABLE_JOB_PENDING);
+    free_fixture(&fix);
+}
+
+/* Guards against a cancel of an own submission that stands behind another
+ * queue's one in the log: it would cancel that one's job. */
+static void
+test_later_submission_cancels_nothing(void)
+{
+    QueueRef own;
+    fixture fix;
+
+    new_fixture(&fix);
+    own = queue;
+    queue = stranger;
+    submit(&fix, 7);
+    read_submit(&fix, 7, &other_owner);
+    g_assert_false(
+        DurableJobs_OnCancel(fix.durable_jobs, fix.now_ms, 5, 7, &stranger));
     g_assert_true(
         DurableJobs_OnCancel(fix.durable_jobs, fix.now_ms, 5, 7, &own));
     free_fixture(&fix);
@@ -1345,6 +1375,31 @@
     free_fixture(&fix);
 }
 
+/* Records of the job tell its address, so that an entry that starts after a
+ * change knows it, also of a job that an earlier version has accepted. */
+static void
+test_records_tell_address(void)
+{
+    lc_kept_record record;
+    const written_record *put;
+    QueueRef own;
+    fixture fix;
+
+    claim_other_owner(&fix);
+    own = queue;
+    rename_queue(&fix);
+    answer_fence(&fix, NULL);
+    advance(&fix, 100);
+    end_run(&fix, LC_RUN_DONE);
+    put = g_ptr_array_index(fix.puts, fix.puts->len - 1);
+    g_assert_true(
+        Msg_DecodeDurableRecord(put->value->data, put->value->len, &record));
+    g_assert_cmpint(record.body.kind, ==, LC_KEPT_PROGRESS);
+    g_assert_cmphex(record.queue_address, ==, own.address);
+    Msg_FreeDurableRecord(&record);
+    free_fixture(&fix);
+}
+
 static void
 test_successor_fences_first(void)
 {
@@ -2463,6 +2518,12 @@
      test_renamed_while_callers_wait},
     {"/durable/a submission that is not read back is of one queue",
      test_unread_submission_is_of_one_queue},
+    {"/durable/a submission that is not read back is cancelled by its queue",
+     test_unread_submission_is_cancelled_by_its_queue},
+    {"/durable/a submission behind another queue's cancels nothing",
+     test_later_submission_cancels_nothing},
+    {"/durable/records tell the address of an earlier version's job",
+     test_records_tell_address},
     {"/durable/a successor starts jobs of a renamed queue",
      test_successor_starts_renamed},
     {"/durable/releases ends once they are written",
