--- a/tests/rpc_rules.c
+++ b/tests/rpc_rules.c
@@ -176,11 +176,14 @@
     uv_run(&fixture->loop, UV_RUN_DEFAULT);
 }
 
+/* At an IP address of this process alone, as several may run side by side. */
 static Address
 loopback(uint16_t port)
 {
+    unsigned pid = (unsigned)getpid();
     Address address;
-    char *text = g_strdup_printf("127.0.0.1:%u", port);
+    char *text = g_strdup_printf("127.%u.%u.%u:%u", 128 + (pid >> 16 & 63),
+                                 pid >> 8 & 255, pid & 255, port);
 
     g_assert_true(Address_Parse(text, &address));
     g_free(text);
