Counts of waiting jobs allocate a row for each queue, not for each job

Counting referred jobs by name and address copied a key for each job, at each gossip. Behaviour as before: queue_rules, kept_rules pass.

--- a/daemon/leased_gossip.c
+++ b/daemon/leased_gossip.c
@@ -35,18 +35,17 @@
     GArray *rows = g_array_new(FALSE, TRUE, sizeof(lc_queue_count));
     QueueCounts *counts = LeasedEntry_CountWaiting(self);
     GHashTableIter iter;
-    gpointer key;
-    gpointer waiting;
+    gpointer item;
 
     g_hash_table_iter_init(&iter, counts);
     while (rows->len < LC_MAX_QUEUES &&
-           g_hash_table_iter_next(&iter, &key, &waiting)) {
-        const QueueRef *queue = key;
-        lc_queue_count row = {.queue = (char *)(uintptr_t)queue->name,
-                              .waiting = GPOINTER_TO_UINT(waiting)};
+           g_hash_table_iter_next(&iter, NULL, &item)) {
+        const QueueCounts_Row *count = item;
+        lc_queue_count row = {.queue = (char *)(uintptr_t)count->queue.name,
+                              .waiting = count->jobs};
         g_array_append_val(rows, row);
         if (addresses != NULL) {
-            g_array_append_val(addresses, queue->address);
+            g_array_append_val(addresses, count->queue.address);
         }
     }
     g_hash_table_unref(counts);
--- a/daemon/leased_routes.c
+++ b/daemon/leased_routes.c
@@ -12,11 +12,11 @@
 /* Logs if the open jobs that refer to a queue belong to another one now. */
 static void
 log_changed_queue(Route_Table *former, Route_Table *current,
-                  const QueueRef *queue, uint32_t jobs)
+                  const QueueCounts_Row *open)
 {
     Route_Match match;
-    const Route *before = Route_FindQueue(former, queue, NULL);
-    const Route *after = Route_FindQueue(current, queue, &match);
+    const Route *before = Route_FindQueue(former, &open->queue, NULL);
+    const Route *after = Route_FindQueue(current, &open->queue, &match);
     const char *name_before = before == NULL ? "(none)" : before->name;
     const char *name_after = after == NULL ? "(none)" : after->name;
 
@@ -28,7 +28,7 @@
     Event_Log(EVENT_QUEUE_CHANGED,
               "%u open jobs of queue %s: formerly of queue %s, now of queue "
               "%s, matched by %s",
-              jobs, queue->name, name_before, name_after,
+              open->jobs, open->queue.name, name_before, name_after,
               Route_MatchText(match));
 }
 
@@ -38,8 +38,7 @@
 {
     QueueCounts *open;
     GHashTableIter iter;
-    gpointer queue;
-    gpointer jobs;
+    gpointer row;
 
     if (former == NULL) {
         return;
@@ -48,8 +47,8 @@
     Dispatcher_AddOpen(self->dispatcher, open);
     DurableJobs_CountOpen(self->durable_jobs, open);
     g_hash_table_iter_init(&iter, open);
-    while (g_hash_table_iter_next(&iter, &queue, &jobs)) {
-        log_changed_queue(former, current, queue, GPOINTER_TO_UINT(jobs));
+    while (g_hash_table_iter_next(&iter, NULL, &row)) {
+        log_changed_queue(former, current, row);
     }
     g_hash_table_unref(open);
 }
--- a/lease/queue_counts.c
+++ b/lease/queue_counts.c
@@ -3,7 +3,7 @@
 QueueCounts *
 QueueCounts_New(void)
 {
-    return g_hash_table_new_full(QueueRef_Hash, QueueRef_Equal, g_free, NULL);
+    return g_hash_table_new_full(QueueRef_Hash, QueueRef_Equal, NULL, g_free);
 }
 
 uint32_t
@@ -11,14 +11,14 @@
                 const QueueRef *queue)
 {
     GHashTableIter iter;
-    gpointer key;
-    gpointer count;
+    gpointer item;
     uint32_t sum = 0;
 
     g_hash_table_iter_init(&iter, counts);
-    while (g_hash_table_iter_next(&iter, &key, &count)) {
-        if (Route_IsSameQueue(routes, key, queue)) {
-            sum += GPOINTER_TO_UINT(count);
+    while (g_hash_table_iter_next(&iter, NULL, &item)) {
+        const QueueCounts_Row *row = item;
+        if (Route_IsSameQueue(routes, &row->queue, queue)) {
+            sum += row->jobs;
         }
     }
     return sum;
@@ -27,9 +27,12 @@
 void
 QueueCounts_Add(QueueCounts *counts, const QueueRef *queue)
 {
-    guint count = GPOINTER_TO_UINT(g_hash_table_lookup(counts, queue));
+    QueueCounts_Row *row = g_hash_table_lookup(counts, queue);
 
-    /* If the row exists, it keeps its key, and this copy is freed. */
-    g_hash_table_insert(counts, g_memdup2(queue, sizeof(*queue)),
-                        GUINT_TO_POINTER(count + 1));
+    if (row == NULL) {
+        row = g_new0(QueueCounts_Row, 1);
+        row->queue = *queue;
+        g_hash_table_insert(counts, &row->queue, row);
+    }
+    row->jobs++;
 }
--- a/lease/queue_counts.h
+++ b/lease/queue_counts.h
@@ -12,8 +12,14 @@
 #include "lease/queue_ref.h"
 #include "lease/route_table.h"
 
-/** QueueRef -> count. Names are borrowed from the caller of QueueCounts_Add.
- */
+/** Jobs that refer to one queue. */
+typedef struct {
+    QueueRef queue; /**< the name is borrowed from the caller of
+                         QueueCounts_Add */
+    uint32_t jobs;
+} QueueCounts_Row;
+
+/** QueueRef -> QueueCounts_Row. */
 typedef GHashTable QueueCounts;
 
 /** Creates an empty table; free with g_hash_table_unref. */
