The end of a durable job touches no other job of its ID

An owner stopped its durable job in the dispatcher by ID and queue; since by the ID alone, as the queue may have changed. A job that need not be kept and has the same ID, in another queue, would be stopped when the outcome of a durable job is read back. Found by reading the diff. A NULL queue now stands for a durable job of any queue.

--- a/lease/dispatcher.c
+++ b/lease/dispatcher.c
@@ -102,8 +102,9 @@
 Dispatcher_IsSameQueue(const Dispatcher *self, const QueueRef *request,
                        const Active_Job *job)
 {
-    return request == NULL ||
-           Route_IsSameQueue(self->routes, request, &job->queue);
+    return request == NULL
+               ? job->durable
+               : Route_IsSameQueue(self->routes, request, &job->queue);
 }
 
 static bool
--- a/lease/dispatcher.h
+++ b/lease/dispatcher.h
@@ -135,14 +135,14 @@
 void Dispatcher_OnCallerDisconnect(Dispatcher *self, int64_t now_ms,
                                    uint64_t request_id);
 
-/** Cancels a job of the queue that the request refers to, or of any if
- * @p queue is NULL; returns false if it is not known here. */
+/** Cancels a job of the queue that the request refers to, or a durable job of
+ * any queue if @p queue is NULL; returns false if it is not known here. */
 bool Dispatcher_OnCancel(Dispatcher *self, int64_t now_ms, uint64_t job,
                          const QueueRef *queue);
 
-/** Whether a job of the queue, or of any if @p queue is NULL, is known here
- * and still open; sets @p started to whether any of its tasks has been
- * started. */
+/** Whether a job of the queue, or a durable one of any queue if @p queue is
+ * NULL, is known here and still open; sets @p started to whether any of its
+ * tasks has been started. */
 bool Dispatcher_HasOpenJob(const Dispatcher *self, uint64_t job,
                            const QueueRef *queue, bool *started);
 
--- a/lease/dispatcher_state.h
+++ b/lease/dispatcher_state.h
@@ -113,7 +113,8 @@
 void DispatcherLog_Host(const Dispatcher *self, Event_Id id, int64_t now_ms,
                         const Fleet_Host *host, const char *detail);
 
-/** Whether a request is about a job; a @p request of NULL is about any. */
+/** Whether a request is about a job; a @p request of NULL is about any durable
+ * job. */
 bool Dispatcher_IsSameQueue(const Dispatcher *self, const QueueRef *request,
                             const Active_Job *job);
 
--- a/tests/queue_rules.c
+++ b/tests/queue_rules.c
@@ -531,6 +531,22 @@
     close_changed();
 }
 
+/* Guards against a job that need not be kept and is cancelled at the end of a
+ * durable job with the same ID. */
+static void
+test_durable_alone(void)
+{
+    bool started = false;
+
+    open_changed("renamed /q/, b /b/");
+    g_assert_false(
+        Dispatcher_HasOpenJob(entry.dispatcher, JOB, NULL, &started));
+    g_assert_false(
+        Dispatcher_OnCancel(entry.dispatcher, entry.now_ms, JOB, NULL));
+    g_assert_cmpint(EntryFix_CountCalls(&entry, MSG_HALT), ==, 0);
+    close_changed();
+}
+
 /* Guards against a job that is refused when it is submitted again. */
 static void
 test_second_submission_to_renamed(void)
@@ -607,6 +623,7 @@
     {"/queue/messages of earlier versions have no address",
      test_messages_of_earlier_versions},
     {"/queue/a job of a renamed queue is cancelled", test_cancel_of_renamed},
+    {"/queue/a durable job of any queue is no other job", test_durable_alone},
     {"/queue/a job of a renamed queue is attached to",
      test_second_submission_to_renamed},
     {"/queue/a forwarded job keeps its queue when names are exchanged",
