--- a/tests/queue_rules.c
+++ b/tests/queue_rules.c
@@ -21,10 +21,10 @@
 
 /* ---- the queue in a table ---- */
 
-/* Adds the queues of a text of the form "name prefix, name prefix". Their
- * service is "of-" and the name. */
+/* A table with the queues of a text of the form "name prefix, name prefix",
+ * all at one host. The companions of the fixture run their tasks. */
 static Route_Table *
-table_of(const char *text)
+table_at(const char *host, const char *text)
 {
     char **rows = g_strsplit(text, ", ", -1);
     Route_Table *table = Route_NewTable(1);
@@ -34,9 +34,9 @@
         char **words = g_strsplit(rows[i], " ", 2);
         Route *route = Route_Add(table);
         route->name = g_strdup(words[0]);
-        route->authority = g_strdup(HOST);
+        route->authority = g_strdup(host);
         route->path_prefix = g_strdup(words[1]);
-        route->service = g_strconcat("of-", words[0], NULL);
+        route->service = g_strdup("service");
         route->max_attempts = 2;
         g_strfreev(words);
     }
@@ -44,6 +44,12 @@
     return table;
 }
 
+static Route_Table *
+table_of(const char *text)
+{
+    return table_at(HOST, text);
+}
+
 static uint64_t
 address_of(const char *prefix)
 {
@@ -487,10 +493,7 @@
     EntryFix_Report(&entry, 0, 4);
     EntryFix_Submit(&entry, JOB, 1, 0);
     g_assert_cmpint(entry.start_count, ==, 1);
-    changed = table_of(table);
-    g_free(((Route *)g_ptr_array_index(changed->routes, 0))->authority);
-    ((Route *)g_ptr_array_index(changed->routes, 0))->authority = g_strdup(
-        "host");
+    changed = table_at("host", table);
     Dispatcher_SetRoutes(entry.dispatcher, changed);
 }
 
@@ -583,13 +586,14 @@
                             .queue_address = address_of("/a/"),
                             .spec = (char *)(uintptr_t) "text"};
     Route_Table *table = table_of("b /a/, a /b/");
+    Route *other = g_ptr_array_index(table->routes, 1);
     QueueCounts *counts = QueueCounts_New();
     QueueRef request = {"b", address_of("/a/")};
 
+    /* No companion runs the tasks of the other queue. */
+    g_free(other->service);
+    other->service = g_strdup("other");
     EntryFix_Open(&entry, owner.address, 0);
-    g_free(((Route *)g_ptr_array_index(table->routes, 0))->service);
-    ((Route *)g_ptr_array_index(table->routes, 0))->service = g_strdup(
-        "service");
     Dispatcher_SetRoutes(entry.dispatcher, table);
     EntryFix_Report(&entry, 0, 4);
     args.steps.steps_len = 1;
