Of several rows with one name, the first counts again

What callers could see: a job that is found by name, as all jobs of earlier versions are, takes the settings of the last row with that name; up to it took those of the first. Brought in by: the index by name replaced its value.

queue_rules "the first of several rows with the name counts" failed before.

Tests: the simulation put every removed queue back under another name, so that its own name was no longer played; it renames in every second plan now. Three comments reworded.

--- a/lease/route_table.c
+++ b/lease/route_table.c
@@ -111,7 +111,9 @@
                             route);
         route->address = Route_Reference(route).address;
         g_hash_table_replace(table->by_address, &route->address, route);
-        g_hash_table_insert(table->by_name, route->name, route);
+        if (!g_hash_table_contains(table->by_name, route->name)) {
+            g_hash_table_insert(table->by_name, route->name, route);
+        }
         add_length(table->prefix_lengths, strlen(route->path_prefix));
         g_free(host);
     }
--- a/lease/route_table.h
+++ b/lease/route_table.h
@@ -42,7 +42,7 @@
     GHashTable *by_prefix;  /**< lower-case host name followed by the prefix ->
                                Route; built by the first search */
     GHashTable *by_address; /**< Route.address -> Route */
-    GHashTable *by_name;    /**< name -> Route */
+    GHashTable *by_name;    /**< name -> the first Route of that name */
     GArray *prefix_lengths; /**< distinct lengths of prefixes, descending */
     uint32_t body_bytes;    /**< maximum length of a request body */
     char *source;           /**< the record it was read from, for peers */
@@ -77,9 +77,10 @@
 /** The match in words, for log lines. */
 const char *Route_MatchText(Route_Match match);
 
-/** Queue that the job or request belongs to which refers to @p queue, or NULL
- * if none has its address or its name. The address goes first, as it is what
- * the caller holds. @p match, unless NULL, is set. @p table may be NULL. */
+/** Finds the queue to which jobs and requests that refer to @p queue belong;
+ * NULL if none has its address or its name. The address goes first, as it is
+ * what the caller holds. Sets @p match unless that is NULL; @p table may be
+ * NULL. */
 const Route *Route_FindQueue(Route_Table *table, const QueueRef *queue,
                              Route_Match *match);
 
--- a/tests/lease_sim_durable.cc
+++ b/tests/lease_sim_durable.cc
@@ -131,12 +131,14 @@
                          tables[is_queue_removed() ? 2 : queue_renamed]);
 }
 
-/* The queue is put back under another name. */
+/* In every second plan, the queue is put back under another name. */
 void
 Simulation::remove_queue(int64_t until)
 {
     queue_removed_until = std::max(queue_removed_until, until);
-    queue_renamed = !queue_renamed;
+    if (plan.seed % 2 == 0) {
+        queue_renamed = !queue_renamed;
+    }
     for (int64_t at : {now, queue_removed_until}) {
         schedule(at, [this] {
             for (EntryNode &entry : entries) {
--- a/tests/queue_rules.c
+++ b/tests/queue_rules.c
@@ -156,6 +156,19 @@
     Route_FreeTable(table);
 }
 
+/* Guards against other settings of such a job: of several rows with one name,
+ * the first one counts, as in earlier versions. */
+static void
+test_first_row_of_name(void)
+{
+    Route_Table *table = table_of("a /c/, b /b/, a /d/");
+    QueueRef job = {"a", 0};
+
+    g_assert_true(Route_FindQueue(table, &job, NULL) ==
+                  g_ptr_array_index(table->routes, 0));
+    Route_FreeTable(table);
+}
+
 /* Without routes, and of a queue that is gone, names are compared. */
 static void
 test_without_table(void)
@@ -614,6 +627,8 @@
      test_changes},
     {"/queue/a job of an earlier version belongs to its queue by name",
      test_name_alone},
+    {"/queue/the first of several rows with the name counts",
+     test_first_row_of_name},
     {"/queue/names are compared without routes", test_without_table},
     {"/queue/an address has one digest on all machines", test_digest},
     {"/queue/counts go by the queue in force", test_counts},
--- a/wire/levercove.x
+++ b/wire/levercove.x
@@ -545,7 +545,7 @@
 struct lc_withdraw_args {
     lc_node from;
     unsigned hyper job;
-    string queue<LC_MAX_NAME>; /* that its caller has called */
+    string queue<LC_MAX_NAME>; /* that the cancel was sent to */
     unsigned hyper queue_address; /* QueueRef; 0: not known */
 };
 
@@ -657,7 +657,8 @@
     lc_node complete; /* the claimed owner whose takeover is complete */
 };
 
-/* Earlier versions end after the body, and ignore what follows it. */
+/* Records of earlier versions end after the body; these versions ignore what
+ * follows it. */
 struct lc_kept_record {
     unsigned hyper job; /* 0 for a claim */
     lc_kept_body body;
